--- /dev/null
+++ b/tests/fake-backend.c
@@ -0,0 +1,525 @@
+/*
+ * A stand-in for backend servers: many in one process, each with its port,
+ * slots, speed and queue. It counts what it really ran.
+ *
+ * Prints "control IP:PORT", then "server IP:PORT" for each.
+ *
+ * A request may ask for a failure with the header X-Fake: close (reads, then
+ * closes), crash (all connections of the server close and it is away for a
+ * time), silent (no answer), short (half of the body), big=BYTES, refuse,
+ * status=CODE, or work=MS.
+ *
+ * Control: GET /set?server=I&NAME=VALUE with drain, health_drain, slow
+ * (factor), fail_fast, away, silent, cold_ms, queue, lie; /runs lists "KEY
+ * COUNT" of every X-Test-Key; /stats lists per server "runs N peak N probes N
+ * connections N".
+ */
+#include <glib-unix.h>
+#include <gsl/gsl_randist.h>
+#include <gsl/gsl_rng.h>
+#include <libsoup/soup.h>
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "hf-http.h"
+
+/* --- constants --- */
+
+#define CRASH_MS       500
+#define CANCEL_POLL_MS 10
+#define SMALL_BODY     256
+
+/* --- types --- */
+
+struct job;
+
+struct server
+{
+  struct fake *fake;
+  SoupServer *http;
+  char address[64];
+  guint slots;
+  guint busy;
+  double speed;   /* factor of the service time */
+  GQueue waiting; /* struct job */
+  GList *jobs;    /* every job that is here */
+  guint queue_limit;
+  gboolean drain;
+  gboolean health_drain;
+  gboolean fail_fast;
+  gboolean silent;
+  double slow;
+  gint64 away_until;
+  gint64 cold_until;
+  int lie; /* load report, -1: the truth */
+  guint runs;
+  guint peak;
+  guint probes;
+};
+
+struct job
+{
+  struct server *server;
+  SoupServerMessage *message;
+  gboolean running;
+  gboolean over;
+  guint timer;
+};
+
+struct fake
+{
+  GPtrArray *servers;
+  GHashTable *runs; /* count by X-Test-Key */
+  gsl_rng *random;
+  double mean_ms;
+  gboolean constant;
+};
+
+/* --- internal functions: jobs --- */
+
+static void start_next (struct server *server);
+
+static void
+cut (SoupServerMessage *message)
+{
+  GSocket *socket = soup_server_message_get_socket (message);
+  if (socket)
+    shutdown (g_socket_get_fd (socket), SHUT_RDWR);
+}
+
+static void
+end_job (struct job *job)
+{
+  struct server *server = job->server;
+  if (job->over)
+    return;
+  job->over = TRUE;
+  server->jobs = g_list_remove (server->jobs, job);
+  g_queue_remove (&server->waiting, job);
+  if (job->timer)
+    g_source_remove (job->timer);
+  if (job->running)
+    server->busy--;
+  g_signal_handlers_disconnect_by_data (job->message, job);
+  soup_server_message_unpause (job->message);
+  g_object_unref (job->message);
+  g_free (job);
+  start_next (server);
+}
+
+static const char *
+fault_of (SoupServerMessage *message)
+{
+  const char *fault = soup_message_headers_get_one (
+      soup_server_message_get_request_headers (message), "X-Fake");
+  return fault ? fault : "";
+}
+
+static void
+add_hints (struct server *server, SoupServerMessage *message)
+{
+  SoupMessageHeaders *headers
+      = soup_server_message_get_response_headers (message);
+  char load[16];
+  g_snprintf (
+      load, sizeof load, "%d",
+      server->lie >= 0
+          ? server->lie
+          : (int)(server->busy + g_queue_get_length (&server->waiting)));
+  soup_message_headers_replace (headers, "Backend-Load", load);
+  if (server->drain)
+    soup_message_headers_replace (headers, "Backend-State", "draining");
+}
+
+static void
+refuse (struct server *server, SoupServerMessage *message)
+{
+  add_hints (server, message);
+  soup_message_headers_replace (
+      soup_server_message_get_response_headers (message), "Backend-Outcome",
+      "not-run");
+  soup_server_message_set_status (message, 503, NULL);
+}
+
+static void
+write_answer (struct job *job)
+{
+  SoupServerMessage *message = job->message;
+  SoupMessageHeaders *headers
+      = soup_server_message_get_response_headers (message);
+  SoupMessageBody *request = soup_server_message_get_request_body (message);
+  const char *key = soup_message_headers_get_one (
+      soup_server_message_get_request_headers (message), "X-Test-Key");
+  const char *fault = fault_of (message);
+  gsize size
+      = g_str_has_prefix (fault, "big=") ? (gsize)atol (fault + 4) : SMALL_BODY;
+  guint status
+      = g_str_has_prefix (fault, "status=") ? (guint)atoi (fault + 7) : 200;
+  char *body = g_malloc (size + 1);
+  char *digest = g_compute_checksum_for_data (
+      G_CHECKSUM_SHA256, (const guchar *)request->data, (gsize)request->length);
+  memset (body, 'a', size);
+  add_hints (job->server, message);
+  soup_message_headers_replace (headers, "X-Body-Digest", digest);
+  if (key)
+    soup_message_headers_replace (headers, "X-Test-Key", key);
+  soup_server_message_set_status (message,
+                                  job->server->fail_fast ? 500 : status, NULL);
+  if (strcmp (fault, "short") == 0)
+    {
+      soup_message_headers_set_content_length (headers, (goffset)size);
+      soup_message_body_append (soup_server_message_get_response_body (message),
+                                SOUP_MEMORY_COPY, body, size / 2);
+    }
+  else
+    soup_server_message_set_response (message, "application/octet-stream",
+                                      SOUP_MEMORY_TAKE, body, size);
+  g_free (digest);
+}
+
+static void
+wrote_short (SoupServerMessage *message, gpointer data)
+{
+  (void)data;
+  cut (message);
+}
+
+static gboolean
+job_done (gpointer data)
+{
+  struct job *job = data;
+  const char *fault = fault_of (job->message);
+  job->timer = 0;
+  if (strcmp (fault, "close") == 0)
+    cut (job->message);
+  else
+    write_answer (job);
+  if (strcmp (fault, "short") == 0)
+    g_signal_connect (job->message, "wrote-chunk", G_CALLBACK (wrote_short),
+                      NULL);
+  end_job (job);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+crash (struct server *server)
+{
+  server->away_until = g_get_monotonic_time () + CRASH_MS * 1000;
+  GList *jobs = g_list_copy (server->jobs);
+  for (GList *each = jobs; each; each = each->next)
+    cut (((struct job *)each->data)->message);
+  for (GList *each = jobs; each; each = each->next)
+    if (g_list_find (server->jobs, each->data))
+      end_job (each->data);
+  g_list_free (jobs);
+}
+
+static void
+count_run (struct server *server, SoupServerMessage *message)
+{
+  const char *key = soup_message_headers_get_one (
+      soup_server_message_get_request_headers (message), "X-Test-Key");
+  server->runs++;
+  if (!key)
+    return;
+  guint n = GPOINTER_TO_UINT (g_hash_table_lookup (server->fake->runs, key));
+  g_hash_table_insert (server->fake->runs, g_strdup (key),
+                       GUINT_TO_POINTER (n + 1));
+}
+
+static double
+service_ms (struct server *server, const char *fault)
+{
+  struct fake *fake = server->fake;
+  double mean
+      = g_str_has_prefix (fault, "work=") ? atof (fault + 5) : fake->mean_ms;
+  double drawn = fake->constant || g_str_has_prefix (fault, "work=")
+                     ? mean
+                     : gsl_ran_exponential (fake->random, mean);
+  double cold = g_get_monotonic_time () < server->cold_until ? 5.0 : 1.0;
+  return drawn * server->speed * server->slow * cold;
+}
+
+static void
+run_job (struct job *job)
+{
+  struct server *server = job->server;
+  const char *fault = fault_of (job->message);
+  job->running = TRUE;
+  server->busy++;
+  count_run (server, job->message);
+  if (strcmp (fault, "crash") == 0)
+    {
+      crash (server);
+      return;
+    }
+  if (strcmp (fault, "silent") == 0 || server->silent)
+    return;
+  double ms = server->fail_fast ? 0 : service_ms (server, fault);
+  job->timer = g_timeout_add ((guint)lround (ms), job_done, job);
+}
+
+static void
+start_next (struct server *server)
+{
+  while (server->busy < server->slots && !g_queue_is_empty (&server->waiting))
+    run_job (g_queue_pop_head (&server->waiting));
+}
+
+static void
+gone (SoupServerMessage *message, gpointer data)
+{
+  (void)message;
+  end_job (data);
+}
+
+/* --- internal functions: requests --- */
+
+static void
+take_request (struct server *server, SoupServerMessage *message)
+{
+  struct job *job = g_new0 (struct job, 1);
+  job->server = server;
+  job->message = g_object_ref (message);
+  server->jobs = g_list_prepend (server->jobs, job);
+  g_signal_connect (message, "finished", G_CALLBACK (gone), job);
+  soup_server_message_pause (message);
+  g_queue_push_tail (&server->waiting, job);
+  server->peak = MAX (server->peak,
+                      server->busy + g_queue_get_length (&server->waiting));
+  start_next (server);
+}
+
+static void
+handle (SoupServer *http,
+        SoupServerMessage *message,
+        const char *path,
+        GHashTable *query,
+        gpointer data)
+{
+  struct server *server = data;
+  (void)http;
+  (void)query;
+  if (g_get_monotonic_time () < server->away_until)
+    {
+      cut (message);
+      return;
+    }
+  if (strcmp (path, "/health") == 0)
+    {
+      server->probes++;
+      add_hints (server, message);
+      if (server->health_drain)
+        soup_message_headers_replace (
+            soup_server_message_get_response_headers (message), "Backend-State",
+            "draining");
+      soup_server_message_set_status (
+          message, server->drain || server->health_drain ? 503 : 200, NULL);
+      return;
+    }
+  gboolean full
+      = server->queue_limit
+        && g_queue_get_length (&server->waiting) >= server->queue_limit;
+  if (server->drain || full || strcmp (fault_of (message), "refuse") == 0)
+    {
+      refuse (server, message);
+      return;
+    }
+  take_request (server, message);
+}
+
+/* Requests whose sender has given up are cancelled. */
+static gboolean
+poll_cancelled (gpointer data)
+{
+  struct fake *fake = data;
+  for (guint i = 0; i < fake->servers->len; i++)
+    {
+      struct server *server = g_ptr_array_index (fake->servers, i);
+      GList *jobs = g_list_copy (server->jobs);
+      for (GList *each = jobs; each; each = each->next)
+        {
+          struct job *job = each->data;
+          char byte;
+          if (!g_list_find (server->jobs, job))
+            continue;
+          GSocket *socket = soup_server_message_get_socket (job->message);
+          if (!socket
+              || recv (g_socket_get_fd (socket), &byte, 1,
+                       MSG_PEEK | MSG_DONTWAIT)
+                     == 0)
+            end_job (job);
+        }
+      g_list_free (jobs);
+    }
+  return G_SOURCE_CONTINUE;
+}
+
+/* --- internal functions: control --- */
+
+static void
+set_switch (struct server *server, const char *name, const char *value)
+{
+  gint64 until = g_get_monotonic_time () + atoll (value) * 1000;
+  if (strcmp (name, "drain") == 0)
+    server->drain = atoi (value);
+  else if (strcmp (name, "health_drain") == 0)
+    server->health_drain = atoi (value);
+  else if (strcmp (name, "fail_fast") == 0)
+    server->fail_fast = atoi (value);
+  else if (strcmp (name, "silent") == 0)
+    server->silent = atoi (value);
+  else if (strcmp (name, "slow") == 0)
+    server->slow = atof (value);
+  else if (strcmp (name, "away_ms") == 0)
+    server->away_until = until;
+  else if (strcmp (name, "cold_ms") == 0)
+    server->cold_until = until;
+  else if (strcmp (name, "queue") == 0)
+    server->queue_limit = (guint)atoi (value);
+  else if (strcmp (name, "lie") == 0)
+    server->lie = atoi (value);
+  else if (strcmp (name, "crash") == 0)
+    crash (server);
+}
+
+static void
+list_runs (struct fake *fake, GString *text)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer count;
+  g_hash_table_iter_init (&iter, fake->runs);
+  while (g_hash_table_iter_next (&iter, &key, &count))
+    g_string_append_printf (text, "%s %u\n", (char *)key,
+                            GPOINTER_TO_UINT (count));
+}
+
+static void
+list_stats (struct fake *fake, GString *text)
+{
+  for (guint i = 0; i < fake->servers->len; i++)
+    {
+      struct server *server = g_ptr_array_index (fake->servers, i);
+      g_string_append_printf (text, "%s runs %u peak %u probes %u\n",
+                              server->address, server->runs, server->peak,
+                              server->probes);
+      server->peak = 0;
+    }
+}
+
+static void
+control (SoupServer *http,
+         SoupServerMessage *message,
+         const char *path,
+         GHashTable *query,
+         gpointer data)
+{
+  struct fake *fake = data;
+  GString *text = g_string_new (NULL);
+  const char *which = query ? g_hash_table_lookup (query, "server") : NULL;
+  (void)http;
+  if (strcmp (path, "/runs") == 0)
+    list_runs (fake, text);
+  else if (strcmp (path, "/stats") == 0)
+    list_stats (fake, text);
+  else if (query && which)
+    for (guint i = 0; i < fake->servers->len; i++)
+      {
+        GHashTableIter iter;
+        gpointer name;
+        gpointer value;
+        if (strcmp (which, "all") != 0 && (guint)atoi (which) != i)
+          continue;
+        g_hash_table_iter_init (&iter, query);
+        while (g_hash_table_iter_next (&iter, &name, &value))
+          set_switch (g_ptr_array_index (fake->servers, i), name, value);
+      }
+  soup_server_message_set_status (message, 200, NULL);
+  gsize size = text->len;
+  soup_server_message_set_response (message, "text/plain", SOUP_MEMORY_TAKE,
+                                    g_string_free (text, FALSE), size);
+}
+
+static gboolean
+add_server (struct fake *fake, int slots, double speed)
+{
+  struct server *server = g_new0 (struct server, 1);
+  struct hf_error error = { 0 };
+  server->fake = fake;
+  server->slots = (guint)slots;
+  server->speed = speed;
+  server->slow = 1.0;
+  server->lie = -1;
+  g_queue_init (&server->waiting);
+  server->http = soup_server_new (NULL, NULL);
+  soup_server_add_handler (server->http, NULL, handle, server, NULL);
+  g_ptr_array_add (fake->servers, server);
+  if (hf_http_listen (server->http, hf_str ("127.0.0.1:0"), server->address,
+                      sizeof server->address, &error))
+    return TRUE;
+  fprintf (stderr, "fake-backend: %s\n", error.message);
+  return FALSE;
+}
+
+int
+main (int argc, char **argv)
+{
+  int servers = 1;
+  int slots = 3;
+  int seed = 1;
+  double mean_ms = 20;
+  double spread = 0;
+  gboolean constant = FALSE;
+  const GOptionEntry options[] = {
+    { "servers", 0, 0, G_OPTION_ARG_INT, &servers, "How many servers", "N" },
+    { "slots", 0, 0, G_OPTION_ARG_INT, &slots, "Slots of each", "N" },
+    { "seed", 0, 0, G_OPTION_ARG_INT, &seed, "Seed of the service times", "N" },
+    { "mean-ms", 0, 0, G_OPTION_ARG_DOUBLE, &mean_ms, "Mean service time",
+      "MS" },
+    { "spread", 0, 0, G_OPTION_ARG_DOUBLE, &spread,
+      "Speeds differ by this share up and down", "X" },
+    { "constant", 0, 0, G_OPTION_ARG_NONE, &constant, "Constant service times",
+      NULL },
+    { 0 },
+  };
+  GOptionContext *context = g_option_context_new (NULL);
+  struct fake fake = { .servers = g_ptr_array_new () };
+  struct hf_error error = { 0 };
+  char address[64];
+  g_option_context_add_main_entries (context, options, NULL);
+  if (!g_option_context_parse (context, &argc, &argv, NULL))
+    return 2;
+  fake.runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  fake.random = gsl_rng_alloc (gsl_rng_mt19937);
+  gsl_rng_set (fake.random, (unsigned long)seed);
+  fake.mean_ms = mean_ms;
+  fake.constant = constant;
+  SoupServer *http = soup_server_new (NULL, NULL);
+  soup_server_add_handler (http, NULL, control, &fake, NULL);
+  if (!hf_http_listen (http, hf_str ("127.0.0.1:0"), address, sizeof address,
+                       &error))
+    return 1;
+  printf ("control %s\n", address);
+  for (int i = 0; i < servers; i++)
+    {
+      /* Evenly spaced speeds around 1, so that the mean speed stays the same.
+       */
+      double speed
+          = servers > 1 ? 1.0 + spread * (2.0 * i / (servers - 1) - 1.0) : 1.0;
+      if (!add_server (&fake, slots, speed))
+        return 1;
+      printf ("server %s\n",
+              ((struct server *)g_ptr_array_index (fake.servers, i))->address);
+    }
+  printf ("ready\n");
+  fflush (stdout);
+  g_timeout_add (CANCEL_POLL_MS, poll_cancelled, &fake);
+  GMainLoop *loop = g_main_loop_new (NULL, FALSE);
+  g_unix_signal_add (SIGTERM, (GSourceFunc)(void (*) (void))g_main_loop_quit,
+                     loop);
+  g_main_loop_run (loop);
+  return 0;
+}
