--- a/tests/fake-backend.c
+++ b/tests/fake-backend.c
@@ -175,7 +175,8 @@
     }
   else
     soup_server_message_set_response (message, "application/octet-stream",
-                                      SOUP_MEMORY_TAKE, body, size);
+                                      SOUP_MEMORY_COPY, body, size);
+  g_free (body);
   g_free (digest);
 }
 
