Watches that lost a line, unclear lengths, silent callers

Cause: a watch that skips a change looks alive, since bookmarks go on; the test froze all watches over an apply and no entry had the change after 10 s. One entry now compares the stored version every 3 s by a metadata-only read. Ruled out: a shorter life of every watch, which reads the whole VM list anew. Also: a Content-Length of -5 was answered 200 and is 400 now; relayed 5xx carry an outcome; callers silent for 60 s are cut.

--- a/src/config.h
+++ b/src/config.h
@@ -63,6 +63,7 @@
 #define HF_WATCH_SILENT_MS       5000
 #define HF_PLATFORM_RETRY_MS     500
 #define HF_PLATFORM_RETRY_MAX_MS 5000
+#define HF_CONFIG_CHECK_MS       3000 /* the stored version is compared */
 #define HF_CONFIG_PULL_MS        50
 #define HF_CHUNK_BYTES           8192 /* document bytes in one datagram */
 #define HF_DOCUMENT_BYTES_MAX    (1000 * 1000)
--- a/src/hf-calls.c
+++ b/src/hf-calls.c
@@ -370,7 +370,7 @@
       return;
     }
   enum hf_outcome outcome = HF_OUTCOME_ANSWERED;
-  if (failure)
+  if (failure || event->hints.status >= 500)
     outcome = call->maybe_run ? HF_OUTCOME_UNKNOWN : HF_OUTCOME_NOT_RUN;
   relay (state, call, i, outcome);
   hf_claims_ended (state, call, outcome, event->hints.status);
@@ -611,8 +611,7 @@
                  event->hints.not_run);
   call->maybe_run = true;
   relay (state, call, event->attempt,
-         is_failure_status (event->hints.status) ? HF_OUTCOME_UNKNOWN
-                                                 : HF_OUTCOME_ANSWERED);
+         event->hints.status >= 500 ? HF_OUTCOME_UNKNOWN : HF_OUTCOME_ANSWERED);
 }
 
 void
--- a/src/hf-event.h
+++ b/src/hf-event.h
@@ -39,7 +39,8 @@
 enum hf_platform_op
 {
   HF_PLATFORM_GET,
-  HF_PLATFORM_PUT, /* conditional on the version; version 0 creates */
+  HF_PLATFORM_HEAD, /* metadata only */
+  HF_PLATFORM_PUT,  /* conditional on the version; version 0 creates */
   HF_PLATFORM_WATCH,
 };
 
--- a/src/hf-platform.c
+++ b/src/hf-platform.c
@@ -9,6 +9,8 @@
 
 #define API_PATH "/apis/hickoryfield/v1"
 #define WATCHES  2
+#define METADATA_ONLY                                                          \
+  "application/json;as=PartialObjectMetadata;g=meta.k8s.io;v=1"
 
 /* --- types --- */
 
@@ -192,13 +194,15 @@
   char *path = create ? g_strdup (API_PATH "/objects")
                       : g_strdup_printf (API_PATH "/objects/" HF_STR_FMT,
                                          HF_STR_ARG (effect->name));
-  const char *method = effect->op == HF_PLATFORM_GET ? "GET"
-                       : create                      ? "POST"
-                                                     : "PUT";
+  bool write = effect->op == HF_PLATFORM_PUT;
+  const char *method = !write ? "GET" : create ? "POST" : "PUT";
   SoupMessage *message
       = hf_http_message (method, platform->address, path, NULL);
   g_free (path);
-  if (effect->op == HF_PLATFORM_PUT)
+  if (effect->op == HF_PLATFORM_HEAD)
+    soup_message_headers_replace (soup_message_get_request_headers (message),
+                                  "Accept", METADATA_ONLY);
+  if (write)
     {
       /* On a reused connection that closes the library would send it twice. */
       soup_message_add_flags (message, SOUP_MESSAGE_NEW_CONNECTION);
--- a/src/hf-proxy.c
+++ b/src/hf-proxy.c
@@ -22,10 +22,11 @@
   GBytes *whole;    /* the buffered body */
   HfUpload *upload; /* when it is streamed */
   uint64_t digest;
-  bool raised;   /* the reducer has the request */
-  bool answered; /* an answer has been set */
-  bool received; /* the whole body is here */
-  bool paused;   /* reading is held back */
+  bool raised;       /* the reducer has the request */
+  bool answered;     /* an answer has been set */
+  bool received;     /* the whole body is here */
+  bool paused;       /* reading is held back */
+  int64_t active_at; /* last sign of life of its connection */
   struct exchange *attempts[HF_ATTEMPTS_MAX];
   struct exchange *relayed;
 };
@@ -323,6 +324,7 @@
   struct caller *caller = data;
   struct exchange *exchange = caller->relayed;
   (void)message;
+  caller->active_at = hf_loop_now ();
   if (exchange && !exchange->reading && !exchange->ended && exchange->stream)
     read_answer (exchange);
 }
@@ -358,6 +360,7 @@
       return;
     }
   caller->answered = true;
+  caller->active_at = hf_loop_now ();
   soup_server_message_set_status (caller->message, status, NULL);
   soup_message_headers_replace (headers, "Hickory-Outcome",
                                 outcome_text (outcome));
@@ -407,6 +410,7 @@
   if (!exchange || caller->answered)
     return;
   caller->answered = true;
+  caller->active_at = hf_loop_now ();
   relay_headers (caller, exchange, outcome);
   if (exchange->ended)
     {
@@ -499,6 +503,7 @@
 got_chunk (SoupServerMessage *message, GBytes *chunk, gpointer data)
 {
   struct caller *caller = data;
+  caller->active_at = hf_loop_now ();
   if (caller->answered)
     return;
   if (caller->upload)
@@ -536,6 +541,19 @@
   caller->digest = hf_hash ((struct hf_str){ .data = bytes, .len = size }, 0);
 }
 
+/* A length that two hops may read differently is refused, not guessed. */
+static bool
+has_clear_length (SoupMessageHeaders *headers)
+{
+  const char *length
+      = soup_message_headers_get_list (headers, "Content-Length");
+  if (!length)
+    return true;
+  bool digits = *length != 0 && length[strspn (length, "0123456789")] == 0;
+  return digits
+         && !soup_message_headers_get_list (headers, "Transfer-Encoding");
+}
+
 static bool
 check_head (struct caller *caller)
 {
@@ -552,6 +570,12 @@
                       hf_str ("the header fields are too large"));
       return false;
     }
+  if (!has_clear_length (headers))
+    {
+      answer_failure (caller, 400, HF_OUTCOME_NOT_RUN, 0,
+                      hf_str ("the length of the body is not clear"));
+      return false;
+    }
   if (soup_message_headers_get_content_length (headers) > HF_BODY_BYTES_MAX)
     {
       answer_failure (caller, 413, HF_OUTCOME_NOT_RUN, 0,
@@ -588,6 +612,7 @@
   (void)query;
   caller->proxy = proxy;
   caller->id = ++proxy->next_id;
+  caller->active_at = hf_loop_now ();
   caller->message = g_object_ref (message);
   caller->body = g_byte_array_new ();
   g_hash_table_insert (proxy->callers, &caller->id, caller);
@@ -636,6 +661,16 @@
              && errno != EINTR);
 }
 
+/* Nothing came or went for long although it is the caller's turn. */
+static bool
+is_silent (const struct caller *caller)
+{
+  bool callers_turn
+      = caller->answered || (!caller->received && !caller->paused);
+  return callers_turn
+         && hf_loop_now () - caller->active_at > HF_CALLER_SILENT_SEC * HF_SEC;
+}
+
 /* A paused message does not notice that its caller has left. */
 static gboolean
 poll_callers (gpointer data)
@@ -646,8 +681,10 @@
   GPtrArray *gone = g_ptr_array_new ();
   g_hash_table_iter_init (&iter, proxy->callers);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&caller))
-    if (caller->raised && caller->received && !caller->answered
-        && has_left (caller))
+    if (is_silent (caller))
+      cut (caller);
+    else if (caller->raised && caller->received && !caller->answered
+             && has_left (caller))
       g_ptr_array_add (gone, caller);
   for (guint i = 0; i < gone->len; i++)
     {
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -62,6 +62,7 @@
   state->heartbeat_due = state->now + HF_HEARTBEAT_MS * HF_MS;
   hf_state_timer (state, HF_HEARTBEAT_MS * HF_MS, HF_TIMER_HEARTBEAT, 0, 0);
   hf_sync_check_watches (state);
+  hf_sync_check_stored (state);
   hf_probes_tick (state);
   hf_quarantine_expire (state);
   hf_claims_expire (state);
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -306,6 +306,7 @@
   struct hf_document *document;
   uint64_t config_version; /* version of the object, 0: unknown or none */
   uint64_t config_stored;  /* generation seen in the platform */
+  int64_t config_checked_at;
   struct hf_pull pull;
   struct hf_watch watches[2]; /* by enum hf_purpose */
   bool platform_reachable;
--- a/src/hf-sync.c
+++ b/src/hf-sync.c
@@ -211,6 +211,25 @@
       = hf_state_timer (state, delay * HF_MS, HF_TIMER_WATCH, purpose, 0);
 }
 
+/* A watch that lost a line looks alive; the version of the object does not lie.
+ */
+static void
+stored_checked (struct hf_state *state, const struct hf_event *event)
+{
+  struct hf_object object;
+  if (event->platform.status != 200
+      || !hf_object_load (event->platform.data, &object, NULL))
+    return;
+  bool missed = object.version != state->config_version
+                && !state->watches[HF_PURPOSE_CONFIG].timer;
+  hf_object_unload (&object);
+  if (!missed)
+    return;
+  hf_state_log (state, HF_LOG_WATCH_SILENT,
+                "watch of config missed a change; opening a new one");
+  open_watch (state, HF_PURPOSE_CONFIG);
+}
+
 /* --- internal functions: pulling from a peer --- */
 
 static void
@@ -351,10 +370,27 @@
     }
 }
 
+void
+hf_sync_check_stored (struct hf_state *state)
+{
+  bool due
+      = state->now - state->config_checked_at >= HF_CONFIG_CHECK_MS * HF_MS;
+  if (!due || !hf_members_own (state, hf_hash (hf_str ("config"), 0)))
+    return;
+  state->config_checked_at = state->now;
+  hf_state_platform (state, HF_PLATFORM_HEAD, HF_PURPOSE_CONFIG, 0,
+                     hf_str ("config"), 0, (struct hf_str){ 0 });
+}
+
 void
 hf_sync_platform (struct hf_state *state, const struct hf_event *event)
 {
   struct hf_object object;
+  if (event->platform.op == HF_PLATFORM_HEAD)
+    {
+      stored_checked (state, event);
+      return;
+    }
   if (event->platform.status != 200 && event->platform.status != 201)
     {
       /* Lost or a conflict: the watch tells what is there now. */
--- a/src/hf-sync.h
+++ b/src/hf-sync.h
@@ -20,6 +20,9 @@
                           enum hf_purpose purpose); /* starts a watch anew */
 void
 hf_sync_check_watches (struct hf_state *state); /* replaces silent watches */
+void hf_sync_check_stored (
+    struct hf_state
+        *state); /* compares the stored version with the last seen */
 void hf_sync_platform (struct hf_state *state,
                        const struct hf_event *event); /* outcome of a write */
 void hf_sync_peer (
--- a/tests/fake-platform.c
+++ b/tests/fake-platform.c
@@ -79,6 +79,15 @@
       item->name, item->version, item->data);
 }
 
+static char *
+metadata_json (const struct item *item)
+{
+  return g_strdup_printf (
+      "{\"metadata\":{\"name\":\"%s\",\"resourceVersion\":\"%" G_GUINT64_FORMAT
+      "\"}}",
+      item->name, item->version);
+}
+
 static void
 cut (SoupServerMessage *message)
 {
@@ -326,8 +335,12 @@
 {
   char *key = g_strdup_printf ("%s/%s", collection, name);
   struct item *item = g_hash_table_lookup (platform->items, key);
+  const char *accept = soup_message_headers_get_one (
+      soup_server_message_get_request_headers (message), "Accept");
   platform->reads++;
-  if (item)
+  if (item && accept && strstr (accept, "PartialObjectMetadata"))
+    answer (platform, message, 200, metadata_json (item));
+  else if (item)
     answer (platform, message, 200, item_json (item));
   else
     answer_error (platform, message, 404, "NotFound");
--- a/tests/support.c
+++ b/tests/support.c
@@ -13,7 +13,13 @@
 /* --- internal functions --- */
 
 static SoupMessage *
-make_message (const char *address, const char *method, const char *path, const char *key, const char *idempotency, const char *fault, const char *body)
+make_message (const char *address,
+              const char *method,
+              const char *path,
+              const char *key,
+              const char *idempotency,
+              const char *fault,
+              const char *body)
 {
   SoupMessage *message = hf_http_message (method, hf_str (address), path, NULL);
   SoupMessageHeaders *headers = soup_message_get_request_headers (message);
@@ -38,9 +44,12 @@
   if (!body)
     return;
   reply->status = soup_message_get_status (message);
-  reply->outcome = g_strdup (soup_message_headers_get_one (headers, "Hickory-Outcome"));
-  reply->digest = g_strdup (soup_message_headers_get_one (headers, "X-Body-Digest"));
-  reply->retry_after = g_strdup (soup_message_headers_get_one (headers, "Retry-After"));
+  reply->outcome
+      = g_strdup (soup_message_headers_get_one (headers, "Hickory-Outcome"));
+  reply->digest
+      = g_strdup (soup_message_headers_get_one (headers, "X-Body-Digest"));
+  reply->retry_after
+      = g_strdup (soup_message_headers_get_one (headers, "Retry-After"));
   reply->size = g_bytes_get_size (body);
   g_bytes_unref (body);
 }
@@ -49,7 +58,9 @@
 call_done (GObject *source, GAsyncResult *result, gpointer data)
 {
   struct reply *reply = data;
-  read_reply (reply, reply->message, soup_session_send_and_read_finish (SOUP_SESSION (source), result, NULL));
+  read_reply (
+      reply, reply->message,
+      soup_session_send_and_read_finish (SOUP_SESSION (source), result, NULL));
   g_clear_object (&reply->message);
   reply->done = TRUE;
 }
@@ -57,7 +68,7 @@
 static gboolean
 is_done (void *context)
 {
-  return ((struct reply *) context)->done;
+  return ((struct reply *)context)->done;
 }
 
 static guint64
@@ -79,8 +90,10 @@
   const struct members *members = context;
   for (guint i = 0; i < members->setup->harness->entries->len; i++)
     {
-      const struct entry *entry = g_ptr_array_index (members->setup->harness->entries, i);
-      if (!entry->process->ended && entry_metric (entry, "members_alive") != members->alive)
+      const struct entry *entry
+          = g_ptr_array_index (members->setup->harness->entries, i);
+      if (!entry->process->ended
+          && entry_metric (entry, "members_alive") != members->alive)
         return FALSE;
     }
   return TRUE;
@@ -91,15 +104,22 @@
 char *
 setup_document (struct setup *setup, const char *more, const char *server_more)
 {
-  GString *text = g_string_new ("version: 1\nentries_max: 5\nservices:\n  - name: a\n    path_prefix: /a\n");
+  GString *text = g_string_new ("version: 1\nentries_max: 5\nservices:\n  - "
+                                "name: a\n    path_prefix: /a\n");
   g_string_append (text, more ? more : "    probe_budget: 0\n");
   g_string_append (text, "    servers:\n");
   for (guint i = 0; i < setup->backend->servers->len; i++)
-    g_string_append_printf (text, "      - {name: s%u, address: \"%s\", slots: 3%s}\n", i, (char *) g_ptr_array_index (setup->backend->servers, i), i == 0 && server_more ? server_more : "");
+    g_string_append_printf (
+        text, "      - {name: s%u, address: \"%s\", slots: 3%s}\n", i,
+        (char *)g_ptr_array_index (setup->backend->servers, i),
+        i == 0 && server_more ? server_more : "");
   g_string_append (text, "    classes:\n"
-                         "      - {name: read, methods: [GET], worth: 1, deadline_ms: 2000, repeatable: true}\n"
-                         "      - {name: upload, path_prefix: /a/upload, worth: 3, deadline_ms: 60000}\n"
-                         "      - {name: write, methods: [POST, PUT], worth: 5, deadline_ms: 3000}\n");
+                         "      - {name: read, methods: [GET], worth: 1, "
+                         "deadline_ms: 2000, repeatable: true}\n"
+                         "      - {name: upload, path_prefix: /a/upload, "
+                         "worth: 3, deadline_ms: 60000}\n"
+                         "      - {name: write, methods: [POST, PUT], worth: "
+                         "5, deadline_ms: 3000}\n");
   return g_string_free (text, FALSE);
 }
 
@@ -108,12 +128,13 @@
 {
   struct setup *setup = g_new0 (struct setup, 1);
   setup->harness = harness_open (g_test_get_filename (G_TEST_BUILT, "x", NULL));
-  setup->backend = harness_add_backend_constant (setup->harness, servers, 3, mean_ms);
+  setup->backend
+      = harness_add_backend_constant (setup->harness, servers, 3, mean_ms);
   for (int i = 0; i < entries; i++)
     harness_add_entry (setup->harness, i % 2 ? "d2" : "d1");
   setup->document = setup_document (setup, more, NULL);
   g_assert_true (harness_apply (setup->harness, setup->document));
-  g_assert_true (wait_members (setup, (guint) entries));
+  g_assert_true (wait_members (setup, (guint)entries));
   return setup;
 }
 
@@ -132,27 +153,43 @@
 }
 
 struct reply
-send_call (const char *address, const char *method, const char *path, const char *key, const char *idempotency, const char *fault, const char *body)
+send_call (const char *address,
+           const char *method,
+           const char *path,
+           const char *key,
+           const char *idempotency,
+           const char *fault,
+           const char *body)
 {
   struct reply reply = { .done = TRUE };
   SoupSession *session = hf_http_session (1, CALL_SECONDS);
-  SoupMessage *message = make_message (address, method, path, key, idempotency, fault, body);
-  /* A POST that is repeatable for the client library would be sent again by it. */
+  SoupMessage *message
+      = make_message (address, method, path, key, idempotency, fault, body);
+  /* A POST that is repeatable for the client library would be sent again by it.
+   */
   soup_message_add_flags (message, SOUP_MESSAGE_NEW_CONNECTION);
-  read_reply (&reply, message, soup_session_send_and_read (session, message, NULL, NULL));
+  read_reply (&reply, message,
+              soup_session_send_and_read (session, message, NULL, NULL));
   g_object_unref (message);
   g_object_unref (session);
   return reply;
 }
 
 struct reply *
-start_call (const char *address, const char *method, const char *path, const char *key, const char *idempotency, const char *fault)
+start_call (const char *address,
+            const char *method,
+            const char *path,
+            const char *key,
+            const char *idempotency,
+            const char *fault)
 {
   struct reply *reply = g_new0 (struct reply, 1);
   SoupSession *session = hf_http_session (1, CALL_SECONDS);
-  reply->message = make_message (address, method, path, key, idempotency, fault, NULL);
+  reply->message
+      = make_message (address, method, path, key, idempotency, fault, NULL);
   soup_message_add_flags (reply->message, SOUP_MESSAGE_NEW_CONNECTION);
-  soup_session_send_and_read_async (session, reply->message, G_PRIORITY_DEFAULT, NULL, call_done, reply);
+  soup_session_send_and_read_async (session, reply->message, G_PRIORITY_DEFAULT,
+                                    NULL, call_done, reply);
   g_object_unref (session);
   return reply;
 }
@@ -177,7 +214,7 @@
 {
   char *text = harness_get (setup->backend->control, "/runs", NULL);
   char *line = g_strdup_printf ("%s ", key);
-  guint runs = (guint) number_after (text, line);
+  guint runs = (guint)number_after (text, line);
   g_free (line);
   g_free (text);
   return runs;
@@ -187,9 +224,12 @@
 server_stat (struct setup *setup, guint server, const char *name)
 {
   char *text = harness_get (setup->backend->control, "/stats", NULL);
-  const char *line = text ? strstr (text, g_ptr_array_index (setup->backend->servers, server)) : NULL;
+  const char *line
+      = text
+            ? strstr (text, g_ptr_array_index (setup->backend->servers, server))
+            : NULL;
   char *label = g_strdup_printf (" %s ", name);
-  guint value = (guint) number_after (line, label);
+  guint value = (guint)number_after (line, label);
   g_free (label);
   g_free (text);
   return value;
--- a/tests/test-promises.c
+++ b/tests/test-promises.c
@@ -24,10 +24,12 @@
 test_short (void)
 {
   struct setup *setup = setup_open (1, 2, 2, NULL);
-  struct reply post = send_call (setup_entry (setup, 0)->listen, "POST", "/a/x", "short1", NULL, "short", NULL);
+  struct reply post = send_call (setup_entry (setup, 0)->listen, "POST", "/a/x",
+                                 "short1", NULL, "short", NULL);
   g_assert_cmpstr (post.outcome, ==, "unknown");
   /* Repeatable, but every attempt is short: still no short answer. */
-  struct reply get = send_call (setup_entry (setup, 0)->listen, "GET", "/a/x", "short2", NULL, "short", NULL);
+  struct reply get = send_call (setup_entry (setup, 0)->listen, "GET", "/a/x",
+                                "short2", NULL, "short", NULL);
   g_assert_cmpstr (get.outcome, ==, "unknown");
   free_reply (&post);
   free_reply (&get);
@@ -37,7 +39,9 @@
 static guint64
 memory_kb (const struct entry *entry)
 {
-  char *path = g_strdup_printf ("/proc/%s/status", g_subprocess_get_identifier (entry->process->subprocess));
+  char *path = g_strdup_printf (
+      "/proc/%s/status",
+      g_subprocess_get_identifier (entry->process->subprocess));
   char *text = NULL;
   guint64 peak = 0;
   if (g_file_get_contents (path, &text, NULL, NULL) && strstr (text, "VmHWM:"))
@@ -55,17 +59,21 @@
   struct setup *setup = setup_open (1, 1, 1, NULL);
   char *body = g_malloc (size + 1);
   for (gsize i = 0; i < size; i++)
-    body[i] = (char) ('a' + i * 7 % 23);
+    body[i] = (char)('a' + i * 7 % 23);
   body[size] = 0;
-  char *digest = g_compute_checksum_for_data (G_CHECKSUM_SHA256, (guchar *) body, size);
+  char *digest
+      = g_compute_checksum_for_data (G_CHECKSUM_SHA256, (guchar *)body, size);
   guint64 before = memory_kb (setup_entry (setup, 0));
-  struct reply up = send_call (setup_entry (setup, 0)->listen, "POST", "/a/upload", "up", NULL, NULL, body);
+  struct reply up = send_call (setup_entry (setup, 0)->listen, "POST",
+                               "/a/upload", "up", NULL, NULL, body);
   g_assert_cmpuint (up.status, ==, 200);
   g_assert_cmpstr (up.digest, ==, digest);
-  struct reply down = send_call (setup_entry (setup, 0)->listen, "GET", "/a/down", "down", NULL, "big=67108864", NULL);
+  struct reply down = send_call (setup_entry (setup, 0)->listen, "GET",
+                                 "/a/down", "down", NULL, "big=67108864", NULL);
   g_assert_cmpuint (down.status, ==, 200);
   g_assert_cmpuint (down.size, ==, size);
-  g_assert_cmpuint (memory_kb (setup_entry (setup, 0)) - before, <, size / 4 / 1024);
+  g_assert_cmpuint (memory_kb (setup_entry (setup, 0)) - before, <,
+                    size / 4 / 1024);
   free_reply (&up);
   free_reply (&down);
   g_free (digest);
@@ -93,7 +101,9 @@
 static void
 tell_vm_list (struct setup *setup)
 {
-  harness_list_backend (setup->harness, g_ptr_array_index (setup->backend->servers, 0), "Leaving");
+  harness_list_backend (setup->harness,
+                        g_ptr_array_index (setup->backend->servers, 0),
+                        "Leaving");
 }
 
 static void
@@ -109,8 +119,11 @@
 }
 
 static const struct leaving leavings[] = {
-  { "document", FALSE, tell_document },       { "vm-list", FALSE, tell_vm_list },         { "health", FALSE, tell_health },
-  { "refusal", FALSE, tell_refusal },         { "refusal-platform-down", TRUE, tell_refusal },
+  { "document", FALSE, tell_document },
+  { "vm-list", FALSE, tell_vm_list },
+  { "health", FALSE, tell_health },
+  { "refusal", FALSE, tell_refusal },
+  { "refusal-platform-down", TRUE, tell_refusal },
 };
 
 static void
@@ -119,7 +132,9 @@
   for (int i = from; i < from + n; i++)
     {
       char *key = g_strdup_printf ("%s%d", name, i);
-      struct reply reply = send_call (setup_entry (setup, (guint) i % setup->harness->entries->len)->listen, "GET", "/a/x", key, NULL, NULL, NULL);
+      struct reply reply = send_call (
+          setup_entry (setup, (guint)i % setup->harness->entries->len)->listen,
+          "GET", "/a/x", key, NULL, NULL, NULL);
       g_assert_cmpuint (reply.status, ==, 200);
       free_reply (&reply);
       g_free (key);
@@ -133,7 +148,8 @@
   struct setup *setup = setup_open (3, 3, 2, "    probe_budget: 100\n");
   send_some (setup, "before", 0, 30);
   if (strcmp (leaving->name, "health") == 0)
-    harness_pause (2500); /* the health endpoint is asked only about idle servers */
+    harness_pause (
+        2500); /* the health endpoint is asked only about idle servers */
   if (leaving->platform_down)
     harness_set (setup->harness->platform, "/fake/set?down=1");
   leaving->tell (setup);
@@ -154,15 +170,15 @@
 replace_next (struct load *load, int second, void *context)
 {
   static struct entry *old = NULL;
-  (void) context;
+  (void)context;
   if (second == 0 || second > 6)
     return;
   if (second % 2 == 1)
     {
-      old = g_ptr_array_index (load->harness->entries, (guint) second / 2);
+      old = g_ptr_array_index (load->harness->entries, (guint)second / 2);
       harness_add_entry (load->harness, "d1");
     }
-  else
+  else if (old)
     {
       process_signal (old->process, SIGTERM);
       harness_list_entry (load->harness, old, "Leaving");
@@ -173,13 +189,22 @@
 static void
 test_rolling (void)
 {
-  struct harness *harness = harness_open (g_test_get_filename (G_TEST_BUILT, "x", NULL));
+  struct harness *harness
+      = harness_open (g_test_get_filename (G_TEST_BUILT, "x", NULL));
   struct backend *backend = harness_add_backend (harness, 35, 3, 20, 0.3, 1);
   for (int i = 0; i < 3; i++)
     harness_add_entry (harness, "d1");
-  char *document = scenario_document (&scenario_association, backend->servers, "grants", NULL);
+  char *document = scenario_document (&scenario_association, backend->servers,
+                                      "grants", NULL);
   g_assert_true (harness_apply (harness, document));
-  struct load load = { .harness = harness, .scenario = &scenario_association, .rate = 200, .seconds = 8, .seed = 3, .keys = TRUE, .prefix = "roll", .each_second = replace_next };
+  struct load load = { .harness = harness,
+                       .scenario = &scenario_association,
+                       .rate = 200,
+                       .seconds = 8,
+                       .seed = 3,
+                       .keys = TRUE,
+                       .prefix = "roll",
+                       .each_second = replace_next };
   load_init (&load);
   load_run (&load);
   struct load_check check = load_verify (&load);
@@ -188,7 +213,9 @@
   g_assert_cmpuint (check.doubled, ==, 0);
   g_assert_cmpuint (check.cut, ==, 0);
   for (guint i = 0; i < 3; i++)
-    g_assert_true (process_wait (((struct entry *) g_ptr_array_index (harness->entries, i))->process, 20));
+    g_assert_true (process_wait (
+        ((struct entry *)g_ptr_array_index (harness->entries, i))->process,
+        20));
   load_close (&load);
   g_free (document);
   harness_close (harness);
@@ -209,7 +236,8 @@
   for (guint i = 0; i < wanted->setup->harness->entries->len; i++)
     {
       struct entry *entry = setup_entry (wanted->setup, i);
-      if (!entry->process->ended && entry_generation (entry) < wanted->generation)
+      if (!entry->process->ended
+          && entry_generation (entry) < wanted->generation)
         return FALSE;
     }
   return TRUE;
@@ -220,9 +248,14 @@
 {
   char *file = harness_write (setup->harness, "next.yaml", setup->document);
   char *output = NULL;
-  *code = harness_ctl (setup->harness, &output, (const char *[]){ "apply", "-p", setup->harness->platform, file, NULL });
+  *code = harness_ctl (
+      setup->harness, &output,
+      (const char *[]){ "apply", "-p", setup->harness->platform, file, NULL });
   const char *at = strstr (output, "generation ");
-  guint64 generation = *code == 0 && at ? g_ascii_strtoull (at + strlen ("generation "), NULL, 10) : 0;
+  guint64 generation
+      = *code == 0 && at
+            ? g_ascii_strtoull (at + strlen ("generation "), NULL, 10)
+            : 0;
   g_free (output);
   g_free (file);
   return generation;
@@ -282,18 +315,21 @@
 {
   struct setup *setup = setup_open (2, 1, 1, NULL);
   guint64 generation = entry_generation (setup_entry (setup, 0));
-  /* The new VM is listed before the platform goes down, but its watch never answers. */
+  /* The new VM is listed before the platform goes down, but its watch never
+   * answers. */
   struct entry *entry = harness_add_entry (setup->harness, "d1");
   g_assert_true (wait_members (setup, 3));
   harness_set (setup->harness->platform, "/fake/set?down=1");
   g_assert_cmpuint (entry_generation (entry), ==, generation);
-  struct reply reply = send_call (entry->listen, "GET", "/a/x", "new", NULL, NULL, NULL);
+  struct reply reply
+      = send_call (entry->listen, "GET", "/a/x", "new", NULL, NULL, NULL);
   g_assert_cmpuint (reply.status, ==, 200);
   free_reply (&reply);
   setup_close (setup);
 }
 
-/* The platform fails over to an old version: nobody goes back, the new one is written again. */
+/* The platform fails over to an old version: nobody goes back, the new one is
+ * written again. */
 static void
 test_config_rollback (void)
 {
@@ -305,8 +341,12 @@
   harness_pause (2000);
   assert_in_force (setup, generation);
   char *output = NULL;
-  harness_ctl (setup->harness, &output, (const char *[]){ "show", "-p", setup->harness->platform, NULL });
-  g_assert_cmpuint (g_ascii_strtoull (output + strlen ("# generation: "), NULL, 10), ==, generation);
+  harness_ctl (
+      setup->harness, &output,
+      (const char *[]){ "show", "-p", setup->harness->platform, NULL });
+  g_assert_cmpuint (
+      g_ascii_strtoull (output + strlen ("# generation: "), NULL, 10), ==,
+      generation);
   g_free (output);
   setup_close (setup);
 }
@@ -317,10 +357,16 @@
 {
   struct setup *setup = setup_open (1, 1, 1, NULL);
   char *output = NULL;
-  harness_ctl (setup->harness, &output, (const char *[]){ "show", "-p", setup->harness->platform, NULL });
+  harness_ctl (
+      setup->harness, &output,
+      (const char *[]){ "show", "-p", setup->harness->platform, NULL });
   char *file = harness_write (setup->harness, "edited.yaml", output);
-  int first = harness_ctl (setup->harness, NULL, (const char *[]){ "apply", "-p", setup->harness->platform, file, NULL });
-  int second = harness_ctl (setup->harness, NULL, (const char *[]){ "apply", "-p", setup->harness->platform, file, NULL });
+  int first = harness_ctl (
+      setup->harness, NULL,
+      (const char *[]){ "apply", "-p", setup->harness->platform, file, NULL });
+  int second = harness_ctl (
+      setup->harness, NULL,
+      (const char *[]){ "apply", "-p", setup->harness->platform, file, NULL });
   g_assert_cmpint (first, ==, 0);
   g_assert_cmpint (second, ==, 4);
   g_free (output);
@@ -333,11 +379,16 @@
 {
   struct setup *setup = setup_open (1, 1, 1, NULL);
   guint64 generation = entry_generation (setup_entry (setup, 0));
-  char *file = harness_write (setup->harness, "wrong.yaml", "version: 1\nservices:\n  - name: a\n    colour: red\n");
+  char *file
+      = harness_write (setup->harness, "wrong.yaml",
+                       "version: 1\nservices:\n  - name: a\n    colour: red\n");
   char *output = NULL;
-  int code = harness_ctl (setup->harness, &output, (const char *[]){ "apply", "-p", setup->harness->platform, file, NULL });
+  int code = harness_ctl (
+      setup->harness, &output,
+      (const char *[]){ "apply", "-p", setup->harness->platform, file, NULL });
   g_assert_cmpint (code, ==, 3);
-  g_assert_nonnull (strstr (output, "wrong.yaml:4:5: services[0].colour: unknown key"));
+  g_assert_nonnull (
+      strstr (output, "wrong.yaml:4:5: services[0].colour: unknown key"));
   harness_pause (500);
   g_assert_cmpuint (entry_generation (setup_entry (setup, 0)), ==, generation);
   g_free (output);
@@ -372,7 +423,8 @@
   harness_pause (6000);
   guint probes = count_probes (setup);
   /* Epochs of 10 s that the time touches, one budget each. */
-  gint64 epochs = g_get_real_time () / 10000000 - (begin - 2000000) / 10000000 + 1;
+  gint64 epochs
+      = g_get_real_time () / 10000000 - (begin - 2000000) / 10000000 + 1;
   g_assert_cmpuint (probes, >, 0);
   g_assert_cmpuint (probes, <=, PROBE_BUDGET * epochs);
   setup_close (setup);
@@ -380,18 +432,22 @@
 
 /* --- internal functions: other failures --- */
 
-/* A request that crashes its backend server is stopped after two, everywhere. */
+/* A request that crashes its backend server is stopped after two, everywhere.
+ */
 static void
 test_crash (void)
 {
   struct setup *setup = setup_open (3, 6, 2, NULL);
-  struct reply first = send_call (setup_entry (setup, 0)->listen, "GET", "/a/poison", "poison", NULL, "crash", NULL);
+  struct reply first = send_call (setup_entry (setup, 0)->listen, "GET",
+                                  "/a/poison", "poison", NULL, "crash", NULL);
   g_assert_cmpuint (count_runs (setup, "poison"), ==, 2);
   g_assert_cmpuint (first.status, ==, 503);
   harness_pause (100);
   for (guint i = 0; i < 3; i++)
     {
-      struct reply again = send_call (setup_entry (setup, i)->listen, "GET", "/a/poison", "poison", NULL, "crash", NULL);
+      struct reply again
+          = send_call (setup_entry (setup, i)->listen, "GET", "/a/poison",
+                       "poison", NULL, "crash", NULL);
       g_assert_cmpstr (again.outcome, ==, "not-run");
       free_reply (&again);
     }
@@ -424,7 +480,8 @@
   for (int i = 0; i < 100; i++)
     {
       char *key = g_strdup_printf ("fast%d", i);
-      struct reply reply = send_call (setup_entry (setup, (guint) i % 2)->listen, "POST", "/a/x", key, NULL, NULL, NULL);
+      struct reply reply = send_call (setup_entry (setup, (guint)i % 2)->listen,
+                                      "POST", "/a/x", key, NULL, NULL, NULL);
       failed += reply.status != 200;
       free_reply (&reply);
       g_free (key);
@@ -442,11 +499,14 @@
   struct setup *setup = setup_open (4, 3, 2, NULL);
   for (guint victim = 0; victim < 2; victim++)
     {
-      process_signal (setup_entry (setup, victim)->process, victim ? SIGSTOP : SIGKILL);
+      process_signal (setup_entry (setup, victim)->process,
+                      victim ? SIGSTOP : SIGKILL);
       for (int i = 0; i < 40; i++)
         {
           char *key = g_strdup_printf ("gone%u-%d", victim, i);
-          struct reply reply = send_call (setup_entry (setup, 2 + (guint) i % 2)->listen, "GET", "/a/x", key, NULL, NULL, NULL);
+          struct reply reply
+              = send_call (setup_entry (setup, 2 + (guint)i % 2)->listen, "GET",
+                           "/a/x", key, NULL, NULL, NULL);
           g_assert_cmpuint (reply.status, ==, 200);
           free_reply (&reply);
           g_free (key);
@@ -461,21 +521,27 @@
 {
   struct setup *setup = setup_open (1, 1, 1, NULL);
   const char *address = setup_entry (setup, 0)->listen;
-  struct reply none = send_call (address, "GET", "/nowhere", "none", NULL, NULL, NULL);
-  struct reply method = send_call (address, "BREW", "/a/x", "method", NULL, NULL, NULL);
+  struct reply none
+      = send_call (address, "GET", "/nowhere", "none", NULL, NULL, NULL);
+  struct reply method
+      = send_call (address, "BREW", "/a/x", "method", NULL, NULL, NULL);
   char *long_value = g_strnfill (40000, 'x');
-  struct reply header = send_call (address, "GET", "/a/x", long_value, NULL, NULL, NULL);
+  struct reply header
+      = send_call (address, "GET", "/a/x", long_value, NULL, NULL, NULL);
   g_assert_cmpuint (none.status, ==, 404);
   g_assert_cmpuint (method.status, ==, 404);
   g_assert_cmpuint (header.status, ==, 431);
   /* Datagrams that do not decode are counted and dropped. */
-  GSocket *socket = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM, G_SOCKET_PROTOCOL_UDP, NULL);
+  GSocket *socket = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM,
+                                  G_SOCKET_PROTOCOL_UDP, NULL);
   const char *peers = setup_entry (setup, 0)->peers;
-  GSocketAddress *to = g_inet_socket_address_new_from_string ("127.0.0.1", (guint) atoi (strchr (peers, ':') + 1));
+  GSocketAddress *to = g_inet_socket_address_new_from_string (
+      "127.0.0.1", (guint)atoi (strchr (peers, ':') + 1));
   g_socket_send_to (socket, to, "nonsense", 8, NULL, NULL);
   send_some (setup, "alive", 0, 5);
   harness_pause (100);
-  g_assert_cmpuint (entry_metric (setup_entry (setup, 0), "datagrams_invalid_total"), ==, 1);
+  g_assert_cmpuint (
+      entry_metric (setup_entry (setup, 0), "datagrams_invalid_total"), ==, 1);
   g_object_unref (to);
   g_object_unref (socket);
   g_free (long_value);
@@ -491,7 +557,8 @@
 {
   struct setup *setup = setup_open (1, 1, 1, NULL);
   char *value = g_strnfill (70000, 'x');
-  struct reply reply = send_call (setup_entry (setup, 0)->listen, "GET", "/a/x", value, NULL, NULL, NULL);
+  struct reply reply = send_call (setup_entry (setup, 0)->listen, "GET", "/a/x",
+                                  value, NULL, NULL, NULL);
   g_assert_cmpuint (reply.status, ==, 431);
   free_reply (&reply);
   g_free (value);
@@ -503,12 +570,15 @@
 send_raw (const char *address, const char *bytes)
 {
   GSocketClient *client = g_socket_client_new ();
-  GSocketConnection *connection = g_socket_client_connect_to_host (client, address, 80, NULL, NULL);
+  GSocketConnection *connection
+      = g_socket_client_connect_to_host (client, address, 80, NULL, NULL);
   char answer[64] = "";
   GIOStream *stream = G_IO_STREAM (connection);
-  g_output_stream_write_all (g_io_stream_get_output_stream (stream), bytes, strlen (bytes), NULL, NULL, NULL);
+  g_output_stream_write_all (g_io_stream_get_output_stream (stream), bytes,
+                             strlen (bytes), NULL, NULL, NULL);
   g_socket_set_timeout (g_socket_connection_get_socket (connection), 5);
-  g_input_stream_read (g_io_stream_get_input_stream (stream), answer, sizeof answer - 1, NULL, NULL);
+  g_input_stream_read (g_io_stream_get_input_stream (stream), answer,
+                       sizeof answer - 1, NULL, NULL);
   g_object_unref (connection);
   g_object_unref (client);
   return g_strdup (answer);
@@ -517,13 +587,22 @@
 static void
 test_malformed (void)
 {
-  static const char *const heads[] = { "nonsense\r\n\r\n", "GET /a/x\r\n\r\n", "GET /a/x HTTP/1.1\r\n\r\n", "GET /a/x HTTP/1.1\r\nHost: x\r\nContent-Length: -5\r\n\r\n" };
+  static const char *const heads[]
+      = { "nonsense\r\n\r\n",
+          "GET /a/x\r\n\r\n",
+          "GET /a/x HTTP/1.1\r\n\r\n",
+          "GET /a/x HTTP/1.1\r\nHost: x\r\nContent-Length: -5\r\n\r\n",
+          "POST /a/x HTTP/1.1\r\nHost: x\r\nContent-Length: "
+          "3\r\nTransfer-Encoding: chunked\r\n\r\n",
+          "POST /a/x HTTP/1.1\r\nHost: x\r\nContent-Length: "
+          "3\r\nContent-Length: 4\r\n\r\nabc" };
   struct setup *setup = setup_open (1, 1, 1, NULL);
   for (gsize i = 0; i < G_N_ELEMENTS (heads); i++)
     {
       char *answer = send_raw (setup_entry (setup, 0)->listen, heads[i]);
       g_test_message ("%s", answer);
-      g_assert_true (g_str_has_prefix (answer, "HTTP/1.1 4") || g_str_has_prefix (answer, "HTTP/1.0 4"));
+      g_assert_true (g_str_has_prefix (answer, "HTTP/1.1 4")
+                     || g_str_has_prefix (answer, "HTTP/1.0 4"));
       g_free (answer);
     }
   send_some (setup, "alive", 0, 5);
--- a/tests/test-scripts.c
+++ b/tests/test-scripts.c
@@ -93,7 +93,7 @@
 print_effect (struct run *run, const struct hf_effect *effect)
 {
   static const char *const outcomes[] = { "answered", "not-run", "unknown" };
-  static const char *const ops[] = { "get", "put", "watch" };
+  static const char *const ops[] = { "get", "head", "put", "watch" };
   GString *out = run->out;
   switch (effect->kind)
     {
