--- a/src/hf-proxy.c
+++ b/src/hf-proxy.c
@@ -665,8 +665,9 @@
 static bool
 is_silent (const struct caller *caller)
 {
-  bool callers_turn
-      = caller->answered || (!caller->received && !caller->paused);
+  bool backend_is_late = caller->relayed && caller->relayed->reading;
+  bool callers_turn = caller->answered ? !backend_is_late
+                                       : !caller->received && !caller->paused;
   return callers_turn
          && hf_loop_now () - caller->active_at > HF_CALLER_SILENT_SEC * HF_SEC;
 }
@@ -679,10 +680,11 @@
   GHashTableIter iter;
   struct caller *caller;
   GPtrArray *gone = g_ptr_array_new ();
+  GPtrArray *silent = g_ptr_array_new ();
   g_hash_table_iter_init (&iter, proxy->callers);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&caller))
     if (is_silent (caller))
-      cut (caller);
+      g_ptr_array_add (silent, caller);
     else if (caller->raised && caller->received && !caller->answered
              && has_left (caller))
       g_ptr_array_add (gone, caller);
@@ -695,6 +697,9 @@
       soup_server_message_set_status (caller->message, 499, NULL);
       soup_server_message_unpause (caller->message);
     }
+  for (guint i = 0; i < silent->len; i++)
+    cut (g_ptr_array_index (silent, i));
+  g_ptr_array_unref (silent);
   g_ptr_array_unref (gone);
   return G_SOURCE_CONTINUE;
 }
--- a/tests/test-promises.c
+++ b/tests/test-promises.c
@@ -587,15 +587,16 @@
 static void
 test_malformed (void)
 {
-  static const char *const heads[]
-      = { "nonsense\r\n\r\n",
-          "GET /a/x\r\n\r\n",
-          "GET /a/x HTTP/1.1\r\n\r\n",
-          "GET /a/x HTTP/1.1\r\nHost: x\r\nContent-Length: -5\r\n\r\n",
-          "POST /a/x HTTP/1.1\r\nHost: x\r\nContent-Length: "
-          "3\r\nTransfer-Encoding: chunked\r\n\r\n",
-          "POST /a/x HTTP/1.1\r\nHost: x\r\nContent-Length: "
-          "3\r\nContent-Length: 4\r\n\r\nabc" };
+  static const char *const heads[] = {
+    "nonsense\r\n\r\n",
+    "GET /a/x\r\n\r\n",
+    "GET /a/x HTTP/1.1\r\n\r\n",
+    "GET /a/x HTTP/1.1\r\nHost: x\r\nContent-Length: -5\r\n\r\n",
+    "POST /a/x HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+    "POST /a/x HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
+    "Content-Length: 4\r\n\r\nabcd",
+  };
   struct setup *setup = setup_open (1, 1, 1, NULL);
   for (gsize i = 0; i < G_N_ELEMENTS (heads); i++)
     {
