Claims: a repeated ask is told committed only after the write

Cause: found by the differential run: an ask that arrived twice stood twice in one batch; the second found the key of the first in the coming write and was answered committed at once. When the write was then lost, the request had run without a claim and a resend ran it again. Ruled out: the retention window, a stale owner, a read that lost keys (trace of every call that reached the store).

--- a/src/hf-shards.c
+++ b/src/hf-shards.c
@@ -122,10 +122,18 @@
 
 static void proceed (struct hf_state *state, unsigned i);
 
+static bool
+is_held (GHashTable *keys, const struct hf_shard_op *op)
+{
+  const struct hf_shard_key *known = g_hash_table_lookup (keys, &op->key);
+  return known && same_id (known->holder, op->id);
+}
+
 /* Applies an operation to the keys of the coming write; true if it has to be
  * written. */
 static bool
 apply_op (struct hf_state *state,
+          const struct hf_shard *shard,
           GHashTable *keys,
           const struct hf_shard_op *op,
           enum hf_claim_outcome *outcome,
@@ -140,8 +148,9 @@
       return own && g_hash_table_remove (keys, &op->key);
     }
   *outcome = HF_CLAIM_OUTCOME_COMMITTED;
+  /* A repeated operation of this batch waits for the write like the first. */
   if (own)
-    return false;
+    return !is_held (shard->keys, op);
   if (known && !same_id (known->holder, op->replaces))
     {
       *outcome = HF_CLAIM_OUTCOME_TAKEN;
@@ -185,7 +194,7 @@
           = &g_array_index (waiting, struct hf_shard_op, w);
       enum hf_claim_outcome outcome;
       struct hf_rpc_claim_id holder;
-      if (apply_op (state, next, op, &outcome, &holder))
+      if (apply_op (state, shard, next, op, &outcome, &holder))
         g_array_append_val (shard->sent, *op);
       else
         hf_claims_reply (state, op, outcome, holder);
