--- a/bench/bench.c
+++ b/bench/bench.c
@@ -139,6 +139,15 @@
 #define FAULT_BEGIN_S 4
 #define FAULT_END_S   8
 
+#define OUTAGE_S 90
+
+static int
+fault_end_s (const struct setting *setting)
+{
+  return strcmp (setting->fault, "unavailable") == 0 ? FAULT_BEGIN_S + OUTAGE_S
+                                                     : FAULT_END_S;
+}
+
 static int
 granter_of (struct harness *harness, const char *service)
 {
@@ -168,6 +177,16 @@
   return entry->process;
 }
 
+static void
+set_clearance (const struct load *load, int status)
+{
+  const struct backend *backend
+      = g_ptr_array_index (load->harness->backends, 0);
+  int all = scenario_servers (load->scenario);
+  for (int i = all - 6; i < all; i++)
+    harness_set (backend->control, "/set?server=%d&status=%d", i, status);
+}
+
 static void
 begin_fault (struct load *load, struct setting *setting)
 {
@@ -190,6 +209,8 @@
     harness_set (backend->control, "/set?server=%d&lie=0", last);
   else if (strcmp (fault, "platform") == 0)
     harness_set (harness->platform, "/fake/set?down=1");
+  else if (strcmp (fault, "unavailable") == 0)
+    set_clearance (load, 503);
 }
 
 static void
@@ -202,6 +223,8 @@
     process_signal (setting->victim, SIGCONT);
   else if (strcmp (fault, "platform") == 0)
     harness_set (harness->platform, "/fake/set?down=0");
+  else if (strcmp (fault, "unavailable") == 0)
+    set_clearance (load, 0);
   else if (!strstr (fault, "kill"))
     harness_set (backend->control,
                  "/set?server=all&slow=1&drain=0&fail_fast=0&lie=-1");
@@ -215,7 +238,7 @@
     return;
   if (second == FAULT_BEGIN_S)
     begin_fault (load, setting);
-  if (second == FAULT_END_S)
+  if (second == fault_end_s (setting))
     end_fault (load, setting);
 }
 
@@ -403,7 +426,8 @@
       = { .harness = harness,
           .scenario = scenario,
           .rate = scenario_capacity (scenario, options->mean_ms) * setting.load,
-          .seconds = setting.fault ? 14 : options->seconds,
+          .seconds
+          = setting.fault ? fault_end_s (&setting) + 6 : options->seconds,
           .seed = setting.seed,
           .prefix = "b",
           .each_second = each_second,
@@ -476,6 +500,20 @@
                                    faults[f], seed });
 }
 
+/* A service answers 503 for 90 s: the budget kept by each entry against one
+ * bucket for the fleet. */
+static void
+run_retries (FILE *csv, const struct options *options)
+{
+  static const char *const policies[] = { "two-choices", "grants" };
+  for (int seed = options->first_seed;
+       seed < options->first_seed + options->seeds; seed++)
+    for (gsize p = 0; p < G_N_ELEMENTS (policies); p++)
+      run_one (csv, options,
+               (struct setting){ "retries", policies[p], options->entries, 0.5,
+                                 "unavailable", seed });
+}
+
 int
 main (int argc, char **argv)
 {
@@ -490,7 +528,7 @@
                              .entries = 17 };
   const GOptionEntry entries[] = {
     { "experiment", 0, 0, G_OPTION_ARG_STRING, &options.experiment,
-      "policies, overload or faults", "NAME" },
+      "policies, overload, retries or faults", "NAME" },
     { "user", 0, 0, G_OPTION_ARG_STRING, &options.user,
       "association or non-profit", "NAME" },
     { "csv", 0, 0, G_OPTION_ARG_FILENAME, &options.csv,
@@ -525,6 +563,8 @@
     run_policies (csv, &options);
   else if (strcmp (options.experiment, "overload") == 0)
     run_overload (csv, &options);
+  else if (strcmp (options.experiment, "retries") == 0)
+    run_retries (csv, &options);
   else
     run_faults (csv, &options);
   fclose (csv);
--- /dev/null
+++ b/examples/retry-budget.c
@@ -0,0 +1,19 @@
+/* Keeps retries under 10% of the first attempts. */
+#include <hickoryfield.h>
+#include <stdio.h>
+
+int
+main (void)
+{
+  struct hf_retry_budget budget;
+  hf_retry_init (&budget, 2.0, 10.0);
+  for (int i = 0; i < 100; i++)
+    {
+      hf_retry_earn (&budget);
+      /* Every first attempt fails and asks for a retry. */
+      hf_retry_spend (&budget);
+    }
+  printf ("%d retries allowed, %d refused\n", (int)budget.spent,
+          (int)budget.denied);
+  return 0;
+}
--- a/src/hf-document.c
+++ b/src/hf-document.c
@@ -293,6 +293,8 @@
   if (text.len > 0 && hf_yaml_load (text, hf_document_fields, document, error)
       && check_document (document, error))
     return document;
+  if (error && error->path[0] && error->line == 0)
+    hf_yaml_locate (text, error);
   if (text.len == 0)
     hf_error_set (error, HF_ERROR_SYNTAX, "the document is empty");
   hf_document_unload (document);
--- a/src/hf-yaml.c
+++ b/src/hf-yaml.c
@@ -252,6 +252,56 @@
   return true;
 }
 
+static yaml_node_t *
+find_key (yaml_document_t *yaml, const yaml_node_t *map, struct hf_str name)
+{
+  if (map->type != YAML_MAPPING_NODE)
+    return NULL;
+  for (yaml_node_pair_t *pair = map->data.mapping.pairs.start;
+       pair < map->data.mapping.pairs.top; pair++)
+    if (hf_str_equal (scalar (yaml_document_get_node (yaml, pair->key)), name))
+      return yaml_document_get_node (yaml, pair->value);
+  return NULL;
+}
+
+static yaml_node_t *
+find_item (yaml_document_t *yaml, const yaml_node_t *list, guint64 i)
+{
+  if (list->type != YAML_SEQUENCE_NODE
+      || list->data.sequence.items.start + i >= list->data.sequence.items.top)
+    return NULL;
+  return yaml_document_get_node (yaml, list->data.sequence.items.start[i]);
+}
+
+/* Follows a path such as services[0].name as far as it goes. */
+static const yaml_node_t *
+walk_path (yaml_document_t *yaml, const char *path)
+{
+  const yaml_node_t *node = yaml_document_get_root_node (yaml);
+  while (node && *path)
+    {
+      const yaml_node_t *next;
+      size_t length = strcspn (path, ".[");
+      if (*path == '[')
+        {
+          char *end = NULL;
+          next = find_item (yaml, node, g_ascii_strtoull (path + 1, &end, 10));
+          path = *end == ']' ? end + 1 : end;
+        }
+      else
+        {
+          next = find_key (yaml, node,
+                           (struct hf_str){ .data = path, .len = length });
+          path += length;
+        }
+      if (!next)
+        return node;
+      node = next;
+      path += *path == '.';
+    }
+  return node;
+}
+
 /* --- public functions --- */
 
 bool
@@ -304,6 +354,27 @@
   return ok;
 }
 
+void
+hf_yaml_locate (struct hf_str text, struct hf_error *error)
+{
+  yaml_parser_t parser;
+  yaml_document_t yaml;
+  yaml_parser_initialize (&parser);
+  yaml_parser_set_input_string (&parser, (const unsigned char *)text.data,
+                                text.len);
+  if (yaml_parser_load (&parser, &yaml))
+    {
+      const yaml_node_t *node = walk_path (&yaml, error->path);
+      if (node)
+        {
+          error->line = (unsigned)node->start_mark.line + 1;
+          error->column = (unsigned)node->start_mark.column + 1;
+        }
+      yaml_document_delete (&yaml);
+    }
+  yaml_parser_delete (&parser);
+}
+
 void
 hf_yaml_free (const struct hf_field *fields, void *out)
 {
--- a/tests/fake-backend.c
+++ b/tests/fake-backend.c
@@ -49,6 +49,7 @@
   gboolean drain;
   gboolean health_drain;
   gboolean fail_fast;
+  guint status; /* of every answer, 0: 200 */
   gboolean silent;
   double slow;
   gint64 away_until;
@@ -166,7 +167,10 @@
   if (key)
     soup_message_headers_replace (headers, "X-Test-Key", key);
   soup_server_message_set_status (message,
-                                  job->server->fail_fast ? 500 : status, NULL);
+                                  job->server->fail_fast ? 500
+                                  : job->server->status  ? job->server->status
+                                                         : status,
+                                  NULL);
   if (strcmp (fault, "short") == 0)
     {
       soup_message_headers_set_content_length (headers, (goffset)size);
@@ -370,6 +374,8 @@
     server->health_drain = atoi (value);
   else if (strcmp (name, "fail_fast") == 0)
     server->fail_fast = atoi (value);
+  else if (strcmp (name, "status") == 0)
+    server->status = (guint)atoi (value);
   else if (strcmp (name, "silent") == 0)
     server->silent = atoi (value);
   else if (strcmp (name, "speed") == 0)
--- /dev/null
+++ b/tests/test-units.c
@@ -0,0 +1,222 @@
+/*
+ * Parts on their own: documents and their errors, routing, messages that do
+ * not decode, and the pages that are checked against the code.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "hf-document.h"
+#include "hf-log.h"
+#include "hf-routing.h"
+#include "hf-settings.h"
+#include "hf-wire.h"
+
+/* --- constants --- */
+
+#define HEAD                                                                   \
+  "version: 1\nservices:\n  - name: a\n    servers: []\n    classes:\n      "  \
+  "- {name: c"
+
+/* --- types --- */
+
+struct wrong
+{
+  const char *text;
+  unsigned line;
+  unsigned column;
+  const char *path;
+  const char *message; /* a part of it */
+};
+
+/* --- internal functions --- */
+
+static const struct wrong wrongs[] = {
+  { "", 0, 0, "", "empty" },
+  { "version: [1\n", 2, 1, "", "not well-formed" },
+  { "version: 1\n", 1, 1, "", "\"services\" is missing" },
+  { "version: 2\nservices: []\n", 1, 10, "version", "from 1 to 1" },
+  { HEAD "}\nother: 1\n", 7, 1, "other", "unknown key" },
+  { HEAD ", worth: high}\n", 6, 26, "services[0].classes[0].worth",
+    "whole number" },
+  { HEAD ", repeatable: maybe}\n", 6, 31, "services[0].classes[0].repeatable",
+    "true or false" },
+  { HEAD ", hedge: true}\n", 6, 26, "services[0].classes[0].hedge",
+    "repeatable" },
+  { HEAD "}\n      - {name: c}\n", 7, 16, "services[0].classes[1].name",
+    "no other class" },
+  { HEAD "}\n    policy: best\n", 7, 13, "services[0].policy",
+    "one of grants" },
+  { HEAD "}\n  - name: a\n    servers: []\n    classes: [{name: c}]\n", 7, 11,
+    "services[1].name", "no other service" },
+  { "version: 1\nservices:\n  - name: a\n    servers: [{name: s, address: "
+    "here}]\n",
+    4, 34, "services[0].servers[0].address", "IP:PORT" },
+  { "version: 1\nversion: 1\n", 2, 1, "version", "stands twice" },
+};
+
+static void
+test_document_errors (void)
+{
+  for (gsize i = 0; i < G_N_ELEMENTS (wrongs); i++)
+    {
+      struct hf_error error = { 0 };
+      g_test_message ("case %d", (int)i);
+      g_assert_null (hf_document_load (hf_str (wrongs[i].text), &error));
+      g_assert_nonnull (strstr (error.message, wrongs[i].message));
+      g_assert_cmpuint (error.line, ==, wrongs[i].line);
+      g_assert_cmpuint (error.column, ==, wrongs[i].column);
+      g_assert_cmpstr (error.path, ==, wrongs[i].path);
+    }
+}
+
+static void
+test_samples (void)
+{
+  static const char *const names[] = { "association.yaml", "non-profit.yaml" };
+  for (gsize i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      char *path = g_build_filename (HF_SOURCE, "examples", names[i], NULL);
+      char *text = NULL;
+      g_assert_true (g_file_get_contents (path, &text, NULL, NULL));
+      struct hf_document *document = hf_document_load (hf_str (text), NULL);
+      g_assert_nonnull (document);
+      hf_document_unload (document);
+      g_free (text);
+      g_free (path);
+    }
+}
+
+static void
+test_routing (void)
+{
+  struct hf_document *document = hf_document_load (
+      hf_str (
+          "version: 1\nservices:\n"
+          "  - {name: all, path_prefix: /, servers: [], classes: [{name: "
+          "any}]}\n"
+          "  - {name: deep, path_prefix: /a/b, servers: [], classes: [{name: "
+          "get, methods: [GET]}, {name: high, header: 'X-P: high'}]}\n"
+          "  - {name: hosted, host: h.example, path_prefix: /a/b/c, servers: "
+          "[], classes: [{name: any}]}\n"),
+      NULL);
+  struct hf_header header = { hf_str ("x-p"), hf_str ("high") };
+  struct hf_request_head head
+      = { hf_str ("GET"), hf_str ("other"), hf_str ("/a/b/c"), &header, 1 };
+  const struct hf_service *service = hf_route_service (document, &head);
+  g_assert_cmpstr (service->name.data, ==, "deep");
+  g_assert_cmpstr (hf_route_class (service, &head)->name.data, ==, "get");
+  head.method = hf_str ("PUT");
+  g_assert_cmpstr (hf_route_class (service, &head)->name.data, ==, "high");
+  head.n_headers = 0;
+  g_assert_null (hf_route_class (service, &head));
+  head.host = hf_str ("H.example:8080");
+  g_assert_cmpstr (hf_route_service (document, &head)->name.data, ==, "hosted");
+  head.path = hf_str ("/x");
+  g_assert_cmpstr (hf_route_service (document, &head)->name.data, ==, "all");
+  hf_document_unload (document);
+}
+
+/* Cut short or changed, a datagram is refused or still decodes; it never does
+ * harm. */
+static void
+test_wire (void)
+{
+  char buffer[HF_WIRE_BYTES_MAX];
+  uint64_t grants[3] = { 1, 2, 3 };
+  struct hf_rpc_load loads[2] = { { 1, 2 }, { 3, 4 } };
+  struct hf_rpc_message message
+      = { .boot = 7, .body = { .kind = HF_RPC_HEARTBEAT } };
+  struct hf_rpc_message decoded;
+  message.body.hf_rpc_body_u.heartbeat.grants.grants_len = 3;
+  message.body.hf_rpc_body_u.heartbeat.grants.grants_val = grants;
+  message.body.hf_rpc_body_u.heartbeat.loads.loads_len = 2;
+  message.body.hf_rpc_body_u.heartbeat.loads.loads_val = loads;
+  size_t size = hf_wire_encode (&message, buffer, sizeof buffer);
+  g_assert_true (
+      hf_wire_decode ((struct hf_str){ buffer, size }, &decoded, NULL));
+  g_assert_cmpuint (
+      decoded.body.hf_rpc_body_u.heartbeat.loads.loads_val[1].count, ==, 4);
+  hf_wire_free (&decoded);
+  for (size_t cut = 0; cut < size; cut++)
+    g_assert_false (
+        hf_wire_decode ((struct hf_str){ buffer, cut }, &decoded, NULL));
+  for (int i = 0; i < 20000; i++)
+    {
+      char changed[HF_WIRE_BYTES_MAX];
+      memcpy (changed, buffer, size);
+      changed[g_test_rand_int_range (0, (gint32)size)]
+          = (char)g_test_rand_int ();
+      if (hf_wire_decode ((struct hf_str){ changed, size }, &decoded, NULL))
+        hf_wire_free (&decoded);
+    }
+}
+
+/* --- pages against the code --- */
+
+static char *
+read_page (const char *name)
+{
+  char *path = g_build_filename (HF_SOURCE, "docs", name, NULL);
+  char *text = NULL;
+  g_assert_true (g_file_get_contents (path, &text, NULL, NULL));
+  g_free (path);
+  return text;
+}
+
+static void
+check_fields (const char *page, const struct hf_field *fields)
+{
+  for (; fields->name; fields++)
+    {
+      char *cell = g_strdup_printf ("| `%s` |", fields->name);
+      if (!strstr (page, cell))
+        g_test_fail_printf ("docs/CONFIGURATION.md has no row for %s",
+                            fields->name);
+      if (!strstr (page, fields->help))
+        g_test_fail_printf ("docs/CONFIGURATION.md explains %s otherwise",
+                            fields->name);
+      if (fields->fields)
+        check_fields (page, fields->fields);
+      g_free (cell);
+    }
+}
+
+static void
+test_page_configuration (void)
+{
+  char *page = read_page ("CONFIGURATION.md");
+  check_fields (page, hf_settings_fields);
+  check_fields (page, hf_document_fields);
+  g_free (page);
+}
+
+static void
+test_page_events (void)
+{
+  char *page = read_page ("EVENTS.md");
+  for (const struct hf_log_entry *entry = hf_log_entries; entry->number;
+       entry++)
+    {
+      char *cell
+          = g_strdup_printf ("| HF%d | %s |", entry->number, entry->name);
+      if (!strstr (page, cell))
+        g_test_fail_printf ("docs/EVENTS.md has no row for HF%d %s",
+                            entry->number, entry->name);
+      g_free (cell);
+    }
+  g_free (page);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_set_nonfatal_assertions ();
+  g_test_add_func ("/units/document-errors", test_document_errors);
+  g_test_add_func ("/units/samples", test_samples);
+  g_test_add_func ("/units/routing", test_routing);
+  g_test_add_func ("/units/wire", test_wire);
+  g_test_add_func ("/pages/configuration", test_page_configuration);
+  g_test_add_func ("/pages/events", test_page_events);
+  return g_test_run ();
+}
