--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
   libglib2.0-dev libsoup-3.0-dev libjson-glib-dev libyaml-dev libtirpc-dev \
   libxxhash-dev libgsl-dev
 
-.PHONY: all setup build demo check check-sanitize bench format rpc
+.PHONY: all setup build demo check check-sanitize bench fuzz format rpc
 
 all: build
 
@@ -27,6 +27,7 @@
 	@HF_SKIP_LINT=1 sh tests/check.sh $(BUILD)-san
 
 bench: build
+	@sh tests/setup.sh gnuplot-nox
 	@sh bench/bench.sh $(BUILD)
 
 format:
@@ -36,3 +37,12 @@
 rpc:
 	cd src && rm -f hf-rpc.h hf-rpc.c && rpcgen -h -N -o hf-rpc.h hf-rpc.x && rpcgen -c -N -o hf-rpc.c hf-rpc.x
 	sed -i 's/_HF-RPC_H_RPCGEN/_HF_RPC_H_RPCGEN/' src/hf-rpc.h
+
+# Fuzzes the decoders for FUZZ_SECONDS; a finding is left as crash-*.
+FUZZ_SECONDS ?= 60
+fuzz: setup
+	@sh tests/setup.sh clang libclang-rt-14-dev
+	@mkdir -p build-fuzz/corpus && cp tests/corpus/* build-fuzz/corpus/
+	@clang -g -O1 -fsanitize=fuzzer,address,undefined -Isrc -o build-fuzz/fuzz tests/fuzz.c src/hf-base.c src/hf-document.c src/hf-objects.c \
+	  src/hf-rpc.c src/hf-settings.c src/hf-wire.c src/hf-yaml.c $$(pkg-config --cflags --libs glib-2.0 gio-2.0 json-glib-1.0 yaml-0.1 libtirpc libxxhash)
+	@cd build-fuzz && ASAN_OPTIONS=detect_leaks=1 ./fuzz -max_total_time=$(FUZZ_SECONDS) -max_len=4096 -rss_limit_mb=2048 -print_final_stats=1 corpus 2>&1 | tail -12
--- /dev/null
+++ b/bench/speed.c
@@ -0,0 +1,203 @@
+/*
+ * Cost of one entry: added latency against a direct call at one connection
+ * and at half of one core, calls per second of a core, and memory. Paired
+ * runs in turn; the direct call of the same run is the floor.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <gsl/gsl_statistics_double.h>
+
+#include "load.h"
+
+/* --- constants --- */
+
+#define CALLS       2000
+#define ROUNDS      3
+#define ANSWER_BODY 256  /* bytes that a fake backend server answers */
+#define OPEN        1000 /* open caller connections */
+#define HALF_S      5.0
+
+/* --- types --- */
+
+static const struct scenario_service services[] = { { "a", "/a", 1 }, { 0 } };
+static const struct load_class classes[]
+    = { { "read", "a", "GET", "/a/1", 1.0, 1, 2000, TRUE, FALSE, 0 }, { 0 } };
+static const struct scenario one_service = { .name = "one",
+                                             .services = services,
+                                             .classes = classes,
+                                             .slots = 1000,
+                                             .connections = 1000 };
+
+/* --- internal functions --- */
+
+static GSocketConnection *
+open_connection (const char *address)
+{
+  GSocketClient *client = g_socket_client_new ();
+  GSocketConnection *connection
+      = g_socket_client_connect_to_host (client, address, 80, NULL, NULL);
+  g_object_unref (client);
+  return connection;
+}
+
+static void
+call_once (GSocketConnection *connection)
+{
+  static const char request[] = "GET /a/1 HTTP/1.1\r\nHost: x\r\n\r\n";
+  char answer[4096];
+  gsize got = 0;
+  const char *body = NULL;
+  g_output_stream_write_all (
+      g_io_stream_get_output_stream (G_IO_STREAM (connection)), request,
+      strlen (request), NULL, NULL, NULL);
+  while (!body || got < (gsize)(body - answer) + ANSWER_BODY)
+    {
+      gssize n = g_input_stream_read (
+          g_io_stream_get_input_stream (G_IO_STREAM (connection)), answer + got,
+          sizeof answer - 1 - got, NULL, NULL);
+      if (n <= 0)
+        g_error ("the connection broke");
+      got += (gsize)n;
+      answer[got] = 0;
+      body = strstr (answer, "\r\n\r\n") ? strstr (answer, "\r\n\r\n") + 4
+                                         : NULL;
+    }
+}
+
+static int
+compare_double (const void *a, const void *b)
+{
+  double left = *(const double *)a;
+  double right = *(const double *)b;
+  return left < right ? -1 : left > right;
+}
+
+static void
+measure_one_connection (const char *address, double *p50, double *p99)
+{
+  static double us[CALLS];
+  GSocketConnection *connection = open_connection (address);
+  for (int i = 0; i < CALLS; i++)
+    {
+      gint64 begin = g_get_monotonic_time ();
+      call_once (connection);
+      us[i] = (double)(g_get_monotonic_time () - begin);
+    }
+  qsort (us, CALLS, sizeof us[0], compare_double);
+  *p50 = gsl_stats_quantile_from_sorted_data (us, 1, CALLS, 0.5);
+  *p99 = gsl_stats_quantile_from_sorted_data (us, 1, CALLS, 0.99);
+  g_object_unref (connection);
+}
+
+static double
+read_proc (const struct entry *entry, const char *file, const char *label)
+{
+  char *path = g_strdup_printf (
+      "/proc/%s/%s", g_subprocess_get_identifier (entry->process->subprocess),
+      file);
+  char *text = NULL;
+  double value = 0;
+  if (g_file_get_contents (path, &text, NULL, NULL) && label)
+    value = g_ascii_strtod (strstr (text, label) + strlen (label), NULL);
+  else if (text)
+    {
+      char **fields = g_strsplit (strrchr (text, ')') + 2, " ", -1);
+      value = (g_ascii_strtod (fields[11], NULL)
+               + g_ascii_strtod (fields[12], NULL))
+              / 100;
+      g_strfreev (fields);
+    }
+  g_free (text);
+  g_free (path);
+  return value;
+}
+
+static double
+memory_mb (const struct entry *entry)
+{
+  return read_proc (entry, "status", "VmRSS:") / 1024;
+}
+
+static void
+measure_rate (struct harness *harness, double rate, double *p50, double *p99)
+{
+  struct load load = { .harness = harness,
+                       .scenario = &one_service,
+                       .rate = rate,
+                       .seconds = HALF_S,
+                       .seed = 1,
+                       .prefix = "s" };
+  load_init (&load);
+  load_run (&load);
+  *p50 = load_percentile (&load.results[0], 0.5) * 1000;
+  *p99 = load_percentile (&load.results[0], 0.99) * 1000;
+  load_close (&load);
+}
+
+/* The backend server in the place of an entry: the load calls it directly. */
+static void
+point_at (struct harness *harness, struct entry *entry)
+{
+  g_ptr_array_set_size (harness->entries, 0);
+  g_ptr_array_add (harness->entries, entry);
+}
+
+int
+main (int argc, char **argv)
+{
+  struct harness *harness = harness_open (argv[0]);
+  (void)argc;
+  setvbuf (stdout, NULL, _IOLBF, 0);
+  struct backend *backend = harness_add_backend_constant (harness, 1, 1000, 0);
+  struct entry *entry = harness_add_entry (harness, "d1");
+  struct entry direct = { 0 };
+  g_strlcpy (direct.listen, g_ptr_array_index (backend->servers, 0),
+             sizeof direct.listen);
+  g_strlcpy (direct.admin, direct.listen, sizeof direct.admin);
+  char *document = scenario_document (&one_service, backend->servers, "grants",
+                                      "    probe_budget: 0\n");
+  if (!harness_apply (harness, document))
+    return 1;
+  double idle = memory_mb (entry);
+  double cpu = 0;
+  for (int round = 0; round < ROUNDS; round++)
+    {
+      double d50, d99, e50, e99;
+      measure_one_connection (direct.listen, &d50, &d99);
+      double before = read_proc (entry, "stat", NULL);
+      measure_one_connection (entry->listen, &e50, &e99);
+      cpu = (read_proc (entry, "stat", NULL) - before) / CALLS;
+      printf ("one connection: direct p50 %.0f p99 %.0f us, through an entry "
+              "p50 %.0f p99 %.0f us, added p50 %.0f p99 %.0f us, processor "
+              "%.0f us a call\n",
+              d50, d99, e50, e99, e50 - d50, e99 - d99, cpu * 1e6);
+    }
+  double rate = 0.5 / cpu;
+  printf ("calls a second of one core: %.0f\n", 1 / cpu);
+  for (int round = 0; round < ROUNDS; round++)
+    {
+      double d50, d99, e50, e99;
+      point_at (harness, &direct);
+      measure_rate (harness, rate, &d50, &d99);
+      point_at (harness, entry);
+      measure_rate (harness, rate, &e50, &e99);
+      printf (
+          "half a core (%.0f calls/s): direct p50 %.0f p99 %.0f us, through an "
+          "entry p50 %.0f p99 %.0f us, added p50 %.0f p99 %.0f us\n",
+          rate, d50, d99, e50, e99, e50 - d50, e99 - d99);
+    }
+  GPtrArray *connections = g_ptr_array_new_with_free_func (g_object_unref);
+  for (int i = 0; i < OPEN; i++)
+    {
+      g_ptr_array_add (connections, open_connection (entry->listen));
+      call_once (g_ptr_array_index (connections, connections->len - 1));
+    }
+  printf ("memory: %.1f MB idle, %.1f MB with %d open caller connections\n",
+          idle, memory_mb (entry), OPEN);
+  g_ptr_array_unref (connections);
+  g_free (document);
+  harness_close (harness);
+  return 0;
+}
--- /dev/null
+++ b/src/hf-form.c
@@ -0,0 +1,348 @@
+/* A document as values by path, and as YAML over libyaml's emitter. */
+#include "hf-form.h"
+
+#include <string.h>
+#include <yaml.h>
+
+/* --- internal functions: paths --- */
+
+static char *
+join (const char *prefix, const char *name)
+{
+  return *prefix ? g_strdup_printf ("%s.%s", prefix, name) : g_strdup (name);
+}
+
+/* Table of the elements of a list, by the last key of its path. */
+static const struct hf_field *
+find_elements (const struct hf_field *fields, const char *key)
+{
+  for (const struct hf_field *field = fields; field->name; field++)
+    {
+      if (field->type != HF_FIELD_LIST)
+        continue;
+      const struct hf_field *found = strcmp (field->name, key) == 0
+                                         ? field->fields
+                                         : find_elements (field->fields, key);
+      if (found)
+        return found;
+    }
+  return NULL;
+}
+
+/* --- internal functions: from a struct --- */
+
+static char *
+join_list (const struct hf_list *list)
+{
+  GString *text = g_string_new (NULL);
+  const struct hf_str *items = list->items;
+  for (size_t i = 0; i < list->n; i++)
+    g_string_append_printf (text, "%s" HF_STR_FMT, i ? ", " : "",
+                            HF_STR_ARG (items[i]));
+  return g_string_free (text, FALSE);
+}
+
+static char *
+field_text (const struct hf_field *field, const void *place)
+{
+  switch (field->type)
+    {
+    case HF_FIELD_STR:
+    case HF_FIELD_ADDRESS:
+      return g_strdup (((const struct hf_str *)place)->data);
+    case HF_FIELD_INT:
+      return g_strdup_printf ("%" G_GINT64_FORMAT, *(const int64_t *)place);
+    case HF_FIELD_BOOL:
+      return g_strdup (*(const bool *)place ? "true" : "false");
+    case HF_FIELD_CHOICE:
+      return g_strdup (field->choices[*(const int64_t *)place]);
+    case HF_FIELD_STR_LIST:
+      return join_list (place);
+    case HF_FIELD_MAP:
+    case HF_FIELD_LIST:
+      break;
+    }
+  return NULL;
+}
+
+static void
+take_struct (struct hf_form *form,
+             const struct hf_field *fields,
+             const char *prefix,
+             const void *data)
+{
+  for (const struct hf_field *field = fields; field->name; field++)
+    {
+      const void *place = (const char *)data + field->offset;
+      char *path = join (prefix, field->name);
+      const struct hf_list *list = place;
+      if (field->type != HF_FIELD_LIST)
+        {
+          char *text = field_text (field, place);
+          hf_form_set (form, path, text);
+          g_free (text);
+        }
+      for (size_t i = 0; field->type == HF_FIELD_LIST && i < list->n; i++)
+        {
+          char *item = g_strdup_printf ("%s[%zu]", path, i);
+          take_struct (form, field->fields, item,
+                       (const char *)list->items + i * field->size);
+          g_free (item);
+        }
+      if (field->type == HF_FIELD_LIST)
+        g_hash_table_insert (form->counts, g_strdup (path),
+                             GUINT_TO_POINTER ((guint)list->n));
+      g_free (path);
+    }
+}
+
+/* --- internal functions: YAML --- */
+
+static void
+emit_scalar (yaml_emitter_t *emitter, const char *text, bool quoted)
+{
+  yaml_event_t event;
+  yaml_scalar_style_t style
+      = quoted ? YAML_DOUBLE_QUOTED_SCALAR_STYLE : YAML_PLAIN_SCALAR_STYLE;
+  yaml_scalar_event_initialize (&event, NULL, NULL, (const yaml_char_t *)text,
+                                (int)strlen (text), 1, 1, style);
+  yaml_emitter_emit (emitter, &event);
+}
+
+static void
+emit_str_list (yaml_emitter_t *emitter, const char *text)
+{
+  yaml_event_t event;
+  char **parts = g_strsplit (text, ",", -1);
+  yaml_sequence_start_event_initialize (&event, NULL, NULL, 1,
+                                        YAML_FLOW_SEQUENCE_STYLE);
+  yaml_emitter_emit (emitter, &event);
+  for (int i = 0; parts[i]; i++)
+    if (*g_strstrip (parts[i]))
+      emit_scalar (emitter, parts[i], false);
+  yaml_sequence_end_event_initialize (&event);
+  yaml_emitter_emit (emitter, &event);
+  g_strfreev (parts);
+}
+
+static void emit_map (yaml_emitter_t *emitter,
+                      const struct hf_form *form,
+                      const struct hf_field *fields,
+                      const char *prefix);
+
+static void
+emit_list (yaml_emitter_t *emitter,
+           const struct hf_form *form,
+           const struct hf_field *field,
+           const char *path)
+{
+  yaml_event_t event;
+  yaml_sequence_start_event_initialize (&event, NULL, NULL, 1,
+                                        YAML_BLOCK_SEQUENCE_STYLE);
+  yaml_emitter_emit (emitter, &event);
+  for (guint i = 0; i < hf_form_count (form, path); i++)
+    {
+      char *item = g_strdup_printf ("%s[%u]", path, i);
+      emit_map (emitter, form, field->fields, item);
+      g_free (item);
+    }
+  yaml_sequence_end_event_initialize (&event);
+  yaml_emitter_emit (emitter, &event);
+}
+
+static void
+emit_field (yaml_emitter_t *emitter,
+            const struct hf_form *form,
+            const struct hf_field *field,
+            const char *path)
+{
+  const char *text = hf_form_get (form, path);
+  bool is_text = field->type == HF_FIELD_STR || field->type == HF_FIELD_ADDRESS;
+  /* An empty value of another shape stands for its default. */
+  if (field->type != HF_FIELD_LIST && *text == 0 && !field->required)
+    return;
+  emit_scalar (emitter, field->name, false);
+  if (field->type == HF_FIELD_LIST)
+    emit_list (emitter, form, field, path);
+  else if (field->type == HF_FIELD_STR_LIST)
+    emit_str_list (emitter, text);
+  else
+    emit_scalar (emitter, text, is_text);
+}
+
+static void
+emit_map (yaml_emitter_t *emitter,
+          const struct hf_form *form,
+          const struct hf_field *fields,
+          const char *prefix)
+{
+  yaml_event_t event;
+  yaml_mapping_start_event_initialize (&event, NULL, NULL, 1,
+                                       YAML_BLOCK_MAPPING_STYLE);
+  yaml_emitter_emit (emitter, &event);
+  for (const struct hf_field *field = fields; field->name; field++)
+    {
+      char *path = join (prefix, field->name);
+      emit_field (emitter, form, field, path);
+      g_free (path);
+    }
+  yaml_mapping_end_event_initialize (&event);
+  yaml_emitter_emit (emitter, &event);
+}
+
+static int
+append_bytes (void *data, unsigned char *bytes, size_t size)
+{
+  g_string_append_len (data, (const char *)bytes, (gssize)size);
+  return 1;
+}
+
+/* --- internal functions: lists --- */
+
+/* Moves every value below element @from of a list to element @to, or drops it.
+ */
+static void
+move_element (GHashTable *table, const char *list, guint from, int to)
+{
+  char *prefix = g_strdup_printf ("%s[%u]", list, from);
+  GHashTableIter iter;
+  char *path;
+  gpointer value;
+  GPtrArray *moved = g_ptr_array_new ();
+  g_hash_table_iter_init (&iter, table);
+  while (g_hash_table_iter_next (&iter, (gpointer *)&path, &value))
+    {
+      if (!g_str_has_prefix (path, prefix))
+        continue;
+      if (to < 0)
+        {
+          g_hash_table_iter_remove (&iter);
+          continue;
+        }
+      g_ptr_array_add (moved, g_strdup_printf ("%s[%d]%s", list, to,
+                                               path + strlen (prefix)));
+      g_ptr_array_add (moved, value);
+      g_hash_table_iter_steal (&iter);
+      g_free (path);
+    }
+  for (guint i = 0; i < moved->len; i += 2)
+    g_hash_table_replace (table, g_ptr_array_index (moved, i),
+                          g_ptr_array_index (moved, i + 1));
+  g_ptr_array_unref (moved);
+  g_free (prefix);
+}
+
+/* --- public functions --- */
+
+void
+hf_form_init (struct hf_form *form)
+{
+  form->values
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  form->counts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+}
+
+void
+hf_form_close (struct hf_form *form)
+{
+  g_hash_table_destroy (form->values);
+  g_hash_table_destroy (form->counts);
+}
+
+bool
+hf_form_load (struct hf_form *form, struct hf_str text, struct hf_error *error)
+{
+  struct hf_document *document = hf_document_load (text, error);
+  if (!document)
+    return false;
+  hf_form_close (form);
+  hf_form_init (form);
+  take_struct (form, hf_document_fields, "", document);
+  hf_document_unload (document);
+  return true;
+}
+
+char *
+hf_form_write (const struct hf_form *form)
+{
+  yaml_emitter_t emitter;
+  yaml_event_t event;
+  GString *text = g_string_new (NULL);
+  yaml_emitter_initialize (&emitter);
+  yaml_emitter_set_output (&emitter, append_bytes, text);
+  yaml_emitter_set_unicode (&emitter, 1);
+  yaml_stream_start_event_initialize (&event, YAML_UTF8_ENCODING);
+  yaml_emitter_emit (&emitter, &event);
+  yaml_document_start_event_initialize (&event, NULL, NULL, NULL, 1);
+  yaml_emitter_emit (&emitter, &event);
+  emit_map (&emitter, form, hf_document_fields, "");
+  yaml_document_end_event_initialize (&event, 1);
+  yaml_emitter_emit (&emitter, &event);
+  yaml_stream_end_event_initialize (&event);
+  yaml_emitter_emit (&emitter, &event);
+  yaml_emitter_delete (&emitter);
+  return g_string_free (text, FALSE);
+}
+
+const char *
+hf_form_get (const struct hf_form *form, const char *path)
+{
+  const char *value = g_hash_table_lookup (form->values, path);
+  return value ? value : "";
+}
+
+void
+hf_form_set (struct hf_form *form, const char *path, const char *value)
+{
+  g_hash_table_replace (form->values, g_strdup (path),
+                        g_strdup (value ? value : ""));
+}
+
+guint
+hf_form_count (const struct hf_form *form, const char *list)
+{
+  return GPOINTER_TO_UINT (g_hash_table_lookup (form->counts, list));
+}
+
+void
+hf_form_add (struct hf_form *form, const char *list)
+{
+  const char *key = strrchr (list, '.') ? strrchr (list, '.') + 1 : list;
+  const struct hf_field *fields = find_elements (hf_document_fields, key);
+  guint n = hf_form_count (form, list);
+  for (const struct hf_field *field = fields; field && field->name; field++)
+    {
+      char *path = g_strdup_printf ("%s[%u].%s", list, n, field->name);
+      char *text = field->type == HF_FIELD_INT
+                       ? g_strdup_printf ("%" G_GINT64_FORMAT, field->def)
+                   : field->type == HF_FIELD_BOOL ? g_strdup ("false")
+                   : field->type == HF_FIELD_CHOICE
+                       ? g_strdup (field->choices[field->def])
+                       : g_strdup (field->def_str ? field->def_str : "");
+      if (field->type == HF_FIELD_LIST)
+        g_hash_table_insert (form->counts, g_strdup (path), NULL);
+      else
+        hf_form_set (form, path, text);
+      g_free (text);
+      g_free (path);
+    }
+  if (fields)
+    g_hash_table_insert (form->counts, g_strdup (list),
+                         GUINT_TO_POINTER (n + 1));
+}
+
+void
+hf_form_remove (struct hf_form *form, const char *list, guint i)
+{
+  guint n = hf_form_count (form, list);
+  if (i >= n)
+    return;
+  move_element (form->values, list, i, -1);
+  move_element (form->counts, list, i, -1);
+  for (guint next = i + 1; next < n; next++)
+    {
+      move_element (form->values, list, next, (int)next - 1);
+      move_element (form->counts, list, next, (int)next - 1);
+    }
+  g_hash_table_insert (form->counts, g_strdup (list), GUINT_TO_POINTER (n - 1));
+}
--- a/src/hickoryctl.c
+++ b/src/hickoryctl.c
@@ -6,6 +6,7 @@
 #include <json-glib/json-glib.h>
 
 #include "hf-client.h"
+#include "hf-console.h"
 #include "hf-document.h"
 #include "hf-settings.h"
 
@@ -19,6 +20,7 @@
 #define EXIT_UNAVAILABLE 5
 #define EXIT_NOT_IN_TIME 6
 #define POLL_US          100000
+#define CONSOLE_ADDRESS  "127.0.0.1:8090"
 
 /* --- types --- */
 
@@ -26,6 +28,7 @@
 struct options
 {
   char *platform;
+  char *listen;
   char **entries;
   gboolean json;
   gboolean wait;
@@ -394,10 +397,25 @@
   return status == 200 ? 0 : EXIT_UNAVAILABLE;
 }
 
+static int
+run_console (const struct options *options, char **arguments)
+{
+  struct hf_error error = { 0 };
+  (void)arguments;
+  int code
+      = hf_console_run (options->listen ? options->listen : CONSOLE_ADDRESS,
+                        options->platform, &error);
+  return code == 0 ? 0 : fail (NULL, &error);
+}
+
 static const struct command commands[] = {
-  { "check", 1, run_check }, { "apply", 1, run_apply },
-  { "show", 0, run_show },   { "status", 0, run_status },
-  { "dump", 1, run_dump },   { 0 },
+  { "check", 1, run_check },
+  { "apply", 1, run_apply },
+  { "show", 0, run_show },
+  { "status", 0, run_status },
+  { "dump", 1, run_dump },
+  { "console", 0, run_console },
+  { 0 },
 };
 
 static int
@@ -423,6 +441,8 @@
       "Address of the platform's object API", "IP:PORT" },
     { "entry", 'e', 0, G_OPTION_ARG_STRING_ARRAY, &options.entries,
       "Admin address of an entry; instead of the VM list", "IP:PORT" },
+    { "listen", 0, 0, G_OPTION_ARG_STRING, &options.listen,
+      "console: loopback address (127.0.0.1:8090)", "IP:PORT" },
     { "json", 0, 0, G_OPTION_ARG_NONE, &options.json,
       "status: JSON for programs", NULL },
     { "wait", 0, 0, G_OPTION_ARG_NONE, &options.wait,
@@ -443,7 +463,8 @@
       "  apply FILE    makes a document the desired state\n"
       "  show          prints the document in force, ready to edit and apply\n"
       "  status        tells how entries, services and budgets stand\n"
-      "  dump ADDRESS  prints the state of one entry, by its admin address");
+      "  dump ADDRESS  prints the state of one entry, by its admin address\n"
+      "  console       serves forms for the document as a web page");
   g_option_context_set_description (
       context, "Exit codes: 0 done, 2 wrong use, 3 wrong document, 4 conflict "
                "with another change,\n"
@@ -465,6 +486,7 @@
     }
   int code = run_command (&options, argc, argv);
   g_free (options.platform);
+  g_free (options.listen);
   g_strfreev (options.entries);
   return code;
 }
--- /dev/null
+++ b/tests/test-console.c
@@ -0,0 +1,179 @@
+/*
+ * The console of forms against a real platform stand-in: what it refuses,
+ * where it shows errors, what it applies, and conflicts.
+ */
+#include "support.h"
+
+#include <string.h>
+
+#include "hf-form.h"
+#include "hf-http.h"
+
+/* --- types --- */
+
+struct page
+{
+  struct setup *setup;
+  GSubprocess *process;
+  char address[64];
+  char token[64];
+};
+
+/* --- internal functions --- */
+
+static char *
+between (const char *text, const char *before, const char *after)
+{
+  const char *at = text ? strstr (text, before) : NULL;
+  const char *end = at ? strstr (at + strlen (before), after) : NULL;
+  return end ? g_strndup (at + strlen (before),
+                          (gsize)(end - at) - strlen (before))
+             : g_strdup ("");
+}
+
+static void
+open_page (struct page *page)
+{
+  char *program
+      = g_build_filename (page->setup->harness->build, "hickoryctl", NULL);
+  page->process = g_subprocess_new (
+      G_SUBPROCESS_FLAGS_STDOUT_PIPE, NULL, program, "console", "--listen",
+      "127.0.0.1:0", "-p", page->setup->harness->platform, NULL);
+  GDataInputStream *lines
+      = g_data_input_stream_new (g_subprocess_get_stdout_pipe (page->process));
+  char *line = g_data_input_stream_read_line (lines, NULL, NULL, NULL);
+  char *address = between (line, "http://", "/");
+  g_strlcpy (page->address, address, sizeof page->address);
+  char *html = harness_get (page->address, "/", NULL);
+  char *token = between (html, "name=\"token\" value=\"", "\"");
+  g_strlcpy (page->token, token, sizeof page->token);
+  g_free (token);
+  g_free (html);
+  g_free (address);
+  g_free (line);
+  g_object_unref (lines);
+  g_free (program);
+}
+
+static void
+close_page (struct page *page)
+{
+  g_subprocess_force_exit (page->process);
+  g_subprocess_wait (page->process, NULL, NULL);
+  g_object_unref (page->process);
+}
+
+/* Posts values (ended by NULL); the page that comes back. */
+static char *
+post (struct page *page,
+      const char *path,
+      const char *origin,
+      guint *status,
+      const char *token,
+      const char *name,
+      const char *value)
+{
+  SoupSession *session = hf_http_session (1, 10);
+  char **parts = g_strsplit (path, "?", 2);
+  SoupMessage *message
+      = hf_http_message ("POST", hf_str (page->address), parts[0], parts[1]);
+  char *form = soup_form_encode ("token", token, name, value, NULL);
+  GBytes *bytes = g_bytes_new_take (form, strlen (form));
+  soup_message_set_request_body_from_bytes (
+      message, "application/x-www-form-urlencoded", bytes);
+  if (origin)
+    soup_message_headers_replace (soup_message_get_request_headers (message),
+                                  "Origin", origin);
+  GBytes *answer = soup_session_send_and_read (session, message, NULL, NULL);
+  char *text = answer ? g_strndup (g_bytes_get_data (answer, NULL),
+                                   g_bytes_get_size (answer))
+                      : NULL;
+  *status = soup_message_get_status (message);
+  g_clear_pointer (&answer, g_bytes_unref);
+  g_bytes_unref (bytes);
+  g_object_unref (message);
+  g_object_unref (session);
+  g_strfreev (parts);
+  return text;
+}
+
+static void
+test_console (void)
+{
+  struct page page = { .setup = setup_open (1, 1, 1, NULL) };
+  guint status = 0;
+  open_page (&page);
+  /* Posts of other sites: without the token, or with their origin. */
+  g_free (post (&page, "/", NULL, &status, "guess", "version", "1"));
+  g_assert_cmpuint (status, ==, 403);
+  g_free (post (&page, "/", "http://evil.example", &status, page.token,
+                "version", "1"));
+  g_assert_cmpuint (status, ==, 403);
+  /* A wrong value is kept and shown with its error; markup in it is text. */
+  char *html = post (&page, "/service?i=0", NULL, &status, page.token,
+                     "services[0].queue_limit", "<b>lots");
+  g_assert_nonnull (strstr (html, "&lt;b&gt;lots"));
+  g_assert_null (strstr (html, "<b>lots"));
+  g_assert_nonnull (strstr (html, "role=\"alert\">expected a whole number"));
+  g_free (html);
+  html = post (&page, "/apply", NULL, &status, page.token, "x", "y");
+  g_assert_nonnull (
+      strstr (html, "nothing was applied: the document is not valid"));
+  g_free (html);
+  /* Corrected, it shows the difference and is applied. */
+  html = post (&page, "/", NULL, &status, page.token, "services[0].queue_limit",
+               "55");
+  g_assert_nonnull (strstr (html, "<span class=\"add\">+   queue_limit: 55"));
+  g_free (html);
+  html = post (&page, "/apply", NULL, &status, page.token, "x", "y");
+  g_assert_nonnull (strstr (html, "accepted as generation"));
+  g_free (html);
+  /* Another operator's change came between: shown, not overwritten. */
+  g_assert_true (harness_apply (page.setup->harness, page.setup->document));
+  html = post (&page, "/apply", NULL, &status, page.token, "x", "y");
+  g_assert_nonnull (strstr (html, "nothing was applied: another operator"));
+  g_free (html);
+  close_page (&page);
+  setup_close (page.setup);
+}
+
+/* What is loaded and written again is the same document. */
+static void
+test_round_trip (void)
+{
+  static const char *const names[] = { "association.yaml", "non-profit.yaml" };
+  for (gsize i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      char *path = g_build_filename (HF_SOURCE, "examples", names[i], NULL);
+      char *text = NULL;
+      struct hf_form form;
+      hf_form_init (&form);
+      g_assert_true (g_file_get_contents (path, &text, NULL, NULL));
+      g_assert_true (hf_form_load (&form, hf_str (text), NULL));
+      char *first = hf_form_write (&form);
+      guint servers = hf_form_count (&form, "services[1].servers");
+      hf_form_add (&form, "services[1].servers");
+      hf_form_remove (&form, "services[1].servers", servers);
+      char *same = hf_form_write (&form);
+      g_assert_cmpstr (first, ==, same);
+      g_assert_true (hf_form_load (&form, hf_str (first), NULL));
+      char *second = hf_form_write (&form);
+      g_assert_cmpstr (first, ==, second);
+      hf_form_close (&form);
+      g_free (second);
+      g_free (same);
+      g_free (first);
+      g_free (text);
+      g_free (path);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_set_nonfatal_assertions ();
+  g_test_add_func ("/console/forms", test_console);
+  g_test_add_func ("/console/round-trip", test_round_trip);
+  return g_test_run ();
+}
