Pool in three modules: slots, health, policies

Cause: one file of 900 lines had three jobs; a choice also summed up the speeds of all servers for a context that no policy read. Behaviour is the same: scripted and differential runs pass unchanged.

--- a/src/config.h
+++ b/src/config.h
@@ -85,9 +85,9 @@
 #define HF_QUARANTINE_SEC    60
 
 /* Probes. */
-#define HF_PROBE_EPOCH_SEC  10 /* tokens are allotted for one epoch */
-#define HF_PROBE_IDLE_MS    2000
-#define HF_PROBE_TIMEOUT_MS 1000
+#define HF_PROBE_EPOCH_SEC   10 /* tokens are allotted for one epoch */
+#define HF_PROBE_IDLE_MS     2000
+#define HF_PROBE_TIMEOUT_SEC 1
 
 /* Shutdown. */
 #define HF_DRAIN_LIMIT_SEC 60
--- a/src/hf-dump.c
+++ b/src/hf-dump.c
@@ -10,7 +10,7 @@
 static const char *
 leaving_text (const struct hf_pool_server *server, gint64 now)
 {
-  if (!hf_pool_is_leaving (server, now))
+  if (!hf_health_is_leaving (server, now))
     return "";
   if (server->leaving & HF_LEAVING_DOCUMENT)
     return "leaving (document)";
@@ -25,7 +25,7 @@
 static const char *
 server_text (const struct hf_pool_server *server, gint64 now)
 {
-  if (hf_pool_is_leaving (server, now))
+  if (hf_health_is_leaving (server, now))
     return leaving_text (server, now);
   if (server->out_until > now)
     return "out";
--- a/src/hf-event.c
+++ b/src/hf-event.c
@@ -19,14 +19,6 @@
   g_ptr_array_unref (effects->owned);
 }
 
-void
-hf_effects_clear (struct hf_effects *effects)
-{
-  g_array_set_size (effects->items, 0);
-  g_string_chunk_clear (effects->strings);
-  g_ptr_array_set_size (effects->owned, 0);
-}
-
 void
 hf_effects_add (struct hf_effects *effects, struct hf_effect effect)
 {
--- a/src/hf-event.h
+++ b/src/hf-event.h
@@ -184,8 +184,6 @@
 
 void hf_effects_init (struct hf_effects *effects);  /* empty list */
 void hf_effects_close (struct hf_effects *effects); /* frees all */
-void hf_effects_clear (
-    struct hf_effects *effects); /* empties it, keeps its memory */
 void hf_effects_add (struct hf_effects *effects,
                      struct hf_effect effect); /* appends one */
 struct hf_str
--- a/src/hf-pool.c
+++ b/src/hf-pool.c
@@ -64,74 +64,6 @@
                                           : left->deadline > right->deadline;
 }
 
-/* --- internal functions: policies --- */
-
-static size_t
-choose_round_robin (void *context,
-                    const struct hf_candidate *candidates,
-                    size_t n,
-                    uint64_t random)
-{
-  const struct hf_choice_context *choice = context;
-  (void)candidates;
-  (void)random;
-  return choice->turn % n;
-}
-
-static size_t
-choose_of_two (void *context,
-               const struct hf_candidate *candidates,
-               size_t n,
-               uint64_t random)
-{
-  size_t a = random % n;
-  size_t b = (random >> 32) % n;
-  (void)context;
-  if (a == b)
-    b = (a + 1) % n;
-  /* Cross-multiplied load per slot: no division by a small slot count. */
-  return candidates[a].load * candidates[b].slots
-                 <= candidates[b].load * candidates[a].slots
-             ? a
-             : b;
-}
-
-static double
-cost_of (const struct hf_candidate *candidate)
-{
-  return candidate->latency_us * (1.0 + 3.0 * candidate->failure);
-}
-
-static size_t
-choose_fastest_free (void *context,
-                     const struct hf_candidate *candidates,
-                     size_t n,
-                     uint64_t random)
-{
-  size_t best = random % n;
-  (void)context;
-  for (size_t i = 0; i < n; i++)
-    if (cost_of (&candidates[i]) < cost_of (&candidates[best]))
-      best = i;
-  return best;
-}
-
-const struct hf_policy hf_policies[] = {
-  [HF_POLICY_GRANTS] = { .name = "grants",
-                         .bounded = true,
-                         .use_foreign = true,
-                         .choose = choose_fastest_free },
-  [HF_POLICY_TWO_SHARED] = { .name = "two-choices-shared",
-                             .bounded = true,
-                             .use_foreign = true,
-                             .use_reports = true,
-                             .choose = choose_of_two },
-  [HF_POLICY_TWO_CHOICES]
-  = { .name = "two-choices", .bounded = true, .choose = choose_of_two },
-  [HF_POLICY_ROUND_ROBIN]
-  = { .name = "round-robin", .choose = choose_round_robin },
-};
-
 /* --- internal functions: backend servers --- */
 
 static struct hf_pool_server *
@@ -154,158 +86,6 @@
   return load;
 }
 
-static bool
-is_usable (const struct hf_pool_server *server, int64_t now)
-{
-  return !hf_pool_is_leaving (server, now) && server->out_until <= now;
-}
-
-static unsigned
-slots_of (const struct hf_pool_server *server)
-{
-  return MIN (server->slots, server->ramp);
-}
-
-static size_t
-count_out (const struct hf_pool *pool, int64_t now)
-{
-  size_t n = 0;
-  for (size_t i = 0; i < pool->servers->len; i++)
-    n += server_at (pool, i)->out_until > now;
-  return n;
-}
-
-static int
-compare_double (gconstpointer a, gconstpointer b)
-{
-  double left = *(const double *)a;
-  double right = *(const double *)b;
-  return left < right ? -1 : left > right;
-}
-
-static double
-median_latency (const struct hf_pool *pool)
-{
-  GArray *values = g_array_new (FALSE, FALSE, sizeof (double));
-  double median = 0;
-  for (size_t i = 0; i < pool->servers->len; i++)
-    if (server_at (pool, i)->samples >= HF_STRAGGLER_SAMPLES)
-      g_array_append_val (values, server_at (pool, i)->latency_us);
-  g_array_sort (values, compare_double);
-  if (values->len > 0)
-    median = g_array_index (values, double, values->len / 2);
-  g_array_unref (values);
-  return median;
-}
-
-/* Takes a server out for a time, but never more than a share of the service. */
-static void
-take_out (struct hf_pool *pool, struct hf_pool_server *server, int64_t now)
-{
-  if (server->out_until > now)
-    return;
-  if ((count_out (pool, now) + 1) * HF_OUT_SHARE_MAX > pool->servers->len)
-    return;
-  int64_t time = HF_OUT_BASE_MS << MIN (server->out_times, 5U);
-  server->out_until = now + MIN (time, HF_OUT_MAX_MS) * HF_MS;
-  server->out_times++;
-  server->ramp = 1;
-  server->ramp_ok = 0;
-  server->failures_in_row = 0;
-  server->samples = 0;
-  server->failure = 0;
-}
-
-static void
-learn_failure (struct hf_pool *pool, struct hf_pool_server *server, int64_t now)
-{
-  server->failure += HF_EWMA_WEIGHT * (1.0 - server->failure);
-  server->failures_in_row++;
-  server->samples++;
-  bool often = server->samples >= HF_STRAGGLER_SAMPLES && server->failure > 0.5;
-  if (server->failures_in_row >= HF_FAILURES_TO_OUT || often)
-    take_out (pool, server, now);
-}
-
-static void
-learn_latency (struct hf_pool *pool,
-               struct hf_pool_server *server,
-               int64_t now,
-               int64_t latency_us)
-{
-  double weight = server->samples == 0
-                      ? 1.0
-                      : MAX (HF_EWMA_WEIGHT, 1.0 / (server->samples + 1));
-  server->latency_us += weight * ((double)latency_us - server->latency_us);
-  server->samples++;
-  if (server->samples < HF_STRAGGLER_SAMPLES
-      || server->samples % HF_STRAGGLER_SAMPLES != 0)
-    return;
-  double median = median_latency (pool);
-  if (median > 0 && server->latency_us > HF_STRAGGLER_RATIO * median)
-    take_out (pool, server, now);
-}
-
-static void
-learn_success (struct hf_pool *pool,
-               struct hf_pool_server *server,
-               int64_t now,
-               int64_t latency_us)
-{
-  server->failure -= HF_EWMA_WEIGHT * server->failure;
-  server->failures_in_row = 0;
-  server->answered_at = now;
-  server->broken_at = 0;
-  if (server->ramp < server->slots && ++server->ramp_ok >= HF_RAMP_SUCCESSES)
-    {
-      server->ramp++;
-      server->ramp_ok = 0;
-    }
-  if (server->ramp >= server->slots
-      && server->samples > 4 * HF_STRAGGLER_SAMPLES)
-    server->out_times = 0;
-  learn_latency (pool, server, now, latency_us);
-}
-
-static void
-learn (struct hf_pool *pool,
-       struct hf_pool_server *server,
-       int64_t now,
-       enum hf_pool_result result,
-       int64_t latency_us)
-{
-  switch (result)
-    {
-    case HF_POOL_OK:
-      learn_success (pool, server, now, latency_us);
-      break;
-    case HF_POOL_FAILED:
-      learn_failure (pool, server, now);
-      break;
-    case HF_POOL_BROKEN:
-      if (server->broken_at == 0)
-        server->broken_at = now;
-      learn_failure (pool, server, now);
-      take_out (pool, server, now);
-      break;
-    case HF_POOL_SLOW:
-      learn_latency (pool, server, now, latency_us);
-      learn_failure (pool, server, now);
-      break;
-    case HF_POOL_LATE:
-      if ((double)latency_us > server->latency_us)
-        learn_latency (pool, server, now, latency_us);
-      break;
-    case HF_POOL_REFUSED:
-      /* No room there although a slot seemed free: step down, then ramp up. */
-      server->ramp = MAX (1U, server->ramp / 2);
-      server->ramp_ok = 0;
-      break;
-    case HF_POOL_UNUSED:
-      break;
-    }
-}
-
 /* --- internal functions: choice --- */
 
 static size_t
@@ -319,15 +99,16 @@
     {
       const struct hf_pool_server *server = server_at (pool, i);
       unsigned load = load_of (pool, server, now);
-      if (!is_usable (server, now) || server->id == exclude)
+      if (!hf_health_is_usable (server, now) || server->id == exclude)
         continue;
-      if (pool->policy->bounded && load >= slots_of (server))
+      if (pool->policy->bounded && load >= hf_health_slots (server))
         continue;
-      candidates[n++] = (struct hf_candidate){ .index = i,
-                                               .load = load,
-                                               .slots = slots_of (server),
-                                               .latency_us = server->latency_us,
-                                               .failure = server->failure };
+      candidates[n++]
+          = (struct hf_candidate){ .index = i,
+                                   .load = load,
+                                   .slots = hf_health_slots (server),
+                                   .latency_us = server->latency_us,
+                                   .failure = server->failure };
     }
   return n;
 }
@@ -337,31 +118,11 @@
 {
   size_t n = 0;
   for (size_t i = 0; i < pool->servers->len; i++)
-    n += is_usable (server_at (pool, i), now)
+    n += hf_health_is_usable (server_at (pool, i), now)
          && server_at (pool, i)->id != exclude;
   return n;
 }
 
-/* Fills the speed of the faster half, which waiting is weighed against. */
-static struct hf_choice_context
-make_context (const struct hf_pool *pool, int64_t now)
-{
-  struct hf_choice_context choice
-      = { .turn = pool->turn, .waiting = hf_pool_waiting (pool) };
-  for (size_t i = 0; i < pool->servers->len; i++)
-    {
-      const struct hf_pool_server *server = server_at (pool, i);
-      if (!is_usable (server, now) || server->samples == 0)
-        continue;
-      if (choice.fastest_us <= 0 || server->latency_us < choice.fastest_us)
-        choice.fastest_us = server->latency_us;
-    }
-  for (size_t i = 0; i < pool->servers->len; i++)
-    if (is_usable (server_at (pool, i), now))
-      choice.fast_slots += slots_of (server_at (pool, i));
-  return choice;
-}
-
 static struct hf_pool_server *
 choose_server (struct hf_pool *pool, int64_t now, uint64_t exclude)
 {
@@ -372,7 +133,7 @@
     n = list_candidates (pool, now, 0, candidates);
   if (n == 0)
     return NULL;
-  struct hf_choice_context choice = make_context (pool, now);
+  struct hf_choice_context choice = { .turn = pool->turn };
   size_t i = pool->policy->choose (&choice, candidates, n,
                                    hf_random_next (&pool->random));
   pool->turn++;
@@ -452,10 +213,10 @@
   for (size_t i = 0; i < pool->servers->len; i++)
     {
       const struct hf_pool_server *server = server_at (pool, i);
-      if (!is_usable (server, now))
+      if (!hf_health_is_usable (server, now))
         continue;
-      slots += slots_of (server);
-      sum += server->latency_us * slots_of (server);
+      slots += hf_health_slots (server);
+      sum += server->latency_us * hf_health_slots (server);
     }
   *latency_us = slots ? sum / slots : 0;
   return slots;
@@ -700,7 +461,7 @@
       struct hf_pool_server *server = hf_pool_server (pool, record->server);
       drop_record (pool, record);
       if (server)
-        learn (pool, server, now, result, latency_us);
+        hf_health_learn (pool->servers, server, now, result, latency_us);
       g_hash_table_remove (pool->records, &key);
     }
   hf_pool_pump (pool, now, decisions);
@@ -715,7 +476,7 @@
 {
   struct hf_pool_server *known = hf_pool_server (pool, server);
   if (known)
-    learn (pool, known, now, result, latency_us);
+    hf_health_learn (pool->servers, known, now, result, latency_us);
 }
 
 void
@@ -869,14 +630,6 @@
   return news;
 }
 
-bool
-hf_pool_is_leaving (const struct hf_pool_server *server, int64_t now)
-{
-  if (server->leaving & (HF_LEAVING_DOCUMENT | HF_LEAVING_VM_LIST))
-    return true;
-  return server->leaving != 0 && now < server->leaving_until;
-}
-
 bool
 hf_pool_may_have_crashed (const struct hf_pool *pool,
                           uint64_t id,
--- a/src/hf-pool.h
+++ b/src/hf-pool.h
@@ -11,32 +11,12 @@
 #include <glib.h>
 
 #include "hf-document.h"
+#include "hf-health.h"
+#include "hf-policy.h"
 #include "hf-retry.h"
 
 /* --- types --- */
 
-/** enum hf_leaving - who said that a backend server is leaving, bits */
-enum hf_leaving
-{
-  HF_LEAVING_DOCUMENT = 1,
-  HF_LEAVING_VM_LIST = 2,
-  HF_LEAVING_HEALTH = 4,
-  HF_LEAVING_REFUSAL = 8,
-  HF_LEAVING_PEER = 16,
-};
-
-/** enum hf_pool_result - what a slot's use showed */
-enum hf_pool_result
-{
-  HF_POOL_OK,      /* an answer arrived */
-  HF_POOL_FAILED,  /* connection failed, short, or a failure status */
-  HF_POOL_BROKEN,  /* the connection broke without an answer */
-  HF_POOL_REFUSED, /* the backend server had no room */
-  HF_POOL_SLOW,    /* given up for lateness */
-  HF_POOL_LATE,    /* another attempt was faster */
-  HF_POOL_UNUSED,  /* the slot was not used */
-};
-
 /** enum hf_refusal - why a request got no slot */
 enum hf_refusal
 {
@@ -47,79 +27,6 @@
   HF_REFUSAL_BUDGET,     /* the retry budget is spent */
 };
 
-/**
- * struct hf_candidate - a backend server that may be chosen
- * @index: place in the pool
- * @load: requests in it as far as is known
- * @slots: requests it may run at once now
- * @latency_us: smoothed latency
- * @failure: smoothed share of failures, 0 to 1
- */
-struct hf_candidate
-{
-  size_t index;
-  unsigned load;
-  unsigned slots;
-  double latency_us;
-  double failure;
-};
-
-/**
- * struct hf_policy - a way to choose a backend server
- * @name: as in the document
- * @bounded: true: a server with a full load is not offered
- * @use_foreign: true: load of other entries counts
- * @use_reports: true: load reports of the server count
- * @choose: index into candidates, n for "wait"; @turn counts the calls,
- *   @waiting the requests in the queue, @slots all slots in use by the pool
- */
-struct hf_policy
-{
-  const char *name;
-  bool bounded;
-  bool use_foreign;
-  bool use_reports;
-  size_t (*choose) (void *context,
-                    const struct hf_candidate *candidates,
-                    size_t n,
-                    uint64_t random);
-};
-
-/** struct hf_choice_context - what a policy's choose may look at */
-struct hf_choice_context
-{
-  uint64_t turn;       /* choices made so far */
-  unsigned waiting;    /* requests in the queue */
-  double fastest_us;   /* least latency of a server that takes work */
-  unsigned fast_slots; /* slots of servers near that latency */
-};
-
-/** struct hf_pool_server - a backend server as the pool knows it */
-struct hf_pool_server
-{
-  uint64_t id;
-  struct hf_str name;
-  struct hf_str address;
-  unsigned slots;
-  unsigned connections;
-  unsigned granted;      /* slots in use by records of this pool */
-  unsigned foreign;      /* requests that other entries have there beside */
-  unsigned leaving;      /* bits of enum hf_leaving */
-  int64_t leaving_until; /* end of what was seen by request, probe or peer */
-  double latency_us;
-  double failure;
-  unsigned samples;
-  unsigned failures_in_row;
-  int64_t out_until; /* taken out until then; 0: not out */
-  unsigned out_times;
-  unsigned ramp;    /* slots that may be used now */
-  unsigned ramp_ok; /* successes since the last step */
-  int reported;
-  int64_t reported_at;
-  int64_t answered_at;
-  int64_t broken_at; /* first break since the last answer, 0: none */
-};
-
 /** struct hf_pool_want - a request for one slot */
 struct hf_pool_want
 {
@@ -167,7 +74,6 @@
 
 /* --- public functions: init and close --- */
 
-extern const struct hf_policy hf_policies[]; /* by enum hf_policy_kind */
 void hf_pool_init (struct hf_pool *pool, uint64_t random); /* empty pool */
 void hf_pool_close (struct hf_pool *pool);                 /* frees all */
 void hf_pool_configure (
@@ -226,8 +132,6 @@
                           enum hf_leaving source,
                           bool on,
                           int64_t until); /* true if this is news */
-bool hf_pool_is_leaving (const struct hf_pool_server *server,
-                         int64_t now); /* it gets no new work */
 bool hf_pool_may_have_crashed (
     const struct hf_pool *pool,
     uint64_t id,
--- a/src/hf-proxy.c
+++ b/src/hf-proxy.c
@@ -846,7 +846,7 @@
 static void
 probe (struct hf_proxy *proxy, const struct hf_effect *effect)
 {
-  SoupSession *session = hf_http_session (1, 1);
+  SoupSession *session = hf_http_session (1, HF_PROBE_TIMEOUT_SEC);
   SoupMessage *message
       = hf_http_message ("GET", effect->address, effect->path.data, NULL);
   uint64_t *server = g_new (uint64_t, 1);
