Proxy and calls split by job

Cause: hf-proxy.c (930 lines) held both sides of the HTTP hop, hf-calls.c the reading of an attempt's end. hf-exchange is one attempt, hf-attempts what it shows.

--- a/src/hf-calls.c
+++ b/src/hf-calls.c
@@ -1,6 +1,7 @@
 /* Life of a caller's request. */
 #include "hf-calls.h"
 
+#include "hf-attempts.h"
 #include "hf-claims.h"
 #include "hf-members.h"
 #include "hf-quarantine.h"
@@ -265,87 +266,7 @@
   give_up (state, call, 503, refusals[reason].text);
 }
 
-/* --- internal functions: what an answer shows --- */
-
-static bool
-is_failure_status (unsigned status)
-{
-  return status == 502 || status == 503 || status == 504;
-}
-
-static void
-learn_leaving (struct hf_state *state,
-               const struct hf_call *call,
-               const struct hf_attempt *attempt,
-               bool leaving,
-               bool refused_it)
-{
-  struct hf_service_state *service = hf_state_service (state, call->service_id);
-  int64_t until = state->now + HF_LEAVING_HOLD_MS * HF_MS;
-  if (!service || !leaving)
-    return;
-  enum hf_leaving source = refused_it ? HF_LEAVING_REFUSAL : HF_LEAVING_HEALTH;
-  if (!hf_pool_set_leaving (&service->pool, attempt->server, source, true,
-                            until))
-    return;
-  const struct hf_pool_server *server
-      = hf_pool_server (&service->pool, attempt->server);
-  hf_state_log (state, HF_LOG_SERVER_LEAVING,
-                "backend server " HF_STR_FMT " of " HF_STR_FMT
-                " is leaving, by its own answer",
-                HF_STR_ARG (server->name), HF_STR_ARG (service->name));
-  hf_quarantine_tell (state, HF_NOTICE_LEAVING, service->id, attempt->server,
-                      HF_LEAVING_HOLD_MS);
-}
-
-static void
-learn_load (struct hf_state *state,
-            const struct hf_call *call,
-            const struct hf_attempt *attempt,
-            const struct hf_answer_hints *hints)
-{
-  struct hf_service_state *service = hf_state_service (state, call->service_id);
-  if (service && hints->load >= 0)
-    hf_pool_report (&service->pool, attempt->server, hints->load, state->now);
-}
-
-static enum hf_pool_result
-result_of (const struct hf_event *event)
-{
-  switch (event->result)
-    {
-    case HF_ATTEMPT_ANSWERED:
-      if (event->hints.not_run)
-        return HF_POOL_REFUSED;
-      return event->hints.status >= 500 ? HF_POOL_FAILED : HF_POOL_OK;
-    case HF_ATTEMPT_TIMEOUT:
-      return HF_POOL_SLOW;
-    case HF_ATTEMPT_CANCELLED:
-      return HF_POOL_UNUSED;
-    case HF_ATTEMPT_BROKEN:
-      return event->handed ? HF_POOL_BROKEN : HF_POOL_FAILED;
-    case HF_ATTEMPT_CONNECT_FAILED:
-    case HF_ATTEMPT_SHORT:
-      break;
-    }
-  return HF_POOL_FAILED;
-}
-
-/* A break under a server that was broken before says nothing about the request.
- */
-static bool
-is_crash (const struct hf_state *state,
-          const struct hf_call *call,
-          const struct hf_attempt *attempt,
-          const struct hf_event *event)
-{
-  const struct hf_service_state *service
-      = hf_state_service (state, call->service_id);
-  if (event->result != HF_ATTEMPT_BROKEN || !event->handed || !service)
-    return false;
-  return hf_pool_may_have_crashed (&service->pool, attempt->server,
-                                   attempt->started_at);
-}
+/* --- internal functions: the end of an attempt --- */
 
 /* The answer is final unless a failure may be tried again. */
 static void
@@ -356,7 +277,7 @@
 {
   struct hf_attempt *attempt = &call->attempts[i];
   bool not_run = event->hints.not_run;
-  bool failure = not_run || is_failure_status (event->hints.status);
+  bool failure = not_run || hf_attempt_is_failure (event->hints.status);
   int64_t delay
       = hf_retry_delay_us (call->n_attempts - 1, event->hints.retry_after_ms,
                            hf_random_next (&state->random));
@@ -606,9 +527,7 @@
   if (!attempt || call->relayed)
     return;
   hf_timers_cancel (&attempt->late_timer);
-  learn_load (state, call, attempt, &event->hints);
-  learn_leaving (state, call, attempt, event->hints.leaving,
-                 event->hints.not_run);
+  hf_attempt_learn (state, call, attempt, &event->hints);
   call->maybe_run = true;
   relay (state, call, event->attempt,
          event->hints.status >= 500 ? HF_OUTCOME_UNKNOWN : HF_OUTCOME_ANSWERED);
@@ -621,11 +540,9 @@
   struct hf_attempt *attempt = find_running (call, event->attempt);
   if (!attempt)
     return;
-  learn_load (state, call, attempt, &event->hints);
-  learn_leaving (state, call, attempt, event->hints.leaving,
-                 event->hints.not_run);
-  bool crash = is_crash (state, call, attempt, event);
-  end_attempt (state, call, event->attempt, result_of (event));
+  hf_attempt_learn (state, call, attempt, &event->hints);
+  bool crash = hf_attempt_is_crash (state, call, attempt, event);
+  end_attempt (state, call, event->attempt, hf_attempt_result_of (event));
   if (call->relayed)
     relay_ended (state, call, event);
   else if (event->result == HF_ATTEMPT_ANSWERED)
--- a/src/hf-proxy.c
+++ b/src/hf-proxy.c
@@ -4,14 +4,13 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "hf-exchange.h"
 #include "hf-http.h"
 #include "hf-state.h"
 #include "hf-upload.h"
 
 /* --- types --- */
 
-struct exchange;
-
 /* One request of a caller, until its answer is out. */
 struct caller
 {
@@ -27,31 +26,8 @@
   bool received;     /* the whole body is here */
   bool paused;       /* reading is held back */
   int64_t active_at; /* last sign of life of its connection */
-  struct exchange *attempts[HF_ATTEMPTS_MAX];
-  struct exchange *relayed;
-};
-
-/* One attempt at a backend server. */
-struct exchange
-{
-  struct caller *caller; /* NULL when the caller's part is over */
-  struct hf_proxy *proxy;
-  uint64_t call;
-  unsigned attempt;
-  SoupMessage *message;
-  SoupSession *session;
-  GCancellable *cancellable;
-  GInputStream *stream;
-  GByteArray *answer; /* the part of the answer that is kept */
-  struct hf_answer_hints hints;
-  goffset received;
-  guint filled; /* bytes of the answer before the read that is out */
-  bool handed;  /* bytes may have been handed to a connection */
-  bool ended;   /* the attempt is over for the reducer */
-  bool raised;  /* the reducer knows the head of the long answer */
-  bool reading; /* a read is out */
-  bool long_answer;
-  bool counted; /* the length was declared */
+  struct hf_exchange *attempts[HF_ATTEMPTS_MAX];
+  struct hf_exchange *relayed;
 };
 
 struct hf_proxy
@@ -65,227 +41,6 @@
   char text[64];
 };
 
-/* --- internal functions: exchanges --- */
-
-static void read_answer (struct exchange *exchange);
-
-static void
-free_exchange (struct exchange *exchange)
-{
-  if (exchange->caller
-      && exchange->caller->attempts[exchange->attempt] == exchange)
-    exchange->caller->attempts[exchange->attempt] = NULL;
-  g_clear_object (&exchange->message);
-  g_clear_object (&exchange->session);
-  g_clear_object (&exchange->cancellable);
-  g_clear_object (&exchange->stream);
-  if (exchange->answer)
-    g_byte_array_unref (exchange->answer);
-  g_free (exchange);
-}
-
-/* Frees an exchange now, or when its read or send comes back. */
-static void
-drop_exchange (struct exchange *exchange)
-{
-  if (exchange->caller)
-    exchange->caller->attempts[exchange->attempt] = NULL;
-  exchange->caller = NULL;
-  exchange->ended = true;
-  g_cancellable_cancel (exchange->cancellable);
-  if (!exchange->reading)
-    free_exchange (exchange);
-}
-
-static void
-raise_end (struct exchange *exchange, enum hf_attempt_result result)
-{
-  if (exchange->ended)
-    return;
-  exchange->ended = true;
-  hf_loop_raise (exchange->proxy->loop,
-                 (struct hf_event){ .kind = HF_EVENT_ATTEMPT_END,
-                                    .call = exchange->call,
-                                    .attempt = exchange->attempt,
-                                    .result = result,
-                                    .hints = exchange->hints,
-                                    .handed = exchange->handed });
-}
-
-static void
-starting (SoupMessage *message, gpointer data)
-{
-  (void)message;
-  ((struct exchange *)data)->handed = true;
-}
-
-static bool
-is_whole (const struct exchange *exchange)
-{
-  if (!exchange->counted)
-    return true;
-  return exchange->received
-         == soup_message_headers_get_content_length (
-             soup_message_get_response_headers (exchange->message));
-}
-
-static bool
-has_no_body (const struct exchange *exchange)
-{
-  return strcmp (soup_message_get_method (exchange->message), "HEAD") == 0
-         || exchange->hints.status == 204 || exchange->hints.status == 304;
-}
-
-/* The last byte of the answer is here. */
-static void
-answer_complete (struct exchange *exchange)
-{
-  struct caller *caller = exchange->caller;
-  bool whole = has_no_body (exchange) || is_whole (exchange);
-  if (whole && caller && caller->relayed == exchange && !exchange->ended)
-    {
-      soup_message_body_complete (
-          soup_server_message_get_response_body (caller->message));
-      soup_server_message_unpause (caller->message);
-    }
-  raise_end (exchange, whole ? HF_ATTEMPT_ANSWERED : HF_ATTEMPT_SHORT);
-}
-
-static void
-pass_chunk (struct exchange *exchange, const guint8 *data, gsize size)
-{
-  struct caller *caller = exchange->caller;
-  soup_message_body_append (
-      soup_server_message_get_response_body (caller->message), SOUP_MEMORY_COPY,
-      data, size);
-  soup_server_message_unpause (caller->message);
-}
-
-static void
-answer_grew (struct exchange *exchange)
-{
-  if (exchange->caller && exchange->caller->relayed == exchange)
-    {
-      /* The next read follows when this chunk is written. */
-      pass_chunk (exchange, exchange->answer->data, exchange->answer->len);
-      g_byte_array_set_size (exchange->answer, 0);
-      return;
-    }
-  if (exchange->answer->len <= HF_BODY_BUFFER_BYTES && !exchange->long_answer)
-    {
-      read_answer (exchange);
-      return;
-    }
-  /* Too long to keep: the reducer decides now whether it is passed on. */
-  exchange->raised = true;
-  hf_loop_raise (exchange->proxy->loop,
-                 (struct hf_event){ .kind = HF_EVENT_ATTEMPT_HEAD,
-                                    .call = exchange->call,
-                                    .attempt = exchange->attempt,
-                                    .hints = exchange->hints });
-}
-
-/* Takes the outcome of a read; negative: it failed. */
-static void
-take_answer (struct exchange *exchange, gssize size, const GError *problem)
-{
-  bool partial
-      = g_error_matches (problem, G_IO_ERROR, G_IO_ERROR_PARTIAL_INPUT);
-  if (size < 0)
-    raise_end (exchange, partial ? HF_ATTEMPT_SHORT : HF_ATTEMPT_BROKEN);
-  else if (size == 0)
-    answer_complete (exchange);
-  else
-    {
-      exchange->received += size;
-      answer_grew (exchange);
-    }
-}
-
-static void
-answer_read (GObject *source, GAsyncResult *result, gpointer data)
-{
-  struct exchange *exchange = data;
-  GError *problem = NULL;
-  gssize size
-      = g_input_stream_read_finish (G_INPUT_STREAM (source), result, &problem);
-  exchange->reading = false;
-  if (exchange->ended)
-    free_exchange (exchange);
-  else
-    {
-      g_byte_array_set_size (exchange->answer,
-                             exchange->filled + (guint)MAX (size, 0));
-      take_answer (exchange, size, problem);
-    }
-  g_clear_error (&problem);
-}
-
-/* Bytes that are here already are read without a turn of the loop. */
-static void
-read_answer (struct exchange *exchange)
-{
-  GPollableInputStream *pollable = G_POLLABLE_INPUT_STREAM (exchange->stream);
-  GError *problem = NULL;
-  exchange->filled = exchange->answer->len;
-  g_byte_array_set_size (exchange->answer,
-                         exchange->filled + HF_RELAY_CHUNK_BYTES);
-  guint8 *free_space = exchange->answer->data + exchange->filled;
-  gssize size = g_pollable_input_stream_read_nonblocking (
-      pollable, free_space, HF_RELAY_CHUNK_BYTES, exchange->cancellable,
-      &problem);
-  if (g_error_matches (problem, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
-    {
-      g_clear_error (&problem);
-      exchange->reading = true;
-      g_input_stream_read_async (exchange->stream, free_space,
-                                 HF_RELAY_CHUNK_BYTES, G_PRIORITY_DEFAULT,
-                                 exchange->cancellable, answer_read, exchange);
-      return;
-    }
-  g_byte_array_set_size (exchange->answer,
-                         exchange->filled + (guint)MAX (size, 0));
-  take_answer (exchange, size, problem);
-  g_clear_error (&problem);
-}
-
-static void
-head_read (GObject *source, GAsyncResult *result, gpointer data)
-{
-  struct exchange *exchange = data;
-  GError *problem = NULL;
-  GInputStream *stream
-      = soup_session_send_finish (SOUP_SESSION (source), result, &problem);
-  exchange->reading = false;
-  if (exchange->ended)
-    {
-      g_clear_object (&stream);
-      g_clear_error (&problem);
-      free_exchange (exchange);
-      return;
-    }
-  g_clear_error (&problem);
-  if (!stream)
-    {
-      raise_end (exchange, exchange->handed ? HF_ATTEMPT_BROKEN
-                                            : HF_ATTEMPT_CONNECT_FAILED);
-      return;
-    }
-  SoupMessageHeaders *headers
-      = soup_message_get_response_headers (exchange->message);
-  exchange->stream = stream;
-  exchange->hints
-      = hf_http_hints (soup_message_get_status (exchange->message), headers);
-  exchange->counted = soup_message_headers_get_encoding (headers)
-                          == SOUP_ENCODING_CONTENT_LENGTH
-                      && !has_no_body (exchange);
-  exchange->long_answer = exchange->counted
-                          && soup_message_headers_get_content_length (headers)
-                                 > HF_BODY_BUFFER_BYTES;
-  exchange->answer = g_byte_array_new ();
-  read_answer (exchange);
-}
-
 /* --- internal functions: sessions --- */
 
 static SoupSession *
@@ -316,8 +71,7 @@
 {
   struct caller *caller = data;
   for (unsigned i = 0; i < HF_ATTEMPTS_MAX; i++)
-    if (caller->attempts[i])
-      drop_exchange (caller->attempts[i]);
+    g_clear_pointer (&caller->attempts[i], hf_exchange_drop);
   if (caller->upload)
     {
       hf_upload_detach (caller->upload);
@@ -349,11 +103,11 @@
 wrote_chunk (SoupServerMessage *message, gpointer data)
 {
   struct caller *caller = data;
-  struct exchange *exchange = caller->relayed;
+  struct hf_exchange *exchange = caller->relayed;
   (void)message;
   caller->active_at = hf_loop_now ();
-  if (exchange && !exchange->reading && !exchange->ended && exchange->stream)
-    read_answer (exchange);
+  if (exchange)
+    hf_exchange_read (exchange);
 }
 
 static void
@@ -408,7 +162,7 @@
 
 static void
 relay_headers (struct caller *caller,
-               const struct exchange *exchange,
+               const struct hf_exchange *exchange,
                enum hf_outcome outcome)
 {
   SoupMessageHeaders *from
@@ -426,9 +180,23 @@
   set_common_headers (caller, to);
 }
 
+/* A chunk of a long answer, or its end. */
+static void
+pass_on (void *context, const uint8_t *data, size_t size)
+{
+  struct caller *caller = context;
+  SoupMessageBody *body
+      = soup_server_message_get_response_body (caller->message);
+  if (size > 0)
+    soup_message_body_append (body, SOUP_MEMORY_COPY, data, size);
+  else
+    soup_message_body_complete (body);
+  soup_server_message_unpause (caller->message);
+}
+
 static void
 relay (struct caller *caller,
-       struct exchange *exchange,
+       struct hf_exchange *exchange,
        enum hf_outcome outcome)
 {
   SoupMessageHeaders *to
@@ -442,7 +210,7 @@
   relay_headers (caller, exchange, outcome);
   if (exchange->ended)
     {
-      if (!has_no_body (exchange))
+      if (!hf_exchange_has_no_body (exchange))
         soup_message_headers_set_content_length (to, exchange->answer->len);
       soup_message_body_append (body, SOUP_MEMORY_COPY, exchange->answer->data,
                                 exchange->answer->len);
@@ -456,8 +224,7 @@
   caller->relayed = exchange;
   g_signal_connect (caller->message, "wrote-chunk", G_CALLBACK (wrote_chunk),
                     caller);
-  pass_chunk (exchange, exchange->answer->data, exchange->answer->len);
-  g_byte_array_set_size (exchange->answer, 0);
+  hf_exchange_hand_on (exchange, pass_on, caller);
 }
 
 /* Breaks the connection, so that a short answer cannot look complete. */
@@ -802,24 +569,11 @@
   struct caller *caller = find_caller (proxy, effect->call);
   if (!caller)
     return;
-  struct exchange *exchange = g_new0 (struct exchange, 1);
-  exchange->proxy = proxy;
-  exchange->caller = caller;
-  exchange->call = effect->call;
-  exchange->attempt = effect->attempt;
-  exchange->hints
-      = (struct hf_answer_hints){ .load = -1, .retry_after_ms = -1 };
-  exchange->cancellable = g_cancellable_new ();
-  exchange->session = g_object_ref (
-      find_session (proxy, effect->server, effect->connections));
-  exchange->message = make_request (caller, effect);
-  exchange->reading = true;
-  caller->attempts[effect->attempt] = exchange;
-  g_signal_connect (exchange->message, "starting", G_CALLBACK (starting),
-                    exchange);
-  soup_session_send_async (exchange->session, exchange->message,
-                           G_PRIORITY_DEFAULT, exchange->cancellable, head_read,
-                           exchange);
+  SoupSession *session
+      = find_session (proxy, effect->server, effect->connections);
+  caller->attempts[effect->attempt]
+      = hf_exchange_start (proxy->loop, effect->call, effect->attempt, session,
+                           make_request (caller, effect));
 }
 
 static void
@@ -927,7 +681,6 @@
     relay (caller, caller->attempts[effect->attempt], effect->outcome);
   else if (effect->kind == HF_EFFECT_CUT)
     cut (caller);
-  else if (effect->kind == HF_EFFECT_CANCEL
-           && caller->attempts[effect->attempt])
-    drop_exchange (caller->attempts[effect->attempt]);
+  else if (effect->kind == HF_EFFECT_CANCEL)
+    g_clear_pointer (&caller->attempts[effect->attempt], hf_exchange_drop);
 }
