--- a/tests/check.sh
+++ b/tests/check.sh
@@ -61,6 +61,12 @@
   [ $status = 0 ] || grep -vE "^(ok|#|1\.\.)" "$log" | tail -60
 done
 
+for example in "$build"/example-*; do
+  [ -x "$example" ] && [ -f "$example" ] || continue
+  "$example" >"$log" 2>&1
+  count "$(basename "$example")" $?
+done
+
 [ $known = 0 ] || { echo "passed over, from KNOWN-RED.txt:"; cat KNOWN-RED.txt; }
 echo "$passed passed, $failed failed"
 [ $failed = 0 ]
--- a/tests/test-promises.c
+++ b/tests/test-promises.c
@@ -164,6 +164,13 @@
   setup_close (setup);
 }
 
+static gboolean
+has_run_key (void *context)
+{
+  void **pair = context;
+  return count_runs (pair[0], pair[1]) > 0;
+}
+
 /* --- internal functions: shutdown --- */
 
 static void
@@ -610,6 +617,81 @@
   setup_close (setup);
 }
 
+static gboolean
+nothing_in_flight (void *context)
+{
+  return entry_metric (context, "calls_in_flight") == 0;
+}
+
+/* Callers that leave free the slots that their requests held. */
+static void
+test_caller_leaves (void)
+{
+  struct setup *setup = setup_open (1, 1, 2, NULL);
+  struct entry *entry = setup_entry (setup, 0);
+  for (int i = 0; i < 3; i++)
+    {
+      GSocketClient *client = g_socket_client_new ();
+      GSocketConnection *connection = g_socket_client_connect_to_host (
+          client, entry->listen, 80, NULL, NULL);
+      char *request
+          = g_strdup_printf ("GET /a/x HTTP/1.1\r\nHost: x\r\nX-Test-Key: "
+                             "left%d-\r\nX-Fake: work=20000\r\n\r\n",
+                             i);
+      char *key = g_strdup_printf ("left%d-", i);
+      void *pair[] = { setup, key };
+      g_output_stream_write_all (
+          g_io_stream_get_output_stream (G_IO_STREAM (connection)), request,
+          strlen (request), NULL, NULL, NULL);
+      g_assert_true (harness_wait (has_run_key, pair, 10));
+      g_object_unref (connection);
+      g_object_unref (client);
+      g_free (key);
+      g_free (request);
+    }
+  g_assert_true (harness_wait (nothing_in_flight, entry, 10));
+  g_assert_cmpuint (entry_metric (entry, "callers_gone_total"), ==, 3);
+  send_some (setup, "next", 0, 5);
+  setup_close (setup);
+}
+
+/* HF_OUTAGE_S in the environment makes the outage longer. */
+static void
+test_platform_outage (void)
+{
+  struct setup *setup = setup_open (3, 3, 2, "    probe_budget: 4\n");
+  const char *length = g_getenv ("HF_OUTAGE_S");
+  gint64 until
+      = g_get_monotonic_time () + (length ? atoi (length) : 4) * G_USEC_PER_SEC;
+  int number = 0;
+  int code = 0;
+  harness_set (setup->harness->platform, "/fake/set?down=1");
+  while (g_get_monotonic_time () < until)
+    {
+      char *key = g_strdup_printf ("outage%d-", number);
+      struct reply keyed
+          = send_call (setup_entry (setup, (guint)number % 3)->listen, "POST",
+                       "/a/x", key, key, NULL, NULL);
+      g_assert_cmpstr (keyed.outcome, ==, "not-run");
+      g_assert_cmpuint (count_runs (setup, key), ==, 0);
+      send_some (setup, key, 0, 6);
+      number++;
+      free_reply (&keyed);
+      g_free (key);
+      harness_pause (200);
+    }
+  harness_set (setup->harness->platform, "/fake/set?down=0");
+  guint64 generation = apply_only (setup, &code);
+  g_assert_cmpint (code, ==, 0);
+  assert_in_force (setup, generation);
+  struct reply back = send_call (setup_entry (setup, 0)->listen, "POST", "/a/x",
+                                 "back", "back", NULL, NULL);
+  g_assert_cmpuint (back.status, ==, 200);
+  g_test_message ("%d rounds of calls during the outage", number);
+  free_reply (&back);
+  setup_close (setup);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -639,5 +721,7 @@
   g_test_add_func ("/failures/bad-input", test_bad_input);
   g_test_add_func ("/failures/huge-head", test_huge_head);
   g_test_add_func ("/failures/malformed", test_malformed);
+  g_test_add_func ("/failures/caller-leaves", test_caller_leaves);
+  g_test_add_func ("/failures/platform-outage", test_platform_outage);
   return g_test_run ();
 }
