Kept bodies arrive at the backend server

Cause: the library calls a handler on "got-body" before later connections of that signal, so that a request was dispatched at once with an empty body; only calls with a key, which wait for their claim, and streamed bodies arrived. Found by hand with curl: the digest was that of the empty string. Ruled out: the framing (chunked and with a length alike), the outgoing headers. Before: test /whole/small fails; after: passes.

--- a/bench/load.c
+++ b/bench/load.c
@@ -44,6 +44,7 @@
   guint number;
   int second;
   double *cumulative; /* share of calls up to each class */
+  char *digests[16];  /* of the body of each class */
 };
 
 struct call
@@ -144,7 +145,11 @@
     return strcmp (outcome, "not-run") == 0 ? LOAD_NOT_RUN : LOAD_UNKNOWN;
   if (status != 200)
     return LOAD_FAILED;
-  return key && strcmp (key, call->key) == 0 ? LOAD_ANSWERED : LOAD_CUT;
+  /* The answer must be to this call, and its body must have arrived whole. */
+  const char *digest = soup_message_headers_get_one (headers, "X-Body-Digest");
+  bool own = key && strcmp (key, call->key) == 0;
+  bool whole = digest && strcmp (digest, call->run->digests[call->class]) == 0;
+  return own && whole ? LOAD_ANSWERED : LOAD_CUT;
 }
 
 static void
@@ -293,6 +298,19 @@
   return shares;
 }
 
+static void
+make_digests (struct run *run)
+{
+  const struct load_class *classes = run->load->scenario->classes;
+  for (int i = 0; classes[i].name; i++)
+    {
+      guchar *body = g_malloc0 (classes[i].body + 1);
+      run->digests[i] = g_compute_checksum_for_data (G_CHECKSUM_SHA256, body,
+                                                     classes[i].body);
+      g_free (body);
+    }
+}
+
 static void
 free_target (gpointer data)
 {
@@ -352,6 +370,7 @@
   run.targets = g_ptr_array_new_with_free_func (free_target);
   run.health = hf_http_session (64, 2);
   run.cumulative = make_shares (load->scenario);
+  make_digests (&run);
   ask_health (&run);
   harness_wait (all_healthy, &run, 5);
   run.begin = g_get_monotonic_time ();
@@ -366,6 +385,8 @@
   g_object_unref (run.health);
   g_ptr_array_unref (run.targets);
   gsl_rng_free (run.random);
+  for (gsize i = 0; i < G_N_ELEMENTS (run.digests); i++)
+    g_free (run.digests[i]);
   g_free (run.cumulative);
   g_main_loop_unref (run.loop);
   for (gsize i = 0; i < G_N_ELEMENTS (load->results); i++)
--- a/src/hf-proxy.c
+++ b/src/hf-proxy.c
@@ -319,10 +319,10 @@
 }
 
 static void
-got_body (SoupServerMessage *message, gpointer data)
+take_body (struct caller *caller)
 {
-  struct caller *caller = data;
-  (void)message;
+  if (caller->received)
+    return;
   caller->received = true;
   if (caller->upload)
     {
@@ -419,7 +419,6 @@
     return;
   add_request_id (caller);
   g_signal_connect (message, "got-chunk", G_CALLBACK (got_chunk), caller);
-  g_signal_connect (message, "got-body", G_CALLBACK (got_body), caller);
 }
 
 /* The whole request is here. */
@@ -435,7 +434,10 @@
   (void)path;
   (void)query;
   (void)data;
-  if (!caller || caller->answered)
+  if (!caller)
+    return;
+  take_body (caller);
+  if (caller->answered)
     return;
   soup_server_message_pause (message);
   if (!caller->raised)
--- a/tests/test-promises.c
+++ b/tests/test-promises.c
@@ -36,6 +36,46 @@
   setup_close (setup);
 }
 
+/* Sends raw bytes and gives the beginning of the answer. */
+static char *
+send_raw (const char *address, const char *bytes)
+{
+  GSocketClient *client = g_socket_client_new ();
+  GSocketConnection *connection
+      = g_socket_client_connect_to_host (client, address, 80, NULL, NULL);
+  char answer[1024] = "";
+  GIOStream *stream = G_IO_STREAM (connection);
+  g_output_stream_write_all (g_io_stream_get_output_stream (stream), bytes,
+                             strlen (bytes), NULL, NULL, NULL);
+  g_socket_set_timeout (g_socket_connection_get_socket (connection), 5);
+  g_input_stream_read (g_io_stream_get_input_stream (stream), answer,
+                       sizeof answer - 1, NULL, NULL);
+  g_object_unref (connection);
+  g_object_unref (client);
+  return g_strdup (answer);
+}
+
+/* Bodies that are kept arrive whole, in either framing. */
+static void
+test_small (void)
+{
+  struct setup *setup = setup_open (1, 1, 1, NULL);
+  char *digest
+      = g_compute_checksum_for_string (G_CHECKSUM_SHA256, "a bump test", -1);
+  struct reply reply = send_call (setup_entry (setup, 0)->listen, "POST",
+                                  "/a/x", "small", NULL, NULL, "a bump test");
+  g_assert_cmpstr (reply.digest, ==, digest);
+  char *answer
+      = send_raw (setup_entry (setup, 0)->listen,
+                  "POST /a/x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: "
+                  "chunked\r\n\r\nb\r\na bump test\r\n0\r\n\r\n");
+  g_assert_nonnull (strstr (answer, digest));
+  free_reply (&reply);
+  g_free (answer);
+  g_free (digest);
+  setup_close (setup);
+}
+
 static guint64
 memory_kb (const struct entry *entry)
 {
@@ -572,25 +612,6 @@
   setup_close (setup);
 }
 
-/* Sends raw bytes and gives the beginning of the answer. */
-static char *
-send_raw (const char *address, const char *bytes)
-{
-  GSocketClient *client = g_socket_client_new ();
-  GSocketConnection *connection
-      = g_socket_client_connect_to_host (client, address, 80, NULL, NULL);
-  char answer[64] = "";
-  GIOStream *stream = G_IO_STREAM (connection);
-  g_output_stream_write_all (g_io_stream_get_output_stream (stream), bytes,
-                             strlen (bytes), NULL, NULL, NULL);
-  g_socket_set_timeout (g_socket_connection_get_socket (connection), 5);
-  g_input_stream_read (g_io_stream_get_input_stream (stream), answer,
-                       sizeof answer - 1, NULL, NULL);
-  g_object_unref (connection);
-  g_object_unref (client);
-  return g_strdup (answer);
-}
-
 static void
 test_malformed (void)
 {
@@ -698,6 +719,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_set_nonfatal_assertions ();
   g_test_add_func ("/whole/short", test_short);
+  g_test_add_func ("/whole/small", test_small);
   g_test_add_func ("/whole/large", test_large);
   for (gsize i = 0; i < G_N_ELEMENTS (leavings); i++)
     {
