Escaped paths pass unchanged

Cause: the server library decodes the path before a handler sees it; /a/x%20y reached the backend server with a space and was answered 400. Ruled out: the query (passed as it was). Before: /whole/passed-on fails; after: passes.

--- a/src/hf-proxy.c
+++ b/src/hf-proxy.c
@@ -624,7 +624,8 @@
 {
   struct hf_proxy *proxy = g_new0 (struct hf_proxy, 1);
   proxy->loop = loop;
-  proxy->server = soup_server_new (NULL, NULL);
+  /* Raw paths: the library would decode them, and they would arrive changed. */
+  proxy->server = soup_server_new ("raw-paths", TRUE, NULL);
   proxy->callers
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_caller);
   proxy->sessions = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
--- a/tests/fake-backend.c
+++ b/tests/fake-backend.c
@@ -144,6 +144,27 @@
   soup_server_message_set_status (message, 503, NULL);
 }
 
+/* What arrived, in a header: method, path, query and the headers' names. */
+static void
+add_seen (SoupServerMessage *message)
+{
+  SoupMessageHeadersIter iter;
+  const char *name;
+  const char *value;
+  GUri *uri = soup_server_message_get_uri (message);
+  GString *seen = g_string_new (soup_server_message_get_method (message));
+  g_string_append_printf (seen, " %s?%s", g_uri_get_path (uri),
+                          g_uri_get_query (uri) ? g_uri_get_query (uri) : "");
+  soup_message_headers_iter_init (
+      &iter, soup_server_message_get_request_headers (message));
+  while (soup_message_headers_iter_next (&iter, &name, &value))
+    if (strlen (value) < 64)
+      g_string_append_printf (seen, " %s=%s", name, value);
+  soup_message_headers_replace (
+      soup_server_message_get_response_headers (message), "X-Seen", seen->str);
+  g_string_free (seen, TRUE);
+}
+
 static void
 write_answer (struct job *job)
 {
@@ -166,6 +187,8 @@
   soup_message_headers_replace (headers, "X-Body-Digest", digest);
   if (key)
     soup_message_headers_replace (headers, "X-Test-Key", key);
+  if (strcmp (fault, "seen") == 0)
+    add_seen (message);
   soup_server_message_set_status (message,
                                   job->server->fail_fast ? 500
                                   : job->server->status  ? job->server->status
@@ -463,7 +486,7 @@
   server->slow = 1.0;
   server->lie = -1;
   g_queue_init (&server->waiting);
-  server->http = soup_server_new (NULL, NULL);
+  server->http = soup_server_new ("raw-paths", TRUE, NULL);
   soup_server_add_handler (server->http, NULL, handle, server, NULL);
   g_ptr_array_add (fake->servers, server);
   if (hf_http_listen (server->http, hf_str ("127.0.0.1:0"), server->address,
--- a/tests/test-promises.c
+++ b/tests/test-promises.c
@@ -76,6 +76,28 @@
   setup_close (setup);
 }
 
+/* Path, query and headers pass unchanged, hop-by-hop headers do not. */
+static void
+test_passed_on (void)
+{
+  struct setup *setup = setup_open (1, 1, 1, NULL);
+  char *answer = send_raw (
+      setup_entry (setup, 0)->listen,
+      "GET /a/x%20y%2Fz?q=1%262&r HTTP/1.1\r\nHost: some.example\r\nX-Fake: "
+      "seen\r\nX-One: 1\r\n"
+      "Connection: keep-alive, X-Two\r\nX-Two: 2\r\nTE: trailers\r\n\r\n");
+  g_assert_nonnull (strstr (answer, "X-Seen: GET /a/x%20y%2Fz?q=1%262&r "));
+  g_assert_nonnull (strstr (answer, " Host=some.example"));
+  g_assert_nonnull (strstr (answer, " X-One=1"));
+  g_assert_nonnull (strstr (answer, " X-Request-Id="));
+  g_assert_nonnull (strstr (answer, " Request-Deadline-Ms="));
+  g_assert_null (strstr (answer, " X-Two="));
+  g_assert_null (strstr (answer, " TE="));
+  g_test_message ("%s", answer);
+  g_free (answer);
+  setup_close (setup);
+}
+
 static guint64
 memory_kb (const struct entry *entry)
 {
@@ -721,6 +743,7 @@
   g_test_add_func ("/whole/short", test_short);
   g_test_add_func ("/whole/small", test_small);
   g_test_add_func ("/whole/large", test_large);
+  g_test_add_func ("/whole/passed-on", test_passed_on);
   for (gsize i = 0; i < G_N_ELEMENTS (leavings); i++)
     {
       char *name = g_strdup_printf ("/leaving/%s", leavings[i].name);
