Status tells why a backend server is out

Cause: an operator at night saw "out" without a reason, and refusals without clear names. The reason is an enum kept with the server; no decision changed.

--- a/src/hf-dump.c
+++ b/src/hf-dump.c
@@ -5,6 +5,14 @@
 
 #include "hf-members.h"
 
+/* --- constants --- */
+
+static const char *const out_names[] = {
+  [HF_OUT_FAILURES] = "out (failures)",
+  [HF_OUT_SLOW] = "out (slow)",
+  [HF_OUT_BROKEN] = "out (connection broke)",
+};
+
 /* --- internal functions: names --- */
 
 static const char *
@@ -22,13 +30,14 @@
                                              : "leaving (another entry)";
 }
 
+/* In use, or why not. */
 static const char *
 server_text (const struct hf_pool_server *server, gint64 now)
 {
   if (hf_health_is_leaving (server, now))
     return leaving_text (server, now);
   if (server->out_until > now)
-    return "out";
+    return out_names[server->out_reason];
   return server->ramp < server->slots ? "ramping up" : "in use";
 }
 
--- a/src/hf-health.c
+++ b/src/hf-health.c
@@ -45,7 +45,10 @@
 
 /* Takes a server out for a time, but never more than a share of the service. */
 static void
-take_out (GArray *servers, struct hf_pool_server *server, int64_t now)
+take_out (GArray *servers,
+          struct hf_pool_server *server,
+          int64_t now,
+          enum hf_out_reason reason)
 {
   if (server->out_until > now)
     return;
@@ -54,6 +57,7 @@
   int64_t time = HF_OUT_BASE_MS << MIN (server->out_times, 5U);
   server->out_until = now + MIN (time, HF_OUT_MAX_MS) * HF_MS;
   server->out_times++;
+  server->out_reason = reason;
   server->ramp = 1;
   server->ramp_ok = 0;
   server->failures_in_row = 0;
@@ -69,7 +73,7 @@
   server->samples++;
   bool often = server->samples >= HF_STRAGGLER_SAMPLES && server->failure > 0.5;
   if (server->failures_in_row >= HF_FAILURES_TO_OUT || often)
-    take_out (servers, server, now);
+    take_out (servers, server, now, HF_OUT_FAILURES);
 }
 
 static void
@@ -88,7 +92,7 @@
     return;
   double median = median_latency (servers);
   if (median > 0 && server->latency_us > HF_STRAGGLER_RATIO * median)
-    take_out (servers, server, now);
+    take_out (servers, server, now, HF_OUT_SLOW);
 }
 
 static void
@@ -133,7 +137,7 @@
       if (server->broken_at == 0)
         server->broken_at = now;
       learn_failure (servers, server, now);
-      take_out (servers, server, now);
+      take_out (servers, server, now, HF_OUT_BROKEN);
       break;
     case HF_POOL_SLOW:
       learn_latency (servers, server, now, latency_us);
--- a/src/hf-health.h
+++ b/src/hf-health.h
@@ -35,6 +35,14 @@
   HF_POOL_UNUSED,  /* the slot was not used */
 };
 
+/** enum hf_out_reason - why a server was taken out */
+enum hf_out_reason
+{
+  HF_OUT_FAILURES, /* several in a row, or most of them */
+  HF_OUT_SLOW,     /* far above the median latency */
+  HF_OUT_BROKEN,   /* a connection broke without an answer */
+};
+
 /** struct hf_pool_server - a backend server as the pool knows it */
 struct hf_pool_server
 {
@@ -51,7 +59,8 @@
   double failure;
   unsigned samples;
   unsigned failures_in_row;
-  int64_t out_until; /* taken out until then; 0: not out */
+  int64_t out_until;             /* taken out until then; 0: not out */
+  enum hf_out_reason out_reason; /* what took it out last */
   unsigned out_times;
   unsigned ramp;    /* slots that may be used now */
   unsigned ramp_ok; /* successes since the last step */
--- a/src/hickoryctl.c
+++ b/src/hickoryctl.c
@@ -292,9 +292,9 @@
       used += json_object_get_int_member (server, "used")
               + json_object_get_int_member (server, "used_elsewhere");
     }
-  printf ("  service %s: slots %d used %d, waiting %d, refused %d queue full "
-          "%d deadline %d no server %d retry budget, retry tokens %.1f, probe "
-          "tokens %d, granter %s%s\n",
+  printf ("  service %s: slots %d used %d, waiting %d, refused (queue full %d, "
+          "deadline %d, no server %d, retry budget %d), "
+          "retry tokens %.1f, probe tokens %d, granter %s%s\n",
           json_object_get_string_member (service, "name"), (int)slots,
           (int)used, (int)json_object_get_int_member (service, "waiting"),
           (int)json_object_get_int_member (service, "refused_queue_full"),
