A queued want is confirmed every 100 ms, not asked for every 5 ms

Cause: the timer of the first ask went on after the granter had queued the want, so that every waiting request was asked for again every 5 ms and, after two late answers, the entry decided alone although the granter was well.

--- a/src/hf-calls.c
+++ b/src/hf-calls.c
@@ -582,7 +582,7 @@
   struct hf_attempt *attempt = &call->attempts[i];
   if (decision->kind == HF_DECISION_QUEUED)
     {
-      attempt->acknowledged = true;
+      hf_slots_queued (state, call, i);
       return true;
     }
   hf_timers_cancel (&attempt->ask_timer);
--- a/src/hf-slots.c
+++ b/src/hf-slots.c
@@ -106,9 +106,8 @@
     .exclude = attempt->exclude,
   };
   hf_state_send (state, attempt->granter, message);
-  int64_t wait = attempt->acknowledged ? HF_GRANT_REASK_MS : HF_GRANT_ASK_MS;
-  attempt->ask_timer
-      = hf_state_timer (state, wait * HF_MS, HF_TIMER_CALL_ASK, call->id, i);
+  attempt->ask_timer = hf_state_timer (state, HF_GRANT_ASK_MS * HF_MS,
+                                       HF_TIMER_CALL_ASK, call->id, i);
 }
 
 static void
@@ -286,6 +285,17 @@
   ask_granter (state, call, i);
 }
 
+void
+hf_slots_queued (struct hf_state *state, struct hf_call *call, unsigned i)
+{
+  struct hf_attempt *attempt = &call->attempts[i];
+  attempt->acknowledged = true;
+  hf_timers_cancel (&attempt->ask_timer);
+  if (attempt->granter)
+    attempt->ask_timer = hf_state_timer (state, HF_GRANT_REASK_MS * HF_MS,
+                                         HF_TIMER_CALL_ASK, call->id, i);
+}
+
 void
 hf_slots_return (struct hf_state *state,
                  struct hf_call *call,
--- a/src/hf-slots.h
+++ b/src/hf-slots.h
@@ -19,6 +19,9 @@
 void hf_slots_ask_again (struct hf_state *state,
                          struct hf_call *call,
                          unsigned attempt); /* the answer is late */
+void hf_slots_queued (struct hf_state *state,
+                      struct hf_call *call,
+                      unsigned attempt); /* the granter has it: confirm later */
 void hf_slots_return (struct hf_state *state,
                       struct hf_call *call,
                       unsigned attempt,
