--- a/bench/bench.c
+++ b/bench/bench.c
@@ -66,16 +66,13 @@
 static double
 cpu_seconds (const struct entry *entry)
 {
-  char *path = g_strdup_printf (
-      "/proc/%s/stat",
-      g_subprocess_get_identifier (entry->process->subprocess));
+  char *path = g_strdup_printf ("/proc/%s/stat", g_subprocess_get_identifier (entry->process->subprocess));
   char *text = NULL;
   double ticks = 0;
   if (g_file_get_contents (path, &text, NULL, NULL))
     {
       char **fields = g_strsplit (strrchr (text, ')') + 2, " ", -1);
-      ticks = g_ascii_strtod (fields[11], NULL)
-              + g_ascii_strtod (fields[12], NULL);
+      ticks = g_ascii_strtod (fields[11], NULL) + g_ascii_strtod (fields[12], NULL);
       g_strfreev (fields);
     }
   g_free (text);
@@ -90,8 +87,7 @@
   for (guint i = 0; i < harness->entries->len; i++)
     {
       const struct entry *entry = g_ptr_array_index (harness->entries, i);
-      if (entry->process->ended
-          || !g_subprocess_get_identifier (entry->process->subprocess))
+      if (entry->process->ended || !g_subprocess_get_identifier (entry->process->subprocess))
         continue;
       usage.cpu_s += cpu_seconds (entry);
       usage.messages += metric (entry, "peer_messages_sent_total");
@@ -144,8 +140,7 @@
 static int
 fault_end_s (const struct setting *setting)
 {
-  return strcmp (setting->fault, "unavailable") == 0 ? FAULT_BEGIN_S + OUTAGE_S
-                                                     : FAULT_END_S;
+  return strcmp (setting->fault, "unavailable") == 0 ? FAULT_BEGIN_S + OUTAGE_S : FAULT_END_S;
 }
 
 static int
@@ -180,8 +175,7 @@
 static void
 set_clearance (const struct load *load, int status)
 {
-  const struct backend *backend
-      = g_ptr_array_index (load->harness->backends, 0);
+  const struct backend *backend = g_ptr_array_index (load->harness->backends, 0);
   int all = scenario_servers (load->scenario);
   for (int i = all - 6; i < all; i++)
     harness_set (backend->control, "/set?server=%d&status=%d", i, status);
@@ -226,8 +220,7 @@
   else if (strcmp (fault, "unavailable") == 0)
     set_clearance (load, 0);
   else if (!strstr (fault, "kill"))
-    harness_set (backend->control,
-                 "/set?server=all&slow=1&drain=0&fail_fast=0&lie=-1");
+    harness_set (backend->control, "/set?server=all&slow=1&drain=0&fail_fast=0&lie=-1");
 }
 
 static void
@@ -259,11 +252,8 @@
   double found = 0;
   for (guint i = 0; i < load->timeline->len; i++)
     {
-      const struct load_sample *sample
-          = &g_array_index (load->timeline, struct load_sample, i);
-      for (int w = 0;
-           w < sample->worth && sample->at_s >= from_s && sample->at_s < to_s;
-           w++)
+      const struct load_sample *sample = &g_array_index (load->timeline, struct load_sample, i);
+      for (int w = 0; w < sample->worth && sample->at_s >= from_s && sample->at_s < to_s; w++)
         g_array_append_val (values, sample->latency_ms);
     }
   g_array_sort (values, compare_double);
@@ -289,31 +279,24 @@
 static const struct scenario *
 pick_scenario (const struct options *options)
 {
-  return strcmp (options->user, "non-profit") == 0 ? &scenario_nonprofit
-                                                   : &scenario_association;
+  return strcmp (options->user, "non-profit") == 0 ? &scenario_nonprofit : &scenario_association;
 }
 
 static struct harness *
-start_system (const struct options *options,
-              const struct setting *setting,
-              const struct scenario *scenario)
+start_system (const struct options *options, const struct setting *setting, const struct scenario *scenario)
 {
   struct harness *harness = harness_open (g_get_prgname ());
-  struct backend *backend = harness_add_backend (
-      harness, scenario_servers (scenario), scenario->slots, options->mean_ms,
-      0, setting->seed);
+  struct backend *backend
+      = harness_add_backend (harness, scenario_servers (scenario), scenario->slots, options->mean_ms, 0, setting->seed);
   for (int i = 0; i < setting->entries; i++)
     harness_add_entry (harness, i % 3 == 0 ? "d1" : i % 3 == 1 ? "d2" : "d3");
   /* Each service has servers of every speed. */
   guint next = 0;
-  for (const struct scenario_service *service = scenario->services;
-       service->name; service++)
+  for (const struct scenario_service *service = scenario->services; service->name; service++)
     for (int i = 0; i < service->servers; i++)
-      harness_set (
-          backend->control, "/set?server=%u&speed=%f", next++,
-          1.0 + options->spread * (2.0 * i / (service->servers - 1) - 1.0));
-  char *document = scenario_document (
-      scenario, backend->servers, setting->policy, "    probe_budget: 20\n");
+      harness_set (backend->control, "/set?server=%u&speed=%f", next++,
+                   1.0 + options->spread * (2.0 * i / (service->servers - 1) - 1.0));
+  char *document = scenario_document (scenario, backend->servers, setting->policy, "    probe_budget: 20\n");
   if (!harness_apply (harness, document))
     exit (1);
   g_free (document);
@@ -323,13 +306,11 @@
 static void
 print_header (FILE *csv)
 {
-  fprintf (
-      csv,
-      "user,experiment,policy,entries,load,fault,seed,rate,calls,p50_ms,p99_ms,"
-      "p999_ms,weighted_p99_ms,in_time_share,not_run,unknown,failed,cut,top_"
-      "p99_ms,goodput,probes_s,"
-      "messages_per_call,control_bytes_s_node,cpu_us_per_call,peak_in_server,"
-      "retries,hedges,extra_runs,before_p99_ms,during_p99_ms,recovery_s\n");
+  fprintf (csv, "user,experiment,policy,entries,load,fault,seed,rate,calls,p50_ms,p99_ms,"
+                "p999_ms,weighted_p99_ms,in_time_share,not_run,unknown,failed,cut,top_"
+                "p99_ms,goodput,probes_s,"
+                "messages_per_call,control_bytes_s_node,cpu_us_per_call,peak_in_server,"
+                "retries,hedges,extra_runs,before_p99_ms,during_p99_ms,recovery_s\n");
 }
 
 static double
@@ -345,12 +326,10 @@
 static struct load_result
 all_results (const struct load *load)
 {
-  struct load_result all
-      = { .latency_ms = g_array_new (FALSE, FALSE, sizeof (double)) };
+  struct load_result all = { .latency_ms = g_array_new (FALSE, FALSE, sizeof (double)) };
   for (int c = 0; load->scenario->classes[c].name; c++)
     {
-      g_array_append_vals (all.latency_ms, load->results[c].latency_ms->data,
-                           load->results[c].latency_ms->len);
+      g_array_append_vals (all.latency_ms, load->results[c].latency_ms->data, load->results[c].latency_ms->len);
       all.sent += load->results[c].sent;
       all.in_time += load->results[c].in_time;
     }
@@ -369,38 +348,29 @@
 {
   struct load_result all = all_results (load);
   double before = setting->fault ? window_p99 (load, 1, FAULT_BEGIN_S) : 0;
-  double during
-      = setting->fault ? window_p99 (load, FAULT_BEGIN_S, FAULT_END_S) : 0;
+  double during = setting->fault ? window_p99 (load, FAULT_BEGIN_S, FAULT_END_S) : 0;
   double calls = MAX (all.sent, 1);
-  fprintf (
-      csv,
-      "%s,%s,%s,%d,%.2f,%s,%d,%.0f,%u,%.2f,%.2f,%.2f,%.2f,%.5f,%u,%u,%u,%u,%."
-      "2f,%.1f,%.2f,%.2f,%.0f,%.0f,%u,%.0f,%.0f,%.4f,%.2f,%.2f,%.1f\n",
-      options->user, setting->experiment, setting->policy, setting->entries,
-      setting->load, setting->fault ? setting->fault : "none", setting->seed,
-      load->rate, all.sent, load_percentile (&all, 0.5),
-      load_percentile (&all, 0.99), load_percentile (&all, 0.999),
-      load_weighted (load, 0.99), load_in_time (load),
-      load_count (load, LOAD_NOT_RUN), load_count (load, LOAD_UNKNOWN),
-      load_count (load, LOAD_FAILED), load_count (load, LOAD_CUT),
-      top_p99 (load), all.in_time / load->seconds, used->probes / load->seconds,
-      used->messages / calls, used->bytes / load->seconds / setting->entries,
-      1e6 * used->cpu_s / calls, peak, used->retries, used->hedges,
-      (double)runs / calls - 1, before, during,
-      setting->fault ? recovery_s (load, before) : 0);
+  fprintf (csv,
+           "%s,%s,%s,%d,%.2f,%s,%d,%.0f,%u,%.2f,%.2f,%.2f,%.2f,%.5f,%u,%u,%u,%u,%."
+           "2f,%.1f,%.2f,%.2f,%.0f,%.0f,%u,%.0f,%.0f,%.4f,%.2f,%.2f,%.1f\n",
+           options->user, setting->experiment, setting->policy, setting->entries, setting->load,
+           setting->fault ? setting->fault : "none", setting->seed, load->rate, all.sent, load_percentile (&all, 0.5),
+           load_percentile (&all, 0.99), load_percentile (&all, 0.999), load_weighted (load, 0.99), load_in_time (load),
+           load_count (load, LOAD_NOT_RUN), load_count (load, LOAD_UNKNOWN), load_count (load, LOAD_FAILED),
+           load_count (load, LOAD_CUT), top_p99 (load), all.in_time / load->seconds, used->probes / load->seconds,
+           used->messages / calls, used->bytes / load->seconds / setting->entries, 1e6 * used->cpu_s / calls, peak,
+           used->retries, used->hedges, (double)runs / calls - 1, before, during,
+           setting->fault ? recovery_s (load, before) : 0);
   fflush (csv);
   printf ("%-10s %-18s %2d entries load %.2f %-14s seed %d: p50 %.1f p99 %.1f "
           "weighted p99 %.1f in time %.2f%% not-run %u unknown %u cut %u top "
           "p99 %.1f peak %u",
-          setting->experiment, setting->policy, setting->entries, setting->load,
-          setting->fault ? setting->fault : "", setting->seed,
-          load_percentile (&all, 0.5), load_percentile (&all, 0.99),
-          load_weighted (load, 0.99), 100 * load_in_time (load),
-          load_count (load, LOAD_NOT_RUN), load_count (load, LOAD_UNKNOWN),
+          setting->experiment, setting->policy, setting->entries, setting->load, setting->fault ? setting->fault : "",
+          setting->seed, load_percentile (&all, 0.5), load_percentile (&all, 0.99), load_weighted (load, 0.99),
+          100 * load_in_time (load), load_count (load, LOAD_NOT_RUN), load_count (load, LOAD_UNKNOWN),
           load_count (load, LOAD_CUT), top_p99 (load), peak);
   if (setting->fault)
-    printf (" before %.1f during %.1f recovery %.1f s", before, during,
-            recovery_s (load, before));
+    printf (" before %.1f during %.1f recovery %.1f s", before, during, recovery_s (load, before));
   printf ("\n");
   g_array_unref (all.latency_ms);
 }
@@ -410,28 +380,25 @@
 {
   const struct scenario *scenario = pick_scenario (options);
   struct harness *harness = start_system (options, &setting, scenario);
-  struct load warm
-      = { .harness = harness,
-          .scenario = scenario,
-          .rate = scenario_capacity (scenario, options->mean_ms) * 0.4,
-          .seconds = 1.5,
-          .seed = setting.seed + 1000,
-          .prefix = "warm" };
+  struct load warm = { .harness = harness,
+                       .scenario = scenario,
+                       .rate = scenario_capacity (scenario, options->mean_ms) * 0.4,
+                       .seconds = 1.5,
+                       .seed = setting.seed + 1000,
+                       .prefix = "warm" };
   load_init (&warm);
   load_run (&warm);
   load_close (&warm);
   struct usage before = read_usage (harness);
   guint runs = total_runs (harness);
-  struct load load
-      = { .harness = harness,
-          .scenario = scenario,
-          .rate = scenario_capacity (scenario, options->mean_ms) * setting.load,
-          .seconds
-          = setting.fault ? fault_end_s (&setting) + 6 : options->seconds,
-          .seed = setting.seed,
-          .prefix = "b",
-          .each_second = each_second,
-          .context = &setting };
+  struct load load = { .harness = harness,
+                       .scenario = scenario,
+                       .rate = scenario_capacity (scenario, options->mean_ms) * setting.load,
+                       .seconds = setting.fault ? fault_end_s (&setting) + 6 : options->seconds,
+                       .seed = setting.seed,
+                       .prefix = "b",
+                       .each_second = each_second,
+                       .context = &setting };
   load_init (&load);
   load_run (&load);
   struct usage used = read_usage (harness);
@@ -453,20 +420,14 @@
 static void
 run_policies (FILE *csv, const struct options *options)
 {
-  static const char *const policies[]
-      = { "round-robin", "two-choices", "two-choices-shared", "grants" };
+  static const char *const policies[] = { "round-robin", "two-choices", "two-choices-shared", "grants" };
   static const double loads[] = { 0.5, 0.7, 0.85 };
-  for (int seed = options->first_seed;
-       seed < options->first_seed + options->seeds; seed++)
+  for (int seed = options->first_seed; seed < options->first_seed + options->seeds; seed++)
     for (gsize l = 0; l < G_N_ELEMENTS (loads); l++)
       {
-        run_one (
-            csv, options,
-            (struct setting){ "policies", "grants", 1, loads[l], NULL, seed });
+        run_one (csv, options, (struct setting){ "policies", "grants", 1, loads[l], NULL, seed });
         for (gsize p = 0; p < G_N_ELEMENTS (policies); p++)
-          run_one (csv, options,
-                   (struct setting){ "policies", policies[p], options->entries,
-                                     loads[l], NULL, seed });
+          run_one (csv, options, (struct setting){ "policies", policies[p], options->entries, loads[l], NULL, seed });
       }
 }
 
@@ -475,29 +436,22 @@
 {
   static const char *const policies[] = { "round-robin", "grants" };
   static const double loads[] = { 0.7, 1.0, 1.5 };
-  for (int seed = options->first_seed;
-       seed < options->first_seed + options->seeds; seed++)
+  for (int seed = options->first_seed; seed < options->first_seed + options->seeds; seed++)
     for (gsize p = 0; p < G_N_ELEMENTS (policies); p++)
       for (gsize l = 0; l < G_N_ELEMENTS (loads); l++)
-        run_one (csv, options,
-                 (struct setting){ "overload", policies[p], options->entries,
-                                   loads[l], NULL, seed });
+        run_one (csv, options, (struct setting){ "overload", policies[p], options->entries, loads[l], NULL, seed });
 }
 
 static void
 run_faults (FILE *csv, const struct options *options)
 {
   static const char *const faults[]
-      = { "kill-entry", "kill-granter", "pause-granter", "straggler",
-          "drain",      "fail-fast",    "lie",           "platform" };
+      = { "kill-entry", "kill-granter", "pause-granter", "straggler", "drain", "fail-fast", "lie", "platform" };
   static const char *const policies[] = { "round-robin", "grants" };
-  for (int seed = options->first_seed;
-       seed < options->first_seed + options->seeds; seed++)
+  for (int seed = options->first_seed; seed < options->first_seed + options->seeds; seed++)
     for (gsize f = 0; f < G_N_ELEMENTS (faults); f++)
       for (gsize p = 0; p < G_N_ELEMENTS (policies); p++)
-        run_one (csv, options,
-                 (struct setting){ "faults", policies[p], options->entries, 0.7,
-                                   faults[f], seed });
+        run_one (csv, options, (struct setting){ "faults", policies[p], options->entries, 0.7, faults[f], seed });
 }
 
 /* A service answers 503 for 90 s: the budget kept by each entry against one
@@ -506,12 +460,9 @@
 run_retries (FILE *csv, const struct options *options)
 {
   static const char *const policies[] = { "two-choices", "grants" };
-  for (int seed = options->first_seed;
-       seed < options->first_seed + options->seeds; seed++)
+  for (int seed = options->first_seed; seed < options->first_seed + options->seeds; seed++)
     for (gsize p = 0; p < G_N_ELEMENTS (policies); p++)
-      run_one (csv, options,
-               (struct setting){ "retries", policies[p], options->entries, 0.5,
-                                 "unavailable", seed });
+      run_one (csv, options, (struct setting){ "retries", policies[p], options->entries, 0.5, "unavailable", seed });
 }
 
 int
@@ -527,23 +478,15 @@
                              .spread = 0.4,
                              .entries = 17 };
   const GOptionEntry entries[] = {
-    { "experiment", 0, 0, G_OPTION_ARG_STRING, &options.experiment,
-      "policies, overload, retries or faults", "NAME" },
-    { "user", 0, 0, G_OPTION_ARG_STRING, &options.user,
-      "association or non-profit", "NAME" },
-    { "csv", 0, 0, G_OPTION_ARG_FILENAME, &options.csv,
-      "File the results are appended to", "FILE" },
+    { "experiment", 0, 0, G_OPTION_ARG_STRING, &options.experiment, "policies, overload, retries or faults", "NAME" },
+    { "user", 0, 0, G_OPTION_ARG_STRING, &options.user, "association or non-profit", "NAME" },
+    { "csv", 0, 0, G_OPTION_ARG_FILENAME, &options.csv, "File the results are appended to", "FILE" },
     { "seeds", 0, 0, G_OPTION_ARG_INT, &options.seeds, "How many seeds", "N" },
-    { "first-seed", 0, 0, G_OPTION_ARG_INT, &options.first_seed,
-      "The first seed", "N" },
-    { "seconds", 0, 0, G_OPTION_ARG_DOUBLE, &options.seconds, "Length of a run",
-      "S" },
-    { "mean-ms", 0, 0, G_OPTION_ARG_DOUBLE, &options.mean_ms,
-      "Mean service time", "MS" },
-    { "spread", 0, 0, G_OPTION_ARG_DOUBLE, &options.spread,
-      "Speeds differ by this share up and down", "X" },
-    { "entries", 0, 0, G_OPTION_ARG_INT, &options.entries, "How many hickoryd",
-      "N" },
+    { "first-seed", 0, 0, G_OPTION_ARG_INT, &options.first_seed, "The first seed", "N" },
+    { "seconds", 0, 0, G_OPTION_ARG_DOUBLE, &options.seconds, "Length of a run", "S" },
+    { "mean-ms", 0, 0, G_OPTION_ARG_DOUBLE, &options.mean_ms, "Mean service time", "MS" },
+    { "spread", 0, 0, G_OPTION_ARG_DOUBLE, &options.spread, "Speeds differ by this share up and down", "X" },
+    { "entries", 0, 0, G_OPTION_ARG_INT, &options.entries, "How many hickoryd", "N" },
     { 0 },
   };
   GOptionContext *context = g_option_context_new (NULL);
--- a/bench/demo.c
+++ b/bench/demo.c
@@ -60,13 +60,10 @@
   for (int i = 0; i < 3; i++)
     harness_add_entry (harness, i == 2 ? "d2" : "d1");
   GPtrArray *addresses = collect_servers (harness);
-  char *document
-      = scenario_document (&scenario_association, addresses, "grants", NULL);
+  char *document = scenario_document (&scenario_association, addresses, "grants", NULL);
   if (!harness_apply (harness, document))
     return 1;
-  printf (
-      "demo: the document is in force at 3 entries; %.0f calls/s for %.0f s\n",
-      RATE, SECONDS);
+  printf ("demo: the document is in force at 3 entries; %.0f calls/s for %.0f s\n", RATE, SECONDS);
   struct load load = { .harness = harness,
                        .scenario = &scenario_association,
                        .rate = RATE,
@@ -79,8 +76,7 @@
   load_run (&load);
   load_print (&load);
   struct load_check check = load_verify (&load);
-  printf ("demo: %u answered, %u lost, %u doubled, %u cut off\n",
-          check.answered, check.lost, check.doubled, check.cut);
+  printf ("demo: %u answered, %u lost, %u doubled, %u cut off\n", check.answered, check.lost, check.doubled, check.cut);
   load_close (&load);
   g_ptr_array_unref (addresses);
   g_free (document);
--- a/bench/harness.c
+++ b/bench/harness.c
@@ -21,10 +21,8 @@
 {
   struct process *process = data;
   GError *problem = NULL;
-  char *line = g_data_input_stream_read_line_finish (
-      G_DATA_INPUT_STREAM (source), result, NULL, &problem);
-  gboolean cancelled
-      = g_error_matches (problem, G_IO_ERROR, G_IO_ERROR_CANCELLED);
+  char *line = g_data_input_stream_read_line_finish (G_DATA_INPUT_STREAM (source), result, NULL, &problem);
+  gboolean cancelled = g_error_matches (problem, G_IO_ERROR, G_IO_ERROR_CANCELLED);
   g_clear_error (&problem);
   if (cancelled)
     {
@@ -45,8 +43,7 @@
 static void
 read_next (struct process *process)
 {
-  g_data_input_stream_read_line_async (process->lines, G_PRIORITY_DEFAULT,
-                                       process->reading, line_read, process);
+  g_data_input_stream_read_line_async (process->lines, G_PRIORITY_DEFAULT, process->reading, line_read, process);
 }
 
 static struct process *
@@ -55,16 +52,13 @@
   GError *problem = NULL;
   struct process *process = g_new0 (struct process, 1);
   process->subprocess = g_subprocess_newv (
-      (const char *const *)argv,
-      errors ? G_SUBPROCESS_FLAGS_STDERR_PIPE : G_SUBPROCESS_FLAGS_STDOUT_PIPE,
-      &problem);
+      (const char *const *)argv, errors ? G_SUBPROCESS_FLAGS_STDERR_PIPE : G_SUBPROCESS_FLAGS_STDOUT_PIPE, &problem);
   if (!process->subprocess)
     g_error ("cannot start %s: %s", argv[0], problem->message);
   process->log = g_string_new (NULL);
   process->reading = g_cancellable_new ();
-  process->lines = g_data_input_stream_new (
-      errors ? g_subprocess_get_stderr_pipe (process->subprocess)
-             : g_subprocess_get_stdout_pipe (process->subprocess));
+  process->lines = g_data_input_stream_new (errors ? g_subprocess_get_stderr_pipe (process->subprocess)
+                                                   : g_subprocess_get_stdout_pipe (process->subprocess));
   read_next (process);
   return process;
 }
@@ -98,16 +92,14 @@
 has_text (void *context)
 {
   struct wanted *wanted = context;
-  return wanted->process->ended
-         || strstr (wanted->process->log->str, wanted->text) != NULL;
+  return wanted->process->ended || strstr (wanted->process->log->str, wanted->text) != NULL;
 }
 
 static void
 wait_for_text (struct process *process, const char *text)
 {
   struct wanted wanted = { process, text };
-  if (!harness_wait (has_text, &wanted, START_SECONDS)
-      || !strstr (process->log->str, text))
+  if (!harness_wait (has_text, &wanted, START_SECONDS) || !strstr (process->log->str, text))
     g_error ("no \"%s\" in: %s", text, process->log->str);
 }
 
@@ -140,8 +132,7 @@
   harness->platform_process = spawn (argv, FALSE);
   g_free (argv[0]);
   wait_for_text (harness->platform_process, "listening ");
-  copy_word (harness->platform_process->log->str, "listening ",
-             harness->platform, sizeof harness->platform);
+  copy_word (harness->platform_process->log->str, "listening ", harness->platform, sizeof harness->platform);
   return harness;
 }
 
@@ -165,8 +156,7 @@
   while (g_main_context_iteration (NULL, FALSE))
     ;
   GDir *folder = g_dir_open (harness->folder, 0, NULL);
-  for (const char *name = g_dir_read_name (folder); name;
-       name = g_dir_read_name (folder))
+  for (const char *name = g_dir_read_name (folder); name; name = g_dir_read_name (folder))
     {
       char *path = g_build_filename (harness->folder, name, NULL);
       g_unlink (path);
@@ -193,47 +183,33 @@
              gboolean constant)
 {
   struct backend *backend = g_new0 (struct backend, 1);
-  char *argv[] = { program_path (harness, "fake-backend"),
-                   g_strdup_printf ("--servers=%d", servers),
-                   g_strdup_printf ("--slots=%d", slots),
-                   g_strdup_printf ("--mean-ms=%f", mean_ms),
-                   g_strdup_printf ("--spread=%f", spread),
-                   g_strdup_printf ("--seed=%d", seed),
-                   constant ? g_strdup ("--constant") : NULL,
-                   NULL };
+  char *argv[] = { program_path (harness, "fake-backend"),    g_strdup_printf ("--servers=%d", servers),
+                   g_strdup_printf ("--slots=%d", slots),     g_strdup_printf ("--mean-ms=%f", mean_ms),
+                   g_strdup_printf ("--spread=%f", spread),   g_strdup_printf ("--seed=%d", seed),
+                   constant ? g_strdup ("--constant") : NULL, NULL };
   backend->process = spawn (argv, FALSE);
   for (int i = 0; argv[i]; i++)
     g_free (argv[i]);
   wait_for_text (backend->process, "ready");
-  copy_word (backend->process->log->str, "control ", backend->control,
-             sizeof backend->control);
+  copy_word (backend->process->log->str, "control ", backend->control, sizeof backend->control);
   backend->servers = g_ptr_array_new_with_free_func (g_free);
   char **lines = g_strsplit (backend->process->log->str, "\n", -1);
   for (int i = 0; lines[i]; i++)
     if (g_str_has_prefix (lines[i], "server "))
-      g_ptr_array_add (backend->servers,
-                       g_strdup (lines[i] + strlen ("server ")));
+      g_ptr_array_add (backend->servers, g_strdup (lines[i] + strlen ("server ")));
   g_strfreev (lines);
   g_ptr_array_add (harness->backends, backend);
   return backend;
 }
 
 struct backend *
-harness_add_backend (struct harness *harness,
-                     int servers,
-                     int slots,
-                     double mean_ms,
-                     double spread,
-                     int seed)
+harness_add_backend (struct harness *harness, int servers, int slots, double mean_ms, double spread, int seed)
 {
   return add_backend (harness, servers, slots, mean_ms, spread, seed, FALSE);
 }
 
 struct backend *
-harness_add_backend_constant (struct harness *harness,
-                              int servers,
-                              int slots,
-                              double mean_ms)
+harness_add_backend_constant (struct harness *harness, int servers, int slots, double mean_ms)
 {
   return add_backend (harness, servers, slots, mean_ms, 0, 1, TRUE);
 }
@@ -242,23 +218,18 @@
 harness_add_entry (struct harness *harness, const char *domain)
 {
   struct entry *entry = g_new0 (struct entry, 1);
-  g_snprintf (entry->name, sizeof entry->name, "vm-%u",
-              harness->entries->len + 1);
+  g_snprintf (entry->name, sizeof entry->name, "vm-%u", harness->entries->len + 1);
   g_strlcpy (entry->domain, domain, sizeof entry->domain);
-  char *settings = g_strdup_printf (
-      "name: %s\nfailure_domain: %s\nlisten: 127.0.0.1:0\nadmin: "
-      "127.0.0.1:0\npeers: 127.0.0.1:0\nplatform: %s\ndrain_wait_ms: %d\n",
-      entry->name, domain, harness->platform, harness->drain_wait_ms);
+  char *settings = g_strdup_printf ("name: %s\nfailure_domain: %s\nlisten: 127.0.0.1:0\nadmin: "
+                                    "127.0.0.1:0\npeers: 127.0.0.1:0\nplatform: %s\ndrain_wait_ms: %d\n",
+                                    entry->name, domain, harness->platform, harness->drain_wait_ms);
   char *file = harness_write (harness, entry->name, settings);
   char *argv[] = { program_path (harness, "hickoryd"), file, NULL };
   entry->process = spawn (argv, TRUE);
   wait_for_text (entry->process, "HF1002");
-  copy_word (entry->process->log->str, "callers=", entry->listen,
-             sizeof entry->listen);
-  copy_word (entry->process->log->str, "admin=", entry->admin,
-             sizeof entry->admin);
-  copy_word (entry->process->log->str, "peers=", entry->peers,
-             sizeof entry->peers);
+  copy_word (entry->process->log->str, "callers=", entry->listen, sizeof entry->listen);
+  copy_word (entry->process->log->str, "admin=", entry->admin, sizeof entry->admin);
+  copy_word (entry->process->log->str, "peers=", entry->peers, sizeof entry->peers);
   g_free (argv[0]);
   g_free (file);
   g_free (settings);
@@ -268,17 +239,12 @@
 }
 
 static void
-put_vm (struct harness *harness,
-        const char *method,
-        const char *name,
-        const char *data)
+put_vm (struct harness *harness, const char *method, const char *name, const char *data)
 {
   char *path = g_strdup_printf ("/apis/hickoryfield/v1/vms/%s", name);
-  char *body = g_strdup_printf ("{\"metadata\":{\"name\":\"%s\"},\"data\":%s}",
-                                name, data);
+  char *body = g_strdup_printf ("{\"metadata\":{\"name\":\"%s\"},\"data\":%s}", name, data);
   SoupSession *session = hf_http_session (1, 5);
-  SoupMessage *message
-      = hf_http_message (method, hf_str (harness->platform), path, NULL);
+  SoupMessage *message = hf_http_message (method, hf_str (harness->platform), path, NULL);
   GBytes *bytes = g_bytes_new (body, strlen (body));
   soup_message_set_request_body_from_bytes (message, "application/json", bytes);
   GBytes *answer = soup_session_send_and_read (session, message, NULL, NULL);
@@ -292,14 +258,11 @@
 }
 
 void
-harness_list_entry (struct harness *harness,
-                    const struct entry *entry,
-                    const char *phase)
+harness_list_entry (struct harness *harness, const struct entry *entry, const char *phase)
 {
-  char *data
-      = g_strdup_printf ("{\"role\":\"entry\",\"address\":\"%s\",\"admin\":\"%"
-                         "s\",\"failure_domain\":\"%s\",\"phase\":\"%s\"}",
-                         entry->peers, entry->admin, entry->domain, phase);
+  char *data = g_strdup_printf ("{\"role\":\"entry\",\"address\":\"%s\",\"admin\":\"%"
+                                "s\",\"failure_domain\":\"%s\",\"phase\":\"%s\"}",
+                                entry->peers, entry->admin, entry->domain, phase);
   put_vm (harness, "PUT", entry->name, data);
   g_free (data);
 }
@@ -311,14 +274,10 @@
 }
 
 void
-harness_list_backend (struct harness *harness,
-                      const char *address,
-                      const char *phase)
+harness_list_backend (struct harness *harness, const char *address, const char *phase)
 {
   char *name = g_strdup_printf ("backend-%s", address);
-  char *data = g_strdup_printf (
-      "{\"role\":\"backend\",\"address\":\"%s\",\"phase\":\"%s\"}", address,
-      phase);
+  char *data = g_strdup_printf ("{\"role\":\"backend\",\"address\":\"%s\",\"phase\":\"%s\"}", address, phase);
   put_vm (harness, "PUT", name, data);
   g_free (data);
   g_free (name);
@@ -349,8 +308,7 @@
 {
   SoupSession *session = hf_http_session (1, 10);
   char **parts = g_strsplit (path, "?", 2);
-  SoupMessage *message
-      = hf_http_message ("GET", hf_str (address), parts[0], parts[1]);
+  SoupMessage *message = hf_http_message ("GET", hf_str (address), parts[0], parts[1]);
   GBytes *answer = soup_session_send_and_read (session, message, NULL, NULL);
   char *text = NULL;
   if (answer)
@@ -380,9 +338,7 @@
 }
 
 int
-harness_ctl (struct harness *harness,
-             char **output,
-             const char *const *arguments)
+harness_ctl (struct harness *harness, char **output, const char *const *arguments)
 {
   GPtrArray *argv = g_ptr_array_new ();
   char *program = program_path (harness, "hickoryctl");
@@ -391,13 +347,10 @@
   for (int i = 0; arguments[i]; i++)
     g_ptr_array_add (argv, (gpointer)arguments[i]);
   g_ptr_array_add (argv, NULL);
-  GSubprocess *tool = g_subprocess_newv (
-      (const char *const *)argv->pdata,
-      G_SUBPROCESS_FLAGS_STDOUT_PIPE | G_SUBPROCESS_FLAGS_STDERR_MERGE, NULL);
+  GSubprocess *tool = g_subprocess_newv ((const char *const *)argv->pdata,
+                                         G_SUBPROCESS_FLAGS_STDOUT_PIPE | G_SUBPROCESS_FLAGS_STDERR_MERGE, NULL);
   g_subprocess_communicate_utf8 (tool, NULL, NULL, &text, NULL, NULL);
-  int code = g_subprocess_get_if_exited (tool)
-                 ? g_subprocess_get_exit_status (tool)
-                 : -1;
+  int code = g_subprocess_get_if_exited (tool) ? g_subprocess_get_exit_status (tool) : -1;
   if (output)
     *output = text;
   else
@@ -413,9 +366,7 @@
 {
   char *file = harness_write (harness, "document.yaml", document);
   char *output = NULL;
-  int code = harness_ctl (harness, &output,
-                          (const char *[]){ "apply", "--wait", "-p",
-                                            harness->platform, file, NULL });
+  int code = harness_ctl (harness, &output, (const char *[]){ "apply", "--wait", "-p", harness->platform, file, NULL });
   if (code != 0)
     g_printerr ("apply: exit %d: %s", code, output);
   g_free (output);
--- a/bench/harness.h
+++ b/bench/harness.h
@@ -54,9 +54,8 @@
 
 /* --- public functions: init and close --- */
 
-struct harness *harness_open (
-    const char *program); /* starts the platform; program finds the folder */
-void harness_close (struct harness *harness); /* ends all, frees all */
+struct harness *harness_open (const char *program); /* starts the platform; program finds the folder */
+void harness_close (struct harness *harness);       /* ends all, frees all */
 
 /* --- public functions: processes --- */
 
@@ -66,45 +65,27 @@
                                      double mean_ms,
                                      double spread,
                                      int seed); /* fake backend servers */
-struct backend *harness_add_backend_constant (
-    struct harness *harness,
-    int servers,
-    int slots,
-    double mean_ms); /* the same, constant service times */
-struct entry *
-harness_add_entry (struct harness *harness,
-                   const char *domain); /* a hickoryd, listed as VM */
+struct backend *harness_add_backend_constant (struct harness *harness,
+                                              int servers,
+                                              int slots,
+                                              double mean_ms);                 /* the same, constant service times */
+struct entry *harness_add_entry (struct harness *harness, const char *domain); /* a hickoryd, listed as VM */
 void harness_list_entry (struct harness *harness,
                          const struct entry *entry,
-                         const char *phase); /* its line in the VM list */
-void harness_unlist_entry (
-    struct harness *harness,
-    const struct entry *entry); /* takes it out of the VM list */
-void harness_list_backend (struct harness *harness,
-                           const char *address,
-                           const char *phase); /* line of a backend VM */
-void process_signal (struct process *process, int signal); /* kill by pid */
-gboolean process_wait (struct process *process,
-                       int seconds); /* ended in time */
+                         const char *phase);                                    /* its line in the VM list */
+void harness_unlist_entry (struct harness *harness, const struct entry *entry); /* takes it out of the VM list */
+void harness_list_backend (struct harness *harness, const char *address, const char *phase); /* line of a backend VM */
+void process_signal (struct process *process, int signal);                                   /* kill by pid */
+gboolean process_wait (struct process *process, int seconds);                                /* ended in time */
 
 /* --- public functions: talking --- */
 
-char *harness_get (const char *address,
-                   const char *path,
-                   guint *status); /* text, or NULL */
-void harness_set (const char *address, const char *format, ...)
-    G_GNUC_PRINTF (2, 3); /* a switch of a fake */
-int harness_ctl (struct harness *harness,
-                 char **output,
-                 const char *const *arguments); /* runs hickoryctl, exit code */
-gboolean harness_apply (struct harness *harness,
-                        const char *document); /* apply --wait */
-char *harness_write (struct harness *harness,
-                     const char *name,
-                     const char *text); /* a temporary file's path */
-gboolean harness_wait (gboolean (*test) (void *context),
-                       void *context,
-                       int seconds); /* polls a condition */
-void harness_pause (int ms);         /* runs the main loop */
+char *harness_get (const char *address, const char *path, guint *status);               /* text, or NULL */
+void harness_set (const char *address, const char *format, ...) G_GNUC_PRINTF (2, 3);   /* a switch of a fake */
+int harness_ctl (struct harness *harness, char **output, const char *const *arguments); /* runs hickoryctl, exit code */
+gboolean harness_apply (struct harness *harness, const char *document);                 /* apply --wait */
+char *harness_write (struct harness *harness, const char *name, const char *text);      /* a temporary file's path */
+gboolean harness_wait (gboolean (*test) (void *context), void *context, int seconds);   /* polls a condition */
+void harness_pause (int ms);                                                            /* runs the main loop */
 
 #endif
--- a/bench/load.c
+++ b/bench/load.c
@@ -12,12 +12,11 @@
 
 /* --- constants --- */
 
-#define HEALTH_MS   200
-#define SESSIONS    16
-#define CONNECTIONS 256 /* of each session */
-#define ONCE_MARK                                                              \
-  "-once" /* in the test key of a call that may not be repeated */
-#define ANSWER_SECONDS 40 /* a call without an answer by then is cut */
+#define HEALTH_MS      200
+#define SESSIONS       16
+#define CONNECTIONS    256     /* of each session */
+#define ONCE_MARK      "-once" /* in the test key of a call that may not be repeated */
+#define ANSWER_SECONDS 40      /* a call without an answer by then is cut */
 
 /* --- types --- */
 
@@ -77,10 +76,8 @@
 health_answered (GObject *source, GAsyncResult *result, gpointer data)
 {
   struct target *target = data;
-  SoupMessage *message
-      = soup_session_get_async_result_message (SOUP_SESSION (source), result);
-  GBytes *body
-      = soup_session_send_and_read_finish (SOUP_SESSION (source), result, NULL);
+  SoupMessage *message = soup_session_get_async_result_message (SOUP_SESSION (source), result);
+  GBytes *body = soup_session_send_and_read_finish (SOUP_SESSION (source), result, NULL);
   target->asking = FALSE;
   target->healthy = body && soup_message_get_status (message) == 200;
   if (body)
@@ -93,16 +90,12 @@
   struct run *run = data;
   for (guint i = 0; i < run->load->harness->entries->len; i++)
     {
-      struct target *target = find_target (
-          run, g_ptr_array_index (run->load->harness->entries, i));
+      struct target *target = find_target (run, g_ptr_array_index (run->load->harness->entries, i));
       if (target->asking)
         continue;
       target->asking = TRUE;
-      SoupMessage *message = hf_http_message (
-          "GET", hf_str (target->entry->admin), "/healthz", NULL);
-      soup_session_send_and_read_async (run->health, message,
-                                        G_PRIORITY_DEFAULT, NULL,
-                                        health_answered, target);
+      SoupMessage *message = hf_http_message ("GET", hf_str (target->entry->admin), "/healthz", NULL);
+      soup_session_send_and_read_async (run->health, message, G_PRIORITY_DEFAULT, NULL, health_answered, target);
       g_object_unref (message);
     }
   return G_SOURCE_CONTINUE;
@@ -133,11 +126,9 @@
 static enum load_outcome
 judge (const struct call *call, GBytes *body)
 {
-  SoupMessageHeaders *headers
-      = soup_message_get_response_headers (call->message);
+  SoupMessageHeaders *headers = soup_message_get_response_headers (call->message);
   guint status = soup_message_get_status (call->message);
-  const char *outcome
-      = soup_message_headers_get_one (headers, "Hickory-Outcome");
+  const char *outcome = soup_message_headers_get_one (headers, "Hickory-Outcome");
   const char *key = soup_message_headers_get_one (headers, "X-Test-Key");
   if (!body)
     return LOAD_CUT;
@@ -160,8 +151,7 @@
   const struct load_class *class = &load->scenario->classes[call->class];
   double latency = (now_s (call->run) - call->due_s) * 1000;
   result->outcomes[outcome]++;
-  g_hash_table_insert (load->told, g_strdup (call->key),
-                       GINT_TO_POINTER ((int)outcome + 1));
+  g_hash_table_insert (load->told, g_strdup (call->key), GINT_TO_POINTER ((int)outcome + 1));
   if (outcome != LOAD_ANSWERED)
     return;
   g_array_append_val (result->latency_ms, latency);
@@ -182,8 +172,7 @@
 {
   struct call *call = data;
   struct run *run = call->run;
-  GBytes *body
-      = soup_session_send_and_read_finish (SOUP_SESSION (source), result, NULL);
+  GBytes *body = soup_session_send_and_read_finish (SOUP_SESSION (source), result, NULL);
   record (call, judge (call, body));
   if (body)
     g_bytes_unref (body);
@@ -206,10 +195,8 @@
 static SoupMessage *
 make_message (struct call *call, const struct target *target)
 {
-  const struct load_class *class = &call->run->load->scenario
-                                        ->classes[call->class];
-  SoupMessage *message = hf_http_message (
-      class->method, hf_str (target->entry->listen), class->path, NULL);
+  const struct load_class *class = &call->run->load->scenario->classes[call->class];
+  SoupMessage *message = hf_http_message (class->method, hf_str (target->entry->listen), class->path, NULL);
   SoupMessageHeaders *headers = soup_message_get_request_headers (message);
   soup_message_headers_replace (headers, "X-Test-Key", call->key);
   if (call->run->load->keys && !class->repeatable)
@@ -222,8 +209,7 @@
     {
       char *data = g_malloc0 (class->body);
       GBytes *body = g_bytes_new_take (data, class->body);
-      soup_message_set_request_body_from_bytes (
-          message, "application/octet-stream", body);
+      soup_message_set_request_body_from_bytes (message, "application/octet-stream", body);
       g_bytes_unref (body);
     }
   return message;
@@ -237,10 +223,8 @@
   call->run = run;
   call->class = pick_class (run);
   call->due_s = due_s;
-  const char *mark
-      = run->load->scenario->classes[call->class].repeatable ? "" : ONCE_MARK;
-  g_snprintf (call->key, sizeof call->key, "%s%s-%u", run->load->prefix, mark,
-              ++run->number);
+  const char *mark = run->load->scenario->classes[call->class].repeatable ? "" : ONCE_MARK;
+  g_snprintf (call->key, sizeof call->key, "%s%s-%u", run->load->prefix, mark, ++run->number);
   run->load->results[call->class].sent++;
   if (!target)
     {
@@ -250,17 +234,15 @@
     }
   call->message = make_message (call, target);
   run->out++;
-  soup_session_send_and_read_async (
-      target->sessions[target->next++ % MAX (1, SESSIONS / run->targets->len)],
-      call->message, G_PRIORITY_DEFAULT, NULL, answered, call);
+  soup_session_send_and_read_async (target->sessions[target->next++ % MAX (1, SESSIONS / run->targets->len)],
+                                    call->message, G_PRIORITY_DEFAULT, NULL, answered, call);
 }
 
 static void
 run_each_second (struct run *run)
 {
   struct load *load = run->load;
-  while (load->each_second && run->second <= now_s (run)
-         && run->second <= load->seconds)
+  while (load->each_second && run->second <= now_s (run) && run->second <= load->seconds)
     load->each_second (load, run->second++, load->context);
 }
 
@@ -287,12 +269,10 @@
   double *shares = g_new0 (double, 16);
   double sum = 0;
   for (int i = 0; scenario->classes[i].name; i++)
-    for (const struct scenario_service *service = scenario->services;
-         service->name; service++)
+    for (const struct scenario_service *service = scenario->services; service->name; service++)
       if (g_str_equal (service->name, scenario->classes[i].service))
         {
-          sum += scenario->classes[i].share * service->servers
-                 / scenario_servers (scenario);
+          sum += scenario->classes[i].share * service->servers / scenario_servers (scenario);
           shares[i] = sum;
         }
   return shares;
@@ -305,8 +285,7 @@
   for (int i = 0; classes[i].name; i++)
     {
       guchar *body = g_malloc0 (classes[i].body + 1);
-      run->digests[i] = g_compute_checksum_for_data (G_CHECKSUM_SHA256, body,
-                                                     classes[i].body);
+      run->digests[i] = g_compute_checksum_for_data (G_CHECKSUM_SHA256, body, classes[i].body);
       g_free (body);
     }
 }
@@ -398,9 +377,8 @@
 {
   if (result->latency_ms->len == 0)
     return 0;
-  return gsl_stats_quantile_from_sorted_data (
-      (const double *)result->latency_ms->data, 1, result->latency_ms->len,
-      share);
+  return gsl_stats_quantile_from_sorted_data ((const double *)result->latency_ms->data, 1, result->latency_ms->len,
+                                              share);
 }
 
 struct weighted
@@ -420,8 +398,7 @@
     for (guint i = 0; i < load->results[c].latency_ms->len; i++)
       {
         struct weighted one
-            = { g_array_index (load->results[c].latency_ms, double, i),
-                load->scenario->classes[c].worth };
+            = { g_array_index (load->results[c].latency_ms, double, i), load->scenario->classes[c].worth };
         total += one.worth;
         g_array_append_val (all, one);
       }
@@ -460,8 +437,7 @@
 static GHashTable *
 read_runs (struct harness *harness)
 {
-  GHashTable *runs
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  GHashTable *runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   for (guint i = 0; i < harness->backends->len; i++)
     {
       const struct backend *backend = g_ptr_array_index (harness->backends, i);
@@ -473,8 +449,7 @@
           if (!space)
             continue;
           *space = 0;
-          int n = GPOINTER_TO_INT (g_hash_table_lookup (runs, lines[l]))
-                  + atoi (space + 1);
+          int n = GPOINTER_TO_INT (g_hash_table_lookup (runs, lines[l])) + atoi (space + 1);
           g_hash_table_insert (runs, g_strdup (lines[l]), GINT_TO_POINTER (n));
         }
       g_strfreev (lines);
@@ -486,8 +461,7 @@
 struct load_check
 load_verify (struct load *load)
 {
-  struct load_check check = { .answered = load_count (load, LOAD_ANSWERED),
-                              .cut = load_count (load, LOAD_CUT) };
+  struct load_check check = { .answered = load_count (load, LOAD_ANSWERED), .cut = load_count (load, LOAD_CUT) };
   GHashTable *runs = read_runs (load->harness);
   GHashTableIter iter;
   gpointer key;
@@ -495,11 +469,9 @@
   g_hash_table_iter_init (&iter, load->told);
   while (g_hash_table_iter_next (&iter, &key, &value))
     {
-      enum load_outcome outcome
-          = (enum load_outcome) (GPOINTER_TO_INT (value) - 1);
+      enum load_outcome outcome = (enum load_outcome) (GPOINTER_TO_INT (value) - 1);
       int ran = GPOINTER_TO_INT (g_hash_table_lookup (runs, key));
-      check.lost
-          += (outcome == LOAD_ANSWERED && ran == 0) || outcome == LOAD_UNKNOWN;
+      check.lost += (outcome == LOAD_ANSWERED && ran == 0) || outcome == LOAD_UNKNOWN;
       check.doubled += outcome == LOAD_NOT_RUN && ran > 0;
       check.doubled += ran > 1 && strstr (key, ONCE_MARK) != NULL;
     }
@@ -510,18 +482,14 @@
 void
 load_print (const struct load *load)
 {
-  printf ("%-20s %7s %9s %9s %9s %8s %8s %8s %6s %8s\n", "class", "count",
-          "p50 ms", "p99 ms", "p99.9 ms", "not-run", "unknown", "failed", "cut",
-          "in time");
+  printf ("%-20s %7s %9s %9s %9s %8s %8s %8s %6s %8s\n", "class", "count", "p50 ms", "p99 ms", "p99.9 ms", "not-run",
+          "unknown", "failed", "cut", "in time");
   for (int c = 0; load->scenario->classes[c].name; c++)
     {
       const struct load_result *result = &load->results[c];
-      printf ("%-20s %7u %9.2f %9.2f %9.2f %8u %8u %8u %6u %7.2f%%\n",
-              load->scenario->classes[c].name, result->sent,
-              load_percentile (result, 0.5), load_percentile (result, 0.99),
-              load_percentile (result, 0.999), result->outcomes[LOAD_NOT_RUN],
-              result->outcomes[LOAD_UNKNOWN], result->outcomes[LOAD_FAILED],
-              result->outcomes[LOAD_CUT],
-              result->sent ? 100.0 * result->in_time / result->sent : 0);
+      printf ("%-20s %7u %9.2f %9.2f %9.2f %8u %8u %8u %6u %7.2f%%\n", load->scenario->classes[c].name, result->sent,
+              load_percentile (result, 0.5), load_percentile (result, 0.99), load_percentile (result, 0.999),
+              result->outcomes[LOAD_NOT_RUN], result->outcomes[LOAD_UNKNOWN], result->outcomes[LOAD_FAILED],
+              result->outcomes[LOAD_CUT], result->sent ? 100.0 * result->in_time / result->sent : 0);
     }
 }
--- a/bench/load.h
+++ b/bench/load.h
@@ -40,13 +40,11 @@
   double rate;    /* calls a second */
   double seconds; /* of arrivals */
   int seed;
-  gboolean keys; /* calls that may not be repeated carry an Idempotency-Key */
+  gboolean keys;                  /* calls that may not be repeated carry an Idempotency-Key */
   const char *prefix;             /* of the test keys, unique per run */
   struct load_result results[16]; /* by class */
   GHashTable *told;               /* outcome + 1 by test key */
-  void (*each_second) (struct load *load,
-                       int second,
-                       void *context); /* for faults, or NULL */
+  void (*each_second) (struct load *load, int second, void *context); /* for faults, or NULL */
   void *context;
   GArray *timeline; /* struct load_sample of answered calls */
 };
@@ -63,29 +61,21 @@
 struct load_check
 {
   guint answered;
-  guint lost; /* told answered but never run, or no word at all */
-  guint
-      doubled; /* ran twice though it may not, or ran although told "not run" */
+  guint lost;    /* told answered but never run, or no word at all */
+  guint doubled; /* ran twice though it may not, or ran although told "not run" */
   guint cut;
 };
 
 /* --- public functions --- */
 
-void load_init (struct load *load);  /* empty results */
-void load_close (struct load *load); /* frees the results */
-void
-load_run (struct load *load); /* all arrivals, then waits for all answers */
-double load_percentile (const struct load_result *result,
-                        double share); /* milliseconds, share 0 to 1 */
-double
-load_weighted (const struct load *load,
-               double share); /* the same over all classes, weighted by worth */
-double load_in_time (
-    const struct load *load); /* worth answered in time, share of all worth */
-guint load_count (const struct load *load,
-                  enum load_outcome outcome); /* over all classes */
-struct load_check
-load_verify (struct load *load);           /* compares with the fakes' runs */
-void load_print (const struct load *load); /* a table by class */
+void load_init (struct load *load);                                      /* empty results */
+void load_close (struct load *load);                                     /* frees the results */
+void load_run (struct load *load);                                       /* all arrivals, then waits for all answers */
+double load_percentile (const struct load_result *result, double share); /* milliseconds, share 0 to 1 */
+double load_weighted (const struct load *load, double share); /* the same over all classes, weighted by worth */
+double load_in_time (const struct load *load);                /* worth answered in time, share of all worth */
+guint load_count (const struct load *load, enum load_outcome outcome); /* over all classes */
+struct load_check load_verify (struct load *load);                     /* compares with the fakes' runs */
+void load_print (const struct load *load);                             /* a table by class */
 
 #endif
--- a/bench/scenario.h
+++ b/bench/scenario.h
@@ -49,12 +49,10 @@
 extern const struct scenario scenario_association;
 extern const struct scenario scenario_nonprofit;
 int scenario_servers (const struct scenario *scenario); /* how many in all */
-char *
-scenario_document (const struct scenario *scenario,
-                   GPtrArray *addresses,
-                   const char *policy,
-                   const char *more); /* YAML; more: keys for each service */
-double scenario_capacity (const struct scenario *scenario,
-                          double mean_ms); /* calls a second of all slots */
+char *scenario_document (const struct scenario *scenario,
+                         GPtrArray *addresses,
+                         const char *policy,
+                         const char *more);                                 /* YAML; more: keys for each service */
+double scenario_capacity (const struct scenario *scenario, double mean_ms); /* calls a second of all slots */
 
 #endif
--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -29,19 +29,14 @@
   GString *text = g_string_new ("version: 1\nentries_max: 200\nservices:\n");
   for (int s = 0; s < services; s++)
     {
-      g_string_append_printf (
-          text, "  - name: service-%d\n    path_prefix: /s%d/\n    servers:\n",
-          s, s);
+      g_string_append_printf (text, "  - name: service-%d\n    path_prefix: /s%d/\n    servers:\n", s, s);
       for (int i = 0; i < servers; i++)
-        g_string_append_printf (
-            text,
-            "      - {name: b%d, address: \"10.%d.%d.%d:80\", failure_domain: "
-            "d%d, slots: 4}\n",
-            i, s / 250, s % 250, i, i % 18);
-      g_string_append (
-          text,
-          "    classes:\n      - {name: read, methods: [GET], repeatable: "
-          "true, hedge: true}\n      - {name: write, methods: [POST]}\n");
+        g_string_append_printf (text,
+                                "      - {name: b%d, address: \"10.%d.%d.%d:80\", failure_domain: "
+                                "d%d, slots: 4}\n",
+                                i, s / 250, s % 250, i, i % 18);
+      g_string_append (text, "    classes:\n      - {name: read, methods: [GET], repeatable: "
+                             "true, hedge: true}\n      - {name: write, methods: [POST]}\n");
     }
   return g_string_free (text, FALSE);
 }
@@ -55,8 +50,7 @@
   hf_reduce (state, &event, &effects);
   for (guint i = 0; i < effects.items->len; i++)
     {
-      const struct hf_effect *effect
-          = &g_array_index (effects.items, struct hf_effect, i);
+      const struct hf_effect *effect = &g_array_index (effects.items, struct hf_effect, i);
       if (effect->kind == HF_EFFECT_SEND)
         *sent_bytes += hf_wire_encode (&effect->message, buffer, sizeof buffer);
     }
@@ -64,21 +58,16 @@
 }
 
 static void
-raise_document (struct hf_state *state,
-                uint64_t generation,
-                const char *text,
-                size_t *sent)
+raise_document (struct hf_state *state, uint64_t generation, const char *text, size_t *sent)
 {
-  struct hf_manifest manifest = { .generation = generation,
-                                  .digest = hf_hash (hf_str (text), 0),
-                                  .document = hf_str (text) };
+  struct hf_manifest manifest
+      = { .generation = generation, .digest = hf_hash (hf_str (text), 0), .document = hf_str (text) };
   char *json = hf_manifest_write (generation, &manifest);
   char *line = g_strdup_printf ("{\"type\":\"MODIFIED\",\"object\":%s}", json);
   raise_event (state,
                (struct hf_event){ .kind = HF_EVENT_WATCH,
                                   .now = 1000,
-                                  .platform = { .purpose = HF_PURPOSE_CONFIG,
-                                                .data = hf_str (line) } },
+                                  .platform = { .purpose = HF_PURPOSE_CONFIG, .data = hf_str (line) } },
                sent);
   g_free (line);
   g_free (json);
@@ -87,24 +76,20 @@
 static struct hf_state *
 start_state (const char *document, int entries, size_t *sent)
 {
-  struct hf_settings settings
-      = { .name = hf_str ("vm-1"), .failure_domain = hf_str ("d1") };
+  struct hf_settings settings = { .name = hf_str ("vm-1"), .failure_domain = hf_str ("d1") };
   struct hf_state *state = hf_state_new (&settings, 1);
-  raise_event (state, (struct hf_event){ .kind = HF_EVENT_START, .now = 1000 },
-               sent);
+  raise_event (state, (struct hf_event){ .kind = HF_EVENT_START, .now = 1000 }, sent);
   raise_document (state, 5, document, sent);
   for (int i = 0; i < entries - 1; i++)
     {
-      struct hf_rpc_message message
-          = { .boot = (uint64_t)i + 2, .body = { .kind = HF_RPC_HEARTBEAT } };
+      struct hf_rpc_message message = { .boot = (uint64_t)i + 2, .body = { .kind = HF_RPC_HEARTBEAT } };
       char address[32];
       message.body.hf_rpc_body_u.heartbeat.generation = 5;
       g_snprintf (address, sizeof address, "10.9.%d.%d:1", i / 250, i % 250);
       raise_event (state,
                    (struct hf_event){ .kind = HF_EVENT_PEER,
                                       .now = 1000,
-                                      .peer = { .message = &message,
-                                                .address = hf_str (address) } },
+                                      .peer = { .message = &message, .address = hf_str (address) } },
                    sent);
     }
   return state;
@@ -112,11 +97,7 @@
 
 /* Sends all heartbeats of one period and takes one from each member. */
 static void
-measure_heartbeats (struct hf_state *state,
-                    int entries,
-                    int servers,
-                    double *us,
-                    double *bytes)
+measure_heartbeats (struct hf_state *state, int entries, int servers, double *us, double *bytes)
 {
   size_t sent = 0;
   gint64 begin = g_get_monotonic_time ();
@@ -124,16 +105,11 @@
   for (int p = 1; p <= periods; p++)
     {
       int64_t now = 1000 + p * (HF_HEARTBEAT_MS + 1) * HF_MS;
-      raise_event (
-          state,
-          (struct hf_event){ .kind = HF_EVENT_TICK, .now = now, .wall = now },
-          &sent);
+      raise_event (state, (struct hf_event){ .kind = HF_EVENT_TICK, .now = now, .wall = now }, &sent);
       for (int i = 0; i < entries - 1; i++)
         {
           struct hf_rpc_load loads[8];
-          struct hf_rpc_message message
-              = { .boot = (uint64_t)i + 2,
-                  .body = { .kind = HF_RPC_HEARTBEAT } };
+          struct hf_rpc_message message = { .boot = (uint64_t)i + 2, .body = { .kind = HF_RPC_HEARTBEAT } };
           struct hf_rpc_heartbeat *beat = &message.body.hf_rpc_body_u.heartbeat;
           char address[32];
           beat->generation = 5;
@@ -141,15 +117,12 @@
           beat->loads.loads_val = loads;
           for (u_int l = 0; l < beat->loads.loads_len; l++)
             loads[l] = (struct hf_rpc_load){ .server = l, .count = 1 };
-          g_snprintf (address, sizeof address, "10.9.%d.%d:1", i / 250,
-                      i % 250);
-          raise_event (
-              state,
-              (struct hf_event){ .kind = HF_EVENT_PEER,
-                                 .now = now,
-                                 .peer = { .message = &message,
-                                           .address = hf_str (address) } },
-              &sent);
+          g_snprintf (address, sizeof address, "10.9.%d.%d:1", i / 250, i % 250);
+          raise_event (state,
+                       (struct hf_event){ .kind = HF_EVENT_PEER,
+                                          .now = now,
+                                          .peer = { .message = &message, .address = hf_str (address) } },
+                       &sent);
         }
     }
   double seconds = periods * HF_HEARTBEAT_MS / 1000.0;
@@ -169,10 +142,7 @@
     {
       char path[32];
       int64_t now = 20 * HF_SEC + i * 10;
-      struct hf_event event = { .kind = HF_EVENT_REQUEST,
-                                .now = now,
-                                .wall = now,
-                                .call = (uint64_t)i + 1 };
+      struct hf_event event = { .kind = HF_EVENT_REQUEST, .now = now, .wall = now, .call = (uint64_t)i + 1 };
       g_snprintf (path, sizeof path, "/s%d/x", i % services);
       event.request.method = hf_str ("GET");
       event.request.path = hf_str (path);
@@ -185,11 +155,7 @@
                                       .result = HF_ATTEMPT_ANSWERED,
                                       .hints = { .status = 200, .load = -1 } },
                    &sent);
-      raise_event (state,
-                   (struct hf_event){ .kind = HF_EVENT_CALLER_GONE,
-                                      .now = now + 6,
-                                      .call = event.call },
-                   &sent);
+      raise_event (state, (struct hf_event){ .kind = HF_EVENT_CALLER_GONE, .now = now + 6, .call = event.call }, &sent);
     }
   *us = (double)(g_get_monotonic_time () - begin) / calls;
   *bytes = (double)sent / calls;
@@ -209,13 +175,10 @@
   struct hf_state *state = start_state (document, entries, &sent);
   double change_us = (double)(g_get_monotonic_time () - begin);
   size_t memory = used_bytes () - before;
-  measure_heartbeats (state, entries, services * SERVERS_PER_SERVICE, &beat_us,
-                      &beat_bytes);
+  measure_heartbeats (state, entries, services * SERVERS_PER_SERVICE, &beat_us, &beat_bytes);
   measure_calls (state, services, &call_us, &call_bytes);
-  printf ("%d,%d,%d,%zu,%.0f,%.0f,%.1f,%.0f,%.2f,%.0f\n", services,
-          services * SERVERS_PER_SERVICE, entries, strlen (document), change_us,
-          (double)memory / 1024, beat_us / 1e4, beat_bytes, call_us,
-          call_bytes);
+  printf ("%d,%d,%d,%zu,%.0f,%.0f,%.1f,%.0f,%.2f,%.0f\n", services, services * SERVERS_PER_SERVICE, entries,
+          strlen (document), change_us, (double)memory / 1024, beat_us / 1e4, beat_bytes, call_us, call_bytes);
   fflush (stdout);
   hf_state_free (state);
   g_free (document);
--- a/bench/speed.c
+++ b/bench/speed.c
@@ -22,13 +22,9 @@
 /* --- types --- */
 
 static const struct scenario_service services[] = { { "a", "/a", 1 }, { 0 } };
-static const struct load_class classes[]
-    = { { "read", "a", "GET", "/a/1", 1.0, 1, 2000, TRUE, FALSE, 0 }, { 0 } };
-static const struct scenario one_service = { .name = "one",
-                                             .services = services,
-                                             .classes = classes,
-                                             .slots = 1000,
-                                             .connections = 1000 };
+static const struct load_class classes[] = { { "read", "a", "GET", "/a/1", 1.0, 1, 2000, TRUE, FALSE, 0 }, { 0 } };
+static const struct scenario one_service
+    = { .name = "one", .services = services, .classes = classes, .slots = 1000, .connections = 1000 };
 
 /* --- internal functions --- */
 
@@ -36,8 +32,7 @@
 open_connection (const char *address)
 {
   GSocketClient *client = g_socket_client_new ();
-  GSocketConnection *connection
-      = g_socket_client_connect_to_host (client, address, 80, NULL, NULL);
+  GSocketConnection *connection = g_socket_client_connect_to_host (client, address, 80, NULL, NULL);
   g_object_unref (client);
   return connection;
 }
@@ -49,20 +44,17 @@
   char answer[4096];
   gsize got = 0;
   const char *body = NULL;
-  g_output_stream_write_all (
-      g_io_stream_get_output_stream (G_IO_STREAM (connection)), request,
-      strlen (request), NULL, NULL, NULL);
+  g_output_stream_write_all (g_io_stream_get_output_stream (G_IO_STREAM (connection)), request, strlen (request), NULL,
+                             NULL, NULL);
   while (!body || got < (gsize)(body - answer) + ANSWER_BODY)
     {
-      gssize n = g_input_stream_read (
-          g_io_stream_get_input_stream (G_IO_STREAM (connection)), answer + got,
-          sizeof answer - 1 - got, NULL, NULL);
+      gssize n = g_input_stream_read (g_io_stream_get_input_stream (G_IO_STREAM (connection)), answer + got,
+                                      sizeof answer - 1 - got, NULL, NULL);
       if (n <= 0)
         g_error ("the connection broke");
       got += (gsize)n;
       answer[got] = 0;
-      body = strstr (answer, "\r\n\r\n") ? strstr (answer, "\r\n\r\n") + 4
-                                         : NULL;
+      body = strstr (answer, "\r\n\r\n") ? strstr (answer, "\r\n\r\n") + 4 : NULL;
     }
 }
 
@@ -94,9 +86,7 @@
 static double
 read_proc (const struct entry *entry, const char *file, const char *label)
 {
-  char *path = g_strdup_printf (
-      "/proc/%s/%s", g_subprocess_get_identifier (entry->process->subprocess),
-      file);
+  char *path = g_strdup_printf ("/proc/%s/%s", g_subprocess_get_identifier (entry->process->subprocess), file);
   char *text = NULL;
   double value = 0;
   if (g_file_get_contents (path, &text, NULL, NULL) && label)
@@ -104,9 +94,7 @@
   else if (text)
     {
       char **fields = g_strsplit (strrchr (text, ')') + 2, " ", -1);
-      value = (g_ascii_strtod (fields[11], NULL)
-               + g_ascii_strtod (fields[12], NULL))
-              / 100;
+      value = (g_ascii_strtod (fields[11], NULL) + g_ascii_strtod (fields[12], NULL)) / 100;
       g_strfreev (fields);
     }
   g_free (text);
@@ -123,12 +111,8 @@
 static void
 measure_rate (struct harness *harness, double rate, double *p50, double *p99)
 {
-  struct load load = { .harness = harness,
-                       .scenario = &one_service,
-                       .rate = rate,
-                       .seconds = HALF_S,
-                       .seed = 1,
-                       .prefix = "s" };
+  struct load load
+      = { .harness = harness, .scenario = &one_service, .rate = rate, .seconds = HALF_S, .seed = 1, .prefix = "s" };
   load_init (&load);
   load_run (&load);
   *p50 = load_percentile (&load.results[0], 0.5) * 1000;
@@ -153,11 +137,9 @@
   struct backend *backend = harness_add_backend_constant (harness, 1, 1000, 0);
   struct entry *entry = harness_add_entry (harness, "d1");
   struct entry direct = { 0 };
-  g_strlcpy (direct.listen, g_ptr_array_index (backend->servers, 0),
-             sizeof direct.listen);
+  g_strlcpy (direct.listen, g_ptr_array_index (backend->servers, 0), sizeof direct.listen);
   g_strlcpy (direct.admin, direct.listen, sizeof direct.admin);
-  char *document = scenario_document (&one_service, backend->servers, "grants",
-                                      "    probe_budget: 0\n");
+  char *document = scenario_document (&one_service, backend->servers, "grants", "    probe_budget: 0\n");
   if (!harness_apply (harness, document))
     return 1;
   double idle = memory_mb (entry);
@@ -183,10 +165,9 @@
       measure_rate (harness, rate, &d50, &d99);
       point_at (harness, entry);
       measure_rate (harness, rate, &e50, &e99);
-      printf (
-          "half a core (%.0f calls/s): direct p50 %.0f p99 %.0f us, through an "
-          "entry p50 %.0f p99 %.0f us, added p50 %.0f p99 %.0f us\n",
-          rate, d50, d99, e50, e99, e50 - d50, e99 - d99);
+      printf ("half a core (%.0f calls/s): direct p50 %.0f p99 %.0f us, through an "
+              "entry p50 %.0f p99 %.0f us, added p50 %.0f p99 %.0f us\n",
+              rate, d50, d99, e50, e99, e50 - d50, e99 - d99);
     }
   GPtrArray *connections = g_ptr_array_new_with_free_func (g_object_unref);
   for (int i = 0; i < OPEN; i++)
@@ -194,8 +175,7 @@
       g_ptr_array_add (connections, open_connection (entry->listen));
       call_once (g_ptr_array_index (connections, connections->len - 1));
     }
-  printf ("memory: %.1f MB idle, %.1f MB with %d open caller connections\n",
-          idle, memory_mb (entry), OPEN);
+  printf ("memory: %.1f MB idle, %.1f MB with %d open caller connections\n", idle, memory_mb (entry), OPEN);
   g_ptr_array_unref (connections);
   g_free (document);
   harness_close (harness);
--- a/src/config.h
+++ b/src/config.h
@@ -30,7 +30,7 @@
 #define HF_HEDGE_LATENCY_RATIO 3.0 /* hedge after this times the mean */
 #define HF_HEDGE_MIN_MS        5
 #define HF_RETRY_TOKENS_MAX    20.0 /* retries a full budget allows */
-#define HF_RETRY_SHARED_MAX    4.0 /* the same where one bucket is the fleet's */
+#define HF_RETRY_SHARED_MAX    4.0  /* the same where one bucket is the fleet's */
 
 /* Pools of backend servers. */
 #define HF_EWMA_WEIGHT        0.1 /* weight of the newest sample */
@@ -50,8 +50,8 @@
 #define HF_GRANT_GIVE_UP_MS 12  /* then decide locally */
 #define HF_GRANT_REASK_MS   100 /* a queued request asks again */
 #define HF_GRANT_SUSPECT_MS 500 /* silence of a granter, decide locally */
-#define HF_GRANT_SETTLE_MS                                                     \
-  100 /* grants younger than this may be in transit                            \
+#define HF_GRANT_SETTLE_MS                                                                                             \
+  100 /* grants younger than this may be in transit                                                                    \
        */
 
 /* Membership. */
--- a/src/hf-attempts.c
+++ b/src/hf-attempts.c
@@ -17,17 +17,13 @@
   if (!service || !leaving)
     return;
   enum hf_leaving source = refused_it ? HF_LEAVING_REFUSAL : HF_LEAVING_HEALTH;
-  if (!hf_pool_set_leaving (&service->pool, attempt->server, source, true,
-                            until))
+  if (!hf_pool_set_leaving (&service->pool, attempt->server, source, true, until))
     return;
-  const struct hf_pool_server *server
-      = hf_pool_server (&service->pool, attempt->server);
+  const struct hf_pool_server *server = hf_pool_server (&service->pool, attempt->server);
   hf_state_log (state, HF_LOG_SERVER_LEAVING,
-                "backend server " HF_STR_FMT " of " HF_STR_FMT
-                " is leaving, by its own answer",
+                "backend server " HF_STR_FMT " of " HF_STR_FMT " is leaving, by its own answer",
                 HF_STR_ARG (server->name), HF_STR_ARG (service->name));
-  hf_quarantine_tell (state, HF_NOTICE_LEAVING, service->id, attempt->server,
-                      HF_LEAVING_HOLD_MS);
+  hf_quarantine_tell (state, HF_NOTICE_LEAVING, service->id, attempt->server, HF_LEAVING_HOLD_MS);
 }
 
 static void
@@ -77,12 +73,10 @@
                      const struct hf_attempt *attempt,
                      const struct hf_event *event)
 {
-  const struct hf_service_state *service
-      = hf_state_service (state, call->service_id);
+  const struct hf_service_state *service = hf_state_service (state, call->service_id);
   if (event->result != HF_ATTEMPT_BROKEN || !event->handed || !service)
     return false;
-  return hf_pool_may_have_crashed (&service->pool, attempt->server,
-                                   attempt->started_at);
+  return hf_pool_may_have_crashed (&service->pool, attempt->server, attempt->started_at);
 }
 
 void
--- a/src/hf-base.c
+++ b/src/hf-base.c
@@ -17,9 +17,7 @@
 struct hf_str
 hf_str_dup (struct hf_str text)
 {
-  return (struct hf_str){ .data
-                          = g_strndup (text.data ? text.data : "", text.len),
-                          .len = text.len };
+  return (struct hf_str){ .data = g_strndup (text.data ? text.data : "", text.len), .len = text.len };
 }
 
 void
@@ -38,24 +36,19 @@
 bool
 hf_str_equal_nocase (struct hf_str a, struct hf_str b)
 {
-  return a.len == b.len
-         && (a.len == 0 || g_ascii_strncasecmp (a.data, b.data, a.len) == 0);
+  return a.len == b.len && (a.len == 0 || g_ascii_strncasecmp (a.data, b.data, a.len) == 0);
 }
 
 bool
 hf_str_starts (struct hf_str text, struct hf_str head)
 {
-  return text.len >= head.len
-         && (head.len == 0 || memcmp (text.data, head.data, head.len) == 0);
+  return text.len >= head.len && (head.len == 0 || memcmp (text.data, head.data, head.len) == 0);
 }
 
 /* --- public functions: errors --- */
 
 bool
-hf_error_set (struct hf_error *error,
-              enum hf_error_code code,
-              const char *format,
-              ...)
+hf_error_set (struct hf_error *error, enum hf_error_code code, const char *format, ...)
 {
   va_list args;
   if (!error)
--- a/src/hf-base.h
+++ b/src/hf-base.h
@@ -58,28 +58,23 @@
 
 /* --- public functions: strings --- */
 
-struct hf_str hf_str (const char *text);              /* view of a C string */
-struct hf_str hf_str_dup (struct hf_str text);        /* copy, NUL-terminated */
-void hf_str_free (struct hf_str *text);               /* frees a copy */
-bool hf_str_equal (struct hf_str a, struct hf_str b); /* same bytes */
-bool hf_str_equal_nocase (struct hf_str a,
-                          struct hf_str b); /* same, ASCII case folded */
+struct hf_str hf_str (const char *text);                     /* view of a C string */
+struct hf_str hf_str_dup (struct hf_str text);               /* copy, NUL-terminated */
+void hf_str_free (struct hf_str *text);                      /* frees a copy */
+bool hf_str_equal (struct hf_str a, struct hf_str b);        /* same bytes */
+bool hf_str_equal_nocase (struct hf_str a, struct hf_str b); /* same, ASCII case folded */
 bool hf_str_starts (struct hf_str text, struct hf_str head); /* prefix test */
 
 /* --- public functions: errors --- */
 
-bool hf_error_set (struct hf_error *error,
-                   enum hf_error_code code,
-                   const char *format,
-                   ...)
+bool hf_error_set (struct hf_error *error, enum hf_error_code code, const char *format, ...)
     __attribute__ ((format (printf, 3, 4))); /* always false */
 
 /* --- public functions: identifiers --- */
 
-uint64_t hf_hash (struct hf_str text, uint64_t seed); /* stable 64-bit hash */
-uint64_t hf_hash_pair (uint64_t a, uint64_t b);       /* rendezvous weight */
-uint64_t hf_server_id (struct hf_str service,
-                       struct hf_str server); /* id of a backend server */
-uint64_t hf_random_next (uint64_t *state);    /* deterministic generator */
+uint64_t hf_hash (struct hf_str text, uint64_t seed);                /* stable 64-bit hash */
+uint64_t hf_hash_pair (uint64_t a, uint64_t b);                      /* rendezvous weight */
+uint64_t hf_server_id (struct hf_str service, struct hf_str server); /* id of a backend server */
+uint64_t hf_random_next (uint64_t *state);                           /* deterministic generator */
 
 #endif
--- a/src/hf-calls.c
+++ b/src/hf-calls.c
@@ -19,8 +19,7 @@
 static struct hf_attempt *
 find_running (struct hf_call *call, unsigned i)
 {
-  if (!call || i >= call->n_attempts
-      || call->attempts[i].phase != HF_PHASE_RUNNING)
+  if (!call || i >= call->n_attempts || call->attempts[i].phase != HF_PHASE_RUNNING)
     return NULL;
   return &call->attempts[i];
 }
@@ -29,8 +28,7 @@
 has_live_attempt (const struct hf_call *call)
 {
   for (unsigned i = 0; i < call->n_attempts; i++)
-    if (call->attempts[i].phase == HF_PHASE_ASKING
-        || call->attempts[i].phase == HF_PHASE_RUNNING)
+    if (call->attempts[i].phase == HF_PHASE_ASKING || call->attempts[i].phase == HF_PHASE_RUNNING)
       return true;
   return call->retry_timer != NULL;
 }
@@ -47,10 +45,7 @@
 /* --- internal functions: the end of a call --- */
 
 static void
-end_attempt (struct hf_state *state,
-             struct hf_call *call,
-             unsigned i,
-             enum hf_pool_result result)
+end_attempt (struct hf_state *state, struct hf_call *call, unsigned i, enum hf_pool_result result)
 {
   struct hf_attempt *attempt = &call->attempts[i];
   hf_timers_cancel (&attempt->late_timer);
@@ -59,15 +54,10 @@
 }
 
 static void
-cancel_attempt (struct hf_state *state,
-                struct hf_call *call,
-                unsigned i,
-                enum hf_pool_result result)
+cancel_attempt (struct hf_state *state, struct hf_call *call, unsigned i, enum hf_pool_result result)
 {
   if (call->attempts[i].phase == HF_PHASE_RUNNING)
-    hf_effects_add (state->out, (struct hf_effect){ .kind = HF_EFFECT_CANCEL,
-                                                    .call = call->id,
-                                                    .attempt = i });
+    hf_effects_add (state->out, (struct hf_effect){ .kind = HF_EFFECT_CANCEL, .call = call->id, .attempt = i });
   end_attempt (state, call, i, result);
 }
 
@@ -100,28 +90,21 @@
         unsigned retry_after_sec,
         const char *reason)
 {
-  struct hf_effect effect = { .kind = HF_EFFECT_ANSWER,
-                              .call = id,
-                              .status = status,
-                              .outcome = outcome,
-                              .retry_after_sec = retry_after_sec };
+  struct hf_effect effect = {
+    .kind = HF_EFFECT_ANSWER, .call = id, .status = status, .outcome = outcome, .retry_after_sec = retry_after_sec
+  };
   effect.text = hf_effects_keep (state->out, hf_str (reason));
   hf_effects_add (state->out, effect);
-  hf_state_count (state, outcome == HF_OUTCOME_NOT_RUN ? HF_COUNT_NOT_RUN
-                                                       : HF_COUNT_UNKNOWN);
+  hf_state_count (state, outcome == HF_OUTCOME_NOT_RUN ? HF_COUNT_NOT_RUN : HF_COUNT_UNKNOWN);
 }
 
 /* Ends the call with a failure; "not run" only if no attempt may have run it.
  */
 static void
-give_up (struct hf_state *state,
-         struct hf_call *call,
-         unsigned status,
-         const char *reason)
+give_up (struct hf_state *state, struct hf_call *call, unsigned status, const char *reason)
 {
   cancel_others (state, call, -1);
-  enum hf_outcome outcome
-      = call->maybe_run ? HF_OUTCOME_UNKNOWN : HF_OUTCOME_NOT_RUN;
+  enum hf_outcome outcome = call->maybe_run ? HF_OUTCOME_UNKNOWN : HF_OUTCOME_NOT_RUN;
   hf_claims_ended (state, call, outcome, 0);
   answer (state, call->id, status, outcome, status == 503 ? 1 : 0, reason);
   remove_call (state, call);
@@ -129,14 +112,9 @@
 
 /* Passes on the answer of attempt @i. */
 static void
-relay (struct hf_state *state,
-       struct hf_call *call,
-       unsigned i,
-       enum hf_outcome outcome)
+relay (struct hf_state *state, struct hf_call *call, unsigned i, enum hf_outcome outcome)
 {
-  struct hf_effect effect = {
-    .kind = HF_EFFECT_RELAY, .call = call->id, .attempt = i, .outcome = outcome
-  };
+  struct hf_effect effect = { .kind = HF_EFFECT_RELAY, .call = call->id, .attempt = i, .outcome = outcome };
   cancel_others (state, call, (int)i);
   hf_timers_cancel (&call->deadline_timer);
   hf_timers_cancel (&call->retry_timer);
@@ -150,16 +128,11 @@
 /* --- internal functions: attempts --- */
 
 static void
-start_attempt (struct hf_state *state,
-               struct hf_call *call,
-               bool retry,
-               bool hedge,
-               uint64_t exclude)
+start_attempt (struct hf_state *state, struct hf_call *call, bool retry, bool hedge, uint64_t exclude)
 {
   unsigned i = call->n_attempts++;
-  call->attempts[i] = (struct hf_attempt){
-    .phase = HF_PHASE_ASKING, .retry = retry, .hedge = hedge, .exclude = exclude
-  };
+  call->attempts[i]
+      = (struct hf_attempt){ .phase = HF_PHASE_ASKING, .retry = retry, .hedge = hedge, .exclude = exclude };
   hf_slots_ask (state, call, i);
 }
 
@@ -176,18 +149,14 @@
 }
 
 static unsigned
-connection_share (const struct hf_state *state,
-                  const struct hf_pool_server *server)
+connection_share (const struct hf_state *state, const struct hf_pool_server *server)
 {
   int64_t entries = state->document ? state->document->entries_max : 1;
   return (unsigned)MAX (1, server->connections / entries);
 }
 
 static void
-dispatch (struct hf_state *state,
-          struct hf_call *call,
-          unsigned i,
-          const struct hf_pool_server *server)
+dispatch (struct hf_state *state, struct hf_call *call, unsigned i, const struct hf_pool_server *server)
 {
   struct hf_attempt *attempt = &call->attempts[i];
   struct hf_effect effect = {
@@ -212,15 +181,13 @@
     hf_state_count (state, HF_COUNT_RETRIES);
   hf_claims_dispatched (state, call);
   if (call->class->repeatable && !call->streamed)
-    attempt->late_timer = hf_state_timer (state, late_after (call, server),
-                                          HF_TIMER_CALL_LATE, call->id, i);
+    attempt->late_timer = hf_state_timer (state, late_after (call, server), HF_TIMER_CALL_LATE, call->id, i);
 }
 
 static bool
 may_retry (const struct hf_call *call, bool handed, int64_t now, int64_t delay)
 {
-  if (call->relayed || call->n_attempts >= HF_ATTEMPTS_MAX
-      || now + delay >= call->deadline)
+  if (call->relayed || call->n_attempts >= HF_ATTEMPTS_MAX || now + delay >= call->deadline)
     return false;
   if (handed)
     return call->class->repeatable && !call->streamed;
@@ -231,8 +198,7 @@
 schedule_retry (struct hf_state *state, struct hf_call *call, int64_t delay)
 {
   if (!call->retry_timer)
-    call->retry_timer
-        = hf_state_timer (state, delay, HF_TIMER_CALL_RETRY, call->id, 0);
+    call->retry_timer = hf_state_timer (state, delay, HF_TIMER_CALL_RETRY, call->id, 0);
 }
 
 static void
@@ -244,10 +210,8 @@
     const char *text;
   } refusals[] = {
     [HF_REFUSAL_QUEUE_FULL] = { HF_COUNT_REFUSED_QUEUE, "queue full" },
-    [HF_REFUSAL_DEADLINE]
-    = { HF_COUNT_REFUSED_DEADLINE, "cannot be answered before the deadline" },
-    [HF_REFUSAL_NO_SERVER]
-    = { HF_COUNT_REFUSED_NO_SERVER, "no backend server takes work" },
+    [HF_REFUSAL_DEADLINE] = { HF_COUNT_REFUSED_DEADLINE, "cannot be answered before the deadline" },
+    [HF_REFUSAL_NO_SERVER] = { HF_COUNT_REFUSED_NO_SERVER, "no backend server takes work" },
     [HF_REFUSAL_BUDGET] = { HF_COUNT_REFUSED_BUDGET, "retry budget spent" },
   };
   int held = find_held_answer (call);
@@ -270,17 +234,13 @@
 
 /* The answer is final unless a failure may be tried again. */
 static void
-attempt_answered (struct hf_state *state,
-                  struct hf_call *call,
-                  unsigned i,
-                  const struct hf_event *event)
+attempt_answered (struct hf_state *state, struct hf_call *call, unsigned i, const struct hf_event *event)
 {
   struct hf_attempt *attempt = &call->attempts[i];
   bool not_run = event->hints.not_run;
   bool failure = not_run || hf_attempt_is_failure (event->hints.status);
   int64_t delay
-      = hf_retry_delay_us (call->n_attempts - 1, event->hints.retry_after_ms,
-                           hf_random_next (&state->random));
+      = hf_retry_delay_us (call->n_attempts - 1, event->hints.retry_after_ms, hf_random_next (&state->random));
   call->maybe_run = call->maybe_run || !not_run;
   /* A class that may not be repeated is sent once per arrival, refused or not.
    */
@@ -301,11 +261,7 @@
 }
 
 static void
-attempt_failed (struct hf_state *state,
-                struct hf_call *call,
-                unsigned i,
-                const struct hf_event *event,
-                bool crash)
+attempt_failed (struct hf_state *state, struct hf_call *call, unsigned i, const struct hf_event *event, bool crash)
 {
   struct hf_attempt *attempt = &call->attempts[i];
   uint64_t server = attempt->server;
@@ -316,34 +272,28 @@
     return;
   if (hf_quarantine_holds (state, call->fingerprint))
     {
-      give_up (state, call, 503,
-               "quarantined: backend servers broke under this request");
+      give_up (state, call, 503, "quarantined: backend servers broke under this request");
       return;
     }
-  int64_t delay = hf_retry_delay_us (call->n_attempts - 1, -1,
-                                     hf_random_next (&state->random));
+  int64_t delay = hf_retry_delay_us (call->n_attempts - 1, -1, hf_random_next (&state->random));
   if (may_retry (call, event->handed, state->now, delay))
     {
       attempt->exclude = server;
       schedule_retry (state, call, delay);
       return;
     }
-  give_up (state, call, event->result == HF_ATTEMPT_TIMEOUT ? 504 : 502,
-           "the backend server did not answer");
+  give_up (state, call, event->result == HF_ATTEMPT_TIMEOUT ? 504 : 502, "the backend server did not answer");
 }
 
 /* A long answer broke off after its head was passed on. */
 static void
-relay_ended (struct hf_state *state,
-             struct hf_call *call,
-             const struct hf_event *event)
+relay_ended (struct hf_state *state, struct hf_call *call, const struct hf_event *event)
 {
   if (event->result == HF_ATTEMPT_ANSWERED)
     hf_claims_ended (state, call, HF_OUTCOME_ANSWERED, event->hints.status);
   else
     {
-      hf_effects_add (state->out, (struct hf_effect){ .kind = HF_EFFECT_CUT,
-                                                      .call = call->id });
+      hf_effects_add (state->out, (struct hf_effect){ .kind = HF_EFFECT_CUT, .call = call->id });
       hf_state_count (state, HF_COUNT_CUT);
       hf_claims_ended (state, call, HF_OUTCOME_UNKNOWN, 0);
     }
@@ -354,21 +304,15 @@
 
 /* Nothing was heard on an attempt: its connections may have gone silent. */
 static void
-suspect_connections (struct hf_state *state,
-                     const struct hf_call *call,
-                     const struct hf_attempt *attempt)
-{
-  const struct hf_service_state *service
-      = hf_state_service (state, call->service_id);
-  const struct hf_pool_server *server
-      = service ? hf_pool_server (&service->pool, attempt->server) : NULL;
+suspect_connections (struct hf_state *state, const struct hf_call *call, const struct hf_attempt *attempt)
+{
+  const struct hf_service_state *service = hf_state_service (state, call->service_id);
+  const struct hf_pool_server *server = service ? hf_pool_server (&service->pool, attempt->server) : NULL;
   if (!server || server->answered_at >= attempt->started_at)
     return;
-  hf_effects_add (state->out, (struct hf_effect){ .kind = HF_EFFECT_RENEW,
-                                                  .server = attempt->server });
+  hf_effects_add (state->out, (struct hf_effect){ .kind = HF_EFFECT_RENEW, .server = attempt->server });
   hf_state_log (state, HF_LOG_SERVER_SILENT,
-                "backend server " HF_STR_FMT " of " HF_STR_FMT
-                " is silent; new connections from now on",
+                "backend server " HF_STR_FMT " of " HF_STR_FMT " is silent; new connections from now on",
                 HF_STR_ARG (server->name), HF_STR_ARG (service->name));
 }
 
@@ -384,8 +328,7 @@
   if (call->class->hedge && waited < first_byte)
     {
       /* One hedge beside the first attempt; it takes a retry token. */
-      attempt->late_timer = hf_state_timer (state, first_byte - waited,
-                                            HF_TIMER_CALL_LATE, call->id, i);
+      attempt->late_timer = hf_state_timer (state, first_byte - waited, HF_TIMER_CALL_LATE, call->id, i);
       if (call->n_attempts == 1)
         start_attempt (state, call, true, true, attempt->server);
       return;
@@ -395,8 +338,7 @@
   uint64_t server = attempt->server;
   cancel_attempt (state, call, i, HF_POOL_SLOW);
   attempt->exclude = server;
-  int64_t delay = hf_retry_delay_us (call->n_attempts - 1, -1,
-                                     hf_random_next (&state->random));
+  int64_t delay = hf_retry_delay_us (call->n_attempts - 1, -1, hf_random_next (&state->random));
   if (has_live_attempt (call))
     return;
   if (may_retry (call, true, state->now, delay))
@@ -446,17 +388,14 @@
   call->deadline = state->now + class->deadline_ms * HF_MS;
   call->streamed = event->request.streamed;
   g_hash_table_insert (state->calls, &call->id, call);
-  call->deadline_timer = hf_state_timer (state, class->deadline_ms * HF_MS,
-                                         HF_TIMER_CALL_DEADLINE, call->id, 0);
+  call->deadline_timer = hf_state_timer (state, class->deadline_ms * HF_MS, HF_TIMER_CALL_DEADLINE, call->id, 0);
   return call;
 }
 
 static uint64_t
 fingerprint_of (const struct hf_event *event)
 {
-  return hf_hash_pair (
-      hf_hash (event->request.path, hf_hash (event->request.method, 0)),
-      event->request.digest);
+  return hf_hash_pair (hf_hash (event->request.path, hf_hash (event->request.method, 0)), event->request.digest);
 }
 
 /* --- public functions: events --- */
@@ -474,25 +413,21 @@
   hf_state_count (state, HF_COUNT_REQUESTS);
   if (!state->document)
     {
-      answer (state, event->call, 503, HF_OUTCOME_NOT_RUN, 1,
-              "no configuration yet");
+      answer (state, event->call, 503, HF_OUTCOME_NOT_RUN, 1, "no configuration yet");
       return;
     }
   const struct hf_service *service = hf_route_service (state->document, &head);
-  const struct hf_class *class = service ? hf_route_class (service, &head)
-                                         : NULL;
+  const struct hf_class *class = service ? hf_route_class (service, &head) : NULL;
   if (!class)
     {
-      answer (state, event->call, 404, HF_OUTCOME_NOT_RUN, 0,
-              service ? "no request class matches" : "no such service");
+      answer (state, event->call, 404, HF_OUTCOME_NOT_RUN, 0, service ? "no request class matches" : "no such service");
       return;
     }
   uint64_t fingerprint = fingerprint_of (event);
   if (hf_quarantine_holds (state, fingerprint))
     {
       hf_state_count (state, HF_COUNT_QUARANTINED);
-      answer (state, event->call, 503, HF_OUTCOME_NOT_RUN, 0,
-              "quarantined: backend servers broke under this request");
+      answer (state, event->call, 503, HF_OUTCOME_NOT_RUN, 0, "quarantined: backend servers broke under this request");
       return;
     }
   struct hf_call *call = add_call (state, event, service, class);
@@ -511,11 +446,8 @@
     return;
   hf_state_count (state, HF_COUNT_CALLERS_GONE);
   for (unsigned i = 0; i < call->n_attempts; i++)
-    call->maybe_run
-        = call->maybe_run || call->attempts[i].phase == HF_PHASE_RUNNING;
-  hf_claims_ended (state, call,
-                   call->maybe_run ? HF_OUTCOME_UNKNOWN : HF_OUTCOME_NOT_RUN,
-                   0);
+    call->maybe_run = call->maybe_run || call->attempts[i].phase == HF_PHASE_RUNNING;
+  hf_claims_ended (state, call, call->maybe_run ? HF_OUTCOME_UNKNOWN : HF_OUTCOME_NOT_RUN, 0);
   remove_call (state, call);
 }
 
@@ -529,8 +461,7 @@
   hf_timers_cancel (&attempt->late_timer);
   hf_attempt_learn (state, call, attempt, &event->hints);
   call->maybe_run = true;
-  relay (state, call, event->attempt,
-         event->hints.status >= 500 ? HF_OUTCOME_UNKNOWN : HF_OUTCOME_ANSWERED);
+  relay (state, call, event->attempt, event->hints.status >= 500 ? HF_OUTCOME_UNKNOWN : HF_OUTCOME_ANSWERED);
 }
 
 void
@@ -570,14 +501,10 @@
 /* --- public functions: other modules --- */
 
 bool
-hf_calls_decided (struct hf_state *state,
-                  uint64_t id,
-                  unsigned i,
-                  const struct hf_decision *decision)
+hf_calls_decided (struct hf_state *state, uint64_t id, unsigned i, const struct hf_decision *decision)
 {
   struct hf_call *call = find_call (state, id);
-  if (!call || i >= call->n_attempts
-      || call->attempts[i].phase != HF_PHASE_ASKING)
+  if (!call || i >= call->n_attempts || call->attempts[i].phase != HF_PHASE_ASKING)
     return false;
   struct hf_attempt *attempt = &call->attempts[i];
   if (decision->kind == HF_DECISION_QUEUED)
@@ -592,18 +519,15 @@
       refused (state, call, decision->reason);
       return true;
     }
-  const struct hf_service_state *service
-      = hf_state_service (state, call->service_id);
-  const struct hf_pool_server *server
-      = service ? hf_pool_server (&service->pool, decision->server) : NULL;
+  const struct hf_service_state *service = hf_state_service (state, call->service_id);
+  const struct hf_pool_server *server = service ? hf_pool_server (&service->pool, decision->server) : NULL;
   if (server)
     {
       dispatch (state, call, i, server);
       return true;
     }
   /* The granter has a newer document; ask again when this one has it too. */
-  attempt->ask_timer = hf_state_timer (state, HF_GRANT_REASK_MS * HF_MS,
-                                       HF_TIMER_CALL_ASK, call->id, i);
+  attempt->ask_timer = hf_state_timer (state, HF_GRANT_REASK_MS * HF_MS, HF_TIMER_CALL_ASK, call->id, i);
   return false;
 }
 
--- a/src/hf-claims.c
+++ b/src/hf-claims.c
@@ -38,8 +38,7 @@
 uuid_time (struct hf_str key)
 {
   char hex[13] = "";
-  if (key.len != UUID_LENGTH || key.data[8] != '-' || key.data[13] != '-'
-      || key.data[14] != '7')
+  if (key.len != UUID_LENGTH || key.data[8] != '-' || key.data[13] != '-' || key.data[14] != '7')
     return -1;
   memcpy (hex, key.data, 8);
   memcpy (hex + 8, key.data + 9, 4);
@@ -59,9 +58,7 @@
 }
 
 static void
-set_phase (struct hf_state *state,
-           struct hf_claim *claim,
-           enum hf_claim_phase phase)
+set_phase (struct hf_state *state, struct hf_claim *claim, enum hf_claim_phase phase)
 {
   claim->phase = phase;
   claim->changed_at = state->now;
@@ -74,33 +71,23 @@
 static void
 ask_owner (struct hf_state *state, struct hf_claim *claim, enum hf_claim_op op)
 {
-  uint64_t owner
-      = hf_members_owner (state, hf_shards_subject (hf_shards_of (claim->key)));
-  struct hf_shard_op own = { .op = op,
-                             .key = claim->key,
-                             .id = own_id (state, claim),
-                             .replaces = claim->replaces,
-                             .from = state->boot };
+  uint64_t owner = hf_members_owner (state, hf_shards_subject (hf_shards_of (claim->key)));
+  struct hf_shard_op own
+      = { .op = op, .key = claim->key, .id = own_id (state, claim), .replaces = claim->replaces, .from = state->boot };
   claim->asks++;
   hf_timers_cancel (&claim->timer);
   /* A release has no caller waiting and backs off. */
-  unsigned doublings = op == HF_CLAIM_OP_RELEASE
-                           ? MIN (claim->asks, RELEASE_DOUBLINGS_MAX)
-                           : 0;
-  claim->timer = hf_state_timer (state, (HF_CLAIM_ASK_MS * HF_MS) << doublings,
-                                 HF_TIMER_CLAIM_ASK, claim->seq, 0);
+  unsigned doublings = op == HF_CLAIM_OP_RELEASE ? MIN (claim->asks, RELEASE_DOUBLINGS_MAX) : 0;
+  claim->timer = hf_state_timer (state, (HF_CLAIM_ASK_MS * HF_MS) << doublings, HF_TIMER_CLAIM_ASK, claim->seq, 0);
   if (owner == state->boot)
     {
       hf_shards_add (state, &own);
       return;
     }
   struct hf_rpc_message message = { .body = { .kind = HF_RPC_CLAIM } };
-  message.body.hf_rpc_body_u.claim
-      = (struct hf_rpc_claim){ .op = op,
-                               .key_high = claim->key.high,
-                               .key_low = claim->key.low,
-                               .id = own.id,
-                               .replaces = claim->replaces };
+  message.body.hf_rpc_body_u.claim = (struct hf_rpc_claim){
+    .op = op, .key_high = claim->key.high, .key_low = claim->key.low, .id = own.id, .replaces = claim->replaces
+  };
   hf_state_send (state, owner, message);
 }
 
@@ -114,11 +101,7 @@
 /* --- internal functions: asking the holder --- */
 
 static void
-fail_call (struct hf_state *state,
-           struct hf_claim *claim,
-           unsigned status,
-           enum hf_outcome outcome,
-           const char *reason)
+fail_call (struct hf_state *state, struct hf_claim *claim, unsigned status, enum hf_outcome outcome, const char *reason)
 {
   uint64_t call = claim->call;
   if (call)
@@ -126,10 +109,7 @@
 }
 
 static void
-inquiry_answered (struct hf_state *state,
-                  struct hf_claim *claim,
-                  enum hf_inquiry_state answer,
-                  unsigned status)
+inquiry_answered (struct hf_state *state, struct hf_claim *claim, enum hf_inquiry_state answer, unsigned status)
 {
   char reason[96];
   if (answer == HF_INQUIRY_NOT_RUN)
@@ -142,16 +122,11 @@
     }
   set_phase (state, claim, HF_CLAIM_RELEASED);
   if (answer == HF_INQUIRY_DONE && status)
-    g_snprintf (reason, sizeof reason,
-                "this Idempotency-Key was answered before, with status %u",
-                status);
+    g_snprintf (reason, sizeof reason, "this Idempotency-Key was answered before, with status %u", status);
   else if (answer == HF_INQUIRY_RUNNING)
-    g_strlcpy (reason, "this Idempotency-Key is being worked on",
-               sizeof reason);
+    g_strlcpy (reason, "this Idempotency-Key is being worked on", sizeof reason);
   else
-    g_strlcpy (reason,
-               "this Idempotency-Key was used before; its outcome is not known",
-               sizeof reason);
+    g_strlcpy (reason, "this Idempotency-Key was used before; its outcome is not known", sizeof reason);
   fail_call (state, claim, 409, HF_OUTCOME_UNKNOWN, reason);
 }
 
@@ -181,8 +156,7 @@
   if (claim->holder.boot == state->boot)
     {
       const struct hf_claim *holder = find_claim (state, claim->holder.seq);
-      inquiry_answered (state, claim, state_of (holder),
-                        holder ? holder->status : 0);
+      inquiry_answered (state, claim, state_of (holder), holder ? holder->status : 0);
       return;
     }
   const struct hf_member *member = hf_members_find (state, claim->holder.boot);
@@ -192,24 +166,18 @@
       return;
     }
   claim->asks++;
-  claim->timer = hf_state_timer (state, HF_CLAIM_INQUIRE_MS * HF_MS,
-                                 HF_TIMER_CLAIM_INQUIRE, claim->seq, 0);
+  claim->timer = hf_state_timer (state, HF_CLAIM_INQUIRE_MS * HF_MS, HF_TIMER_CLAIM_INQUIRE, claim->seq, 0);
   struct hf_rpc_message message = { .body = { .kind = HF_RPC_INQUIRY } };
-  message.body.hf_rpc_body_u.inquiry
-      = (struct hf_rpc_inquiry){ .key_high = claim->key.high,
-                                 .key_low = claim->key.low,
-                                 .holder = claim->holder,
-                                 .asker = own_id (state, claim) };
+  message.body.hf_rpc_body_u.inquiry = (struct hf_rpc_inquiry){
+    .key_high = claim->key.high, .key_low = claim->key.low, .holder = claim->holder, .asker = own_id (state, claim)
+  };
   hf_state_send (state, claim->holder.boot, message);
 }
 
 /* --- internal functions: replies --- */
 
 static void
-own_reply (struct hf_state *state,
-           uint64_t seq,
-           enum hf_claim_outcome outcome,
-           struct hf_rpc_claim_id holder)
+own_reply (struct hf_state *state, uint64_t seq, enum hf_claim_outcome outcome, struct hf_rpc_claim_id holder)
 {
   struct hf_claim *claim = find_claim (state, seq);
   if (!claim)
@@ -235,19 +203,14 @@
       inquire (state, claim);
     }
   else if (outcome == HF_CLAIM_OUTCOME_UNAVAILABLE)
-    fail_call (state, claim, 503, HF_OUTCOME_NOT_RUN,
-               "the key cannot be claimed now");
+    fail_call (state, claim, 503, HF_OUTCOME_NOT_RUN, "the key cannot be claimed now");
 }
 
 static void
-peer_inquiry (struct hf_state *state,
-              uint64_t from,
-              const struct hf_rpc_inquiry *inquiry)
+peer_inquiry (struct hf_state *state, uint64_t from, const struct hf_rpc_inquiry *inquiry)
 {
   struct hf_rpc_message message = { .body = { .kind = HF_RPC_INQUIRY_REPLY } };
-  const struct hf_claim *claim = inquiry->holder.boot == state->boot
-                                     ? find_claim (state, inquiry->holder.seq)
-                                     : NULL;
+  const struct hf_claim *claim = inquiry->holder.boot == state->boot ? find_claim (state, inquiry->holder.seq) : NULL;
   message.body.hf_rpc_body_u.inquiry_reply = (struct hf_rpc_inquiry_reply){
     .key_high = inquiry->key_high,
     .key_low = inquiry->key_low,
@@ -260,51 +223,37 @@
 }
 
 static void
-peer_inquiry_reply (struct hf_state *state,
-                    const struct hf_rpc_inquiry_reply *reply)
+peer_inquiry_reply (struct hf_state *state, const struct hf_rpc_inquiry_reply *reply)
 {
-  struct hf_claim *claim = reply->asker.boot == state->boot
-                               ? find_claim (state, reply->asker.seq)
-                               : NULL;
-  bool asked = claim && claim->phase == HF_CLAIM_INQUIRING
-               && claim->holder.boot == reply->holder.boot
+  struct hf_claim *claim = reply->asker.boot == state->boot ? find_claim (state, reply->asker.seq) : NULL;
+  bool asked = claim && claim->phase == HF_CLAIM_INQUIRING && claim->holder.boot == reply->holder.boot
                && claim->holder.seq == reply->holder.seq;
   if (asked)
-    inquiry_answered (state, claim,
-                      reply->state <= HF_INQUIRY_DONE ? reply->state
-                                                      : HF_INQUIRY_UNKNOWN,
-                      reply->status);
+    inquiry_answered (state, claim, reply->state <= HF_INQUIRY_DONE ? reply->state : HF_INQUIRY_UNKNOWN, reply->status);
 }
 
 static void
-peer_claim (struct hf_state *state,
-            uint64_t from,
-            const struct hf_rpc_claim *claim)
+peer_claim (struct hf_state *state, uint64_t from, const struct hf_rpc_claim *claim)
 {
-  struct hf_shard_op op
-      = { .op = claim->op == HF_CLAIM_OP_RELEASE ? HF_CLAIM_OP_RELEASE
-                                                 : HF_CLAIM_OP_COMMIT,
-          .key = { claim->key_high, claim->key_low },
-          .id = claim->id,
-          .replaces = claim->replaces,
-          .from = from };
+  struct hf_shard_op op = { .op = claim->op == HF_CLAIM_OP_RELEASE ? HF_CLAIM_OP_RELEASE : HF_CLAIM_OP_COMMIT,
+                            .key = { claim->key_high, claim->key_low },
+                            .id = claim->id,
+                            .replaces = claim->replaces,
+                            .from = from };
   hf_shards_add (state, &op);
 }
 
 /* --- public functions: calls of this entry --- */
 
 void
-hf_claims_begin (struct hf_state *state,
-                 struct hf_call *call,
-                 struct hf_str key)
+hf_claims_begin (struct hf_state *state, struct hf_call *call, struct hf_str key)
 {
   int64_t made = uuid_time (key);
   int64_t now = state->wall / HF_SEC;
   if (made >= 0 && made < now - HF_CLAIM_RETENTION_SEC + CLOCK_MARGIN_SEC)
     {
-      hf_calls_claim_failed (
-          state, call->id, 422, HF_OUTCOME_NOT_RUN,
-          "this Idempotency-Key is older than the retention window");
+      hf_calls_claim_failed (state, call->id, 422, HF_OUTCOME_NOT_RUN,
+                             "this Idempotency-Key is older than the retention window");
       return;
     }
   struct hf_claim *claim = g_new0 (struct hf_claim, 1);
@@ -326,10 +275,7 @@
 }
 
 void
-hf_claims_ended (struct hf_state *state,
-                 struct hf_call *call,
-                 enum hf_outcome outcome,
-                 unsigned status)
+hf_claims_ended (struct hf_state *state, struct hf_call *call, enum hf_outcome outcome, unsigned status)
 {
   struct hf_claim *claim = call->claim ? find_claim (state, call->claim) : NULL;
   call->claim = 0;
@@ -352,12 +298,10 @@
 hf_claims_message (struct hf_state *state, const struct hf_event *event)
 {
   const struct hf_rpc_message *message = event->peer.message;
-  const struct hf_rpc_claim_reply *reply
-      = &message->body.hf_rpc_body_u.claim_reply;
+  const struct hf_rpc_claim_reply *reply = &message->body.hf_rpc_body_u.claim_reply;
   if (message->body.kind == HF_RPC_CLAIM)
     peer_claim (state, message->boot, &message->body.hf_rpc_body_u.claim);
-  else if (message->body.kind == HF_RPC_CLAIM_REPLY
-           && reply->id.boot == state->boot)
+  else if (message->body.kind == HF_RPC_CLAIM_REPLY && reply->id.boot == state->boot)
     own_reply (state, reply->id.seq, reply->outcome, reply->holder);
   else if (message->body.kind == HF_RPC_INQUIRY)
     peer_inquiry (state, message->boot, &message->body.hf_rpc_body_u.inquiry);
@@ -399,8 +343,7 @@
   g_hash_table_iter_init (&iter, state->claims);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&claim))
     {
-      if (claim->call || claim->timer
-          || state->now - claim->changed_at < HF_CLAIM_MEMORY_SEC * HF_SEC)
+      if (claim->call || claim->timer || state->now - claim->changed_at < HF_CLAIM_MEMORY_SEC * HF_SEC)
         continue;
       g_hash_table_iter_remove (&iter);
     }
@@ -418,12 +361,9 @@
       return;
     }
   struct hf_rpc_message message = { .body = { .kind = HF_RPC_CLAIM_REPLY } };
-  message.body.hf_rpc_body_u.claim_reply
-      = (struct hf_rpc_claim_reply){ .outcome = outcome,
-                                     .key_high = op->key.high,
-                                     .key_low = op->key.low,
-                                     .id = op->id,
-                                     .holder = holder };
+  message.body.hf_rpc_body_u.claim_reply = (struct hf_rpc_claim_reply){
+    .outcome = outcome, .key_high = op->key.high, .key_low = op->key.low, .id = op->id, .holder = holder
+  };
   hf_state_send (state, op->from, message);
 }
 
@@ -432,8 +372,7 @@
 void
 hf_claims_init (struct hf_state *state)
 {
-  state->claims
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  state->claims = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   for (unsigned i = 0; i < HF_CLAIM_SHARDS; i++)
     hf_shards_init (&state->shards[i]);
 }
--- a/src/hf-claims.h
+++ b/src/hf-claims.h
@@ -14,13 +14,10 @@
 
 /* --- public functions: calls of this entry --- */
 
-void hf_claims_begin (
-    struct hf_state *state,
-    struct hf_call *call,
-    struct hf_str key); /* hf_calls_claimed or _claim_failed follows */
-void
-hf_claims_dispatched (struct hf_state *state,
-                      const struct hf_call *call); /* from now on it may run */
+void hf_claims_begin (struct hf_state *state,
+                      struct hf_call *call,
+                      struct hf_str key); /* hf_calls_claimed or _claim_failed follows */
+void hf_claims_dispatched (struct hf_state *state, const struct hf_call *call); /* from now on it may run */
 void hf_claims_ended (struct hf_state *state,
                       struct hf_call *call,
                       enum hf_outcome outcome,
@@ -28,15 +25,11 @@
 
 /* --- public functions: events --- */
 
-void hf_claims_message (
-    struct hf_state *state,
-    const struct hf_event *event); /* CLAIM, INQUIRY and their replies */
-void hf_claims_timer (struct hf_state *state,
-                      const struct hf_timer *timer); /* one of its timers */
-void hf_claims_platform (
-    struct hf_state *state,
-    const struct hf_event *event); /* outcome of a read or write of a shard */
-void hf_claims_expire (struct hf_state *state); /* forgets old outcomes */
+void hf_claims_message (struct hf_state *state, const struct hf_event *event); /* CLAIM, INQUIRY and their replies */
+void hf_claims_timer (struct hf_state *state, const struct hf_timer *timer);   /* one of its timers */
+void hf_claims_platform (struct hf_state *state,
+                         const struct hf_event *event); /* outcome of a read or write of a shard */
+void hf_claims_expire (struct hf_state *state);         /* forgets old outcomes */
 
 /* --- public functions: init and close --- */
 
--- a/src/hf-client.c
+++ b/src/hf-client.c
@@ -30,27 +30,22 @@
 {
   SoupSession *session = hf_http_session (1, TIMEOUT_SEC);
   SoupMessage *message
-      = hf_address_valid (hf_str (address))
-            ? hf_http_message (method, hf_str (address), path, query)
-            : NULL;
+      = hf_address_valid (hf_str (address)) ? hf_http_message (method, hf_str (address), path, query) : NULL;
   GError *problem = NULL;
   char *text = NULL;
   if (!message)
     {
-      hf_error_set (error, HF_ERROR_INVALID,
-                    "expected an address IP:PORT, found \"%s\"", address);
+      hf_error_set (error, HF_ERROR_INVALID, "expected an address IP:PORT, found \"%s\"", address);
       g_object_unref (session);
       return NULL;
     }
   if (body)
     {
       GBytes *bytes = g_bytes_new (body, strlen (body));
-      soup_message_set_request_body_from_bytes (message, "application/json",
-                                                bytes);
+      soup_message_set_request_body_from_bytes (message, "application/json", bytes);
       g_bytes_unref (bytes);
     }
-  GBytes *answer
-      = soup_session_send_and_read (session, message, NULL, &problem);
+  GBytes *answer = soup_session_send_and_read (session, message, NULL, &problem);
   if (answer)
     {
       gsize size;
@@ -60,8 +55,7 @@
       g_bytes_unref (answer);
     }
   else
-    hf_error_set (error, HF_ERROR_UNAVAILABLE, "%s: %s", address,
-                  problem->message);
+    hf_error_set (error, HF_ERROR_UNAVAILABLE, "%s: %s", address, problem->message);
   g_clear_error (&problem);
   g_object_unref (message);
   g_object_unref (session);
@@ -78,28 +72,21 @@
 
 /* A write without an answer: looks whether it stands there. */
 static bool
-settle (const char *platform,
-        const struct hf_manifest *manifest,
-        struct hf_error *error)
+settle (const char *platform, const struct hf_manifest *manifest, struct hf_error *error)
 {
   for (int i = 0; i < SETTLE_TRIES; i++)
     {
       struct hf_stored stored;
       if (hf_client_read (platform, &stored, error))
         {
-          bool own = stored.generation == manifest->generation
-                     && hf_str_equal (stored.text, manifest->document);
+          bool own = stored.generation == manifest->generation && hf_str_equal (stored.text, manifest->document);
           bool other = !own && stored.generation > manifest->generation;
           hf_client_unload (&stored);
           if (own)
             return true;
           if (other)
-            return hf_error_set (
-                error, HF_ERROR_CONFLICT,
-                "another operator's change followed; see what is in force");
-          return hf_error_set (
-              error, HF_ERROR_UNAVAILABLE,
-              "the platform lost the write; nothing has changed");
+            return hf_error_set (error, HF_ERROR_CONFLICT, "another operator's change followed; see what is in force");
+          return hf_error_set (error, HF_ERROR_UNAVAILABLE, "the platform lost the write; nothing has changed");
         }
       g_usleep (SETTLE_WAIT_US);
     }
@@ -111,26 +98,21 @@
 static bool
 vm_is_live_entry (JsonObject *data)
 {
-  const char *role
-      = json_object_get_string_member_with_default (data, "role", "");
-  const char *phase
-      = json_object_get_string_member_with_default (data, "phase", "Live");
+  const char *role = json_object_get_string_member_with_default (data, "role", "");
+  const char *phase = json_object_get_string_member_with_default (data, "phase", "Live");
   return strcmp (role, "entry") == 0 && strcmp (phase, "Live") == 0;
 }
 
 /* --- public functions --- */
 
 bool
-hf_client_read (const char *platform,
-                struct hf_stored *stored,
-                struct hf_error *error)
+hf_client_read (const char *platform, struct hf_stored *stored, struct hf_error *error)
 {
   unsigned status = 0;
   struct hf_object object;
   struct hf_manifest manifest;
   *stored = (struct hf_stored){ 0 };
-  char *text = call ("GET", platform, API_PATH "/objects/config", NULL, NULL,
-                     &status, error);
+  char *text = call ("GET", platform, API_PATH "/objects/config", NULL, NULL, &status, error);
   if (!text)
     return false;
   bool ok = status == 404;
@@ -144,8 +126,7 @@
       hf_object_unload (&object);
     }
   else if (!ok)
-    hf_error_set (error, HF_ERROR_UNAVAILABLE,
-                  "the platform answered with status %u", status);
+    hf_error_set (error, HF_ERROR_UNAVAILABLE, "the platform answered with status %u", status);
   g_free (text);
   return ok;
 }
@@ -164,15 +145,11 @@
                  struct hf_error *error)
 {
   struct hf_manifest manifest
-      = { .generation = next_generation (base->generation),
-          .digest = hf_hash (text, 0),
-          .document = text };
+      = { .generation = next_generation (base->generation), .digest = hf_hash (text, 0), .document = text };
   char *json = hf_manifest_write (base->version, &manifest);
   unsigned status = 0;
-  const char *path
-      = base->version ? API_PATH "/objects/config" : API_PATH "/objects";
-  char *answer = call (base->version ? "PUT" : "POST", platform, path, NULL,
-                       json, &status, error);
+  const char *path = base->version ? API_PATH "/objects/config" : API_PATH "/objects";
+  char *answer = call (base->version ? "PUT" : "POST", platform, path, NULL, json, &status, error);
   g_free (json);
   *generation = manifest.generation;
   bool lost = !answer || status >= 500;
@@ -184,52 +161,38 @@
                          "another operator changed the document first; nothing "
                          "has been changed");
   if (status != 200 && status != 201)
-    return hf_error_set (error, HF_ERROR_UNAVAILABLE,
-                         "the platform answered with status %u", status);
+    return hf_error_set (error, HF_ERROR_UNAVAILABLE, "the platform answered with status %u", status);
   return true;
 }
 
 bool
-hf_client_admins (const char *platform,
-                  GPtrArray *addresses,
-                  struct hf_error *error)
+hf_client_admins (const char *platform, GPtrArray *addresses, struct hf_error *error)
 {
   unsigned status = 0;
-  char *text
-      = call ("GET", platform, API_PATH "/vms", NULL, NULL, &status, error);
+  char *text = call ("GET", platform, API_PATH "/vms", NULL, NULL, &status, error);
   if (!text)
     return false;
   JsonParser *parser = json_parser_new ();
   bool ok = status == 200 && json_parser_load_from_data (parser, text, -1, NULL)
             && JSON_NODE_HOLDS_OBJECT (json_parser_get_root (parser));
   JsonArray *items
-      = ok ? json_object_get_array_member (
-            json_node_get_object (json_parser_get_root (parser)), "items")
-           : NULL;
+      = ok ? json_object_get_array_member (json_node_get_object (json_parser_get_root (parser)), "items") : NULL;
   for (guint i = 0; items && i < json_array_get_length (items); i++)
     {
-      JsonObject *data = json_object_get_object_member (
-          json_array_get_object_element (items, i), "data");
-      const char *admin
-          = data
-                ? json_object_get_string_member_with_default (data, "admin", "")
-                : "";
+      JsonObject *data = json_object_get_object_member (json_array_get_object_element (items, i), "data");
+      const char *admin = data ? json_object_get_string_member_with_default (data, "admin", "") : "";
       if (data && vm_is_live_entry (data) && *admin)
         g_ptr_array_add (addresses, g_strdup (admin));
     }
   g_object_unref (parser);
   g_free (text);
   if (!items)
-    return hf_error_set (error, HF_ERROR_UNAVAILABLE,
-                         "the platform's VM list cannot be read");
+    return hf_error_set (error, HF_ERROR_UNAVAILABLE, "the platform's VM list cannot be read");
   return true;
 }
 
 char *
-hf_client_get (const char *address,
-               const char *path,
-               unsigned *status,
-               struct hf_error *error)
+hf_client_get (const char *address, const char *path, unsigned *status, struct hf_error *error)
 {
   return call ("GET", address, path, NULL, NULL, status, error);
 }
@@ -239,8 +202,7 @@
 {
   if (!hf_str_starts (text, hf_str (BASE_MARK)))
     return 0;
-  char *number = g_strndup (text.data + strlen (BASE_MARK),
-                            MIN (text.len - strlen (BASE_MARK), 20));
+  char *number = g_strndup (text.data + strlen (BASE_MARK), MIN (text.len - strlen (BASE_MARK), 20));
   uint64_t base = g_ascii_strtoull (number, NULL, 10);
   g_free (number);
   return base;
--- a/src/hf-client.h
+++ b/src/hf-client.h
@@ -28,25 +28,21 @@
 
 /* --- public functions --- */
 
-bool hf_client_read (const char *platform,
-                     struct hf_stored *stored,
-                     struct hf_error *error);     /* document in the platform */
-void hf_client_unload (struct hf_stored *stored); /* frees it */
-bool hf_client_write (
-    const char *platform,
-    const struct hf_stored *base,
-    struct hf_str text,
-    uint64_t *generation,
-    struct hf_error *error); /* conditional; HF_ERROR_CONFLICT if it changed */
-bool hf_client_admins (
-    const char *platform,
-    GPtrArray *addresses,
-    struct hf_error *error); /* admin addresses of the live entries */
+bool
+hf_client_read (const char *platform, struct hf_stored *stored, struct hf_error *error); /* document in the platform */
+void hf_client_unload (struct hf_stored *stored);                                        /* frees it */
+bool hf_client_write (const char *platform,
+                      const struct hf_stored *base,
+                      struct hf_str text,
+                      uint64_t *generation,
+                      struct hf_error *error); /* conditional; HF_ERROR_CONFLICT if it changed */
+bool hf_client_admins (const char *platform,
+                       GPtrArray *addresses,
+                       struct hf_error *error); /* admin addresses of the live entries */
 char *hf_client_get (const char *address,
                      const char *path,
                      unsigned *status,
                      struct hf_error *error); /* text of http://address/path */
-uint64_t hf_client_base (
-    struct hf_str text); /* generation named in its first line, or 0 */
+uint64_t hf_client_base (struct hf_str text); /* generation named in its first line, or 0 */
 
 #endif
--- a/src/hf-console.c
+++ b/src/hf-console.c
@@ -12,22 +12,21 @@
 /* --- constants --- */
 
 #define DIFF_LINES_MAX 6000
-#define EMPTY_DOCUMENT                                                         \
-  "version: 1\nservices:\n  - name: service\n    servers: []\n    classes: "   \
+#define EMPTY_DOCUMENT                                                                                                 \
+  "version: 1\nservices:\n  - name: service\n    servers: []\n    classes: "                                           \
   "[{name: all}]\n"
 
-static const char page_head[]
-    = "<!DOCTYPE html><html lang=\"en\"><head><meta "
-      "charset=\"utf-8\"><title>hickoryfield</title><style>"
-      "body{font:15px "
-      "sans-serif;margin:1.5em;max-width:75em}table{border-collapse:collapse}"
-      "td,th{padding:.2em .5em;text-align:left;vertical-align:top}"
-      "tr:nth-child(even){background:#f4f4f4}input,select{font:inherit;width:"
-      "11em}input[type=checkbox]{width:auto}"
-      ".error{color:#a00;font-weight:bold}.help{color:#555;font-size:85%}pre{"
-      "background:#f4f4f4;padding:.5em;overflow:auto}"
-      ".add{background:#dfd}.del{background:#fdd}</style></"
-      "head><body><h1>hickoryfield</h1>";
+static const char page_head[] = "<!DOCTYPE html><html lang=\"en\"><head><meta "
+                                "charset=\"utf-8\"><title>hickoryfield</title><style>"
+                                "body{font:15px "
+                                "sans-serif;margin:1.5em;max-width:75em}table{border-collapse:collapse}"
+                                "td,th{padding:.2em .5em;text-align:left;vertical-align:top}"
+                                "tr:nth-child(even){background:#f4f4f4}input,select{font:inherit;width:"
+                                "11em}input[type=checkbox]{width:auto}"
+                                ".error{color:#a00;font-weight:bold}.help{color:#555;font-size:85%}pre{"
+                                "background:#f4f4f4;padding:.5em;overflow:auto}"
+                                ".add{background:#dfd}.del{background:#fdd}</style></"
+                                "head><body><h1>hickoryfield</h1>";
 
 /* --- types --- */
 
@@ -55,10 +54,7 @@
 }
 
 static void
-add_button (GString *page,
-            const char *action,
-            const char *value,
-            const char *label)
+add_button (GString *page, const char *action, const char *value, const char *label)
 {
   g_string_append_printf (page, "<button name=\"%s\" value=\"", action);
   add_escaped (page, value);
@@ -68,8 +64,7 @@
 static void
 add_error (const struct console *console, GString *page, const char *path)
 {
-  if (console->problem.code == HF_ERROR_NONE
-      || strcmp (console->problem.path, path) != 0)
+  if (console->problem.code == HF_ERROR_NONE || strcmp (console->problem.path, path) != 0)
     return;
   g_string_append (page, "<br><span class=\"error\" role=\"alert\">");
   add_escaped (page, console->problem.message);
@@ -80,38 +75,29 @@
 add_choice (GString *page, const struct hf_field *field, const char *value)
 {
   for (int i = 0; field->choices[i]; i++)
-    g_string_append_printf (page, "<option%s>%s</option>",
-                            strcmp (field->choices[i], value) == 0 ? " selected"
-                                                                   : "",
+    g_string_append_printf (page, "<option%s>%s</option>", strcmp (field->choices[i], value) == 0 ? " selected" : "",
                             field->choices[i]);
   g_string_append (page, "</select>");
 }
 
 static void
-add_input (const struct console *console,
-           GString *page,
-           const struct hf_field *field,
-           const char *path)
+add_input (const struct console *console, GString *page, const struct hf_field *field, const char *path)
 {
   const char *value = hf_form_get (&console->form, path);
   char *name = g_markup_escape_text (path, -1);
   if (field->type == HF_FIELD_BOOL)
-    g_string_append_printf (
-        page,
-        "<input type=\"hidden\" name=\"%s\" value=\"false\"><input "
-        "type=\"checkbox\" name=\"%s\" aria-label=\"%s\" value=\"true\"%s>",
-        name, name, field->name, strcmp (value, "true") == 0 ? " checked" : "");
+    g_string_append_printf (page,
+                            "<input type=\"hidden\" name=\"%s\" value=\"false\"><input "
+                            "type=\"checkbox\" name=\"%s\" aria-label=\"%s\" value=\"true\"%s>",
+                            name, name, field->name, strcmp (value, "true") == 0 ? " checked" : "");
   else if (field->type == HF_FIELD_CHOICE)
     {
-      g_string_append_printf (page, "<select name=\"%s\" aria-label=\"%s\">",
-                              name, field->name);
+      g_string_append_printf (page, "<select name=\"%s\" aria-label=\"%s\">", name, field->name);
       add_choice (page, field, value);
     }
   else
     {
-      g_string_append_printf (page,
-                              "<input name=\"%s\" aria-label=\"%s\" value=\"",
-                              name, field->name);
+      g_string_append_printf (page, "<input name=\"%s\" aria-label=\"%s\" value=\"", name, field->name);
       add_escaped (page, value);
       g_string_append (page, "\">");
     }
@@ -120,10 +106,7 @@
 }
 
 static void
-add_row (const struct console *console,
-         GString *page,
-         const struct hf_field *field,
-         const char *path)
+add_row (const struct console *console, GString *page, const struct hf_field *field, const char *path)
 {
   g_string_append_printf (page, "<tr><th>%s</th><td>", field->name);
   add_input (console, page, field, path);
@@ -132,27 +115,18 @@
   if (field->unit)
     g_string_append_printf (page, " Unit: %s.", field->unit);
   if (field->type == HF_FIELD_INT)
-    g_string_append_printf (page,
-                            " %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT ".",
-                            field->min, field->max);
+    g_string_append_printf (page, " %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT ".", field->min, field->max);
   g_string_append (page, "</td></tr>");
 }
 
 /* One row an element, one column a field. */
 static void
-add_table (const struct console *console,
-           GString *page,
-           const struct hf_field *list,
-           const char *path)
+add_table (const struct console *console, GString *page, const struct hf_field *list, const char *path)
 {
-  g_string_append_printf (page,
-                          "<h3>%s</h3><p class=\"help\">%s</p><table><tr>",
-                          list->name, list->help);
+  g_string_append_printf (page, "<h3>%s</h3><p class=\"help\">%s</p><table><tr>", list->name, list->help);
   for (const struct hf_field *field = list->fields; field->name; field++)
-    g_string_append_printf (
-        page, "<th title=\"%s\">%s</th>",
-        field->type == HF_FIELD_STR_LIST ? "Separated by commas." : "",
-        field->name);
+    g_string_append_printf (page, "<th title=\"%s\">%s</th>",
+                            field->type == HF_FIELD_STR_LIST ? "Separated by commas." : "", field->name);
   g_string_append (page, "</tr>");
   for (guint i = 0; i < hf_form_count (&console->form, path); i++)
     {
@@ -223,17 +197,15 @@
 #define LENGTH(i, j) length[(gsize)(i) * (columns + 1) + (j)]
       for (guint i = rows; i-- > 0;)
         for (guint j = columns; j-- > 0;)
-          LENGTH (i, j) = strcmp (a[head + i], b[head + j]) == 0
-                              ? LENGTH (i + 1, j + 1) + 1
-                              : MAX (LENGTH (i + 1, j), LENGTH (i, j + 1));
+          LENGTH (i, j) = strcmp (a[head + i], b[head + j]) == 0 ? LENGTH (i + 1, j + 1) + 1
+                                                                 : MAX (LENGTH (i + 1, j), LENGTH (i, j + 1));
       for (guint i = 0, j = 0; i < rows || j < columns;)
         if (i < rows && j < columns && strcmp (a[head + i], b[head + j]) == 0)
           {
             add_line (page, ' ', a[head + i++]);
             j++;
           }
-        else if (j < columns
-                 && (i == rows || LENGTH (i, j + 1) >= LENGTH (i + 1, j)))
+        else if (j < columns && (i == rows || LENGTH (i, j + 1) >= LENGTH (i + 1, j)))
           add_line (page, '+', b[head + j++]);
         else
           add_line (page, '-', a[head + i++]);
@@ -250,9 +222,7 @@
 {
   struct hf_form form;
   hf_form_init (&form);
-  char *out = text.len && hf_form_load (&form, text, NULL)
-                  ? hf_form_write (&form)
-                  : g_strdup ("");
+  char *out = text.len && hf_form_load (&form, text, NULL) ? hf_form_write (&form) : g_strdup ("");
   hf_form_close (&form);
   return out;
 }
@@ -289,9 +259,8 @@
 static void
 add_services (const struct console *console, GString *page)
 {
-  g_string_append (page,
-                   "<h2>Services</h2><table><tr><th>name</th><th>path</"
-                   "th><th>backend servers</th><th>classes</th><th></th></tr>");
+  g_string_append (page, "<h2>Services</h2><table><tr><th>name</th><th>path</"
+                         "th><th>backend servers</th><th>classes</th><th></th></tr>");
   for (guint i = 0; i < hf_form_count (&console->form, "services"); i++)
     {
       char *path = g_strdup_printf ("services[%u]", i);
@@ -300,13 +269,10 @@
       char *servers = g_strdup_printf ("%s.servers", path);
       char *classes = g_strdup_printf ("%s.classes", path);
       g_string_append_printf (page, "<tr><td><a href=\"/service?i=%u\">", i);
-      add_escaped (page, *hf_form_get (&console->form, name)
-                             ? hf_form_get (&console->form, name)
-                             : "(no name)");
+      add_escaped (page, *hf_form_get (&console->form, name) ? hf_form_get (&console->form, name) : "(no name)");
       g_string_append (page, "</a></td><td>");
       add_escaped (page, hf_form_get (&console->form, prefix));
-      g_string_append_printf (page, "</td><td>%u</td><td>%u</td><td>",
-                              hf_form_count (&console->form, servers),
+      g_string_append_printf (page, "</td><td>%u</td><td>%u</td><td>", hf_form_count (&console->form, servers),
                               hf_form_count (&console->form, classes));
       add_button (page, "remove", path, "remove");
       g_string_append (page, "</td></tr>");
@@ -342,13 +308,10 @@
   add_difference (page, in_force, draft);
   g_string_append (page, "</pre>");
   begin_form (console, page, "/apply");
-  g_string_append_printf (
-      page,
-      "<button%s>apply</button> <a href=\"/document.yaml\">save the "
-      "document</a></form>",
-      console->platform && console->problem.code == HF_ERROR_NONE
-          ? ""
-          : " disabled");
+  g_string_append_printf (page,
+                          "<button%s>apply</button> <a href=\"/document.yaml\">save the "
+                          "document</a></form>",
+                          console->platform && console->problem.code == HF_ERROR_NONE ? "" : " disabled");
   begin_form (console, page, "/reload");
   g_string_append (page, "<button>drop the draft and load what is in "
                          "force</button></form><h2>Document</h2><pre>");
@@ -421,8 +384,7 @@
   if (!bracket)
     return;
   char *list = g_strndup (item, (gsize)(bracket - item));
-  hf_form_remove (&console->form, list,
-                  (guint)g_ascii_strtoull (bracket + 1, NULL, 10));
+  hf_form_remove (&console->form, list, (guint)g_ascii_strtoull (bracket + 1, NULL, 10));
   g_free (list);
 }
 
@@ -439,9 +401,7 @@
       hf_form_set (&console->form, path, value);
   const char *add = g_hash_table_lookup (values, "add");
   const char *remove = g_hash_table_lookup (values, "remove");
-  if (add
-      && (strcmp (add, "services") == 0
-          || g_hash_table_contains (console->form.counts, add)))
+  if (add && (strcmp (add, "services") == 0 || g_hash_table_contains (console->form.counts, add)))
     hf_form_add (&console->form, add);
   if (remove)
     remove_item (console, remove);
@@ -455,17 +415,12 @@
   char *text = hf_form_write (&console->form);
   check_draft (console);
   if (console->problem.code != HF_ERROR_NONE)
-    take_message (console,
-                  g_strdup ("nothing was applied: the document is not valid"));
-  else if (!hf_client_write (console->platform, &console->stored, hf_str (text),
-                             &generation, &error))
-    take_message (console,
-                  g_strdup_printf ("nothing was applied: %s", error.message));
+    take_message (console, g_strdup ("nothing was applied: the document is not valid"));
+  else if (!hf_client_write (console->platform, &console->stored, hf_str (text), &generation, &error))
+    take_message (console, g_strdup_printf ("nothing was applied: %s", error.message));
   else
     {
-      take_message (
-          console, g_strdup_printf ("accepted as generation %" G_GUINT64_FORMAT,
-                                    (guint64)generation));
+      take_message (console, g_strdup_printf ("accepted as generation %" G_GUINT64_FORMAT, (guint64)generation));
       load_in_force (console, &error);
     }
   g_free (text);
@@ -474,22 +429,16 @@
 /* --- internal functions: requests --- */
 
 static void
-answer (SoupServerMessage *message,
-        unsigned status,
-        const char *type,
-        char *text)
+answer (SoupServerMessage *message, unsigned status, const char *type, char *text)
 {
-  SoupMessageHeaders *headers
-      = soup_server_message_get_response_headers (message);
-  soup_message_headers_replace (
-      headers, "Content-Security-Policy",
-      "default-src 'none'; style-src 'unsafe-inline'; form-action 'self'; "
-      "frame-ancestors 'none'");
+  SoupMessageHeaders *headers = soup_server_message_get_response_headers (message);
+  soup_message_headers_replace (headers, "Content-Security-Policy",
+                                "default-src 'none'; style-src 'unsafe-inline'; form-action 'self'; "
+                                "frame-ancestors 'none'");
   soup_message_headers_replace (headers, "X-Content-Type-Options", "nosniff");
   soup_message_headers_replace (headers, "Cache-Control", "no-store");
   soup_server_message_set_status (message, status, NULL);
-  soup_server_message_set_response (message, type, SOUP_MEMORY_TAKE, text,
-                                    strlen (text));
+  soup_server_message_set_response (message, type, SOUP_MEMORY_TAKE, text, strlen (text));
 }
 
 /* Another site may make a browser send requests here, but not with this host
@@ -497,13 +446,11 @@
 static bool
 is_own_host (const struct console *console, SoupServerMessage *message)
 {
-  SoupMessageHeaders *headers
-      = soup_server_message_get_request_headers (message);
+  SoupMessageHeaders *headers = soup_server_message_get_request_headers (message);
   const char *host = soup_message_headers_get_one (headers, "Host");
   const char *origin = soup_message_headers_get_one (headers, "Origin");
   char *own = g_strdup_printf ("http://%s", console->address);
-  bool ok = host && strcmp (host, console->address) == 0
-            && (!origin || strcmp (origin, own) == 0);
+  bool ok = host && strcmp (host, console->address) == 0 && (!origin || strcmp (origin, own) == 0);
   g_free (own);
   return ok;
 }
@@ -513,8 +460,7 @@
 {
   SoupMessageBody *body = soup_server_message_get_request_body (message);
   GBytes *bytes = soup_message_body_flatten (body);
-  char *text
-      = g_strndup (g_bytes_get_data (bytes, NULL), g_bytes_get_size (bytes));
+  char *text = g_strndup (g_bytes_get_data (bytes, NULL), g_bytes_get_size (bytes));
   GHashTable *values = soup_form_decode (text);
   const char *token = g_hash_table_lookup (values, "token");
   g_free (text);
@@ -526,9 +472,7 @@
 }
 
 static bool
-handle_post (struct console *console,
-             SoupServerMessage *message,
-             const char *path)
+handle_post (struct console *console, SoupServerMessage *message, const char *path)
 {
   GHashTable *values = read_post (console, message);
   struct hf_error error = { 0 };
@@ -538,9 +482,7 @@
   if (strcmp (path, "/apply") == 0 && console->platform)
     apply_draft (console);
   else if (strcmp (path, "/reload") == 0)
-    take_message (console, load_in_force (console, &error)
-                               ? NULL
-                               : g_strdup (error.message));
+    take_message (console, load_in_force (console, &error) ? NULL : g_strdup (error.message));
   else
     take_values (console, values);
   check_draft (console);
@@ -549,35 +491,25 @@
 }
 
 static void
-handle (SoupServer *server,
-        SoupServerMessage *message,
-        const char *path,
-        GHashTable *query,
-        gpointer data)
+handle (SoupServer *server, SoupServerMessage *message, const char *path, GHashTable *query, gpointer data)
 {
   struct console *console = data;
   const char *method = soup_server_message_get_method (message);
   const char *i = query ? g_hash_table_lookup (query, "i") : NULL;
   (void)server;
   if (!is_own_host (console, message))
-    answer (message, 403, "text/plain",
-            g_strdup ("not the address of this console\n"));
-  else if (strcmp (method, "POST") == 0
-           && !handle_post (console, message, path))
-    answer (message, 403, "text/plain",
-            g_strdup ("this form is not from this console\n"));
+    answer (message, 403, "text/plain", g_strdup ("not the address of this console\n"));
+  else if (strcmp (method, "POST") == 0 && !handle_post (console, message, path))
+    answer (message, 403, "text/plain", g_strdup ("this form is not from this console\n"));
   else if (strcmp (path, "/document.yaml") == 0)
     answer (message, console->problem.code ? 409 : 200, "text/yaml",
-            console->problem.code ? g_strdup_printf (
-                "%s: %s\n", console->problem.path, console->problem.message)
+            console->problem.code ? g_strdup_printf ("%s: %s\n", console->problem.path, console->problem.message)
                                   : hf_form_write (&console->form));
   else if (strcmp (path, "/service") == 0 && i
-           && g_ascii_strtoull (i, NULL, 10)
-                  < hf_form_count (&console->form, "services"))
-    answer (message, 200, "text/html; charset=utf-8",
-            service_page (console, (guint)g_ascii_strtoull (i, NULL, 10)));
-  else if (strcmp (path, "/") == 0 || strcmp (path, "/apply") == 0
-           || strcmp (path, "/reload") == 0 || strcmp (path, "/service") == 0)
+           && g_ascii_strtoull (i, NULL, 10) < hf_form_count (&console->form, "services"))
+    answer (message, 200, "text/html; charset=utf-8", service_page (console, (guint)g_ascii_strtoull (i, NULL, 10)));
+  else if (strcmp (path, "/") == 0 || strcmp (path, "/apply") == 0 || strcmp (path, "/reload") == 0
+           || strcmp (path, "/service") == 0)
     answer (message, 200, "text/html; charset=utf-8", overview_page (console));
   else
     answer (message, 404, "text/plain", g_strdup ("no such page\n"));
@@ -601,23 +533,18 @@
 static bool
 is_loopback (const char *listen)
 {
-  return g_str_has_prefix (listen, "127.")
-         || g_str_has_prefix (listen, "[::1]");
+  return g_str_has_prefix (listen, "127.") || g_str_has_prefix (listen, "[::1]");
 }
 
 /* --- public functions --- */
 
 int
-hf_console_run (const char *listen,
-                const char *platform,
-                struct hf_error *error)
+hf_console_run (const char *listen, const char *platform, struct hf_error *error)
 {
   struct console console = { .platform = platform };
   if (!is_loopback (listen) || !hf_address_valid (hf_str (listen)))
     {
-      hf_error_set (error, HF_ERROR_INVALID,
-                    "expected a loopback address IP:PORT, found \"%s\"",
-                    listen);
+      hf_error_set (error, HF_ERROR_INVALID, "expected a loopback address IP:PORT, found \"%s\"", listen);
       return -1;
     }
   hf_form_init (&console.form);
@@ -625,8 +552,7 @@
   console.server = soup_server_new (NULL, NULL);
   soup_server_add_handler (console.server, NULL, handle, &console, NULL);
   bool ok = load_in_force (&console, error)
-            && hf_http_listen (console.server, hf_str (listen), console.address,
-                               sizeof console.address, error);
+            && hf_http_listen (console.server, hf_str (listen), console.address, sizeof console.address, error);
   if (ok)
     {
       console.main = g_main_loop_new (NULL, FALSE);
--- a/src/hf-console.h
+++ b/src/hf-console.h
@@ -11,9 +11,8 @@
 
 /* --- public functions --- */
 
-int hf_console_run (
-    const char *listen,
-    const char *platform,
-    struct hf_error *error); /* until SIGINT or SIGTERM; exit code */
+int hf_console_run (const char *listen,
+                    const char *platform,
+                    struct hf_error *error); /* until SIGINT or SIGTERM; exit code */
 
 #endif
--- a/src/hf-document.c
+++ b/src/hf-document.c
@@ -7,8 +7,7 @@
 
 #define NAME_MAX_BYTES 64
 
-static const char *const policy_names[]
-    = { "grants", "two-choices-shared", "two-choices", "round-robin", NULL };
+static const char *const policy_names[] = { "grants", "two-choices-shared", "two-choices", "round-robin", NULL };
 
 static const struct hf_field server_fields[] = {
   { .name = "name",
@@ -137,8 +136,7 @@
     .max = 100000,
     .def = 100,
     .unit = "requests",
-    .help
-    = "Requests that may wait for a slot; above, the least worth is refused." },
+    .help = "Requests that may wait for a slot; above, the least worth is refused." },
   { .name = "probe_budget",
     .type = HF_FIELD_INT,
     .offset = offsetof (struct hf_service, probe_budget),
@@ -226,35 +224,26 @@
 }
 
 static bool
-check_service (const struct hf_document *document,
-               size_t s,
-               struct hf_error *error)
+check_service (const struct hf_document *document, size_t s, struct hf_error *error)
 {
   const struct hf_service *service = hf_document_service (document, s);
   bool ok = true;
   GHashTable *names = g_hash_table_new (g_str_hash, g_str_equal);
   for (size_t i = 0; ok && i < service->servers.n; i++)
-    if (!g_hash_table_add (names,
-                           (char *)hf_service_server (service, i)->name.data))
-      ok = fail_at (
-          error,
-          "expected a name that no other backend server of the service has",
-          "services[%zu].servers[%zu].name", s, i);
+    if (!g_hash_table_add (names, (char *)hf_service_server (service, i)->name.data))
+      ok = fail_at (error, "expected a name that no other backend server of the service has",
+                    "services[%zu].servers[%zu].name", s, i);
   g_hash_table_remove_all (names);
   for (size_t i = 0; ok && i < service->classes.n; i++)
     {
       const struct hf_class *class = hf_service_class (service, i);
       if (!g_hash_table_add (names, (char *)class->name.data))
-        ok = fail_at (error,
-                      "expected a name that no other class of the service has",
+        ok = fail_at (error, "expected a name that no other class of the service has",
                       "services[%zu].classes[%zu].name", s, i);
       else if (class->hedge && !class->repeatable)
-        ok = fail_at (error, "hedge needs repeatable: true",
-                      "services[%zu].classes[%zu].hedge", s, i);
-      else if (class->header.len
-               && !memchr (class->header.data, ':', class->header.len))
-        ok = fail_at (error, "expected \"Name: value\"",
-                      "services[%zu].classes[%zu].header", s, i);
+        ok = fail_at (error, "hedge needs repeatable: true", "services[%zu].classes[%zu].hedge", s, i);
+      else if (class->header.len && !memchr (class->header.data, ':', class->header.len))
+        ok = fail_at (error, "expected \"Name: value\"", "services[%zu].classes[%zu].header", s, i);
     }
   g_hash_table_destroy (names);
   return ok;
@@ -269,11 +258,9 @@
     {
       const struct hf_service *service = hf_document_service (document, i);
       if (!g_hash_table_add (names, (char *)service->name.data))
-        ok = fail_at (error, "expected a name that no other service has",
-                      "services[%zu].name", i);
+        ok = fail_at (error, "expected a name that no other service has", "services[%zu].name", i);
       else if (service->path_prefix.data[0] != '/')
-        ok = fail_at (error, "expected a path that starts with /",
-                      "services[%zu].path_prefix", i);
+        ok = fail_at (error, "expected a path that starts with /", "services[%zu].path_prefix", i);
       else
         ok = check_service (document, i, error);
     }
@@ -290,8 +277,7 @@
   document->refs = 1;
   document->text = hf_str_dup (text);
   document->digest = hf_hash (text, 0);
-  if (text.len > 0 && hf_yaml_load (text, hf_document_fields, document, error)
-      && check_document (document, error))
+  if (text.len > 0 && hf_yaml_load (text, hf_document_fields, document, error) && check_document (document, error))
     return document;
   if (error && error->path[0] && error->line == 0)
     hf_yaml_locate (text, error);
--- a/src/hf-document.h
+++ b/src/hf-document.h
@@ -112,23 +112,16 @@
 
 /* --- public functions: load and unload --- */
 
-extern const struct hf_field hf_document_fields[]; /* table of every key */
-struct hf_document *
-hf_document_load (struct hf_str text,
-                  struct hf_error *error); /* NULL and *error if wrong */
-struct hf_document *
-hf_document_ref (struct hf_document *document);         /* one more holder */
-void hf_document_unload (struct hf_document *document); /* one holder fewer */
+extern const struct hf_field hf_document_fields[];                                 /* table of every key */
+struct hf_document *hf_document_load (struct hf_str text, struct hf_error *error); /* NULL and *error if wrong */
+struct hf_document *hf_document_ref (struct hf_document *document);                /* one more holder */
+void hf_document_unload (struct hf_document *document);                            /* one holder fewer */
 
 /* --- public functions: look up --- */
 
-struct hf_service *hf_document_service (const struct hf_document *document,
-                                        size_t i); /* i-th service */
-struct hf_server *hf_service_server (const struct hf_service *service,
-                                     size_t i); /* i-th backend server */
-struct hf_class *hf_service_class (const struct hf_service *service,
-                                   size_t i); /* i-th request class */
-uint64_t
-hf_service_id (const struct hf_service *service); /* stable identifier */
+struct hf_service *hf_document_service (const struct hf_document *document, size_t i); /* i-th service */
+struct hf_server *hf_service_server (const struct hf_service *service, size_t i);      /* i-th backend server */
+struct hf_class *hf_service_class (const struct hf_service *service, size_t i);        /* i-th request class */
+uint64_t hf_service_id (const struct hf_service *service);                             /* stable identifier */
 
 #endif
--- a/src/hf-dump.c
+++ b/src/hf-dump.c
@@ -26,8 +26,7 @@
     return "leaving (VM list)";
   if (server->leaving & HF_LEAVING_REFUSAL)
     return "leaving (refusal)";
-  return server->leaving & HF_LEAVING_HEALTH ? "leaving (health)"
-                                             : "leaving (another entry)";
+  return server->leaving & HF_LEAVING_HEALTH ? "leaving (health)" : "leaving (another entry)";
 }
 
 /* In use, or why not. */
@@ -75,8 +74,7 @@
 }
 
 static const char *
-granter_name (const struct hf_state *state,
-              const struct hf_service_state *service)
+granter_name (const struct hf_state *state, const struct hf_service_state *service)
 {
   uint64_t owner = hf_members_owner (state, service->id);
   const struct hf_member *member = hf_members_find (state, owner);
@@ -88,34 +86,25 @@
 static void
 text_members (GString *text, const struct hf_state *state, gint64 now)
 {
-  g_string_append_printf (text, "members: %zu alive\n",
-                          hf_members_alive (state));
+  g_string_append_printf (text, "members: %zu alive\n", hf_members_alive (state));
   for (guint i = 0; i < state->members->len; i++)
     {
       const struct hf_member *member = g_ptr_array_index (state->members, i);
-      g_string_append_printf (
-          text,
-          "  %s %s %s%s generation %" G_GUINT64_FORMAT
-          " heard %" G_GINT64_FORMAT " ms ago\n",
-          member->name.data, member->address.data,
-          member->alive ? "alive" : "silent", member->leaving ? " leaving" : "",
-          (guint64)member->generation,
-          member->boot ? (now - member->heard_at) / 1000 : -1);
+      g_string_append_printf (text, "  %s %s %s%s generation %" G_GUINT64_FORMAT " heard %" G_GINT64_FORMAT " ms ago\n",
+                              member->name.data, member->address.data, member->alive ? "alive" : "silent",
+                              member->leaving ? " leaving" : "", (guint64)member->generation,
+                              member->boot ? (now - member->heard_at) / 1000 : -1);
     }
 }
 
 static void
-text_service (GString *text,
-              const struct hf_state *state,
-              const struct hf_service_state *service,
-              gint64 now)
+text_service (GString *text, const struct hf_state *state, const struct hf_service_state *service, gint64 now)
 {
   const struct hf_pool *pool = &service->pool;
   g_string_append_printf (text,
                           "service %s: policy %s, granter %s, %u waiting, "
                           "retry tokens %.1f, probe tokens %u\n",
-                          service->name.data, pool->policy->name,
-                          granter_name (state, service), hf_pool_waiting (pool),
+                          service->name.data, pool->policy->name, granter_name (state, service), hf_pool_waiting (pool),
                           pool->budget.tokens, service->probe_tokens);
   for (guint i = 0; i < pool->servers->len; i++)
     {
@@ -123,10 +112,9 @@
       g_string_append_printf (text,
                               "  %s %s slots %u/%u used %u elsewhere %u "
                               "latency %.1f ms failures %.0f%% %s\n",
-                              server->name.data, server->address.data,
-                              server->ramp, server->slots, server->granted,
-                              server->foreign, server->latency_us / 1000,
-                              server->failure * 100, server_text (server, now));
+                              server->name.data, server->address.data, server->ramp, server->slots, server->granted,
+                              server->foreign, server->latency_us / 1000, server->failure * 100,
+                              server_text (server, now));
     }
 }
 
@@ -164,22 +152,16 @@
       json_builder_begin_object (builder);
       json_str (builder, "name", member->name.data);
       json_str (builder, "address", member->address.data);
-      json_str (builder, "state",
-                !member->alive    ? "silent"
-                : member->leaving ? "leaving"
-                                  : "alive");
+      json_str (builder, "state", !member->alive ? "silent" : member->leaving ? "leaving" : "alive");
       json_int (builder, "generation", (gint64)member->generation);
-      json_int (builder, "heard_ms_ago",
-                member->boot ? (now - member->heard_at) / 1000 : -1);
+      json_int (builder, "heard_ms_ago", member->boot ? (now - member->heard_at) / 1000 : -1);
       json_builder_end_object (builder);
     }
   json_builder_end_array (builder);
 }
 
 static void
-json_servers (JsonBuilder *builder,
-              const struct hf_service_state *service,
-              gint64 now)
+json_servers (JsonBuilder *builder, const struct hf_service_state *service, gint64 now)
 {
   json_builder_set_member_name (builder, "servers");
   json_builder_begin_array (builder);
@@ -194,18 +176,14 @@
       json_int (builder, "used_elsewhere", server->foreign);
       json_double (builder, "latency_ms", server->latency_us / 1000);
       json_double (builder, "failure_share", server->failure);
-      json_int (builder, "answered_ms_ago",
-                server->answered_at ? (now - server->answered_at) / 1000 : -1);
+      json_int (builder, "answered_ms_ago", server->answered_at ? (now - server->answered_at) / 1000 : -1);
       json_builder_end_object (builder);
     }
   json_builder_end_array (builder);
 }
 
 static void
-json_service (JsonBuilder *builder,
-              const struct hf_state *state,
-              const struct hf_service_state *service,
-              gint64 now)
+json_service (JsonBuilder *builder, const struct hf_state *state, const struct hf_service_state *service, gint64 now)
 {
   const struct hf_pool *pool = &service->pool;
   json_builder_begin_object (builder);
@@ -215,14 +193,10 @@
   json_builder_set_member_name (builder, "granter_silent");
   json_builder_add_boolean_value (builder, service->suspect_until > now);
   json_int (builder, "waiting", hf_pool_waiting (pool));
-  json_int (builder, "refused_queue_full",
-            (gint64)pool->refused[HF_REFUSAL_QUEUE_FULL]);
-  json_int (builder, "refused_deadline",
-            (gint64)pool->refused[HF_REFUSAL_DEADLINE]);
-  json_int (builder, "refused_no_server",
-            (gint64)pool->refused[HF_REFUSAL_NO_SERVER]);
-  json_int (builder, "refused_retry_budget",
-            (gint64)pool->refused[HF_REFUSAL_BUDGET]);
+  json_int (builder, "refused_queue_full", (gint64)pool->refused[HF_REFUSAL_QUEUE_FULL]);
+  json_int (builder, "refused_deadline", (gint64)pool->refused[HF_REFUSAL_DEADLINE]);
+  json_int (builder, "refused_no_server", (gint64)pool->refused[HF_REFUSAL_NO_SERVER]);
+  json_int (builder, "refused_retry_budget", (gint64)pool->refused[HF_REFUSAL_BUDGET]);
   json_double (builder, "retry_tokens", pool->budget.tokens);
   json_int (builder, "probe_tokens", service->probe_tokens);
   json_servers (builder, service, now);
@@ -236,32 +210,24 @@
 {
   GString *text = g_string_new (NULL);
   GPtrArray *services = sorted_services (state);
-  g_string_append_printf (
-      text, "entry %s in %s: boot %016" G_GINT64_MODIFIER "x%s\n",
-      state->name.data, state->failure_domain.data, (guint64)state->boot,
-      state->leaving ? ", leaving" : "");
+  g_string_append_printf (text, "entry %s in %s: boot %016" G_GINT64_MODIFIER "x%s\n", state->name.data,
+                          state->failure_domain.data, (guint64)state->boot, state->leaving ? ", leaving" : "");
   g_string_append_printf (text,
-                          "configuration: generation %" G_GUINT64_FORMAT
-                          ", in the platform %" G_GUINT64_FORMAT "\n",
+                          "configuration: generation %" G_GUINT64_FORMAT ", in the platform %" G_GUINT64_FORMAT "\n",
                           generation_of (state), (guint64)state->config_stored);
   g_string_append_printf (
-      text,
-      "platform: %s, config heard %" G_GINT64_FORMAT
-      " ms ago, VM list heard %" G_GINT64_FORMAT " ms ago\n",
+      text, "platform: %s, config heard %" G_GINT64_FORMAT " ms ago, VM list heard %" G_GINT64_FORMAT " ms ago\n",
       state->platform_reachable ? "reachable" : "not reachable",
       (now - state->watches[HF_PURPOSE_CONFIG].heard_at) / 1000,
       (now - state->watches[HF_PURPOSE_VMS].heard_at) / 1000);
-  g_string_append_printf (
-      text,
-      "calls in flight: %u, claims known: %u, requests under suspicion: %u\n",
-      g_hash_table_size (state->calls), g_hash_table_size (state->claims),
-      g_hash_table_size (state->suspects));
+  g_string_append_printf (text, "calls in flight: %u, claims known: %u, requests under suspicion: %u\n",
+                          g_hash_table_size (state->calls), g_hash_table_size (state->claims),
+                          g_hash_table_size (state->suspects));
   text_members (text, state, now);
   for (guint i = 0; i < services->len; i++)
     text_service (text, state, g_ptr_array_index (services, i), now);
   for (int i = 0; i < HF_COUNTERS; i++)
-    g_string_append_printf (text, "%s %" G_GUINT64_FORMAT "\n",
-                            hf_counter_names[i], (guint64)state->counters[i]);
+    g_string_append_printf (text, "%s %" G_GUINT64_FORMAT "\n", hf_counter_names[i], (guint64)state->counters[i]);
   g_ptr_array_unref (services);
   return g_string_free (text, FALSE);
 }
@@ -279,10 +245,8 @@
   json_int (builder, "generation_in_platform", (gint64)state->config_stored);
   json_builder_set_member_name (builder, "platform_reachable");
   json_builder_add_boolean_value (builder, state->platform_reachable);
-  json_int (builder, "config_heard_ms_ago",
-            (now - state->watches[HF_PURPOSE_CONFIG].heard_at) / 1000);
-  json_int (builder, "vm_list_heard_ms_ago",
-            (now - state->watches[HF_PURPOSE_VMS].heard_at) / 1000);
+  json_int (builder, "config_heard_ms_ago", (now - state->watches[HF_PURPOSE_CONFIG].heard_at) / 1000);
+  json_int (builder, "vm_list_heard_ms_ago", (now - state->watches[HF_PURPOSE_VMS].heard_at) / 1000);
   json_int (builder, "calls_in_flight", g_hash_table_size (state->calls));
   json_members (builder, state, now);
   json_builder_set_member_name (builder, "services");
@@ -304,15 +268,11 @@
 {
   GString *text = g_string_new (NULL);
   for (int i = 0; i < HF_COUNTERS; i++)
-    g_string_append_printf (
-        text,
-        "# TYPE hickoryfield_%s counter\nhickoryfield_%s %" G_GUINT64_FORMAT
-        "\n",
-        hf_counter_names[i], hf_counter_names[i], (guint64)state->counters[i]);
+    g_string_append_printf (text, "# TYPE hickoryfield_%s counter\nhickoryfield_%s %" G_GUINT64_FORMAT "\n",
+                            hf_counter_names[i], hf_counter_names[i], (guint64)state->counters[i]);
   g_string_append_printf (text,
                           "# TYPE hickoryfield_generation "
-                          "gauge\nhickoryfield_generation %" G_GUINT64_FORMAT
-                          "\n",
+                          "gauge\nhickoryfield_generation %" G_GUINT64_FORMAT "\n",
                           generation_of (state));
   g_string_append_printf (text,
                           "# TYPE hickoryfield_members_alive "
@@ -333,15 +293,11 @@
       unsigned out = 0;
       for (guint s = 0; s < service->pool.servers->len; s++)
         out += server_at (service, s)->out_until > now;
-      g_string_append_printf (text, "hickoryfield_waiting{service=\"%s\"} %u\n",
-                              service->name.data,
+      g_string_append_printf (text, "hickoryfield_waiting{service=\"%s\"} %u\n", service->name.data,
                               hf_pool_waiting (&service->pool));
-      g_string_append_printf (text,
-                              "hickoryfield_servers_out{service=\"%s\"} %u\n",
-                              service->name.data, out);
-      g_string_append_printf (
-          text, "hickoryfield_retry_tokens{service=\"%s\"} %.1f\n",
-          service->name.data, service->pool.budget.tokens);
+      g_string_append_printf (text, "hickoryfield_servers_out{service=\"%s\"} %u\n", service->name.data, out);
+      g_string_append_printf (text, "hickoryfield_retry_tokens{service=\"%s\"} %.1f\n", service->name.data,
+                              service->pool.budget.tokens);
     }
   g_ptr_array_unref (services);
   return g_string_free (text, FALSE);
--- a/src/hf-dump.h
+++ b/src/hf-dump.h
@@ -13,11 +13,8 @@
 
 /* --- public functions --- */
 
-char *hf_dump_text (const struct hf_state *state,
-                    gint64 now); /* readable text */
-char *hf_dump_json (const struct hf_state *state,
-                    gint64 now); /* JSON for status */
-char *hf_dump_metrics (const struct hf_state *state,
-                       gint64 now); /* Prometheus text format */
+char *hf_dump_text (const struct hf_state *state, gint64 now);    /* readable text */
+char *hf_dump_json (const struct hf_state *state, gint64 now);    /* JSON for status */
+char *hf_dump_metrics (const struct hf_state *state, gint64 now); /* Prometheus text format */
 
 #endif
--- a/src/hf-event.c
+++ b/src/hf-event.c
@@ -28,9 +28,8 @@
 struct hf_str
 hf_effects_keep (struct hf_effects *effects, struct hf_str text)
 {
-  return (struct hf_str){ .data = g_string_chunk_insert_len (
-                              effects->strings, text.data ? text.data : "",
-                              (gssize)text.len),
+  return (struct hf_str){ .data
+                          = g_string_chunk_insert_len (effects->strings, text.data ? text.data : "", (gssize)text.len),
                           .len = text.len };
 }
 
--- a/src/hf-event.h
+++ b/src/hf-event.h
@@ -29,10 +29,10 @@
 {
   HF_ATTEMPT_ANSWERED,       /* a whole answer arrived */
   HF_ATTEMPT_CONNECT_FAILED, /* no byte was handed to a connection */
-  HF_ATTEMPT_BROKEN,    /* the connection failed after bytes were handed over */
-  HF_ATTEMPT_SHORT,     /* the answer ended before its declared length */
-  HF_ATTEMPT_TIMEOUT,   /* no answer in time */
-  HF_ATTEMPT_CANCELLED, /* given up: caller gone or another attempt won */
+  HF_ATTEMPT_BROKEN,         /* the connection failed after bytes were handed over */
+  HF_ATTEMPT_SHORT,          /* the answer ended before its declared length */
+  HF_ATTEMPT_TIMEOUT,        /* no answer in time */
+  HF_ATTEMPT_CANCELLED,      /* given up: caller gone or another attempt won */
 };
 
 /** enum hf_platform_op - a call to the platform's object API */
@@ -182,15 +182,10 @@
 
 /* --- public functions --- */
 
-void hf_effects_init (struct hf_effects *effects);  /* empty list */
-void hf_effects_close (struct hf_effects *effects); /* frees all */
-void hf_effects_add (struct hf_effects *effects,
-                     struct hf_effect effect); /* appends one */
-struct hf_str
-hf_effects_keep (struct hf_effects *effects,
-                 struct hf_str text); /* copy that lives with the list */
-void *
-hf_effects_alloc (struct hf_effects *effects,
-                  size_t size); /* zeroed memory that lives with the list */
+void hf_effects_init (struct hf_effects *effects);                              /* empty list */
+void hf_effects_close (struct hf_effects *effects);                             /* frees all */
+void hf_effects_add (struct hf_effects *effects, struct hf_effect effect);      /* appends one */
+struct hf_str hf_effects_keep (struct hf_effects *effects, struct hf_str text); /* copy that lives with the list */
+void *hf_effects_alloc (struct hf_effects *effects, size_t size); /* zeroed memory that lives with the list */
 
 #endif
--- a/src/hf-exchange.c
+++ b/src/hf-exchange.c
@@ -29,13 +29,12 @@
   if (exchange->ended)
     return;
   exchange->ended = true;
-  hf_loop_raise (exchange->loop,
-                 (struct hf_event){ .kind = HF_EVENT_ATTEMPT_END,
-                                    .call = exchange->call,
-                                    .attempt = exchange->attempt,
-                                    .result = result,
-                                    .hints = exchange->hints,
-                                    .handed = exchange->handed });
+  hf_loop_raise (exchange->loop, (struct hf_event){ .kind = HF_EVENT_ATTEMPT_END,
+                                                    .call = exchange->call,
+                                                    .attempt = exchange->attempt,
+                                                    .result = result,
+                                                    .hints = exchange->hints,
+                                                    .handed = exchange->handed });
 }
 
 static void
@@ -51,8 +50,7 @@
   if (!exchange->counted)
     return true;
   return exchange->received
-         == soup_message_headers_get_content_length (
-             soup_message_get_response_headers (exchange->message));
+         == soup_message_headers_get_content_length (soup_message_get_response_headers (exchange->message));
 }
 
 /* The last byte of the answer is here. */
@@ -69,8 +67,7 @@
 static void
 hand_on (struct hf_exchange *exchange)
 {
-  exchange->sink (exchange->context, exchange->answer->data,
-                  exchange->answer->len);
+  exchange->sink (exchange->context, exchange->answer->data, exchange->answer->len);
   g_byte_array_set_size (exchange->answer, 0);
 }
 
@@ -88,19 +85,17 @@
       return;
     }
   /* Too long to keep: the reducer decides now whether it is passed on. */
-  hf_loop_raise (exchange->loop,
-                 (struct hf_event){ .kind = HF_EVENT_ATTEMPT_HEAD,
-                                    .call = exchange->call,
-                                    .attempt = exchange->attempt,
-                                    .hints = exchange->hints });
+  hf_loop_raise (exchange->loop, (struct hf_event){ .kind = HF_EVENT_ATTEMPT_HEAD,
+                                                    .call = exchange->call,
+                                                    .attempt = exchange->attempt,
+                                                    .hints = exchange->hints });
 }
 
 /* Takes the outcome of a read; negative: it failed. */
 static void
 take_answer (struct hf_exchange *exchange, gssize size, const GError *problem)
 {
-  bool partial
-      = g_error_matches (problem, G_IO_ERROR, G_IO_ERROR_PARTIAL_INPUT);
+  bool partial = g_error_matches (problem, G_IO_ERROR, G_IO_ERROR_PARTIAL_INPUT);
   if (size < 0)
     raise_end (exchange, partial ? HF_ATTEMPT_SHORT : HF_ATTEMPT_BROKEN);
   else if (size == 0)
@@ -117,15 +112,13 @@
 {
   struct hf_exchange *exchange = data;
   GError *problem = NULL;
-  gssize size
-      = g_input_stream_read_finish (G_INPUT_STREAM (source), result, &problem);
+  gssize size = g_input_stream_read_finish (G_INPUT_STREAM (source), result, &problem);
   exchange->reading = false;
   if (exchange->ended)
     free_exchange (exchange);
   else
     {
-      g_byte_array_set_size (exchange->answer,
-                             exchange->filled + (guint)MAX (size, 0));
+      g_byte_array_set_size (exchange->answer, exchange->filled + (guint)MAX (size, 0));
       take_answer (exchange, size, problem);
     }
   g_clear_error (&problem);
@@ -138,23 +131,19 @@
   GPollableInputStream *pollable = G_POLLABLE_INPUT_STREAM (exchange->stream);
   GError *problem = NULL;
   exchange->filled = exchange->answer->len;
-  g_byte_array_set_size (exchange->answer,
-                         exchange->filled + HF_RELAY_CHUNK_BYTES);
+  g_byte_array_set_size (exchange->answer, exchange->filled + HF_RELAY_CHUNK_BYTES);
   guint8 *free_space = exchange->answer->data + exchange->filled;
-  gssize size = g_pollable_input_stream_read_nonblocking (
-      pollable, free_space, HF_RELAY_CHUNK_BYTES, exchange->cancellable,
-      &problem);
+  gssize size = g_pollable_input_stream_read_nonblocking (pollable, free_space, HF_RELAY_CHUNK_BYTES,
+                                                          exchange->cancellable, &problem);
   if (g_error_matches (problem, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
     {
       g_clear_error (&problem);
       exchange->reading = true;
-      g_input_stream_read_async (exchange->stream, free_space,
-                                 HF_RELAY_CHUNK_BYTES, G_PRIORITY_DEFAULT,
+      g_input_stream_read_async (exchange->stream, free_space, HF_RELAY_CHUNK_BYTES, G_PRIORITY_DEFAULT,
                                  exchange->cancellable, answer_read, exchange);
       return;
     }
-  g_byte_array_set_size (exchange->answer,
-                         exchange->filled + (guint)MAX (size, 0));
+  g_byte_array_set_size (exchange->answer, exchange->filled + (guint)MAX (size, 0));
   take_answer (exchange, size, problem);
   g_clear_error (&problem);
 }
@@ -164,8 +153,7 @@
 {
   struct hf_exchange *exchange = data;
   GError *problem = NULL;
-  GInputStream *stream
-      = soup_session_send_finish (SOUP_SESSION (source), result, &problem);
+  GInputStream *stream = soup_session_send_finish (SOUP_SESSION (source), result, &problem);
   exchange->reading = false;
   if (exchange->ended)
     {
@@ -177,21 +165,15 @@
   g_clear_error (&problem);
   if (!stream)
     {
-      raise_end (exchange, exchange->handed ? HF_ATTEMPT_BROKEN
-                                            : HF_ATTEMPT_CONNECT_FAILED);
+      raise_end (exchange, exchange->handed ? HF_ATTEMPT_BROKEN : HF_ATTEMPT_CONNECT_FAILED);
       return;
     }
-  SoupMessageHeaders *headers
-      = soup_message_get_response_headers (exchange->message);
+  SoupMessageHeaders *headers = soup_message_get_response_headers (exchange->message);
   exchange->stream = stream;
-  exchange->hints
-      = hf_http_hints (soup_message_get_status (exchange->message), headers);
-  exchange->counted = soup_message_headers_get_encoding (headers)
-                          == SOUP_ENCODING_CONTENT_LENGTH
+  exchange->hints = hf_http_hints (soup_message_get_status (exchange->message), headers);
+  exchange->counted = soup_message_headers_get_encoding (headers) == SOUP_ENCODING_CONTENT_LENGTH
                       && !hf_exchange_has_no_body (exchange);
-  exchange->long_answer = exchange->counted
-                          && soup_message_headers_get_content_length (headers)
-                                 > HF_BODY_BUFFER_BYTES;
+  exchange->long_answer = exchange->counted && soup_message_headers_get_content_length (headers) > HF_BODY_BUFFER_BYTES;
   exchange->answer = g_byte_array_new ();
   read_answer (exchange);
 }
@@ -199,25 +181,19 @@
 /* --- public functions --- */
 
 struct hf_exchange *
-hf_exchange_start (struct hf_loop *loop,
-                   uint64_t call,
-                   unsigned attempt,
-                   SoupSession *session,
-                   SoupMessage *message)
+hf_exchange_start (struct hf_loop *loop, uint64_t call, unsigned attempt, SoupSession *session, SoupMessage *message)
 {
   struct hf_exchange *exchange = g_new0 (struct hf_exchange, 1);
   exchange->loop = loop;
   exchange->call = call;
   exchange->attempt = attempt;
-  exchange->hints
-      = (struct hf_answer_hints){ .load = -1, .retry_after_ms = -1 };
+  exchange->hints = (struct hf_answer_hints){ .load = -1, .retry_after_ms = -1 };
   exchange->cancellable = g_cancellable_new ();
   exchange->session = g_object_ref (session);
   exchange->message = message;
   exchange->reading = true;
   g_signal_connect (message, "starting", G_CALLBACK (starting), exchange);
-  soup_session_send_async (session, message, G_PRIORITY_DEFAULT,
-                           exchange->cancellable, head_read, exchange);
+  soup_session_send_async (session, message, G_PRIORITY_DEFAULT, exchange->cancellable, head_read, exchange);
   return exchange;
 }
 
@@ -234,9 +210,7 @@
 
 void
 hf_exchange_hand_on (struct hf_exchange *exchange,
-                     void (*sink) (void *context,
-                                   const uint8_t *data,
-                                   size_t size),
+                     void (*sink) (void *context, const uint8_t *data, size_t size),
                      void *context)
 {
   exchange->sink = sink;
@@ -254,6 +228,6 @@
 bool
 hf_exchange_has_no_body (const struct hf_exchange *exchange)
 {
-  return strcmp (soup_message_get_method (exchange->message), "HEAD") == 0
-         || exchange->hints.status == 204 || exchange->hints.status == 304;
+  return strcmp (soup_message_get_method (exchange->message), "HEAD") == 0 || exchange->hints.status == 204
+         || exchange->hints.status == 304;
 }
--- a/src/hf-exchange.h
+++ b/src/hf-exchange.h
@@ -52,23 +52,16 @@
 
 /* --- public functions --- */
 
-struct hf_exchange *
-hf_exchange_start (struct hf_loop *loop,
-                   uint64_t call,
-                   unsigned attempt,
-                   SoupSession *session,
-                   SoupMessage *message); /* takes the message */
-void
-hf_exchange_drop (struct hf_exchange *exchange); /* gives it up and frees it */
+struct hf_exchange *hf_exchange_start (struct hf_loop *loop,
+                                       uint64_t call,
+                                       unsigned attempt,
+                                       SoupSession *session,
+                                       SoupMessage *message); /* takes the message */
+void hf_exchange_drop (struct hf_exchange *exchange);         /* gives it up and frees it */
 void hf_exchange_hand_on (struct hf_exchange *exchange,
-                          void (*sink) (void *context,
-                                        const uint8_t *data,
-                                        size_t size),
-                          void *context); /* from now on chunk by chunk */
-void hf_exchange_read (
-    struct hf_exchange
-        *exchange); /* the last chunk is out: the next, if there is one */
-bool hf_exchange_has_no_body (
-    const struct hf_exchange *exchange); /* HEAD, 204 or 304 */
+                          void (*sink) (void *context, const uint8_t *data, size_t size),
+                          void *context);             /* from now on chunk by chunk */
+void hf_exchange_read (struct hf_exchange *exchange); /* the last chunk is out: the next, if there is one */
+bool hf_exchange_has_no_body (const struct hf_exchange *exchange); /* HEAD, 204 or 304 */
 
 #endif
--- a/src/hf-form.c
+++ b/src/hf-form.c
@@ -20,9 +20,8 @@
     {
       if (field->type != HF_FIELD_LIST)
         continue;
-      const struct hf_field *found = strcmp (field->name, key) == 0
-                                         ? field->fields
-                                         : find_elements (field->fields, key);
+      const struct hf_field *found
+          = strcmp (field->name, key) == 0 ? field->fields : find_elements (field->fields, key);
       if (found)
         return found;
     }
@@ -37,8 +36,7 @@
   GString *text = g_string_new (NULL);
   const struct hf_str *items = list->items;
   for (size_t i = 0; i < list->n; i++)
-    g_string_append_printf (text, "%s" HF_STR_FMT, i ? ", " : "",
-                            HF_STR_ARG (items[i]));
+    g_string_append_printf (text, "%s" HF_STR_FMT, i ? ", " : "", HF_STR_ARG (items[i]));
   return g_string_free (text, FALSE);
 }
 
@@ -66,10 +64,7 @@
 }
 
 static void
-take_struct (struct hf_form *form,
-             const struct hf_field *fields,
-             const char *prefix,
-             const void *data)
+take_struct (struct hf_form *form, const struct hf_field *fields, const char *prefix, const void *data)
 {
   for (const struct hf_field *field = fields; field->name; field++)
     {
@@ -85,13 +80,11 @@
       for (size_t i = 0; field->type == HF_FIELD_LIST && i < list->n; i++)
         {
           char *item = g_strdup_printf ("%s[%zu]", path, i);
-          take_struct (form, field->fields, item,
-                       (const char *)list->items + i * field->size);
+          take_struct (form, field->fields, item, (const char *)list->items + i * field->size);
           g_free (item);
         }
       if (field->type == HF_FIELD_LIST)
-        g_hash_table_insert (form->counts, g_strdup (path),
-                             GUINT_TO_POINTER ((guint)list->n));
+        g_hash_table_insert (form->counts, g_strdup (path), GUINT_TO_POINTER ((guint)list->n));
       g_free (path);
     }
 }
@@ -102,10 +95,8 @@
 emit_scalar (yaml_emitter_t *emitter, const char *text, bool quoted)
 {
   yaml_event_t event;
-  yaml_scalar_style_t style
-      = quoted ? YAML_DOUBLE_QUOTED_SCALAR_STYLE : YAML_PLAIN_SCALAR_STYLE;
-  yaml_scalar_event_initialize (&event, NULL, NULL, (const yaml_char_t *)text,
-                                (int)strlen (text), 1, 1, style);
+  yaml_scalar_style_t style = quoted ? YAML_DOUBLE_QUOTED_SCALAR_STYLE : YAML_PLAIN_SCALAR_STYLE;
+  yaml_scalar_event_initialize (&event, NULL, NULL, (const yaml_char_t *)text, (int)strlen (text), 1, 1, style);
   yaml_emitter_emit (emitter, &event);
 }
 
@@ -114,8 +105,7 @@
 {
   yaml_event_t event;
   char **parts = g_strsplit (text, ",", -1);
-  yaml_sequence_start_event_initialize (&event, NULL, NULL, 1,
-                                        YAML_FLOW_SEQUENCE_STYLE);
+  yaml_sequence_start_event_initialize (&event, NULL, NULL, 1, YAML_FLOW_SEQUENCE_STYLE);
   yaml_emitter_emit (emitter, &event);
   for (int i = 0; parts[i]; i++)
     if (*g_strstrip (parts[i]))
@@ -125,20 +115,14 @@
   g_strfreev (parts);
 }
 
-static void emit_map (yaml_emitter_t *emitter,
-                      const struct hf_form *form,
-                      const struct hf_field *fields,
-                      const char *prefix);
+static void
+emit_map (yaml_emitter_t *emitter, const struct hf_form *form, const struct hf_field *fields, const char *prefix);
 
 static void
-emit_list (yaml_emitter_t *emitter,
-           const struct hf_form *form,
-           const struct hf_field *field,
-           const char *path)
+emit_list (yaml_emitter_t *emitter, const struct hf_form *form, const struct hf_field *field, const char *path)
 {
   yaml_event_t event;
-  yaml_sequence_start_event_initialize (&event, NULL, NULL, 1,
-                                        YAML_BLOCK_SEQUENCE_STYLE);
+  yaml_sequence_start_event_initialize (&event, NULL, NULL, 1, YAML_BLOCK_SEQUENCE_STYLE);
   yaml_emitter_emit (emitter, &event);
   for (guint i = 0; i < hf_form_count (form, path); i++)
     {
@@ -151,10 +135,7 @@
 }
 
 static void
-emit_field (yaml_emitter_t *emitter,
-            const struct hf_form *form,
-            const struct hf_field *field,
-            const char *path)
+emit_field (yaml_emitter_t *emitter, const struct hf_form *form, const struct hf_field *field, const char *path)
 {
   const char *text = hf_form_get (form, path);
   bool is_text = field->type == HF_FIELD_STR || field->type == HF_FIELD_ADDRESS;
@@ -171,14 +152,10 @@
 }
 
 static void
-emit_map (yaml_emitter_t *emitter,
-          const struct hf_form *form,
-          const struct hf_field *fields,
-          const char *prefix)
+emit_map (yaml_emitter_t *emitter, const struct hf_form *form, const struct hf_field *fields, const char *prefix)
 {
   yaml_event_t event;
-  yaml_mapping_start_event_initialize (&event, NULL, NULL, 1,
-                                       YAML_BLOCK_MAPPING_STYLE);
+  yaml_mapping_start_event_initialize (&event, NULL, NULL, 1, YAML_BLOCK_MAPPING_STYLE);
   yaml_emitter_emit (emitter, &event);
   for (const struct hf_field *field = fields; field->name; field++)
     {
@@ -219,15 +196,13 @@
           g_hash_table_iter_remove (&iter);
           continue;
         }
-      g_ptr_array_add (moved, g_strdup_printf ("%s[%d]%s", list, to,
-                                               path + strlen (prefix)));
+      g_ptr_array_add (moved, g_strdup_printf ("%s[%d]%s", list, to, path + strlen (prefix)));
       g_ptr_array_add (moved, value);
       g_hash_table_iter_steal (&iter);
       g_free (path);
     }
   for (guint i = 0; i < moved->len; i += 2)
-    g_hash_table_replace (table, g_ptr_array_index (moved, i),
-                          g_ptr_array_index (moved, i + 1));
+    g_hash_table_replace (table, g_ptr_array_index (moved, i), g_ptr_array_index (moved, i + 1));
   g_ptr_array_unref (moved);
   g_free (prefix);
 }
@@ -237,8 +212,7 @@
 void
 hf_form_init (struct hf_form *form)
 {
-  form->values
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  form->values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   form->counts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
 }
 
@@ -294,8 +268,7 @@
 void
 hf_form_set (struct hf_form *form, const char *path, const char *value)
 {
-  g_hash_table_replace (form->values, g_strdup (path),
-                        g_strdup (value ? value : ""));
+  g_hash_table_replace (form->values, g_strdup (path), g_strdup (value ? value : ""));
 }
 
 guint
@@ -313,12 +286,10 @@
   for (const struct hf_field *field = fields; field && field->name; field++)
     {
       char *path = g_strdup_printf ("%s[%u].%s", list, n, field->name);
-      char *text = field->type == HF_FIELD_INT
-                       ? g_strdup_printf ("%" G_GINT64_FORMAT, field->def)
-                   : field->type == HF_FIELD_BOOL ? g_strdup ("false")
-                   : field->type == HF_FIELD_CHOICE
-                       ? g_strdup (field->choices[field->def])
-                       : g_strdup (field->def_str ? field->def_str : "");
+      char *text = field->type == HF_FIELD_INT      ? g_strdup_printf ("%" G_GINT64_FORMAT, field->def)
+                   : field->type == HF_FIELD_BOOL   ? g_strdup ("false")
+                   : field->type == HF_FIELD_CHOICE ? g_strdup (field->choices[field->def])
+                                                    : g_strdup (field->def_str ? field->def_str : "");
       if (field->type == HF_FIELD_LIST)
         g_hash_table_insert (form->counts, g_strdup (path), NULL);
       else
@@ -327,8 +298,7 @@
       g_free (path);
     }
   if (fields)
-    g_hash_table_insert (form->counts, g_strdup (list),
-                         GUINT_TO_POINTER (n + 1));
+    g_hash_table_insert (form->counts, g_strdup (list), GUINT_TO_POINTER (n + 1));
 }
 
 void
--- a/src/hf-health.c
+++ b/src/hf-health.c
@@ -45,10 +45,7 @@
 
 /* Takes a server out for a time, but never more than a share of the service. */
 static void
-take_out (GArray *servers,
-          struct hf_pool_server *server,
-          int64_t now,
-          enum hf_out_reason reason)
+take_out (GArray *servers, struct hf_pool_server *server, int64_t now, enum hf_out_reason reason)
 {
   if (server->out_until > now)
     return;
@@ -77,18 +74,12 @@
 }
 
 static void
-learn_latency (GArray *servers,
-               struct hf_pool_server *server,
-               int64_t now,
-               int64_t latency_us)
+learn_latency (GArray *servers, struct hf_pool_server *server, int64_t now, int64_t latency_us)
 {
-  double weight = server->samples == 0
-                      ? 1.0
-                      : MAX (HF_EWMA_WEIGHT, 1.0 / (server->samples + 1));
+  double weight = server->samples == 0 ? 1.0 : MAX (HF_EWMA_WEIGHT, 1.0 / (server->samples + 1));
   server->latency_us += weight * ((double)latency_us - server->latency_us);
   server->samples++;
-  if (server->samples < HF_STRAGGLER_SAMPLES
-      || server->samples % HF_STRAGGLER_SAMPLES != 0)
+  if (server->samples < HF_STRAGGLER_SAMPLES || server->samples % HF_STRAGGLER_SAMPLES != 0)
     return;
   double median = median_latency (servers);
   if (median > 0 && server->latency_us > HF_STRAGGLER_RATIO * median)
@@ -96,10 +87,7 @@
 }
 
 static void
-learn_success (GArray *servers,
-               struct hf_pool_server *server,
-               int64_t now,
-               int64_t latency_us)
+learn_success (GArray *servers, struct hf_pool_server *server, int64_t now, int64_t latency_us)
 {
   server->failure -= HF_EWMA_WEIGHT * server->failure;
   server->failures_in_row = 0;
@@ -110,8 +98,7 @@
       server->ramp++;
       server->ramp_ok = 0;
     }
-  if (server->ramp >= server->slots
-      && server->samples > 4 * HF_STRAGGLER_SAMPLES)
+  if (server->ramp >= server->slots && server->samples > 4 * HF_STRAGGLER_SAMPLES)
     server->out_times = 0;
   learn_latency (servers, server, now, latency_us);
 }
--- a/src/hf-health.h
+++ b/src/hf-health.h
@@ -76,12 +76,9 @@
                       struct hf_pool_server *server,
                       int64_t now,
                       enum hf_pool_result result,
-                      int64_t latency_us); /* servers: all of its service */
-bool hf_health_is_leaving (const struct hf_pool_server *server,
-                           int64_t now); /* it gets no new work */
-bool hf_health_is_usable (const struct hf_pool_server *server,
-                          int64_t now); /* neither leaving nor out */
-unsigned hf_health_slots (
-    const struct hf_pool_server *server); /* slots that may be used now */
+                      int64_t latency_us);                                    /* servers: all of its service */
+bool hf_health_is_leaving (const struct hf_pool_server *server, int64_t now); /* it gets no new work */
+bool hf_health_is_usable (const struct hf_pool_server *server, int64_t now);  /* neither leaving nor out */
+unsigned hf_health_slots (const struct hf_pool_server *server);               /* slots that may be used now */
 
 #endif
--- a/src/hf-http.c
+++ b/src/hf-http.c
@@ -7,8 +7,7 @@
 
 /* --- constants --- */
 
-#define IDLE_TIMEOUT_SEC                                                       \
-  10 /* idle connections are dropped before middleboxes forget them */
+#define IDLE_TIMEOUT_SEC 10 /* idle connections are dropped before middleboxes forget them */
 
 /* --- internal functions --- */
 
@@ -36,33 +35,26 @@
 SoupSession *
 hf_http_session (unsigned connections, unsigned timeout_sec)
 {
-  SoupSession *session = soup_session_new_with_options (
-      "max-conns", (int)MAX (connections, 1), "max-conns-per-host",
-      (int)MAX (connections, 1), "timeout", timeout_sec, "idle-timeout",
-      IDLE_TIMEOUT_SEC, "proxy-resolver", NULL, NULL);
+  SoupSession *session = soup_session_new_with_options ("max-conns", (int)MAX (connections, 1), "max-conns-per-host",
+                                                        (int)MAX (connections, 1), "timeout", timeout_sec,
+                                                        "idle-timeout", IDLE_TIMEOUT_SEC, "proxy-resolver", NULL, NULL);
   soup_session_remove_feature_by_type (session, SOUP_TYPE_CONTENT_DECODER);
   soup_session_remove_feature_by_type (session, SOUP_TYPE_AUTH_MANAGER);
   return session;
 }
 
 bool
-hf_http_listen (SoupServer *server,
-                struct hf_str address,
-                char *actual,
-                size_t size,
-                struct hf_error *error)
+hf_http_listen (SoupServer *server, struct hf_str address, char *actual, size_t size, struct hf_error *error)
 {
   GError *problem = NULL;
   char *text = g_strndup (address.data, address.len);
   char *colon = strrchr (text, ':');
   *colon = 0;
-  GSocketAddress *where = g_inet_socket_address_new_from_string (
-      text, (guint)g_ascii_strtoull (colon + 1, NULL, 10));
+  GSocketAddress *where = g_inet_socket_address_new_from_string (text, (guint)g_ascii_strtoull (colon + 1, NULL, 10));
   g_free (text);
   if (!where || !soup_server_listen (server, where, 0, &problem))
     {
-      hf_error_set (error, HF_ERROR_IO, "cannot listen on " HF_STR_FMT ": %s",
-                    HF_STR_ARG (address),
+      hf_error_set (error, HF_ERROR_IO, "cannot listen on " HF_STR_FMT ": %s", HF_STR_ARG (address),
                     problem ? problem->message : "bad address");
       g_clear_error (&problem);
       g_clear_object (&where);
@@ -87,20 +79,17 @@
   const char *value;
   soup_message_headers_iter_init (&iter, from);
   while (soup_message_headers_iter_next (&iter, &name, &value))
-    if (!is_hop_by_hop (name)
-        && !soup_message_headers_header_contains (from, "Connection", name))
+    if (!is_hop_by_hop (name) && !soup_message_headers_header_contains (from, "Connection", name))
       soup_message_headers_append (to, name, value);
 }
 
 struct hf_answer_hints
 hf_http_hints (unsigned status, SoupMessageHeaders *headers)
 {
-  struct hf_answer_hints hints
-      = { .status = status, .load = -1, .retry_after_ms = -1 };
+  struct hf_answer_hints hints = { .status = status, .load = -1, .retry_after_ms = -1 };
   const char *load = soup_message_headers_get_one (headers, "Backend-Load");
   const char *state = soup_message_headers_get_one (headers, "Backend-State");
-  const char *outcome
-      = soup_message_headers_get_one (headers, "Backend-Outcome");
+  const char *outcome = soup_message_headers_get_one (headers, "Backend-Outcome");
   const char *retry = soup_message_headers_get_one (headers, "Retry-After");
   gint64 number;
   if (load && g_ascii_string_to_signed (load, 10, 0, G_MAXINT32, &number, NULL))
@@ -113,10 +102,7 @@
 }
 
 SoupMessage *
-hf_http_message (const char *method,
-                 struct hf_str address,
-                 const char *path,
-                 const char *query)
+hf_http_message (const char *method, struct hf_str address, const char *path, const char *query)
 {
   char *text = g_strndup (address.data, address.len);
   char *colon = strrchr (text, ':');
@@ -126,8 +112,7 @@
       return NULL;
     }
   *colon = 0;
-  GUri *uri = g_uri_build (SOUP_HTTP_URI_FLAGS, "http", NULL, text,
-                           (int)g_ascii_strtoull (colon + 1, NULL, 10), path,
+  GUri *uri = g_uri_build (SOUP_HTTP_URI_FLAGS, "http", NULL, text, (int)g_ascii_strtoull (colon + 1, NULL, 10), path,
                            query, NULL);
   SoupMessage *message = soup_message_new_from_uri (method, uri);
   soup_message_add_flags (message, SOUP_MESSAGE_NO_REDIRECT);
--- a/src/hf-log.c
+++ b/src/hf-log.c
@@ -38,8 +38,7 @@
   { 0 },
 };
 
-static const int syslog_levels[]
-    = { LOG_DEBUG, LOG_INFO, LOG_NOTICE, LOG_WARNING, LOG_ERR };
+static const int syslog_levels[] = { LOG_DEBUG, LOG_INFO, LOG_NOTICE, LOG_WARNING, LOG_ERR };
 
 /* --- state --- */
 
@@ -51,8 +50,7 @@
 const struct hf_log_entry *
 hf_log_find (int number)
 {
-  for (const struct hf_log_entry *entry = hf_log_entries; entry->number;
-       entry++)
+  for (const struct hf_log_entry *entry = hf_log_entries; entry->number; entry++)
     if ((int)entry->number == number)
       return entry;
   return NULL;
@@ -78,8 +76,8 @@
   va_end (args);
   GDateTime *now = g_date_time_new_now_local ();
   char *stamp = g_date_time_format (now, "%b %e %T");
-  fprintf (stderr, "<%d>%s %s[%d]: HF%d %s: %s\n", syslog_levels[entry->level],
-           stamp, program_name, (int)getpid (), number, entry->name, text);
+  fprintf (stderr, "<%d>%s %s[%d]: HF%d %s: %s\n", syslog_levels[entry->level], stamp, program_name, (int)getpid (),
+           number, entry->name, text);
   g_free (stamp);
   g_date_time_unref (now);
 }
--- a/src/hf-log.h
+++ b/src/hf-log.h
@@ -62,11 +62,9 @@
 
 /* --- public functions --- */
 
-extern const struct hf_log_entry hf_log_entries[];   /* ended by number 0 */
-const struct hf_log_entry *hf_log_find (int number); /* row of an event */
-void
-hf_log_open (const char *program,
-             enum hf_log_level least); /* sets the name and the least level */
+extern const struct hf_log_entry hf_log_entries[];               /* ended by number 0 */
+const struct hf_log_entry *hf_log_find (int number);             /* row of an event */
+void hf_log_open (const char *program, enum hf_log_level least); /* sets the name and the least level */
 void hf_log_write (int number, const char *format, ...)
     __attribute__ ((format (printf, 2, 3))); /* one line on stderr */
 
--- a/src/hf-loop.c
+++ b/src/hf-loop.c
@@ -83,9 +83,7 @@
 }
 
 bool
-hf_loop_open (struct hf_loop *loop,
-              const struct hf_settings *settings,
-              struct hf_error *error)
+hf_loop_open (struct hf_loop *loop, const struct hf_settings *settings, struct hf_error *error)
 {
   *loop = (struct hf_loop){ .settings = *settings };
   loop->main = g_main_loop_new (NULL, FALSE);
@@ -95,8 +93,7 @@
   g_source_attach (loop->wake, NULL);
   loop->platform = hf_platform_open (loop, settings->platform);
   loop->peers = hf_peers_open (loop, settings->peers, error);
-  loop->proxy
-      = loop->peers ? hf_proxy_open (loop, settings->listen, error) : NULL;
+  loop->proxy = loop->peers ? hf_proxy_open (loop, settings->listen, error) : NULL;
   if (!loop->proxy)
     {
       hf_loop_close (loop);
--- a/src/hf-loop.h
+++ b/src/hf-loop.h
@@ -32,14 +32,11 @@
 
 /* --- public functions --- */
 
-bool hf_loop_open (struct hf_loop *loop,
-                   const struct hf_settings *settings,
-                   struct hf_error *error); /* sockets and state */
-void hf_loop_close (struct hf_loop *loop);  /* frees all */
-void hf_loop_raise (struct hf_loop *loop,
-                    struct hf_event event); /* stamps, reduces, carries out */
-void hf_loop_check_exit (
-    struct hf_loop *loop);  /* leaves when nothing is in flight */
-int64_t hf_loop_now (void); /* monotonic time, microseconds */
+bool
+hf_loop_open (struct hf_loop *loop, const struct hf_settings *settings, struct hf_error *error); /* sockets and state */
+void hf_loop_close (struct hf_loop *loop);                                                       /* frees all */
+void hf_loop_raise (struct hf_loop *loop, struct hf_event event); /* stamps, reduces, carries out */
+void hf_loop_check_exit (struct hf_loop *loop);                   /* leaves when nothing is in flight */
+int64_t hf_loop_now (void);                                       /* monotonic time, microseconds */
 
 #endif
--- a/src/hf-members.c
+++ b/src/hf-members.c
@@ -58,8 +58,7 @@
   if (!member->alive)
     return;
   member->alive = false;
-  hf_state_log (state, HF_LOG_MEMBER_LOST, "entry " HF_STR_FMT " is silent",
-                HF_STR_ARG (member->name));
+  hf_state_log (state, HF_LOG_MEMBER_LOST, "entry " HF_STR_FMT " is silent", HF_STR_ARG (member->name));
   forget_boot (state, member->boot);
   hf_members_beat (state, true);
 }
@@ -74,23 +73,18 @@
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&service))
     for (size_t i = 0; i < service->pool.servers->len; i++)
       {
-        struct hf_pool_server *server
-            = &g_array_index (service->pool.servers, struct hf_pool_server, i);
+        struct hf_pool_server *server = &g_array_index (service->pool.servers, struct hf_pool_server, i);
         if (!hf_str_equal (server->address, address))
           continue;
-        if (hf_pool_set_leaving (&service->pool, server->id, HF_LEAVING_VM_LIST,
-                                 leaving, 0))
+        if (hf_pool_set_leaving (&service->pool, server->id, HF_LEAVING_VM_LIST, leaving, 0))
           hf_state_log (state, HF_LOG_SERVER_LEAVING,
-                        "backend server " HF_STR_FMT " of " HF_STR_FMT
-                        " is leaving, by the VM list",
+                        "backend server " HF_STR_FMT " of " HF_STR_FMT " is leaving, by the VM list",
                         HF_STR_ARG (server->name), HF_STR_ARG (service->name));
       }
 }
 
 static void
-backend_vm (struct hf_state *state,
-            const struct hf_object *object,
-            const struct hf_vm *vm)
+backend_vm (struct hf_state *state, const struct hf_object *object, const struct hf_vm *vm)
 {
   char *address = g_strndup (vm->address.data, vm->address.len);
   bool leaving = vm->leaving && object->type != HF_WATCH_DELETED;
@@ -103,9 +97,7 @@
 }
 
 static void
-entry_vm (struct hf_state *state,
-          const struct hf_object *object,
-          const struct hf_vm *vm)
+entry_vm (struct hf_state *state, const struct hf_object *object, const struct hf_vm *vm)
 {
   struct hf_member *member = find_by_name (state, object->name);
   if (hf_str_equal (object->name, state->name))
@@ -141,8 +133,7 @@
 count_running (const struct hf_call *call, uint64_t server)
 {
   for (unsigned i = 0; i < call->n_attempts; i++)
-    if (call->attempts[i].phase == HF_PHASE_RUNNING
-        && call->attempts[i].server == server)
+    if (call->attempts[i].phase == HF_PHASE_RUNNING && call->attempts[i].server == server)
       return true;
   return false;
 }
@@ -160,11 +151,9 @@
     for (unsigned i = 0; i < call->n_attempts; i++)
       {
         const struct hf_attempt *attempt = &call->attempts[i];
-        if (attempt->phase != HF_PHASE_RUNNING
-            || !count_running (call, attempt->server))
+        if (attempt->phase != HF_PHASE_RUNNING || !count_running (call, attempt->server))
           continue;
-        struct hf_rpc_load *load
-            = g_hash_table_lookup (counts, &attempt->server);
+        struct hf_rpc_load *load = g_hash_table_lookup (counts, &attempt->server);
         if (!load && n < HF_RPC_LOADS_MAX)
           {
             load = &loads[n++];
@@ -187,8 +176,7 @@
   g_hash_table_iter_init (&iter, state->calls);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&call))
     for (unsigned i = 0; i < call->n_attempts && n < HF_RPC_IDS_MAX; i++)
-      if (call->attempts[i].phase == HF_PHASE_RUNNING
-          && call->attempts[i].granter == granter)
+      if (call->attempts[i].phase == HF_PHASE_RUNNING && call->attempts[i].granter == granter)
         tickets[n++] = hf_slots_ticket (call->id, i);
   return n;
 }
@@ -196,22 +184,18 @@
 static void
 beat_member (struct hf_state *state, const struct hf_member *member, bool sync)
 {
-  struct hf_rpc_message message
-      = { .boot = state->boot, .body = { .kind = HF_RPC_HEARTBEAT } };
+  struct hf_rpc_message message = { .boot = state->boot, .body = { .kind = HF_RPC_HEARTBEAT } };
   struct hf_rpc_heartbeat *beat = &message.body.hf_rpc_body_u.heartbeat;
   beat->seq = state->seq;
   beat->generation = state->document ? state->document->generation : 0;
   beat->digest = state->document ? state->document->digest : 0;
   beat->leaving = state->leaving;
   beat->sync = sync;
-  beat->loads.loads_val = hf_effects_alloc (
-      state->out, HF_RPC_LOADS_MAX * sizeof (struct hf_rpc_load));
+  beat->loads.loads_val = hf_effects_alloc (state->out, HF_RPC_LOADS_MAX * sizeof (struct hf_rpc_load));
   beat->loads.loads_len = list_loads (state, beat->loads.loads_val);
-  beat->grants.grants_val
-      = hf_effects_alloc (state->out, HF_RPC_IDS_MAX * sizeof (uint64_t));
+  beat->grants.grants_val = hf_effects_alloc (state->out, HF_RPC_IDS_MAX * sizeof (uint64_t));
   if (member->boot)
-    beat->grants.grants_len
-        = list_grants (state, member->boot, beat->grants.grants_val);
+    beat->grants.grants_len = list_grants (state, member->boot, beat->grants.grants_val);
   struct hf_effect effect = { .kind = HF_EFFECT_SEND, .message = message };
   effect.address = hf_effects_keep (state->out, member->address);
   hf_effects_add (state->out, effect);
@@ -219,22 +203,17 @@
 }
 
 static void
-apply_loads (struct hf_state *state,
-             const struct hf_member *member,
-             const struct hf_rpc_heartbeat *beat)
+apply_loads (struct hf_state *state, const struct hf_member *member, const struct hf_rpc_heartbeat *beat)
 {
   GHashTableIter iter;
   struct hf_service_state *service;
   g_hash_table_iter_init (&iter, state->services);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&service))
     {
-      hf_pool_reconcile (&service->pool, state->now, member->boot,
-                         beat->grants.grants_val, beat->grants.grants_len);
+      hf_pool_reconcile (&service->pool, state->now, member->boot, beat->grants.grants_val, beat->grants.grants_len);
       for (size_t i = 0; i < service->pool.servers->len; i++)
         {
-          uint64_t id
-              = g_array_index (service->pool.servers, struct hf_pool_server, i)
-                    .id;
+          uint64_t id = g_array_index (service->pool.servers, struct hf_pool_server, i).id;
           unsigned count = 0;
           for (u_int l = 0; l < beat->loads.loads_len; l++)
             if (beat->loads.loads_val[l].server == id)
@@ -263,8 +242,7 @@
   for (size_t i = 0; i < state->members->len; i++)
     {
       const struct hf_member *member = member_at (state, i);
-      if (!member->alive || member->leaving
-          || weight_of (subject, member->boot) < best)
+      if (!member->alive || member->leaving || weight_of (subject, member->boot) < best)
         continue;
       best = weight_of (subject, member->boot);
       owner = member->boot;
@@ -300,8 +278,7 @@
 void
 hf_members_heartbeat (struct hf_state *state, const struct hf_event *event)
 {
-  const struct hf_rpc_heartbeat *beat
-      = &event->peer.message->body.hf_rpc_body_u.heartbeat;
+  const struct hf_rpc_heartbeat *beat = &event->peer.message->body.hf_rpc_body_u.heartbeat;
   struct hf_member *member = find_by_address (state, event->peer.address);
   if (!member)
     member = add_member (state, event->peer.address, event->peer.address);
@@ -317,12 +294,10 @@
   member->generation = beat->generation;
   member->digest = beat->digest;
   if (joined)
-    hf_state_log (state, HF_LOG_MEMBER_JOINED,
-                  "entry " HF_STR_FMT " at generation %" G_GUINT64_FORMAT,
+    hf_state_log (state, HF_LOG_MEMBER_JOINED, "entry " HF_STR_FMT " at generation %" G_GUINT64_FORMAT,
                   HF_STR_ARG (member->name), (guint64)beat->generation);
   if (left)
-    hf_state_log (state, HF_LOG_MEMBER_LEAVING,
-                  "entry " HF_STR_FMT " is leaving", HF_STR_ARG (member->name));
+    hf_state_log (state, HF_LOG_MEMBER_LEAVING, "entry " HF_STR_FMT " is leaving", HF_STR_ARG (member->name));
   apply_loads (state, member, beat);
   if (beat->sync || joined)
     beat_member (state, member, false);
--- a/src/hf-members.h
+++ b/src/hf-members.h
@@ -11,29 +11,19 @@
 
 /* --- public functions: look up --- */
 
-struct hf_member *hf_members_find (const struct hf_state *state,
-                                   uint64_t boot); /* NULL if unknown */
-uint64_t
-hf_members_owner (const struct hf_state *state,
-                  uint64_t subject); /* boot id of the responsible entry */
-bool hf_members_own (const struct hf_state *state,
-                     uint64_t subject); /* this entry is responsible */
-size_t hf_members_alive (
-    const struct hf_state *state); /* live entries, this one included */
+struct hf_member *hf_members_find (const struct hf_state *state, uint64_t boot); /* NULL if unknown */
+uint64_t hf_members_owner (const struct hf_state *state, uint64_t subject);      /* boot id of the responsible entry */
+bool hf_members_own (const struct hf_state *state, uint64_t subject);            /* this entry is responsible */
+size_t hf_members_alive (const struct hf_state *state);                          /* live entries, this one included */
 
 /* --- public functions: events --- */
 
-void hf_members_beat (struct hf_state *state,
-                      bool sync); /* sends a heartbeat to every member */
-void hf_members_heartbeat (struct hf_state *state,
-                           const struct hf_event *event); /* a heartbeat came */
-void
-hf_members_vm (struct hf_state *state,
-               const struct hf_object *object); /* a VM of the list changed */
-void hf_members_begin_list (struct hf_state *state); /* the watch starts anew */
-void
-hf_members_end_list (struct hf_state *state);    /* all VMs have been listed */
-void hf_members_expire (struct hf_state *state); /* drops silent members */
-void hf_members_resume (struct hf_state *state); /* this entry was paused */
+void hf_members_beat (struct hf_state *state, bool sync); /* sends a heartbeat to every member */
+void hf_members_heartbeat (struct hf_state *state, const struct hf_event *event); /* a heartbeat came */
+void hf_members_vm (struct hf_state *state, const struct hf_object *object);      /* a VM of the list changed */
+void hf_members_begin_list (struct hf_state *state);                              /* the watch starts anew */
+void hf_members_end_list (struct hf_state *state);                                /* all VMs have been listed */
+void hf_members_expire (struct hf_state *state);                                  /* drops silent members */
+void hf_members_resume (struct hf_state *state);                                  /* this entry was paused */
 
 #endif
