--- a/src/hf-objects.c
+++ b/src/hf-objects.c
@@ -9,29 +9,24 @@
 member_object (JsonObject *object, const char *name)
 {
   JsonNode *node = object ? json_object_get_member (object, name) : NULL;
-  return node && JSON_NODE_HOLDS_OBJECT (node) ? json_node_get_object (node)
-                                               : NULL;
+  return node && JSON_NODE_HOLDS_OBJECT (node) ? json_node_get_object (node) : NULL;
 }
 
 static struct hf_str
 member_str (JsonObject *object, const char *name)
 {
   JsonNode *node = object ? json_object_get_member (object, name) : NULL;
-  if (!node || !JSON_NODE_HOLDS_VALUE (node)
-      || json_node_get_value_type (node) != G_TYPE_STRING)
+  if (!node || !JSON_NODE_HOLDS_VALUE (node) || json_node_get_value_type (node) != G_TYPE_STRING)
     return (struct hf_str){ .data = "" };
   return hf_str (json_node_get_string (node));
 }
 
 static JsonObject *
-parse_root (struct hf_str text,
-            struct hf_object *object,
-            struct hf_error *error)
+parse_root (struct hf_str text, struct hf_object *object, struct hf_error *error)
 {
   GError *problem = NULL;
   *object = (struct hf_object){ .parser = json_parser_new () };
-  if (!json_parser_load_from_data (object->parser, text.data, (gssize)text.len,
-                                   &problem))
+  if (!json_parser_load_from_data (object->parser, text.data, (gssize)text.len, &problem))
     {
       hf_error_set (error, HF_ERROR_SYNTAX, "not JSON: %s", problem->message);
       g_clear_error (&problem);
@@ -49,17 +44,14 @@
 {
   JsonObject *metadata = member_object (json, "metadata");
   object->name = member_str (metadata, "name");
-  object->version = g_ascii_strtoull (
-      member_str (metadata, "resourceVersion").data, NULL, 10);
+  object->version = g_ascii_strtoull (member_str (metadata, "resourceVersion").data, NULL, 10);
   object->data = member_object (json, "data");
 }
 
 /* --- public functions: any object --- */
 
 bool
-hf_object_load (struct hf_str text,
-                struct hf_object *object,
-                struct hf_error *error)
+hf_object_load (struct hf_str text, struct hf_object *object, struct hf_error *error)
 {
   JsonObject *root = parse_root (text, object, error);
   if (root)
@@ -72,9 +64,7 @@
 }
 
 bool
-hf_object_load_watch (struct hf_str line,
-                      struct hf_object *object,
-                      struct hf_error *error)
+hf_object_load_watch (struct hf_str line, struct hf_object *object, struct hf_error *error)
 {
   JsonObject *root = parse_root (line, object, error);
   JsonObject *inner = member_object (root, "object");
@@ -116,11 +106,8 @@
 uint64_t
 hf_object_uint (const struct hf_object *object, const char *member)
 {
-  JsonNode *node
-      = object->data ? json_object_get_member (object->data, member) : NULL;
-  return node && JSON_NODE_HOLDS_VALUE (node)
-             ? (uint64_t)json_node_get_int (node)
-             : 0;
+  JsonNode *node = object->data ? json_object_get_member (object->data, member) : NULL;
+  return node && JSON_NODE_HOLDS_VALUE (node) ? (uint64_t)json_node_get_int (node) : 0;
 }
 
 char *
@@ -153,19 +140,15 @@
 /* --- public functions: typed objects --- */
 
 bool
-hf_manifest_read (const struct hf_object *object,
-                  struct hf_manifest *manifest,
-                  struct hf_error *error)
+hf_manifest_read (const struct hf_object *object, struct hf_manifest *manifest, struct hf_error *error)
 {
   manifest->generation = hf_object_uint (object, "generation");
   manifest->digest = hf_object_hex (object, "digest");
   manifest->document = hf_object_str (object, "document");
   if (manifest->generation == 0 || manifest->document.len == 0)
-    return hf_error_set (error, HF_ERROR_INVALID,
-                         "the manifest has no generation or no document");
+    return hf_error_set (error, HF_ERROR_INVALID, "the manifest has no generation or no document");
   if (hf_hash (manifest->document, 0) != manifest->digest)
-    return hf_error_set (error, HF_ERROR_INVALID,
-                         "the document does not match its digest");
+    return hf_error_set (error, HF_ERROR_INVALID, "the document does not match its digest");
   return true;
 }
 
@@ -175,8 +158,7 @@
   JsonObject *data = json_object_new ();
   JsonNode *node = json_node_new (JSON_NODE_OBJECT);
   char digest[32];
-  g_snprintf (digest, sizeof digest, "%016" G_GINT64_MODIFIER "x",
-              (guint64)manifest->digest);
+  g_snprintf (digest, sizeof digest, "%016" G_GINT64_MODIFIER "x", (guint64)manifest->digest);
   char *document = g_strndup (manifest->document.data, manifest->document.len);
   json_object_set_int_member (data, "generation", (gint64)manifest->generation);
   json_object_set_string_member (data, "digest", digest);
@@ -187,17 +169,13 @@
 }
 
 bool
-hf_vm_read (const struct hf_object *object,
-            struct hf_vm *vm,
-            struct hf_error *error)
+hf_vm_read (const struct hf_object *object, struct hf_vm *vm, struct hf_error *error)
 {
   vm->role = hf_object_str (object, "role");
   vm->address = hf_object_str (object, "address");
   vm->failure_domain = hf_object_str (object, "failure_domain");
-  vm->leaving
-      = hf_str_equal (hf_object_str (object, "phase"), hf_str ("Leaving"));
+  vm->leaving = hf_str_equal (hf_object_str (object, "phase"), hf_str ("Leaving"));
   if (object->name.len == 0 || vm->address.len == 0)
-    return hf_error_set (error, HF_ERROR_INVALID,
-                         "a VM without name or address");
+    return hf_error_set (error, HF_ERROR_INVALID, "a VM without name or address");
   return true;
 }
--- a/src/hf-objects.h
+++ b/src/hf-objects.h
@@ -59,33 +59,21 @@
 
 /* --- public functions: any object --- */
 
-bool hf_object_load (struct hf_str text,
-                     struct hf_object *object,
-                     struct hf_error *error); /* one object */
-bool hf_object_load_watch (struct hf_str line,
-                           struct hf_object *object,
-                           struct hf_error *error); /* one line of a watch */
-void hf_object_unload (struct hf_object *object);   /* frees the JSON */
-struct hf_str
-hf_object_str (const struct hf_object *object,
-               const char *member); /* borrowed; empty if absent */
-uint64_t hf_object_hex (const struct hf_object *object,
-                        const char *member); /* 64-bit number written in hex */
-uint64_t hf_object_uint (const struct hf_object *object,
-                         const char *member); /* 0 if absent */
-char *hf_object_write (const char *name,
-                       uint64_t version,
-                       JsonNode *data); /* JSON text; takes data */
+bool hf_object_load (struct hf_str text, struct hf_object *object, struct hf_error *error); /* one object */
+bool
+hf_object_load_watch (struct hf_str line, struct hf_object *object, struct hf_error *error); /* one line of a watch */
+void hf_object_unload (struct hf_object *object);                                            /* frees the JSON */
+struct hf_str hf_object_str (const struct hf_object *object, const char *member); /* borrowed; empty if absent */
+uint64_t hf_object_hex (const struct hf_object *object, const char *member);      /* 64-bit number written in hex */
+uint64_t hf_object_uint (const struct hf_object *object, const char *member);     /* 0 if absent */
+char *hf_object_write (const char *name, uint64_t version, JsonNode *data);       /* JSON text; takes data */
 
 /* --- public functions: typed objects --- */
 
 bool hf_manifest_read (const struct hf_object *object,
                        struct hf_manifest *manifest,
-                       struct hf_error *error); /* checks the digest */
-char *hf_manifest_write (uint64_t version,
-                         const struct hf_manifest *manifest); /* JSON text */
-bool hf_vm_read (const struct hf_object *object,
-                 struct hf_vm *vm,
-                 struct hf_error *error); /* one VM */
+                       struct hf_error *error);                                             /* checks the digest */
+char *hf_manifest_write (uint64_t version, const struct hf_manifest *manifest);             /* JSON text */
+bool hf_vm_read (const struct hf_object *object, struct hf_vm *vm, struct hf_error *error); /* one VM */
 
 #endif
--- a/src/hf-peers.c
+++ b/src/hf-peers.c
@@ -33,8 +33,7 @@
   if (colon)
     {
       *colon = 0;
-      parsed = g_inet_socket_address_new_from_string (
-          text, (guint)g_ascii_strtoull (colon + 1, NULL, 10));
+      parsed = g_inet_socket_address_new_from_string (text, (guint)g_ascii_strtoull (colon + 1, NULL, 10));
     }
   g_free (text);
   return parsed;
@@ -48,15 +47,12 @@
     return known;
   known = parse_address (address);
   if (known)
-    g_hash_table_insert (peers->addresses,
-                         g_strndup (address.data, address.len), known);
+    g_hash_table_insert (peers->addresses, g_strndup (address.data, address.len), known);
   return known;
 }
 
 static void
-take_datagram (struct hf_peers *peers,
-               struct hf_str datagram,
-               GSocketAddress *from)
+take_datagram (struct hf_peers *peers, struct hf_str datagram, GSocketAddress *from)
 {
   struct hf_rpc_message message;
   struct hf_error error = { 0 };
@@ -68,10 +64,8 @@
       return;
     }
   char *address = g_socket_connectable_to_string (G_SOCKET_CONNECTABLE (from));
-  hf_loop_raise (peers->loop,
-                 (struct hf_event){ .kind = HF_EVENT_PEER,
-                                    .peer = { .message = &message,
-                                              .address = hf_str (address) } });
+  hf_loop_raise (peers->loop, (struct hf_event){ .kind = HF_EVENT_PEER,
+                                                 .peer = { .message = &message, .address = hf_str (address) } });
   g_free (address);
   hf_wire_free (&message);
 }
@@ -85,16 +79,14 @@
   for (int i = 0; i < BATCH_MAX; i++)
     {
       GSocketAddress *from = NULL;
-      gssize got = g_socket_receive_from (socket, &from, buffer, sizeof buffer,
-                                          NULL, NULL);
+      gssize got = g_socket_receive_from (socket, &from, buffer, sizeof buffer, NULL, NULL);
       if (got < 0)
         {
           g_clear_object (&from);
           break;
         }
       if (from)
-        take_datagram (
-            peers, (struct hf_str){ .data = buffer, .len = (size_t)got }, from);
+        take_datagram (peers, (struct hf_str){ .data = buffer, .len = (size_t)got }, from);
       g_clear_object (&from);
     }
   return G_SOURCE_CONTINUE;
@@ -103,20 +95,16 @@
 /* --- public functions --- */
 
 struct hf_peers *
-hf_peers_open (struct hf_loop *loop,
-               struct hf_str address,
-               struct hf_error *error)
+hf_peers_open (struct hf_loop *loop, struct hf_str address, struct hf_error *error)
 {
   GError *problem = NULL;
   GSocketAddress *where = parse_address (address);
-  GSocket *socket = where ? g_socket_new (g_socket_address_get_family (where),
-                                          G_SOCKET_TYPE_DATAGRAM,
+  GSocket *socket = where ? g_socket_new (g_socket_address_get_family (where), G_SOCKET_TYPE_DATAGRAM,
                                           G_SOCKET_PROTOCOL_UDP, &problem)
                           : NULL;
   if (!socket || !g_socket_bind (socket, where, FALSE, &problem))
     {
-      hf_error_set (error, HF_ERROR_IO, "cannot bind " HF_STR_FMT ": %s",
-                    HF_STR_ARG (address),
+      hf_error_set (error, HF_ERROR_IO, "cannot bind " HF_STR_FMT ": %s", HF_STR_ARG (address),
                     problem ? problem->message : "bad address");
       g_clear_error (&problem);
       g_clear_object (&socket);
@@ -127,8 +115,7 @@
   struct hf_peers *peers = g_new0 (struct hf_peers, 1);
   peers->loop = loop;
   peers->socket = socket;
-  peers->addresses
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_object_unref);
+  peers->addresses = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_object_unref);
   g_socket_set_blocking (socket, FALSE);
   GSocketAddress *local = g_socket_get_local_address (socket, NULL);
   char *text = g_socket_connectable_to_string (G_SOCKET_CONNECTABLE (local));
@@ -170,6 +157,5 @@
   /* A full socket buffer loses the datagram, as the network may. */
   gssize sent = g_socket_send_to (peers->socket, to, buffer, size, NULL, NULL);
   if (sent > 0)
-    hf_state_counters (peers->loop->state)[HF_COUNT_BYTES_SENT]
-        += (uint64_t)sent;
+    hf_state_counters (peers->loop->state)[HF_COUNT_BYTES_SENT] += (uint64_t)sent;
 }
--- a/src/hf-platform.c
+++ b/src/hf-platform.c
@@ -7,10 +7,9 @@
 
 /* --- constants --- */
 
-#define API_PATH "/apis/hickoryfield/v1"
-#define WATCHES  2
-#define METADATA_ONLY                                                          \
-  "application/json;as=PartialObjectMetadata;g=meta.k8s.io;v=1"
+#define API_PATH      "/apis/hickoryfield/v1"
+#define WATCHES       2
+#define METADATA_ONLY "application/json;as=PartialObjectMetadata;g=meta.k8s.io;v=1"
 
 /* --- types --- */
 
@@ -39,9 +38,7 @@
 /* --- internal functions --- */
 
 static struct call *
-new_call (struct hf_platform *platform,
-          const struct hf_effect *effect,
-          SoupMessage *message)
+new_call (struct hf_platform *platform, const struct hf_effect *effect, SoupMessage *message)
 {
   struct call *call = g_new0 (struct call, 1);
   call->platform = platform;
@@ -62,17 +59,12 @@
 }
 
 static struct hf_event
-make_event (const struct call *call,
-            enum hf_event_kind kind,
-            unsigned status,
-            struct hf_str data)
+make_event (const struct call *call, enum hf_event_kind kind, unsigned status, struct hf_str data)
 {
-  return (struct hf_event){ .kind = kind,
-                            .platform = { .purpose = call->purpose,
-                                          .op = call->op,
-                                          .arg = call->arg,
-                                          .status = status,
-                                          .data = data } };
+  return (struct hf_event){
+    .kind = kind,
+    .platform = { .purpose = call->purpose, .op = call->op, .arg = call->arg, .status = status, .data = data }
+  };
 }
 
 static void
@@ -80,8 +72,7 @@
 {
   struct call *call = data;
   GError *problem = NULL;
-  GBytes *body = soup_session_send_and_read_finish (SOUP_SESSION (source),
-                                                    result, &problem);
+  GBytes *body = soup_session_send_and_read_finish (SOUP_SESSION (source), result, &problem);
   bool closing = g_error_matches (problem, G_IO_ERROR, G_IO_ERROR_CANCELLED);
   gsize size = 0;
   const char *text = body ? g_bytes_get_data (body, &size) : NULL;
@@ -90,8 +81,7 @@
     status = 0; /* the platform does not say whether a write took effect */
   if (!closing)
     hf_loop_raise (call->platform->loop,
-                   make_event (call, HF_EVENT_PLATFORM, status,
-                               (struct hf_str){ .data = text, .len = size }));
+                   make_event (call, HF_EVENT_PLATFORM, status, (struct hf_str){ .data = text, .len = size }));
   g_clear_error (&problem);
   if (body)
     g_bytes_unref (body);
@@ -105,8 +95,7 @@
 {
   if (!cancelled)
     hf_loop_raise (call->platform->loop,
-                   make_event (call, HF_EVENT_WATCH, status ? status : 599,
-                               (struct hf_str){ 0 }));
+                   make_event (call, HF_EVENT_WATCH, status ? status : 599, (struct hf_str){ 0 }));
   free_call (call);
 }
 
@@ -116,10 +105,9 @@
   struct call *call = data;
   GError *problem = NULL;
   gsize size = 0;
-  char *line = g_data_input_stream_read_line_finish (
-      G_DATA_INPUT_STREAM (source), result, &size, &problem);
-  bool cancelled = g_error_matches (problem, G_IO_ERROR, G_IO_ERROR_CANCELLED)
-                   || g_cancellable_is_cancelled (call->cancellable);
+  char *line = g_data_input_stream_read_line_finish (G_DATA_INPUT_STREAM (source), result, &size, &problem);
+  bool cancelled
+      = g_error_matches (problem, G_IO_ERROR, G_IO_ERROR_CANCELLED) || g_cancellable_is_cancelled (call->cancellable);
   bool failed = problem != NULL;
   g_clear_error (&problem);
   if (!line)
@@ -129,8 +117,7 @@
     }
   if (size > 0 && !cancelled)
     hf_loop_raise (call->platform->loop,
-                   make_event (call, HF_EVENT_WATCH, 0,
-                               (struct hf_str){ .data = line, .len = size }));
+                   make_event (call, HF_EVENT_WATCH, 0, (struct hf_str){ .data = line, .len = size }));
   g_free (line);
   read_line (call);
 }
@@ -138,8 +125,7 @@
 static void
 read_line (struct call *call)
 {
-  g_data_input_stream_read_line_async (call->lines, G_PRIORITY_DEFAULT,
-                                       call->cancellable, line_read, call);
+  g_data_input_stream_read_line_async (call->lines, G_PRIORITY_DEFAULT, call->cancellable, line_read, call);
 }
 
 static void
@@ -147,10 +133,9 @@
 {
   struct call *call = data;
   GError *problem = NULL;
-  GInputStream *stream
-      = soup_session_send_finish (SOUP_SESSION (source), result, &problem);
-  bool cancelled = g_error_matches (problem, G_IO_ERROR, G_IO_ERROR_CANCELLED)
-                   || g_cancellable_is_cancelled (call->cancellable);
+  GInputStream *stream = soup_session_send_finish (SOUP_SESSION (source), result, &problem);
+  bool cancelled
+      = g_error_matches (problem, G_IO_ERROR, G_IO_ERROR_CANCELLED) || g_cancellable_is_cancelled (call->cancellable);
   g_clear_error (&problem);
   unsigned status = stream ? soup_message_get_status (call->message) : 0;
   if (!stream || cancelled || status != 200)
@@ -169,13 +154,9 @@
 {
   bool vms = effect->purpose == HF_PURPOSE_VMS;
   char query[160];
-  g_snprintf (query, sizeof query,
-              "watch=true&allowWatchBookmarks=true&timeoutSeconds=%d%s",
-              HF_WATCH_LIFE_SEC,
+  g_snprintf (query, sizeof query, "watch=true&allowWatchBookmarks=true&timeoutSeconds=%d%s", HF_WATCH_LIFE_SEC,
               vms ? "" : "&fieldSelector=metadata.name%3Dconfig");
-  SoupMessage *message
-      = hf_http_message ("GET", platform->address,
-                         vms ? API_PATH "/vms" : API_PATH "/objects", query);
+  SoupMessage *message = hf_http_message ("GET", platform->address, vms ? API_PATH "/vms" : API_PATH "/objects", query);
   /* A fresh connection: the old watch may have gone silent on the last one. */
   soup_message_add_flags (message, SOUP_MESSAGE_NEW_CONNECTION);
   struct call *call = new_call (platform, effect, message);
@@ -183,8 +164,7 @@
   g_clear_object (&platform->watches[effect->purpose]);
   platform->watches[effect->purpose] = g_cancellable_new ();
   call->cancellable = g_object_ref (platform->watches[effect->purpose]);
-  soup_session_send_async (platform->watch_session, message, G_PRIORITY_DEFAULT,
-                           call->cancellable, watch_open, call);
+  soup_session_send_async (platform->watch_session, message, G_PRIORITY_DEFAULT, call->cancellable, watch_open, call);
 }
 
 static void
@@ -192,28 +172,23 @@
 {
   bool create = effect->op == HF_PLATFORM_PUT && effect->version == 0;
   char *path = create ? g_strdup (API_PATH "/objects")
-                      : g_strdup_printf (API_PATH "/objects/" HF_STR_FMT,
-                                         HF_STR_ARG (effect->name));
+                      : g_strdup_printf (API_PATH "/objects/" HF_STR_FMT, HF_STR_ARG (effect->name));
   bool write = effect->op == HF_PLATFORM_PUT;
   const char *method = !write ? "GET" : create ? "POST" : "PUT";
-  SoupMessage *message
-      = hf_http_message (method, platform->address, path, NULL);
+  SoupMessage *message = hf_http_message (method, platform->address, path, NULL);
   g_free (path);
   if (effect->op == HF_PLATFORM_HEAD)
-    soup_message_headers_replace (soup_message_get_request_headers (message),
-                                  "Accept", METADATA_ONLY);
+    soup_message_headers_replace (soup_message_get_request_headers (message), "Accept", METADATA_ONLY);
   if (write)
     {
       /* On a reused connection that closes the library would send it twice. */
       soup_message_add_flags (message, SOUP_MESSAGE_NEW_CONNECTION);
       GBytes *body = g_bytes_new (effect->data.data, effect->data.len);
-      soup_message_set_request_body_from_bytes (message, "application/json",
-                                                body);
+      soup_message_set_request_body_from_bytes (message, "application/json", body);
       g_bytes_unref (body);
     }
-  soup_session_send_and_read_async (
-      platform->session, message, G_PRIORITY_DEFAULT, platform->all, call_done,
-      new_call (platform, effect, message));
+  soup_session_send_and_read_async (platform->session, message, G_PRIORITY_DEFAULT, platform->all, call_done,
+                                    new_call (platform, effect, message));
 }
 
 /* --- public functions --- */
--- a/src/hf-policy.c
+++ b/src/hf-policy.c
@@ -6,10 +6,7 @@
 /* --- internal functions --- */
 
 static size_t
-choose_round_robin (void *context,
-                    const struct hf_candidate *candidates,
-                    size_t n,
-                    uint64_t random)
+choose_round_robin (void *context, const struct hf_candidate *candidates, size_t n, uint64_t random)
 {
   const struct hf_choice_context *choice = context;
   (void)candidates;
@@ -18,10 +15,7 @@
 }
 
 static size_t
-choose_of_two (void *context,
-               const struct hf_candidate *candidates,
-               size_t n,
-               uint64_t random)
+choose_of_two (void *context, const struct hf_candidate *candidates, size_t n, uint64_t random)
 {
   size_t a = random % n;
   size_t b = (random >> 32) % n;
@@ -29,10 +23,7 @@
   if (a == b)
     b = (a + 1) % n;
   /* Cross-multiplied load per slot: no division by a small slot count. */
-  return candidates[a].load * candidates[b].slots
-                 <= candidates[b].load * candidates[a].slots
-             ? a
-             : b;
+  return candidates[a].load * candidates[b].slots <= candidates[b].load * candidates[a].slots ? a : b;
 }
 
 static double
@@ -42,10 +33,7 @@
 }
 
 static size_t
-choose_fastest_free (void *context,
-                     const struct hf_candidate *candidates,
-                     size_t n,
-                     uint64_t random)
+choose_fastest_free (void *context, const struct hf_candidate *candidates, size_t n, uint64_t random)
 {
   size_t best = random % n;
   (void)context;
@@ -58,17 +46,12 @@
 /* --- public data --- */
 
 const struct hf_policy hf_policies[] = {
-  [HF_POLICY_GRANTS] = { .name = "grants",
-                         .bounded = true,
-                         .use_foreign = true,
-                         .choose = choose_fastest_free },
+  [HF_POLICY_GRANTS] = { .name = "grants", .bounded = true, .use_foreign = true, .choose = choose_fastest_free },
   [HF_POLICY_TWO_SHARED] = { .name = "two-choices-shared",
                              .bounded = true,
                              .use_foreign = true,
                              .use_reports = true,
                              .choose = choose_of_two },
-  [HF_POLICY_TWO_CHOICES]
-  = { .name = "two-choices", .bounded = true, .choose = choose_of_two },
-  [HF_POLICY_ROUND_ROBIN]
-  = { .name = "round-robin", .choose = choose_round_robin },
+  [HF_POLICY_TWO_CHOICES] = { .name = "two-choices", .bounded = true, .choose = choose_of_two },
+  [HF_POLICY_ROUND_ROBIN] = { .name = "round-robin", .choose = choose_round_robin },
 };
--- a/src/hf-policy.h
+++ b/src/hf-policy.h
@@ -43,10 +43,7 @@
   bool bounded;
   bool use_foreign;
   bool use_reports;
-  size_t (*choose) (void *context,
-                    const struct hf_candidate *candidates,
-                    size_t n,
-                    uint64_t random);
+  size_t (*choose) (void *context, const struct hf_candidate *candidates, size_t n, uint64_t random);
 };
 
 /** struct hf_choice_context - what a policy's choose may look at */
--- a/src/hf-pool.c
+++ b/src/hf-pool.c
@@ -60,8 +60,7 @@
   (void)context;
   if (left->worth != right->worth)
     return left->worth > right->worth ? -1 : 1;
-  return left->deadline < right->deadline ? -1
-                                          : left->deadline > right->deadline;
+  return left->deadline < right->deadline ? -1 : left->deadline > right->deadline;
 }
 
 /* --- internal functions: backend servers --- */
@@ -73,9 +72,7 @@
 }
 
 static unsigned
-load_of (const struct hf_pool *pool,
-         const struct hf_pool_server *server,
-         int64_t now)
+load_of (const struct hf_pool *pool, const struct hf_pool_server *server, int64_t now)
 {
   unsigned load = server->granted;
   if (pool->policy->use_foreign)
@@ -89,10 +86,7 @@
 /* --- internal functions: choice --- */
 
 static size_t
-list_candidates (const struct hf_pool *pool,
-                 int64_t now,
-                 uint64_t exclude,
-                 struct hf_candidate *candidates)
+list_candidates (const struct hf_pool *pool, int64_t now, uint64_t exclude, struct hf_candidate *candidates)
 {
   size_t n = 0;
   for (size_t i = 0; i < pool->servers->len; i++)
@@ -103,12 +97,11 @@
         continue;
       if (pool->policy->bounded && load >= hf_health_slots (server))
         continue;
-      candidates[n++]
-          = (struct hf_candidate){ .index = i,
-                                   .load = load,
-                                   .slots = hf_health_slots (server),
-                                   .latency_us = server->latency_us,
-                                   .failure = server->failure };
+      candidates[n++] = (struct hf_candidate){ .index = i,
+                                               .load = load,
+                                               .slots = hf_health_slots (server),
+                                               .latency_us = server->latency_us,
+                                               .failure = server->failure };
     }
   return n;
 }
@@ -118,8 +111,7 @@
 {
   size_t n = 0;
   for (size_t i = 0; i < pool->servers->len; i++)
-    n += hf_health_is_usable (server_at (pool, i), now)
-         && server_at (pool, i)->id != exclude;
+    n += hf_health_is_usable (server_at (pool, i), now) && server_at (pool, i)->id != exclude;
   return n;
 }
 
@@ -134,8 +126,7 @@
   if (n == 0)
     return NULL;
   struct hf_choice_context choice = { .turn = pool->turn };
-  size_t i = pool->policy->choose (&choice, candidates, n,
-                                   hf_random_next (&pool->random));
+  size_t i = pool->policy->choose (&choice, candidates, n, hf_random_next (&pool->random));
   pool->turn++;
   return i < n ? server_at (pool, candidates[i].index) : NULL;
 }
@@ -149,19 +140,13 @@
         uint64_t server,
         enum hf_refusal reason)
 {
-  struct hf_decision decision = { .kind = kind,
-                                  .entry = want->entry,
-                                  .ticket = want->ticket,
-                                  .server = server,
-                                  .reason = reason };
+  struct hf_decision decision
+      = { .kind = kind, .entry = want->entry, .ticket = want->ticket, .server = server, .reason = reason };
   g_array_append_val (decisions, decision);
 }
 
 static void
-refuse (struct hf_pool *pool,
-        GArray *decisions,
-        const struct hf_pool_want *want,
-        enum hf_refusal reason)
+refuse (struct hf_pool *pool, GArray *decisions, const struct hf_pool_want *want, enum hf_refusal reason)
 {
   pool->refused[reason]++;
   decide (decisions, want, HF_DECISION_REFUSED, 0, reason);
@@ -178,8 +163,7 @@
   *record = (struct record){ .key = { want->entry, want->ticket },
                              .server = server->id,
                              .issued_at = now,
-                             .expires_at
-                             = want->deadline + HF_GRANT_GRACE_MS * HF_MS };
+                             .expires_at = want->deadline + HF_GRANT_GRACE_MS * HF_MS };
   g_hash_table_replace (pool->records, record, record);
   server->granted++;
   decide (decisions, want, HF_DECISION_GRANTED, server->id, HF_REFUSAL_NONE);
@@ -199,8 +183,7 @@
   struct waiting *waiting = g_new0 (struct waiting, 1);
   waiting->key = (struct key){ want->entry, want->ticket };
   waiting->want = *want;
-  waiting->place
-      = g_sequence_insert_sorted (pool->queue, waiting, compare_waiting, NULL);
+  waiting->place = g_sequence_insert_sorted (pool->queue, waiting, compare_waiting, NULL);
   g_hash_table_replace (pool->queued, waiting, waiting);
   return waiting;
 }
@@ -225,34 +208,27 @@
 /* True if the time to reach the head of the queue leaves too little for the
  * work. */
 static bool
-would_be_late (const struct hf_pool *pool,
-               int64_t now,
-               const struct waiting *waiting)
+would_be_late (const struct hf_pool *pool, int64_t now, const struct waiting *waiting)
 {
   double latency;
   unsigned slots = usable_slots (pool, now, &latency);
   if (slots == 0)
     return false;
   double ahead = g_sequence_iter_get_position (waiting->place) + 1;
-  return (double)now + ahead * latency / slots + latency
-         > (double)waiting->want.deadline;
+  return (double)now + ahead * latency / slots + latency > (double)waiting->want.deadline;
 }
 
 static void
 shed_least_worth (struct hf_pool *pool, GArray *decisions)
 {
-  GSequenceIter *last
-      = g_sequence_iter_prev (g_sequence_get_end_iter (pool->queue));
+  GSequenceIter *last = g_sequence_iter_prev (g_sequence_get_end_iter (pool->queue));
   struct waiting *least = g_sequence_get (last);
   refuse (pool, decisions, &least->want, HF_REFUSAL_QUEUE_FULL);
   remove_waiting (pool, least);
 }
 
 static void
-wait_or_refuse (struct hf_pool *pool,
-                int64_t now,
-                const struct hf_pool_want *want,
-                GArray *decisions)
+wait_or_refuse (struct hf_pool *pool, int64_t now, const struct hf_pool_want *want, GArray *decisions)
 {
   if (count_usable (pool, now, 0) == 0)
     {
@@ -309,9 +285,7 @@
 /* --- internal functions: configuration --- */
 
 static struct hf_pool_server
-make_server (const struct hf_service *service,
-             const struct hf_server *spec,
-             bool cold)
+make_server (const struct hf_service *service, const struct hf_server *spec, bool cold)
 {
   return (struct hf_pool_server){
     .id = hf_server_id (service->name, spec->name),
@@ -350,8 +324,7 @@
 void
 hf_pool_init (struct hf_pool *pool, uint64_t random)
 {
-  *pool = (struct hf_pool){ .policy = &hf_policies[HF_POLICY_GRANTS],
-                            .random = random };
+  *pool = (struct hf_pool){ .policy = &hf_policies[HF_POLICY_GRANTS], .random = random };
   pool->servers = g_array_new (FALSE, TRUE, sizeof (struct hf_pool_server));
   g_array_set_clear_func (pool->servers, clear_server);
   pool->records = g_hash_table_new_full (key_hash, key_equal, NULL, g_free);
@@ -379,10 +352,8 @@
   for (size_t i = 0; i < service->servers.n; i++)
     {
       const struct hf_server *spec = hf_service_server (service, i);
-      struct hf_pool_server *known
-          = hf_pool_server (pool, hf_server_id (service->name, spec->name));
-      struct hf_pool_server server
-          = known ? *known : make_server (service, spec, !first);
+      struct hf_pool_server *known = hf_pool_server (pool, hf_server_id (service->name, spec->name));
+      struct hf_pool_server server = known ? *known : make_server (service, spec, !first);
       if (known)
         known->name = known->address = (struct hf_str){ 0 };
       update_server (&server, spec);
@@ -392,8 +363,7 @@
   pool->servers = servers;
   pool->policy = &hf_policies[service->policy];
   pool->queue_limit = (unsigned)service->queue_limit;
-  double most = service->policy == HF_POLICY_GRANTS ? HF_RETRY_SHARED_MAX
-                                                    : HF_RETRY_TOKENS_MAX;
+  double most = service->policy == HF_POLICY_GRANTS ? HF_RETRY_SHARED_MAX : HF_RETRY_TOKENS_MAX;
   if (first)
     hf_retry_init (&pool->budget, most, (double)service->retry_percent);
   pool->budget.max = most;
@@ -403,17 +373,13 @@
 /* --- public functions: slots --- */
 
 void
-hf_pool_acquire (struct hf_pool *pool,
-                 int64_t now,
-                 struct hf_pool_want want,
-                 GArray *decisions)
+hf_pool_acquire (struct hf_pool *pool, int64_t now, struct hf_pool_want want, GArray *decisions)
 {
   struct key key = { want.entry, want.ticket };
   struct record *record = g_hash_table_lookup (pool->records, &key);
   if (record)
     {
-      decide (decisions, &want, HF_DECISION_GRANTED, record->server,
-              HF_REFUSAL_NONE);
+      decide (decisions, &want, HF_DECISION_GRANTED, record->server, HF_REFUSAL_NONE);
       return;
     }
   if (g_hash_table_contains (pool->queued, &key))
@@ -430,8 +396,7 @@
     hf_retry_earn (&pool->budget);
   /* Whoever waits already goes first unless the newcomer is worth more. */
   bool first = hf_pool_waiting (pool) == 0;
-  struct hf_pool_server *server
-      = first ? choose_server (pool, now, want.exclude) : NULL;
+  struct hf_pool_server *server = first ? choose_server (pool, now, want.exclude) : NULL;
   if (server)
     {
       grant (pool, now, &want, server, decisions);
@@ -468,11 +433,7 @@
 }
 
 void
-hf_pool_learn (struct hf_pool *pool,
-               int64_t now,
-               uint64_t server,
-               enum hf_pool_result result,
-               int64_t latency_us)
+hf_pool_learn (struct hf_pool *pool, int64_t now, uint64_t server, enum hf_pool_result result, int64_t latency_us)
 {
   struct hf_pool_server *known = hf_pool_server (pool, server);
   if (known)
@@ -484,16 +445,14 @@
 {
   while (hf_pool_waiting (pool) > 0)
     {
-      struct waiting *first
-          = g_sequence_get (g_sequence_get_begin_iter (pool->queue));
+      struct waiting *first = g_sequence_get (g_sequence_get_begin_iter (pool->queue));
       if (first->want.deadline <= now)
         {
           refuse (pool, decisions, &first->want, HF_REFUSAL_DEADLINE);
           remove_waiting (pool, first);
           continue;
         }
-      struct hf_pool_server *server
-          = choose_server (pool, now, first->want.exclude);
+      struct hf_pool_server *server = choose_server (pool, now, first->want.exclude);
       if (!server)
         return;
       grant (pool, now, &first->want, server, decisions);
@@ -551,11 +510,7 @@
 }
 
 void
-hf_pool_reconcile (struct hf_pool *pool,
-                   int64_t now,
-                   uint64_t entry,
-                   const uint64_t *tickets,
-                   size_t n)
+hf_pool_reconcile (struct hf_pool *pool, int64_t now, uint64_t entry, const uint64_t *tickets, size_t n)
 {
   GHashTableIter iter;
   struct record *record;
@@ -563,15 +518,13 @@
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&record))
     {
       bool held = false;
-      if (record->key.entry != entry
-          || now - record->issued_at < HF_GRANT_SETTLE_MS * HF_MS)
+      if (record->key.entry != entry || now - record->issued_at < HF_GRANT_SETTLE_MS * HF_MS)
         continue;
       for (size_t i = 0; i < n && !held; i++)
         held = tickets[i] == record->key.ticket;
       if (held)
         {
-          record->expires_at
-              = MAX (record->expires_at, now + HF_PEER_TIMEOUT_MS * HF_MS);
+          record->expires_at = MAX (record->expires_at, now + HF_PEER_TIMEOUT_MS * HF_MS);
           continue;
         }
       drop_record (pool, record);
@@ -580,10 +533,7 @@
 }
 
 void
-hf_pool_set_foreign (struct hf_pool *pool,
-                     uint64_t entry,
-                     uint64_t server,
-                     unsigned count)
+hf_pool_set_foreign (struct hf_pool *pool, uint64_t entry, uint64_t server, unsigned count)
 {
   struct key key = { entry, server };
   struct foreign *foreign = g_hash_table_lookup (pool->foreign, &key);
@@ -613,27 +563,20 @@
 }
 
 bool
-hf_pool_set_leaving (struct hf_pool *pool,
-                     uint64_t id,
-                     enum hf_leaving source,
-                     bool on,
-                     int64_t until)
+hf_pool_set_leaving (struct hf_pool *pool, uint64_t id, enum hf_leaving source, bool on, int64_t until)
 {
   struct hf_pool_server *server = hf_pool_server (pool, id);
   if (!server)
     return false;
   bool news = on && !(server->leaving & source);
-  server->leaving
-      = on ? server->leaving | source : server->leaving & ~(unsigned)source;
+  server->leaving = on ? server->leaving | source : server->leaving & ~(unsigned)source;
   if (on && until > server->leaving_until)
     server->leaving_until = until;
   return news;
 }
 
 bool
-hf_pool_may_have_crashed (const struct hf_pool *pool,
-                          uint64_t id,
-                          int64_t started_at)
+hf_pool_may_have_crashed (const struct hf_pool *pool, uint64_t id, int64_t started_at)
 {
   const struct hf_pool_server *server = hf_pool_server (pool, id);
   return server && (server->broken_at == 0 || started_at <= server->broken_at);
--- a/src/hf-pool.h
+++ b/src/hf-pool.h
@@ -74,45 +74,32 @@
 
 /* --- public functions: init and close --- */
 
-void hf_pool_init (struct hf_pool *pool, uint64_t random); /* empty pool */
-void hf_pool_close (struct hf_pool *pool);                 /* frees all */
-void hf_pool_configure (
-    struct hf_pool *pool,
-    const struct hf_service *service); /* servers and limits, state kept */
+void hf_pool_init (struct hf_pool *pool, uint64_t random);                       /* empty pool */
+void hf_pool_close (struct hf_pool *pool);                                       /* frees all */
+void hf_pool_configure (struct hf_pool *pool, const struct hf_service *service); /* servers and limits, state kept */
 
-/* --- public functions: slots; decisions are appended to a GArray of struct
- * hf_decision --- */
+/* --- public functions: slots, decisions go to a GArray of struct hf_decision --- */
 
-void hf_pool_acquire (struct hf_pool *pool,
-                      int64_t now,
-                      struct hf_pool_want want,
-                      GArray *decisions); /* asks for a slot */
-void
-hf_pool_release (struct hf_pool *pool,
-                 int64_t now,
-                 uint64_t entry,
-                 uint64_t ticket,
-                 enum hf_pool_result result,
-                 int64_t latency_us,
-                 GArray *decisions); /* gives it back, or leaves the queue */
 void
-hf_pool_learn (struct hf_pool *pool,
-               int64_t now,
-               uint64_t server,
-               enum hf_pool_result result,
-               int64_t latency_us); /* what a slot of another pool showed */
-void hf_pool_pump (struct hf_pool *pool,
-                   int64_t now,
-                   GArray *decisions); /* grants what has become free */
-void
-hf_pool_expire (struct hf_pool *pool,
-                int64_t now,
-                GArray *decisions); /* drops late wants and stale records */
+hf_pool_acquire (struct hf_pool *pool, int64_t now, struct hf_pool_want want, GArray *decisions); /* asks for a slot */
+void hf_pool_release (struct hf_pool *pool,
+                      int64_t now,
+                      uint64_t entry,
+                      uint64_t ticket,
+                      enum hf_pool_result result,
+                      int64_t latency_us,
+                      GArray *decisions); /* gives it back, or leaves the queue */
+void hf_pool_learn (struct hf_pool *pool,
+                    int64_t now,
+                    uint64_t server,
+                    enum hf_pool_result result,
+                    int64_t latency_us);                                    /* what a slot of another pool showed */
+void hf_pool_pump (struct hf_pool *pool, int64_t now, GArray *decisions);   /* grants what has become free */
+void hf_pool_expire (struct hf_pool *pool, int64_t now, GArray *decisions); /* drops late wants and stale records */
 
 /* --- public functions: other entries --- */
 
-void hf_pool_forget (struct hf_pool *pool,
-                     uint64_t entry); /* an entry is gone */
+void hf_pool_forget (struct hf_pool *pool, uint64_t entry); /* an entry is gone */
 void hf_pool_reconcile (struct hf_pool *pool,
                         int64_t now,
                         uint64_t entry,
@@ -125,21 +112,16 @@
 
 /* --- public functions: backend servers --- */
 
-struct hf_pool_server *hf_pool_server (const struct hf_pool *pool,
-                                       uint64_t id); /* NULL if unknown */
+struct hf_pool_server *hf_pool_server (const struct hf_pool *pool, uint64_t id); /* NULL if unknown */
 bool hf_pool_set_leaving (struct hf_pool *pool,
                           uint64_t id,
                           enum hf_leaving source,
                           bool on,
                           int64_t until); /* true if this is news */
-bool hf_pool_may_have_crashed (
-    const struct hf_pool *pool,
-    uint64_t id,
-    int64_t started_at); /* an attempt begun then may have broken it */
-void hf_pool_report (struct hf_pool *pool,
-                     uint64_t id,
-                     int load,
-                     int64_t now);                     /* a load report */
-unsigned hf_pool_waiting (const struct hf_pool *pool); /* length of the queue */
+bool hf_pool_may_have_crashed (const struct hf_pool *pool,
+                               uint64_t id,
+                               int64_t started_at); /* an attempt begun then may have broken it */
+void hf_pool_report (struct hf_pool *pool, uint64_t id, int load, int64_t now); /* a load report */
+unsigned hf_pool_waiting (const struct hf_pool *pool);                          /* length of the queue */
 
 #endif
--- a/src/hf-probes.c
+++ b/src/hf-probes.c
@@ -24,8 +24,7 @@
 static void
 object_name (uint64_t service, char *name, size_t size)
 {
-  g_snprintf (name, size, "probes-%016" G_GINT64_MODIFIER "x",
-              (guint64)service);
+  g_snprintf (name, size, "probes-%016" G_GINT64_MODIFIER "x", (guint64)service);
 }
 
 static void
@@ -34,29 +33,24 @@
   char name[40];
   object_name (service->id, name, sizeof name);
   service->probe_asked = true;
-  hf_state_platform (state, HF_PLATFORM_GET, HF_PURPOSE_PROBES, service->id,
-                     hf_str (name), 0, (struct hf_str){ 0 });
+  hf_state_platform (state, HF_PLATFORM_GET, HF_PURPOSE_PROBES, service->id, hf_str (name), 0, (struct hf_str){ 0 });
 }
 
 static void
-write_allotment (struct hf_state *state,
-                 struct hf_service_state *service,
-                 uint64_t version)
+write_allotment (struct hf_state *state, struct hf_service_state *service, uint64_t version)
 {
   char name[40];
   char boot[20];
   JsonObject *data = json_object_new ();
   JsonNode *node = json_node_new (JSON_NODE_OBJECT);
   object_name (service->id, name, sizeof name);
-  g_snprintf (boot, sizeof boot, "%016" G_GINT64_MODIFIER "x",
-              (guint64)state->boot);
+  g_snprintf (boot, sizeof boot, "%016" G_GINT64_MODIFIER "x", (guint64)state->boot);
   json_object_set_int_member (data, "epoch", current_epoch (state));
   json_object_set_string_member (data, "boot", boot);
   json_node_take_object (node, data);
   char *json = hf_object_write (name, version, node);
   service->probe_asked = true;
-  hf_state_platform (state, HF_PLATFORM_PUT, HF_PURPOSE_PROBES, service->id,
-                     hf_str (name), version, hf_str (json));
+  hf_state_platform (state, HF_PLATFORM_PUT, HF_PURPOSE_PROBES, service->id, hf_str (name), version, hf_str (json));
   g_free (json);
 }
 
@@ -71,8 +65,7 @@
 static bool
 is_idle (const struct hf_state *state, const struct hf_pool_server *server)
 {
-  return server->granted == 0
-         && state->now - server->answered_at >= HF_PROBE_IDLE_MS * HF_MS;
+  return server->granted == 0 && state->now - server->answered_at >= HF_PROBE_IDLE_MS * HF_MS;
 }
 
 static struct hf_pool_server *
@@ -82,8 +75,7 @@
   for (size_t i = 0; i < n; i++)
     {
       size_t at = (service->probe_next + i) % n;
-      struct hf_pool_server *server
-          = &g_array_index (service->pool.servers, struct hf_pool_server, at);
+      struct hf_pool_server *server = &g_array_index (service->pool.servers, struct hf_pool_server, at);
       if (!is_idle (state, server))
         continue;
       service->probe_next = at + 1;
@@ -98,8 +90,7 @@
        const struct hf_service *spec,
        struct hf_pool_server *server)
 {
-  struct hf_effect effect
-      = { .kind = HF_EFFECT_PROBE, .server = server->id, .arg = service->id };
+  struct hf_effect effect = { .kind = HF_EFFECT_PROBE, .server = server->id, .arg = service->id };
   effect.address = hf_effects_keep (state->out, server->address);
   effect.path = hf_effects_keep (state->out, spec->health_path);
   hf_effects_add (state->out, effect);
@@ -112,8 +103,7 @@
 tick_service (struct hf_state *state, struct hf_service_state *service)
 {
   const struct hf_service *spec = find_spec (state, service->id);
-  if (!spec || spec->probe_budget == 0 || service->pool.servers->len == 0
-      || !hf_members_own (state, service->id))
+  if (!spec || spec->probe_budget == 0 || service->pool.servers->len == 0 || !hf_members_own (state, service->id))
     return;
   struct hf_pool_server *idle = next_idle (state, service);
   if (!idle || service->probe_asked)
@@ -139,8 +129,7 @@
 void
 hf_probes_platform (struct hf_state *state, const struct hf_event *event)
 {
-  struct hf_service_state *service
-      = hf_state_service (state, event->platform.arg);
+  struct hf_service_state *service = hf_state_service (state, event->platform.arg);
   struct hf_object object = { 0 };
   if (!service)
     return;
@@ -153,8 +142,7 @@
   bool own = known && hf_object_hex (&object, "boot") == state->boot;
   if (epoch == current_epoch (state) && own && service->probe_epoch != epoch)
     take_tokens (state, service);
-  else if (epoch < current_epoch (state)
-           && event->platform.op == HF_PLATFORM_GET)
+  else if (epoch < current_epoch (state) && event->platform.op == HF_PLATFORM_GET)
     write_allotment (state, service, known ? object.version : 0);
   else if (!own)
     {
@@ -173,32 +161,25 @@
   g_hash_table_iter_init (&iter, state->services);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&service))
     {
-      struct hf_pool_server *server
-          = hf_pool_server (&service->pool, event->server);
+      struct hf_pool_server *server = hf_pool_server (&service->pool, event->server);
       if (!server || event->hints.status == 0)
         continue;
       if (event->hints.load >= 0)
-        hf_pool_report (&service->pool, event->server, event->hints.load,
-                        state->now);
+        hf_pool_report (&service->pool, event->server, event->hints.load, state->now);
       unsigned seen = HF_LEAVING_HEALTH | HF_LEAVING_REFUSAL | HF_LEAVING_PEER;
       bool was = (server->leaving & seen) != 0;
       int64_t until = state->now + HF_LEAVING_HOLD_MS * HF_MS;
-      if (event->hints.leaving
-          && hf_pool_set_leaving (&service->pool, event->server,
-                                  HF_LEAVING_HEALTH, true, until))
+      if (event->hints.leaving && hf_pool_set_leaving (&service->pool, event->server, HF_LEAVING_HEALTH, true, until))
         {
           hf_state_log (state, HF_LOG_SERVER_LEAVING,
-                        "backend server " HF_STR_FMT " of " HF_STR_FMT
-                        " is leaving, by its health endpoint",
+                        "backend server " HF_STR_FMT " of " HF_STR_FMT " is leaving, by its health endpoint",
                         HF_STR_ARG (server->name), HF_STR_ARG (service->name));
-          hf_quarantine_tell (state, HF_NOTICE_LEAVING, service->id,
-                              event->server, HF_LEAVING_HOLD_MS);
+          hf_quarantine_tell (state, HF_NOTICE_LEAVING, service->id, event->server, HF_LEAVING_HOLD_MS);
         }
       else if (!event->hints.leaving && event->hints.status == 200 && was)
         {
           server->leaving &= ~seen;
-          hf_quarantine_tell (state, HF_NOTICE_STAYING, service->id,
-                              event->server, 0);
+          hf_quarantine_tell (state, HF_NOTICE_STAYING, service->id, event->server, 0);
         }
     }
 }
--- a/src/hf-proxy.c
+++ b/src/hf-proxy.c
@@ -61,9 +61,7 @@
 static void
 raise_gone (struct caller *caller)
 {
-  hf_loop_raise (
-      caller->proxy->loop,
-      (struct hf_event){ .kind = HF_EVENT_CALLER_GONE, .call = caller->id });
+  hf_loop_raise (caller->proxy->loop, (struct hf_event){ .kind = HF_EVENT_CALLER_GONE, .call = caller->id });
 }
 
 static void
@@ -131,10 +129,8 @@
                 unsigned retry_after_sec,
                 struct hf_str reason)
 {
-  SoupMessageHeaders *headers
-      = soup_server_message_get_response_headers (caller->message);
-  char *body = g_strdup_printf ("%s: " HF_STR_FMT "\n", outcome_text (outcome),
-                                HF_STR_ARG (reason));
+  SoupMessageHeaders *headers = soup_server_message_get_response_headers (caller->message);
+  char *body = g_strdup_printf ("%s: " HF_STR_FMT "\n", outcome_text (outcome), HF_STR_ARG (reason));
   if (caller->answered)
     {
       g_free (body);
@@ -143,8 +139,7 @@
   caller->answered = true;
   caller->active_at = hf_loop_now ();
   soup_server_message_set_status (caller->message, status, NULL);
-  soup_message_headers_replace (headers, "Hickory-Outcome",
-                                outcome_text (outcome));
+  soup_message_headers_replace (headers, "Hickory-Outcome", outcome_text (outcome));
   if (retry_after_sec)
     {
       char seconds[16];
@@ -155,28 +150,21 @@
   /* An unread rest of the body would be taken for the next request. */
   if (!caller->received)
     soup_message_headers_replace (headers, "Connection", "close");
-  soup_server_message_set_response (caller->message, "text/plain",
-                                    SOUP_MEMORY_TAKE, body, strlen (body));
+  soup_server_message_set_response (caller->message, "text/plain", SOUP_MEMORY_TAKE, body, strlen (body));
   soup_server_message_unpause (caller->message);
 }
 
 static void
-relay_headers (struct caller *caller,
-               const struct hf_exchange *exchange,
-               enum hf_outcome outcome)
-{
-  SoupMessageHeaders *from
-      = soup_message_get_response_headers (exchange->message);
-  SoupMessageHeaders *to
-      = soup_server_message_get_response_headers (caller->message);
-  soup_server_message_set_status (
-      caller->message, exchange->hints.status,
-      soup_message_get_reason_phrase (exchange->message));
+relay_headers (struct caller *caller, const struct hf_exchange *exchange, enum hf_outcome outcome)
+{
+  SoupMessageHeaders *from = soup_message_get_response_headers (exchange->message);
+  SoupMessageHeaders *to = soup_server_message_get_response_headers (caller->message);
+  soup_server_message_set_status (caller->message, exchange->hints.status,
+                                  soup_message_get_reason_phrase (exchange->message));
   soup_message_headers_remove (to, "Date");
   hf_http_copy_headers (from, to);
   if (outcome != HF_OUTCOME_ANSWERED)
-    soup_message_headers_replace (to, "Hickory-Outcome",
-                                  outcome_text (outcome));
+    soup_message_headers_replace (to, "Hickory-Outcome", outcome_text (outcome));
   set_common_headers (caller, to);
 }
 
@@ -185,8 +173,7 @@
 pass_on (void *context, const uint8_t *data, size_t size)
 {
   struct caller *caller = context;
-  SoupMessageBody *body
-      = soup_server_message_get_response_body (caller->message);
+  SoupMessageBody *body = soup_server_message_get_response_body (caller->message);
   if (size > 0)
     soup_message_body_append (body, SOUP_MEMORY_COPY, data, size);
   else
@@ -195,14 +182,10 @@
 }
 
 static void
-relay (struct caller *caller,
-       struct hf_exchange *exchange,
-       enum hf_outcome outcome)
-{
-  SoupMessageHeaders *to
-      = soup_server_message_get_response_headers (caller->message);
-  SoupMessageBody *body
-      = soup_server_message_get_response_body (caller->message);
+relay (struct caller *caller, struct hf_exchange *exchange, enum hf_outcome outcome)
+{
+  SoupMessageHeaders *to = soup_server_message_get_response_headers (caller->message);
+  SoupMessageBody *body = soup_server_message_get_response_body (caller->message);
   if (!exchange || caller->answered)
     return;
   caller->answered = true;
@@ -212,8 +195,7 @@
     {
       if (!hf_exchange_has_no_body (exchange))
         soup_message_headers_set_content_length (to, exchange->answer->len);
-      soup_message_body_append (body, SOUP_MEMORY_COPY, exchange->answer->data,
-                                exchange->answer->len);
+      soup_message_body_append (body, SOUP_MEMORY_COPY, exchange->answer->data, exchange->answer->len);
       soup_message_body_complete (body);
       soup_server_message_unpause (caller->message);
       return;
@@ -222,8 +204,7 @@
     soup_message_headers_set_encoding (to, SOUP_ENCODING_CHUNKED);
   soup_message_body_set_accumulate (body, FALSE);
   caller->relayed = exchange;
-  g_signal_connect (caller->message, "wrote-chunk", G_CALLBACK (wrote_chunk),
-                    caller);
+  g_signal_connect (caller->message, "wrote-chunk", G_CALLBACK (wrote_chunk), caller);
   hf_exchange_hand_on (exchange, pass_on, caller);
 }
 
@@ -256,25 +237,20 @@
   size_t n = 0;
   soup_message_headers_iter_init (&iter, headers);
   while (n < max && soup_message_headers_iter_next (&iter, &name, &value))
-    list[n++]
-        = (struct hf_header){ .name = hf_str (name), .value = hf_str (value) };
+    list[n++] = (struct hf_header){ .name = hf_str (name), .value = hf_str (value) };
   return n;
 }
 
 static void
 raise_request (struct caller *caller)
 {
-  SoupMessageHeaders *headers
-      = soup_server_message_get_request_headers (caller->message);
+  SoupMessageHeaders *headers = soup_server_message_get_request_headers (caller->message);
   struct hf_header list[64];
   struct hf_event event = { .kind = HF_EVENT_REQUEST, .call = caller->id };
-  event.request.method
-      = hf_str (soup_server_message_get_method (caller->message));
+  event.request.method = hf_str (soup_server_message_get_method (caller->message));
   event.request.host = hf_str (soup_message_headers_get_one (headers, "Host"));
-  event.request.path
-      = hf_str (g_uri_get_path (soup_server_message_get_uri (caller->message)));
-  event.request.key
-      = hf_str (soup_message_headers_get_one (headers, "Idempotency-Key"));
+  event.request.path = hf_str (g_uri_get_path (soup_server_message_get_uri (caller->message)));
+  event.request.key = hf_str (soup_message_headers_get_one (headers, "Idempotency-Key"));
   event.request.headers = list;
   event.request.n_headers = list_headers (headers, list, G_N_ELEMENTS (list));
   event.request.digest = caller->digest;
@@ -340,20 +316,17 @@
 static bool
 has_clear_length (SoupMessageHeaders *headers)
 {
-  const char *length
-      = soup_message_headers_get_list (headers, "Content-Length");
+  const char *length = soup_message_headers_get_list (headers, "Content-Length");
   if (!length)
     return true;
   bool digits = *length != 0 && length[strspn (length, "0123456789")] == 0;
-  return digits
-         && !soup_message_headers_get_list (headers, "Transfer-Encoding");
+  return digits && !soup_message_headers_get_list (headers, "Transfer-Encoding");
 }
 
 static bool
 check_head (struct caller *caller)
 {
-  SoupMessageHeaders *headers
-      = soup_server_message_get_request_headers (caller->message);
+  SoupMessageHeaders *headers = soup_server_message_get_request_headers (caller->message);
   struct hf_header list[256];
   size_t n = list_headers (headers, list, G_N_ELEMENTS (list));
   size_t bytes = 0;
@@ -361,20 +334,17 @@
     bytes += list[i].name.len + list[i].value.len + 4;
   if (bytes > HF_HEADER_BYTES_MAX || n == G_N_ELEMENTS (list))
     {
-      answer_failure (caller, 431, HF_OUTCOME_NOT_RUN, 0,
-                      hf_str ("the header fields are too large"));
+      answer_failure (caller, 431, HF_OUTCOME_NOT_RUN, 0, hf_str ("the header fields are too large"));
       return false;
     }
   if (!has_clear_length (headers))
     {
-      answer_failure (caller, 400, HF_OUTCOME_NOT_RUN, 0,
-                      hf_str ("the length of the body is not clear"));
+      answer_failure (caller, 400, HF_OUTCOME_NOT_RUN, 0, hf_str ("the length of the body is not clear"));
       return false;
     }
   if (soup_message_headers_get_content_length (headers) > HF_BODY_BYTES_MAX)
     {
-      answer_failure (caller, 413, HF_OUTCOME_NOT_RUN, 0,
-                      hf_str ("the body is too large"));
+      answer_failure (caller, 413, HF_OUTCOME_NOT_RUN, 0, hf_str ("the body is too large"));
       return false;
     }
   return true;
@@ -383,8 +353,7 @@
 static void
 add_request_id (struct caller *caller)
 {
-  SoupMessageHeaders *headers
-      = soup_server_message_get_request_headers (caller->message);
+  SoupMessageHeaders *headers = soup_server_message_get_request_headers (caller->message);
   if (soup_message_headers_get_one (headers, "X-Request-Id"))
     return;
   char *id = g_uuid_string_random ();
@@ -394,11 +363,7 @@
 
 /* The head of a request is here, its body is not. */
 static void
-early (SoupServer *server,
-       SoupServerMessage *message,
-       const char *path,
-       GHashTable *query,
-       gpointer data)
+early (SoupServer *server, SoupServerMessage *message, const char *path, GHashTable *query, gpointer data)
 {
   struct hf_proxy *proxy = data;
   struct caller *caller = g_new0 (struct caller, 1);
@@ -412,8 +377,7 @@
   caller->body = g_byte_array_new ();
   g_hash_table_insert (proxy->callers, &caller->id, caller);
   g_object_set_data (G_OBJECT (message), "caller", caller);
-  soup_message_body_set_accumulate (
-      soup_server_message_get_request_body (message), FALSE);
+  soup_message_body_set_accumulate (soup_server_message_get_request_body (message), FALSE);
   g_signal_connect (message, "finished", G_CALLBACK (finished), caller);
   if (!check_head (caller))
     return;
@@ -423,11 +387,7 @@
 
 /* The whole request is here. */
 static void
-handle (SoupServer *server,
-        SoupServerMessage *message,
-        const char *path,
-        GHashTable *query,
-        gpointer data)
+handle (SoupServer *server, SoupServerMessage *message, const char *path, GHashTable *query, gpointer data)
 {
   struct caller *caller = g_object_get_data (G_OBJECT (message), "caller");
   (void)server;
@@ -451,11 +411,8 @@
   char byte;
   if (!socket)
     return true;
-  ssize_t got
-      = recv (g_socket_get_fd (socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return got == 0
-         || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK
-             && errno != EINTR);
+  ssize_t got = recv (g_socket_get_fd (socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
 }
 
 /* Nothing came or went for long although it is the caller's turn. */
@@ -463,10 +420,8 @@
 is_silent (const struct caller *caller)
 {
   bool backend_is_late = caller->relayed && caller->relayed->reading;
-  bool callers_turn = caller->answered ? !backend_is_late
-                                       : !caller->received && !caller->paused;
-  return callers_turn
-         && hf_loop_now () - caller->active_at > HF_CALLER_SILENT_SEC * HF_SEC;
+  bool callers_turn = caller->answered ? !backend_is_late : !caller->received && !caller->paused;
+  return callers_turn && hf_loop_now () - caller->active_at > HF_CALLER_SILENT_SEC * HF_SEC;
 }
 
 /* A paused message does not notice that its caller has left. */
@@ -482,8 +437,7 @@
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&caller))
     if (is_silent (caller))
       g_ptr_array_add (silent, caller);
-    else if (caller->raised && caller->received && !caller->answered
-             && has_left (caller))
+    else if (caller->raised && caller->received && !caller->answered && has_left (caller))
       g_ptr_array_add (gone, caller);
   for (guint i = 0; i < gone->len; i++)
     {
@@ -512,15 +466,12 @@
 static void
 set_body (struct caller *caller, SoupMessage *message)
 {
-  SoupMessageHeaders *from
-      = soup_server_message_get_request_headers (caller->message);
+  SoupMessageHeaders *from = soup_server_message_get_request_headers (caller->message);
   if (caller->upload)
     {
-      bool known = soup_message_headers_get_encoding (from)
-                   == SOUP_ENCODING_CONTENT_LENGTH;
-      soup_message_set_request_body (
-          message, NULL, G_INPUT_STREAM (caller->upload),
-          known ? soup_message_headers_get_content_length (from) : -1);
+      bool known = soup_message_headers_get_encoding (from) == SOUP_ENCODING_CONTENT_LENGTH;
+      soup_message_set_request_body (message, NULL, G_INPUT_STREAM (caller->upload),
+                                     known ? soup_message_headers_get_content_length (from) : -1);
       return;
     }
   if (caller->whole && g_bytes_get_size (caller->whole) > 0)
@@ -531,11 +482,9 @@
 make_request (struct caller *caller, const struct hf_effect *effect)
 {
   GUri *uri = soup_server_message_get_uri (caller->message);
-  SoupMessageHeaders *from
-      = soup_server_message_get_request_headers (caller->message);
-  SoupMessage *message = hf_http_message (
-      soup_server_message_get_method (caller->message), effect->address,
-      g_uri_get_path (uri), g_uri_get_query (uri));
+  SoupMessageHeaders *from = soup_server_message_get_request_headers (caller->message);
+  SoupMessage *message = hf_http_message (soup_server_message_get_method (caller->message), effect->address,
+                                          g_uri_get_path (uri), g_uri_get_query (uri));
   SoupMessageHeaders *to = soup_message_get_request_headers (message);
   char remaining[24];
   set_body (caller, message);
@@ -549,13 +498,11 @@
     soup_message_headers_set_content_length (to, length);
   else if (encoding == SOUP_ENCODING_CHUNKED)
     soup_message_headers_set_encoding (to, SOUP_ENCODING_CHUNKED);
-  g_snprintf (remaining, sizeof remaining, "%" G_GINT64_FORMAT,
-              effect->remaining_ms);
+  g_snprintf (remaining, sizeof remaining, "%" G_GINT64_FORMAT, effect->remaining_ms);
   soup_message_headers_replace (to, "Request-Deadline-Ms", remaining);
   /* The library would send a body again, by then empty, on a reused connection
    * that closes. */
-  bool has_body = caller->upload
-                  || (caller->whole && g_bytes_get_size (caller->whole) > 0);
+  bool has_body = caller->upload || (caller->whole && g_bytes_get_size (caller->whole) > 0);
   if (effect->fresh || has_body)
     {
       /* Used once: kept open it would only be one more descriptor to poll. */
@@ -571,28 +518,21 @@
   struct caller *caller = find_caller (proxy, effect->call);
   if (!caller)
     return;
-  SoupSession *session
-      = find_session (proxy, effect->server, effect->connections);
+  SoupSession *session = find_session (proxy, effect->server, effect->connections);
   caller->attempts[effect->attempt]
-      = hf_exchange_start (proxy->loop, effect->call, effect->attempt, session,
-                           make_request (caller, effect));
+      = hf_exchange_start (proxy->loop, effect->call, effect->attempt, session, make_request (caller, effect));
 }
 
 static void
 probe_done (GObject *source, GAsyncResult *result, gpointer data)
 {
   struct hf_loop *loop = g_object_get_data (source, "loop");
-  SoupMessage *message
-      = soup_session_get_async_result_message (SOUP_SESSION (source), result);
-  GBytes *body
-      = soup_session_send_and_read_finish (SOUP_SESSION (source), result, NULL);
+  SoupMessage *message = soup_session_get_async_result_message (SOUP_SESSION (source), result);
+  GBytes *body = soup_session_send_and_read_finish (SOUP_SESSION (source), result, NULL);
   uint64_t *server = data;
-  struct hf_event event = { .kind = HF_EVENT_PROBE,
-                            .server = *server,
-                            .hints = { .load = -1, .retry_after_ms = -1 } };
+  struct hf_event event = { .kind = HF_EVENT_PROBE, .server = *server, .hints = { .load = -1, .retry_after_ms = -1 } };
   if (body)
-    event.hints = hf_http_hints (soup_message_get_status (message),
-                                 soup_message_get_response_headers (message));
+    event.hints = hf_http_hints (soup_message_get_status (message), soup_message_get_response_headers (message));
   hf_loop_raise (loop, event);
   if (body)
     g_bytes_unref (body);
@@ -603,14 +543,12 @@
 probe (struct hf_proxy *proxy, const struct hf_effect *effect)
 {
   SoupSession *session = hf_http_session (1, HF_PROBE_TIMEOUT_SEC);
-  SoupMessage *message
-      = hf_http_message ("GET", effect->address, effect->path.data, NULL);
+  SoupMessage *message = hf_http_message ("GET", effect->address, effect->path.data, NULL);
   uint64_t *server = g_new (uint64_t, 1);
   *server = effect->server;
   soup_message_add_flags (message, SOUP_MESSAGE_NEW_CONNECTION);
   g_object_set_data (G_OBJECT (session), "loop", proxy->loop);
-  soup_session_send_and_read_async (session, message, G_PRIORITY_DEFAULT, NULL,
-                                    probe_done, server);
+  soup_session_send_and_read_async (session, message, G_PRIORITY_DEFAULT, NULL, probe_done, server);
   g_object_unref (message);
   g_object_unref (session);
 }
@@ -618,23 +556,18 @@
 /* --- public functions --- */
 
 struct hf_proxy *
-hf_proxy_open (struct hf_loop *loop,
-               struct hf_str address,
-               struct hf_error *error)
+hf_proxy_open (struct hf_loop *loop, struct hf_str address, struct hf_error *error)
 {
   struct hf_proxy *proxy = g_new0 (struct hf_proxy, 1);
   proxy->loop = loop;
   /* Raw paths: the library would decode them, and they would arrive changed. */
   proxy->server = soup_server_new ("raw-paths", TRUE, NULL);
-  proxy->callers
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_caller);
-  proxy->sessions = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
-                                           g_object_unref);
+  proxy->callers = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_caller);
+  proxy->sessions = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_object_unref);
   soup_server_add_early_handler (proxy->server, NULL, early, proxy, NULL);
   soup_server_add_handler (proxy->server, NULL, handle, proxy, NULL);
   proxy->poll = g_timeout_add (HF_CALLER_POLL_MS, poll_callers, proxy);
-  if (hf_http_listen (proxy->server, address, proxy->text, sizeof proxy->text,
-                      error))
+  if (hf_http_listen (proxy->server, address, proxy->text, sizeof proxy->text, error))
     return proxy;
   hf_proxy_close (proxy);
   return NULL;
@@ -678,8 +611,7 @@
   else if (!caller)
     return;
   else if (effect->kind == HF_EFFECT_ANSWER)
-    answer_failure (caller, effect->status, effect->outcome,
-                    effect->retry_after_sec, effect->text);
+    answer_failure (caller, effect->status, effect->outcome, effect->retry_after_sec, effect->text);
   else if (effect->kind == HF_EFFECT_RELAY)
     relay (caller, caller->attempts[effect->attempt], effect->outcome);
   else if (effect->kind == HF_EFFECT_CUT)
--- a/src/hf-proxy.h
+++ b/src/hf-proxy.h
@@ -11,16 +11,10 @@
 
 /* --- public functions --- */
 
-struct hf_proxy *hf_proxy_open (struct hf_loop *loop,
-                                struct hf_str address,
-                                struct hf_error *error); /* listens */
-void hf_proxy_close (struct hf_proxy *proxy);            /* frees all */
-struct hf_str
-hf_proxy_address (const struct hf_proxy *proxy); /* where it listens */
-unsigned
-hf_proxy_in_flight (const struct hf_proxy *proxy); /* requests not finished */
-void hf_proxy_carry_out (
-    struct hf_proxy *proxy,
-    const struct hf_effect *effect); /* ANSWER to CUT, PROBE, RENEW */
+struct hf_proxy *hf_proxy_open (struct hf_loop *loop, struct hf_str address, struct hf_error *error); /* listens */
+void hf_proxy_close (struct hf_proxy *proxy);                                                         /* frees all */
+struct hf_str hf_proxy_address (const struct hf_proxy *proxy);                    /* where it listens */
+unsigned hf_proxy_in_flight (const struct hf_proxy *proxy);                       /* requests not finished */
+void hf_proxy_carry_out (struct hf_proxy *proxy, const struct hf_effect *effect); /* ANSWER to CUT, PROBE, RENEW */
 
 #endif
--- a/src/hf-quarantine.c
+++ b/src/hf-quarantine.c
@@ -31,9 +31,7 @@
 }
 
 static void
-notice_leaving (struct hf_state *state,
-                const struct hf_rpc_notice *notice,
-                bool leaving)
+notice_leaving (struct hf_state *state, const struct hf_rpc_notice *notice, bool leaving)
 {
   struct hf_service_state *service = hf_state_service (state, notice->subject);
   unsigned hold_ms = MIN (notice->hold_ms, HF_LEAVING_HOLD_MS);
@@ -41,22 +39,16 @@
     return;
   if (!leaving)
     {
-      hf_pool_set_leaving (&service->pool, notice->id, HF_LEAVING_HEALTH, false,
-                           0);
-      hf_pool_set_leaving (&service->pool, notice->id, HF_LEAVING_REFUSAL,
-                           false, 0);
-      hf_pool_set_leaving (&service->pool, notice->id, HF_LEAVING_PEER, false,
-                           0);
+      hf_pool_set_leaving (&service->pool, notice->id, HF_LEAVING_HEALTH, false, 0);
+      hf_pool_set_leaving (&service->pool, notice->id, HF_LEAVING_REFUSAL, false, 0);
+      hf_pool_set_leaving (&service->pool, notice->id, HF_LEAVING_PEER, false, 0);
       return;
     }
-  if (!hf_pool_set_leaving (&service->pool, notice->id, HF_LEAVING_PEER, true,
-                            state->now + hold_ms * HF_MS))
+  if (!hf_pool_set_leaving (&service->pool, notice->id, HF_LEAVING_PEER, true, state->now + hold_ms * HF_MS))
     return;
-  const struct hf_pool_server *server
-      = hf_pool_server (&service->pool, notice->id);
+  const struct hf_pool_server *server = hf_pool_server (&service->pool, notice->id);
   hf_state_log (state, HF_LOG_SERVER_LEAVING,
-                "backend server " HF_STR_FMT " of " HF_STR_FMT
-                " is leaving, by another entry",
+                "backend server " HF_STR_FMT " of " HF_STR_FMT " is leaving, by another entry",
                 HF_STR_ARG (server->name), HF_STR_ARG (service->name));
 }
 
@@ -70,26 +62,21 @@
 }
 
 void
-hf_quarantine_strike (struct hf_state *state,
-                      uint64_t fingerprint,
-                      uint64_t server,
-                      bool tell)
+hf_quarantine_strike (struct hf_state *state, uint64_t fingerprint, uint64_t server, bool tell)
 {
   struct hf_suspect *suspect = find_suspect (state, fingerprint);
   if (!suspect)
     suspect = add_suspect (state, fingerprint);
   if (tell)
-    hf_quarantine_tell (state, HF_NOTICE_STRIKE, fingerprint, server,
-                        HF_STRIKE_WINDOW_SEC * 1000);
+    hf_quarantine_tell (state, HF_NOTICE_STRIKE, fingerprint, server, HF_STRIKE_WINDOW_SEC * 1000);
   if (suspect->strikes < HF_STRIKES_MAX && !has_struck (suspect, server))
     suspect->servers[suspect->strikes++] = server;
   if (suspect->strikes < HF_STRIKES_MAX || suspect->until > state->now)
     return;
   suspect->until = state->now + HF_QUARANTINE_SEC * HF_SEC;
   hf_state_log (state, HF_LOG_QUARANTINED,
-                "request %016" G_GINT64_MODIFIER
-                "x broke %d backend servers; held back for %d s",
-                (guint64)fingerprint, HF_STRIKES_MAX, HF_QUARANTINE_SEC);
+                "request %016" G_GINT64_MODIFIER "x broke %d backend servers; held back for %d s", (guint64)fingerprint,
+                HF_STRIKES_MAX, HF_QUARANTINE_SEC);
 }
 
 void
@@ -107,22 +94,16 @@
   struct hf_suspect *suspect;
   g_hash_table_iter_init (&iter, state->suspects);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&suspect))
-    if (suspect->until <= state->now
-        && state->now - suspect->first_at > HF_STRIKE_WINDOW_SEC * HF_SEC)
+    if (suspect->until <= state->now && state->now - suspect->first_at > HF_STRIKE_WINDOW_SEC * HF_SEC)
       g_hash_table_iter_remove (&iter);
 }
 
 void
-hf_quarantine_tell (struct hf_state *state,
-                    enum hf_notice_kind kind,
-                    uint64_t subject,
-                    uint64_t id,
-                    unsigned hold_ms)
+hf_quarantine_tell (struct hf_state *state, enum hf_notice_kind kind, uint64_t subject, uint64_t id, unsigned hold_ms)
 {
   struct hf_rpc_message message = { .body = { .kind = HF_RPC_NOTICE } };
-  message.body.hf_rpc_body_u.notice = (struct hf_rpc_notice){
-    .kind = kind, .subject = subject, .id = id, .hold_ms = hold_ms
-  };
+  message.body.hf_rpc_body_u.notice
+      = (struct hf_rpc_notice){ .kind = kind, .subject = subject, .id = id, .hold_ms = hold_ms };
   for (size_t i = 0; i < state->members->len; i++)
     {
       const struct hf_member *member = g_ptr_array_index (state->members, i);
@@ -134,8 +115,7 @@
 void
 hf_quarantine_message (struct hf_state *state, const struct hf_event *event)
 {
-  const struct hf_rpc_notice *notice
-      = &event->peer.message->body.hf_rpc_body_u.notice;
+  const struct hf_rpc_notice *notice = &event->peer.message->body.hf_rpc_body_u.notice;
   if (notice->kind == HF_NOTICE_LEAVING)
     notice_leaving (state, notice, true);
   else if (notice->kind == HF_NOTICE_STAYING)
--- a/src/hf-quarantine.h
+++ b/src/hf-quarantine.h
@@ -22,21 +22,18 @@
 
 /* --- public functions --- */
 
-bool hf_quarantine_holds (const struct hf_state *state,
-                          uint64_t fingerprint); /* it must not be dispatched */
+bool hf_quarantine_holds (const struct hf_state *state, uint64_t fingerprint); /* it must not be dispatched */
 void hf_quarantine_strike (struct hf_state *state,
                            uint64_t fingerprint,
                            uint64_t server,
-                           bool tell); /* a server broke under it */
-void hf_quarantine_clear (struct hf_state *state,
-                          uint64_t fingerprint);    /* it was answered */
-void hf_quarantine_expire (struct hf_state *state); /* forgets old strikes */
+                           bool tell);                                   /* a server broke under it */
+void hf_quarantine_clear (struct hf_state *state, uint64_t fingerprint); /* it was answered */
+void hf_quarantine_expire (struct hf_state *state);                      /* forgets old strikes */
 void hf_quarantine_tell (struct hf_state *state,
                          enum hf_notice_kind kind,
                          uint64_t subject,
                          uint64_t id,
-                         unsigned hold_ms); /* notice to every member */
-void hf_quarantine_message (struct hf_state *state,
-                            const struct hf_event *event); /* NOTICE came */
+                         unsigned hold_ms);                                        /* notice to every member */
+void hf_quarantine_message (struct hf_state *state, const struct hf_event *event); /* NOTICE came */
 
 #endif
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -49,8 +49,7 @@
 {
   if (state->now - state->heartbeat_due > HF_PAUSE_MS * HF_MS)
     {
-      hf_state_log (state, HF_LOG_PAUSED,
-                    "paused for %d ms; what was known of others is stale",
+      hf_state_log (state, HF_LOG_PAUSED, "paused for %d ms; what was known of others is stale",
                     (int)((state->now - state->heartbeat_due) / HF_MS));
       hf_members_resume (state);
     }
@@ -171,9 +170,7 @@
   if (state->leaving)
     return;
   state->leaving = true;
-  hf_state_log (state, HF_LOG_SHUTDOWN,
-                "health check fails now; serving on for %d ms",
-                (int)state->drain_wait_ms);
+  hf_state_log (state, HF_LOG_SHUTDOWN, "health check fails now; serving on for %d ms", (int)state->drain_wait_ms);
   hf_members_beat (state, false);
   hf_state_timer (state, state->drain_wait_ms * HF_MS, HF_TIMER_DRAINED, 0, 0);
 }
@@ -226,8 +223,7 @@
   if (next < 0 || (state->wake_at >= 0 && state->wake_at <= next))
     return;
   state->wake_at = next;
-  hf_effects_add (state->out,
-                  (struct hf_effect){ .kind = HF_EFFECT_WAKE, .at = next });
+  hf_effects_add (state->out, (struct hf_effect){ .kind = HF_EFFECT_WAKE, .at = next });
 }
 
 /* --- public functions --- */
@@ -242,15 +238,11 @@
   state->boot = boot;
   state->random = boot;
   state->wake_at = -1;
-  state->services
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, NULL);
-  state->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
-                                        hf_calls_free);
+  state->services = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, NULL);
+  state->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, hf_calls_free);
   state->members = g_ptr_array_new_with_free_func (free_member);
-  state->vm_leaving
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  state->suspects
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  state->vm_leaving = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  state->suspects = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   hf_claims_init (state);
   hf_timers_init (&state->timers);
   return state;
@@ -280,9 +272,7 @@
 }
 
 void
-hf_reduce (struct hf_state *state,
-           const struct hf_event *event,
-           struct hf_effects *effects)
+hf_reduce (struct hf_state *state, const struct hf_event *event, struct hf_effects *effects)
 {
   state->now = event->now;
   state->wall = event->wall;
--- a/src/hf-retry.c
+++ b/src/hf-retry.c
@@ -8,9 +8,7 @@
 void
 hf_retry_init (struct hf_retry_budget *budget, double max, double percent)
 {
-  *budget = (struct hf_retry_budget){ .tokens = max,
-                                      .max = max,
-                                      .earn = percent / 100.0 };
+  *budget = (struct hf_retry_budget){ .tokens = max, .max = max, .earn = percent / 100.0 };
 }
 
 void
--- a/src/hf-retry.h
+++ b/src/hf-retry.h
@@ -32,14 +32,10 @@
 
 /* --- public functions --- */
 
-void hf_retry_init (struct hf_retry_budget *budget,
-                    double max,
-                    double percent);                  /* full bucket */
-void hf_retry_earn (struct hf_retry_budget *budget);  /* a first attempt */
-bool hf_retry_spend (struct hf_retry_budget *budget); /* false: no retry now */
+void hf_retry_init (struct hf_retry_budget *budget, double max, double percent); /* full bucket */
+void hf_retry_earn (struct hf_retry_budget *budget);                             /* a first attempt */
+bool hf_retry_spend (struct hf_retry_budget *budget);                            /* false: no retry now */
 int64_t
-hf_retry_delay_us (unsigned retry,
-                   int64_t retry_after_ms,
-                   uint64_t random); /* full jitter, server's delay honoured */
+hf_retry_delay_us (unsigned retry, int64_t retry_after_ms, uint64_t random); /* full jitter, server's delay honoured */
 
 #endif
--- a/src/hf-routing.h
+++ b/src/hf-routing.h
@@ -23,11 +23,9 @@
 
 /* --- public functions --- */
 
-const struct hf_service *hf_route_service (
-    const struct hf_document *document,
-    const struct hf_request_head *head); /* longest prefix; NULL: none */
-const struct hf_class *hf_route_class (
-    const struct hf_service *service,
-    const struct hf_request_head *head); /* first match; NULL: none */
+const struct hf_service *hf_route_service (const struct hf_document *document,
+                                           const struct hf_request_head *head); /* longest prefix; NULL: none */
+const struct hf_class *hf_route_class (const struct hf_service *service,
+                                       const struct hf_request_head *head); /* first match; NULL: none */
 
 #endif
--- a/src/hf-settings.c
+++ b/src/hf-settings.c
@@ -3,8 +3,7 @@
 
 /* --- constants --- */
 
-static const char *const level_names[]
-    = { "debug", "info", "notice", "warning", "err", NULL };
+static const char *const level_names[] = { "debug", "info", "notice", "warning", "err", NULL };
 
 const struct hf_field hf_settings_fields[] = {
   { .name = "name",
@@ -62,9 +61,7 @@
 /* --- public functions --- */
 
 bool
-hf_settings_load (struct hf_str text,
-                  struct hf_settings *settings,
-                  struct hf_error *error)
+hf_settings_load (struct hf_str text, struct hf_settings *settings, struct hf_error *error)
 {
   *settings = (struct hf_settings){ 0 };
   if (hf_yaml_load (text, hf_settings_fields, settings, error))
--- a/src/hf-settings.h
+++ b/src/hf-settings.h
@@ -39,7 +39,7 @@
 extern const struct hf_field hf_settings_fields[]; /* table of every key */
 bool hf_settings_load (struct hf_str text,
                        struct hf_settings *settings,
-                       struct hf_error *error); /* false and *error if wrong */
+                       struct hf_error *error);         /* false and *error if wrong */
 void hf_settings_unload (struct hf_settings *settings); /* frees the strings */
 
 #endif
--- a/src/hf-shards.c
+++ b/src/hf-shards.c
@@ -72,12 +72,10 @@
   g_hash_table_iter_init (&iter, keys);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&key))
     g_string_append_printf (text,
-                            "%" G_GINT64_MODIFIER "x %" G_GINT64_MODIFIER
-                            "x %" G_GINT64_MODIFIER "x %" G_GINT64_MODIFIER
-                            "x %" G_GINT64_MODIFIER "x\n",
-                            (guint64)key->key.high, (guint64)key->key.low,
-                            (guint64)key->holder.boot, (guint64)key->holder.seq,
-                            (guint64)key->since);
+                            "%" G_GINT64_MODIFIER "x %" G_GINT64_MODIFIER "x %" G_GINT64_MODIFIER
+                            "x %" G_GINT64_MODIFIER "x %" G_GINT64_MODIFIER "x\n",
+                            (guint64)key->key.high, (guint64)key->key.low, (guint64)key->holder.boot,
+                            (guint64)key->holder.seq, (guint64)key->since);
   JsonObject *data = json_object_new ();
   JsonNode *node = json_node_new (JSON_NODE_OBJECT);
   json_object_set_string_member (data, "keys", text->str);
@@ -114,8 +112,7 @@
   char name[32];
   object_name (i, name, sizeof name);
   state->shards[i].busy = true;
-  hf_state_platform (state, HF_PLATFORM_GET, HF_PURPOSE_CLAIMS, i,
-                     hf_str (name), 0, (struct hf_str){ 0 });
+  hf_state_platform (state, HF_PLATFORM_GET, HF_PURPOSE_CLAIMS, i, hf_str (name), 0, (struct hf_str){ 0 });
 }
 
 /* --- internal functions: one write --- */
@@ -159,14 +156,11 @@
   if (!known && g_hash_table_size (keys) >= HF_CLAIM_SHARD_KEYS_MAX)
     {
       *outcome = HF_CLAIM_OUTCOME_UNAVAILABLE;
-      hf_state_log (state, HF_LOG_CLAIM_SHARD_FULL,
-                    "shard %u holds %d keys of the retention window",
+      hf_state_log (state, HF_LOG_CLAIM_SHARD_FULL, "shard %u holds %d keys of the retention window",
                     hf_shards_of (op->key), HF_CLAIM_SHARD_KEYS_MAX);
       return false;
     }
-  add_key (keys, (struct hf_shard_key){ .key = op->key,
-                                        .holder = op->id,
-                                        .since = state->wall / HF_SEC });
+  add_key (keys, (struct hf_shard_key){ .key = op->key, .holder = op->id, .since = state->wall / HF_SEC });
   return true;
 }
 
@@ -183,15 +177,13 @@
 start_write (struct hf_state *state, unsigned i)
 {
   struct hf_shard *shard = &state->shards[i];
-  GHashTable *next
-      = copy_keys (shard->keys, state->wall / HF_SEC - HF_CLAIM_RETENTION_SEC);
+  GHashTable *next = copy_keys (shard->keys, state->wall / HF_SEC - HF_CLAIM_RETENTION_SEC);
   GArray *waiting = take_waiting (shard);
   shard->busy = true;
   g_array_set_size (shard->sent, 0);
   for (guint w = 0; w < waiting->len; w++)
     {
-      const struct hf_shard_op *op
-          = &g_array_index (waiting, struct hf_shard_op, w);
+      const struct hf_shard_op *op = &g_array_index (waiting, struct hf_shard_op, w);
       enum hf_claim_outcome outcome;
       struct hf_rpc_claim_id holder;
       if (apply_op (state, shard, next, op, &outcome, &holder))
@@ -213,8 +205,7 @@
   shard->next = next;
   shard->writing = true;
   shard->written_at = state->now;
-  hf_state_platform (state, HF_PLATFORM_PUT, HF_PURPOSE_CLAIMS, i,
-                     hf_str (name), shard->version, hf_str (json));
+  hf_state_platform (state, HF_PLATFORM_PUT, HF_PURPOSE_CLAIMS, i, hf_str (name), shard->version, hf_str (json));
   hf_state_count (state, HF_COUNT_CLAIM_WRITES);
   g_free (json);
 }
@@ -236,8 +227,7 @@
   if (shard->written_at && state->now < due)
     {
       if (!shard->timer)
-        shard->timer = hf_state_timer (state, due - state->now,
-                                       HF_TIMER_CLAIM_WRITE, i, 0);
+        shard->timer = hf_state_timer (state, due - state->now, HF_TIMER_CLAIM_WRITE, i, 0);
       return;
     }
   start_write (state, i);
@@ -249,13 +239,11 @@
   GArray *waiting = take_waiting (shard);
   for (guint w = 0; w < waiting->len; w++)
     {
-      const struct hf_shard_op *op
-          = &g_array_index (waiting, struct hf_shard_op, w);
+      const struct hf_shard_op *op = &g_array_index (waiting, struct hf_shard_op, w);
       hf_claims_reply (state, op, HF_CLAIM_OUTCOME_UNAVAILABLE, op->id);
     }
   g_array_unref (waiting);
-  hf_state_log (state, HF_LOG_CLAIM_UNAVAILABLE,
-                "the platform did not answer; claims are refused");
+  hf_state_log (state, HF_LOG_CLAIM_UNAVAILABLE, "the platform did not answer; claims are refused");
 }
 
 static void
@@ -263,8 +251,7 @@
 {
   struct hf_shard *shard = &state->shards[i];
   struct hf_object object;
-  bool found = event->platform.status == 200
-               && hf_object_load (event->platform.data, &object, NULL);
+  bool found = event->platform.status == 200 && hf_object_load (event->platform.data, &object, NULL);
   if (!found && event->platform.status != 404)
     {
       fail_waiting (state, shard);
@@ -299,9 +286,7 @@
   if (!ok)
     {
       if (event->platform.status != 409)
-        hf_state_log (
-            state, HF_LOG_CLAIM_SETTLED,
-            "a write of shard %u had no clear outcome; reading it back", i);
+        hf_state_log (state, HF_LOG_CLAIM_SETTLED, "a write of shard %u had no clear outcome; reading it back", i);
       g_clear_pointer (&shard->next, g_hash_table_destroy);
       requeue_sent (shard);
       return;
@@ -313,13 +298,9 @@
   hf_object_unload (&object);
   for (guint s = 0; s < shard->sent->len; s++)
     {
-      const struct hf_shard_op *op
-          = &g_array_index (shard->sent, struct hf_shard_op, s);
+      const struct hf_shard_op *op = &g_array_index (shard->sent, struct hf_shard_op, s);
       bool commit = op->op == HF_CLAIM_OP_COMMIT;
-      hf_claims_reply (state, op,
-                       commit ? HF_CLAIM_OUTCOME_COMMITTED
-                              : HF_CLAIM_OUTCOME_RELEASED,
-                       op->id);
+      hf_claims_reply (state, op, commit ? HF_CLAIM_OUTCOME_COMMITTED : HF_CLAIM_OUTCOME_RELEASED, op->id);
       if (commit)
         hf_state_count (state, HF_COUNT_CLAIMS_COMMITTED);
     }
@@ -347,10 +328,8 @@
   struct hf_shard *shard = &state->shards[i];
   for (guint w = 0; w < shard->waiting->len; w++)
     {
-      const struct hf_shard_op *known
-          = &g_array_index (shard->waiting, struct hf_shard_op, w);
-      if (known->op == op->op && same_id (known->id, op->id)
-          && same_id (known->replaces, op->replaces))
+      const struct hf_shard_op *known = &g_array_index (shard->waiting, struct hf_shard_op, w);
+      if (known->op == op->op && same_id (known->id, op->id) && same_id (known->replaces, op->replaces))
         return;
     }
   g_array_append_val (shard->waiting, *op);
--- a/src/hf-slots.c
+++ b/src/hf-slots.c
@@ -13,9 +13,7 @@
 }
 
 static void
-send_decision (struct hf_state *state,
-               const struct hf_service_state *service,
-               const struct hf_decision *decision)
+send_decision (struct hf_state *state, const struct hf_service_state *service, const struct hf_decision *decision)
 {
   struct hf_rpc_message message = { .body = { .kind = HF_RPC_DECISION } };
   message.body.hf_rpc_body_u.decision = (struct hf_rpc_decision){
@@ -39,21 +37,16 @@
 /* Applies and frees the decisions; what they cause goes into lists of its own.
  */
 static void
-apply_decisions (struct hf_state *state,
-                 struct hf_service_state *service,
-                 GArray *decisions)
+apply_decisions (struct hf_state *state, struct hf_service_state *service, GArray *decisions)
 {
   for (guint i = 0; i < decisions->len; i++)
     {
-      const struct hf_decision *decision
-          = &g_array_index (decisions, struct hf_decision, i);
+      const struct hf_decision *decision = &g_array_index (decisions, struct hf_decision, i);
       if (decision->entry != state->boot)
         send_decision (state, service, decision);
-      else if (!apply_decision (state, decision)
-               && decision->kind == HF_DECISION_GRANTED)
+      else if (!apply_decision (state, decision) && decision->kind == HF_DECISION_GRANTED)
         /* An earlier decision of the list ended its call. */
-        hf_pool_release (&service->pool, state->now, state->boot,
-                         decision->ticket, HF_POOL_UNUSED, 0, decisions);
+        hf_pool_release (&service->pool, state->now, state->boot, decision->ticket, HF_POOL_UNUSED, 0, decisions);
     }
   g_array_unref (decisions);
 }
@@ -61,21 +54,16 @@
 /* --- internal functions: asking --- */
 
 static uint64_t
-find_granter (const struct hf_state *state,
-              const struct hf_service_state *service)
+find_granter (const struct hf_state *state, const struct hf_service_state *service)
 {
-  if (service->pool.policy != &hf_policies[HF_POLICY_GRANTS]
-      || service->suspect_until > state->now)
+  if (service->pool.policy != &hf_policies[HF_POLICY_GRANTS] || service->suspect_until > state->now)
     return 0;
   uint64_t owner = hf_members_owner (state, service->id);
   return owner == state->boot ? 0 : owner;
 }
 
 static void
-ask_own_pool (struct hf_state *state,
-              struct hf_service_state *service,
-              struct hf_call *call,
-              unsigned i)
+ask_own_pool (struct hf_state *state, struct hf_service_state *service, struct hf_call *call, unsigned i)
 {
   const struct hf_attempt *attempt = &call->attempts[i];
   struct hf_pool_want want = {
@@ -106,8 +94,7 @@
     .exclude = attempt->exclude,
   };
   hf_state_send (state, attempt->granter, message);
-  attempt->ask_timer = hf_state_timer (state, HF_GRANT_ASK_MS * HF_MS,
-                                       HF_TIMER_CALL_ASK, call->id, i);
+  attempt->ask_timer = hf_state_timer (state, HF_GRANT_ASK_MS * HF_MS, HF_TIMER_CALL_ASK, call->id, i);
 }
 
 static void
@@ -131,16 +118,11 @@
 }
 
 static void
-log_out (struct hf_state *state,
-         const struct hf_service_state *service,
-         uint64_t id,
-         bool was_out)
+log_out (struct hf_state *state, const struct hf_service_state *service, uint64_t id, bool was_out)
 {
   const struct hf_pool_server *server = hf_pool_server (&service->pool, id);
   if (server && !was_out && server->out_until > state->now)
-    hf_state_log (state, HF_LOG_SERVER_OUT,
-                  "backend server " HF_STR_FMT " of " HF_STR_FMT
-                  " is out for %d ms",
+    hf_state_log (state, HF_LOG_SERVER_OUT, "backend server " HF_STR_FMT " of " HF_STR_FMT " is out for %d ms",
                   HF_STR_ARG (server->name), HF_STR_ARG (service->name),
                   (int)((server->out_until - state->now) / HF_MS));
 }
@@ -157,8 +139,7 @@
   const struct hf_pool_server *known = hf_pool_server (&service->pool, server);
   bool was_out = known && known->out_until > state->now;
   GArray *decisions = new_decisions ();
-  hf_pool_release (&service->pool, state->now, entry, ticket, result,
-                   latency_us, decisions);
+  hf_pool_release (&service->pool, state->now, entry, ticket, result, latency_us, decisions);
   log_out (state, service, server, was_out);
   apply_decisions (state, service, decisions);
 }
@@ -166,9 +147,7 @@
 /* --- internal functions: messages --- */
 
 static void
-peer_acquire (struct hf_state *state,
-              uint64_t from,
-              const struct hf_rpc_acquire *acquire)
+peer_acquire (struct hf_state *state, uint64_t from, const struct hf_rpc_acquire *acquire)
 {
   struct hf_service_state *service = hf_state_service (state, acquire->service);
   if (!service)
@@ -187,40 +166,30 @@
 }
 
 static void
-peer_decision (struct hf_state *state,
-               uint64_t from,
-               const struct hf_rpc_decision *message)
+peer_decision (struct hf_state *state, uint64_t from, const struct hf_rpc_decision *message)
 {
-  struct hf_decision decision
-      = { .kind = message->kind,
-          .entry = state->boot,
-          .ticket = message->ticket,
-          .server = message->server,
-          .reason = MIN (message->reason, HF_REFUSAL_BUDGET) };
-  const struct hf_call *call = g_hash_table_lookup (
-      state->calls, &(uint64_t){ message->ticket / HF_ATTEMPTS_MAX });
+  struct hf_decision decision = { .kind = message->kind,
+                                  .entry = state->boot,
+                                  .ticket = message->ticket,
+                                  .server = message->server,
+                                  .reason = MIN (message->reason, HF_REFUSAL_BUDGET) };
+  const struct hf_call *call = g_hash_table_lookup (state->calls, &(uint64_t){ message->ticket / HF_ATTEMPTS_MAX });
   unsigned i = (unsigned)(message->ticket % HF_ATTEMPTS_MAX);
-  bool wanted = call && i < call->n_attempts
-                && call->attempts[i].granter == from
-                && call->attempts[i].phase == HF_PHASE_ASKING;
-  bool running = call && i < call->n_attempts
-                 && call->attempts[i].granter == from
+  bool wanted
+      = call && i < call->n_attempts && call->attempts[i].granter == from && call->attempts[i].phase == HF_PHASE_ASKING;
+  bool running = call && i < call->n_attempts && call->attempts[i].granter == from
                  && call->attempts[i].phase == HF_PHASE_RUNNING;
   bool used = wanted && apply_decision (state, &decision);
   if (message->kind == HF_DECISION_GRANTED && !used && !running)
-    send_release (state, from, message->service, message->ticket,
-                  message->server, HF_POOL_UNUSED, 0);
+    send_release (state, from, message->service, message->ticket, message->server, HF_POOL_UNUSED, 0);
 }
 
 static void
-peer_release (struct hf_state *state,
-              uint64_t from,
-              const struct hf_rpc_release *release)
+peer_release (struct hf_state *state, uint64_t from, const struct hf_rpc_release *release)
 {
   struct hf_service_state *service = hf_state_service (state, release->service);
   if (service && release->result <= HF_POOL_UNUSED)
-    release_in_pool (state, service, from, release->ticket, release->server,
-                     release->result, release->latency_us);
+    release_in_pool (state, service, from, release->ticket, release->server, release->result, release->latency_us);
 }
 
 /* --- public functions --- */
@@ -257,23 +226,18 @@
       hf_slots_ask (state, call, i);
       return;
     }
-  bool silent
-      = !attempt->acknowledged
-        && state->now - attempt->asked_at >= HF_GRANT_GIVE_UP_MS * HF_MS;
+  bool silent = !attempt->acknowledged && state->now - attempt->asked_at >= HF_GRANT_GIVE_UP_MS * HF_MS;
   if (silent && granter == attempt->granter)
     {
       service->suspect_until = state->now + HF_GRANT_SUSPECT_MS * HF_MS;
       hf_state_count (state, HF_COUNT_FALLBACKS);
-      hf_state_log (state, HF_LOG_GRANTER_SILENT,
-                    "granter of " HF_STR_FMT
-                    " does not answer; deciding locally",
+      hf_state_log (state, HF_LOG_GRANTER_SILENT, "granter of " HF_STR_FMT " does not answer; deciding locally",
                     HF_STR_ARG (service->name));
       granter = 0;
     }
   if (granter != attempt->granter)
     {
-      send_release (state, attempt->granter, service->id,
-                    hf_slots_ticket (call->id, i), 0, HF_POOL_UNUSED, 0);
+      send_release (state, attempt->granter, service->id, hf_slots_ticket (call->id, i), 0, HF_POOL_UNUSED, 0);
       attempt->acknowledged = false;
       hf_slots_ask (state, call, i);
       return;
@@ -292,15 +256,11 @@
   attempt->acknowledged = true;
   hf_timers_cancel (&attempt->ask_timer);
   if (attempt->granter)
-    attempt->ask_timer = hf_state_timer (state, HF_GRANT_REASK_MS * HF_MS,
-                                         HF_TIMER_CALL_ASK, call->id, i);
+    attempt->ask_timer = hf_state_timer (state, HF_GRANT_REASK_MS * HF_MS, HF_TIMER_CALL_ASK, call->id, i);
 }
 
 void
-hf_slots_return (struct hf_state *state,
-                 struct hf_call *call,
-                 unsigned i,
-                 enum hf_pool_result result)
+hf_slots_return (struct hf_state *state, struct hf_call *call, unsigned i, enum hf_pool_result result)
 {
   struct hf_service_state *service = hf_state_service (state, call->service_id);
   struct hf_attempt *attempt = &call->attempts[i];
@@ -311,14 +271,12 @@
     return;
   if (!attempt->granter)
     {
-      release_in_pool (state, service, state->boot, ticket, attempt->server,
-                       result, latency);
+      release_in_pool (state, service, state->boot, ticket, attempt->server, result, latency);
       return;
     }
   /* The own pool learns too: it decides when the granter is silent. */
   hf_pool_learn (&service->pool, state->now, attempt->server, result, latency);
-  send_release (state, attempt->granter, call->service_id, ticket,
-                attempt->server, result, latency);
+  send_release (state, attempt->granter, call->service_id, ticket, attempt->server, result, latency);
 }
 
 void
--- a/src/hf-slots.h
+++ b/src/hf-slots.h
@@ -11,26 +11,19 @@
 
 /* --- public functions --- */
 
-uint64_t hf_slots_ticket (uint64_t call,
-                          unsigned attempt); /* name of an attempt */
-void hf_slots_ask (struct hf_state *state,
-                   struct hf_call *call,
-                   unsigned attempt); /* asks for a slot; a decision follows */
-void hf_slots_ask_again (struct hf_state *state,
-                         struct hf_call *call,
-                         unsigned attempt); /* the answer is late */
+uint64_t hf_slots_ticket (uint64_t call, unsigned attempt); /* name of an attempt */
+void
+hf_slots_ask (struct hf_state *state, struct hf_call *call, unsigned attempt); /* asks for a slot; a decision follows */
+void hf_slots_ask_again (struct hf_state *state, struct hf_call *call, unsigned attempt); /* the answer is late */
 void hf_slots_queued (struct hf_state *state,
                       struct hf_call *call,
                       unsigned attempt); /* the granter has it: confirm later */
 void hf_slots_return (struct hf_state *state,
                       struct hf_call *call,
                       unsigned attempt,
-                      enum hf_pool_result result); /* gives the slot or the
-                                                      place in the queue back */
-void hf_slots_peer (
-    struct hf_state *state,
-    const struct hf_event *event); /* ACQUIRE, DECISION or RELEASE came */
-void
-hf_slots_pump (struct hf_state *state); /* expires and grants in every pool */
+                      enum hf_pool_result result);                         /* gives the slot or the
+                                                                              place in the queue back */
+void hf_slots_peer (struct hf_state *state, const struct hf_event *event); /* ACQUIRE, DECISION or RELEASE came */
+void hf_slots_pump (struct hf_state *state);                               /* expires and grants in every pool */
 
 #endif
--- a/src/hf-state.c
+++ b/src/hf-state.c
@@ -50,10 +50,7 @@
 }
 
 void
-hf_state_log (struct hf_state *state,
-              enum hf_log_number number,
-              const char *format,
-              ...)
+hf_state_log (struct hf_state *state, enum hf_log_number number, const char *format, ...)
 {
   char text[400];
   va_list args;
@@ -66,9 +63,7 @@
 }
 
 void
-hf_state_send (struct hf_state *state,
-               uint64_t boot,
-               struct hf_rpc_message message)
+hf_state_send (struct hf_state *state, uint64_t boot, struct hf_rpc_message message)
 {
   const struct hf_member *member = hf_members_find (state, boot);
   if (!member)
@@ -89,11 +84,8 @@
                    uint64_t version,
                    struct hf_str data)
 {
-  struct hf_effect effect = { .kind = HF_EFFECT_PLATFORM,
-                              .op = op,
-                              .purpose = purpose,
-                              .arg = arg,
-                              .version = version };
+  struct hf_effect effect
+      = { .kind = HF_EFFECT_PLATFORM, .op = op, .purpose = purpose, .arg = arg, .version = version };
   effect.name = hf_effects_keep (state->out, name);
   if (data.len)
     effect.data = hf_effects_keep (state->out, data);
@@ -102,14 +94,8 @@
 }
 
 GSequenceIter *
-hf_state_timer (struct hf_state *state,
-                int64_t delay,
-                enum hf_timer_kind kind,
-                uint64_t id,
-                uint64_t arg)
+hf_state_timer (struct hf_state *state, int64_t delay, enum hf_timer_kind kind, uint64_t id, uint64_t arg)
 {
-  return hf_timers_add (
-      &state->timers,
-      (struct hf_timer){
-          .at = state->now + delay, .kind = kind, .id = id, .arg = arg });
+  return hf_timers_add (&state->timers,
+                        (struct hf_timer){ .at = state->now + delay, .kind = kind, .id = id, .arg = arg });
 }
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -326,21 +326,12 @@
 
 /* --- public functions: helpers of the reducer's modules --- */
 
-extern const char
-    *const hf_counter_names[HF_COUNTERS]; /* name of each counter */
-struct hf_service_state *hf_state_service (const struct hf_state *state,
-                                           uint64_t id); /* NULL if unknown */
-void hf_state_count (struct hf_state *state,
-                     enum hf_counter counter); /* adds one */
-void hf_state_log (struct hf_state *state,
-                   enum hf_log_number number,
-                   const char *format,
-                   ...)
-    __attribute__ ((format (printf, 3, 4))); /* effect LOG */
-void
-hf_state_send (struct hf_state *state,
-               uint64_t boot,
-               struct hf_rpc_message message); /* effect SEND to a member */
+extern const char *const hf_counter_names[HF_COUNTERS];                                /* name of each counter */
+struct hf_service_state *hf_state_service (const struct hf_state *state, uint64_t id); /* NULL if unknown */
+void hf_state_count (struct hf_state *state, enum hf_counter counter);                 /* adds one */
+void hf_state_log (struct hf_state *state, enum hf_log_number number, const char *format, ...)
+    __attribute__ ((format (printf, 3, 4)));                                               /* effect LOG */
+void hf_state_send (struct hf_state *state, uint64_t boot, struct hf_rpc_message message); /* effect SEND to a member */
 void hf_state_platform (struct hf_state *state,
                         enum hf_platform_op op,
                         enum hf_purpose purpose,
--- a/src/hf-sync.c
+++ b/src/hf-sync.c
@@ -9,8 +9,7 @@
 
 /* --- constants --- */
 
-static const char *const watch_names[]
-    = { [HF_PURPOSE_CONFIG] = "config", [HF_PURPOSE_VMS] = "vms" };
+static const char *const watch_names[] = { [HF_PURPOSE_CONFIG] = "config", [HF_PURPOSE_VMS] = "vms" };
 
 /* --- internal functions: adoption --- */
 
@@ -44,12 +43,9 @@
 {
   for (size_t i = 0; i < service->pool.servers->len; i++)
     {
-      struct hf_pool_server *server
-          = &g_array_index (service->pool.servers, struct hf_pool_server, i);
-      bool leaving
-          = g_hash_table_contains (state->vm_leaving, server->address.data);
-      hf_pool_set_leaving (&service->pool, server->id, HF_LEAVING_VM_LIST,
-                           leaving, 0);
+      struct hf_pool_server *server = &g_array_index (service->pool.servers, struct hf_pool_server, i);
+      bool leaving = g_hash_table_contains (state->vm_leaving, server->address.data);
+      hf_pool_set_leaving (&service->pool, server->id, HF_LEAVING_VM_LIST, leaving, 0);
     }
 }
 
@@ -64,8 +60,7 @@
     {
       bool declared = false;
       for (size_t i = 0; i < state->document->services.n && !declared; i++)
-        declared = hf_service_id (hf_document_service (state->document, i))
-                   == service->id;
+        declared = hf_service_id (hf_document_service (state->document, i)) == service->id;
       if (declared || hf_calls_use_service (state, service->id))
         continue;
       g_hash_table_iter_remove (&iter);
@@ -79,8 +74,7 @@
   for (size_t i = 0; i < state->document->services.n; i++)
     {
       const struct hf_service *spec = hf_document_service (state->document, i);
-      struct hf_service_state *service
-          = hf_state_service (state, hf_service_id (spec));
+      struct hf_service_state *service = hf_state_service (state, hf_service_id (spec));
       if (!service)
         service = add_service (state, spec);
       hf_pool_configure (&service->pool, spec);
@@ -91,17 +85,13 @@
 }
 
 static bool
-adopt (struct hf_state *state,
-       uint64_t generation,
-       struct hf_str text,
-       const char *source)
+adopt (struct hf_state *state, uint64_t generation, struct hf_str text, const char *source)
 {
   struct hf_error error = { 0 };
   struct hf_document *document = hf_document_load (text, &error);
   if (!document)
     {
-      hf_state_log (state, HF_LOG_CONFIG_INVALID,
-                    "generation %" G_GUINT64_FORMAT " from %s, line %u: %s",
+      hf_state_log (state, HF_LOG_CONFIG_INVALID, "generation %" G_GUINT64_FORMAT " from %s, line %u: %s",
                     (guint64)generation, source, error.line, error.message);
       return false;
     }
@@ -109,9 +99,7 @@
   hf_document_unload (state->document);
   state->document = document;
   apply_document (state);
-  hf_state_log (state, HF_LOG_CONFIG_ADOPTED,
-                "generation %" G_GUINT64_FORMAT " from %s", (guint64)generation,
-                source);
+  hf_state_log (state, HF_LOG_CONFIG_ADOPTED, "generation %" G_GUINT64_FORMAT " from %s", (guint64)generation, source);
   hf_members_beat (state, false);
   return true;
 }
@@ -122,8 +110,7 @@
 schedule_restore (struct hf_state *state)
 {
   if (!state->restore_timer)
-    state->restore_timer = hf_state_timer (state, HF_PLATFORM_RETRY_MS * HF_MS,
-                                           HF_TIMER_RESTORE, 0, 0);
+    state->restore_timer = hf_state_timer (state, HF_PLATFORM_RETRY_MS * HF_MS, HF_TIMER_RESTORE, 0, 0);
 }
 
 static void
@@ -142,8 +129,7 @@
     }
   if (!hf_manifest_read (object, &manifest, &error))
     {
-      hf_state_log (state, HF_LOG_CONFIG_INVALID, "object config: %s",
-                    error.message);
+      hf_state_log (state, HF_LOG_CONFIG_INVALID, "object config: %s", error.message);
       return;
     }
   state->config_version = object->version;
@@ -153,15 +139,12 @@
   else if (manifest.generation < generation_of (state))
     {
       hf_state_log (state, HF_LOG_CONFIG_OLD,
-                    "the platform serves generation %" G_GUINT64_FORMAT
-                    ", in force is %" G_GUINT64_FORMAT,
-                    (guint64)manifest.generation,
-                    (guint64)generation_of (state));
+                    "the platform serves generation %" G_GUINT64_FORMAT ", in force is %" G_GUINT64_FORMAT,
+                    (guint64)manifest.generation, (guint64)generation_of (state));
       schedule_restore (state);
     }
   else if (manifest.digest != state->document->digest)
-    hf_state_log (state, HF_LOG_CONFIG_SPLIT,
-                  "generation %" G_GUINT64_FORMAT " has two documents",
+    hf_state_log (state, HF_LOG_CONFIG_SPLIT, "generation %" G_GUINT64_FORMAT " has two documents",
                   (guint64)manifest.generation);
 }
 
@@ -174,8 +157,7 @@
   watch->complete = false;
   if (purpose == HF_PURPOSE_VMS)
     hf_members_begin_list (state);
-  hf_state_platform (state, HF_PLATFORM_WATCH, purpose, 0,
-                     hf_str (watch_names[purpose]), 0, (struct hf_str){ 0 });
+  hf_state_platform (state, HF_PLATFORM_WATCH, purpose, 0, hf_str (watch_names[purpose]), 0, (struct hf_str){ 0 });
 }
 
 static void
@@ -203,12 +185,9 @@
   int64_t delay = HF_PLATFORM_RETRY_MS << MIN (watch->failures, 4U);
   delay = ok ? 0 : MIN (delay, HF_PLATFORM_RETRY_MAX_MS);
   /* Jitter keeps the entries from returning to the platform together. */
-  delay = delay / 2
-          + (int64_t)(hf_random_next (&state->random)
-                      % (uint64_t)(delay / 2 + 1));
+  delay = delay / 2 + (int64_t)(hf_random_next (&state->random) % (uint64_t)(delay / 2 + 1));
   hf_timers_cancel (&watch->timer);
-  watch->timer
-      = hf_state_timer (state, delay * HF_MS, HF_TIMER_WATCH, purpose, 0);
+  watch->timer = hf_state_timer (state, delay * HF_MS, HF_TIMER_WATCH, purpose, 0);
 }
 
 /* A watch that lost a line looks alive; the version of the object does not lie.
@@ -217,16 +196,13 @@
 stored_checked (struct hf_state *state, const struct hf_event *event)
 {
   struct hf_object object;
-  if (event->platform.status != 200
-      || !hf_object_load (event->platform.data, &object, NULL))
+  if (event->platform.status != 200 || !hf_object_load (event->platform.data, &object, NULL))
     return;
-  bool missed = object.version != state->config_version
-                && !state->watches[HF_PURPOSE_CONFIG].timer;
+  bool missed = object.version != state->config_version && !state->watches[HF_PURPOSE_CONFIG].timer;
   hf_object_unload (&object);
   if (!missed)
     return;
-  hf_state_log (state, HF_LOG_WATCH_SILENT,
-                "watch of config missed a change; opening a new one");
+  hf_state_log (state, HF_LOG_WATCH_SILENT, "watch of config missed a change; opening a new one");
   open_watch (state, HF_PURPOSE_CONFIG);
 }
 
@@ -246,22 +222,17 @@
 {
   struct hf_rpc_message message = { .body = { .kind = HF_RPC_PULL } };
   message.body.hf_rpc_body_u.pull
-      = (struct hf_rpc_pull){ .generation = state->pull.generation,
-                              .offset = (unsigned)state->pull.text->len };
+      = (struct hf_rpc_pull){ .generation = state->pull.generation, .offset = (unsigned)state->pull.text->len };
   hf_state_send (state, state->pull.from, message);
   hf_timers_cancel (&state->pull.timer);
-  state->pull.timer
-      = hf_state_timer (state, HF_CONFIG_PULL_MS * HF_MS, HF_TIMER_PULL, 0, 0);
+  state->pull.timer = hf_state_timer (state, HF_CONFIG_PULL_MS * HF_MS, HF_TIMER_PULL, 0, 0);
 }
 
 static void
-peer_pull (struct hf_state *state,
-           uint64_t from,
-           const struct hf_rpc_pull *pull)
+peer_pull (struct hf_state *state, uint64_t from, const struct hf_rpc_pull *pull)
 {
   const struct hf_document *document = state->document;
-  if (!document || document->generation != pull->generation
-      || pull->offset >= document->text.len)
+  if (!document || document->generation != pull->generation || pull->offset >= document->text.len)
     return;
   struct hf_rpc_message message = { .body = { .kind = HF_RPC_CHUNK } };
   struct hf_rpc_chunk *chunk = &message.body.hf_rpc_body_u.chunk;
@@ -269,22 +240,17 @@
   chunk->digest = document->digest;
   chunk->total = (unsigned)document->text.len;
   chunk->offset = pull->offset;
-  chunk->data.data_len
-      = (unsigned)MIN (document->text.len - pull->offset, HF_CHUNK_BYTES);
+  chunk->data.data_len = (unsigned)MIN (document->text.len - pull->offset, HF_CHUNK_BYTES);
   chunk->data.data_val = hf_effects_alloc (state->out, chunk->data.data_len);
-  memcpy (chunk->data.data_val, document->text.data + pull->offset,
-          chunk->data.data_len);
+  memcpy (chunk->data.data_val, document->text.data + pull->offset, chunk->data.data_len);
   hf_state_send (state, from, message);
 }
 
 static void
-peer_chunk (struct hf_state *state,
-            uint64_t from,
-            const struct hf_rpc_chunk *chunk)
+peer_chunk (struct hf_state *state, uint64_t from, const struct hf_rpc_chunk *chunk)
 {
   struct hf_pull *pull = &state->pull;
-  if (pull->from != from || chunk->generation != pull->generation
-      || chunk->offset != pull->text->len)
+  if (pull->from != from || chunk->generation != pull->generation || chunk->offset != pull->text->len)
     return;
   if (chunk->total > HF_DOCUMENT_BYTES_MAX || chunk->data.data_len == 0)
     return;
@@ -330,8 +296,7 @@
   note_reachable (state, true);
   if (!hf_object_load_watch (event->platform.data, &object, &error))
     {
-      hf_state_log (state, HF_LOG_CONFIG_INVALID, "watch of %s: %s",
-                    watch_names[purpose], error.message);
+      hf_state_log (state, HF_LOG_CONFIG_INVALID, "watch of %s: %s", watch_names[purpose], error.message);
       return;
     }
   if (object.type == HF_WATCH_BOOKMARK)
@@ -360,12 +325,9 @@
   for (int purpose = HF_PURPOSE_CONFIG; purpose <= HF_PURPOSE_VMS; purpose++)
     {
       struct hf_watch *watch = &state->watches[purpose];
-      if (watch->timer
-          || state->now - watch->heard_at < HF_WATCH_SILENT_MS * HF_MS)
+      if (watch->timer || state->now - watch->heard_at < HF_WATCH_SILENT_MS * HF_MS)
         continue;
-      hf_state_log (state, HF_LOG_WATCH_SILENT,
-                    "watch of %s is silent; opening a new one",
-                    watch_names[purpose]);
+      hf_state_log (state, HF_LOG_WATCH_SILENT, "watch of %s is silent; opening a new one", watch_names[purpose]);
       open_watch (state, purpose);
     }
 }
@@ -373,13 +335,11 @@
 void
 hf_sync_check_stored (struct hf_state *state)
 {
-  bool due
-      = state->now - state->config_checked_at >= HF_CONFIG_CHECK_MS * HF_MS;
+  bool due = state->now - state->config_checked_at >= HF_CONFIG_CHECK_MS * HF_MS;
   if (!due || !hf_members_own (state, hf_hash (hf_str ("config"), 0)))
     return;
   state->config_checked_at = state->now;
-  hf_state_platform (state, HF_PLATFORM_HEAD, HF_PURPOSE_CONFIG, 0,
-                     hf_str ("config"), 0, (struct hf_str){ 0 });
+  hf_state_platform (state, HF_PLATFORM_HEAD, HF_PURPOSE_CONFIG, 0, hf_str ("config"), 0, (struct hf_str){ 0 });
 }
 
 void
@@ -401,8 +361,7 @@
     return;
   state->config_version = object.version;
   state->config_stored = hf_object_uint (&object, "generation");
-  hf_state_log (state, HF_LOG_CONFIG_RESTORED,
-                "wrote generation %" G_GUINT64_FORMAT " back",
+  hf_state_log (state, HF_LOG_CONFIG_RESTORED, "wrote generation %" G_GUINT64_FORMAT " back",
                 (guint64)state->config_stored);
   hf_object_unload (&object);
 }
@@ -411,8 +370,7 @@
 hf_sync_peer (struct hf_state *state, const struct hf_member *member)
 {
   struct hf_pull *pull = &state->pull;
-  if (member->generation <= generation_of (state)
-      || member->generation <= pull->generation)
+  if (member->generation <= generation_of (state) || member->generation <= pull->generation)
     return;
   end_pull (state);
   pull->from = member->boot;
@@ -438,8 +396,7 @@
 {
   state->pull.timer = NULL;
   const struct hf_member *member = hf_members_find (state, state->pull.from);
-  bool usable
-      = member && member->alive && member->generation == state->pull.generation;
+  bool usable = member && member->alive && member->generation == state->pull.generation;
   bool timely = state->now - state->pull.asked_at < HF_PEER_TIMEOUT_MS * HF_MS;
   if (usable && timely && state->pull.generation > generation_of (state))
     ask_chunk (state);
@@ -459,7 +416,7 @@
                                   .digest = state->document->digest,
                                   .document = state->document->text };
   char *json = hf_manifest_write (state->config_version, &manifest);
-  hf_state_platform (state, HF_PLATFORM_PUT, HF_PURPOSE_CONFIG, 0,
-                     hf_str ("config"), state->config_version, hf_str (json));
+  hf_state_platform (state, HF_PLATFORM_PUT, HF_PURPOSE_CONFIG, 0, hf_str ("config"), state->config_version,
+                     hf_str (json));
   g_free (json);
 }
--- a/src/hf-sync.h
+++ b/src/hf-sync.h
@@ -12,26 +12,15 @@
 
 /* --- public functions --- */
 
-void hf_sync_start (struct hf_state *state); /* starts the watches */
-void hf_sync_watch (
-    struct hf_state *state,
-    const struct hf_event *event); /* a line of a watch, or its end */
-void hf_sync_watch_timer (struct hf_state *state,
-                          enum hf_purpose purpose); /* starts a watch anew */
-void
-hf_sync_check_watches (struct hf_state *state); /* replaces silent watches */
-void hf_sync_check_stored (
-    struct hf_state
-        *state); /* compares the stored version with the last seen */
-void hf_sync_platform (struct hf_state *state,
-                       const struct hf_event *event); /* outcome of a write */
-void hf_sync_peer (
-    struct hf_state *state,
-    const struct hf_member *member); /* a member told its generation */
-void hf_sync_message (struct hf_state *state,
-                      const struct hf_event *event); /* PULL or CHUNK came */
-void hf_sync_pull_timer (struct hf_state *state);    /* a chunk is late */
-void
-hf_sync_restore (struct hf_state *state); /* writes a lost generation back */
+void hf_sync_start (struct hf_state *state);                                /* starts the watches */
+void hf_sync_watch (struct hf_state *state, const struct hf_event *event);  /* a line of a watch, or its end */
+void hf_sync_watch_timer (struct hf_state *state, enum hf_purpose purpose); /* starts a watch anew */
+void hf_sync_check_watches (struct hf_state *state);                        /* replaces silent watches */
+void hf_sync_check_stored (struct hf_state *state); /* compares the stored version with the last seen */
+void hf_sync_platform (struct hf_state *state, const struct hf_event *event); /* outcome of a write */
+void hf_sync_peer (struct hf_state *state, const struct hf_member *member);   /* a member told its generation */
+void hf_sync_message (struct hf_state *state, const struct hf_event *event);  /* PULL or CHUNK came */
+void hf_sync_pull_timer (struct hf_state *state);                             /* a chunk is late */
+void hf_sync_restore (struct hf_state *state);                                /* writes a lost generation back */
 
 #endif
--- a/src/hf-timers.c
+++ b/src/hf-timers.c
@@ -43,9 +43,7 @@
 }
 
 bool
-hf_timers_take_due (struct hf_timers *timers,
-                    int64_t now,
-                    struct hf_timer *timer)
+hf_timers_take_due (struct hf_timers *timers, int64_t now, struct hf_timer *timer)
 {
   GSequenceIter *first = g_sequence_get_begin_iter (timers->sequence);
   if (g_sequence_iter_is_end (first))
--- a/src/hf-timers.h
+++ b/src/hf-timers.h
@@ -36,18 +36,12 @@
 
 /* --- public functions --- */
 
-void hf_timers_init (struct hf_timers *timers);  /* empty set */
-void hf_timers_close (struct hf_timers *timers); /* frees all */
-GSequenceIter *
-hf_timers_add (struct hf_timers *timers,
-               struct hf_timer timer); /* handle to cancel with */
-void
-hf_timers_cancel (GSequenceIter **handle); /* removes it, clears the handle */
+void hf_timers_init (struct hf_timers *timers);                                 /* empty set */
+void hf_timers_close (struct hf_timers *timers);                                /* frees all */
+GSequenceIter *hf_timers_add (struct hf_timers *timers, struct hf_timer timer); /* handle to cancel with */
+void hf_timers_cancel (GSequenceIter **handle);                                 /* removes it, clears the handle */
 bool
-hf_timers_take_due (struct hf_timers *timers,
-                    int64_t now,
-                    struct hf_timer *timer); /* removes the first that is due */
-int64_t
-hf_timers_next (const struct hf_timers *timers); /* time of the first, or -1 */
+hf_timers_take_due (struct hf_timers *timers, int64_t now, struct hf_timer *timer); /* removes the first that is due */
+int64_t hf_timers_next (const struct hf_timers *timers);                            /* time of the first, or -1 */
 
 #endif
--- a/src/hf-upload.c
+++ b/src/hf-upload.c
@@ -39,8 +39,7 @@
       gsize part = MIN (size, wanted - used);
       memcpy ((char *)buffer + used, data, part);
       if (part < size)
-        g_queue_push_head (&upload->chunks,
-                           g_bytes_new_from_bytes (first, part, size - part));
+        g_queue_push_head (&upload->chunks, g_bytes_new_from_bytes (first, part, size - part));
       g_bytes_unref (first);
       used += part;
     }
@@ -56,29 +55,22 @@
     return;
   upload->reader = NULL;
   if (upload->failed)
-    g_task_return_new_error (reader, G_IO_ERROR, G_IO_ERROR_BROKEN_PIPE,
-                             "the caller is gone");
+    g_task_return_new_error (reader, G_IO_ERROR, G_IO_ERROR_BROKEN_PIPE, "the caller is gone");
   else
-    g_task_return_int (reader,
-                       (gssize)take (upload, upload->buffer, upload->wanted));
+    g_task_return_int (reader, (gssize)take (upload, upload->buffer, upload->wanted));
   g_object_unref (reader);
   if (upload->drained && !hf_upload_is_full (upload))
     upload->drained (upload->context);
 }
 
 static gssize
-read_now (GInputStream *stream,
-          void *buffer,
-          gsize count,
-          GCancellable *cancellable,
-          GError **error)
+read_now (GInputStream *stream, void *buffer, gsize count, GCancellable *cancellable, GError **error)
 {
   HfUpload *upload = HF_UPLOAD (stream);
   (void)cancellable;
   if (upload->queued > 0 || upload->finished)
     return (gssize)take (upload, buffer, count);
-  g_set_error_literal (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK,
-                       "no bytes yet");
+  g_set_error_literal (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK, "no bytes yet");
   return -1;
 }
 
--- a/src/hf-upload.h
+++ b/src/hf-upload.h
@@ -17,13 +17,11 @@
 
 /* --- public functions --- */
 
-HfUpload *
-hf_upload_new (void (*drained) (void *context),
-               void *context); /* calls drained when it has room again */
-void hf_upload_feed (HfUpload *upload, GBytes *bytes); /* appends bytes */
-void hf_upload_finish (HfUpload *upload);      /* no more bytes follow */
-void hf_upload_fail (HfUpload *upload);        /* the caller is gone */
-gboolean hf_upload_is_full (HfUpload *upload); /* stop feeding until drained */
-void hf_upload_detach (HfUpload *upload); /* drained is not called any more */
+HfUpload *hf_upload_new (void (*drained) (void *context), void *context); /* calls drained when it has room again */
+void hf_upload_feed (HfUpload *upload, GBytes *bytes);                    /* appends bytes */
+void hf_upload_finish (HfUpload *upload);                                 /* no more bytes follow */
+void hf_upload_fail (HfUpload *upload);                                   /* the caller is gone */
+gboolean hf_upload_is_full (HfUpload *upload);                            /* stop feeding until drained */
+void hf_upload_detach (HfUpload *upload);                                 /* drained is not called any more */
 
 #endif
--- a/src/hf-wire.c
+++ b/src/hf-wire.c
@@ -8,10 +8,7 @@
 /* --- internal functions --- */
 
 static void
-set_header (struct rpc_msg *header,
-            char *credentials,
-            char *verifier,
-            uint32_t kind)
+set_header (struct rpc_msg *header, char *credentials, char *verifier, uint32_t kind)
 {
   *header = (struct rpc_msg){ .rm_direction = CALL };
   header->rm_call.cb_rpcvers = RPC_MSG_VERSION;
@@ -32,17 +29,14 @@
   size_t used = 0;
   set_header (&header, NULL, NULL, message->body.kind);
   xdrmem_create (&xdr, buffer, (u_int)size, XDR_ENCODE);
-  if (xdr_callmsg (&xdr, &header)
-      && xdr_hf_rpc_message (&xdr, (hf_rpc_message *)message))
+  if (xdr_callmsg (&xdr, &header) && xdr_hf_rpc_message (&xdr, (hf_rpc_message *)message))
     used = xdr_getpos (&xdr);
   xdr_destroy (&xdr);
   return used;
 }
 
 bool
-hf_wire_decode (struct hf_str datagram,
-                struct hf_rpc_message *message,
-                struct hf_error *error)
+hf_wire_decode (struct hf_str datagram, struct hf_rpc_message *message, struct hf_error *error)
 {
   char credentials[MAX_AUTH_BYTES];
   char verifier[MAX_AUTH_BYTES];
@@ -51,18 +45,14 @@
   memset (message, 0, sizeof *message);
   set_header (&header, credentials, verifier, 0);
   xdrmem_create (&xdr, (char *)datagram.data, (u_int)datagram.len, XDR_DECODE);
-  bool ok = xdr_callmsg (&xdr, &header)
-            && header.rm_call.cb_prog == HF_RPC_PROGRAM
-            && header.rm_call.cb_vers == HF_RPC_VERSION
-            && xdr_hf_rpc_message (&xdr, message)
-            && header.rm_call.cb_proc == (rpcproc_t)message->body.kind
-            && xdr_getpos (&xdr) == datagram.len;
+  bool ok = xdr_callmsg (&xdr, &header) && header.rm_call.cb_prog == HF_RPC_PROGRAM
+            && header.rm_call.cb_vers == HF_RPC_VERSION && xdr_hf_rpc_message (&xdr, message)
+            && header.rm_call.cb_proc == (rpcproc_t)message->body.kind && xdr_getpos (&xdr) == datagram.len;
   xdr_destroy (&xdr);
   if (ok)
     return true;
   hf_wire_free (message);
-  return hf_error_set (error, HF_ERROR_SYNTAX,
-                       "datagram of %zu bytes does not decode", datagram.len);
+  return hf_error_set (error, HF_ERROR_SYNTAX, "datagram of %zu bytes does not decode", datagram.len);
 }
 
 void
--- a/src/hf-wire.h
+++ b/src/hf-wire.h
@@ -16,13 +16,9 @@
 
 /* --- public functions --- */
 
-size_t hf_wire_encode (const struct hf_rpc_message *message,
-                       char *buffer,
-                       size_t size); /* bytes used, 0: too large */
-bool hf_wire_decode (struct hf_str datagram,
-                     struct hf_rpc_message *message,
-                     struct hf_error *error); /* fills *message */
-void
-hf_wire_free (struct hf_rpc_message *message); /* frees a decoded message */
+size_t hf_wire_encode (const struct hf_rpc_message *message, char *buffer, size_t size); /* bytes used, 0: too large */
+bool
+hf_wire_decode (struct hf_str datagram, struct hf_rpc_message *message, struct hf_error *error); /* fills *message */
+void hf_wire_free (struct hf_rpc_message *message); /* frees a decoded message */
 
 #endif
--- a/src/hf-yaml.c
+++ b/src/hf-yaml.c
@@ -16,10 +16,7 @@
 
 /* --- internal functions --- */
 
-static bool read_map (struct reader *reader,
-                      yaml_node_t *node,
-                      const struct hf_field *fields,
-                      void *out);
+static bool read_map (struct reader *reader, yaml_node_t *node, const struct hf_field *fields, void *out);
 
 static bool
 fail (struct reader *reader, const yaml_node_t *node, const char *format, ...)
@@ -42,25 +39,19 @@
 static struct hf_str
 scalar (const yaml_node_t *node)
 {
-  return (struct hf_str){ .data = (const char *)node->data.scalar.value,
-                          .len = node->data.scalar.length };
+  return (struct hf_str){ .data = (const char *)node->data.scalar.value, .len = node->data.scalar.length };
 }
 
 static bool
-read_int (struct reader *reader,
-          yaml_node_t *node,
-          const struct hf_field *field,
-          int64_t *out)
+read_int (struct reader *reader, yaml_node_t *node, const struct hf_field *field, int64_t *out)
 {
   GError *problem = NULL;
   gint64 value = 0;
-  if (!g_ascii_string_to_signed ((const char *)node->data.scalar.value, 10,
-                                 field->min, field->max, &value, &problem))
+  if (!g_ascii_string_to_signed ((const char *)node->data.scalar.value, 10, field->min, field->max, &value, &problem))
     {
       g_clear_error (&problem);
       return fail (reader, node,
-                   "expected a whole number from %" G_GINT64_FORMAT
-                   " to %" G_GINT64_FORMAT ", found \"%.40s\"",
+                   "expected a whole number from %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT ", found \"%.40s\"",
                    field->min, field->max, node->data.scalar.value);
     }
   *out = value;
@@ -74,15 +65,11 @@
   *out = hf_str_equal (text, hf_str ("true"));
   if (*out || hf_str_equal (text, hf_str ("false")))
     return true;
-  return fail (reader, node, "expected true or false, found \"%.40s\"",
-               text.data);
+  return fail (reader, node, "expected true or false, found \"%.40s\"", text.data);
 }
 
 static bool
-read_choice (struct reader *reader,
-             yaml_node_t *node,
-             const struct hf_field *field,
-             int64_t *out)
+read_choice (struct reader *reader, yaml_node_t *node, const struct hf_field *field, int64_t *out)
 {
   for (int64_t i = 0; field->choices[i]; i++)
     if (hf_str_equal (scalar (node), hf_str (field->choices[i])))
@@ -91,68 +78,51 @@
         return true;
       }
   char *names = g_strjoinv (", ", (char **)field->choices);
-  fail (reader, node, "expected one of %s, found \"%.40s\"", names,
-        node->data.scalar.value);
+  fail (reader, node, "expected one of %s, found \"%.40s\"", names, node->data.scalar.value);
   g_free (names);
   return false;
 }
 
 static bool
-read_str (struct reader *reader,
-          yaml_node_t *node,
-          const struct hf_field *field,
-          struct hf_str *out)
+read_str (struct reader *reader, yaml_node_t *node, const struct hf_field *field, struct hf_str *out)
 {
   struct hf_str text = scalar (node);
-  if (memchr (text.data, 0, text.len)
-      || !g_utf8_validate (text.data, (gssize)text.len, NULL))
+  if (memchr (text.data, 0, text.len) || !g_utf8_validate (text.data, (gssize)text.len, NULL))
     return fail (reader, node, "expected text without control bytes");
   if (field->type == HF_FIELD_ADDRESS && !hf_address_valid (text))
-    return fail (reader, node, "expected an address IP:PORT, found \"%.40s\"",
-                 text.data);
+    return fail (reader, node, "expected an address IP:PORT, found \"%.40s\"", text.data);
   if (field->max && (int64_t)text.len > field->max)
-    return fail (reader, node, "expected at most %" G_GINT64_FORMAT " bytes",
-                 field->max);
+    return fail (reader, node, "expected at most %" G_GINT64_FORMAT " bytes", field->max);
   if ((int64_t)text.len < field->min)
-    return fail (reader, node, "expected at least %" G_GINT64_FORMAT " bytes",
-                 field->min);
+    return fail (reader, node, "expected at least %" G_GINT64_FORMAT " bytes", field->min);
   hf_str_free (out);
   *out = hf_str_dup (text);
   return true;
 }
 
 static bool
-read_list (struct reader *reader,
-           yaml_node_t *node,
-           const struct hf_field *field,
-           struct hf_list *out)
+read_list (struct reader *reader, yaml_node_t *node, const struct hf_field *field, struct hf_list *out)
 {
   if (node->type != YAML_SEQUENCE_NODE)
     return fail (reader, node, "expected a list");
-  size_t n = (size_t)(node->data.sequence.items.top
-                      - node->data.sequence.items.start);
+  size_t n = (size_t)(node->data.sequence.items.top - node->data.sequence.items.start);
   if ((int64_t)n < field->min || (field->max && (int64_t)n > field->max))
-    return fail (reader, node,
-                 "expected %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT
-                 " entries, found %zu",
-                 field->min, field->max, n);
-  size_t size
-      = field->type == HF_FIELD_LIST ? field->size : sizeof (struct hf_str);
+    return fail (reader, node, "expected %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT " entries, found %zu", field->min,
+                 field->max, n);
+  size_t size = field->type == HF_FIELD_LIST ? field->size : sizeof (struct hf_str);
   size_t mark = strlen (reader->path);
   out->items = g_malloc0_n (n + 1, size);
   out->n = n;
   for (size_t i = 0; i < n; i++)
     {
-      yaml_node_t *item = yaml_document_get_node (
-          reader->yaml, node->data.sequence.items.start[i]);
+      yaml_node_t *item = yaml_document_get_node (reader->yaml, node->data.sequence.items.start[i]);
       void *place = (char *)out->items + i * size;
       const struct hf_field text = { .type = HF_FIELD_STR };
       g_snprintf (reader->path + mark, sizeof reader->path - mark, "[%zu]", i);
       if (field->type == HF_FIELD_STR_LIST && item->type != YAML_SCALAR_NODE)
         return fail (reader, item, "expected text");
-      if (field->type == HF_FIELD_STR_LIST
-              ? !read_str (reader, item, &text, place)
-              : !read_map (reader, item, field->fields, place))
+      if (field->type == HF_FIELD_STR_LIST ? !read_str (reader, item, &text, place)
+                                           : !read_map (reader, item, field->fields, place))
         return false;
     }
   reader->path[mark] = 0;
@@ -160,10 +130,7 @@
 }
 
 static bool
-read_field (struct reader *reader,
-            yaml_node_t *node,
-            const struct hf_field *field,
-            void *place)
+read_field (struct reader *reader, yaml_node_t *node, const struct hf_field *field, void *place)
 {
   bool is_scalar = field->type <= HF_FIELD_ADDRESS;
   if (is_scalar && node->type != YAML_SCALAR_NODE)
@@ -199,8 +166,7 @@
       else if (field->type == HF_FIELD_BOOL)
         *(bool *)place = field->def != 0;
       else if (field->type == HF_FIELD_STR || field->type == HF_FIELD_ADDRESS)
-        *(struct hf_str *)place
-            = hf_str_dup (hf_str (field->def_str ? field->def_str : ""));
+        *(struct hf_str *)place = hf_str_dup (hf_str (field->def_str ? field->def_str : ""));
       else if (field->type == HF_FIELD_MAP)
         set_defaults (field->fields, place);
     }
@@ -216,29 +182,23 @@
 }
 
 static bool
-read_map (struct reader *reader,
-          yaml_node_t *node,
-          const struct hf_field *fields,
-          void *out)
+read_map (struct reader *reader, yaml_node_t *node, const struct hf_field *fields, void *out)
 {
   uint64_t seen = 0;
   size_t mark = strlen (reader->path);
   set_defaults (fields, out);
   if (node->type != YAML_MAPPING_NODE)
     return fail (reader, node, "expected a mapping");
-  for (yaml_node_pair_t *pair = node->data.mapping.pairs.start;
-       pair < node->data.mapping.pairs.top; pair++)
+  for (yaml_node_pair_t *pair = node->data.mapping.pairs.start; pair < node->data.mapping.pairs.top; pair++)
     {
       yaml_node_t *key = yaml_document_get_node (reader->yaml, pair->key);
       yaml_node_t *value = yaml_document_get_node (reader->yaml, pair->value);
       if (key->type != YAML_SCALAR_NODE)
         return fail (reader, key, "expected a key");
-      g_snprintf (reader->path + mark, sizeof reader->path - mark, "%s%.60s",
-                  mark ? "." : "", key->data.scalar.value);
+      g_snprintf (reader->path + mark, sizeof reader->path - mark, "%s%.60s", mark ? "." : "", key->data.scalar.value);
       const struct hf_field *field = find_field (fields, scalar (key));
       if (!field)
-        return fail (reader, key, "unknown key \"%.60s\"",
-                     key->data.scalar.value);
+        return fail (reader, key, "unknown key \"%.60s\"", key->data.scalar.value);
       if (seen & (1ULL << (field - fields)))
         return fail (reader, key, "key \"%s\" stands twice", field->name);
       seen |= 1ULL << (field - fields);
@@ -257,8 +217,7 @@
 {
   if (map->type != YAML_MAPPING_NODE)
     return NULL;
-  for (yaml_node_pair_t *pair = map->data.mapping.pairs.start;
-       pair < map->data.mapping.pairs.top; pair++)
+  for (yaml_node_pair_t *pair = map->data.mapping.pairs.start; pair < map->data.mapping.pairs.top; pair++)
     if (hf_str_equal (scalar (yaml_document_get_node (yaml, pair->key)), name))
       return yaml_document_get_node (yaml, pair->value);
   return NULL;
@@ -267,8 +226,7 @@
 static yaml_node_t *
 find_item (yaml_document_t *yaml, const yaml_node_t *list, guint64 i)
 {
-  if (list->type != YAML_SEQUENCE_NODE
-      || list->data.sequence.items.start + i >= list->data.sequence.items.top)
+  if (list->type != YAML_SEQUENCE_NODE || list->data.sequence.items.start + i >= list->data.sequence.items.top)
     return NULL;
   return yaml_document_get_node (yaml, list->data.sequence.items.start[i]);
 }
@@ -290,8 +248,7 @@
         }
       else
         {
-          next = find_key (yaml, node,
-                           (struct hf_str){ .data = path, .len = length });
+          next = find_key (yaml, node, (struct hf_str){ .data = path, .len = length });
           path += length;
         }
       if (!next)
@@ -314,28 +271,22 @@
   if (colon)
     {
       *colon = 0;
-      valid = g_ascii_string_to_unsigned (colon + 1, 10, 0, 65535, &port, NULL)
-              && g_hostname_is_ip_address (text);
+      valid = g_ascii_string_to_unsigned (colon + 1, 10, 0, 65535, &port, NULL) && g_hostname_is_ip_address (text);
     }
   g_free (text);
   return valid;
 }
 
 bool
-hf_yaml_load (struct hf_str text,
-              const struct hf_field *fields,
-              void *out,
-              struct hf_error *error)
+hf_yaml_load (struct hf_str text, const struct hf_field *fields, void *out, struct hf_error *error)
 {
   yaml_parser_t parser;
   yaml_document_t yaml;
   yaml_parser_initialize (&parser);
-  yaml_parser_set_input_string (&parser, (const unsigned char *)text.data,
-                                text.len);
+  yaml_parser_set_input_string (&parser, (const unsigned char *)text.data, text.len);
   if (!yaml_parser_load (&parser, &yaml))
     {
-      hf_error_set (error, HF_ERROR_SYNTAX, "not well-formed YAML: %s",
-                    parser.problem ? parser.problem : "unknown");
+      hf_error_set (error, HF_ERROR_SYNTAX, "not well-formed YAML: %s", parser.problem ? parser.problem : "unknown");
       if (error)
         {
           error->line = (unsigned)parser.problem_mark.line + 1;
@@ -347,8 +298,7 @@
   struct reader reader = { .yaml = &yaml, .error = error };
   yaml_node_t *root = yaml_document_get_root_node (&yaml);
   bool ok
-      = root ? read_map (&reader, root, fields, out)
-             : hf_error_set (error, HF_ERROR_SYNTAX, "the document is empty");
+      = root ? read_map (&reader, root, fields, out) : hf_error_set (error, HF_ERROR_SYNTAX, "the document is empty");
   yaml_document_delete (&yaml);
   yaml_parser_delete (&parser);
   return ok;
@@ -360,8 +310,7 @@
   yaml_parser_t parser;
   yaml_document_t yaml;
   yaml_parser_initialize (&parser);
-  yaml_parser_set_input_string (&parser, (const unsigned char *)text.data,
-                                text.len);
+  yaml_parser_set_input_string (&parser, (const unsigned char *)text.data, text.len);
   if (yaml_parser_load (&parser, &yaml))
     {
       const yaml_node_t *node = walk_path (&yaml, error->path);
@@ -390,8 +339,7 @@
         {
           for (size_t i = 0; i < list->n; i++)
             if (field->type == HF_FIELD_LIST)
-              hf_yaml_free (field->fields,
-                            (char *)list->items + i * field->size);
+              hf_yaml_free (field->fields, (char *)list->items + i * field->size);
             else
               hf_str_free ((struct hf_str *)list->items + i);
           g_clear_pointer (&list->items, g_free);
--- a/src/hf-yaml.h
+++ b/src/hf-yaml.h
@@ -71,15 +71,10 @@
 
 /* --- public functions --- */
 
-bool hf_yaml_load (struct hf_str text,
-                   const struct hf_field *fields,
-                   void *out,
-                   struct hf_error *error); /* fills *out */
-void hf_yaml_locate (
-    struct hf_str text,
-    struct hf_error *error); /* sets line and column of error->path */
-void hf_yaml_free (const struct hf_field *fields,
-                   void *out);                 /* frees what load made */
-bool hf_address_valid (struct hf_str address); /* IP:PORT test */
+bool
+hf_yaml_load (struct hf_str text, const struct hf_field *fields, void *out, struct hf_error *error); /* fills *out */
+void hf_yaml_locate (struct hf_str text, struct hf_error *error); /* sets line and column of error->path */
+void hf_yaml_free (const struct hf_field *fields, void *out);     /* frees what load made */
+bool hf_address_valid (struct hf_str address);                    /* IP:PORT test */
 
 #endif
--- a/src/hickoryctl.c
+++ b/src/hickoryctl.c
@@ -52,20 +52,17 @@
 {
   if (error->code == HF_ERROR_CONFLICT)
     return EXIT_CONFLICT;
-  return error->code == HF_ERROR_UNAVAILABLE || error->code == HF_ERROR_IO
-             ? EXIT_UNAVAILABLE
-             : EXIT_INVALID;
+  return error->code == HF_ERROR_UNAVAILABLE || error->code == HF_ERROR_IO ? EXIT_UNAVAILABLE : EXIT_INVALID;
 }
 
 static int
 fail (const char *file, const struct hf_error *error)
 {
   if (file && error->line)
-    fprintf (stderr, "%s:%u:%u: %s%s%s\n", file, error->line, error->column,
-             error->path, *error->path ? ": " : "", error->message);
+    fprintf (stderr, "%s:%u:%u: %s%s%s\n", file, error->line, error->column, error->path, *error->path ? ": " : "",
+             error->message);
   else if (file)
-    fprintf (stderr, "%s: %s%s%s\n", file, error->path,
-             *error->path ? ": " : "", error->message);
+    fprintf (stderr, "%s: %s%s%s\n", file, error->path, *error->path ? ": " : "", error->message);
   else
     fprintf (stderr, "hickoryctl: %s\n", error->message);
   return exit_code (error);
@@ -109,9 +106,8 @@
       return ok;
     }
   if (text.len > HF_DOCUMENT_BYTES_MAX)
-    return hf_error_set (error, HF_ERROR_INVALID,
-                         "the document has %zu bytes, at most %d are allowed",
-                         text.len, HF_DOCUMENT_BYTES_MAX);
+    return hf_error_set (error, HF_ERROR_INVALID, "the document has %zu bytes, at most %d are allowed", text.len,
+                         HF_DOCUMENT_BYTES_MAX);
   struct hf_document *document = hf_document_load (text, error);
   bool ok = document != NULL;
   hf_document_unload (document);
@@ -126,8 +122,7 @@
   GPtrArray *addresses = g_ptr_array_new_with_free_func (g_free);
   for (int i = 0; options->entries && options->entries[i]; i++)
     g_ptr_array_add (addresses, g_strdup (options->entries[i]));
-  if (addresses->len > 0 || !options->platform
-      || hf_client_admins (options->platform, addresses, error))
+  if (addresses->len > 0 || !options->platform || hf_client_admins (options->platform, addresses, error))
     return addresses;
   g_ptr_array_unref (addresses);
   return NULL;
@@ -141,8 +136,7 @@
   struct hf_error error = { 0 };
   char *text = hf_client_get (address, "/status", &status, &error);
   JsonParser *parser = json_parser_new ();
-  bool ok = text && status == 200
-            && json_parser_load_from_data (parser, text, -1, NULL);
+  bool ok = text && status == 200 && json_parser_load_from_data (parser, text, -1, NULL);
   g_free (text);
   if (!ok)
     g_clear_object (&parser);
@@ -156,8 +150,8 @@
   uint64_t generation = 0;
   if (!parser)
     return 0;
-  generation = (uint64_t)json_object_get_int_member (
-      json_node_get_object (json_parser_get_root (parser)), "generation");
+  generation
+      = (uint64_t)json_object_get_int_member (json_node_get_object (json_parser_get_root (parser)), "generation");
   g_object_unref (parser);
   return generation;
 }
@@ -175,8 +169,7 @@
         return fail (NULL, &error);
       behind = 0;
       for (guint i = 0; i < entries->len; i++)
-        behind
-            += entry_generation (g_ptr_array_index (entries, i)) < generation;
+        behind += entry_generation (g_ptr_array_index (entries, i)) < generation;
       guint all = entries->len;
       g_ptr_array_unref (entries);
       if (behind == 0)
@@ -225,17 +218,15 @@
   bool ok = false;
   if (base && base != stored.generation)
     hf_error_set (&error, HF_ERROR_CONFLICT,
-                  "the file was made from generation %" G_GUINT64_FORMAT
-                  ", stored is %" G_GUINT64_FORMAT "; nothing has been changed",
+                  "the file was made from generation %" G_GUINT64_FORMAT ", stored is %" G_GUINT64_FORMAT
+                  "; nothing has been changed",
                   (guint64)base, (guint64)stored.generation);
   else
-    ok = hf_client_write (options->platform, &stored, text, &generation,
-                          &error);
+    ok = hf_client_write (options->platform, &stored, text, &generation, &error);
   hf_client_unload (&stored);
   if (!ok)
     return fail (NULL, &error);
-  printf ("accepted as generation %" G_GUINT64_FORMAT "\n",
-          (guint64)generation);
+  printf ("accepted as generation %" G_GUINT64_FORMAT "\n", (guint64)generation);
   return options->wait ? wait_in_force (options, generation) : 0;
 }
 
@@ -271,8 +262,7 @@
       const char *text = stored.text.data;
       if (hf_client_base (stored.text) && strchr (text, '\n'))
         text = strchr (text, '\n') + 1;
-      printf ("# generation: %" G_GUINT64_FORMAT "\n%s",
-              (guint64)stored.generation, text);
+      printf ("# generation: %" G_GUINT64_FORMAT "\n%s", (guint64)stored.generation, text);
     }
   int code = stored.version ? 0 : EXIT_UNAVAILABLE;
   hf_client_unload (&stored);
@@ -289,31 +279,26 @@
     {
       JsonObject *server = json_array_get_object_element (servers, i);
       slots += json_object_get_int_member (server, "slots");
-      used += json_object_get_int_member (server, "used")
-              + json_object_get_int_member (server, "used_elsewhere");
+      used += json_object_get_int_member (server, "used") + json_object_get_int_member (server, "used_elsewhere");
     }
   printf ("  service %s: slots %d used %d, waiting %d, refused (queue full %d, "
           "deadline %d, no server %d, retry budget %d), "
           "retry tokens %.1f, probe tokens %d, granter %s%s\n",
-          json_object_get_string_member (service, "name"), (int)slots,
-          (int)used, (int)json_object_get_int_member (service, "waiting"),
+          json_object_get_string_member (service, "name"), (int)slots, (int)used,
+          (int)json_object_get_int_member (service, "waiting"),
           (int)json_object_get_int_member (service, "refused_queue_full"),
           (int)json_object_get_int_member (service, "refused_deadline"),
           (int)json_object_get_int_member (service, "refused_no_server"),
           (int)json_object_get_int_member (service, "refused_retry_budget"),
           json_object_get_double_member (service, "retry_tokens"),
-          (int)json_object_get_int_member (service, "probe_tokens"),
-          json_object_get_string_member (service, "granter"),
-          json_object_get_boolean_member (service, "granter_silent")
-              ? " (silent)"
-              : "");
+          (int)json_object_get_int_member (service, "probe_tokens"), json_object_get_string_member (service, "granter"),
+          json_object_get_boolean_member (service, "granter_silent") ? " (silent)" : "");
   for (guint i = 0; i < json_array_get_length (servers); i++)
     {
       JsonObject *server = json_array_get_object_element (servers, i);
       const char *state = json_object_get_string_member (server, "state");
       if (strcmp (state, "in use") != 0)
-        printf ("    %s: %s\n", json_object_get_string_member (server, "name"),
-                state);
+        printf ("    %s: %s\n", json_object_get_string_member (server, "name"), state);
     }
 }
 
@@ -324,12 +309,9 @@
           ", platform %s, config heard %d ms ago, VM list %d ms ago, in flight "
           "%d\n",
           json_object_get_string_member (entry, "name"), address,
-          json_object_get_string_member (entry, "failure_domain"),
-          json_object_get_string_member (entry, "state"),
+          json_object_get_string_member (entry, "failure_domain"), json_object_get_string_member (entry, "state"),
           json_object_get_int_member (entry, "generation"),
-          json_object_get_boolean_member (entry, "platform_reachable")
-              ? "reachable"
-              : "NOT REACHABLE",
+          json_object_get_boolean_member (entry, "platform_reachable") ? "reachable" : "NOT REACHABLE",
           (int)json_object_get_int_member (entry, "config_heard_ms_ago"),
           (int)json_object_get_int_member (entry, "vm_list_heard_ms_ago"),
           (int)json_object_get_int_member (entry, "calls_in_flight"));
@@ -339,8 +321,7 @@
       JsonObject *service = json_array_get_object_element (services, i);
       /* The granter of a service knows its slots; the others only their own
        * part. */
-      if (strcmp (json_object_get_string_member (service, "granter"),
-                  json_object_get_string_member (entry, "name"))
+      if (strcmp (json_object_get_string_member (service, "granter"), json_object_get_string_member (entry, "name"))
           == 0)
         print_service (service);
     }
@@ -361,15 +342,12 @@
     {
       const char *address = g_ptr_array_index (entries, i);
       JsonParser *parser = entry_status (address);
-      char *text = parser
-                       ? json_to_string (json_parser_get_root (parser), FALSE)
-                       : NULL;
+      char *text = parser ? json_to_string (json_parser_get_root (parser), FALSE) : NULL;
       silent += parser == NULL;
       if (options->json)
         printf ("%s%s", i ? "," : "", text ? text : "null");
       else if (parser)
-        print_entry (address,
-                     json_node_get_object (json_parser_get_root (parser)));
+        print_entry (address, json_node_get_object (json_parser_get_root (parser)));
       else
         printf ("entry %s: no answer\n", address);
       g_free (text);
@@ -402,9 +380,7 @@
 {
   struct hf_error error = { 0 };
   (void)arguments;
-  int code
-      = hf_console_run (options->listen ? options->listen : CONSOLE_ADDRESS,
-                        options->platform, &error);
+  int code = hf_console_run (options->listen ? options->listen : CONSOLE_ADDRESS, options->platform, &error);
   return code == 0 ? 0 : fail (NULL, &error);
 }
 
@@ -421,13 +397,10 @@
 static int
 run_command (const struct options *options, int argc, char **argv)
 {
-  for (const struct command *command = commands; argc > 1 && command->name;
-       command++)
+  for (const struct command *command = commands; argc > 1 && command->name; command++)
     if (strcmp (command->name, argv[1]) == 0 && argc == command->arguments + 2)
       return command->run (options, argv + 2);
-  fprintf (
-      stderr,
-      "hickoryctl: unknown command or wrong number of arguments; see --help\n");
+  fprintf (stderr, "hickoryctl: unknown command or wrong number of arguments; see --help\n");
   return EXIT_USAGE;
 }
 
@@ -437,39 +410,29 @@
   struct options options = { .wait_ms = 10000 };
   GError *problem = NULL;
   const GOptionEntry entries[] = {
-    { "platform", 'p', 0, G_OPTION_ARG_STRING, &options.platform,
-      "Address of the platform's object API", "IP:PORT" },
-    { "entry", 'e', 0, G_OPTION_ARG_STRING_ARRAY, &options.entries,
-      "Admin address of an entry; instead of the VM list", "IP:PORT" },
-    { "listen", 0, 0, G_OPTION_ARG_STRING, &options.listen,
-      "console: loopback address (127.0.0.1:8090)", "IP:PORT" },
-    { "json", 0, 0, G_OPTION_ARG_NONE, &options.json,
-      "status: JSON for programs", NULL },
-    { "wait", 0, 0, G_OPTION_ARG_NONE, &options.wait,
-      "apply: return when every live entry has it in force", NULL },
-    { "wait-ms", 0, 0, G_OPTION_ARG_INT, &options.wait_ms,
-      "apply: longest wait (10000)", "MS" },
-    { "settings", 0, 0, G_OPTION_ARG_NONE, &options.settings,
-      "check: the file holds settings of a hickoryd", NULL },
-    { "version", 0, 0, G_OPTION_ARG_NONE, &options.version,
-      "Print the version and leave", NULL },
+    { "platform", 'p', 0, G_OPTION_ARG_STRING, &options.platform, "Address of the platform's object API", "IP:PORT" },
+    { "entry", 'e', 0, G_OPTION_ARG_STRING_ARRAY, &options.entries, "Admin address of an entry; instead of the VM list",
+      "IP:PORT" },
+    { "listen", 0, 0, G_OPTION_ARG_STRING, &options.listen, "console: loopback address (127.0.0.1:8090)", "IP:PORT" },
+    { "json", 0, 0, G_OPTION_ARG_NONE, &options.json, "status: JSON for programs", NULL },
+    { "wait", 0, 0, G_OPTION_ARG_NONE, &options.wait, "apply: return when every live entry has it in force", NULL },
+    { "wait-ms", 0, 0, G_OPTION_ARG_INT, &options.wait_ms, "apply: longest wait (10000)", "MS" },
+    { "settings", 0, 0, G_OPTION_ARG_NONE, &options.settings, "check: the file holds settings of a hickoryd", NULL },
+    { "version", 0, 0, G_OPTION_ARG_NONE, &options.version, "Print the version and leave", NULL },
     { 0 },
   };
   GOptionContext *context = g_option_context_new ("COMMAND [ARGUMENT]");
-  g_option_context_set_summary (
-      context,
-      "Commands:\n"
-      "  check FILE    checks a document (or settings) whole\n"
-      "  apply FILE    makes a document the desired state\n"
-      "  show          prints the document in force, ready to edit and apply\n"
-      "  status        tells how entries, services and budgets stand\n"
-      "  dump ADDRESS  prints the state of one entry, by its admin address\n"
-      "  console       serves forms for the document as a web page");
-  g_option_context_set_description (
-      context, "Exit codes: 0 done, 2 wrong use, 3 wrong document, 4 conflict "
-               "with another change,\n"
-               "5 platform or entry not available, 6 accepted but not in force "
-               "in time.");
+  g_option_context_set_summary (context, "Commands:\n"
+                                         "  check FILE    checks a document (or settings) whole\n"
+                                         "  apply FILE    makes a document the desired state\n"
+                                         "  show          prints the document in force, ready to edit and apply\n"
+                                         "  status        tells how entries, services and budgets stand\n"
+                                         "  dump ADDRESS  prints the state of one entry, by its admin address\n"
+                                         "  console       serves forms for the document as a web page");
+  g_option_context_set_description (context, "Exit codes: 0 done, 2 wrong use, 3 wrong document, 4 conflict "
+                                             "with another change,\n"
+                                             "5 platform or entry not available, 6 accepted but not in force "
+                                             "in time.");
   g_option_context_add_main_entries (context, entries, NULL);
   bool parsed = g_option_context_parse (context, &argc, &argv, &problem);
   g_option_context_free (context);
--- a/src/hickoryd.c
+++ b/src/hickoryd.c
@@ -31,22 +31,14 @@
 /* --- internal functions --- */
 
 static void
-answer (SoupServerMessage *message,
-        unsigned status,
-        const char *type,
-        char *text)
+answer (SoupServerMessage *message, unsigned status, const char *type, char *text)
 {
   soup_server_message_set_status (message, status, NULL);
-  soup_server_message_set_response (message, type, SOUP_MEMORY_TAKE, text,
-                                    strlen (text));
+  soup_server_message_set_response (message, type, SOUP_MEMORY_TAKE, text, strlen (text));
 }
 
 static void
-admin_request (SoupServer *server,
-               SoupServerMessage *message,
-               const char *path,
-               GHashTable *query,
-               gpointer data)
+admin_request (SoupServer *server, SoupServerMessage *message, const char *path, GHashTable *query, gpointer data)
 {
   struct daemon *daemon = data;
   const struct hf_state *state = daemon->loop.state;
@@ -56,16 +48,13 @@
     answer (message, hf_state_is_ready (state) ? 200 : 503, "text/plain",
             g_strdup (hf_state_is_ready (state) ? "ok\n" : "not ready\n"));
   else if (strcmp (path, "/metrics") == 0)
-    answer (message, 200, "text/plain; version=0.0.4",
-            hf_dump_metrics (state, hf_loop_now ()));
+    answer (message, 200, "text/plain; version=0.0.4", hf_dump_metrics (state, hf_loop_now ()));
   else if (strcmp (path, "/dump") == 0)
     answer (message, 200, "text/plain", hf_dump_text (state, hf_loop_now ()));
   else if (strcmp (path, "/status") == 0)
-    answer (message, 200, "application/json",
-            hf_dump_json (state, hf_loop_now ()));
+    answer (message, 200, "application/json", hf_dump_json (state, hf_loop_now ()));
   else
-    answer (message, 404, "text/plain",
-            g_strdup ("known paths: /healthz /metrics /dump /status\n"));
+    answer (message, 404, "text/plain", g_strdup ("known paths: /healthz /metrics /dump /status\n"));
 }
 
 static gboolean
@@ -100,24 +89,20 @@
       g_clear_error (&problem);
       return false;
     }
-  bool ok = hf_settings_load ((struct hf_str){ .data = text, .len = size },
-                              settings, &error);
+  bool ok = hf_settings_load ((struct hf_str){ .data = text, .len = size }, settings, &error);
   if (!ok)
-    hf_log_write (HF_LOG_SETTINGS_INVALID, "%s:%u:%u: %s: %s", file, error.line,
-                  error.column, error.path, error.message);
+    hf_log_write (HF_LOG_SETTINGS_INVALID, "%s:%u:%u: %s: %s", file, error.line, error.column, error.path,
+                  error.message);
   g_free (text);
   return ok;
 }
 
 static bool
-open_admin (struct daemon *daemon,
-            struct hf_str address,
-            struct hf_error *error)
+open_admin (struct daemon *daemon, struct hf_str address, struct hf_error *error)
 {
   daemon->admin = soup_server_new (NULL, NULL);
   soup_server_add_handler (daemon->admin, NULL, admin_request, daemon, NULL);
-  return hf_http_listen (daemon->admin, address, daemon->admin_text,
-                         sizeof daemon->admin_text, error);
+  return hf_http_listen (daemon->admin, address, daemon->admin_text, sizeof daemon->admin_text, error);
 }
 
 static int
@@ -140,9 +125,8 @@
   g_unix_signal_add (SIGTERM, terminate, &daemon);
   g_unix_signal_add (SIGINT, terminate, &daemon);
   g_unix_signal_add (SIGUSR1, dump, &daemon);
-  hf_log_write (HF_LOG_LISTENING, "callers=%s admin=%s peers=%s",
-                hf_proxy_address (daemon.loop.proxy).data, daemon.admin_text,
-                hf_peers_address (daemon.loop.peers).data);
+  hf_log_write (HF_LOG_LISTENING, "callers=%s admin=%s peers=%s", hf_proxy_address (daemon.loop.proxy).data,
+                daemon.admin_text, hf_peers_address (daemon.loop.peers).data);
   g_main_loop_run (daemon.loop.main);
   hf_log_write (HF_LOG_EXIT, "nothing in flight");
   soup_server_disconnect (daemon.admin);
@@ -159,20 +143,16 @@
   GError *problem = NULL;
   struct hf_settings settings = { 0 };
   const GOptionEntry options[] = {
-    { "version", 0, 0, G_OPTION_ARG_NONE, &version,
-      "Print the version and leave", NULL },
-    { "check", 0, 0, G_OPTION_ARG_NONE, &check, "Check the settings and leave",
-      NULL },
+    { "version", 0, 0, G_OPTION_ARG_NONE, &version, "Print the version and leave", NULL },
+    { "check", 0, 0, G_OPTION_ARG_NONE, &check, "Check the settings and leave", NULL },
     { 0 },
   };
   GOptionContext *context = g_option_context_new ("SETTINGS");
-  g_option_context_set_summary (
-      context, "Balances requests between callers and backend servers.");
-  g_option_context_set_description (
-      context, "Exit codes: 0 left as asked, 2 wrong use, 3 wrong settings, 4 "
-               "an address cannot be used.\n"
-               "Signals: SIGTERM leaves without cutting a request, SIGUSR1 "
-               "dumps the state.");
+  g_option_context_set_summary (context, "Balances requests between callers and backend servers.");
+  g_option_context_set_description (context, "Exit codes: 0 left as asked, 2 wrong use, 3 wrong settings, 4 "
+                                             "an address cannot be used.\n"
+                                             "Signals: SIGTERM leaves without cutting a request, SIGUSR1 "
+                                             "dumps the state.");
   g_option_context_add_main_entries (context, options, NULL);
   hf_log_open ("hickoryd", HF_LEVEL_INFO);
   /* Given back and taken again for every answer, pages cost more than they
@@ -187,18 +167,15 @@
     }
   if (!parsed || argc != 2)
     {
-      fprintf (stderr, "hickoryd: %s; see --help\n",
-               problem ? problem->message : "expected one settings file");
+      fprintf (stderr, "hickoryd: %s; see --help\n", problem ? problem->message : "expected one settings file");
       g_clear_error (&problem);
       return EXIT_USAGE;
     }
   if (!load_settings (argv[1], &settings))
     return EXIT_SETTINGS;
   hf_log_open ("hickoryd", (enum hf_log_level)settings.log_level);
-  hf_log_write (HF_LOG_STARTED,
-                "version %s, entry " HF_STR_FMT " in " HF_STR_FMT, HF_VERSION,
-                HF_STR_ARG (settings.name),
-                HF_STR_ARG (settings.failure_domain));
+  hf_log_write (HF_LOG_STARTED, "version %s, entry " HF_STR_FMT " in " HF_STR_FMT, HF_VERSION,
+                HF_STR_ARG (settings.name), HF_STR_ARG (settings.failure_domain));
   int code = check ? 0 : run (&settings);
   hf_settings_unload (&settings);
   return code;
--- a/tests/fake-backend.c
+++ b/tests/fake-backend.c
@@ -113,22 +113,17 @@
 static const char *
 fault_of (SoupServerMessage *message)
 {
-  const char *fault = soup_message_headers_get_one (
-      soup_server_message_get_request_headers (message), "X-Fake");
+  const char *fault = soup_message_headers_get_one (soup_server_message_get_request_headers (message), "X-Fake");
   return fault ? fault : "";
 }
 
 static void
 add_hints (struct server *server, SoupServerMessage *message)
 {
-  SoupMessageHeaders *headers
-      = soup_server_message_get_response_headers (message);
+  SoupMessageHeaders *headers = soup_server_message_get_response_headers (message);
   char load[16];
-  g_snprintf (
-      load, sizeof load, "%d",
-      server->lie >= 0
-          ? server->lie
-          : (int)(server->busy + g_queue_get_length (&server->waiting)));
+  g_snprintf (load, sizeof load, "%d",
+              server->lie >= 0 ? server->lie : (int)(server->busy + g_queue_get_length (&server->waiting)));
   soup_message_headers_replace (headers, "Backend-Load", load);
   if (server->drain)
     soup_message_headers_replace (headers, "Backend-State", "draining");
@@ -138,9 +133,7 @@
 refuse (struct server *server, SoupServerMessage *message)
 {
   add_hints (server, message);
-  soup_message_headers_replace (
-      soup_server_message_get_response_headers (message), "Backend-Outcome",
-      "not-run");
+  soup_message_headers_replace (soup_server_message_get_response_headers (message), "Backend-Outcome", "not-run");
   soup_server_message_set_status (message, 503, NULL);
 }
 
@@ -153,15 +146,12 @@
   const char *value;
   GUri *uri = soup_server_message_get_uri (message);
   GString *seen = g_string_new (soup_server_message_get_method (message));
-  g_string_append_printf (seen, " %s?%s", g_uri_get_path (uri),
-                          g_uri_get_query (uri) ? g_uri_get_query (uri) : "");
-  soup_message_headers_iter_init (
-      &iter, soup_server_message_get_request_headers (message));
+  g_string_append_printf (seen, " %s?%s", g_uri_get_path (uri), g_uri_get_query (uri) ? g_uri_get_query (uri) : "");
+  soup_message_headers_iter_init (&iter, soup_server_message_get_request_headers (message));
   while (soup_message_headers_iter_next (&iter, &name, &value))
     if (strlen (value) < 64)
       g_string_append_printf (seen, " %s=%s", name, value);
-  soup_message_headers_replace (
-      soup_server_message_get_response_headers (message), "X-Seen", seen->str);
+  soup_message_headers_replace (soup_server_message_get_response_headers (message), "X-Seen", seen->str);
   g_string_free (seen, TRUE);
 }
 
@@ -169,19 +159,14 @@
 write_answer (struct job *job)
 {
   SoupServerMessage *message = job->message;
-  SoupMessageHeaders *headers
-      = soup_server_message_get_response_headers (message);
+  SoupMessageHeaders *headers = soup_server_message_get_response_headers (message);
   SoupMessageBody *request = soup_server_message_get_request_body (message);
-  const char *key = soup_message_headers_get_one (
-      soup_server_message_get_request_headers (message), "X-Test-Key");
+  const char *key = soup_message_headers_get_one (soup_server_message_get_request_headers (message), "X-Test-Key");
   const char *fault = fault_of (message);
-  gsize size
-      = g_str_has_prefix (fault, "big=") ? (gsize)atol (fault + 4) : SMALL_BODY;
-  guint status
-      = g_str_has_prefix (fault, "status=") ? (guint)atoi (fault + 7) : 200;
+  gsize size = g_str_has_prefix (fault, "big=") ? (gsize)atol (fault + 4) : SMALL_BODY;
+  guint status = g_str_has_prefix (fault, "status=") ? (guint)atoi (fault + 7) : 200;
   char *body = g_malloc (size + 1);
-  char *digest = g_compute_checksum_for_data (
-      G_CHECKSUM_SHA256, (const guchar *)request->data, (gsize)request->length);
+  char *digest = g_compute_checksum_for_data (G_CHECKSUM_SHA256, (const guchar *)request->data, (gsize)request->length);
   memset (body, 'a', size);
   add_hints (job->server, message);
   soup_message_headers_replace (headers, "X-Body-Digest", digest);
@@ -197,12 +182,10 @@
   if (strcmp (fault, "short") == 0)
     {
       soup_message_headers_set_content_length (headers, (goffset)size);
-      soup_message_body_append (soup_server_message_get_response_body (message),
-                                SOUP_MEMORY_COPY, body, size / 2);
+      soup_message_body_append (soup_server_message_get_response_body (message), SOUP_MEMORY_COPY, body, size / 2);
     }
   else
-    soup_server_message_set_response (message, "application/octet-stream",
-                                      SOUP_MEMORY_COPY, body, size);
+    soup_server_message_set_response (message, "application/octet-stream", SOUP_MEMORY_COPY, body, size);
   g_free (body);
   g_free (digest);
 }
@@ -225,8 +208,7 @@
   else
     write_answer (job);
   if (strcmp (fault, "short") == 0)
-    g_signal_connect (job->message, "wrote-chunk", G_CALLBACK (wrote_short),
-                      NULL);
+    g_signal_connect (job->message, "wrote-chunk", G_CALLBACK (wrote_short), NULL);
   end_job (job);
   return G_SOURCE_REMOVE;
 }
@@ -247,25 +229,20 @@
 static void
 count_run (struct server *server, SoupServerMessage *message)
 {
-  const char *key = soup_message_headers_get_one (
-      soup_server_message_get_request_headers (message), "X-Test-Key");
+  const char *key = soup_message_headers_get_one (soup_server_message_get_request_headers (message), "X-Test-Key");
   server->runs++;
   if (!key)
     return;
   guint n = GPOINTER_TO_UINT (g_hash_table_lookup (server->fake->runs, key));
-  g_hash_table_insert (server->fake->runs, g_strdup (key),
-                       GUINT_TO_POINTER (n + 1));
+  g_hash_table_insert (server->fake->runs, g_strdup (key), GUINT_TO_POINTER (n + 1));
 }
 
 static double
 service_ms (struct server *server, const char *fault)
 {
   struct fake *fake = server->fake;
-  double mean
-      = g_str_has_prefix (fault, "work=") ? atof (fault + 5) : fake->mean_ms;
-  double drawn = fake->constant || g_str_has_prefix (fault, "work=")
-                     ? mean
-                     : gsl_ran_exponential (fake->random, mean);
+  double mean = g_str_has_prefix (fault, "work=") ? atof (fault + 5) : fake->mean_ms;
+  double drawn = fake->constant || g_str_has_prefix (fault, "work=") ? mean : gsl_ran_exponential (fake->random, mean);
   double cold = g_get_monotonic_time () < server->cold_until ? 5.0 : 1.0;
   return drawn * server->speed * server->slow * cold;
 }
@@ -315,17 +292,12 @@
   g_signal_connect (message, "finished", G_CALLBACK (gone), job);
   soup_server_message_pause (message);
   g_queue_push_tail (&server->waiting, job);
-  server->peak = MAX (server->peak,
-                      server->busy + g_queue_get_length (&server->waiting));
+  server->peak = MAX (server->peak, server->busy + g_queue_get_length (&server->waiting));
   start_next (server);
 }
 
 static void
-handle (SoupServer *http,
-        SoupServerMessage *message,
-        const char *path,
-        GHashTable *query,
-        gpointer data)
+handle (SoupServer *http, SoupServerMessage *message, const char *path, GHashTable *query, gpointer data)
 {
   struct server *server = data;
   (void)http;
@@ -340,16 +312,11 @@
       server->probes++;
       add_hints (server, message);
       if (server->health_drain)
-        soup_message_headers_replace (
-            soup_server_message_get_response_headers (message), "Backend-State",
-            "draining");
-      soup_server_message_set_status (
-          message, server->drain || server->health_drain ? 503 : 200, NULL);
+        soup_message_headers_replace (soup_server_message_get_response_headers (message), "Backend-State", "draining");
+      soup_server_message_set_status (message, server->drain || server->health_drain ? 503 : 200, NULL);
       return;
     }
-  gboolean full
-      = server->queue_limit
-        && g_queue_get_length (&server->waiting) >= server->queue_limit;
+  gboolean full = server->queue_limit && g_queue_get_length (&server->waiting) >= server->queue_limit;
   if (server->drain || full || strcmp (fault_of (message), "refuse") == 0)
     {
       refuse (server, message);
@@ -374,10 +341,7 @@
           if (!g_list_find (server->jobs, job))
             continue;
           GSocket *socket = soup_server_message_get_socket (job->message);
-          if (!socket
-              || recv (g_socket_get_fd (socket), &byte, 1,
-                       MSG_PEEK | MSG_DONTWAIT)
-                     == 0)
+          if (!socket || recv (g_socket_get_fd (socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0)
             end_job (job);
         }
       g_list_free (jobs);
@@ -425,8 +389,7 @@
   gpointer count;
   g_hash_table_iter_init (&iter, fake->runs);
   while (g_hash_table_iter_next (&iter, &key, &count))
-    g_string_append_printf (text, "%s %u\n", (char *)key,
-                            GPOINTER_TO_UINT (count));
+    g_string_append_printf (text, "%s %u\n", (char *)key, GPOINTER_TO_UINT (count));
 }
 
 static void
@@ -435,19 +398,14 @@
   for (guint i = 0; i < fake->servers->len; i++)
     {
       struct server *server = g_ptr_array_index (fake->servers, i);
-      g_string_append_printf (text, "%s runs %u peak %u probes %u\n",
-                              server->address, server->runs, server->peak,
+      g_string_append_printf (text, "%s runs %u peak %u probes %u\n", server->address, server->runs, server->peak,
                               server->probes);
       server->peak = 0;
     }
 }
 
 static void
-control (SoupServer *http,
-         SoupServerMessage *message,
-         const char *path,
-         GHashTable *query,
-         gpointer data)
+control (SoupServer *http, SoupServerMessage *message, const char *path, GHashTable *query, gpointer data)
 {
   struct fake *fake = data;
   GString *text = g_string_new (NULL);
@@ -471,8 +429,7 @@
       }
   soup_server_message_set_status (message, 200, NULL);
   gsize size = text->len;
-  soup_server_message_set_response (message, "text/plain", SOUP_MEMORY_TAKE,
-                                    g_string_free (text, FALSE), size);
+  soup_server_message_set_response (message, "text/plain", SOUP_MEMORY_TAKE, g_string_free (text, FALSE), size);
 }
 
 static gboolean
@@ -489,8 +446,7 @@
   server->http = soup_server_new ("raw-paths", TRUE, NULL);
   soup_server_add_handler (server->http, NULL, handle, server, NULL);
   g_ptr_array_add (fake->servers, server);
-  if (hf_http_listen (server->http, hf_str ("127.0.0.1:0"), server->address,
-                      sizeof server->address, &error))
+  if (hf_http_listen (server->http, hf_str ("127.0.0.1:0"), server->address, sizeof server->address, &error))
     return TRUE;
   fprintf (stderr, "fake-backend: %s\n", error.message);
   return FALSE;
@@ -509,12 +465,9 @@
     { "servers", 0, 0, G_OPTION_ARG_INT, &servers, "How many servers", "N" },
     { "slots", 0, 0, G_OPTION_ARG_INT, &slots, "Slots of each", "N" },
     { "seed", 0, 0, G_OPTION_ARG_INT, &seed, "Seed of the service times", "N" },
-    { "mean-ms", 0, 0, G_OPTION_ARG_DOUBLE, &mean_ms, "Mean service time",
-      "MS" },
-    { "spread", 0, 0, G_OPTION_ARG_DOUBLE, &spread,
-      "Speeds differ by this share up and down", "X" },
-    { "constant", 0, 0, G_OPTION_ARG_NONE, &constant, "Constant service times",
-      NULL },
+    { "mean-ms", 0, 0, G_OPTION_ARG_DOUBLE, &mean_ms, "Mean service time", "MS" },
+    { "spread", 0, 0, G_OPTION_ARG_DOUBLE, &spread, "Speeds differ by this share up and down", "X" },
+    { "constant", 0, 0, G_OPTION_ARG_NONE, &constant, "Constant service times", NULL },
     { 0 },
   };
   GOptionContext *context = g_option_context_new (NULL);
@@ -531,27 +484,23 @@
   fake.constant = constant;
   SoupServer *http = soup_server_new (NULL, NULL);
   soup_server_add_handler (http, NULL, control, &fake, NULL);
-  if (!hf_http_listen (http, hf_str ("127.0.0.1:0"), address, sizeof address,
-                       &error))
+  if (!hf_http_listen (http, hf_str ("127.0.0.1:0"), address, sizeof address, &error))
     return 1;
   printf ("control %s\n", address);
   for (int i = 0; i < servers; i++)
     {
       /* Evenly spaced speeds around 1, so that the mean speed stays the same.
        */
-      double speed
-          = servers > 1 ? 1.0 + spread * (2.0 * i / (servers - 1) - 1.0) : 1.0;
+      double speed = servers > 1 ? 1.0 + spread * (2.0 * i / (servers - 1) - 1.0) : 1.0;
       if (!add_server (&fake, slots, speed))
         return 1;
-      printf ("server %s\n",
-              ((struct server *)g_ptr_array_index (fake.servers, i))->address);
+      printf ("server %s\n", ((struct server *)g_ptr_array_index (fake.servers, i))->address);
     }
   printf ("ready\n");
   fflush (stdout);
   g_timeout_add (CANCEL_POLL_MS, poll_cancelled, &fake);
   GMainLoop *loop = g_main_loop_new (NULL, FALSE);
-  g_unix_signal_add (SIGTERM, (GSourceFunc)(void (*) (void))g_main_loop_quit,
-                     loop);
+  g_unix_signal_add (SIGTERM, (GSourceFunc)(void (*) (void))g_main_loop_quit, loop);
   g_main_loop_run (loop);
   return 0;
 }
--- a/tests/fake-platform.c
+++ b/tests/fake-platform.c
@@ -73,19 +73,15 @@
 static char *
 item_json (const struct item *item)
 {
-  return g_strdup_printf (
-      "{\"metadata\":{\"name\":\"%s\",\"resourceVersion\":\"%" G_GUINT64_FORMAT
-      "\"},\"data\":%s}",
-      item->name, item->version, item->data);
+  return g_strdup_printf ("{\"metadata\":{\"name\":\"%s\",\"resourceVersion\":\"%" G_GUINT64_FORMAT "\"},\"data\":%s}",
+                          item->name, item->version, item->data);
 }
 
 static char *
 metadata_json (const struct item *item)
 {
-  return g_strdup_printf (
-      "{\"metadata\":{\"name\":\"%s\",\"resourceVersion\":\"%" G_GUINT64_FORMAT
-      "\"}}",
-      item->name, item->version);
+  return g_strdup_printf ("{\"metadata\":{\"name\":\"%s\",\"resourceVersion\":\"%" G_GUINT64_FORMAT "\"}}", item->name,
+                          item->version);
 }
 
 static void
@@ -99,11 +95,9 @@
 static void
 tell_watcher (struct watcher *watcher, const char *type, const char *json)
 {
-  char *line
-      = g_strdup_printf ("{\"type\":\"%s\",\"object\":%s}\n", type, json);
-  soup_message_body_append (
-      soup_server_message_get_response_body (watcher->message),
-      SOUP_MEMORY_TAKE, line, strlen (line));
+  char *line = g_strdup_printf ("{\"type\":\"%s\",\"object\":%s}\n", type, json);
+  soup_message_body_append (soup_server_message_get_response_body (watcher->message), SOUP_MEMORY_TAKE, line,
+                            strlen (line));
   soup_server_message_unpause (watcher->message);
 }
 
@@ -126,10 +120,7 @@
 }
 
 static struct item *
-store (struct platform *platform,
-       const char *collection,
-       const char *name,
-       char *data)
+store (struct platform *platform, const char *collection, const char *name, char *data)
 {
   char *key = g_strdup_printf ("%s/%s", collection, name);
   struct item *item = g_hash_table_lookup (platform->items, key);
@@ -152,27 +143,18 @@
 /* --- internal functions: answers --- */
 
 static void
-answer (struct platform *platform,
-        SoupServerMessage *message,
-        guint status,
-        char *json)
+answer (struct platform *platform, SoupServerMessage *message, guint status, char *json)
 {
   (void)platform;
   soup_server_message_set_status (message, status, NULL);
-  soup_server_message_set_response (message, "application/json",
-                                    SOUP_MEMORY_TAKE, json, strlen (json));
+  soup_server_message_set_response (message, "application/json", SOUP_MEMORY_TAKE, json, strlen (json));
 }
 
 static void
-answer_error (struct platform *platform,
-              SoupServerMessage *message,
-              guint status,
-              const char *reason)
+answer_error (struct platform *platform, SoupServerMessage *message, guint status, const char *reason)
 {
-  answer (
-      platform, message, status,
-      g_strdup_printf ("{\"kind\":\"Status\",\"code\":%u,\"reason\":\"%s\"}",
-                       status, reason));
+  answer (platform, message, status,
+          g_strdup_printf ("{\"kind\":\"Status\",\"code\":%u,\"reason\":\"%s\"}", status, reason));
 }
 
 static char *
@@ -183,25 +165,16 @@
 }
 
 static gboolean
-parse_write (SoupServerMessage *message,
-             char **name,
-             guint64 *version,
-             char **data)
+parse_write (SoupServerMessage *message, char **name, guint64 *version, char **data)
 {
   JsonParser *parser = json_parser_new ();
   SoupMessageBody *body = soup_server_message_get_request_body (message);
-  gboolean ok
-      = json_parser_load_from_data (parser, body->data, body->length, NULL)
-        && JSON_NODE_HOLDS_OBJECT (json_parser_get_root (parser));
-  JsonObject *root
-      = ok ? json_node_get_object (json_parser_get_root (parser)) : NULL;
-  JsonObject *metadata
-      = root ? json_object_get_object_member (root, "metadata") : NULL;
-  *name = metadata ? g_strdup (json_object_get_string_member (metadata, "name"))
-                   : NULL;
-  const char *text = metadata ? json_object_get_string_member_with_default (
-                         metadata, "resourceVersion", "0")
-                              : "0";
+  gboolean ok = json_parser_load_from_data (parser, body->data, body->length, NULL)
+                && JSON_NODE_HOLDS_OBJECT (json_parser_get_root (parser));
+  JsonObject *root = ok ? json_node_get_object (json_parser_get_root (parser)) : NULL;
+  JsonObject *metadata = root ? json_object_get_object_member (root, "metadata") : NULL;
+  *name = metadata ? g_strdup (json_object_get_string_member (metadata, "name")) : NULL;
+  const char *text = metadata ? json_object_get_string_member_with_default (metadata, "resourceVersion", "0") : "0";
   *version = g_ascii_strtoull (text, NULL, 10);
   *data = node_text (root, "data");
   g_object_unref (parser);
@@ -209,13 +182,9 @@
 }
 
 static void
-handle_write (struct platform *platform,
-              SoupServerMessage *message,
-              const char *collection,
-              const char *path_name)
+handle_write (struct platform *platform, SoupServerMessage *message, const char *collection, const char *path_name)
 {
-  gboolean create
-      = soup_server_message_get_method (message) == SOUP_METHOD_POST;
+  gboolean create = soup_server_message_get_method (message) == SOUP_METHOD_POST;
   char *name;
   char *data;
   guint64 version;
@@ -230,12 +199,10 @@
   char *key = g_strdup_printf ("%s/%s", collection, create ? name : path_name);
   struct item *item = g_hash_table_lookup (platform->items, key);
   g_free (key);
-  gboolean conflict
-      = create ? item != NULL : (item && version && version != item->version);
+  gboolean conflict = create ? item != NULL : (item && version && version != item->version);
   if (conflict || (!create && !item && strcmp (collection, "vms") != 0))
     {
-      answer_error (platform, message, conflict ? 409 : 404,
-                    conflict ? "Conflict" : "NotFound");
+      answer_error (platform, message, conflict ? 409 : 404, conflict ? "Conflict" : "NotFound");
       g_free (data);
     }
   else
@@ -289,10 +256,7 @@
 static const char *bookmark = "{\"metadata\":{\"resourceVersion\":\"0\"}}";
 
 static void
-handle_watch (struct platform *platform,
-              SoupServerMessage *message,
-              const char *collection,
-              GHashTable *query)
+handle_watch (struct platform *platform, SoupServerMessage *message, const char *collection, GHashTable *query)
 {
   const char *selector = g_hash_table_lookup (query, "fieldSelector");
   const char *life = g_hash_table_lookup (query, "timeoutSeconds");
@@ -307,14 +271,10 @@
   g_ptr_array_add (platform->watchers, watcher);
   g_signal_connect (message, "finished", G_CALLBACK (watcher_gone), platform);
   soup_server_message_set_status (message, 200, NULL);
-  soup_message_headers_set_encoding (
-      soup_server_message_get_response_headers (message),
-      SOUP_ENCODING_CHUNKED);
-  soup_message_body_set_accumulate (
-      soup_server_message_get_response_body (message), FALSE);
+  soup_message_headers_set_encoding (soup_server_message_get_response_headers (message), SOUP_ENCODING_CHUNKED);
+  soup_message_body_set_accumulate (soup_server_message_get_response_body (message), FALSE);
   g_hash_table_iter_init (&iter, platform->items);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&item)
-         && !platform->frozen)
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&item) && !platform->frozen)
     if (watcher_wants (watcher, item))
       {
         char *json = item_json (item);
@@ -323,20 +283,15 @@
       }
   if (!platform->frozen)
     tell_watcher (watcher, "BOOKMARK", bookmark);
-  g_timeout_add_seconds (life ? (guint)atoi (life) : 30, end_watch,
-                         g_object_ref (message));
+  g_timeout_add_seconds (life ? (guint)atoi (life) : 30, end_watch, g_object_ref (message));
 }
 
 static void
-handle_read (struct platform *platform,
-             SoupServerMessage *message,
-             const char *collection,
-             const char *name)
+handle_read (struct platform *platform, SoupServerMessage *message, const char *collection, const char *name)
 {
   char *key = g_strdup_printf ("%s/%s", collection, name);
   struct item *item = g_hash_table_lookup (platform->items, key);
-  const char *accept = soup_message_headers_get_one (
-      soup_server_message_get_request_headers (message), "Accept");
+  const char *accept = soup_message_headers_get_one (soup_server_message_get_request_headers (message), "Accept");
   platform->reads++;
   if (item && accept && strstr (accept, "PartialObjectMetadata"))
     answer (platform, message, 200, metadata_json (item));
@@ -348,9 +303,7 @@
 }
 
 static void
-handle_list (struct platform *platform,
-             SoupServerMessage *message,
-             const char *collection)
+handle_list (struct platform *platform, SoupServerMessage *message, const char *collection)
 {
   GString *json = g_string_new ("{\"items\":[");
   GHashTableIter iter;
@@ -361,8 +314,7 @@
     if (strcmp (item->collection, collection) == 0)
       {
         char *one = item_json (item);
-        g_string_append_printf (
-            json, "%s%s", json->str[json->len - 1] == '[' ? "" : ",", one);
+        g_string_append_printf (json, "%s%s", json->str[json->len - 1] == '[' ? "" : ",", one);
         g_free (one);
       }
   g_string_append (json, "]}");
@@ -370,10 +322,7 @@
 }
 
 static void
-handle_delete (struct platform *platform,
-               SoupServerMessage *message,
-               const char *collection,
-               const char *name)
+handle_delete (struct platform *platform, SoupServerMessage *message, const char *collection, const char *name)
 {
   char *key = g_strdup_printf ("%s/%s", collection, name);
   struct item *item = g_hash_table_lookup (platform->items, key);
@@ -416,15 +365,11 @@
   else if (strcmp (name, "rollback") == 0)
     roll_back (platform, value);
   for (guint i = 0; i < platform->watchers->len && platform->down; i++)
-    cut (
-        ((struct watcher *)g_ptr_array_index (platform->watchers, i))->message);
+    cut (((struct watcher *)g_ptr_array_index (platform->watchers, i))->message);
 }
 
 static void
-handle_fake (struct platform *platform,
-             SoupServerMessage *message,
-             const char *path,
-             GHashTable *query)
+handle_fake (struct platform *platform, SoupServerMessage *message, const char *path, GHashTable *query)
 {
   GHashTableIter iter;
   const char *name;
@@ -432,14 +377,12 @@
   if (query)
     {
       g_hash_table_iter_init (&iter, query);
-      while (
-          g_hash_table_iter_next (&iter, (gpointer *)&name, (gpointer *)&value))
+      while (g_hash_table_iter_next (&iter, (gpointer *)&name, (gpointer *)&value))
         set_switch (platform, name, value);
     }
   if (strcmp (path, "/fake/stats") == 0)
     answer (platform, message, 200,
-            g_strdup_printf ("reads %u writes %u watches %u\n", platform->reads,
-                             platform->writes, platform->watches));
+            g_strdup_printf ("reads %u writes %u watches %u\n", platform->reads, platform->writes, platform->watches));
   else
     answer (platform, message, 200, g_strdup ("ok\n"));
 }
@@ -455,11 +398,7 @@
 }
 
 static void
-handle (SoupServer *server,
-        SoupServerMessage *message,
-        const char *path,
-        GHashTable *query,
-        gpointer data)
+handle (SoupServer *server, SoupServerMessage *message, const char *path, GHashTable *query, gpointer data)
 {
   struct platform *platform = data;
   const char *method = soup_server_message_get_method (message);
@@ -501,8 +440,7 @@
 {
   struct platform *platform = data;
   for (guint i = 0; i < platform->watchers->len && !platform->frozen; i++)
-    tell_watcher (g_ptr_array_index (platform->watchers, i), "BOOKMARK",
-                  bookmark);
+    tell_watcher (g_ptr_array_index (platform->watchers, i), "BOOKMARK", bookmark);
   return G_SOURCE_CONTINUE;
 }
 
@@ -513,13 +451,11 @@
   struct hf_error error = { 0 };
   char address[64];
   GMainLoop *loop = g_main_loop_new (NULL, FALSE);
-  platform.items
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_item);
+  platform.items = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_item);
   platform.watchers = g_ptr_array_new_with_free_func (free_watcher);
   platform.server = soup_server_new (NULL, NULL);
   soup_server_add_handler (platform.server, NULL, handle, &platform, NULL);
-  if (!hf_http_listen (platform.server, hf_str ("127.0.0.1:0"), address,
-                       sizeof address, &error))
+  if (!hf_http_listen (platform.server, hf_str ("127.0.0.1:0"), address, sizeof address, &error))
     {
       fprintf (stderr, "fake-platform: %s\n", error.message);
       return 1;
@@ -527,8 +463,7 @@
   printf ("listening %s\n", address);
   fflush (stdout);
   g_timeout_add (BOOKMARK_MS, send_bookmarks, &platform);
-  g_unix_signal_add (SIGTERM, (GSourceFunc)(void (*) (void))g_main_loop_quit,
-                     loop);
+  g_unix_signal_add (SIGTERM, (GSourceFunc)(void (*) (void))g_main_loop_quit, loop);
   g_main_loop_run (loop);
   return 0;
 }
--- a/tests/fuzz.c
+++ b/tests/fuzz.c
@@ -71,11 +71,9 @@
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
   static void (*const decoders[]) (struct hf_str)
-      = { try_settings, try_document, try_datagram, try_watch_line,
-          try_object };
+      = { try_settings, try_document, try_datagram, try_watch_line, try_object };
   if (size == 0)
     return 0;
-  decoders[data[0] % 5](
-      (struct hf_str){ .data = (const char *)data + 1, .len = size - 1 });
+  decoders[data[0] % 5]((struct hf_str){ .data = (const char *)data + 1, .len = size - 1 });
   return 0;
 }
--- a/tests/support.c
+++ b/tests/support.c
@@ -44,12 +44,9 @@
   if (!body)
     return;
   reply->status = soup_message_get_status (message);
-  reply->outcome
-      = g_strdup (soup_message_headers_get_one (headers, "Hickory-Outcome"));
-  reply->digest
-      = g_strdup (soup_message_headers_get_one (headers, "X-Body-Digest"));
-  reply->retry_after
-      = g_strdup (soup_message_headers_get_one (headers, "Retry-After"));
+  reply->outcome = g_strdup (soup_message_headers_get_one (headers, "Hickory-Outcome"));
+  reply->digest = g_strdup (soup_message_headers_get_one (headers, "X-Body-Digest"));
+  reply->retry_after = g_strdup (soup_message_headers_get_one (headers, "Retry-After"));
   reply->size = g_bytes_get_size (body);
   g_bytes_unref (body);
 }
@@ -58,9 +55,7 @@
 call_done (GObject *source, GAsyncResult *result, gpointer data)
 {
   struct reply *reply = data;
-  read_reply (
-      reply, reply->message,
-      soup_session_send_and_read_finish (SOUP_SESSION (source), result, NULL));
+  read_reply (reply, reply->message, soup_session_send_and_read_finish (SOUP_SESSION (source), result, NULL));
   g_clear_object (&reply->message);
   reply->done = TRUE;
 }
@@ -90,10 +85,8 @@
   const struct members *members = context;
   for (guint i = 0; i < members->setup->harness->entries->len; i++)
     {
-      const struct entry *entry
-          = g_ptr_array_index (members->setup->harness->entries, i);
-      if (!entry->process->ended
-          && entry_metric (entry, "members_alive") != members->alive)
+      const struct entry *entry = g_ptr_array_index (members->setup->harness->entries, i);
+      if (!entry->process->ended && entry_metric (entry, "members_alive") != members->alive)
         return FALSE;
     }
   return TRUE;
@@ -109,10 +102,9 @@
   g_string_append (text, more ? more : "    probe_budget: 0\n");
   g_string_append (text, "    servers:\n");
   for (guint i = 0; i < setup->backend->servers->len; i++)
-    g_string_append_printf (
-        text, "      - {name: s%u, address: \"%s\", slots: 3%s}\n", i,
-        (char *)g_ptr_array_index (setup->backend->servers, i),
-        i == 0 && server_more ? server_more : "");
+    g_string_append_printf (text, "      - {name: s%u, address: \"%s\", slots: 3%s}\n", i,
+                            (char *)g_ptr_array_index (setup->backend->servers, i),
+                            i == 0 && server_more ? server_more : "");
   g_string_append (text, "    classes:\n"
                          "      - {name: read, methods: [GET], worth: 1, "
                          "deadline_ms: 2000, repeatable: true}\n"
@@ -128,8 +120,7 @@
 {
   struct setup *setup = g_new0 (struct setup, 1);
   setup->harness = harness_open (g_test_get_filename (G_TEST_BUILT, "x", NULL));
-  setup->backend
-      = harness_add_backend_constant (setup->harness, servers, 3, mean_ms);
+  setup->backend = harness_add_backend_constant (setup->harness, servers, 3, mean_ms);
   for (int i = 0; i < entries; i++)
     harness_add_entry (setup->harness, i % 2 ? "d2" : "d1");
   setup->document = setup_document (setup, more, NULL);
@@ -163,13 +154,11 @@
 {
   struct reply reply = { .done = TRUE };
   SoupSession *session = hf_http_session (1, CALL_SECONDS);
-  SoupMessage *message
-      = make_message (address, method, path, key, idempotency, fault, body);
+  SoupMessage *message = make_message (address, method, path, key, idempotency, fault, body);
   /* A POST that is repeatable for the client library would be sent again by it.
    */
   soup_message_add_flags (message, SOUP_MESSAGE_NEW_CONNECTION);
-  read_reply (&reply, message,
-              soup_session_send_and_read (session, message, NULL, NULL));
+  read_reply (&reply, message, soup_session_send_and_read (session, message, NULL, NULL));
   g_object_unref (message);
   g_object_unref (session);
   return reply;
@@ -185,11 +174,9 @@
 {
   struct reply *reply = g_new0 (struct reply, 1);
   SoupSession *session = hf_http_session (1, CALL_SECONDS);
-  reply->message
-      = make_message (address, method, path, key, idempotency, fault, NULL);
+  reply->message = make_message (address, method, path, key, idempotency, fault, NULL);
   soup_message_add_flags (reply->message, SOUP_MESSAGE_NEW_CONNECTION);
-  soup_session_send_and_read_async (session, reply->message, G_PRIORITY_DEFAULT,
-                                    NULL, call_done, reply);
+  soup_session_send_and_read_async (session, reply->message, G_PRIORITY_DEFAULT, NULL, call_done, reply);
   g_object_unref (session);
   return reply;
 }
@@ -224,10 +211,7 @@
 server_stat (struct setup *setup, guint server, const char *name)
 {
   char *text = harness_get (setup->backend->control, "/stats", NULL);
-  const char *line
-      = text
-            ? strstr (text, g_ptr_array_index (setup->backend->servers, server))
-            : NULL;
+  const char *line = text ? strstr (text, g_ptr_array_index (setup->backend->servers, server)) : NULL;
   char *label = g_strdup_printf (" %s ", name);
   guint value = (guint)number_after (line, label);
   g_free (label);
--- a/tests/support.h
+++ b/tests/support.h
@@ -32,16 +32,11 @@
 
 /* --- public functions --- */
 
-struct setup *setup_open (int entries,
-                          int servers,
-                          double mean_ms,
-                          const char *more); /* started, document in force */
-void setup_close (struct setup *setup);      /* ends all */
+struct setup *setup_open (int entries, int servers, double mean_ms, const char *more); /* started, document in force */
+void setup_close (struct setup *setup);                                                /* ends all */
 char *
-setup_document (struct setup *setup,
-                const char *more,
-                const char *server_more); /* the document with keys added */
-struct entry *setup_entry (struct setup *setup, guint i); /* i-th entry */
+setup_document (struct setup *setup, const char *more, const char *server_more); /* the document with keys added */
+struct entry *setup_entry (struct setup *setup, guint i);                        /* i-th entry */
 struct reply send_call (const char *address,
                         const char *method,
                         const char *path,
@@ -54,18 +49,13 @@
                           const char *path,
                           const char *key,
                           const char *idempotency,
-                          const char *fault); /* runs on with the main loop */
-gboolean wait_call (struct reply *reply, int seconds); /* until it is done */
-void free_reply (struct reply *reply);                 /* frees the strings */
-guint count_runs (struct setup *setup,
-                  const char *key); /* what the fakes ran */
-guint server_stat (struct setup *setup,
-                   guint server,
-                   const char *name);                 /* runs, peak or probes */
-guint64 entry_generation (const struct entry *entry); /* in force there */
-guint64 entry_metric (const struct entry *entry,
-                      const char *name); /* one counter */
-gboolean wait_members (struct setup *setup,
-                       guint alive); /* every entry sees that many */
+                          const char *fault);                            /* runs on with the main loop */
+gboolean wait_call (struct reply *reply, int seconds);                   /* until it is done */
+void free_reply (struct reply *reply);                                   /* frees the strings */
+guint count_runs (struct setup *setup, const char *key);                 /* what the fakes ran */
+guint server_stat (struct setup *setup, guint server, const char *name); /* runs, peak or probes */
+guint64 entry_generation (const struct entry *entry);                    /* in force there */
+guint64 entry_metric (const struct entry *entry, const char *name);      /* one counter */
+gboolean wait_members (struct setup *setup, guint alive);                /* every entry sees that many */
 
 #endif
