--- a/tests/test-console.c
+++ b/tests/test-console.c
@@ -26,21 +26,16 @@
 {
   const char *at = text ? strstr (text, before) : NULL;
   const char *end = at ? strstr (at + strlen (before), after) : NULL;
-  return end ? g_strndup (at + strlen (before),
-                          (gsize)(end - at) - strlen (before))
-             : g_strdup ("");
+  return end ? g_strndup (at + strlen (before), (gsize)(end - at) - strlen (before)) : g_strdup ("");
 }
 
 static void
 open_page (struct page *page)
 {
-  char *program
-      = g_build_filename (page->setup->harness->build, "hickoryctl", NULL);
-  page->process = g_subprocess_new (
-      G_SUBPROCESS_FLAGS_STDOUT_PIPE, NULL, program, "console", "--listen",
-      "127.0.0.1:0", "-p", page->setup->harness->platform, NULL);
-  GDataInputStream *lines
-      = g_data_input_stream_new (g_subprocess_get_stdout_pipe (page->process));
+  char *program = g_build_filename (page->setup->harness->build, "hickoryctl", NULL);
+  page->process = g_subprocess_new (G_SUBPROCESS_FLAGS_STDOUT_PIPE, NULL, program, "console", "--listen", "127.0.0.1:0",
+                                    "-p", page->setup->harness->platform, NULL);
+  GDataInputStream *lines = g_data_input_stream_new (g_subprocess_get_stdout_pipe (page->process));
   char *line = g_data_input_stream_read_line (lines, NULL, NULL, NULL);
   char *address = between (line, "http://", "/");
   g_strlcpy (page->address, address, sizeof page->address);
@@ -75,19 +70,14 @@
 {
   SoupSession *session = hf_http_session (1, 10);
   char **parts = g_strsplit (path, "?", 2);
-  SoupMessage *message
-      = hf_http_message ("POST", hf_str (page->address), parts[0], parts[1]);
+  SoupMessage *message = hf_http_message ("POST", hf_str (page->address), parts[0], parts[1]);
   char *form = soup_form_encode ("token", token, name, value, NULL);
   GBytes *bytes = g_bytes_new_take (form, strlen (form));
-  soup_message_set_request_body_from_bytes (
-      message, "application/x-www-form-urlencoded", bytes);
+  soup_message_set_request_body_from_bytes (message, "application/x-www-form-urlencoded", bytes);
   if (origin)
-    soup_message_headers_replace (soup_message_get_request_headers (message),
-                                  "Origin", origin);
+    soup_message_headers_replace (soup_message_get_request_headers (message), "Origin", origin);
   GBytes *answer = soup_session_send_and_read (session, message, NULL, NULL);
-  char *text = answer ? g_strndup (g_bytes_get_data (answer, NULL),
-                                   g_bytes_get_size (answer))
-                      : NULL;
+  char *text = answer ? g_strndup (g_bytes_get_data (answer, NULL), g_bytes_get_size (answer)) : NULL;
   *status = soup_message_get_status (message);
   g_clear_pointer (&answer, g_bytes_unref);
   g_bytes_unref (bytes);
@@ -106,23 +96,19 @@
   /* Posts of other sites: without the token, or with their origin. */
   g_free (post (&page, "/", NULL, &status, "guess", "version", "1"));
   g_assert_cmpuint (status, ==, 403);
-  g_free (post (&page, "/", "http://evil.example", &status, page.token,
-                "version", "1"));
+  g_free (post (&page, "/", "http://evil.example", &status, page.token, "version", "1"));
   g_assert_cmpuint (status, ==, 403);
   /* A wrong value is kept and shown with its error; markup in it is text. */
-  char *html = post (&page, "/service?i=0", NULL, &status, page.token,
-                     "services[0].queue_limit", "<b>lots");
+  char *html = post (&page, "/service?i=0", NULL, &status, page.token, "services[0].queue_limit", "<b>lots");
   g_assert_nonnull (strstr (html, "&lt;b&gt;lots"));
   g_assert_null (strstr (html, "<b>lots"));
   g_assert_nonnull (strstr (html, "role=\"alert\">expected a whole number"));
   g_free (html);
   html = post (&page, "/apply", NULL, &status, page.token, "x", "y");
-  g_assert_nonnull (
-      strstr (html, "nothing was applied: the document is not valid"));
+  g_assert_nonnull (strstr (html, "nothing was applied: the document is not valid"));
   g_free (html);
   /* Corrected, it shows the difference and is applied. */
-  html = post (&page, "/", NULL, &status, page.token, "services[0].queue_limit",
-               "55");
+  html = post (&page, "/", NULL, &status, page.token, "services[0].queue_limit", "55");
   g_assert_nonnull (strstr (html, "<span class=\"add\">+   queue_limit: 55"));
   g_free (html);
   html = post (&page, "/apply", NULL, &status, page.token, "x", "y");
--- a/tests/test-differential.c
+++ b/tests/test-differential.c
@@ -30,10 +30,9 @@
   gsl_rng *random = gsl_rng_alloc (gsl_rng_mt19937);
   const char *seed = g_getenv ("HF_SEED");
   bool found = run < (int)G_N_ELEMENTS (found_seeds);
-  unsigned long value = seed ? strtoul (seed, NULL, 10)
-                        : found
-                            ? found_seeds[run]
-                            : (unsigned long)g_test_rand_int_range (1, 1 << 30);
+  unsigned long value = seed    ? strtoul (seed, NULL, 10)
+                        : found ? found_seeds[run]
+                                : (unsigned long)g_test_rand_int_range (1, 1 << 30);
   g_test_message ("run %d seed %lu", run, value);
   gsl_rng_set (random, value);
   return random;
@@ -48,9 +47,7 @@
 static int64_t
 between (gsl_rng *random, int64_t low, int64_t high)
 {
-  return low
-         + (int64_t)gsl_rng_uniform_int (random,
-                                         (unsigned long)(high - low + 1));
+  return low + (int64_t)gsl_rng_uniform_int (random, (unsigned long)(high - low + 1));
 }
 
 /* --- pool against a searched list --- */
@@ -83,24 +80,18 @@
       guint best = 0;
       for (guint i = 1; i < pool->waiting->len; i++)
         {
-          const struct naive_want *a
-              = &g_array_index (pool->waiting, struct naive_want, i);
-          const struct naive_want *b
-              = &g_array_index (pool->waiting, struct naive_want, best);
-          gboolean earlier
-              = a->deadline < b->deadline
-                || (a->deadline == b->deadline && a->order < b->order);
+          const struct naive_want *a = &g_array_index (pool->waiting, struct naive_want, i);
+          const struct naive_want *b = &g_array_index (pool->waiting, struct naive_want, best);
+          gboolean earlier = a->deadline < b->deadline || (a->deadline == b->deadline && a->order < b->order);
           if (a->worth > b->worth || (a->worth == b->worth && earlier))
             best = i;
         }
-      struct naive_want want
-          = g_array_index (pool->waiting, struct naive_want, best);
+      struct naive_want want = g_array_index (pool->waiting, struct naive_want, best);
       gboolean late = want.deadline <= now;
       if (!late && g_hash_table_size (pool->granted) >= SERVERS * SLOTS)
         return;
       g_array_remove_index (pool->waiting, best);
-      g_string_append_printf (pool->log, "%s%d ", late ? "refused" : "granted",
-                              (int)want.ticket);
+      g_string_append_printf (pool->log, "%s%d ", late ? "refused" : "granted", (int)want.ticket);
       if (!late)
         g_hash_table_add (pool->granted, GINT_TO_POINTER ((int)want.ticket));
     }
@@ -124,13 +115,10 @@
 {
   for (guint i = 0; i < decisions->len; i++)
     {
-      const struct hf_decision *decision
-          = &g_array_index (decisions, struct hf_decision, i);
+      const struct hf_decision *decision = &g_array_index (decisions, struct hf_decision, i);
       if (decision->kind != HF_DECISION_QUEUED)
-        g_string_append_printf (
-            log, "%s%d ",
-            decision->kind == HF_DECISION_GRANTED ? "granted" : "refused",
-            (int)decision->ticket);
+        g_string_append_printf (log, "%s%d ", decision->kind == HF_DECISION_GRANTED ? "granted" : "refused",
+                                (int)decision->ticket);
     }
   g_array_set_size (decisions, 0);
 }
@@ -138,16 +126,12 @@
 static struct hf_document *
 pool_document (void)
 {
-  GString *text
-      = g_string_new ("version: 1\nservices:\n  - name: a\n    queue_limit: "
-                      "100000\n    probe_budget: 0\n    servers:\n");
+  GString *text = g_string_new ("version: 1\nservices:\n  - name: a\n    queue_limit: "
+                                "100000\n    probe_budget: 0\n    servers:\n");
   for (int i = 0; i < SERVERS; i++)
-    g_string_append_printf (
-        text, "      - {name: s%d, address: \"10.0.0.1:%d\", slots: %d}\n", i,
-        i + 1, SLOTS);
+    g_string_append_printf (text, "      - {name: s%d, address: \"10.0.0.1:%d\", slots: %d}\n", i, i + 1, SLOTS);
   g_string_append (text, "    classes: [{name: c}]\n");
-  struct hf_document *document
-      = hf_document_load ((struct hf_str){ text->str, text->len }, NULL);
+  struct hf_document *document = hf_document_load ((struct hf_str){ text->str, text->len }, NULL);
   g_string_free (text, TRUE);
   return document;
 }
@@ -156,9 +140,7 @@
 check_loads (const struct hf_pool *pool)
 {
   for (guint i = 0; i < pool->servers->len; i++)
-    g_assert_cmpuint (
-        g_array_index (pool->servers, struct hf_pool_server, i).granted, <=,
-        SLOTS);
+    g_assert_cmpuint (g_array_index (pool->servers, struct hf_pool_server, i).granted, <=, SLOTS);
 }
 
 static void
@@ -169,12 +151,10 @@
     {
       gsl_rng *random = open_random (run);
       struct hf_pool pool;
-      struct naive_pool naive
-          = { g_array_new (FALSE, FALSE, sizeof (struct naive_want)),
-              g_hash_table_new (NULL, NULL), g_string_new (NULL), 0 };
+      struct naive_pool naive = { g_array_new (FALSE, FALSE, sizeof (struct naive_want)), g_hash_table_new (NULL, NULL),
+                                  g_string_new (NULL), 0 };
       GString *log = g_string_new (NULL);
-      GArray *decisions
-          = g_array_new (FALSE, FALSE, sizeof (struct hf_decision));
+      GArray *decisions = g_array_new (FALSE, FALSE, sizeof (struct hf_decision));
       int64_t now = 1000;
       hf_pool_init (&pool, 1);
       hf_pool_configure (&pool, hf_document_service (document, 0));
@@ -184,24 +164,18 @@
           if (chance (random, 0.55))
             {
               struct naive_want want
-                  = { step, (unsigned)between (random, 1, 5),
-                      now + between (random, 1, 20000), naive.order++ };
+                  = { step, (unsigned)between (random, 1, 5), now + between (random, 1, 20000), naive.order++ };
               hf_pool_acquire (
                   &pool, now,
-                  (struct hf_pool_want){ .entry = 1,
-                                         .ticket = step,
-                                         .worth = want.worth,
-                                         .deadline = want.deadline },
+                  (struct hf_pool_want){ .entry = 1, .ticket = step, .worth = want.worth, .deadline = want.deadline },
                   decisions);
               g_array_append_val (naive.waiting, want);
               naive_pump (&naive, now);
             }
           else
             {
-              uint64_t ticket = (uint64_t)between (
-                  random, MAX (1, (int64_t)step - 40), (int64_t)step);
-              hf_pool_release (&pool, now, 1, ticket, HF_POOL_UNUSED, 0,
-                               decisions);
+              uint64_t ticket = (uint64_t)between (random, MAX (1, (int64_t)step - 40), (int64_t)step);
+              hf_pool_release (&pool, now, 1, ticket, HF_POOL_UNUSED, 0, decisions);
               naive_release (&naive, now, ticket);
             }
           log_decisions (log, decisions);
@@ -225,17 +199,16 @@
 #define KEYS    25
 #define RUN_MS  20000
 #define LOST_MS 300
-#define DOCUMENT                                                               \
-  "version: 1\nservices:\n  - name: a\n    probe_budget: 0\n    servers: "     \
-  "[{name: s, address: \"10.1.0.1:1\", slots: 50}]\n    classes: [{name: w, "  \
+#define DOCUMENT                                                                                                       \
+  "version: 1\nservices:\n  - name: a\n    probe_budget: 0\n    servers: "                                             \
+  "[{name: s, address: \"10.1.0.1:1\", slots: 50}]\n    classes: [{name: w, "                                          \
   "deadline_ms: 2000}]\n"
 
 struct pending
 {
   int64_t at;
   int node;
-  uint64_t
-      boot; /* of the node it is for; an event for a replaced one is lost */
+  uint64_t boot; /* of the node it is for; an event for a replaced one is lost */
   struct hf_event event;
   char *text;     /* owned text of the event */
   char *datagram; /* encoded peer message */
@@ -306,16 +279,13 @@
 send_message (struct world *world, const struct hf_effect *effect)
 {
   int node = effect->address.data[1] - '0';
-  int copies = chance (world->random, 0.1)    ? 0
-               : chance (world->random, 0.05) ? 2
-                                              : 1;
+  int copies = chance (world->random, 0.1) ? 0 : chance (world->random, 0.05) ? 2 : 1;
   char buffer[HF_WIRE_BYTES_MAX];
   size_t size = hf_wire_encode (&effect->message, buffer, sizeof buffer);
   for (int i = 0; i < copies; i++)
     {
-      struct pending *pending
-          = schedule (world, between (world->random, 100, 30 * HF_MS), node,
-                      (struct hf_event){ .kind = HF_EVENT_PEER });
+      struct pending *pending = schedule (world, between (world->random, 100, 30 * HF_MS), node,
+                                          (struct hf_event){ .kind = HF_EVENT_PEER });
       pending->datagram = g_memdup2 (buffer, size);
       pending->size = size;
     }
@@ -343,9 +313,8 @@
     }
   if (!stored)
     return 404;
-  *json = g_strdup_printf (
-      "{\"metadata\":{\"name\":\"%s\",\"resourceVersion\":\"%d\"},\"data\":%s}",
-      name, (int)stored->version, stored->data);
+  *json = g_strdup_printf ("{\"metadata\":{\"name\":\"%s\",\"resourceVersion\":\"%d\"},\"data\":%s}", name,
+                           (int)stored->version, stored->data);
   return 200;
 }
 
@@ -357,16 +326,12 @@
     return;
   struct hf_event event
       = { .kind = HF_EVENT_PLATFORM,
-          .platform = { .purpose = effect->purpose,
-                        .op = effect->op,
-                        .arg = effect->arg | effect->version << 32 } };
-  struct pending *pending
-      = schedule (world, between (world->random, 500, 20 * HF_MS), node, event);
+          .platform = { .purpose = effect->purpose, .op = effect->op, .arg = effect->arg | effect->version << 32 } };
+  struct pending *pending = schedule (world, between (world->random, 500, 20 * HF_MS), node, event);
   pending->boot = 0; /* it lands even if its sender is gone */
   pending->event.call = world->nodes[node].boot;
   pending->datagram = g_strndup (effect->name.data, effect->name.len);
-  pending->text = g_strndup (effect->data.data ? effect->data.data : "",
-                             effect->data.len);
+  pending->text = g_strndup (effect->data.data ? effect->data.data : "", effect->data.len);
 }
 
 static void
@@ -376,13 +341,11 @@
   gboolean before = chance (world->random, 0.05);
   unsigned status = before ? 0 : apply_platform (world, pending, &json);
   gboolean lost = before || chance (world->random, 0.1);
-  struct hf_event event
-      = { .kind = HF_EVENT_PLATFORM, .platform = pending->event.platform };
+  struct hf_event event = { .kind = HF_EVENT_PLATFORM, .platform = pending->event.platform };
   event.platform.arg &= 0xffffffff;
   event.platform.status = lost ? 0 : status;
-  struct pending *answer = schedule (
-      world, lost ? LOST_MS * HF_MS : between (world->random, 500, 10 * HF_MS),
-      pending->node, event);
+  struct pending *answer
+      = schedule (world, lost ? LOST_MS * HF_MS : between (world->random, 500, 10 * HF_MS), pending->node, event);
   answer->boot = pending->event.call;
   answer->text = json ? json : g_strdup ("{}");
 }
@@ -392,12 +355,11 @@
 dispatch (struct world *world, int node, const struct hf_effect *effect)
 {
   int key = world->key_of_call[effect->call];
-  struct hf_event event
-      = { .kind = HF_EVENT_ATTEMPT_END,
-          .call = effect->call,
-          .attempt = effect->attempt,
-          .handed = true,
-          .hints = { .status = 200, .load = -1, .retry_after_ms = -1 } };
+  struct hf_event event = { .kind = HF_EVENT_ATTEMPT_END,
+                            .call = effect->call,
+                            .attempt = effect->attempt,
+                            .handed = true,
+                            .hints = { .status = 200, .load = -1, .retry_after_ms = -1 } };
   double fate = gsl_rng_uniform (world->random);
   if (fate < 0.25)
     {
@@ -417,8 +379,7 @@
 {
   for (guint i = 0; i < effects->items->len; i++)
     {
-      const struct hf_effect *effect
-          = &g_array_index (effects->items, struct hf_effect, i);
+      const struct hf_effect *effect = &g_array_index (effects->items, struct hf_effect, i);
       if (effect->kind == HF_EFFECT_SEND)
         send_message (world, effect);
       else if (effect->kind == HF_EFFECT_PLATFORM)
@@ -426,8 +387,7 @@
       else if (effect->kind == HF_EFFECT_DISPATCH)
         dispatch (world, node, effect);
       else if (effect->kind == HF_EFFECT_WAKE)
-        schedule (world, MAX (0, effect->at - world->now), node,
-                  (struct hf_event){ .kind = HF_EVENT_TICK });
+        schedule (world, MAX (0, effect->at - world->now), node, (struct hf_event){ .kind = HF_EVENT_TICK });
     }
 }
 
@@ -447,35 +407,28 @@
 open_node (struct world *world, int node)
 {
   char name[8];
-  struct hf_manifest manifest = { .generation = 1,
-                                  .digest = hf_hash (hf_str (DOCUMENT), 0),
-                                  .document = hf_str (DOCUMENT) };
+  struct hf_manifest manifest
+      = { .generation = 1, .digest = hf_hash (hf_str (DOCUMENT), 0), .document = hf_str (DOCUMENT) };
   char *json = hf_manifest_write (1, &manifest);
   char *line = g_strdup_printf ("{\"type\":\"ADDED\",\"object\":%s}", json);
   g_snprintf (name, sizeof name, "n%d", node);
-  struct hf_settings settings
-      = { .name = hf_str (name), .failure_domain = hf_str ("d") };
-  world->nodes[node]
-      = (struct node){ .state = hf_state_new (&settings, ++world->boots),
-                       .boot = world->boots };
+  struct hf_settings settings = { .name = hf_str (name), .failure_domain = hf_str ("d") };
+  world->nodes[node] = (struct node){ .state = hf_state_new (&settings, ++world->boots), .boot = world->boots };
   raise_event (world, node, (struct hf_event){ .kind = HF_EVENT_START });
-  raise_event (world, node,
-               (struct hf_event){ .kind = HF_EVENT_WATCH,
-                                  .platform = { .purpose = HF_PURPOSE_CONFIG,
-                                                .data = hf_str (line) } });
+  raise_event (
+      world, node,
+      (struct hf_event){ .kind = HF_EVENT_WATCH, .platform = { .purpose = HF_PURPOSE_CONFIG, .data = hf_str (line) } });
   for (int other = 0; other < NODES; other++)
     {
       if (other == node)
         continue;
-      char *vm = g_strdup_printf (
-          "{\"type\":\"ADDED\",\"object\":{\"metadata\":{\"name\":\"n%d\","
-          "\"resourceVersion\":\"1\"},\"data\":{\"role\":\"entry\",\"address\":"
-          "\"n%d\"}}}",
-          other, other);
-      raise_event (world, node,
-                   (struct hf_event){ .kind = HF_EVENT_WATCH,
-                                      .platform = { .purpose = HF_PURPOSE_VMS,
-                                                    .data = hf_str (vm) } });
+      char *vm = g_strdup_printf ("{\"type\":\"ADDED\",\"object\":{\"metadata\":{\"name\":\"n%d\","
+                                  "\"resourceVersion\":\"1\"},\"data\":{\"role\":\"entry\",\"address\":"
+                                  "\"n%d\"}}}",
+                                  other, other);
+      raise_event (
+          world, node,
+          (struct hf_event){ .kind = HF_EVENT_WATCH, .platform = { .purpose = HF_PURPOSE_VMS, .data = hf_str (vm) } });
       g_free (vm);
     }
   g_free (line);
@@ -488,16 +441,12 @@
   for (int key = 0; key < KEYS; key++)
     for (int64_t i = between (world->random, 2, 5); i > 0; i--)
       {
-        int64_t at
-            = between (world->random, 2000 * HF_MS, (RUN_MS - 6000) * HF_MS);
+        int64_t at = between (world->random, 2000 * HF_MS, (RUN_MS - 6000) * HF_MS);
         /* Resends cluster, so that they meet. */
         if (chance (world->random, 0.7))
-          at = (2000 + key * 400) * HF_MS
-               + between (world->random, 0, 300 * HF_MS);
-        struct pending *pending
-            = schedule (world, at, (int)between (world->random, 0, NODES - 1),
-                        (struct hf_event){ .kind = HF_EVENT_REQUEST,
-                                           .call = ++world->calls });
+          at = (2000 + key * 400) * HF_MS + between (world->random, 0, 300 * HF_MS);
+        struct pending *pending = schedule (world, at, (int)between (world->random, 0, NODES - 1),
+                                            (struct hf_event){ .kind = HF_EVENT_REQUEST, .call = ++world->calls });
         pending->boot = 0;
         world->key_of_call[world->calls] = key;
       }
@@ -527,8 +476,7 @@
   struct hf_rpc_message message;
   char from[8] = "";
   struct hf_event event = { .kind = HF_EVENT_PEER };
-  g_assert_true (hf_wire_decode (
-      (struct hf_str){ pending->datagram, pending->size }, &message, NULL));
+  g_assert_true (hf_wire_decode ((struct hf_str){ pending->datagram, pending->size }, &message, NULL));
   for (int i = 0; i < NODES; i++)
     if (world->nodes[i].boot == message.boot)
       g_snprintf (from, sizeof from, "n%d", i);
@@ -563,8 +511,7 @@
 {
   int node = (int)between (world->random, 0, NODES - 1);
   if (chance (world->random, 0.001))
-    world->nodes[node].paused_until
-        = world->now + between (world->random, 100, 4000) * HF_MS;
+    world->nodes[node].paused_until = world->now + between (world->random, 100, 4000) * HF_MS;
   if (chance (world->random, 0.0004))
     {
       hf_state_free (world->nodes[node].state);
@@ -581,8 +528,7 @@
       GSequenceIter *first = g_sequence_get_begin_iter (world->pending);
       struct pending *pending = g_sequence_get (first);
       int64_t paused = world->nodes[pending->node].paused_until;
-      gboolean landing
-          = pending->event.kind == HF_EVENT_PLATFORM && pending->datagram;
+      gboolean landing = pending->event.kind == HF_EVENT_PLATFORM && pending->datagram;
       world->now = MAX (world->now, pending->at);
       if (!landing && paused > world->now)
         {
@@ -592,11 +538,9 @@
         }
       struct pending copy = *pending;
       copy.text = g_strdup (pending->text);
-      copy.datagram
-          = pending->datagram ? g_memdup2 (
-                pending->datagram,
-                pending->size ? pending->size : strlen (pending->datagram) + 1)
-                              : NULL;
+      copy.datagram = pending->datagram ? g_memdup2 (pending->datagram,
+                                                     pending->size ? pending->size : strlen (pending->datagram) + 1)
+                                        : NULL;
       g_sequence_remove (first);
       deliver (world, &copy);
       g_free (copy.text);
@@ -622,8 +566,7 @@
   world->random = open_random (run);
   world->naive = naive;
   world->pending = g_sequence_new (free_pending);
-  world->objects
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_stored);
+  world->objects = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_stored);
   for (int i = 0; i < NODES; i++)
     open_node (world, i);
   schedule_requests (world);
--- a/tests/test-once.c
+++ b/tests/test-once.c
@@ -12,10 +12,7 @@
 /* --- internal functions --- */
 
 static void
-assert_outcome (struct setup *setup,
-                struct reply reply,
-                const char *key,
-                gboolean repeatable)
+assert_outcome (struct setup *setup, struct reply reply, const char *key, gboolean repeatable)
 {
   guint runs = count_runs (setup, key);
   if (reply.outcome && strcmp (reply.outcome, "not-run") == 0)
@@ -34,8 +31,7 @@
 test_outcomes (void)
 {
   static const char *const faults[]
-      = { NULL,         "close",      "short", "silent", "refuse",
-          "status=500", "status=503", "crash", NULL };
+      = { NULL, "close", "short", "silent", "refuse", "status=500", "status=503", "crash", NULL };
   static const char *const methods[] = { "GET", "POST", "PUT" };
   struct setup *setup = setup_open (2, 4, 5, NULL);
   int number = 0;
@@ -45,8 +41,7 @@
         char *key = g_strdup_printf ("outcome%d", number++);
         char *path = g_strdup_printf ("/a/%d", number);
         struct reply reply
-            = send_call (setup_entry (setup, (guint)number % 2)->listen,
-                         methods[m], path, key, NULL, faults[f], NULL);
+            = send_call (setup_entry (setup, (guint)number % 2)->listen, methods[m], path, key, NULL, faults[f], NULL);
         assert_outcome (setup, reply, key, m == 0);
         g_free (path);
         g_free (key);
@@ -56,8 +51,7 @@
   process_signal (setup->backend->process, SIGSTOP);
   process_signal (setup->backend->process, SIGKILL);
   process_wait (setup->backend->process, 5);
-  struct reply reply = send_call (setup_entry (setup, 0)->listen, "POST",
-                                  "/a/gone", "gone", NULL, NULL, NULL);
+  struct reply reply = send_call (setup_entry (setup, 0)->listen, "POST", "/a/gone", "gone", NULL, NULL, NULL);
   g_assert_cmpuint (reply.status, >=, 500);
   g_assert_cmpstr (reply.outcome, ==, "not-run");
   free_reply (&reply);
@@ -73,13 +67,10 @@
   SoupSession *session = hf_http_session (1, 5);
   for (int i = 0; i < 2; i++)
     {
-      SoupMessage *message
-          = hf_http_message ("PUT", hf_str (address), "/a/put", NULL);
-      soup_message_headers_replace (soup_message_get_request_headers (message),
-                                    "X-Test-Key", i ? "naive" : "warm");
+      SoupMessage *message = hf_http_message ("PUT", hf_str (address), "/a/put", NULL);
+      soup_message_headers_replace (soup_message_get_request_headers (message), "X-Test-Key", i ? "naive" : "warm");
       if (i)
-        soup_message_headers_replace (
-            soup_message_get_request_headers (message), "X-Fake", "close");
+        soup_message_headers_replace (soup_message_get_request_headers (message), "X-Fake", "close");
       GBytes *body = soup_session_send_and_read (session, message, NULL, NULL);
       if (body)
         g_bytes_unref (body);
@@ -97,10 +88,8 @@
   for (int i = 0; i < 5; i++)
     {
       char *key = g_strdup_printf ("put%d", i);
-      struct reply warm = send_call (setup_entry (setup, 0)->listen, "PUT",
-                                     "/a/put", "warm", NULL, NULL, NULL);
-      struct reply reply = send_call (setup_entry (setup, 0)->listen, "PUT",
-                                      "/a/put", key, NULL, "close", "body");
+      struct reply warm = send_call (setup_entry (setup, 0)->listen, "PUT", "/a/put", "warm", NULL, NULL, NULL);
+      struct reply reply = send_call (setup_entry (setup, 0)->listen, "PUT", "/a/put", key, NULL, "close", "body");
       g_assert_cmpuint (warm.status, ==, 200);
       g_assert_cmpstr (reply.outcome, ==, "unknown");
       g_assert_cmpuint (count_runs (setup, key), ==, 1);
@@ -115,12 +104,9 @@
 test_resend_elsewhere (void)
 {
   struct setup *setup = setup_open (3, 2, 5, NULL);
-  struct reply first = send_call (setup_entry (setup, 0)->listen, "POST",
-                                  "/a/x", "run", "key-1", NULL, NULL);
-  struct reply second = send_call (setup_entry (setup, 1)->listen, "POST",
-                                   "/a/x", "run", "key-1", NULL, NULL);
-  struct reply third = send_call (setup_entry (setup, 2)->listen, "POST",
-                                  "/a/x", "run", "key-1", NULL, NULL);
+  struct reply first = send_call (setup_entry (setup, 0)->listen, "POST", "/a/x", "run", "key-1", NULL, NULL);
+  struct reply second = send_call (setup_entry (setup, 1)->listen, "POST", "/a/x", "run", "key-1", NULL, NULL);
+  struct reply third = send_call (setup_entry (setup, 2)->listen, "POST", "/a/x", "run", "key-1", NULL, NULL);
   g_assert_cmpuint (first.status, ==, 200);
   g_assert_cmpuint (second.status, ==, 409);
   g_assert_cmpuint (third.status, ==, 409);
@@ -142,8 +128,7 @@
       guint answered = 0;
       char *key = g_strdup_printf ("race%d-", round);
       for (guint i = 0; i < 3; i++)
-        replies[i] = start_call (setup_entry (setup, i)->listen, "POST", "/a/x",
-                                 key, key, NULL);
+        replies[i] = start_call (setup_entry (setup, i)->listen, "POST", "/a/x", key, key, NULL);
       for (guint i = 0; i < 3; i++)
         {
           g_assert_true (wait_call (replies[i], 20));
@@ -163,10 +148,8 @@
 test_not_run_may_resend (void)
 {
   struct setup *setup = setup_open (2, 2, 5, NULL);
-  struct reply refused = send_call (setup_entry (setup, 0)->listen, "POST",
-                                    "/a/x", "again", "key-2", "refuse", NULL);
-  struct reply resent = send_call (setup_entry (setup, 1)->listen, "POST",
-                                   "/a/x", "again", "key-2", NULL, NULL);
+  struct reply refused = send_call (setup_entry (setup, 0)->listen, "POST", "/a/x", "again", "key-2", "refuse", NULL);
+  struct reply resent = send_call (setup_entry (setup, 1)->listen, "POST", "/a/x", "again", "key-2", NULL, NULL);
   g_assert_cmpstr (refused.outcome, ==, "not-run");
   g_assert_cmpuint (resent.status, ==, 200);
   g_assert_cmpuint (count_runs (setup, "again"), ==, 1);
@@ -183,8 +166,7 @@
     {
       char *key = g_strdup_printf ("lost%d", i);
       harness_set (setup->harness->platform, "/fake/set?lose=1");
-      struct reply reply = send_call (setup_entry (setup, (guint)i % 2)->listen,
-                                      "POST", "/a/x", key, key, NULL, NULL);
+      struct reply reply = send_call (setup_entry (setup, (guint)i % 2)->listen, "POST", "/a/x", key, key, NULL, NULL);
       g_assert_cmpuint (reply.status, ==, 200);
       g_assert_cmpuint (count_runs (setup, key), ==, 1);
       free_reply (&reply);
@@ -198,18 +180,15 @@
 {
   struct setup *setup = setup_open (2, 2, 5, NULL);
   harness_set (setup->harness->platform, "/fake/set?down=1");
-  struct reply down = send_call (setup_entry (setup, 0)->listen, "POST", "/a/x",
-                                 "down", "key-3", NULL, NULL);
+  struct reply down = send_call (setup_entry (setup, 0)->listen, "POST", "/a/x", "down", "key-3", NULL, NULL);
   g_assert_cmpstr (down.outcome, ==, "not-run");
   g_assert_nonnull (down.retry_after);
   g_assert_cmpuint (count_runs (setup, "down"), ==, 0);
   /* Calls without a key need no claim. */
-  struct reply plain = send_call (setup_entry (setup, 0)->listen, "POST",
-                                  "/a/x", "plain", NULL, NULL, NULL);
+  struct reply plain = send_call (setup_entry (setup, 0)->listen, "POST", "/a/x", "plain", NULL, NULL, NULL);
   g_assert_cmpuint (plain.status, ==, 200);
   harness_set (setup->harness->platform, "/fake/set?down=0");
-  struct reply back = send_call (setup_entry (setup, 1)->listen, "POST", "/a/x",
-                                 "down", "key-3", NULL, NULL);
+  struct reply back = send_call (setup_entry (setup, 1)->listen, "POST", "/a/x", "down", "key-3", NULL, NULL);
   g_assert_cmpuint (back.status, ==, 200);
   g_assert_cmpuint (count_runs (setup, "down"), ==, 1);
   free_reply (&down);
@@ -236,17 +215,14 @@
       char *key = g_strdup_printf ("stopped%u", i);
       void *pair[] = { setup, key };
       struct entry *entry = setup_entry (setup, i);
-      struct reply *first
-          = start_call (entry->listen, "POST", "/a/x", key, key, "work=1500");
+      struct reply *first = start_call (entry->listen, "POST", "/a/x", key, key, "work=1500");
       g_assert_true (harness_wait (has_run, pair, 10));
       process_signal (entry->process, signal);
-      struct reply second = send_call (setup_entry (setup, 2)->listen, "POST",
-                                       "/a/x", key, key, NULL, NULL);
+      struct reply second = send_call (setup_entry (setup, 2)->listen, "POST", "/a/x", key, key, NULL, NULL);
       g_assert_cmpstr (second.outcome, !=, NULL);
       process_signal (entry->process, SIGCONT);
       g_assert_true (wait_call (first, 20));
-      struct reply third = send_call (setup_entry (setup, 2)->listen, "POST",
-                                      "/a/x", key, key, NULL, NULL);
+      struct reply third = send_call (setup_entry (setup, 2)->listen, "POST", "/a/x", key, key, NULL, NULL);
       g_assert_cmpuint (third.status, ==, 409);
       g_assert_cmpuint (count_runs (setup, key), ==, 1);
       free_reply (first);
@@ -288,10 +264,8 @@
       gboolean done = FALSE;
       for (guint try = 0; try < 6 && !done; try++)
         {
-          struct reply reply = send_call (setup_entry (setup, try % 2)->listen,
-                                          "POST", "/a/x", key, key, NULL, NULL);
-          done = reply.status == 200
-                 || (reply.outcome && strcmp (reply.outcome, "not-run") != 0);
+          struct reply reply = send_call (setup_entry (setup, try % 2)->listen, "POST", "/a/x", key, key, NULL, NULL);
+          done = reply.status == 200 || (reply.outcome && strcmp (reply.outcome, "not-run") != 0);
           answered += reply.status == 200;
           free_reply (&reply);
         }
@@ -307,9 +281,8 @@
 {
   struct setup *setup = setup_open (1, 1, 2, NULL);
   /* A version 7 UUID of the year 2020. */
-  struct reply reply
-      = send_call (setup_entry (setup, 0)->listen, "POST", "/a/x", "old",
-                   "01700000-0000-7000-8000-000000000000", NULL, NULL);
+  struct reply reply = send_call (setup_entry (setup, 0)->listen, "POST", "/a/x", "old",
+                                  "01700000-0000-7000-8000-000000000000", NULL, NULL);
   g_assert_cmpuint (reply.status, ==, 422);
   g_assert_cmpstr (reply.outcome, ==, "not-run");
   free_reply (&reply);
--- a/tests/test-promises.c
+++ b/tests/test-promises.c
@@ -24,12 +24,10 @@
 test_short (void)
 {
   struct setup *setup = setup_open (1, 2, 2, NULL);
-  struct reply post = send_call (setup_entry (setup, 0)->listen, "POST", "/a/x",
-                                 "short1", NULL, "short", NULL);
+  struct reply post = send_call (setup_entry (setup, 0)->listen, "POST", "/a/x", "short1", NULL, "short", NULL);
   g_assert_cmpstr (post.outcome, ==, "unknown");
   /* Repeatable, but every attempt is short: still no short answer. */
-  struct reply get = send_call (setup_entry (setup, 0)->listen, "GET", "/a/x",
-                                "short2", NULL, "short", NULL);
+  struct reply get = send_call (setup_entry (setup, 0)->listen, "GET", "/a/x", "short2", NULL, "short", NULL);
   g_assert_cmpstr (get.outcome, ==, "unknown");
   free_reply (&post);
   free_reply (&get);
@@ -41,15 +39,12 @@
 send_raw (const char *address, const char *bytes)
 {
   GSocketClient *client = g_socket_client_new ();
-  GSocketConnection *connection
-      = g_socket_client_connect_to_host (client, address, 80, NULL, NULL);
+  GSocketConnection *connection = g_socket_client_connect_to_host (client, address, 80, NULL, NULL);
   char answer[1024] = "";
   GIOStream *stream = G_IO_STREAM (connection);
-  g_output_stream_write_all (g_io_stream_get_output_stream (stream), bytes,
-                             strlen (bytes), NULL, NULL, NULL);
+  g_output_stream_write_all (g_io_stream_get_output_stream (stream), bytes, strlen (bytes), NULL, NULL, NULL);
   g_socket_set_timeout (g_socket_connection_get_socket (connection), 5);
-  g_input_stream_read (g_io_stream_get_input_stream (stream), answer,
-                       sizeof answer - 1, NULL, NULL);
+  g_input_stream_read (g_io_stream_get_input_stream (stream), answer, sizeof answer - 1, NULL, NULL);
   g_object_unref (connection);
   g_object_unref (client);
   return g_strdup (answer);
@@ -60,15 +55,11 @@
 test_small (void)
 {
   struct setup *setup = setup_open (1, 1, 1, NULL);
-  char *digest
-      = g_compute_checksum_for_string (G_CHECKSUM_SHA256, "a bump test", -1);
-  struct reply reply = send_call (setup_entry (setup, 0)->listen, "POST",
-                                  "/a/x", "small", NULL, NULL, "a bump test");
+  char *digest = g_compute_checksum_for_string (G_CHECKSUM_SHA256, "a bump test", -1);
+  struct reply reply = send_call (setup_entry (setup, 0)->listen, "POST", "/a/x", "small", NULL, NULL, "a bump test");
   g_assert_cmpstr (reply.digest, ==, digest);
-  char *answer
-      = send_raw (setup_entry (setup, 0)->listen,
-                  "POST /a/x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: "
-                  "chunked\r\n\r\nb\r\na bump test\r\n0\r\n\r\n");
+  char *answer = send_raw (setup_entry (setup, 0)->listen, "POST /a/x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: "
+                                                           "chunked\r\n\r\nb\r\na bump test\r\n0\r\n\r\n");
   g_assert_nonnull (strstr (answer, digest));
   free_reply (&reply);
   g_free (answer);
@@ -81,11 +72,10 @@
 test_passed_on (void)
 {
   struct setup *setup = setup_open (1, 1, 1, NULL);
-  char *answer = send_raw (
-      setup_entry (setup, 0)->listen,
-      "GET /a/x%20y%2Fz?q=1%262&r HTTP/1.1\r\nHost: some.example\r\nX-Fake: "
-      "seen\r\nX-One: 1\r\n"
-      "Connection: keep-alive, X-Two\r\nX-Two: 2\r\nTE: trailers\r\n\r\n");
+  char *answer = send_raw (setup_entry (setup, 0)->listen,
+                           "GET /a/x%20y%2Fz?q=1%262&r HTTP/1.1\r\nHost: some.example\r\nX-Fake: "
+                           "seen\r\nX-One: 1\r\n"
+                           "Connection: keep-alive, X-Two\r\nX-Two: 2\r\nTE: trailers\r\n\r\n");
   g_assert_nonnull (strstr (answer, "X-Seen: GET /a/x%20y%2Fz?q=1%262&r "));
   g_assert_nonnull (strstr (answer, " Host=some.example"));
   g_assert_nonnull (strstr (answer, " X-One=1"));
@@ -101,9 +91,7 @@
 static guint64
 memory_kb (const struct entry *entry)
 {
-  char *path = g_strdup_printf (
-      "/proc/%s/status",
-      g_subprocess_get_identifier (entry->process->subprocess));
+  char *path = g_strdup_printf ("/proc/%s/status", g_subprocess_get_identifier (entry->process->subprocess));
   char *text = NULL;
   guint64 peak = 0;
   if (g_file_get_contents (path, &text, NULL, NULL) && strstr (text, "VmHWM:"))
@@ -123,19 +111,15 @@
   for (gsize i = 0; i < size; i++)
     body[i] = (char)('a' + i * 7 % 23);
   body[size] = 0;
-  char *digest
-      = g_compute_checksum_for_data (G_CHECKSUM_SHA256, (guchar *)body, size);
+  char *digest = g_compute_checksum_for_data (G_CHECKSUM_SHA256, (guchar *)body, size);
   guint64 before = memory_kb (setup_entry (setup, 0));
-  struct reply up = send_call (setup_entry (setup, 0)->listen, "POST",
-                               "/a/upload", "up", NULL, NULL, body);
+  struct reply up = send_call (setup_entry (setup, 0)->listen, "POST", "/a/upload", "up", NULL, NULL, body);
   g_assert_cmpuint (up.status, ==, 200);
   g_assert_cmpstr (up.digest, ==, digest);
-  struct reply down = send_call (setup_entry (setup, 0)->listen, "GET",
-                                 "/a/down", "down", NULL, "big=67108864", NULL);
+  struct reply down = send_call (setup_entry (setup, 0)->listen, "GET", "/a/down", "down", NULL, "big=67108864", NULL);
   g_assert_cmpuint (down.status, ==, 200);
   g_assert_cmpuint (down.size, ==, size);
-  g_assert_cmpuint (memory_kb (setup_entry (setup, 0)) - before, <,
-                    size / 4 / 1024);
+  g_assert_cmpuint (memory_kb (setup_entry (setup, 0)) - before, <, size / 4 / 1024);
   free_reply (&up);
   free_reply (&down);
   g_free (digest);
@@ -163,9 +147,7 @@
 static void
 tell_vm_list (struct setup *setup)
 {
-  harness_list_backend (setup->harness,
-                        g_ptr_array_index (setup->backend->servers, 0),
-                        "Leaving");
+  harness_list_backend (setup->harness, g_ptr_array_index (setup->backend->servers, 0), "Leaving");
 }
 
 static void
@@ -194,9 +176,8 @@
   for (int i = from; i < from + n; i++)
     {
       char *key = g_strdup_printf ("%s%d", name, i);
-      struct reply reply = send_call (
-          setup_entry (setup, (guint)i % setup->harness->entries->len)->listen,
-          "GET", "/a/x", key, NULL, NULL, NULL);
+      struct reply reply = send_call (setup_entry (setup, (guint)i % setup->harness->entries->len)->listen, "GET",
+                                      "/a/x", key, NULL, NULL, NULL);
       g_assert_cmpuint (reply.status, ==, 200);
       free_reply (&reply);
       g_free (key);
@@ -210,8 +191,7 @@
   struct setup *setup = setup_open (3, 3, 2, "    probe_budget: 100\n");
   send_some (setup, "before", 0, 30);
   if (strcmp (leaving->name, "health") == 0)
-    harness_pause (
-        2500); /* the health endpoint is asked only about idle servers */
+    harness_pause (2500); /* the health endpoint is asked only about idle servers */
   if (leaving->platform_down)
     harness_set (setup->harness->platform, "/fake/set?down=1");
   leaving->tell (setup);
@@ -258,13 +238,11 @@
 static void
 test_rolling (void)
 {
-  struct harness *harness
-      = harness_open (g_test_get_filename (G_TEST_BUILT, "x", NULL));
+  struct harness *harness = harness_open (g_test_get_filename (G_TEST_BUILT, "x", NULL));
   struct backend *backend = harness_add_backend (harness, 35, 3, 20, 0.3, 1);
   for (int i = 0; i < 3; i++)
     harness_add_entry (harness, "d1");
-  char *document = scenario_document (&scenario_association, backend->servers,
-                                      "grants", NULL);
+  char *document = scenario_document (&scenario_association, backend->servers, "grants", NULL);
   g_assert_true (harness_apply (harness, document));
   struct load load = { .harness = harness,
                        .scenario = &scenario_association,
@@ -282,9 +260,7 @@
   g_assert_cmpuint (check.doubled, ==, 0);
   g_assert_cmpuint (check.cut, ==, 0);
   for (guint i = 0; i < 3; i++)
-    g_assert_true (process_wait (
-        ((struct entry *)g_ptr_array_index (harness->entries, i))->process,
-        20));
+    g_assert_true (process_wait (((struct entry *)g_ptr_array_index (harness->entries, i))->process, 20));
   load_close (&load);
   g_free (document);
   harness_close (harness);
@@ -305,8 +281,7 @@
   for (guint i = 0; i < wanted->setup->harness->entries->len; i++)
     {
       struct entry *entry = setup_entry (wanted->setup, i);
-      if (!entry->process->ended
-          && entry_generation (entry) < wanted->generation)
+      if (!entry->process->ended && entry_generation (entry) < wanted->generation)
         return FALSE;
     }
   return TRUE;
@@ -317,14 +292,10 @@
 {
   char *file = harness_write (setup->harness, "next.yaml", setup->document);
   char *output = NULL;
-  *code = harness_ctl (
-      setup->harness, &output,
-      (const char *[]){ "apply", "-p", setup->harness->platform, file, NULL });
+  *code
+      = harness_ctl (setup->harness, &output, (const char *[]){ "apply", "-p", setup->harness->platform, file, NULL });
   const char *at = strstr (output, "generation ");
-  guint64 generation
-      = *code == 0 && at
-            ? g_ascii_strtoull (at + strlen ("generation "), NULL, 10)
-            : 0;
+  guint64 generation = *code == 0 && at ? g_ascii_strtoull (at + strlen ("generation "), NULL, 10) : 0;
   g_free (output);
   g_free (file);
   return generation;
@@ -390,8 +361,7 @@
   g_assert_true (wait_members (setup, 3));
   harness_set (setup->harness->platform, "/fake/set?down=1");
   g_assert_cmpuint (entry_generation (entry), ==, generation);
-  struct reply reply
-      = send_call (entry->listen, "GET", "/a/x", "new", NULL, NULL, NULL);
+  struct reply reply = send_call (entry->listen, "GET", "/a/x", "new", NULL, NULL, NULL);
   g_assert_cmpuint (reply.status, ==, 200);
   free_reply (&reply);
   setup_close (setup);
@@ -410,12 +380,8 @@
   harness_pause (2000);
   assert_in_force (setup, generation);
   char *output = NULL;
-  harness_ctl (
-      setup->harness, &output,
-      (const char *[]){ "show", "-p", setup->harness->platform, NULL });
-  g_assert_cmpuint (
-      g_ascii_strtoull (output + strlen ("# generation: "), NULL, 10), ==,
-      generation);
+  harness_ctl (setup->harness, &output, (const char *[]){ "show", "-p", setup->harness->platform, NULL });
+  g_assert_cmpuint (g_ascii_strtoull (output + strlen ("# generation: "), NULL, 10), ==, generation);
   g_free (output);
   setup_close (setup);
 }
@@ -426,16 +392,12 @@
 {
   struct setup *setup = setup_open (1, 1, 1, NULL);
   char *output = NULL;
-  harness_ctl (
-      setup->harness, &output,
-      (const char *[]){ "show", "-p", setup->harness->platform, NULL });
+  harness_ctl (setup->harness, &output, (const char *[]){ "show", "-p", setup->harness->platform, NULL });
   char *file = harness_write (setup->harness, "edited.yaml", output);
-  int first = harness_ctl (
-      setup->harness, NULL,
-      (const char *[]){ "apply", "-p", setup->harness->platform, file, NULL });
-  int second = harness_ctl (
-      setup->harness, NULL,
-      (const char *[]){ "apply", "-p", setup->harness->platform, file, NULL });
+  int first
+      = harness_ctl (setup->harness, NULL, (const char *[]){ "apply", "-p", setup->harness->platform, file, NULL });
+  int second
+      = harness_ctl (setup->harness, NULL, (const char *[]){ "apply", "-p", setup->harness->platform, file, NULL });
   g_assert_cmpint (first, ==, 0);
   g_assert_cmpint (second, ==, 4);
   g_free (output);
@@ -448,16 +410,12 @@
 {
   struct setup *setup = setup_open (1, 1, 1, NULL);
   guint64 generation = entry_generation (setup_entry (setup, 0));
-  char *file
-      = harness_write (setup->harness, "wrong.yaml",
-                       "version: 1\nservices:\n  - name: a\n    colour: red\n");
+  char *file = harness_write (setup->harness, "wrong.yaml", "version: 1\nservices:\n  - name: a\n    colour: red\n");
   char *output = NULL;
-  int code = harness_ctl (
-      setup->harness, &output,
-      (const char *[]){ "apply", "-p", setup->harness->platform, file, NULL });
+  int code
+      = harness_ctl (setup->harness, &output, (const char *[]){ "apply", "-p", setup->harness->platform, file, NULL });
   g_assert_cmpint (code, ==, 3);
-  g_assert_nonnull (
-      strstr (output, "wrong.yaml:4:5: services[0].colour: unknown key"));
+  g_assert_nonnull (strstr (output, "wrong.yaml:4:5: services[0].colour: unknown key"));
   harness_pause (500);
   g_assert_cmpuint (entry_generation (setup_entry (setup, 0)), ==, generation);
   g_free (output);
@@ -492,8 +450,7 @@
   harness_pause (6000);
   guint probes = count_probes (setup);
   /* Epochs of 10 s that the time touches, one budget each. */
-  gint64 epochs
-      = g_get_real_time () / 10000000 - (begin - 2000000) / 10000000 + 1;
+  gint64 epochs = g_get_real_time () / 10000000 - (begin - 2000000) / 10000000 + 1;
   g_assert_cmpuint (probes, >, 0);
   g_assert_cmpuint (probes, <=, PROBE_BUDGET * epochs);
   setup_close (setup);
@@ -507,16 +464,14 @@
 test_crash (void)
 {
   struct setup *setup = setup_open (3, 6, 2, NULL);
-  struct reply first = send_call (setup_entry (setup, 0)->listen, "GET",
-                                  "/a/poison", "poison", NULL, "crash", NULL);
+  struct reply first = send_call (setup_entry (setup, 0)->listen, "GET", "/a/poison", "poison", NULL, "crash", NULL);
   g_assert_cmpuint (count_runs (setup, "poison"), ==, 2);
   g_assert_cmpuint (first.status, ==, 503);
   harness_pause (100);
   for (guint i = 0; i < 3; i++)
     {
       struct reply again
-          = send_call (setup_entry (setup, i)->listen, "GET", "/a/poison",
-                       "poison", NULL, "crash", NULL);
+          = send_call (setup_entry (setup, i)->listen, "GET", "/a/poison", "poison", NULL, "crash", NULL);
       g_assert_cmpstr (again.outcome, ==, "not-run");
       free_reply (&again);
     }
@@ -549,8 +504,7 @@
   for (int i = 0; i < 100; i++)
     {
       char *key = g_strdup_printf ("fast%d", i);
-      struct reply reply = send_call (setup_entry (setup, (guint)i % 2)->listen,
-                                      "POST", "/a/x", key, NULL, NULL, NULL);
+      struct reply reply = send_call (setup_entry (setup, (guint)i % 2)->listen, "POST", "/a/x", key, NULL, NULL, NULL);
       failed += reply.status != 200;
       free_reply (&reply);
       g_free (key);
@@ -568,14 +522,12 @@
   struct setup *setup = setup_open (4, 3, 2, NULL);
   for (guint victim = 0; victim < 2; victim++)
     {
-      process_signal (setup_entry (setup, victim)->process,
-                      victim ? SIGSTOP : SIGKILL);
+      process_signal (setup_entry (setup, victim)->process, victim ? SIGSTOP : SIGKILL);
       for (int i = 0; i < 40; i++)
         {
           char *key = g_strdup_printf ("gone%u-%d", victim, i);
           struct reply reply
-              = send_call (setup_entry (setup, 2 + (guint)i % 2)->listen, "GET",
-                           "/a/x", key, NULL, NULL, NULL);
+              = send_call (setup_entry (setup, 2 + (guint)i % 2)->listen, "GET", "/a/x", key, NULL, NULL, NULL);
           g_assert_cmpuint (reply.status, ==, 200);
           free_reply (&reply);
           g_free (key);
@@ -590,27 +542,21 @@
 {
   struct setup *setup = setup_open (1, 1, 1, NULL);
   const char *address = setup_entry (setup, 0)->listen;
-  struct reply none
-      = send_call (address, "GET", "/nowhere", "none", NULL, NULL, NULL);
-  struct reply method
-      = send_call (address, "BREW", "/a/x", "method", NULL, NULL, NULL);
+  struct reply none = send_call (address, "GET", "/nowhere", "none", NULL, NULL, NULL);
+  struct reply method = send_call (address, "BREW", "/a/x", "method", NULL, NULL, NULL);
   char *long_value = g_strnfill (40000, 'x');
-  struct reply header
-      = send_call (address, "GET", "/a/x", long_value, NULL, NULL, NULL);
+  struct reply header = send_call (address, "GET", "/a/x", long_value, NULL, NULL, NULL);
   g_assert_cmpuint (none.status, ==, 404);
   g_assert_cmpuint (method.status, ==, 404);
   g_assert_cmpuint (header.status, ==, 431);
   /* Datagrams that do not decode are counted and dropped. */
-  GSocket *socket = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM,
-                                  G_SOCKET_PROTOCOL_UDP, NULL);
+  GSocket *socket = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM, G_SOCKET_PROTOCOL_UDP, NULL);
   const char *peers = setup_entry (setup, 0)->peers;
-  GSocketAddress *to = g_inet_socket_address_new_from_string (
-      "127.0.0.1", (guint)atoi (strchr (peers, ':') + 1));
+  GSocketAddress *to = g_inet_socket_address_new_from_string ("127.0.0.1", (guint)atoi (strchr (peers, ':') + 1));
   g_socket_send_to (socket, to, "nonsense", 8, NULL, NULL);
   send_some (setup, "alive", 0, 5);
   harness_pause (100);
-  g_assert_cmpuint (
-      entry_metric (setup_entry (setup, 0), "datagrams_invalid_total"), ==, 1);
+  g_assert_cmpuint (entry_metric (setup_entry (setup, 0), "datagrams_invalid_total"), ==, 1);
   g_object_unref (to);
   g_object_unref (socket);
   g_free (long_value);
@@ -626,8 +572,7 @@
 {
   struct setup *setup = setup_open (1, 1, 1, NULL);
   char *value = g_strnfill (70000, 'x');
-  struct reply reply = send_call (setup_entry (setup, 0)->listen, "GET", "/a/x",
-                                  value, NULL, NULL, NULL);
+  struct reply reply = send_call (setup_entry (setup, 0)->listen, "GET", "/a/x", value, NULL, NULL, NULL);
   g_assert_cmpuint (reply.status, ==, 431);
   free_reply (&reply);
   g_free (value);
@@ -652,8 +597,7 @@
     {
       char *answer = send_raw (setup_entry (setup, 0)->listen, heads[i]);
       g_test_message ("%s", answer);
-      g_assert_true (g_str_has_prefix (answer, "HTTP/1.1 4")
-                     || g_str_has_prefix (answer, "HTTP/1.0 4"));
+      g_assert_true (g_str_has_prefix (answer, "HTTP/1.1 4") || g_str_has_prefix (answer, "HTTP/1.0 4"));
       g_free (answer);
     }
   send_some (setup, "alive", 0, 5);
@@ -675,17 +619,14 @@
   for (int i = 0; i < 3; i++)
     {
       GSocketClient *client = g_socket_client_new ();
-      GSocketConnection *connection = g_socket_client_connect_to_host (
-          client, entry->listen, 80, NULL, NULL);
-      char *request
-          = g_strdup_printf ("GET /a/x HTTP/1.1\r\nHost: x\r\nX-Test-Key: "
-                             "left%d-\r\nX-Fake: work=20000\r\n\r\n",
-                             i);
+      GSocketConnection *connection = g_socket_client_connect_to_host (client, entry->listen, 80, NULL, NULL);
+      char *request = g_strdup_printf ("GET /a/x HTTP/1.1\r\nHost: x\r\nX-Test-Key: "
+                                       "left%d-\r\nX-Fake: work=20000\r\n\r\n",
+                                       i);
       char *key = g_strdup_printf ("left%d-", i);
       void *pair[] = { setup, key };
-      g_output_stream_write_all (
-          g_io_stream_get_output_stream (G_IO_STREAM (connection)), request,
-          strlen (request), NULL, NULL, NULL);
+      g_output_stream_write_all (g_io_stream_get_output_stream (G_IO_STREAM (connection)), request, strlen (request),
+                                 NULL, NULL, NULL);
       g_assert_true (harness_wait (has_run_key, pair, 10));
       g_object_unref (connection);
       g_object_unref (client);
@@ -704,8 +645,7 @@
 {
   struct setup *setup = setup_open (3, 3, 2, "    probe_budget: 4\n");
   const char *length = g_getenv ("HF_OUTAGE_S");
-  gint64 until
-      = g_get_monotonic_time () + (length ? atoi (length) : 4) * G_USEC_PER_SEC;
+  gint64 until = g_get_monotonic_time () + (length ? atoi (length) : 4) * G_USEC_PER_SEC;
   int number = 0;
   int code = 0;
   harness_set (setup->harness->platform, "/fake/set?down=1");
@@ -713,8 +653,7 @@
     {
       char *key = g_strdup_printf ("outage%d-", number);
       struct reply keyed
-          = send_call (setup_entry (setup, (guint)number % 3)->listen, "POST",
-                       "/a/x", key, key, NULL, NULL);
+          = send_call (setup_entry (setup, (guint)number % 3)->listen, "POST", "/a/x", key, key, NULL, NULL);
       g_assert_cmpstr (keyed.outcome, ==, "not-run");
       g_assert_cmpuint (count_runs (setup, key), ==, 0);
       send_some (setup, key, 0, 6);
@@ -727,8 +666,7 @@
   guint64 generation = apply_only (setup, &code);
   g_assert_cmpint (code, ==, 0);
   assert_in_force (setup, generation);
-  struct reply back = send_call (setup_entry (setup, 0)->listen, "POST", "/a/x",
-                                 "back", "back", NULL, NULL);
+  struct reply back = send_call (setup_entry (setup, 0)->listen, "POST", "/a/x", "back", "back", NULL, NULL);
   g_assert_cmpuint (back.status, ==, 200);
   g_test_message ("%d rounds of calls during the outage", number);
   free_reply (&back);
--- a/tests/test-scripts.c
+++ b/tests/test-scripts.c
@@ -55,37 +55,28 @@
 print_send (struct run *run, const struct hf_effect *effect)
 {
   static const char *const kinds[]
-      = { "",      "heartbeat",   "acquire", "decision",      "release",
-          "claim", "claim-reply", "inquiry", "inquiry-reply", "notice",
-          "pull",  "chunk" };
+      = { "",        "heartbeat",     "acquire", "decision", "release", "claim", "claim-reply",
+          "inquiry", "inquiry-reply", "notice",  "pull",     "chunk" };
   const struct hf_rpc_body *body = &effect->message.body;
-  g_string_append_printf (run->out, "  send " HF_STR_FMT " %s",
-                          HF_STR_ARG (effect->address), kinds[body->kind]);
+  g_string_append_printf (run->out, "  send " HF_STR_FMT " %s", HF_STR_ARG (effect->address), kinds[body->kind]);
   if (body->kind == HF_RPC_HEARTBEAT)
-    g_string_append_printf (run->out, " generation=%d%s%s",
-                            (int)body->hf_rpc_body_u.heartbeat.generation,
-                            body->hf_rpc_body_u.heartbeat.leaving ? " leaving"
-                                                                  : "",
+    g_string_append_printf (run->out, " generation=%d%s%s", (int)body->hf_rpc_body_u.heartbeat.generation,
+                            body->hf_rpc_body_u.heartbeat.leaving ? " leaving" : "",
                             body->hf_rpc_body_u.heartbeat.sync ? " sync" : "");
   else if (body->kind == HF_RPC_ACQUIRE)
-    g_string_append_printf (run->out, " ticket=%d remaining=%u%s",
-                            (int)body->hf_rpc_body_u.acquire.ticket,
+    g_string_append_printf (run->out, " ticket=%d remaining=%u%s", (int)body->hf_rpc_body_u.acquire.ticket,
                             body->hf_rpc_body_u.acquire.remaining_ms,
                             body->hf_rpc_body_u.acquire.retry ? " retry" : "");
   else if (body->kind == HF_RPC_DECISION)
-    g_string_append_printf (
-        run->out, " ticket=%d kind=%u server=%s reason=%u",
-        (int)body->hf_rpc_body_u.decision.ticket,
-        body->hf_rpc_body_u.decision.kind,
-        server_name (run, body->hf_rpc_body_u.decision.server),
-        body->hf_rpc_body_u.decision.reason);
+    g_string_append_printf (run->out, " ticket=%d kind=%u server=%s reason=%u",
+                            (int)body->hf_rpc_body_u.decision.ticket, body->hf_rpc_body_u.decision.kind,
+                            server_name (run, body->hf_rpc_body_u.decision.server),
+                            body->hf_rpc_body_u.decision.reason);
   else if (body->kind == HF_RPC_RELEASE)
-    g_string_append_printf (run->out, " ticket=%d result=%u",
-                            (int)body->hf_rpc_body_u.release.ticket,
+    g_string_append_printf (run->out, " ticket=%d result=%u", (int)body->hf_rpc_body_u.release.ticket,
                             body->hf_rpc_body_u.release.result);
   else if (body->kind == HF_RPC_NOTICE)
-    g_string_append_printf (run->out, " kind=%u",
-                            body->hf_rpc_body_u.notice.kind);
+    g_string_append_printf (run->out, " kind=%u", body->hf_rpc_body_u.notice.kind);
   g_string_append_c (run->out, '\n');
 }
 
@@ -98,23 +89,19 @@
   switch (effect->kind)
     {
     case HF_EFFECT_ANSWER:
-      g_string_append_printf (
-          out, "  answer %d %u %s " HF_STR_FMT "\n", (int)effect->call,
-          effect->status, outcomes[effect->outcome], HF_STR_ARG (effect->text));
+      g_string_append_printf (out, "  answer %d %u %s " HF_STR_FMT "\n", (int)effect->call, effect->status,
+                              outcomes[effect->outcome], HF_STR_ARG (effect->text));
       break;
     case HF_EFFECT_DISPATCH:
-      g_string_append_printf (
-          out, "  dispatch %d.%u %s%s remaining=%d\n", (int)effect->call,
-          effect->attempt, server_name (run, effect->server),
-          effect->fresh ? " fresh" : "", (int)effect->remaining_ms);
+      g_string_append_printf (out, "  dispatch %d.%u %s%s remaining=%d\n", (int)effect->call, effect->attempt,
+                              server_name (run, effect->server), effect->fresh ? " fresh" : "",
+                              (int)effect->remaining_ms);
       break;
     case HF_EFFECT_CANCEL:
-      g_string_append_printf (out, "  cancel %d.%u\n", (int)effect->call,
-                              effect->attempt);
+      g_string_append_printf (out, "  cancel %d.%u\n", (int)effect->call, effect->attempt);
       break;
     case HF_EFFECT_RELAY:
-      g_string_append_printf (out, "  relay %d.%u %s\n", (int)effect->call,
-                              effect->attempt, outcomes[effect->outcome]);
+      g_string_append_printf (out, "  relay %d.%u %s\n", (int)effect->call, effect->attempt, outcomes[effect->outcome]);
       break;
     case HF_EFFECT_CUT:
       g_string_append_printf (out, "  cut %d\n", (int)effect->call);
@@ -123,21 +110,17 @@
       print_send (run, effect);
       break;
     case HF_EFFECT_PLATFORM:
-      g_string_append_printf (out, "  platform %s " HF_STR_FMT " version=%d\n",
-                              ops[effect->op], HF_STR_ARG (effect->name),
-                              (int)effect->version);
+      g_string_append_printf (out, "  platform %s " HF_STR_FMT " version=%d\n", ops[effect->op],
+                              HF_STR_ARG (effect->name), (int)effect->version);
       break;
     case HF_EFFECT_PROBE:
-      g_string_append_printf (out, "  probe %s\n",
-                              server_name (run, effect->server));
+      g_string_append_printf (out, "  probe %s\n", server_name (run, effect->server));
       break;
     case HF_EFFECT_RENEW:
-      g_string_append_printf (out, "  renew %s\n",
-                              server_name (run, effect->server));
+      g_string_append_printf (out, "  renew %s\n", server_name (run, effect->server));
       break;
     case HF_EFFECT_LOG:
-      g_string_append_printf (out, "  log HF%d " HF_STR_FMT "\n",
-                              effect->log_number, HF_STR_ARG (effect->text));
+      g_string_append_printf (out, "  log HF%d " HF_STR_FMT "\n", effect->log_number, HF_STR_ARG (effect->text));
       break;
     case HF_EFFECT_WAKE:
       break; /* every event moves it; the ticks of a script show what it causes
@@ -155,8 +138,7 @@
 {
   size_t length = strlen (name);
   for (int i = 2; run->words[i]; i++)
-    if (strncmp (run->words[i], name, length) == 0
-        && (run->words[i][length] == '=' || run->words[i][length] == 0))
+    if (strncmp (run->words[i], name, length) == 0 && (run->words[i][length] == '=' || run->words[i][length] == 0))
       return run->words[i][length] == '=' ? run->words[i] + length + 1 : "";
   return NULL;
 }
@@ -188,16 +170,13 @@
   gsize size = 0;
   g_assert_true (g_file_get_contents (path, &text, &size, NULL));
   struct hf_str document = { .data = text, .len = size };
-  struct hf_manifest manifest = { .generation = number (run, 2),
-                                  .digest = hf_hash (document, 0),
-                                  .document = document };
+  struct hf_manifest manifest
+      = { .generation = number (run, 2), .digest = hf_hash (document, 0), .document = document };
   char *json = hf_manifest_write (number (run, 2), &manifest);
   char *line = g_strdup_printf ("{\"type\":\"MODIFIED\",\"object\":%s}", json);
-  raise_event (run,
-               (struct hf_event){ .kind = HF_EVENT_WATCH,
-                                  .platform = { .purpose = HF_PURPOSE_CONFIG,
-                                                .op = HF_PLATFORM_WATCH,
-                                                .data = hf_str (line) } });
+  raise_event (run, (struct hf_event){
+                        .kind = HF_EVENT_WATCH,
+                        .platform = { .purpose = HF_PURPOSE_CONFIG, .op = HF_PLATFORM_WATCH, .data = hf_str (line) } });
   g_free (line);
   g_free (json);
   g_free (text);
@@ -220,8 +199,7 @@
 static struct hf_answer_hints
 make_hints (const struct run *run)
 {
-  struct hf_answer_hints hints
-      = { .status = 200, .load = -1, .retry_after_ms = -1 };
+  struct hf_answer_hints hints = { .status = 200, .load = -1, .retry_after_ms = -1 };
   if (option (run, "status"))
     hints.status = (unsigned)atoi (option (run, "status"));
   if (option (run, "load"))
@@ -236,9 +214,7 @@
 static void
 raise_end (struct run *run)
 {
-  static const char *const names[]
-      = { "answered", "connect-failed", "broken", "short",
-          "timeout",  "cancelled",      NULL };
+  static const char *const names[] = { "answered", "connect-failed", "broken", "short", "timeout", "cancelled", NULL };
   struct hf_event event = { .kind = HF_EVENT_ATTEMPT_END,
                             .call = number (run, 2),
                             .attempt = (unsigned)number (run, 3),
@@ -246,8 +222,7 @@
   for (int i = 0; names[i]; i++)
     if (strcmp (names[i], run->words[4]) == 0)
       event.result = i;
-  event.handed
-      = option (run, "handed") != NULL || event.result == HF_ATTEMPT_ANSWERED;
+  event.handed = option (run, "handed") != NULL || event.result == HF_ATTEMPT_ANSWERED;
   raise_event (run, event);
 }
 
@@ -272,20 +247,17 @@
     {
       message.body.kind = HF_RPC_HEARTBEAT;
       if (option (run, "generation"))
-        message.body.hf_rpc_body_u.heartbeat.generation
-            = (uint64_t)atoi (option (run, "generation"));
-      message.body.hf_rpc_body_u.heartbeat.leaving
-          = option (run, "leaving") != NULL;
+        message.body.hf_rpc_body_u.heartbeat.generation = (uint64_t)atoi (option (run, "generation"));
+      message.body.hf_rpc_body_u.heartbeat.leaving = option (run, "leaving") != NULL;
     }
   else if (strcmp (kind, "decision") == 0)
     {
       static const char *const kinds[] = { "queued", "granted", "refused" };
       message.body.kind = HF_RPC_DECISION;
-      message.body.hf_rpc_body_u.decision = (struct hf_rpc_decision){
-        .service = hf_hash (hf_str ("a"), 0),
-        .ticket = number (run, 4) * HF_ATTEMPTS_MAX + number (run, 5),
-        .server = find_server (run, run->words[7])
-      };
+      message.body.hf_rpc_body_u.decision
+          = (struct hf_rpc_decision){ .service = hf_hash (hf_str ("a"), 0),
+                                      .ticket = number (run, 4) * HF_ATTEMPTS_MAX + number (run, 5),
+                                      .server = find_server (run, run->words[7]) };
       for (unsigned i = 0; i < G_N_ELEMENTS (kinds); i++)
         if (strcmp (kinds[i], run->words[6]) == 0)
           message.body.hf_rpc_body_u.decision.kind = i;
@@ -293,28 +265,22 @@
   else if (strcmp (kind, "acquire") == 0)
     {
       message.body.kind = HF_RPC_ACQUIRE;
-      message.body.hf_rpc_body_u.acquire = (struct hf_rpc_acquire){
-        .service = hf_hash (hf_str (run->words[4]), 0),
-        .ticket = number (run, 5),
-        .worth = (unsigned)number (run, 6),
-        .remaining_ms = (unsigned)number (run, 7)
-      };
+      message.body.hf_rpc_body_u.acquire = (struct hf_rpc_acquire){ .service = hf_hash (hf_str (run->words[4]), 0),
+                                                                    .ticket = number (run, 5),
+                                                                    .worth = (unsigned)number (run, 6),
+                                                                    .remaining_ms = (unsigned)number (run, 7) };
     }
   else
     {
       message.body.kind = HF_RPC_RELEASE;
-      message.body.hf_rpc_body_u.release
-          = (struct hf_rpc_release){ .service
-                                     = hf_hash (hf_str (run->words[4]), 0),
-                                     .ticket = number (run, 5),
-                                     .result = (unsigned)number (run, 6),
-                                     .latency_us = (unsigned)number (run, 7) };
+      message.body.hf_rpc_body_u.release = (struct hf_rpc_release){ .service = hf_hash (hf_str (run->words[4]), 0),
+                                                                    .ticket = number (run, 5),
+                                                                    .result = (unsigned)number (run, 6),
+                                                                    .latency_us = (unsigned)number (run, 7) };
     }
   g_snprintf (address, sizeof address, "10.0.0.%d:1", (int)number (run, 2));
-  raise_event (run,
-               (struct hf_event){ .kind = HF_EVENT_PEER,
-                                  .peer = { .message = &message,
-                                            .address = hf_str (address) } });
+  raise_event (
+      run, (struct hf_event){ .kind = HF_EVENT_PEER, .peer = { .message = &message, .address = hf_str (address) } });
 }
 
 static void
@@ -324,15 +290,11 @@
   const char *version = option (run, "version");
   struct hf_event event
       = { .kind = HF_EVENT_PLATFORM,
-          .platform = { .purpose = HF_PURPOSE_CLAIMS,
-                        .arg = number (run, 3),
-                        .status = (unsigned)number (run, 5) } };
-  event.platform.op
-      = strcmp (run->words[4], "put") == 0 ? HF_PLATFORM_PUT : HF_PLATFORM_GET;
-  char *json
-      = g_strdup_printf ("{\"metadata\":{\"name\":\"x\",\"resourceVersion\":\"%"
-                         "s\"},\"data\":{\"keys\":\"%s\"}}",
-                         version ? version : "0", keys ? keys : "");
+          .platform = { .purpose = HF_PURPOSE_CLAIMS, .arg = number (run, 3), .status = (unsigned)number (run, 5) } };
+  event.platform.op = strcmp (run->words[4], "put") == 0 ? HF_PLATFORM_PUT : HF_PLATFORM_GET;
+  char *json = g_strdup_printf ("{\"metadata\":{\"name\":\"x\",\"resourceVersion\":\"%"
+                                "s\"},\"data\":{\"keys\":\"%s\"}}",
+                                version ? version : "0", keys ? keys : "");
   event.platform.data = hf_str (json);
   raise_event (run, event);
   g_free (json);
@@ -353,15 +315,12 @@
   else if (strcmp (what, "request") == 0)
     raise_request (run);
   else if (strcmp (what, "gone") == 0)
-    raise_event (run, (struct hf_event){ .kind = HF_EVENT_CALLER_GONE,
-                                         .call = number (run, 2) });
+    raise_event (run, (struct hf_event){ .kind = HF_EVENT_CALLER_GONE, .call = number (run, 2) });
   else if (strcmp (what, "head") == 0)
-    raise_event (
-        run, (struct hf_event){ .kind = HF_EVENT_ATTEMPT_HEAD,
-                                .call = number (run, 2),
-                                .attempt = (unsigned)number (run, 3),
-                                .hints = { .status = (unsigned)number (run, 4),
-                                           .load = -1 } });
+    raise_event (run, (struct hf_event){ .kind = HF_EVENT_ATTEMPT_HEAD,
+                                         .call = number (run, 2),
+                                         .attempt = (unsigned)number (run, 3),
+                                         .hints = { .status = (unsigned)number (run, 4), .load = -1 } });
   else if (strcmp (what, "end") == 0)
     raise_end (run);
   else if (strcmp (what, "peer") == 0)
@@ -370,10 +329,8 @@
     raise_claims (run);
   else if (strcmp (what, "watch-end") == 0)
     raise_event (run,
-                 (struct hf_event){
-                     .kind = HF_EVENT_WATCH,
-                     .platform = { .purpose = number (run, 2),
-                                   .status = (unsigned)number (run, 3) } });
+                 (struct hf_event){ .kind = HF_EVENT_WATCH,
+                                    .platform = { .purpose = number (run, 2), .status = (unsigned)number (run, 3) } });
   else
     g_error ("unknown event %s", what);
 }
@@ -382,12 +339,9 @@
 run_script (gconstpointer data)
 {
   const char *path = data;
-  struct hf_settings settings = { .name = hf_str ("e1"),
-                                  .failure_domain = hf_str ("d1"),
-                                  .drain_wait_ms = 100 };
-  struct run run = { .state = hf_state_new (&settings, 1),
-                     .out = g_string_new (NULL),
-                     .folder = g_path_get_dirname (path) };
+  struct hf_settings settings = { .name = hf_str ("e1"), .failure_domain = hf_str ("d1"), .drain_wait_ms = 100 };
+  struct run run
+      = { .state = hf_state_new (&settings, 1), .out = g_string_new (NULL), .folder = g_path_get_dirname (path) };
   char *text = NULL;
   g_assert_true (g_file_get_contents (path, &text, NULL, NULL));
   char **lines = g_strsplit (text, "\n", -1);
@@ -424,15 +378,12 @@
   g_test_init (&argc, &argv, NULL);
   g_test_set_nonfatal_assertions ();
   GDir *folder = g_dir_open (HF_SCRIPTS, 0, NULL);
-  for (const char *name = g_dir_read_name (folder); name;
-       name = g_dir_read_name (folder))
+  for (const char *name = g_dir_read_name (folder); name; name = g_dir_read_name (folder))
     {
       if (!g_str_has_suffix (name, ".script"))
         continue;
-      char *test = g_strdup_printf (
-          "/scripts/%.*s", (int)(strlen (name) - strlen (".script")), name);
-      g_test_add_data_func_full (
-          test, g_build_filename (HF_SCRIPTS, name, NULL), run_script, g_free);
+      char *test = g_strdup_printf ("/scripts/%.*s", (int)(strlen (name) - strlen (".script")), name);
+      g_test_add_data_func_full (test, g_build_filename (HF_SCRIPTS, name, NULL), run_script, g_free);
       g_free (test);
     }
   g_dir_close (folder);
--- a/tests/test-units.c
+++ b/tests/test-units.c
@@ -13,8 +13,8 @@
 
 /* --- constants --- */
 
-#define HEAD                                                                   \
-  "version: 1\nservices:\n  - name: a\n    servers: []\n    classes:\n      "  \
+#define HEAD                                                                                                           \
+  "version: 1\nservices:\n  - name: a\n    servers: []\n    classes:\n      "                                          \
   "- {name: c"
 
 /* --- types --- */
@@ -36,18 +36,12 @@
   { "version: 1\n", 1, 1, "", "\"services\" is missing" },
   { "version: 2\nservices: []\n", 1, 10, "version", "from 1 to 1" },
   { HEAD "}\nother: 1\n", 7, 1, "other", "unknown key" },
-  { HEAD ", worth: high}\n", 6, 26, "services[0].classes[0].worth",
-    "whole number" },
-  { HEAD ", repeatable: maybe}\n", 6, 31, "services[0].classes[0].repeatable",
-    "true or false" },
-  { HEAD ", hedge: true}\n", 6, 26, "services[0].classes[0].hedge",
-    "repeatable" },
-  { HEAD "}\n      - {name: c}\n", 7, 16, "services[0].classes[1].name",
-    "no other class" },
-  { HEAD "}\n    policy: best\n", 7, 13, "services[0].policy",
-    "one of grants" },
-  { HEAD "}\n  - name: a\n    servers: []\n    classes: [{name: c}]\n", 7, 11,
-    "services[1].name", "no other service" },
+  { HEAD ", worth: high}\n", 6, 26, "services[0].classes[0].worth", "whole number" },
+  { HEAD ", repeatable: maybe}\n", 6, 31, "services[0].classes[0].repeatable", "true or false" },
+  { HEAD ", hedge: true}\n", 6, 26, "services[0].classes[0].hedge", "repeatable" },
+  { HEAD "}\n      - {name: c}\n", 7, 16, "services[0].classes[1].name", "no other class" },
+  { HEAD "}\n    policy: best\n", 7, 13, "services[0].policy", "one of grants" },
+  { HEAD "}\n  - name: a\n    servers: []\n    classes: [{name: c}]\n", 7, 11, "services[1].name", "no other service" },
   { "version: 1\nservices:\n  - name: a\n    servers: [{name: s, address: "
     "here}]\n",
     4, 34, "services[0].servers[0].address", "IP:PORT" },
@@ -89,19 +83,17 @@
 static void
 test_routing (void)
 {
-  struct hf_document *document = hf_document_load (
-      hf_str (
-          "version: 1\nservices:\n"
-          "  - {name: all, path_prefix: /, servers: [], classes: [{name: "
-          "any}]}\n"
-          "  - {name: deep, path_prefix: /a/b, servers: [], classes: [{name: "
-          "get, methods: [GET]}, {name: high, header: 'X-P: high'}]}\n"
-          "  - {name: hosted, host: h.example, path_prefix: /a/b/c, servers: "
-          "[], classes: [{name: any}]}\n"),
-      NULL);
+  struct hf_document *document
+      = hf_document_load (hf_str ("version: 1\nservices:\n"
+                                  "  - {name: all, path_prefix: /, servers: [], classes: [{name: "
+                                  "any}]}\n"
+                                  "  - {name: deep, path_prefix: /a/b, servers: [], classes: [{name: "
+                                  "get, methods: [GET]}, {name: high, header: 'X-P: high'}]}\n"
+                                  "  - {name: hosted, host: h.example, path_prefix: /a/b/c, servers: "
+                                  "[], classes: [{name: any}]}\n"),
+                          NULL);
   struct hf_header header = { hf_str ("x-p"), hf_str ("high") };
-  struct hf_request_head head
-      = { hf_str ("GET"), hf_str ("other"), hf_str ("/a/b/c"), &header, 1 };
+  struct hf_request_head head = { hf_str ("GET"), hf_str ("other"), hf_str ("/a/b/c"), &header, 1 };
   const struct hf_service *service = hf_route_service (document, &head);
   g_assert_cmpstr (service->name.data, ==, "deep");
   g_assert_cmpstr (hf_route_class (service, &head)->name.data, ==, "get");
@@ -124,28 +116,23 @@
   char buffer[HF_WIRE_BYTES_MAX];
   uint64_t grants[3] = { 1, 2, 3 };
   struct hf_rpc_load loads[2] = { { 1, 2 }, { 3, 4 } };
-  struct hf_rpc_message message
-      = { .boot = 7, .body = { .kind = HF_RPC_HEARTBEAT } };
+  struct hf_rpc_message message = { .boot = 7, .body = { .kind = HF_RPC_HEARTBEAT } };
   struct hf_rpc_message decoded;
   message.body.hf_rpc_body_u.heartbeat.grants.grants_len = 3;
   message.body.hf_rpc_body_u.heartbeat.grants.grants_val = grants;
   message.body.hf_rpc_body_u.heartbeat.loads.loads_len = 2;
   message.body.hf_rpc_body_u.heartbeat.loads.loads_val = loads;
   size_t size = hf_wire_encode (&message, buffer, sizeof buffer);
-  g_assert_true (
-      hf_wire_decode ((struct hf_str){ buffer, size }, &decoded, NULL));
-  g_assert_cmpuint (
-      decoded.body.hf_rpc_body_u.heartbeat.loads.loads_val[1].count, ==, 4);
+  g_assert_true (hf_wire_decode ((struct hf_str){ buffer, size }, &decoded, NULL));
+  g_assert_cmpuint (decoded.body.hf_rpc_body_u.heartbeat.loads.loads_val[1].count, ==, 4);
   hf_wire_free (&decoded);
   for (size_t cut = 0; cut < size; cut++)
-    g_assert_false (
-        hf_wire_decode ((struct hf_str){ buffer, cut }, &decoded, NULL));
+    g_assert_false (hf_wire_decode ((struct hf_str){ buffer, cut }, &decoded, NULL));
   for (int i = 0; i < 20000; i++)
     {
       char changed[HF_WIRE_BYTES_MAX];
       memcpy (changed, buffer, size);
-      changed[g_test_rand_int_range (0, (gint32)size)]
-          = (char)g_test_rand_int ();
+      changed[g_test_rand_int_range (0, (gint32)size)] = (char)g_test_rand_int ();
       if (hf_wire_decode ((struct hf_str){ changed, size }, &decoded, NULL))
         hf_wire_free (&decoded);
     }
@@ -170,11 +157,9 @@
     {
       char *cell = g_strdup_printf ("| `%s` |", fields->name);
       if (!strstr (page, cell))
-        g_test_fail_printf ("docs/CONFIGURATION.md has no row for %s",
-                            fields->name);
+        g_test_fail_printf ("docs/CONFIGURATION.md has no row for %s", fields->name);
       if (!strstr (page, fields->help))
-        g_test_fail_printf ("docs/CONFIGURATION.md explains %s otherwise",
-                            fields->name);
+        g_test_fail_printf ("docs/CONFIGURATION.md explains %s otherwise", fields->name);
       if (fields->fields)
         check_fields (page, fields->fields);
       g_free (cell);
@@ -194,14 +179,11 @@
 test_page_events (void)
 {
   char *page = read_page ("EVENTS.md");
-  for (const struct hf_log_entry *entry = hf_log_entries; entry->number;
-       entry++)
+  for (const struct hf_log_entry *entry = hf_log_entries; entry->number; entry++)
     {
-      char *cell
-          = g_strdup_printf ("| HF%d | %s |", entry->number, entry->name);
+      char *cell = g_strdup_printf ("| HF%d | %s |", entry->number, entry->name);
       if (!strstr (page, cell))
-        g_test_fail_printf ("docs/EVENTS.md has no row for HF%d %s",
-                            entry->number, entry->name);
+        g_test_fail_printf ("docs/EVENTS.md has no row for HF%d %s", entry->number, entry->name);
       g_free (cell);
     }
   g_free (page);
