--- a/bench/bench.c
+++ b/bench/bench.c
@@ -110,7 +110,7 @@
       const struct backend *backend = g_ptr_array_index (harness->backends, b);
       char *text = harness_get (backend->control, "/stats", NULL);
       for (const char *at = text; at && (at = strstr (at, " peak ")); at += 6)
-        peak = MAX (peak, (guint)atoi (at + 6));
+        peak = MAX (peak, (guint) atoi (at + 6));
       g_free (text);
     }
   return peak;
@@ -125,7 +125,7 @@
       const struct backend *backend = g_ptr_array_index (harness->backends, b);
       char *text = harness_get (backend->control, "/stats", NULL);
       for (const char *at = text; at && (at = strstr (at, " runs ")); at += 6)
-        runs += (guint)atoi (at + 6);
+        runs += (guint) atoi (at + 6);
       g_free (text);
     }
   return runs;
@@ -158,7 +158,7 @@
       const struct entry *entry = g_ptr_array_index (harness->entries, i);
       gsize length = strlen (entry->name);
       if (strncmp (at + 8, entry->name, length) == 0 && at[8 + length] == ',')
-        found = (int)i;
+        found = (int) i;
     }
   g_free (label);
   g_free (text);
@@ -169,7 +169,7 @@
 pick_entry (struct harness *harness, const char *fault)
 {
   int i = strstr (fault, "granter") ? granter_of (harness, "clearance") : 1;
-  const struct entry *entry = g_ptr_array_index (harness->entries, (guint)i);
+  const struct entry *entry = g_ptr_array_index (harness->entries, (guint) i);
   return entry->process;
 }
 
@@ -239,8 +239,8 @@
 static int
 compare_double (gconstpointer a, gconstpointer b)
 {
-  double left = *(const double *)a;
-  double right = *(const double *)b;
+  double left = *(const double *) a;
+  double right = *(const double *) b;
   return left < right ? -1 : left > right;
 }
 
@@ -259,7 +259,7 @@
     }
   g_array_sort (values, compare_double);
   if (values->len > 0)
-    found = g_array_index (values, double, (guint)(0.99 * (values->len - 1)));
+    found = g_array_index (values, double, (guint) (0.99 * (values->len - 1)));
   g_array_unref (values);
   return found;
 }
@@ -360,7 +360,7 @@
            load_count (load, LOAD_NOT_RUN), load_count (load, LOAD_UNKNOWN), load_count (load, LOAD_FAILED),
            load_count (load, LOAD_CUT), top_p99 (load), all.in_time / load->seconds, used->probes / load->seconds,
            used->messages / calls, used->bytes / load->seconds / setting->entries, 1e6 * used->cpu_s / calls, peak,
-           used->retries, used->hedges, (double)runs / calls - 1, before, during,
+           used->retries, used->hedges, (double) runs / calls - 1, before, during,
            setting->fault ? recovery_s (load, before) : 0);
   fflush (csv);
   printf ("%-10s %-18s %2d entries load %.2f %-14s seed %d: p50 %.1f p99 %.1f "
--- a/bench/demo.c
+++ b/bench/demo.c
@@ -21,7 +21,7 @@
 each_second (struct load *load, int second, void *context)
 {
   struct harness *harness = load->harness;
-  (void)context;
+  (void) context;
   if (second == DRAIN_AT_S)
     {
       const struct backend *backend = g_ptr_array_index (harness->backends, 0);
@@ -53,7 +53,7 @@
 main (int argc, char **argv)
 {
   struct harness *harness = harness_open (argv[0]);
-  (void)argc;
+  (void) argc;
   setvbuf (stdout, NULL, _IOLBF, 0);
   harness_add_backend (harness, 18, 3, MEAN_MS, 0.3, 1);
   harness_add_backend (harness, 17, 3, MEAN_MS, 0.3, 2);
--- a/bench/harness.c
+++ b/bench/harness.c
@@ -52,7 +52,7 @@
   GError *problem = NULL;
   struct process *process = g_new0 (struct process, 1);
   process->subprocess = g_subprocess_newv (
-      (const char *const *)argv, errors ? G_SUBPROCESS_FLAGS_STDERR_PIPE : G_SUBPROCESS_FLAGS_STDOUT_PIPE, &problem);
+      (const char *const *) argv, errors ? G_SUBPROCESS_FLAGS_STDERR_PIPE : G_SUBPROCESS_FLAGS_STDOUT_PIPE, &problem);
   if (!process->subprocess)
     g_error ("cannot start %s: %s", argv[0], problem->message);
   process->log = g_string_new (NULL);
@@ -295,7 +295,7 @@
 static gboolean
 has_ended (void *context)
 {
-  return ((struct process *)context)->ended;
+  return ((struct process *) context)->ended;
 }
 
 gboolean
@@ -348,9 +348,9 @@
   char *text = NULL;
   g_ptr_array_add (argv, program);
   for (int i = 0; arguments[i]; i++)
-    g_ptr_array_add (argv, (gpointer)arguments[i]);
+    g_ptr_array_add (argv, (gpointer) arguments[i]);
   g_ptr_array_add (argv, NULL);
-  GSubprocess *tool = g_subprocess_newv ((const char *const *)argv->pdata,
+  GSubprocess *tool = g_subprocess_newv ((const char *const *) argv->pdata,
                                          G_SUBPROCESS_FLAGS_STDOUT_PIPE | G_SUBPROCESS_FLAGS_STDERR_MERGE, NULL);
   g_subprocess_communicate_utf8 (tool, NULL, NULL, &text, NULL, NULL);
   int code = g_subprocess_get_if_exited (tool) ? g_subprocess_get_exit_status (tool) : -1;
@@ -388,14 +388,14 @@
 static gboolean
 tick (gpointer data)
 {
-  (void)data;
+  (void) data;
   return G_SOURCE_CONTINUE;
 }
 
 gboolean
 harness_wait (gboolean (*test) (void *context), void *context, int seconds)
 {
-  gint64 until = g_get_monotonic_time () + (gint64)seconds * G_USEC_PER_SEC;
+  gint64 until = g_get_monotonic_time () + (gint64) seconds * G_USEC_PER_SEC;
   guint timer = g_timeout_add (10, tick, NULL);
   gboolean done = test (context);
   while (!done && g_get_monotonic_time () < until)
@@ -410,12 +410,12 @@
 static gboolean
 never (void *context)
 {
-  return g_get_monotonic_time () >= *(gint64 *)context;
+  return g_get_monotonic_time () >= *(gint64 *) context;
 }
 
 void
 harness_pause (int ms)
 {
-  gint64 until = g_get_monotonic_time () + (gint64)ms * 1000;
+  gint64 until = g_get_monotonic_time () + (gint64) ms * 1000;
   harness_wait (never, &until, ms / 1000 + 1);
 }
--- a/bench/load.c
+++ b/bench/load.c
@@ -62,7 +62,7 @@
 find_target (struct run *run, const struct entry *entry)
 {
   for (guint i = 0; i < run->targets->len; i++)
-    if (((struct target *)g_ptr_array_index (run->targets, i))->entry == entry)
+    if (((struct target *) g_ptr_array_index (run->targets, i))->entry == entry)
       return g_ptr_array_index (run->targets, i);
   struct target *target = g_new0 (struct target, 1);
   target->entry = entry;
@@ -120,7 +120,7 @@
 static double
 now_s (const struct run *run)
 {
-  return (double)(g_get_monotonic_time () - run->begin) / G_USEC_PER_SEC;
+  return (double) (g_get_monotonic_time () - run->begin) / G_USEC_PER_SEC;
 }
 
 static enum load_outcome
@@ -151,7 +151,7 @@
   const struct load_class *class = &load->scenario->classes[call->class];
   double latency = (now_s (call->run) - call->due_s) * 1000;
   result->outcomes[outcome]++;
-  g_hash_table_insert (load->told, g_strdup (call->key), GINT_TO_POINTER ((int)outcome + 1));
+  g_hash_table_insert (load->told, g_strdup (call->key), GINT_TO_POINTER ((int) outcome + 1));
   if (outcome != LOAD_ANSWERED)
     return;
   g_array_append_val (result->latency_ms, latency);
@@ -307,7 +307,7 @@
 {
   struct run *run = context;
   for (guint i = 0; i < run->targets->len; i++)
-    if (!((struct target *)g_ptr_array_index (run->targets, i))->healthy)
+    if (!((struct target *) g_ptr_array_index (run->targets, i))->healthy)
       return FALSE;
   return run->targets->len > 0;
 }
@@ -335,8 +335,8 @@
 static int
 compare_double (gconstpointer a, gconstpointer b)
 {
-  double left = *(const double *)a;
-  double right = *(const double *)b;
+  double left = *(const double *) a;
+  double right = *(const double *) b;
   return left < right ? -1 : left > right;
 }
 
@@ -345,7 +345,7 @@
 {
   struct run run = { .load = load, .loop = g_main_loop_new (NULL, FALSE) };
   run.random = gsl_rng_alloc (gsl_rng_mt19937);
-  gsl_rng_set (run.random, (unsigned long)load->seed);
+  gsl_rng_set (run.random, (unsigned long) load->seed);
   run.targets = g_ptr_array_new_with_free_func (free_target);
   run.health = hf_http_session (64, 2);
   run.cumulative = make_shares (load->scenario);
@@ -377,7 +377,7 @@
 {
   if (result->latency_ms->len == 0)
     return 0;
-  return gsl_stats_quantile_from_sorted_data ((const double *)result->latency_ms->data, 1, result->latency_ms->len,
+  return gsl_stats_quantile_from_sorted_data ((const double *) result->latency_ms->data, 1, result->latency_ms->len,
                                               share);
 }
 
--- a/bench/scenario.c
+++ b/bench/scenario.c
@@ -83,7 +83,7 @@
         g_string_append_printf (text,
                                 "      - {name: %s-%d, address: \"%s\", failure_domain: d%d, "
                                 "slots: %d, connections: %d}\n",
-                                service->name, i + 1, (char *)g_ptr_array_index (addresses, next), i % 3 + 1,
+                                service->name, i + 1, (char *) g_ptr_array_index (addresses, next), i % 3 + 1,
                                 scenario->slots, scenario->connections);
       g_string_append (text, "    classes:\n");
       for (const struct load_class *class = scenario->classes; class->name; class ++)
--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -82,7 +82,7 @@
   raise_document (state, 5, document, sent);
   for (int i = 0; i < entries - 1; i++)
     {
-      struct hf_rpc_message message = { .boot = (uint64_t)i + 2, .body = { .kind = HF_RPC_HEARTBEAT } };
+      struct hf_rpc_message message = { .boot = (uint64_t) i + 2, .body = { .kind = HF_RPC_HEARTBEAT } };
       char address[32];
       message.body.hf_rpc_body_u.heartbeat.generation = 5;
       g_snprintf (address, sizeof address, "10.9.%d.%d:1", i / 250, i % 250);
@@ -109,11 +109,11 @@
       for (int i = 0; i < entries - 1; i++)
         {
           struct hf_rpc_load loads[8];
-          struct hf_rpc_message message = { .boot = (uint64_t)i + 2, .body = { .kind = HF_RPC_HEARTBEAT } };
+          struct hf_rpc_message message = { .boot = (uint64_t) i + 2, .body = { .kind = HF_RPC_HEARTBEAT } };
           struct hf_rpc_heartbeat *beat = &message.body.hf_rpc_body_u.heartbeat;
           char address[32];
           beat->generation = 5;
-          beat->loads.loads_len = (u_int)MIN (servers, 8);
+          beat->loads.loads_len = (u_int) MIN (servers, 8);
           beat->loads.loads_val = loads;
           for (u_int l = 0; l < beat->loads.loads_len; l++)
             loads[l] = (struct hf_rpc_load){ .server = l, .count = 1 };
@@ -126,8 +126,8 @@
         }
     }
   double seconds = periods * HF_HEARTBEAT_MS / 1000.0;
-  *us = (double)(g_get_monotonic_time () - begin) / seconds;
-  *bytes = (double)sent / seconds;
+  *us = (double) (g_get_monotonic_time () - begin) / seconds;
+  *bytes = (double) sent / seconds;
 }
 
 /* One call: request, dispatch, answer; with its messages where another entry
@@ -142,7 +142,7 @@
     {
       char path[32];
       int64_t now = 20 * HF_SEC + i * 10;
-      struct hf_event event = { .kind = HF_EVENT_REQUEST, .now = now, .wall = now, .call = (uint64_t)i + 1 };
+      struct hf_event event = { .kind = HF_EVENT_REQUEST, .now = now, .wall = now, .call = (uint64_t) i + 1 };
       g_snprintf (path, sizeof path, "/s%d/x", i % services);
       event.request.method = hf_str ("GET");
       event.request.path = hf_str (path);
@@ -157,8 +157,8 @@
                    &sent);
       raise_event (state, (struct hf_event){ .kind = HF_EVENT_CALLER_GONE, .now = now + 6, .call = event.call }, &sent);
     }
-  *us = (double)(g_get_monotonic_time () - begin) / calls;
-  *bytes = (double)sent / calls;
+  *us = (double) (g_get_monotonic_time () - begin) / calls;
+  *bytes = (double) sent / calls;
 }
 
 static void
@@ -173,12 +173,12 @@
   size_t before = used_bytes ();
   gint64 begin = g_get_monotonic_time ();
   struct hf_state *state = start_state (document, entries, &sent);
-  double change_us = (double)(g_get_monotonic_time () - begin);
+  double change_us = (double) (g_get_monotonic_time () - begin);
   size_t memory = used_bytes () - before;
   measure_heartbeats (state, entries, services * SERVERS_PER_SERVICE, &beat_us, &beat_bytes);
   measure_calls (state, services, &call_us, &call_bytes);
   printf ("%d,%d,%d,%zu,%.0f,%.0f,%.1f,%.0f,%.2f,%.0f\n", services, services * SERVERS_PER_SERVICE, entries,
-          strlen (document), change_us, (double)memory / 1024, beat_us / 1e4, beat_bytes, call_us, call_bytes);
+          strlen (document), change_us, (double) memory / 1024, beat_us / 1e4, beat_bytes, call_us, call_bytes);
   fflush (stdout);
   hf_state_free (state);
   g_free (document);
--- a/bench/speed.c
+++ b/bench/speed.c
@@ -46,13 +46,13 @@
   const char *body = NULL;
   g_output_stream_write_all (g_io_stream_get_output_stream (G_IO_STREAM (connection)), request, strlen (request), NULL,
                              NULL, NULL);
-  while (!body || got < (gsize)(body - answer) + ANSWER_BODY)
+  while (!body || got < (gsize) (body - answer) + ANSWER_BODY)
     {
       gssize n = g_input_stream_read (g_io_stream_get_input_stream (G_IO_STREAM (connection)), answer + got,
                                       sizeof answer - 1 - got, NULL, NULL);
       if (n <= 0)
         g_error ("the connection broke");
-      got += (gsize)n;
+      got += (gsize) n;
       answer[got] = 0;
       body = strstr (answer, "\r\n\r\n") ? strstr (answer, "\r\n\r\n") + 4 : NULL;
     }
@@ -61,8 +61,8 @@
 static int
 compare_double (const void *a, const void *b)
 {
-  double left = *(const double *)a;
-  double right = *(const double *)b;
+  double left = *(const double *) a;
+  double right = *(const double *) b;
   return left < right ? -1 : left > right;
 }
 
@@ -75,7 +75,7 @@
     {
       gint64 begin = g_get_monotonic_time ();
       call_once (connection);
-      us[i] = (double)(g_get_monotonic_time () - begin);
+      us[i] = (double) (g_get_monotonic_time () - begin);
     }
   qsort (us, CALLS, sizeof us[0], compare_double);
   *p50 = gsl_stats_quantile_from_sorted_data (us, 1, CALLS, 0.5);
@@ -132,7 +132,7 @@
 main (int argc, char **argv)
 {
   struct harness *harness = harness_open (argv[0]);
-  (void)argc;
+  (void) argc;
   setvbuf (stdout, NULL, _IOLBF, 0);
   struct backend *backend = harness_add_backend_constant (harness, 1, 1000, 0);
   struct entry *entry = harness_add_entry (harness, "d1");
--- a/examples/pool-choose.c
+++ b/examples/pool-choose.c
@@ -25,7 +25,7 @@
   for (guint i = 0; i < decisions->len; i++)
     {
       const struct hf_decision *decision = &g_array_index (decisions, struct hf_decision, i);
-      printf ("ticket %d %s\n", (int)decision->ticket, kinds[decision->kind]);
+      printf ("ticket %d %s\n", (int) decision->ticket, kinds[decision->kind]);
     }
   g_array_unref (decisions);
   hf_pool_close (&pool);
--- a/examples/retry-budget.c
+++ b/examples/retry-budget.c
@@ -13,6 +13,6 @@
       /* Every first attempt fails and asks for a retry. */
       hf_retry_spend (&budget);
     }
-  printf ("%d retries allowed, %d refused\n", (int)budget.spent, (int)budget.denied);
+  printf ("%d retries allowed, %d refused\n", (int) budget.spent, (int) budget.denied);
   return 0;
 }
--- a/src/hf-base.c
+++ b/src/hf-base.c
@@ -23,7 +23,7 @@
 void
 hf_str_free (struct hf_str *text)
 {
-  g_free ((char *)text->data);
+  g_free ((char *) text->data);
   *text = (struct hf_str){ 0 };
 }
 
--- a/src/hf-base.h
+++ b/src/hf-base.h
@@ -54,7 +54,7 @@
 };
 
 #define HF_STR_FMT    "%.*s"
-#define HF_STR_ARG(s) (int)(s).len, (s).data ? (s).data : ""
+#define HF_STR_ARG(s) (int) (s).len, (s).data ? (s).data : ""
 
 /* --- public functions: strings --- */
 
--- a/src/hf-calls.c
+++ b/src/hf-calls.c
@@ -38,7 +38,7 @@
 {
   for (unsigned i = 0; i < call->n_attempts; i++)
     if (call->attempts[i].held)
-      return (int)i;
+      return (int) i;
   return -1;
 }
 
@@ -68,7 +68,7 @@
     {
       bool asking = call->attempts[i].phase == HF_PHASE_ASKING;
       bool running = call->attempts[i].phase == HF_PHASE_RUNNING;
-      if ((int)i != winner && (asking || running))
+      if ((int) i != winner && (asking || running))
         cancel_attempt (state, call, i, asking ? HF_POOL_UNUSED : HF_POOL_LATE);
     }
 }
@@ -115,7 +115,7 @@
 relay (struct hf_state *state, struct hf_call *call, unsigned i, enum hf_outcome outcome)
 {
   struct hf_effect effect = { .kind = HF_EFFECT_RELAY, .call = call->id, .attempt = i, .outcome = outcome };
-  cancel_others (state, call, (int)i);
+  cancel_others (state, call, (int) i);
   hf_timers_cancel (&call->deadline_timer);
   hf_timers_cancel (&call->retry_timer);
   hf_effects_add (state->out, effect);
@@ -144,7 +144,7 @@
   int64_t late = total / HF_FIRST_BYTE_SHARE;
   if (!call->class->hedge || server->samples == 0)
     return late;
-  int64_t hedge = (int64_t)(server->latency_us * HF_HEDGE_LATENCY_RATIO);
+  int64_t hedge = (int64_t) (server->latency_us * HF_HEDGE_LATENCY_RATIO);
   return MIN (late, MAX (hedge, HF_HEDGE_MIN_MS * HF_MS));
 }
 
@@ -152,7 +152,7 @@
 connection_share (const struct hf_state *state, const struct hf_pool_server *server)
 {
   int64_t entries = state->document ? state->document->entries_max : 1;
-  return (unsigned)MAX (1, server->connections / entries);
+  return (unsigned) MAX (1, server->connections / entries);
 }
 
 static void
@@ -179,7 +179,6 @@
     hf_state_count (state, HF_COUNT_HEDGES);
   else if (attempt->retry)
     hf_state_count (state, HF_COUNT_RETRIES);
-  hf_claims_dispatched (state, call);
   if (call->class->repeatable && !call->streamed)
     attempt->late_timer = hf_state_timer (state, late_after (call, server), HF_TIMER_CALL_LATE, call->id, i);
 }
@@ -222,7 +221,7 @@
     return;
   if (held >= 0)
     {
-      relay (state, call, (unsigned)held, HF_OUTCOME_UNKNOWN);
+      relay (state, call, (unsigned) held, HF_OUTCOME_UNKNOWN);
       hf_claims_ended (state, call, HF_OUTCOME_UNKNOWN, 0);
       remove_call (state, call);
       return;
@@ -384,7 +383,6 @@
   call->service = service;
   call->class = class;
   call->service_id = hf_service_id (service);
-  call->arrived_at = state->now;
   call->deadline = state->now + class->deadline_ms * HF_MS;
   call->streamed = event->request.streamed;
   g_hash_table_insert (state->calls, &call->id, call);
@@ -491,9 +489,9 @@
   if (timer->kind == HF_TIMER_CALL_DEADLINE)
     deadline_passed (state, call);
   else if (timer->kind == HF_TIMER_CALL_ASK)
-    hf_slots_ask_again (state, call, (unsigned)timer->arg);
+    hf_slots_ask_again (state, call, (unsigned) timer->arg);
   else if (timer->kind == HF_TIMER_CALL_LATE)
-    attempt_late (state, call, (unsigned)timer->arg);
+    attempt_late (state, call, (unsigned) timer->arg);
   else if (timer->kind == HF_TIMER_CALL_RETRY)
     retry_due (state, call);
 }
@@ -559,7 +557,7 @@
   GHashTableIter iter;
   struct hf_call *call;
   g_hash_table_iter_init (&iter, state->calls);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&call))
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &call))
     if (call->service_id == service)
       return true;
   return false;
--- a/src/hf-claims.c
+++ b/src/hf-claims.c
@@ -24,9 +24,9 @@
   gsize size = sizeof digest;
   struct hf_claim_key out;
   GChecksum *sum = g_checksum_new (G_CHECKSUM_SHA256);
-  g_checksum_update (sum, (const guchar *)service.data, (gssize)service.len);
-  g_checksum_update (sum, (const guchar *)"\n", 1);
-  g_checksum_update (sum, (const guchar *)key.data, (gssize)key.len);
+  g_checksum_update (sum, (const guchar *) service.data, (gssize) service.len);
+  g_checksum_update (sum, (const guchar *) "\n", 1);
+  g_checksum_update (sum, (const guchar *) key.data, (gssize) key.len);
   g_checksum_get_digest (sum, digest, &size);
   g_checksum_free (sum);
   memcpy (&out, digest, sizeof out);
@@ -42,7 +42,7 @@
     return -1;
   memcpy (hex, key.data, 8);
   memcpy (hex + 8, key.data + 9, 4);
-  return (int64_t)(g_ascii_strtoull (hex, NULL, 16) / 1000);
+  return (int64_t) (g_ascii_strtoull (hex, NULL, 16) / 1000);
 }
 
 static struct hf_rpc_claim_id
@@ -266,14 +266,6 @@
   ask_owner (state, claim, HF_CLAIM_OP_COMMIT);
 }
 
-void
-hf_claims_dispatched (struct hf_state *state, const struct hf_call *call)
-{
-  struct hf_claim *claim = call->claim ? find_claim (state, call->claim) : NULL;
-  if (claim)
-    claim->dispatched = true;
-}
-
 void
 hf_claims_ended (struct hf_state *state, struct hf_call *call, enum hf_outcome outcome, unsigned status)
 {
@@ -314,7 +306,7 @@
 {
   if (timer->kind == HF_TIMER_CLAIM_WRITE)
     {
-      hf_shards_timer (state, (unsigned)timer->id);
+      hf_shards_timer (state, (unsigned) timer->id);
       return;
     }
   struct hf_claim *claim = find_claim (state, timer->id);
@@ -341,7 +333,7 @@
   GHashTableIter iter;
   struct hf_claim *claim;
   g_hash_table_iter_init (&iter, state->claims);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&claim))
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &claim))
     {
       if (claim->call || claim->timer || state->now - claim->changed_at < HF_CLAIM_MEMORY_SEC * HF_SEC)
         continue;
--- a/src/hf-claims.h
+++ b/src/hf-claims.h
@@ -17,7 +17,6 @@
 void hf_claims_begin (struct hf_state *state,
                       struct hf_call *call,
                       struct hf_str key); /* hf_calls_claimed or _claim_failed follows */
-void hf_claims_dispatched (struct hf_state *state, const struct hf_call *call); /* from now on it may run */
 void hf_claims_ended (struct hf_state *state,
                       struct hf_call *call,
                       enum hf_outcome outcome,
--- a/src/hf-client.c
+++ b/src/hf-client.c
@@ -66,7 +66,7 @@
 next_generation (uint64_t stored)
 {
   /* Above every generation accepted before, also those that a failover lost. */
-  uint64_t now = (uint64_t)(g_get_real_time () / 1000);
+  uint64_t now = (uint64_t) (g_get_real_time () / 1000);
   return MAX (stored + 1, now);
 }
 
--- a/src/hf-console.c
+++ b/src/hf-console.c
@@ -193,8 +193,8 @@
     g_string_append (page, "too many lines differ to show them\n");
   else
     {
-      guint16 *length = g_new0 (guint16, (gsize)(rows + 1) * (columns + 1));
-#define LENGTH(i, j) length[(gsize)(i) * (columns + 1) + (j)]
+      guint16 *length = g_new0 (guint16, (gsize) (rows + 1) * (columns + 1));
+#define LENGTH(i, j) length[(gsize) (i) * (columns + 1) + (j)]
       for (guint i = rows; i-- > 0;)
         for (guint j = columns; j-- > 0;)
           LENGTH (i, j) = strcmp (a[head + i], b[head + j]) == 0 ? LENGTH (i + 1, j + 1) + 1
@@ -304,7 +304,7 @@
   g_string_append_printf (page,
                           "<p><button>check</button></p></form><h2>Difference "
                           "from generation %" G_GUINT64_FORMAT "</h2><pre>",
-                          (guint64)console->stored.generation);
+                          (guint64) console->stored.generation);
   add_difference (page, in_force, draft);
   g_string_append (page, "</pre>");
   begin_form (console, page, "/apply");
@@ -383,8 +383,8 @@
   const char *bracket = strrchr (item, '[');
   if (!bracket)
     return;
-  char *list = g_strndup (item, (gsize)(bracket - item));
-  hf_form_remove (&console->form, list, (guint)g_ascii_strtoull (bracket + 1, NULL, 10));
+  char *list = g_strndup (item, (gsize) (bracket - item));
+  hf_form_remove (&console->form, list, (guint) g_ascii_strtoull (bracket + 1, NULL, 10));
   g_free (list);
 }
 
@@ -396,7 +396,7 @@
   const char *path;
   const char *value;
   g_hash_table_iter_init (&iter, values);
-  while (g_hash_table_iter_next (&iter, (gpointer *)&path, (gpointer *)&value))
+  while (g_hash_table_iter_next (&iter, (gpointer *) &path, (gpointer *) &value))
     if (g_hash_table_contains (console->form.values, path))
       hf_form_set (&console->form, path, value);
   const char *add = g_hash_table_lookup (values, "add");
@@ -420,7 +420,7 @@
     take_message (console, g_strdup_printf ("nothing was applied: %s", error.message));
   else
     {
-      take_message (console, g_strdup_printf ("accepted as generation %" G_GUINT64_FORMAT, (guint64)generation));
+      take_message (console, g_strdup_printf ("accepted as generation %" G_GUINT64_FORMAT, (guint64) generation));
       load_in_force (console, &error);
     }
   g_free (text);
@@ -496,7 +496,7 @@
   struct console *console = data;
   const char *method = soup_server_message_get_method (message);
   const char *i = query ? g_hash_table_lookup (query, "i") : NULL;
-  (void)server;
+  (void) server;
   if (!is_own_host (console, message))
     answer (message, 403, "text/plain", g_strdup ("not the address of this console\n"));
   else if (strcmp (method, "POST") == 0 && !handle_post (console, message, path))
@@ -507,7 +507,7 @@
                                   : hf_form_write (&console->form));
   else if (strcmp (path, "/service") == 0 && i
            && g_ascii_strtoull (i, NULL, 10) < hf_form_count (&console->form, "services"))
-    answer (message, 200, "text/html; charset=utf-8", service_page (console, (guint)g_ascii_strtoull (i, NULL, 10)));
+    answer (message, 200, "text/html; charset=utf-8", service_page (console, (guint) g_ascii_strtoull (i, NULL, 10)));
   else if (strcmp (path, "/") == 0 || strcmp (path, "/apply") == 0 || strcmp (path, "/reload") == 0
            || strcmp (path, "/service") == 0)
     answer (message, 200, "text/html; charset=utf-8", overview_page (console));
--- a/src/hf-document.c
+++ b/src/hf-document.c
@@ -230,14 +230,14 @@
   bool ok = true;
   GHashTable *names = g_hash_table_new (g_str_hash, g_str_equal);
   for (size_t i = 0; ok && i < service->servers.n; i++)
-    if (!g_hash_table_add (names, (char *)hf_service_server (service, i)->name.data))
+    if (!g_hash_table_add (names, (char *) hf_service_server (service, i)->name.data))
       ok = fail_at (error, "expected a name that no other backend server of the service has",
                     "services[%zu].servers[%zu].name", s, i);
   g_hash_table_remove_all (names);
   for (size_t i = 0; ok && i < service->classes.n; i++)
     {
       const struct hf_class *class = hf_service_class (service, i);
-      if (!g_hash_table_add (names, (char *)class->name.data))
+      if (!g_hash_table_add (names, (char *) class->name.data))
         ok = fail_at (error, "expected a name that no other class of the service has",
                       "services[%zu].classes[%zu].name", s, i);
       else if (class->hedge && !class->repeatable)
@@ -257,7 +257,7 @@
   for (size_t i = 0; ok && i < document->services.n; i++)
     {
       const struct hf_service *service = hf_document_service (document, i);
-      if (!g_hash_table_add (names, (char *)service->name.data))
+      if (!g_hash_table_add (names, (char *) service->name.data))
         ok = fail_at (error, "expected a name that no other service has", "services[%zu].name", i);
       else if (service->path_prefix.data[0] != '/')
         ok = fail_at (error, "expected a path that starts with /", "services[%zu].path_prefix", i);
@@ -310,19 +310,19 @@
 struct hf_service *
 hf_document_service (const struct hf_document *document, size_t i)
 {
-  return (struct hf_service *)document->services.items + i;
+  return (struct hf_service *) document->services.items + i;
 }
 
 struct hf_server *
 hf_service_server (const struct hf_service *service, size_t i)
 {
-  return (struct hf_server *)service->servers.items + i;
+  return (struct hf_server *) service->servers.items + i;
 }
 
 struct hf_class *
 hf_service_class (const struct hf_service *service, size_t i)
 {
-  return (struct hf_class *)service->classes.items + i;
+  return (struct hf_class *) service->classes.items + i;
 }
 
 uint64_t
--- a/src/hf-dump.c
+++ b/src/hf-dump.c
@@ -43,8 +43,8 @@
 static int
 compare_service (gconstpointer a, gconstpointer b)
 {
-  const struct hf_service_state *left = *(struct hf_service_state *const *)a;
-  const struct hf_service_state *right = *(struct hf_service_state *const *)b;
+  const struct hf_service_state *left = *(struct hf_service_state *const *) a;
+  const struct hf_service_state *right = *(struct hf_service_state *const *) b;
   return g_strcmp0 (left->name.data, right->name.data);
 }
 
@@ -92,7 +92,7 @@
       const struct hf_member *member = g_ptr_array_index (state->members, i);
       g_string_append_printf (text, "  %s %s %s%s generation %" G_GUINT64_FORMAT " heard %" G_GINT64_FORMAT " ms ago\n",
                               member->name.data, member->address.data, member->alive ? "alive" : "silent",
-                              member->leaving ? " leaving" : "", (guint64)member->generation,
+                              member->leaving ? " leaving" : "", (guint64) member->generation,
                               member->boot ? (now - member->heard_at) / 1000 : -1);
     }
 }
@@ -153,7 +153,7 @@
       json_str (builder, "name", member->name.data);
       json_str (builder, "address", member->address.data);
       json_str (builder, "state", !member->alive ? "silent" : member->leaving ? "leaving" : "alive");
-      json_int (builder, "generation", (gint64)member->generation);
+      json_int (builder, "generation", (gint64) member->generation);
       json_int (builder, "heard_ms_ago", member->boot ? (now - member->heard_at) / 1000 : -1);
       json_builder_end_object (builder);
     }
@@ -193,10 +193,10 @@
   json_builder_set_member_name (builder, "granter_silent");
   json_builder_add_boolean_value (builder, service->suspect_until > now);
   json_int (builder, "waiting", hf_pool_waiting (pool));
-  json_int (builder, "refused_queue_full", (gint64)pool->refused[HF_REFUSAL_QUEUE_FULL]);
-  json_int (builder, "refused_deadline", (gint64)pool->refused[HF_REFUSAL_DEADLINE]);
-  json_int (builder, "refused_no_server", (gint64)pool->refused[HF_REFUSAL_NO_SERVER]);
-  json_int (builder, "refused_retry_budget", (gint64)pool->refused[HF_REFUSAL_BUDGET]);
+  json_int (builder, "refused_queue_full", (gint64) pool->refused[HF_REFUSAL_QUEUE_FULL]);
+  json_int (builder, "refused_deadline", (gint64) pool->refused[HF_REFUSAL_DEADLINE]);
+  json_int (builder, "refused_no_server", (gint64) pool->refused[HF_REFUSAL_NO_SERVER]);
+  json_int (builder, "refused_retry_budget", (gint64) pool->refused[HF_REFUSAL_BUDGET]);
   json_double (builder, "retry_tokens", pool->budget.tokens);
   json_int (builder, "probe_tokens", service->probe_tokens);
   json_servers (builder, service, now);
@@ -211,10 +211,10 @@
   GString *text = g_string_new (NULL);
   GPtrArray *services = sorted_services (state);
   g_string_append_printf (text, "entry %s in %s: boot %016" G_GINT64_MODIFIER "x%s\n", state->name.data,
-                          state->failure_domain.data, (guint64)state->boot, state->leaving ? ", leaving" : "");
+                          state->failure_domain.data, (guint64) state->boot, state->leaving ? ", leaving" : "");
   g_string_append_printf (text,
                           "configuration: generation %" G_GUINT64_FORMAT ", in the platform %" G_GUINT64_FORMAT "\n",
-                          generation_of (state), (guint64)state->config_stored);
+                          generation_of (state), (guint64) state->config_stored);
   g_string_append_printf (
       text, "platform: %s, config heard %" G_GINT64_FORMAT " ms ago, VM list heard %" G_GINT64_FORMAT " ms ago\n",
       state->platform_reachable ? "reachable" : "not reachable",
@@ -227,7 +227,7 @@
   for (guint i = 0; i < services->len; i++)
     text_service (text, state, g_ptr_array_index (services, i), now);
   for (int i = 0; i < HF_COUNTERS; i++)
-    g_string_append_printf (text, "%s %" G_GUINT64_FORMAT "\n", hf_counter_names[i], (guint64)state->counters[i]);
+    g_string_append_printf (text, "%s %" G_GUINT64_FORMAT "\n", hf_counter_names[i], (guint64) state->counters[i]);
   g_ptr_array_unref (services);
   return g_string_free (text, FALSE);
 }
@@ -241,8 +241,8 @@
   json_str (builder, "name", state->name.data);
   json_str (builder, "failure_domain", state->failure_domain.data);
   json_str (builder, "state", state->leaving ? "leaving" : "alive");
-  json_int (builder, "generation", (gint64)generation_of (state));
-  json_int (builder, "generation_in_platform", (gint64)state->config_stored);
+  json_int (builder, "generation", (gint64) generation_of (state));
+  json_int (builder, "generation_in_platform", (gint64) state->config_stored);
   json_builder_set_member_name (builder, "platform_reachable");
   json_builder_add_boolean_value (builder, state->platform_reachable);
   json_int (builder, "config_heard_ms_ago", (now - state->watches[HF_PURPOSE_CONFIG].heard_at) / 1000);
@@ -269,7 +269,7 @@
   GString *text = g_string_new (NULL);
   for (int i = 0; i < HF_COUNTERS; i++)
     g_string_append_printf (text, "# TYPE hickoryfield_%s counter\nhickoryfield_%s %" G_GUINT64_FORMAT "\n",
-                            hf_counter_names[i], hf_counter_names[i], (guint64)state->counters[i]);
+                            hf_counter_names[i], hf_counter_names[i], (guint64) state->counters[i]);
   g_string_append_printf (text,
                           "# TYPE hickoryfield_generation "
                           "gauge\nhickoryfield_generation %" G_GUINT64_FORMAT "\n",
--- a/src/hf-event.c
+++ b/src/hf-event.c
@@ -29,7 +29,7 @@
 hf_effects_keep (struct hf_effects *effects, struct hf_str text)
 {
   return (struct hf_str){ .data
-                          = g_string_chunk_insert_len (effects->strings, text.data ? text.data : "", (gssize)text.len),
+                          = g_string_chunk_insert_len (effects->strings, text.data ? text.data : "", (gssize) text.len),
                           .len = text.len };
 }
 
--- a/src/hf-exchange.c
+++ b/src/hf-exchange.c
@@ -40,8 +40,8 @@
 static void
 starting (SoupMessage *message, gpointer data)
 {
-  (void)message;
-  ((struct hf_exchange *)data)->handed = true;
+  (void) message;
+  ((struct hf_exchange *) data)->handed = true;
 }
 
 static bool
@@ -118,7 +118,7 @@
     free_exchange (exchange);
   else
     {
-      g_byte_array_set_size (exchange->answer, exchange->filled + (guint)MAX (size, 0));
+      g_byte_array_set_size (exchange->answer, exchange->filled + (guint) MAX (size, 0));
       take_answer (exchange, size, problem);
     }
   g_clear_error (&problem);
@@ -143,7 +143,7 @@
                                  exchange->cancellable, answer_read, exchange);
       return;
     }
-  g_byte_array_set_size (exchange->answer, exchange->filled + (guint)MAX (size, 0));
+  g_byte_array_set_size (exchange->answer, exchange->filled + (guint) MAX (size, 0));
   take_answer (exchange, size, problem);
   g_clear_error (&problem);
 }
--- a/src/hf-form.c
+++ b/src/hf-form.c
@@ -47,13 +47,13 @@
     {
     case HF_FIELD_STR:
     case HF_FIELD_ADDRESS:
-      return g_strdup (((const struct hf_str *)place)->data);
+      return g_strdup (((const struct hf_str *) place)->data);
     case HF_FIELD_INT:
-      return g_strdup_printf ("%" G_GINT64_FORMAT, *(const int64_t *)place);
+      return g_strdup_printf ("%" G_GINT64_FORMAT, *(const int64_t *) place);
     case HF_FIELD_BOOL:
-      return g_strdup (*(const bool *)place ? "true" : "false");
+      return g_strdup (*(const bool *) place ? "true" : "false");
     case HF_FIELD_CHOICE:
-      return g_strdup (field->choices[*(const int64_t *)place]);
+      return g_strdup (field->choices[*(const int64_t *) place]);
     case HF_FIELD_STR_LIST:
       return join_list (place);
     case HF_FIELD_MAP:
@@ -68,7 +68,7 @@
 {
   for (const struct hf_field *field = fields; field->name; field++)
     {
-      const void *place = (const char *)data + field->offset;
+      const void *place = (const char *) data + field->offset;
       char *path = join (prefix, field->name);
       const struct hf_list *list = place;
       if (field->type != HF_FIELD_LIST)
@@ -80,11 +80,11 @@
       for (size_t i = 0; field->type == HF_FIELD_LIST && i < list->n; i++)
         {
           char *item = g_strdup_printf ("%s[%zu]", path, i);
-          take_struct (form, field->fields, item, (const char *)list->items + i * field->size);
+          take_struct (form, field->fields, item, (const char *) list->items + i * field->size);
           g_free (item);
         }
       if (field->type == HF_FIELD_LIST)
-        g_hash_table_insert (form->counts, g_strdup (path), GUINT_TO_POINTER ((guint)list->n));
+        g_hash_table_insert (form->counts, g_strdup (path), GUINT_TO_POINTER ((guint) list->n));
       g_free (path);
     }
 }
@@ -96,7 +96,7 @@
 {
   yaml_event_t event;
   yaml_scalar_style_t style = quoted ? YAML_DOUBLE_QUOTED_SCALAR_STYLE : YAML_PLAIN_SCALAR_STYLE;
-  yaml_scalar_event_initialize (&event, NULL, NULL, (const yaml_char_t *)text, (int)strlen (text), 1, 1, style);
+  yaml_scalar_event_initialize (&event, NULL, NULL, (const yaml_char_t *) text, (int) strlen (text), 1, 1, style);
   yaml_emitter_emit (emitter, &event);
 }
 
@@ -170,7 +170,7 @@
 static int
 append_bytes (void *data, unsigned char *bytes, size_t size)
 {
-  g_string_append_len (data, (const char *)bytes, (gssize)size);
+  g_string_append_len (data, (const char *) bytes, (gssize) size);
   return 1;
 }
 
@@ -187,7 +187,7 @@
   gpointer value;
   GPtrArray *moved = g_ptr_array_new ();
   g_hash_table_iter_init (&iter, table);
-  while (g_hash_table_iter_next (&iter, (gpointer *)&path, &value))
+  while (g_hash_table_iter_next (&iter, (gpointer *) &path, &value))
     {
       if (!g_str_has_prefix (path, prefix))
         continue;
@@ -311,8 +311,8 @@
   move_element (form->counts, list, i, -1);
   for (guint next = i + 1; next < n; next++)
     {
-      move_element (form->values, list, next, (int)next - 1);
-      move_element (form->counts, list, next, (int)next - 1);
+      move_element (form->values, list, next, (int) next - 1);
+      move_element (form->counts, list, next, (int) next - 1);
     }
   g_hash_table_insert (form->counts, g_strdup (list), GUINT_TO_POINTER (n - 1));
 }
--- a/src/hf-health.c
+++ b/src/hf-health.c
@@ -23,8 +23,8 @@
 static int
 compare_double (gconstpointer a, gconstpointer b)
 {
-  double left = *(const double *)a;
-  double right = *(const double *)b;
+  double left = *(const double *) a;
+  double right = *(const double *) b;
   return left < right ? -1 : left > right;
 }
 
@@ -77,7 +77,7 @@
 learn_latency (GArray *servers, struct hf_pool_server *server, int64_t now, int64_t latency_us)
 {
   double weight = server->samples == 0 ? 1.0 : MAX (HF_EWMA_WEIGHT, 1.0 / (server->samples + 1));
-  server->latency_us += weight * ((double)latency_us - server->latency_us);
+  server->latency_us += weight * ((double) latency_us - server->latency_us);
   server->samples++;
   if (server->samples < HF_STRAGGLER_SAMPLES || server->samples % HF_STRAGGLER_SAMPLES != 0)
     return;
@@ -131,7 +131,7 @@
       learn_failure (servers, server, now);
       break;
     case HF_POOL_LATE:
-      if ((double)latency_us > server->latency_us)
+      if ((double) latency_us > server->latency_us)
         learn_latency (servers, server, now, latency_us);
       break;
     case HF_POOL_REFUSED:
--- a/src/hf-http.c
+++ b/src/hf-http.c
@@ -35,8 +35,8 @@
 SoupSession *
 hf_http_session (unsigned connections, unsigned timeout_sec)
 {
-  SoupSession *session = soup_session_new_with_options ("max-conns", (int)MAX (connections, 1), "max-conns-per-host",
-                                                        (int)MAX (connections, 1), "timeout", timeout_sec,
+  SoupSession *session = soup_session_new_with_options ("max-conns", (int) MAX (connections, 1), "max-conns-per-host",
+                                                        (int) MAX (connections, 1), "timeout", timeout_sec,
                                                         "idle-timeout", IDLE_TIMEOUT_SEC, "proxy-resolver", NULL, NULL);
   soup_session_remove_feature_by_type (session, SOUP_TYPE_CONTENT_DECODER);
   soup_session_remove_feature_by_type (session, SOUP_TYPE_AUTH_MANAGER);
@@ -50,7 +50,7 @@
   char *text = g_strndup (address.data, address.len);
   char *colon = strrchr (text, ':');
   *colon = 0;
-  GSocketAddress *where = g_inet_socket_address_new_from_string (text, (guint)g_ascii_strtoull (colon + 1, NULL, 10));
+  GSocketAddress *where = g_inet_socket_address_new_from_string (text, (guint) g_ascii_strtoull (colon + 1, NULL, 10));
   g_free (text);
   if (!where || !soup_server_listen (server, where, 0, &problem))
     {
@@ -93,7 +93,7 @@
   const char *retry = soup_message_headers_get_one (headers, "Retry-After");
   gint64 number;
   if (load && g_ascii_string_to_signed (load, 10, 0, G_MAXINT32, &number, NULL))
-    hints.load = (int)number;
+    hints.load = (int) number;
   if (retry && g_ascii_string_to_signed (retry, 10, 0, 3600, &number, NULL))
     hints.retry_after_ms = number * 1000;
   hints.leaving = state && strcmp (state, "draining") == 0;
@@ -112,7 +112,7 @@
       return NULL;
     }
   *colon = 0;
-  GUri *uri = g_uri_build (SOUP_HTTP_URI_FLAGS, "http", NULL, text, (int)g_ascii_strtoull (colon + 1, NULL, 10), path,
+  GUri *uri = g_uri_build (SOUP_HTTP_URI_FLAGS, "http", NULL, text, (int) g_ascii_strtoull (colon + 1, NULL, 10), path,
                            query, NULL);
   SoupMessage *message = soup_message_new_from_uri (method, uri);
   soup_message_add_flags (message, SOUP_MESSAGE_NO_REDIRECT);
--- a/src/hf-log.c
+++ b/src/hf-log.c
@@ -51,7 +51,7 @@
 hf_log_find (int number)
 {
   for (const struct hf_log_entry *entry = hf_log_entries; entry->number; entry++)
-    if ((int)entry->number == number)
+    if ((int) entry->number == number)
       return entry;
   return NULL;
 }
@@ -76,7 +76,7 @@
   va_end (args);
   GDateTime *now = g_date_time_new_now_local ();
   char *stamp = g_date_time_format (now, "%b %e %T");
-  fprintf (stderr, "<%d>%s %s[%d]: HF%d %s: %s\n", syslog_levels[entry->level], stamp, program_name, (int)getpid (),
+  fprintf (stderr, "<%d>%s %s[%d]: HF%d %s: %s\n", syslog_levels[entry->level], stamp, program_name, (int) getpid (),
            number, entry->name, text);
   g_free (stamp);
   g_date_time_unref (now);
--- a/src/hf-loop.c
+++ b/src/hf-loop.c
@@ -63,7 +63,7 @@
 static uint64_t
 make_boot (void)
 {
-  uint64_t boot = ((uint64_t)g_random_int () << 32) | g_random_int ();
+  uint64_t boot = ((uint64_t) g_random_int () << 32) | g_random_int ();
   return boot ? boot : 1;
 }
 
--- a/src/hf-members.c
+++ b/src/hf-members.c
@@ -48,7 +48,7 @@
   GHashTableIter iter;
   struct hf_service_state *service;
   g_hash_table_iter_init (&iter, state->services);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&service))
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &service))
     hf_pool_forget (&service->pool, boot);
 }
 
@@ -70,7 +70,7 @@
   GHashTableIter iter;
   struct hf_service_state *service;
   g_hash_table_iter_init (&iter, state->services);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&service))
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &service))
     for (size_t i = 0; i < service->pool.servers->len; i++)
       {
         struct hf_pool_server *server = &g_array_index (service->pool.servers, struct hf_pool_server, i);
@@ -129,15 +129,6 @@
   return hf_hash_pair (subject, boot);
 }
 
-static bool
-count_running (const struct hf_call *call, uint64_t server)
-{
-  for (unsigned i = 0; i < call->n_attempts; i++)
-    if (call->attempts[i].phase == HF_PHASE_RUNNING && call->attempts[i].server == server)
-      return true;
-  return false;
-}
-
 /* Lists this entry's requests in each backend server. */
 static unsigned
 list_loads (struct hf_state *state, struct hf_rpc_load *loads)
@@ -147,11 +138,11 @@
   struct hf_call *call;
   unsigned n = 0;
   g_hash_table_iter_init (&iter, state->calls);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&call))
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &call))
     for (unsigned i = 0; i < call->n_attempts; i++)
       {
         const struct hf_attempt *attempt = &call->attempts[i];
-        if (attempt->phase != HF_PHASE_RUNNING || !count_running (call, attempt->server))
+        if (attempt->phase != HF_PHASE_RUNNING)
           continue;
         struct hf_rpc_load *load = g_hash_table_lookup (counts, &attempt->server);
         if (!load && n < HF_RPC_LOADS_MAX)
@@ -174,15 +165,16 @@
   struct hf_call *call;
   unsigned n = 0;
   g_hash_table_iter_init (&iter, state->calls);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&call))
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &call))
     for (unsigned i = 0; i < call->n_attempts && n < HF_RPC_IDS_MAX; i++)
       if (call->attempts[i].phase == HF_PHASE_RUNNING && call->attempts[i].granter == granter)
         tickets[n++] = hf_slots_ticket (call->id, i);
   return n;
 }
 
+/* Loads are the same for every member; they are listed once a beat. */
 static void
-beat_member (struct hf_state *state, const struct hf_member *member, bool sync)
+beat_member (struct hf_state *state, const struct hf_member *member, bool sync, struct hf_rpc_load *loads, unsigned n)
 {
   struct hf_rpc_message message = { .boot = state->boot, .body = { .kind = HF_RPC_HEARTBEAT } };
   struct hf_rpc_heartbeat *beat = &message.body.hf_rpc_body_u.heartbeat;
@@ -191,8 +183,8 @@
   beat->digest = state->document ? state->document->digest : 0;
   beat->leaving = state->leaving;
   beat->sync = sync;
-  beat->loads.loads_val = hf_effects_alloc (state->out, HF_RPC_LOADS_MAX * sizeof (struct hf_rpc_load));
-  beat->loads.loads_len = list_loads (state, beat->loads.loads_val);
+  beat->loads.loads_val = loads;
+  beat->loads.loads_len = n;
   beat->grants.grants_val = hf_effects_alloc (state->out, HF_RPC_IDS_MAX * sizeof (uint64_t));
   if (member->boot)
     beat->grants.grants_len = list_grants (state, member->boot, beat->grants.grants_val);
@@ -202,13 +194,20 @@
   hf_state_count (state, HF_COUNT_MESSAGES_SENT);
 }
 
+static void
+beat_one (struct hf_state *state, const struct hf_member *member)
+{
+  struct hf_rpc_load *loads = hf_effects_alloc (state->out, HF_RPC_LOADS_MAX * sizeof *loads);
+  beat_member (state, member, false, loads, list_loads (state, loads));
+}
+
 static void
 apply_loads (struct hf_state *state, const struct hf_member *member, const struct hf_rpc_heartbeat *beat)
 {
   GHashTableIter iter;
   struct hf_service_state *service;
   g_hash_table_iter_init (&iter, state->services);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&service))
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &service))
     {
       hf_pool_reconcile (&service->pool, state->now, member->boot, beat->grants.grants_val, beat->grants.grants_len);
       for (size_t i = 0; i < service->pool.servers->len; i++)
@@ -270,9 +269,11 @@
 void
 hf_members_beat (struct hf_state *state, bool sync)
 {
+  struct hf_rpc_load *loads = hf_effects_alloc (state->out, HF_RPC_LOADS_MAX * sizeof *loads);
+  unsigned n = list_loads (state, loads);
   state->seq++;
   for (size_t i = 0; i < state->members->len; i++)
-    beat_member (state, member_at (state, i), sync);
+    beat_member (state, member_at (state, i), sync, loads, n);
 }
 
 void
@@ -295,12 +296,12 @@
   member->digest = beat->digest;
   if (joined)
     hf_state_log (state, HF_LOG_MEMBER_JOINED, "entry " HF_STR_FMT " at generation %" G_GUINT64_FORMAT,
-                  HF_STR_ARG (member->name), (guint64)beat->generation);
+                  HF_STR_ARG (member->name), (guint64) beat->generation);
   if (left)
     hf_state_log (state, HF_LOG_MEMBER_LEAVING, "entry " HF_STR_FMT " is leaving", HF_STR_ARG (member->name));
   apply_loads (state, member, beat);
   if (beat->sync || joined)
-    beat_member (state, member, false);
+    beat_one (state, member);
   hf_sync_peer (state, member);
 }
 
@@ -342,7 +343,7 @@
         continue;
       lose_member (state, member);
       if (!member->listed)
-        g_ptr_array_remove_index (state->members, (guint)i);
+        g_ptr_array_remove_index (state->members, (guint) i);
     }
 }
 
--- a/src/hf-objects.c
+++ b/src/hf-objects.c
@@ -26,7 +26,7 @@
 {
   GError *problem = NULL;
   *object = (struct hf_object){ .parser = json_parser_new () };
-  if (!json_parser_load_from_data (object->parser, text.data, (gssize)text.len, &problem))
+  if (!json_parser_load_from_data (object->parser, text.data, (gssize) text.len, &problem))
     {
       hf_error_set (error, HF_ERROR_SYNTAX, "not JSON: %s", problem->message);
       g_clear_error (&problem);
@@ -107,7 +107,7 @@
 hf_object_uint (const struct hf_object *object, const char *member)
 {
   JsonNode *node = object->data ? json_object_get_member (object->data, member) : NULL;
-  return node && JSON_NODE_HOLDS_VALUE (node) ? (uint64_t)json_node_get_int (node) : 0;
+  return node && JSON_NODE_HOLDS_VALUE (node) ? (uint64_t) json_node_get_int (node) : 0;
 }
 
 char *
@@ -115,7 +115,7 @@
 {
   JsonBuilder *builder = json_builder_new ();
   char text[32];
-  g_snprintf (text, sizeof text, "%" G_GUINT64_FORMAT, (guint64)version);
+  g_snprintf (text, sizeof text, "%" G_GUINT64_FORMAT, (guint64) version);
   json_builder_begin_object (builder);
   json_builder_set_member_name (builder, "metadata");
   json_builder_begin_object (builder);
@@ -158,9 +158,9 @@
   JsonObject *data = json_object_new ();
   JsonNode *node = json_node_new (JSON_NODE_OBJECT);
   char digest[32];
-  g_snprintf (digest, sizeof digest, "%016" G_GINT64_MODIFIER "x", (guint64)manifest->digest);
+  g_snprintf (digest, sizeof digest, "%016" G_GINT64_MODIFIER "x", (guint64) manifest->digest);
   char *document = g_strndup (manifest->document.data, manifest->document.len);
-  json_object_set_int_member (data, "generation", (gint64)manifest->generation);
+  json_object_set_int_member (data, "generation", (gint64) manifest->generation);
   json_object_set_string_member (data, "digest", digest);
   json_object_set_string_member (data, "document", document);
   json_node_take_object (node, data);
--- a/src/hf-peers.c
+++ b/src/hf-peers.c
@@ -33,7 +33,7 @@
   if (colon)
     {
       *colon = 0;
-      parsed = g_inet_socket_address_new_from_string (text, (guint)g_ascii_strtoull (colon + 1, NULL, 10));
+      parsed = g_inet_socket_address_new_from_string (text, (guint) g_ascii_strtoull (colon + 1, NULL, 10));
     }
   g_free (text);
   return parsed;
@@ -75,7 +75,7 @@
 {
   struct hf_peers *peers = data;
   char buffer[HF_WIRE_BYTES_MAX];
-  (void)condition;
+  (void) condition;
   for (int i = 0; i < BATCH_MAX; i++)
     {
       GSocketAddress *from = NULL;
@@ -86,7 +86,7 @@
           break;
         }
       if (from)
-        take_datagram (peers, (struct hf_str){ .data = buffer, .len = (size_t)got }, from);
+        take_datagram (peers, (struct hf_str){ .data = buffer, .len = (size_t) got }, from);
       g_clear_object (&from);
     }
   return G_SOURCE_CONTINUE;
@@ -157,5 +157,5 @@
   /* A full socket buffer loses the datagram, as the network may. */
   gssize sent = g_socket_send_to (peers->socket, to, buffer, size, NULL, NULL);
   if (sent > 0)
-    hf_state_counters (peers->loop->state)[HF_COUNT_BYTES_SENT] += (uint64_t)sent;
+    hf_state_counters (peers->loop->state)[HF_COUNT_BYTES_SENT] += (uint64_t) sent;
 }
--- a/src/hf-policy.c
+++ b/src/hf-policy.c
@@ -9,8 +9,8 @@
 choose_round_robin (void *context, const struct hf_candidate *candidates, size_t n, uint64_t random)
 {
   const struct hf_choice_context *choice = context;
-  (void)candidates;
-  (void)random;
+  (void) candidates;
+  (void) random;
   return choice->turn % n;
 }
 
@@ -19,7 +19,7 @@
 {
   size_t a = random % n;
   size_t b = (random >> 32) % n;
-  (void)context;
+  (void) context;
   if (a == b)
     b = (a + 1) % n;
   /* Cross-multiplied load per slot: no division by a small slot count. */
@@ -36,7 +36,7 @@
 choose_fastest_free (void *context, const struct hf_candidate *candidates, size_t n, uint64_t random)
 {
   size_t best = random % n;
-  (void)context;
+  (void) context;
   for (size_t i = 0; i < n; i++)
     if (cost_of (&candidates[i]) < cost_of (&candidates[best]))
       best = i;
--- a/src/hf-probes.c
+++ b/src/hf-probes.c
@@ -24,7 +24,7 @@
 static void
 object_name (uint64_t service, char *name, size_t size)
 {
-  g_snprintf (name, size, "probes-%016" G_GINT64_MODIFIER "x", (guint64)service);
+  g_snprintf (name, size, "probes-%016" G_GINT64_MODIFIER "x", (guint64) service);
 }
 
 static void
@@ -44,7 +44,7 @@
   JsonObject *data = json_object_new ();
   JsonNode *node = json_node_new (JSON_NODE_OBJECT);
   object_name (service->id, name, sizeof name);
-  g_snprintf (boot, sizeof boot, "%016" G_GINT64_MODIFIER "x", (guint64)state->boot);
+  g_snprintf (boot, sizeof boot, "%016" G_GINT64_MODIFIER "x", (guint64) state->boot);
   json_object_set_int_member (data, "epoch", current_epoch (state));
   json_object_set_string_member (data, "boot", boot);
   json_node_take_object (node, data);
@@ -59,7 +59,7 @@
 {
   const struct hf_service *spec = find_spec (state, service->id);
   service->probe_epoch = current_epoch (state);
-  service->probe_tokens = spec ? (unsigned)spec->probe_budget : 0;
+  service->probe_tokens = spec ? (unsigned) spec->probe_budget : 0;
 }
 
 static bool
@@ -122,7 +122,7 @@
   GHashTableIter iter;
   struct hf_service_state *service;
   g_hash_table_iter_init (&iter, state->services);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&service))
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &service))
     tick_service (state, service);
 }
 
@@ -138,7 +138,7 @@
                && hf_object_load (event->platform.data, &object, NULL);
   if (!known && event->platform.status != 404)
     return; /* read again at the next tick: nothing is assumed */
-  int64_t epoch = known ? (int64_t)hf_object_uint (&object, "epoch") : -1;
+  int64_t epoch = known ? (int64_t) hf_object_uint (&object, "epoch") : -1;
   bool own = known && hf_object_hex (&object, "boot") == state->boot;
   if (epoch == current_epoch (state) && own && service->probe_epoch != epoch)
     take_tokens (state, service);
@@ -159,7 +159,7 @@
   GHashTableIter iter;
   struct hf_service_state *service;
   g_hash_table_iter_init (&iter, state->services);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&service))
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &service))
     {
       struct hf_pool_server *server = hf_pool_server (&service->pool, event->server);
       if (!server || event->hints.status == 0)
--- a/src/hf-proxy.c
+++ b/src/hf-proxy.c
@@ -90,7 +90,7 @@
 {
   struct caller *caller = data;
   struct hf_proxy *proxy = caller->proxy;
-  (void)message;
+  (void) message;
   if (caller->raised)
     raise_gone (caller);
   g_hash_table_remove (proxy->callers, &caller->id);
@@ -102,7 +102,7 @@
 {
   struct caller *caller = data;
   struct hf_exchange *exchange = caller->relayed;
-  (void)message;
+  (void) message;
   caller->active_at = hf_loop_now ();
   if (exchange)
     hf_exchange_read (exchange);
@@ -283,7 +283,7 @@
     {
       gsize size;
       const guint8 *bytes = g_bytes_get_data (chunk, &size);
-      g_byte_array_append (caller->body, bytes, (guint)size);
+      g_byte_array_append (caller->body, bytes, (guint) size);
       if (caller->body->len > HF_BODY_BUFFER_BYTES)
         start_streaming (caller);
     }
@@ -367,9 +367,9 @@
 {
   struct hf_proxy *proxy = data;
   struct caller *caller = g_new0 (struct caller, 1);
-  (void)server;
-  (void)path;
-  (void)query;
+  (void) server;
+  (void) path;
+  (void) query;
   caller->proxy = proxy;
   caller->id = ++proxy->next_id;
   caller->active_at = hf_loop_now ();
@@ -390,10 +390,10 @@
 handle (SoupServer *server, SoupServerMessage *message, const char *path, GHashTable *query, gpointer data)
 {
   struct caller *caller = g_object_get_data (G_OBJECT (message), "caller");
-  (void)server;
-  (void)path;
-  (void)query;
-  (void)data;
+  (void) server;
+  (void) path;
+  (void) query;
+  (void) data;
   if (!caller)
     return;
   take_body (caller);
@@ -434,7 +434,7 @@
   GPtrArray *gone = g_ptr_array_new ();
   GPtrArray *silent = g_ptr_array_new ();
   g_hash_table_iter_init (&iter, proxy->callers);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&caller))
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &caller))
     if (is_silent (caller))
       g_ptr_array_add (silent, caller);
     else if (caller->raised && caller->received && !caller->answered && has_left (caller))
--- a/src/hf-quarantine.c
+++ b/src/hf-quarantine.c
@@ -75,8 +75,8 @@
     return;
   suspect->until = state->now + HF_QUARANTINE_SEC * HF_SEC;
   hf_state_log (state, HF_LOG_QUARANTINED,
-                "request %016" G_GINT64_MODIFIER "x broke %d backend servers; held back for %d s", (guint64)fingerprint,
-                HF_STRIKES_MAX, HF_QUARANTINE_SEC);
+                "request %016" G_GINT64_MODIFIER "x broke %d backend servers; held back for %d s",
+                (guint64) fingerprint, HF_STRIKES_MAX, HF_QUARANTINE_SEC);
 }
 
 void
@@ -93,7 +93,7 @@
   GHashTableIter iter;
   struct hf_suspect *suspect;
   g_hash_table_iter_init (&iter, state->suspects);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&suspect))
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &suspect))
     if (suspect->until <= state->now && state->now - suspect->first_at > HF_STRIKE_WINDOW_SEC * HF_SEC)
       g_hash_table_iter_remove (&iter);
 }
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -50,7 +50,7 @@
   if (state->now - state->heartbeat_due > HF_PAUSE_MS * HF_MS)
     {
       hf_state_log (state, HF_LOG_PAUSED, "paused for %d ms; what was known of others is stale",
-                    (int)((state->now - state->heartbeat_due) / HF_MS));
+                    (int) ((state->now - state->heartbeat_due) / HF_MS));
       hf_members_resume (state);
     }
   else
@@ -77,7 +77,7 @@
 static void
 timer_due (struct hf_state *state, const struct hf_timer *timer)
 {
-  switch ((enum hf_timer_kind)timer->kind)
+  switch ((enum hf_timer_kind) timer->kind)
     {
     case HF_TIMER_HEARTBEAT:
       heartbeat_due (state);
@@ -97,7 +97,7 @@
       hf_claims_timer (state, timer);
       break;
     case HF_TIMER_WATCH:
-      hf_sync_watch_timer (state, (enum hf_purpose)timer->id);
+      hf_sync_watch_timer (state, (enum hf_purpose) timer->id);
       break;
     case HF_TIMER_PULL:
       hf_sync_pull_timer (state);
@@ -170,7 +170,7 @@
   if (state->leaving)
     return;
   state->leaving = true;
-  hf_state_log (state, HF_LOG_SHUTDOWN, "health check fails now; serving on for %d ms", (int)state->drain_wait_ms);
+  hf_state_log (state, HF_LOG_SHUTDOWN, "health check fails now; serving on for %d ms", (int) state->drain_wait_ms);
   hf_members_beat (state, false);
   hf_state_timer (state, state->drain_wait_ms * HF_MS, HF_TIMER_DRAINED, 0, 0);
 }
--- a/src/hf-retry.c
+++ b/src/hf-retry.c
@@ -38,7 +38,7 @@
   int64_t ceiling = HF_BACKOFF_BASE_MS * HF_MS << (retry < 10 ? retry : 10);
   if (ceiling > HF_BACKOFF_CAP_MS * HF_MS)
     ceiling = HF_BACKOFF_CAP_MS * HF_MS;
-  int64_t delay = (int64_t)(random % (uint64_t)(ceiling + 1));
+  int64_t delay = (int64_t) (random % (uint64_t) (ceiling + 1));
   if (retry_after_ms > 0)
     delay += retry_after_ms * HF_MS;
   return delay;
--- a/src/hf-routing.c
+++ b/src/hf-routing.c
@@ -10,7 +10,7 @@
 {
   const char *colon = host.len ? memchr (host.data, ':', host.len) : NULL;
   if (colon && host.data[0] != '[')
-    host.len = (size_t)(colon - host.data);
+    host.len = (size_t) (colon - host.data);
   return host;
 }
 
@@ -46,7 +46,7 @@
   if (class->header.len == 0)
     return true;
   const char *colon = memchr (class->header.data, ':', class->header.len);
-  struct hf_str name = { .data = class->header.data, .len = (size_t)(colon - class->header.data) };
+  struct hf_str name = { .data = class->header.data, .len = (size_t) (colon - class->header.data) };
   struct hf_str value = trim ((struct hf_str){ .data = colon + 1, .len = class->header.len - name.len - 1 });
   for (size_t i = 0; i < head->n_headers; i++)
     if (hf_str_equal_nocase (head->headers[i].name, name) && hf_str_equal (head->headers[i].value, value))
--- a/src/hf-shards.c
+++ b/src/hf-shards.c
@@ -8,7 +8,7 @@
 static guint
 key_hash (gconstpointer data)
 {
-  return (guint)((const struct hf_claim_key *)data)->low;
+  return (guint) ((const struct hf_claim_key *) data)->low;
 }
 
 static gboolean
@@ -47,7 +47,7 @@
   GHashTableIter iter;
   struct hf_shard_key *key;
   g_hash_table_iter_init (&iter, keys);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&key))
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &key))
     if (key->since >= oldest)
       add_key (copy, *key);
   return copy;
@@ -70,12 +70,12 @@
   GHashTableIter iter;
   const struct hf_shard_key *key;
   g_hash_table_iter_init (&iter, keys);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&key))
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &key))
     g_string_append_printf (text,
                             "%" G_GINT64_MODIFIER "x %" G_GINT64_MODIFIER "x %" G_GINT64_MODIFIER
                             "x %" G_GINT64_MODIFIER "x %" G_GINT64_MODIFIER "x\n",
-                            (guint64)key->key.high, (guint64)key->key.low, (guint64)key->holder.boot,
-                            (guint64)key->holder.seq, (guint64)key->since);
+                            (guint64) key->key.high, (guint64) key->key.low, (guint64) key->holder.boot,
+                            (guint64) key->holder.seq, (guint64) key->since);
   JsonObject *data = json_object_new ();
   JsonNode *node = json_node_new (JSON_NODE_OBJECT);
   json_object_set_string_member (data, "keys", text->str);
@@ -93,14 +93,14 @@
   while (*at)
     {
       uint64_t fields[5];
-      char *end = (char *)at;
+      char *end = (char *) at;
       for (int i = 0; i < 5; i++)
         fields[i] = g_ascii_strtoull (end, &end, 16);
       if (*end != '\n')
         break;
       add_key (keys, (struct hf_shard_key){ .key = { fields[0], fields[1] },
                                             .holder = { fields[2], fields[3] },
-                                            .since = (int64_t)fields[4] });
+                                            .since = (int64_t) fields[4] });
       at = end + 1;
     }
   return keys;
@@ -312,7 +312,7 @@
 unsigned
 hf_shards_of (struct hf_claim_key key)
 {
-  return (unsigned)(key.high % HF_CLAIM_SHARDS);
+  return (unsigned) (key.high % HF_CLAIM_SHARDS);
 }
 
 uint64_t
@@ -346,7 +346,7 @@
 void
 hf_shards_platform (struct hf_state *state, const struct hf_event *event)
 {
-  unsigned i = (unsigned)event->platform.arg;
+  unsigned i = (unsigned) event->platform.arg;
   if (i >= HF_CLAIM_SHARDS)
     return;
   if (event->platform.op == HF_PLATFORM_PUT)
--- a/src/hf-slots.c
+++ b/src/hf-slots.c
@@ -30,7 +30,7 @@
 apply_decision (struct hf_state *state, const struct hf_decision *decision)
 {
   uint64_t call_id = decision->ticket / HF_ATTEMPTS_MAX;
-  unsigned attempt = (unsigned)(decision->ticket % HF_ATTEMPTS_MAX);
+  unsigned attempt = (unsigned) (decision->ticket % HF_ATTEMPTS_MAX);
   return hf_calls_decided (state, call_id, attempt, decision);
 }
 
@@ -69,7 +69,7 @@
   struct hf_pool_want want = {
     .entry = state->boot,
     .ticket = hf_slots_ticket (call->id, i),
-    .worth = (unsigned)call->class->worth,
+    .worth = (unsigned) call->class->worth,
     .deadline = call->deadline,
     .retry = attempt->retry,
     .exclude = attempt->exclude,
@@ -89,8 +89,8 @@
   message.body.hf_rpc_body_u.acquire = (struct hf_rpc_acquire){
     .service = call->service_id,
     .ticket = hf_slots_ticket (call->id, i),
-    .worth = (unsigned)call->class->worth,
-    .remaining_ms = (unsigned)MAX (remaining, 0),
+    .worth = (unsigned) call->class->worth,
+    .remaining_ms = (unsigned) MAX (remaining, 0),
     .retry = attempt->retry,
     .exclude = attempt->exclude,
   };
@@ -113,7 +113,7 @@
     .ticket = ticket,
     .server = server,
     .result = result,
-    .latency_us = (unsigned)CLAMP (latency_us, 0, G_MAXUINT32),
+    .latency_us = (unsigned) CLAMP (latency_us, 0, G_MAXUINT32),
   };
   hf_state_send (state, granter, message);
 }
@@ -125,7 +125,7 @@
   if (server && !was_out && server->out_until > state->now)
     hf_state_log (state, HF_LOG_SERVER_OUT, "backend server " HF_STR_FMT " of " HF_STR_FMT " is out for %d ms",
                   HF_STR_ARG (server->name), HF_STR_ARG (service->name),
-                  (int)((server->out_until - state->now) / HF_MS));
+                  (int) ((server->out_until - state->now) / HF_MS));
 }
 
 static void
@@ -175,7 +175,7 @@
                                   .server = message->server,
                                   .reason = MIN (message->reason, HF_REFUSAL_BUDGET) };
   const struct hf_call *call = g_hash_table_lookup (state->calls, &(uint64_t){ message->ticket / HF_ATTEMPTS_MAX });
-  unsigned i = (unsigned)(message->ticket % HF_ATTEMPTS_MAX);
+  unsigned i = (unsigned) (message->ticket % HF_ATTEMPTS_MAX);
   bool wanted
       = call && i < call->n_attempts && call->attempts[i].granter == from && call->attempts[i].phase == HF_PHASE_ASKING;
   bool running = call && i < call->n_attempts && call->attempts[i].granter == from
@@ -300,7 +300,7 @@
   GHashTableIter iter;
   struct hf_service_state *service;
   g_hash_table_iter_init (&iter, state->services);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&service))
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &service))
     {
       GArray *decisions = new_decisions ();
       hf_pool_expire (&service->pool, state->now, decisions);
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -78,11 +78,9 @@
  * @id: hf_service_id
  * @name: its name
  * @pool: slots of its backend servers as this entry knows them
- * @granter: boot id of the entry that grants its slots, 0: this one
  * @suspect_until: the granter is silent; decide locally until then
  * @probe_epoch: epoch that the tokens are for
  * @probe_tokens: probes left in the epoch
- * @probe_version: version of the allotment object
  * @probe_asked: an allotment is being asked for
  * @probe_next: place of the next server to probe
  */
@@ -94,7 +92,6 @@
   int64_t suspect_until;
   int64_t probe_epoch;
   unsigned probe_tokens;
-  uint64_t probe_version;
   bool probe_asked;
   size_t probe_next;
 };
@@ -135,7 +132,6 @@
   const struct hf_service *service;
   const struct hf_class *class;
   uint64_t service_id;
-  int64_t arrived_at;
   int64_t deadline;
   uint64_t fingerprint;
   bool streamed;
@@ -192,7 +188,6 @@
   uint64_t call; /* 0: the call has ended */
   struct hf_claim_key key;
   enum hf_claim_phase phase;
-  bool dispatched;
   unsigned status; /* status of the answer, 0: none */
   unsigned asks;
   struct hf_rpc_claim_id holder; /* who holds the key instead */
--- a/src/hf-sync.c
+++ b/src/hf-sync.c
@@ -56,7 +56,7 @@
   GHashTableIter iter;
   struct hf_service_state *service;
   g_hash_table_iter_init (&iter, state->services);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&service))
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &service))
     {
       bool declared = false;
       for (size_t i = 0; i < state->document->services.n && !declared; i++)
@@ -92,14 +92,14 @@
   if (!document)
     {
       hf_state_log (state, HF_LOG_CONFIG_INVALID, "generation %" G_GUINT64_FORMAT " from %s, line %u: %s",
-                    (guint64)generation, source, error.line, error.message);
+                    (guint64) generation, source, error.line, error.message);
       return false;
     }
   document->generation = generation;
   hf_document_unload (state->document);
   state->document = document;
   apply_document (state);
-  hf_state_log (state, HF_LOG_CONFIG_ADOPTED, "generation %" G_GUINT64_FORMAT " from %s", (guint64)generation, source);
+  hf_state_log (state, HF_LOG_CONFIG_ADOPTED, "generation %" G_GUINT64_FORMAT " from %s", (guint64) generation, source);
   hf_members_beat (state, false);
   return true;
 }
@@ -140,12 +140,12 @@
     {
       hf_state_log (state, HF_LOG_CONFIG_OLD,
                     "the platform serves generation %" G_GUINT64_FORMAT ", in force is %" G_GUINT64_FORMAT,
-                    (guint64)manifest.generation, (guint64)generation_of (state));
+                    (guint64) manifest.generation, (guint64) generation_of (state));
       schedule_restore (state);
     }
   else if (manifest.digest != state->document->digest)
     hf_state_log (state, HF_LOG_CONFIG_SPLIT, "generation %" G_GUINT64_FORMAT " has two documents",
-                  (guint64)manifest.generation);
+                  (guint64) manifest.generation);
 }
 
 static void
@@ -185,7 +185,7 @@
   int64_t delay = HF_PLATFORM_RETRY_MS << MIN (watch->failures, 4U);
   delay = ok ? 0 : MIN (delay, HF_PLATFORM_RETRY_MAX_MS);
   /* Jitter keeps the entries from returning to the platform together. */
-  delay = delay / 2 + (int64_t)(hf_random_next (&state->random) % (uint64_t)(delay / 2 + 1));
+  delay = delay / 2 + (int64_t) (hf_random_next (&state->random) % (uint64_t) (delay / 2 + 1));
   hf_timers_cancel (&watch->timer);
   watch->timer = hf_state_timer (state, delay * HF_MS, HF_TIMER_WATCH, purpose, 0);
 }
@@ -222,7 +222,7 @@
 {
   struct hf_rpc_message message = { .body = { .kind = HF_RPC_PULL } };
   message.body.hf_rpc_body_u.pull
-      = (struct hf_rpc_pull){ .generation = state->pull.generation, .offset = (unsigned)state->pull.text->len };
+      = (struct hf_rpc_pull){ .generation = state->pull.generation, .offset = (unsigned) state->pull.text->len };
   hf_state_send (state, state->pull.from, message);
   hf_timers_cancel (&state->pull.timer);
   state->pull.timer = hf_state_timer (state, HF_CONFIG_PULL_MS * HF_MS, HF_TIMER_PULL, 0, 0);
@@ -238,9 +238,9 @@
   struct hf_rpc_chunk *chunk = &message.body.hf_rpc_body_u.chunk;
   chunk->generation = document->generation;
   chunk->digest = document->digest;
-  chunk->total = (unsigned)document->text.len;
+  chunk->total = (unsigned) document->text.len;
   chunk->offset = pull->offset;
-  chunk->data.data_len = (unsigned)MIN (document->text.len - pull->offset, HF_CHUNK_BYTES);
+  chunk->data.data_len = (unsigned) MIN (document->text.len - pull->offset, HF_CHUNK_BYTES);
   chunk->data.data_val = hf_effects_alloc (state->out, chunk->data.data_len);
   memcpy (chunk->data.data_val, document->text.data + pull->offset, chunk->data.data_len);
   hf_state_send (state, from, message);
@@ -362,7 +362,7 @@
   state->config_version = object.version;
   state->config_stored = hf_object_uint (&object, "generation");
   hf_state_log (state, HF_LOG_CONFIG_RESTORED, "wrote generation %" G_GUINT64_FORMAT " back",
-                (guint64)state->config_stored);
+                (guint64) state->config_stored);
   hf_object_unload (&object);
 }
 
--- a/src/hf-timers.c
+++ b/src/hf-timers.c
@@ -8,7 +8,7 @@
 {
   const struct hf_timer *left = a;
   const struct hf_timer *right = b;
-  (void)context;
+  (void) context;
   return left->at < right->at ? -1 : left->at > right->at;
 }
 
@@ -48,7 +48,7 @@
   GSequenceIter *first = g_sequence_get_begin_iter (timers->sequence);
   if (g_sequence_iter_is_end (first))
     return false;
-  *timer = *(struct hf_timer *)g_sequence_get (first);
+  *timer = *(struct hf_timer *) g_sequence_get (first);
   if (timer->at > now)
     return false;
   g_sequence_remove (first);
@@ -61,5 +61,5 @@
   GSequenceIter *first = g_sequence_get_begin_iter (timers->sequence);
   if (g_sequence_iter_is_end (first))
     return -1;
-  return ((const struct hf_timer *)g_sequence_get (first))->at;
+  return ((const struct hf_timer *) g_sequence_get (first))->at;
 }
--- a/src/hf-upload.c
+++ b/src/hf-upload.c
@@ -37,7 +37,7 @@
       gsize size;
       const char *data = g_bytes_get_data (first, &size);
       gsize part = MIN (size, wanted - used);
-      memcpy ((char *)buffer + used, data, part);
+      memcpy ((char *) buffer + used, data, part);
       if (part < size)
         g_queue_push_head (&upload->chunks, g_bytes_new_from_bytes (first, part, size - part));
       g_bytes_unref (first);
@@ -57,7 +57,7 @@
   if (upload->failed)
     g_task_return_new_error (reader, G_IO_ERROR, G_IO_ERROR_BROKEN_PIPE, "the caller is gone");
   else
-    g_task_return_int (reader, (gssize)take (upload, upload->buffer, upload->wanted));
+    g_task_return_int (reader, (gssize) take (upload, upload->buffer, upload->wanted));
   g_object_unref (reader);
   if (upload->drained && !hf_upload_is_full (upload))
     upload->drained (upload->context);
@@ -67,9 +67,9 @@
 read_now (GInputStream *stream, void *buffer, gsize count, GCancellable *cancellable, GError **error)
 {
   HfUpload *upload = HF_UPLOAD (stream);
-  (void)cancellable;
+  (void) cancellable;
   if (upload->queued > 0 || upload->finished)
-    return (gssize)take (upload, buffer, count);
+    return (gssize) take (upload, buffer, count);
   g_set_error_literal (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK, "no bytes yet");
   return -1;
 }
@@ -95,7 +95,7 @@
 static gssize
 read_finish (GInputStream *stream, GAsyncResult *result, GError **error)
 {
-  (void)stream;
+  (void) stream;
   return g_task_propagate_int (G_TASK (result), error);
 }
 
@@ -103,7 +103,7 @@
 hf_upload_finalize (GObject *object)
 {
   HfUpload *upload = HF_UPLOAD (object);
-  g_queue_clear_full (&upload->chunks, (GDestroyNotify)g_bytes_unref);
+  g_queue_clear_full (&upload->chunks, (GDestroyNotify) g_bytes_unref);
   G_OBJECT_CLASS (hf_upload_parent_class)->finalize (object);
 }
 
--- a/src/hf-wire.c
+++ b/src/hf-wire.c
@@ -28,8 +28,8 @@
   XDR xdr;
   size_t used = 0;
   set_header (&header, NULL, NULL, message->body.kind);
-  xdrmem_create (&xdr, buffer, (u_int)size, XDR_ENCODE);
-  if (xdr_callmsg (&xdr, &header) && xdr_hf_rpc_message (&xdr, (hf_rpc_message *)message))
+  xdrmem_create (&xdr, buffer, (u_int) size, XDR_ENCODE);
+  if (xdr_callmsg (&xdr, &header) && xdr_hf_rpc_message (&xdr, (hf_rpc_message *) message))
     used = xdr_getpos (&xdr);
   xdr_destroy (&xdr);
   return used;
@@ -44,10 +44,10 @@
   XDR xdr;
   memset (message, 0, sizeof *message);
   set_header (&header, credentials, verifier, 0);
-  xdrmem_create (&xdr, (char *)datagram.data, (u_int)datagram.len, XDR_DECODE);
+  xdrmem_create (&xdr, (char *) datagram.data, (u_int) datagram.len, XDR_DECODE);
   bool ok = xdr_callmsg (&xdr, &header) && header.rm_call.cb_prog == HF_RPC_PROGRAM
             && header.rm_call.cb_vers == HF_RPC_VERSION && xdr_hf_rpc_message (&xdr, message)
-            && header.rm_call.cb_proc == (rpcproc_t)message->body.kind && xdr_getpos (&xdr) == datagram.len;
+            && header.rm_call.cb_proc == (rpcproc_t) message->body.kind && xdr_getpos (&xdr) == datagram.len;
   xdr_destroy (&xdr);
   if (ok)
     return true;
@@ -58,6 +58,6 @@
 void
 hf_wire_free (struct hf_rpc_message *message)
 {
-  xdr_free ((xdrproc_t)xdr_hf_rpc_message, message);
+  xdr_free ((xdrproc_t) xdr_hf_rpc_message, message);
   memset (message, 0, sizeof *message);
 }
--- a/src/hf-yaml.c
+++ b/src/hf-yaml.c
@@ -29,8 +29,8 @@
   hf_error_set (reader->error, HF_ERROR_INVALID, "%s", text);
   if (reader->error)
     {
-      reader->error->line = (unsigned)node->start_mark.line + 1;
-      reader->error->column = (unsigned)node->start_mark.column + 1;
+      reader->error->line = (unsigned) node->start_mark.line + 1;
+      reader->error->column = (unsigned) node->start_mark.column + 1;
       g_strlcpy (reader->error->path, reader->path, sizeof reader->error->path);
     }
   return false;
@@ -39,7 +39,7 @@
 static struct hf_str
 scalar (const yaml_node_t *node)
 {
-  return (struct hf_str){ .data = (const char *)node->data.scalar.value, .len = node->data.scalar.length };
+  return (struct hf_str){ .data = (const char *) node->data.scalar.value, .len = node->data.scalar.length };
 }
 
 static bool
@@ -47,7 +47,7 @@
 {
   GError *problem = NULL;
   gint64 value = 0;
-  if (!g_ascii_string_to_signed ((const char *)node->data.scalar.value, 10, field->min, field->max, &value, &problem))
+  if (!g_ascii_string_to_signed ((const char *) node->data.scalar.value, 10, field->min, field->max, &value, &problem))
     {
       g_clear_error (&problem);
       return fail (reader, node,
@@ -77,7 +77,7 @@
         *out = i;
         return true;
       }
-  char *names = g_strjoinv (", ", (char **)field->choices);
+  char *names = g_strjoinv (", ", (char **) field->choices);
   fail (reader, node, "expected one of %s, found \"%.40s\"", names, node->data.scalar.value);
   g_free (names);
   return false;
@@ -87,13 +87,13 @@
 read_str (struct reader *reader, yaml_node_t *node, const struct hf_field *field, struct hf_str *out)
 {
   struct hf_str text = scalar (node);
-  if (memchr (text.data, 0, text.len) || !g_utf8_validate (text.data, (gssize)text.len, NULL))
+  if (memchr (text.data, 0, text.len) || !g_utf8_validate (text.data, (gssize) text.len, NULL))
     return fail (reader, node, "expected text without control bytes");
   if (field->type == HF_FIELD_ADDRESS && !hf_address_valid (text))
     return fail (reader, node, "expected an address IP:PORT, found \"%.40s\"", text.data);
-  if (field->max && (int64_t)text.len > field->max)
+  if (field->max && (int64_t) text.len > field->max)
     return fail (reader, node, "expected at most %" G_GINT64_FORMAT " bytes", field->max);
-  if ((int64_t)text.len < field->min)
+  if ((int64_t) text.len < field->min)
     return fail (reader, node, "expected at least %" G_GINT64_FORMAT " bytes", field->min);
   hf_str_free (out);
   *out = hf_str_dup (text);
@@ -105,8 +105,8 @@
 {
   if (node->type != YAML_SEQUENCE_NODE)
     return fail (reader, node, "expected a list");
-  size_t n = (size_t)(node->data.sequence.items.top - node->data.sequence.items.start);
-  if ((int64_t)n < field->min || (field->max && (int64_t)n > field->max))
+  size_t n = (size_t) (node->data.sequence.items.top - node->data.sequence.items.start);
+  if ((int64_t) n < field->min || (field->max && (int64_t) n > field->max))
     return fail (reader, node, "expected %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT " entries, found %zu", field->min,
                  field->max, n);
   size_t size = field->type == HF_FIELD_LIST ? field->size : sizeof (struct hf_str);
@@ -116,7 +116,7 @@
   for (size_t i = 0; i < n; i++)
     {
       yaml_node_t *item = yaml_document_get_node (reader->yaml, node->data.sequence.items.start[i]);
-      void *place = (char *)out->items + i * size;
+      void *place = (char *) out->items + i * size;
       const struct hf_field text = { .type = HF_FIELD_STR };
       g_snprintf (reader->path + mark, sizeof reader->path - mark, "[%zu]", i);
       if (field->type == HF_FIELD_STR_LIST && item->type != YAML_SCALAR_NODE)
@@ -160,13 +160,13 @@
 {
   for (const struct hf_field *field = fields; field->name; field++)
     {
-      void *place = (char *)out + field->offset;
+      void *place = (char *) out + field->offset;
       if (field->type == HF_FIELD_INT || field->type == HF_FIELD_CHOICE)
-        *(int64_t *)place = field->def;
+        *(int64_t *) place = field->def;
       else if (field->type == HF_FIELD_BOOL)
-        *(bool *)place = field->def != 0;
+        *(bool *) place = field->def != 0;
       else if (field->type == HF_FIELD_STR || field->type == HF_FIELD_ADDRESS)
-        *(struct hf_str *)place = hf_str_dup (hf_str (field->def_str ? field->def_str : ""));
+        *(struct hf_str *) place = hf_str_dup (hf_str (field->def_str ? field->def_str : ""));
       else if (field->type == HF_FIELD_MAP)
         set_defaults (field->fields, place);
     }
@@ -202,7 +202,7 @@
       if (seen & (1ULL << (field - fields)))
         return fail (reader, key, "key \"%s\" stands twice", field->name);
       seen |= 1ULL << (field - fields);
-      if (!read_field (reader, value, field, (char *)out + field->offset))
+      if (!read_field (reader, value, field, (char *) out + field->offset))
         return false;
       reader->path[mark] = 0;
     }
@@ -283,14 +283,14 @@
   yaml_parser_t parser;
   yaml_document_t yaml;
   yaml_parser_initialize (&parser);
-  yaml_parser_set_input_string (&parser, (const unsigned char *)text.data, text.len);
+  yaml_parser_set_input_string (&parser, (const unsigned char *) text.data, text.len);
   if (!yaml_parser_load (&parser, &yaml))
     {
       hf_error_set (error, HF_ERROR_SYNTAX, "not well-formed YAML: %s", parser.problem ? parser.problem : "unknown");
       if (error)
         {
-          error->line = (unsigned)parser.problem_mark.line + 1;
-          error->column = (unsigned)parser.problem_mark.column + 1;
+          error->line = (unsigned) parser.problem_mark.line + 1;
+          error->column = (unsigned) parser.problem_mark.column + 1;
         }
       yaml_parser_delete (&parser);
       return false;
@@ -310,14 +310,14 @@
   yaml_parser_t parser;
   yaml_document_t yaml;
   yaml_parser_initialize (&parser);
-  yaml_parser_set_input_string (&parser, (const unsigned char *)text.data, text.len);
+  yaml_parser_set_input_string (&parser, (const unsigned char *) text.data, text.len);
   if (yaml_parser_load (&parser, &yaml))
     {
       const yaml_node_t *node = walk_path (&yaml, error->path);
       if (node)
         {
-          error->line = (unsigned)node->start_mark.line + 1;
-          error->column = (unsigned)node->start_mark.column + 1;
+          error->line = (unsigned) node->start_mark.line + 1;
+          error->column = (unsigned) node->start_mark.column + 1;
         }
       yaml_document_delete (&yaml);
     }
@@ -329,7 +329,7 @@
 {
   for (const struct hf_field *field = fields; field->name; field++)
     {
-      void *place = (char *)out + field->offset;
+      void *place = (char *) out + field->offset;
       struct hf_list *list = place;
       if (field->type == HF_FIELD_STR || field->type == HF_FIELD_ADDRESS)
         hf_str_free (place);
@@ -339,9 +339,9 @@
         {
           for (size_t i = 0; i < list->n; i++)
             if (field->type == HF_FIELD_LIST)
-              hf_yaml_free (field->fields, (char *)list->items + i * field->size);
+              hf_yaml_free (field->fields, (char *) list->items + i * field->size);
             else
-              hf_str_free ((struct hf_str *)list->items + i);
+              hf_str_free ((struct hf_str *) list->items + i);
           g_clear_pointer (&list->items, g_free);
           list->n = 0;
         }
--- a/src/hickoryctl.c
+++ b/src/hickoryctl.c
@@ -151,7 +151,7 @@
   if (!parser)
     return 0;
   generation
-      = (uint64_t)json_object_get_int_member (json_node_get_object (json_parser_get_root (parser)), "generation");
+      = (uint64_t) json_object_get_int_member (json_node_get_object (json_parser_get_root (parser)), "generation");
   g_object_unref (parser);
   return generation;
 }
@@ -220,13 +220,13 @@
     hf_error_set (&error, HF_ERROR_CONFLICT,
                   "the file was made from generation %" G_GUINT64_FORMAT ", stored is %" G_GUINT64_FORMAT
                   "; nothing has been changed",
-                  (guint64)base, (guint64)stored.generation);
+                  (guint64) base, (guint64) stored.generation);
   else
     ok = hf_client_write (options->platform, &stored, text, &generation, &error);
   hf_client_unload (&stored);
   if (!ok)
     return fail (NULL, &error);
-  printf ("accepted as generation %" G_GUINT64_FORMAT "\n", (guint64)generation);
+  printf ("accepted as generation %" G_GUINT64_FORMAT "\n", (guint64) generation);
   return options->wait ? wait_in_force (options, generation) : 0;
 }
 
@@ -249,7 +249,7 @@
 {
   struct hf_error error = { 0 };
   struct hf_stored stored;
-  (void)arguments;
+  (void) arguments;
   if (!need_platform (options))
     return EXIT_USAGE;
   if (!hf_client_read (options->platform, &stored, &error))
@@ -262,7 +262,7 @@
       const char *text = stored.text.data;
       if (hf_client_base (stored.text) && strchr (text, '\n'))
         text = strchr (text, '\n') + 1;
-      printf ("# generation: %" G_GUINT64_FORMAT "\n%s", (guint64)stored.generation, text);
+      printf ("# generation: %" G_GUINT64_FORMAT "\n%s", (guint64) stored.generation, text);
     }
   int code = stored.version ? 0 : EXIT_UNAVAILABLE;
   hf_client_unload (&stored);
@@ -284,14 +284,15 @@
   printf ("  service %s: slots %d used %d, waiting %d, refused (queue full %d, "
           "deadline %d, no server %d, retry budget %d), "
           "retry tokens %.1f, probe tokens %d, granter %s%s\n",
-          json_object_get_string_member (service, "name"), (int)slots, (int)used,
-          (int)json_object_get_int_member (service, "waiting"),
-          (int)json_object_get_int_member (service, "refused_queue_full"),
-          (int)json_object_get_int_member (service, "refused_deadline"),
-          (int)json_object_get_int_member (service, "refused_no_server"),
-          (int)json_object_get_int_member (service, "refused_retry_budget"),
+          json_object_get_string_member (service, "name"), (int) slots, (int) used,
+          (int) json_object_get_int_member (service, "waiting"),
+          (int) json_object_get_int_member (service, "refused_queue_full"),
+          (int) json_object_get_int_member (service, "refused_deadline"),
+          (int) json_object_get_int_member (service, "refused_no_server"),
+          (int) json_object_get_int_member (service, "refused_retry_budget"),
           json_object_get_double_member (service, "retry_tokens"),
-          (int)json_object_get_int_member (service, "probe_tokens"), json_object_get_string_member (service, "granter"),
+          (int) json_object_get_int_member (service, "probe_tokens"),
+          json_object_get_string_member (service, "granter"),
           json_object_get_boolean_member (service, "granter_silent") ? " (silent)" : "");
   for (guint i = 0; i < json_array_get_length (servers); i++)
     {
@@ -312,9 +313,9 @@
           json_object_get_string_member (entry, "failure_domain"), json_object_get_string_member (entry, "state"),
           json_object_get_int_member (entry, "generation"),
           json_object_get_boolean_member (entry, "platform_reachable") ? "reachable" : "NOT REACHABLE",
-          (int)json_object_get_int_member (entry, "config_heard_ms_ago"),
-          (int)json_object_get_int_member (entry, "vm_list_heard_ms_ago"),
-          (int)json_object_get_int_member (entry, "calls_in_flight"));
+          (int) json_object_get_int_member (entry, "config_heard_ms_ago"),
+          (int) json_object_get_int_member (entry, "vm_list_heard_ms_ago"),
+          (int) json_object_get_int_member (entry, "calls_in_flight"));
   JsonArray *services = json_object_get_array_member (entry, "services");
   for (guint i = 0; i < json_array_get_length (services); i++)
     {
@@ -333,7 +334,7 @@
   struct hf_error error = { 0 };
   GPtrArray *entries = list_entries (options, &error);
   guint silent = 0;
-  (void)arguments;
+  (void) arguments;
   if (!entries)
     return fail (NULL, &error);
   if (options->json)
@@ -366,7 +367,7 @@
 {
   struct hf_error error = { 0 };
   unsigned status = 0;
-  (void)options;
+  (void) options;
   char *text = hf_client_get (arguments[0], "/dump", &status, &error);
   if (!text)
     return fail (NULL, &error);
@@ -379,7 +380,7 @@
 run_console (const struct options *options, char **arguments)
 {
   struct hf_error error = { 0 };
-  (void)arguments;
+  (void) arguments;
   int code = hf_console_run (options->listen ? options->listen : CONSOLE_ADDRESS, options->platform, &error);
   return code == 0 ? 0 : fail (NULL, &error);
 }
--- a/src/hickoryd.c
+++ b/src/hickoryd.c
@@ -42,8 +42,8 @@
 {
   struct daemon *daemon = data;
   const struct hf_state *state = daemon->loop.state;
-  (void)server;
-  (void)query;
+  (void) server;
+  (void) query;
   if (strcmp (path, "/healthz") == 0)
     answer (message, hf_state_is_ready (state) ? 200 : 503, "text/plain",
             g_strdup (hf_state_is_ready (state) ? "ok\n" : "not ready\n"));
@@ -173,7 +173,7 @@
     }
   if (!load_settings (argv[1], &settings))
     return EXIT_SETTINGS;
-  hf_log_open ("hickoryd", (enum hf_log_level)settings.log_level);
+  hf_log_open ("hickoryd", (enum hf_log_level) settings.log_level);
   hf_log_write (HF_LOG_STARTED, "version %s, entry " HF_STR_FMT " in " HF_STR_FMT, HF_VERSION,
                 HF_STR_ARG (settings.name), HF_STR_ARG (settings.failure_domain));
   int code = check ? 0 : run (&settings);
--- a/tests/fake-backend.c
+++ b/tests/fake-backend.c
@@ -123,7 +123,7 @@
   SoupMessageHeaders *headers = soup_server_message_get_response_headers (message);
   char load[16];
   g_snprintf (load, sizeof load, "%d",
-              server->lie >= 0 ? server->lie : (int)(server->busy + g_queue_get_length (&server->waiting)));
+              server->lie >= 0 ? server->lie : (int) (server->busy + g_queue_get_length (&server->waiting)));
   soup_message_headers_replace (headers, "Backend-Load", load);
   if (server->drain)
     soup_message_headers_replace (headers, "Backend-State", "draining");
@@ -163,10 +163,11 @@
   SoupMessageBody *request = soup_server_message_get_request_body (message);
   const char *key = soup_message_headers_get_one (soup_server_message_get_request_headers (message), "X-Test-Key");
   const char *fault = fault_of (message);
-  gsize size = g_str_has_prefix (fault, "big=") ? (gsize)atol (fault + 4) : SMALL_BODY;
-  guint status = g_str_has_prefix (fault, "status=") ? (guint)atoi (fault + 7) : 200;
+  gsize size = g_str_has_prefix (fault, "big=") ? (gsize) atol (fault + 4) : SMALL_BODY;
+  guint status = g_str_has_prefix (fault, "status=") ? (guint) atoi (fault + 7) : 200;
   char *body = g_malloc (size + 1);
-  char *digest = g_compute_checksum_for_data (G_CHECKSUM_SHA256, (const guchar *)request->data, (gsize)request->length);
+  char *digest
+      = g_compute_checksum_for_data (G_CHECKSUM_SHA256, (const guchar *) request->data, (gsize) request->length);
   memset (body, 'a', size);
   add_hints (job->server, message);
   soup_message_headers_replace (headers, "X-Body-Digest", digest);
@@ -181,7 +182,7 @@
                                   NULL);
   if (strcmp (fault, "short") == 0)
     {
-      soup_message_headers_set_content_length (headers, (goffset)size);
+      soup_message_headers_set_content_length (headers, (goffset) size);
       soup_message_body_append (soup_server_message_get_response_body (message), SOUP_MEMORY_COPY, body, size / 2);
     }
   else
@@ -193,7 +194,7 @@
 static void
 wrote_short (SoupServerMessage *message, gpointer data)
 {
-  (void)data;
+  (void) data;
   cut (message);
 }
 
@@ -219,7 +220,7 @@
   server->away_until = g_get_monotonic_time () + CRASH_MS * 1000;
   GList *jobs = g_list_copy (server->jobs);
   for (GList *each = jobs; each; each = each->next)
-    cut (((struct job *)each->data)->message);
+    cut (((struct job *) each->data)->message);
   for (GList *each = jobs; each; each = each->next)
     if (g_list_find (server->jobs, each->data))
       end_job (each->data);
@@ -263,7 +264,7 @@
   if (strcmp (fault, "silent") == 0 || server->silent)
     return;
   double ms = server->fail_fast ? 0 : service_ms (server, fault);
-  job->timer = g_timeout_add ((guint)lround (ms), job_done, job);
+  job->timer = g_timeout_add ((guint) lround (ms), job_done, job);
 }
 
 static void
@@ -276,7 +277,7 @@
 static void
 gone (SoupServerMessage *message, gpointer data)
 {
-  (void)message;
+  (void) message;
   end_job (data);
 }
 
@@ -300,8 +301,8 @@
 handle (SoupServer *http, SoupServerMessage *message, const char *path, GHashTable *query, gpointer data)
 {
   struct server *server = data;
-  (void)http;
-  (void)query;
+  (void) http;
+  (void) query;
   if (g_get_monotonic_time () < server->away_until)
     {
       cut (message);
@@ -362,7 +363,7 @@
   else if (strcmp (name, "fail_fast") == 0)
     server->fail_fast = atoi (value);
   else if (strcmp (name, "status") == 0)
-    server->status = (guint)atoi (value);
+    server->status = (guint) atoi (value);
   else if (strcmp (name, "silent") == 0)
     server->silent = atoi (value);
   else if (strcmp (name, "speed") == 0)
@@ -374,7 +375,7 @@
   else if (strcmp (name, "cold_ms") == 0)
     server->cold_until = until;
   else if (strcmp (name, "queue") == 0)
-    server->queue_limit = (guint)atoi (value);
+    server->queue_limit = (guint) atoi (value);
   else if (strcmp (name, "lie") == 0)
     server->lie = atoi (value);
   else if (strcmp (name, "crash") == 0)
@@ -389,7 +390,7 @@
   gpointer count;
   g_hash_table_iter_init (&iter, fake->runs);
   while (g_hash_table_iter_next (&iter, &key, &count))
-    g_string_append_printf (text, "%s %u\n", (char *)key, GPOINTER_TO_UINT (count));
+    g_string_append_printf (text, "%s %u\n", (char *) key, GPOINTER_TO_UINT (count));
 }
 
 static void
@@ -410,7 +411,7 @@
   struct fake *fake = data;
   GString *text = g_string_new (NULL);
   const char *which = query ? g_hash_table_lookup (query, "server") : NULL;
-  (void)http;
+  (void) http;
   if (strcmp (path, "/runs") == 0)
     list_runs (fake, text);
   else if (strcmp (path, "/stats") == 0)
@@ -421,7 +422,7 @@
         GHashTableIter iter;
         gpointer name;
         gpointer value;
-        if (strcmp (which, "all") != 0 && (guint)atoi (which) != i)
+        if (strcmp (which, "all") != 0 && (guint) atoi (which) != i)
           continue;
         g_hash_table_iter_init (&iter, query);
         while (g_hash_table_iter_next (&iter, &name, &value))
@@ -438,7 +439,7 @@
   struct server *server = g_new0 (struct server, 1);
   struct hf_error error = { 0 };
   server->fake = fake;
-  server->slots = (guint)slots;
+  server->slots = (guint) slots;
   server->speed = speed;
   server->slow = 1.0;
   server->lie = -1;
@@ -479,7 +480,7 @@
     return 2;
   fake.runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   fake.random = gsl_rng_alloc (gsl_rng_mt19937);
-  gsl_rng_set (fake.random, (unsigned long)seed);
+  gsl_rng_set (fake.random, (unsigned long) seed);
   fake.mean_ms = mean_ms;
   fake.constant = constant;
   SoupServer *http = soup_server_new (NULL, NULL);
@@ -494,13 +495,13 @@
       double speed = servers > 1 ? 1.0 + spread * (2.0 * i / (servers - 1) - 1.0) : 1.0;
       if (!add_server (&fake, slots, speed))
         return 1;
-      printf ("server %s\n", ((struct server *)g_ptr_array_index (fake.servers, i))->address);
+      printf ("server %s\n", ((struct server *) g_ptr_array_index (fake.servers, i))->address);
     }
   printf ("ready\n");
   fflush (stdout);
   g_timeout_add (CANCEL_POLL_MS, poll_cancelled, &fake);
   GMainLoop *loop = g_main_loop_new (NULL, FALSE);
-  g_unix_signal_add (SIGTERM, (GSourceFunc)(void (*) (void))g_main_loop_quit, loop);
+  g_unix_signal_add (SIGTERM, (GSourceFunc) (void (*) (void)) g_main_loop_quit, loop);
   g_main_loop_run (loop);
   return 0;
 }
--- a/tests/fake-platform.c
+++ b/tests/fake-platform.c
@@ -145,7 +145,7 @@
 static void
 answer (struct platform *platform, SoupServerMessage *message, guint status, char *json)
 {
-  (void)platform;
+  (void) platform;
   soup_server_message_set_status (message, status, NULL);
   soup_server_message_set_response (message, "application/json", SOUP_MEMORY_TAKE, json, strlen (json));
 }
@@ -280,7 +280,7 @@
   soup_message_headers_set_encoding (soup_server_message_get_response_headers (message), SOUP_ENCODING_CHUNKED);
   soup_message_body_set_accumulate (soup_server_message_get_response_body (message), FALSE);
   g_hash_table_iter_init (&iter, platform->items);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&item) && !platform->frozen)
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &item) && !platform->frozen)
     if (watcher_wants (watcher, item))
       {
         char *json = item_json (item);
@@ -289,7 +289,7 @@
       }
   if (!platform->frozen)
     tell_watcher (watcher, "BOOKMARK", bookmark);
-  g_timeout_add_seconds (life ? (guint)atoi (life) : 30, end_watch, g_object_ref (message));
+  g_timeout_add_seconds (life ? (guint) atoi (life) : 30, end_watch, g_object_ref (message));
 }
 
 static void
@@ -316,7 +316,7 @@
   struct item *item;
   platform->reads++;
   g_hash_table_iter_init (&iter, platform->items);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&item))
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &item))
     if (strcmp (item->collection, collection) == 0)
       {
         char *one = item_json (item);
@@ -371,7 +371,7 @@
   else if (strcmp (name, "rollback") == 0)
     roll_back (platform, value);
   for (guint i = 0; i < platform->watchers->len && platform->down; i++)
-    cut (((struct watcher *)g_ptr_array_index (platform->watchers, i))->message);
+    cut (((struct watcher *) g_ptr_array_index (platform->watchers, i))->message);
 }
 
 static void
@@ -383,7 +383,7 @@
   if (query)
     {
       g_hash_table_iter_init (&iter, query);
-      while (g_hash_table_iter_next (&iter, (gpointer *)&name, (gpointer *)&value))
+      while (g_hash_table_iter_next (&iter, (gpointer *) &name, (gpointer *) &value))
         set_switch (platform, name, value);
     }
   if (strcmp (path, "/fake/stats") == 0)
@@ -408,7 +408,7 @@
 {
   struct platform *platform = data;
   const char *method = soup_server_message_get_method (message);
-  (void)server;
+  (void) server;
   if (g_str_has_prefix (path, "/fake/"))
     {
       handle_fake (platform, message, path, query);
@@ -437,7 +437,7 @@
   if (platform->slow_ms > 0 && !watch)
     {
       soup_server_message_pause (message);
-      g_timeout_add ((guint)platform->slow_ms, unpause, g_object_ref (message));
+      g_timeout_add ((guint) platform->slow_ms, unpause, g_object_ref (message));
     }
 }
 
@@ -469,7 +469,7 @@
   printf ("listening %s\n", address);
   fflush (stdout);
   g_timeout_add (BOOKMARK_MS, send_bookmarks, &platform);
-  g_unix_signal_add (SIGTERM, (GSourceFunc)(void (*) (void))g_main_loop_quit, loop);
+  g_unix_signal_add (SIGTERM, (GSourceFunc) (void (*) (void)) g_main_loop_quit, loop);
   g_main_loop_run (loop);
   return 0;
 }
--- a/tests/fuzz.c
+++ b/tests/fuzz.c
@@ -74,6 +74,6 @@
       = { try_settings, try_document, try_datagram, try_watch_line, try_object };
   if (size == 0)
     return 0;
-  decoders[data[0] % 5]((struct hf_str){ .data = (const char *)data + 1, .len = size - 1 });
+  decoders[data[0] % 5]((struct hf_str){ .data = (const char *) data + 1, .len = size - 1 });
   return 0;
 }
--- a/tests/support.c
+++ b/tests/support.c
@@ -63,7 +63,7 @@
 static gboolean
 is_done (void *context)
 {
-  return ((struct reply *)context)->done;
+  return ((struct reply *) context)->done;
 }
 
 static guint64
@@ -103,7 +103,7 @@
   g_string_append (text, "    servers:\n");
   for (guint i = 0; i < setup->backend->servers->len; i++)
     g_string_append_printf (text, "      - {name: s%u, address: \"%s\", slots: 3%s}\n", i,
-                            (char *)g_ptr_array_index (setup->backend->servers, i),
+                            (char *) g_ptr_array_index (setup->backend->servers, i),
                             i == 0 && server_more ? server_more : "");
   g_string_append (text, "    classes:\n"
                          "      - {name: read, methods: [GET], worth: 1, "
@@ -125,7 +125,7 @@
     harness_add_entry (setup->harness, i % 2 ? "d2" : "d1");
   setup->document = setup_document (setup, more, NULL);
   g_assert_true (harness_apply (setup->harness, setup->document));
-  g_assert_true (wait_members (setup, (guint)entries));
+  g_assert_true (wait_members (setup, (guint) entries));
   return setup;
 }
 
@@ -201,7 +201,7 @@
 {
   char *text = harness_get (setup->backend->control, "/runs", NULL);
   char *line = g_strdup_printf ("%s ", key);
-  guint runs = (guint)number_after (text, line);
+  guint runs = (guint) number_after (text, line);
   g_free (line);
   g_free (text);
   return runs;
@@ -213,7 +213,7 @@
   char *text = harness_get (setup->backend->control, "/stats", NULL);
   const char *line = text ? strstr (text, g_ptr_array_index (setup->backend->servers, server)) : NULL;
   char *label = g_strdup_printf (" %s ", name);
-  guint value = (guint)number_after (line, label);
+  guint value = (guint) number_after (line, label);
   g_free (label);
   g_free (text);
   return value;
--- a/tests/test-console.c
+++ b/tests/test-console.c
@@ -26,7 +26,7 @@
 {
   const char *at = text ? strstr (text, before) : NULL;
   const char *end = at ? strstr (at + strlen (before), after) : NULL;
-  return end ? g_strndup (at + strlen (before), (gsize)(end - at) - strlen (before)) : g_strdup ("");
+  return end ? g_strndup (at + strlen (before), (gsize) (end - at) - strlen (before)) : g_strdup ("");
 }
 
 static void
--- a/tests/test-differential.c
+++ b/tests/test-differential.c
@@ -29,10 +29,10 @@
 {
   gsl_rng *random = gsl_rng_alloc (gsl_rng_mt19937);
   const char *seed = g_getenv ("HF_SEED");
-  bool found = run < (int)G_N_ELEMENTS (found_seeds);
+  bool found = run < (int) G_N_ELEMENTS (found_seeds);
   unsigned long value = seed    ? strtoul (seed, NULL, 10)
                         : found ? found_seeds[run]
-                                : (unsigned long)g_test_rand_int_range (1, 1 << 30);
+                                : (unsigned long) g_test_rand_int_range (1, 1 << 30);
   g_test_message ("run %d seed %lu", run, value);
   gsl_rng_set (random, value);
   return random;
@@ -47,7 +47,7 @@
 static int64_t
 between (gsl_rng *random, int64_t low, int64_t high)
 {
-  return low + (int64_t)gsl_rng_uniform_int (random, (unsigned long)(high - low + 1));
+  return low + (int64_t) gsl_rng_uniform_int (random, (unsigned long) (high - low + 1));
 }
 
 /* --- pool against a searched list --- */
@@ -91,9 +91,9 @@
       if (!late && g_hash_table_size (pool->granted) >= SERVERS * SLOTS)
         return;
       g_array_remove_index (pool->waiting, best);
-      g_string_append_printf (pool->log, "%s%d ", late ? "refused" : "granted", (int)want.ticket);
+      g_string_append_printf (pool->log, "%s%d ", late ? "refused" : "granted", (int) want.ticket);
       if (!late)
-        g_hash_table_add (pool->granted, GINT_TO_POINTER ((int)want.ticket));
+        g_hash_table_add (pool->granted, GINT_TO_POINTER ((int) want.ticket));
     }
 }
 
@@ -106,7 +106,7 @@
         g_array_remove_index (pool->waiting, i);
         break;
       }
-  g_hash_table_remove (pool->granted, GINT_TO_POINTER ((int)ticket));
+  g_hash_table_remove (pool->granted, GINT_TO_POINTER ((int) ticket));
   naive_pump (pool, now);
 }
 
@@ -118,7 +118,7 @@
       const struct hf_decision *decision = &g_array_index (decisions, struct hf_decision, i);
       if (decision->kind != HF_DECISION_QUEUED)
         g_string_append_printf (log, "%s%d ", decision->kind == HF_DECISION_GRANTED ? "granted" : "refused",
-                                (int)decision->ticket);
+                                (int) decision->ticket);
     }
   g_array_set_size (decisions, 0);
 }
@@ -164,7 +164,7 @@
           if (chance (random, 0.55))
             {
               struct naive_want want
-                  = { step, (unsigned)between (random, 1, 5), now + between (random, 1, 20000), naive.order++ };
+                  = { step, (unsigned) between (random, 1, 5), now + between (random, 1, 20000), naive.order++ };
               hf_pool_acquire (
                   &pool, now,
                   (struct hf_pool_want){ .entry = 1, .ticket = step, .worth = want.worth, .deadline = want.deadline },
@@ -174,7 +174,7 @@
             }
           else
             {
-              uint64_t ticket = (uint64_t)between (random, MAX (1, (int64_t)step - 40), (int64_t)step);
+              uint64_t ticket = (uint64_t) between (random, MAX (1, (int64_t) step - 40), (int64_t) step);
               hf_pool_release (&pool, now, 1, ticket, HF_POOL_UNUSED, 0, decisions);
               naive_release (&naive, now, ticket);
             }
@@ -248,9 +248,9 @@
 static int
 compare_pending (gconstpointer a, gconstpointer b, gpointer context)
 {
-  int64_t left = ((const struct pending *)a)->at;
-  int64_t right = ((const struct pending *)b)->at;
-  (void)context;
+  int64_t left = ((const struct pending *) a)->at;
+  int64_t right = ((const struct pending *) b)->at;
+  (void) context;
   return left < right ? -1 : left > right;
 }
 
@@ -314,7 +314,7 @@
   if (!stored)
     return 404;
   *json = g_strdup_printf ("{\"metadata\":{\"name\":\"%s\",\"resourceVersion\":\"%d\"},\"data\":%s}", name,
-                           (int)stored->version, stored->data);
+                           (int) stored->version, stored->data);
   return 200;
 }
 
@@ -445,7 +445,7 @@
         /* Resends cluster, so that they meet. */
         if (chance (world->random, 0.7))
           at = (2000 + key * 400) * HF_MS + between (world->random, 0, 300 * HF_MS);
-        struct pending *pending = schedule (world, at, (int)between (world->random, 0, NODES - 1),
+        struct pending *pending = schedule (world, at, (int) between (world->random, 0, NODES - 1),
                                             (struct hf_event){ .kind = HF_EVENT_REQUEST, .call = ++world->calls });
         pending->boot = 0;
         world->key_of_call[world->calls] = key;
@@ -461,7 +461,7 @@
   event.request.method = hf_str ("POST");
   event.request.host = hf_str ("h");
   event.request.path = hf_str ("/x");
-  event.request.digest = (uint64_t)number;
+  event.request.digest = (uint64_t) number;
   if (!world->naive)
     event.request.key = hf_str (key);
   else if (world->seen[node][number])
@@ -509,7 +509,7 @@
 static void
 disturb (struct world *world)
 {
-  int node = (int)between (world->random, 0, NODES - 1);
+  int node = (int) between (world->random, 0, NODES - 1);
   if (chance (world->random, 0.001))
     world->nodes[node].paused_until = world->now + between (world->random, 100, 4000) * HF_MS;
   if (chance (world->random, 0.0004))
--- a/tests/test-once.c
+++ b/tests/test-once.c
@@ -41,7 +41,7 @@
         char *key = g_strdup_printf ("outcome%d", number++);
         char *path = g_strdup_printf ("/a/%d", number);
         struct reply reply
-            = send_call (setup_entry (setup, (guint)number % 2)->listen, methods[m], path, key, NULL, faults[f], NULL);
+            = send_call (setup_entry (setup, (guint) number % 2)->listen, methods[m], path, key, NULL, faults[f], NULL);
         assert_outcome (setup, reply, key, m == 0);
         g_free (path);
         g_free (key);
@@ -166,7 +166,7 @@
     {
       char *key = g_strdup_printf ("lost%d", i);
       harness_set (setup->harness->platform, "/fake/set?lose=1");
-      struct reply reply = send_call (setup_entry (setup, (guint)i % 2)->listen, "POST", "/a/x", key, key, NULL, NULL);
+      struct reply reply = send_call (setup_entry (setup, (guint) i % 2)->listen, "POST", "/a/x", key, key, NULL, NULL);
       g_assert_cmpuint (reply.status, ==, 200);
       g_assert_cmpuint (count_runs (setup, key), ==, 1);
       free_reply (&reply);
--- a/tests/test-promises.c
+++ b/tests/test-promises.c
@@ -109,9 +109,9 @@
   struct setup *setup = setup_open (1, 1, 1, NULL);
   char *body = g_malloc (size + 1);
   for (gsize i = 0; i < size; i++)
-    body[i] = (char)('a' + i * 7 % 23);
+    body[i] = (char) ('a' + i * 7 % 23);
   body[size] = 0;
-  char *digest = g_compute_checksum_for_data (G_CHECKSUM_SHA256, (guchar *)body, size);
+  char *digest = g_compute_checksum_for_data (G_CHECKSUM_SHA256, (guchar *) body, size);
   guint64 before = memory_kb (setup_entry (setup, 0));
   struct reply up = send_call (setup_entry (setup, 0)->listen, "POST", "/a/upload", "up", NULL, NULL, body);
   g_assert_cmpuint (up.status, ==, 200);
@@ -176,7 +176,7 @@
   for (int i = from; i < from + n; i++)
     {
       char *key = g_strdup_printf ("%s%d", name, i);
-      struct reply reply = send_call (setup_entry (setup, (guint)i % setup->harness->entries->len)->listen, "GET",
+      struct reply reply = send_call (setup_entry (setup, (guint) i % setup->harness->entries->len)->listen, "GET",
                                       "/a/x", key, NULL, NULL, NULL);
       g_assert_cmpuint (reply.status, ==, 200);
       free_reply (&reply);
@@ -219,12 +219,12 @@
 replace_next (struct load *load, int second, void *context)
 {
   static struct entry *old = NULL;
-  (void)context;
+  (void) context;
   if (second == 0 || second > 6)
     return;
   if (second % 2 == 1)
     {
-      old = g_ptr_array_index (load->harness->entries, (guint)second / 2);
+      old = g_ptr_array_index (load->harness->entries, (guint) second / 2);
       harness_add_entry (load->harness, "d1");
     }
   else if (old)
@@ -260,7 +260,7 @@
   g_assert_cmpuint (check.doubled, ==, 0);
   g_assert_cmpuint (check.cut, ==, 0);
   for (guint i = 0; i < 3; i++)
-    g_assert_true (process_wait (((struct entry *)g_ptr_array_index (harness->entries, i))->process, 20));
+    g_assert_true (process_wait (((struct entry *) g_ptr_array_index (harness->entries, i))->process, 20));
   load_close (&load);
   g_free (document);
   harness_close (harness);
@@ -504,7 +504,8 @@
   for (int i = 0; i < 100; i++)
     {
       char *key = g_strdup_printf ("fast%d", i);
-      struct reply reply = send_call (setup_entry (setup, (guint)i % 2)->listen, "POST", "/a/x", key, NULL, NULL, NULL);
+      struct reply reply
+          = send_call (setup_entry (setup, (guint) i % 2)->listen, "POST", "/a/x", key, NULL, NULL, NULL);
       failed += reply.status != 200;
       free_reply (&reply);
       g_free (key);
@@ -527,7 +528,7 @@
         {
           char *key = g_strdup_printf ("gone%u-%d", victim, i);
           struct reply reply
-              = send_call (setup_entry (setup, 2 + (guint)i % 2)->listen, "GET", "/a/x", key, NULL, NULL, NULL);
+              = send_call (setup_entry (setup, 2 + (guint) i % 2)->listen, "GET", "/a/x", key, NULL, NULL, NULL);
           g_assert_cmpuint (reply.status, ==, 200);
           free_reply (&reply);
           g_free (key);
@@ -552,7 +553,7 @@
   /* Datagrams that do not decode are counted and dropped. */
   GSocket *socket = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM, G_SOCKET_PROTOCOL_UDP, NULL);
   const char *peers = setup_entry (setup, 0)->peers;
-  GSocketAddress *to = g_inet_socket_address_new_from_string ("127.0.0.1", (guint)atoi (strchr (peers, ':') + 1));
+  GSocketAddress *to = g_inet_socket_address_new_from_string ("127.0.0.1", (guint) atoi (strchr (peers, ':') + 1));
   g_socket_send_to (socket, to, "nonsense", 8, NULL, NULL);
   send_some (setup, "alive", 0, 5);
   harness_pause (100);
@@ -653,7 +654,7 @@
     {
       char *key = g_strdup_printf ("outage%d-", number);
       struct reply keyed
-          = send_call (setup_entry (setup, (guint)number % 3)->listen, "POST", "/a/x", key, key, NULL, NULL);
+          = send_call (setup_entry (setup, (guint) number % 3)->listen, "POST", "/a/x", key, key, NULL, NULL);
       g_assert_cmpstr (keyed.outcome, ==, "not-run");
       g_assert_cmpuint (count_runs (setup, key), ==, 0);
       send_some (setup, key, 0, 6);
--- a/tests/test-scripts.c
+++ b/tests/test-scripts.c
@@ -42,7 +42,7 @@
   GHashTableIter iter;
   struct hf_service_state *service;
   g_hash_table_iter_init (&iter, run->state->services);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&service))
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &service))
     {
       const struct hf_pool_server *server = hf_pool_server (&service->pool, id);
       if (server)
@@ -60,20 +60,20 @@
   const struct hf_rpc_body *body = &effect->message.body;
   g_string_append_printf (run->out, "  send " HF_STR_FMT " %s", HF_STR_ARG (effect->address), kinds[body->kind]);
   if (body->kind == HF_RPC_HEARTBEAT)
-    g_string_append_printf (run->out, " generation=%d%s%s", (int)body->hf_rpc_body_u.heartbeat.generation,
+    g_string_append_printf (run->out, " generation=%d%s%s", (int) body->hf_rpc_body_u.heartbeat.generation,
                             body->hf_rpc_body_u.heartbeat.leaving ? " leaving" : "",
                             body->hf_rpc_body_u.heartbeat.sync ? " sync" : "");
   else if (body->kind == HF_RPC_ACQUIRE)
-    g_string_append_printf (run->out, " ticket=%d remaining=%u%s", (int)body->hf_rpc_body_u.acquire.ticket,
+    g_string_append_printf (run->out, " ticket=%d remaining=%u%s", (int) body->hf_rpc_body_u.acquire.ticket,
                             body->hf_rpc_body_u.acquire.remaining_ms,
                             body->hf_rpc_body_u.acquire.retry ? " retry" : "");
   else if (body->kind == HF_RPC_DECISION)
     g_string_append_printf (run->out, " ticket=%d kind=%u server=%s reason=%u",
-                            (int)body->hf_rpc_body_u.decision.ticket, body->hf_rpc_body_u.decision.kind,
+                            (int) body->hf_rpc_body_u.decision.ticket, body->hf_rpc_body_u.decision.kind,
                             server_name (run, body->hf_rpc_body_u.decision.server),
                             body->hf_rpc_body_u.decision.reason);
   else if (body->kind == HF_RPC_RELEASE)
-    g_string_append_printf (run->out, " ticket=%d result=%u", (int)body->hf_rpc_body_u.release.ticket,
+    g_string_append_printf (run->out, " ticket=%d result=%u", (int) body->hf_rpc_body_u.release.ticket,
                             body->hf_rpc_body_u.release.result);
   else if (body->kind == HF_RPC_NOTICE)
     g_string_append_printf (run->out, " kind=%u", body->hf_rpc_body_u.notice.kind);
@@ -89,29 +89,30 @@
   switch (effect->kind)
     {
     case HF_EFFECT_ANSWER:
-      g_string_append_printf (out, "  answer %d %u %s " HF_STR_FMT "\n", (int)effect->call, effect->status,
+      g_string_append_printf (out, "  answer %d %u %s " HF_STR_FMT "\n", (int) effect->call, effect->status,
                               outcomes[effect->outcome], HF_STR_ARG (effect->text));
       break;
     case HF_EFFECT_DISPATCH:
-      g_string_append_printf (out, "  dispatch %d.%u %s%s remaining=%d\n", (int)effect->call, effect->attempt,
+      g_string_append_printf (out, "  dispatch %d.%u %s%s remaining=%d\n", (int) effect->call, effect->attempt,
                               server_name (run, effect->server), effect->fresh ? " fresh" : "",
-                              (int)effect->remaining_ms);
+                              (int) effect->remaining_ms);
       break;
     case HF_EFFECT_CANCEL:
-      g_string_append_printf (out, "  cancel %d.%u\n", (int)effect->call, effect->attempt);
+      g_string_append_printf (out, "  cancel %d.%u\n", (int) effect->call, effect->attempt);
       break;
     case HF_EFFECT_RELAY:
-      g_string_append_printf (out, "  relay %d.%u %s\n", (int)effect->call, effect->attempt, outcomes[effect->outcome]);
+      g_string_append_printf (out, "  relay %d.%u %s\n", (int) effect->call, effect->attempt,
+                              outcomes[effect->outcome]);
       break;
     case HF_EFFECT_CUT:
-      g_string_append_printf (out, "  cut %d\n", (int)effect->call);
+      g_string_append_printf (out, "  cut %d\n", (int) effect->call);
       break;
     case HF_EFFECT_SEND:
       print_send (run, effect);
       break;
     case HF_EFFECT_PLATFORM:
       g_string_append_printf (out, "  platform %s " HF_STR_FMT " version=%d\n", ops[effect->op],
-                              HF_STR_ARG (effect->name), (int)effect->version);
+                              HF_STR_ARG (effect->name), (int) effect->version);
       break;
     case HF_EFFECT_PROBE:
       g_string_append_printf (out, "  probe %s\n", server_name (run, effect->server));
@@ -154,7 +155,7 @@
 {
   struct hf_effects effects;
   hf_effects_init (&effects);
-  event.now = (int64_t)(g_ascii_strtod (run->words[0], NULL) * HF_MS);
+  event.now = (int64_t) (g_ascii_strtod (run->words[0], NULL) * HF_MS);
   event.wall = 1000000 * HF_SEC + event.now;
   hf_reduce (run->state, &event, &effects);
   for (guint i = 0; i < effects.items->len; i++)
@@ -201,7 +202,7 @@
 {
   struct hf_answer_hints hints = { .status = 200, .load = -1, .retry_after_ms = -1 };
   if (option (run, "status"))
-    hints.status = (unsigned)atoi (option (run, "status"));
+    hints.status = (unsigned) atoi (option (run, "status"));
   if (option (run, "load"))
     hints.load = atoi (option (run, "load"));
   if (option (run, "retry"))
@@ -217,7 +218,7 @@
   static const char *const names[] = { "answered", "connect-failed", "broken", "short", "timeout", "cancelled", NULL };
   struct hf_event event = { .kind = HF_EVENT_ATTEMPT_END,
                             .call = number (run, 2),
-                            .attempt = (unsigned)number (run, 3),
+                            .attempt = (unsigned) number (run, 3),
                             .hints = make_hints (run) };
   for (int i = 0; names[i]; i++)
     if (strcmp (names[i], run->words[4]) == 0)
@@ -230,9 +231,9 @@
 find_server (const struct run *run, const char *name)
 {
   const char *slash = strchr (name, '/');
-  char *service = g_strndup (name, slash ? (gsize)(slash - name) : 0);
+  char *service = g_strndup (name, slash ? (gsize) (slash - name) : 0);
   uint64_t id = slash ? hf_server_id (hf_str (service), hf_str (slash + 1)) : 0;
-  (void)run;
+  (void) run;
   g_free (service);
   return id;
 }
@@ -247,7 +248,7 @@
     {
       message.body.kind = HF_RPC_HEARTBEAT;
       if (option (run, "generation"))
-        message.body.hf_rpc_body_u.heartbeat.generation = (uint64_t)atoi (option (run, "generation"));
+        message.body.hf_rpc_body_u.heartbeat.generation = (uint64_t) atoi (option (run, "generation"));
       message.body.hf_rpc_body_u.heartbeat.leaving = option (run, "leaving") != NULL;
     }
   else if (strcmp (kind, "decision") == 0)
@@ -267,18 +268,18 @@
       message.body.kind = HF_RPC_ACQUIRE;
       message.body.hf_rpc_body_u.acquire = (struct hf_rpc_acquire){ .service = hf_hash (hf_str (run->words[4]), 0),
                                                                     .ticket = number (run, 5),
-                                                                    .worth = (unsigned)number (run, 6),
-                                                                    .remaining_ms = (unsigned)number (run, 7) };
+                                                                    .worth = (unsigned) number (run, 6),
+                                                                    .remaining_ms = (unsigned) number (run, 7) };
     }
   else
     {
       message.body.kind = HF_RPC_RELEASE;
       message.body.hf_rpc_body_u.release = (struct hf_rpc_release){ .service = hf_hash (hf_str (run->words[4]), 0),
                                                                     .ticket = number (run, 5),
-                                                                    .result = (unsigned)number (run, 6),
-                                                                    .latency_us = (unsigned)number (run, 7) };
+                                                                    .result = (unsigned) number (run, 6),
+                                                                    .latency_us = (unsigned) number (run, 7) };
     }
-  g_snprintf (address, sizeof address, "10.0.0.%d:1", (int)number (run, 2));
+  g_snprintf (address, sizeof address, "10.0.0.%d:1", (int) number (run, 2));
   raise_event (
       run, (struct hf_event){ .kind = HF_EVENT_PEER, .peer = { .message = &message, .address = hf_str (address) } });
 }
@@ -290,7 +291,7 @@
   const char *version = option (run, "version");
   struct hf_event event
       = { .kind = HF_EVENT_PLATFORM,
-          .platform = { .purpose = HF_PURPOSE_CLAIMS, .arg = number (run, 3), .status = (unsigned)number (run, 5) } };
+          .platform = { .purpose = HF_PURPOSE_CLAIMS, .arg = number (run, 3), .status = (unsigned) number (run, 5) } };
   event.platform.op = strcmp (run->words[4], "put") == 0 ? HF_PLATFORM_PUT : HF_PLATFORM_GET;
   char *json = g_strdup_printf ("{\"metadata\":{\"name\":\"x\",\"resourceVersion\":\"%"
                                 "s\"},\"data\":{\"keys\":\"%s\"}}",
@@ -319,8 +320,8 @@
   else if (strcmp (what, "head") == 0)
     raise_event (run, (struct hf_event){ .kind = HF_EVENT_ATTEMPT_HEAD,
                                          .call = number (run, 2),
-                                         .attempt = (unsigned)number (run, 3),
-                                         .hints = { .status = (unsigned)number (run, 4), .load = -1 } });
+                                         .attempt = (unsigned) number (run, 3),
+                                         .hints = { .status = (unsigned) number (run, 4), .load = -1 } });
   else if (strcmp (what, "end") == 0)
     raise_end (run);
   else if (strcmp (what, "peer") == 0)
@@ -330,7 +331,7 @@
   else if (strcmp (what, "watch-end") == 0)
     raise_event (run,
                  (struct hf_event){ .kind = HF_EVENT_WATCH,
-                                    .platform = { .purpose = number (run, 2), .status = (unsigned)number (run, 3) } });
+                                    .platform = { .purpose = number (run, 2), .status = (unsigned) number (run, 3) } });
   else
     g_error ("unknown event %s", what);
 }
@@ -382,7 +383,7 @@
     {
       if (!g_str_has_suffix (name, ".script"))
         continue;
-      char *test = g_strdup_printf ("/scripts/%.*s", (int)(strlen (name) - strlen (".script")), name);
+      char *test = g_strdup_printf ("/scripts/%.*s", (int) (strlen (name) - strlen (".script")), name);
       g_test_add_data_func_full (test, g_build_filename (HF_SCRIPTS, name, NULL), run_script, g_free);
       g_free (test);
     }
--- a/tests/test-units.c
+++ b/tests/test-units.c
@@ -54,7 +54,7 @@
   for (gsize i = 0; i < G_N_ELEMENTS (wrongs); i++)
     {
       struct hf_error error = { 0 };
-      g_test_message ("case %d", (int)i);
+      g_test_message ("case %d", (int) i);
       g_assert_null (hf_document_load (hf_str (wrongs[i].text), &error));
       g_assert_nonnull (strstr (error.message, wrongs[i].message));
       g_assert_cmpuint (error.line, ==, wrongs[i].line);
@@ -132,7 +132,7 @@
     {
       char changed[HF_WIRE_BYTES_MAX];
       memcpy (changed, buffer, size);
-      changed[g_test_rand_int_range (0, (gint32)size)] = (char)g_test_rand_int ();
+      changed[g_test_rand_int_range (0, (gint32) size)] = (char) g_test_rand_int ();
       if (hf_wire_decode ((struct hf_str){ changed, size }, &decoded, NULL))
         hf_wire_free (&decoded);
     }
