--- a/src/hf-members.c
+++ b/src/hf-members.c
@@ -201,6 +201,33 @@
   beat_member (state, member, false, loads, list_loads (state, loads));
 }
 
+static unsigned
+load_at (const struct hf_rpc_heartbeat *beat, uint64_t server)
+{
+  for (u_int i = 0; i < beat->loads.loads_len; i++)
+    if (beat->loads.loads_val[i].server == server)
+      return beat->loads.loads_val[i].count;
+  return 0;
+}
+
+/* What the member had elsewhere in a service may have ended since the last beat. */
+static void
+refresh_service (struct hf_state *state,
+                 struct hf_service_state *service,
+                 const struct hf_member *member,
+                 const struct hf_rpc_heartbeat *beat)
+{
+  struct hf_pool *pool = &service->pool;
+  if (g_hash_table_size (pool->records) > 0)
+    hf_pool_reconcile (pool, state->now, member->boot, beat->grants.grants_val, beat->grants.grants_len);
+  for (size_t i = 0; g_hash_table_size (pool->foreign) > 0 && i < pool->servers->len; i++)
+    {
+      uint64_t id = g_array_index (pool->servers, struct hf_pool_server, i).id;
+      hf_pool_set_foreign (pool, member->boot, id, load_at (beat, id));
+    }
+}
+
+/* Only services that the beat names or that know of others' requests are looked at. */
 static void
 apply_loads (struct hf_state *state, const struct hf_member *member, const struct hf_rpc_heartbeat *beat)
 {
@@ -208,17 +235,13 @@
   struct hf_service_state *service;
   g_hash_table_iter_init (&iter, state->services);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &service))
+    refresh_service (state, service, member, beat);
+  for (u_int i = 0; i < beat->loads.loads_len; i++)
     {
-      hf_pool_reconcile (&service->pool, state->now, member->boot, beat->grants.grants_val, beat->grants.grants_len);
-      for (size_t i = 0; i < service->pool.servers->len; i++)
-        {
-          uint64_t id = g_array_index (service->pool.servers, struct hf_pool_server, i).id;
-          unsigned count = 0;
-          for (u_int l = 0; l < beat->loads.loads_len; l++)
-            if (beat->loads.loads_val[l].server == id)
-              count = beat->loads.loads_val[l].count;
-          hf_pool_set_foreign (&service->pool, member->boot, id, count);
-        }
+      const struct hf_rpc_load *load = &beat->loads.loads_val[i];
+      service = g_hash_table_lookup (state->homes, &load->server);
+      if (service)
+        hf_pool_set_foreign (&service->pool, member->boot, load->server, load->count);
     }
 }
 
--- a/src/hf-pool.c
+++ b/src/hf-pool.c
@@ -41,7 +41,7 @@
 key_hash (gconstpointer data)
 {
   const struct key *key = data;
-  return (guint)hf_hash_pair (key->entry, key->ticket);
+  return (guint) hf_hash_pair (key->entry, key->ticket);
 }
 
 static gboolean
@@ -55,9 +55,9 @@
 static int
 compare_waiting (gconstpointer a, gconstpointer b, gpointer context)
 {
-  const struct hf_pool_want *left = &((const struct waiting *)a)->want;
-  const struct hf_pool_want *right = &((const struct waiting *)b)->want;
-  (void)context;
+  const struct hf_pool_want *left = &((const struct waiting *) a)->want;
+  const struct hf_pool_want *right = &((const struct waiting *) b)->want;
+  (void) context;
   if (left->worth != right->worth)
     return left->worth > right->worth ? -1 : 1;
   return left->deadline < right->deadline ? -1 : left->deadline > right->deadline;
@@ -78,8 +78,8 @@
   if (pool->policy->use_foreign)
     load += server->foreign;
   bool fresh = now - server->reported_at < HF_LOAD_REPORT_MAX_MS * HF_MS;
-  if (pool->policy->use_reports && fresh && server->reported > (int)load)
-    load = (unsigned)server->reported;
+  if (pool->policy->use_reports && fresh && server->reported > (int) load)
+    load = (unsigned) server->reported;
   return load;
 }
 
@@ -218,7 +218,7 @@
   if (slots == 0)
     return false;
   double ahead = g_sequence_iter_get_position (waiting->place) + 1;
-  return (double)now + ahead * latency / slots + latency > (double)waiting->want.deadline;
+  return (double) now + ahead * latency / slots + latency > (double) waiting->want.deadline;
 }
 
 static void
@@ -268,7 +268,7 @@
     return;
   server->foreign = 0;
   g_hash_table_iter_init (&iter, pool->foreign);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&foreign))
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &foreign))
     if (foreign->key.ticket == id)
       server->foreign += foreign->count;
 }
@@ -280,7 +280,7 @@
   struct record *record;
   unsigned n = 0;
   g_hash_table_iter_init (&iter, pool->records);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&record))
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &record))
     n += record->key.entry == entry && record->server == server;
   return n;
 }
@@ -292,8 +292,8 @@
 {
   return (struct hf_pool_server){
     .id = hf_server_id (service->name, spec->name),
-    .slots = (unsigned)spec->slots,
-    .ramp = cold ? 1 : (unsigned)spec->slots,
+    .slots = (unsigned) spec->slots,
+    .ramp = cold ? 1 : (unsigned) spec->slots,
     .reported = -1,
   };
 }
@@ -314,10 +314,10 @@
   server->name = hf_str_dup (spec->name);
   server->address = hf_str_dup (spec->address);
   if (server->ramp >= server->slots)
-    server->ramp = (unsigned)spec->slots;
-  server->slots = (unsigned)spec->slots;
-  server->connections = (unsigned)spec->connections;
-  server->leaving &= ~(unsigned)HF_LEAVING_DOCUMENT;
+    server->ramp = (unsigned) spec->slots;
+  server->slots = (unsigned) spec->slots;
+  server->connections = (unsigned) spec->connections;
+  server->leaving &= ~(unsigned) HF_LEAVING_DOCUMENT;
   if (spec->drain)
     server->leaving |= HF_LEAVING_DOCUMENT;
 }
@@ -365,12 +365,12 @@
   g_array_unref (pool->servers);
   pool->servers = servers;
   pool->policy = &hf_policies[service->policy];
-  pool->queue_limit = (unsigned)service->queue_limit;
+  pool->queue_limit = (unsigned) service->queue_limit;
   double most = service->policy == HF_POLICY_GRANTS ? HF_RETRY_SHARED_MAX : HF_RETRY_TOKENS_MAX;
   if (first)
-    hf_retry_init (&pool->budget, most, (double)service->retry_percent);
+    hf_retry_init (&pool->budget, most, (double) service->retry_percent);
   pool->budget.max = most;
-  pool->budget.earn = (double)service->retry_percent / 100.0;
+  pool->budget.earn = (double) service->retry_percent / 100.0;
 }
 
 /* --- public functions: slots --- */
@@ -469,7 +469,7 @@
   GHashTableIter iter;
   struct record *record;
   g_hash_table_iter_init (&iter, pool->records);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&record))
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &record))
     if (record->expires_at <= now)
       {
         drop_record (pool, record);
@@ -497,9 +497,9 @@
   struct foreign *foreign;
   hf_pool_reconcile (pool, INT64_MAX, entry, NULL, 0);
   g_hash_table_iter_init (&iter, pool->foreign);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&foreign))
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &foreign))
     if (foreign->key.entry == entry)
-      foreign->count = 0;
+      g_hash_table_iter_remove (&iter);
   for (size_t i = 0; i < pool->servers->len; i++)
     recount_foreign (pool, server_at (pool, i)->id);
   GSequenceIter *place = g_sequence_get_begin_iter (pool->queue);
@@ -518,7 +518,7 @@
   GHashTableIter iter;
   struct record *record;
   g_hash_table_iter_init (&iter, pool->records);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&record))
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &record))
     {
       bool held = false;
       if (record->key.entry != entry || now - record->issued_at < HF_GRANT_SETTLE_MS * HF_MS)
@@ -551,6 +551,8 @@
       g_hash_table_insert (pool->foreign, foreign, foreign);
     }
   foreign->count = beside;
+  if (beside == 0)
+    g_hash_table_remove (pool->foreign, &key);
   recount_foreign (pool, server);
 }
 
@@ -572,7 +574,7 @@
   if (!server)
     return false;
   bool news = on && !(server->leaving & source);
-  server->leaving = on ? server->leaving | source : server->leaving & ~(unsigned)source;
+  server->leaving = on ? server->leaving | source : server->leaving & ~(unsigned) source;
   if (on && until > server->leaving_until)
     server->leaving_until = until;
   return news;
@@ -598,5 +600,5 @@
 unsigned
 hf_pool_waiting (const struct hf_pool *pool)
 {
-  return (unsigned)g_sequence_get_length (pool->queue);
+  return (unsigned) g_sequence_get_length (pool->queue);
 }
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -239,6 +239,7 @@
   state->random = boot;
   state->wake_at = -1;
   state->services = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, NULL);
+  state->homes = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   state->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, hf_calls_free);
   state->members = g_ptr_array_new_with_free_func (free_member);
   state->vm_leaving = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -257,6 +258,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &service))
     free_service (service);
   g_hash_table_destroy (state->services);
+  g_hash_table_destroy (state->homes);
   g_hash_table_destroy (state->calls);
   g_ptr_array_unref (state->members);
   g_hash_table_destroy (state->vm_leaving);
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -308,6 +308,7 @@
   GSequenceIter *restore_timer;
 
   GHashTable *services;   /* struct hf_service_state by id */
+  GHashTable *homes;      /* the same by id of a backend server */
   GHashTable *calls;      /* struct hf_call by id */
   GPtrArray *members;     /* struct hf_member */
   GHashTable *vm_leaving; /* addresses of leaving backend VMs */
--- a/src/hf-sync.c
+++ b/src/hf-sync.c
@@ -68,9 +68,20 @@
     }
 }
 
+static void
+add_homes (struct hf_state *state, struct hf_service_state *service)
+{
+  for (size_t i = 0; i < service->pool.servers->len; i++)
+    {
+      uint64_t id = g_array_index (service->pool.servers, struct hf_pool_server, i).id;
+      g_hash_table_insert (state->homes, g_memdup2 (&id, sizeof id), service);
+    }
+}
+
 static void
 apply_document (struct hf_state *state)
 {
+  g_hash_table_remove_all (state->homes);
   for (size_t i = 0; i < state->document->services.n; i++)
     {
       const struct hf_service *spec = hf_document_service (state->document, i);
@@ -79,6 +90,7 @@
         service = add_service (state, spec);
       hf_pool_configure (&service->pool, spec);
       mark_listed_leaving (state, service);
+      add_homes (state, service);
     }
   remove_services (state);
   hf_slots_pump (state);
