--- a/bench/bench.c
+++ b/bench/bench.c
@@ -101,34 +101,23 @@
   return usage;
 }
 
+/* Sum or greatest of one number over all fake backend servers. */
 static guint
-peak_queue (const struct harness *harness)
+read_stat (const struct harness *harness, const char *label, gboolean greatest)
 {
-  guint peak = 0;
+  guint found = 0;
   for (guint b = 0; b < harness->backends->len; b++)
     {
       const struct backend *backend = g_ptr_array_index (harness->backends, b);
       char *text = harness_get (backend->control, "/stats", NULL);
-      for (const char *at = text; at && (at = strstr (at, " peak ")); at += 6)
-        peak = MAX (peak, (guint) atoi (at + 6));
+      for (const char *at = text; at && (at = strstr (at, label)); at += strlen (label))
+        {
+          guint value = (guint) atoi (at + strlen (label));
+          found = greatest ? MAX (found, value) : found + value;
+        }
       g_free (text);
     }
-  return peak;
-}
-
-static guint
-total_runs (const struct harness *harness)
-{
-  guint runs = 0;
-  for (guint b = 0; b < harness->backends->len; b++)
-    {
-      const struct backend *backend = g_ptr_array_index (harness->backends, b);
-      char *text = harness_get (backend->control, "/stats", NULL);
-      for (const char *at = text; at && (at = strstr (at, " runs ")); at += 6)
-        runs += (guint) atoi (at + 6);
-      g_free (text);
-    }
-  return runs;
+  return found;
 }
 
 /* --- internal functions: faults --- */
@@ -236,14 +225,6 @@
     end_fault (load, setting);
 }
 
-static int
-compare_double (gconstpointer a, gconstpointer b)
-{
-  double left = *(const double *) a;
-  double right = *(const double *) b;
-  return left < right ? -1 : left > right;
-}
-
 /* Percentile of the answered calls that were due between two times, each as
  * often as its worth. */
 static double
@@ -257,7 +238,7 @@
       for (int w = 0; w < sample->worth && sample->at_s >= from_s && sample->at_s < to_s; w++)
         g_array_append_val (values, sample->latency_ms);
     }
-  g_array_sort (values, compare_double);
+  g_array_sort (values, load_compare);
   if (values->len > 0)
     found = g_array_index (values, double, (guint) (0.99 * (values->len - 1)));
   g_array_unref (values);
@@ -334,7 +315,7 @@
       all.sent += load->results[c].sent;
       all.in_time += load->results[c].in_time;
     }
-  g_array_sort (all.latency_ms, compare_double);
+  g_array_sort (all.latency_ms, load_compare);
   return all;
 }
 
@@ -391,7 +372,7 @@
   load_run (&warm);
   load_close (&warm);
   struct usage before = read_usage (harness);
-  guint runs = total_runs (harness);
+  guint runs = read_stat (harness, " runs ", FALSE);
   struct load load = { .harness = harness,
                        .scenario = scenario,
                        .rate = scenario_capacity (scenario, options->mean_ms) * setting.load,
@@ -403,8 +384,8 @@
   load_init (&load);
   load_run (&load);
   struct usage used = read_usage (harness);
-  guint peak = peak_queue (harness);
-  runs = total_runs (harness) - runs;
+  guint peak = read_stat (harness, " peak ", TRUE);
+  runs = read_stat (harness, " runs ", FALSE) - runs;
   used.cpu_s -= before.cpu_s;
   used.messages -= before.messages;
   used.bytes -= before.bytes;
--- a/bench/load.c
+++ b/bench/load.c
@@ -332,8 +332,8 @@
   g_array_unref (load->timeline);
 }
 
-static int
-compare_double (gconstpointer a, gconstpointer b)
+int
+load_compare (gconstpointer a, gconstpointer b)
 {
   double left = *(const double *) a;
   double right = *(const double *) b;
@@ -369,7 +369,7 @@
   g_free (run.cumulative);
   g_main_loop_unref (run.loop);
   for (gsize i = 0; i < G_N_ELEMENTS (load->results); i++)
-    g_array_sort (load->results[i].latency_ms, compare_double);
+    g_array_sort (load->results[i].latency_ms, load_compare);
 }
 
 double
@@ -402,7 +402,7 @@
         total += one.worth;
         g_array_append_val (all, one);
       }
-  g_array_sort (all, compare_double);
+  g_array_sort (all, load_compare);
   for (guint i = 0; i < all->len && sum < share * total; i++)
     {
       sum += g_array_index (all, struct weighted, i).worth;
--- a/bench/load.h
+++ b/bench/load.h
@@ -77,5 +77,6 @@
 guint load_count (const struct load *load, enum load_outcome outcome); /* over all classes */
 struct load_check load_verify (struct load *load);                     /* compares with the fakes' runs */
 void load_print (const struct load *load);                             /* a table by class */
+int load_compare (gconstpointer a, gconstpointer b);                   /* orders double values */
 
 #endif
--- a/bench/speed.c
+++ b/bench/speed.c
@@ -58,14 +58,6 @@
     }
 }
 
-static int
-compare_double (const void *a, const void *b)
-{
-  double left = *(const double *) a;
-  double right = *(const double *) b;
-  return left < right ? -1 : left > right;
-}
-
 static void
 measure_one_connection (const char *address, double *p50, double *p99)
 {
@@ -77,7 +69,7 @@
       call_once (connection);
       us[i] = (double) (g_get_monotonic_time () - begin);
     }
-  qsort (us, CALLS, sizeof us[0], compare_double);
+  qsort (us, CALLS, sizeof us[0], load_compare);
   *p50 = gsl_stats_quantile_from_sorted_data (us, 1, CALLS, 0.5);
   *p99 = gsl_stats_quantile_from_sorted_data (us, 1, CALLS, 0.99);
   g_object_unref (connection);
