--- a/bench/speed.c
+++ b/bench/speed.c
@@ -22,9 +22,17 @@
 /* --- types --- */
 
 static const struct scenario_service services[] = { { "a", "/a", 1 }, { 0 } };
-static const struct load_class classes[] = { { "read", "a", "GET", "/a/1", 1.0, 1, 2000, TRUE, FALSE, 0 }, { 0 } };
-static const struct scenario one_service
-    = { .name = "one", .services = services, .classes = classes, .slots = 1000, .connections = 1000 };
+static const struct load_class both[] = { { "read", "a", "GET", "/a/1", 0.5, 1, 2000, TRUE, FALSE, 0 },
+                                          { "write", "a", "POST", "/a/1", 0.5, 1, 5000, FALSE, FALSE, 400 },
+                                          { 0 } };
+static const struct load_class reads[] = { { "read", "a", "GET", "/a/1", 1.0, 1, 2000, TRUE, FALSE, 0 }, { 0 } };
+static const struct load_class writes[] = { { "write", "a", "POST", "/a/1", 1.0, 1, 5000, FALSE, FALSE, 400 }, { 0 } };
+static const struct scenario all_calls
+    = { .name = "all", .services = services, .classes = both, .slots = 1000, .connections = 1000 };
+static const struct scenario read_calls
+    = { .name = "reads", .services = services, .classes = reads, .slots = 1000, .connections = 1000 };
+static const struct scenario write_calls
+    = { .name = "writes", .services = services, .classes = writes, .slots = 1000, .connections = 1000 };
 
 /* --- internal functions --- */
 
@@ -101,10 +109,20 @@
 }
 
 static void
-measure_rate (struct harness *harness, double rate, double *p50, double *p99)
+measure_rate (struct harness *harness,
+              const struct scenario *scenario,
+              gboolean keys,
+              double rate,
+              double *p50,
+              double *p99)
 {
-  struct load load
-      = { .harness = harness, .scenario = &one_service, .rate = rate, .seconds = HALF_S, .seed = 1, .prefix = "s" };
+  struct load load = { .harness = harness,
+                       .scenario = scenario,
+                       .rate = rate,
+                       .seconds = HALF_S,
+                       .seed = 1,
+                       .keys = keys,
+                       .prefix = keys ? "key" : "s" };
   load_init (&load);
   load_run (&load);
   *p50 = load_percentile (&load.results[0], 0.5) * 1000;
@@ -120,6 +138,24 @@
   g_ptr_array_add (harness->entries, entry);
 }
 
+/* What a claim adds, and the platform calls that it costs. */
+static void
+measure_claims (struct harness *harness, double rate)
+{
+  double plain50, plain99, key50, key99;
+  measure_rate (harness, &write_calls, FALSE, rate, &plain50, &plain99);
+  char *before = harness_get (harness->platform, "/fake/stats", NULL);
+  measure_rate (harness, &write_calls, TRUE, rate, &key50, &key99);
+  char *after = harness_get (harness->platform, "/fake/stats", NULL);
+  double wrote
+      = g_ascii_strtod (strstr (after, "writes ") + 7, NULL) - g_ascii_strtod (strstr (before, "writes ") + 7, NULL);
+  printf (
+      "claims at %.0f/s: without a key p50 %.1f p99 %.1f ms, with a key p50 %.1f p99 %.1f ms, %.0f platform writes/s\n",
+      rate, plain50 / 1000, plain99 / 1000, key50 / 1000, key99 / 1000, wrote / HALF_S);
+  g_free (after);
+  g_free (before);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -131,7 +167,7 @@
   struct entry direct = { 0 };
   g_strlcpy (direct.listen, g_ptr_array_index (backend->servers, 0), sizeof direct.listen);
   g_strlcpy (direct.admin, direct.listen, sizeof direct.admin);
-  char *document = scenario_document (&one_service, backend->servers, "grants", "    probe_budget: 0\n");
+  char *document = scenario_document (&all_calls, backend->servers, "grants", "    probe_budget: 0\n");
   if (!harness_apply (harness, document))
     return 1;
   double idle = memory_mb (entry);
@@ -154,13 +190,16 @@
     {
       double d50, d99, e50, e99;
       point_at (harness, &direct);
-      measure_rate (harness, rate, &d50, &d99);
+      measure_rate (harness, &read_calls, FALSE, rate, &d50, &d99);
       point_at (harness, entry);
-      measure_rate (harness, rate, &e50, &e99);
+      measure_rate (harness, &read_calls, FALSE, rate, &e50, &e99);
       printf ("half a core (%.0f calls/s): direct p50 %.0f p99 %.0f us, through an "
               "entry p50 %.0f p99 %.0f us, added p50 %.0f p99 %.0f us\n",
               rate, d50, d99, e50, e99, e50 - d50, e99 - d99);
     }
+  measure_claims (harness, 20);
+  measure_claims (harness, 100);
+  measure_claims (harness, 400);
   GPtrArray *connections = g_ptr_array_new_with_free_func (g_object_unref);
   for (int i = 0; i < OPEN; i++)
     {
