--- a/src/hf-pool.c
+++ b/src/hf-pool.c
@@ -116,9 +116,8 @@
 }
 
 static struct hf_pool_server *
-choose_server (struct hf_pool *pool, int64_t now, const struct hf_pool_want *want)
+choose_server (struct hf_pool *pool, int64_t now, uint64_t exclude)
 {
-  uint64_t exclude = want->exclude;
   struct hf_candidate candidates[pool->servers->len + 1];
   size_t n = list_candidates (pool, now, exclude, candidates);
   /* An excluded server is better than none. */
@@ -127,9 +126,7 @@
   if (n == 0)
     return NULL;
   struct hf_choice_context choice = { .turn = pool->turn };
-  /* Entries that decide alone would all take the same fastest server. */
-  const struct hf_policy *policy = want->alone ? &hf_policies[HF_POLICY_TWO_CHOICES] : pool->policy;
-  size_t i = policy->choose (&choice, candidates, n, hf_random_next (&pool->random));
+  size_t i = pool->policy->choose (&choice, candidates, n, hf_random_next (&pool->random));
   pool->turn++;
   return i < n ? server_at (pool, candidates[i].index) : NULL;
 }
@@ -399,7 +396,7 @@
     hf_retry_earn (&pool->budget);
   /* Whoever waits already goes first unless the newcomer is worth more. */
   bool first = hf_pool_waiting (pool) == 0;
-  struct hf_pool_server *server = first ? choose_server (pool, now, &want) : NULL;
+  struct hf_pool_server *server = first ? choose_server (pool, now, want.exclude) : NULL;
   if (server)
     {
       grant (pool, now, &want, server, decisions);
@@ -455,7 +452,7 @@
           remove_waiting (pool, first);
           continue;
         }
-      struct hf_pool_server *server = choose_server (pool, now, &first->want);
+      struct hf_pool_server *server = choose_server (pool, now, first->want.exclude);
       if (!server)
         return;
       grant (pool, now, &first->want, server, decisions);
--- a/src/hf-pool.h
+++ b/src/hf-pool.h
@@ -36,7 +36,6 @@
   int64_t deadline;
   bool retry;       /* takes a token of the retry budget */
   uint64_t exclude; /* server to avoid if another is there; 0: none */
-  bool alone;       /* the granter is silent: other entries decide alone too */
 };
 
 /** enum hf_decision_kind - the pool's answer to a want */
--- a/src/hf-slots.c
+++ b/src/hf-slots.c
@@ -73,7 +73,7 @@
     .deadline = call->deadline,
     .retry = attempt->retry,
     .exclude = attempt->exclude,
-    .alone = service->suspect_until > state->now,
+
   };
   GArray *decisions = new_decisions ();
   hf_pool_acquire (&service->pool, state->now, want, decisions);
