One place each for a leaving server, the end of a service and probe results

Cause: reading the change again: four modules marked a backend server as leaving and wrote the same line, two freed a service, three calls took back what one mask takes back, a probe's result was looked for in every service although the table of homes knows it, hf_claims_platform only passed on, and a shard's member was written and never read. Ruled out: merging the pool's and the shards' key functions (other keys), the fakes' handlers (each its own protocol), the similar halves of the tests.

--- a/src/hf-attempts.c
+++ b/src/hf-attempts.c
@@ -17,13 +17,8 @@
   if (!service || !leaving)
     return;
   enum hf_leaving source = refused_it ? HF_LEAVING_REFUSAL : HF_LEAVING_HEALTH;
-  if (!hf_pool_set_leaving (&service->pool, attempt->server, source, true, until))
-    return;
-  const struct hf_pool_server *server = hf_pool_server (&service->pool, attempt->server);
-  hf_state_log (state, HF_LOG_SERVER_LEAVING,
-                "backend server " HF_STR_FMT " of " HF_STR_FMT " is leaving, by its own answer",
-                HF_STR_ARG (server->name), HF_STR_ARG (service->name));
-  hf_quarantine_tell (state, HF_NOTICE_LEAVING, service->id, attempt->server, HF_LEAVING_HOLD_MS);
+  if (hf_state_note_leaving (state, service, attempt->server, source, until, "its own answer"))
+    hf_quarantine_tell (state, HF_NOTICE_LEAVING, service->id, attempt->server, HF_LEAVING_HOLD_MS);
 }
 
 static void
--- a/src/hf-claims.c
+++ b/src/hf-claims.c
@@ -321,12 +321,6 @@
     ask_owner (state, claim, HF_CLAIM_OP_RELEASE);
 }
 
-void
-hf_claims_platform (struct hf_state *state, const struct hf_event *event)
-{
-  hf_shards_platform (state, event);
-}
-
 void
 hf_claims_expire (struct hf_state *state)
 {
--- a/src/hf-claims.h
+++ b/src/hf-claims.h
@@ -26,9 +26,7 @@
 
 void hf_claims_message (struct hf_state *state, const struct hf_event *event); /* CLAIM, INQUIRY and their replies */
 void hf_claims_timer (struct hf_state *state, const struct hf_timer *timer);   /* one of its timers */
-void hf_claims_platform (struct hf_state *state,
-                         const struct hf_event *event); /* outcome of a read or write of a shard */
-void hf_claims_expire (struct hf_state *state);         /* forgets old outcomes */
+void hf_claims_expire (struct hf_state *state);                                /* forgets old outcomes */
 
 /* --- public functions: init and close --- */
 
--- a/src/hf-health.h
+++ b/src/hf-health.h
@@ -21,6 +21,7 @@
   HF_LEAVING_HEALTH = 4,
   HF_LEAVING_REFUSAL = 8,
   HF_LEAVING_PEER = 16,
+  HF_LEAVING_SEEN = HF_LEAVING_HEALTH | HF_LEAVING_REFUSAL | HF_LEAVING_PEER, /* ends by itself */
 };
 
 /** enum hf_pool_result - what a slot's use showed */
--- a/src/hf-members.c
+++ b/src/hf-members.c
@@ -76,10 +76,10 @@
         struct hf_pool_server *server = &g_array_index (service->pool.servers, struct hf_pool_server, i);
         if (!hf_str_equal (server->address, address))
           continue;
-        if (hf_pool_set_leaving (&service->pool, server->id, HF_LEAVING_VM_LIST, leaving, 0))
-          hf_state_log (state, HF_LOG_SERVER_LEAVING,
-                        "backend server " HF_STR_FMT " of " HF_STR_FMT " is leaving, by the VM list",
-                        HF_STR_ARG (server->name), HF_STR_ARG (service->name));
+        if (leaving)
+          hf_state_note_leaving (state, service, server->id, HF_LEAVING_VM_LIST, 0, "the VM list");
+        else
+          hf_pool_set_leaving (&service->pool, server->id, HF_LEAVING_VM_LIST, false, 0);
       }
 }
 
--- a/src/hf-probes.c
+++ b/src/hf-probes.c
@@ -156,30 +156,22 @@
 void
 hf_probes_result (struct hf_state *state, const struct hf_event *event)
 {
-  GHashTableIter iter;
-  struct hf_service_state *service;
-  g_hash_table_iter_init (&iter, state->services);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &service))
+  struct hf_service_state *service = g_hash_table_lookup (state->homes, &event->server);
+  const struct hf_pool_server *server = service ? hf_pool_server (&service->pool, event->server) : NULL;
+  if (!server || event->hints.status == 0)
+    return;
+  if (event->hints.load >= 0)
+    hf_pool_report (&service->pool, event->server, event->hints.load, state->now);
+  bool was_seen = (server->leaving & HF_LEAVING_SEEN) != 0;
+  int64_t until = state->now + HF_LEAVING_HOLD_MS * HF_MS;
+  if (event->hints.leaving)
     {
-      struct hf_pool_server *server = hf_pool_server (&service->pool, event->server);
-      if (!server || event->hints.status == 0)
-        continue;
-      if (event->hints.load >= 0)
-        hf_pool_report (&service->pool, event->server, event->hints.load, state->now);
-      unsigned seen = HF_LEAVING_HEALTH | HF_LEAVING_REFUSAL | HF_LEAVING_PEER;
-      bool was = (server->leaving & seen) != 0;
-      int64_t until = state->now + HF_LEAVING_HOLD_MS * HF_MS;
-      if (event->hints.leaving && hf_pool_set_leaving (&service->pool, event->server, HF_LEAVING_HEALTH, true, until))
-        {
-          hf_state_log (state, HF_LOG_SERVER_LEAVING,
-                        "backend server " HF_STR_FMT " of " HF_STR_FMT " is leaving, by its health endpoint",
-                        HF_STR_ARG (server->name), HF_STR_ARG (service->name));
-          hf_quarantine_tell (state, HF_NOTICE_LEAVING, service->id, event->server, HF_LEAVING_HOLD_MS);
-        }
-      else if (!event->hints.leaving && event->hints.status == 200 && was)
-        {
-          server->leaving &= ~seen;
-          hf_quarantine_tell (state, HF_NOTICE_STAYING, service->id, event->server, 0);
-        }
+      if (hf_state_note_leaving (state, service, event->server, HF_LEAVING_HEALTH, until, "its health endpoint"))
+        hf_quarantine_tell (state, HF_NOTICE_LEAVING, service->id, event->server, HF_LEAVING_HOLD_MS);
+    }
+  else if (event->hints.status == 200 && was_seen)
+    {
+      hf_pool_set_leaving (&service->pool, event->server, HF_LEAVING_SEEN, false, 0);
+      hf_quarantine_tell (state, HF_NOTICE_STAYING, service->id, event->server, 0);
     }
 }
--- a/src/hf-quarantine.c
+++ b/src/hf-quarantine.c
@@ -37,19 +37,10 @@
   unsigned hold_ms = MIN (notice->hold_ms, HF_LEAVING_HOLD_MS);
   if (!service)
     return;
-  if (!leaving)
-    {
-      hf_pool_set_leaving (&service->pool, notice->id, HF_LEAVING_HEALTH, false, 0);
-      hf_pool_set_leaving (&service->pool, notice->id, HF_LEAVING_REFUSAL, false, 0);
-      hf_pool_set_leaving (&service->pool, notice->id, HF_LEAVING_PEER, false, 0);
-      return;
-    }
-  if (!hf_pool_set_leaving (&service->pool, notice->id, HF_LEAVING_PEER, true, state->now + hold_ms * HF_MS))
-    return;
-  const struct hf_pool_server *server = hf_pool_server (&service->pool, notice->id);
-  hf_state_log (state, HF_LOG_SERVER_LEAVING,
-                "backend server " HF_STR_FMT " of " HF_STR_FMT " is leaving, by another entry",
-                HF_STR_ARG (server->name), HF_STR_ARG (service->name));
+  if (leaving)
+    hf_state_note_leaving (state, service, notice->id, HF_LEAVING_PEER, state->now + hold_ms * HF_MS, "another entry");
+  else
+    hf_pool_set_leaving (&service->pool, notice->id, HF_LEAVING_SEEN, false, 0);
 }
 
 /* --- public functions --- */
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -6,6 +6,7 @@
 #include "hf-members.h"
 #include "hf-probes.h"
 #include "hf-quarantine.h"
+#include "hf-shards.h"
 #include "hf-slots.h"
 #include "hf-sync.h"
 
@@ -24,15 +25,6 @@
   g_free (member);
 }
 
-static void
-free_service (void *data)
-{
-  struct hf_service_state *service = data;
-  hf_pool_close (&service->pool);
-  hf_str_free (&service->name);
-  g_free (service);
-}
-
 /* --- internal functions: events --- */
 
 static void
@@ -157,7 +149,7 @@
   if (event->platform.status == 0)
     hf_state_count (state, HF_COUNT_PLATFORM_LOST);
   if (event->platform.purpose == HF_PURPOSE_CLAIMS)
-    hf_claims_platform (state, event);
+    hf_shards_platform (state, event);
   else if (event->platform.purpose == HF_PURPOSE_PROBES)
     hf_probes_platform (state, event);
   else
@@ -238,7 +230,7 @@
   state->boot = boot;
   state->random = boot;
   state->wake_at = -1;
-  state->services = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, NULL);
+  state->services = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, hf_state_free_service);
   state->homes = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   state->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, hf_calls_free);
   state->members = g_ptr_array_new_with_free_func (free_member);
@@ -252,11 +244,6 @@
 void
 hf_state_free (struct hf_state *state)
 {
-  GHashTableIter iter;
-  void *service;
-  g_hash_table_iter_init (&iter, state->services);
-  while (g_hash_table_iter_next (&iter, NULL, &service))
-    free_service (service);
   g_hash_table_destroy (state->services);
   g_hash_table_destroy (state->homes);
   g_hash_table_destroy (state->calls);
--- a/src/hf-shards.c
+++ b/src/hf-shards.c
@@ -203,7 +203,6 @@
   char *json = write_keys (i, shard->version, next);
   object_name (i, name, sizeof name);
   shard->next = next;
-  shard->writing = true;
   shard->written_at = state->now;
   hf_state_platform (state, HF_PLATFORM_PUT, HF_PURPOSE_CLAIMS, i, hf_str (name), shard->version, hf_str (json));
   hf_state_count (state, HF_COUNT_CLAIM_WRITES);
@@ -282,7 +281,6 @@
   struct hf_object object;
   bool ok = (event->platform.status == 200 || event->platform.status == 201)
             && hf_object_load (event->platform.data, &object, NULL);
-  shard->writing = false;
   if (!ok)
     {
       if (event->platform.status != 409)
--- a/src/hf-state.c
+++ b/src/hf-state.c
@@ -43,6 +43,31 @@
   return g_hash_table_lookup (state->services, &id);
 }
 
+void
+hf_state_free_service (void *data)
+{
+  struct hf_service_state *service = data;
+  hf_pool_close (&service->pool);
+  hf_str_free (&service->name);
+  g_free (service);
+}
+
+bool
+hf_state_note_leaving (struct hf_state *state,
+                       struct hf_service_state *service,
+                       uint64_t id,
+                       enum hf_leaving source,
+                       int64_t until,
+                       const char *by)
+{
+  if (!hf_pool_set_leaving (&service->pool, id, source, true, until))
+    return false;
+  const struct hf_pool_server *server = hf_pool_server (&service->pool, id);
+  hf_state_log (state, HF_LOG_SERVER_LEAVING, "backend server " HF_STR_FMT " of " HF_STR_FMT " is leaving, by %s",
+                HF_STR_ARG (server->name), HF_STR_ARG (service->name), by);
+  return true;
+}
+
 void
 hf_state_count (struct hf_state *state, enum hf_counter counter)
 {
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -236,7 +236,7 @@
 {
   bool loaded;
   bool busy; /* a platform call is out */
-  bool writing;
+
   uint64_t version;
   GHashTable *keys; /* struct hf_shard_key */
   GArray *waiting;  /* struct hf_shard_op, not in a write yet */
@@ -324,7 +324,14 @@
 
 extern const char *const hf_counter_names[HF_COUNTERS];                                /* name of each counter */
 struct hf_service_state *hf_state_service (const struct hf_state *state, uint64_t id); /* NULL if unknown */
-void hf_state_count (struct hf_state *state, enum hf_counter counter);                 /* adds one */
+void hf_state_free_service (void *service);                                            /* for the table of services */
+bool hf_state_note_leaving (struct hf_state *state,
+                            struct hf_service_state *service,
+                            uint64_t server,
+                            enum hf_leaving source,
+                            int64_t until,
+                            const char *by);                           /* marks and logs; true if this is news */
+void hf_state_count (struct hf_state *state, enum hf_counter counter); /* adds one */
 void hf_state_log (struct hf_state *state, enum hf_log_number number, const char *format, ...)
     __attribute__ ((format (printf, 3, 4)));                                               /* effect LOG */
 void hf_state_send (struct hf_state *state, uint64_t boot, struct hf_rpc_message message); /* effect SEND to a member */
--- a/src/hf-sync.c
+++ b/src/hf-sync.c
@@ -19,14 +19,6 @@
   return state->document ? state->document->generation : 0;
 }
 
-static void
-free_service (struct hf_service_state *service)
-{
-  hf_pool_close (&service->pool);
-  hf_str_free (&service->name);
-  g_free (service);
-}
-
 static struct hf_service_state *
 add_service (struct hf_state *state, const struct hf_service *spec)
 {
@@ -64,7 +56,6 @@
       if (declared || hf_calls_use_service (state, service->id))
         continue;
       g_hash_table_iter_remove (&iter);
-      free_service (service);
     }
 }
 
