--- a/src/hf-retry.h
+++ b/src/hf-retry.h
@@ -2,8 +2,9 @@
  * DOC: hf-retry - retry budget and backoff
  *
  * A token bucket that first attempts fill and retries empty, and the delay
- * before a retry. See docs/DESIGN.md, "Retries", for the measurement behind
- * keeping one bucket for the whole fleet.
+ * before a retry. Where one entry grants the slots of a service, its bucket is
+ * the fleet's: budgets per client do not bound their stock of tokens together
+ * (PAPER-aws-architecture-series-54-d10e; measured in docs/MEASUREMENTS.md).
  */
 #ifndef HF_RETRY_H
 #define HF_RETRY_H
