--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 PACKAGES = gcc meson ninja-build pkg-config clang-format clang-tidy \
   libglib2.0-dev libsoup-3.0-dev libjson-glib-dev libyaml-dev libtirpc-dev \
-  libxxhash-dev libgsl-dev
+  libxxhash-dev libgsl-dev libhttp-parser-dev
 
 .PHONY: all setup build demo check check-sanitize bench fuzz format rpc
 
--- a/src/config.h
+++ b/src/config.h
@@ -17,8 +17,17 @@
 #define HF_HEADER_BYTES_MAX  (32 * 1024)  /* request head, above: 431 */
 #define HF_BODY_BYTES_MAX    (1LL << 30)  /* request body, above: 413 */
 #define HF_RELAY_CHUNK_BYTES (64 * 1024)  /* unit of a streamed copy */
-#define HF_CALLER_POLL_MS    50           /* look for callers that left */
 #define HF_CALLER_SILENT_SEC 60           /* caller bytes stalled, then cut */
+#define HF_RETRY_AFTER_MS    1000         /* told with a refusal that says nothing better */
+#define HF_SOCKET_SILENT_MS  5000         /* bytes not acknowledged, then the connection is broken */
+#define HF_SWEEP_MS          100          /* look for connections whose time is over */
+
+/* Connections to backend servers. */
+#define HF_ANSWER_HEAD_BYTES_MAX (64 * 1024) /* above: no answer */
+#define HF_CONNECT_TIMEOUT_MS    500
+#define HF_LINK_IDLE_MS          4000 /* kept that long where the server does not say */
+#define HF_LINK_IDLE_MARGIN_MS   1000 /* closed that much before the server does */
+#define HF_LINK_PROVED_MS        2500 /* used for what may not be repeated if it answered since */
 
 #define HF_MALLOC_TRIM_BYTES (4 * 1024 * 1024)
 
--- a/src/hf-calls.c
+++ b/src/hf-calls.c
@@ -87,11 +87,11 @@
         uint64_t id,
         unsigned status,
         enum hf_outcome outcome,
-        unsigned retry_after_sec,
+        int64_t retry_after_ms,
         const char *reason)
 {
   struct hf_effect effect = {
-    .kind = HF_EFFECT_ANSWER, .call = id, .status = status, .outcome = outcome, .retry_after_sec = retry_after_sec
+    .kind = HF_EFFECT_ANSWER, .call = id, .status = status, .outcome = outcome, .retry_after_ms = retry_after_ms
   };
   effect.text = hf_effects_keep (state->out, hf_str (reason));
   hf_effects_add (state->out, effect);
@@ -106,7 +106,7 @@
   cancel_others (state, call, -1);
   enum hf_outcome outcome = call->maybe_run ? HF_OUTCOME_UNKNOWN : HF_OUTCOME_NOT_RUN;
   hf_claims_ended (state, call, outcome, 0);
-  answer (state, call->id, status, outcome, status == 503 ? 1 : 0, reason);
+  answer (state, call->id, status, outcome, status == 503 ? HF_RETRY_AFTER_MS : 0, reason);
   remove_call (state, call);
 }
 
@@ -148,13 +148,6 @@
   return MIN (late, MAX (hedge, HF_HEDGE_MIN_MS * HF_MS));
 }
 
-static unsigned
-connection_share (const struct hf_state *state, const struct hf_pool_server *server)
-{
-  int64_t entries = state->document ? state->document->entries_max : 1;
-  return (unsigned) MAX (1, server->connections / entries);
-}
-
 static void
 dispatch (struct hf_state *state, struct hf_call *call, unsigned i, const struct hf_pool_server *server)
 {
@@ -164,11 +157,11 @@
     .call = call->id,
     .attempt = i,
     .server = server->id,
-    .fresh = !call->class->repeatable,
+    .idle_max_ms = call->class->repeatable ? HF_LINK_IDLE_MS : HF_LINK_PROVED_MS,
     .remaining_ms = MAX (1, (call->deadline - state->now) / HF_MS),
-    .connections = connection_share (state, server),
   };
   effect.address = hf_effects_keep (state->out, server->address);
+  effect.name = hf_effects_keep (state->out, server->name);
   attempt->phase = HF_PHASE_RUNNING;
   attempt->server = server->id;
   attempt->started_at = state->now;
@@ -309,7 +302,9 @@
   const struct hf_pool_server *server = service ? hf_pool_server (&service->pool, attempt->server) : NULL;
   if (!server || server->answered_at >= attempt->started_at)
     return;
-  hf_effects_add (state->out, (struct hf_effect){ .kind = HF_EFFECT_RENEW, .server = attempt->server });
+  struct hf_effect renew = { .kind = HF_EFFECT_RENEW, .server = attempt->server };
+  renew.address = hf_effects_keep (state->out, server->address);
+  hf_effects_add (state->out, renew);
   hf_state_log (state, HF_LOG_SERVER_SILENT,
                 "backend server " HF_STR_FMT " of " HF_STR_FMT " is silent; new connections from now on",
                 HF_STR_ARG (server->name), HF_STR_ARG (service->name));
@@ -411,7 +406,7 @@
   hf_state_count (state, HF_COUNT_REQUESTS);
   if (!state->document)
     {
-      answer (state, event->call, 503, HF_OUTCOME_NOT_RUN, 1, "no configuration yet");
+      answer (state, event->call, 503, HF_OUTCOME_NOT_RUN, HF_RETRY_AFTER_MS, "no configuration yet");
       return;
     }
   const struct hf_service *service = hf_route_service (state->document, &head);
--- /dev/null
+++ b/src/hf-dialect.c
@@ -0,0 +1,69 @@
+/* Header fields between callers, entries and backend servers. */
+#include "hf-dialect.h"
+
+#include <string.h>
+
+/* --- constants --- */
+
+#define RETRY_AFTER_MAX_SEC 3600
+
+/* --- internal functions --- */
+
+static void
+read_request (const struct hf_head *head, struct hf_event *event)
+{
+  event->request.key = hf_head_field (head, "Idempotency-Key");
+}
+
+static bool
+is_replaced (struct hf_str name)
+{
+  return hf_str_equal_nocase (name, hf_str ("Request-Deadline-Ms"));
+}
+
+static void
+write_passed (GString *text, const struct hf_passed *passed)
+{
+  g_string_append_printf (text, "Request-Deadline-Ms: %" G_GINT64_FORMAT "\r\n", passed->remaining_ms);
+}
+
+static struct hf_answer_hints
+read_answer (const struct hf_head *head)
+{
+  struct hf_answer_hints hints = { .status = head->status, .load = -1, .retry_after_ms = -1 };
+  int64_t retry = hf_dialect_number (hf_head_field (head, "Retry-After"), RETRY_AFTER_MAX_SEC);
+  hints.load = (int) hf_dialect_number (hf_head_field (head, "Backend-Load"), G_MAXINT32);
+  if (retry >= 0)
+    hints.retry_after_ms = retry * 1000;
+  hints.leaving = hf_str_equal (hf_head_field (head, "Backend-State"), hf_str ("draining"));
+  hints.not_run = hf_str_equal (hf_head_field (head, "Backend-Outcome"), hf_str ("not-run"));
+  return hints;
+}
+
+/* --- public data --- */
+
+const struct hf_dialect hf_dialect_own = { .request_id = "X-Request-Id",
+                                           .adds_id = true,
+                                           .read_request = read_request,
+                                           .is_replaced = is_replaced,
+                                           .write_passed = write_passed,
+                                           .read_answer = read_answer };
+
+/* --- public functions --- */
+
+int64_t
+hf_dialect_number (struct hf_str text, int64_t max)
+{
+  int64_t number = 0;
+  if (text.len == 0)
+    return -1;
+  for (size_t i = 0; i < text.len; i++)
+    {
+      if (!g_ascii_isdigit (text.data[i]))
+        return -1;
+      number = number * 10 + (text.data[i] - '0');
+      if (number > max)
+        return -1;
+    }
+  return number;
+}
--- a/src/hf-event.h
+++ b/src/hf-event.h
@@ -65,8 +65,10 @@
 {
   unsigned status;        /* HTTP status */
   int load;               /* requests in it, -1: not said */
+  int slowdown_percent;   /* how long work takes there now, 100: as usual; 0: not said */
   bool leaving;           /* it is draining */
   bool not_run;           /* it refused the request by protocol */
+  bool elsewhere;         /* another backend server has the address now */
   int64_t retry_after_ms; /* -1: not said */
 };
 
@@ -104,8 +106,12 @@
     struct hf_str key; /* Idempotency-Key, or empty */
     const struct hf_header *headers;
     size_t n_headers;
-    uint64_t digest; /* hash of the body */
-    bool streamed;   /* the body is too long to keep */
+    struct hf_str id;    /* names it in logs, or empty */
+    int64_t arrived_at;  /* monotonic time of its head */
+    uint64_t digest;     /* hash of the body */
+    int64_t deadline_ms; /* time that the caller waits, 0: not said */
+    size_t body_bytes;   /* of a body that is kept */
+    bool streamed;       /* the body is too long to keep */
   } request;
   struct hf_answer_hints hints; /* ATTEMPT_HEAD, ATTEMPT_END, PROBE */
   enum hf_attempt_result result;
@@ -153,14 +159,13 @@
   unsigned attempt;
   unsigned status;
   enum hf_outcome outcome;
-  unsigned retry_after_sec; /* 0: none */
-  struct hf_str text;       /* reason of an answer, text of a log line */
+  int64_t retry_after_ms; /* 0: none */
+  struct hf_str text;     /* reason of an answer, text of a log line */
   uint64_t server;
   struct hf_str address;
   struct hf_str path;   /* PROBE */
-  bool fresh;           /* DISPATCH: on a new connection */
+  int64_t idle_max_ms;  /* DISPATCH: a kept connection must have been used since; 0: a new one */
   int64_t remaining_ms; /* DISPATCH: deadline passed on */
-  unsigned connections; /* DISPATCH: most connections to this server */
   struct hf_rpc_message message;
   enum hf_platform_op op;
   enum hf_purpose purpose;
--- a/src/hf-exchange.c
+++ b/src/hf-exchange.c
@@ -1,233 +1,171 @@
-/* One attempt at a backend server over HTTP. */
+/* One attempt at a backend server. */
 #include "hf-exchange.h"
 
-#include <string.h>
-
-#include "hf-http.h"
-
 #include "config.h"
 
-/* --- internal functions --- */
-
-static void read_answer (struct hf_exchange *exchange);
+/* --- internal functions: memory --- */
 
 static void
-free_exchange (struct hf_exchange *exchange)
+release (struct hf_exchange *exchange)
 {
-  g_clear_object (&exchange->message);
-  g_clear_object (&exchange->session);
-  g_clear_object (&exchange->cancellable);
-  g_clear_object (&exchange->stream);
-  if (exchange->answer)
-    g_byte_array_unref (exchange->answer);
+  if (--exchange->holders > 0)
+    return;
+  g_string_free (exchange->fields, TRUE);
+  g_byte_array_unref (exchange->answer);
+  hf_str_free (&exchange->request_id);
   g_free (exchange);
 }
 
-static void
-raise_end (struct hf_exchange *exchange, enum hf_attempt_result result)
-{
-  if (exchange->ended)
-    return;
-  exchange->ended = true;
-  hf_loop_raise (exchange->loop, (struct hf_event){ .kind = HF_EVENT_ATTEMPT_END,
-                                                    .call = exchange->call,
-                                                    .attempt = exchange->attempt,
-                                                    .result = result,
-                                                    .hints = exchange->hints,
-                                                    .handed = exchange->handed });
-}
-
-static void
-starting (SoupMessage *message, gpointer data)
-{
-  (void) message;
-  ((struct hf_exchange *) data)->handed = true;
-}
+/* --- internal functions: the link's calls --- */
 
 static bool
-is_whole (const struct hf_exchange *exchange)
+is_mine (void *context, const struct hf_head *head)
 {
-  if (!exchange->counted)
+  const struct hf_exchange *exchange = context;
+  struct hf_str echo = hf_head_field (head, exchange->dialect->request_id);
+  if (!exchange->dialect->echoed || exchange->request_id.len == 0)
     return true;
-  return exchange->received
-         == soup_message_headers_get_content_length (soup_message_get_response_headers (exchange->message));
+  return hf_str_equal (echo, exchange->request_id);
 }
 
-/* The last byte of the answer is here. */
 static void
-answer_complete (struct hf_exchange *exchange)
+take_head (void *context, const struct hf_head *head)
 {
-  bool whole = hf_exchange_has_no_body (exchange) || is_whole (exchange);
-  if (whole && exchange->sink)
-    exchange->sink (exchange->context, NULL, 0);
-  raise_end (exchange, whole ? HF_ATTEMPT_ANSWERED : HF_ATTEMPT_SHORT);
-}
-
-/* The next read follows when the chunk is out. */
-static void
-hand_on (struct hf_exchange *exchange)
-{
-  exchange->sink (exchange->context, exchange->answer->data, exchange->answer->len);
-  g_byte_array_set_size (exchange->answer, 0);
+  struct hf_exchange *exchange = context;
+  exchange->hints = exchange->dialect->read_answer (head);
+  exchange->length = head->length;
+  for (guint i = 0; i < head->fields->len; i++)
+    {
+      const struct hf_header *field = &g_array_index (head->fields, struct hf_header, i);
+      if (hf_head_is_hop_field (head, field->name))
+        continue;
+      g_string_append_len (exchange->fields, field->name.data, (gssize) field->name.len);
+      g_string_append (exchange->fields, ": ");
+      g_string_append_len (exchange->fields, field->value.data, (gssize) field->value.len);
+      g_string_append (exchange->fields, "\r\n");
+    }
 }
 
 static void
-answer_grew (struct hf_exchange *exchange)
+announce_long_answer (struct hf_exchange *exchange)
 {
-  if (exchange->sink)
-    {
-      hand_on (exchange);
-      return;
-    }
-  if (exchange->answer->len <= HF_BODY_BUFFER_BYTES && !exchange->long_answer)
-    {
-      read_answer (exchange);
-      return;
-    }
-  /* Too long to keep: the reducer decides now whether it is passed on. */
+  exchange->long_answer = true;
   hf_loop_raise (exchange->loop, (struct hf_event){ .kind = HF_EVENT_ATTEMPT_HEAD,
                                                     .call = exchange->call,
                                                     .attempt = exchange->attempt,
                                                     .hints = exchange->hints });
 }
 
-/* Takes the outcome of a read; negative: it failed. */
 static void
-take_answer (struct hf_exchange *exchange, gssize size, const GError *problem)
+take_body (void *context, struct hf_str bytes)
 {
-  bool partial = g_error_matches (problem, G_IO_ERROR, G_IO_ERROR_PARTIAL_INPUT);
-  if (size < 0)
-    raise_end (exchange, partial ? HF_ATTEMPT_SHORT : HF_ATTEMPT_BROKEN);
-  else if (size == 0)
-    answer_complete (exchange);
-  else
+  struct hf_exchange *exchange = context;
+  if (exchange->sink)
     {
-      exchange->received += size;
-      answer_grew (exchange);
+      exchange->sink (exchange->context, bytes);
+      return;
     }
+  g_byte_array_append (exchange->answer, (const guint8 *) bytes.data, (guint) bytes.len);
+  if (exchange->long_answer || exchange->answer->len <= HF_BODY_BUFFER_BYTES)
+    return;
+  exchange->holders++;
+  announce_long_answer (exchange);
+  /* Not wanted yet: the rest waits at the backend server. */
+  if (!exchange->dropped && !exchange->sink && exchange->link)
+    hf_link_pause (exchange->link, true);
+  release (exchange);
 }
 
 static void
-answer_read (GObject *source, GAsyncResult *result, gpointer data)
+request_drained (void *context)
 {
-  struct hf_exchange *exchange = data;
-  GError *problem = NULL;
-  gssize size = g_input_stream_read_finish (G_INPUT_STREAM (source), result, &problem);
-  exchange->reading = false;
-  if (exchange->ended)
-    free_exchange (exchange);
-  else
-    {
-      g_byte_array_set_size (exchange->answer, exchange->filled + (guint) MAX (size, 0));
-      take_answer (exchange, size, problem);
-    }
-  g_clear_error (&problem);
+  struct hf_exchange *exchange = context;
+  if (exchange->drained)
+    exchange->drained (exchange->context);
 }
 
-/* Bytes that are here already are read without a turn of the loop. */
-static void
-read_answer (struct hf_exchange *exchange)
+static enum hf_attempt_result
+result_of (enum hf_link_end end)
 {
-  GPollableInputStream *pollable = G_POLLABLE_INPUT_STREAM (exchange->stream);
-  GError *problem = NULL;
-  exchange->filled = exchange->answer->len;
-  g_byte_array_set_size (exchange->answer, exchange->filled + HF_RELAY_CHUNK_BYTES);
-  guint8 *free_space = exchange->answer->data + exchange->filled;
-  gssize size = g_pollable_input_stream_read_nonblocking (pollable, free_space, HF_RELAY_CHUNK_BYTES,
-                                                          exchange->cancellable, &problem);
-  if (g_error_matches (problem, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
+  switch (end)
     {
-      g_clear_error (&problem);
-      exchange->reading = true;
-      g_input_stream_read_async (exchange->stream, free_space, HF_RELAY_CHUNK_BYTES, G_PRIORITY_DEFAULT,
-                                 exchange->cancellable, answer_read, exchange);
-      return;
+    case HF_LINK_WHOLE:
+      return HF_ATTEMPT_ANSWERED;
+    case HF_LINK_NO_CONNECTION:
+      return HF_ATTEMPT_CONNECT_FAILED;
+    case HF_LINK_SHORT:
+      return HF_ATTEMPT_SHORT;
+    case HF_LINK_BROKEN:
+      break;
     }
-  g_byte_array_set_size (exchange->answer, exchange->filled + (guint) MAX (size, 0));
-  take_answer (exchange, size, problem);
-  g_clear_error (&problem);
+  return HF_ATTEMPT_BROKEN;
 }
 
 static void
-head_read (GObject *source, GAsyncResult *result, gpointer data)
+take_end (void *context, enum hf_link_end end, bool handed)
 {
-  struct hf_exchange *exchange = data;
-  GError *problem = NULL;
-  GInputStream *stream = soup_session_send_finish (SOUP_SESSION (source), result, &problem);
-  exchange->reading = false;
-  if (exchange->ended)
-    {
-      g_clear_object (&stream);
-      g_clear_error (&problem);
-      free_exchange (exchange);
-      return;
-    }
-  g_clear_error (&problem);
-  if (!stream)
-    {
-      raise_end (exchange, exchange->handed ? HF_ATTEMPT_BROKEN : HF_ATTEMPT_CONNECT_FAILED);
-      return;
-    }
-  SoupMessageHeaders *headers = soup_message_get_response_headers (exchange->message);
-  exchange->stream = stream;
-  exchange->hints = hf_http_hints (soup_message_get_status (exchange->message), headers);
-  exchange->counted = soup_message_headers_get_encoding (headers) == SOUP_ENCODING_CONTENT_LENGTH
-                      && !hf_exchange_has_no_body (exchange);
-  exchange->long_answer = exchange->counted && soup_message_headers_get_content_length (headers) > HF_BODY_BUFFER_BYTES;
-  exchange->answer = g_byte_array_new ();
-  read_answer (exchange);
+  struct hf_exchange *exchange = context;
+  exchange->link = NULL;
+  exchange->holders++;
+  hf_loop_raise (exchange->loop, (struct hf_event){ .kind = HF_EVENT_ATTEMPT_END,
+                                                    .call = exchange->call,
+                                                    .attempt = exchange->attempt,
+                                                    .result = result_of (end),
+                                                    .hints = exchange->hints,
+                                                    .handed = handed });
+  if (!exchange->dropped && exchange->finished && end == HF_LINK_WHOLE)
+    exchange->finished (exchange->context);
+  release (exchange);
 }
 
+static const struct hf_link_calls link_calls
+    = { .mine = is_mine, .head = take_head, .body = take_body, .drained = request_drained, .ended = take_end };
+
 /* --- public functions --- */
 
 struct hf_exchange *
-hf_exchange_start (struct hf_loop *loop, uint64_t call, unsigned attempt, SoupSession *session, SoupMessage *message)
+hf_exchange_open (const struct hf_exchange_start *start)
 {
   struct hf_exchange *exchange = g_new0 (struct hf_exchange, 1);
-  exchange->loop = loop;
-  exchange->call = call;
-  exchange->attempt = attempt;
+  exchange->holders = 1;
+  exchange->loop = start->loop;
+  exchange->dialect = start->dialect;
+  exchange->call = start->call;
+  exchange->attempt = start->attempt;
+  exchange->request_id = hf_str_dup (start->request_id);
+  exchange->drained = start->drained;
+  exchange->context = start->context;
+  exchange->length = -1;
   exchange->hints = (struct hf_answer_hints){ .load = -1, .retry_after_ms = -1 };
-  exchange->cancellable = g_cancellable_new ();
-  exchange->session = g_object_ref (session);
-  exchange->message = message;
-  exchange->reading = true;
-  g_signal_connect (message, "starting", G_CALLBACK (starting), exchange);
-  soup_session_send_async (session, message, G_PRIORITY_DEFAULT, exchange->cancellable, head_read, exchange);
+  exchange->fields = g_string_new (NULL);
+  exchange->answer = g_byte_array_new ();
+  exchange->link = hf_link_start (start->links, &start->request, &link_calls, exchange);
   return exchange;
 }
 
 void
 hf_exchange_drop (struct hf_exchange *exchange)
 {
-  exchange->ended = true;
-  exchange->sink = NULL;
-  g_cancellable_cancel (exchange->cancellable);
-  /* What is out comes back once more and frees it then. */
-  if (!exchange->reading)
-    free_exchange (exchange);
+  if (exchange->link)
+    hf_link_cancel (exchange->link);
+  exchange->link = NULL;
+  exchange->dropped = true;
+  exchange->drained = NULL;
+  release (exchange);
 }
 
 void
 hf_exchange_hand_on (struct hf_exchange *exchange,
-                     void (*sink) (void *context, const uint8_t *data, size_t size),
+                     void (*sink) (void *context, struct hf_str bytes),
+                     void (*finished) (void *context),
                      void *context)
 {
   exchange->sink = sink;
+  exchange->finished = finished;
   exchange->context = context;
-  hand_on (exchange);
-}
-
-void
-hf_exchange_read (struct hf_exchange *exchange)
-{
-  if (!exchange->reading && !exchange->ended && exchange->stream)
-    read_answer (exchange);
-}
-
-bool
-hf_exchange_has_no_body (const struct hf_exchange *exchange)
-{
-  return strcmp (soup_message_get_method (exchange->message), "HEAD") == 0 || exchange->hints.status == 204
-         || exchange->hints.status == 304;
+  if (exchange->answer->len > 0)
+    sink (context, (struct hf_str){ (const char *) exchange->answer->data, exchange->answer->len });
+  g_byte_array_set_size (exchange->answer, 0);
+  if (exchange->link)
+    hf_link_pause (exchange->link, false);
 }
--- a/src/hf-exchange.h
+++ b/src/hf-exchange.h
@@ -1,14 +1,14 @@
 /**
- * DOC: hf-exchange - one attempt at a backend server over HTTP
+ * DOC: hf-exchange - one attempt at a backend server
  *
  * Sends a request, keeps the answer while it is short, and hands a long one
- * on chunk by chunk. Tells the reducer how it went.
+ * on as it comes. Tells the reducer how it went.
  */
 #ifndef HF_EXCHANGE_H
 #define HF_EXCHANGE_H
 
-#include <libsoup/soup.h>
-
+#include "hf-dialect.h"
+#include "hf-link.h"
 #include "hf-loop.h"
 
 /* --- types --- */
@@ -16,52 +16,63 @@
 /**
  * struct hf_exchange - one attempt
  * @loop: where its events are raised
+ * @dialect: header fields in use
  * @call: the call it belongs to
  * @attempt: number of the attempt
- * @message: request and head of the answer
- * @answer: bytes of the answer that have not been handed on
+ * @request_id: id of the request, empty: none
+ * @link: the request on its connection; NULL: over
+ * @fields: header fields of the answer that are passed on
+ * @length: declared bytes of the answer, -1: not declared
+ * @answer: bytes of the answer that were not handed on
  * @hints: what the head said
- * @ended: the attempt is over for the reducer
- * @counted: the length of the answer was declared
- * @reading: a send or read is out
- * @sink: takes a chunk, or no bytes at the end; NULL: the answer is kept
+ * @sink: takes the bytes from now on; NULL: they are kept
+ * @finished: the whole answer was given to the sink
+ * @drained: the request's bytes so far were handed to the system
  */
 struct hf_exchange
 {
   struct hf_loop *loop;
+  const struct hf_dialect *dialect;
   uint64_t call;
   unsigned attempt;
-  SoupMessage *message;
+  struct hf_str request_id;
+  struct hf_link *link;
+  GString *fields;
+  int64_t length;
   GByteArray *answer;
   struct hf_answer_hints hints;
-  bool ended;
-  bool counted;
-  bool reading;
-  void (*sink) (void *context, const uint8_t *data, size_t size);
+  void (*sink) (void *context, struct hf_str bytes);
+  void (*finished) (void *context);
+  void (*drained) (void *context);
   void *context;
 
   /* Of the module itself. */
-  SoupSession *session;
-  GCancellable *cancellable;
-  GInputStream *stream;
-  goffset received;
-  guint filled; /* bytes of the answer before the read that is out */
-  bool handed;  /* bytes may have been handed to a connection */
   bool long_answer;
+  bool dropped;
+  unsigned holders;
+};
+
+/** struct hf_exchange_start - what an attempt begins with */
+struct hf_exchange_start
+{
+  struct hf_loop *loop;
+  struct hf_links *links;
+  const struct hf_dialect *dialect;
+  uint64_t call;
+  unsigned attempt;
+  struct hf_str request_id;
+  struct hf_link_request request;
+  void (*drained) (void *context);
+  void *context;
 };
 
 /* --- public functions --- */
 
-struct hf_exchange *hf_exchange_start (struct hf_loop *loop,
-                                       uint64_t call,
-                                       unsigned attempt,
-                                       SoupSession *session,
-                                       SoupMessage *message); /* takes the message */
-void hf_exchange_drop (struct hf_exchange *exchange);         /* gives it up and frees it */
+struct hf_exchange *hf_exchange_open (const struct hf_exchange_start *start); /* sends the request */
+void hf_exchange_drop (struct hf_exchange *exchange);                         /* gives it up and frees it */
 void hf_exchange_hand_on (struct hf_exchange *exchange,
-                          void (*sink) (void *context, const uint8_t *data, size_t size),
-                          void *context);             /* from now on chunk by chunk */
-void hf_exchange_read (struct hf_exchange *exchange); /* the last chunk is out: the next, if there is one */
-bool hf_exchange_has_no_body (const struct hf_exchange *exchange); /* HEAD, 204 or 304 */
+                          void (*sink) (void *context, struct hf_str bytes),
+                          void (*finished) (void *context),
+                          void *context); /* bytes kept so far, then each as it comes */
 
 #endif
--- a/src/hf-loop.c
+++ b/src/hf-loop.c
@@ -3,6 +3,7 @@
 
 #include <gio/gio.h>
 
+#include "hf-net.h"
 #include "hf-peers.h"
 #include "hf-platform.h"
 #include "hf-proxy.h"
@@ -45,6 +46,7 @@
       break;
     case HF_EFFECT_EXIT:
       loop->exiting = true;
+      hf_proxy_stop (loop->proxy);
       loop->exit_by = hf_loop_now () + HF_DRAIN_LIMIT_SEC * HF_SEC;
       hf_loop_check_exit (loop);
       break;
@@ -91,9 +93,10 @@
   loop->wake = g_source_new (&wake_functions, sizeof (GSource));
   g_source_set_callback (loop->wake, wake, loop, NULL);
   g_source_attach (loop->wake, NULL);
+  loop->net = hf_net_open ();
   loop->platform = hf_platform_open (loop, settings->platform);
   loop->peers = hf_peers_open (loop, settings->peers, error);
-  loop->proxy = loop->peers ? hf_proxy_open (loop, settings->listen, error) : NULL;
+  loop->proxy = loop->peers ? hf_proxy_open (loop, loop->net, &hf_dialect_own, settings->listen, error) : NULL;
   if (!loop->proxy)
     {
       hf_loop_close (loop);
@@ -111,6 +114,7 @@
   hf_proxy_close (loop->proxy);
   hf_peers_close (loop->peers);
   hf_platform_close (loop->platform);
+  hf_net_close (loop->net);
   g_source_destroy (loop->wake);
   g_source_unref (loop->wake);
   /* Cancelled calls free their memory when they come back. */
--- a/src/hf-loop.h
+++ b/src/hf-loop.h
@@ -12,6 +12,7 @@
 struct hf_proxy;
 struct hf_peers;
 struct hf_platform;
+struct hf_net;
 
 /* --- types --- */
 
@@ -20,6 +21,7 @@
 {
   struct hf_settings settings;
   struct hf_state *state;
+  struct hf_net *net;
   struct hf_proxy *proxy;
   struct hf_peers *peers;
   struct hf_platform *platform;
--- a/src/hf-proxy.c
+++ b/src/hf-proxy.c
@@ -2,12 +2,10 @@
 #include "hf-proxy.h"
 
 #include <string.h>
-#include <sys/socket.h>
 
 #include "hf-exchange.h"
-#include "hf-http.h"
+#include "hf-server.h"
 #include "hf-state.h"
-#include "hf-upload.h"
 
 /* --- types --- */
 
@@ -16,444 +14,347 @@
 {
   struct hf_proxy *proxy;
   uint64_t id;
-  SoupServerMessage *message;
-  GByteArray *body; /* while it is buffered */
-  GBytes *whole;    /* the buffered body */
-  HfUpload *upload; /* when it is streamed */
+  struct hf_request *request;
+  struct hf_str method;
+  struct hf_str host;
+  struct hf_str target;
+  struct hf_str request_id;
+  GString *fields;       /* header fields that are passed on */
+  GArray *routed;        /* struct hf_header: copies for routing */
+  struct hf_event event; /* what the reducer is told at the start */
+  bool has_body;
+  int64_t length; /* declared, -1: chunks */
+  GByteArray *body;
   uint64_t digest;
-  bool raised;       /* the reducer has the request */
-  bool answered;     /* an answer has been set */
-  bool received;     /* the whole body is here */
-  bool paused;       /* reading is held back */
-  int64_t active_at; /* last sign of life of its connection */
+  bool raised;   /* the reducer has the request */
+  bool streamed; /* the body is passed on as it comes */
+  bool received; /* the whole body is here */
+  bool answered;
   struct hf_exchange *attempts[HF_ATTEMPTS_MAX];
   struct hf_exchange *relayed;
+  struct hf_exchange *sending; /* takes the body as it comes */
+};
+
+/* A probe that is out. */
+struct probe
+{
+  struct hf_proxy *proxy;
+  uint64_t server;
+  struct hf_link *link;
+  struct hf_answer_hints hints;
+  bool answered;
+  int64_t sent_at;
 };
 
 struct hf_proxy
 {
   struct hf_loop *loop;
-  SoupServer *server;
-  GHashTable *callers;  /* struct caller by id */
-  GHashTable *sessions; /* SoupSession by server id */
+  const struct hf_dialect *dialect;
+  struct hf_net *net;
+  struct hf_server *server;
+  struct hf_links *links;
+  GHashTable *callers; /* struct caller by id */
+  GHashTable *probes;  /* struct probe, as a set */
   uint64_t next_id;
-  guint poll;
-  char text[64];
+  guint sweep;
 };
 
-/* --- internal functions: sessions --- */
-
-static SoupSession *
-find_session (struct hf_proxy *proxy, uint64_t server, unsigned connections)
-{
-  SoupSession *session = g_hash_table_lookup (proxy->sessions, &server);
-  if (session)
-    return session;
-  uint64_t *key = g_new (uint64_t, 1);
-  *key = server;
-  session = hf_http_session (connections, 0);
-  g_hash_table_insert (proxy->sessions, key, session);
-  return session;
-}
-
 /* --- internal functions: callers --- */
 
-static void
-raise_gone (struct caller *caller)
-{
-  hf_loop_raise (caller->proxy->loop, (struct hf_event){ .kind = HF_EVENT_CALLER_GONE, .call = caller->id });
-}
-
 static void
 free_caller (void *data)
 {
   struct caller *caller = data;
   for (unsigned i = 0; i < HF_ATTEMPTS_MAX; i++)
     g_clear_pointer (&caller->attempts[i], hf_exchange_drop);
-  if (caller->upload)
+  for (guint i = 0; i < caller->routed->len; i++)
     {
-      hf_upload_detach (caller->upload);
-      hf_upload_fail (caller->upload);
-      g_object_unref (caller->upload);
+      struct hf_header *header = &g_array_index (caller->routed, struct hf_header, i);
+      hf_str_free (&header->name);
+      hf_str_free (&header->value);
     }
-  g_signal_handlers_disconnect_by_data (caller->message, caller);
-  g_object_unref (caller->message);
-  if (caller->body)
-    g_byte_array_unref (caller->body);
-  if (caller->whole)
-    g_bytes_unref (caller->whole);
+  g_array_unref (caller->routed);
+  g_string_free (caller->fields, TRUE);
+  g_byte_array_unref (caller->body);
+  hf_str_free (&caller->method);
+  hf_str_free (&caller->host);
+  hf_str_free (&caller->target);
+  hf_str_free (&caller->request_id);
+  hf_str_free (&caller->event.request.key);
   g_free (caller);
 }
 
-static void
-finished (SoupServerMessage *message, gpointer data)
-{
-  struct caller *caller = data;
-  struct hf_proxy *proxy = caller->proxy;
-  (void) message;
-  if (caller->raised)
-    raise_gone (caller);
-  g_hash_table_remove (proxy->callers, &caller->id);
-  hf_loop_check_exit (proxy->loop);
-}
-
-static void
-wrote_chunk (SoupServerMessage *message, gpointer data)
+static const char *
+outcome_text (enum hf_outcome outcome)
 {
-  struct caller *caller = data;
-  struct hf_exchange *exchange = caller->relayed;
-  (void) message;
-  caller->active_at = hf_loop_now ();
-  if (exchange)
-    hf_exchange_read (exchange);
+  return outcome == HF_OUTCOME_NOT_RUN ? "not-run" : "unknown";
 }
 
+/* Whole seconds where they are, fractions where they matter. */
 static void
-set_common_headers (struct caller *caller, SoupMessageHeaders *headers)
+append_retry_after (GString *fields, int64_t retry_after_ms)
 {
-  if (hf_state_is_leaving (caller->proxy->loop->state))
-    soup_message_headers_replace (headers, "Connection", "close");
-}
-
-static const char *
-outcome_text (enum hf_outcome outcome)
-{
-  return outcome == HF_OUTCOME_NOT_RUN ? "not-run" : "unknown";
+  if (retry_after_ms <= 0)
+    return;
+  if (retry_after_ms % 1000 == 0)
+    g_string_append_printf (fields, "Retry-After: %" G_GINT64_FORMAT "\r\n", retry_after_ms / 1000);
+  else
+    g_string_append_printf (fields, "Retry-After: %" G_GINT64_FORMAT ".%03" G_GINT64_FORMAT "\r\n",
+                            retry_after_ms / 1000, retry_after_ms % 1000);
 }
 
 /* Answers with a failure of this system's own. */
 static void
-answer_failure (struct caller *caller,
-                unsigned status,
-                enum hf_outcome outcome,
-                unsigned retry_after_sec,
-                struct hf_str reason)
-{
-  SoupMessageHeaders *headers = soup_server_message_get_response_headers (caller->message);
-  char *body = g_strdup_printf ("%s: " HF_STR_FMT "\n", outcome_text (outcome), HF_STR_ARG (reason));
+answer_failure (struct caller *caller, const struct hf_effect *effect)
+{
   if (caller->answered)
-    {
-      g_free (body);
-      return;
-    }
+    return;
+  GString *fields = g_string_new ("Content-Type: text/plain\r\n");
+  char *body = g_strdup_printf ("%s: " HF_STR_FMT "\n", outcome_text (effect->outcome), HF_STR_ARG (effect->text));
+  hf_head_add (fields, "Hickory-Outcome", hf_str (outcome_text (effect->outcome)));
+  if (caller->request_id.len > 0)
+    hf_head_add (fields, caller->proxy->dialect->request_id, caller->request_id);
+  append_retry_after (fields, effect->retry_after_ms);
   caller->answered = true;
-  caller->active_at = hf_loop_now ();
-  soup_server_message_set_status (caller->message, status, NULL);
-  soup_message_headers_replace (headers, "Hickory-Outcome", outcome_text (outcome));
-  if (retry_after_sec)
-    {
-      char seconds[16];
-      g_snprintf (seconds, sizeof seconds, "%u", retry_after_sec);
-      soup_message_headers_replace (headers, "Retry-After", seconds);
-    }
-  set_common_headers (caller, headers);
-  /* An unread rest of the body would be taken for the next request. */
-  if (!caller->received)
-    soup_message_headers_replace (headers, "Connection", "close");
-  soup_server_message_set_response (caller->message, "text/plain", SOUP_MEMORY_TAKE, body, strlen (body));
-  soup_server_message_unpause (caller->message);
+  hf_request_answer (caller->request, effect->status, (struct hf_str){ fields->str, fields->len }, hf_str (body));
+  g_string_free (fields, TRUE);
+  g_free (body);
 }
 
+/* --- internal functions: answers --- */
+
 static void
-relay_headers (struct caller *caller, const struct hf_exchange *exchange, enum hf_outcome outcome)
-{
-  SoupMessageHeaders *from = soup_message_get_response_headers (exchange->message);
-  SoupMessageHeaders *to = soup_server_message_get_response_headers (caller->message);
-  soup_server_message_set_status (caller->message, exchange->hints.status,
-                                  soup_message_get_reason_phrase (exchange->message));
-  soup_message_headers_remove (to, "Date");
-  hf_http_copy_headers (from, to);
-  if (outcome != HF_OUTCOME_ANSWERED)
-    soup_message_headers_replace (to, "Hickory-Outcome", outcome_text (outcome));
-  set_common_headers (caller, to);
+pass_on (void *context, struct hf_str bytes)
+{
+  struct caller *caller = context;
+  hf_request_send (caller->request, bytes);
+  bool full = hf_request_unsent (caller->request) > HF_BODY_BUFFER_BYTES;
+  if (full && caller->relayed && caller->relayed->link)
+    hf_link_pause (caller->relayed->link, true);
 }
 
-/* A chunk of a long answer, or its end. */
+/* A long answer is complete. */
 static void
-pass_on (void *context, const uint8_t *data, size_t size)
+passed_on (void *context)
 {
   struct caller *caller = context;
-  SoupMessageBody *body = soup_server_message_get_response_body (caller->message);
-  if (size > 0)
-    soup_message_body_append (body, SOUP_MEMORY_COPY, data, size);
-  else
-    soup_message_body_complete (body);
-  soup_server_message_unpause (caller->message);
+  if (caller->request)
+    hf_request_finish (caller->request);
 }
 
 static void
 relay (struct caller *caller, struct hf_exchange *exchange, enum hf_outcome outcome)
 {
-  SoupMessageHeaders *to = soup_server_message_get_response_headers (caller->message);
-  SoupMessageBody *body = soup_server_message_get_response_body (caller->message);
   if (!exchange || caller->answered)
     return;
   caller->answered = true;
-  caller->active_at = hf_loop_now ();
-  relay_headers (caller, exchange, outcome);
-  if (exchange->ended)
+  caller->relayed = exchange;
+  if (outcome != HF_OUTCOME_ANSWERED)
+    hf_head_add (exchange->fields, "Hickory-Outcome", hf_str (outcome_text (outcome)));
+  struct hf_str fields = { exchange->fields->str, exchange->fields->len };
+  if (exchange->link)
     {
-      if (!hf_exchange_has_no_body (exchange))
-        soup_message_headers_set_content_length (to, exchange->answer->len);
-      soup_message_body_append (body, SOUP_MEMORY_COPY, exchange->answer->data, exchange->answer->len);
-      soup_message_body_complete (body);
-      soup_server_message_unpause (caller->message);
+      hf_request_start (caller->request, exchange->hints.status, fields, exchange->length);
+      hf_exchange_hand_on (exchange, pass_on, passed_on, caller);
       return;
     }
-  if (!exchange->counted)
-    soup_message_headers_set_encoding (to, SOUP_ENCODING_CHUNKED);
-  soup_message_body_set_accumulate (body, FALSE);
-  caller->relayed = exchange;
-  g_signal_connect (caller->message, "wrote-chunk", G_CALLBACK (wrote_chunk), caller);
-  hf_exchange_hand_on (exchange, pass_on, caller);
+  hf_request_start (caller->request, exchange->hints.status, fields, (int64_t) exchange->answer->len);
+  hf_request_send (caller->request, (struct hf_str){ (const char *) exchange->answer->data, exchange->answer->len });
+  hf_request_finish (caller->request);
 }
 
-/* Breaks the connection, so that a short answer cannot look complete. */
+/* --- internal functions: requests --- */
+
 static void
-cut (struct caller *caller)
+raise_request (struct caller *caller)
 {
-  GSocket *socket = soup_server_message_get_socket (caller->message);
-  if (socket)
-    shutdown (g_socket_get_fd (socket), SHUT_RDWR);
-  soup_server_message_unpause (caller->message);
+  struct hf_event event = caller->event;
+  char *question = memchr (caller->target.data, '?', caller->target.len);
+  event.kind = HF_EVENT_REQUEST;
+  event.call = caller->id;
+  event.request.method = caller->method;
+  event.request.host = caller->host;
+  event.request.path = caller->target;
+  if (question)
+    event.request.path.len = (size_t) (question - caller->target.data);
+  event.request.headers = (const struct hf_header *) caller->routed->data;
+  event.request.n_headers = caller->routed->len;
+  event.request.digest = caller->digest;
+  event.request.body_bytes = caller->body->len;
+  event.request.streamed = caller->streamed;
+  event.request.id = caller->request_id;
+  caller->raised = true;
+  hf_loop_raise (caller->proxy->loop, event);
 }
 
 static void
-upload_drained (void *context)
+copy_field (struct caller *caller, const struct hf_head *head, const struct hf_header *field)
 {
-  struct caller *caller = context;
-  if (!caller->paused)
+  struct hf_header copy = { .name = hf_str_dup (field->name), .value = hf_str_dup (field->value) };
+  g_array_append_val (caller->routed, copy);
+  if (hf_head_is_hop_field (head, field->name) || caller->proxy->dialect->is_replaced (field->name))
     return;
-  caller->paused = false;
-  soup_server_message_unpause (caller->message);
-}
-
-static size_t
-list_headers (SoupMessageHeaders *headers, struct hf_header *list, size_t max)
-{
-  SoupMessageHeadersIter iter;
-  const char *name;
-  const char *value;
-  size_t n = 0;
-  soup_message_headers_iter_init (&iter, headers);
-  while (n < max && soup_message_headers_iter_next (&iter, &name, &value))
-    list[n++] = (struct hf_header){ .name = hf_str (name), .value = hf_str (value) };
-  return n;
+  g_string_append_len (caller->fields, field->name.data, (gssize) field->name.len);
+  g_string_append (caller->fields, ": ");
+  g_string_append_len (caller->fields, field->value.data, (gssize) field->value.len);
+  g_string_append (caller->fields, "\r\n");
 }
 
 static void
-raise_request (struct caller *caller)
+set_request_id (struct caller *caller, const struct hf_head *head)
 {
-  SoupMessageHeaders *headers = soup_server_message_get_request_headers (caller->message);
-  struct hf_header list[64];
-  struct hf_event event = { .kind = HF_EVENT_REQUEST, .call = caller->id };
-  event.request.method = hf_str (soup_server_message_get_method (caller->message));
-  event.request.host = hf_str (soup_message_headers_get_one (headers, "Host"));
-  event.request.path = hf_str (g_uri_get_path (soup_server_message_get_uri (caller->message)));
-  event.request.key = hf_str (soup_message_headers_get_one (headers, "Idempotency-Key"));
-  event.request.headers = list;
-  event.request.n_headers = list_headers (headers, list, G_N_ELEMENTS (list));
-  event.request.digest = caller->digest;
-  event.request.streamed = caller->upload != NULL;
-  caller->raised = true;
-  hf_loop_raise (caller->proxy->loop, event);
+  const struct hf_dialect *dialect = caller->proxy->dialect;
+  struct hf_str id = hf_head_field (head, dialect->request_id);
+  if (id.len > 0 || !dialect->adds_id)
+    {
+      caller->request_id = hf_str_dup (id);
+      return;
+    }
+  char *made = g_uuid_string_random ();
+  caller->request_id = hf_str_dup (hf_str (made));
+  hf_head_add (caller->fields, dialect->request_id, caller->request_id);
+  g_free (made);
 }
 
 static void
-start_streaming (struct caller *caller)
+server_head (void *context, struct hf_request *request, const struct hf_head *head)
 {
-  caller->upload = hf_upload_new (upload_drained, caller);
-  GBytes *begin = g_byte_array_free_to_bytes (caller->body);
-  caller->body = NULL;
-  hf_upload_feed (caller->upload, begin);
-  g_bytes_unref (begin);
-  raise_request (caller);
+  struct hf_proxy *proxy = context;
+  struct caller *caller = g_new0 (struct caller, 1);
+  caller->proxy = proxy;
+  caller->id = ++proxy->next_id;
+  caller->request = request;
+  caller->method = hf_str_dup (head->method);
+  caller->target = hf_str_dup (head->target);
+  caller->host = hf_str_dup (hf_head_field (head, "Host"));
+  caller->has_body = head->chunked || head->length >= 0;
+  caller->length = head->length;
+  caller->body = g_byte_array_new ();
+  caller->fields = g_string_new (NULL);
+  caller->routed = g_array_new (FALSE, FALSE, sizeof (struct hf_header));
+  for (guint i = 0; i < head->fields->len; i++)
+    copy_field (caller, head, &g_array_index (head->fields, struct hf_header, i));
+  set_request_id (caller, head);
+  proxy->dialect->read_request (head, &caller->event);
+  caller->event.request.key = hf_str_dup (caller->event.request.key);
+  caller->event.request.arrived_at = hf_loop_now ();
+  hf_request_own (request, caller);
+  g_hash_table_insert (proxy->callers, &caller->id, caller);
 }
 
+/* --- internal functions: bodies that are passed on as they come --- */
+
 static void
-got_chunk (SoupServerMessage *message, GBytes *chunk, gpointer data)
+send_piece (struct caller *caller, struct hf_str bytes, bool last)
 {
-  struct caller *caller = data;
-  caller->active_at = hf_loop_now ();
-  if (caller->answered)
+  struct hf_link *link = caller->sending->link;
+  char size[24];
+  if (!link)
     return;
-  if (caller->upload)
-    hf_upload_feed (caller->upload, chunk);
-  else
-    {
-      gsize size;
-      const guint8 *bytes = g_bytes_get_data (chunk, &size);
-      g_byte_array_append (caller->body, bytes, (guint) size);
-      if (caller->body->len > HF_BODY_BUFFER_BYTES)
-        start_streaming (caller);
-    }
-  if (caller->upload && hf_upload_is_full (caller->upload) && !caller->answered)
+  bool chunks = caller->length < 0;
+  if (chunks && bytes.len > 0)
     {
-      caller->paused = true;
-      soup_server_message_pause (message);
+      g_snprintf (size, sizeof size, "%zx\r\n", bytes.len);
+      hf_link_send (link, hf_str (size), false);
     }
+  hf_link_send (link, bytes, !chunks && last);
+  if (chunks && bytes.len > 0)
+    hf_link_send (link, hf_str ("\r\n"), false);
+  if (chunks && last)
+    hf_link_send (link, hf_str ("0\r\n\r\n"), true);
 }
 
+/* The attempt has a connection: what was kept for another one is dropped. */
 static void
-take_body (struct caller *caller)
+body_drained (void *context)
 {
-  if (caller->received)
+  struct caller *caller = context;
+  if (!caller->sending || caller->answered)
     return;
-  caller->received = true;
-  if (caller->upload)
-    {
-      hf_upload_finish (caller->upload);
-      return;
-    }
-  caller->whole = g_byte_array_free_to_bytes (caller->body);
-  caller->body = NULL;
-  gsize size;
-  const char *bytes = g_bytes_get_data (caller->whole, &size);
-  caller->digest = hf_hash ((struct hf_str){ .data = bytes, .len = size }, 0);
-}
-
-/* A length that two hops may read differently is refused, not guessed. */
-static bool
-has_clear_length (SoupMessageHeaders *headers)
-{
-  const char *length = soup_message_headers_get_list (headers, "Content-Length");
-  if (!length)
-    return true;
-  bool digits = *length != 0 && length[strspn (length, "0123456789")] == 0;
-  return digits && !soup_message_headers_get_list (headers, "Transfer-Encoding");
-}
-
-static bool
-check_head (struct caller *caller)
-{
-  SoupMessageHeaders *headers = soup_server_message_get_request_headers (caller->message);
-  struct hf_header list[256];
-  size_t n = list_headers (headers, list, G_N_ELEMENTS (list));
-  size_t bytes = 0;
-  for (size_t i = 0; i < n; i++)
-    bytes += list[i].name.len + list[i].value.len + 4;
-  if (bytes > HF_HEADER_BYTES_MAX || n == G_N_ELEMENTS (list))
-    {
-      answer_failure (caller, 431, HF_OUTCOME_NOT_RUN, 0, hf_str ("the header fields are too large"));
-      return false;
-    }
-  if (!has_clear_length (headers))
-    {
-      answer_failure (caller, 400, HF_OUTCOME_NOT_RUN, 0, hf_str ("the length of the body is not clear"));
-      return false;
-    }
-  if (soup_message_headers_get_content_length (headers) > HF_BODY_BYTES_MAX)
-    {
-      answer_failure (caller, 413, HF_OUTCOME_NOT_RUN, 0, hf_str ("the body is too large"));
-      return false;
-    }
-  return true;
+  g_byte_array_set_size (caller->body, 0);
+  hf_request_pause (caller->request, false);
 }
 
 static void
-add_request_id (struct caller *caller)
+take_streamed (struct caller *caller, struct hf_str bytes)
 {
-  SoupMessageHeaders *headers = soup_server_message_get_request_headers (caller->message);
-  if (soup_message_headers_get_one (headers, "X-Request-Id"))
-    return;
-  char *id = g_uuid_string_random ();
-  soup_message_headers_append (headers, "X-Request-Id", id);
-  g_free (id);
+  if (caller->sending)
+    {
+      send_piece (caller, bytes, false);
+      if (caller->sending->link && hf_link_unsent (caller->sending->link) > HF_BODY_BUFFER_BYTES)
+        hf_request_pause (caller->request, true);
+      return;
+    }
+  g_byte_array_append (caller->body, (const guint8 *) bytes.data, (guint) bytes.len);
+  hf_request_pause (caller->request, true);
 }
 
-/* The head of a request is here, its body is not. */
 static void
-early (SoupServer *server, SoupServerMessage *message, const char *path, GHashTable *query, gpointer data)
+server_body (void *context, struct hf_request *request, struct hf_str bytes)
 {
-  struct hf_proxy *proxy = data;
-  struct caller *caller = g_new0 (struct caller, 1);
-  (void) server;
-  (void) path;
-  (void) query;
-  caller->proxy = proxy;
-  caller->id = ++proxy->next_id;
-  caller->active_at = hf_loop_now ();
-  caller->message = g_object_ref (message);
-  caller->body = g_byte_array_new ();
-  g_hash_table_insert (proxy->callers, &caller->id, caller);
-  g_object_set_data (G_OBJECT (message), "caller", caller);
-  soup_message_body_set_accumulate (soup_server_message_get_request_body (message), FALSE);
-  g_signal_connect (message, "finished", G_CALLBACK (finished), caller);
-  if (!check_head (caller))
+  struct caller *caller = hf_request_data (request);
+  (void) context;
+  if (caller->answered)
     return;
-  add_request_id (caller);
-  g_signal_connect (message, "got-chunk", G_CALLBACK (got_chunk), caller);
+  if (caller->streamed)
+    {
+      take_streamed (caller, bytes);
+      return;
+    }
+  g_byte_array_append (caller->body, (const guint8 *) bytes.data, (guint) bytes.len);
+  if (caller->body->len <= HF_BODY_BUFFER_BYTES)
+    return;
+  caller->streamed = true;
+  hf_request_pause (request, true);
+  raise_request (caller);
 }
 
-/* The whole request is here. */
 static void
-handle (SoupServer *server, SoupServerMessage *message, const char *path, GHashTable *query, gpointer data)
-{
-  struct caller *caller = g_object_get_data (G_OBJECT (message), "caller");
-  (void) server;
-  (void) path;
-  (void) query;
-  (void) data;
-  if (!caller)
-    return;
-  take_body (caller);
+server_whole (void *context, struct hf_request *request)
+{
+  struct caller *caller = hf_request_data (request);
+  (void) context;
+  caller->received = true;
   if (caller->answered)
     return;
-  soup_server_message_pause (message);
-  if (!caller->raised)
-    raise_request (caller);
+  if (caller->streamed)
+    {
+      if (caller->sending)
+        send_piece (caller, (struct hf_str){ 0 }, true);
+      return;
+    }
+  caller->digest = hf_hash ((struct hf_str){ (const char *) caller->body->data, caller->body->len }, 0);
+  raise_request (caller);
 }
 
-static bool
-has_left (struct caller *caller)
+static void
+server_drained (void *context, struct hf_request *request)
 {
-  GSocket *socket = soup_server_message_get_socket (caller->message);
-  char byte;
-  if (!socket)
-    return true;
-  ssize_t got = recv (g_socket_get_fd (socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+  struct caller *caller = hf_request_data (request);
+  (void) context;
+  if (caller->relayed && caller->relayed->link)
+    hf_link_pause (caller->relayed->link, false);
 }
 
-/* Nothing came or went for long although it is the caller's turn. */
-static bool
-is_silent (const struct caller *caller)
+static void
+server_ended (void *context, struct hf_request *request, bool answered)
 {
-  bool backend_is_late = caller->relayed && caller->relayed->reading;
-  bool callers_turn = caller->answered ? !backend_is_late : !caller->received && !caller->paused;
-  return callers_turn && hf_loop_now () - caller->active_at > HF_CALLER_SILENT_SEC * HF_SEC;
+  struct hf_proxy *proxy = context;
+  struct caller *caller = hf_request_data (request);
+  (void) answered;
+  caller->request = NULL;
+  caller->answered = true;
+  if (caller->raised)
+    hf_loop_raise (proxy->loop, (struct hf_event){ .kind = HF_EVENT_CALLER_GONE, .call = caller->id });
+  g_hash_table_remove (proxy->callers, &caller->id);
+  hf_loop_check_exit (proxy->loop);
 }
 
-/* A paused message does not notice that its caller has left. */
-static gboolean
-poll_callers (gpointer data)
-{
-  struct hf_proxy *proxy = data;
-  GHashTableIter iter;
-  struct caller *caller;
-  GPtrArray *gone = g_ptr_array_new ();
-  GPtrArray *silent = g_ptr_array_new ();
-  g_hash_table_iter_init (&iter, proxy->callers);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &caller))
-    if (is_silent (caller))
-      g_ptr_array_add (silent, caller);
-    else if (caller->raised && caller->received && !caller->answered && has_left (caller))
-      g_ptr_array_add (gone, caller);
-  for (guint i = 0; i < gone->len; i++)
-    {
-      caller = g_ptr_array_index (gone, i);
-      raise_gone (caller);
-      caller->raised = false;
-      caller->answered = true;
-      soup_server_message_set_status (caller->message, 499, NULL);
-      soup_server_message_unpause (caller->message);
-    }
-  for (guint i = 0; i < silent->len; i++)
-    cut (g_ptr_array_index (silent, i));
-  g_ptr_array_unref (silent);
-  g_ptr_array_unref (gone);
-  return G_SOURCE_CONTINUE;
-}
+static const struct hf_server_calls server_calls = { .head = server_head,
+                                                     .body = server_body,
+                                                     .whole = server_whole,
+                                                     .drained = server_drained,
+                                                     .ended = server_ended };
 
 /* --- internal functions: effects --- */
 
@@ -463,111 +364,171 @@
   return g_hash_table_lookup (proxy->callers, &id);
 }
 
-static void
-set_body (struct caller *caller, SoupMessage *message)
+static GString *
+make_head (const struct caller *caller, const struct hf_effect *effect)
 {
-  SoupMessageHeaders *from = soup_server_message_get_request_headers (caller->message);
-  if (caller->upload)
-    {
-      bool known = soup_message_headers_get_encoding (from) == SOUP_ENCODING_CONTENT_LENGTH;
-      soup_message_set_request_body (message, NULL, G_INPUT_STREAM (caller->upload),
-                                     known ? soup_message_headers_get_content_length (from) : -1);
-      return;
-    }
-  if (caller->whole && g_bytes_get_size (caller->whole) > 0)
-    soup_message_set_request_body_from_bytes (message, NULL, caller->whole);
-}
-
-static SoupMessage *
-make_request (struct caller *caller, const struct hf_effect *effect)
-{
-  GUri *uri = soup_server_message_get_uri (caller->message);
-  SoupMessageHeaders *from = soup_server_message_get_request_headers (caller->message);
-  SoupMessage *message = hf_http_message (soup_server_message_get_method (caller->message), effect->address,
-                                          g_uri_get_path (uri), g_uri_get_query (uri));
-  SoupMessageHeaders *to = soup_message_get_request_headers (message);
-  char remaining[24];
-  set_body (caller, message);
-  soup_message_headers_remove (to, "Content-Type");
-  goffset length = soup_message_headers_get_content_length (to);
-  SoupEncoding encoding = soup_message_headers_get_encoding (to);
-  hf_http_copy_headers (from, to);
-  soup_message_headers_remove (to, "Expect");
-  soup_message_headers_remove (to, "Content-Length");
-  if (encoding == SOUP_ENCODING_CONTENT_LENGTH)
-    soup_message_headers_set_content_length (to, length);
-  else if (encoding == SOUP_ENCODING_CHUNKED)
-    soup_message_headers_set_encoding (to, SOUP_ENCODING_CHUNKED);
-  g_snprintf (remaining, sizeof remaining, "%" G_GINT64_FORMAT, effect->remaining_ms);
-  soup_message_headers_replace (to, "Request-Deadline-Ms", remaining);
-  /* The library would send a body again, by then empty, on a reused connection
-   * that closes. */
-  bool has_body = caller->upload || (caller->whole && g_bytes_get_size (caller->whole) > 0);
-  if (effect->fresh || has_body)
-    {
-      /* Used once: kept open it would only be one more descriptor to poll. */
-      soup_message_add_flags (message, SOUP_MESSAGE_NEW_CONNECTION);
-      soup_message_headers_replace (to, "Connection", "close");
-    }
-  return message;
+  GString *head = g_string_sized_new (caller->fields->len + 256);
+  struct hf_passed passed = { .server = effect->name, .remaining_ms = effect->remaining_ms };
+  g_string_append_printf (head, HF_STR_FMT " " HF_STR_FMT " HTTP/1.1\r\n", HF_STR_ARG (caller->method),
+                          HF_STR_ARG (caller->target));
+  g_string_append_len (head, caller->fields->str, (gssize) caller->fields->len);
+  caller->proxy->dialect->write_passed (head, &passed);
+  int64_t length = caller->streamed ? caller->length : (int64_t) caller->body->len;
+  if (caller->has_body && length >= 0)
+    g_string_append_printf (head, "Content-Length: %" G_GINT64_FORMAT "\r\n", length);
+  else if (caller->has_body)
+    g_string_append (head, "Transfer-Encoding: chunked\r\n");
+  g_string_append (head, "\r\n");
+  return head;
 }
 
 static void
 dispatch (struct hf_proxy *proxy, const struct hf_effect *effect)
 {
   struct caller *caller = find_caller (proxy, effect->call);
-  if (!caller)
+  if (!caller || caller->answered)
     return;
-  SoupSession *session = find_session (proxy, effect->server, effect->connections);
-  caller->attempts[effect->attempt]
-      = hf_exchange_start (proxy->loop, effect->call, effect->attempt, session, make_request (caller, effect));
+  GString *head = make_head (caller, effect);
+  struct hf_str kept = { (const char *) caller->body->data, caller->body->len };
+  struct hf_exchange_start start = {
+    .loop = proxy->loop,
+    .links = proxy->links,
+    .dialect = proxy->dialect,
+    .call = effect->call,
+    .attempt = effect->attempt,
+    .request_id = caller->request_id,
+    .request = { .address = effect->address,
+                 .head = { head->str, head->len },
+                 .body = caller->streamed ? (struct hf_str){ 0 } : kept,
+                 .open = caller->streamed,
+                 .bodiless = hf_str_equal (caller->method, hf_str ("HEAD")),
+                 .idle_max_us = effect->idle_max_ms * HF_MS },
+    .drained = caller->streamed ? body_drained : NULL,
+    .context = caller,
+  };
+  g_clear_pointer (&caller->attempts[effect->attempt], hf_exchange_drop);
+  caller->attempts[effect->attempt] = hf_exchange_open (&start);
+  g_string_free (head, TRUE);
+  if (!caller->streamed)
+    return;
+  caller->sending = caller->attempts[effect->attempt];
+  send_piece (caller, kept, caller->received);
 }
 
 static void
-probe_done (GObject *source, GAsyncResult *result, gpointer data)
+cancel (struct caller *caller, unsigned attempt)
 {
-  struct hf_loop *loop = g_object_get_data (source, "loop");
-  SoupMessage *message = soup_session_get_async_result_message (SOUP_SESSION (source), result);
-  GBytes *body = soup_session_send_and_read_finish (SOUP_SESSION (source), result, NULL);
-  uint64_t *server = data;
-  struct hf_event event = { .kind = HF_EVENT_PROBE, .server = *server, .hints = { .load = -1, .retry_after_ms = -1 } };
-  if (body)
-    event.hints = hf_http_hints (soup_message_get_status (message), soup_message_get_response_headers (message));
-  hf_loop_raise (loop, event);
-  if (body)
-    g_bytes_unref (body);
-  g_free (server);
+  if (caller->sending == caller->attempts[attempt])
+    caller->sending = NULL;
+  g_clear_pointer (&caller->attempts[attempt], hf_exchange_drop);
 }
 
 static void
-probe (struct hf_proxy *proxy, const struct hf_effect *effect)
+cut (struct caller *caller)
 {
-  SoupSession *session = hf_http_session (1, HF_PROBE_TIMEOUT_SEC);
-  SoupMessage *message = hf_http_message ("GET", effect->address, effect->path.data, NULL);
-  uint64_t *server = g_new (uint64_t, 1);
-  *server = effect->server;
-  soup_message_add_flags (message, SOUP_MESSAGE_NEW_CONNECTION);
-  g_object_set_data (G_OBJECT (session), "loop", proxy->loop);
-  soup_session_send_and_read_async (session, message, G_PRIORITY_DEFAULT, NULL, probe_done, server);
-  g_object_unref (message);
-  g_object_unref (session);
+  if (caller->request)
+    hf_request_cut (caller->request);
+}
+
+/* --- internal functions: probes --- */
+
+static void
+probe_head (void *context, const struct hf_head *head)
+{
+  struct probe *probe = context;
+  probe->answered = true;
+  probe->hints = probe->proxy->dialect->read_answer (head);
+}
+
+static void
+probe_body (void *context, struct hf_str bytes)
+{
+  (void) context;
+  (void) bytes;
+}
+
+static void
+probe_ended (void *context, enum hf_link_end end, bool handed)
+{
+  struct probe *probe = context;
+  struct hf_proxy *proxy = probe->proxy;
+  struct hf_event event
+      = { .kind = HF_EVENT_PROBE, .server = probe->server, .hints = { .load = -1, .retry_after_ms = -1 } };
+  (void) handed;
+  if (end == HF_LINK_WHOLE && probe->answered)
+    event.hints = probe->hints;
+  g_hash_table_remove (proxy->probes, probe);
+  g_free (probe);
+  hf_loop_raise (proxy->loop, event);
+}
+
+static const struct hf_link_calls probe_calls = { .head = probe_head, .body = probe_body, .ended = probe_ended };
+
+static void
+probe_server (struct hf_proxy *proxy, const struct hf_effect *effect)
+{
+  struct probe *probe = g_new0 (struct probe, 1);
+  GString *head = g_string_new (NULL);
+  struct hf_passed passed = { .server = effect->name, .remaining_ms = HF_PROBE_TIMEOUT_SEC * 1000 };
+  g_string_printf (head, "GET " HF_STR_FMT " HTTP/1.1\r\nHost: " HF_STR_FMT "\r\n", HF_STR_ARG (effect->path),
+                   HF_STR_ARG (effect->address));
+  proxy->dialect->write_passed (head, &passed);
+  g_string_append (head, "\r\n");
+  probe->proxy = proxy;
+  probe->server = effect->server;
+  probe->sent_at = hf_loop_now ();
+  g_hash_table_add (proxy->probes, probe);
+  struct hf_link_request request
+      = { .address = effect->address, .head = { head->str, head->len }, .idle_max_us = HF_LINK_IDLE_MS * HF_MS };
+  probe->link = hf_link_start (proxy->links, &request, &probe_calls, probe);
+  g_string_free (head, TRUE);
+}
+
+static void
+end_late_probes (struct hf_proxy *proxy, int64_t now)
+{
+  GList *probes = g_hash_table_get_keys (proxy->probes);
+  for (GList *item = probes; item; item = item->next)
+    {
+      struct probe *probe = item->data;
+      if (now - probe->sent_at < HF_PROBE_TIMEOUT_SEC * HF_SEC)
+        continue;
+      hf_link_cancel (probe->link);
+      probe_ended (probe, HF_LINK_BROKEN, true);
+    }
+  g_list_free (probes);
+}
+
+static gboolean
+sweep (gpointer data)
+{
+  struct hf_proxy *proxy = data;
+  int64_t now = hf_loop_now ();
+  hf_server_sweep (proxy->server, now);
+  hf_links_sweep (proxy->links, now);
+  end_late_probes (proxy, now);
+  return G_SOURCE_CONTINUE;
 }
 
 /* --- public functions --- */
 
 struct hf_proxy *
-hf_proxy_open (struct hf_loop *loop, struct hf_str address, struct hf_error *error)
+hf_proxy_open (struct hf_loop *loop,
+               struct hf_net *net,
+               const struct hf_dialect *dialect,
+               struct hf_str address,
+               struct hf_error *error)
 {
   struct hf_proxy *proxy = g_new0 (struct hf_proxy, 1);
   proxy->loop = loop;
-  /* Raw paths: the library would decode them, and they would arrive changed. */
-  proxy->server = soup_server_new ("raw-paths", TRUE, NULL);
+  proxy->net = net;
+  proxy->dialect = dialect;
   proxy->callers = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_caller);
-  proxy->sessions = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_object_unref);
-  soup_server_add_early_handler (proxy->server, NULL, early, proxy, NULL);
-  soup_server_add_handler (proxy->server, NULL, handle, proxy, NULL);
-  proxy->poll = g_timeout_add (HF_CALLER_POLL_MS, poll_callers, proxy);
-  if (hf_http_listen (proxy->server, address, proxy->text, sizeof proxy->text, error))
+  proxy->probes = g_hash_table_new (NULL, NULL);
+  proxy->links = hf_links_open (net);
+  proxy->sweep = g_timeout_add (HF_SWEEP_MS, sweep, proxy);
+  proxy->server = hf_server_open (net, address, &server_calls, proxy, error);
+  if (proxy->server)
     return proxy;
   hf_proxy_close (proxy);
   return NULL;
@@ -578,18 +539,25 @@
 {
   if (!proxy)
     return;
-  g_source_remove (proxy->poll);
+  g_source_remove (proxy->sweep);
+  hf_server_close (proxy->server);
   g_hash_table_destroy (proxy->callers);
-  soup_server_disconnect (proxy->server);
-  g_object_unref (proxy->server);
-  g_hash_table_destroy (proxy->sessions);
+  GList *probes = g_hash_table_get_keys (proxy->probes);
+  for (GList *item = probes; item; item = item->next)
+    {
+      hf_link_cancel (((struct probe *) item->data)->link);
+      g_free (item->data);
+    }
+  g_list_free (probes);
+  g_hash_table_destroy (proxy->probes);
+  hf_links_close (proxy->links);
   g_free (proxy);
 }
 
 struct hf_str
 hf_proxy_address (const struct hf_proxy *proxy)
 {
-  return hf_str (proxy->text);
+  return hf_server_address (proxy->server);
 }
 
 unsigned
@@ -598,6 +566,24 @@
   return g_hash_table_size (proxy->callers);
 }
 
+void
+hf_proxy_limit (struct hf_proxy *proxy, struct hf_server_limits limits)
+{
+  hf_server_limit (proxy->server, limits);
+}
+
+void
+hf_proxy_leave (struct hf_proxy *proxy)
+{
+  hf_server_leave (proxy->server);
+}
+
+void
+hf_proxy_stop (struct hf_proxy *proxy)
+{
+  hf_server_stop (proxy->server);
+}
+
 void
 hf_proxy_carry_out (struct hf_proxy *proxy, const struct hf_effect *effect)
 {
@@ -605,17 +591,17 @@
   if (effect->kind == HF_EFFECT_DISPATCH)
     dispatch (proxy, effect);
   else if (effect->kind == HF_EFFECT_PROBE)
-    probe (proxy, effect);
+    probe_server (proxy, effect);
   else if (effect->kind == HF_EFFECT_RENEW)
-    g_hash_table_remove (proxy->sessions, &effect->server);
+    hf_links_drop (proxy->links, effect->address);
   else if (!caller)
     return;
   else if (effect->kind == HF_EFFECT_ANSWER)
-    answer_failure (caller, effect->status, effect->outcome, effect->retry_after_sec, effect->text);
+    answer_failure (caller, effect);
   else if (effect->kind == HF_EFFECT_RELAY)
     relay (caller, caller->attempts[effect->attempt], effect->outcome);
   else if (effect->kind == HF_EFFECT_CUT)
     cut (caller);
   else if (effect->kind == HF_EFFECT_CANCEL)
-    g_clear_pointer (&caller->attempts[effect->attempt], hf_exchange_drop);
+    cancel (caller, effect->attempt);
 }
--- a/src/hf-proxy.h
+++ b/src/hf-proxy.h
@@ -7,14 +7,24 @@
 #ifndef HF_PROXY_H
 #define HF_PROXY_H
 
+#include "hf-dialect.h"
 #include "hf-loop.h"
+#include "hf-net.h"
+#include "hf-server.h"
 
 /* --- public functions --- */
 
-struct hf_proxy *hf_proxy_open (struct hf_loop *loop, struct hf_str address, struct hf_error *error); /* listens */
-void hf_proxy_close (struct hf_proxy *proxy);                                                         /* frees all */
+struct hf_proxy *hf_proxy_open (struct hf_loop *loop,
+                                struct hf_net *net,
+                                const struct hf_dialect *dialect,
+                                struct hf_str address,
+                                struct hf_error *error);                          /* listens */
+void hf_proxy_close (struct hf_proxy *proxy);                                     /* frees all */
 struct hf_str hf_proxy_address (const struct hf_proxy *proxy);                    /* where it listens */
 unsigned hf_proxy_in_flight (const struct hf_proxy *proxy);                       /* requests not finished */
+void hf_proxy_limit (struct hf_proxy *proxy, struct hf_server_limits limits);     /* what callers may send */
+void hf_proxy_leave (struct hf_proxy *proxy);                                     /* answers close their connection */
+void hf_proxy_stop (struct hf_proxy *proxy);                                      /* no new connection or request */
 void hf_proxy_carry_out (struct hf_proxy *proxy, const struct hf_effect *effect); /* ANSWER to CUT, PROBE, RENEW */
 
 #endif
--- a/src/hickoryd.c
+++ b/src/hickoryd.c
@@ -5,11 +5,11 @@
 #include <stdio.h>
 
 #include "hf-dump.h"
-#include "hf-http.h"
 #include "hf-log.h"
 #include "hf-loop.h"
 #include "hf-peers.h"
 #include "hf-proxy.h"
+#include "hf-server.h"
 
 #include "config.h"
 
@@ -24,39 +24,72 @@
 struct daemon
 {
   struct hf_loop loop;
-  SoupServer *admin;
-  char admin_text[64];
+  struct hf_server *admin;
 };
 
 /* --- internal functions --- */
 
 static void
-answer (SoupServerMessage *message, unsigned status, const char *type, char *text)
+answer (struct hf_request *request, unsigned status, const char *type, char *text)
 {
-  soup_server_message_set_status (message, status, NULL);
-  soup_server_message_set_response (message, type, SOUP_MEMORY_TAKE, text, strlen (text));
+  char *fields = g_strdup_printf ("Content-Type: %s\r\n", type);
+  hf_request_answer (request, status, hf_str (fields), hf_str (text));
+  g_free (fields);
+  g_free (text);
 }
 
 static void
-admin_request (SoupServer *server, SoupServerMessage *message, const char *path, GHashTable *query, gpointer data)
+admin_head (void *context, struct hf_request *request, const struct hf_head *head)
 {
-  struct daemon *daemon = data;
+  (void) context;
+  hf_request_own (request, g_strndup (head->target.data, head->target.len));
+}
+
+static void
+admin_body (void *context, struct hf_request *request, struct hf_str bytes)
+{
+  (void) context;
+  (void) request;
+  (void) bytes;
+}
+
+static void
+admin_whole (void *context, struct hf_request *request)
+{
+  struct daemon *daemon = context;
   const struct hf_state *state = daemon->loop.state;
-  (void) server;
-  (void) query;
+  const char *path = hf_request_data (request);
+  bool ready = hf_state_is_ready (state);
   if (strcmp (path, "/healthz") == 0)
-    answer (message, hf_state_is_ready (state) ? 200 : 503, "text/plain",
-            g_strdup (hf_state_is_ready (state) ? "ok\n" : "not ready\n"));
+    answer (request, ready ? 200 : 503, "text/plain", g_strdup (ready ? "ok\n" : "not ready\n"));
   else if (strcmp (path, "/metrics") == 0)
-    answer (message, 200, "text/plain; version=0.0.4", hf_dump_metrics (state, hf_loop_now ()));
+    answer (request, 200, "text/plain; version=0.0.4", hf_dump_metrics (state, hf_loop_now ()));
   else if (strcmp (path, "/dump") == 0)
-    answer (message, 200, "text/plain", hf_dump_text (state, hf_loop_now ()));
+    answer (request, 200, "text/plain", hf_dump_text (state, hf_loop_now ()));
   else if (strcmp (path, "/status") == 0)
-    answer (message, 200, "application/json", hf_dump_json (state, hf_loop_now ()));
+    answer (request, 200, "application/json", hf_dump_json (state, hf_loop_now ()));
   else
-    answer (message, 404, "text/plain", g_strdup ("known paths: /healthz /metrics /dump /status\n"));
+    answer (request, 404, "text/plain", g_strdup ("known paths: /healthz /metrics /dump /status\n"));
 }
 
+static void
+admin_drained (void *context, struct hf_request *request)
+{
+  (void) context;
+  (void) request;
+}
+
+static void
+admin_ended (void *context, struct hf_request *request, bool answered)
+{
+  (void) context;
+  (void) answered;
+  g_free (hf_request_data (request));
+}
+
+static const struct hf_server_calls admin_calls
+    = { .head = admin_head, .body = admin_body, .whole = admin_whole, .drained = admin_drained, .ended = admin_ended };
+
 static gboolean
 terminate (gpointer data)
 {
@@ -97,14 +130,6 @@
   return ok;
 }
 
-static bool
-open_admin (struct daemon *daemon, struct hf_str address, struct hf_error *error)
-{
-  daemon->admin = soup_server_new (NULL, NULL);
-  soup_server_add_handler (daemon->admin, NULL, admin_request, daemon, NULL);
-  return hf_http_listen (daemon->admin, address, daemon->admin_text, sizeof daemon->admin_text, error);
-}
-
 static int
 run (const struct hf_settings *settings)
 {
@@ -115,10 +140,10 @@
       hf_log_write (HF_LOG_SETTINGS_INVALID, "%s", error.message);
       return EXIT_IO;
     }
-  if (!open_admin (&daemon, settings->admin, &error))
+  daemon.admin = hf_server_open (daemon.loop.net, settings->admin, &admin_calls, &daemon, &error);
+  if (!daemon.admin)
     {
       hf_log_write (HF_LOG_SETTINGS_INVALID, "%s", error.message);
-      g_object_unref (daemon.admin);
       hf_loop_close (&daemon.loop);
       return EXIT_IO;
     }
@@ -126,11 +151,10 @@
   g_unix_signal_add (SIGINT, terminate, &daemon);
   g_unix_signal_add (SIGUSR1, dump, &daemon);
   hf_log_write (HF_LOG_LISTENING, "callers=%s admin=%s peers=%s", hf_proxy_address (daemon.loop.proxy).data,
-                daemon.admin_text, hf_peers_address (daemon.loop.peers).data);
+                hf_server_address (daemon.admin).data, hf_peers_address (daemon.loop.peers).data);
   g_main_loop_run (daemon.loop.main);
   hf_log_write (HF_LOG_EXIT, "nothing in flight");
-  soup_server_disconnect (daemon.admin);
-  g_object_unref (daemon.admin);
+  hf_server_close (daemon.admin);
   hf_loop_close (&daemon.loop);
   return 0;
 }
--- a/tests/test-scripts.c
+++ b/tests/test-scripts.c
@@ -94,7 +94,7 @@
       break;
     case HF_EFFECT_DISPATCH:
       g_string_append_printf (out, "  dispatch %d.%u %s%s remaining=%d\n", (int) effect->call, effect->attempt,
-                              server_name (run, effect->server), effect->fresh ? " fresh" : "",
+                              server_name (run, effect->server), effect->idle_max_ms < HF_LINK_IDLE_MS ? " proved" : "",
                               (int) effect->remaining_ms);
       break;
     case HF_EFFECT_CANCEL:
