--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 	@sh bench/bench.sh $(BUILD)
 
 format:
-	@clang-format -i $$(ls src/*.[ch] tests/*.[ch] bench/*.[ch] examples/*.c 2>/dev/null | grep -v hf-rpc)
+	@clang-format -i $$(ls src/*.[ch] platform/*.[ch] tests/*.[ch] bench/*.[ch] examples/*.c 2>/dev/null | grep -v hf-rpc)
 
 # Regenerates the committed XDR code from src/hf-rpc.x.
 rpc:
--- a/src/config.h
+++ b/src/config.h
@@ -18,8 +18,13 @@
 #define HF_BODY_BYTES_MAX    (1LL << 30)  /* request body, above: 413 */
 #define HF_RELAY_CHUNK_BYTES (64 * 1024)  /* unit of a streamed copy */
 #define HF_CALLER_SILENT_SEC 60           /* caller bytes stalled, then cut */
+#define HF_CALLER_PATH_MS    24           /* a caller's wait outside of this process: connection, both ways */
+#define HF_RETURN_SHARE      3            /* callers return within this part of the time left */
+#define HF_RETURN_RANKS      3            /* priorities told apart when returns are spread */
 #define HF_RETRY_AFTER_MS    1000         /* told with a refusal that says nothing better */
-#define HF_SOCKET_SILENT_MS  5000         /* bytes not acknowledged, then the connection is broken */
+#define HF_KEEP_ALIVE_SEC    1            /* idle before a probe, and between probes */
+#define HF_KEEP_ALIVE_PROBES 2            /* without an answer, then the connection is broken */
+#define HF_SOCKET_SILENT_MS  3000         /* bytes not acknowledged, then the connection is broken */
 #define HF_SWEEP_MS          100          /* look for connections whose time is over */
 
 /* Connections to backend servers. */
@@ -38,6 +43,7 @@
 #define HF_FIRST_BYTE_SHARE    2   /* first byte due in deadline / this */
 #define HF_HEDGE_LATENCY_RATIO 3.0 /* hedge after this times the mean */
 #define HF_HEDGE_MIN_MS        5
+#define HF_HEDGE_ROOM_RATIO    1.2  /* a second attempt is given this times the usual latency */
 #define HF_RETRY_TOKENS_MAX    20.0 /* retries a full budget allows */
 #define HF_RETRY_SHARED_MAX    4.0  /* the same where one bucket is the fleet's */
 
@@ -54,6 +60,24 @@
 #define HF_LOAD_REPORT_MAX_MS 50    /* older load reports are ignored */
 #define HF_GRANT_GRACE_MS     1000  /* slot record kept past the deadline */
 
+/* What a backend server says of its speed. */
+#define HF_SLOWDOWN_LIFE_MS      150 /* a slow time lasts about that long */
+#define HF_SLOWDOWN_FACTOR_USUAL 1.5 /* expected where nothing is known */
+#define HF_SLOWDOWN_FACTOR_MAX   3.0 /* a slow time ends before most requests do */
+#define HF_COLD_FACTOR           2.0 /* times of the usual latency after a start */
+#define HF_MEASURE_TICK_MS       20
+#define HF_MEASURE_USED_MS       1000 /* a service without requests for that long is not measured */
+#define HF_MEASURES_SILENT       2    /* measurements without an answer, then no grants */
+
+/* Directory of backend servers. */
+#define HF_DIRECTORY_SETTLE_MS 2000 /* after an outage: servers not listed again by then are gone */
+
+/* Placing. */
+#define HF_PLACE_FAR_US      2000 /* another failure domain counts like this much latency */
+#define HF_PLACE_FAR_US_BYTE 2.0  /* and this much for each byte of the body */
+#define HF_PLACE_LAST_SLOT   1.4  /* times of the usual latency in the last slot */
+#define HF_PLACE_BUSY        0.15 /* more of the usual latency for each share of slots in use */
+
 /* Slot grants between entries. */
 #define HF_GRANT_ASK_MS     5   /* resend an unanswered request */
 #define HF_GRANT_GIVE_UP_MS 12  /* then decide locally */
@@ -66,6 +90,7 @@
 /* Membership. */
 #define HF_HEARTBEAT_MS    500
 #define HF_PEER_TIMEOUT_MS 1800
+#define HF_PEER_FORGET_SEC 60   /* listed, but silent for so long: no heartbeats go there */
 #define HF_PAUSE_MS        1500 /* a gap between ticks that means a pause */
 
 /* Platform. */
--- a/src/hf-attempts.c
+++ b/src/hf-attempts.c
@@ -24,10 +24,13 @@
 static void
 learn_load (struct hf_state *state,
             const struct hf_call *call,
-            const struct hf_attempt *attempt,
+            struct hf_attempt *attempt,
             const struct hf_answer_hints *hints)
 {
   struct hf_service_state *service = hf_state_service (state, call->service_id);
+  attempt->slowdown_percent = hints->slowdown_percent;
+  if (service)
+    hf_pool_heard (&service->pool, attempt->server, state->now, hints->slowdown_percent);
   if (service && hints->load >= 0)
     hf_pool_report (&service->pool, attempt->server, hints->load, state->now);
 }
@@ -77,7 +80,7 @@
 void
 hf_attempt_learn (struct hf_state *state,
                   const struct hf_call *call,
-                  const struct hf_attempt *attempt,
+                  struct hf_attempt *attempt,
                   const struct hf_answer_hints *hints)
 {
   learn_load (state, call, attempt, hints);
--- a/src/hf-attempts.h
+++ b/src/hf-attempts.h
@@ -19,7 +19,7 @@
                           const struct hf_event *event); /* it broke a server that was well before */
 void hf_attempt_learn (struct hf_state *state,
                        const struct hf_call *call,
-                       const struct hf_attempt *attempt,
+                       struct hf_attempt *attempt,
                        const struct hf_answer_hints *hints); /* load report and draining */
 
 #endif
--- a/src/hf-calls.c
+++ b/src/hf-calls.c
@@ -64,6 +64,7 @@
 static void
 cancel_others (struct hf_state *state, struct hf_call *call, int winner)
 {
+  call->settling = true;
   for (unsigned i = 0; i < call->n_attempts; i++)
     {
       bool asking = call->attempts[i].phase == HF_PHASE_ASKING;
@@ -98,6 +99,21 @@
   hf_state_count (state, outcome == HF_OUTCOME_NOT_RUN ? HF_COUNT_NOT_RUN : HF_COUNT_UNKNOWN);
 }
 
+/* Spreads the returns over the time that the caller may wait for one, the more
+ * urgent first. */
+static int64_t
+retry_after_ms (struct hf_state *state, const struct hf_call *call)
+{
+  int64_t left_ms = (call->deadline - state->now) / HF_MS;
+  if (call->class->aim_ms == 0)
+    return HF_RETRY_AFTER_MS;
+  int64_t spread = MAX (left_ms / HF_RETURN_SHARE, 1);
+  int64_t urgent = call->class->priority == 0 ? 1 : MIN (call->class->priority, HF_RETURN_RANKS);
+  int64_t window = spread * urgent / HF_RETURN_RANKS;
+  return MAX (spread / HF_RETURN_RANKS / 2, 1)
+         + (int64_t) (hf_random_next (&state->random) % (uint64_t) MAX (window, 1));
+}
+
 /* Ends the call with a failure; "not run" only if no attempt may have run it.
  */
 static void
@@ -105,8 +121,10 @@
 {
   cancel_others (state, call, -1);
   enum hf_outcome outcome = call->maybe_run ? HF_OUTCOME_UNKNOWN : HF_OUTCOME_NOT_RUN;
+  if (call->maybe_run && status == 503 && call->class->resend_refused)
+    status = 502; /* 503 would say that it has not run */
   hf_claims_ended (state, call, outcome, 0);
-  answer (state, call->id, status, outcome, status == 503 ? HF_RETRY_AFTER_MS : 0, reason);
+  answer (state, call->id, status, outcome, status == 503 ? retry_after_ms (state, call) : 0, reason);
   remove_call (state, call);
 }
 
@@ -138,12 +156,14 @@
 
 /* How long an attempt may go without a sign before the next step is taken. */
 static int64_t
-late_after (const struct hf_call *call, const struct hf_pool_server *server)
+late_after (const struct hf_state *state, const struct hf_call *call, const struct hf_pool_server *server)
 {
   int64_t total = call->class->deadline_ms * HF_MS;
   int64_t late = total / HF_FIRST_BYTE_SHARE;
   if (!call->class->hedge || server->samples == 0)
     return late;
+  if (call->class->aim_ms > 0)
+    return hf_hedge_after_us (call->aim_at - state->now, server->latency_us);
   int64_t hedge = (int64_t) (server->latency_us * HF_HEDGE_LATENCY_RATIO);
   return MIN (late, MAX (hedge, HF_HEDGE_MIN_MS * HF_MS));
 }
@@ -173,17 +193,17 @@
   else if (attempt->retry)
     hf_state_count (state, HF_COUNT_RETRIES);
   if (call->class->repeatable && !call->streamed)
-    attempt->late_timer = hf_state_timer (state, late_after (call, server), HF_TIMER_CALL_LATE, call->id, i);
+    attempt->late_timer = hf_state_timer (state, late_after (state, call, server), HF_TIMER_CALL_LATE, call->id, i);
 }
 
 static bool
 may_retry (const struct hf_call *call, bool handed, int64_t now, int64_t delay)
 {
-  if (call->relayed || call->n_attempts >= HF_ATTEMPTS_MAX || now + delay >= call->deadline)
+  if (call->relayed || call->n_attempts >= (unsigned) call->class->attempts || now + delay >= call->deadline)
     return false;
   if (handed)
     return call->class->repeatable && !call->streamed;
-  return true;
+  return !call->streamed || !call->handed;
 }
 
 static void
@@ -193,6 +213,13 @@
     call->retry_timer = hf_state_timer (state, delay, HF_TIMER_CALL_RETRY, call->id, 0);
 }
 
+/* These say that a request has not run, and this one may have. */
+static bool
+is_false_promise (unsigned status, enum hf_outcome outcome)
+{
+  return outcome != HF_OUTCOME_NOT_RUN && (status == 503 || status == 429 || status == 408 || status == 421);
+}
+
 static void
 refused (struct hf_state *state, struct hf_call *call, enum hf_refusal reason)
 {
@@ -207,11 +234,17 @@
     [HF_REFUSAL_BUDGET] = { HF_COUNT_REFUSED_BUDGET, "retry budget spent" },
   };
   int held = find_held_answer (call);
+  /* Whoever ends an attempt of this call now decides what becomes of it. */
+  if (call->settling)
+    return;
   if (reason == HF_REFUSAL_NONE || reason > HF_REFUSAL_BUDGET)
     reason = HF_REFUSAL_NO_SERVER;
   hf_state_count (state, refusals[reason].counter);
   if (has_live_attempt (call))
     return;
+  if (held >= 0 && call->class->resend_refused
+      && is_false_promise (call->attempts[held].held_status, HF_OUTCOME_UNKNOWN))
+    held = -1;
   if (held >= 0)
     {
       relay (state, call, (unsigned) held, HF_OUTCOME_UNKNOWN);
@@ -234,17 +267,24 @@
   int64_t delay
       = hf_retry_delay_us (call->n_attempts - 1, event->hints.retry_after_ms, hf_random_next (&state->random));
   call->maybe_run = call->maybe_run || !not_run;
-  /* A class that may not be repeated is sent once per arrival, refused or not.
-   */
-  if (failure && may_retry (call, true, state->now, delay))
+  /* Unless its class says otherwise, a request that may not be repeated is sent
+   * once per arrival, refused or not. */
+  bool may_run_twice = !(not_run && call->class->resend_refused);
+  if (failure && may_retry (call, may_run_twice, state->now, delay))
     {
       attempt->held = true;
+      attempt->held_status = event->hints.status;
       schedule_retry (state, call, delay);
       return;
     }
   enum hf_outcome outcome = HF_OUTCOME_ANSWERED;
   if (failure || event->hints.status >= 500)
     outcome = call->maybe_run ? HF_OUTCOME_UNKNOWN : HF_OUTCOME_NOT_RUN;
+  if (call->class->resend_refused && is_false_promise (event->hints.status, outcome))
+    {
+      give_up (state, call, 502, "the backend server failed");
+      return;
+    }
   relay (state, call, i, outcome);
   hf_claims_ended (state, call, outcome, event->hints.status);
   if (!failure)
@@ -258,6 +298,7 @@
   struct hf_attempt *attempt = &call->attempts[i];
   uint64_t server = attempt->server;
   call->maybe_run = call->maybe_run || event->handed;
+  call->handed = call->handed || event->handed;
   if (crash)
     hf_quarantine_strike (state, call->fingerprint, server, true);
   if (has_live_attempt (call))
@@ -319,6 +360,13 @@
     return;
   int64_t first_byte = call->class->deadline_ms * HF_MS / HF_FIRST_BYTE_SHARE;
   int64_t waited = state->now - attempt->started_at;
+  if (call->class->aim_ms > 0)
+    {
+      /* A running attempt is not broken off; the first answer counts. */
+      if (call->class->hedge && call->n_attempts < (unsigned) call->class->attempts)
+        start_attempt (state, call, true, true, attempt->server);
+      return;
+    }
   if (call->class->hedge && waited < first_byte)
     {
       /* One hedge beside the first attempt; it takes a retry token. */
@@ -330,7 +378,9 @@
   suspect_connections (state, call, attempt);
   call->maybe_run = true;
   uint64_t server = attempt->server;
+  call->settling = true;
   cancel_attempt (state, call, i, HF_POOL_SLOW);
+  call->settling = false;
   attempt->exclude = server;
   int64_t delay = hf_retry_delay_us (call->n_attempts - 1, -1, hf_random_next (&state->random));
   if (has_live_attempt (call))
@@ -344,6 +394,7 @@
 static void
 deadline_passed (struct hf_state *state, struct hf_call *call)
 {
+  call->settling = true;
   call->deadline_timer = NULL;
   for (unsigned i = 0; i < call->n_attempts; i++)
     {
@@ -366,22 +417,39 @@
 
 /* --- internal functions: arrival --- */
 
+/* The caller's own deadline, the class's and the operator's time-out: the first counts. */
+static int64_t
+deadline_of (const struct hf_event *event, const struct hf_class *class, int64_t arrived_at)
+{
+  int64_t total = class->deadline_ms * HF_MS;
+  if (class->timeout_ms > 0)
+    total = MIN (total, class->timeout_ms * HF_MS);
+  /* The caller has been waiting since before its request arrived. */
+  if (event->request.deadline_ms > 0)
+    total = MIN (total, MAX (event->request.deadline_ms - HF_CALLER_PATH_MS, 1) * HF_MS);
+  return arrived_at + total;
+}
+
 static struct hf_call *
-add_call (struct hf_state *state,
-          const struct hf_event *event,
-          const struct hf_service *service,
-          const struct hf_class *class)
+add_call (struct hf_state *state, const struct hf_event *event, const struct hf_route_target *target)
 {
+  const struct hf_class *class = target->class;
+  int64_t arrived_at = event->request.arrived_at ? event->request.arrived_at : state->now;
   struct hf_call *call = g_new0 (struct hf_call, 1);
   call->id = event->call;
   call->document = hf_document_ref (state->document);
-  call->service = service;
+  call->service = target->service;
   call->class = class;
-  call->service_id = hf_service_id (service);
-  call->deadline = state->now + class->deadline_ms * HF_MS;
+  call->service_id = hf_service_id (target->service);
+  call->deadline = deadline_of (event, class, arrived_at);
+  call->aim_at = call->deadline;
+  if (class->aim_ms > 0)
+    call->aim_at = MIN (call->deadline, arrived_at + (class->aim_ms - HF_CALLER_PATH_MS) * HF_MS);
+  call->body_bytes = event->request.body_bytes;
+  call->request_id = hf_str_dup (event->request.id);
   call->streamed = event->request.streamed;
   g_hash_table_insert (state->calls, &call->id, call);
-  call->deadline_timer = hf_state_timer (state, class->deadline_ms * HF_MS, HF_TIMER_CALL_DEADLINE, call->id, 0);
+  call->deadline_timer = hf_state_timer (state, call->deadline - state->now, HF_TIMER_CALL_DEADLINE, call->id, 0);
   return call;
 }
 
@@ -409,11 +477,11 @@
       answer (state, event->call, 503, HF_OUTCOME_NOT_RUN, HF_RETRY_AFTER_MS, "no configuration yet");
       return;
     }
-  const struct hf_service *service = hf_route_service (state->document, &head);
-  const struct hf_class *class = service ? hf_route_class (service, &head) : NULL;
-  if (!class)
+  struct hf_route_target target;
+  if (!hf_route_request (state->document, &head, hf_random_next (&state->random), &target))
     {
-      answer (state, event->call, 404, HF_OUTCOME_NOT_RUN, 0, service ? "no request class matches" : "no such service");
+      answer (state, event->call, 404, HF_OUTCOME_NOT_RUN, 0,
+              target.service ? "no request class matches" : "no such service");
       return;
     }
   uint64_t fingerprint = fingerprint_of (event);
@@ -423,9 +491,9 @@
       answer (state, event->call, 503, HF_OUTCOME_NOT_RUN, 0, "quarantined: backend servers broke under this request");
       return;
     }
-  struct hf_call *call = add_call (state, event, service, class);
+  struct hf_call *call = add_call (state, event, &target);
   call->fingerprint = fingerprint;
-  if (!class->repeatable && event->request.key.len > 0)
+  if (!call->class->repeatable && event->request.key.len > 0)
     hf_claims_begin (state, call, event->request.key);
   else
     start_attempt (state, call, false, false, 0);
@@ -466,7 +534,9 @@
     return;
   hf_attempt_learn (state, call, attempt, &event->hints);
   bool crash = hf_attempt_is_crash (state, call, attempt, event);
+  call->settling = true;
   end_attempt (state, call, event->attempt, hf_attempt_result_of (event));
+  call->settling = false;
   if (call->relayed)
     relay_ended (state, call, event);
   else if (event->result == HF_ATTEMPT_ANSWERED)
@@ -514,6 +584,20 @@
     }
   const struct hf_service_state *service = hf_state_service (state, call->service_id);
   const struct hf_pool_server *server = service ? hf_pool_server (&service->pool, decision->server) : NULL;
+  if (server && hf_health_is_leaving (server, state->now))
+    {
+      /* The granter does not know yet that it is leaving. */
+      attempt->exclude = decision->server;
+      attempt->server = decision->server;
+      bool settling = call->settling;
+      call->settling = true;
+      hf_slots_return (state, call, i, HF_POOL_UNUSED);
+      call->settling = settling;
+      attempt->ask_timer = hf_state_timer (state, HF_GRANT_ASK_MS * HF_MS, HF_TIMER_CALL_ASK, call->id, i);
+      attempt->acknowledged = false;
+      attempt->asked_at = state->now;
+      return true;
+    }
   if (server)
     {
       dispatch (state, call, i, server);
@@ -563,5 +647,6 @@
 {
   struct hf_call *call = data;
   hf_document_unload (call->document);
+  hf_str_free (&call->request_id);
   g_free (call);
 }
--- /dev/null
+++ b/src/hf-directory.c
@@ -0,0 +1,252 @@
+/* Backend servers that the platform lists. */
+#include "hf-directory.h"
+
+#include "hf-slots.h"
+
+/* --- types --- */
+
+/* One listed backend server. */
+struct listed
+{
+  struct hf_str name;
+  struct hf_str service;
+  struct hf_str address;
+  struct hf_str failure_domain;
+  unsigned slots;
+  uint64_t incarnation;
+  int64_t cold_until;
+  bool leaving;
+  bool stale;      /* not seen since the list began */
+  int64_t gone_at; /* to be removed then; 0: it is listed */
+};
+
+/* --- internal functions: memory --- */
+
+static void
+unset (struct listed *listed)
+{
+  hf_str_free (&listed->name);
+  hf_str_free (&listed->service);
+  hf_str_free (&listed->address);
+  hf_str_free (&listed->failure_domain);
+}
+
+static void
+free_listed (void *data)
+{
+  unset (data);
+  g_free (data);
+}
+
+static struct listed *
+find (struct hf_state *state, struct hf_str name)
+{
+  char *text = g_strndup (name.data, name.len);
+  struct listed *listed = g_hash_table_lookup (state->directory.servers, text);
+  g_free (text);
+  return listed;
+}
+
+/* --- internal functions: pools --- */
+
+static struct hf_service_state *
+service_of (const struct hf_state *state, struct hf_str name)
+{
+  return hf_state_service (state, hf_hash (name, 0));
+}
+
+static void
+put_in_pool (struct hf_state *state, struct hf_service_state *service, const struct listed *listed)
+{
+  struct hf_pool_listing listing = { .spec = { .name = listed->name,
+                                               .address = listed->address,
+                                               .failure_domain = listed->failure_domain,
+                                               .slots = listed->slots },
+                                     .id = hf_server_id (listed->service, listed->name),
+                                     .incarnation = listed->incarnation,
+                                     .cold_until = listed->cold_until };
+  hf_pool_put (&service->pool, &listing);
+  hf_pool_set_leaving (&service->pool, listing.id, HF_LEAVING_DIRECTORY, listed->leaving, 0);
+  g_hash_table_insert (state->homes, g_memdup2 (&listing.id, sizeof listing.id), service);
+}
+
+static void
+remove_listed (struct hf_state *state, const struct listed *listed)
+{
+  struct hf_service_state *service = service_of (state, listed->service);
+  uint64_t id = hf_server_id (listed->service, listed->name);
+  hf_state_log (state, HF_LOG_SERVER_GONE, "backend server " HF_STR_FMT " of " HF_STR_FMT " is no longer listed",
+                HF_STR_ARG (listed->name), HF_STR_ARG (listed->service));
+  if (service)
+    hf_pool_remove (&service->pool, id);
+  g_hash_table_remove (state->homes, &id);
+}
+
+/* --- internal functions: removal --- */
+
+/* After an outage servers that live are listed again within a short time. */
+static void
+let_go (struct hf_state *state, struct listed *listed)
+{
+  int64_t settled = state->directory.regained_at + HF_DIRECTORY_SETTLE_MS * HF_MS;
+  if (state->directory.regained_at > 0 && state->now < settled)
+    {
+      listed->gone_at = settled;
+      hf_state_timer (state, settled - state->now, HF_TIMER_DIRECTORY, 0, 0);
+      return;
+    }
+  remove_listed (state, listed);
+  g_hash_table_remove (state->directory.servers, listed->name.data);
+}
+
+static bool
+is_complete (const struct hf_server_report *report)
+{
+  return report->service.len > 0 && report->address.len > 0 && report->slots > 0;
+}
+
+static void
+log_change (struct hf_state *state, const struct listed *before, const struct hf_server_report *report)
+{
+  if (!before || before->incarnation != report->incarnation)
+    hf_state_log (state, HF_LOG_SERVER_LISTED, "backend server " HF_STR_FMT " of " HF_STR_FMT " at " HF_STR_FMT "%s",
+                  HF_STR_ARG (report->name), HF_STR_ARG (report->service), HF_STR_ARG (report->address),
+                  report->leaving ? ", leaving" : "");
+  else if (report->leaving && !before->leaving)
+    hf_state_log (state, HF_LOG_SERVER_LEAVING,
+                  "backend server " HF_STR_FMT " of " HF_STR_FMT " is leaving, by the directory",
+                  HF_STR_ARG (report->name), HF_STR_ARG (report->service));
+}
+
+static void
+take (struct hf_state *state, const struct hf_server_report *report)
+{
+  struct listed *listed = find (state, report->name);
+  log_change (state, listed, report);
+  if (listed && !hf_str_equal (listed->service, report->service))
+    remove_listed (state, listed);
+  if (listed)
+    unset (listed);
+  else
+    {
+      listed = g_new0 (struct listed, 1);
+      g_hash_table_insert (state->directory.servers, g_strndup (report->name.data, report->name.len), listed);
+    }
+  *listed = (struct listed){ .name = hf_str_dup (report->name),
+                             .service = hf_str_dup (report->service),
+                             .address = hf_str_dup (report->address),
+                             .failure_domain = hf_str_dup (report->failure_domain),
+                             .slots = report->slots,
+                             .incarnation = report->incarnation,
+                             .cold_until = report->cold_ms > 0 ? state->now + report->cold_ms * HF_MS : 0,
+                             .leaving = report->leaving };
+  struct hf_service_state *service = service_of (state, listed->service);
+  if (service)
+    put_in_pool (state, service, listed);
+}
+
+/* --- internal functions: lists --- */
+
+static void
+mark_stale (struct hf_state *state)
+{
+  GHashTableIter iter;
+  struct listed *listed;
+  g_hash_table_iter_init (&iter, state->directory.servers);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &listed))
+    listed->stale = true;
+}
+
+static void
+drop_stale (struct hf_state *state)
+{
+  GList *all = g_hash_table_get_values (state->directory.servers);
+  for (GList *item = all; item; item = item->next)
+    {
+      struct listed *listed = item->data;
+      if (listed->stale && listed->gone_at == 0)
+        let_go (state, listed);
+    }
+  g_list_free (all);
+}
+
+/* --- public functions --- */
+
+void
+hf_directory_init (struct hf_directory *directory)
+{
+  directory->servers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_listed);
+}
+
+void
+hf_directory_close (struct hf_directory *directory)
+{
+  g_hash_table_destroy (directory->servers);
+}
+
+void
+hf_directory_report (struct hf_state *state, const struct hf_server_report *report)
+{
+  struct listed *listed = find (state, report->name);
+  if (!report->gone && is_complete (report))
+    take (state, report);
+  else if (listed && listed->gone_at == 0)
+    let_go (state, listed);
+  hf_slots_pump (state);
+}
+
+void
+hf_directory_list (struct hf_state *state, enum hf_list_step step)
+{
+  struct hf_directory *directory = &state->directory;
+  switch (step)
+    {
+    case HF_LIST_BEGIN:
+      mark_stale (state);
+      break;
+    case HF_LIST_END:
+      drop_stale (state);
+      directory->complete = true;
+      hf_slots_pump (state);
+      break;
+    case HF_LIST_LOST:
+      if (!directory->lost)
+        hf_state_log (state, HF_LOG_PLATFORM_LOST, "the directory does not answer");
+      directory->lost = true;
+      break;
+    case HF_LIST_ALIVE:
+      if (directory->lost)
+        {
+          hf_state_log (state, HF_LOG_PLATFORM_BACK, "the directory answers");
+          directory->regained_at = state->now;
+        }
+      directory->lost = false;
+      break;
+    }
+}
+
+void
+hf_directory_expire (struct hf_state *state)
+{
+  GList *all = g_hash_table_get_values (state->directory.servers);
+  for (GList *item = all; item; item = item->next)
+    {
+      struct listed *listed = item->data;
+      if (listed->gone_at == 0 || listed->gone_at > state->now)
+        continue;
+      remove_listed (state, listed);
+      g_hash_table_remove (state->directory.servers, listed->name.data);
+    }
+  g_list_free (all);
+}
+
+void
+hf_directory_fill (struct hf_state *state, struct hf_service_state *service)
+{
+  GHashTableIter iter;
+  struct listed *listed;
+  g_hash_table_iter_init (&iter, state->directory.servers);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &listed))
+    if (hf_str_equal (listed->service, service->name))
+      put_in_pool (state, service, listed);
+}
--- a/src/hf-document.c
+++ b/src/hf-document.c
@@ -3,6 +3,8 @@
 
 #include <glib.h>
 
+#include "config.h"
+
 /* --- constants --- */
 
 #define NAME_MAX_BYTES 64
@@ -91,6 +93,37 @@
     .def = 2000,
     .unit = "ms",
     .help = "Time from arrival to the end of the answer's head." },
+  { .name = "timeout_ms",
+    .type = HF_FIELD_INT,
+    .offset = offsetof (struct hf_class, timeout_ms),
+    .min = 0,
+    .max = 3600000,
+    .unit = "ms",
+    .help = "Longest time that a request is kept waiting; 0: only its deadline." },
+  { .name = "aim_ms",
+    .type = HF_FIELD_INT,
+    .offset = offsetof (struct hf_class, aim_ms),
+    .min = 0,
+    .max = 3600000,
+    .unit = "ms",
+    .help = "Time within which an answer is worth most; 0: the deadline." },
+  { .name = "priority",
+    .type = HF_FIELD_INT,
+    .offset = offsetof (struct hf_class, priority),
+    .min = 0,
+    .max = 100,
+    .help = "Rank among what waits for a slot, 0 first." },
+  { .name = "attempts",
+    .type = HF_FIELD_INT,
+    .offset = offsetof (struct hf_class, attempts),
+    .min = 1,
+    .max = 3,
+    .def = 3,
+    .help = "Backend servers that one request may be sent to." },
+  { .name = "resend_refused",
+    .type = HF_FIELD_BOOL,
+    .offset = offsetof (struct hf_class, resend_refused),
+    .help = "True: goes to another backend server when one refused it as not run, repeatable or not." },
   { .name = "repeatable",
     .type = HF_FIELD_BOOL,
     .offset = offsetof (struct hf_class, repeatable),
@@ -159,10 +192,20 @@
     .max = 256,
     .def_str = "/health",
     .help = "Path of the backend servers' health endpoint." },
+  { .name = "measure_ms",
+    .type = HF_FIELD_INT,
+    .offset = offsetof (struct hf_service, measure_ms),
+    .min = 0,
+    .max = 60000,
+    .unit = "ms",
+    .help = "While it is used, free backend servers are asked for their load that often; 0: never." },
+  { .name = "directory",
+    .type = HF_FIELD_BOOL,
+    .offset = offsetof (struct hf_service, directory),
+    .help = "True: its backend servers come from the platform's directory." },
   { .name = "servers",
     .type = HF_FIELD_LIST,
     .offset = offsetof (struct hf_service, servers),
-    .required = true,
     .min = 0,
     .max = 5000,
     .help = "Backend servers of the service.",
@@ -171,8 +214,7 @@
   { .name = "classes",
     .type = HF_FIELD_LIST,
     .offset = offsetof (struct hf_service, classes),
-    .required = true,
-    .min = 1,
+    .min = 0,
     .max = 100,
     .help = "Request classes, first match wins.",
     .fields = class_fields,
@@ -180,6 +222,100 @@
   { 0 },
 };
 
+static const struct hf_field part_fields[] = {
+  { .name = "service",
+    .type = HF_FIELD_STR,
+    .offset = offsetof (struct hf_part, service),
+    .required = true,
+    .min = 1,
+    .max = NAME_MAX_BYTES,
+    .help = "Name of a service of this document." },
+  { .name = "weight",
+    .type = HF_FIELD_INT,
+    .offset = offsetof (struct hf_part, weight),
+    .min = 0,
+    .max = 1000000,
+    .def = 1,
+    .help = "Its part of the requests, of the sum of all weights." },
+  { 0 },
+};
+
+static const struct hf_field route_fields[] = {
+  { .name = "name",
+    .type = HF_FIELD_STR,
+    .offset = offsetof (struct hf_route, name),
+    .required = true,
+    .min = 1,
+    .max = NAME_MAX_BYTES,
+    .help = "Name of the route, unique." },
+  { .name = "host",
+    .type = HF_FIELD_STR,
+    .offset = offsetof (struct hf_route, host),
+    .max = 255,
+    .def_str = "*",
+    .help = "Host header it answers to; * is any." },
+  { .name = "path_prefix",
+    .type = HF_FIELD_STR,
+    .offset = offsetof (struct hf_route, path_prefix),
+    .min = 1,
+    .max = 256,
+    .def_str = "/",
+    .help = "Start of the path; the longest match wins." },
+  { .name = "class",
+    .type = HF_FIELD_MAP,
+    .offset = offsetof (struct hf_route, class),
+    .required = true,
+    .help = "What its requests are like.",
+    .fields = class_fields,
+    .size = sizeof (struct hf_class) },
+  { .name = "parts",
+    .type = HF_FIELD_LIST,
+    .offset = offsetof (struct hf_route, parts),
+    .required = true,
+    .min = 1,
+    .max = 100,
+    .help = "Services that share its requests.",
+    .fields = part_fields,
+    .size = sizeof (struct hf_part) },
+  { 0 },
+};
+
+static const struct hf_field limits_fields[] = {
+  { .name = "head_bytes",
+    .type = HF_FIELD_INT,
+    .offset = offsetof (struct hf_limits, head_bytes),
+    .min = 256,
+    .max = 1 << 20,
+    .def = HF_HEADER_BYTES_MAX,
+    .unit = "bytes",
+    .help = "Largest request head, above: 431." },
+  { .name = "body_bytes",
+    .type = HF_FIELD_INT,
+    .offset = offsetof (struct hf_limits, body_bytes),
+    .min = 0,
+    .max = HF_BODY_BYTES_MAX,
+    .def = HF_BODY_BYTES_MAX,
+    .unit = "bytes",
+    .help = "Largest request body, above: 413." },
+  { .name = "head_ms",
+    .type = HF_FIELD_INT,
+    .offset = offsetof (struct hf_limits, head_ms),
+    .min = 1,
+    .max = 3600000,
+    .def = HF_CALLER_SILENT_SEC * 1000,
+    .unit = "ms",
+    .help = "Longest time for a request head to come in, then 408." },
+  { .name = "idle_ms",
+    .type = HF_FIELD_INT,
+    .offset = offsetof (struct hf_limits, idle_ms),
+    .min = 1,
+    .max = 3600000,
+    .def = HF_CALLER_SILENT_SEC * 1000,
+    .unit = "ms",
+    .help = "A connection without a request is closed after this." },
+  { 0 },
+};
+
 const struct hf_field hf_document_fields[] = {
   { .name = "version",
     .type = HF_FIELD_INT,
@@ -197,6 +333,12 @@
     .unit = "VMs",
     .help = "Most entry VMs that may run at once; connection limits are "
             "divided by it." },
+  { .name = "limits",
+    .type = HF_FIELD_MAP,
+    .offset = offsetof (struct hf_document, limits),
+    .help = "What a caller may send, and how long it may take.",
+    .fields = limits_fields,
+    .size = sizeof (struct hf_limits) },
   { .name = "services",
     .type = HF_FIELD_LIST,
     .offset = offsetof (struct hf_document, services),
@@ -206,6 +348,13 @@
     .help = "Services.",
     .fields = service_fields,
     .size = sizeof (struct hf_service) },
+  { .name = "routes",
+    .type = HF_FIELD_LIST,
+    .offset = offsetof (struct hf_document, routes),
+    .max = 20000,
+    .help = "Routes apart from services; they go before the services' own hosts and paths.",
+    .fields = route_fields,
+    .size = sizeof (struct hf_route) },
   { 0 },
 };
 
@@ -249,6 +398,36 @@
   return ok;
 }
 
+static bool
+check_route (const struct hf_document *document, size_t r, struct hf_error *error)
+{
+  const struct hf_route *route = hf_document_route (document, r);
+  if (route->path_prefix.data[0] != '/')
+    return fail_at (error, "expected a path that starts with /", "routes[%zu].path_prefix", r);
+  if (route->class.hedge && !route->class.repeatable)
+    return fail_at (error, "hedge needs repeatable: true", "routes[%zu].class.hedge", r);
+  for (size_t i = 0; i < route->parts.n; i++)
+    if (!hf_document_find (document, hf_route_part (route, i)->service))
+      return fail_at (error, "expected the name of a service", "routes[%zu].parts[%zu].service", r, i);
+  return true;
+}
+
+static bool
+check_routes (const struct hf_document *document, struct hf_error *error)
+{
+  GHashTable *names = g_hash_table_new (g_str_hash, g_str_equal);
+  bool ok = true;
+  for (size_t i = 0; ok && i < document->routes.n; i++)
+    {
+      if (!g_hash_table_add (names, (char *) hf_document_route (document, i)->name.data))
+        ok = fail_at (error, "expected a name that no other route has", "routes[%zu].name", i);
+      else
+        ok = check_route (document, i, error);
+    }
+  g_hash_table_destroy (names);
+  return ok;
+}
+
 static bool
 check_document (const struct hf_document *document, struct hf_error *error)
 {
@@ -265,7 +444,7 @@
         ok = check_service (document, i, error);
     }
   g_hash_table_destroy (names);
-  return ok;
+  return ok && check_routes (document, error);
 }
 
 /* --- public functions: load and unload --- */
@@ -313,6 +492,27 @@
   return (struct hf_service *) document->services.items + i;
 }
 
+const struct hf_service *
+hf_document_find (const struct hf_document *document, struct hf_str name)
+{
+  for (size_t i = 0; i < document->services.n; i++)
+    if (hf_str_equal (hf_document_service (document, i)->name, name))
+      return hf_document_service (document, i);
+  return NULL;
+}
+
+struct hf_route *
+hf_document_route (const struct hf_document *document, size_t i)
+{
+  return (struct hf_route *) document->routes.items + i;
+}
+
+struct hf_part *
+hf_route_part (const struct hf_route *route, size_t i)
+{
+  return (struct hf_part *) route->parts.items + i;
+}
+
 struct hf_server *
 hf_service_server (const struct hf_service *service, size_t i)
 {
--- a/src/hf-document.h
+++ b/src/hf-document.h
@@ -47,6 +47,11 @@
  * @header: "Name: value" that must be present, or empty
  * @worth: weight of one answer in time
  * @deadline_ms: milliseconds from arrival to answer
+ * @timeout_ms: longest time that an operator wants it kept waiting, 0: the deadline only
+ * @aim_ms: time from the caller's start within which an answer is worth most, 0: the deadline
+ * @priority: rank among what waits, 0 first
+ * @attempts: backend servers that one request may be sent to
+ * @resend_refused: true: sent on when a backend server refused it by protocol, even if not repeatable
  * @repeatable: true: it may run more than once
  * @hedge: true: a second attempt may start before the first failed
  */
@@ -58,6 +63,11 @@
   struct hf_str header;
   int64_t worth;
   int64_t deadline_ms;
+  int64_t timeout_ms;
+  int64_t aim_ms;
+  int64_t priority;
+  int64_t attempts;
+  bool resend_refused;
   bool repeatable;
   bool hedge;
 };
@@ -72,6 +82,8 @@
  * @probe_budget: probes per 10 s by the whole fleet
  * @retry_percent: retries and hedges per 100 first attempts
  * @health_path: path of the health endpoint
+ * @measure_ms: the granter asks free backend servers for their load that often, 0: never
+ * @directory: true: the backend servers come from the platform's directory
  * @servers: struct hf_server
  * @classes: struct hf_class
  */
@@ -85,10 +97,45 @@
   int64_t probe_budget;
   int64_t retry_percent;
   struct hf_str health_path;
+  int64_t measure_ms;
+  bool directory;
   struct hf_list servers;
   struct hf_list classes;
 };
 
+/** struct hf_part - a service's part of the requests of a route */
+struct hf_part
+{
+  struct hf_str service; /* its name */
+  int64_t weight;        /* its share is this of the sum of all weights */
+};
+
+/**
+ * struct hf_route - requests of one host and path that go to one or more services
+ * @name: unique
+ * @host: Host it answers to, or "*"
+ * @path_prefix: start of the path; the longest match wins
+ * @class: what its requests are like
+ * @parts: struct hf_part
+ */
+struct hf_route
+{
+  struct hf_str name;
+  struct hf_str host;
+  struct hf_str path_prefix;
+  struct hf_class class;
+  struct hf_list parts;
+};
+
+/** struct hf_limits - what a caller may send, and how long it may take */
+struct hf_limits
+{
+  int64_t head_bytes;
+  int64_t body_bytes;
+  int64_t head_ms; /* from the first byte of a head to its last */
+  int64_t idle_ms; /* without a request */
+};
+
 /**
  * struct hf_document - the desired state in full
  * @refs: holders of this copy
@@ -97,7 +144,9 @@
  * @text: the YAML text it was read from
  * @version: version of the format, 1
  * @entries_max: most entry VMs that may run at once
+ * @limits: of callers
  * @services: struct hf_service
+ * @routes: struct hf_route; before the services' own hosts and paths
  */
 struct hf_document
 {
@@ -107,7 +156,9 @@
   struct hf_str text;
   int64_t version;
   int64_t entries_max;
+  struct hf_limits limits;
   struct hf_list services;
+  struct hf_list routes;
 };
 
 /* --- public functions: load and unload --- */
@@ -119,9 +170,12 @@
 
 /* --- public functions: look up --- */
 
-struct hf_service *hf_document_service (const struct hf_document *document, size_t i); /* i-th service */
-struct hf_server *hf_service_server (const struct hf_service *service, size_t i);      /* i-th backend server */
-struct hf_class *hf_service_class (const struct hf_service *service, size_t i);        /* i-th request class */
-uint64_t hf_service_id (const struct hf_service *service);                             /* stable identifier */
+struct hf_service *hf_document_service (const struct hf_document *document, size_t i);              /* i-th service */
+const struct hf_service *hf_document_find (const struct hf_document *document, struct hf_str name); /* NULL: none */
+struct hf_route *hf_document_route (const struct hf_document *document, size_t i);                  /* i-th route */
+struct hf_part *hf_route_part (const struct hf_route *route, size_t i);                             /* i-th part */
+struct hf_server *hf_service_server (const struct hf_service *service, size_t i); /* i-th backend server */
+struct hf_class *hf_service_class (const struct hf_service *service, size_t i);   /* i-th request class */
+uint64_t hf_service_id (const struct hf_service *service);                        /* stable identifier */
 
 #endif
--- a/src/hf-event.h
+++ b/src/hf-event.h
@@ -12,6 +12,7 @@
 #include <glib.h>
 
 #include "hf-base.h"
+#include "hf-document.h"
 #include "hf-rpc.h"
 
 /* --- types: shared values --- */
@@ -72,6 +73,40 @@
   int64_t retry_after_ms; /* -1: not said */
 };
 
+/**
+ * struct hf_server_report - what the directory says of one backend server
+ * @name: names this incarnation towards the backend server
+ * @service: service it belongs to
+ * @address: IP:PORT
+ * @failure_domain: where it runs
+ * @slots: requests it runs at once
+ * @incarnation: changes when it starts anew under the same name
+ * @cold_ms: time that it stays slow after its start
+ * @leaving: it gets no new work
+ * @gone: it is no longer listed
+ */
+struct hf_server_report
+{
+  struct hf_str name;
+  struct hf_str service;
+  struct hf_str address;
+  struct hf_str failure_domain;
+  unsigned slots;
+  uint64_t incarnation;
+  int64_t cold_ms;
+  bool leaving;
+  bool gone;
+};
+
+/** enum hf_list_step - progress of a list of the directory */
+enum hf_list_step
+{
+  HF_LIST_BEGIN, /* what is not reported before the end is gone */
+  HF_LIST_END,
+  HF_LIST_LOST,  /* the directory cannot be reached */
+  HF_LIST_ALIVE, /* it answers */
+};
+
 /* --- types: events --- */
 
 /** enum hf_event_kind - what happened */
@@ -88,6 +123,10 @@
   HF_EVENT_WATCH,        /* a line of a watch */
   HF_EVENT_PROBE,        /* the outcome of a probe */
   HF_EVENT_SHUTDOWN,     /* asked to leave */
+  HF_EVENT_DOCUMENT,     /* a document of desired state from outside */
+  HF_EVENT_SERVER,       /* what the platform's directory says of a backend server */
+  HF_EVENT_ENTRY,        /* another entry is listed, or is no longer */
+  HF_EVENT_LIST,         /* progress of a list of the directory */
 };
 
 /** struct hf_event - one event; the member named like its kind is valid */
@@ -130,6 +169,19 @@
     struct hf_str data; /* JSON of the object, or one line of a watch */
   } platform;
   uint64_t server; /* PROBE */
+  struct
+  {
+    uint64_t generation;
+    struct hf_str text; /* YAML */
+  } document;
+  struct hf_server_report report; /* SERVER */
+  struct
+  {
+    struct hf_str name;
+    struct hf_str address; /* of its peer socket */
+    bool gone;
+  } entry;
+  enum hf_list_step list;
 };
 
 /* --- types: effects --- */
@@ -149,6 +201,7 @@
   HF_EFFECT_LOG,      /* write an event line */
   HF_EFFECT_WAKE,     /* raise a tick at this time */
   HF_EFFECT_EXIT,     /* nothing is in flight: leave */
+  HF_EFFECT_LIMIT,    /* what callers may send has changed */
 };
 
 /** struct hf_effect - one effect; the members that its kind needs are set */
@@ -173,6 +226,7 @@
   uint64_t version;
   struct hf_str name;
   struct hf_str data;
+  struct hf_limits limits;
   int log_number;
   int64_t at;
 };
--- a/src/hf-server.c
+++ b/src/hf-front.c
@@ -1,5 +1,5 @@
 /* HTTP/1.1 towards those who call. */
-#include "hf-server.h"
+#include "hf-front.h"
 
 #include <string.h>
 
@@ -12,13 +12,13 @@
 
 /* --- types --- */
 
-struct hf_server
+struct hf_front
 {
   struct hf_net *net;
   struct hf_listener *listener;
-  const struct hf_server_calls *calls;
+  const struct hf_front_calls *calls;
   void *context;
-  struct hf_server_limits limits;
+  struct hf_front_limits limits;
   GHashTable *connections; /* struct connection, as a set */
   bool leaving;
   bool stopped;
@@ -27,7 +27,7 @@
 /* One connection of a caller. */
 struct connection
 {
-  struct hf_server *server;
+  struct hf_front *front;
   struct hf_stream *stream;
   struct hf_reader *reader;
   struct hf_request *request; /* the one that is being served */
@@ -36,6 +36,7 @@
   int64_t began_at;           /* first byte of the head that is coming in; 0: none */
   int64_t linger_until;       /* answered and closing; 0: no */
   bool processing;
+  bool held; /* the owner takes no more of the body for now */
 };
 
 struct hf_request
@@ -73,16 +74,17 @@
 {
   struct hf_request *request = connection->request;
   connection->request = NULL;
+  connection->held = false;
   if (request && request->told)
-    connection->server->calls->ended (connection->server->context, request, answered);
+    connection->front->calls->ended (connection->front->context, request, answered);
   g_free (request);
 }
 
 static void
 close_connection (struct connection *connection, bool reset)
 {
-  struct hf_server *server = connection->server;
-  if (!g_hash_table_remove (server->connections, connection))
+  struct hf_front *front = connection->front;
+  if (!g_hash_table_remove (front->connections, connection))
     return;
   if (reset)
     hf_stream_reset (connection->stream);
@@ -179,14 +181,14 @@
 on_head (void *context, const struct hf_head *head)
 {
   struct connection *connection = context;
-  struct hf_server *server = connection->server;
+  struct hf_front *front = connection->front;
   connection->began_at = 0;
   if (!framing_is_clear (head) || head->target.len == 0)
     {
       refuse (connection, 400, "the length of the body is not clear");
       return true;
     }
-  if (head->length > server->limits.body_bytes)
+  if (head->length > front->limits.body_bytes)
     {
       refuse (connection, 413, "the body is too large");
       return true;
@@ -202,7 +204,7 @@
       hf_stream_queue (connection->stream, hf_str ("HTTP/1.1 100 Continue\r\n\r\n"));
       hf_stream_flush (connection->stream);
     }
-  server->calls->head (server->context, request, head);
+  front->calls->head (front->context, request, head);
   return true;
 }
 
@@ -210,17 +212,17 @@
 on_body (void *context, struct hf_str bytes)
 {
   struct connection *connection = context;
-  struct hf_server *server = connection->server;
+  struct hf_front *front = connection->front;
   struct hf_request *request = connection->request;
   if (!request || !request->told || request->finished || connection->linger_until)
     return;
   request->body_bytes += (int64_t) bytes.len;
-  if (request->body_bytes > server->limits.body_bytes && !request->started)
+  if (request->body_bytes > front->limits.body_bytes && !request->started)
     {
       refuse (connection, 413, "the body is too large");
       return;
     }
-  server->calls->body (server->context, request, bytes);
+  front->calls->body (front->context, request, bytes);
 }
 
 static void
@@ -232,7 +234,7 @@
     return;
   request->whole = true;
   if (request->told && !request->finished)
-    connection->server->calls->whole (connection->server->context, request);
+    connection->front->calls->whole (connection->front->context, request);
 }
 
 static void
@@ -278,7 +280,7 @@
       if (fresh)
         {
           connection->began_at = now_us ();
-          hf_reader_limit (connection->reader, connection->server->limits.head_bytes);
+          hf_reader_limit (connection->reader, connection->front->limits.head_bytes);
         }
       size_t used = hf_reader_feed (connection->reader, (struct hf_str){ (const char *) bytes->data, bytes->len });
       if (connection->stream && !connection->linger_until)
@@ -295,7 +297,7 @@
     }
   if (connection->linger_until)
     return;
-  hf_stream_pause (connection->stream, connection->pending->len > PIPELINED_BYTES);
+  hf_stream_pause (connection->stream, connection->held || connection->pending->len > PIPELINED_BYTES);
 }
 
 static void
@@ -315,7 +317,7 @@
   bool keep = connection->request->keep_alive;
   end_request (connection, true);
   connection->active_at = now_us ();
-  if (keep && !connection->server->stopped)
+  if (keep && !connection->front->stopped)
     process (connection);
   else
     linger (connection);
@@ -332,7 +334,7 @@
   if (request->finished)
     answer_is_out (connection);
   else if (request->told && request->started)
-    connection->server->calls->drained (connection->server->context, request);
+    connection->front->calls->drained (connection->front->context, request);
 }
 
 static void
@@ -348,14 +350,14 @@
 static void
 accepted (void *context, struct hf_stream *stream)
 {
-  struct hf_server *server = context;
+  struct hf_front *front = context;
   struct connection *connection = g_new0 (struct connection, 1);
-  connection->server = server;
+  connection->front = front;
   connection->stream = stream;
   connection->pending = g_byte_array_new ();
   connection->active_at = now_us ();
   connection->reader = hf_reader_open (true, &reader_calls, connection);
-  g_hash_table_add (server->connections, connection);
+  g_hash_table_add (front->connections, connection);
   hf_stream_own (stream, &stream_calls, connection);
 }
 
@@ -364,7 +366,7 @@
 static void
 sweep_connection (struct connection *connection, int64_t now)
 {
-  const struct hf_server_limits *limits = &connection->server->limits;
+  const struct hf_front_limits *limits = &connection->front->limits;
   const struct hf_request *request = connection->request;
   bool silent = now - connection->active_at > HF_CALLER_SILENT_SEC * HF_SEC;
   if (connection->linger_until)
@@ -386,69 +388,69 @@
 
 /* --- public functions: init and close --- */
 
-struct hf_server *
-hf_server_open (struct hf_net *net,
-                struct hf_str address,
-                const struct hf_server_calls *calls,
-                void *context,
-                struct hf_error *error)
-{
-  struct hf_server *server = g_new0 (struct hf_server, 1);
-  server->net = net;
-  server->calls = calls;
-  server->context = context;
-  server->limits = (struct hf_server_limits){ .head_bytes = HF_HEADER_BYTES_MAX,
-                                              .body_bytes = HF_BODY_BYTES_MAX,
-                                              .head_us = HF_CALLER_SILENT_SEC * HF_SEC,
-                                              .idle_us = HF_CALLER_SILENT_SEC * HF_SEC };
-  server->connections = g_hash_table_new (NULL, NULL);
-  server->listener = hf_listener_open (net, address, accepted, server, error);
-  if (server->listener)
-    return server;
-  hf_server_close (server);
+struct hf_front *
+hf_front_open (struct hf_net *net,
+               struct hf_str address,
+               const struct hf_front_calls *calls,
+               void *context,
+               struct hf_error *error)
+{
+  struct hf_front *front = g_new0 (struct hf_front, 1);
+  front->net = net;
+  front->calls = calls;
+  front->context = context;
+  front->limits = (struct hf_front_limits){ .head_bytes = HF_HEADER_BYTES_MAX,
+                                            .body_bytes = HF_BODY_BYTES_MAX,
+                                            .head_us = HF_CALLER_SILENT_SEC * HF_SEC,
+                                            .idle_us = HF_CALLER_SILENT_SEC * HF_SEC };
+  front->connections = g_hash_table_new (NULL, NULL);
+  front->listener = hf_listener_open (net, address, accepted, front, error);
+  if (front->listener)
+    return front;
+  hf_front_close (front);
   return NULL;
 }
 
 void
-hf_server_close (struct hf_server *server)
+hf_front_close (struct hf_front *front)
 {
-  if (!server)
+  if (!front)
     return;
-  hf_listener_close (server->listener);
-  GList *connections = g_hash_table_get_keys (server->connections);
+  hf_listener_close (front->listener);
+  GList *connections = g_hash_table_get_keys (front->connections);
   for (GList *item = connections; item; item = item->next)
     close_connection (item->data, false);
   g_list_free (connections);
-  g_hash_table_destroy (server->connections);
-  g_free (server);
+  g_hash_table_destroy (front->connections);
+  g_free (front);
 }
 
 struct hf_str
-hf_server_address (const struct hf_server *server)
+hf_front_address (const struct hf_front *front)
 {
-  return hf_listener_address (server->listener);
+  return hf_listener_address (front->listener);
 }
 
 void
-hf_server_limit (struct hf_server *server, struct hf_server_limits limits)
+hf_front_limit (struct hf_front *front, struct hf_front_limits limits)
 {
-  server->limits = limits;
+  front->limits = limits;
 }
 
 void
-hf_server_leave (struct hf_server *server)
+hf_front_leave (struct hf_front *front)
 {
-  server->leaving = true;
+  front->leaving = true;
 }
 
 void
-hf_server_stop (struct hf_server *server)
+hf_front_stop (struct hf_front *front)
 {
-  server->leaving = true;
-  server->stopped = true;
-  hf_listener_close (server->listener);
-  server->listener = NULL;
-  GList *connections = g_hash_table_get_keys (server->connections);
+  front->leaving = true;
+  front->stopped = true;
+  hf_listener_close (front->listener);
+  front->listener = NULL;
+  GList *connections = g_hash_table_get_keys (front->connections);
   for (GList *item = connections; item; item = item->next)
     {
       struct connection *connection = item->data;
@@ -459,18 +461,18 @@
 }
 
 void
-hf_server_sweep (struct hf_server *server, int64_t now)
+hf_front_sweep (struct hf_front *front, int64_t now)
 {
-  GList *connections = g_hash_table_get_keys (server->connections);
+  GList *connections = g_hash_table_get_keys (front->connections);
   for (GList *item = connections; item; item = item->next)
     sweep_connection (item->data, now);
   g_list_free (connections);
 }
 
 unsigned
-hf_server_connections (const struct hf_server *server)
+hf_front_connections (const struct hf_front *front)
 {
-  return g_hash_table_size (server->connections);
+  return g_hash_table_size (front->connections);
 }
 
 /* --- public functions: requests --- */
@@ -490,6 +492,7 @@
 void
 hf_request_pause (struct hf_request *request, bool paused)
 {
+  request->connection->held = paused;
   hf_stream_pause (request->connection->stream, paused);
 }
 
@@ -500,7 +503,7 @@
   GString *text = g_string_sized_new (fields.len + 128);
   bool bodiless = status == 204 || status == 304;
   /* A body that is not in yet would be read as the next request. */
-  request->keep_alive = request->keep_alive && request->whole && !connection->server->leaving;
+  request->keep_alive = request->keep_alive && request->whole && !connection->front->leaving;
   request->started = true;
   request->chunked = length < 0 && !bodiless && !request->head_only;
   g_string_append_printf (text, "HTTP/1.1 %u %s\r\n", status, reason_of (status));
--- a/src/hf-server.h
+++ b/src/hf-front.h
@@ -1,30 +1,30 @@
 /**
- * DOC: hf-server - HTTP/1.1 towards those who call
+ * DOC: hf-front - HTTP/1.1 towards those who call
  *
  * Accepts connections and takes one request after the other from each. It
  * keeps the limits on heads, bodies and idle connections, refuses what is
  * malformed, and tells its owner when a caller has left. What is answered is
  * the owner's decision.
  */
-#ifndef HF_SERVER_H
-#define HF_SERVER_H
+#ifndef HF_FRONT_H
+#define HF_FRONT_H
 
 #include "hf-head.h"
 #include "hf-net.h"
 
-struct hf_server;
+struct hf_front;
 struct hf_request;
 
 /* --- types --- */
 
 /**
- * struct hf_server_limits - what a caller may send, and how long it may take
+ * struct hf_front_limits - what a caller may send, and how long it may take
  * @head_bytes: largest head, above: 431
  * @body_bytes: largest body, above: 413
  * @head_us: longest time from the first to the last byte of a head, then 408
  * @idle_us: longest time without a request, then the connection is closed
  */
-struct hf_server_limits
+struct hf_front_limits
 {
   size_t head_bytes;
   int64_t body_bytes;
@@ -33,14 +33,14 @@
 };
 
 /**
- * struct hf_server_calls - what the owner of a server is told
+ * struct hf_front_calls - what the owner of a server is told
  * @head: the head of a request is complete
  * @body: a piece of its body
  * @whole: the request is complete
  * @drained: every byte of the answer so far was handed to the system
  * @ended: last call for a request: its answer is out, or the caller has left
  */
-struct hf_server_calls
+struct hf_front_calls
 {
   void (*head) (void *context, struct hf_request *request, const struct hf_head *head);
   void (*body) (void *context, struct hf_request *request, struct hf_str bytes);
@@ -51,18 +51,18 @@
 
 /* --- public functions: init and close --- */
 
-struct hf_server *hf_server_open (struct hf_net *net,
-                                  struct hf_str address,
-                                  const struct hf_server_calls *calls,
-                                  void *context,
-                                  struct hf_error *error);        /* listens; NULL and *error */
-void hf_server_close (struct hf_server *server);                  /* closes every connection, frees all */
-struct hf_str hf_server_address (const struct hf_server *server); /* where it listens */
-void hf_server_limit (struct hf_server *server, struct hf_server_limits limits); /* for what comes from now on */
-void hf_server_leave (struct hf_server *server);                 /* answers from now on close their connection */
-void hf_server_stop (struct hf_server *server);                  /* takes no connection, closes the idle ones */
-void hf_server_sweep (struct hf_server *server, int64_t now);    /* ends what has taken too long */
-unsigned hf_server_connections (const struct hf_server *server); /* open connections */
+struct hf_front *hf_front_open (struct hf_net *net,
+                                struct hf_str address,
+                                const struct hf_front_calls *calls,
+                                void *context,
+                                struct hf_error *error);                     /* listens; NULL and *error */
+void hf_front_close (struct hf_front *front);                                /* closes every connection, frees all */
+struct hf_str hf_front_address (const struct hf_front *front);               /* where it listens */
+void hf_front_limit (struct hf_front *front, struct hf_front_limits limits); /* for what comes from now on */
+void hf_front_leave (struct hf_front *front);                 /* answers from now on close their connection */
+void hf_front_stop (struct hf_front *front);                  /* takes no connection, closes the idle ones */
+void hf_front_sweep (struct hf_front *front, int64_t now);    /* ends what has taken too long */
+unsigned hf_front_connections (const struct hf_front *front); /* open connections */
 
 /* --- public functions: requests --- */
 
--- a/src/hf-health.c
+++ b/src/hf-health.c
@@ -1,6 +1,8 @@
 /* What is known of a backend server. */
 #include "hf-health.h"
 
+#include <math.h>
+
 #include "config.h"
 
 /* --- internal functions --- */
@@ -144,10 +146,33 @@
     }
 }
 
+void
+hf_health_note_slowdown (struct hf_pool_server *server, int64_t now, int percent)
+{
+  if (percent <= 0)
+    return;
+  server->slowdown_percent = percent;
+  server->slowdown_at = now;
+}
+
+/* What a server says of its speed holds for a short time only; then the usual
+ * share of slow times is expected. */
+double
+hf_health_factor (const struct hf_pool_server *server, int64_t now)
+{
+  double cold = server->cold_until > now ? HF_COLD_FACTOR : 1.0;
+  if (server->slowdown_percent <= 0)
+    return cold;
+  double said = MIN (server->slowdown_percent / 100.0, HF_SLOWDOWN_FACTOR_MAX);
+  double age = (double) (now - server->slowdown_at);
+  double trust = exp (-age / (HF_SLOWDOWN_LIFE_MS * HF_MS));
+  return cold * (HF_SLOWDOWN_FACTOR_USUAL + (said - HF_SLOWDOWN_FACTOR_USUAL) * trust);
+}
+
 bool
 hf_health_is_leaving (const struct hf_pool_server *server, int64_t now)
 {
-  if (server->leaving & (HF_LEAVING_DOCUMENT | HF_LEAVING_VM_LIST))
+  if (server->leaving & (HF_LEAVING_DOCUMENT | HF_LEAVING_VM_LIST | HF_LEAVING_DIRECTORY))
     return true;
   return server->leaving != 0 && now < server->leaving_until;
 }
@@ -155,7 +180,8 @@
 bool
 hf_health_is_usable (const struct hf_pool_server *server, int64_t now)
 {
-  return !hf_health_is_leaving (server, now) && server->out_until <= now;
+  bool silent = server->silent_measures >= HF_MEASURES_SILENT;
+  return !hf_health_is_leaving (server, now) && server->out_until <= now && !silent;
 }
 
 unsigned
--- a/src/hf-health.h
+++ b/src/hf-health.h
@@ -21,6 +21,7 @@
   HF_LEAVING_HEALTH = 4,
   HF_LEAVING_REFUSAL = 8,
   HF_LEAVING_PEER = 16,
+  HF_LEAVING_DIRECTORY = 32,
   HF_LEAVING_SEEN = HF_LEAVING_HEALTH | HF_LEAVING_REFUSAL | HF_LEAVING_PEER, /* ends by itself */
 };
 
@@ -50,8 +51,10 @@
   uint64_t id;
   struct hf_str name;
   struct hf_str address;
+  uint64_t failure_domain; /* hash of its name, 0: not known */
+  uint64_t incarnation;
+  int64_t cold_until; /* slow after its start until then */
   unsigned slots;
-  unsigned connections;
   unsigned granted;      /* slots in use by records of this pool */
   unsigned foreign;      /* requests that other entries have there beside */
   unsigned leaving;      /* bits of enum hf_leaving */
@@ -68,11 +71,17 @@
   int reported;
   int64_t reported_at;
   int64_t answered_at;
-  int64_t broken_at; /* first break since the last answer, 0: none */
+  int slowdown_percent; /* its own word on how long work takes, 100: as usual; 0: none */
+  int64_t slowdown_at;
+  int64_t asked_at;         /* a measurement was sent */
+  unsigned silent_measures; /* measurements in a row without an answer */
+  int64_t broken_at;        /* first break since the last answer, 0: none */
 };
 
 /* --- public functions --- */
 
+void hf_health_note_slowdown (struct hf_pool_server *server, int64_t now, int percent); /* its own word */
+double hf_health_factor (const struct hf_pool_server *server, int64_t now); /* expected times of the usual latency */
 void hf_health_learn (GArray *servers,
                       struct hf_pool_server *server,
                       int64_t now,
--- a/src/hf-link.c
+++ b/src/hf-link.c
@@ -16,6 +16,7 @@
   struct hf_net *net;
   GHashTable *hosts; /* struct host by address */
   GPtrArray *all;    /* struct wire */
+  GPtrArray *closed; /* the same, to be freed once no callback is at work */
   uint64_t opened;
 };
 
@@ -40,7 +41,6 @@
   bool single;   /* to be closed after the answer */
   bool skipping; /* the answer that comes in belongs to an earlier request */
   unsigned skipped;
-  bool feeding; /* the reader is at work */
   bool closed;
 };
 
@@ -80,8 +80,9 @@
 }
 
 static void
-free_wire (struct wire *wire)
+free_wire (void *data)
 {
+  struct wire *wire = data;
   hf_reader_close (wire->reader);
   g_free (wire->address);
   g_free (wire);
@@ -96,8 +97,7 @@
   hf_stream_close (wire->stream);
   g_ptr_array_remove_fast (wire->links->all, wire);
   g_ptr_array_remove (find_host (wire->links, wire->address)->idle, wire);
-  if (!wire->feeding)
-    free_wire (wire);
+  g_ptr_array_add (wire->links->closed, wire);
 }
 
 static void
@@ -258,7 +258,6 @@
 stream_data (void *context, struct hf_str bytes)
 {
   struct wire *wire = context;
-  wire->feeding = true;
   while (bytes.len > 0 && !wire->closed)
     {
       /* Bytes without a request belong to none. */
@@ -273,9 +272,6 @@
       if (!wire->closed && drop_cancelled (wire))
         break;
     }
-  wire->feeding = false;
-  if (wire->closed)
-    free_wire (wire);
 }
 
 static void
@@ -296,7 +292,6 @@
 {
   struct wire *wire = context;
   bool whole = false;
-  wire->feeding = true;
   if (end == HF_STREAM_CLOSED && wire->link)
     whole = hf_reader_end (wire->reader);
   if (!wire->closed && !drop_cancelled (wire))
@@ -307,8 +302,6 @@
       else
         fail_wire (wire);
     }
-  wire->feeding = false;
-  free_wire (wire);
 }
 
 static const struct hf_stream_calls stream_calls
@@ -373,6 +366,7 @@
   links->net = net;
   links->hosts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_host);
   links->all = g_ptr_array_new ();
+  links->closed = g_ptr_array_new_with_free_func (free_wire);
   return links;
 }
 
@@ -384,12 +378,11 @@
   while (links->all->len > 0)
     {
       struct wire *wire = g_ptr_array_index (links->all, 0);
-      if (wire->link)
-        hf_link_cancel (wire->link);
-      else
-        close_wire (wire);
+      g_clear_pointer (&wire->link, g_free);
+      close_wire (wire);
     }
   g_ptr_array_unref (links->all);
+  g_ptr_array_unref (links->closed);
   g_hash_table_destroy (links->hosts);
   g_free (links);
 }
@@ -397,6 +390,7 @@
 void
 hf_links_sweep (struct hf_links *links, int64_t now)
 {
+  g_ptr_array_set_size (links->closed, 0);
   for (guint i = links->all->len; i-- > 0;)
     {
       if (i >= links->all->len)
--- a/src/hf-link.h
+++ b/src/hf-link.h
@@ -63,9 +63,9 @@
 
 /* --- public functions: init and close --- */
 
-struct hf_links *hf_links_open (struct hf_net *net);                /* no connection yet */
-void hf_links_close (struct hf_links *links);                       /* cancels all, frees all */
-void hf_links_sweep (struct hf_links *links, int64_t now);          /* ends what has waited too long */
+struct hf_links *hf_links_open (struct hf_net *net);       /* no connection yet */
+void hf_links_close (struct hf_links *links);              /* cancels all, frees all */
+void hf_links_sweep (struct hf_links *links, int64_t now); /* ends what has waited too long; from the loop only */
 void hf_links_drop (struct hf_links *links, struct hf_str address); /* closes the kept connections there */
 uint64_t hf_links_opened (const struct hf_links *links);            /* connections opened so far */
 
--- a/src/hf-log.c
+++ b/src/hf-log.c
@@ -28,6 +28,8 @@
   { HF_LOG_SERVER_LEAVING, HF_LEVEL_NOTICE, "server-leaving" },
   { HF_LOG_SERVER_OUT, HF_LEVEL_WARNING, "server-out" },
   { HF_LOG_SERVER_SILENT, HF_LEVEL_WARNING, "server-silent" },
+  { HF_LOG_SERVER_LISTED, HF_LEVEL_INFO, "server-listed" },
+  { HF_LOG_SERVER_GONE, HF_LEVEL_NOTICE, "server-gone" },
   { HF_LOG_QUARANTINED, HF_LEVEL_WARNING, "request-quarantined" },
   { HF_LOG_CLAIM_SETTLED, HF_LEVEL_INFO, "claim-settled" },
   { HF_LOG_CLAIM_UNAVAILABLE, HF_LEVEL_WARNING, "claim-unavailable" },
--- a/src/hf-loop.c
+++ b/src/hf-loop.c
@@ -9,6 +9,8 @@
 #include "hf-proxy.h"
 #include "hf-state.h"
 
+#include "hf-adapter.h"
+
 /* --- internal functions --- */
 
 static gboolean
@@ -18,6 +20,15 @@
   return G_SOURCE_CONTINUE;
 }
 
+static void
+set_limits (struct hf_loop *loop, const struct hf_limits *limits)
+{
+  hf_proxy_limit (loop->proxy, (struct hf_front_limits){ .head_bytes = (size_t) limits->head_bytes,
+                                                         .body_bytes = limits->body_bytes,
+                                                         .head_us = limits->head_ms * HF_MS,
+                                                         .idle_us = limits->idle_ms * HF_MS });
+}
+
 static void
 carry_out (struct hf_loop *loop, const struct hf_effect *effect)
 {
@@ -36,7 +47,8 @@
       hf_peers_send (loop->peers, effect);
       break;
     case HF_EFFECT_PLATFORM:
-      hf_platform_call (loop->platform, effect);
+      if (loop->platform)
+        hf_platform_call (loop->platform, effect);
       break;
     case HF_EFFECT_LOG:
       hf_log_write (effect->log_number, HF_STR_FMT, HF_STR_ARG (effect->text));
@@ -44,10 +56,12 @@
     case HF_EFFECT_WAKE:
       g_source_set_ready_time (loop->wake, effect->at);
       break;
+    case HF_EFFECT_LIMIT:
+      set_limits (loop, &effect->limits);
+      break;
     case HF_EFFECT_EXIT:
       loop->exiting = true;
       hf_proxy_stop (loop->proxy);
-      loop->exit_by = hf_loop_now () + HF_DRAIN_LIMIT_SEC * HF_SEC;
       hf_loop_check_exit (loop);
       break;
     }
@@ -94,15 +108,19 @@
   g_source_set_callback (loop->wake, wake, loop, NULL);
   g_source_attach (loop->wake, NULL);
   loop->net = hf_net_open ();
-  loop->platform = hf_platform_open (loop, settings->platform);
+  const struct hf_dialect *dialect = settings->store.len ? &hf_adapter_dialect : &hf_dialect_own;
+  if (settings->platform.len)
+    loop->platform = hf_platform_open (loop, settings->platform);
   loop->peers = hf_peers_open (loop, settings->peers, error);
-  loop->proxy = loop->peers ? hf_proxy_open (loop, loop->net, &hf_dialect_own, settings->listen, error) : NULL;
+  loop->proxy = loop->peers ? hf_proxy_open (loop, loop->net, dialect, settings->listen, error) : NULL;
   if (!loop->proxy)
     {
       hf_loop_close (loop);
       return false;
     }
   hf_loop_raise (loop, (struct hf_event){ .kind = HF_EVENT_START });
+  if (settings->store.len)
+    loop->adapter = hf_adapter_open (loop, loop->net, settings);
   return true;
 }
 
@@ -111,6 +129,7 @@
 {
   if (loop->exit_poll)
     g_source_remove (loop->exit_poll);
+  hf_adapter_close (loop->adapter);
   hf_proxy_close (loop->proxy);
   hf_peers_close (loop->peers);
   hf_platform_close (loop->platform);
@@ -131,6 +150,11 @@
   hf_effects_init (&effects);
   event.now = hf_loop_now ();
   event.wall = g_get_real_time ();
+  if (event.kind == HF_EVENT_SHUTDOWN && !hf_state_is_leaving (loop->state))
+    {
+      loop->exit_by = event.now + loop->settings.grace_ms * HF_MS;
+      hf_proxy_leave (loop->proxy);
+    }
   hf_reduce (loop->state, &event, &effects);
   for (guint i = 0; i < effects.items->len; i++)
     carry_out (loop, &g_array_index (effects.items, struct hf_effect, i));
--- a/src/hf-loop.h
+++ b/src/hf-loop.h
@@ -13,6 +13,7 @@
 struct hf_peers;
 struct hf_platform;
 struct hf_net;
+struct hf_adapter;
 
 /* --- types --- */
 
@@ -25,6 +26,7 @@
   struct hf_proxy *proxy;
   struct hf_peers *peers;
   struct hf_platform *platform;
+  struct hf_adapter *adapter; /* to the users' platform, instead of @platform */
   GMainLoop *main;
   GSource *wake;
   bool exiting;
--- /dev/null
+++ b/src/hf-measure.c
@@ -0,0 +1,64 @@
+/* Measuring the speed of backend servers. */
+#include "hf-measure.h"
+
+#include "hf-members.h"
+
+/* --- internal functions --- */
+
+static bool
+is_due (const struct hf_state *state, const struct hf_pool_server *server, int64_t measure_us)
+{
+  int64_t known_at = MAX (server->slowdown_at, server->asked_at);
+  bool full = server->granted + server->foreign >= server->slots;
+  return !full && !hf_health_is_leaving (server, state->now) && state->now - known_at >= measure_us;
+}
+
+static void
+measure (struct hf_state *state, const struct hf_service *spec, struct hf_pool_server *server)
+{
+  struct hf_effect effect = { .kind = HF_EFFECT_PROBE, .server = server->id };
+  effect.address = hf_effects_keep (state->out, server->address);
+  effect.path = hf_effects_keep (state->out, spec->health_path);
+  effect.name = hf_effects_keep (state->out, server->name);
+  hf_effects_add (state->out, effect);
+  hf_state_count (state, HF_COUNT_PROBES);
+  server->asked_at = state->now;
+}
+
+static void
+measure_service (struct hf_state *state, const struct hf_service *spec)
+{
+  struct hf_service_state *service = hf_state_service (state, hf_service_id (spec));
+  if (!service || state->now - service->wanted_at > HF_MEASURE_USED_MS * HF_MS)
+    return;
+  if (!hf_members_own (state, service->id))
+    return;
+  for (size_t i = 0; i < service->pool.servers->len; i++)
+    {
+      struct hf_pool_server *server = &g_array_index (service->pool.servers, struct hf_pool_server, i);
+      if (is_due (state, server, spec->measure_ms * HF_MS))
+        measure (state, spec, server);
+    }
+}
+
+/* --- public functions --- */
+
+void
+hf_measure_tick (struct hf_state *state)
+{
+  hf_state_timer (state, HF_MEASURE_TICK_MS * HF_MS, HF_TIMER_MEASURE, 0, 0);
+  for (size_t i = 0; state->document && i < state->document->services.n; i++)
+    {
+      const struct hf_service *spec = hf_document_service (state->document, i);
+      if (spec->measure_ms > 0)
+        measure_service (state, spec);
+    }
+}
+
+void
+hf_measure_result (struct hf_state *state, const struct hf_event *event)
+{
+  struct hf_service_state *service = g_hash_table_lookup (state->homes, &event->server);
+  if (service)
+    hf_pool_measured (&service->pool, event->server, state->now, event->hints.slowdown_percent);
+}
--- /dev/null
+++ b/src/hf-measure.h
@@ -0,0 +1,18 @@
+/**
+ * DOC: hf-measure - measuring the speed of backend servers
+ *
+ * Load shifts faster than answers bring news of it. The granter of a service
+ * that is in use asks servers with a free slot how long work takes there now,
+ * as often as the service says.
+ */
+#ifndef HF_MEASURE_H
+#define HF_MEASURE_H
+
+#include "hf-state.h"
+
+/* --- public functions --- */
+
+void hf_measure_tick (struct hf_state *state);                                 /* sends what is due */
+void hf_measure_result (struct hf_state *state, const struct hf_event *event); /* PROBE: an answer, or none */
+
+#endif
--- a/src/hf-members.c
+++ b/src/hf-members.c
@@ -96,33 +96,6 @@
   g_free (address);
 }
 
-static void
-entry_vm (struct hf_state *state, const struct hf_object *object, const struct hf_vm *vm)
-{
-  struct hf_member *member = find_by_name (state, object->name);
-  if (hf_str_equal (object->name, state->name))
-    return;
-  if (object->type == HF_WATCH_DELETED)
-    {
-      if (member)
-        member->listed = false;
-      return;
-    }
-  if (!member)
-    member = find_by_address (state, vm->address);
-  if (!member)
-    member = add_member (state, object->name, vm->address);
-  hf_str_free (&member->name);
-  member->name = hf_str_dup (object->name);
-  if (!hf_str_equal (member->address, vm->address))
-    {
-      hf_str_free (&member->address);
-      member->address = hf_str_dup (vm->address);
-    }
-  member->listed = true;
-  member->stale = false;
-}
-
 static uint64_t
 weight_of (uint64_t subject, uint64_t boot)
 {
@@ -195,10 +168,41 @@
 }
 
 static void
-beat_one (struct hf_state *state, const struct hf_member *member)
+beat_one (struct hf_state *state, const struct hf_member *member, bool sync)
 {
   struct hf_rpc_load *loads = hf_effects_alloc (state->out, HF_RPC_LOADS_MAX * sizeof *loads);
-  beat_member (state, member, false, loads, list_loads (state, loads));
+  beat_member (state, member, sync, loads, list_loads (state, loads));
+}
+
+static void
+list_entry (struct hf_state *state, struct hf_str name, struct hf_str address, bool gone)
+{
+  struct hf_member *member = find_by_name (state, name);
+  if (hf_str_equal (name, state->name))
+    return;
+  if (gone)
+    {
+      if (member)
+        member->listed = false;
+      return;
+    }
+  if (!member)
+    member = find_by_address (state, address);
+  bool is_new = !member;
+  if (!member)
+    member = add_member (state, name, address);
+  hf_str_free (&member->name);
+  member->name = hf_str_dup (name);
+  if (!hf_str_equal (member->address, address))
+    {
+      hf_str_free (&member->address);
+      member->address = hf_str_dup (address);
+    }
+  member->listed = true;
+  member->listed_at = state->now;
+  member->stale = false;
+  if (is_new && state->external)
+    beat_one (state, member, true);
 }
 
 static unsigned
@@ -324,10 +328,16 @@
     hf_state_log (state, HF_LOG_MEMBER_LEAVING, "entry " HF_STR_FMT " is leaving", HF_STR_ARG (member->name));
   apply_loads (state, member, beat);
   if (beat->sync || joined)
-    beat_one (state, member);
+    beat_one (state, member, false);
   hf_sync_peer (state, member);
 }
 
+void
+hf_members_list (struct hf_state *state, struct hf_str name, struct hf_str address, bool gone)
+{
+  list_entry (state, name, address, gone);
+}
+
 void
 hf_members_vm (struct hf_state *state, const struct hf_object *object)
 {
@@ -336,7 +346,7 @@
   if (!hf_vm_read (object, &vm, &error))
     return;
   if (hf_str_equal (vm.role, hf_str ("entry")))
-    entry_vm (state, object, &vm);
+    list_entry (state, object->name, vm.address, object->type == HF_WATCH_DELETED);
   else
     backend_vm (state, object, &vm);
 }
@@ -365,7 +375,9 @@
       if (state->now - member->heard_at < HF_PEER_TIMEOUT_MS * HF_MS)
         continue;
       lose_member (state, member);
-      if (!member->listed)
+      bool forgotten
+          = state->external && state->now - MAX (member->heard_at, member->listed_at) > HF_PEER_FORGET_SEC * HF_SEC;
+      if (!member->listed || forgotten)
         g_ptr_array_remove_index (state->members, (guint) i);
     }
 }
--- a/src/hf-net.c
+++ b/src/hf-net.c
@@ -90,8 +90,14 @@
 {
   int on = 1;
   int silent_ms = HF_SOCKET_SILENT_MS;
+  int idle = HF_KEEP_ALIVE_SEC;
+  int probes = HF_KEEP_ALIVE_PROBES;
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silent_ms, sizeof silent_ms);
+  setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof idle);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &idle, sizeof idle);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
 }
 
 /* --- internal functions: streams --- */
--- a/src/hf-policy.c
+++ b/src/hf-policy.c
@@ -3,6 +3,8 @@
 
 #include "hf-document.h"
 
+#include "config.h"
+
 /* --- internal functions --- */
 
 static size_t
@@ -29,7 +31,11 @@
 static double
 cost_of (const struct hf_candidate *candidate)
 {
-  return candidate->latency_us * (1.0 + 3.0 * candidate->failure);
+  double use = (double) candidate->load / candidate->slots;
+  double factor = candidate->factor * (1.0 + HF_PLACE_BUSY * use);
+  if (candidate->slots > 1 && candidate->load + 1 >= candidate->slots)
+    factor *= HF_PLACE_LAST_SLOT;
+  return candidate->latency_us * factor * (1.0 + 3.0 * candidate->failure) + candidate->distance_us;
 }
 
 static size_t
--- a/src/hf-policy.h
+++ b/src/hf-policy.h
@@ -18,6 +18,8 @@
  * @load: requests in it as far as is known
  * @slots: requests it may run at once now
  * @latency_us: smoothed latency
+ * @factor: times of that which it will take now
+ * @distance_us: cost of the way there, as latency
  * @failure: smoothed share of failures, 0 to 1
  */
 struct hf_candidate
@@ -26,6 +28,8 @@
   unsigned load;
   unsigned slots;
   double latency_us;
+  double factor;
+  double distance_us;
   double failure;
 };
 
--- a/src/hf-pool.c
+++ b/src/hf-pool.c
@@ -58,6 +58,8 @@
   const struct hf_pool_want *left = &((const struct waiting *) a)->want;
   const struct hf_pool_want *right = &((const struct waiting *) b)->want;
   (void) context;
+  if (left->priority != right->priority)
+    return left->priority < right->priority ? -1 : 1;
   if (left->worth != right->worth)
     return left->worth > right->worth ? -1 : 1;
   return left->deadline < right->deadline ? -1 : left->deadline > right->deadline;
@@ -85,8 +87,39 @@
 
 /* --- internal functions: choice --- */
 
+/* Latency of a server that answered nothing yet is that of the others. */
+static double
+expected_latency (const struct hf_pool *pool, const struct hf_pool_server *server)
+{
+  double sum = 0;
+  unsigned n = 0;
+  if (server->samples > 0)
+    return server->latency_us;
+  for (size_t i = 0; i < pool->servers->len; i++)
+    {
+      const struct hf_pool_server *other = server_at (pool, i);
+      if (other->samples == 0)
+        continue;
+      sum += other->latency_us;
+      n++;
+    }
+  return n ? sum / n : 0;
+}
+
+static double
+distance_us (const struct hf_pool_server *server, const struct hf_pool_want *want)
+{
+  bool near
+      = want->failure_domain == 0 || server->failure_domain == 0 || want->failure_domain == server->failure_domain;
+  return near ? 0 : HF_PLACE_FAR_US + HF_PLACE_FAR_US_BYTE * (double) want->body_bytes;
+}
+
 static size_t
-list_candidates (const struct hf_pool *pool, int64_t now, uint64_t exclude, struct hf_candidate *candidates)
+list_candidates (const struct hf_pool *pool,
+                 int64_t now,
+                 const struct hf_pool_want *want,
+                 uint64_t exclude,
+                 struct hf_candidate *candidates)
 {
   size_t n = 0;
   for (size_t i = 0; i < pool->servers->len; i++)
@@ -100,7 +133,9 @@
       candidates[n++] = (struct hf_candidate){ .index = i,
                                                .load = load,
                                                .slots = hf_health_slots (server),
-                                               .latency_us = server->latency_us,
+                                               .latency_us = expected_latency (pool, server),
+                                               .factor = hf_health_factor (server, now),
+                                               .distance_us = distance_us (server, want),
                                                .failure = server->failure };
     }
   return n;
@@ -116,13 +151,14 @@
 }
 
 static struct hf_pool_server *
-choose_server (struct hf_pool *pool, int64_t now, uint64_t exclude)
+choose_server (struct hf_pool *pool, int64_t now, const struct hf_pool_want *want)
 {
+  uint64_t exclude = want->exclude;
   struct hf_candidate candidates[pool->servers->len + 1];
-  size_t n = list_candidates (pool, now, exclude, candidates);
+  size_t n = list_candidates (pool, now, want, exclude, candidates);
   /* An excluded server is better than none. */
   if (n == 0 && exclude && count_usable (pool, now, exclude) == 0)
-    n = list_candidates (pool, now, 0, candidates);
+    n = list_candidates (pool, now, want, 0, candidates);
   if (n == 0)
     return NULL;
   struct hf_choice_context choice = { .turn = pool->turn };
@@ -247,6 +283,31 @@
     shed_least_worth (pool, decisions);
 }
 
+/* The first that can still be answered within its aim, else the first that can
+ * be answered in time. What can no longer be is refused. */
+static struct waiting *
+next_waiting (struct hf_pool *pool, int64_t now, double latency, GArray *decisions)
+{
+  struct waiting *late = NULL;
+  GSequenceIter *place = g_sequence_get_begin_iter (pool->queue);
+  while (!g_sequence_iter_is_end (place))
+    {
+      struct waiting *waiting = g_sequence_get (place);
+      place = g_sequence_iter_next (place);
+      if (waiting->want.deadline <= now)
+        {
+          refuse (pool, decisions, &waiting->want, HF_REFUSAL_DEADLINE);
+          remove_waiting (pool, waiting);
+          continue;
+        }
+      if (waiting->want.aim_at == 0 || (double) now + latency <= (double) waiting->want.aim_at)
+        return waiting;
+      if (!late)
+        late = waiting;
+    }
+  return late;
+}
+
 static void
 drop_record (struct hf_pool *pool, struct record *record)
 {
@@ -303,6 +364,14 @@
   hf_str_free (&server->address);
 }
 
+static GArray *
+new_servers (void)
+{
+  GArray *servers = g_array_new (FALSE, TRUE, sizeof (struct hf_pool_server));
+  g_array_set_clear_func (servers, clear_server);
+  return servers;
+}
+
 static void
 update_server (struct hf_pool_server *server, const struct hf_server *spec)
 {
@@ -313,7 +382,7 @@
   if (server->ramp >= server->slots)
     server->ramp = (unsigned) spec->slots;
   server->slots = (unsigned) spec->slots;
-  server->connections = (unsigned) spec->connections;
+  server->failure_domain = spec->failure_domain.len ? hf_hash (spec->failure_domain, 0) : 0;
   server->leaving &= ~(unsigned) HF_LEAVING_DOCUMENT;
   if (spec->drain)
     server->leaving |= HF_LEAVING_DOCUMENT;
@@ -325,8 +394,7 @@
 hf_pool_init (struct hf_pool *pool, uint64_t random)
 {
   *pool = (struct hf_pool){ .policy = &hf_policies[HF_POLICY_GRANTS], .random = random };
-  pool->servers = g_array_new (FALSE, TRUE, sizeof (struct hf_pool_server));
-  g_array_set_clear_func (pool->servers, clear_server);
+  pool->servers = new_servers ();
   pool->records = g_hash_table_new_full (key_hash, key_equal, NULL, g_free);
   pool->queue = g_sequence_new (g_free);
   pool->queued = g_hash_table_new (key_hash, key_equal);
@@ -346,9 +414,9 @@
 void
 hf_pool_configure (struct hf_pool *pool, const struct hf_service *service)
 {
-  bool first = pool->servers->len == 0;
-  GArray *servers = g_array_new (FALSE, TRUE, sizeof (struct hf_pool_server));
-  g_array_set_clear_func (servers, clear_server);
+  bool first = !pool->configured;
+  pool->configured = true;
+  GArray *servers = service->directory ? g_array_ref (pool->servers) : new_servers ();
   for (size_t i = 0; i < service->servers.n; i++)
     {
       const struct hf_server *spec = hf_service_server (service, i);
@@ -370,6 +438,40 @@
   pool->budget.earn = (double) service->retry_percent / 100.0;
 }
 
+void
+hf_pool_put (struct hf_pool *pool, const struct hf_pool_listing *listing)
+{
+  struct hf_pool_server *known = hf_pool_server (pool, listing->id);
+  if (!known)
+    {
+      struct hf_pool_server server = { .id = listing->id, .reported = -1, .ramp = (unsigned) listing->spec.slots };
+      g_array_append_val (pool->servers, server);
+      known = hf_pool_server (pool, listing->id);
+    }
+  else if (known->incarnation != listing->incarnation)
+    {
+      /* Started anew: nothing that was learned holds. */
+      unsigned granted = known->granted;
+      clear_server (known);
+      *known = (struct hf_pool_server){ .id = listing->id, .reported = -1, .ramp = (unsigned) listing->spec.slots };
+      known->granted = granted;
+    }
+  update_server (known, &listing->spec);
+  known->incarnation = listing->incarnation;
+  known->cold_until = listing->cold_until;
+}
+
+void
+hf_pool_remove (struct hf_pool *pool, uint64_t id)
+{
+  for (guint i = 0; i < pool->servers->len; i++)
+    if (server_at (pool, i)->id == id)
+      {
+        g_array_remove_index_fast (pool->servers, i);
+        return;
+      }
+}
+
 /* --- public functions: slots --- */
 
 void
@@ -396,7 +498,7 @@
     hf_retry_earn (&pool->budget);
   /* Whoever waits already goes first unless the newcomer is worth more. */
   bool first = hf_pool_waiting (pool) == 0;
-  struct hf_pool_server *server = first ? choose_server (pool, now, want.exclude) : NULL;
+  struct hf_pool_server *server = first ? choose_server (pool, now, &want) : NULL;
   if (server)
     {
       grant (pool, now, &want, server, decisions);
@@ -443,20 +545,18 @@
 void
 hf_pool_pump (struct hf_pool *pool, int64_t now, GArray *decisions)
 {
-  while (hf_pool_waiting (pool) > 0)
+  double latency;
+  if (hf_pool_waiting (pool) == 0)
+    return;
+  usable_slots (pool, now, &latency);
+  for (;;)
     {
-      struct waiting *first = g_sequence_get (g_sequence_get_begin_iter (pool->queue));
-      if (first->want.deadline <= now)
-        {
-          refuse (pool, decisions, &first->want, HF_REFUSAL_DEADLINE);
-          remove_waiting (pool, first);
-          continue;
-        }
-      struct hf_pool_server *server = choose_server (pool, now, first->want.exclude);
+      struct waiting *next = next_waiting (pool, now, latency, decisions);
+      struct hf_pool_server *server = next ? choose_server (pool, now, &next->want) : NULL;
       if (!server)
         return;
-      grant (pool, now, &first->want, server, decisions);
-      remove_waiting (pool, first);
+      grant (pool, now, &next->want, server, decisions);
+      remove_waiting (pool, next);
     }
 }
 
@@ -594,6 +694,33 @@
   server->reported_at = now;
 }
 
+double
+hf_pool_latency (const struct hf_pool *pool, int64_t now)
+{
+  double latency;
+  usable_slots (pool, now, &latency);
+  return latency;
+}
+
+void
+hf_pool_heard (struct hf_pool *pool, uint64_t id, int64_t now, int percent)
+{
+  struct hf_pool_server *server = hf_pool_server (pool, id);
+  if (server)
+    hf_health_note_slowdown (server, now, percent);
+}
+
+void
+hf_pool_measured (struct hf_pool *pool, uint64_t id, int64_t now, int percent)
+{
+  struct hf_pool_server *server = hf_pool_server (pool, id);
+  if (!server)
+    return;
+  if (percent > 0)
+    hf_health_note_slowdown (server, now, percent);
+  server->silent_measures = percent > 0 ? 0 : server->silent_measures + 1;
+}
+
 unsigned
 hf_pool_waiting (const struct hf_pool *pool)
 {
--- a/src/hf-pool.h
+++ b/src/hf-pool.h
@@ -30,10 +30,14 @@
 /** struct hf_pool_want - a request for one slot */
 struct hf_pool_want
 {
-  uint64_t entry;  /* boot id of the entry that asks */
-  uint64_t ticket; /* unique at that entry */
+  uint64_t entry;    /* boot id of the entry that asks */
+  uint64_t ticket;   /* unique at that entry */
+  unsigned priority; /* rank in the queue, 0 first */
   unsigned worth;
+  int64_t aim_at; /* worth most if answered by then; 0: until the deadline */
   int64_t deadline;
+  uint64_t failure_domain; /* of the entry, hashed; 0: not known */
+  size_t body_bytes;
   bool retry;       /* takes a token of the retry budget */
   uint64_t exclude; /* server to avoid if another is there; 0: none */
 };
@@ -56,6 +60,15 @@
   enum hf_refusal reason;
 };
 
+/** struct hf_pool_listing - a backend server as the directory lists it */
+struct hf_pool_listing
+{
+  struct hf_server spec;
+  uint64_t id;
+  uint64_t incarnation;
+  int64_t cold_until;
+};
+
 /** struct hf_pool - slots of one service */
 struct hf_pool
 {
@@ -67,6 +80,7 @@
   GHashTable *foreign; /* counts by entry and server */
   struct hf_retry_budget budget;
   unsigned queue_limit;
+  bool configured;
   uint64_t random;
   uint64_t turn;
   uint64_t refused[8]; /* by enum hf_refusal */
@@ -78,6 +92,9 @@
 void hf_pool_close (struct hf_pool *pool);                                       /* frees all */
 void hf_pool_configure (struct hf_pool *pool, const struct hf_service *service); /* servers and limits, state kept */
 
+void hf_pool_put (struct hf_pool *pool, const struct hf_pool_listing *listing); /* adds or changes one server */
+void hf_pool_remove (struct hf_pool *pool, uint64_t id);                        /* it is gone */
+
 /* --- public functions: slots, decisions go to a GArray of struct hf_decision --- */
 
 void
@@ -122,6 +139,9 @@
                                uint64_t id,
                                int64_t started_at); /* an attempt begun then may have broken it */
 void hf_pool_report (struct hf_pool *pool, uint64_t id, int load, int64_t now); /* a load report */
-unsigned hf_pool_waiting (const struct hf_pool *pool);                          /* length of the queue */
+double hf_pool_latency (const struct hf_pool *pool, int64_t now); /* mean over usable servers, us; 0: not known */
+void hf_pool_heard (struct hf_pool *pool, uint64_t id, int64_t now, int percent); /* its word in an answer; 0: none */
+void hf_pool_measured (struct hf_pool *pool, uint64_t id, int64_t now, int percent); /* a measurement; 0: no answer */
+unsigned hf_pool_waiting (const struct hf_pool *pool);                               /* length of the queue */
 
 #endif
--- a/src/hf-proxy.c
+++ b/src/hf-proxy.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include "hf-exchange.h"
-#include "hf-server.h"
+#include "hf-front.h"
 #include "hf-state.h"
 
 /* --- types --- */
@@ -51,7 +51,7 @@
   struct hf_loop *loop;
   const struct hf_dialect *dialect;
   struct hf_net *net;
-  struct hf_server *server;
+  struct hf_front *front;
   struct hf_links *links;
   GHashTable *callers; /* struct caller by id */
   GHashTable *probes;  /* struct probe, as a set */
@@ -350,11 +350,11 @@
   hf_loop_check_exit (proxy->loop);
 }
 
-static const struct hf_server_calls server_calls = { .head = server_head,
-                                                     .body = server_body,
-                                                     .whole = server_whole,
-                                                     .drained = server_drained,
-                                                     .ended = server_ended };
+static const struct hf_front_calls server_calls = { .head = server_head,
+                                                    .body = server_body,
+                                                    .whole = server_whole,
+                                                    .drained = server_drained,
+                                                    .ended = server_ended };
 
 /* --- internal functions: effects --- */
 
@@ -504,7 +504,7 @@
 {
   struct hf_proxy *proxy = data;
   int64_t now = hf_loop_now ();
-  hf_server_sweep (proxy->server, now);
+  hf_front_sweep (proxy->front, now);
   hf_links_sweep (proxy->links, now);
   end_late_probes (proxy, now);
   return G_SOURCE_CONTINUE;
@@ -527,8 +527,8 @@
   proxy->probes = g_hash_table_new (NULL, NULL);
   proxy->links = hf_links_open (net);
   proxy->sweep = g_timeout_add (HF_SWEEP_MS, sweep, proxy);
-  proxy->server = hf_server_open (net, address, &server_calls, proxy, error);
-  if (proxy->server)
+  proxy->front = hf_front_open (net, address, &server_calls, proxy, error);
+  if (proxy->front)
     return proxy;
   hf_proxy_close (proxy);
   return NULL;
@@ -540,7 +540,7 @@
   if (!proxy)
     return;
   g_source_remove (proxy->sweep);
-  hf_server_close (proxy->server);
+  hf_front_close (proxy->front);
   g_hash_table_destroy (proxy->callers);
   GList *probes = g_hash_table_get_keys (proxy->probes);
   for (GList *item = probes; item; item = item->next)
@@ -557,7 +557,7 @@
 struct hf_str
 hf_proxy_address (const struct hf_proxy *proxy)
 {
-  return hf_server_address (proxy->server);
+  return hf_front_address (proxy->front);
 }
 
 unsigned
@@ -567,21 +567,21 @@
 }
 
 void
-hf_proxy_limit (struct hf_proxy *proxy, struct hf_server_limits limits)
+hf_proxy_limit (struct hf_proxy *proxy, struct hf_front_limits limits)
 {
-  hf_server_limit (proxy->server, limits);
+  hf_front_limit (proxy->front, limits);
 }
 
 void
 hf_proxy_leave (struct hf_proxy *proxy)
 {
-  hf_server_leave (proxy->server);
+  hf_front_leave (proxy->front);
 }
 
 void
 hf_proxy_stop (struct hf_proxy *proxy)
 {
-  hf_server_stop (proxy->server);
+  hf_front_stop (proxy->front);
 }
 
 void
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -3,6 +3,8 @@
 
 #include "hf-calls.h"
 #include "hf-claims.h"
+#include "hf-directory.h"
+#include "hf-measure.h"
 #include "hf-members.h"
 #include "hf-probes.h"
 #include "hf-quarantine.h"
@@ -33,7 +35,8 @@
   hf_state_timer (state, 0, HF_TIMER_HEARTBEAT, 0, 0);
   hf_state_timer (state, POOLS_TICK_MS * HF_MS, HF_TIMER_POOLS, 0, 0);
   state->heartbeat_due = state->now;
-  hf_sync_start (state);
+  if (!state->external)
+    hf_sync_start (state);
 }
 
 static void
@@ -52,8 +55,11 @@
     }
   state->heartbeat_due = state->now + HF_HEARTBEAT_MS * HF_MS;
   hf_state_timer (state, HF_HEARTBEAT_MS * HF_MS, HF_TIMER_HEARTBEAT, 0, 0);
-  hf_sync_check_watches (state);
-  hf_sync_check_stored (state);
+  if (!state->external)
+    {
+      hf_sync_check_watches (state);
+      hf_sync_check_stored (state);
+    }
   hf_probes_tick (state);
   hf_quarantine_expire (state);
   hf_claims_expire (state);
@@ -97,6 +103,12 @@
     case HF_TIMER_RESTORE:
       hf_sync_restore (state);
       break;
+    case HF_TIMER_MEASURE:
+      hf_measure_tick (state);
+      break;
+    case HF_TIMER_DIRECTORY:
+      hf_directory_expire (state);
+      break;
     case HF_TIMER_DRAINED:
       hf_effects_add (state->out, (struct hf_effect){ .kind = HF_EFFECT_EXIT });
       break;
@@ -200,6 +212,19 @@
       break;
     case HF_EVENT_PROBE:
       hf_probes_result (state, event);
+      hf_measure_result (state, event);
+      break;
+    case HF_EVENT_DOCUMENT:
+      hf_sync_document (state, event);
+      break;
+    case HF_EVENT_SERVER:
+      hf_directory_report (state, &event->report);
+      break;
+    case HF_EVENT_ENTRY:
+      hf_members_list (state, event->entry.name, event->entry.address, event->entry.gone);
+      break;
+    case HF_EVENT_LIST:
+      hf_directory_list (state, event->list);
       break;
     case HF_EVENT_SHUTDOWN:
       shut_down (state);
@@ -227,6 +252,7 @@
   state->name = hf_str_dup (settings->name);
   state->failure_domain = hf_str_dup (settings->failure_domain);
   state->drain_wait_ms = settings->drain_wait_ms;
+  state->external = settings->store.len > 0;
   state->boot = boot;
   state->random = boot;
   state->wake_at = -1;
@@ -236,6 +262,7 @@
   state->members = g_ptr_array_new_with_free_func (free_member);
   state->vm_leaving = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   state->suspects = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  hf_directory_init (&state->directory);
   hf_claims_init (state);
   hf_timers_init (&state->timers);
   return state;
@@ -250,6 +277,7 @@
   g_ptr_array_unref (state->members);
   g_hash_table_destroy (state->vm_leaving);
   g_hash_table_destroy (state->suspects);
+  hf_directory_close (&state->directory);
   hf_claims_close (state);
   hf_timers_close (&state->timers);
   if (state->pull.text)
@@ -278,7 +306,8 @@
 bool
 hf_state_is_ready (const struct hf_state *state)
 {
-  return state->document && !state->leaving;
+  bool listed = !state->external || state->directory.complete;
+  return state->document && listed && !state->leaving;
 }
 
 bool
--- a/src/hf-retry.c
+++ b/src/hf-retry.c
@@ -1,6 +1,8 @@
 /* Retry budget and backoff. */
 #include "hf-retry.h"
 
+#include <glib.h>
+
 #include "config.h"
 
 /* --- public functions --- */
@@ -43,3 +45,10 @@
     delay += retry_after_ms * HF_MS;
   return delay;
 }
+
+int64_t
+hf_hedge_after_us (int64_t aim_left_us, double latency_us)
+{
+  double room = latency_us * HF_HEDGE_ROOM_RATIO;
+  return (int64_t) MAX ((double) aim_left_us - room, room);
+}
--- a/src/hf-retry.h
+++ b/src/hf-retry.h
@@ -36,6 +36,8 @@
 void hf_retry_init (struct hf_retry_budget *budget, double max, double percent); /* full bucket */
 void hf_retry_earn (struct hf_retry_budget *budget);                             /* a first attempt */
 bool hf_retry_spend (struct hf_retry_budget *budget);                            /* false: no retry now */
+int64_t hf_hedge_after_us (int64_t aim_left_us,
+                           double latency_us); /* late enough to be unlucky, early enough for the aim */
 int64_t
 hf_retry_delay_us (unsigned retry, int64_t retry_after_ms, uint64_t random); /* full jitter, server's delay honoured */
 
--- a/src/hf-routing.c
+++ b/src/hf-routing.c
@@ -15,11 +15,11 @@
 }
 
 static bool
-host_matches (const struct hf_service *service, struct hf_str host)
+host_matches (struct hf_str declared, struct hf_str host)
 {
-  if (hf_str_equal (service->host, hf_str ("*")))
+  if (hf_str_equal (declared, hf_str ("*")))
     return true;
-  return hf_str_equal_nocase (service->host, without_port (host)) || hf_str_equal_nocase (service->host, host);
+  return hf_str_equal_nocase (declared, without_port (host)) || hf_str_equal_nocase (declared, host);
 }
 
 static bool
@@ -54,16 +54,16 @@
   return false;
 }
 
-/* --- public functions --- */
+/* --- internal functions: services' own hosts and paths --- */
 
-const struct hf_service *
-hf_route_service (const struct hf_document *document, const struct hf_request_head *head)
+static const struct hf_service *
+find_service (const struct hf_document *document, const struct hf_request_head *head)
 {
   const struct hf_service *best = NULL;
   for (size_t i = 0; i < document->services.n; i++)
     {
       const struct hf_service *service = hf_document_service (document, i);
-      if (!host_matches (service, head->host) || !hf_str_starts (head->path, service->path_prefix))
+      if (!host_matches (service->host, head->host) || !hf_str_starts (head->path, service->path_prefix))
         continue;
       if (!best || service->path_prefix.len > best->path_prefix.len)
         best = service;
@@ -71,8 +71,8 @@
   return best;
 }
 
-const struct hf_class *
-hf_route_class (const struct hf_service *service, const struct hf_request_head *head)
+static const struct hf_class *
+find_class (const struct hf_service *service, const struct hf_request_head *head)
 {
   for (size_t i = 0; i < service->classes.n; i++)
     {
@@ -83,3 +83,57 @@
     }
   return NULL;
 }
+
+/* --- internal functions: routes --- */
+
+static const struct hf_route *
+find_route (const struct hf_document *document, const struct hf_request_head *head)
+{
+  const struct hf_route *best = NULL;
+  for (size_t i = 0; i < document->routes.n; i++)
+    {
+      const struct hf_route *route = hf_document_route (document, i);
+      if (!hf_str_starts (head->path, route->path_prefix) || !host_matches (route->host, head->host))
+        continue;
+      if (!best || route->path_prefix.len > best->path_prefix.len)
+        best = route;
+    }
+  return best;
+}
+
+/* Draws one of the parts, each as often as its weight says. */
+static const struct hf_service *
+draw_part (const struct hf_document *document, const struct hf_route *route, uint64_t random)
+{
+  uint64_t sum = 0;
+  for (size_t i = 0; i < route->parts.n; i++)
+    sum += (uint64_t) hf_route_part (route, i)->weight;
+  uint64_t drawn = sum ? random % sum : 0;
+  for (size_t i = 0; i < route->parts.n; i++)
+    {
+      const struct hf_part *part = hf_route_part (route, i);
+      if (drawn < (uint64_t) part->weight || sum == 0)
+        return hf_document_find (document, part->service);
+      drawn -= (uint64_t) part->weight;
+    }
+  return NULL;
+}
+
+/* --- public functions --- */
+
+bool
+hf_route_request (const struct hf_document *document,
+                  const struct hf_request_head *head,
+                  uint64_t random,
+                  struct hf_route_target *target)
+{
+  const struct hf_route *route = find_route (document, head);
+  if (route)
+    {
+      *target = (struct hf_route_target){ .service = draw_part (document, route, random), .class = &route->class };
+      return true;
+    }
+  target->service = find_service (document, head);
+  target->class = target->service ? find_class (target->service, head) : NULL;
+  return target->class != NULL;
+}
--- a/src/hf-routing.h
+++ b/src/hf-routing.h
@@ -21,11 +21,18 @@
   size_t n_headers;
 };
 
+/** struct hf_route_target - where a request goes */
+struct hf_route_target
+{
+  const struct hf_service *service; /* NULL: no service matches */
+  const struct hf_class *class;
+};
+
 /* --- public functions --- */
 
-const struct hf_service *hf_route_service (const struct hf_document *document,
-                                           const struct hf_request_head *head); /* longest prefix; NULL: none */
-const struct hf_class *hf_route_class (const struct hf_service *service,
-                                       const struct hf_request_head *head); /* first match; NULL: none */
+bool hf_route_request (const struct hf_document *document,
+                       const struct hf_request_head *head,
+                       uint64_t random,
+                       struct hf_route_target *target); /* longest prefix, routes first; false: none */
 
 #endif
--- a/src/hf-rpc.c
+++ b/src/hf-rpc.c
@@ -62,20 +62,29 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->ticket))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->worth))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->remaining_ms))
+			 if (!xdr_int (xdrs, &objp->aim_ms))
 				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->retry))
+			 if (!xdr_u_int (xdrs, &objp->remaining_ms))
 				 return FALSE;
 
 		} else {
+		IXDR_PUT_U_LONG(buf, objp->priority);
 		IXDR_PUT_U_LONG(buf, objp->worth);
+		IXDR_PUT_LONG(buf, objp->aim_ms);
 		IXDR_PUT_U_LONG(buf, objp->remaining_ms);
-		IXDR_PUT_BOOL(buf, objp->retry);
 		}
+		 if (!xdr_u_quad_t (xdrs, &objp->failure_domain))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->body_bytes))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->retry))
+			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->exclude))
 			 return FALSE;
 		return TRUE;
@@ -84,20 +93,29 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->ticket))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->worth))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->remaining_ms))
+			 if (!xdr_int (xdrs, &objp->aim_ms))
 				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->retry))
+			 if (!xdr_u_int (xdrs, &objp->remaining_ms))
 				 return FALSE;
 
 		} else {
+		objp->priority = IXDR_GET_U_LONG(buf);
 		objp->worth = IXDR_GET_U_LONG(buf);
+		objp->aim_ms = IXDR_GET_LONG(buf);
 		objp->remaining_ms = IXDR_GET_U_LONG(buf);
-		objp->retry = IXDR_GET_BOOL(buf);
 		}
+		 if (!xdr_u_quad_t (xdrs, &objp->failure_domain))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->body_bytes))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->retry))
+			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->exclude))
 			 return FALSE;
 	 return TRUE;
@@ -107,10 +125,18 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->ticket))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->priority))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->worth))
 		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->aim_ms))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->remaining_ms))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->failure_domain))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->body_bytes))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->retry))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->exclude))
@@ -151,6 +177,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->latency_us))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slowdown_percent))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/hf-rpc.h
+++ b/src/hf-rpc.h
@@ -60,8 +60,12 @@
 struct hf_rpc_acquire {
 	u_quad_t service;
 	u_quad_t ticket;
+	u_int priority;
 	u_int worth;
+	int aim_ms;
 	u_int remaining_ms;
+	u_quad_t failure_domain;
+	u_int body_bytes;
 	bool_t retry;
 	u_quad_t exclude;
 };
@@ -82,6 +86,7 @@
 	u_quad_t server;
 	u_int result;
 	u_int latency_us;
+	u_int slowdown_percent;
 };
 typedef struct hf_rpc_release hf_rpc_release;
 
--- a/src/hf-rpc.x
+++ b/src/hf-rpc.x
@@ -44,8 +44,12 @@
 struct hf_rpc_acquire {
   unsigned hyper service;
   unsigned hyper ticket;
+  unsigned int priority;
   unsigned int worth;
+  int aim_ms;
   unsigned int remaining_ms;
+  unsigned hyper failure_domain;
+  unsigned int body_bytes;
   bool retry;
   unsigned hyper exclude;
 };
@@ -66,6 +70,7 @@
   unsigned hyper server;
   unsigned int result;
   unsigned int latency_us;
+  unsigned int slowdown_percent;
 };
 
 /* A claim is named by the boot id of its entry and a number. */
--- a/src/hf-settings.c
+++ b/src/hf-settings.c
@@ -1,6 +1,8 @@
 /* A process's own settings. */
 #include "hf-settings.h"
 
+#include "config.h"
+
 /* --- constants --- */
 
 static const char *const level_names[] = { "debug", "info", "notice", "warning", "err", NULL };
@@ -38,8 +40,19 @@
   { .name = "platform",
     .type = HF_FIELD_ADDRESS,
     .offset = offsetof (struct hf_settings, platform),
-    .required = true,
-    .help = "Address of the platform's object API." },
+    .help = "Address of the platform's object API; either this or store." },
+  { .name = "store",
+    .type = HF_FIELD_ADDRESS,
+    .offset = offsetof (struct hf_settings, store),
+    .help = "Address of the store of the platform that platform/ adapts to." },
+  { .name = "grace_ms",
+    .type = HF_FIELD_INT,
+    .offset = offsetof (struct hf_settings, grace_ms),
+    .min = 0,
+    .max = 3600000,
+    .def = HF_DRAIN_LIMIT_SEC * 1000,
+    .unit = "ms",
+    .help = "Longest time from SIGTERM to the end of the process." },
   { .name = "drain_wait_ms",
     .type = HF_FIELD_INT,
     .offset = offsetof (struct hf_settings, drain_wait_ms),
@@ -65,7 +78,11 @@
 {
   *settings = (struct hf_settings){ 0 };
   if (hf_yaml_load (text, hf_settings_fields, settings, error))
-    return true;
+    {
+      if ((settings->platform.len > 0) != (settings->store.len > 0))
+        return true;
+      hf_error_set (error, HF_ERROR_INVALID, "expected either platform or store");
+    }
   hf_settings_unload (settings);
   return false;
 }
--- a/src/hf-settings.h
+++ b/src/hf-settings.h
@@ -19,6 +19,8 @@
  * @admin: address for health checks, metrics and dumps
  * @peers: address for datagrams of the other entries
  * @platform: address of the platform's object API
+ * @store: address of the users' platform store; instead of @platform
+ * @grace_ms: a shutdown is over after that, whatever is in flight
  * @drain_wait_ms: time that a shutdown waits for the balancer in front
  * @log_level: index of debug, info, notice, warning, err
  */
@@ -30,6 +32,8 @@
   struct hf_str admin;
   struct hf_str peers;
   struct hf_str platform;
+  struct hf_str store;
+  int64_t grace_ms;
   int64_t drain_wait_ms;
   int64_t log_level;
 };
--- a/src/hf-slots.c
+++ b/src/hf-slots.c
@@ -69,12 +69,16 @@
   struct hf_pool_want want = {
     .entry = state->boot,
     .ticket = hf_slots_ticket (call->id, i),
+    .priority = (unsigned) call->class->priority,
     .worth = (unsigned) call->class->worth,
+    .aim_at = call->aim_at,
     .deadline = call->deadline,
+    .failure_domain = hf_hash (state->failure_domain, 0),
+    .body_bytes = call->body_bytes,
     .retry = attempt->retry,
     .exclude = attempt->exclude,
-
   };
+  service->wanted_at = state->now;
   GArray *decisions = new_decisions ();
   hf_pool_acquire (&service->pool, state->now, want, decisions);
   apply_decisions (state, service, decisions);
@@ -89,8 +93,12 @@
   message.body.hf_rpc_body_u.acquire = (struct hf_rpc_acquire){
     .service = call->service_id,
     .ticket = hf_slots_ticket (call->id, i),
+    .priority = (unsigned) call->class->priority,
     .worth = (unsigned) call->class->worth,
+    .aim_ms = (int) ((call->aim_at - state->now) / HF_MS),
     .remaining_ms = (unsigned) MAX (remaining, 0),
+    .failure_domain = hf_hash (state->failure_domain, 0),
+    .body_bytes = (unsigned) MIN (call->body_bytes, G_MAXUINT32),
     .retry = attempt->retry,
     .exclude = attempt->exclude,
   };
@@ -105,7 +113,8 @@
               uint64_t ticket,
               uint64_t server,
               enum hf_pool_result result,
-              int64_t latency_us)
+              int64_t latency_us,
+              int slowdown_percent)
 {
   struct hf_rpc_message message = { .body = { .kind = HF_RPC_RELEASE } };
   message.body.hf_rpc_body_u.release = (struct hf_rpc_release){
@@ -114,6 +123,7 @@
     .server = server,
     .result = result,
     .latency_us = (unsigned) CLAMP (latency_us, 0, G_MAXUINT32),
+    .slowdown_percent = (unsigned) MAX (slowdown_percent, 0),
   };
   hf_state_send (state, granter, message);
 }
@@ -156,11 +166,16 @@
   struct hf_pool_want want = {
     .entry = from,
     .ticket = acquire->ticket,
+    .priority = acquire->priority,
     .worth = acquire->worth,
+    .aim_at = state->now + acquire->aim_ms * HF_MS,
+    .failure_domain = acquire->failure_domain,
+    .body_bytes = acquire->body_bytes,
     .deadline = state->now + acquire->remaining_ms * HF_MS,
     .retry = acquire->retry,
     .exclude = acquire->exclude,
   };
+  service->wanted_at = state->now;
   GArray *decisions = new_decisions ();
   hf_pool_acquire (&service->pool, state->now, want, decisions);
   apply_decisions (state, service, decisions);
@@ -182,13 +197,15 @@
                  && call->attempts[i].phase == HF_PHASE_RUNNING;
   bool used = wanted && apply_decision (state, &decision);
   if (message->kind == HF_DECISION_GRANTED && !used && !running)
-    send_release (state, from, message->service, message->ticket, message->server, HF_POOL_UNUSED, 0);
+    send_release (state, from, message->service, message->ticket, message->server, HF_POOL_UNUSED, 0, 0);
 }
 
 static void
 peer_release (struct hf_state *state, uint64_t from, const struct hf_rpc_release *release)
 {
   struct hf_service_state *service = hf_state_service (state, release->service);
+  if (service)
+    hf_pool_heard (&service->pool, release->server, state->now, (int) release->slowdown_percent);
   if (service && release->result <= HF_POOL_UNUSED)
     release_in_pool (state, service, from, release->ticket, release->server, release->result, release->latency_us);
 }
@@ -238,7 +255,7 @@
     }
   if (granter != attempt->granter)
     {
-      send_release (state, attempt->granter, service->id, hf_slots_ticket (call->id, i), 0, HF_POOL_UNUSED, 0);
+      send_release (state, attempt->granter, service->id, hf_slots_ticket (call->id, i), 0, HF_POOL_UNUSED, 0, 0);
       attempt->acknowledged = false;
       hf_slots_ask (state, call, i);
       return;
@@ -277,7 +294,8 @@
     }
   /* The own pool learns too: it decides when the granter is silent. */
   hf_pool_learn (&service->pool, state->now, attempt->server, result, latency);
-  send_release (state, attempt->granter, call->service_id, ticket, attempt->server, result, latency);
+  send_release (state, attempt->granter, call->service_id, ticket, attempt->server, result, latency,
+                attempt->slowdown_percent);
 }
 
 void
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -69,6 +69,8 @@
   HF_TIMER_PULL,
   HF_TIMER_RESTORE,
   HF_TIMER_DRAINED,
+  HF_TIMER_MEASURE,
+  HF_TIMER_DIRECTORY, /* removals that were put off are due */
 };
 
 /* --- types: services --- */
@@ -83,6 +85,7 @@
  * @probe_tokens: probes left in the epoch
  * @probe_asked: an allotment is being asked for
  * @probe_next: place of the next server to probe
+ * @wanted_at: last time a slot was asked for here
  */
 struct hf_service_state
 {
@@ -94,6 +97,7 @@
   unsigned probe_tokens;
   bool probe_asked;
   size_t probe_next;
+  int64_t wanted_at; /* a slot was asked for */
 };
 
 /* --- types: calls --- */
@@ -111,15 +115,17 @@
 struct hf_attempt
 {
   enum hf_attempt_phase phase;
-  bool retry;        /* takes a token of the retry budget */
-  bool hedge;        /* started beside a live attempt */
-  bool held;         /* ended with an answer that may still be relayed */
+  bool retry; /* takes a token of the retry budget */
+  bool hedge; /* started beside a live attempt */
+  bool held;  /* ended with an answer that may still be relayed */
+  unsigned held_status;
   uint64_t exclude;  /* server to avoid */
   uint64_t granter;  /* boot id asked; 0: own pool */
   bool acknowledged; /* the granter has queued it */
   int64_t asked_at;
   uint64_t server;
   int64_t started_at;
+  int slowdown_percent; /* the backend server's word in its answer, 0: none */
   GSequenceIter *ask_timer;
   GSequenceIter *late_timer;
 };
@@ -133,10 +139,15 @@
   const struct hf_class *class;
   uint64_t service_id;
   int64_t deadline;
+  int64_t aim_at; /* an answer before then is worth most */
+  size_t body_bytes;
+  struct hf_str request_id;
   uint64_t fingerprint;
   bool streamed;
   bool relayed;   /* an answer is on its way to the caller */
+  bool settling;  /* an attempt is being ended: refusals of others decide nothing */
   bool maybe_run; /* an attempt may have run it */
+  bool handed;    /* bytes were handed to a connection: a streamed body is not whole any more */
   uint64_t claim; /* sequence number of its claim; 0: none */
   unsigned n_attempts;
   struct hf_attempt attempts[HF_ATTEMPTS_MAX];
@@ -158,7 +169,8 @@
   bool alive;
   bool leaving; /* it is shutting down */
   bool listed;  /* in the platform's VM list */
-  bool stale;   /* not seen since the watch started anew */
+  int64_t listed_at;
+  bool stale; /* not seen since the watch started anew */
 };
 
 /* --- types: claims --- */
@@ -282,6 +294,21 @@
   GSequenceIter *timer;
 };
 
+/**
+ * struct hf_directory - the platform's directory of backend servers
+ * @servers: by name, of the module itself
+ * @complete: it was listed whole once
+ * @lost: it cannot be reached now
+ * @regained_at: when it could be reached again
+ */
+struct hf_directory
+{
+  GHashTable *servers;
+  bool complete;
+  bool lost;
+  int64_t regained_at;
+};
+
 /** struct hf_state - the reducer's state */
 struct hf_state
 {
@@ -295,6 +322,7 @@
   int64_t heartbeat_due;
   int64_t wake_at;
   bool leaving;
+  bool measuring; /* the timer of measurements runs */
   uint64_t seq;
   struct hf_effects *out;
 
@@ -307,6 +335,8 @@
   bool platform_reachable;
   GSequenceIter *restore_timer;
 
+  bool external; /* document, entries and directory come from outside of the reducer */
+  struct hf_directory directory;
   GHashTable *services;   /* struct hf_service_state by id */
   GHashTable *homes;      /* the same by id of a backend server */
   GHashTable *calls;      /* struct hf_call by id */
--- a/src/hf-sync.c
+++ b/src/hf-sync.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "hf-calls.h"
+#include "hf-directory.h"
 #include "hf-members.h"
 #include "hf-slots.h"
 
@@ -69,6 +70,19 @@
     }
 }
 
+/* Documents without measured services cost no timer. */
+static void
+arm_measuring (struct hf_state *state)
+{
+  bool measured = false;
+  for (size_t i = 0; i < state->document->services.n; i++)
+    measured = measured || hf_document_service (state->document, i)->measure_ms > 0;
+  if (!measured || state->measuring)
+    return;
+  state->measuring = true;
+  hf_state_timer (state, 0, HF_TIMER_MEASURE, 0, 0);
+}
+
 static void
 apply_document (struct hf_state *state)
 {
@@ -80,10 +94,14 @@
       if (!service)
         service = add_service (state, spec);
       hf_pool_configure (&service->pool, spec);
+      if (spec->directory)
+        hf_directory_fill (state, service);
       mark_listed_leaving (state, service);
       add_homes (state, service);
     }
   remove_services (state);
+  hf_effects_add (state->out, (struct hf_effect){ .kind = HF_EFFECT_LIMIT, .limits = state->document->limits });
+  arm_measuring (state);
   hf_slots_pump (state);
 }
 
@@ -268,7 +286,7 @@
   if (whole && pull->generation > generation_of (state))
     adopt (state, pull->generation, text, "a peer");
   end_pull (state);
-  if (state->config_stored < generation_of (state))
+  if (!state->external && state->config_stored < generation_of (state))
     schedule_restore (state);
 }
 
@@ -282,6 +300,13 @@
   open_watch (state, HF_PURPOSE_VMS);
 }
 
+void
+hf_sync_document (struct hf_state *state, const struct hf_event *event)
+{
+  if (event->document.generation > generation_of (state))
+    adopt (state, event->document.generation, event->document.text, "the platform");
+}
+
 void
 hf_sync_watch (struct hf_state *state, const struct hf_event *event)
 {
--- a/src/hf-sync.h
+++ b/src/hf-sync.h
@@ -12,10 +12,11 @@
 
 /* --- public functions --- */
 
-void hf_sync_start (struct hf_state *state);                                /* starts the watches */
-void hf_sync_watch (struct hf_state *state, const struct hf_event *event);  /* a line of a watch, or its end */
-void hf_sync_watch_timer (struct hf_state *state, enum hf_purpose purpose); /* starts a watch anew */
-void hf_sync_check_watches (struct hf_state *state);                        /* replaces silent watches */
+void hf_sync_start (struct hf_state *state);                                  /* starts the watches */
+void hf_sync_document (struct hf_state *state, const struct hf_event *event); /* DOCUMENT: adopted if newer */
+void hf_sync_watch (struct hf_state *state, const struct hf_event *event);    /* a line of a watch, or its end */
+void hf_sync_watch_timer (struct hf_state *state, enum hf_purpose purpose);   /* starts a watch anew */
+void hf_sync_check_watches (struct hf_state *state);                          /* replaces silent watches */
 void hf_sync_check_stored (struct hf_state *state); /* compares the stored version with the last seen */
 void hf_sync_platform (struct hf_state *state, const struct hf_event *event); /* outcome of a write */
 void hf_sync_peer (struct hf_state *state, const struct hf_member *member);   /* a member told its generation */
--- a/src/hf-yaml.c
+++ b/src/hf-yaml.c
@@ -147,6 +147,7 @@
     case HF_FIELD_ADDRESS:
       return read_str (reader, node, field, place);
     case HF_FIELD_MAP:
+      hf_yaml_free (field->fields, place); /* the defaults, which are set anew */
       return read_map (reader, node, field->fields, place);
     case HF_FIELD_STR_LIST:
     case HF_FIELD_LIST:
--- a/src/hickoryd.c
+++ b/src/hickoryd.c
@@ -9,7 +9,7 @@
 #include "hf-loop.h"
 #include "hf-peers.h"
 #include "hf-proxy.h"
-#include "hf-server.h"
+#include "hf-front.h"
 
 #include "config.h"
 
@@ -24,7 +24,7 @@
 struct daemon
 {
   struct hf_loop loop;
-  struct hf_server *admin;
+  struct hf_front *admin;
 };
 
 /* --- internal functions --- */
@@ -87,7 +87,7 @@
   g_free (hf_request_data (request));
 }
 
-static const struct hf_server_calls admin_calls
+static const struct hf_front_calls admin_calls
     = { .head = admin_head, .body = admin_body, .whole = admin_whole, .drained = admin_drained, .ended = admin_ended };
 
 static gboolean
@@ -140,7 +140,7 @@
       hf_log_write (HF_LOG_SETTINGS_INVALID, "%s", error.message);
       return EXIT_IO;
     }
-  daemon.admin = hf_server_open (daemon.loop.net, settings->admin, &admin_calls, &daemon, &error);
+  daemon.admin = hf_front_open (daemon.loop.net, settings->admin, &admin_calls, &daemon, &error);
   if (!daemon.admin)
     {
       hf_log_write (HF_LOG_SETTINGS_INVALID, "%s", error.message);
@@ -151,10 +151,10 @@
   g_unix_signal_add (SIGINT, terminate, &daemon);
   g_unix_signal_add (SIGUSR1, dump, &daemon);
   hf_log_write (HF_LOG_LISTENING, "callers=%s admin=%s peers=%s", hf_proxy_address (daemon.loop.proxy).data,
-                hf_server_address (daemon.admin).data, hf_peers_address (daemon.loop.peers).data);
+                hf_front_address (daemon.admin).data, hf_peers_address (daemon.loop.peers).data);
   g_main_loop_run (daemon.loop.main);
   hf_log_write (HF_LOG_EXIT, "nothing in flight");
-  hf_server_close (daemon.admin);
+  hf_front_close (daemon.admin);
   hf_loop_close (&daemon.loop);
   return 0;
 }
--- a/tests/check.sh
+++ b/tests/check.sh
@@ -26,13 +26,13 @@
 export ASAN_OPTIONS
 
 if [ -z "$HF_SKIP_LINT" ]; then
-  sources=$(ls src/*.[ch] tests/*.[ch] bench/*.[ch] examples/*.c 2>/dev/null | grep -v hf-rpc)
+  sources=$(ls src/*.[ch] platform/*.[ch] tests/*.[ch] bench/*.[ch] examples/*.c 2>/dev/null | grep -v hf-rpc)
   clang-format --dry-run -Werror $sources >"$log" 2>&1
   status=$?
   [ $status = 0 ] || head -20 "$log"
   count format $status
   # Each file on its own, as many at once as there are cores.
-  ls src/*.c tests/*.c bench/*.c examples/*.c 2>/dev/null | grep -v hf-rpc |
+  ls src/*.c platform/*.c tests/*.c bench/*.c examples/*.c 2>/dev/null | grep -v hf-rpc |
     xargs -P "$(nproc)" -n 2 clang-tidy --quiet -p "$build" >"$log" 2>/dev/null
   status=$?
   [ $status = 0 ] || grep -E "(error|warning):" "$log" | sort -u | head -40
--- a/tests/test-scripts.c
+++ b/tests/test-scripts.c
@@ -126,6 +126,8 @@
     case HF_EFFECT_WAKE:
       break; /* every event moves it; the ticks of a script show what it causes
               */
+    case HF_EFFECT_LIMIT:
+      break;
     case HF_EFFECT_EXIT:
       g_string_append (out, "  exit\n");
       break;
--- a/tests/test-units.c
+++ b/tests/test-units.c
@@ -94,17 +94,21 @@
                           NULL);
   struct hf_header header = { hf_str ("x-p"), hf_str ("high") };
   struct hf_request_head head = { hf_str ("GET"), hf_str ("other"), hf_str ("/a/b/c"), &header, 1 };
-  const struct hf_service *service = hf_route_service (document, &head);
-  g_assert_cmpstr (service->name.data, ==, "deep");
-  g_assert_cmpstr (hf_route_class (service, &head)->name.data, ==, "get");
+  struct hf_route_target target;
+  g_assert_true (hf_route_request (document, &head, 0, &target));
+  g_assert_cmpstr (target.service->name.data, ==, "deep");
+  g_assert_cmpstr (target.class->name.data, ==, "get");
   head.method = hf_str ("PUT");
-  g_assert_cmpstr (hf_route_class (service, &head)->name.data, ==, "high");
+  g_assert_true (hf_route_request (document, &head, 0, &target));
+  g_assert_cmpstr (target.class->name.data, ==, "high");
   head.n_headers = 0;
-  g_assert_null (hf_route_class (service, &head));
+  g_assert_false (hf_route_request (document, &head, 0, &target));
   head.host = hf_str ("H.example:8080");
-  g_assert_cmpstr (hf_route_service (document, &head)->name.data, ==, "hosted");
+  g_assert_true (hf_route_request (document, &head, 0, &target));
+  g_assert_cmpstr (target.service->name.data, ==, "hosted");
   head.path = hf_str ("/x");
-  g_assert_cmpstr (hf_route_service (document, &head)->name.data, ==, "all");
+  g_assert_true (hf_route_request (document, &head, 0, &target));
+  g_assert_cmpstr (target.service->name.data, ==, "all");
   hf_document_unload (document);
 }
 
