The last slot of a backend server is left free where it only costs

Ruled out: too few slots (use is 40%). Change: hf-crowding compares the relative latency of requests that took a last slot with the others, at calm times only, and the pool leaves it free above a ratio of 1.2. Any 5xx of a repeatable request may be tried again.

--- a/src/config.h
+++ b/src/config.h
@@ -78,6 +78,11 @@
 #define HF_PLACE_LAST_SLOT   1.4  /* times of the usual latency in the last slot */
 #define HF_PLACE_BUSY        0.15 /* more of the usual latency for each share of slots in use */
 
+#define HF_CROWDING_WEIGHT  0.02 /* weight of the newest sample */
+#define HF_CROWDING_SAMPLES 25   /* of each kind before anything is concluded */
+#define HF_CROWDING_RATIO   1.2  /* latency in a last slot, times that elsewhere, from which it is left free */
+#define HF_CROWDING_CALM    150  /* percent of the usual time: above, a server counts as slowed down */
+
 /* Slot grants between entries. */
 #define HF_GRANT_ASK_MS     5   /* resend an unanswered request */
 #define HF_GRANT_GIVE_UP_MS 12  /* then decide locally */
--- a/src/hf-attempts.c
+++ b/src/hf-attempts.c
@@ -40,7 +40,7 @@
 bool
 hf_attempt_is_failure (unsigned status)
 {
-  return status == 502 || status == 503 || status == 504;
+  return status >= 500;
 }
 
 enum hf_pool_result
--- /dev/null
+++ b/src/hf-crowding.c
@@ -0,0 +1,32 @@
+/* Whether the last slot of a backend server is worth using. */
+#include "hf-crowding.h"
+
+#include "config.h"
+
+/* --- internal functions --- */
+
+static void
+learn (struct hf_crowding_mean *mean, double sample)
+{
+  double weight = 1.0 / (mean->samples + 1);
+  if (weight < HF_CROWDING_WEIGHT)
+    weight = HF_CROWDING_WEIGHT;
+  mean->value += weight * (sample - mean->value);
+  mean->samples++;
+}
+
+/* --- public functions --- */
+
+void
+hf_crowding_learn (struct hf_crowding *crowding, bool last_slot, double relative)
+{
+  learn (last_slot ? &crowding->last : &crowding->other, relative);
+}
+
+bool
+hf_crowding_avoids_last (const struct hf_crowding *crowding)
+{
+  if (crowding->last.samples < HF_CROWDING_SAMPLES || crowding->other.samples < HF_CROWDING_SAMPLES)
+    return false;
+  return crowding->last.value > HF_CROWDING_RATIO * crowding->other.value;
+}
--- a/src/hf-pool.c
+++ b/src/hf-pool.c
@@ -19,6 +19,8 @@
   struct key key;
   uint64_t server;
   int64_t issued_at;
+  bool last_slot; /* took the last free slot of its server */
+  bool calm;      /* the server said that it was not slowed down */
   int64_t expires_at;
 };
 
@@ -114,6 +116,16 @@
   return near ? 0 : HF_PLACE_FAR_US + HF_PLACE_FAR_US_BYTE * (double) want->body_bytes;
 }
 
+/* Slots of a server that are worth using. */
+static unsigned
+usable_slots_of (const struct hf_pool *pool, const struct hf_pool_server *server)
+{
+  unsigned slots = hf_health_slots (server);
+  if (server->slots > 1 && slots == server->slots && hf_crowding_avoids_last (&pool->crowding))
+    return slots - 1;
+  return slots;
+}
+
 static size_t
 list_candidates (const struct hf_pool *pool,
                  int64_t now,
@@ -128,7 +140,7 @@
       unsigned load = load_of (pool, server, now);
       if (!hf_health_is_usable (server, now) || server->id == exclude)
         continue;
-      if (pool->policy->bounded && load >= hf_health_slots (server))
+      if (pool->policy->bounded && load >= usable_slots_of (pool, server))
         continue;
       candidates[n++] = (struct hf_candidate){ .index = i,
                                                .load = load,
@@ -188,6 +200,24 @@
   decide (decisions, want, HF_DECISION_REFUSED, 0, reason);
 }
 
+static bool
+is_calm (const struct hf_pool_server *server, int64_t now)
+{
+  bool fresh = now - server->slowdown_at < HF_SLOWDOWN_LIFE_MS * HF_MS;
+  return fresh && server->slowdown_percent > 0 && server->slowdown_percent <= HF_CROWDING_CALM;
+}
+
+static void
+learn_crowding (struct hf_pool *pool,
+                const struct record *record,
+                const struct hf_pool_server *server,
+                enum hf_pool_result result,
+                int64_t latency_us)
+{
+  if (result == HF_POOL_OK && record->calm && server->samples >= HF_STRAGGLER_SAMPLES && server->latency_us > 0)
+    hf_crowding_learn (&pool->crowding, record->last_slot, (double) latency_us / server->latency_us);
+}
+
 static void
 grant (struct hf_pool *pool,
        int64_t now,
@@ -199,6 +229,8 @@
   *record = (struct record){ .key = { want->entry, want->ticket },
                              .server = server->id,
                              .issued_at = now,
+                             .last_slot = server->slots > 1 && server->granted + 1 >= server->slots,
+                             .calm = is_calm (server, now),
                              .expires_at = want->deadline + HF_GRANT_GRACE_MS * HF_MS };
   g_hash_table_replace (pool->records, record, record);
   server->granted++;
@@ -234,8 +266,9 @@
       const struct hf_pool_server *server = server_at (pool, i);
       if (!hf_health_is_usable (server, now))
         continue;
-      slots += hf_health_slots (server);
-      sum += server->latency_us * hf_health_slots (server);
+      unsigned own = usable_slots_of (pool, server);
+      slots += own;
+      sum += expected_latency (pool, server) * own;
     }
   *latency_us = slots ? sum / slots : 0;
   return slots;
@@ -528,7 +561,10 @@
       struct hf_pool_server *server = hf_pool_server (pool, record->server);
       drop_record (pool, record);
       if (server)
-        hf_health_learn (pool->servers, server, now, result, latency_us);
+        {
+          learn_crowding (pool, record, server, result, latency_us);
+          hf_health_learn (pool->servers, server, now, result, latency_us);
+        }
       g_hash_table_remove (pool->records, &key);
     }
   hf_pool_pump (pool, now, decisions);
--- a/src/hf-pool.h
+++ b/src/hf-pool.h
@@ -10,6 +10,7 @@
 
 #include <glib.h>
 
+#include "hf-crowding.h"
 #include "hf-document.h"
 #include "hf-health.h"
 #include "hf-policy.h"
@@ -78,6 +79,7 @@
   GSequence *queue;    /* wants, the most urgent first */
   GHashTable *queued;  /* the same by entry and ticket */
   GHashTable *foreign; /* counts by entry and server */
+  struct hf_crowding crowding;
   struct hf_retry_budget budget;
   unsigned queue_limit;
   bool configured;
