Wants with time to spare wait for a server that is not slowed down; hedges only where it is

Ruled out: queues (340 of 10,174 waited for half of their aim). Change: a want waits up to 80 ms for a server that is not slow; what is already late takes slow servers; the typical latency of a service (half of the answers stay below it) sets the hedge time; the granter refuses a hedge whose server was not slow lately.

--- a/src/config.h
+++ b/src/config.h
@@ -78,6 +78,11 @@
 #define HF_PLACE_LAST_SLOT   1.4  /* times of the usual latency in the last slot */
 #define HF_PLACE_BUSY        0.15 /* more of the usual latency for each share of slots in use */
 
+#define HF_PLACE_SLOW_FACTOR 1.9  /* expected times of the usual latency from which a server counts as slow */
+#define HF_PLACE_PATIENCE_MS 80   /* longest wait for a server that is not slow */
+#define HF_TYPICAL_STEP      0.02 /* change of the typical latency with one answer */
+#define HF_HEDGE_SLOW_MS     150  /* an attempt is doubled if its server was slow within that time */
+
 #define HF_CROWDING_WEIGHT  0.02 /* weight of the newest sample */
 #define HF_CROWDING_SAMPLES 25   /* of each kind before anything is concluded */
 #define HF_CROWDING_RATIO   1.2  /* latency in a last slot, times that elsewhere, from which it is left free */
--- a/src/hf-calls.c
+++ b/src/hf-calls.c
@@ -163,7 +163,7 @@
   if (!call->class->hedge || server->samples == 0)
     return late;
   if (call->class->aim_ms > 0)
-    return hf_hedge_after_us (call->aim_at - state->now, server->latency_us);
+    return hf_hedge_after_us (call->aim_at - state->now, hf_state_service (state, call->service_id)->pool.typical_us);
   int64_t hedge = (int64_t) (server->latency_us * HF_HEDGE_LATENCY_RATIO);
   return MIN (late, MAX (hedge, HF_HEDGE_MIN_MS * HF_MS));
 }
@@ -232,12 +232,13 @@
     [HF_REFUSAL_DEADLINE] = { HF_COUNT_REFUSED_DEADLINE, "cannot be answered before the deadline" },
     [HF_REFUSAL_NO_SERVER] = { HF_COUNT_REFUSED_NO_SERVER, "no backend server takes work" },
     [HF_REFUSAL_BUDGET] = { HF_COUNT_REFUSED_BUDGET, "retry budget spent" },
+    [HF_REFUSAL_NEEDLESS] = { HF_COUNT_REFUSED_BUDGET, "the attempt is not slowed down" },
   };
   int held = find_held_answer (call);
   /* Whoever ends an attempt of this call now decides what becomes of it. */
   if (call->settling)
     return;
-  if (reason == HF_REFUSAL_NONE || reason > HF_REFUSAL_BUDGET)
+  if (reason == HF_REFUSAL_NONE || reason > HF_REFUSAL_NEEDLESS)
     reason = HF_REFUSAL_NO_SERVER;
   hf_state_count (state, refusals[reason].counter);
   if (has_live_attempt (call))
--- a/src/hf-health.c
+++ b/src/hf-health.c
@@ -153,6 +153,8 @@
     return;
   server->slowdown_percent = percent;
   server->slowdown_at = now;
+  if (percent > HF_CROWDING_CALM)
+    server->slow_at = now;
 }
 
 /* What a server says of its speed holds for a short time only; then the usual
--- a/src/hf-health.h
+++ b/src/hf-health.h
@@ -73,6 +73,7 @@
   int64_t answered_at;
   int slowdown_percent; /* its own word on how long work takes, 100: as usual; 0: none */
   int64_t slowdown_at;
+  int64_t slow_at;          /* it said last that it was slowed down */
   int64_t asked_at;         /* a measurement was sent */
   unsigned silent_measures; /* measurements in a row without an answer */
   int64_t broken_at;        /* first break since the last answer, 0: none */
--- a/src/hf-pool.c
+++ b/src/hf-pool.c
@@ -162,6 +162,28 @@
   return n;
 }
 
+/* A want with time to spare waits for a server that is not slowed down: slow
+ * times are short against what a start in one of them costs. */
+static bool
+may_wait (const struct hf_pool *pool, int64_t now, const struct hf_pool_want *want)
+{
+  if (want->aim_at == 0 || pool->typical_us <= 0)
+    return false;
+  double spare = (double) (want->aim_at - now) - pool->typical_us;
+  return spare > 0 && now - want->asked_at < HF_PLACE_PATIENCE_MS * HF_MS;
+}
+
+static size_t
+drop_slow (const struct hf_pool *pool, struct hf_candidate *candidates, size_t n)
+{
+  size_t kept = 0;
+  (void) pool;
+  for (size_t i = 0; i < n; i++)
+    if (candidates[i].factor < HF_PLACE_SLOW_FACTOR)
+      candidates[kept++] = candidates[i];
+  return kept;
+}
+
 static struct hf_pool_server *
 choose_server (struct hf_pool *pool, int64_t now, const struct hf_pool_want *want)
 {
@@ -171,6 +193,8 @@
   /* An excluded server is better than none. */
   if (n == 0 && exclude && count_usable (pool, now, exclude) == 0)
     n = list_candidates (pool, now, want, 0, candidates);
+  if (may_wait (pool, now, want))
+    n = drop_slow (pool, candidates, n);
   if (n == 0)
     return NULL;
   struct hf_choice_context choice = { .turn = pool->turn };
@@ -316,12 +340,29 @@
     shed_least_worth (pool, decisions);
 }
 
-/* The first that can still be answered within its aim, else the first that can
- * be answered in time. What can no longer be is refused. */
-static struct waiting *
-next_waiting (struct hf_pool *pool, int64_t now, double latency, GArray *decisions)
+static bool
+is_late (const struct hf_pool *pool, int64_t now, const struct hf_pool_want *want)
+{
+  return want->aim_at != 0 && (double) now + pool->typical_us > (double) want->aim_at;
+}
+
+static bool
+has_free_slot (const struct hf_pool *pool, int64_t now)
+{
+  for (size_t i = 0; i < pool->servers->len; i++)
+    {
+      const struct hf_pool_server *server = server_at (pool, i);
+      if (hf_health_is_usable (server, now) && load_of (pool, server, now) < usable_slots_of (pool, server))
+        return true;
+    }
+  return !pool->policy->bounded;
+}
+
+/* Grants to those that are late, or to those that are not, in their order. What
+ * can no longer be answered in time is refused. */
+static void
+pump_some (struct hf_pool *pool, int64_t now, bool late, GArray *decisions)
 {
-  struct waiting *late = NULL;
   GSequenceIter *place = g_sequence_get_begin_iter (pool->queue);
   while (!g_sequence_iter_is_end (place))
     {
@@ -333,12 +374,19 @@
           remove_waiting (pool, waiting);
           continue;
         }
-      if (waiting->want.aim_at == 0 || (double) now + latency <= (double) waiting->want.aim_at)
-        return waiting;
-      if (!late)
-        late = waiting;
+      if (is_late (pool, now, &waiting->want) != late)
+        continue;
+      if (!has_free_slot (pool, now))
+        return;
+      struct hf_pool_server *server = choose_server (pool, now, &waiting->want);
+      /* Without aims the first in line is never passed. */
+      if (!server && waiting->want.aim_at == 0)
+        return;
+      if (!server)
+        continue;
+      grant (pool, now, &waiting->want, server, decisions);
+      remove_waiting (pool, waiting);
     }
-  return late;
 }
 
 static void
@@ -505,6 +553,28 @@
       }
 }
 
+/* An attempt that is doubled there has met a slow time, as far as is known. */
+static bool
+was_slow_lately (const struct hf_pool *pool, int64_t now, uint64_t id)
+{
+  const struct hf_pool_server *server = hf_pool_server (pool, id);
+  bool known = server && server->slowdown_percent > 0;
+  return !known || now - server->slow_at < HF_HEDGE_SLOW_MS * HF_MS;
+}
+
+static void
+learn_typical (struct hf_pool *pool, enum hf_pool_result result, int64_t latency_us)
+{
+  if (result != HF_POOL_OK || latency_us <= 0)
+    return;
+  if (pool->typical_us <= 0)
+    pool->typical_us = (double) latency_us;
+  else if ((double) latency_us > pool->typical_us)
+    pool->typical_us *= 1.0 + HF_TYPICAL_STEP;
+  else
+    pool->typical_us *= 1.0 - HF_TYPICAL_STEP;
+}
+
 /* --- public functions: slots --- */
 
 void
@@ -522,6 +592,11 @@
       decide (decisions, &want, HF_DECISION_QUEUED, 0, HF_REFUSAL_NONE);
       return;
     }
+  if (want.hedge && !was_slow_lately (pool, now, want.exclude))
+    {
+      refuse (pool, decisions, &want, HF_REFUSAL_NEEDLESS);
+      return;
+    }
   if (want.retry && !hf_retry_spend (&pool->budget))
     {
       refuse (pool, decisions, &want, HF_REFUSAL_BUDGET);
@@ -530,6 +605,7 @@
   if (!want.retry)
     hf_retry_earn (&pool->budget);
   /* Whoever waits already goes first unless the newcomer is worth more. */
+  want.asked_at = now;
   bool first = hf_pool_waiting (pool) == 0;
   struct hf_pool_server *server = first ? choose_server (pool, now, &want) : NULL;
   if (server)
@@ -559,6 +635,7 @@
   if (record)
     {
       struct hf_pool_server *server = hf_pool_server (pool, record->server);
+      learn_typical (pool, result, latency_us);
       drop_record (pool, record);
       if (server)
         {
@@ -574,6 +651,7 @@
 hf_pool_learn (struct hf_pool *pool, int64_t now, uint64_t server, enum hf_pool_result result, int64_t latency_us)
 {
   struct hf_pool_server *known = hf_pool_server (pool, server);
+  learn_typical (pool, result, latency_us);
   if (known)
     hf_health_learn (pool->servers, known, now, result, latency_us);
 }
@@ -581,19 +659,11 @@
 void
 hf_pool_pump (struct hf_pool *pool, int64_t now, GArray *decisions)
 {
-  double latency;
   if (hf_pool_waiting (pool) == 0)
     return;
-  usable_slots (pool, now, &latency);
-  for (;;)
-    {
-      struct waiting *next = next_waiting (pool, now, latency, decisions);
-      struct hf_pool_server *server = next ? choose_server (pool, now, &next->want) : NULL;
-      if (!server)
-        return;
-      grant (pool, now, &next->want, server, decisions);
-      remove_waiting (pool, next);
-    }
+  pump_some (pool, now, false, decisions);
+  if (has_free_slot (pool, now))
+    pump_some (pool, now, true, decisions);
 }
 
 void
@@ -730,14 +800,6 @@
   server->reported_at = now;
 }
 
-double
-hf_pool_latency (const struct hf_pool *pool, int64_t now)
-{
-  double latency;
-  usable_slots (pool, now, &latency);
-  return latency;
-}
-
 void
 hf_pool_heard (struct hf_pool *pool, uint64_t id, int64_t now, int percent)
 {
--- a/src/hf-pool.h
+++ b/src/hf-pool.h
@@ -26,6 +26,7 @@
   HF_REFUSAL_DEADLINE,   /* it would not be answered in time */
   HF_REFUSAL_NO_SERVER,  /* no backend server takes work */
   HF_REFUSAL_BUDGET,     /* the retry budget is spent */
+  HF_REFUSAL_NEEDLESS,   /* the attempt to be doubled runs at a server that is not slowed down */
 };
 
 /** struct hf_pool_want - a request for one slot */
@@ -37,9 +38,11 @@
   unsigned worth;
   int64_t aim_at; /* worth most if answered by then; 0: until the deadline */
   int64_t deadline;
+  int64_t asked_at;        /* set by the pool */
   uint64_t failure_domain; /* of the entry, hashed; 0: not known */
   size_t body_bytes;
   bool retry;       /* takes a token of the retry budget */
+  bool hedge;       /* doubles an attempt that runs at @exclude */
   uint64_t exclude; /* server to avoid if another is there; 0: none */
 };
 
@@ -82,6 +85,7 @@
   struct hf_crowding crowding;
   struct hf_retry_budget budget;
   unsigned queue_limit;
+  double typical_us; /* latency that half of the answers stay below; 0: none yet */
   bool configured;
   uint64_t random;
   uint64_t turn;
@@ -140,8 +144,7 @@
 bool hf_pool_may_have_crashed (const struct hf_pool *pool,
                                uint64_t id,
                                int64_t started_at); /* an attempt begun then may have broken it */
-void hf_pool_report (struct hf_pool *pool, uint64_t id, int load, int64_t now); /* a load report */
-double hf_pool_latency (const struct hf_pool *pool, int64_t now); /* mean over usable servers, us; 0: not known */
+void hf_pool_report (struct hf_pool *pool, uint64_t id, int load, int64_t now);   /* a load report */
 void hf_pool_heard (struct hf_pool *pool, uint64_t id, int64_t now, int percent); /* its word in an answer; 0: none */
 void hf_pool_measured (struct hf_pool *pool, uint64_t id, int64_t now, int percent); /* a measurement; 0: no answer */
 unsigned hf_pool_waiting (const struct hf_pool *pool);                               /* length of the queue */
--- a/src/hf-rpc.c
+++ b/src/hf-rpc.c
@@ -81,10 +81,20 @@
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->failure_domain))
 			 return FALSE;
-		 if (!xdr_u_int (xdrs, &objp->body_bytes))
-			 return FALSE;
-		 if (!xdr_bool (xdrs, &objp->retry))
-			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->body_bytes))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->retry))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->hedge))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->body_bytes);
+		IXDR_PUT_BOOL(buf, objp->retry);
+		IXDR_PUT_BOOL(buf, objp->hedge);
+		}
 		 if (!xdr_u_quad_t (xdrs, &objp->exclude))
 			 return FALSE;
 		return TRUE;
@@ -112,10 +122,20 @@
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->failure_domain))
 			 return FALSE;
-		 if (!xdr_u_int (xdrs, &objp->body_bytes))
-			 return FALSE;
-		 if (!xdr_bool (xdrs, &objp->retry))
-			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->body_bytes))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->retry))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->hedge))
+				 return FALSE;
+
+		} else {
+		objp->body_bytes = IXDR_GET_U_LONG(buf);
+		objp->retry = IXDR_GET_BOOL(buf);
+		objp->hedge = IXDR_GET_BOOL(buf);
+		}
 		 if (!xdr_u_quad_t (xdrs, &objp->exclude))
 			 return FALSE;
 	 return TRUE;
@@ -139,6 +159,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->retry))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->hedge))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->exclude))
 		 return FALSE;
 	return TRUE;
--- a/src/hf-rpc.h
+++ b/src/hf-rpc.h
@@ -67,6 +67,7 @@
 	u_quad_t failure_domain;
 	u_int body_bytes;
 	bool_t retry;
+	bool_t hedge;
 	u_quad_t exclude;
 };
 typedef struct hf_rpc_acquire hf_rpc_acquire;
--- a/src/hf-rpc.x
+++ b/src/hf-rpc.x
@@ -51,6 +51,7 @@
   unsigned hyper failure_domain;
   unsigned int body_bytes;
   bool retry;
+  bool hedge;
   unsigned hyper exclude;
 };
 
--- a/src/hf-slots.c
+++ b/src/hf-slots.c
@@ -76,6 +76,7 @@
     .failure_domain = hf_hash (state->failure_domain, 0),
     .body_bytes = call->body_bytes,
     .retry = attempt->retry,
+    .hedge = attempt->hedge && call->class->aim_ms > 0,
     .exclude = attempt->exclude,
   };
   service->wanted_at = state->now;
@@ -100,6 +101,7 @@
     .failure_domain = hf_hash (state->failure_domain, 0),
     .body_bytes = (unsigned) MIN (call->body_bytes, G_MAXUINT32),
     .retry = attempt->retry,
+    .hedge = attempt->hedge && call->class->aim_ms > 0,
     .exclude = attempt->exclude,
   };
   hf_state_send (state, attempt->granter, message);
@@ -173,6 +175,7 @@
     .body_bytes = acquire->body_bytes,
     .deadline = state->now + acquire->remaining_ms * HF_MS,
     .retry = acquire->retry,
+    .hedge = acquire->hedge,
     .exclude = acquire->exclude,
   };
   service->wanted_at = state->now;
@@ -188,7 +191,7 @@
                                   .entry = state->boot,
                                   .ticket = message->ticket,
                                   .server = message->server,
-                                  .reason = MIN (message->reason, HF_REFUSAL_BUDGET) };
+                                  .reason = MIN (message->reason, HF_REFUSAL_NEEDLESS) };
   const struct hf_call *call = g_hash_table_lookup (state->calls, &(uint64_t){ message->ticket / HF_ATTEMPTS_MAX });
   unsigned i = (unsigned) (message->ticket % HF_ATTEMPTS_MAX);
   bool wanted
