Servers that are measured are not taken out for one broken answer

Refusals of servers with room halved their slots too. Change: servers that tell their load show by measurement whether they live; broken answers and refusals count as failures, five in a row or more than half still take one out. A want whose aim leaves less than 1.35 times the typical latency counts as late, so that it does not take a slot from one that can be in time.

--- a/src/config.h
+++ b/src/config.h
@@ -80,6 +80,7 @@
 
 #define HF_PLACE_SLOW_FACTOR 1.9  /* expected times of the usual latency from which a server counts as slow */
 #define HF_PLACE_PATIENCE_MS 80   /* longest wait for a server that is not slow */
+#define HF_AIM_ROOM           1.35 /* with less than this times the typical latency left, the aim counts as missed */
 #define HF_TYPICAL_STEP      0.02 /* change of the typical latency with one answer */
 #define HF_HEDGE_SLOW_MS     150  /* an attempt is doubled if its server was slow within that time */
 
--- a/src/hf-health.c
+++ b/src/hf-health.c
@@ -105,6 +105,12 @@
   learn_latency (servers, server, now, latency_us);
 }
 
+static bool
+is_measured (const struct hf_pool_server *server)
+{
+  return server->slowdown_percent > 0;
+}
+
 /* --- public functions --- */
 
 void
@@ -126,7 +132,9 @@
       if (server->broken_at == 0)
         server->broken_at = now;
       learn_failure (servers, server, now);
-      take_out (servers, server, now, HF_OUT_BROKEN);
+      /* One that is measured shows by itself whether it lives. */
+      if (!is_measured (server))
+        take_out (servers, server, now, HF_OUT_BROKEN);
       break;
     case HF_POOL_SLOW:
       learn_latency (servers, server, now, latency_us);
@@ -137,6 +145,12 @@
         learn_latency (servers, server, now, latency_us);
       break;
     case HF_POOL_REFUSED:
+      if (is_measured (server))
+        {
+          /* It refuses although it says that it has room. */
+          learn_failure (servers, server, now);
+          break;
+        }
       /* No room there although a slot seemed free: step down, then ramp up. */
       server->ramp = MAX (1U, server->ramp / 2);
       server->ramp_ok = 0;
--- a/src/hf-pool.c
+++ b/src/hf-pool.c
@@ -343,7 +343,7 @@
 static bool
 is_late (const struct hf_pool *pool, int64_t now, const struct hf_pool_want *want)
 {
-  return want->aim_at != 0 && (double) now + pool->typical_us > (double) want->aim_at;
+  return want->aim_at != 0 && (double) now + pool->typical_us * HF_AIM_ROOM > (double) want->aim_at;
 }
 
 static bool
