Hopeless late wants are refused early; crowding needs more proof

Change: no start with less than 0.7 of the typical latency left; a late want whose place leaves no hope is refused at the next tick; relative latencies are cut at 2.0, 40 samples of each kind, ratio 1.25.

--- a/src/config.h
+++ b/src/config.h
@@ -80,14 +80,17 @@
 
 #define HF_PLACE_SLOW_FACTOR 1.9  /* expected times of the usual latency from which a server counts as slow */
 #define HF_PLACE_PATIENCE_MS 80   /* longest wait for a server that is not slow */
-#define HF_AIM_ROOM           1.35 /* with less than this times the typical latency left, the aim counts as missed */
+#define HF_LAST_START        0.7  /* with less than this share of the typical latency left, a start is useless */
+#define HF_LATE_PRESSURE     2.0  /* what waits ahead of a late want, with what comes meanwhile */
+#define HF_AIM_ROOM          1.35 /* with less than this times the typical latency left, the aim counts as missed */
 #define HF_TYPICAL_STEP      0.02 /* change of the typical latency with one answer */
 #define HF_HEDGE_SLOW_MS     150  /* an attempt is doubled if its server was slow within that time */
 
-#define HF_CROWDING_WEIGHT  0.02 /* weight of the newest sample */
-#define HF_CROWDING_SAMPLES 25   /* of each kind before anything is concluded */
-#define HF_CROWDING_RATIO   1.2  /* latency in a last slot, times that elsewhere, from which it is left free */
-#define HF_CROWDING_CALM    150  /* percent of the usual time: above, a server counts as slowed down */
+#define HF_CROWDING_WEIGHT       0.01 /* weight of the newest sample */
+#define HF_CROWDING_SAMPLES      40   /* of each kind before anything is concluded */
+#define HF_CROWDING_RELATIVE_MAX 2.0  /* longest relative latency that counts */
+#define HF_CROWDING_RATIO        1.25 /* latency in a last slot, times that elsewhere, from which it is left free */
+#define HF_CROWDING_CALM         150  /* percent of the usual time: above, a server counts as slowed down */
 
 /* Slot grants between entries. */
 #define HF_GRANT_ASK_MS     5   /* resend an unanswered request */
--- a/src/hf-crowding.c
+++ b/src/hf-crowding.c
@@ -20,7 +20,9 @@
 void
 hf_crowding_learn (struct hf_crowding *crowding, bool last_slot, double relative)
 {
-  learn (last_slot ? &crowding->last : &crowding->other, relative);
+  /* A slow time that began meanwhile says nothing of slots. */
+  double sample = relative < HF_CROWDING_RELATIVE_MAX ? relative : HF_CROWDING_RELATIVE_MAX;
+  learn (last_slot ? &crowding->last : &crowding->other, sample);
 }
 
 bool
--- a/src/hf-pool.c
+++ b/src/hf-pool.c
@@ -346,6 +346,25 @@
   return want->aim_at != 0 && (double) now + pool->typical_us * HF_AIM_ROOM > (double) want->aim_at;
 }
 
+/* What is late gives way to the rest, and may not be reached in time. */
+static bool
+is_hopeless (const struct hf_pool *pool, int64_t now, const struct hf_pool_want *want, unsigned ahead, unsigned slots)
+{
+  if (!is_late (pool, now, want) || slots == 0)
+    return false;
+  double wait = HF_LATE_PRESSURE * ahead * pool->typical_us / slots;
+  return (double) now + wait + pool->typical_us > (double) want->deadline;
+}
+
+/* Too little time is left even for a start now. */
+static bool
+is_too_late (const struct hf_pool *pool, int64_t now, const struct hf_pool_want *want)
+{
+  if (want->aim_at == 0)
+    return want->deadline <= now;
+  return (double) now + pool->typical_us * HF_LAST_START > (double) want->deadline;
+}
+
 static bool
 has_free_slot (const struct hf_pool *pool, int64_t now)
 {
@@ -368,7 +387,7 @@
     {
       struct waiting *waiting = g_sequence_get (place);
       place = g_sequence_iter_next (place);
-      if (waiting->want.deadline <= now)
+      if (is_too_late (pool, now, &waiting->want))
         {
           refuse (pool, decisions, &waiting->want, HF_REFUSAL_DEADLINE);
           remove_waiting (pool, waiting);
@@ -678,12 +697,16 @@
         drop_record (pool, record);
         g_hash_table_iter_remove (&iter);
       }
+  double latency;
+  unsigned slots = usable_slots (pool, now, &latency);
+  unsigned ahead = 0;
   GSequenceIter *place = g_sequence_get_begin_iter (pool->queue);
   while (!g_sequence_iter_is_end (place))
     {
       struct waiting *waiting = g_sequence_get (place);
       place = g_sequence_iter_next (place);
-      if (waiting->want.deadline > now)
+      ahead++;
+      if (waiting->want.deadline > now && !is_hopeless (pool, now, &waiting->want, ahead, slots))
         continue;
       refuse (pool, decisions, &waiting->want, HF_REFUSAL_DEADLINE);
       remove_waiting (pool, waiting);
