SIGHUP reads the settings again; few requests find out what last slots cost

Change: the signal reads the file again; a wrong file changes nothing. Test: test-promises /failures/hangup (the process ended before). Change: until known the last slot is left free but for one grant in eight.

--- a/src/config.h
+++ b/src/config.h
@@ -89,6 +89,8 @@
 #define HF_CROWDING_WEIGHT       0.01 /* weight of the newest sample */
 #define HF_CROWDING_SAMPLES      40   /* of each kind before anything is concluded */
 #define HF_CROWDING_RELATIVE_MAX 2.0  /* longest relative latency that counts */
+#define HF_CROWDING_TRY          8    /* one choice in so many may use last slots to find out */
+#define HF_CROWDING_TRY_KNOWN    100  /* the same once enough is known */
 #define HF_CROWDING_RATIO        1.25 /* latency in a last slot, times that elsewhere, from which it is left free */
 #define HF_CROWDING_CALM         150  /* percent of the usual time: above, a server counts as slowed down */
 
--- a/src/hf-crowding.c
+++ b/src/hf-crowding.c
@@ -15,6 +15,12 @@
   mean->samples++;
 }
 
+static bool
+is_known (const struct hf_crowding *crowding)
+{
+  return crowding->last.samples >= HF_CROWDING_SAMPLES && crowding->other.samples >= HF_CROWDING_SAMPLES;
+}
+
 /* --- public functions --- */
 
 void
@@ -28,7 +34,20 @@
 bool
 hf_crowding_avoids_last (const struct hf_crowding *crowding)
 {
-  if (crowding->last.samples < HF_CROWDING_SAMPLES || crowding->other.samples < HF_CROWDING_SAMPLES)
-    return false;
+  if (!is_known (crowding))
+    return true;
   return crowding->last.value > HF_CROWDING_RATIO * crowding->other.value;
 }
+
+bool
+hf_crowding_tries_last (const struct hf_crowding *crowding)
+{
+  unsigned every = is_known (crowding) ? HF_CROWDING_TRY_KNOWN : HF_CROWDING_TRY;
+  return crowding->turn % every == 0;
+}
+
+void
+hf_crowding_count (struct hf_crowding *crowding)
+{
+  crowding->turn++;
+}
--- a/src/hf-log.c
+++ b/src/hf-log.c
@@ -16,6 +16,7 @@
   { HF_LOG_SETTINGS_INVALID, HF_LEVEL_ERR, "settings-invalid" },
   { HF_LOG_STATE_DUMP, HF_LEVEL_NOTICE, "state-dump" },
   { HF_LOG_PAUSED, HF_LEVEL_WARNING, "paused" },
+  { HF_LOG_RELOADED, HF_LEVEL_NOTICE, "reloaded" },
   { HF_LOG_CONFIG_ADOPTED, HF_LEVEL_NOTICE, "config-adopted" },
   { HF_LOG_CONFIG_INVALID, HF_LEVEL_ERR, "config-invalid" },
   { HF_LOG_CONFIG_OLD, HF_LEVEL_WARNING, "config-old" },
--- a/src/hf-pool.c
+++ b/src/hf-pool.c
@@ -121,7 +121,8 @@
 usable_slots_of (const struct hf_pool *pool, const struct hf_pool_server *server)
 {
   unsigned slots = hf_health_slots (server);
-  if (server->slots > 1 && slots == server->slots && hf_crowding_avoids_last (&pool->crowding))
+  bool measured = server->slowdown_percent > 0;
+  if (measured && server->slots > 1 && slots == server->slots && hf_crowding_avoids_last (&pool->crowding))
     return slots - 1;
   return slots;
 }
@@ -131,6 +132,7 @@
                  int64_t now,
                  const struct hf_pool_want *want,
                  uint64_t exclude,
+                 bool all_slots,
                  struct hf_candidate *candidates)
 {
   size_t n = 0;
@@ -140,7 +142,7 @@
       unsigned load = load_of (pool, server, now);
       if (!hf_health_is_usable (server, now) || server->id == exclude)
         continue;
-      if (pool->policy->bounded && load >= usable_slots_of (pool, server))
+      if (pool->policy->bounded && load >= (all_slots ? hf_health_slots (server) : usable_slots_of (pool, server)))
         continue;
       candidates[n++] = (struct hf_candidate){ .index = i,
                                                .load = load,
@@ -184,15 +186,37 @@
   return kept;
 }
 
+/* A choice that is to find out what last slots cost takes one, if there is one. */
+static size_t
+prefer_last_slots (const struct hf_pool *pool, struct hf_candidate *candidates, size_t n)
+{
+  size_t kept = 0;
+  struct hf_candidate last[n + 1];
+  for (size_t i = 0; i < n; i++)
+    {
+      const struct hf_pool_server *server = server_at (pool, candidates[i].index);
+      bool calm = server->slowdown_percent > 0 && candidates[i].factor < HF_PLACE_SLOW_FACTOR;
+      if (calm && server->slots > 1 && candidates[i].load + 1 >= server->slots)
+        last[kept++] = candidates[i];
+    }
+  if (kept == 0)
+    return n;
+  memcpy (candidates, last, kept * sizeof *last);
+  return kept;
+}
+
 static struct hf_pool_server *
 choose_server (struct hf_pool *pool, int64_t now, const struct hf_pool_want *want)
 {
   uint64_t exclude = want->exclude;
   struct hf_candidate candidates[pool->servers->len + 1];
-  size_t n = list_candidates (pool, now, want, exclude, candidates);
+  bool all_slots = hf_crowding_tries_last (&pool->crowding);
+  size_t n = list_candidates (pool, now, want, exclude, all_slots, candidates);
   /* An excluded server is better than none. */
   if (n == 0 && exclude && count_usable (pool, now, exclude) == 0)
-    n = list_candidates (pool, now, want, 0, candidates);
+    n = list_candidates (pool, now, want, 0, all_slots, candidates);
+  if (all_slots)
+    n = prefer_last_slots (pool, candidates, n);
   if (may_wait (pool, now, want))
     n = drop_slow (pool, candidates, n);
   if (n == 0)
@@ -232,14 +256,10 @@
 }
 
 static void
-learn_crowding (struct hf_pool *pool,
-                const struct record *record,
-                const struct hf_pool_server *server,
-                enum hf_pool_result result,
-                int64_t latency_us)
+learn_crowding (struct hf_pool *pool, const struct record *record, enum hf_pool_result result, int64_t latency_us)
 {
-  if (result == HF_POOL_OK && record->calm && server->samples >= HF_STRAGGLER_SAMPLES && server->latency_us > 0)
-    hf_crowding_learn (&pool->crowding, record->last_slot, (double) latency_us / server->latency_us);
+  if (result == HF_POOL_OK && record->calm && pool->typical_us > 0)
+    hf_crowding_learn (&pool->crowding, record->last_slot, (double) latency_us / pool->typical_us);
 }
 
 static void
@@ -258,6 +278,7 @@
                              .expires_at = want->deadline + HF_GRANT_GRACE_MS * HF_MS };
   g_hash_table_replace (pool->records, record, record);
   server->granted++;
+  hf_crowding_count (&pool->crowding);
   decide (decisions, want, HF_DECISION_GRANTED, server->id, HF_REFUSAL_NONE);
 }
 
@@ -368,10 +389,12 @@
 static bool
 has_free_slot (const struct hf_pool *pool, int64_t now)
 {
+  bool tries = hf_crowding_tries_last (&pool->crowding);
   for (size_t i = 0; i < pool->servers->len; i++)
     {
       const struct hf_pool_server *server = server_at (pool, i);
-      if (hf_health_is_usable (server, now) && load_of (pool, server, now) < usable_slots_of (pool, server))
+      unsigned slots = tries ? hf_health_slots (server) : usable_slots_of (pool, server);
+      if (hf_health_is_usable (server, now) && load_of (pool, server, now) < slots)
         return true;
     }
   return !pool->policy->bounded;
@@ -658,7 +681,7 @@
       drop_record (pool, record);
       if (server)
         {
-          learn_crowding (pool, record, server, result, latency_us);
+          learn_crowding (pool, record, result, latency_us);
           hf_health_learn (pool->servers, server, now, result, latency_us);
         }
       g_hash_table_remove (pool->records, &key);
--- a/src/hickoryd.c
+++ b/src/hickoryd.c
@@ -23,6 +23,7 @@
 
 struct daemon
 {
+  const char *file; /* of the settings */
   struct hf_loop loop;
   struct hf_front *admin;
 };
@@ -130,10 +131,24 @@
   return ok;
 }
 
+/* Takes what can change while running; a file that is wrong changes nothing. */
+static gboolean
+reload (gpointer data)
+{
+  struct daemon *daemon = data;
+  struct hf_settings settings = { 0 };
+  if (!load_settings (daemon->file, &settings))
+    return G_SOURCE_CONTINUE;
+  hf_log_open ("hickoryd", (enum hf_log_level) settings.log_level);
+  hf_log_write (HF_LOG_RELOADED, "%s: log level taken; addresses hold until the next start", daemon->file);
+  hf_settings_unload (&settings);
+  return G_SOURCE_CONTINUE;
+}
+
 static int
-run (const struct hf_settings *settings)
+run (const struct hf_settings *settings, const char *file)
 {
-  struct daemon daemon = { 0 };
+  struct daemon daemon = { .file = file };
   struct hf_error error = { 0 };
   if (!hf_loop_open (&daemon.loop, settings, &error))
     {
@@ -150,6 +165,7 @@
   g_unix_signal_add (SIGTERM, terminate, &daemon);
   g_unix_signal_add (SIGINT, terminate, &daemon);
   g_unix_signal_add (SIGUSR1, dump, &daemon);
+  g_unix_signal_add (SIGHUP, reload, &daemon);
   hf_log_write (HF_LOG_LISTENING, "callers=%s admin=%s peers=%s", hf_proxy_address (daemon.loop.proxy).data,
                 hf_front_address (daemon.admin).data, hf_peers_address (daemon.loop.peers).data);
   g_main_loop_run (daemon.loop.main);
@@ -176,7 +192,7 @@
   g_option_context_set_description (context, "Exit codes: 0 left as asked, 2 wrong use, 3 wrong settings, 4 "
                                              "an address cannot be used.\n"
                                              "Signals: SIGTERM leaves without cutting a request, SIGUSR1 "
-                                             "dumps the state.");
+                                             "dumps the state, SIGHUP reads the settings again.");
   g_option_context_add_main_entries (context, options, NULL);
   hf_log_open ("hickoryd", HF_LEVEL_INFO);
   /* Given back and taken again for every answer, pages cost more than they
@@ -200,7 +216,7 @@
   hf_log_open ("hickoryd", (enum hf_log_level) settings.log_level);
   hf_log_write (HF_LOG_STARTED, "version %s, entry " HF_STR_FMT " in " HF_STR_FMT, HF_VERSION,
                 HF_STR_ARG (settings.name), HF_STR_ARG (settings.failure_domain));
-  int code = check ? 0 : run (&settings);
+  int code = check ? 0 : run (&settings, argv[1]);
   hf_settings_unload (&settings);
   return code;
 }
--- a/tests/test-promises.c
+++ b/tests/test-promises.c
@@ -567,7 +567,17 @@
   setup_close (setup);
 }
 
-/* Above its own limit of 64 KB the HTTP library closes without an answer. */
+/* A changed settings file is told by a signal; the process goes on. */
+static void
+test_hangup (void)
+{
+  struct setup *setup = setup_open (1, 1, 1, NULL);
+  process_signal (setup_entry (setup, 0)->process, SIGHUP);
+  harness_pause (200);
+  send_some (setup, "hangup", 0, 5);
+  setup_close (setup);
+}
+
 static void
 test_huge_head (void)
 {
@@ -704,6 +714,7 @@
   g_test_add_func ("/failures/granter-gone", test_granter_gone);
   g_test_add_func ("/failures/bad-input", test_bad_input);
   g_test_add_func ("/failures/huge-head", test_huge_head);
+  g_test_add_func ("/failures/hangup", test_hangup);
   g_test_add_func ("/failures/malformed", test_malformed);
   g_test_add_func ("/failures/caller-leaves", test_caller_leaves);
   g_test_add_func ("/failures/platform-outage", test_platform_outage);
