Entries learn one another before they report ready; typical latency found sooner

Change: ready only once the list of entries was read; refused until then with a return in 150 ms; the typical latency moves in large steps at first.

--- a/src/config.h
+++ b/src/config.h
@@ -13,19 +13,20 @@
 #define HF_SEC 1000000LL
 
 /* Caller side. */
-#define HF_BODY_BUFFER_BYTES (256 * 1024) /* larger bodies are streamed */
-#define HF_HEADER_BYTES_MAX  (32 * 1024)  /* request head, above: 431 */
-#define HF_BODY_BYTES_MAX    (1LL << 30)  /* request body, above: 413 */
-#define HF_RELAY_CHUNK_BYTES (64 * 1024)  /* unit of a streamed copy */
-#define HF_CALLER_SILENT_SEC 60           /* caller bytes stalled, then cut */
-#define HF_CALLER_PATH_MS    24           /* a caller's wait outside of this process: connection, both ways */
-#define HF_RETURN_SHARE      3            /* callers return within this part of the time left */
-#define HF_RETURN_RANKS      3            /* priorities told apart when returns are spread */
-#define HF_RETRY_AFTER_MS    1000         /* told with a refusal that says nothing better */
-#define HF_KEEP_ALIVE_SEC    1            /* idle before a probe, and between probes */
-#define HF_KEEP_ALIVE_PROBES 2            /* without an answer, then the connection is broken */
-#define HF_SOCKET_SILENT_MS  3000         /* bytes not acknowledged, then the connection is broken */
-#define HF_SWEEP_MS          100          /* look for connections whose time is over */
+#define HF_BODY_BUFFER_BYTES    (256 * 1024) /* larger bodies are streamed */
+#define HF_HEADER_BYTES_MAX     (32 * 1024)  /* request head, above: 431 */
+#define HF_BODY_BYTES_MAX       (1LL << 30)  /* request body, above: 413 */
+#define HF_RELAY_CHUNK_BYTES    (64 * 1024)  /* unit of a streamed copy */
+#define HF_CALLER_SILENT_SEC    60           /* caller bytes stalled, then cut */
+#define HF_CALLER_PATH_MS       24           /* a caller's wait outside of this process: connection, both ways */
+#define HF_RETURN_SHARE         3            /* callers return within this part of the time left */
+#define HF_RETURN_RANKS         3            /* priorities told apart when returns are spread */
+#define HF_START_RETRY_AFTER_MS 150          /* told while a starting process learns the configuration */
+#define HF_RETRY_AFTER_MS       1000         /* told with a refusal that says nothing better */
+#define HF_KEEP_ALIVE_SEC       1            /* idle before a probe, and between probes */
+#define HF_KEEP_ALIVE_PROBES    2            /* without an answer, then the connection is broken */
+#define HF_SOCKET_SILENT_MS     3000         /* bytes not acknowledged, then the connection is broken */
+#define HF_SWEEP_MS             100          /* look for connections whose time is over */
 
 /* Connections to backend servers. */
 #define HF_ANSWER_HEAD_BYTES_MAX (64 * 1024) /* above: no answer */
@@ -78,13 +79,14 @@
 #define HF_PLACE_LAST_SLOT   1.4  /* times of the usual latency in the last slot */
 #define HF_PLACE_BUSY        0.15 /* more of the usual latency for each share of slots in use */
 
-#define HF_PLACE_SLOW_FACTOR 1.9  /* expected times of the usual latency from which a server counts as slow */
-#define HF_PLACE_PATIENCE_MS 80   /* longest wait for a server that is not slow */
-#define HF_LAST_START        0.7  /* with less than this share of the typical latency left, a start is useless */
-#define HF_LATE_PRESSURE     2.0  /* what waits ahead of a late want, with what comes meanwhile */
-#define HF_AIM_ROOM          1.35 /* with less than this times the typical latency left, the aim counts as missed */
-#define HF_TYPICAL_STEP      0.02 /* change of the typical latency with one answer */
-#define HF_HEDGE_SLOW_MS     150  /* an attempt is doubled if its server was slow within that time */
+#define HF_PLACE_SLOW_FACTOR  1.9  /* expected times of the usual latency from which a server counts as slow */
+#define HF_PLACE_PATIENCE_MS  80   /* longest wait for a server that is not slow */
+#define HF_LAST_START         0.7  /* with less than this share of the typical latency left, a start is useless */
+#define HF_LATE_PRESSURE      2.0  /* what waits ahead of a late want, with what comes meanwhile */
+#define HF_AIM_ROOM           1.35 /* with less than this times the typical latency left, the aim counts as missed */
+#define HF_TYPICAL_STEP_FIRST 1.0  /* the same with the first answer, divided by their number */
+#define HF_TYPICAL_STEP       0.02 /* change of the typical latency with one answer */
+#define HF_HEDGE_SLOW_MS      150  /* an attempt is doubled if its server was slow within that time */
 
 #define HF_CROWDING_WEIGHT       0.01 /* weight of the newest sample */
 #define HF_CROWDING_SAMPLES      40   /* of each kind before anything is concluded */
--- a/src/hf-calls.c
+++ b/src/hf-calls.c
@@ -5,6 +5,7 @@
 #include "hf-claims.h"
 #include "hf-members.h"
 #include "hf-quarantine.h"
+#include "hf-reduce.h"
 #include "hf-routing.h"
 #include "hf-slots.h"
 
@@ -473,9 +474,10 @@
     .n_headers = event->request.n_headers,
   };
   hf_state_count (state, HF_COUNT_REQUESTS);
-  if (!state->document)
+  if (!hf_state_is_informed (state))
     {
-      answer (state, event->call, 503, HF_OUTCOME_NOT_RUN, HF_RETRY_AFTER_MS, "no configuration yet");
+      answer (state, event->call, 503, HF_OUTCOME_NOT_RUN,
+              state->external ? HF_START_RETRY_AFTER_MS : HF_RETRY_AFTER_MS, "no configuration yet");
       return;
     }
   struct hf_route_target target;
--- a/src/hf-directory.c
+++ b/src/hf-directory.c
@@ -209,6 +209,9 @@
       directory->complete = true;
       hf_slots_pump (state);
       break;
+    case HF_LIST_ENTRIES:
+      directory->entries_complete = true;
+      break;
     case HF_LIST_LOST:
       if (!directory->lost)
         hf_state_log (state, HF_LOG_PLATFORM_LOST, "the directory does not answer");
--- a/src/hf-event.h
+++ b/src/hf-event.h
@@ -103,8 +103,9 @@
 {
   HF_LIST_BEGIN, /* what is not reported before the end is gone */
   HF_LIST_END,
-  HF_LIST_LOST,  /* the directory cannot be reached */
-  HF_LIST_ALIVE, /* it answers */
+  HF_LIST_LOST,    /* the directory cannot be reached */
+  HF_LIST_ALIVE,   /* it answers */
+  HF_LIST_ENTRIES, /* every listed entry was reported */
 };
 
 /* --- types: events --- */
--- a/src/hf-measure.c
+++ b/src/hf-measure.c
@@ -60,5 +60,6 @@
 {
   struct hf_service_state *service = g_hash_table_lookup (state->homes, &event->server);
   if (service)
-    hf_pool_measured (&service->pool, event->server, state->now, event->hints.slowdown_percent);
+    hf_pool_measured (&service->pool, event->server, state->now, event->hints.status != 0,
+                      event->hints.slowdown_percent);
 }
--- a/src/hf-pool.c
+++ b/src/hf-pool.c
@@ -609,12 +609,14 @@
 {
   if (result != HF_POOL_OK || latency_us <= 0)
     return;
+  /* Large steps at first: the first answers may be far from the usual. */
+  double step = MAX (HF_TYPICAL_STEP, HF_TYPICAL_STEP_FIRST / ++pool->typical_samples);
   if (pool->typical_us <= 0)
     pool->typical_us = (double) latency_us;
   else if ((double) latency_us > pool->typical_us)
-    pool->typical_us *= 1.0 + HF_TYPICAL_STEP;
+    pool->typical_us = MIN ((double) latency_us, pool->typical_us * (1.0 + step));
   else
-    pool->typical_us *= 1.0 - HF_TYPICAL_STEP;
+    pool->typical_us = MAX ((double) latency_us, pool->typical_us * (1.0 - step));
 }
 
 /* --- public functions: slots --- */
@@ -855,14 +857,13 @@
 }
 
 void
-hf_pool_measured (struct hf_pool *pool, uint64_t id, int64_t now, int percent)
+hf_pool_measured (struct hf_pool *pool, uint64_t id, int64_t now, bool answered, int percent)
 {
   struct hf_pool_server *server = hf_pool_server (pool, id);
   if (!server)
     return;
-  if (percent > 0)
-    hf_health_note_slowdown (server, now, percent);
-  server->silent_measures = percent > 0 ? 0 : server->silent_measures + 1;
+  hf_health_note_slowdown (server, now, percent);
+  server->silent_measures = answered ? 0 : server->silent_measures + 1;
 }
 
 unsigned
--- a/src/hf-pool.h
+++ b/src/hf-pool.h
@@ -85,6 +85,7 @@
   struct hf_crowding crowding;
   struct hf_retry_budget budget;
   unsigned queue_limit;
+  unsigned typical_samples;
   double typical_us; /* latency that half of the answers stay below; 0: none yet */
   bool configured;
   uint64_t random;
@@ -146,7 +147,11 @@
                                int64_t started_at); /* an attempt begun then may have broken it */
 void hf_pool_report (struct hf_pool *pool, uint64_t id, int load, int64_t now);   /* a load report */
 void hf_pool_heard (struct hf_pool *pool, uint64_t id, int64_t now, int percent); /* its word in an answer; 0: none */
-void hf_pool_measured (struct hf_pool *pool, uint64_t id, int64_t now, int percent); /* a measurement; 0: no answer */
-unsigned hf_pool_waiting (const struct hf_pool *pool);                               /* length of the queue */
+void hf_pool_measured (struct hf_pool *pool,
+                       uint64_t id,
+                       int64_t now,
+                       bool answered,
+                       int percent);                   /* a measurement; 0 percent: it did not say */
+unsigned hf_pool_waiting (const struct hf_pool *pool); /* length of the queue */
 
 #endif
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -303,11 +303,17 @@
   state->out = NULL;
 }
 
+bool
+hf_state_is_informed (const struct hf_state *state)
+{
+  bool listed = !state->external || (state->directory.complete && state->directory.entries_complete);
+  return state->document && listed;
+}
+
 bool
 hf_state_is_ready (const struct hf_state *state)
 {
-  bool listed = !state->external || state->directory.complete;
-  return state->document && listed && !state->leaving;
+  return hf_state_is_informed (state) && !state->leaving;
 }
 
 bool
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -298,6 +298,7 @@
  * struct hf_directory - the platform's directory of backend servers
  * @servers: by name, of the module itself
  * @complete: it was listed whole once
+ * @entries_complete: so were the other entries
  * @lost: it cannot be reached now
  * @regained_at: when it could be reached again
  */
@@ -305,6 +306,7 @@
 {
   GHashTable *servers;
   bool complete;
+  bool entries_complete;
   bool lost;
   int64_t regained_at;
 };
--- a/tests/test-scripts.c
+++ b/tests/test-scripts.c
@@ -123,11 +123,10 @@
     case HF_EFFECT_LOG:
       g_string_append_printf (out, "  log HF%d " HF_STR_FMT "\n", effect->log_number, HF_STR_ARG (effect->text));
       break;
+    case HF_EFFECT_LIMIT:
     case HF_EFFECT_WAKE:
       break; /* every event moves it; the ticks of a script show what it causes
               */
-    case HF_EFFECT_LIMIT:
-      break;
     case HF_EFFECT_EXIT:
       g_string_append (out, "  exit\n");
       break;
