The time that a returning caller has waited counts against its aim

Cause: after an outage the callers that come again look as fresh as new ones, and take slots from requests that can still be in aim. Change: the usual deadline of a class by majority vote.

--- a/src/config.h
+++ b/src/config.h
@@ -19,6 +19,7 @@
 #define HF_RELAY_CHUNK_BYTES    (64 * 1024)  /* unit of a streamed copy */
 #define HF_CALLER_SILENT_SEC    60           /* caller bytes stalled, then cut */
 #define HF_CALLER_PATH_MS       24           /* a caller's wait outside of this process: connection, both ways */
+#define HF_DEADLINE_VOTES_MAX   50           /* so many callers with another deadline change the usual one */
 #define HF_RETURN_SHARE         3            /* callers return within this part of the time left */
 #define HF_RETURN_RANKS         3            /* priorities told apart when returns are spread */
 #define HF_START_RETRY_AFTER_MS 150          /* told while a starting process learns the configuration */
--- a/src/hf-calls.c
+++ b/src/hf-calls.c
@@ -432,6 +432,36 @@
   return arrived_at + total;
 }
 
+/* Majority vote over the deadlines that callers of one class name. */
+static void
+vote (struct hf_usual_deadline *usual, int64_t deadline_ms)
+{
+  if (usual->votes == 0)
+    usual->ms = deadline_ms;
+  if (usual->ms == deadline_ms)
+    usual->votes = MIN (usual->votes + 1, HF_DEADLINE_VOTES_MAX);
+  else
+    usual->votes--;
+}
+
+/* Callers of a class begin with the same deadline; one that comes again names
+ * what is left of it. */
+static int64_t
+waited_ms (struct hf_state *state, const struct hf_event *event, const struct hf_class *class)
+{
+  uint64_t id = hf_hash (class->name, 0);
+  struct hf_usual_deadline *usual = g_hash_table_lookup (state->deadlines, &id);
+  if (event->request.deadline_ms <= 0)
+    return 0;
+  if (!usual)
+    {
+      usual = g_new0 (struct hf_usual_deadline, 1);
+      g_hash_table_insert (state->deadlines, g_memdup2 (&id, sizeof id), usual);
+    }
+  vote (usual, event->request.deadline_ms);
+  return MAX (usual->ms - event->request.deadline_ms, 0);
+}
+
 static struct hf_call *
 add_call (struct hf_state *state, const struct hf_event *event, const struct hf_route_target *target)
 {
@@ -446,7 +476,10 @@
   call->deadline = deadline_of (event, class, arrived_at);
   call->aim_at = call->deadline;
   if (class->aim_ms > 0)
-    call->aim_at = MIN (call->deadline, arrived_at + (class->aim_ms - HF_CALLER_PATH_MS) * HF_MS);
+    {
+      int64_t aim_ms = class->aim_ms - HF_CALLER_PATH_MS - waited_ms (state, event, class);
+      call->aim_at = MIN (call->deadline, arrived_at + aim_ms * HF_MS);
+    }
   call->body_bytes = event->request.body_bytes;
   call->request_id = hf_str_dup (event->request.id);
   call->streamed = event->request.streamed;
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -258,6 +258,7 @@
   state->wake_at = -1;
   state->services = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, hf_state_free_service);
   state->homes = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  state->deadlines = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   state->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, hf_calls_free);
   state->members = g_ptr_array_new_with_free_func (free_member);
   state->vm_leaving = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -274,6 +275,7 @@
   g_hash_table_destroy (state->services);
   g_hash_table_destroy (state->homes);
   g_hash_table_destroy (state->calls);
+  g_hash_table_destroy (state->deadlines);
   g_ptr_array_unref (state->members);
   g_hash_table_destroy (state->vm_leaving);
   g_hash_table_destroy (state->suspects);
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -130,6 +130,13 @@
   GSequenceIter *late_timer;
 };
 
+/** struct hf_usual_deadline - the deadline that most callers of a class begin with */
+struct hf_usual_deadline
+{
+  int64_t ms;
+  unsigned votes;
+};
+
 /** struct hf_call - one request of a caller */
 struct hf_call
 {
@@ -341,6 +348,7 @@
   struct hf_directory directory;
   GHashTable *services;   /* struct hf_service_state by id */
   GHashTable *homes;      /* the same by id of a backend server */
+  GHashTable *deadlines;  /* struct hf_usual_deadline by hash of a class's name */
   GHashTable *calls;      /* struct hf_call by id */
   GPtrArray *members;     /* struct hf_member */
   GHashTable *vm_leaving; /* addresses of leaving backend VMs */
