Structured lines on stdout, latency histograms, hickoryctl explain

Cause: on a complaint only logs and metrics are there; syslog lines on stderr told of no request. Ruled out: lines by printf (escaping is the library's job).

--- a/bench/harness.c
+++ b/bench/harness.c
@@ -51,14 +51,15 @@
 {
   GError *problem = NULL;
   struct process *process = g_new0 (struct process, 1);
-  process->subprocess = g_subprocess_newv (
-      (const char *const *) argv, errors ? G_SUBPROCESS_FLAGS_STDERR_PIPE : G_SUBPROCESS_FLAGS_STDOUT_PIPE, &problem);
+  process->subprocess = g_subprocess_newv ((const char *const *) argv,
+                                           errors ? G_SUBPROCESS_FLAGS_STDOUT_PIPE | G_SUBPROCESS_FLAGS_STDERR_MERGE
+                                                  : G_SUBPROCESS_FLAGS_STDOUT_PIPE,
+                                           &problem);
   if (!process->subprocess)
     g_error ("cannot start %s: %s", argv[0], problem->message);
   process->log = g_string_new (NULL);
   process->reading = g_cancellable_new ();
-  process->lines = g_data_input_stream_new (errors ? g_subprocess_get_stderr_pipe (process->subprocess)
-                                                   : g_subprocess_get_stdout_pipe (process->subprocess));
+  process->lines = g_data_input_stream_new (g_subprocess_get_stdout_pipe (process->subprocess));
   read_next (process);
   return process;
 }
@@ -107,7 +108,7 @@
 copy_word (const char *text, const char *before, char *out, gsize size)
 {
   const char *at = strstr (text, before);
-  gsize length = at ? strcspn (at + strlen (before), " \n") : 0;
+  gsize length = at ? strcspn (at + strlen (before), " \n\"") : 0;
   g_strlcpy (out, at ? at + strlen (before) : "", MIN (size, length + 1));
 }
 
@@ -229,10 +230,10 @@
   char *file = harness_write (harness, entry->name, settings);
   char *argv[] = { program_path (harness, "hickoryd"), file, NULL };
   entry->process = spawn (argv, TRUE);
-  wait_for_text (entry->process, "HF1002");
-  copy_word (entry->process->log->str, "callers=", entry->listen, sizeof entry->listen);
-  copy_word (entry->process->log->str, "admin=", entry->admin, sizeof entry->admin);
-  copy_word (entry->process->log->str, "peers=", entry->peers, sizeof entry->peers);
+  wait_for_text (entry->process, "\"name\":\"listening\"");
+  copy_word (entry->process->log->str, "\"callers\":\"", entry->listen, sizeof entry->listen);
+  copy_word (entry->process->log->str, "\"admin\":\"", entry->admin, sizeof entry->admin);
+  copy_word (entry->process->log->str, "\"peers\":\"", entry->peers, sizeof entry->peers);
   g_free (argv[0]);
   g_free (file);
   g_free (settings);
--- a/src/config.h
+++ b/src/config.h
@@ -38,6 +38,15 @@
 
 #define HF_MALLOC_TRIM_BYTES (4 * 1024 * 1024)
 
+/* Log. */
+#define HF_LOG_LINES_PER_SEC 400         /* above: dropped and counted */
+#define HF_LOG_BYTES_MAX     (64 * 1024) /* waiting for the reader, above: dropped and counted */
+#define HF_LOG_RETRY_MS      20          /* a full pipe is tried again */
+#define HF_LOG_SAMPLE        16          /* under load the successes of one request in so many are kept */
+#define HF_LOG_FIELDS_MAX    12
+
+#define HF_LATENCY_CLASSES_MAX 64 /* classes with histograms of their own */
+
 /* Attempts. */
 #define HF_ATTEMPTS_MAX        3
 #define HF_BACKOFF_BASE_MS     10
--- a/src/hf-calls.c
+++ b/src/hf-calls.c
@@ -8,6 +8,7 @@
 #include "hf-reduce.h"
 #include "hf-routing.h"
 #include "hf-slots.h"
+#include "hf-trace.h"
 
 /* --- internal functions: look up --- */
 
@@ -125,7 +126,9 @@
   if (call->maybe_run && status == 503 && call->class->resend_refused)
     status = 502; /* 503 would say that it has not run */
   hf_claims_ended (state, call, outcome, 0);
-  answer (state, call->id, status, outcome, status == 503 ? retry_after_ms (state, call) : 0, reason);
+  int64_t return_ms = status == 503 ? retry_after_ms (state, call) : 0;
+  hf_trace_failed (state, call, status, outcome, return_ms, reason);
+  answer (state, call->id, status, outcome, return_ms, reason);
   remove_call (state, call);
 }
 
@@ -140,6 +143,8 @@
   hf_effects_add (state->out, effect);
   call->relayed = true;
   hf_state_count (state, HF_COUNT_ANSWERED);
+  hf_trace_answered (state, call, i);
+  hf_latency_add (&state->latency, call->class->name, HF_STAGE_WHOLE, state->now - call->arrived_at);
   if (call->attempts[i].hedge)
     hf_state_count (state, HF_COUNT_HEDGES_WON);
 }
@@ -150,8 +155,11 @@
 start_attempt (struct hf_state *state, struct hf_call *call, bool retry, bool hedge, uint64_t exclude)
 {
   unsigned i = call->n_attempts++;
-  call->attempts[i]
-      = (struct hf_attempt){ .phase = HF_PHASE_ASKING, .retry = retry, .hedge = hedge, .exclude = exclude };
+  call->attempts[i] = (struct hf_attempt){
+    .phase = HF_PHASE_ASKING, .retry = retry, .hedge = hedge, .asked_first_at = state->now, .exclude = exclude
+  };
+  if (retry)
+    hf_trace_again (state, call, hedge ? "the attempt before is late" : "the attempt before failed");
   hf_slots_ask (state, call, i);
 }
 
@@ -186,6 +194,8 @@
   attempt->phase = HF_PHASE_RUNNING;
   attempt->server = server->id;
   attempt->started_at = state->now;
+  hf_trace_sent (state, call, i, server);
+  hf_latency_add (&state->latency, call->class->name, HF_STAGE_SLOT, state->now - attempt->asked_first_at);
   hf_timers_cancel (&attempt->ask_timer);
   hf_effects_add (state->out, effect);
   hf_state_count (state, HF_COUNT_DISPATCHED);
@@ -222,7 +232,7 @@
 }
 
 static void
-refused (struct hf_state *state, struct hf_call *call, enum hf_refusal reason)
+refused (struct hf_state *state, struct hf_call *call, unsigned i, enum hf_refusal reason)
 {
   static const struct
   {
@@ -242,6 +252,7 @@
   if (reason == HF_REFUSAL_NONE || reason > HF_REFUSAL_NEEDLESS)
     reason = HF_REFUSAL_NO_SERVER;
   hf_state_count (state, refusals[reason].counter);
+  hf_trace_denied (state, call, i, refusals[reason].text);
   if (has_live_attempt (call))
     return;
   if (held >= 0 && call->class->resend_refused
@@ -329,6 +340,7 @@
   else
     {
       hf_effects_add (state->out, (struct hf_effect){ .kind = HF_EFFECT_CUT, .call = call->id });
+      hf_trace_cut (state, call);
       hf_state_count (state, HF_COUNT_CUT);
       hf_claims_ended (state, call, HF_OUTCOME_UNKNOWN, 0);
     }
@@ -473,6 +485,7 @@
   call->service = target->service;
   call->class = class;
   call->service_id = hf_service_id (target->service);
+  call->arrived_at = arrived_at;
   call->deadline = deadline_of (event, class, arrived_at);
   call->aim_at = call->deadline;
   if (class->aim_ms > 0)
@@ -509,6 +522,7 @@
   hf_state_count (state, HF_COUNT_REQUESTS);
   if (!hf_state_is_informed (state))
     {
+      hf_trace_refused (state, event, 503, "no configuration yet");
       answer (state, event->call, 503, HF_OUTCOME_NOT_RUN,
               state->external ? HF_START_RETRY_AFTER_MS : HF_RETRY_AFTER_MS, "no configuration yet");
       return;
@@ -516,6 +530,7 @@
   struct hf_route_target target;
   if (!hf_route_request (state->document, &head, hf_random_next (&state->random), &target))
     {
+      hf_trace_refused (state, event, 404, "no route");
       answer (state, event->call, 404, HF_OUTCOME_NOT_RUN, 0,
               target.service ? "no request class matches" : "no such service");
       return;
@@ -524,11 +539,13 @@
   if (hf_quarantine_holds (state, fingerprint))
     {
       hf_state_count (state, HF_COUNT_QUARANTINED);
+      hf_trace_refused (state, event, 503, "quarantined");
       answer (state, event->call, 503, HF_OUTCOME_NOT_RUN, 0, "quarantined: backend servers broke under this request");
       return;
     }
   struct hf_call *call = add_call (state, event, &target);
   call->fingerprint = fingerprint;
+  hf_trace_routed (state, call);
   if (!call->class->repeatable && event->request.key.len > 0)
     hf_claims_begin (state, call, event->request.key);
   else
@@ -542,6 +559,7 @@
   if (!call)
     return;
   hf_state_count (state, HF_COUNT_CALLERS_GONE);
+  hf_trace_gone (state, call);
   for (unsigned i = 0; i < call->n_attempts; i++)
     call->maybe_run = call->maybe_run || call->attempts[i].phase == HF_PHASE_RUNNING;
   hf_claims_ended (state, call, call->maybe_run ? HF_OUTCOME_UNKNOWN : HF_OUTCOME_NOT_RUN, 0);
@@ -569,6 +587,8 @@
   if (!attempt)
     return;
   hf_attempt_learn (state, call, attempt, &event->hints);
+  hf_trace_ended (state, call, event->attempt, event);
+  hf_latency_add (&state->latency, call->class->name, HF_STAGE_ATTEMPT, state->now - attempt->started_at);
   bool crash = hf_attempt_is_crash (state, call, attempt, event);
   call->settling = true;
   end_attempt (state, call, event->attempt, hf_attempt_result_of (event));
@@ -615,7 +635,7 @@
   if (decision->kind == HF_DECISION_REFUSED)
     {
       attempt->phase = HF_PHASE_ENDED;
-      refused (state, call, decision->reason);
+      refused (state, call, i, decision->reason);
       return true;
     }
   const struct hf_service_state *service = hf_state_service (state, call->service_id);
--- a/src/hf-dump.c
+++ b/src/hf-dump.c
@@ -229,6 +229,7 @@
   for (int i = 0; i < HF_COUNTERS; i++)
     g_string_append_printf (text, "%s %" G_GUINT64_FORMAT "\n", hf_counter_names[i], (guint64) state->counters[i]);
   g_ptr_array_unref (services);
+  hf_latency_write (&state->latency, text);
   return g_string_free (text, FALSE);
 }
 
--- a/src/hf-event.h
+++ b/src/hf-event.h
@@ -13,6 +13,7 @@
 
 #include "hf-base.h"
 #include "hf-document.h"
+#include "hf-log.h"
 #include "hf-rpc.h"
 
 /* --- types: shared values --- */
@@ -229,6 +230,8 @@
   struct hf_str data;
   struct hf_limits limits;
   int log_number;
+  const struct hf_log_field *log_fields;
+  size_t n_log_fields;
   int64_t at;
 };
 
--- /dev/null
+++ b/src/hf-explain.c
@@ -0,0 +1,159 @@
+/* The life of one request from logs. */
+#include "hf-explain.h"
+
+#include <json-glib/json-glib.h>
+#include <stdio.h>
+#include <string.h>
+
+/* --- types --- */
+
+struct hf_explain
+{
+  char *request;
+  GPtrArray *lines; /* JsonNode */
+  guint skipped;
+};
+
+/* --- internal functions --- */
+
+static double
+time_of (JsonNode *node)
+{
+  return json_object_get_double_member_with_default (json_node_get_object (node), "time", 0);
+}
+
+static int
+compare_times (gconstpointer a, gconstpointer b)
+{
+  double left = time_of (*(JsonNode *const *) a);
+  double right = time_of (*(JsonNode *const *) b);
+  return left < right ? -1 : left > right;
+}
+
+static bool
+is_common (const char *member)
+{
+  static const char *const names[] = { "time", "level", "event", "name", "entry", "request" };
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    if (strcmp (names[i], member) == 0)
+      return true;
+  return false;
+}
+
+static void
+append_members (GString *text, JsonObject *object)
+{
+  GList *members = json_object_get_members (object);
+  for (GList *member = members; member; member = member->next)
+    {
+      if (is_common (member->data))
+        continue;
+      char *value = json_to_string (json_object_get_member (object, member->data), FALSE);
+      g_string_append_printf (text, " %s=%s", (const char *) member->data, value);
+      g_free (value);
+    }
+  g_list_free (members);
+}
+
+static void
+append_event (GString *text, JsonNode *node, double first)
+{
+  JsonObject *object = json_node_get_object (node);
+  g_string_append_printf (text, "%+9.1f ms  %-18s HF%d %-17s", (time_of (node) - first) * 1000,
+                          json_object_get_string_member_with_default (object, "entry", "?"),
+                          (int) json_object_get_int_member_with_default (object, "event", 0),
+                          json_object_get_string_member_with_default (object, "name", "?"));
+  append_members (text, object);
+  g_string_append_c (text, '\n');
+}
+
+/* --- public functions --- */
+
+struct hf_explain *
+hf_explain_open (const char *request)
+{
+  struct hf_explain *explain = g_new0 (struct hf_explain, 1);
+  explain->request = g_strdup (request);
+  explain->lines = g_ptr_array_new_with_free_func ((GDestroyNotify) json_node_unref);
+  return explain;
+}
+
+void
+hf_explain_close (struct hf_explain *explain)
+{
+  g_ptr_array_unref (explain->lines);
+  g_free (explain->request);
+  g_free (explain);
+}
+
+bool
+hf_explain_file (struct hf_explain *explain, const char *path, struct hf_error *error)
+{
+  FILE *file = strcmp (path, "-") == 0 ? stdin : fopen (path, "r");
+  char *line = NULL;
+  size_t size = 0;
+  if (!file)
+    return hf_error_set (error, HF_ERROR_IO, "cannot read %s", path);
+  while (getline (&line, &size, file) >= 0)
+    hf_explain_line (explain, g_strchomp (line));
+  free (line);
+  if (file != stdin)
+    fclose (file);
+  return true;
+}
+
+void
+hf_explain_line (struct hf_explain *explain, const char *line)
+{
+  if (line[0] == 0)
+    return;
+  JsonNode *node = json_from_string (line, NULL);
+  if (!node || !JSON_NODE_HOLDS_OBJECT (node))
+    {
+      explain->skipped++;
+      g_clear_pointer (&node, json_node_unref);
+      return;
+    }
+  JsonNode *request = json_object_get_member (json_node_get_object (node), "request");
+  bool is_text = request && JSON_NODE_HOLDS_VALUE (request) && json_node_get_value_type (request) == G_TYPE_STRING;
+  if (is_text && strcmp (json_node_get_string (request), explain->request) == 0)
+    g_ptr_array_add (explain->lines, node);
+  else
+    json_node_unref (node);
+}
+
+guint
+hf_explain_found (const struct hf_explain *explain)
+{
+  return explain->lines->len;
+}
+
+guint
+hf_explain_skipped (const struct hf_explain *explain)
+{
+  return explain->skipped;
+}
+
+char *
+hf_explain_text (struct hf_explain *explain)
+{
+  GString *text = g_string_new (NULL);
+  g_ptr_array_sort (explain->lines, compare_times);
+  for (guint i = 0; i < explain->lines->len; i++)
+    append_event (text, g_ptr_array_index (explain->lines, i), time_of (g_ptr_array_index (explain->lines, 0)));
+  return g_string_free (text, FALSE);
+}
+
+char *
+hf_explain_json (struct hf_explain *explain)
+{
+  JsonArray *array = json_array_new ();
+  g_ptr_array_sort (explain->lines, compare_times);
+  for (guint i = 0; i < explain->lines->len; i++)
+    json_array_add_element (array, json_node_copy (g_ptr_array_index (explain->lines, i)));
+  JsonNode *root = json_node_new (JSON_NODE_ARRAY);
+  json_node_take_array (root, array);
+  char *text = json_to_string (root, TRUE);
+  json_node_unref (root);
+  return text;
+}
--- a/src/hf-log.c
+++ b/src/hf-log.c
@@ -1,11 +1,15 @@
-/* Numbered events as syslog-style lines on standard error. */
+/* Numbered events as JSON objects, one a line, on standard output. */
 #include "hf-log.h"
 
+#include <errno.h>
+#include <fcntl.h>
 #include <glib.h>
-#include <stdio.h>
-#include <syslog.h>
+#include <json-glib/json-glib.h>
+#include <string.h>
 #include <unistd.h>
 
+#include "config.h"
+
 /* --- constants --- */
 
 const struct hf_log_entry hf_log_entries[] = {
@@ -38,15 +42,157 @@
   { HF_LOG_PLATFORM_LOST, HF_LEVEL_WARNING, "platform-lost" },
   { HF_LOG_PLATFORM_BACK, HF_LEVEL_NOTICE, "platform-back" },
   { HF_LOG_WATCH_SILENT, HF_LEVEL_WARNING, "watch-silent" },
+  { HF_LOG_LINES_DROPPED, HF_LEVEL_WARNING, "lines-dropped" },
+  { HF_LOG_REQUEST_ROUTED, HF_LEVEL_INFO, "request-routed" },
+  { HF_LOG_REQUEST_QUEUED, HF_LEVEL_DEBUG, "request-queued" },
+  { HF_LOG_REQUEST_SENT, HF_LEVEL_INFO, "request-sent" },
+  { HF_LOG_ATTEMPT_ENDED, HF_LEVEL_INFO, "attempt-ended" },
+  { HF_LOG_ATTEMPT_FAILED, HF_LEVEL_NOTICE, "attempt-failed" },
+  { HF_LOG_REQUEST_AGAIN, HF_LEVEL_NOTICE, "request-again" },
+  { HF_LOG_REQUEST_REFUSED, HF_LEVEL_NOTICE, "request-refused" },
+  { HF_LOG_REQUEST_ANSWERED, HF_LEVEL_INFO, "request-answered" },
+  { HF_LOG_REQUEST_FAILED, HF_LEVEL_NOTICE, "request-failed" },
+  { HF_LOG_REQUEST_CUT, HF_LEVEL_WARNING, "request-cut" },
+  { HF_LOG_CALLER_GONE, HF_LEVEL_NOTICE, "caller-gone" },
+  { HF_LOG_SLOT_DENIED, HF_LEVEL_NOTICE, "slot-denied" },
   { 0 },
 };
 
-static const int syslog_levels[] = { LOG_DEBUG, LOG_INFO, LOG_NOTICE, LOG_WARNING, LOG_ERR };
+static const char *const level_names[] = { "debug", "info", "notice", "warning", "error" };
 
 /* --- state --- */
 
-static const char *program_name = "hickoryfield";
-static enum hf_log_level least_level = HF_LEVEL_INFO;
+/* The process's one log: lines that wait for the pipe, and what was left out. */
+static struct
+{
+  const char *program;
+  char *entry;
+  enum hf_log_level least;
+  GString *waiting;
+  guint flush;        /* source that writes what waits, 0: none */
+  int64_t second;     /* monotonic second that the count is for */
+  unsigned lines;     /* lines in that second */
+  unsigned dropped;   /* lines left out since the last report */
+  unsigned unsampled; /* successes left out by sampling */
+} journal = { .program = "hickoryfield", .least = HF_LEVEL_INFO };
+
+/* --- internal functions: writing --- */
+
+static bool
+write_waiting (void)
+{
+  while (journal.waiting->len > 0)
+    {
+      ssize_t put = write (STDOUT_FILENO, journal.waiting->str, journal.waiting->len);
+      if (put < 0 && errno == EINTR)
+        continue;
+      if (put <= 0)
+        return false;
+      g_string_erase (journal.waiting, 0, put);
+    }
+  return true;
+}
+
+static gboolean flush (gpointer data);
+
+static void
+plan_flush (bool blocked)
+{
+  if (journal.flush)
+    return;
+  journal.flush = blocked ? g_timeout_add (HF_LOG_RETRY_MS, flush, NULL) : g_idle_add (flush, NULL);
+}
+
+/* Runs once a turn of the loop: one write for all lines of the turn. */
+static gboolean
+flush (gpointer data)
+{
+  (void) data;
+  journal.flush = 0;
+  if (!write_waiting ())
+    plan_flush (true);
+  return G_SOURCE_REMOVE;
+}
+
+/* --- internal functions: limits --- */
+
+static bool
+has_room (void)
+{
+  int64_t second = g_get_monotonic_time () / G_USEC_PER_SEC;
+  if (second != journal.second)
+    {
+      journal.second = second;
+      journal.lines = 0;
+    }
+  return journal.lines < HF_LOG_LINES_PER_SEC && journal.waiting->len < HF_LOG_BYTES_MAX;
+}
+
+/* Above half of the rate only some requests' successes are kept, the same ones
+ * by every entry and at every step. */
+static bool
+is_sampled_out (const struct hf_log_entry *entry, struct hf_str request)
+{
+  if (request.len == 0 || entry->level > HF_LEVEL_INFO || journal.lines < HF_LOG_LINES_PER_SEC / 2)
+    return false;
+  return hf_hash (request, 0) % HF_LOG_SAMPLE != 0;
+}
+
+/* --- internal functions: lines --- */
+
+static void
+add_member (JsonBuilder *builder, const struct hf_log_field *field)
+{
+  json_builder_set_member_name (builder, field->name);
+  if (!field->is_text)
+    {
+      json_builder_add_int_value (builder, field->number);
+      return;
+    }
+  char *text = g_utf8_make_valid (field->text.data ? field->text.data : "", (gssize) field->text.len);
+  json_builder_add_string_value (builder, text);
+  g_free (text);
+}
+
+static void
+append_line (const struct hf_log_entry *entry, const struct hf_log_field *fields, size_t n)
+{
+  JsonBuilder *builder = json_builder_new ();
+  struct hf_log_field number = HF_LOG_INT ("event", entry->number);
+  json_builder_begin_object (builder);
+  json_builder_set_member_name (builder, "time");
+  json_builder_add_double_value (builder, (double) g_get_real_time () / G_USEC_PER_SEC);
+  json_builder_set_member_name (builder, "level");
+  json_builder_add_string_value (builder, level_names[entry->level]);
+  add_member (builder, &number);
+  json_builder_set_member_name (builder, "name");
+  json_builder_add_string_value (builder, entry->name);
+  json_builder_set_member_name (builder, "entry");
+  json_builder_add_string_value (builder, journal.entry ? journal.entry : journal.program);
+  for (size_t i = 0; i < n; i++)
+    add_member (builder, &fields[i]);
+  json_builder_end_object (builder);
+  JsonNode *root = json_builder_get_root (builder);
+  char *text = json_to_string (root, FALSE);
+  g_string_append (journal.waiting, text);
+  g_string_append_c (journal.waiting, '\n');
+  journal.lines++;
+  g_free (text);
+  json_node_unref (root);
+  g_object_unref (builder);
+}
+
+static void
+report_dropped (void)
+{
+  if (journal.dropped == 0 && journal.unsampled == 0)
+    return;
+  struct hf_log_field fields[]
+      = { HF_LOG_INT ("lines", journal.dropped), HF_LOG_INT ("sampled_out", journal.unsampled) };
+  journal.dropped = 0;
+  journal.unsampled = 0;
+  append_line (hf_log_find (HF_LOG_LINES_DROPPED), fields, G_N_ELEMENTS (fields));
+}
 
 /* --- public functions --- */
 
@@ -60,27 +206,65 @@
 }
 
 void
-hf_log_open (const char *program, enum hf_log_level least)
+hf_log_open (const char *program, struct hf_str entry, enum hf_log_level least)
 {
-  program_name = program;
-  least_level = least;
+  journal.program = program;
+  journal.least = least;
+  g_free (journal.entry);
+  journal.entry = entry.len ? g_strndup (entry.data, entry.len) : NULL;
+  if (!journal.waiting)
+    journal.waiting = g_string_new (NULL);
+  /* A reader that is slow must not hold requests back. */
+  int flags = fcntl (STDOUT_FILENO, F_GETFL);
+  if (flags >= 0)
+    fcntl (STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
 }
 
 void
-hf_log_write (int number, const char *format, ...)
+hf_log_close (void)
+{
+  if (!journal.waiting)
+    return;
+  if (journal.flush)
+    g_source_remove (journal.flush);
+  journal.flush = 0;
+  write_waiting ();
+  g_string_free (journal.waiting, TRUE);
+  g_free (journal.entry);
+  journal.waiting = NULL;
+  journal.entry = NULL;
+}
+
+void
+hf_log_fields (int number, struct hf_str request, const struct hf_log_field *fields, size_t n)
 {
   const struct hf_log_entry *entry = hf_log_find (number);
+  if (!entry || entry->level < journal.least || !journal.waiting)
+    return;
+  if (!has_room ())
+    {
+      journal.dropped++;
+      return;
+    }
+  if (is_sampled_out (entry, request))
+    {
+      journal.unsampled++;
+      return;
+    }
+  if (journal.lines == 0)
+    report_dropped ();
+  append_line (entry, fields, n);
+  plan_flush (false);
+}
+
+void
+hf_log_write (int number, const char *format, ...)
+{
   char text[512];
   va_list args;
-  if (!entry || entry->level < least_level)
-    return;
   va_start (args, format);
   g_vsnprintf (text, sizeof text, format, args);
   va_end (args);
-  GDateTime *now = g_date_time_new_now_local ();
-  char *stamp = g_date_time_format (now, "%b %e %T");
-  fprintf (stderr, "<%d>%s %s[%d]: HF%d %s: %s\n", syslog_levels[entry->level], stamp, program_name, (int) getpid (),
-           number, entry->name, text);
-  g_free (stamp);
-  g_date_time_unref (now);
+  struct hf_log_field field = HF_LOG_TEXT ("text", hf_str (text));
+  hf_log_fields (number, (struct hf_str){ 0 }, &field, 1);
 }
--- a/src/hf-log.h
+++ b/src/hf-log.h
@@ -1,8 +1,9 @@
 /**
  * DOC: hf-log - numbered events
  *
- * Every line that a process writes has a number, a level and a name from one
- * table; docs/EVENTS.md explains each.
+ * Every line that a process writes is a JSON object with a number, a level and
+ * a name from one table; docs/EVENTS.md explains each. Lines are bounded in
+ * number, and writing them never waits for whoever reads them.
  */
 #ifndef HF_LOG_H
 #define HF_LOG_H
@@ -32,6 +33,7 @@
   HF_LOG_STATE_DUMP = 1006,
   HF_LOG_PAUSED = 1007,
   HF_LOG_RELOADED = 1008,
+  HF_LOG_LINES_DROPPED = 1009,
   HF_LOG_CONFIG_ADOPTED = 2001,
   HF_LOG_CONFIG_INVALID = 2002,
   HF_LOG_CONFIG_OLD = 2003,
@@ -53,6 +55,18 @@
   HF_LOG_PLATFORM_LOST = 7001,
   HF_LOG_PLATFORM_BACK = 7002,
   HF_LOG_WATCH_SILENT = 7003,
+  HF_LOG_REQUEST_ROUTED = 8001,
+  HF_LOG_REQUEST_QUEUED = 8002,
+  HF_LOG_REQUEST_SENT = 8003,
+  HF_LOG_ATTEMPT_ENDED = 8004,
+  HF_LOG_ATTEMPT_FAILED = 8005,
+  HF_LOG_REQUEST_AGAIN = 8006,
+  HF_LOG_REQUEST_REFUSED = 8007,
+  HF_LOG_REQUEST_ANSWERED = 8008,
+  HF_LOG_REQUEST_FAILED = 8009,
+  HF_LOG_REQUEST_CUT = 8010,
+  HF_LOG_CALLER_GONE = 8011,
+  HF_LOG_SLOT_DENIED = 8012,
 };
 
 /** struct hf_log_entry - one row of the table of events */
@@ -63,12 +77,30 @@
   const char *name;
 };
 
+/** struct hf_log_field - one member of a line beside the common ones */
+struct hf_log_field
+{
+  const char *name;
+  struct hf_str text;
+  int64_t number;
+  bool is_text;
+};
+
+#define HF_LOG_INT(n, v)  ((struct hf_log_field){ .name = (n), .number = (int64_t) (v) })
+#define HF_LOG_TEXT(n, v) ((struct hf_log_field){ .name = (n), .text = (v), .is_text = true })
+
 /* --- public functions --- */
 
-extern const struct hf_log_entry hf_log_entries[];               /* ended by number 0 */
-const struct hf_log_entry *hf_log_find (int number);             /* row of an event */
-void hf_log_open (const char *program, enum hf_log_level least); /* sets the name and the least level */
+extern const struct hf_log_entry hf_log_entries[];   /* ended by number 0 */
+const struct hf_log_entry *hf_log_find (int number); /* row of an event */
+void
+hf_log_open (const char *program, struct hf_str entry, enum hf_log_level least); /* who writes, and what at least */
+void hf_log_close (void);                                                        /* writes what waits */
+void hf_log_fields (int number,
+                    struct hf_str request,
+                    const struct hf_log_field *fields,
+                    size_t n); /* one line; lines of one request are sampled together */
 void hf_log_write (int number, const char *format, ...)
-    __attribute__ ((format (printf, 2, 3))); /* one line on stderr */
+    __attribute__ ((format (printf, 2, 3))); /* one line with a text */
 
 #endif
--- a/src/hf-loop.c
+++ b/src/hf-loop.c
@@ -51,7 +51,10 @@
         hf_platform_call (loop->platform, effect);
       break;
     case HF_EFFECT_LOG:
-      hf_log_write (effect->log_number, HF_STR_FMT, HF_STR_ARG (effect->text));
+      if (effect->n_log_fields)
+        hf_log_fields (effect->log_number, effect->name, effect->log_fields, effect->n_log_fields);
+      else
+        hf_log_write (effect->log_number, HF_STR_FMT, HF_STR_ARG (effect->text));
       break;
     case HF_EFFECT_WAKE:
       g_source_set_ready_time (loop->wake, effect->at);
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -264,6 +264,7 @@
   state->vm_leaving = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   state->suspects = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   hf_directory_init (&state->directory);
+  hf_latency_init (&state->latency);
   hf_claims_init (state);
   hf_timers_init (&state->timers);
   return state;
@@ -280,6 +281,7 @@
   g_hash_table_destroy (state->vm_leaving);
   g_hash_table_destroy (state->suspects);
   hf_directory_close (&state->directory);
+  hf_latency_close (&state->latency);
   hf_claims_close (state);
   hf_timers_close (&state->timers);
   if (state->pull.text)
--- a/src/hf-settings.h
+++ b/src/hf-settings.h
@@ -20,6 +20,7 @@
  * @peers: address for datagrams of the other entries
  * @platform: address of the platform's object API
  * @store: address of the users' platform store; instead of @platform
+ * @metrics: address that serves only the metrics, or empty
  * @grace_ms: a shutdown is over after that, whatever is in flight
  * @drain_wait_ms: time that a shutdown waits for the balancer in front
  * @log_level: index of debug, info, notice, warning, err
@@ -33,6 +34,7 @@
   struct hf_str peers;
   struct hf_str platform;
   struct hf_str store;
+  struct hf_str metrics;
   int64_t grace_ms;
   int64_t drain_wait_ms;
   int64_t log_level;
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -9,6 +9,7 @@
 
 #include "hf-document.h"
 #include "hf-event.h"
+#include "hf-latency.h"
 #include "hf-log.h"
 #include "hf-objects.h"
 #include "hf-pool.h"
@@ -123,6 +124,7 @@
   uint64_t granter;  /* boot id asked; 0: own pool */
   bool acknowledged; /* the granter has queued it */
   int64_t asked_at;
+  int64_t asked_first_at; /* for this attempt, whoever was asked */
   uint64_t server;
   int64_t started_at;
   int slowdown_percent; /* the backend server's word in its answer, 0: none */
@@ -145,6 +147,7 @@
   const struct hf_service *service;
   const struct hf_class *class;
   uint64_t service_id;
+  int64_t arrived_at;
   int64_t deadline;
   int64_t aim_at; /* an answer before then is worth most */
   size_t body_bytes;
@@ -358,6 +361,7 @@
   GHashTable *suspects; /* struct hf_suspect by fingerprint */
   struct hf_timers timers;
   uint64_t counters[HF_COUNTERS];
+  struct hf_latency latency;
 };
 
 /* --- public functions: helpers of the reducer's modules --- */
--- /dev/null
+++ b/src/hf-trace.c
@@ -0,0 +1,175 @@
+/* Log lines on the life of a request. */
+#include "hf-trace.h"
+
+#include <string.h>
+
+/* --- constants --- */
+
+static const char *const result_names[] = {
+  [HF_ATTEMPT_ANSWERED] = "answered", [HF_ATTEMPT_CONNECT_FAILED] = "no-connection",
+  [HF_ATTEMPT_BROKEN] = "broken",     [HF_ATTEMPT_SHORT] = "short",
+  [HF_ATTEMPT_TIMEOUT] = "timeout",   [HF_ATTEMPT_CANCELLED] = "cancelled",
+};
+
+static const char *const outcome_names[]
+    = { [HF_OUTCOME_ANSWERED] = "answered", [HF_OUTCOME_NOT_RUN] = "not-run", [HF_OUTCOME_UNKNOWN] = "unknown" };
+
+/* --- internal functions --- */
+
+static void
+add_line (struct hf_state *state,
+          enum hf_log_number number,
+          struct hf_str request,
+          const struct hf_log_field *fields,
+          size_t n)
+{
+  struct hf_log_field *kept = hf_effects_alloc (state->out, (n + 1) * sizeof *kept);
+  struct hf_effect effect = { .kind = HF_EFFECT_LOG, .log_number = number, .log_fields = kept, .n_log_fields = n + 1 };
+  effect.name = hf_effects_keep (state->out, request);
+  kept[0] = HF_LOG_TEXT ("request", effect.name);
+  for (size_t i = 0; i < n; i++)
+    {
+      kept[i + 1] = fields[i];
+      if (fields[i].is_text)
+        kept[i + 1].text = hf_effects_keep (state->out, fields[i].text);
+    }
+  hf_effects_add (state->out, effect);
+}
+
+static int64_t
+since_ms (const struct hf_state *state, int64_t at)
+{
+  return (state->now - at) / HF_MS;
+}
+
+static struct hf_str
+server_name (const struct hf_state *state, const struct hf_call *call, unsigned attempt)
+{
+  const struct hf_service_state *service = hf_state_service (state, call->service_id);
+  const struct hf_pool_server *server
+      = service ? hf_pool_server (&service->pool, call->attempts[attempt].server) : NULL;
+  return server ? server->name : hf_str ("no longer listed");
+}
+
+/* --- public functions --- */
+
+void
+hf_trace_routed (struct hf_state *state, const struct hf_call *call)
+{
+  const struct hf_log_field fields[] = { HF_LOG_TEXT ("class", call->class->name),
+                                         HF_LOG_TEXT ("service", call->service->name),
+                                         HF_LOG_INT ("generation", call->document->generation),
+                                         HF_LOG_INT ("deadline_ms", -since_ms (state, call->deadline)),
+                                         HF_LOG_INT ("aim_ms", -since_ms (state, call->aim_at)),
+                                         HF_LOG_INT ("body_bytes", call->body_bytes) };
+  add_line (state, HF_LOG_REQUEST_ROUTED, call->request_id, fields, G_N_ELEMENTS (fields));
+}
+
+void
+hf_trace_denied (struct hf_state *state, const struct hf_call *call, unsigned attempt, const char *reason)
+{
+  const struct hf_attempt *asked = &call->attempts[attempt];
+  const struct hf_log_field fields[] = { HF_LOG_INT ("attempt", attempt), HF_LOG_TEXT ("reason", hf_str (reason)),
+                                         HF_LOG_TEXT ("by", hf_str (asked->granter ? "granter" : "own pool")),
+                                         HF_LOG_INT ("waited_ms", since_ms (state, asked->asked_first_at)) };
+  add_line (state, HF_LOG_SLOT_DENIED, call->request_id, fields, G_N_ELEMENTS (fields));
+}
+
+void
+hf_trace_sent (struct hf_state *state,
+               const struct hf_call *call,
+               unsigned attempt,
+               const struct hf_pool_server *server)
+{
+  const struct hf_attempt *sent = &call->attempts[attempt];
+  const struct hf_log_field fields[] = {
+    HF_LOG_INT ("attempt", attempt),
+    HF_LOG_TEXT ("server", server->name),
+    HF_LOG_TEXT ("by", hf_str (sent->granter ? "granter" : "own pool")),
+    HF_LOG_INT ("waited_ms", since_ms (state, sent->asked_first_at)),
+    HF_LOG_INT ("remaining_ms", -since_ms (state, call->deadline)),
+    HF_LOG_INT ("slowdown_percent", server->slowdown_percent),
+    HF_LOG_INT ("slowdown_age_ms", server->slowdown_percent ? since_ms (state, server->slowdown_at) : -1),
+    HF_LOG_INT ("server_latency_ms", server->latency_us / HF_MS),
+  };
+  add_line (state, HF_LOG_REQUEST_SENT, call->request_id, fields, G_N_ELEMENTS (fields));
+}
+
+void
+hf_trace_ended (struct hf_state *state, const struct hf_call *call, unsigned attempt, const struct hf_event *event)
+{
+  const struct hf_attempt *ended = &call->attempts[attempt];
+  bool well = event->result == HF_ATTEMPT_ANSWERED && event->hints.status < 500;
+  const struct hf_log_field fields[] = { HF_LOG_INT ("attempt", attempt),
+                                         HF_LOG_TEXT ("server", server_name (state, call, attempt)),
+                                         HF_LOG_TEXT ("result", hf_str (result_names[event->result])),
+                                         HF_LOG_INT ("status", event->hints.status),
+                                         HF_LOG_INT ("not_run", event->hints.not_run),
+                                         HF_LOG_INT ("handed", event->handed),
+                                         HF_LOG_INT ("latency_ms", since_ms (state, ended->started_at)),
+                                         HF_LOG_INT ("slowdown_percent", event->hints.slowdown_percent) };
+  add_line (state, well ? HF_LOG_ATTEMPT_ENDED : HF_LOG_ATTEMPT_FAILED, call->request_id, fields,
+            G_N_ELEMENTS (fields));
+}
+
+void
+hf_trace_again (struct hf_state *state, const struct hf_call *call, const char *why)
+{
+  const struct hf_log_field fields[] = { HF_LOG_INT ("attempt", call->n_attempts), HF_LOG_TEXT ("why", hf_str (why)),
+                                         HF_LOG_INT ("remaining_ms", -since_ms (state, call->deadline)),
+                                         HF_LOG_INT ("aim_ms", -since_ms (state, call->aim_at)) };
+  add_line (state, HF_LOG_REQUEST_AGAIN, call->request_id, fields, G_N_ELEMENTS (fields));
+}
+
+void
+hf_trace_refused (struct hf_state *state, const struct hf_event *event, unsigned status, const char *reason)
+{
+  const struct hf_log_field fields[] = { HF_LOG_INT ("status", status), HF_LOG_TEXT ("reason", hf_str (reason)),
+                                         HF_LOG_INT ("generation", state->document ? state->document->generation : 0) };
+  add_line (state, HF_LOG_REQUEST_REFUSED, event->request.id, fields, G_N_ELEMENTS (fields));
+}
+
+void
+hf_trace_failed (struct hf_state *state,
+                 const struct hf_call *call,
+                 unsigned status,
+                 enum hf_outcome outcome,
+                 int64_t retry_after_ms,
+                 const char *reason)
+{
+  const struct hf_log_field fields[] = { HF_LOG_INT ("status", status),
+                                         HF_LOG_TEXT ("outcome", hf_str (outcome_names[outcome])),
+                                         HF_LOG_TEXT ("reason", hf_str (reason)),
+                                         HF_LOG_INT ("retry_after_ms", retry_after_ms),
+                                         HF_LOG_INT ("attempts", call->n_attempts),
+                                         HF_LOG_INT ("total_ms", since_ms (state, call->arrived_at)) };
+  enum hf_log_number number = outcome == HF_OUTCOME_NOT_RUN ? HF_LOG_REQUEST_REFUSED : HF_LOG_REQUEST_FAILED;
+  add_line (state, number, call->request_id, fields, G_N_ELEMENTS (fields));
+}
+
+void
+hf_trace_answered (struct hf_state *state, const struct hf_call *call, unsigned attempt)
+{
+  const struct hf_log_field fields[]
+      = { HF_LOG_INT ("attempt", attempt), HF_LOG_TEXT ("server", server_name (state, call, attempt)),
+          HF_LOG_INT ("attempts", call->n_attempts), HF_LOG_INT ("total_ms", since_ms (state, call->arrived_at)),
+          HF_LOG_INT ("aim_ms", -since_ms (state, call->aim_at)) };
+  add_line (state, HF_LOG_REQUEST_ANSWERED, call->request_id, fields, G_N_ELEMENTS (fields));
+}
+
+void
+hf_trace_cut (struct hf_state *state, const struct hf_call *call)
+{
+  const struct hf_log_field fields[]
+      = { HF_LOG_INT ("attempts", call->n_attempts), HF_LOG_INT ("total_ms", since_ms (state, call->arrived_at)) };
+  add_line (state, HF_LOG_REQUEST_CUT, call->request_id, fields, G_N_ELEMENTS (fields));
+}
+
+void
+hf_trace_gone (struct hf_state *state, const struct hf_call *call)
+{
+  const struct hf_log_field fields[]
+      = { HF_LOG_INT ("attempts", call->n_attempts), HF_LOG_INT ("total_ms", since_ms (state, call->arrived_at)),
+          HF_LOG_INT ("remaining_ms", -since_ms (state, call->deadline)) };
+  add_line (state, HF_LOG_CALLER_GONE, call->request_id, fields, G_N_ELEMENTS (fields));
+}
--- a/src/hickoryctl.c
+++ b/src/hickoryctl.c
@@ -8,6 +8,7 @@
 #include "hf-client.h"
 #include "hf-console.h"
 #include "hf-document.h"
+#include "hf-explain.h"
 #include "hf-settings.h"
 
 #include "config.h"
@@ -41,7 +42,7 @@
 struct command
 {
   const char *name;
-  int arguments;
+  int arguments; /* negative: at least so many */
   int (*run) (const struct options *options, char **arguments);
 };
 
@@ -385,21 +386,44 @@
   return code == 0 ? 0 : fail (NULL, &error);
 }
 
+/* Arguments: the request's id, then files. */
+static int
+run_explain (const struct options *options, char **arguments)
+{
+  struct hf_error error = { 0 };
+  struct hf_explain *explain = hf_explain_open (arguments[0]);
+  for (int i = 1; arguments[i]; i++)
+    if (!hf_explain_file (explain, arguments[i], &error))
+      {
+        hf_explain_close (explain);
+        return fail (NULL, &error);
+      }
+  char *text = options->json ? hf_explain_json (explain) : hf_explain_text (explain);
+  bool found = hf_explain_found (explain) > 0;
+  fputs (text, stdout);
+  fprintf (stderr, "%u lines of request %s; %u lines could not be read\n", hf_explain_found (explain), arguments[0],
+           hf_explain_skipped (explain));
+  g_free (text);
+  hf_explain_close (explain);
+  return found ? 0 : EXIT_UNAVAILABLE;
+}
+
 static const struct command commands[] = {
-  { "check", 1, run_check },
-  { "apply", 1, run_apply },
-  { "show", 0, run_show },
-  { "status", 0, run_status },
-  { "dump", 1, run_dump },
-  { "console", 0, run_console },
-  { 0 },
+  { "check", 1, run_check }, { "apply", 1, run_apply },     { "show", 0, run_show },        { "status", 0, run_status },
+  { "dump", 1, run_dump },   { "console", 0, run_console }, { "explain", -2, run_explain }, { 0 },
 };
 
+static bool
+fits (const struct command *command, int given)
+{
+  return command->arguments < 0 ? given >= -command->arguments : given == command->arguments;
+}
+
 static int
 run_command (const struct options *options, int argc, char **argv)
 {
   for (const struct command *command = commands; argc > 1 && command->name; command++)
-    if (strcmp (command->name, argv[1]) == 0 && argc == command->arguments + 2)
+    if (strcmp (command->name, argv[1]) == 0 && fits (command, argc - 2))
       return command->run (options, argv + 2);
   fprintf (stderr, "hickoryctl: unknown command or wrong number of arguments; see --help\n");
   return EXIT_USAGE;
@@ -415,7 +439,7 @@
     { "entry", 'e', 0, G_OPTION_ARG_STRING_ARRAY, &options.entries, "Admin address of an entry; instead of the VM list",
       "IP:PORT" },
     { "listen", 0, 0, G_OPTION_ARG_STRING, &options.listen, "console: loopback address (127.0.0.1:8090)", "IP:PORT" },
-    { "json", 0, 0, G_OPTION_ARG_NONE, &options.json, "status: JSON for programs", NULL },
+    { "json", 0, 0, G_OPTION_ARG_NONE, &options.json, "status, explain: JSON for programs", NULL },
     { "wait", 0, 0, G_OPTION_ARG_NONE, &options.wait, "apply: return when every live entry has it in force", NULL },
     { "wait-ms", 0, 0, G_OPTION_ARG_INT, &options.wait_ms, "apply: longest wait (10000)", "MS" },
     { "settings", 0, 0, G_OPTION_ARG_NONE, &options.settings, "check: the file holds settings of a hickoryd", NULL },
@@ -429,7 +453,8 @@
                                          "  show          prints the document in force, ready to edit and apply\n"
                                          "  status        tells how entries, services and budgets stand\n"
                                          "  dump ADDRESS  prints the state of one entry, by its admin address\n"
-                                         "  console       serves forms for the document as a web page");
+                                         "  console       serves forms for the document as a web page\n"
+                                         "  explain ID FILE...  tells the life of one request from log files");
   g_option_context_set_description (context, "Exit codes: 0 done, 2 wrong use, 3 wrong document, 4 conflict "
                                              "with another change,\n"
                                              "5 platform or entry not available, 6 accepted but not in force "
--- a/src/hickoryd.c
+++ b/src/hickoryd.c
@@ -26,6 +26,7 @@
   const char *file; /* of the settings */
   struct hf_loop loop;
   struct hf_front *admin;
+  struct hf_front *metrics; /* NULL: on the admin address only */
 };
 
 /* --- internal functions --- */
@@ -139,7 +140,7 @@
   struct hf_settings settings = { 0 };
   if (!load_settings (daemon->file, &settings))
     return G_SOURCE_CONTINUE;
-  hf_log_open ("hickoryd", (enum hf_log_level) settings.log_level);
+  hf_log_open ("hickoryd", settings.name, (enum hf_log_level) settings.log_level);
   hf_log_write (HF_LOG_RELOADED, "%s: log level taken; addresses hold until the next start", daemon->file);
   hf_settings_unload (&settings);
   return G_SOURCE_CONTINUE;
@@ -162,15 +163,22 @@
       hf_loop_close (&daemon.loop);
       return EXIT_IO;
     }
+  if (settings->metrics.len)
+    daemon.metrics = hf_front_open (daemon.loop.net, settings->metrics, &admin_calls, &daemon, &error);
+  if (settings->metrics.len && !daemon.metrics)
+    hf_log_write (HF_LOG_SETTINGS_INVALID, "%s", error.message);
   g_unix_signal_add (SIGTERM, terminate, &daemon);
   g_unix_signal_add (SIGINT, terminate, &daemon);
   g_unix_signal_add (SIGUSR1, dump, &daemon);
   g_unix_signal_add (SIGHUP, reload, &daemon);
-  hf_log_write (HF_LOG_LISTENING, "callers=%s admin=%s peers=%s", hf_proxy_address (daemon.loop.proxy).data,
-                hf_front_address (daemon.admin).data, hf_peers_address (daemon.loop.peers).data);
+  struct hf_log_field addresses[] = { HF_LOG_TEXT ("callers", hf_proxy_address (daemon.loop.proxy)),
+                                      HF_LOG_TEXT ("admin", hf_front_address (daemon.admin)),
+                                      HF_LOG_TEXT ("peers", hf_peers_address (daemon.loop.peers)) };
+  hf_log_fields (HF_LOG_LISTENING, (struct hf_str){ 0 }, addresses, G_N_ELEMENTS (addresses));
   g_main_loop_run (daemon.loop.main);
   hf_log_write (HF_LOG_EXIT, "nothing in flight");
   hf_front_close (daemon.admin);
+  hf_front_close (daemon.metrics);
   hf_loop_close (&daemon.loop);
   return 0;
 }
@@ -194,7 +202,7 @@
                                              "Signals: SIGTERM leaves without cutting a request, SIGUSR1 "
                                              "dumps the state, SIGHUP reads the settings again.");
   g_option_context_add_main_entries (context, options, NULL);
-  hf_log_open ("hickoryd", HF_LEVEL_INFO);
+  hf_log_open ("hickoryd", (struct hf_str){ 0 }, HF_LEVEL_INFO);
   /* Given back and taken again for every answer, pages cost more than they
    * hold. */
   mallopt (M_TRIM_THRESHOLD, HF_MALLOC_TRIM_BYTES);
@@ -212,11 +220,15 @@
       return EXIT_USAGE;
     }
   if (!load_settings (argv[1], &settings))
-    return EXIT_SETTINGS;
-  hf_log_open ("hickoryd", (enum hf_log_level) settings.log_level);
+    {
+      hf_log_close ();
+      return EXIT_SETTINGS;
+    }
+  hf_log_open ("hickoryd", settings.name, (enum hf_log_level) settings.log_level);
   hf_log_write (HF_LOG_STARTED, "version %s, entry " HF_STR_FMT " in " HF_STR_FMT, HF_VERSION,
                 HF_STR_ARG (settings.name), HF_STR_ARG (settings.failure_domain));
   int code = check ? 0 : run (&settings, argv[1]);
   hf_settings_unload (&settings);
+  hf_log_close ();
   return code;
 }
--- a/tests/test-scripts.c
+++ b/tests/test-scripts.c
@@ -121,6 +121,8 @@
       g_string_append_printf (out, "  renew %s\n", server_name (run, effect->server));
       break;
     case HF_EFFECT_LOG:
+      if (effect->n_log_fields)
+        break; /* lines of one request say again what the other effects show */
       g_string_append_printf (out, "  log HF%d " HF_STR_FMT "\n", effect->log_number, HF_STR_ARG (effect->text));
       break;
     case HF_EFFECT_LIMIT:
