--- a/src/hf-pool.c
+++ b/src/hf-pool.c
@@ -610,7 +610,8 @@
   if (result != HF_POOL_OK || latency_us <= 0)
     return;
   /* Large steps at first: the first answers may be far from the usual. */
-  double step = MAX (HF_TYPICAL_STEP, HF_TYPICAL_STEP_FIRST / ++pool->typical_samples);
+  pool->typical_samples++;
+  double step = MAX (HF_TYPICAL_STEP, HF_TYPICAL_STEP_FIRST / pool->typical_samples);
   if (pool->typical_us <= 0)
     pool->typical_us = (double) latency_us;
   else if ((double) latency_us > pool->typical_us)
