--- a/src/hf-pool.c
+++ b/src/hf-pool.c
@@ -377,13 +377,24 @@
   return (double) now + wait + pool->typical_us > (double) want->deadline;
 }
 
+/* Without answers in time, what was given up tells how long work takes at least. */
+static double
+usual_latency (const struct hf_pool *pool, int64_t now)
+{
+  double latency;
+  if (pool->typical_us > 0)
+    return pool->typical_us;
+  usable_slots (pool, now, &latency);
+  return latency;
+}
+
 /* Too little time is left even for a start now. */
 static bool
 is_too_late (const struct hf_pool *pool, int64_t now, const struct hf_pool_want *want)
 {
   if (want->aim_at == 0)
     return want->deadline <= now;
-  return (double) now + pool->typical_us * HF_LAST_START > (double) want->deadline;
+  return (double) now + usual_latency (pool, now) * HF_LAST_START >= (double) want->deadline;
 }
 
 static bool
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -9,6 +9,7 @@
 
 #include "fake-store.h"
 #include "harness.h"
+#include "hf-explain.h"
 #include "raw.h"
 
 /* --- constants --- */
@@ -45,6 +46,7 @@
   struct raw_server *raw;
   char name[16];
   enum manner manner;
+  guint percent; /* how long work takes, as its health path says */
   guint requests;
   GString *last;                     /* the last request */
   struct raw_connection *connection; /* on which it came */
@@ -60,6 +62,7 @@
   char callers[64];
   char admin[64];
   guint next_id;
+  GPtrArray *log; /* lines that the entry wrote */
 };
 
 /* --- internal functions: backend servers --- */
@@ -134,8 +137,8 @@
   if (g_str_has_prefix (text, "GET /health "))
     {
       raw_send (connection,
-                "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\nX-Backend-Load: 0,0,3,100\r\nContent-Length: 0\r\n\r\n",
-                server->name);
+                "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\nX-Backend-Load: 0,0,3,%u\r\nContent-Length: 0\r\n\r\n",
+                server->name, server->percent ? server->percent : 100);
       return;
     }
   server->requests++;
@@ -194,6 +197,7 @@
 {
   GDataInputStream *lines;
   GString *listening;
+  GPtrArray *log;
 };
 
 static void
@@ -205,12 +209,13 @@
     {
       g_object_unref (reading->lines);
       g_string_free (reading->listening, TRUE);
+      g_ptr_array_unref (reading->log);
       g_free (reading);
       return;
     }
   if (strstr (line, "\"listening\""))
     g_string_assign (reading->listening, line);
-  g_free (line);
+  g_ptr_array_add (reading->log, line);
   g_data_input_stream_read_line_async (reading->lines, G_PRIORITY_DEFAULT, NULL, line_read, reading);
 }
 
@@ -235,6 +240,8 @@
   struct reading *reading = g_new0 (struct reading, 1);
   reading->lines = g_data_input_stream_new (g_subprocess_get_stdout_pipe (setup->entry));
   reading->listening = g_string_new (NULL);
+  setup->log = g_ptr_array_new_with_free_func (g_free);
+  reading->log = g_ptr_array_ref (setup->log);
   g_data_input_stream_read_line_async (reading->lines, G_PRIORITY_DEFAULT, NULL, line_read, reading);
   g_assert_true (harness_wait (has_line, reading->listening, STARTED_SEC));
   copy_member (reading->listening->str, "callers", setup->callers, sizeof setup->callers);
@@ -360,6 +367,7 @@
   g_subprocess_wait (setup->entry, NULL, NULL);
   harness_pause (10);
   g_object_unref (setup->entry);
+  g_ptr_array_unref (setup->log);
   store_close (setup->store);
   for (guint i = 0; i < SERVERS; i++)
     {
@@ -770,6 +778,84 @@
   close_setup (setup);
 }
 
+/* --- tests: the cause of a failure from the logs alone --- */
+
+/* The life of a request as hickoryctl tells it. */
+static char *
+explain (const struct setup *setup, guint id)
+{
+  char name[16];
+  harness_pause (100);
+  g_snprintf (name, sizeof name, "id%u", id);
+  struct hf_explain *life = hf_explain_open (name);
+  for (guint i = 0; i < setup->log->len; i++)
+    hf_explain_line (life, g_ptr_array_index (setup->log, i));
+  hf_explain_line (life, "{\"cut");
+  g_assert_cmpuint (hf_explain_skipped (life), ==, 1);
+  char *text = hf_explain_text (life);
+  g_test_message ("%s", text);
+  hf_explain_close (life);
+  return text;
+}
+
+/* Every slot holds a request without an answer: the next is refused as not run. */
+static void
+test_explain_refused (void)
+{
+  struct setup *setup = open_setup ();
+  struct raw_call *calls[8];
+  set_manner (setup, IS_SILENT);
+  for (guint i = 0; i < G_N_ELEMENTS (calls); i++)
+    {
+      char *text = request_text (setup, "POST", "/w/x", "b");
+      calls[i] = raw_call (setup->net, setup->callers, text);
+      g_free (text);
+    }
+  harness_pause (100);
+  g_assert_cmpuint (status_of (setup, "POST", "/w/x", "b"), ==, 503);
+  char *life = explain (setup, setup->next_id);
+  g_assert_nonnull (strstr (life, "request-routed"));
+  g_assert_null (strstr (life, "request-sent"));
+  g_assert_nonnull (strstr (life, "outcome=\"not-run\""));
+  g_free (life);
+  for (guint i = 0; i < G_N_ELEMENTS (calls); i++)
+    raw_leave (calls[i]);
+  close_setup (setup);
+}
+
+static void
+test_explain_broken (void)
+{
+  struct setup *setup = open_setup ();
+  set_manner (setup, RESETS);
+  g_assert_cmpuint (status_of (setup, "POST", "/w/x", "b"), ==, 502);
+  char *life = explain (setup, setup->next_id);
+  g_assert_nonnull (strstr (life, "request-sent"));
+  g_assert_nonnull (strstr (life, "attempt-failed"));
+  g_assert_nonnull (strstr (life, "result=\"broken\""));
+  g_assert_nonnull (strstr (life, "handed=1"));
+  g_assert_nonnull (strstr (life, "outcome=\"unknown\""));
+  g_free (life);
+  close_setup (setup);
+}
+
+/* Both servers say that work takes five times as long: the line of the send shows it. */
+static void
+test_explain_slow (void)
+{
+  struct setup *setup = open_setup ();
+  for (guint i = 0; i < SERVERS; i++)
+    setup->servers[i].percent = 500;
+  g_assert_cmpuint (status_of (setup, "GET", "/r/x", ""), ==, 200);
+  harness_pause (300);
+  g_assert_cmpuint (status_of (setup, "GET", "/r/x", ""), ==, 200);
+  char *life = explain (setup, setup->next_id);
+  g_assert_nonnull (strstr (life, "slowdown_percent=500"));
+  g_assert_nonnull (strstr (life, "slowdown_age_ms="));
+  g_free (life);
+  close_setup (setup);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -798,5 +884,8 @@
   g_test_add_func ("/platform/pipelined", test_pipelined);
   g_test_add_func ("/platform/gone", test_gone);
   g_test_add_func ("/platform/shutdown", test_shutdown);
+  g_test_add_func ("/platform/explain-refused", test_explain_refused);
+  g_test_add_func ("/platform/explain-broken", test_explain_broken);
+  g_test_add_func ("/platform/explain-slow", test_explain_slow);
   return g_test_run ();
 }
