--- a/src/hf-calls.c
+++ b/src/hf-calls.c
@@ -106,7 +106,7 @@
 static int64_t
 retry_after_ms (struct hf_state *state, const struct hf_call *call)
 {
-  int64_t left_ms = (call->deadline - state->now) / HF_MS;
+  int64_t left_ms = MAX (call->caller_until - state->now, 0) / HF_MS;
   if (call->class->aim_ms == 0)
     return HF_RETRY_AFTER_MS;
   int64_t spread = MAX (left_ms / HF_RETURN_SHARE, 1);
@@ -487,6 +487,9 @@
   call->service_id = hf_service_id (target->service);
   call->arrived_at = arrived_at;
   call->deadline = deadline_of (event, class, arrived_at);
+  call->caller_until = call->deadline;
+  if (event->request.deadline_ms > 0)
+    call->caller_until = arrived_at + event->request.deadline_ms * HF_MS;
   call->aim_at = call->deadline;
   if (class->aim_ms > 0)
     {
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -149,7 +149,8 @@
   uint64_t service_id;
   int64_t arrived_at;
   int64_t deadline;
-  int64_t aim_at; /* an answer before then is worth most */
+  int64_t caller_until; /* the caller waits until then, perhaps for another try */
+  int64_t aim_at;       /* an answer before then is worth most */
   size_t body_bytes;
   struct hf_str request_id;
   uint64_t fingerprint;
