--- a/src/config.h
+++ b/src/config.h
@@ -32,9 +32,9 @@
 /* Connections to backend servers. */
 #define HF_ANSWER_HEAD_BYTES_MAX (64 * 1024) /* above: no answer */
 #define HF_CONNECT_TIMEOUT_MS    500
-#define HF_LINK_IDLE_MS          4000 /* kept that long where the server does not say */
+#define HF_LINK_IDLE_MS          8000 /* kept that long where the server does not say */
 #define HF_LINK_IDLE_MARGIN_MS   1000 /* closed that much before the server does */
-#define HF_LINK_PROVED_MS        2500 /* used for what may not be repeated if it answered since */
+#define HF_LINK_PROVED_MS        5000 /* used for what may not be repeated if it answered since */
 
 #define HF_MALLOC_TRIM_BYTES (4 * 1024 * 1024)
 
@@ -84,19 +84,20 @@
 #define HF_DIRECTORY_SETTLE_MS 2000 /* after an outage: servers not listed again by then are gone */
 
 /* Placing. */
-#define HF_PLACE_FAR_US      2000 /* another failure domain counts like this much latency */
-#define HF_PLACE_FAR_US_BYTE 2.0  /* and this much for each byte of the body */
+#define HF_PLACE_FAR_US      5000 /* another failure domain counts like this much latency */
+#define HF_PLACE_FAR_US_BYTE 5.0  /* and this much for each byte of the body */
 #define HF_PLACE_LAST_SLOT   1.4  /* times of the usual latency in the last slot */
 #define HF_PLACE_BUSY        0.15 /* more of the usual latency for each share of slots in use */
 
-#define HF_PLACE_SLOW_FACTOR  1.9  /* expected times of the usual latency from which a server counts as slow */
-#define HF_PLACE_PATIENCE_MS  80   /* longest wait for a server that is not slow */
-#define HF_LAST_START         0.7  /* with less than this share of the typical latency left, a start is useless */
-#define HF_LATE_PRESSURE      2.0  /* what waits ahead of a late want, with what comes meanwhile */
-#define HF_AIM_ROOM           1.35 /* with less than this times the typical latency left, the aim counts as missed */
-#define HF_TYPICAL_STEP_FIRST 1.0  /* the same with the first answer, divided by their number */
-#define HF_TYPICAL_STEP       0.02 /* change of the typical latency with one answer */
-#define HF_HEDGE_SLOW_MS      150  /* an attempt is doubled if its server was slow within that time */
+#define HF_PLACE_FAR_WAIT_US  20000 /* cost of the way from which a nearer server is waited for */
+#define HF_PLACE_SLOW_FACTOR  1.9   /* expected times of the usual latency from which a server counts as slow */
+#define HF_PLACE_PATIENCE_MS  80    /* longest wait for a server that is not slow */
+#define HF_LAST_START         0.7   /* with less than this share of the typical latency left, a start is useless */
+#define HF_LATE_PRESSURE      2.0   /* what waits ahead of a late want, with what comes meanwhile */
+#define HF_AIM_ROOM           1.35  /* with less than this times the typical latency left, the aim counts as missed */
+#define HF_TYPICAL_STEP_FIRST 1.0   /* the same with the first answer, divided by their number */
+#define HF_TYPICAL_STEP       0.02  /* change of the typical latency with one answer */
+#define HF_HEDGE_SLOW_MS      150   /* an attempt is doubled if its server was slow within that time */
 
 #define HF_CROWDING_WEIGHT       0.01 /* weight of the newest sample */
 #define HF_CROWDING_SAMPLES      40   /* of each kind before anything is concluded */
@@ -116,10 +117,12 @@
        */
 
 /* Membership. */
-#define HF_HEARTBEAT_MS    500
-#define HF_PEER_TIMEOUT_MS 1800
-#define HF_PEER_FORGET_SEC 60   /* listed, but silent for so long: no heartbeats go there */
-#define HF_PAUSE_MS        1500 /* a gap between ticks that means a pause */
+#define HF_HEARTBEAT_MS          500
+#define HF_HEARTBEAT_MEMBERS     35 /* for each so many entries the period grows once */
+#define HF_HEARTBEAT_STRETCH_MAX 3
+#define HF_PEER_TIMEOUT_MS       1800
+#define HF_PEER_FORGET_SEC       60   /* listed, but silent for so long: no heartbeats go there */
+#define HF_PAUSE_MS              1500 /* a gap between ticks that means a pause */
 
 /* Platform. */
 #define HF_PLATFORM_TIMEOUT_SEC  2
--- a/src/hf-members.c
+++ b/src/hf-members.c
@@ -291,6 +291,12 @@
   return n;
 }
 
+int64_t
+hf_members_stretch (const struct hf_state *state)
+{
+  return CLAMP ((int64_t) hf_members_alive (state) / HF_HEARTBEAT_MEMBERS, 1, HF_HEARTBEAT_STRETCH_MAX);
+}
+
 /* --- public functions: events --- */
 
 void
@@ -372,7 +378,7 @@
   for (size_t i = state->members->len; i-- > 0;)
     {
       struct hf_member *member = member_at (state, i);
-      if (state->now - member->heard_at < HF_PEER_TIMEOUT_MS * HF_MS)
+      if (state->now - member->heard_at < HF_PEER_TIMEOUT_MS * HF_MS * hf_members_stretch (state))
         continue;
       lose_member (state, member);
       bool forgotten
--- a/src/hf-pool.c
+++ b/src/hf-pool.c
@@ -164,8 +164,9 @@
   return n;
 }
 
-/* A want with time to spare waits for a server that is not slowed down: slow
- * times are short against what a start in one of them costs. */
+/* A want with time to spare waits for a server that is not slowed down, and with
+ * a large body for a near one: slow times are short against what a start in one
+ * of them costs. */
 static bool
 may_wait (const struct hf_pool *pool, int64_t now, const struct hf_pool_want *want)
 {
@@ -176,12 +177,11 @@
 }
 
 static size_t
-drop_slow (const struct hf_pool *pool, struct hf_candidate *candidates, size_t n)
+drop_costly (struct hf_candidate *candidates, size_t n)
 {
   size_t kept = 0;
-  (void) pool;
   for (size_t i = 0; i < n; i++)
-    if (candidates[i].factor < HF_PLACE_SLOW_FACTOR)
+    if (candidates[i].factor < HF_PLACE_SLOW_FACTOR && candidates[i].distance_us < HF_PLACE_FAR_WAIT_US)
       candidates[kept++] = candidates[i];
   return kept;
 }
@@ -218,7 +218,7 @@
   if (all_slots)
     n = prefer_last_slots (pool, candidates, n);
   if (may_wait (pool, now, want))
-    n = drop_slow (pool, candidates, n);
+    n = drop_costly (candidates, n);
   if (n == 0)
     return NULL;
   struct hf_choice_context choice = { .turn = pool->turn };
