--- a/src/config.h
+++ b/src/config.h
@@ -107,6 +107,11 @@
 #define HF_CROWDING_RATIO        1.25 /* latency in a last slot, times that elsewhere, from which it is left free */
 #define HF_CROWDING_CALM         150  /* percent of the usual time: above, a server counts as slowed down */
 
+/* Slices of large services. */
+#define HF_SLICE_SERVERS_MAX 48 /* up to so many servers a service is one slice */
+#define HF_SLICE_SERVERS     24 /* servers of one slice, at most, above that */
+#define HF_SLICES_MAX        64
+
 /* Slot grants between entries. */
 #define HF_GRANT_ASK_MS     5   /* resend an unanswered request */
 #define HF_GRANT_GIVE_UP_MS 12  /* then decide locally */
--- a/src/hf-calls.c
+++ b/src/hf-calls.c
@@ -7,6 +7,7 @@
 #include "hf-quarantine.h"
 #include "hf-reduce.h"
 #include "hf-routing.h"
+#include "hf-slices.h"
 #include "hf-slots.h"
 #include "hf-trace.h"
 
@@ -484,7 +485,7 @@
   call->document = hf_document_ref (state->document);
   call->service = target->service;
   call->class = class;
-  call->service_id = hf_service_id (target->service);
+  call->service_id = hf_slices_draw (state, hf_service_id (target->service));
   call->arrived_at = arrived_at;
   call->deadline = deadline_of (event, class, arrived_at);
   call->caller_until = call->deadline;
--- a/src/hf-directory.c
+++ b/src/hf-directory.c
@@ -1,6 +1,7 @@
 /* Backend servers that the platform lists. */
 #include "hf-directory.h"
 
+#include "hf-slices.h"
 #include "hf-slots.h"
 
 /* --- types --- */
@@ -49,20 +50,22 @@
 
 /* --- internal functions: pools --- */
 
-static struct hf_service_state *
-service_of (const struct hf_state *state, struct hf_str name)
-{
-  return hf_state_service (state, hf_hash (name, 0));
-}
-
+/* Into the pool of its slice, and out of the one that it was in. */
 static void
-put_in_pool (struct hf_state *state, struct hf_service_state *service, const struct listed *listed)
+put_in_pool (struct hf_state *state, const struct listed *listed)
 {
+  uint64_t id = hf_server_id (listed->service, listed->name);
+  struct hf_service_state *service = hf_slices_home (state, hf_hash (listed->service, 0), id);
+  struct hf_service_state *before = g_hash_table_lookup (state->homes, &id);
+  if (before && before != service)
+    hf_pool_remove (&before->pool, id);
+  if (!service)
+    return;
   struct hf_pool_listing listing = { .spec = { .name = listed->name,
                                                .address = listed->address,
                                                .failure_domain = listed->failure_domain,
                                                .slots = listed->slots },
-                                     .id = hf_server_id (listed->service, listed->name),
+                                     .id = id,
                                      .incarnation = listed->incarnation,
                                      .cold_until = listed->cold_until };
   hf_pool_put (&service->pool, &listing);
@@ -73,8 +76,8 @@
 static void
 remove_listed (struct hf_state *state, const struct listed *listed)
 {
-  struct hf_service_state *service = service_of (state, listed->service);
   uint64_t id = hf_server_id (listed->service, listed->name);
+  struct hf_service_state *service = g_hash_table_lookup (state->homes, &id);
   hf_state_log (state, HF_LOG_SERVER_GONE, "backend server " HF_STR_FMT " of " HF_STR_FMT " is no longer listed",
                 HF_STR_ARG (listed->name), HF_STR_ARG (listed->service));
   if (service)
@@ -118,6 +121,30 @@
                   HF_STR_ARG (report->name), HF_STR_ARG (report->service));
 }
 
+static void
+put_all (struct hf_state *state, struct hf_str service)
+{
+  GHashTableIter iter;
+  struct listed *listed;
+  g_hash_table_iter_init (&iter, state->directory.servers);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &listed))
+    if (hf_str_equal (listed->service, service))
+      put_in_pool (state, listed);
+}
+
+static void
+fit_slices (struct hf_state *state, struct hf_str service)
+{
+  GHashTableIter iter;
+  struct listed *listed;
+  size_t servers = 0;
+  g_hash_table_iter_init (&iter, state->directory.servers);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &listed))
+    servers += hf_str_equal (listed->service, service);
+  if (hf_slices_resize (state, hf_hash (service, 0), servers))
+    put_all (state, service);
+}
+
 static void
 take (struct hf_state *state, const struct hf_server_report *report)
 {
@@ -140,9 +167,8 @@
                              .incarnation = report->incarnation,
                              .cold_until = report->cold_ms > 0 ? state->now + report->cold_ms * HF_MS : 0,
                              .leaving = report->leaving };
-  struct hf_service_state *service = service_of (state, listed->service);
-  if (service)
-    put_in_pool (state, service, listed);
+  put_in_pool (state, listed);
+  fit_slices (state, listed->service);
 }
 
 /* --- internal functions: lists --- */
@@ -246,10 +272,6 @@
 void
 hf_directory_fill (struct hf_state *state, struct hf_service_state *service)
 {
-  GHashTableIter iter;
-  struct listed *listed;
-  g_hash_table_iter_init (&iter, state->directory.servers);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &listed))
-    if (hf_str_equal (listed->service, service->name))
-      put_in_pool (state, service, listed);
+  put_all (state, service->name);
+  fit_slices (state, service->name);
 }
--- a/src/hf-measure.c
+++ b/src/hf-measure.c
@@ -2,6 +2,7 @@
 #include "hf-measure.h"
 
 #include "hf-members.h"
+#include "hf-slices.h"
 
 /* --- internal functions --- */
 
@@ -26,10 +27,9 @@
 }
 
 static void
-measure_service (struct hf_state *state, const struct hf_service *spec)
+measure_slice (struct hf_state *state, const struct hf_service *spec, struct hf_service_state *service)
 {
-  struct hf_service_state *service = hf_state_service (state, hf_service_id (spec));
-  if (!service || state->now - service->wanted_at > HF_MEASURE_USED_MS * HF_MS)
+  if (state->now - service->wanted_at > HF_MEASURE_USED_MS * HF_MS)
     return;
   if (!hf_members_own (state, service->id))
     return;
@@ -41,6 +41,18 @@
     }
 }
 
+static void
+measure_service (struct hf_state *state, const struct hf_service *spec)
+{
+  const struct hf_service_state *first = hf_state_service (state, hf_service_id (spec));
+  for (unsigned i = 0; first && i < first->slices; i++)
+    {
+      struct hf_service_state *slice = hf_slices_at (state, first->id, i);
+      if (slice)
+        measure_slice (state, spec, slice);
+    }
+}
+
 /* --- public functions --- */
 
 void
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -78,7 +78,9 @@
 
 /**
  * struct hf_service_state - a service at run time
- * @id: hf_service_id
+ * @id: hf_service_id, or of one of its slices
+ * @parent: hf_service_id
+ * @slices: slices of the service; known to its first one
  * @name: its name
  * @pool: slots of its backend servers as this entry knows them
  * @suspect_until: the granter is silent; decide locally until then
@@ -91,6 +93,8 @@
 struct hf_service_state
 {
   uint64_t id;
+  uint64_t parent;
+  unsigned slices;
   struct hf_str name;
   struct hf_pool pool;
   int64_t suspect_until;
--- a/src/hf-sync.c
+++ b/src/hf-sync.c
@@ -6,6 +6,7 @@
 #include "hf-calls.h"
 #include "hf-directory.h"
 #include "hf-members.h"
+#include "hf-slices.h"
 #include "hf-slots.h"
 
 /* --- constants --- */
@@ -20,17 +21,6 @@
   return state->document ? state->document->generation : 0;
 }
 
-static struct hf_service_state *
-add_service (struct hf_state *state, const struct hf_service *spec)
-{
-  struct hf_service_state *service = g_new0 (struct hf_service_state, 1);
-  service->id = hf_service_id (spec);
-  service->name = hf_str_dup (spec->name);
-  hf_pool_init (&service->pool, hf_random_next (&state->random));
-  g_hash_table_insert (state->services, &service->id, service);
-  return service;
-}
-
 static void
 mark_listed_leaving (struct hf_state *state, struct hf_service_state *service)
 {
@@ -53,7 +43,7 @@
     {
       bool declared = false;
       for (size_t i = 0; i < state->document->services.n && !declared; i++)
-        declared = hf_service_id (hf_document_service (state->document, i)) == service->id;
+        declared = hf_service_id (hf_document_service (state->document, i)) == service->parent;
       if (declared || hf_calls_use_service (state, service->id))
         continue;
       g_hash_table_iter_remove (&iter);
@@ -90,10 +80,8 @@
   for (size_t i = 0; i < state->document->services.n; i++)
     {
       const struct hf_service *spec = hf_document_service (state->document, i);
-      struct hf_service_state *service = hf_state_service (state, hf_service_id (spec));
-      if (!service)
-        service = add_service (state, spec);
-      hf_pool_configure (&service->pool, spec);
+      struct hf_service_state *service = hf_slices_add (state, spec, 0);
+      hf_slices_configure (state, spec);
       if (spec->directory)
         hf_directory_fill (state, service);
       mark_listed_leaving (state, service);
