Slices are tested; heartbeats of a large fleet in turns; granters have 30 ms; budgets start empty

Change: a service of more than 48 servers is cut into slices of 24 or fewer by the servers' ids, each with its own pool, queue and granter (hf-slices; test-units /units/slices); pools of directory services begin without a stock of retries; an entry waits 30 ms for a granter; heartbeats of a fleet above 35 entries go out in turns, not all at once on a 10 Mbit/s link.

--- a/src/config.h
+++ b/src/config.h
@@ -114,7 +114,7 @@
 
 /* Slot grants between entries. */
 #define HF_GRANT_ASK_MS     5   /* resend an unanswered request */
-#define HF_GRANT_GIVE_UP_MS 12  /* then decide locally */
+#define HF_GRANT_GIVE_UP_MS 30  /* then decide locally */
 #define HF_GRANT_REASK_MS   100 /* a queued request asks again */
 #define HF_GRANT_SUSPECT_MS 500 /* silence of a granter, decide locally */
 #define HF_GRANT_SETTLE_MS                                                                                             \
@@ -123,7 +123,7 @@
 
 /* Membership. */
 #define HF_HEARTBEAT_MS          500
-#define HF_HEARTBEAT_MEMBERS     35 /* for each so many entries the period grows once */
+#define HF_HEARTBEAT_MEMBERS     35 /* for each so many entries one more turn until all are told */
 #define HF_HEARTBEAT_STRETCH_MAX 3
 #define HF_PEER_TIMEOUT_MS       1800
 #define HF_PEER_FORGET_SEC       60   /* listed, but silent for so long: no heartbeats go there */
--- a/src/hf-members.c
+++ b/src/hf-members.c
@@ -305,8 +305,11 @@
   struct hf_rpc_load *loads = hf_effects_alloc (state->out, HF_RPC_LOADS_MAX * sizeof *loads);
   unsigned n = list_loads (state, loads);
   state->seq++;
+  /* A large fleet is told in turns: all at once would fill a small link. */
+  uint64_t turns = (uint64_t) hf_members_stretch (state);
   for (size_t i = 0; i < state->members->len; i++)
-    beat_member (state, member_at (state, i), sync, loads, n);
+    if (sync || i % turns == state->seq % turns)
+      beat_member (state, member_at (state, i), sync, loads, n);
 }
 
 void
--- a/src/hf-members.h
+++ b/src/hf-members.h
@@ -14,7 +14,7 @@
 struct hf_member *hf_members_find (const struct hf_state *state, uint64_t boot); /* NULL if unknown */
 uint64_t hf_members_owner (const struct hf_state *state, uint64_t subject);      /* boot id of the responsible entry */
 bool hf_members_own (const struct hf_state *state, uint64_t subject);            /* this entry is responsible */
-int64_t hf_members_stretch (const struct hf_state *state); /* times of the usual period: many entries beat less often */
+int64_t hf_members_stretch (const struct hf_state *state); /* turns in which all members are told: more with many */
 size_t hf_members_alive (const struct hf_state *state);    /* live entries, this one included */
 
 /* --- public functions: events --- */
--- a/src/hf-pool.c
+++ b/src/hf-pool.c
@@ -567,7 +567,12 @@
   pool->queue_limit = (unsigned) service->queue_limit;
   double most = service->policy == HF_POLICY_GRANTS ? HF_RETRY_SHARED_MAX : HF_RETRY_TOKENS_MAX;
   if (first)
-    hf_retry_init (&pool->budget, most, (double) service->retry_percent);
+    {
+      hf_retry_init (&pool->budget, most, (double) service->retry_percent);
+      /* With many pools of one service their first stocks would add up. */
+      if (service->directory)
+        pool->budget.tokens = 0;
+    }
   pool->budget.max = most;
   pool->budget.earn = (double) service->retry_percent / 100.0;
 }
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -53,9 +53,8 @@
       hf_members_expire (state);
       hf_members_beat (state, false);
     }
-  int64_t period = HF_HEARTBEAT_MS * HF_MS * hf_members_stretch (state);
-  state->heartbeat_due = state->now + period;
-  hf_state_timer (state, period, HF_TIMER_HEARTBEAT, 0, 0);
+  state->heartbeat_due = state->now + HF_HEARTBEAT_MS * HF_MS;
+  hf_state_timer (state, HF_HEARTBEAT_MS * HF_MS, HF_TIMER_HEARTBEAT, 0, 0);
   if (!state->external)
     {
       hf_sync_check_watches (state);
--- a/tests/test-units.c
+++ b/tests/test-units.c
@@ -7,7 +7,9 @@
 
 #include "hf-document.h"
 #include "hf-log.h"
+#include "hf-reduce.h"
 #include "hf-routing.h"
+#include "hf-slices.h"
 #include "hf-settings.h"
 #include "hf-wire.h"
 
@@ -142,6 +144,88 @@
     }
 }
 
+static void
+raise_event (struct hf_state *state, struct hf_event event)
+{
+  struct hf_effects effects;
+  hf_effects_init (&effects);
+  event.now = HF_SEC;
+  hf_reduce (state, &event, &effects);
+  hf_effects_close (&effects);
+}
+
+/* Lists or removes the servers from @begin to @end. */
+static void
+list_servers (struct hf_state *state, unsigned begin, unsigned end, bool gone)
+{
+  for (unsigned i = begin; i < end; i++)
+    {
+      char name[16];
+      g_snprintf (name, sizeof name, "s%u", i);
+      struct hf_event event = { .kind = HF_EVENT_SERVER,
+                                .report = { .name = hf_str (name),
+                                            .service = hf_str ("a"),
+                                            .address = hf_str ("10.0.0.1:80"),
+                                            .failure_domain = hf_str ("d"),
+                                            .slots = 3,
+                                            .gone = gone } };
+      raise_event (state, event);
+    }
+}
+
+/* Servers in all pools, and how many pools have some. */
+static unsigned
+count_servers (const struct hf_state *state, unsigned *pools)
+{
+  GHashTableIter iter;
+  struct hf_service_state *service;
+  unsigned servers = 0;
+  *pools = 0;
+  g_hash_table_iter_init (&iter, state->services);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &service))
+    {
+      servers += service->pool.servers->len;
+      *pools += service->pool.servers->len > 0;
+    }
+  return servers;
+}
+
+/* A large service is cut into slices; each server is in exactly one, whatever comes and goes. */
+static void
+test_slices (void)
+{
+  struct hf_settings settings
+      = { .name = hf_str ("e1"), .failure_domain = hf_str ("d"), .store = hf_str ("127.0.0.1:1") };
+  struct hf_state *state = hf_state_new (&settings, 1);
+  unsigned pools;
+  raise_event (state, (struct hf_event){ .kind = HF_EVENT_START });
+  list_servers (state, 0, 20, false);
+  raise_event (state, (struct hf_event){ .kind = HF_EVENT_DOCUMENT,
+                                         .document = { .generation = 1,
+                                                       .text = hf_str ("{version: 1, services: [{name: a, directory: "
+                                                                       "true}]}") } });
+  g_assert_cmpuint (count_servers (state, &pools), ==, 20);
+  g_assert_cmpuint (pools, ==, 1);
+  list_servers (state, 20, 120, false);
+  g_assert_cmpuint (count_servers (state, &pools), ==, 120);
+  g_assert_cmpuint (pools, ==, 8);
+  bool drawn[8] = { false };
+  for (int i = 0; i < 1000; i++)
+    {
+      uint64_t slice = hf_slices_draw (state, hf_hash (hf_str ("a"), 0));
+      for (unsigned j = 0; j < G_N_ELEMENTS (drawn); j++)
+        drawn[j] = drawn[j] || hf_slices_at (state, hf_hash (hf_str ("a"), 0), j)->id == slice;
+    }
+  for (unsigned j = 0; j < G_N_ELEMENTS (drawn); j++)
+    g_assert_true (drawn[j]);
+  list_servers (state, 10, 120, true);
+  g_assert_cmpuint (count_servers (state, &pools), ==, 10);
+  list_servers (state, 10, 12, false);
+  g_assert_cmpuint (count_servers (state, &pools), ==, 12);
+  g_assert_cmpuint (pools, ==, 1);
+  hf_state_free (state);
+}
+
 /* --- pages against the code --- */
 
 static char *
@@ -202,6 +286,7 @@
   g_test_add_func ("/units/samples", test_samples);
   g_test_add_func ("/units/routing", test_routing);
   g_test_add_func ("/units/wire", test_wire);
+  g_test_add_func ("/units/slices", test_slices);
   g_test_add_func ("/pages/configuration", test_page_configuration);
   g_test_add_func ("/pages/events", test_page_events);
   return g_test_run ();
