--- a/src/hf-calls.c
+++ b/src/hf-calls.c
@@ -4,6 +4,7 @@
 #include "hf-attempts.h"
 #include "hf-claims.h"
 #include "hf-members.h"
+#include "hf-patience.h"
 #include "hf-quarantine.h"
 #include "hf-reduce.h"
 #include "hf-routing.h"
@@ -102,21 +103,6 @@
   hf_state_count (state, outcome == HF_OUTCOME_NOT_RUN ? HF_COUNT_NOT_RUN : HF_COUNT_UNKNOWN);
 }
 
-/* Spreads the returns over the time that the caller may wait for one, the more
- * urgent first. */
-static int64_t
-retry_after_ms (struct hf_state *state, const struct hf_call *call)
-{
-  int64_t left_ms = MAX (call->caller_until - state->now, 0) / HF_MS;
-  if (call->class->aim_ms == 0)
-    return HF_RETRY_AFTER_MS;
-  int64_t spread = MAX (left_ms / HF_RETURN_SHARE, 1);
-  int64_t urgent = call->class->priority == 0 ? 1 : MIN (call->class->priority, HF_RETURN_RANKS);
-  int64_t window = spread * urgent / HF_RETURN_RANKS;
-  return MAX (spread / HF_RETURN_RANKS / 2, 1)
-         + (int64_t) (hf_random_next (&state->random) % (uint64_t) MAX (window, 1));
-}
-
 /* Ends the call with a failure; "not run" only if no attempt may have run it.
  */
 static void
@@ -127,7 +113,7 @@
   if (call->maybe_run && status == 503 && call->class->resend_refused)
     status = 502; /* 503 would say that it has not run */
   hf_claims_ended (state, call, outcome, 0);
-  int64_t return_ms = status == 503 ? retry_after_ms (state, call) : 0;
+  int64_t return_ms = status == 503 ? hf_patience_return_ms (state, call) : 0;
   hf_trace_failed (state, call, status, outcome, return_ms, reason);
   answer (state, call->id, status, outcome, return_ms, reason);
   remove_call (state, call);
@@ -432,71 +418,17 @@
 
 /* --- internal functions: arrival --- */
 
-/* The caller's own deadline, the class's and the operator's time-out: the first counts. */
-static int64_t
-deadline_of (const struct hf_event *event, const struct hf_class *class, int64_t arrived_at)
-{
-  int64_t total = class->deadline_ms * HF_MS;
-  if (class->timeout_ms > 0)
-    total = MIN (total, class->timeout_ms * HF_MS);
-  /* The caller has been waiting since before its request arrived. */
-  if (event->request.deadline_ms > 0)
-    total = MIN (total, MAX (event->request.deadline_ms - HF_CALLER_PATH_MS, 1) * HF_MS);
-  return arrived_at + total;
-}
-
-/* Majority vote over the deadlines that callers of one class name. */
-static void
-vote (struct hf_usual_deadline *usual, int64_t deadline_ms)
-{
-  if (usual->votes == 0)
-    usual->ms = deadline_ms;
-  if (usual->ms == deadline_ms)
-    usual->votes = MIN (usual->votes + 1, HF_DEADLINE_VOTES_MAX);
-  else
-    usual->votes--;
-}
-
-/* Callers of a class begin with the same deadline; one that comes again names
- * what is left of it. */
-static int64_t
-waited_ms (struct hf_state *state, const struct hf_event *event, const struct hf_class *class)
-{
-  uint64_t id = hf_hash (class->name, 0);
-  struct hf_usual_deadline *usual = g_hash_table_lookup (state->deadlines, &id);
-  if (event->request.deadline_ms <= 0)
-    return 0;
-  if (!usual)
-    {
-      usual = g_new0 (struct hf_usual_deadline, 1);
-      g_hash_table_insert (state->deadlines, g_memdup2 (&id, sizeof id), usual);
-    }
-  vote (usual, event->request.deadline_ms);
-  return MAX (usual->ms - event->request.deadline_ms, 0);
-}
-
 static struct hf_call *
 add_call (struct hf_state *state, const struct hf_event *event, const struct hf_route_target *target)
 {
   const struct hf_class *class = target->class;
-  int64_t arrived_at = event->request.arrived_at ? event->request.arrived_at : state->now;
   struct hf_call *call = g_new0 (struct hf_call, 1);
   call->id = event->call;
   call->document = hf_document_ref (state->document);
   call->service = target->service;
   call->class = class;
   call->service_id = hf_slices_draw (state, hf_service_id (target->service));
-  call->arrived_at = arrived_at;
-  call->deadline = deadline_of (event, class, arrived_at);
-  call->caller_until = call->deadline;
-  if (event->request.deadline_ms > 0)
-    call->caller_until = arrived_at + event->request.deadline_ms * HF_MS;
-  call->aim_at = call->deadline;
-  if (class->aim_ms > 0)
-    {
-      int64_t aim_ms = class->aim_ms - HF_CALLER_PATH_MS - waited_ms (state, event, class);
-      call->aim_at = MIN (call->deadline, arrived_at + aim_ms * HF_MS);
-    }
+  hf_patience_read (state, call, event);
   call->body_bytes = event->request.body_bytes;
   call->request_id = hf_str_dup (event->request.id);
   call->streamed = event->request.streamed;
--- a/src/hf-directory.c
+++ b/src/hf-directory.c
@@ -6,17 +6,11 @@
 
 /* --- types --- */
 
-/* One listed backend server. */
+/* One listed backend server; strings are copies. */
 struct listed
 {
-  struct hf_str name;
-  struct hf_str service;
-  struct hf_str address;
-  struct hf_str failure_domain;
-  unsigned slots;
-  uint64_t incarnation;
+  struct hf_server_report report;
   int64_t cold_until;
-  bool leaving;
   bool stale;      /* not seen since the list began */
   int64_t gone_at; /* to be removed then; 0: it is listed */
 };
@@ -26,10 +20,10 @@
 static void
 unset (struct listed *listed)
 {
-  hf_str_free (&listed->name);
-  hf_str_free (&listed->service);
-  hf_str_free (&listed->address);
-  hf_str_free (&listed->failure_domain);
+  hf_str_free (&listed->report.name);
+  hf_str_free (&listed->report.service);
+  hf_str_free (&listed->report.address);
+  hf_str_free (&listed->report.failure_domain);
 }
 
 static void
@@ -54,32 +48,32 @@
 static void
 put_in_pool (struct hf_state *state, const struct listed *listed)
 {
-  uint64_t id = hf_server_id (listed->service, listed->name);
-  struct hf_service_state *service = hf_slices_home (state, hf_hash (listed->service, 0), id);
+  uint64_t id = hf_server_id (listed->report.service, listed->report.name);
+  struct hf_service_state *service = hf_slices_home (state, hf_hash (listed->report.service, 0), id);
   struct hf_service_state *before = g_hash_table_lookup (state->homes, &id);
   if (before && before != service)
     hf_pool_remove (&before->pool, id);
   if (!service)
     return;
-  struct hf_pool_listing listing = { .spec = { .name = listed->name,
-                                               .address = listed->address,
-                                               .failure_domain = listed->failure_domain,
-                                               .slots = listed->slots },
+  struct hf_pool_listing listing = { .spec = { .name = listed->report.name,
+                                               .address = listed->report.address,
+                                               .failure_domain = listed->report.failure_domain,
+                                               .slots = listed->report.slots },
                                      .id = id,
-                                     .incarnation = listed->incarnation,
+                                     .incarnation = listed->report.incarnation,
                                      .cold_until = listed->cold_until };
   hf_pool_put (&service->pool, &listing);
-  hf_pool_set_leaving (&service->pool, listing.id, HF_LEAVING_DIRECTORY, listed->leaving, 0);
+  hf_pool_set_leaving (&service->pool, listing.id, HF_LEAVING_DIRECTORY, listed->report.leaving, 0);
   g_hash_table_insert (state->homes, g_memdup2 (&listing.id, sizeof listing.id), service);
 }
 
 static void
 remove_listed (struct hf_state *state, const struct listed *listed)
 {
-  uint64_t id = hf_server_id (listed->service, listed->name);
+  uint64_t id = hf_server_id (listed->report.service, listed->report.name);
   struct hf_service_state *service = g_hash_table_lookup (state->homes, &id);
   hf_state_log (state, HF_LOG_SERVER_GONE, "backend server " HF_STR_FMT " of " HF_STR_FMT " is no longer listed",
-                HF_STR_ARG (listed->name), HF_STR_ARG (listed->service));
+                HF_STR_ARG (listed->report.name), HF_STR_ARG (listed->report.service));
   if (service)
     hf_pool_remove (&service->pool, id);
   g_hash_table_remove (state->homes, &id);
@@ -99,7 +93,7 @@
       return;
     }
   remove_listed (state, listed);
-  g_hash_table_remove (state->directory.servers, listed->name.data);
+  g_hash_table_remove (state->directory.servers, listed->report.name.data);
 }
 
 static bool
@@ -111,11 +105,11 @@
 static void
 log_change (struct hf_state *state, const struct listed *before, const struct hf_server_report *report)
 {
-  if (!before || before->incarnation != report->incarnation)
+  if (!before || before->report.incarnation != report->incarnation)
     hf_state_log (state, HF_LOG_SERVER_LISTED, "backend server " HF_STR_FMT " of " HF_STR_FMT " at " HF_STR_FMT "%s",
                   HF_STR_ARG (report->name), HF_STR_ARG (report->service), HF_STR_ARG (report->address),
                   report->leaving ? ", leaving" : "");
-  else if (report->leaving && !before->leaving)
+  else if (report->leaving && !before->report.leaving)
     hf_state_log (state, HF_LOG_SERVER_LEAVING,
                   "backend server " HF_STR_FMT " of " HF_STR_FMT " is leaving, by the directory",
                   HF_STR_ARG (report->name), HF_STR_ARG (report->service));
@@ -128,7 +122,7 @@
   struct listed *listed;
   g_hash_table_iter_init (&iter, state->directory.servers);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &listed))
-    if (hf_str_equal (listed->service, service))
+    if (hf_str_equal (listed->report.service, service))
       put_in_pool (state, listed);
 }
 
@@ -140,7 +134,7 @@
   size_t servers = 0;
   g_hash_table_iter_init (&iter, state->directory.servers);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &listed))
-    servers += hf_str_equal (listed->service, service);
+    servers += hf_str_equal (listed->report.service, service);
   if (hf_slices_resize (state, hf_hash (service, 0), servers))
     put_all (state, service);
 }
@@ -150,7 +144,7 @@
 {
   struct listed *listed = find (state, report->name);
   log_change (state, listed, report);
-  if (listed && !hf_str_equal (listed->service, report->service))
+  if (listed && !hf_str_equal (listed->report.service, report->service))
     remove_listed (state, listed);
   if (listed)
     unset (listed);
@@ -159,16 +153,15 @@
       listed = g_new0 (struct listed, 1);
       g_hash_table_insert (state->directory.servers, g_strndup (report->name.data, report->name.len), listed);
     }
-  *listed = (struct listed){ .name = hf_str_dup (report->name),
-                             .service = hf_str_dup (report->service),
-                             .address = hf_str_dup (report->address),
-                             .failure_domain = hf_str_dup (report->failure_domain),
-                             .slots = report->slots,
-                             .incarnation = report->incarnation,
-                             .cold_until = report->cold_ms > 0 ? state->now + report->cold_ms * HF_MS : 0,
-                             .leaving = report->leaving };
+  *listed = (struct listed){ .report = *report };
+  listed->report.name = hf_str_dup (report->name);
+  listed->report.service = hf_str_dup (report->service);
+  listed->report.address = hf_str_dup (report->address);
+  listed->report.failure_domain = hf_str_dup (report->failure_domain);
+  if (report->cold_ms > 0)
+    listed->cold_until = state->now + report->cold_ms * HF_MS;
   put_in_pool (state, listed);
-  fit_slices (state, listed->service);
+  fit_slices (state, listed->report.service);
 }
 
 /* --- internal functions: lists --- */
@@ -264,7 +257,7 @@
       if (listed->gone_at == 0 || listed->gone_at > state->now)
         continue;
       remove_listed (state, listed);
-      g_hash_table_remove (state->directory.servers, listed->name.data);
+      g_hash_table_remove (state->directory.servers, listed->report.name.data);
     }
   g_list_free (all);
 }
--- a/src/hf-http.c
+++ b/src/hf-http.c
@@ -9,27 +9,6 @@
 
 #define IDLE_TIMEOUT_SEC 10 /* idle connections are dropped before middleboxes forget them */
 
-/* --- internal functions --- */
-
-static bool
-is_hop_by_hop (const char *name)
-{
-  static const char *const names[] = { "Connection",
-                                       "Keep-Alive",
-                                       "Proxy-Authenticate",
-                                       "Proxy-Authorization",
-                                       "Proxy-Connection",
-                                       "TE",
-                                       "Trailer",
-                                       "Transfer-Encoding",
-                                       "Upgrade",
-                                       NULL };
-  for (int i = 0; names[i]; i++)
-    if (g_ascii_strcasecmp (names[i], name) == 0)
-      return true;
-  return false;
-}
-
 /* --- public functions --- */
 
 SoupSession *
@@ -71,36 +50,6 @@
   return true;
 }
 
-void
-hf_http_copy_headers (SoupMessageHeaders *from, SoupMessageHeaders *to)
-{
-  SoupMessageHeadersIter iter;
-  const char *name;
-  const char *value;
-  soup_message_headers_iter_init (&iter, from);
-  while (soup_message_headers_iter_next (&iter, &name, &value))
-    if (!is_hop_by_hop (name) && !soup_message_headers_header_contains (from, "Connection", name))
-      soup_message_headers_append (to, name, value);
-}
-
-struct hf_answer_hints
-hf_http_hints (unsigned status, SoupMessageHeaders *headers)
-{
-  struct hf_answer_hints hints = { .status = status, .load = -1, .retry_after_ms = -1 };
-  const char *load = soup_message_headers_get_one (headers, "Backend-Load");
-  const char *state = soup_message_headers_get_one (headers, "Backend-State");
-  const char *outcome = soup_message_headers_get_one (headers, "Backend-Outcome");
-  const char *retry = soup_message_headers_get_one (headers, "Retry-After");
-  gint64 number;
-  if (load && g_ascii_string_to_signed (load, 10, 0, G_MAXINT32, &number, NULL))
-    hints.load = (int) number;
-  if (retry && g_ascii_string_to_signed (retry, 10, 0, 3600, &number, NULL))
-    hints.retry_after_ms = number * 1000;
-  hints.leaving = state && strcmp (state, "draining") == 0;
-  hints.not_run = outcome && strcmp (outcome, "not-run") == 0;
-  return hints;
-}
-
 SoupMessage *
 hf_http_message (const char *method, struct hf_str address, const char *path, const char *query)
 {
--- a/src/hf-http.h
+++ b/src/hf-http.h
@@ -18,9 +18,7 @@
                      struct hf_str address,
                      char *actual,
                      size_t size,
-                     struct hf_error *error);                                        /* IP:PORT it really listens on */
-void hf_http_copy_headers (SoupMessageHeaders *from, SoupMessageHeaders *to);        /* without hop-by-hop headers */
-struct hf_answer_hints hf_http_hints (unsigned status, SoupMessageHeaders *headers); /* what a backend server said */
+                     struct hf_error *error); /* IP:PORT it really listens on */
 SoupMessage *hf_http_message (const char *method,
                               struct hf_str address,
                               const char *path,
--- a/src/hf-pool.c
+++ b/src/hf-pool.c
@@ -1,7 +1,8 @@
 /* Slots of one service's backend servers. */
 #include "hf-pool.h"
 
-#include <string.h>
+#include "hf-placing.h"
+#include "hf-prospect.h"
 
 #include "config.h"
 
@@ -75,158 +76,8 @@
   return &g_array_index (pool->servers, struct hf_pool_server, i);
 }
 
-static unsigned
-load_of (const struct hf_pool *pool, const struct hf_pool_server *server, int64_t now)
-{
-  unsigned load = server->granted;
-  if (pool->policy->use_foreign)
-    load += server->foreign;
-  bool fresh = now - server->reported_at < HF_LOAD_REPORT_MAX_MS * HF_MS;
-  if (pool->policy->use_reports && fresh && server->reported > (int) load)
-    load = (unsigned) server->reported;
-  return load;
-}
-
 /* --- internal functions: choice --- */
 
-/* Latency of a server that answered nothing yet is that of the others. */
-static double
-expected_latency (const struct hf_pool *pool, const struct hf_pool_server *server)
-{
-  double sum = 0;
-  unsigned n = 0;
-  if (server->samples > 0)
-    return server->latency_us;
-  for (size_t i = 0; i < pool->servers->len; i++)
-    {
-      const struct hf_pool_server *other = server_at (pool, i);
-      if (other->samples == 0)
-        continue;
-      sum += other->latency_us;
-      n++;
-    }
-  return n ? sum / n : 0;
-}
-
-static double
-distance_us (const struct hf_pool_server *server, const struct hf_pool_want *want)
-{
-  bool near
-      = want->failure_domain == 0 || server->failure_domain == 0 || want->failure_domain == server->failure_domain;
-  return near ? 0 : HF_PLACE_FAR_US + HF_PLACE_FAR_US_BYTE * (double) want->body_bytes;
-}
-
-/* Slots of a server that are worth using. */
-static unsigned
-usable_slots_of (const struct hf_pool *pool, const struct hf_pool_server *server)
-{
-  unsigned slots = hf_health_slots (server);
-  bool measured = server->slowdown_percent > 0;
-  if (measured && server->slots > 1 && slots == server->slots && hf_crowding_avoids_last (&pool->crowding))
-    return slots - 1;
-  return slots;
-}
-
-static size_t
-list_candidates (const struct hf_pool *pool,
-                 int64_t now,
-                 const struct hf_pool_want *want,
-                 uint64_t exclude,
-                 bool all_slots,
-                 struct hf_candidate *candidates)
-{
-  size_t n = 0;
-  for (size_t i = 0; i < pool->servers->len; i++)
-    {
-      const struct hf_pool_server *server = server_at (pool, i);
-      unsigned load = load_of (pool, server, now);
-      if (!hf_health_is_usable (server, now) || server->id == exclude)
-        continue;
-      if (pool->policy->bounded && load >= (all_slots ? hf_health_slots (server) : usable_slots_of (pool, server)))
-        continue;
-      candidates[n++] = (struct hf_candidate){ .index = i,
-                                               .load = load,
-                                               .slots = hf_health_slots (server),
-                                               .latency_us = expected_latency (pool, server),
-                                               .factor = hf_health_factor (server, now),
-                                               .distance_us = distance_us (server, want),
-                                               .failure = server->failure };
-    }
-  return n;
-}
-
-static size_t
-count_usable (const struct hf_pool *pool, int64_t now, uint64_t exclude)
-{
-  size_t n = 0;
-  for (size_t i = 0; i < pool->servers->len; i++)
-    n += hf_health_is_usable (server_at (pool, i), now) && server_at (pool, i)->id != exclude;
-  return n;
-}
-
-/* A want with time to spare waits for a server that is not slowed down, and with
- * a large body for a near one: slow times are short against what a start in one
- * of them costs. */
-static bool
-may_wait (const struct hf_pool *pool, int64_t now, const struct hf_pool_want *want)
-{
-  if (want->aim_at == 0 || pool->typical_us <= 0)
-    return false;
-  double spare = (double) (want->aim_at - now) - pool->typical_us;
-  return spare > 0 && now - want->asked_at < HF_PLACE_PATIENCE_MS * HF_MS;
-}
-
-static size_t
-drop_costly (struct hf_candidate *candidates, size_t n)
-{
-  size_t kept = 0;
-  for (size_t i = 0; i < n; i++)
-    if (candidates[i].factor < HF_PLACE_SLOW_FACTOR && candidates[i].distance_us < HF_PLACE_FAR_WAIT_US)
-      candidates[kept++] = candidates[i];
-  return kept;
-}
-
-/* A choice that is to find out what last slots cost takes one, if there is one. */
-static size_t
-prefer_last_slots (const struct hf_pool *pool, struct hf_candidate *candidates, size_t n)
-{
-  size_t kept = 0;
-  struct hf_candidate last[n + 1];
-  for (size_t i = 0; i < n; i++)
-    {
-      const struct hf_pool_server *server = server_at (pool, candidates[i].index);
-      bool calm = server->slowdown_percent > 0 && candidates[i].factor < HF_PLACE_SLOW_FACTOR;
-      if (calm && server->slots > 1 && candidates[i].load + 1 >= server->slots)
-        last[kept++] = candidates[i];
-    }
-  if (kept == 0)
-    return n;
-  memcpy (candidates, last, kept * sizeof *last);
-  return kept;
-}
-
-static struct hf_pool_server *
-choose_server (struct hf_pool *pool, int64_t now, const struct hf_pool_want *want)
-{
-  uint64_t exclude = want->exclude;
-  struct hf_candidate candidates[pool->servers->len + 1];
-  bool all_slots = hf_crowding_tries_last (&pool->crowding);
-  size_t n = list_candidates (pool, now, want, exclude, all_slots, candidates);
-  /* An excluded server is better than none. */
-  if (n == 0 && exclude && count_usable (pool, now, exclude) == 0)
-    n = list_candidates (pool, now, want, 0, all_slots, candidates);
-  if (all_slots)
-    n = prefer_last_slots (pool, candidates, n);
-  if (may_wait (pool, now, want))
-    n = drop_costly (candidates, n);
-  if (n == 0)
-    return NULL;
-  struct hf_choice_context choice = { .turn = pool->turn };
-  size_t i = pool->policy->choose (&choice, candidates, n, hf_random_next (&pool->random));
-  pool->turn++;
-  return i < n ? server_at (pool, candidates[i].index) : NULL;
-}
-
 /* --- internal functions: queue --- */
 
 static void
@@ -301,37 +152,6 @@
   return waiting;
 }
 
-static unsigned
-usable_slots (const struct hf_pool *pool, int64_t now, double *latency_us)
-{
-  unsigned slots = 0;
-  double sum = 0;
-  for (size_t i = 0; i < pool->servers->len; i++)
-    {
-      const struct hf_pool_server *server = server_at (pool, i);
-      if (!hf_health_is_usable (server, now))
-        continue;
-      unsigned own = usable_slots_of (pool, server);
-      slots += own;
-      sum += expected_latency (pool, server) * own;
-    }
-  *latency_us = slots ? sum / slots : 0;
-  return slots;
-}
-
-/* True if the time to reach the head of the queue leaves too little for the
- * work. */
-static bool
-would_be_late (const struct hf_pool *pool, int64_t now, const struct waiting *waiting)
-{
-  double latency;
-  unsigned slots = usable_slots (pool, now, &latency);
-  if (slots == 0)
-    return false;
-  double ahead = g_sequence_iter_get_position (waiting->place) + 1;
-  return (double) now + ahead * latency / slots + latency > (double) waiting->want.deadline;
-}
-
 static void
 shed_least_worth (struct hf_pool *pool, GArray *decisions)
 {
@@ -344,13 +164,13 @@
 static void
 wait_or_refuse (struct hf_pool *pool, int64_t now, const struct hf_pool_want *want, GArray *decisions)
 {
-  if (count_usable (pool, now, 0) == 0)
+  if (hf_placing_usable (pool, now, 0) == 0)
     {
       refuse (pool, decisions, want, HF_REFUSAL_NO_SERVER);
       return;
     }
   struct waiting *waiting = enqueue (pool, want);
-  if (would_be_late (pool, now, waiting))
+  if (hf_prospect_would_be_late (pool, now, &waiting->want, (unsigned) g_sequence_iter_get_position (waiting->place)))
     {
       refuse (pool, decisions, want, HF_REFUSAL_DEADLINE);
       remove_waiting (pool, waiting);
@@ -361,56 +181,6 @@
     shed_least_worth (pool, decisions);
 }
 
-static bool
-is_late (const struct hf_pool *pool, int64_t now, const struct hf_pool_want *want)
-{
-  return want->aim_at != 0 && (double) now + pool->typical_us * HF_AIM_ROOM > (double) want->aim_at;
-}
-
-/* What is late gives way to the rest, and may not be reached in time. */
-static bool
-is_hopeless (const struct hf_pool *pool, int64_t now, const struct hf_pool_want *want, unsigned ahead, unsigned slots)
-{
-  if (!is_late (pool, now, want) || slots == 0)
-    return false;
-  double wait = HF_LATE_PRESSURE * ahead * pool->typical_us / slots;
-  return (double) now + wait + pool->typical_us > (double) want->deadline;
-}
-
-/* Without answers in time, what was given up tells how long work takes at least. */
-static double
-usual_latency (const struct hf_pool *pool, int64_t now)
-{
-  double latency;
-  if (pool->typical_us > 0)
-    return pool->typical_us;
-  usable_slots (pool, now, &latency);
-  return latency;
-}
-
-/* Too little time is left even for a start now. */
-static bool
-is_too_late (const struct hf_pool *pool, int64_t now, const struct hf_pool_want *want)
-{
-  if (want->aim_at == 0)
-    return want->deadline <= now;
-  return (double) now + usual_latency (pool, now) * HF_LAST_START >= (double) want->deadline;
-}
-
-static bool
-has_free_slot (const struct hf_pool *pool, int64_t now)
-{
-  bool tries = hf_crowding_tries_last (&pool->crowding);
-  for (size_t i = 0; i < pool->servers->len; i++)
-    {
-      const struct hf_pool_server *server = server_at (pool, i);
-      unsigned slots = tries ? hf_health_slots (server) : usable_slots_of (pool, server);
-      if (hf_health_is_usable (server, now) && load_of (pool, server, now) < slots)
-        return true;
-    }
-  return !pool->policy->bounded;
-}
-
 /* Grants to those that are late, or to those that are not, in their order. What
  * can no longer be answered in time is refused. */
 static void
@@ -421,17 +191,17 @@
     {
       struct waiting *waiting = g_sequence_get (place);
       place = g_sequence_iter_next (place);
-      if (is_too_late (pool, now, &waiting->want))
+      if (hf_prospect_is_too_late (pool, now, &waiting->want))
         {
           refuse (pool, decisions, &waiting->want, HF_REFUSAL_DEADLINE);
           remove_waiting (pool, waiting);
           continue;
         }
-      if (is_late (pool, now, &waiting->want) != late)
+      if (hf_prospect_is_late (pool, now, &waiting->want) != late)
         continue;
-      if (!has_free_slot (pool, now))
+      if (!hf_placing_has_room (pool, now))
         return;
-      struct hf_pool_server *server = choose_server (pool, now, &waiting->want);
+      struct hf_pool_server *server = hf_placing_choose (pool, now, &waiting->want);
       /* Without aims the first in line is never passed. */
       if (!server && waiting->want.aim_at == 0)
         return;
@@ -567,12 +337,7 @@
   pool->queue_limit = (unsigned) service->queue_limit;
   double most = service->policy == HF_POLICY_GRANTS ? HF_RETRY_SHARED_MAX : HF_RETRY_TOKENS_MAX;
   if (first)
-    {
-      hf_retry_init (&pool->budget, most, (double) service->retry_percent);
-      /* With many pools of one service their first stocks would add up. */
-      if (service->directory)
-        pool->budget.tokens = 0;
-    }
+    hf_retry_init (&pool->budget, most, (double) service->retry_percent);
   pool->budget.max = most;
   pool->budget.earn = (double) service->retry_percent / 100.0;
 }
@@ -668,7 +433,7 @@
   /* Whoever waits already goes first unless the newcomer is worth more. */
   want.asked_at = now;
   bool first = hf_pool_waiting (pool) == 0;
-  struct hf_pool_server *server = first ? choose_server (pool, now, &want) : NULL;
+  struct hf_pool_server *server = first ? hf_placing_choose (pool, now, &want) : NULL;
   if (server)
     {
       grant (pool, now, &want, server, decisions);
@@ -723,7 +488,7 @@
   if (hf_pool_waiting (pool) == 0)
     return;
   pump_some (pool, now, false, decisions);
-  if (has_free_slot (pool, now))
+  if (hf_placing_has_room (pool, now))
     pump_some (pool, now, true, decisions);
 }
 
@@ -740,7 +505,7 @@
         g_hash_table_iter_remove (&iter);
       }
   double latency;
-  unsigned slots = usable_slots (pool, now, &latency);
+  unsigned slots = hf_placing_slots (pool, now, &latency);
   unsigned ahead = 0;
   GSequenceIter *place = g_sequence_get_begin_iter (pool->queue);
   while (!g_sequence_iter_is_end (place))
@@ -748,7 +513,7 @@
       struct waiting *waiting = g_sequence_get (place);
       place = g_sequence_iter_next (place);
       ahead++;
-      if (waiting->want.deadline > now && !is_hopeless (pool, now, &waiting->want, ahead, slots))
+      if (waiting->want.deadline > now && !hf_prospect_is_hopeless (pool, now, &waiting->want, ahead, slots))
         continue;
       refuse (pool, decisions, &waiting->want, HF_REFUSAL_DEADLINE);
       remove_waiting (pool, waiting);
--- a/src/hf-slices.c
+++ b/src/hf-slices.c
@@ -80,6 +80,9 @@
     return false;
   first->slices = wanted;
   hf_slices_configure (state, spec);
+  /* The first stocks of many pools at many entries would add up. */
+  for (unsigned i = 0; i < wanted && wanted > 1; i++)
+    hf_slices_at (state, service, i)->pool.budget.tokens = 0;
   return true;
 }
 
