--- a/bench/harness.c
+++ b/bench/harness.c
@@ -4,6 +4,8 @@
 #include <glib/gstdio.h>
 #include <libsoup/soup.h>
 #include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "hf-http.h"
@@ -120,6 +122,21 @@
 
 /* --- public functions: init and close --- */
 
+void
+harness_options (int *argc, char ***argv, const char *summary)
+{
+  GError *problem = NULL;
+  GOptionContext *context = g_option_context_new (NULL);
+  g_option_context_set_summary (context, summary);
+  bool parsed = g_option_context_parse (context, argc, argv, &problem);
+  g_option_context_free (context);
+  if (parsed && *argc == 1)
+    return;
+  fprintf (stderr, "%s; see --help\n", parsed ? "no arguments are taken" : problem->message);
+  g_clear_error (&problem);
+  exit (EXIT_FAILURE);
+}
+
 struct harness *
 harness_open (const char *program)
 {
--- a/bench/harness.h
+++ b/bench/harness.h
@@ -57,6 +57,8 @@
 struct harness *harness_open (const char *program); /* starts the platform; program finds the folder */
 void harness_close (struct harness *harness);       /* ends all, frees all */
 
+void harness_options (int *argc, char ***argv, const char *summary); /* --help; ends the program on wrong use */
+
 /* --- public functions: processes --- */
 
 struct backend *harness_add_backend (struct harness *harness,
--- a/bench/speed.c
+++ b/bench/speed.c
@@ -159,8 +159,9 @@
 int
 main (int argc, char **argv)
 {
+  harness_options (&argc, &argv,
+                   "Measures what an entry adds to a call: at one connection, at half a core, with many.");
   struct harness *harness = harness_open (argv[0]);
-  (void) argc;
   setvbuf (stdout, NULL, _IOLBF, 0);
   struct backend *backend = harness_add_backend_constant (harness, 1, 1000, 0);
   struct entry *entry = harness_add_entry (harness, "d1");
--- a/src/hf-calls.c
+++ b/src/hf-calls.c
@@ -565,6 +565,7 @@
   if (decision->kind == HF_DECISION_QUEUED)
     {
       hf_slots_queued (state, call, i);
+      hf_trace_queued (state, call, i);
       return true;
     }
   hf_timers_cancel (&attempt->ask_timer);
--- a/src/hf-trace.c
+++ b/src/hf-trace.c
@@ -42,6 +42,12 @@
   return (state->now - at) / HF_MS;
 }
 
+static struct hf_str
+granter_name (const struct hf_attempt *attempt)
+{
+  return hf_str (attempt->granter ? "granter" : "own pool");
+}
+
 static struct hf_str
 server_name (const struct hf_state *state, const struct hf_call *call, unsigned attempt)
 {
@@ -65,13 +71,21 @@
   add_line (state, HF_LOG_REQUEST_ROUTED, call->request_id, fields, G_N_ELEMENTS (fields));
 }
 
+void
+hf_trace_queued (struct hf_state *state, const struct hf_call *call, unsigned attempt)
+{
+  const struct hf_log_field fields[]
+      = { HF_LOG_INT ("attempt", attempt), HF_LOG_TEXT ("by", granter_name (&call->attempts[attempt])) };
+  add_line (state, HF_LOG_REQUEST_QUEUED, call->request_id, fields, G_N_ELEMENTS (fields));
+}
+
 void
 hf_trace_denied (struct hf_state *state, const struct hf_call *call, unsigned attempt, const char *reason)
 {
   const struct hf_attempt *asked = &call->attempts[attempt];
-  const struct hf_log_field fields[] = { HF_LOG_INT ("attempt", attempt), HF_LOG_TEXT ("reason", hf_str (reason)),
-                                         HF_LOG_TEXT ("by", hf_str (asked->granter ? "granter" : "own pool")),
-                                         HF_LOG_INT ("waited_ms", since_ms (state, asked->asked_first_at)) };
+  const struct hf_log_field fields[]
+      = { HF_LOG_INT ("attempt", attempt), HF_LOG_TEXT ("reason", hf_str (reason)),
+          HF_LOG_TEXT ("by", granter_name (asked)), HF_LOG_INT ("waited_ms", since_ms (state, asked->asked_first_at)) };
   add_line (state, HF_LOG_SLOT_DENIED, call->request_id, fields, G_N_ELEMENTS (fields));
 }
 
@@ -85,7 +99,7 @@
   const struct hf_log_field fields[] = {
     HF_LOG_INT ("attempt", attempt),
     HF_LOG_TEXT ("server", server->name),
-    HF_LOG_TEXT ("by", hf_str (sent->granter ? "granter" : "own pool")),
+    HF_LOG_TEXT ("by", granter_name (sent)),
     HF_LOG_INT ("waited_ms", since_ms (state, sent->asked_first_at)),
     HF_LOG_INT ("remaining_ms", -since_ms (state, call->deadline)),
     HF_LOG_INT ("slowdown_percent", server->slowdown_percent),
--- a/src/hf-trace.h
+++ b/src/hf-trace.h
@@ -12,6 +12,7 @@
 /* --- public functions --- */
 
 void hf_trace_routed (struct hf_state *state, const struct hf_call *call); /* class, service, configuration, time */
+void hf_trace_queued (struct hf_state *state, const struct hf_call *call, unsigned attempt); /* waits for a slot */
 void hf_trace_denied (struct hf_state *state,
                       const struct hf_call *call,
                       unsigned attempt,
--- a/src/hf-yaml.c
+++ b/src/hf-yaml.c
@@ -300,6 +300,8 @@
   yaml_node_t *root = yaml_document_get_root_node (&yaml);
   bool ok
       = root ? read_map (&reader, root, fields, out) : hf_error_set (error, HF_ERROR_SYNTAX, "the document is empty");
+  if (!root && error)
+    error->line = error->column = 1;
   yaml_document_delete (&yaml);
   yaml_parser_delete (&parser);
   return ok;
