A failed attempt waits for the other one that still runs

Cause, found in reading: the answer 500 of a first attempt went to the caller and cancelled the second one, although that ran at another server. Test: test-scripts /scripts/hedge-failed (relayed 2.0 and cancelled 2.1 before; relays 2.1 now).

--- a/src/hf-calls.c
+++ b/src/hf-calls.c
@@ -270,11 +270,13 @@
   /* Unless its class says otherwise, a request that may not be repeated is sent
    * once per arrival, refused or not. */
   bool may_run_twice = !(not_run && call->class->resend_refused);
-  if (failure && may_retry (call, may_run_twice, state->now, delay))
+  bool doubled = has_live_attempt (call);
+  if (failure && (doubled || may_retry (call, may_run_twice, state->now, delay)))
     {
       attempt->held = true;
       attempt->held_status = event->hints.status;
-      schedule_retry (state, call, delay);
+      if (!doubled)
+        schedule_retry (state, call, delay);
       return;
     }
   enum hf_outcome outcome = HF_OUTCOME_ANSWERED;
--- a/src/hf-trace.c
+++ b/src/hf-trace.c
@@ -129,9 +129,10 @@
 void
 hf_trace_again (struct hf_state *state, const struct hf_call *call, const char *why)
 {
-  const struct hf_log_field fields[] = { HF_LOG_INT ("attempt", call->n_attempts - 1), HF_LOG_TEXT ("why", hf_str (why)),
-                                         HF_LOG_INT ("remaining_ms", -since_ms (state, call->deadline)),
-                                         HF_LOG_INT ("aim_ms", -since_ms (state, call->aim_at)) };
+  const struct hf_log_field fields[]
+      = { HF_LOG_INT ("attempt", call->n_attempts - 1), HF_LOG_TEXT ("why", hf_str (why)),
+          HF_LOG_INT ("remaining_ms", -since_ms (state, call->deadline)),
+          HF_LOG_INT ("aim_ms", -since_ms (state, call->aim_at)) };
   add_line (state, HF_LOG_REQUEST_AGAIN, call->request_id, fields, G_N_ELEMENTS (fields));
 }
 
