--- a/src/config.h
+++ b/src/config.h
@@ -16,7 +16,6 @@
 #define HF_BODY_BUFFER_BYTES    (256 * 1024) /* larger bodies are streamed */
 #define HF_HEADER_BYTES_MAX     (32 * 1024)  /* request head, above: 431 */
 #define HF_BODY_BYTES_MAX       (1LL << 30)  /* request body, above: 413 */
-#define HF_RELAY_CHUNK_BYTES    (64 * 1024)  /* unit of a streamed copy */
 #define HF_CALLER_SILENT_SEC    60           /* caller bytes stalled, then cut */
 #define HF_CALLER_PATH_MS       24           /* a caller's wait outside of this process: connection, both ways */
 #define HF_DEADLINE_VOTES_MAX   50           /* so many callers with another deadline change the usual one */
@@ -43,7 +42,6 @@
 #define HF_LOG_BYTES_MAX     (64 * 1024) /* waiting for the reader, above: dropped and counted */
 #define HF_LOG_RETRY_MS      20          /* a full pipe is tried again */
 #define HF_LOG_SAMPLE        16          /* under load the successes of one request in so many are kept */
-#define HF_LOG_FIELDS_MAX    12
 
 #define HF_LATENCY_CLASSES_MAX 64 /* classes with histograms of their own */
 
--- a/src/hf-yaml.c
+++ b/src/hf-yaml.c
@@ -265,6 +265,8 @@
 bool
 hf_address_valid (struct hf_str address)
 {
+  if (address.len == 0)
+    return false;
   char *text = g_strndup (address.data, address.len);
   char *colon = strrchr (text, ':');
   guint64 port = 0;
--- a/tests/fake-store.c
+++ b/tests/fake-store.c
@@ -38,6 +38,7 @@
   guint64 revision;
   guint64 forgotten; /* changes up to here are not in the history */
   guint refuse;
+  gboolean silent;
   guint lose;
   guint calls;
 };
@@ -254,6 +255,8 @@
   struct call *call = hf_request_data (request);
   const char *watch = g_hash_table_lookup (call->query, "watch");
   store->calls++;
+  if (store->silent)
+    return;
   if (store->refuse)
     answer (call, store->refuse, "{}");
   else if (strcmp (call->method, "GET") != 0)
@@ -360,6 +363,14 @@
     cut_watches (store, status);
 }
 
+void
+store_silence (struct fake_store *store, gboolean silent)
+{
+  store->silent = silent;
+  if (silent)
+    g_ptr_array_set_size (store->watches, 0);
+}
+
 void
 store_lose (struct fake_store *store, guint writes)
 {
--- a/tests/fake-store.h
+++ b/tests/fake-store.h
@@ -20,8 +20,9 @@
 void store_delete (struct fake_store *store, const char *kind, const char *name);                /* with an event */
 char *store_get (const struct fake_store *store, const char *kind, const char *name); /* JSON of its spec, or NULL */
 void store_refuse (struct fake_store *store, guint status); /* every call gets this; waiting watches are cut; 0: none */
-void store_lose (struct fake_store *store, guint writes);   /* so many are done and not answered */
-void store_forget (struct fake_store *store);               /* the history is gone: watches get 410 */
-guint store_calls (const struct fake_store *store);         /* calls so far */
+void store_silence (struct fake_store *store, gboolean silent); /* no call is answered, nor is a watch that waits */
+void store_lose (struct fake_store *store, guint writes);       /* so many are done and not answered */
+void store_forget (struct fake_store *store);                   /* the history is gone: watches get 410 */
+guint store_calls (const struct fake_store *store);             /* calls so far */
 
 #endif
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -20,6 +20,7 @@
 #define DIRECTORY_MS   1000 /* a change of the directory is known after that */
 #define LAPSE_MS       2600 /* servers missing after an outage are gone after that */
 #define OUTAGE_MS      1200 /* entries lapse after seconds of silence only; longer than changes are gathered */
+#define BACK_MS        2000 /* a change is in force that long after the store is back */
 #define GONE_MS        500  /* a caller that left is known at the backend server after that */
 #define SPLIT_REQUESTS 400
 #define RETRY_STOCK    4 /* retries that a service begins with */
@@ -476,6 +477,8 @@
   store_put (
       setup->store, "servers", "x-4",
       "{\"address\":\"127.0.0.1:1\",\"info\":{\"service\":\"alpha\",\"slots\":\"3\"},\"status\":{\"state\":\"odd\"}}");
+  store_put (setup->store, "servers", "x-5",
+             "{\"info\":{\"service\":\"alpha\",\"slots\":3},\"status\":{\"state\":\"ready\"}}");
   harness_pause (DIRECTORY_MS);
   for (guint i = 0; i < 20; i++)
     g_assert_cmpuint (status_of (setup, "POST", "/w/x", "b"), ==, 200);
@@ -561,6 +564,20 @@
   close_setup (setup);
 }
 
+/* A store that falls silent answers no waiting watch, also not when it is back. */
+static void
+test_store_silent (void)
+{
+  struct setup *setup = open_setup ();
+  store_silence (setup->store, TRUE);
+  harness_pause (OUTAGE_MS);
+  store_silence (setup->store, FALSE);
+  configure (setup, 9, "\"service\":\"alpha\"", "/new/");
+  harness_pause (BACK_MS);
+  g_assert_cmpuint (status_of (setup, "GET", "/new/x", ""), ==, 200);
+  close_setup (setup);
+}
+
 /* A registration whose answer is lost is made again and found done. */
 static void
 test_lost_write (void)
@@ -890,6 +907,7 @@
   g_test_add_func ("/platform/forgotten", test_forgotten);
   g_test_add_func ("/platform/lapse", test_lapse);
   g_test_add_func ("/platform/store-away", test_store_away);
+  g_test_add_func ("/platform/store-silent", test_store_silent);
   g_test_add_func ("/platform/lost-write", test_lost_write);
   g_test_add_func ("/platform/refused", test_refused);
   g_test_add_func ("/platform/false-promise", test_false_promise);
