--- a/src/hf-front.c
+++ b/src/hf-front.c
@@ -469,12 +469,6 @@
   g_list_free (connections);
 }
 
-unsigned
-hf_front_connections (const struct hf_front *front)
-{
-  return g_hash_table_size (front->connections);
-}
-
 /* --- public functions: requests --- */
 
 void
--- a/src/hf-front.h
+++ b/src/hf-front.h
@@ -59,10 +59,9 @@
 void hf_front_close (struct hf_front *front);                                /* closes every connection, frees all */
 struct hf_str hf_front_address (const struct hf_front *front);               /* where it listens */
 void hf_front_limit (struct hf_front *front, struct hf_front_limits limits); /* for what comes from now on */
-void hf_front_leave (struct hf_front *front);                 /* answers from now on close their connection */
-void hf_front_stop (struct hf_front *front);                  /* takes no connection, closes the idle ones */
-void hf_front_sweep (struct hf_front *front, int64_t now);    /* ends what has taken too long */
-unsigned hf_front_connections (const struct hf_front *front); /* open connections */
+void hf_front_leave (struct hf_front *front);              /* answers from now on close their connection */
+void hf_front_stop (struct hf_front *front);               /* takes no connection, closes the idle ones */
+void hf_front_sweep (struct hf_front *front, int64_t now); /* ends what has taken too long */
 
 /* --- public functions: requests --- */
 
--- a/src/hf-link.c
+++ b/src/hf-link.c
@@ -17,7 +17,6 @@
   GHashTable *hosts; /* struct host by address */
   GPtrArray *all;    /* struct wire */
   GPtrArray *closed; /* the same, to be freed once no callback is at work */
-  uint64_t opened;
 };
 
 /* Kept connections to one address, the one used last at the end. */
@@ -322,7 +321,6 @@
   hf_reader_limit (wire->reader, HF_ANSWER_HEAD_BYTES_MAX);
   hf_stream_own (stream, &stream_calls, wire);
   g_ptr_array_add (links->all, wire);
-  links->opened++;
   return wire;
 }
 
@@ -413,12 +411,6 @@
     close_wire (g_ptr_array_steal_index (host->idle, host->idle->len - 1));
 }
 
-uint64_t
-hf_links_opened (const struct hf_links *links)
-{
-  return links->opened;
-}
-
 /* --- public functions: requests --- */
 
 struct hf_link *
@@ -472,12 +464,6 @@
   return link->wire ? hf_stream_unsent (link->wire->stream) : 0;
 }
 
-bool
-hf_link_handed (const struct hf_link *link)
-{
-  return link->wire && hf_stream_handed (link->wire->stream);
-}
-
 void
 hf_link_pause (struct hf_link *link, bool paused)
 {
--- a/src/hf-link.h
+++ b/src/hf-link.h
@@ -67,7 +67,6 @@
 void hf_links_close (struct hf_links *links);              /* cancels all, frees all */
 void hf_links_sweep (struct hf_links *links, int64_t now); /* ends what has waited too long; from the loop only */
 void hf_links_drop (struct hf_links *links, struct hf_str address); /* closes the kept connections there */
-uint64_t hf_links_opened (const struct hf_links *links);            /* connections opened so far */
 
 /* --- public functions: requests --- */
 
@@ -77,7 +76,6 @@
                                void *context); /* the end is told later, never inside of this call */
 void hf_link_send (struct hf_link *link, struct hf_str bytes, bool last); /* more of an open body */
 size_t hf_link_unsent (const struct hf_link *link);                       /* bytes that wait */
-bool hf_link_handed (const struct hf_link *link);                         /* a byte was handed to a connection */
 void hf_link_pause (struct hf_link *link, bool paused);                   /* stops or resumes reading the answer */
 void hf_link_cancel (struct hf_link *link);                               /* closes the connection; no further call */
 
--- a/src/hf-members.c
+++ b/src/hf-members.c
@@ -174,37 +174,6 @@
   beat_member (state, member, sync, loads, list_loads (state, loads));
 }
 
-static void
-list_entry (struct hf_state *state, struct hf_str name, struct hf_str address, bool gone)
-{
-  struct hf_member *member = find_by_name (state, name);
-  if (hf_str_equal (name, state->name))
-    return;
-  if (gone)
-    {
-      if (member)
-        member->listed = false;
-      return;
-    }
-  if (!member)
-    member = find_by_address (state, address);
-  bool is_new = !member;
-  if (!member)
-    member = add_member (state, name, address);
-  hf_str_free (&member->name);
-  member->name = hf_str_dup (name);
-  if (!hf_str_equal (member->address, address))
-    {
-      hf_str_free (&member->address);
-      member->address = hf_str_dup (address);
-    }
-  member->listed = true;
-  member->listed_at = state->now;
-  member->stale = false;
-  if (is_new && state->external)
-    beat_one (state, member, true);
-}
-
 static unsigned
 load_at (const struct hf_rpc_heartbeat *beat, uint64_t server)
 {
@@ -344,7 +313,32 @@
 void
 hf_members_list (struct hf_state *state, struct hf_str name, struct hf_str address, bool gone)
 {
-  list_entry (state, name, address, gone);
+  struct hf_member *member = find_by_name (state, name);
+  if (hf_str_equal (name, state->name))
+    return;
+  if (gone)
+    {
+      if (member)
+        member->listed = false;
+      return;
+    }
+  if (!member)
+    member = find_by_address (state, address);
+  bool is_new = !member;
+  if (!member)
+    member = add_member (state, name, address);
+  hf_str_free (&member->name);
+  member->name = hf_str_dup (name);
+  if (!hf_str_equal (member->address, address))
+    {
+      hf_str_free (&member->address);
+      member->address = hf_str_dup (address);
+    }
+  member->listed = true;
+  member->listed_at = state->now;
+  member->stale = false;
+  if (is_new && state->external)
+    beat_one (state, member, true);
 }
 
 void
@@ -355,7 +349,7 @@
   if (!hf_vm_read (object, &vm, &error))
     return;
   if (hf_str_equal (vm.role, hf_str ("entry")))
-    list_entry (state, object->name, vm.address, object->type == HF_WATCH_DELETED);
+    hf_members_list (state, object->name, vm.address, object->type == HF_WATCH_DELETED);
   else
     backend_vm (state, object, &vm);
 }
--- a/src/hf-net.c
+++ b/src/hf-net.c
@@ -112,6 +112,19 @@
     stream->calls->ended (stream->context, end);
 }
 
+static void
+drop_sent (struct hf_stream *stream)
+{
+  stream->sent = 0;
+  if (stream->out->len > SHRINK_BYTES)
+    {
+      g_byte_array_unref (stream->out);
+      stream->out = g_byte_array_new ();
+    }
+  else
+    g_byte_array_set_size (stream->out, 0);
+}
+
 static void
 leave_for_later (struct hf_stream *stream)
 {
@@ -402,19 +415,6 @@
     g_byte_array_append (stream->out, (const guint8 *) bytes.data, (guint) bytes.len);
 }
 
-static void
-drop_sent (struct hf_stream *stream)
-{
-  stream->sent = 0;
-  if (stream->out->len > SHRINK_BYTES)
-    {
-      g_byte_array_unref (stream->out);
-      stream->out = g_byte_array_new ();
-    }
-  else
-    g_byte_array_set_size (stream->out, 0);
-}
-
 void
 hf_stream_flush (struct hf_stream *stream)
 {
--- a/src/hf-slices.c
+++ b/src/hf-slices.c
@@ -50,7 +50,6 @@
   service->slices = 1;
   service->name = hf_str_dup (spec->name);
   hf_pool_init (&service->pool, hf_random_next (&state->random));
-  hf_pool_configure (&service->pool, spec);
   g_hash_table_insert (state->services, &service->id, service);
   return service;
 }
--- a/src/hf-slices.h
+++ b/src/hf-slices.h
@@ -16,7 +16,7 @@
 unsigned hf_slices_wanted (size_t servers, unsigned now); /* slices for so many servers, having so many now */
 struct hf_service_state *hf_slices_add (struct hf_state *state,
                                         const struct hf_service *spec,
-                                        unsigned slice); /* finds or makes the state of one slice */
+                                        unsigned slice); /* finds or makes the state of one slice, not configured yet */
 void hf_slices_configure (struct hf_state *state,
                           const struct hf_service *spec); /* every slice of a declared service */
 struct hf_service_state *hf_slices_home (const struct hf_state *state,
