--- a/src/config.h
+++ b/src/config.h
@@ -127,6 +127,26 @@
 #define HF_PEER_FORGET_SEC       60   /* listed, but silent for so long: no heartbeats go there */
 #define HF_PAUSE_MS              1500 /* a gap between ticks that means a pause */
 
+/* Duties of entries for the others. */
+#define HF_SMALL_FLEET         24  /* up to so many entries all coordinate */
+#define HF_COORDINATED_ENTRIES 16  /* entries of a failure domain for each coordinator, in larger fleets */
+#define HF_COORDINATORS_MIN    2   /* in each failure domain */
+#define HF_DOMAIN_WATCHERS     2   /* entries of a failure domain that follow the directory for the others */
+#define HF_GRANTER_SHARE       0.5 /* of the most processor time among coordinators; with less an entry grants nothing */
+
+/* Directory passed on between entries. */
+#define HF_RELAY_BEAT_MS     500  /* between messages that say up to where the directory is known */
+#define HF_RELAY_FRESH_MS    1000 /* older knowledge is not relied on */
+#define HF_RELAY_SETTLE_MS   500  /* a duty to follow the platform is taken up once it has held so long */
+#define HF_RELAY_WAIT_MS     500  /* the platform answers: watchers get so long to say more */
+#define HF_RELAY_AWAY_MS     2500 /* the same where the platform did not answer this entry lately */
+#define HF_RELAY_HOLD_MS     3000 /* an entry that has begun to follow the platform by itself goes on that long */
+#define HF_RELAY_BEHIND_MS   200  /* changes that did not come by then are asked for */
+#define HF_RELAY_CHANGES_MAX 1000 /* remembered for entries that missed some */
+#define HF_RELAY_PARTS_MAX   64   /* datagrams of one message */
+#define HF_RELAY_WHOLE_MS    500  /* the whole directory comes from one entry at a time, for so long at most */
+#define HF_BLIND_MS          5000 /* without the platform's answers, then no duty to follow it */
+
 /* Platform. */
 #define HF_PLATFORM_TIMEOUT_SEC  2
 #define HF_WATCH_LIFE_SEC        30
--- a/src/hf-directory.c
+++ b/src/hf-directory.c
@@ -1,6 +1,7 @@
 /* Backend servers that the platform lists. */
 #include "hf-directory.h"
 
+#include "hf-relay.h"
 #include "hf-slices.h"
 #include "hf-slots.h"
 
@@ -34,7 +35,7 @@
 }
 
 static struct listed *
-find (struct hf_state *state, struct hf_str name)
+find (const struct hf_state *state, struct hf_str name)
 {
   char *text = g_strndup (name.data, name.len);
   struct listed *listed = g_hash_table_lookup (state->directory.servers, text);
@@ -83,10 +84,13 @@
 
 /* After an outage servers that live are listed again within a short time. */
 static void
-let_go (struct hf_state *state, struct listed *listed)
+let_go (struct hf_state *state, struct listed *listed, int64_t keep_ms)
 {
-  int64_t settled = state->directory.regained_at + HF_DIRECTORY_SETTLE_MS * HF_MS;
-  if (state->directory.regained_at > 0 && state->now < settled)
+  int64_t settled = state->now + keep_ms * HF_MS;
+  if (state->directory.regained_at > 0)
+    settled = MAX (settled, state->directory.regained_at + HF_DIRECTORY_SETTLE_MS * HF_MS);
+  hf_relay_changed (state, listed->report.name);
+  if (state->now < settled)
     {
       listed->gone_at = settled;
       hf_state_timer (state, settled - state->now, HF_TIMER_DIRECTORY, 0, 0);
@@ -139,10 +143,27 @@
     put_all (state, service);
 }
 
+/* How long it stays slow runs by itself. */
+static bool
+is_known (const struct listed *listed, const struct hf_server_report *report)
+{
+  const struct hf_server_report *known = &listed->report;
+  return listed->gone_at == 0 && known->leaving == report->leaving && known->slots == report->slots
+         && known->incarnation == report->incarnation && hf_str_equal (known->service, report->service)
+         && hf_str_equal (known->address, report->address)
+         && hf_str_equal (known->failure_domain, report->failure_domain);
+}
+
 static void
 take (struct hf_state *state, const struct hf_server_report *report)
 {
   struct listed *listed = find (state, report->name);
+  if (listed && is_known (listed, report))
+    {
+      listed->stale = false;
+      return;
+    }
+  hf_relay_changed (state, report->name);
   log_change (state, listed, report);
   if (listed && !hf_str_equal (listed->report.service, report->service))
     remove_listed (state, listed);
@@ -161,7 +182,6 @@
   if (report->cold_ms > 0)
     listed->cold_until = state->now + report->cold_ms * HF_MS;
   put_in_pool (state, listed);
-  fit_slices (state, listed->report.service);
 }
 
 /* --- internal functions: lists --- */
@@ -184,11 +204,43 @@
     {
       struct listed *listed = item->data;
       if (listed->stale && listed->gone_at == 0)
-        let_go (state, listed);
+        let_go (state, listed, 0);
     }
   g_list_free (all);
 }
 
+/* --- internal functions: the platform's answers --- */
+
+static void
+note_blind (struct hf_state *state)
+{
+  bool was_blind = state->directory.blind_until > state->now;
+  state->directory.blind_until = state->now + HF_BLIND_MS * HF_MS;
+  state->relay.answers_since = 0;
+  if (was_blind)
+    return;
+  hf_relay_tell (state);
+  state->roles.changed = true;
+}
+
+/* Only who waits for changes knows that there are none. */
+static void
+note_answer (struct hf_state *state)
+{
+  struct hf_directory *directory = &state->directory;
+  bool was_blind = directory->blind_until > 0;
+  directory->answered_at = state->now;
+  directory->blind_until = 0;
+  if (state->relay.follow == HF_FOLLOW_ON)
+    directory->fresh_at = state->now;
+  else if (state->relay.follow == HF_FOLLOW_PROBE && state->relay.answers_since == 0)
+    state->relay.answers_since = state->now;
+  if (!was_blind)
+    return;
+  state->roles.changed = true;
+  hf_relay_tell (state);
+}
+
 /* --- public functions --- */
 
 void
@@ -210,23 +262,59 @@
   if (!report->gone && is_complete (report))
     take (state, report);
   else if (listed && listed->gone_at == 0)
-    let_go (state, listed);
+    let_go (state, listed, report->keep_ms);
+  state->directory.unsettled = true;
+}
+
+void
+hf_directory_begin_list (struct hf_state *state)
+{
+  mark_stale (state);
+}
+
+void
+hf_directory_end_list (struct hf_state *state)
+{
+  drop_stale (state);
+  state->directory.complete = true;
+  state->directory.unsettled = true;
+}
+
+void
+hf_directory_settle (struct hf_state *state)
+{
+  if (!state->directory.unsettled)
+    return;
+  state->directory.unsettled = false;
+  for (size_t i = 0; state->document && i < state->document->services.n; i++)
+    {
+      const struct hf_service *service = hf_document_service (state->document, i);
+      if (service->directory)
+        fit_slices (state, service->name);
+    }
   hf_slots_pump (state);
 }
 
 void
-hf_directory_list (struct hf_state *state, enum hf_list_step step)
+hf_directory_list (struct hf_state *state, const struct hf_event *event)
 {
   struct hf_directory *directory = &state->directory;
-  switch (step)
+  switch (event->list)
     {
     case HF_LIST_BEGIN:
-      mark_stale (state);
+      directory->listing = true;
+      hf_directory_begin_list (state);
       break;
     case HF_LIST_END:
-      drop_stale (state);
-      directory->complete = true;
-      hf_slots_pump (state);
+      directory->listing = false;
+      hf_directory_end_list (state);
+      hf_directory_settle (state);
+      directory->fresh_at = state->now;
+      hf_relay_advance (state, event->revision, true);
+      break;
+    case HF_LIST_UP_TO:
+      hf_directory_settle (state);
+      hf_relay_advance (state, event->revision, false);
       break;
     case HF_LIST_ENTRIES:
       directory->entries_complete = true;
@@ -235,6 +323,7 @@
       if (!directory->lost)
         hf_state_log (state, HF_LOG_PLATFORM_LOST, "the directory does not answer");
       directory->lost = true;
+      note_blind (state);
       break;
     case HF_LIST_ALIVE:
       if (directory->lost)
@@ -243,6 +332,7 @@
           directory->regained_at = state->now;
         }
       directory->lost = false;
+      note_answer (state);
       break;
     }
 }
@@ -268,3 +358,31 @@
   put_all (state, service->name);
   fit_slices (state, service->name);
 }
+
+struct hf_server_report
+hf_directory_look (const struct hf_state *state, struct hf_str name)
+{
+  const struct listed *listed = find (state, name);
+  if (!listed)
+    return (struct hf_server_report){ .name = name, .gone = true };
+  struct hf_server_report report = listed->report;
+  report.cold_ms = MAX (0, (listed->cold_until - state->now) / HF_MS);
+  report.gone = listed->gone_at > 0;
+  report.keep_ms = MAX (0, (listed->gone_at - state->now) / HF_MS);
+  return report;
+}
+
+void
+hf_directory_each (const struct hf_state *state,
+                   void (*take) (void *context, const struct hf_server_report *report),
+                   void *context)
+{
+  GHashTableIter iter;
+  const struct listed *listed;
+  g_hash_table_iter_init (&iter, state->directory.servers);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &listed))
+    {
+      struct hf_server_report report = hf_directory_look (state, listed->report.name);
+      take (context, &report);
+    }
+}
--- a/src/hf-event.h
+++ b/src/hf-event.h
@@ -85,6 +85,7 @@
  * @cold_ms: time that it stays slow after its start
  * @leaving: it gets no new work
  * @gone: it is no longer listed
+ * @keep_ms: one that is gone may still be listed again for so long
  */
 struct hf_server_report
 {
@@ -97,18 +98,38 @@
   int64_t cold_ms;
   bool leaving;
   bool gone;
+  int64_t keep_ms;
+};
+
+/** struct hf_listed_entry - an entry as the platform lists it */
+struct hf_listed_entry
+{
+  struct hf_str name;
+  struct hf_str address;        /* of its peer socket */
+  struct hf_str failure_domain; /* empty: not said */
+  double cpu_share;             /* of a core; 0: not said */
+  bool gone;                    /* it is no longer listed */
 };
 
 /** enum hf_list_step - progress of a list of the directory */
 enum hf_list_step
 {
-  HF_LIST_BEGIN, /* what is not reported before the end is gone */
-  HF_LIST_END,
+  HF_LIST_BEGIN,   /* what is not reported before the end is gone */
+  HF_LIST_END,     /* all was reported, as it was at the event's revision */
+  HF_LIST_UP_TO,   /* all changes up to the event's revision were reported */
   HF_LIST_LOST,    /* the directory cannot be reached */
   HF_LIST_ALIVE,   /* it answers */
   HF_LIST_ENTRIES, /* every listed entry was reported */
 };
 
+/** enum hf_follow - how the platform is followed */
+enum hf_follow
+{
+  HF_FOLLOW_OFF,   /* not at all: others tell */
+  HF_FOLLOW_PROBE, /* only asked whether it answers */
+  HF_FOLLOW_ON,    /* changes are waited for */
+};
+
 /* --- types: events --- */
 
 /** enum hf_event_kind - what happened */
@@ -177,13 +198,9 @@
     struct hf_str text; /* YAML */
   } document;
   struct hf_server_report report; /* SERVER */
-  struct
-  {
-    struct hf_str name;
-    struct hf_str address; /* of its peer socket */
-    bool gone;
-  } entry;
+  struct hf_listed_entry entry;   /* ENTRY */
   enum hf_list_step list;
+  uint64_t revision; /* LIST: of the directory; 0: none */
 };
 
 /* --- types: effects --- */
@@ -204,6 +221,7 @@
   HF_EFFECT_WAKE,     /* raise a tick at this time */
   HF_EFFECT_EXIT,     /* nothing is in flight: leave */
   HF_EFFECT_LIMIT,    /* what callers may send has changed */
+  HF_EFFECT_FOLLOW,   /* follow the platform from a revision on, or no more */
 };
 
 /** struct hf_effect - one effect; the members that its kind needs are set */
@@ -226,6 +244,8 @@
   enum hf_purpose purpose;
   uint64_t arg;
   uint64_t version;
+  enum hf_follow follow;
+  uint64_t revision; /* FOLLOW: of the directory as it is known */
   struct hf_str name;
   struct hf_str data;
   struct hf_limits limits;
--- a/src/hf-form.c
+++ b/src/hf-form.c
@@ -50,6 +50,8 @@
       return g_strdup (((const struct hf_str *) place)->data);
     case HF_FIELD_INT:
       return g_strdup_printf ("%" G_GINT64_FORMAT, *(const int64_t *) place);
+    case HF_FIELD_REAL:
+      return g_strdup_printf ("%g", *(const double *) place);
     case HF_FIELD_BOOL:
       return g_strdup (*(const bool *) place ? "true" : "false");
     case HF_FIELD_CHOICE:
--- a/src/hf-log.c
+++ b/src/hf-log.c
@@ -42,6 +42,7 @@
   { HF_LOG_PLATFORM_LOST, HF_LEVEL_WARNING, "platform-lost" },
   { HF_LOG_PLATFORM_BACK, HF_LEVEL_NOTICE, "platform-back" },
   { HF_LOG_WATCH_SILENT, HF_LEVEL_WARNING, "watch-silent" },
+  { HF_LOG_FOLLOW, HF_LEVEL_INFO, "follow" },
   { HF_LOG_LINES_DROPPED, HF_LEVEL_WARNING, "lines-dropped" },
   { HF_LOG_REQUEST_ROUTED, HF_LEVEL_INFO, "request-routed" },
   { HF_LOG_REQUEST_QUEUED, HF_LEVEL_DEBUG, "request-queued" },
--- a/src/hf-loop.c
+++ b/src/hf-loop.c
@@ -62,6 +62,9 @@
     case HF_EFFECT_LIMIT:
       set_limits (loop, &effect->limits);
       break;
+    case HF_EFFECT_FOLLOW:
+      hf_adapter_follow (loop->adapter, effect->follow, effect->revision);
+      break;
     case HF_EFFECT_EXIT:
       loop->exiting = true;
       hf_proxy_stop (loop->proxy);
--- a/src/hf-members.c
+++ b/src/hf-members.c
@@ -3,9 +3,14 @@
 
 #include <string.h>
 
+#include "hf-roles.h"
 #include "hf-slots.h"
 #include "hf-sync.h"
 
+/* --- constants --- */
+
+#define PERCENT 100
+
 /* --- internal functions --- */
 
 static struct hf_member *
@@ -58,6 +63,7 @@
   if (!member->alive)
     return;
   member->alive = false;
+  state->roles.changed = true;
   hf_state_log (state, HF_LOG_MEMBER_LOST, "entry " HF_STR_FMT " is silent", HF_STR_ARG (member->name));
   forget_boot (state, member->boot);
   hf_members_beat (state, true);
@@ -96,12 +102,6 @@
   g_free (address);
 }
 
-static uint64_t
-weight_of (uint64_t subject, uint64_t boot)
-{
-  return hf_hash_pair (subject, boot);
-}
-
 /* Lists this entry's requests in each backend server. */
 static unsigned
 list_loads (struct hf_state *state, struct hf_rpc_load *loads)
@@ -152,6 +152,9 @@
   struct hf_rpc_message message = { .boot = state->boot, .body = { .kind = HF_RPC_HEARTBEAT } };
   struct hf_rpc_heartbeat *beat = &message.body.hf_rpc_body_u.heartbeat;
   beat->seq = state->seq;
+  beat->failure_domain = hf_hash (state->failure_domain, 0);
+  beat->cpu_percent = (unsigned) (state->cpu_share * PERCENT);
+  beat->blind = state->directory.blind_until > state->now;
   beat->generation = state->document ? state->document->generation : 0;
   beat->digest = state->document ? state->document->digest : 0;
   beat->leaving = state->leaving;
@@ -161,10 +164,7 @@
   beat->grants.grants_val = hf_effects_alloc (state->out, HF_RPC_IDS_MAX * sizeof (uint64_t));
   if (member->boot)
     beat->grants.grants_len = list_grants (state, member->boot, beat->grants.grants_val);
-  struct hf_effect effect = { .kind = HF_EFFECT_SEND, .message = message };
-  effect.address = hf_effects_keep (state->out, member->address);
-  hf_effects_add (state->out, effect);
-  hf_state_count (state, HF_COUNT_MESSAGES_SENT);
+  hf_state_send_to (state, member->address, message);
 }
 
 static void
@@ -232,17 +232,7 @@
 uint64_t
 hf_members_owner (const struct hf_state *state, uint64_t subject)
 {
-  uint64_t owner = state->boot;
-  uint64_t best = state->leaving ? 0 : weight_of (subject, state->boot);
-  for (size_t i = 0; i < state->members->len; i++)
-    {
-      const struct hf_member *member = member_at (state, i);
-      if (!member->alive || member->leaving || weight_of (subject, member->boot) < best)
-        continue;
-      best = weight_of (subject, member->boot);
-      owner = member->boot;
-    }
-  return owner;
+  return hf_roles_granter (state, subject);
 }
 
 bool
@@ -263,7 +253,10 @@
 int64_t
 hf_members_stretch (const struct hf_state *state)
 {
-  return CLAMP ((int64_t) hf_members_alive (state) / HF_HEARTBEAT_MEMBERS, 1, HF_HEARTBEAT_STRETCH_MAX);
+  int64_t n = 1;
+  for (size_t i = 0; i < state->members->len; i++)
+    n += !member_at (state, i)->silent;
+  return CLAMP (n / HF_HEARTBEAT_MEMBERS, 1, HF_HEARTBEAT_STRETCH_MAX);
 }
 
 /* --- public functions: events --- */
@@ -277,8 +270,30 @@
   /* A large fleet is told in turns: all at once would fill a small link. */
   uint64_t turns = (uint64_t) hf_members_stretch (state);
   for (size_t i = 0; i < state->members->len; i++)
-    if (sync || i % turns == state->seq % turns)
-      beat_member (state, member_at (state, i), sync, loads, n);
+    if (hf_roles_meet (state, member_at (state, i)) && (sync || i % turns == state->seq % turns))
+      beat_member (state, member_at (state, i), sync || !member_at (state, i)->alive, loads, n);
+}
+
+void
+hf_members_meet (struct hf_state *state, const struct hf_event *event)
+{
+  uint64_t boot = event->peer.message->boot;
+  struct hf_member *member = hf_members_find (state, boot) ? NULL : find_by_address (state, event->peer.address);
+  if (!member)
+    return;
+  if (member->boot)
+    forget_boot (state, member->boot);
+  member->boot = boot;
+}
+
+void
+hf_members_greet (struct hf_state *state)
+{
+  struct hf_rpc_load *loads = hf_effects_alloc (state->out, HF_RPC_LOADS_MAX * sizeof *loads);
+  unsigned n = list_loads (state, loads);
+  for (size_t i = 0; i < state->members->len; i++)
+    if (hf_roles_meet (state, member_at (state, i)) && !member_at (state, i)->alive)
+      beat_member (state, member_at (state, i), true, loads, n);
 }
 
 void
@@ -294,8 +309,14 @@
   bool joined = is_new || !member->alive;
   bool left = beat->leaving && !member->leaving;
   member->boot = event->peer.message->boot;
+  bool has_moved = member->failure_domain != beat->failure_domain || member->blind != beat->blind;
+  state->roles.changed = state->roles.changed || joined || member->leaving != beat->leaving || has_moved;
   member->heard_at = state->now;
   member->alive = true;
+  member->silent = false;
+  member->blind = beat->blind;
+  member->failure_domain = beat->failure_domain;
+  member->cpu_share = (double) beat->cpu_percent / PERCENT;
   member->leaving = beat->leaving;
   member->generation = beat->generation;
   member->digest = beat->digest;
@@ -311,12 +332,14 @@
 }
 
 void
-hf_members_list (struct hf_state *state, struct hf_str name, struct hf_str address, bool gone)
+hf_members_list (struct hf_state *state, const struct hf_listed_entry *entry)
 {
+  struct hf_str name = entry->name;
+  struct hf_str address = entry->address;
   struct hf_member *member = find_by_name (state, name);
   if (hf_str_equal (name, state->name))
     return;
-  if (gone)
+  if (entry->gone)
     {
       if (member)
         member->listed = false;
@@ -324,7 +347,6 @@
     }
   if (!member)
     member = find_by_address (state, address);
-  bool is_new = !member;
   if (!member)
     member = add_member (state, name, address);
   hf_str_free (&member->name);
@@ -337,8 +359,11 @@
   member->listed = true;
   member->listed_at = state->now;
   member->stale = false;
-  if (is_new && state->external)
-    beat_one (state, member, true);
+  state->roles.changed = true;
+  if (member->boot)
+    return;
+  member->failure_domain = hf_hash (entry->failure_domain, 0);
+  member->cpu_share = entry->cpu_share;
 }
 
 void
@@ -349,7 +374,9 @@
   if (!hf_vm_read (object, &vm, &error))
     return;
   if (hf_str_equal (vm.role, hf_str ("entry")))
-    hf_members_list (state, object->name, vm.address, object->type == HF_WATCH_DELETED);
+    hf_members_list (state, &(struct hf_listed_entry){ .name = object->name,
+                                                       .address = vm.address,
+                                                       .gone = object->type == HF_WATCH_DELETED });
   else
     backend_vm (state, object, &vm);
 }
@@ -369,14 +396,31 @@
       member_at (state, i)->listed = false;
 }
 
+/* Heartbeats go between those that coordinate and all others only. */
+static bool
+is_overdue (const struct hf_state *state, struct hf_member *member)
+{
+  if (!hf_roles_meet (state, member))
+    {
+      member->due_since = 0;
+      return false;
+    }
+  if (member->due_since == 0)
+    member->due_since = state->now;
+  int64_t since = MAX (member->heard_at, member->due_since);
+  return state->now - since >= HF_PEER_TIMEOUT_MS * HF_MS * hf_members_stretch (state);
+}
+
 void
 hf_members_expire (struct hf_state *state)
 {
   for (size_t i = state->members->len; i-- > 0;)
     {
       struct hf_member *member = member_at (state, i);
-      if (state->now - member->heard_at < HF_PEER_TIMEOUT_MS * HF_MS * hf_members_stretch (state))
+      if (!is_overdue (state, member))
         continue;
+      state->roles.changed = state->roles.changed || !member->silent;
+      member->silent = true;
       lose_member (state, member);
       bool forgotten
           = state->external && state->now - MAX (member->heard_at, member->listed_at) > HF_PEER_FORGET_SEC * HF_SEC;
@@ -392,6 +436,7 @@
     {
       struct hf_member *member = member_at (state, i);
       member->heard_at = state->now;
+      member->due_since = state->now;
       if (member->boot)
         forget_boot (state, member->boot);
     }
--- a/src/hf-members.h
+++ b/src/hf-members.h
@@ -19,12 +19,12 @@
 
 /* --- public functions: events --- */
 
-void hf_members_beat (struct hf_state *state, bool sync); /* sends a heartbeat to every member */
+void hf_members_beat (struct hf_state *state, bool sync);                    /* sends a heartbeat to every member */
+void hf_members_meet (struct hf_state *state, const struct hf_event *event); /* who sent a message of any kind */
+void hf_members_greet (struct hf_state *state); /* a heartbeat to those that were not heard yet */
 void hf_members_heartbeat (struct hf_state *state, const struct hf_event *event); /* a heartbeat came */
 void hf_members_list (struct hf_state *state,
-                      struct hf_str name,
-                      struct hf_str address,
-                      bool gone);                                            /* an entry is listed, or no longer */
+                      const struct hf_listed_entry *entry);                  /* an entry is listed, or no longer */
 void hf_members_vm (struct hf_state *state, const struct hf_object *object); /* a VM of the list changed */
 void hf_members_begin_list (struct hf_state *state);                         /* the watch starts anew */
 void hf_members_end_list (struct hf_state *state);                           /* all VMs have been listed */
--- a/src/hf-quarantine.c
+++ b/src/hf-quarantine.c
@@ -98,8 +98,8 @@
   for (size_t i = 0; i < state->members->len; i++)
     {
       const struct hf_member *member = g_ptr_array_index (state->members, i);
-      if (member->alive)
-        hf_state_send (state, member->boot, message);
+      if (!member->silent)
+        hf_state_send_to (state, member->address, message);
     }
 }
 
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -8,6 +8,8 @@
 #include "hf-members.h"
 #include "hf-probes.h"
 #include "hf-quarantine.h"
+#include "hf-relay.h"
+#include "hf-roles.h"
 #include "hf-shards.h"
 #include "hf-slots.h"
 #include "hf-sync.h"
@@ -68,6 +70,7 @@
 static void
 pools_due (struct hf_state *state)
 {
+  hf_relay_tick (state);
   hf_state_timer (state, POOLS_TICK_MS * HF_MS, HF_TIMER_POOLS, 0, 0);
   hf_slots_pump (state);
 }
@@ -129,6 +132,8 @@
   hf_state_count (state, HF_COUNT_MESSAGES_RECEIVED);
   if (event->peer.message->boot == state->boot)
     return;
+  if (event->peer.message->body.kind != HF_RPC_HEARTBEAT)
+    hf_members_meet (state, event);
   switch (event->peer.message->body.kind)
     {
     case HF_RPC_HEARTBEAT:
@@ -152,6 +157,10 @@
     case HF_RPC_CHUNK:
       hf_sync_message (state, event);
       break;
+    case HF_RPC_DIRECTORY:
+    case HF_RPC_DIRECTORY_PULL:
+      hf_relay_message (state, event);
+      break;
     }
 }
 
@@ -174,11 +183,24 @@
   if (state->leaving)
     return;
   state->leaving = true;
+  state->roles.changed = true;
   hf_state_log (state, HF_LOG_SHUTDOWN, "health check fails now; serving on for %d ms", (int) state->drain_wait_ms);
   hf_members_beat (state, false);
   hf_state_timer (state, state->drain_wait_ms * HF_MS, HF_TIMER_DRAINED, 0, 0);
 }
 
+/* Whoever has read the list of entries introduces itself to those that it meets
+ * and has not heard. */
+static void
+list_step (struct hf_state *state, const struct hf_event *event)
+{
+  hf_directory_list (state, event);
+  if (event->list != HF_LIST_ENTRIES)
+    return;
+  hf_roles_update (state);
+  hf_members_greet (state);
+}
+
 static void
 handle (struct hf_state *state, const struct hf_event *event)
 {
@@ -221,10 +243,10 @@
       hf_directory_report (state, &event->report);
       break;
     case HF_EVENT_ENTRY:
-      hf_members_list (state, event->entry.name, event->entry.address, event->entry.gone);
+      hf_members_list (state, &event->entry);
       break;
     case HF_EVENT_LIST:
-      hf_directory_list (state, event->list);
+      list_step (state, event);
       break;
     case HF_EVENT_SHUTDOWN:
       shut_down (state);
@@ -251,6 +273,8 @@
   struct hf_state *state = g_new0 (struct hf_state, 1);
   state->name = hf_str_dup (settings->name);
   state->failure_domain = hf_str_dup (settings->failure_domain);
+  state->address = hf_str_dup (settings->peers);
+  state->cpu_share = settings->cpu_share;
   state->drain_wait_ms = settings->drain_wait_ms;
   state->external = settings->store.len > 0;
   state->boot = boot;
@@ -264,6 +288,8 @@
   state->vm_leaving = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   state->suspects = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   hf_directory_init (&state->directory);
+  hf_relay_init (&state->relay);
+  hf_roles_init (&state->roles);
   hf_latency_init (&state->latency);
   hf_claims_init (state);
   hf_timers_init (&state->timers);
@@ -281,6 +307,8 @@
   g_hash_table_destroy (state->vm_leaving);
   g_hash_table_destroy (state->suspects);
   hf_directory_close (&state->directory);
+  hf_relay_close (&state->relay);
+  hf_roles_close (&state->roles);
   hf_latency_close (&state->latency);
   hf_claims_close (state);
   hf_timers_close (&state->timers);
@@ -289,6 +317,7 @@
   hf_document_unload (state->document);
   hf_str_free (&state->name);
   hf_str_free (&state->failure_domain);
+  hf_str_free (&state->address);
   g_free (state);
 }
 
@@ -303,6 +332,8 @@
   run_timers (state);
   handle (state, event);
   run_timers (state);
+  if (state->roles.changed)
+    hf_roles_update (state);
   arm_wake (state);
   state->out = NULL;
 }
--- /dev/null
+++ b/src/hf-roles.h
@@ -0,0 +1,23 @@
+/**
+ * DOC: hf-roles - entries with duties for the others
+ *
+ * In each failure domain the entries are ranked, those with more processor
+ * time first. The first of them coordinate: heartbeats go between them and all
+ * others, and those that have enough processor time grant slots. The first two
+ * that reach the platform follow its directory for the others. In a small fleet
+ * every entry coordinates.
+ */
+#ifndef HF_ROLES_H
+#define HF_ROLES_H
+
+#include "hf-state.h"
+
+/* --- public functions --- */
+
+void hf_roles_init (struct hf_roles *roles);                                   /* nobody has a duty */
+void hf_roles_close (struct hf_roles *roles);                                  /* frees all */
+void hf_roles_update (struct hf_state *state);                                 /* after a change among the members */
+uint64_t hf_roles_granter (const struct hf_state *state, uint64_t subject);    /* boot id, by rendezvous hashing */
+bool hf_roles_meet (const struct hf_state *state, const struct hf_member *to); /* heartbeats go to that member */
+
+#endif
--- a/src/hf-rpc.c
+++ b/src/hf-rpc.c
@@ -34,6 +34,12 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->seq))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->failure_domain))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->cpu_percent))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->blind))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->generation))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->digest))
@@ -334,6 +340,205 @@
 	return TRUE;
 }
 
+bool_t
+xdr_hf_rpc_report (XDR *xdrs, hf_rpc_report *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, HF_RPC_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->service.service_val, (u_int *) &objp->service.service_len, HF_RPC_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->address.address_val, (u_int *) &objp->address.address_len, HF_RPC_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->failure_domain.failure_domain_val, (u_int *) &objp->failure_domain.failure_domain_len, HF_RPC_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->slots))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->cold_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->leaving))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->gone))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->keep_ms))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->cold_ms);
+			IXDR_PUT_BOOL(buf, objp->leaving);
+			IXDR_PUT_BOOL(buf, objp->gone);
+			IXDR_PUT_U_LONG(buf, objp->keep_ms);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, HF_RPC_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->service.service_val, (u_int *) &objp->service.service_len, HF_RPC_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->address.address_val, (u_int *) &objp->address.address_len, HF_RPC_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->failure_domain.failure_domain_val, (u_int *) &objp->failure_domain.failure_domain_len, HF_RPC_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->slots))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->cold_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->leaving))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->gone))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->keep_ms))
+				 return FALSE;
+		} else {
+			objp->cold_ms = IXDR_GET_U_LONG(buf);
+			objp->leaving = IXDR_GET_BOOL(buf);
+			objp->gone = IXDR_GET_BOOL(buf);
+			objp->keep_ms = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, HF_RPC_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->service.service_val, (u_int *) &objp->service.service_len, HF_RPC_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->address.address_val, (u_int *) &objp->address.address_len, HF_RPC_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->failure_domain.failure_domain_val, (u_int *) &objp->failure_domain.failure_domain_len, HF_RPC_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slots))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->cold_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->leaving))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->gone))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->keep_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_hf_rpc_directory (XDR *xdrs, hf_rpc_directory *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->from))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->to))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->part))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->parts))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->whole))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->blind))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->part);
+		IXDR_PUT_U_LONG(buf, objp->parts);
+		IXDR_PUT_BOOL(buf, objp->whole);
+		IXDR_PUT_BOOL(buf, objp->blind);
+		IXDR_PUT_U_LONG(buf, objp->age_ms);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->generation))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->digest))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->reports.reports_val, (u_int *) &objp->reports.reports_len, HF_RPC_REPORTS_MAX,
+			sizeof (hf_rpc_report), (xdrproc_t) xdr_hf_rpc_report))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->from))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->to))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->part))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->parts))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->whole))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->blind))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+
+		} else {
+		objp->part = IXDR_GET_U_LONG(buf);
+		objp->parts = IXDR_GET_U_LONG(buf);
+		objp->whole = IXDR_GET_BOOL(buf);
+		objp->blind = IXDR_GET_BOOL(buf);
+		objp->age_ms = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->generation))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->digest))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->reports.reports_val, (u_int *) &objp->reports.reports_len, HF_RPC_REPORTS_MAX,
+			sizeof (hf_rpc_report), (xdrproc_t) xdr_hf_rpc_report))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->from))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->to))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->part))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->parts))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->whole))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->blind))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->generation))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->digest))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->reports.reports_val, (u_int *) &objp->reports.reports_len, HF_RPC_REPORTS_MAX,
+		sizeof (hf_rpc_report), (xdrproc_t) xdr_hf_rpc_report))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_hf_rpc_directory_pull (XDR *xdrs, hf_rpc_directory_pull *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->from))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_hf_rpc_body (XDR *xdrs, hf_rpc_body *objp)
 {
@@ -386,6 +591,14 @@
 		 if (!xdr_hf_rpc_chunk (xdrs, &objp->hf_rpc_body_u.chunk))
 			 return FALSE;
 		break;
+	case HF_RPC_DIRECTORY:
+		 if (!xdr_hf_rpc_directory (xdrs, &objp->hf_rpc_body_u.directory))
+			 return FALSE;
+		break;
+	case HF_RPC_DIRECTORY_PULL:
+		 if (!xdr_hf_rpc_directory_pull (xdrs, &objp->hf_rpc_body_u.directory_pull))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/src/hf-rpc.h
+++ b/src/hf-rpc.h
@@ -14,10 +14,12 @@
 #endif
 
 #define HF_RPC_PROGRAM 541083233
-#define HF_RPC_VERSION 1
+#define HF_RPC_VERSION 2
 #define HF_RPC_LOADS_MAX 512
 #define HF_RPC_IDS_MAX 512
 #define HF_RPC_CHUNK_MAX 8192
+#define HF_RPC_NAME_MAX 128
+#define HF_RPC_REPORTS_MAX 24
 
 enum hf_rpc_kind {
 	HF_RPC_HEARTBEAT = 1,
@@ -31,6 +33,8 @@
 	HF_RPC_NOTICE = 9,
 	HF_RPC_PULL = 10,
 	HF_RPC_CHUNK = 11,
+	HF_RPC_DIRECTORY = 12,
+	HF_RPC_DIRECTORY_PULL = 13,
 };
 typedef enum hf_rpc_kind hf_rpc_kind;
 
@@ -42,6 +46,9 @@
 
 struct hf_rpc_heartbeat {
 	u_quad_t seq;
+	u_quad_t failure_domain;
+	u_int cpu_percent;
+	bool_t blind;
 	u_quad_t generation;
 	u_quad_t digest;
 	bool_t leaving;
@@ -159,6 +166,54 @@
 };
 typedef struct hf_rpc_chunk hf_rpc_chunk;
 
+struct hf_rpc_report {
+	struct {
+		u_int name_len;
+		char *name_val;
+	} name;
+	struct {
+		u_int service_len;
+		char *service_val;
+	} service;
+	struct {
+		u_int address_len;
+		char *address_val;
+	} address;
+	struct {
+		u_int failure_domain_len;
+		char *failure_domain_val;
+	} failure_domain;
+	u_int slots;
+	u_quad_t incarnation;
+	u_int cold_ms;
+	bool_t leaving;
+	bool_t gone;
+	u_int keep_ms;
+};
+typedef struct hf_rpc_report hf_rpc_report;
+
+struct hf_rpc_directory {
+	u_quad_t from;
+	u_quad_t to;
+	u_int part;
+	u_int parts;
+	bool_t whole;
+	bool_t blind;
+	u_int age_ms;
+	u_quad_t generation;
+	u_quad_t digest;
+	struct {
+		u_int reports_len;
+		hf_rpc_report *reports_val;
+	} reports;
+};
+typedef struct hf_rpc_directory hf_rpc_directory;
+
+struct hf_rpc_directory_pull {
+	u_quad_t from;
+};
+typedef struct hf_rpc_directory_pull hf_rpc_directory_pull;
+
 struct hf_rpc_body {
 	hf_rpc_kind kind;
 	union {
@@ -173,6 +228,8 @@
 		hf_rpc_notice notice;
 		hf_rpc_pull pull;
 		hf_rpc_chunk chunk;
+		hf_rpc_directory directory;
+		hf_rpc_directory_pull directory_pull;
 	} hf_rpc_body_u;
 };
 typedef struct hf_rpc_body hf_rpc_body;
@@ -200,6 +257,9 @@
 extern  bool_t xdr_hf_rpc_notice (XDR *, hf_rpc_notice*);
 extern  bool_t xdr_hf_rpc_pull (XDR *, hf_rpc_pull*);
 extern  bool_t xdr_hf_rpc_chunk (XDR *, hf_rpc_chunk*);
+extern  bool_t xdr_hf_rpc_report (XDR *, hf_rpc_report*);
+extern  bool_t xdr_hf_rpc_directory (XDR *, hf_rpc_directory*);
+extern  bool_t xdr_hf_rpc_directory_pull (XDR *, hf_rpc_directory_pull*);
 extern  bool_t xdr_hf_rpc_body (XDR *, hf_rpc_body*);
 extern  bool_t xdr_hf_rpc_message (XDR *, hf_rpc_message*);
 
@@ -218,6 +278,9 @@
 extern bool_t xdr_hf_rpc_notice ();
 extern bool_t xdr_hf_rpc_pull ();
 extern bool_t xdr_hf_rpc_chunk ();
+extern bool_t xdr_hf_rpc_report ();
+extern bool_t xdr_hf_rpc_directory ();
+extern bool_t xdr_hf_rpc_directory_pull ();
 extern bool_t xdr_hf_rpc_body ();
 extern bool_t xdr_hf_rpc_message ();
 
--- a/src/hf-rpc.x
+++ b/src/hf-rpc.x
@@ -4,10 +4,12 @@
  * decoded message is too.
  */
 const HF_RPC_PROGRAM = 541083233;
-const HF_RPC_VERSION = 1;
+const HF_RPC_VERSION = 2;
 const HF_RPC_LOADS_MAX = 512;
 const HF_RPC_IDS_MAX = 512;
 const HF_RPC_CHUNK_MAX = 8192;
+const HF_RPC_NAME_MAX = 128;
+const HF_RPC_REPORTS_MAX = 24;
 
 enum hf_rpc_kind {
   HF_RPC_HEARTBEAT = 1,
@@ -20,7 +22,9 @@
   HF_RPC_INQUIRY_REPLY = 8,
   HF_RPC_NOTICE = 9,
   HF_RPC_PULL = 10,
-  HF_RPC_CHUNK = 11
+  HF_RPC_CHUNK = 11,
+  HF_RPC_DIRECTORY = 12,
+  HF_RPC_DIRECTORY_PULL = 13
 };
 
 /* In-flight requests of the sender at one backend server. */
@@ -29,9 +33,13 @@
   unsigned int count;
 };
 
-/* Liveness, configuration in force and load; grants are those held from the receiver. */
+/* Liveness, configuration in force and load; grants are those held from the receiver.
+ * Blind: the sender cannot follow the directory by itself. */
 struct hf_rpc_heartbeat {
   unsigned hyper seq;
+  unsigned hyper failure_domain;
+  unsigned int cpu_percent;
+  bool blind;
   unsigned hyper generation;
   unsigned hyper digest;
   bool leaving;
@@ -136,6 +144,40 @@
   opaque data<HF_RPC_CHUNK_MAX>;
 };
 
+/* One backend server of the directory; one that is gone is kept for some time more. */
+struct hf_rpc_report {
+  opaque name<HF_RPC_NAME_MAX>;
+  opaque service<HF_RPC_NAME_MAX>;
+  opaque address<HF_RPC_NAME_MAX>;
+  opaque failure_domain<HF_RPC_NAME_MAX>;
+  unsigned int slots;
+  unsigned hyper incarnation;
+  unsigned int cold_ms;
+  bool leaving;
+  bool gone;
+  unsigned int keep_ms;
+};
+
+/* What changed in the directory between two revisions, or, if whole, all that it
+ * lists; one of several parts. Age: since it was last known to be current. */
+struct hf_rpc_directory {
+  unsigned hyper from;
+  unsigned hyper to;
+  unsigned int part;
+  unsigned int parts;
+  bool whole;
+  bool blind;
+  unsigned int age_ms;
+  unsigned hyper generation;
+  unsigned hyper digest;
+  hf_rpc_report reports<HF_RPC_REPORTS_MAX>;
+};
+
+/* Asks for what changed in the directory since a revision. */
+struct hf_rpc_directory_pull {
+  unsigned hyper from;
+};
+
 union hf_rpc_body switch (hf_rpc_kind kind) {
 case HF_RPC_HEARTBEAT: hf_rpc_heartbeat heartbeat;
 case HF_RPC_ACQUIRE: hf_rpc_acquire acquire;
@@ -148,6 +190,8 @@
 case HF_RPC_NOTICE: hf_rpc_notice notice;
 case HF_RPC_PULL: hf_rpc_pull pull;
 case HF_RPC_CHUNK: hf_rpc_chunk chunk;
+case HF_RPC_DIRECTORY: hf_rpc_directory directory;
+case HF_RPC_DIRECTORY_PULL: hf_rpc_directory_pull directory_pull;
 };
 
 /* Every message names its sender. */
--- a/src/hf-settings.h
+++ b/src/hf-settings.h
@@ -21,6 +21,8 @@
  * @platform: address of the platform's object API
  * @store: address of the users' platform store; instead of @platform
  * @metrics: address that serves only the metrics, or empty
+ * @cpu_share: share of a core that this VM has; VMs with more take on more for the others
+ * @first_start: the whole system starts for the first time
  * @grace_ms: a shutdown is over after that, whatever is in flight
  * @drain_wait_ms: time that a shutdown waits for the balancer in front
  * @log_level: index of debug, info, notice, warning, err
@@ -35,6 +37,8 @@
   struct hf_str platform;
   struct hf_str store;
   struct hf_str metrics;
+  double cpu_share;
+  bool first_start;
   int64_t grace_ms;
   int64_t drain_wait_ms;
   int64_t log_level;
--- a/src/hf-state.c
+++ b/src/hf-state.c
@@ -91,11 +91,16 @@
 hf_state_send (struct hf_state *state, uint64_t boot, struct hf_rpc_message message)
 {
   const struct hf_member *member = hf_members_find (state, boot);
-  if (!member)
-    return;
+  if (member)
+    hf_state_send_to (state, member->address, message);
+}
+
+void
+hf_state_send_to (struct hf_state *state, struct hf_str address, struct hf_rpc_message message)
+{
   message.boot = state->boot;
   struct hf_effect effect = { .kind = HF_EFFECT_SEND, .message = message };
-  effect.address = hf_effects_keep (state->out, member->address);
+  effect.address = hf_effects_keep (state->out, address);
   hf_effects_add (state->out, effect);
   hf_state_count (state, HF_COUNT_MESSAGES_SENT);
 }
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -172,6 +172,14 @@
 
 /* --- types: members --- */
 
+/** struct hf_relay_parts - what has come of a message about the directory */
+struct hf_relay_parts
+{
+  uint64_t to;   /* revision that it leads to */
+  bool whole;    /* it is all of the directory */
+  uint64_t seen; /* bit for each part */
+};
+
 /** struct hf_member - another entry */
 struct hf_member
 {
@@ -182,10 +190,18 @@
   uint64_t generation;
   uint64_t digest;
   bool alive;
-  bool leaving; /* it is shutting down */
-  bool listed;  /* in the platform's VM list */
+  uint64_t failure_domain; /* hash of its name */
+  double cpu_share;        /* of a core */
+  bool leaving;            /* it is shutting down */
+  bool silent;             /* heartbeats were due and did not come */
+  bool blind;              /* it cannot follow the platform */
+  bool coordinates;        /* by its rank */
+  bool watches;            /* by its rank */
+  int64_t due_since;       /* heartbeats are due since then; 0: none are */
+  bool listed;             /* in the platform's VM list */
   int64_t listed_at;
   bool stale; /* not seen since the watch started anew */
+  struct hf_relay_parts parts;
 };
 
 /* --- types: claims --- */
@@ -316,6 +332,12 @@
  * @entries_complete: so were the other entries
  * @lost: it cannot be reached now
  * @regained_at: when it could be reached again
+ * @listing: a list from the platform is on its way
+ * @unsettled: reports came that the pools were not fitted to
+ * @revision: of the platform's store, up to which changes are known
+ * @fresh_at: last time at which that was known to be current
+ * @answered_at: the platform answered this entry itself
+ * @blind_until: this entry had no answer lately
  */
 struct hf_directory
 {
@@ -324,6 +346,56 @@
   bool entries_complete;
   bool lost;
   int64_t regained_at;
+  bool listing;
+  bool unsettled;
+  uint64_t revision;
+  int64_t fresh_at;
+  int64_t answered_at;
+  int64_t blind_until;
+};
+
+/**
+ * struct hf_roles - duties of this entry and of the others
+ * @coordinates: heartbeats go between it and all others
+ * @watches: it follows the platform's directory for its failure domain
+ * @watches_since: for so long
+ * @changed: the members changed since the duties were given
+ * @granters: uint64_t, boot ids of the entries that grant slots
+ */
+struct hf_roles
+{
+  bool coordinates;
+  bool watches;
+  int64_t watches_since;
+  bool changed;
+  GArray *granters;
+};
+
+/**
+ * struct hf_relay - changes of the directory that go from entry to entry
+ * @changes: struct hf_relay_change, the oldest first
+ * @since: later changes are all in @changes
+ * @changed: revision of the last change
+ * @whole_from: boot id of the entry that is telling the whole directory; 0: none
+ * @whole_at: when it began
+ * @behind_since: a watcher knows more since then; 0: none does
+ * @answers_since: the platform answers, while no watcher says so; 0: it does not
+ * @follow: what was asked of the platform's client
+ * @follow_until: not less than that before then
+ * @told_at: last message to the followers
+ */
+struct hf_relay
+{
+  GArray *changes;
+  uint64_t since;
+  uint64_t changed;
+  uint64_t whole_from;
+  int64_t whole_at;
+  int64_t behind_since;
+  int64_t answers_since;
+  enum hf_follow follow;
+  int64_t follow_until;
+  int64_t told_at;
 };
 
 /** struct hf_state - the reducer's state */
@@ -331,6 +403,8 @@
 {
   struct hf_str name;
   struct hf_str failure_domain;
+  struct hf_str address; /* of its peer socket, as set */
+  double cpu_share;      /* of a core */
   int64_t drain_wait_ms;
   uint64_t boot;
   uint64_t random;
@@ -354,6 +428,8 @@
 
   bool external; /* document, entries and directory come from outside of the reducer */
   struct hf_directory directory;
+  struct hf_relay relay;
+  struct hf_roles roles;
   GHashTable *services;   /* struct hf_service_state by id */
   GHashTable *homes;      /* the same by id of a backend server */
   GHashTable *deadlines;  /* struct hf_usual_deadline by hash of a class's name */
@@ -384,6 +460,9 @@
 void hf_state_log (struct hf_state *state, enum hf_log_number number, const char *format, ...)
     __attribute__ ((format (printf, 3, 4)));                                               /* effect LOG */
 void hf_state_send (struct hf_state *state, uint64_t boot, struct hf_rpc_message message); /* effect SEND to a member */
+void hf_state_send_to (struct hf_state *state,
+                       struct hf_str address,
+                       struct hf_rpc_message message); /* effect SEND to an address */
 void hf_state_platform (struct hf_state *state,
                         enum hf_platform_op op,
                         enum hf_purpose purpose,
--- a/src/hf-sync.c
+++ b/src/hf-sync.c
@@ -6,6 +6,7 @@
 #include "hf-calls.h"
 #include "hf-directory.h"
 #include "hf-members.h"
+#include "hf-relay.h"
 #include "hf-slices.h"
 #include "hf-slots.h"
 
@@ -110,6 +111,7 @@
   apply_document (state);
   hf_state_log (state, HF_LOG_CONFIG_ADOPTED, "generation %" G_GUINT64_FORMAT " from %s", (guint64) generation, source);
   hf_members_beat (state, false);
+  hf_relay_tell (state);
   return true;
 }
 
--- a/src/hf-yaml.c
+++ b/src/hf-yaml.c
@@ -58,6 +58,20 @@
   return true;
 }
 
+static bool
+read_real (struct reader *reader, yaml_node_t *node, const struct hf_field *field, double *out)
+{
+  const char *text = (const char *) node->data.scalar.value;
+  char *end = NULL;
+  double value = g_ascii_strtod (text, &end);
+  bool is_number = end != text && *end == 0;
+  if (!is_number || !(value >= (double) field->min && value <= (double) field->max))
+    return fail (reader, node, "expected a number from %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT ", found \"%.40s\"",
+                 field->min, field->max, text);
+  *out = value;
+  return true;
+}
+
 static bool
 read_bool (struct reader *reader, yaml_node_t *node, bool *out)
 {
@@ -139,6 +153,8 @@
     {
     case HF_FIELD_INT:
       return read_int (reader, node, field, place);
+    case HF_FIELD_REAL:
+      return read_real (reader, node, field, place);
     case HF_FIELD_BOOL:
       return read_bool (reader, node, place);
     case HF_FIELD_CHOICE:
@@ -164,6 +180,8 @@
       void *place = (char *) out + field->offset;
       if (field->type == HF_FIELD_INT || field->type == HF_FIELD_CHOICE)
         *(int64_t *) place = field->def;
+      else if (field->type == HF_FIELD_REAL)
+        *(double *) place = (double) field->def / HF_REAL_UNITS;
       else if (field->type == HF_FIELD_BOOL)
         *(bool *) place = field->def != 0;
       else if (field->type == HF_FIELD_STR || field->type == HF_FIELD_ADDRESS)
--- a/src/hf-yaml.h
+++ b/src/hf-yaml.h
@@ -10,6 +10,8 @@
 
 #include "hf-base.h"
 
+#define HF_REAL_UNITS 100 /* units of the default of a real number in one */
+
 /* --- types --- */
 
 /** enum hf_field_type - the shape of a field */
@@ -17,6 +19,7 @@
 {
   HF_FIELD_STR,      /* struct hf_str */
   HF_FIELD_INT,      /* int64_t, with min and max */
+  HF_FIELD_REAL,     /* double, with min and max; the default in hundredths */
   HF_FIELD_BOOL,     /* bool */
   HF_FIELD_CHOICE,   /* int64_t, an index into choices */
   HF_FIELD_ADDRESS,  /* struct hf_str, IP:PORT */
--- a/tests/test-scripts.c
+++ b/tests/test-scripts.c
@@ -55,8 +55,8 @@
 print_send (struct run *run, const struct hf_effect *effect)
 {
   static const char *const kinds[]
-      = { "",        "heartbeat",     "acquire", "decision", "release", "claim", "claim-reply",
-          "inquiry", "inquiry-reply", "notice",  "pull",     "chunk" };
+      = { "",        "heartbeat",     "acquire", "decision", "release", "claim",     "claim-reply",
+          "inquiry", "inquiry-reply", "notice",  "pull",     "chunk",   "directory", "directory-pull" };
   const struct hf_rpc_body *body = &effect->message.body;
   g_string_append_printf (run->out, "  send " HF_STR_FMT " %s", HF_STR_ARG (effect->address), kinds[body->kind]);
   if (body->kind == HF_RPC_HEARTBEAT)
@@ -125,6 +125,9 @@
         break; /* lines of one request say again what the other effects show */
       g_string_append_printf (out, "  log HF%d " HF_STR_FMT "\n", effect->log_number, HF_STR_ARG (effect->text));
       break;
+    case HF_EFFECT_FOLLOW:
+      g_string_append_printf (out, "  follow %u from %d\n", effect->follow, (int) effect->revision);
+      break;
     case HF_EFFECT_LIMIT:
     case HF_EFFECT_WAKE:
       break; /* every event moves it; the ticks of a script show what it causes
--- a/tests/test-units.c
+++ b/tests/test-units.c
@@ -154,10 +154,11 @@
   hf_effects_close (&effects);
 }
 
-/* Lists or removes the servers from @begin to @end. */
+/* Lists or removes the servers from @begin to @end, and says that this is all for now. */
 static void
 list_servers (struct hf_state *state, unsigned begin, unsigned end, bool gone)
 {
+  static uint64_t revision = 0;
   for (unsigned i = begin; i < end; i++)
     {
       char name[16];
@@ -171,6 +172,7 @@
                                             .gone = gone } };
       raise_event (state, event);
     }
+  raise_event (state, (struct hf_event){ .kind = HF_EVENT_LIST, .list = HF_LIST_UP_TO, .revision = ++revision });
 }
 
 /* Servers in all pools, and how many pools have some. */
