A document spreads over small links without filling them; a soak of the real processes

Change: questions for a part are repeated after 100, 200, 400 ms; after 300 ms without a part another entry that has the document is asked; an entry tells at most 96 KB in 100 ms, to new ones at most 48 KB, so that some are done early and pass it on; after a new document only those hear at once that pass news on.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
   libglib2.0-dev libsoup-3.0-dev libjson-glib-dev libyaml-dev libtirpc-dev \
   libxxhash-dev libgsl-dev libhttp-parser-dev
 
-.PHONY: all setup build demo check check-sanitize bench fuzz format rpc
+.PHONY: all setup build demo check check-sanitize bench soak fuzz format rpc
 
 all: build
 
@@ -30,8 +30,15 @@
 	@sh tests/setup.sh gnuplot-nox
 	@sh bench/bench.sh $(BUILD)
 
+# Troubles on real processes: SEEDS of them from SEED on, SOAK_JOBS at a time.
+SEEDS ?= 10
+SEED ?= 1
+SOAK_JOBS ?= 4
+soak: build
+	@sh soak/soak.sh $(BUILD) $(SEEDS) $(SEED) $(SOAK_JOBS)
+
 format:
-	@clang-format -i $$(ls src/*.[ch] platform/*.[ch] tests/*.[ch] bench/*.[ch] examples/*.c 2>/dev/null | grep -v hf-rpc)
+	@clang-format -i $$(ls src/*.[ch] platform/*.[ch] tests/*.[ch] bench/*.[ch] soak/*.[ch] examples/*.c 2>/dev/null | grep -v hf-rpc)
 
 # Regenerates the committed XDR code from src/hf-rpc.x.
 rpc:
--- a/src/config.h
+++ b/src/config.h
@@ -163,8 +163,13 @@
 #define HF_PLATFORM_RETRY_MS     500
 #define HF_PLATFORM_RETRY_MAX_MS 5000
 #define HF_CONFIG_CHECK_MS       3000 /* the stored version is compared */
-#define HF_CONFIG_PULL_MS        50
+#define HF_CONFIG_PULL_MS        100  /* a part that does not come is asked for again, later each time */
+#define HF_CONFIG_PULL_DOUBLINGS 2
+#define HF_CONFIG_STALLED_MS     300  /* without a part, then another entry is asked that has the document, too */
 #define HF_CHUNK_BYTES           8192 /* document bytes in one datagram */
+#define HF_SERVE_WINDOW_MS       100
+#define HF_SERVE_BYTES           (96 * 1024) /* of a document told to others in that time: less than small links carry */
+#define HF_SERVE_FIRST_BYTES     (48 * 1024) /* above, those that have begun go first */
 #define HF_DOCUMENT_BYTES_MAX    (1000 * 1000)
 
 /* Idempotency claims. */
--- a/src/hf-members.c
+++ b/src/hf-members.c
@@ -274,6 +274,16 @@
       beat_member (state, member_at (state, i), sync || !member_at (state, i)->alive, loads, n);
 }
 
+void
+hf_members_tell (struct hf_state *state)
+{
+  struct hf_rpc_load *loads = hf_effects_alloc (state->out, HF_RPC_LOADS_MAX * sizeof *loads);
+  unsigned n = list_loads (state, loads);
+  for (size_t i = 0; i < state->members->len; i++)
+    if (member_at (state, i)->coordinates || member_at (state, i)->watches)
+      beat_member (state, member_at (state, i), false, loads, n);
+}
+
 void
 hf_members_meet (struct hf_state *state, const struct hf_event *event)
 {
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -311,8 +311,8 @@
   uint64_t generation;
   uint64_t digest;
   GString *text;
-  size_t total;
-  int64_t asked_at;
+  unsigned asks;       /* since bytes came last */
+  int64_t progress_at; /* bytes came last, or it began */
   GSequenceIter *timer;
 };
 
@@ -423,6 +423,8 @@
   uint64_t config_stored;  /* generation seen in the platform */
   int64_t config_checked_at;
   struct hf_pull pull;
+  int64_t serving_since;      /* parts of the document told to others, */
+  size_t served_bytes;        /* and how much since then */
   struct hf_watch watches[2]; /* by enum hf_purpose */
   bool platform_reachable;
   GSequenceIter *restore_timer;
--- a/src/hf-sync.c
+++ b/src/hf-sync.c
@@ -110,7 +110,7 @@
   state->document = document;
   apply_document (state);
   hf_state_log (state, HF_LOG_CONFIG_ADOPTED, "generation %" G_GUINT64_FORMAT " from %s", (guint64) generation, source);
-  hf_members_beat (state, false);
+  hf_members_tell (state);
   hf_relay_tell (state);
   return true;
 }
@@ -236,7 +236,24 @@
       = (struct hf_rpc_pull){ .generation = state->pull.generation, .offset = (unsigned) state->pull.text->len };
   hf_state_send (state, state->pull.from, message);
   hf_timers_cancel (&state->pull.timer);
-  state->pull.timer = hf_state_timer (state, HF_CONFIG_PULL_MS * HF_MS, HF_TIMER_PULL, 0, 0);
+  /* Many ask at once, and a small link takes its time: questions that are
+   * repeated too early would fill it with answers twice. */
+  int64_t delay = HF_CONFIG_PULL_MS << MIN (state->pull.asks, HF_CONFIG_PULL_DOUBLINGS);
+  state->pull.asks++;
+  state->pull.timer = hf_state_timer (state, delay * HF_MS, HF_TIMER_PULL, 0, 0);
+}
+
+/* Told to all that ask, a document would fill a small link for seconds. Who gets
+ * no part asks again, or asks another entry that has the document by then. */
+static bool
+may_serve (struct hf_state *state, unsigned offset)
+{
+  if (state->now - state->serving_since >= HF_SERVE_WINDOW_MS * HF_MS)
+    {
+      state->serving_since = state->now;
+      state->served_bytes = 0;
+    }
+  return state->served_bytes < (offset > 0 ? HF_SERVE_BYTES : HF_SERVE_FIRST_BYTES);
 }
 
 static void
@@ -245,6 +262,8 @@
   const struct hf_document *document = state->document;
   if (!document || document->generation != pull->generation || pull->offset >= document->text.len)
     return;
+  if (!may_serve (state, pull->offset))
+    return;
   struct hf_rpc_message message = { .body = { .kind = HF_RPC_CHUNK } };
   struct hf_rpc_chunk *chunk = &message.body.hf_rpc_body_u.chunk;
   chunk->generation = document->generation;
@@ -254,6 +273,7 @@
   chunk->data.data_len = (unsigned) MIN (document->text.len - pull->offset, HF_CHUNK_BYTES);
   chunk->data.data_val = hf_effects_alloc (state->out, chunk->data.data_len);
   memcpy (chunk->data.data_val, document->text.data + pull->offset, chunk->data.data_len);
+  state->served_bytes += chunk->data.data_len;
   hf_state_send (state, from, message);
 }
 
@@ -266,6 +286,8 @@
   if (chunk->total > HF_DOCUMENT_BYTES_MAX || chunk->data.data_len == 0)
     return;
   g_string_append_len (pull->text, chunk->data.data_val, chunk->data.data_len);
+  pull->asks = 0;
+  pull->progress_at = state->now;
   if (pull->text->len < chunk->total)
     {
       ask_chunk (state);
@@ -388,14 +410,16 @@
 hf_sync_peer (struct hf_state *state, const struct hf_member *member)
 {
   struct hf_pull *pull = &state->pull;
-  if (member->generation <= generation_of (state) || member->generation <= pull->generation)
+  bool stalled = pull->from && pull->from != member->boot && member->generation == pull->generation
+                 && state->now - pull->progress_at >= HF_CONFIG_STALLED_MS * HF_MS;
+  if (member->generation <= generation_of (state) || (member->generation <= pull->generation && !stalled))
     return;
   end_pull (state);
   pull->from = member->boot;
   pull->generation = member->generation;
   pull->digest = member->digest;
   pull->text = g_string_new (NULL);
-  pull->asked_at = state->now;
+  pull->progress_at = state->now;
   ask_chunk (state);
 }
 
@@ -414,8 +438,8 @@
 {
   state->pull.timer = NULL;
   const struct hf_member *member = hf_members_find (state, state->pull.from);
-  bool usable = member && member->alive && member->generation == state->pull.generation;
-  bool timely = state->now - state->pull.asked_at < HF_PEER_TIMEOUT_MS * HF_MS;
+  bool usable = member && member->generation == state->pull.generation;
+  bool timely = state->now - state->pull.progress_at < HF_PEER_TIMEOUT_MS * HF_MS;
   if (usable && timely && state->pull.generation > generation_of (state))
     ask_chunk (state);
   else
--- a/tests/check.sh
+++ b/tests/check.sh
@@ -26,13 +26,13 @@
 export ASAN_OPTIONS
 
 if [ -z "$HF_SKIP_LINT" ]; then
-  sources=$(ls src/*.[ch] platform/*.[ch] tests/*.[ch] bench/*.[ch] examples/*.c 2>/dev/null | grep -v hf-rpc)
+  sources=$(ls src/*.[ch] platform/*.[ch] tests/*.[ch] bench/*.[ch] soak/*.[ch] examples/*.c 2>/dev/null | grep -v hf-rpc)
   clang-format --dry-run -Werror $sources >"$log" 2>&1
   status=$?
   [ $status = 0 ] || head -20 "$log"
   count format $status
   # Each file on its own, as many at once as there are cores.
-  ls src/*.c platform/*.c tests/*.c bench/*.c examples/*.c 2>/dev/null | grep -v hf-rpc |
+  ls src/*.c platform/*.c tests/*.c bench/*.c soak/*.c examples/*.c 2>/dev/null | grep -v hf-rpc |
     xargs -P "$(nproc)" -n 2 clang-tidy --quiet -p "$build" >"$log" 2>/dev/null
   status=$?
   [ $status = 0 ] || grep -E "(error|warning):" "$log" | sort -u | head -40
@@ -61,6 +61,14 @@
   [ $status = 0 ] || grep -vE "^(ok|#|1\.\.)" "$log" | tail -60
 done
 
+# A short soak without bounds in time, so that the verdict is the same every time.
+for seed in 1 2; do
+  "$build"/hf-soak --untimed --rounds=1 --seed=$seed >"$log" 2>&1
+  status=$?
+  count "hf-soak seed $seed" $status
+  [ $status = 0 ] || cat "$log"
+done
+
 for example in "$build"/example-*; do
   [ -x "$example" ] && [ -f "$example" ] || continue
   "$example" >"$log" 2>&1
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -36,6 +36,7 @@
   bool is_blind;       /* the platform does not answer it */
   uint64_t revision;   /* told by the platform so far */
   unsigned heartbeats; /* sent */
+  int64_t link_free_at;
 };
 
 struct datagram
@@ -43,6 +44,7 @@
   unsigned to;
   unsigned from;
   size_t size;
+  int64_t due;
   char bytes[HF_WIRE_BYTES_MAX];
 };
 
@@ -64,7 +66,8 @@
   unsigned counted;
   struct backend_server servers[SERVERS_MAX];
   uint64_t revision;
-  unsigned follows; /* how often an entry began to follow the platform */
+  int64_t link_bytes_ms; /* that one entry sends at most; 0: any number */
+  unsigned follows;      /* how often an entry began to follow the platform */
 };
 
 /* --- internal functions: events and effects --- */
@@ -84,6 +87,10 @@
       datagram->from = (unsigned) (node - fleet->nodes);
       datagram->size = hf_wire_encode (&effect->message, datagram->bytes, sizeof datagram->bytes);
       g_assert_cmpuint (datagram->size, >, 0);
+      datagram->due = MAX (fleet->now, node->link_free_at);
+      if (fleet->link_bytes_ms > 0)
+        datagram->due += (int64_t) datagram->size * HF_MS / fleet->link_bytes_ms;
+      node->link_free_at = datagram->due;
       g_queue_push_tail (fleet->datagrams, datagram);
     }
 }
@@ -196,6 +203,11 @@
       for (guint i = 0; i < due; i++)
         {
           struct datagram *datagram = g_queue_pop_head (fleet->datagrams);
+          if (datagram->due > fleet->now)
+            {
+              g_queue_push_tail (fleet->datagrams, datagram);
+              continue;
+            }
           deliver (fleet, datagram);
           g_free (datagram);
         }
@@ -520,6 +532,44 @@
   close_fleet (fleet);
 }
 
+/* A document of some tens of kilobytes, which one entry with a small link learns first. */
+static char *
+large_document (void)
+{
+  GString *text = g_string_new ("{version: 1, services: [{name: a, directory: true}], routes: [");
+  for (unsigned i = 0; i < 300; i++)
+    g_string_append_printf (text,
+                            "%s{name: r%u, host: h.example, path_prefix: /p%u/, class: {name: c%u}, parts: [{service: "
+                            "a}]}",
+                            i ? ", " : "", i, i, i);
+  g_string_append (text, "]}");
+  return g_string_free (text, FALSE);
+}
+
+/* All others ask for it at once, and its link does not collapse under repeated questions. */
+static void
+test_small_link (void)
+{
+  struct fleet *fleet = open_fleet (60, 3, 0);
+  char *text = large_document ();
+  struct node *first = &fleet->nodes[0];
+  for (unsigned i = 0; i < fleet->n; i++)
+    if (fleet->nodes[i].state->roles.watches)
+      first = &fleet->nodes[i];
+  fleet->link_bytes_ms = 1250;
+  raise_at (first,
+            (struct hf_event){ .kind = HF_EVENT_DOCUMENT, .document = { .generation = 7, .text = hf_str (text) } });
+  g_assert_nonnull (first->state->document);
+  advance (fleet, CONFIG_MS);
+  for (unsigned i = 0; i < fleet->n; i++)
+    {
+      const struct hf_document *document = fleet->nodes[i].state->document;
+      g_assert_true (document && document->generation == 7);
+    }
+  g_free (text);
+  close_fleet (fleet);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -536,5 +586,6 @@
   g_test_add_func ("/relay/watchers-gone", test_watchers_gone);
   g_test_add_func ("/relay/platform-away", test_platform_away);
   g_test_add_func ("/relay/returned", test_returned);
+  g_test_add_func ("/relay/small-link", test_small_link);
   return g_test_run ();
 }
