--- a/src/hf-members.c
+++ b/src/hf-members.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "hf-relay.h"
 #include "hf-roles.h"
 #include "hf-slots.h"
 #include "hf-sync.h"
@@ -155,6 +156,7 @@
   beat->failure_domain = hf_hash (state->failure_domain, 0);
   beat->cpu_percent = (unsigned) (state->cpu_share * PERCENT);
   beat->blind = state->directory.blind_until > state->now;
+  beat->directory = state->relay.changed;
   beat->generation = state->document ? state->document->generation : 0;
   beat->digest = state->document ? state->document->digest : 0;
   beat->leaving = state->leaving;
@@ -339,6 +341,7 @@
   if (beat->sync || joined)
     beat_one (state, member, false);
   hf_sync_peer (state, member);
+  hf_relay_heard (state, member, beat->directory);
 }
 
 void
--- a/src/hf-relay.c
+++ b/src/hf-relay.c
@@ -397,6 +397,23 @@
   state->relay.told_at = state->now;
 }
 
+/* The watches of a whole failure domain may hang unnoticed. */
+void
+hf_relay_heard (struct hf_state *state, const struct hf_member *member, uint64_t changed)
+{
+  struct hf_relay *relay = &state->relay;
+  uint64_t revision = state->directory.revision;
+  if (!state->external || !state->directory.complete || changed <= revision)
+    return;
+  if (relay->elsewhere <= revision)
+    relay->elsewhere_since = state->now;
+  relay->elsewhere = MAX (relay->elsewhere, changed);
+  if (state->now - relay->elsewhere_since < HF_RELAY_ELSEWHERE_MS * HF_MS)
+    return;
+  relay->elsewhere_since = state->now;
+  ask_for_changes (state, member->address);
+}
+
 void
 hf_relay_tick (struct hf_state *state)
 {
--- a/src/hf-rpc.c
+++ b/src/hf-rpc.c
@@ -40,6 +40,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->blind))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->directory))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->generation))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->digest))
--- a/src/hf-rpc.h
+++ b/src/hf-rpc.h
@@ -49,6 +49,7 @@
 	u_quad_t failure_domain;
 	u_int cpu_percent;
 	bool_t blind;
+	u_quad_t directory;
 	u_quad_t generation;
 	u_quad_t digest;
 	bool_t leaving;
--- a/src/hf-rpc.x
+++ b/src/hf-rpc.x
@@ -34,12 +34,14 @@
 };
 
 /* Liveness, configuration in force and load; grants are those held from the receiver.
- * Blind: the sender cannot follow the directory by itself. */
+ * Blind: the sender cannot follow the directory by itself. Directory: revision of
+ * its last change that the sender knows. */
 struct hf_rpc_heartbeat {
   unsigned hyper seq;
   unsigned hyper failure_domain;
   unsigned int cpu_percent;
   bool blind;
+  unsigned hyper directory;
   unsigned hyper generation;
   unsigned hyper digest;
   bool leaving;
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -380,6 +380,8 @@
  * @whole_from: boot id of the entry that is telling the whole directory; 0: none
  * @whole_at: when it began
  * @behind_since: a watcher knows more since then; 0: none does
+ * @elsewhere: latest change that heartbeats tell of
+ * @elsewhere_since: it is not known here since then
  * @answers_since: the platform answers, while no watcher says so; 0: it does not
  * @follow: what was asked of the platform's client
  * @follow_until: not less than that before then
@@ -393,6 +395,8 @@
   uint64_t whole_from;
   int64_t whole_at;
   int64_t behind_since;
+  uint64_t elsewhere;
+  int64_t elsewhere_since;
   int64_t answers_since;
   enum hf_follow follow;
   int64_t follow_until;
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -533,15 +533,36 @@
   close_fleet (fleet);
 }
 
+static void
+hang_watches (struct fleet *fleet, unsigned domains, unsigned most)
+{
+  unsigned n = 0;
+  for (unsigned i = 0; i < fleet->n && n < most; i += domains)
+    {
+      fleet->nodes[i].hangs = fleet->nodes[i].state->roles.watches;
+      n += fleet->nodes[i].hangs;
+    }
+  g_assert_cmpuint (n, ==, most);
+}
+
 /* The watch of one watcher hangs on a silent connection; the other one tells it, too. */
 static void
 test_hanging_watch (void)
 {
   struct fleet *fleet = open_fleet (19, 3, 0);
-  unsigned first = 0;
-  while (!fleet->nodes[first].state->roles.watches)
-    first++;
-  fleet->nodes[first].hangs = true;
+  hang_watches (fleet, 3, 1);
+  change_server (fleet, 3, (struct backend_server){ 0 });
+  advance (fleet, CONFIG_MS);
+  check_directories (fleet);
+  close_fleet (fleet);
+}
+
+/* Those of both watchers of a failure domain hang: heartbeats from elsewhere show that there are changes. */
+static void
+test_hanging_watches (void)
+{
+  struct fleet *fleet = open_fleet (60, 3, 2);
+  hang_watches (fleet, 3, 2);
   change_server (fleet, 3, (struct backend_server){ 0 });
   advance (fleet, CONFIG_MS);
   check_directories (fleet);
@@ -603,6 +624,7 @@
   g_test_add_func ("/relay/platform-away", test_platform_away);
   g_test_add_func ("/relay/returned", test_returned);
   g_test_add_func ("/relay/hanging-watch", test_hanging_watch);
+  g_test_add_func ("/relay/hanging-watches", test_hanging_watches);
   g_test_add_func ("/relay/small-link", test_small_link);
   return g_test_run ();
 }
