The state dump shows duties and what is known of the directory

Cause: on an entry that serves old knowledge operators could not see who tells it, up to which revision, and how long ago that was current. Members without duties were shown as alive or silent, though nothing is heard from them as a rule.

Change: hf-dump writes the entry's duties, the number of granters, servers, revision and age of the directory, and how the platform is followed; members say "not heard" where no heartbeat is due. A field that nothing reads is gone.

--- a/src/config.h
+++ b/src/config.h
@@ -144,19 +144,20 @@
 #define HF_GRANTER_SHARE       0.5 /* of the most processor time among coordinators; with less an entry grants nothing */
 
 /* Directory passed on between entries. */
-#define HF_RELAY_BEAT_MS      500  /* between messages that say up to where the directory is known */
-#define HF_RELAY_FRESH_MS     1000 /* older knowledge is not relied on */
-#define HF_RELAY_SETTLE_MS    500  /* a duty to follow the platform is taken up once it has held so long */
-#define HF_RELAY_WAIT_MS      500  /* the platform answers: watchers get so long to say more */
-#define HF_RELAY_AWAY_MS      2500 /* the same where the platform did not answer this entry lately */
-#define HF_RELAY_HOLD_MS      3000 /* an entry that has begun to follow the platform by itself goes on that long */
-#define HF_RELAY_BEHIND_MS    200  /* changes that did not come by then are asked for */
-#define HF_RELAY_ELSEWHERE_MS 600  /* changes that are known in other failure domains for so long are asked for there  \
-                                    */
-#define HF_RELAY_CHANGES_MAX 1000  /* remembered for entries that missed some */
-#define HF_RELAY_PARTS_MAX   64    /* datagrams of one message */
-#define HF_RELAY_WHOLE_MS    500   /* the whole directory comes from one entry at a time, for so long at most */
-#define HF_BLIND_MS          5000  /* without the platform's answers, then no duty to follow it */
+#define HF_RELAY_BEAT_MS   500  /* between messages that say up to where the directory is known */
+#define HF_RELAY_FRESH_MS  1000 /* older knowledge is not relied on */
+#define HF_RELAY_SETTLE_MS 500  /* a duty to follow the platform is taken up once it has held so long */
+#define HF_RELAY_WAIT_MS   500  /* the platform answers: watchers get so long to say more */
+#define HF_RELAY_AWAY_MS   2500 /* the same where the platform did not answer this entry lately */
+#define HF_RELAY_HOLD_MS   3000 /* an entry that has begun to follow the platform by itself goes on that long */
+#define HF_RELAY_BEHIND_MS 200  /* changes that did not come by then are asked for */
+#define HF_RELAY_ELSEWHERE_MS                                                                                          \
+  600                             /* changes that are known in other failure domains for so long are asked for there   \
+                                   */
+#define HF_RELAY_CHANGES_MAX 1000 /* remembered for entries that missed some */
+#define HF_RELAY_PARTS_MAX   64   /* datagrams of one message */
+#define HF_RELAY_WHOLE_MS    500  /* the whole directory comes from one entry at a time, for so long at most */
+#define HF_BLIND_MS          5000 /* without the platform's answers, then no duty to follow it */
 
 /* Platform. */
 #define HF_PLATFORM_TIMEOUT_SEC  2
--- a/src/hf-directory.c
+++ b/src/hf-directory.c
@@ -229,7 +229,6 @@
 {
   struct hf_directory *directory = &state->directory;
   bool was_blind = directory->blind_until > 0;
-  directory->answered_at = state->now;
   directory->blind_until = 0;
   if (state->relay.follow == HF_FOLLOW_ON)
     directory->fresh_at = state->now;
--- a/src/hf-dump.c
+++ b/src/hf-dump.c
@@ -83,6 +83,25 @@
 
 /* --- internal functions: text --- */
 
+static const char *const follow_names[] = {
+  [HF_FOLLOW_OFF] = "told by others",
+  [HF_FOLLOW_PROBE] = "asking whether the platform answers",
+  [HF_FOLLOW_ON] = "following the platform",
+};
+
+static void
+text_duties (GString *text, const struct hf_state *state, gint64 now)
+{
+  const struct hf_directory *directory = &state->directory;
+  g_string_append_printf (text, "duties:%s%s; %u entries grant slots\n", state->roles.coordinates ? " coordinates" : "",
+                          state->roles.watches ? " watches" : "", state->roles.granters->len);
+  if (state->external)
+    g_string_append_printf (
+        text, "directory: %u servers at revision %" G_GUINT64_FORMAT ", current %" G_GINT64_FORMAT " ms ago, %s\n",
+        g_hash_table_size (directory->servers), (guint64) directory->revision, (now - directory->fresh_at) / 1000,
+        follow_names[state->relay.follow]);
+}
+
 static void
 text_members (GString *text, const struct hf_state *state, gint64 now)
 {
@@ -91,7 +110,10 @@
     {
       const struct hf_member *member = g_ptr_array_index (state->members, i);
       g_string_append_printf (text, "  %s %s %s%s generation %" G_GUINT64_FORMAT " heard %" G_GINT64_FORMAT " ms ago\n",
-                              member->name.data, member->address.data, member->alive ? "alive" : "silent",
+                              member->name.data, member->address.data,
+                              member->silent  ? "silent"
+                              : member->alive ? "alive"
+                                              : "not heard",
                               member->leaving ? " leaving" : "", (guint64) member->generation,
                               member->boot ? (now - member->heard_at) / 1000 : -1);
     }
@@ -223,6 +245,7 @@
   g_string_append_printf (text, "calls in flight: %u, claims known: %u, requests under suspicion: %u\n",
                           g_hash_table_size (state->calls), g_hash_table_size (state->claims),
                           g_hash_table_size (state->suspects));
+  text_duties (text, state, now);
   text_members (text, state, now);
   for (guint i = 0; i < services->len; i++)
     text_service (text, state, g_ptr_array_index (services, i), now);
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -337,7 +337,6 @@
  * @unsettled: reports came that the pools were not fitted to
  * @revision: of the platform's store, up to which changes are known
  * @fresh_at: last time at which that was known to be current
- * @answered_at: the platform answered this entry itself
  * @blind_until: this entry had no answer lately
  */
 struct hf_directory
@@ -351,7 +350,6 @@
   bool unsettled;
   uint64_t revision;
   int64_t fresh_at;
-  int64_t answered_at;
   int64_t blind_until;
 };
 
