--- a/tests/fake-store.c
+++ b/tests/fake-store.c
@@ -40,6 +40,7 @@
   guint refuse;
   gboolean silent;
   guint lose;
+  guint64 lag; /* changes that later pages from copies lack */
   guint calls;
 };
 
@@ -93,6 +94,8 @@
 answer_list (struct fake_store *store, struct call *call)
 {
   const char *after = g_hash_table_lookup (call->query, "after");
+  gboolean from_copy = g_hash_table_contains (call->query, "allow_stale") && after && *after;
+  guint64 as_of = store->revision - (from_copy ? store->lag : 0);
   GString *items = g_string_new (NULL);
   guint n = 0;
   gboolean more = FALSE;
@@ -101,6 +104,8 @@
       const struct object *object = g_ptr_array_index (store->objects, i);
       if (object->gone || strcmp (object->kind, call->kind) != 0 || (after && strcmp (object->name, after) <= 0))
         continue;
+      if (object->revision > as_of)
+        continue;
       more = n == PAGE;
       if (more)
         break;
@@ -109,7 +114,7 @@
       g_free (json);
     }
   char *body = g_strdup_printf ("{\"items\":[%s],\"more\":%s,\"as_of\":%" G_GUINT64_FORMAT "}", items->str,
-                                more ? "true" : "false", store->revision);
+                                more ? "true" : "false", as_of);
   answer (call, 200, body);
   g_free (body);
   g_string_free (items, TRUE);
@@ -377,6 +382,12 @@
   store->lose = writes;
 }
 
+void
+store_lag (struct fake_store *store, guint64 changes)
+{
+  store->lag = changes;
+}
+
 void
 store_forget (struct fake_store *store)
 {
--- a/tests/fake-store.h
+++ b/tests/fake-store.h
@@ -22,6 +22,7 @@
 void store_refuse (struct fake_store *store, guint status); /* every call gets this; waiting watches are cut; 0: none */
 void store_silence (struct fake_store *store, gboolean silent); /* no call is answered, nor is a watch that waits */
 void store_lose (struct fake_store *store, guint writes);       /* so many are done and not answered */
+void store_lag (struct fake_store *store, guint64 changes);     /* later pages from copies are so many changes old */
 void store_forget (struct fake_store *store);                   /* the history is gone: watches get 410 */
 guint store_calls (const struct fake_store *store);             /* calls so far */
 
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -415,6 +415,36 @@
   close_setup (setup);
 }
 
+static gboolean
+last_serves (void *context)
+{
+  struct setup *setup = context;
+  guint status = status_of (setup, "GET", "/r/x", "");
+  g_assert_true (status == 200 || status == 503);
+  return setup->servers[SERVERS - 1].requests > 0;
+}
+
+/* The pages of a list come from copies of different age: what an older one lacks is learned afterwards. */
+static void
+test_older_page (void)
+{
+  struct setup *setup = open_setup ();
+  g_subprocess_force_exit (setup->entry);
+  g_subprocess_wait (setup->entry, NULL, NULL);
+  harness_pause (10);
+  g_object_unref (setup->entry);
+  g_ptr_array_unref (setup->log);
+  store_put (setup->store, "servers", "a-0", "{}");
+  store_put (setup->store, "servers", "a-1", "{}");
+  list_server (setup, SERVERS - 1, "alpha", "ready");
+  store_lag (setup->store, 3); /* its own registration may be one of them */
+  start_entry (setup);
+  g_assert_true (harness_wait (is_ready, setup, SETTLED_SEC));
+  setup->servers[0].manner = REFUSES;
+  g_assert_true (harness_wait (last_serves, setup, SETTLED_SEC));
+  close_setup (setup);
+}
+
 /* Before the configuration and the directory are known: 503, never 404. */
 static void
 test_not_ready (void)
@@ -899,6 +929,7 @@
   g_test_set_nonfatal_assertions ();
   g_test_add_func ("/platform/serve", test_serve);
   g_test_add_func ("/platform/not-ready", test_not_ready);
+  g_test_add_func ("/platform/older-page", test_older_page);
   g_test_add_func ("/platform/config", test_config);
   g_test_add_func ("/platform/split", test_split);
   g_test_add_func ("/platform/foreign-entries", test_foreign_entries);
