--- a/src/hf-members.c
+++ b/src/hf-members.c
@@ -272,7 +272,7 @@
   /* A large fleet is told in turns: all at once would fill a small link. */
   uint64_t turns = (uint64_t) hf_members_stretch (state);
   for (size_t i = 0; i < state->members->len; i++)
-    if (hf_roles_meet (state, member_at (state, i)) && (sync || i % turns == state->seq % turns))
+    if (hf_roles_beats_with (state, member_at (state, i)) && (sync || i % turns == state->seq % turns))
       beat_member (state, member_at (state, i), sync || !member_at (state, i)->alive, loads, n);
 }
 
@@ -287,7 +287,7 @@
 }
 
 void
-hf_members_meet (struct hf_state *state, const struct hf_event *event)
+hf_members_note_sender (struct hf_state *state, const struct hf_event *event)
 {
   uint64_t boot = event->peer.message->boot;
   struct hf_member *member = hf_members_find (state, boot) ? NULL : find_by_address (state, event->peer.address);
@@ -304,7 +304,7 @@
   struct hf_rpc_load *loads = hf_effects_alloc (state->out, HF_RPC_LOADS_MAX * sizeof *loads);
   unsigned n = list_loads (state, loads);
   for (size_t i = 0; i < state->members->len; i++)
-    if (hf_roles_meet (state, member_at (state, i)) && !member_at (state, i)->alive)
+    if (hf_roles_beats_with (state, member_at (state, i)) && !member_at (state, i)->alive)
       beat_member (state, member_at (state, i), true, loads, n);
 }
 
@@ -413,7 +413,7 @@
 static bool
 is_overdue (const struct hf_state *state, struct hf_member *member)
 {
-  if (!hf_roles_meet (state, member))
+  if (!hf_roles_beats_with (state, member))
     {
       member->due_since = 0;
       return false;
--- a/src/hf-members.h
+++ b/src/hf-members.h
@@ -21,7 +21,7 @@
 
 void hf_members_beat (struct hf_state *state, bool sync); /* sends a heartbeat to every member */
 void hf_members_tell (struct hf_state *state);            /* a heartbeat to those that pass news on */
-void hf_members_meet (struct hf_state *state, const struct hf_event *event); /* who sent a message of any kind */
+void hf_members_note_sender (struct hf_state *state, const struct hf_event *event); /* who sent a message of any kind */
 void hf_members_greet (struct hf_state *state); /* a heartbeat to those that were not heard yet */
 void hf_members_heartbeat (struct hf_state *state, const struct hf_event *event); /* a heartbeat came */
 void hf_members_list (struct hf_state *state,
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -133,7 +133,7 @@
   if (event->peer.message->boot == state->boot)
     return;
   if (event->peer.message->body.kind != HF_RPC_HEARTBEAT)
-    hf_members_meet (state, event);
+    hf_members_note_sender (state, event);
   switch (event->peer.message->body.kind)
     {
     case HF_RPC_HEARTBEAT:
--- a/src/hf-relay.c
+++ b/src/hf-relay.c
@@ -150,7 +150,7 @@
     }
 }
 
-/* In parts to @address, or, if that is empty, to all followers. */
+/* The datagrams of one message, to @address, or, if that is empty, to all followers. */
 static void
 send_reports (struct hf_state *state, struct hf_str address, uint64_t from, bool whole, const GArray *items)
 {
@@ -161,7 +161,11 @@
     all[i] = g_array_index (items, hf_rpc_report, i);
   directory->parts = MAX (1, (items->len + HF_RPC_REPORTS_MAX - 1) / HF_RPC_REPORTS_MAX);
   if (directory->parts > HF_RELAY_PARTS_MAX)
-    return; /* they have to ask the platform */
+    {
+      hf_state_log (state, HF_LOG_FOLLOW,
+                    "%u backend servers are too many for one message; others have to ask the platform", items->len);
+      return;
+    }
   for (unsigned part = 0; part < directory->parts; part++)
     {
       guint begin = part * HF_RPC_REPORTS_MAX;
--- a/src/hf-roles.c
+++ b/src/hf-roles.c
@@ -184,7 +184,7 @@
 }
 
 bool
-hf_roles_meet (const struct hf_state *state, const struct hf_member *to)
+hf_roles_beats_with (const struct hf_state *state, const struct hf_member *to)
 {
   return state->roles.coordinates || to->coordinates;
 }
