Configurations spread by offers and pulls that newer versions do not replace

With a version each 80 ms entries went from the first straight to the last one, 3.03 s late; then the limit on first chunks kept some for another 0.8 to 1.1 s. Ruled out: processor time (0.036 of a core at most), the store (watchers adopted all 25 versions within 10 ms of each other), lost datagrams.

Change: hf-config-spread (out of hf-config-sync, which keeps adoption and the watches) sends a new generation in two levels: watchers offer it to the coordinators of their failure domain, these to the other entries there, two providers for each. Documents travel compressed. A pull in progress is finished, since sources keep the last 16 generations (hf-config-history); then the newest is pulled, so that versions in between are not sent at all. Announcements in heartbeats and directory updates repair what an offer missed; after 800 ms the store is read. hf-members and hf-directory-sync no longer know the configuration: the reducer connects them. Every entry used to send a heartbeat to every coordinator at each version; this is gone.

Messages have version 3: entries of version 2 do not understand them.

Also /units/document-pack, config-history, a fuzz target.

--- a/src/hf-config-sync.c
+++ b/src/hf-config-sync.c
@@ -1,10 +1,7 @@
-/* The configuration in force: adoption, the watches of the platform, and pulls from other entries. */
+/* The configuration in force: adoption, and the watches of the platform. */
 #include "hf-config-sync.h"
 
-#include <string.h>
-
 #include "hf-calls.h"
-#include "hf-directory-sync.h"
 #include "hf-directory.h"
 #include "hf-members.h"
 #include "hf-slices.h"
@@ -97,8 +94,9 @@
 }
 
 static bool
-adopt_document (struct hf_state *state, uint64_t generation, struct hf_str text, const char *source)
+adopt_document (struct hf_state *state, uint64_t generation, struct hf_str text, enum hf_config_origin origin)
 {
+  const char *source = origin == HF_CONFIG_FROM_PLATFORM ? "the platform" : "a peer";
   struct hf_error error = { 0 };
   struct hf_document *document = hf_document_load (text, &error);
   if (!document)
@@ -113,8 +111,7 @@
   apply_document (state);
   hf_state_log (state, HF_LOG_CONFIG_ADOPTED, "adopted generation %" G_GUINT64_FORMAT " from %s", (guint64) generation,
                 source);
-  hf_members_notify_coordinators (state);
-  hf_directory_sync_announce (state);
+  hf_config_spread_handle_adopted (state, origin);
   return true;
 }
 
@@ -150,7 +147,7 @@
   state->config_version = object->version;
   state->config_stored_generation = manifest.generation;
   if (manifest.generation > current_generation (state))
-    adopt_document (state, manifest.generation, manifest.document, "the platform");
+    adopt_document (state, manifest.generation, manifest.document, HF_CONFIG_FROM_PLATFORM);
   else if (manifest.generation < current_generation (state))
     {
       hf_state_log (state, HF_LOG_CONFIG_OLD,
@@ -223,93 +220,6 @@
   open_watch (state, HF_PURPOSE_CONFIG);
 }
 
-/* --- internal functions: pulls from a peer --- */
-
-static void
-end_pull (struct hf_state *state)
-{
-  hf_timers_cancel (&state->config_pull.timer);
-  if (state->config_pull.text)
-    g_string_free (state->config_pull.text, TRUE);
-  state->config_pull = (struct hf_config_pull){ 0 };
-}
-
-static void
-request_chunk (struct hf_state *state)
-{
-  struct hf_rpc_message message = { .body = { .kind = HF_RPC_CONFIG_PULL } };
-  message.body.hf_rpc_body_u.config_pull
-      = (struct hf_rpc_config_pull){ .generation = state->config_pull.generation,
-                                     .offset = (unsigned) state->config_pull.text->len };
-  hf_state_send_to_member (state, state->config_pull.boot_id, message);
-  hf_timers_cancel (&state->config_pull.timer);
-  /* Many entries pull at the same time over a small link: requests repeated too early would have every chunk sent
-   * twice, so the delay doubles. */
-  int64_t delay = HF_CONFIG_PULL_RETRY_MS << MIN (state->config_pull.requests_sent, HF_CONFIG_PULL_DOUBLINGS_MAX);
-  state->config_pull.requests_sent++;
-  state->config_pull.timer = hf_state_start_timer (state, delay * HF_MS, HF_TIMER_CONFIG_PULL, 0, 0);
-}
-
-/* Rate limit for chunks: a document sent to all entries concurrently would saturate a small link for seconds. An entry
- * that receives no chunk repeats its request, or pulls from another entry that has the document by then. Chunks after
- * the first have a higher limit, so that pulls in progress finish before others begin. */
-static bool
-may_send_chunk (struct hf_state *state, unsigned offset)
-{
-  if (state->now - state->config_send_window_at >= HF_CONFIG_SEND_WINDOW_MS * HF_MS)
-    {
-      state->config_send_window_at = state->now;
-      state->config_sent_bytes = 0;
-    }
-  return state->config_sent_bytes < (offset > 0 ? HF_CONFIG_SEND_BYTES_MAX : HF_CONFIG_SEND_FIRST_BYTES_MAX);
-}
-
-static void
-handle_pull (struct hf_state *state, uint64_t from, const struct hf_rpc_config_pull *pull)
-{
-  const struct hf_document *document = state->document;
-  if (!document || document->generation != pull->generation || pull->offset >= document->text.len)
-    return;
-  if (!may_send_chunk (state, pull->offset))
-    return;
-  struct hf_rpc_message message = { .body = { .kind = HF_RPC_CONFIG_CHUNK } };
-  struct hf_rpc_config_chunk *chunk = &message.body.hf_rpc_body_u.config_chunk;
-  chunk->generation = document->generation;
-  chunk->digest = document->digest;
-  chunk->total = (unsigned) document->text.len;
-  chunk->offset = pull->offset;
-  chunk->data.data_len = (unsigned) MIN (document->text.len - pull->offset, HF_CONFIG_CHUNK_BYTES);
-  chunk->data.data_val = hf_effects_alloc (state->effects, chunk->data.data_len);
-  memcpy (chunk->data.data_val, document->text.data + pull->offset, chunk->data.data_len);
-  state->config_sent_bytes += chunk->data.data_len;
-  hf_state_send_to_member (state, from, message);
-}
-
-static void
-handle_chunk (struct hf_state *state, uint64_t from, const struct hf_rpc_config_chunk *chunk)
-{
-  struct hf_config_pull *pull = &state->config_pull;
-  if (pull->boot_id != from || chunk->generation != pull->generation || chunk->offset != pull->text->len)
-    return;
-  if (chunk->total > HF_DOCUMENT_BYTES_MAX || chunk->data.data_len == 0)
-    return;
-  g_string_append_len (pull->text, chunk->data.data_val, chunk->data.data_len);
-  pull->requests_sent = 0;
-  pull->progress_at = state->now;
-  if (pull->text->len < chunk->total)
-    {
-      request_chunk (state);
-      return;
-    }
-  struct hf_str text = { .data = pull->text->str, .len = pull->text->len };
-  bool complete = hf_hash (text, 0) == pull->digest;
-  if (complete && pull->generation > current_generation (state))
-    adopt_document (state, pull->generation, text, "a peer");
-  end_pull (state);
-  if (!state->external_store && state->config_stored_generation < current_generation (state))
-    schedule_restore (state);
-}
-
 /* --- public functions --- */
 
 void
@@ -324,7 +234,7 @@
 hf_config_sync_handle_document (struct hf_state *state, const struct hf_event *event)
 {
   if (event->document.generation > current_generation (state))
-    adopt_document (state, event->document.generation, event->document.text, "the platform");
+    adopt_document (state, event->document.generation, event->document.text, HF_CONFIG_FROM_PLATFORM);
 }
 
 void
@@ -418,43 +328,11 @@
 }
 
 void
-hf_config_sync_note_generation (struct hf_state *state, const struct hf_member *member)
+hf_config_sync_adopt_received (struct hf_state *state, const struct hf_config_received *received)
 {
-  struct hf_config_pull *pull = &state->config_pull;
-  bool stalled = pull->boot_id && pull->boot_id != member->boot_id && member->generation == pull->generation
-                 && state->now - pull->progress_at >= HF_CONFIG_PULL_STALL_MS * HF_MS;
-  if (member->generation <= current_generation (state) || (member->generation <= pull->generation && !stalled))
-    return;
-  end_pull (state);
-  pull->boot_id = member->boot_id;
-  pull->generation = member->generation;
-  pull->digest = member->digest;
-  pull->text = g_string_new (NULL);
-  pull->progress_at = state->now;
-  request_chunk (state);
-}
-
-void
-hf_config_sync_handle_message (struct hf_state *state, const struct hf_event *event)
-{
-  const struct hf_rpc_message *message = event->peer.message;
-  if (message->body.kind == HF_RPC_CONFIG_PULL)
-    handle_pull (state, message->boot_id, &message->body.hf_rpc_body_u.config_pull);
-  else
-    handle_chunk (state, message->boot_id, &message->body.hf_rpc_body_u.config_chunk);
-}
-
-void
-hf_config_sync_handle_pull_timer (struct hf_state *state)
-{
-  state->config_pull.timer = NULL;
-  const struct hf_member *member = hf_members_find (state, state->config_pull.boot_id);
-  bool usable = member && member->generation == state->config_pull.generation;
-  bool progressing = state->now - state->config_pull.progress_at < HF_PEER_TIMEOUT_MS * HF_MS;
-  if (usable && progressing && state->config_pull.generation > current_generation (state))
-    request_chunk (state);
-  else
-    end_pull (state); /* the next heartbeat with a newer generation starts another pull */
+  adopt_document (state, received->generation, received->text, received->origin);
+  if (!state->external_store && state->config_stored_generation < current_generation (state))
+    schedule_restore (state);
 }
 
 void
--- a/src/hf-config-sync.h
+++ b/src/hf-config-sync.h
@@ -2,14 +2,14 @@
  * DOC: hf-config-sync - the configuration in force
  *
  * Adopts new generations of the configuration document from the platform's
- * watch or from other entries, whose heartbeats name their generation. Never
+ * watch or from other entries (hf-config-spread). Never
  * goes back to a lower generation, and writes the document back to the platform
  * if the platform's copy is older.
  */
 #ifndef HF_CONFIG_SYNC_H
 #define HF_CONFIG_SYNC_H
 
-#include "hf-state.h"
+#include "hf-config-spread.h"
 
 /* --- public functions: start --- */
 
@@ -29,10 +29,8 @@
 /* PLATFORM_RESULT: outcome of a check or of a write. */
 void hf_config_sync_handle_platform (struct hf_state *state, const struct hf_event *event);
 
-/* A member reported its generation: starts a pull if it is newer. */
-void hf_config_sync_note_generation (struct hf_state *state, const struct hf_member *member);
-void hf_config_sync_handle_message (struct hf_state *state, const struct hf_event *event); /* CONFIG_PULL, _CHUNK */
-void hf_config_sync_handle_pull_timer (struct hf_state *state); /* no chunk yet: repeats the request or gives up */
-void hf_config_sync_restore (struct hf_state *state);           /* writes the document in force back to the platform */
+/* Another entry has sent a document. */
+void hf_config_sync_adopt_received (struct hf_state *state, const struct hf_config_received *received);
+void hf_config_sync_restore (struct hf_state *state); /* writes the document in force back to the platform */
 
 #endif
--- a/src/hf-directory-sync.c
+++ b/src/hf-directory-sync.c
@@ -1,7 +1,6 @@
 /* Directory changes exchanged between entries, and whether this entry watches the platform itself. */
 #include "hf-directory-sync.h"
 
-#include "hf-config-sync.h"
 #include "hf-directory.h"
 #include "hf-members.h"
 #include "hf-roles.h"
@@ -287,7 +286,6 @@
   member->platform_unreachable = message->platform_unreachable;
   member->generation = message->generation;
   member->digest = message->digest;
-  hf_config_sync_note_generation (state, member);
   bool is_newer = message->to_revision > directory->revision;
   if (is_newer && (message->full || message->from_revision <= directory->revision))
     apply_part (state, member, message);
--- a/src/hf-event.h
+++ b/src/hf-event.h
@@ -227,6 +227,7 @@
   HF_EFFECT_EXIT,           /* end the process once no call is in flight, or at the shutdown timeout */
   HF_EFFECT_SET_LIMITS,     /* change the limits on callers' requests */
   HF_EFFECT_SET_WATCH,      /* change how the platform's directory is watched */
+  HF_EFFECT_READ_DOCUMENT,  /* read the configuration from the platform once */
 };
 
 /** struct hf_effect - one effect; only the members that its kind needs are set */
--- a/src/hf-loop.c
+++ b/src/hf-loop.c
@@ -66,6 +66,9 @@
     case HF_EFFECT_SET_WATCH:
       hf_adapter_set_watch_mode (loop->adapter, effect->watch_mode, effect->revision);
       break;
+    case HF_EFFECT_READ_DOCUMENT:
+      hf_adapter_read_document (loop->adapter);
+      break;
     case HF_EFFECT_EXIT:
       loop->exiting = true;
       hf_proxy_stop (loop->proxy);
--- a/src/hf-members.c
+++ b/src/hf-members.c
@@ -3,7 +3,6 @@
 
 #include <string.h>
 
-#include "hf-config-sync.h"
 #include "hf-directory-sync.h"
 #include "hf-roles.h"
 #include "hf-slots.h"
@@ -285,16 +284,6 @@
       send_heartbeat (state, member_at (state, i), wants_reply || !member_at (state, i)->alive, loads, n);
 }
 
-void
-hf_members_notify_coordinators (struct hf_state *state)
-{
-  struct hf_rpc_server_load *loads = hf_effects_alloc (state->effects, HF_RPC_LOADS_MAX * sizeof *loads);
-  unsigned n = list_loads (state, loads);
-  for (size_t i = 0; i < state->members->len; i++)
-    if (member_at (state, i)->is_coordinator || member_at (state, i)->is_watcher)
-      send_heartbeat (state, member_at (state, i), false, loads, n);
-}
-
 void
 hf_members_record_sender (struct hf_state *state, const struct hf_event *event)
 {
@@ -352,7 +341,6 @@
   apply_loads (state, member, heartbeat);
   if (heartbeat->wants_reply || joined)
     send_single_heartbeat (state, member, false);
-  hf_config_sync_note_generation (state, member);
   hf_directory_sync_note_revision (state, member, heartbeat->directory_revision);
 }
 
--- a/src/hf-members.h
+++ b/src/hf-members.h
@@ -23,7 +23,6 @@
 
 /* Sends heartbeats to this round's members, or with wants_reply to all of them, which then reply immediately. */
 void hf_members_send_heartbeats (struct hf_state *state, bool wants_reply);
-void hf_members_notify_coordinators (struct hf_state *state); /* heartbeat to coordinators and watchers */
 
 /* --- public functions: events --- */
 
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -4,6 +4,7 @@
 #include "hf-calls.h"
 #include "hf-claim-shards.h"
 #include "hf-claims.h"
+#include "hf-config-spread.h"
 #include "hf-config-sync.h"
 #include "hf-directory-sync.h"
 #include "hf-directory.h"
@@ -102,7 +103,7 @@
       hf_config_sync_reopen_watch (state, (enum hf_platform_purpose) timer->id);
       break;
     case HF_TIMER_CONFIG_PULL:
-      hf_config_sync_handle_pull_timer (state);
+      hf_config_spread_handle_timer (state);
       break;
     case HF_TIMER_CONFIG_RESTORE:
       hf_config_sync_restore (state);
@@ -127,6 +128,16 @@
     run_timer (state, &timer);
 }
 
+static void
+handle_config_message (struct hf_state *state, const struct hf_event *event)
+{
+  struct hf_config_received received;
+  if (!hf_config_spread_handle_message (state, event, &received))
+    return;
+  hf_config_sync_adopt_received (state, &received);
+  hf_str_free (&received.text);
+}
+
 static void
 handle_peer_message (struct hf_state *state, const struct hf_event *event)
 {
@@ -139,6 +150,7 @@
     {
     case HF_RPC_HEARTBEAT:
       hf_members_handle_heartbeat (state, event);
+      hf_config_spread_note_member (state, event->peer.message->boot_id);
       break;
     case HF_RPC_ACQUIRE:
     case HF_RPC_DECISION:
@@ -154,13 +166,15 @@
     case HF_RPC_NOTICE:
       hf_quarantine_handle_notice (state, event);
       break;
+    case HF_RPC_CONFIG_OFFER:
     case HF_RPC_CONFIG_PULL:
     case HF_RPC_CONFIG_CHUNK:
-      hf_config_sync_handle_message (state, event);
+      handle_config_message (state, event);
       break;
     case HF_RPC_DIRECTORY_UPDATE:
     case HF_RPC_DIRECTORY_PULL:
       hf_directory_sync_handle_message (state, event);
+      hf_config_spread_note_member (state, event->peer.message->boot_id);
       break;
     }
 }
@@ -291,6 +305,7 @@
   state->suspects = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   hf_directory_init (&state->directory);
   hf_directory_sync_init (&state->directory_sync);
+  hf_config_spread_init (&state->config_spread);
   hf_roles_init (&state->roles);
   hf_latency_init (&state->latency);
   hf_claims_init (state);
@@ -314,8 +329,7 @@
   hf_latency_close (&state->latency);
   hf_claims_close (state);
   hf_timers_close (&state->timers);
-  if (state->config_pull.text)
-    g_string_free (state->config_pull.text, TRUE);
+  hf_config_spread_close (&state->config_spread);
   hf_document_unref (state->document);
   hf_str_free (&state->name);
   hf_str_free (&state->failure_domain);
--- a/src/hf-rpc.c
+++ b/src/hf-rpc.c
@@ -312,6 +312,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_hf_rpc_config_offer (XDR *xdrs, hf_rpc_config_offer *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->generation))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->digest))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_hf_rpc_config_pull (XDR *xdrs, hf_rpc_config_pull *objp)
 {
@@ -329,10 +341,59 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->generation))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->digest))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->text_bytes))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->total))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->offset))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->text_bytes);
+		IXDR_PUT_U_LONG(buf, objp->total);
+		IXDR_PUT_U_LONG(buf, objp->offset);
+		}
+		 if (!xdr_bytes (xdrs, (char **)&objp->data.data_val, (u_int *) &objp->data.data_len, HF_RPC_CONFIG_CHUNK_MAX))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->generation))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->digest))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->text_bytes))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->total))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->offset))
+				 return FALSE;
+
+		} else {
+		objp->text_bytes = IXDR_GET_U_LONG(buf);
+		objp->total = IXDR_GET_U_LONG(buf);
+		objp->offset = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_bytes (xdrs, (char **)&objp->data.data_val, (u_int *) &objp->data.data_len, HF_RPC_CONFIG_CHUNK_MAX))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_u_quad_t (xdrs, &objp->generation))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->digest))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->text_bytes))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->total))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->offset))
@@ -601,6 +662,10 @@
 		 if (!xdr_hf_rpc_directory_pull (xdrs, &objp->hf_rpc_body_u.directory_pull))
 			 return FALSE;
 		break;
+	case HF_RPC_CONFIG_OFFER:
+		 if (!xdr_hf_rpc_config_offer (xdrs, &objp->hf_rpc_body_u.config_offer))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/src/hf-rpc.h
+++ b/src/hf-rpc.h
@@ -14,7 +14,7 @@
 #endif
 
 #define HF_RPC_PROGRAM 541083233
-#define HF_RPC_VERSION 2
+#define HF_RPC_VERSION 3
 #define HF_RPC_LOADS_MAX 512
 #define HF_RPC_GRANTS_MAX 512
 #define HF_RPC_CONFIG_CHUNK_MAX 8192
@@ -35,6 +35,7 @@
 	HF_RPC_CONFIG_CHUNK = 11,
 	HF_RPC_DIRECTORY_UPDATE = 12,
 	HF_RPC_DIRECTORY_PULL = 13,
+	HF_RPC_CONFIG_OFFER = 14,
 };
 typedef enum hf_rpc_kind hf_rpc_kind;
 
@@ -149,6 +150,12 @@
 };
 typedef struct hf_rpc_notice hf_rpc_notice;
 
+struct hf_rpc_config_offer {
+	u_quad_t generation;
+	u_quad_t digest;
+};
+typedef struct hf_rpc_config_offer hf_rpc_config_offer;
+
 struct hf_rpc_config_pull {
 	u_quad_t generation;
 	u_int offset;
@@ -158,6 +165,7 @@
 struct hf_rpc_config_chunk {
 	u_quad_t generation;
 	u_quad_t digest;
+	u_int text_bytes;
 	u_int total;
 	u_int offset;
 	struct {
@@ -231,6 +239,7 @@
 		hf_rpc_config_chunk config_chunk;
 		hf_rpc_directory_update directory_update;
 		hf_rpc_directory_pull directory_pull;
+		hf_rpc_config_offer config_offer;
 	} hf_rpc_body_u;
 };
 typedef struct hf_rpc_body hf_rpc_body;
@@ -256,6 +265,7 @@
 extern  bool_t xdr_hf_rpc_claim_query (XDR *, hf_rpc_claim_query*);
 extern  bool_t xdr_hf_rpc_claim_query_reply (XDR *, hf_rpc_claim_query_reply*);
 extern  bool_t xdr_hf_rpc_notice (XDR *, hf_rpc_notice*);
+extern  bool_t xdr_hf_rpc_config_offer (XDR *, hf_rpc_config_offer*);
 extern  bool_t xdr_hf_rpc_config_pull (XDR *, hf_rpc_config_pull*);
 extern  bool_t xdr_hf_rpc_config_chunk (XDR *, hf_rpc_config_chunk*);
 extern  bool_t xdr_hf_rpc_server_report (XDR *, hf_rpc_server_report*);
@@ -277,6 +287,7 @@
 extern bool_t xdr_hf_rpc_claim_query ();
 extern bool_t xdr_hf_rpc_claim_query_reply ();
 extern bool_t xdr_hf_rpc_notice ();
+extern bool_t xdr_hf_rpc_config_offer ();
 extern bool_t xdr_hf_rpc_config_pull ();
 extern bool_t xdr_hf_rpc_config_chunk ();
 extern bool_t xdr_hf_rpc_server_report ();
--- a/src/hf-rpc.x
+++ b/src/hf-rpc.x
@@ -7,7 +7,7 @@
  * constants and enumerators, are the wire format.
  */
 const HF_RPC_PROGRAM = 541083233;
-const HF_RPC_VERSION = 2;
+const HF_RPC_VERSION = 3;
 const HF_RPC_LOADS_MAX = 512;
 const HF_RPC_GRANTS_MAX = 512;
 const HF_RPC_CONFIG_CHUNK_MAX = 8192;
@@ -27,7 +27,8 @@
   HF_RPC_CONFIG_PULL = 10,
   HF_RPC_CONFIG_CHUNK = 11,
   HF_RPC_DIRECTORY_UPDATE = 12,
-  HF_RPC_DIRECTORY_PULL = 13
+  HF_RPC_DIRECTORY_PULL = 13,
+  HF_RPC_CONFIG_OFFER = 14
 };
 
 /* Number of requests that the sender has in flight at one backend server. */
@@ -145,16 +146,25 @@
   unsigned int hold_ms;
 };
 
-/* Requests the chunk of the configuration document that begins at an offset. */
+/* Offers the configuration document of a generation, which the sender has in force. */
+struct hf_rpc_config_offer {
+  unsigned hyper generation;
+  unsigned hyper digest;
+};
+
+/* Requests the chunk of a compressed configuration document that begins at an offset. */
 struct hf_rpc_config_pull {
   unsigned hyper generation;
   unsigned int offset;
 };
 
-/* One chunk of the configuration document; total: bytes of the complete document. */
+/* One chunk of a compressed configuration document. If the sender no longer has the generation that was requested, it
+ * sends the first chunk of the one in force. digest, text_bytes: of the document before compression; total: bytes of
+ * the complete compressed document. */
 struct hf_rpc_config_chunk {
   unsigned hyper generation;
   unsigned hyper digest;
+  unsigned int text_bytes;
   unsigned int total;
   unsigned int offset;
   opaque data<HF_RPC_CONFIG_CHUNK_MAX>;
@@ -209,6 +219,7 @@
 case HF_RPC_CONFIG_CHUNK: hf_rpc_config_chunk config_chunk;
 case HF_RPC_DIRECTORY_UPDATE: hf_rpc_directory_update directory_update;
 case HF_RPC_DIRECTORY_PULL: hf_rpc_directory_pull directory_pull;
+case HF_RPC_CONFIG_OFFER: hf_rpc_config_offer config_offer;
 };
 
 /* Every message carries the boot id of its sender. */
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -68,7 +68,7 @@
   HF_TIMER_CLAIM_QUERY,      /* id: seq of the claim; no reply of the key's holder yet */
   HF_TIMER_CLAIM_WRITE,      /* id: shard; its next write may start */
   HF_TIMER_WATCH,            /* id: purpose; reopens an ended watch */
-  HF_TIMER_CONFIG_PULL,      /* no chunk from the peer yet */
+  HF_TIMER_CONFIG_PULL,      /* no chunk from the peer yet, or no offer */
   HF_TIMER_CONFIG_RESTORE,   /* writes a lost generation back to the platform */
   HF_TIMER_EXIT,             /* the drain wait of the shutdown has passed */
   HF_TIMER_MEASURE_TICK,     /* measurements of backend servers */
@@ -305,18 +305,53 @@
 
 /* --- types: configuration --- */
 
-/** struct hf_config_pull - a configuration document being fetched from a peer, in chunks */
+/** enum hf_config_origin - where a generation of the configuration came from */
+enum hf_config_origin
+{
+  HF_CONFIG_FROM_PLATFORM,
+  HF_CONFIG_FROM_DOMAIN,       /* another entry of this failure domain */
+  HF_CONFIG_FROM_OTHER_DOMAIN, /* an entry of another failure domain */
+};
+
+/** struct hf_config_copy - one generation of the document, as it is sent to other entries */
+struct hf_config_copy
+{
+  uint64_t generation;
+  uint64_t digest;   /* of the text */
+  size_t text_bytes; /* length of the text */
+  GBytes *packed;    /* compressed text */
+};
+
+/** struct hf_config_pull - a compressed document being fetched from another entry, in chunks */
 struct hf_config_pull
 {
-  uint64_t boot_id; /* of the peer; 0: no pull in progress */
+  uint64_t boot_id; /* of the other entry; 0: no pull in progress */
   uint64_t generation;
-  uint64_t digest;
-  GString *text;          /* received so far */
-  unsigned requests_sent; /* since the last chunk arrived */
+  GByteArray *packed;     /* received so far */
+  unsigned requests_sent; /* since the last chunk arrived; 0: waits for a better source */
   int64_t progress_at;    /* start of the pull, or arrival of the last chunk */
   GSequenceIter *timer;
 };
 
+/**
+ * struct hf_config_spread - documents that entries get from one another
+ * @pull: the pull in progress
+ * @history: struct hf_config_copy, generations that were sent or received lately, the newest last
+ * @behind_since: another entry has had a newer generation since then, or since the last adoption; 0: none has
+ * @read_at: last read of the platform's copy because of that
+ * @send_window_at: start of the current window of the rate limit for chunks sent
+ * @sent_bytes: bytes sent in that window
+ */
+struct hf_config_spread
+{
+  struct hf_config_pull pull;
+  GArray *history;
+  int64_t behind_since;
+  int64_t read_at;
+  int64_t send_window_at;
+  size_t sent_bytes;
+};
+
 /** struct hf_watch - a watch of one collection of the platform */
 struct hf_watch
 {
@@ -425,10 +460,8 @@
   uint64_t config_version;           /* version of the platform's object; 0: unknown or no object */
   uint64_t config_stored_generation; /* generation of the platform's object */
   int64_t config_checked_at;         /* last comparison with the platform's object */
-  struct hf_config_pull config_pull;
-  int64_t config_send_window_at; /* start of the current window of the rate limit for chunks sent */
-  size_t config_sent_bytes;      /* document bytes sent in that window */
-  struct hf_watch watches[2];    /* by enum hf_platform_purpose */
+  struct hf_config_spread config_spread;
+  struct hf_watch watches[2]; /* by enum hf_platform_purpose */
   bool platform_reachable;
   GSequenceIter *restore_timer;
 
--- /dev/null
+++ b/tests/fleet.c
@@ -0,0 +1,350 @@
+/* Simulates many entries in one process. */
+#include "fleet.h"
+
+#include <string.h>
+
+#include "hf-reduce.h"
+#include "hf-wire.h"
+
+/* --- constants --- */
+
+#define REACHABILITY_CHECK_MS 500  /* between an entry's checks whether the platform responds */
+#define STARTUP_MS            4000 /* until all entries have exchanged heartbeats and their roles are stable */
+
+/* --- types --- */
+
+/* A datagram in transit. */
+struct datagram
+{
+  struct fleet_entry *to;
+  const struct fleet_entry *from;
+  size_t size;
+  int64_t due_at;
+  char bytes[];
+};
+
+/* --- internal functions: events and effects --- */
+
+static void
+send_datagram (struct fleet_entry *entry, const struct hf_effect *effect)
+{
+  struct fleet *fleet = entry->fleet;
+  char bytes[HF_WIRE_BYTES_MAX];
+  entry->datagrams_sent++;
+  entry->heartbeats_sent += effect->message.body.kind == HF_RPC_HEARTBEAT;
+  struct fleet_entry *to = g_hash_table_lookup (fleet->entry_by_address, effect->address.data);
+  if (!to)
+    return;
+  size_t size = hf_wire_encode (&effect->message, bytes, sizeof bytes);
+  g_assert_cmpuint (size, >, 0);
+  struct datagram *datagram = g_malloc (sizeof *datagram + size);
+  *datagram = (struct datagram){ .to = to, .from = entry, .size = size };
+  memcpy (datagram->bytes, bytes, size);
+  datagram->due_at = MAX (fleet->now, entry->link_free_at);
+  if (fleet->link_bytes_per_ms > 0)
+    datagram->due_at += (int64_t) size * HF_MS / fleet->link_bytes_per_ms;
+  entry->link_free_at = datagram->due_at;
+  entry->sent_bytes += (int64_t) size;
+  if (strcmp (to->failure_domain, entry->failure_domain) != 0)
+    entry->sent_bytes_other += (int64_t) size;
+  g_queue_push_tail (fleet->datagrams, datagram);
+}
+
+void
+fleet_raise_event (struct fleet_entry *entry, struct hf_event event)
+{
+  struct hf_effects effects;
+  hf_effects_init (&effects);
+  event.now = entry->fleet->now;
+  hf_reduce (entry->state, &event, &effects);
+  for (guint i = 0; i < effects.items->len; i++)
+    {
+      const struct hf_effect *effect = &g_array_index (effects.items, struct hf_effect, i);
+      if (effect->kind == HF_EFFECT_SEND_MESSAGE)
+        send_datagram (entry, effect);
+      if (effect->kind == HF_EFFECT_READ_DOCUMENT)
+        {
+          entry->document_reads++;
+          entry->read_at = entry->fleet->now;
+        }
+      if (effect->kind != HF_EFFECT_SET_WATCH)
+        continue;
+      entry->fleet->watch_starts += effect->watch_mode == HF_WATCH_MODE_ON && entry->watch_mode != HF_WATCH_MODE_ON;
+      entry->watch_mode = effect->watch_mode;
+      entry->revision = MAX (entry->revision, effect->revision);
+    }
+  hf_effects_close (&effects);
+}
+
+static void
+deliver (struct fleet *fleet, const struct datagram *datagram)
+{
+  bool lost = fleet->loss_interval > 0 && ++fleet->loss_counter % fleet->loss_interval == 0;
+  struct hf_rpc_message message;
+  if (datagram->to->is_disconnected || datagram->from->is_disconnected || lost)
+    return;
+  g_assert_true (hf_wire_decode ((struct hf_str){ datagram->bytes, datagram->size }, &message, NULL));
+  if (message.body.kind != datagram->to->lost_kind)
+    fleet_raise_event (datagram->to, (struct hf_event){ .kind = HF_EVENT_PEER_MESSAGE,
+                                                        .peer = { .message = &message,
+                                                                  .address = hf_str (datagram->from->address) } });
+  hf_wire_free (&message);
+}
+
+/* --- internal functions: fake platform --- */
+
+static void
+report_server (struct fleet_entry *entry, unsigned i)
+{
+  const struct fleet_server *server = &entry->fleet->servers[i];
+  char name[16];
+  char address[32];
+  g_snprintf (name, sizeof name, "s%u", i);
+  g_snprintf (address, sizeof address, "10.1.0.%u:80", i % 200 + 1);
+  fleet_raise_event (entry, (struct hf_event){ .kind = HF_EVENT_SERVER_REPORT,
+                                               .report = { .name = hf_str (name),
+                                                           .service = hf_str ("a"),
+                                                           .address = hf_str (address),
+                                                           .failure_domain = hf_str ("d0"),
+                                                           .slots = 3,
+                                                           .incarnation = 1,
+                                                           .draining = server->draining,
+                                                           .removed = !server->listed } });
+}
+
+static void
+raise_list_step (struct fleet_entry *entry, enum hf_list_step step, uint64_t revision)
+{
+  fleet_raise_event (entry, (struct hf_event){ .kind = HF_EVENT_LIST_STEP, .list_step = step, .revision = revision });
+}
+
+/* Reports the changes since the last report to this entry. */
+static void
+report_changes (struct fleet_entry *entry)
+{
+  struct fleet *fleet = entry->fleet;
+  if (entry->watch_mode != HF_WATCH_MODE_ON || entry->platform_unreachable || entry->watch_hangs
+      || entry->revision >= fleet->revision)
+    return;
+  raise_list_step (entry, HF_LIST_REACHABLE, 0);
+  for (unsigned i = 0; i < FLEET_SERVERS_MAX; i++)
+    if (fleet->servers[i].revision > entry->revision)
+      report_server (entry, i);
+  entry->revision = fleet->revision;
+  raise_list_step (entry, HF_LIST_PROGRESS, entry->revision);
+}
+
+static void
+report_document (struct fleet_entry *entry)
+{
+  struct fleet *fleet = entry->fleet;
+  entry->generation = fleet->generation;
+  fleet_raise_event (
+      entry, (struct hf_event){ .kind = HF_EVENT_DOCUMENT,
+                                .document = { .generation = fleet->generation, .text = hf_str (fleet->document) } });
+}
+
+static void
+report_new_document (struct fleet_entry *entry)
+{
+  if (entry->read_at > 0 && !entry->platform_unreachable)
+    {
+      entry->read_at = 0;
+      report_document (entry);
+    }
+  bool watches = entry->watch_mode == HF_WATCH_MODE_ON && !entry->platform_unreachable && !entry->watch_hangs;
+  if (watches && entry->generation < entry->fleet->generation)
+    report_document (entry);
+}
+
+void
+fleet_report_full_list (struct fleet_entry *entry)
+{
+  raise_list_step (entry, HF_LIST_BEGIN, 0);
+  for (unsigned i = 0; i < FLEET_SERVERS_MAX; i++)
+    if (entry->fleet->servers[i].listed)
+      report_server (entry, i);
+  entry->revision = entry->fleet->revision;
+  raise_list_step (entry, HF_LIST_END, entry->revision);
+}
+
+void
+fleet_change_server (struct fleet *fleet, unsigned i, struct fleet_server server)
+{
+  server.revision = ++fleet->revision;
+  fleet->servers[i] = server;
+}
+
+/* --- internal functions: the fleet --- */
+
+void
+fleet_write_document (struct fleet *fleet, unsigned routes)
+{
+  g_free (fleet->document);
+  fleet->document = fleet_make_document (routes);
+  fleet->generation++;
+}
+
+char *
+fleet_make_document (unsigned routes)
+{
+  GString *text = g_string_new ("{version: 1, services: [{name: a, directory: true}], routes: [");
+  for (unsigned i = 0; i < routes; i++)
+    g_string_append_printf (text,
+                            "%s{name: r%u, host: h.example, path_prefix: /p%u/, class: {name: c%u}, parts: [{service: "
+                            "a}]}",
+                            i ? ", " : "", i, i, i);
+  g_string_append (text, "]}");
+  return g_string_free (text, FALSE);
+}
+
+/* --- internal functions: the fleet --- */
+
+static void
+deliver_due (struct fleet *fleet)
+{
+  for (guint queued = g_queue_get_length (fleet->datagrams); queued > 0; queued--)
+    {
+      struct datagram *datagram = g_queue_pop_head (fleet->datagrams);
+      if (datagram->due_at > fleet->now || datagram->to->is_paused)
+        {
+          g_queue_push_tail (fleet->datagrams, datagram);
+          continue;
+        }
+      deliver (fleet, datagram);
+      g_free (datagram);
+    }
+}
+
+static void
+run_entry (struct fleet_entry *entry, unsigned i)
+{
+  bool is_check_due = entry->watch_mode != HF_WATCH_MODE_OFF
+                      && (entry->fleet->now / HF_MS + i * FLEET_STEP_MS) % REACHABILITY_CHECK_MS == 0;
+  fleet_raise_event (entry, (struct hf_event){ .kind = HF_EVENT_TICK });
+  if (is_check_due)
+    raise_list_step (entry, entry->platform_unreachable ? HF_LIST_UNREACHABLE : HF_LIST_REACHABLE, 0);
+  report_changes (entry);
+  report_new_document (entry);
+}
+
+void
+fleet_advance (struct fleet *fleet, int64_t ms)
+{
+  for (int64_t end = fleet->now + ms * HF_MS; fleet->now < end;)
+    {
+      fleet->now += FLEET_STEP_MS * HF_MS;
+      deliver_due (fleet);
+      for (unsigned i = 0; i < fleet->entry_count; i++)
+        if (!fleet->entries[i].is_paused)
+          run_entry (&fleet->entries[i], i);
+    }
+}
+
+static void
+open_entry (struct fleet *fleet, unsigned i, unsigned domains, double cpu_share)
+{
+  struct fleet_entry *entry = &fleet->entries[i];
+  *entry = (struct fleet_entry){ .fleet = fleet };
+  g_snprintf (entry->name, sizeof entry->name, "e%u", i);
+  g_snprintf (entry->failure_domain, sizeof entry->failure_domain, "d%u", i % domains);
+  g_snprintf (entry->address, sizeof entry->address, "10.0.%u.%u:7000", i / 100, i % 100 + 1);
+  struct hf_settings settings = { .name = hf_str (entry->name),
+                                  .failure_domain = hf_str (entry->failure_domain),
+                                  .peer_address = hf_str (entry->address),
+                                  .cpu_share = cpu_share,
+                                  .store_address = hf_str ("10.9.0.1:1") };
+  g_hash_table_insert (fleet->entry_by_address, entry->address, entry);
+  entry->state = hf_state_new (&settings, i + 1);
+  fleet_raise_event (entry, (struct hf_event){ .kind = HF_EVENT_START });
+}
+
+static void
+report_initial_lists (struct fleet *fleet, struct fleet_entry *entry)
+{
+  for (unsigned i = 0; i < fleet->entry_count; i++)
+    {
+      const struct fleet_entry *other = &fleet->entries[i];
+      fleet_raise_event (entry, (struct hf_event){ .kind = HF_EVENT_ENTRY_REPORT,
+                                                   .entry = { .name = hf_str (other->name),
+                                                              .address = hf_str (other->address),
+                                                              .failure_domain = hf_str (other->failure_domain),
+                                                              .cpu_share = other->state->cpu_share } });
+    }
+  fleet_report_full_list (entry);
+  raise_list_step (entry, HF_LIST_ENTRIES_END, 0);
+}
+
+struct fleet *
+fleet_open (unsigned entries, unsigned domains, unsigned large_per_domain)
+{
+  struct fleet *fleet = g_new0 (struct fleet, 1);
+  fleet->entry_count = entries;
+  fleet->now = HF_SEC;
+  fleet->datagrams = g_queue_new ();
+  fleet->entry_by_address = g_hash_table_new (g_str_hash, g_str_equal);
+  for (unsigned i = 0; i < 30; i++)
+    fleet_change_server (fleet, i, (struct fleet_server){ .listed = true });
+  for (unsigned i = 0; i < entries; i++)
+    open_entry (fleet, i, domains, i < large_per_domain * domains ? 0.5 : 0.1);
+  for (unsigned i = 0; i < entries; i++)
+    report_initial_lists (fleet, &fleet->entries[i]);
+  fleet_advance (fleet, STARTUP_MS);
+  return fleet;
+}
+
+void
+fleet_close (struct fleet *fleet)
+{
+  for (unsigned i = 0; i < fleet->entry_count; i++)
+    hf_state_free (fleet->entries[i].state);
+  g_queue_free_full (fleet->datagrams, g_free);
+  g_hash_table_destroy (fleet->entry_by_address);
+  g_free (fleet->document);
+  g_free (fleet);
+}
+
+unsigned
+fleet_count_active_watches (const struct fleet *fleet)
+{
+  unsigned n = 0;
+  for (unsigned i = 0; i < fleet->entry_count; i++)
+    n += fleet->entries[i].watch_mode == HF_WATCH_MODE_ON;
+  return n;
+}
+
+unsigned
+fleet_count_watchers (const struct fleet *fleet, unsigned domains, unsigned domain)
+{
+  unsigned n = 0;
+  for (unsigned i = domain; i < fleet->entry_count; i += domains)
+    n += fleet->entries[i].state->roles.is_watcher;
+  return n;
+}
+
+uint64_t
+fleet_generation (const struct fleet_entry *entry)
+{
+  return entry->state->document ? entry->state->document->generation : 0;
+}
+
+void
+fleet_check_directories (const struct fleet *fleet)
+{
+  for (unsigned i = 0; i < fleet->entry_count; i++)
+    {
+      const struct hf_directory *directory = &fleet->entries[i].state->directory;
+      if (fleet->entries[i].is_disconnected)
+        continue;
+      for (unsigned server = 0; server < FLEET_SERVERS_MAX; server++)
+        {
+          char name[16];
+          g_snprintf (name, sizeof name, "s%u", server);
+          bool is_listed = g_hash_table_contains (directory->servers, name);
+          if (is_listed != fleet->servers[server].listed)
+            g_error ("directory of entry %s %s %s at revision %d, the platform is at %d; the test stops",
+                     fleet->entries[i].name, is_listed ? "still lists" : "misses", name, (int) directory->revision,
+                     (int) fleet->revision);
+        }
+    }
+}
--- /dev/null
+++ b/tests/fleet.h
@@ -0,0 +1,99 @@
+/**
+ * DOC: fleet - simulates many entries in one process
+ *
+ * Each entry is a reducer of its own. Datagrams pass through a queue that can
+ * lose and delay them, and a fake platform reports changes of the directory and
+ * of the configuration to the entries that watch it. Time is simulated.
+ */
+#ifndef FLEET_H
+#define FLEET_H
+
+#include <glib.h>
+
+#include "hf-state.h"
+
+/* --- constants --- */
+
+#define FLEET_ENTRIES_MAX        480
+#define FLEET_SERVERS_MAX        400
+#define FLEET_STEP_MS            10
+#define FLEET_PROPAGATION_MAX_MS 2000 /* until every entry has applied a change */
+
+/* --- types --- */
+
+/** struct fleet_entry - one entry; the flags are set by tests */
+struct fleet_entry
+{
+  struct fleet *fleet;
+  struct hf_state *state;
+  char name[16];
+  char failure_domain[16];
+  char address[32];
+  enum hf_watch_mode watch_mode;
+  bool is_disconnected;      /* no datagram reaches it or leaves it */
+  bool is_paused;            /* the process does not run; its datagrams wait */
+  bool platform_unreachable; /* the platform does not respond to it */
+  bool watch_hangs;          /* its watch delivers nothing, although its checks of the platform succeed */
+  unsigned lost_kind;        /* enum hf_rpc_kind of messages that never reach it; 0: none */
+  uint64_t revision;         /* directory revision that the platform has reported to it */
+  uint64_t generation;       /* configuration generation that the platform has reported to it */
+  unsigned datagrams_sent;
+  unsigned heartbeats_sent;
+  unsigned document_reads;  /* requests to the platform for the configuration */
+  int64_t read_at;          /* last such request that is not answered yet; 0: none */
+  int64_t sent_bytes;       /* in datagrams */
+  int64_t sent_bytes_other; /* in datagrams to other failure domains */
+  int64_t link_free_at;     /* time when its datagrams so far have been sent */
+};
+
+/** struct fleet_server - a backend server in the platform's directory, and the revision of its last change */
+struct fleet_server
+{
+  bool listed;
+  bool draining;
+  uint64_t revision;
+};
+
+/** struct fleet - entries, the datagrams between them, and the platform */
+struct fleet
+{
+  struct fleet_entry entries[FLEET_ENTRIES_MAX];
+  unsigned entry_count;
+  GHashTable *entry_by_address;
+  GQueue *datagrams;
+  int64_t now;
+  unsigned loss_interval; /* one datagram in this many is lost; 0: none */
+  unsigned loss_counter;
+  struct fleet_server servers[FLEET_SERVERS_MAX];
+  uint64_t revision;
+  uint64_t generation;       /* of the operator's configuration; 0: none yet */
+  char *document;            /* its text */
+  int64_t link_bytes_per_ms; /* bandwidth of each entry's link; 0: unlimited */
+  unsigned watch_starts;     /* how often an entry began to watch the platform */
+};
+
+/* --- public functions: open and close --- */
+
+/* Entries that have exchanged heartbeats; the first @large_per_domain entries of each failure domain have five times
+ * the processor time of the others. */
+struct fleet *fleet_open (unsigned entries, unsigned domains, unsigned large_per_domain);
+void fleet_close (struct fleet *fleet);
+
+/* --- public functions: events --- */
+
+void fleet_advance (struct fleet *fleet, int64_t ms); /* delivers what is due in that time, and ticks every entry */
+void fleet_raise_event (struct fleet_entry *entry, struct hf_event event);
+void fleet_change_server (struct fleet *fleet, unsigned i, struct fleet_server server);
+void fleet_report_full_list (struct fleet_entry *entry);          /* the platform's response to a list call */
+void fleet_write_document (struct fleet *fleet, unsigned routes); /* the operator writes the next generation */
+char *fleet_make_document (unsigned routes);                      /* YAML text; the caller frees it */
+
+/* --- public functions: checks --- */
+
+unsigned fleet_count_active_watches (const struct fleet *fleet);
+unsigned fleet_count_watchers (const struct fleet *fleet, unsigned domains, unsigned domain);
+uint64_t fleet_generation (const struct fleet_entry *entry); /* of the configuration in force; 0: none */
+/* Every entry that is not disconnected has exactly the servers that the platform lists. */
+void fleet_check_directories (const struct fleet *fleet);
+
+#endif
--- a/tests/fuzz.c
+++ b/tests/fuzz.c
@@ -7,6 +7,7 @@
 #include <stdint.h>
 
 #include "hf-document.h"
+#include "hf-document-pack.h"
 #include "hf-http-parser.h"
 #include "hf-objects.h"
 #include "hf-settings.h"
@@ -147,6 +148,15 @@
   g_free (copy);
 }
 
+static void
+fuzz_packed_document (struct hf_str bytes)
+{
+  struct hf_str text;
+  size_t declared = bytes.len > 0 ? (size_t) (uint8_t) bytes.data[0] * 16 : 0;
+  if (bytes.len > 0 && hf_document_unpack ((struct hf_str){ bytes.data + 1, bytes.len - 1 }, declared, &text))
+    hf_str_free (&text);
+}
+
 /* --- public functions --- */
 
 int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
@@ -154,8 +164,9 @@
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
-  static void (*const decoders[]) (struct hf_str) = { fuzz_settings, fuzz_document, fuzz_datagram,  fuzz_watch_line,
-                                                      fuzz_object,   fuzz_requests, fuzz_responses, fuzz_store_object };
+  static void (*const decoders[]) (struct hf_str)
+      = { fuzz_settings, fuzz_document,  fuzz_datagram,     fuzz_watch_line,     fuzz_object,
+          fuzz_requests, fuzz_responses, fuzz_store_object, fuzz_packed_document };
   if (size == 0)
     return 0;
   decoders[data[0] % (sizeof decoders / sizeof *decoders)](
--- a/tests/test-scripts.c
+++ b/tests/test-scripts.c
@@ -146,6 +146,9 @@
     case HF_EFFECT_SET_WATCH:
       g_string_append_printf (output, "  follow %u from %d\n", effect->watch_mode, (int) effect->revision);
       break;
+    case HF_EFFECT_READ_DOCUMENT:
+      g_string_append (output, "  read document\n");
+      break;
     case HF_EFFECT_SET_LIMITS:
     case HF_EFFECT_SET_WAKEUP:
       break; /* almost every event changes them; the ticks of a script show the result */
--- a/tests/test-units.c
+++ b/tests/test-units.c
@@ -6,7 +6,9 @@
 #include <glib.h>
 #include <string.h>
 
+#include "hf-config-history.h"
 #include "hf-document.h"
+#include "hf-document-pack.h"
 #include "hf-log.h"
 #include "hf-reduce.h"
 #include "hf-routing.h"
@@ -262,6 +264,54 @@
     }
 }
 
+/* A document survives compression; truncated, changed and wrongly declared bytes are refused. */
+static void
+test_document_pack (void)
+{
+  char *long_text = g_strnfill (HF_DOCUMENT_BYTES_MAX, 'x');
+  const char *const texts[] = { "a", "version: 1\nservices: []\n", long_text };
+  for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
+    {
+      struct hf_str text = hf_str (texts[i]);
+      struct hf_str unpacked;
+      gsize size;
+      GBytes *packed = hf_document_pack (text);
+      const char *bytes = g_bytes_get_data (packed, &size);
+      struct hf_str whole = { .data = bytes, .len = size };
+      g_assert_true (hf_document_unpack (whole, text.len, &unpacked));
+      g_assert_true (hf_str_equal (text, unpacked));
+      hf_str_free (&unpacked);
+      g_assert_false (hf_document_unpack ((struct hf_str){ bytes, size - 1 }, text.len, &unpacked));
+      g_assert_false (hf_document_unpack (whole, text.len + 1, &unpacked));
+      g_assert_false (hf_document_unpack (whole, text.len - 1, &unpacked));
+      g_bytes_unref (packed);
+    }
+  struct hf_str unpacked;
+  g_assert_false (hf_document_unpack (hf_str ("not compressed"), 10, &unpacked));
+  g_assert_false (hf_document_unpack ((struct hf_str){ 0 }, 10, &unpacked));
+  g_free (long_text);
+}
+
+/* The last generations are kept, and fewer of them if they are large; the newest always. */
+static void
+test_config_history (void)
+{
+  GArray *history = hf_config_history_new ();
+  for (uint64_t generation = 1; generation <= HF_CONFIG_HISTORY_MAX + 3; generation++)
+    hf_config_history_add (
+        history, (struct hf_config_copy){ .generation = generation, .packed = g_bytes_new_static ("abc", 3) });
+  g_assert_null (hf_config_history_find (history, 3));
+  g_assert_nonnull (hf_config_history_find (history, 4));
+  g_assert_nonnull (hf_config_history_find (history, HF_CONFIG_HISTORY_MAX + 3));
+  char *large = g_strnfill (HF_CONFIG_HISTORY_BYTES_MAX + 1, 'x');
+  hf_config_history_add (history,
+                         (struct hf_config_copy){ .generation = 100, .packed = g_bytes_new (large, strlen (large)) });
+  g_assert_nonnull (hf_config_history_find (history, 100));
+  g_assert_cmpuint (history->len, ==, 1);
+  g_free (large);
+  g_array_unref (history);
+}
+
 /* docs/CONFIGURATION.md has a row and the help text for every key of the settings and the document. */
 static void
 test_page_configuration (void)
@@ -297,6 +347,8 @@
   g_test_add_func ("/units/routing", test_routing);
   g_test_add_func ("/units/wire", test_wire);
   g_test_add_func ("/units/slices", test_slices);
+  g_test_add_func ("/units/document-pack", test_document_pack);
+  g_test_add_func ("/units/config-history", test_config_history);
   g_test_add_func ("/pages/configuration", test_page_configuration);
   g_test_add_func ("/pages/events", test_page_events);
   return g_test_run ();
