Safe requests behind one in progress start at once

Callers may send further safe requests before the first one is answered. The server read them one after the other, so that each waited for all before it.

Any other request is held back until all before it have been answered and the connection stays open. A caller that disconnects ends them all.

--- a/src/config.h
+++ b/src/config.h
@@ -17,6 +17,8 @@
 #define HF_BODY_BUFFER_BYTES        (256 * 1024) /* body bytes buffered in each direction; larger bodies are streamed */
 #define HF_REQUEST_HEAD_BYTES_MAX   (32 * 1024)  /* default limit of a request head; above: 431 */
 #define HF_REQUEST_BODY_BYTES_MAX   (1LL << 30)  /* default and highest limit of a request body; above: 413 */
+#define HF_PIPELINE_REQUESTS_MAX    8            /* of one connection in progress at the same time */
+#define HF_PIPELINE_BYTES_MAX       (64 * 1024)  /* received and not parsed; above, the socket is not read */
 #define HF_CALLER_STALL_TIMEOUT_SEC 60           /* a caller's connection without progress is closed */
 #define HF_TCP_KEEP_ALIVE_SEC       1            /* idle time before a keep-alive probe, and between probes */
 #define HF_TCP_KEEP_ALIVE_PROBES    2            /* unanswered probes that end a connection */
--- a/src/hf-http-parser.c
+++ b/src/hf-http-parser.c
@@ -367,6 +367,40 @@
   return (struct hf_str){ 0 };
 }
 
+static void
+clear_header (void *data)
+{
+  struct hf_header *header = data;
+  hf_str_free (&header->name);
+  hf_str_free (&header->value);
+}
+
+struct hf_http_head *
+hf_http_head_copy (const struct hf_http_head *head)
+{
+  struct hf_http_head *copy = g_memdup2 (head, sizeof *head);
+  copy->method = hf_str_dup (head->method);
+  copy->target = hf_str_dup (head->target);
+  copy->fields = g_array_new (FALSE, FALSE, sizeof (struct hf_header));
+  g_array_set_clear_func (copy->fields, clear_header);
+  for (guint i = 0; i < head->fields->len; i++)
+    {
+      const struct hf_header *field = &g_array_index (head->fields, struct hf_header, i);
+      struct hf_header header = { .name = hf_str_dup (field->name), .value = hf_str_dup (field->value) };
+      g_array_append_val (copy->fields, header);
+    }
+  return copy;
+}
+
+void
+hf_http_head_free (struct hf_http_head *head)
+{
+  hf_str_free (&head->method);
+  hf_str_free (&head->target);
+  g_array_unref (head->fields);
+  g_free (head);
+}
+
 /* Whether a comma-separated list of tokens contains name. */
 static bool
 list_contains (struct hf_str list, struct hf_str name)
--- a/src/hf-http-parser.h
+++ b/src/hf-http-parser.h
@@ -77,6 +77,8 @@
 /* --- public functions: header fields --- */
 
 struct hf_str hf_http_head_field (const struct hf_http_head *head, const char *name); /* first value; empty: none */
+struct hf_http_head *hf_http_head_copy (const struct hf_http_head *head);             /* with all its strings */
+void hf_http_head_free (struct hf_http_head *head);                                   /* frees a copy */
 /* Whether a field applies to one connection only and must not be forwarded. */
 bool hf_http_head_is_hop_by_hop (const struct hf_http_head *head, struct hf_str name);
 void hf_http_append_field (GString *text, const char *name, struct hf_str value); /* appends "name: value" CR LF */
--- a/src/hf-http-server.h
+++ b/src/hf-http-server.h
@@ -1,7 +1,9 @@
 /**
  * DOC: hf-http-server - HTTP/1.1 server for callers
  *
- * Accepts connections and reads one request after the other from each. It
+ * Accepts connections and reads one request after the other from each. Requests
+ * may arrive before the first one is answered; the owner decides which of them
+ * may overlap, and responses are sent in the order of the requests. It
  * enforces the limits on request heads, request bodies and idle connections,
  * rejects malformed requests, and reports to its owner when a caller has
  * disconnected. The owner decides which response is sent.
@@ -34,6 +36,8 @@
 
 /**
  * struct hf_http_server_callbacks - events that a server reports to its owner
+ * @may_overlap: whether a request may be passed on although others on its connection are not answered yet: only if
+ *               it may be sent again should the connection close before its response; NULL: none may
  * @on_head: the head of a request is complete
  * @on_body: a piece of the request body arrived
  * @on_complete: the complete request has arrived
@@ -42,6 +46,7 @@
  */
 struct hf_http_server_callbacks
 {
+  bool (*may_overlap) (void *context, const struct hf_http_head *head);
   void (*on_head) (void *context, struct hf_http_request *request, const struct hf_http_head *head);
   void (*on_body) (void *context, struct hf_http_request *request, struct hf_str bytes);
   void (*on_complete) (void *context, struct hf_http_request *request);
--- a/src/hf-proxy.c
+++ b/src/hf-proxy.c
@@ -166,18 +166,24 @@
 
 /* --- internal functions: requests --- */
 
+static struct hf_str
+path_of (struct hf_str target)
+{
+  const char *query = memchr (target.data, '?', target.len);
+  if (query)
+    target.len = (size_t) (query - target.data);
+  return target;
+}
+
 static void
 report_request (struct call *call)
 {
   struct hf_event event = call->event;
-  char *query = memchr (call->target.data, '?', call->target.len);
   event.kind = HF_EVENT_REQUEST;
   event.call = call->id;
   event.request.method = call->method;
   event.request.host = call->host;
-  event.request.path = call->target;
-  if (query)
-    event.request.path.len = (size_t) (query - call->target.data);
+  event.request.path = path_of (call->target);
   event.request.headers = (const struct hf_header *) call->header_copies->data;
   event.request.n_headers = call->header_copies->len;
   event.request.body_digest = call->digest;
@@ -217,6 +223,18 @@
   g_free (new_id);
 }
 
+static bool
+may_overlap (void *context, const struct hf_http_head *head)
+{
+  const struct hf_proxy *proxy = context;
+  struct hf_request_head request_head = { .method = head->method,
+                                          .host = hf_http_head_field (head, "Host"),
+                                          .path = path_of (head->target),
+                                          .headers = (const struct hf_header *) head->fields->data,
+                                          .n_headers = head->fields->len };
+  return hf_state_is_repeatable (proxy->loop->state, &request_head);
+}
+
 static void
 on_request_head (void *context, struct hf_http_request *request, const struct hf_http_head *head)
 {
@@ -352,7 +370,8 @@
   hf_loop_check_exit (proxy->loop);
 }
 
-static const struct hf_http_server_callbacks server_callbacks = { .on_head = on_request_head,
+static const struct hf_http_server_callbacks server_callbacks = { .may_overlap = may_overlap,
+                                                                  .on_head = on_request_head,
                                                                   .on_body = on_request_body,
                                                                   .on_complete = on_request_complete,
                                                                   .on_drained = on_response_drained,
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -13,6 +13,7 @@
 #include "hf-probes.h"
 #include "hf-quarantine.h"
 #include "hf-roles.h"
+#include "hf-routing.h"
 #include "hf-slots.h"
 
 /* --- constants --- */
@@ -367,6 +368,13 @@
   return hf_state_is_initialised (state) && !state->leaving;
 }
 
+bool
+hf_state_is_repeatable (const struct hf_state *state, const struct hf_request_head *head)
+{
+  struct hf_route_target target;
+  return state->document && hf_routing_find_target (state->document, head, 0, &target) && target.class->repeatable;
+}
+
 bool
 hf_state_is_leaving (const struct hf_state *state)
 {
--- a/src/hf-reduce.h
+++ b/src/hf-reduce.h
@@ -8,6 +8,7 @@
 #define HF_REDUCE_H
 
 #include "hf-event.h"
+#include "hf-routing.h"
 #include "hf-settings.h"
 
 struct hf_state;
@@ -23,6 +24,7 @@
 bool hf_state_is_initialised (const struct hf_state *state); /* configuration and directory have been loaded */
 bool hf_state_is_ready (const struct hf_state *state);       /* the health check passes */
 bool hf_state_is_leaving (const struct hf_state *state);     /* it is shutting down */
-uint64_t *hf_state_counters (struct hf_state *state);        /* by enum hf_counter */
+bool hf_state_is_repeatable (const struct hf_state *state, const struct hf_request_head *head); /* may run twice */
+uint64_t *hf_state_counters (struct hf_state *state);                                           /* by enum hf_counter */
 
 #endif
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -857,6 +857,34 @@
   close_setup (setup);
 }
 
+/* Safe requests sent behind one in progress reach the servers at once; one that is not safe does not reach any before
+ * all responses before it, and a disconnect of the caller ends the others. */
+static void
+test_overlapping (void)
+{
+  struct setup *setup = open_setup ();
+  set_behaviour (setup, SENDS_NOTHING);
+  char *first = format_request (setup, "GET", "/r/x", "");
+  char *second = format_request (setup, "GET", "/r/x", "");
+  char *third = format_request (setup, "POST", "/w/x", "b");
+  char *all = g_strconcat (first, second, third, NULL);
+  guint before = count_requests (setup);
+  struct raw_client *client = raw_client_connect (setup->net, setup->caller_address, all);
+  harness_pause (300);
+  g_assert_cmpuint (count_requests (setup), ==, before + 2);
+  raw_client_close (client);
+  harness_pause (DISCONNECT_MS);
+  g_assert_cmpuint (count_requests (setup), ==, before + 2);
+  for (unsigned i = 0; i < SERVERS; i++)
+    if (setup->servers[i].last_connection)
+      g_assert_false (raw_connection_is_open (setup->servers[i].last_connection));
+  g_free (all);
+  g_free (first);
+  g_free (second);
+  g_free (third);
+  close_setup (setup);
+}
+
 /* When a caller disconnects, the connection to the backend server is closed, so that the server can cancel the request,
  * and the request is not sent again. */
 static void
@@ -989,6 +1017,7 @@
   g_test_add_func ("/platform/malformed", test_malformed);
   g_test_add_func ("/platform/limits", test_limits);
   g_test_add_func ("/platform/pipelined", test_pipelined);
+  g_test_add_func ("/platform/overlapping", test_overlapping);
   g_test_add_func ("/platform/gone", test_caller_disconnects);
   g_test_add_func ("/platform/shutdown", test_shutdown);
   g_test_add_func ("/platform/explain-refused", test_explain_refused);
