--- a/src/hf-directory-sync.c
+++ b/src/hf-directory-sync.c
@@ -324,7 +324,9 @@
     return HF_WATCH_MODE_ON;
   if (is_current)
     return HF_WATCH_MODE_OFF;
-  return waited ? HF_WATCH_MODE_ON : HF_WATCH_MODE_PROBE;
+  if (waited)
+    return HF_WATCH_MODE_ON;
+  return state->roles.ranks_as_watcher ? HF_WATCH_MODE_AWAIT : HF_WATCH_MODE_PROBE;
 }
 
 static void
@@ -332,6 +334,7 @@
 {
   static const char *const texts[]
       = { [HF_WATCH_MODE_OFF] = "watchers send directory changes; this entry does not watch the platform",
+          [HF_WATCH_MODE_AWAIT] = "checking often whether the platform responds, to watch it then",
           [HF_WATCH_MODE_PROBE] = "no watcher sends current changes; checking whether the platform responds",
           [HF_WATCH_MODE_ON] = "this entry watches the platform's directory" };
   struct hf_directory_sync *sync = &state->directory_sync;
--- a/src/hf-dump.c
+++ b/src/hf-dump.c
@@ -87,6 +87,7 @@
   [HF_WATCH_MODE_OFF] = "told by others",
   [HF_WATCH_MODE_PROBE] = "asking whether the platform answers",
   [HF_WATCH_MODE_ON] = "following the platform",
+  [HF_WATCH_MODE_AWAIT] = "asking often whether the platform answers",
 };
 
 static void
--- a/src/hf-event.h
+++ b/src/hf-event.h
@@ -129,6 +129,7 @@
   HF_WATCH_MODE_OFF,   /* not at all: other entries send the changes */
   HF_WATCH_MODE_PROBE, /* only checks whether it is reachable */
   HF_WATCH_MODE_ON,    /* waits for changes */
+  HF_WATCH_MODE_AWAIT, /* checks often whether it is reachable: this entry is to watch it then */
 };
 
 /* --- types: events --- */
--- a/src/hf-roles.c
+++ b/src/hf-roles.c
@@ -14,6 +14,7 @@
   bool platform_unreachable;
   bool is_coordinator;
   bool is_watcher;
+  bool ranks_as_watcher; /* would watch if the platform responded to all */
 };
 
 /* --- internal functions: candidates --- */
@@ -80,6 +81,7 @@
       struct candidate *candidate = candidate_at (candidates, i);
       candidate->is_coordinator = i - begin < coordinators;
       candidate->is_watcher = !candidate->platform_unreachable && watchers < HF_WATCHERS_PER_DOMAIN;
+      candidate->ranks_as_watcher = i - begin < HF_WATCHERS_PER_DOMAIN;
       watchers += candidate->is_watcher;
     }
 }
@@ -114,6 +116,7 @@
 {
   state->roles.is_coordinator = false;
   state->roles.is_watcher = false;
+  state->roles.ranks_as_watcher = false;
   g_array_set_size (state->roles.granters, 0);
   for (guint i = 0; i < state->members->len; i++)
     {
@@ -134,6 +137,8 @@
       bool *watches = candidate->member ? &candidate->member->is_watcher : &state->roles.is_watcher;
       *coordinates = candidate->is_coordinator;
       *watches = candidate->is_watcher;
+      if (!candidate->member)
+        state->roles.ranks_as_watcher = candidate->ranks_as_watcher;
       if (candidate->is_coordinator && candidate->boot_id && candidate->cpu_share >= cpu_share_min)
         g_array_append_val (state->roles.granters, candidate->boot_id);
     }
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -393,6 +393,7 @@
  * struct hf_roles - roles of this entry, and the entries that grant slots
  * @is_coordinator: this entry exchanges heartbeats with all others
  * @is_watcher: this entry watches the platform's directory for its failure domain
+ * @ranks_as_watcher: it would be a watcher if the platform responded to all entries
  * @watcher_since: when it last became a watcher
  * @update_pending: the members changed since the roles were assigned
  * @granters: uint64_t, boot ids of the entries that grant slots
@@ -401,6 +402,7 @@
 {
   bool is_coordinator;
   bool is_watcher;
+  bool ranks_as_watcher;
   int64_t watcher_since;
   bool update_pending;
   GArray *granters;
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -197,6 +197,23 @@
   fleet_close (fleet);
 }
 
+/* While the platform responds to no entry, those that are to watch it then check often whether it responds again, and
+ * no others: its return is noticed soon and for few calls. */
+static void
+test_await_platform (void)
+{
+  struct fleet *fleet = fleet_open (60, 3, 2);
+  for (unsigned i = 0; i < fleet->entry_count; i++)
+    fleet->entries[i].platform_unreachable = true;
+  fleet_advance (fleet, 6000);
+  for (unsigned i = 0; i < fleet->entry_count; i++)
+    {
+      bool is_large = i < 6;
+      g_assert_cmpuint (fleet->entries[i].watch_mode, ==, is_large ? HF_WATCH_MODE_AWAIT : HF_WATCH_MODE_PROBE);
+    }
+  fleet_close (fleet);
+}
+
 /* An entry that was paused or disconnected for a time receives the changes that it missed. */
 static void
 test_rejoined (void)
@@ -296,6 +313,7 @@
   g_test_add_func ("/relay/blind-watchers", test_unreachable_platform);
   g_test_add_func ("/relay/watchers-gone", test_watchers_lost);
   g_test_add_func ("/relay/platform-away", test_platform_outage);
+  g_test_add_func ("/relay/await-platform", test_await_platform);
   g_test_add_func ("/relay/returned", test_rejoined);
   g_test_add_func ("/relay/hanging-watch", test_hanging_watch);
   g_test_add_func ("/relay/hanging-watches", test_hanging_watches);
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -15,16 +15,18 @@
 
 /* --- constants --- */
 
-#define SERVERS             2
-#define START_TIMEOUT_S     10
-#define CHANGE_TIMEOUT_S    5
-#define DIRECTORY_UPDATE_MS 1000 /* until a change in the store is in force */
-#define MISSING_REMOVAL_MS  2600 /* until servers that are missing after an outage are no longer used */
-#define OUTAGE_MS           1200 /* longer than a watch batches changes; entries time out after seconds only */
-#define RECOVERY_MS         2000 /* until a change is in force after the store has recovered */
-#define DISCONNECT_MS       500  /* until a caller's disconnect has reached the backend server */
-#define SPLIT_REQUESTS      400
-#define INITIAL_RETRIES     4 /* in the retry budget of a service at its start */
+#define SERVERS                 2
+#define START_TIMEOUT_S         10
+#define CHANGE_TIMEOUT_S        5
+#define DIRECTORY_UPDATE_MS     1000 /* until a change in the store is in force */
+#define MISSING_REMOVAL_MS      2600 /* until servers that are missing after an outage are no longer used */
+#define OUTAGE_MS               1200 /* longer than a watch batches changes; entries time out after seconds only */
+#define RECOVERY_MS             2000 /* until a change is in force after the store has recovered */
+#define DISCONNECT_MS           500  /* until a caller's disconnect has reached the backend server */
+#define SPLIT_REQUESTS          400
+#define SILENT_CHECKS           14 /* in SILENT_CHECKS_TIMEOUT_S; one after the other, each with its timeout, at most 9 fit */
+#define SILENT_CHECKS_TIMEOUT_S 10
+#define INITIAL_RETRIES         4 /* in the retry budget of a service at its start */
 
 /* --- types --- */
 
@@ -66,7 +68,8 @@
   char caller_address[64];
   char admin_address[64];
   guint next_id;
-  GPtrArray *log; /* log lines of the entry */
+  GPtrArray *log;      /* log lines of the entry */
+  guint calls_awaited; /* of the fake store */
 };
 
 /* --- internal functions: backend servers --- */
@@ -630,6 +633,25 @@
   close_setup (setup);
 }
 
+static gboolean
+has_calls (void *context)
+{
+  const struct setup *setup = context;
+  return fake_store_call_count (setup->store) >= setup->calls_awaited;
+}
+
+/* While the store is silent, the entry checks it more often than its calls time out, so that it soon notices the
+ * store's return: it makes more checks than fit into the time one after the other. */
+static void
+test_silent_checks (void)
+{
+  struct setup *setup = open_setup ();
+  fake_store_set_silent (setup->store, TRUE);
+  setup->calls_awaited = fake_store_call_count (setup->store) + SILENT_CHECKS;
+  g_assert_true (harness_wait_until (has_calls, setup, SILENT_CHECKS_TIMEOUT_S));
+  close_setup (setup);
+}
+
 /* The response to the entry's registration is lost although the store applied it. The entry must repeat the
  * registration, find the object there and become ready. */
 static void
@@ -1007,6 +1029,7 @@
   g_test_add_func ("/platform/lapse", test_missing_servers);
   g_test_add_func ("/platform/store-away", test_store_errors);
   g_test_add_func ("/platform/store-silent", test_store_silent);
+  g_test_add_func ("/platform/silent-checks", test_silent_checks);
   g_test_add_func ("/platform/lost-write", test_lost_write);
   g_test_add_func ("/platform/refused", test_refused);
   g_test_add_func ("/platform/false-promise", test_false_promise);
