A list that follows on a known directory is passed on as changes

The first change after a calm time got 410; each watcher listed the directory again, dropped the changes that it knew, and told its followers only its revision. All 460 of them asked for the whole directory (72 KB) at once; the watchers were busy for more than a second, so that 453 entries began to check and then to watch the store themselves, with their own old revision: 410 again, and a fresh list each. Ruled out: pages (two a list here, one for the entries, one or two for the servers).

Change: the differences that a list shows against the known state are changes like those of a watch; they are kept and sent. Collecting changes is linear (each change was compared with all later ones, up to 1,000, for every request of a follower).

--- a/src/hf-directory-sync.c
+++ b/src/hf-directory-sync.c
@@ -89,28 +89,21 @@
                                     .removal_delay_ms = item->removal_delay_ms };
 }
 
-/* A report has the current state of a server, so only its last change is collected. */
-static bool
-has_later_change (const struct hf_directory_sync *sync, guint i)
-{
-  for (guint later = i + 1; later < sync->changes->len; later++)
-    if (hf_str_equal (change_at (sync, later)->server, change_at (sync, i)->server))
-      return true;
-  return false;
-}
-
+/* A report has the current state of a server, so of several changes of one server one report is collected. */
 static void
 collect_changes (struct report_list *reports, uint64_t from)
 {
   const struct hf_directory_sync *sync = &reports->state->directory_sync;
-  for (guint i = 0; i < sync->changes->len; i++)
+  GHashTable *collected = g_hash_table_new (g_str_hash, g_str_equal);
+  for (guint i = sync->changes->len; i-- > 0;)
     {
-      const struct hf_directory_change *change = change_at (sync, i);
-      if (change->revision <= from || has_later_change (sync, i))
-        continue;
-      struct hf_server_report report = hf_directory_lookup (reports->state, change->server);
+      struct hf_str server = change_at (sync, i)->server;
+      if (change_at (sync, i)->revision <= from || !g_hash_table_add (collected, (gpointer) server.data))
+        continue; /* also a change whose revision is not known yet */
+      struct hf_server_report report = hf_directory_lookup (reports->state, server);
       add_report (reports, &report);
     }
+  g_hash_table_destroy (collected);
 }
 
 /* --- internal functions: sending --- */
@@ -377,24 +370,26 @@
 {
   struct hf_directory_sync *sync = &state->directory_sync;
   uint64_t before = sync->changed_revision;
+  /* A list that follows on a known state shows by its differences what has changed since then. */
+  bool restart = full && (state->directory.revision == 0 || revision < state->directory.revision);
   bool changed = false;
   for (guint i = sync->changes->len; i-- > 0 && change_at (sync, i)->revision == 0;)
     {
       change_at (sync, i)->revision = revision;
       changed = true;
     }
-  if (full)
+  if (restart)
     {
       g_array_set_size (sync->changes, 0);
       sync->changes_since = revision;
     }
-  if (changed || full)
+  if (changed || restart)
     sync->changed_revision = revision;
   trim_changes (sync);
   state->directory.revision = revision;
   if (!state->roles.is_watcher || !changed)
     return;
-  if (full)
+  if (restart)
     hf_directory_sync_announce (state);
   else
     send_changes (state, (struct hf_str){ 0 }, before);
--- a/src/hf-directory-sync.h
+++ b/src/hf-directory-sync.h
@@ -22,7 +22,7 @@
 void hf_directory_sync_record_change (struct hf_state *state, struct hf_str server); /* part of the next advance */
 
 /* The directory is complete up to a revision; full: by a list of all servers. If servers changed, a watcher sends the
- * changes, or after a full list only its revision, and entries that are behind request the changes. */
+ * changes, or after its first list only its revision, and entries that are behind request the changes. */
 void hf_directory_sync_advance (struct hf_state *state, uint64_t revision, bool full);
 void hf_directory_sync_announce (struct hf_state *state); /* a watcher sends its revision to the followers */
 
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -3,6 +3,21 @@
 #include "hf-base.h"
 #include "hf-roles.h"
 
+/* --- constants --- */
+
+#define RELIST_BYTES_MAX 2048 /* for each entry, after a list that brought two changes */
+
+/* --- internal functions --- */
+
+static int64_t
+count_sent_bytes (const struct fleet *fleet)
+{
+  int64_t bytes = 0;
+  for (unsigned i = 0; i < fleet->entry_count; i++)
+    bytes += fleet->entries[i].sent_bytes;
+  return bytes;
+}
+
 /* --- tests: roles --- */
 
 /* In a small fleet all entries are coordinators, and two in each failure domain watch the platform. */
@@ -144,6 +159,32 @@
   fleet_close (fleet);
 }
 
+/* The same in a large directory: the others get the few changes, not the whole directory. */
+static void
+test_relisting_sends_changes (void)
+{
+  struct fleet *fleet = fleet_open (60, 3, 2);
+  for (unsigned i = 30; i < FLEET_SERVERS_MAX; i++)
+    fleet_change_server (fleet, i, (struct fleet_server){ .listed = true });
+  fleet_advance (fleet, FLEET_PROPAGATION_MAX_MS);
+  fleet_check_directories (fleet);
+  int64_t before = count_sent_bytes (fleet);
+  fleet_advance (fleet, FLEET_PROPAGATION_MAX_MS);
+  int64_t idle_bytes = count_sent_bytes (fleet) - before;
+  fleet_change_server (fleet, 3, (struct fleet_server){ 0 });
+  fleet_change_server (fleet, 50, (struct fleet_server){ .listed = true, .draining = true });
+  for (unsigned i = 0; i < fleet->entry_count; i++)
+    if (fleet->entries[i].watch_mode == HF_WATCH_MODE_ON)
+      fleet_report_full_list (&fleet->entries[i]);
+  before = count_sent_bytes (fleet);
+  fleet->watch_starts = 0;
+  fleet_advance (fleet, FLEET_PROPAGATION_MAX_MS);
+  fleet_check_directories (fleet);
+  g_assert_cmpint (count_sent_bytes (fleet) - before - idle_bytes, <, fleet->entry_count * RELIST_BYTES_MAX);
+  g_assert_cmpuint (fleet->watch_starts, ==, 0);
+  fleet_close (fleet);
+}
+
 /* The platform does not respond to the watchers of one failure domain: other entries take over their role. */
 static void
 test_unreachable_platform (void)
@@ -310,6 +351,7 @@
   g_test_add_func ("/relay/many-changes", test_many_changes);
   g_test_add_func ("/relay/lost-datagrams", test_lost_datagrams);
   g_test_add_func ("/relay/listed-anew", test_relisting);
+  g_test_add_func ("/relay/listed-anew-changes", test_relisting_sends_changes);
   g_test_add_func ("/relay/blind-watchers", test_unreachable_platform);
   g_test_add_func ("/relay/watchers-gone", test_watchers_lost);
   g_test_add_func ("/relay/platform-away", test_platform_outage);
