Bytes that are no response end the attempt within a bound

Found by tests with a server that floods: endless 1xx responses and the endless body of a response to another request were skipped until the deadline, at full speed (up to the processor time of the entry); trailers without end were kept, 17 MB for 16 MB of them; a response of the store above 8 MiB lost the pieces that did not fit, and what was left could be taken for all of it. Bounded already: heads, status lines, chunk extensions, bytes after a response.

Tests: test-http-client /endless/*, 7 of them with a server that sends 16 MiB; informational, foreign-body, chunk-framing and store-response failed before.

--- a/src/hf-http-client.c
+++ b/src/hf-http-client.c
@@ -7,7 +7,10 @@
 
 /* --- constants --- */
 
-#define SKIPPED_RESPONSES_MAX 4 /* responses to earlier requests; after more of them the connection fails */
+/* What may precede the response to a request; after more of it the connection fails. */
+#define SKIPPED_RESPONSES_MAX       4             /* responses to earlier requests */
+#define INFORMATIONAL_RESPONSES_MAX 16            /* responses with a status of 1xx */
+#define SKIPPED_BYTES_MAX           (1024 * 1024) /* of all of these */
 
 /* --- types --- */
 
@@ -40,6 +43,8 @@
   bool close_after_response;
   bool skipping_response; /* the response being received is informational (1xx) or belongs to an earlier request */
   unsigned skipped_responses;
+  unsigned informational_responses;
+  size_t skipped_bytes;
   bool closed;
 };
 
@@ -103,6 +108,9 @@
 keep_connection (struct connection *connection, int64_t now)
 {
   connection->request = NULL;
+  connection->skipped_responses = 0;
+  connection->informational_responses = 0;
+  connection->skipped_bytes = 0;
   connection->used_at = now;
   g_ptr_array_add (find_idle_pool (connection->client, connection->address)->connections, connection);
 }
@@ -179,7 +187,9 @@
 {
   struct connection *connection = context;
   struct hf_http_client_request *request = connection->request;
-  connection->skipping_response = !request || head->status / 100 == 1;
+  bool is_informational = head->status / 100 == 1;
+  connection->skipping_response = !request || is_informational;
+  connection->informational_responses += is_informational;
   if (connection->skipping_response)
     return true;
   if (request->callbacks->accepts_response && !request->callbacks->accepts_response (request->context, head))
@@ -247,6 +257,14 @@
 
 /* --- internal functions: callbacks of the stream --- */
 
+static bool
+has_skipped_too_much (const struct connection *connection)
+{
+  return connection->skipped_responses > SKIPPED_RESPONSES_MAX
+         || connection->informational_responses > INFORMATIONAL_RESPONSES_MAX
+         || connection->skipped_bytes > SKIPPED_BYTES_MAX;
+}
+
 static void
 on_stream_connected (void *context)
 {
@@ -262,12 +280,13 @@
   while (bytes.len > 0 && !connection->closed)
     {
       /* Bytes without a request are no response to anything: the connection is unusable. */
-      if (!connection->request || connection->skipped_responses > SKIPPED_RESPONSES_MAX)
+      if (!connection->request || has_skipped_too_much (connection))
         {
           fail_connection (connection);
           break;
         }
       size_t used = hf_http_parser_feed (connection->parser, bytes);
+      connection->skipped_bytes += connection->skipping_response ? used : 0;
       bytes.data += used;
       bytes.len -= used;
       if (!connection->closed && free_cancelled_request (connection))
--- a/src/hf-http-parser.c
+++ b/src/hf-http-parser.c
@@ -57,6 +57,8 @@
 on_field (http_parser *library, const char *at, size_t size)
 {
   struct hf_http_parser *parser = library->data;
+  if (parser->in_body)
+    return 0; /* trailers are not used */
   if (parser->spans->len == 0 || parser->last_was_value)
     {
       struct span span = { .name = parser->text->len };
@@ -72,6 +74,8 @@
 on_value (http_parser *library, const char *at, size_t size)
 {
   struct hf_http_parser *parser = library->data;
+  if (parser->in_body)
+    return 0;
   struct span *span = &g_array_index (parser->spans, struct span, parser->spans->len - 1);
   if (!parser->last_was_value)
     span->value = parser->text->len;
--- /dev/null
+++ b/tests/test-http-client.c
@@ -0,0 +1,244 @@
+/*
+ * Tests of the HTTP client against a server that sends bytes which are no
+ * response, without end. Each request must end within a bounded number of bytes
+ * and of memory, and its connection must not be used again.
+ */
+#include <glib.h>
+#include <malloc.h>
+#include <string.h>
+
+#include "hf-http-client.h"
+#include "hf-store.h"
+#include "raw.h"
+
+#include "config.h"
+
+/* --- constants --- */
+
+#define FLOOD_BYTES      (16 * 1024 * 1024) /* stands for bytes without end */
+#define TURNS_MAX        100000             /* of the main loop */
+#define MEMORY_BYTES_MAX (4 * 1024 * 1024)  /* that one request may take for bytes that are no response */
+
+/* --- types --- */
+
+struct run
+{
+  struct hf_net *net;
+  struct raw_server *server;
+  struct raw_connection *connection; /* of the last request */
+  struct hf_http_client *client;
+  const char *start;   /* what the server sends first */
+  const char *pattern; /* what it repeats */
+  guint requests;
+  gboolean ended;
+  enum hf_http_client_result result;
+  size_t memory_before;
+  size_t memory_most;
+};
+
+/* --- internal functions --- */
+
+static size_t
+memory_in_use (void)
+{
+  return mallinfo2 ().uordblks;
+}
+
+static void
+on_request (void *context, struct raw_connection *connection, const char *text)
+{
+  struct run *run = context;
+  size_t length = strlen (run->pattern);
+  char *flood = g_malloc (FLOOD_BYTES + 1);
+  (void) text;
+  run->requests++;
+  run->connection = connection;
+  for (size_t i = 0; i < FLOOD_BYTES; i++)
+    flood[i] = run->pattern[i % length];
+  flood[FLOOD_BYTES] = 0;
+  raw_connection_send (connection, "%s%s", run->start, flood);
+  g_free (flood);
+  run->memory_before = memory_in_use ();
+}
+
+static bool
+accepts_response (void *context, const struct hf_http_head *head)
+{
+  (void) context;
+  return hf_str_equal (hf_http_head_field (head, "X-Id"), hf_str ("own"));
+}
+
+static void
+on_head (void *context, const struct hf_http_head *head)
+{
+  (void) context;
+  (void) head;
+}
+
+static void
+on_body (void *context, struct hf_str bytes)
+{
+  (void) context;
+  (void) bytes;
+}
+
+static void
+on_ended (void *context, enum hf_http_client_result result, bool sent)
+{
+  struct run *run = context;
+  (void) sent;
+  run->ended = TRUE;
+  run->result = result;
+}
+
+static const struct hf_http_client_callbacks callbacks
+    = { .accepts_response = accepts_response, .on_head = on_head, .on_body = on_body, .on_ended = on_ended };
+
+static void
+send_request (struct run *run)
+{
+  struct hf_http_client_params params = { .address = hf_str (raw_server_address (run->server)),
+                                          .head = hf_str ("GET / HTTP/1.1\r\nHost: h\r\n\r\n"),
+                                          .idle_max_us = HF_CONNECTION_IDLE_MS * HF_MS };
+  run->ended = FALSE;
+  hf_http_client_send (run->client, &params, &callbacks, run);
+}
+
+/* Sends one request and runs the main loop until it has ended or no more happens. */
+static void
+run_request (struct run *run)
+{
+  send_request (run);
+  for (guint i = 0; !run->ended && i < TURNS_MAX && (!run->requests || g_main_context_pending (NULL)); i++)
+    {
+      g_main_context_iteration (NULL, !run->requests);
+      if (run->requests)
+        run->memory_most = MAX (run->memory_most, memory_in_use ());
+    }
+}
+
+static void
+check_flood (const char *start, const char *pattern, enum hf_http_client_result expected)
+{
+  struct run run = { .start = start, .pattern = pattern };
+  run.net = hf_net_open ();
+  run.server = raw_server_open (run.net, on_request, &run);
+  run.client = hf_http_client_open (run.net);
+  run_request (&run);
+  g_assert_true (run.ended);
+  g_assert_cmpint (run.result, ==, expected);
+  g_assert_cmpuint (run.memory_most, <, run.memory_before + MEMORY_BYTES_MAX);
+  hf_http_client_close (run.client);
+  raw_server_close (run.server);
+  hf_net_close (run.net);
+}
+
+/* --- tests --- */
+
+static void
+test_head (void)
+{
+  check_flood ("HTTP/1.1 200 OK\r\nX-Id: own\r\n", "X-More: x\r\n", HF_HTTP_CLIENT_BROKEN);
+  check_flood ("HTTP/1.1 200 OK\r\nX-Id: ", "x", HF_HTTP_CLIENT_BROKEN);
+}
+
+static void
+test_status_line (void)
+{
+  check_flood ("HTTP/1.1 200 ", "x", HF_HTTP_CLIENT_BROKEN);
+  check_flood ("", "x", HF_HTTP_CLIENT_BROKEN);
+  check_flood ("", "\r\n", HF_HTTP_CLIENT_BROKEN);
+}
+
+/* Informational responses, one after the other. */
+static void
+test_informational (void)
+{
+  check_flood ("", "HTTP/1.1 100 Continue\r\n\r\n", HF_HTTP_CLIENT_BROKEN);
+}
+
+/* A response to another request whose body never ends. */
+static void
+test_foreign_body (void)
+{
+  check_flood ("HTTP/1.1 200 OK\r\nX-Id: other\r\n\r\n", "x", HF_HTTP_CLIENT_BROKEN);
+  check_flood ("HTTP/1.1 200 OK\r\nX-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\nhello\r\n",
+               HF_HTTP_CLIENT_BROKEN);
+  check_flood ("HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 9000000000\r\n\r\n", "x", HF_HTTP_CLIENT_BROKEN);
+}
+
+/* Parts of the chunked coding that carry no byte of the body. */
+static void
+test_chunk_framing (void)
+{
+  const char *head = "HTTP/1.1 200 OK\r\nX-Id: own\r\nTransfer-Encoding: chunked\r\n\r\n5";
+  char *in_trailers = g_strconcat (head, "\r\nhello\r\n0\r\n", NULL);
+  check_flood (head, ";extension", HF_HTTP_CLIENT_TRUNCATED);
+  check_flood (in_trailers, "a:\r\n", HF_HTTP_CLIENT_TRUNCATED);
+  check_flood (in_trailers, "X-Trailer: x\r\n", HF_HTTP_CLIENT_TRUNCATED);
+  g_free (in_trailers);
+}
+
+/* Bytes after a complete response: it counts, but its connection is not used for another request. */
+static void
+test_bytes_after_response (void)
+{
+  struct run run = { .start = "HTTP/1.1 200 OK\r\nX-Id: own\r\nContent-Length: 2\r\n\r\nok", .pattern = "x" };
+  run.net = hf_net_open ();
+  run.server = raw_server_open (run.net, on_request, &run);
+  run.client = hf_http_client_open (run.net);
+  run_request (&run);
+  g_assert_true (run.ended);
+  g_assert_cmpint (run.result, ==, HF_HTTP_CLIENT_COMPLETE);
+  const struct raw_connection *first = run.connection;
+  for (guint i = 0; raw_connection_is_open (first) && i < TURNS_MAX; i++)
+    g_main_context_iteration (NULL, TRUE);
+  g_assert_false (raw_connection_is_open (first));
+  run_request (&run);
+  g_assert_cmpint (run.result, ==, HF_HTTP_CLIENT_COMPLETE);
+  g_assert_true (run.connection != first);
+  hf_http_client_close (run.client);
+  raw_server_close (run.server);
+  hf_net_close (run.net);
+}
+
+static void
+on_store_response (void *context, unsigned status, JsonObject *body)
+{
+  struct run *run = context;
+  g_assert_cmpuint (status, ==, 0);
+  g_assert_null (body);
+  run->ended = TRUE;
+}
+
+/* A response of the store that is longer than any valid one counts as no response; no part of it is used. */
+static void
+test_store_response (void)
+{
+  struct run run = { .start = "HTTP/1.1 200 OK\r\nContent-Length: 16777218\r\n\r\n{}", .pattern = " " };
+  struct hf_store_request request = { .method = "GET", .path = "/", .timeout_ms = 60000 };
+  run.net = hf_net_open ();
+  run.server = raw_server_open (run.net, on_request, &run);
+  struct hf_store *store = hf_store_open (run.net, hf_str (raw_server_address (run.server)));
+  hf_store_start_call (store, &request, on_store_response, &run);
+  for (guint i = 0; !run.ended && i < TURNS_MAX; i++)
+    g_main_context_iteration (NULL, TRUE);
+  g_assert_true (run.ended);
+  hf_store_close (store);
+  raw_server_close (run.server);
+  hf_net_close (run.net);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/endless/head", test_head);
+  g_test_add_func ("/endless/status-line", test_status_line);
+  g_test_add_func ("/endless/informational", test_informational);
+  g_test_add_func ("/endless/foreign-body", test_foreign_body);
+  g_test_add_func ("/endless/chunk-framing", test_chunk_framing);
+  g_test_add_func ("/endless/bytes-after-response", test_bytes_after_response);
+  g_test_add_func ("/endless/store-response", test_store_response);
+  return g_test_run ();
+}
