A listener without descriptors pauses; a service no longer measured does not wait

Two faults known from reading, each with a test that failed first:

- accept4 failing for want of descriptors left the connection in the kernel's queue, and the loop spun on it (15,631 turns in 0.5 s): accepting now pauses for 100 ms with a line (HF1010).
Test: test-http-server /http-server/no-descriptor.
- a service whose measure_ms becomes 0 kept waiting for measurements that nobody made; its requests could wait to their deadline.
Test: test-units /units/measuring-ends.

--- a/src/hf-measure.c
+++ b/src/hf-measure.c
@@ -44,7 +44,7 @@
 static void
 measure_slice (struct hf_state *state, const struct hf_service *spec, struct hf_service_state *service)
 {
-  service->pool.requires_measurements = hf_members_is_owner (state, service->id);
+  service->pool.requires_measurements = spec->measure_interval_ms > 0 && hf_members_is_owner (state, service->id);
   if (!service->pool.requires_measurements || state->now - service->last_slot_request_at > HF_MEASURE_IDLE_MS * HF_MS)
     return;
   hf_measure_for_queue (state, service);
@@ -75,11 +75,7 @@
 {
   hf_state_start_timer (state, HF_MEASURE_TICK_MS * HF_MS, HF_TIMER_MEASURE_TICK, 0, 0);
   for (size_t i = 0; state->document && i < state->document->services.n; i++)
-    {
-      const struct hf_service *spec = hf_document_get_service (state->document, i);
-      if (spec->measure_interval_ms > 0)
-        measure_service (state, spec);
-    }
+    measure_service (state, hf_document_get_service (state->document, i));
 }
 
 /* Measures, for each of the first requests in the queue, the server that would suit it best. */
--- a/src/hf-net.c
+++ b/src/hf-net.c
@@ -12,11 +12,14 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "hf-log.h"
+
 #include "config.h"
 
 /* --- constants --- */
 
 #define EPOLL_EVENTS_MAX        64
+#define ACCEPT_PAUSE_MS         100 /* after accepting has failed for want of descriptors or memory */
 #define LISTEN_BACKLOG          1024
 #define READ_BUFFER_BYTES       (32 * 1024)
 #define READS_PER_TURN_MAX      8           /* of one stream before other streams are served */
@@ -48,6 +51,7 @@
   void (*on_accepted) (void *context, struct hf_stream *stream);
   void *context;
   char address[64];
+  guint resume_timer; /* accepting is paused until then; 0: it is not */
 };
 
 struct hf_stream
@@ -226,6 +230,32 @@
 
 /* --- internal functions: listeners --- */
 
+static void
+watch_listener (const struct hf_listener *listener, uint32_t events)
+{
+  struct epoll_event event = { .events = events, .data.ptr = (void *) listener };
+  epoll_ctl (listener->handle.net->epoll, EPOLL_CTL_MOD, listener->handle.fd, &event);
+}
+
+static gboolean
+resume_listener (gpointer data)
+{
+  struct hf_listener *listener = data;
+  listener->resume_timer = 0;
+  watch_listener (listener, EPOLLIN);
+  return G_SOURCE_REMOVE;
+}
+
+/* The connection that could not be accepted stays in the kernel's queue and would wake the loop again at once. */
+static void
+pause_listener (struct hf_listener *listener, int cause)
+{
+  hf_log_write (HF_LOG_NOT_ACCEPTED, "%s: cannot accept a connection: %s; waiting %d ms", listener->address,
+                g_strerror (cause), ACCEPT_PAUSE_MS);
+  watch_listener (listener, 0);
+  listener->resume_timer = g_timeout_add (ACCEPT_PAUSE_MS, resume_listener, listener);
+}
+
 static void
 on_listener_events (struct handle *handle, uint32_t events)
 {
@@ -236,6 +266,8 @@
       int fd = accept4 (handle->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
       if (fd < 0 && errno == EINTR)
         continue;
+      if (fd < 0 && (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM))
+        pause_listener (listener, errno);
       if (fd < 0)
         return;
       listener->on_accepted (listener->context, add_stream (handle->net, fd, false));
@@ -374,8 +406,11 @@
 void
 hf_listener_close (struct hf_listener *listener)
 {
-  if (listener)
-    close_handle (&listener->handle);
+  if (!listener)
+    return;
+  if (listener->resume_timer)
+    g_source_remove (listener->resume_timer);
+  close_handle (&listener->handle);
 }
 
 struct hf_str
--- a/tests/test-http-server.c
+++ b/tests/test-http-server.c
@@ -5,6 +5,8 @@
  */
 #include <glib.h>
 #include <string.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include "hf-http-connection.h"
 #include "raw.h"
@@ -13,10 +15,12 @@
 
 /* --- constants --- */
 
-#define SETTLE_MS           30 /* loopback traffic has arrived after this time */
-#define MANY_REQUESTS       1000
-#define READ_BYTES_MAX      (64 * 1024)        /* read from a socket at once */
-#define LONG_RESPONSE_BYTES (64 * 1024 * 1024) /* more than both sockets buffer */
+#define SETTLE_MS               30 /* loopback traffic has arrived after this time */
+#define NO_DESCRIPTOR_MS        500
+#define NO_DESCRIPTOR_TURNS_MAX 200 /* of the main loop in that time; a loop that spins makes many thousands */
+#define MANY_REQUESTS           1000
+#define READ_BYTES_MAX          (64 * 1024)        /* read from a socket at once */
+#define LONG_RESPONSE_BYTES     (64 * 1024 * 1024) /* more than both sockets buffer */
 
 /* --- types --- */
 
@@ -88,6 +92,24 @@
                                                            .on_drained = on_drained,
                                                            .on_ended = on_ended };
 
+/* --- internal functions: descriptors --- */
+
+static int
+lowest_free_descriptor (void)
+{
+  int fd = dup (STDIN_FILENO);
+  g_assert_cmpint (fd, >=, 0);
+  close (fd);
+  return fd;
+}
+
+static gboolean
+on_turn (gpointer data)
+{
+  (void) data;
+  return G_SOURCE_REMOVE;
+}
+
 /* --- internal functions: runs --- */
 
 static gboolean
@@ -455,6 +477,36 @@
   close_run (run);
 }
 
+/* --- tests: descriptors --- */
+
+/* Without a free descriptor no connection can be accepted: the process does not spin, and accepts the connection once
+ * there is one again. */
+static void
+test_no_descriptor (void)
+{
+  struct run *run = open_run (GET ("/s1"));
+  struct rlimit limit;
+  g_assert_cmpint (getrlimit (RLIMIT_NOFILE, &limit), ==, 0);
+  struct rlimit used_up = { .rlim_cur = (rlim_t) lowest_free_descriptor () + 1, .rlim_max = limit.rlim_max };
+  g_assert_cmpint (setrlimit (RLIMIT_NOFILE, &used_up), ==, 0);
+  char *address = g_strndup (hf_http_server_address (run->server).data, hf_http_server_address (run->server).len);
+  struct raw_client *second = raw_client_connect (run->net, address, GET ("/s2"));
+  guint turns = 0;
+  for (int64_t end = g_get_monotonic_time () + NO_DESCRIPTOR_MS * HF_MS; g_get_monotonic_time () < end; turns++)
+    {
+      g_timeout_add (SETTLE_MS, on_turn, NULL);
+      g_main_context_iteration (NULL, TRUE);
+    }
+  g_assert_cmpuint (turns, <, NO_DESCRIPTOR_TURNS_MAX);
+  g_assert_false (g_hash_table_contains (run->requests, "/s2"));
+  g_assert_cmpint (setrlimit (RLIMIT_NOFILE, &limit), ==, 0);
+  while (!g_hash_table_contains (run->requests, "/s2"))
+    g_main_context_iteration (NULL, TRUE);
+  raw_client_close (second);
+  g_free (address);
+  close_run (run);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -473,5 +525,6 @@
   g_test_add_func ("/http-server/unread", test_unread);
   g_test_add_func ("/http-server/long-response-behind", test_long_response_behind);
   g_test_add_func ("/http-server/slow-caller", test_slow_caller);
+  g_test_add_func ("/http-server/no-descriptor", test_no_descriptor);
   return g_test_run ();
 }
--- a/tests/test-units.c
+++ b/tests/test-units.c
@@ -14,6 +14,7 @@
 #include "hf-routing.h"
 #include "hf-slices.h"
 #include "hf-settings.h"
+#include "hf-state.h"
 #include "hf-wire.h"
 
 /* --- constants --- */
@@ -312,6 +313,38 @@
   g_array_unref (history);
 }
 
+static void
+reduce (struct hf_state *state, struct hf_event event)
+{
+  struct hf_effects effects;
+  hf_effects_init (&effects);
+  hf_reduce (state, &event, &effects);
+  hf_effects_close (&effects);
+}
+
+/* A service that is no longer measured does not wait for measurements: its requests would wait to their deadline. */
+static void
+test_measuring_ends (void)
+{
+  const char *measured = "{version: 1, services: [{name: a, directory: true, measure_ms: 240}]}";
+  const char *not_measured = "{version: 1, services: [{name: a, directory: true}]}";
+  struct hf_settings settings = { .name = hf_str ("e1"), .store_address = hf_str ("10.9.0.1:1") };
+  struct hf_state *state = hf_state_new (&settings, 1);
+  uint64_t service = hf_hash (hf_str ("a"), 0);
+  reduce (state, (struct hf_event){ .kind = HF_EVENT_START, .now = HF_SEC });
+  reduce (state, (struct hf_event){ .kind = HF_EVENT_DOCUMENT,
+                                    .now = HF_SEC,
+                                    .document = { .generation = 1, .text = hf_str (measured) } });
+  reduce (state, (struct hf_event){ .kind = HF_EVENT_TICK, .now = 2 * HF_SEC });
+  g_assert_true (hf_state_find_service (state, service)->pool.requires_measurements);
+  reduce (state, (struct hf_event){ .kind = HF_EVENT_DOCUMENT,
+                                    .now = 2 * HF_SEC,
+                                    .document = { .generation = 2, .text = hf_str (not_measured) } });
+  reduce (state, (struct hf_event){ .kind = HF_EVENT_TICK, .now = 3 * HF_SEC });
+  g_assert_false (hf_state_find_service (state, service)->pool.requires_measurements);
+  hf_state_free (state);
+}
+
 /* docs/CONFIGURATION.md has a row and the help text for every key of the settings and the document. */
 static void
 test_page_configuration (void)
@@ -349,6 +382,7 @@
   g_test_add_func ("/units/slices", test_slices);
   g_test_add_func ("/units/document-pack", test_document_pack);
   g_test_add_func ("/units/config-history", test_config_history);
+  g_test_add_func ("/units/measuring-ends", test_measuring_ends);
   g_test_add_func ("/pages/configuration", test_page_configuration);
   g_test_add_func ("/pages/events", test_page_events);
   return g_test_run ();
