No circle through state, members, configuration and measuring

- hf-state no longer calls hf-members: hf_state_find_member is a look-up of data; hf_state_ticket likewise left hf-slots.
- hf-status says whether the process is ready; it was part of hf-reduce, which hf-calls had to call for it.
- The reducer tells hf-directory-sync of a heartbeat's revision; hf-members did.
- HTTP server and connection: responses belong to the connection; heads of messages (fields, clear length, text of response heads) are hf-http-head, out of parser and connection.

--- a/src/hf-calls.c
+++ b/src/hf-calls.c
@@ -10,6 +10,7 @@
 #include "hf-routing.h"
 #include "hf-slices.h"
 #include "hf-slots.h"
+#include "hf-status.h"
 #include "hf-trace.h"
 
 /* --- internal functions: lookup --- */
--- a/src/hf-claims.c
+++ b/src/hf-claims.c
@@ -161,7 +161,7 @@
       apply_query_result (state, claim, query_state_of (holder), holder ? holder->status : 0);
       return;
     }
-  const struct hf_member *member = hf_members_find (state, claim->holder.boot_id);
+  const struct hf_member *member = hf_state_find_member (state, claim->holder.boot_id);
   if (!member || !member->alive || claim->requests_sent >= QUERIES_MAX)
     {
       apply_query_result (state, claim, HF_CLAIM_QUERY_UNKNOWN, 0);
--- a/src/hf-config-spread.c
+++ b/src/hf-config-spread.c
@@ -5,7 +5,6 @@
 
 #include "hf-config-history.h"
 #include "hf-document-pack.h"
-#include "hf-members.h"
 
 /* --- internal functions: state --- */
 
@@ -355,7 +354,7 @@
 void
 hf_config_spread_note_member (struct hf_state *state, uint64_t boot_id)
 {
-  const struct hf_member *member = hf_members_find (state, boot_id);
+  const struct hf_member *member = hf_state_find_member (state, boot_id);
   if (member)
     consider_source (state, member, state->document ? HF_CONFIG_OFFER_WAIT_MS : 0);
 }
@@ -366,7 +365,7 @@
                                  struct hf_config_received *received)
 {
   const struct hf_rpc_body *body = &event->peer.message->body;
-  struct hf_member *member = hf_members_find (state, event->peer.message->boot_id);
+  struct hf_member *member = hf_state_find_member (state, event->peer.message->boot_id);
   if (!member)
     return false;
   if (body->kind == HF_RPC_CONFIG_CHUNK)
@@ -389,7 +388,7 @@
   struct hf_config_pull *pull = &state->config_spread.pull;
   pull->timer = NULL;
   read_if_late (state);
-  const struct hf_member *source = hf_members_find (state, pull->boot_id);
+  const struct hf_member *source = hf_state_find_member (state, pull->boot_id);
   const struct hf_member *other = find_source (state, pull->boot_id);
   bool given_up = state->now - pull->progress_at >= HF_PEER_TIMEOUT_MS * HF_MS;
   if (other && (!source || is_stalled (state)))
--- a/src/hf-directory-sync.c
+++ b/src/hf-directory-sync.c
@@ -2,7 +2,6 @@
 #include "hf-directory-sync.h"
 
 #include "hf-directory.h"
-#include "hf-members.h"
 #include "hf-roles.h"
 
 /* --- types --- */
@@ -409,10 +408,11 @@
 
 /* Requests changes that other failure domains have: the watches of all watchers here may hang unnoticed. */
 void
-hf_directory_sync_note_revision (struct hf_state *state, const struct hf_member *member, uint64_t revision)
+hf_directory_sync_note_revision (struct hf_state *state, const struct hf_event *event)
 {
   struct hf_directory_sync *sync = &state->directory_sync;
   uint64_t own_revision = state->directory.revision;
+  uint64_t revision = event->peer.message->body.hf_rpc_body_u.heartbeat.directory_revision;
   if (!state->external_store || !state->directory.complete || revision <= own_revision)
     return;
   if (sync->remote_revision <= own_revision)
@@ -421,7 +421,7 @@
   if (state->now - sync->remote_ahead_since < HF_DIRECTORY_SYNC_REMOTE_LAG_MAX_MS * HF_MS)
     return;
   sync->remote_ahead_since = state->now;
-  pull_changes (state, member->address);
+  pull_changes (state, event->peer.address);
 }
 
 void
@@ -444,7 +444,7 @@
 hf_directory_sync_handle_message (struct hf_state *state, const struct hf_event *event)
 {
   const struct hf_rpc_message *message = event->peer.message;
-  struct hf_member *member = hf_members_find (state, message->boot_id);
+  struct hf_member *member = hf_state_find_member (state, message->boot_id);
   if (message->body.kind == HF_RPC_DIRECTORY_UPDATE && member && state->external_store)
     handle_update (state, member, &message->body.hf_rpc_body_u.directory_update);
   else if (message->body.kind == HF_RPC_DIRECTORY_PULL && state->directory.complete)
--- a/src/hf-directory-sync.h
+++ b/src/hf-directory-sync.h
@@ -28,8 +28,8 @@
 
 /* --- public functions: events --- */
 
-/* A heartbeat named the revision of the last change that the member has applied. */
-void hf_directory_sync_note_revision (struct hf_state *state, const struct hf_member *member, uint64_t revision);
+/* HEARTBEAT: it names the revision of the last change that the sender has applied. */
+void hf_directory_sync_note_revision (struct hf_state *state, const struct hf_event *event);
 void hf_directory_sync_tick (struct hf_state *state); /* sets the watch mode, sends a due announcement */
 
 /* DIRECTORY_UPDATE, DIRECTORY_PULL. */
--- a/src/hf-dump.c
+++ b/src/hf-dump.c
@@ -77,7 +77,7 @@
 granter_name (const struct hf_state *state, const struct hf_service_state *service)
 {
   uint64_t owner = hf_members_owner (state, service->id);
-  const struct hf_member *member = hf_members_find (state, owner);
+  const struct hf_member *member = hf_state_find_member (state, owner);
   return member ? member->name.data : state->name.data;
 }
 
--- a/src/hf-http-connection.c
+++ b/src/hf-http-connection.c
@@ -1,4 +1,4 @@
-/* Connection of a caller: its requests, in order, and what is received and sent on it. */
+/* Connection of a caller: its requests in order, what is received on it, and the responses of the owner. */
 #include "hf-http-connection.h"
 
 #include <string.h>
@@ -39,6 +39,12 @@
   return newest && !newest->body_complete ? newest : NULL;
 }
 
+static bool
+is_oldest (const struct hf_http_request *request)
+{
+  return oldest_request (request->connection) == request;
+}
+
 static struct hf_http_request *
 add_request (struct hf_http_connection *connection)
 {
@@ -137,39 +143,13 @@
 
 /* --- internal functions: callbacks of the parser --- */
 
-/* Whether at most one field declares the body length, and none can be interpreted in two ways. */
-static bool
-has_unambiguous_framing (const struct hf_http_head *head)
-{
-  unsigned lengths = 0;
-  unsigned codings = 0;
-  for (guint i = 0; i < head->fields->len; i++)
-    {
-      const struct hf_header *field = &g_array_index (head->fields, struct hf_header, i);
-      if (hf_str_equal_nocase (field->name, hf_str ("Content-Length")))
-        lengths++;
-      if (!hf_str_equal_nocase (field->name, hf_str ("Transfer-Encoding")))
-        continue;
-      codings++;
-      if (!hf_str_equal_nocase (field->value, hf_str ("chunked")))
-        return false;
-    }
-  return lengths + codings <= 1;
-}
-
-static bool
-expects_continue (const struct hf_http_head *head)
-{
-  return hf_str_equal_nocase (hf_http_head_field (head, "Expect"), hf_str ("100-continue"));
-}
-
 static void
 report_head (struct hf_http_request *request, const struct hf_http_head *head)
 {
   struct hf_http_connection *connection = request->connection;
   struct hf_http_server *server = connection->server;
   request->reported = true;
-  if (expects_continue (head))
+  if (hf_http_head_expects_continue (head))
     {
       hf_stream_queue (connection->stream, hf_str ("HTTP/1.1 100 Continue\r\n\r\n"));
       hf_stream_flush (connection->stream);
@@ -183,7 +163,7 @@
 {
   const struct hf_http_server *server = connection->server;
   bool has_body = head->chunked || head->content_length > 0;
-  return !has_body && !expects_continue (head) && server->callbacks->may_overlap
+  return !has_body && !hf_http_head_expects_continue (head) && server->callbacks->may_overlap
          && server->callbacks->may_overlap (server->context, head);
 }
 
@@ -192,7 +172,7 @@
 {
   struct hf_http_connection *connection = context;
   connection->head_started_at = 0;
-  if (!has_unambiguous_framing (head) || head->target.len == 0)
+  if (!hf_http_head_has_clear_length (head) || head->target.len == 0)
     {
       reject (connection, 400, "the length of the body is not clear");
       return true;
@@ -205,7 +185,7 @@
   struct hf_http_request *request = add_request (connection);
   request->keep_alive = head->keep_alive;
   request->is_head_method = hf_str_equal (head->method, hf_str ("HEAD"));
-  if (hf_http_request_is_oldest (request) || may_overlap (connection, head))
+  if (is_oldest (request) || may_overlap (connection, head))
     report_head (request, head);
   else
     {
@@ -266,6 +246,14 @@
 
 /* --- internal functions: receiving --- */
 
+static void
+update_reading (struct hf_http_connection *connection)
+{
+  const struct hf_http_request *arriving = arriving_request (connection);
+  bool paused = arriving && arriving->body_paused;
+  hf_stream_pause (connection->stream, paused || connection->pending->len > HF_PIPELINE_BYTES_MAX);
+}
+
 /* Whether another head may be parsed behind requests that are not answered yet. */
 static bool
 accepts_request_behind (const struct hf_http_connection *connection, const struct hf_http_request *newest)
@@ -323,7 +311,7 @@
     }
   connection->parsing = false;
   if (is_open (connection))
-    hf_http_connection_update_reading (connection);
+    update_reading (connection);
   end_use (connection);
 }
 
@@ -503,7 +491,7 @@
     hf_http_connection_close (connection, false);
 }
 
-/* --- public functions: requests and responses --- */
+/* --- public functions: state --- */
 
 bool
 hf_http_connection_is_idle (const struct hf_http_connection *connection)
@@ -511,24 +499,34 @@
   return !oldest_request (connection) && !connection->head_started_at && !connection->linger_until;
 }
 
-bool
-hf_http_request_is_oldest (const struct hf_http_request *request)
+/* --- public functions: requests of the owner --- */
+
+void
+hf_http_request_set_data (struct hf_http_request *request, void *data)
 {
-  return oldest_request (request->connection) == request;
+  request->data = data;
 }
 
-void
-hf_http_connection_update_reading (struct hf_http_connection *connection)
+void *
+hf_http_request_data (const struct hf_http_request *request)
 {
-  const struct hf_http_request *arriving = arriving_request (connection);
-  bool paused = arriving && arriving->body_paused;
-  hf_stream_pause (connection->stream, paused || connection->pending->len > HF_PIPELINE_BYTES_MAX);
+  return request->data;
 }
 
 void
-hf_http_connection_queue_output (struct hf_http_request *request, struct hf_str bytes)
+hf_http_request_pause_body (struct hf_http_request *request, bool paused)
+{
+  request->body_paused = paused;
+  update_reading (request->connection);
+}
+
+/* --- internal functions: output --- */
+
+/* Response bytes of the oldest request are sent, those of others kept until their turn comes. */
+static void
+queue_output (struct hf_http_request *request, struct hf_str bytes)
 {
-  if (hf_http_request_is_oldest (request))
+  if (is_oldest (request))
     {
       hf_stream_queue (request->connection->stream, bytes);
       return;
@@ -538,18 +536,19 @@
   g_byte_array_append (request->output, (const guint8 *) bytes.data, (guint) bytes.len);
 }
 
-void
-hf_http_connection_flush_output (struct hf_http_request *request)
+static void
+flush_output (struct hf_http_request *request)
 {
-  if (hf_http_request_is_oldest (request))
+  if (is_oldest (request))
     hf_stream_flush (request->connection->stream);
 }
 
-void
-hf_http_connection_finish_output (struct hf_http_request *request)
+/* The response is complete. */
+static void
+finish_output (struct hf_http_request *request)
 {
   request->response_finished = true;
-  if (!hf_http_request_is_oldest (request))
+  if (!is_oldest (request))
     return;
   if (hf_stream_unsent_bytes (request->connection->stream) > 0)
     hf_stream_flush (request->connection->stream);
@@ -557,8 +556,9 @@
     complete_response (request->connection);
 }
 
-bool
-hf_http_connection_may_keep_alive (const struct hf_http_request *request)
+/* Whether the connection stays open after the response: what was reported behind it has to be answered on it. */
+static bool
+may_keep_alive (const struct hf_http_request *request)
 {
   const struct hf_http_connection *connection = request->connection;
   const struct hf_http_request *newest = newest_request (connection);
@@ -566,3 +566,74 @@
   return request->keep_alive && request->body_complete
          && (others_in_progress || !connection->server->keep_alive_disabled);
 }
+
+/* --- public functions: responses of the owner --- */
+
+void
+hf_http_response_start (struct hf_http_request *request, unsigned status, struct hf_str fields, int64_t length)
+{
+  bool has_no_body = status == 204 || status == 304;
+  /* The rest of an incomplete request body would be parsed as the next request. */
+  request->keep_alive = may_keep_alive (request);
+  request->response_started = true;
+  request->chunked = length < 0 && !has_no_body && !request->is_head_method;
+  struct hf_http_response_head head = { .status = status,
+                                        .fields = fields,
+                                        .content_length = has_no_body ? -1 : length,
+                                        .chunked = request->chunked,
+                                        .closes = !request->keep_alive };
+  GString *text = hf_http_response_head_format (&head);
+  queue_output (request, (struct hf_str){ text->str, text->len });
+  g_string_free (text, TRUE);
+}
+
+void
+hf_http_response_send (struct hf_http_request *request, struct hf_str bytes)
+{
+  char size[24];
+  if (bytes.len == 0 || request->is_head_method)
+    return;
+  if (request->chunked)
+    {
+      g_snprintf (size, sizeof size, "%zx\r\n", bytes.len);
+      queue_output (request, hf_str (size));
+    }
+  queue_output (request, bytes);
+  if (request->chunked)
+    queue_output (request, hf_str ("\r\n"));
+  flush_output (request);
+}
+
+void
+hf_http_response_finish (struct hf_http_request *request)
+{
+  if (request->chunked)
+    queue_output (request, hf_str ("0\r\n\r\n"));
+  finish_output (request);
+}
+
+void
+hf_http_response_abort (struct hf_http_request *request)
+{
+  request->response_aborted = true;
+  g_clear_pointer (&request->output, g_byte_array_unref);
+  if (is_oldest (request))
+    hf_http_connection_close (request->connection, true);
+}
+
+size_t
+hf_http_response_unsent_bytes (const struct hf_http_request *request)
+{
+  if (is_oldest (request))
+    return hf_stream_unsent_bytes (request->connection->stream);
+  return request->output ? request->output->len : 0;
+}
+
+void
+hf_http_respond (struct hf_http_request *request, unsigned status, struct hf_str fields, struct hf_str body)
+{
+  hf_http_response_start (request, status, fields, (int64_t) body.len);
+  if (!request->is_head_method)
+    queue_output (request, body);
+  hf_http_response_finish (request);
+}
--- a/src/hf-http-connection.h
+++ b/src/hf-http-connection.h
@@ -71,15 +71,8 @@
 void hf_http_connection_start_linger (struct hf_http_connection *connection);      /* closes after what was queued */
 void hf_http_connection_check_timeouts (struct hf_http_connection *connection, int64_t now);
 
-/* --- public functions: requests and responses --- */
+/* --- public functions: state --- */
 
-bool hf_http_connection_is_idle (const struct hf_http_connection *connection);  /* no request, not even a part of one */
-bool hf_http_request_is_oldest (const struct hf_http_request *request);         /* its response is sent now */
-void hf_http_connection_update_reading (struct hf_http_connection *connection); /* reads, unless paused or full */
-/* Response bytes of a request: sent, or kept until its turn comes. */
-void hf_http_connection_queue_output (struct hf_http_request *request, struct hf_str bytes);
-void hf_http_connection_flush_output (struct hf_http_request *request);
-void hf_http_connection_finish_output (struct hf_http_request *request);        /* the response is complete */
-bool hf_http_connection_may_keep_alive (const struct hf_http_request *request); /* after this request's response */
+bool hf_http_connection_is_idle (const struct hf_http_connection *connection); /* no request, not even a part of one */
 
 #endif
--- a/src/hf-http-parser.h
+++ b/src/hf-http-parser.h
@@ -10,35 +10,12 @@
 #ifndef HF_HTTP_PARSER_H
 #define HF_HTTP_PARSER_H
 
-#include <glib.h>
-
-#include "hf-event.h"
+#include "hf-http-head.h"
 
 struct hf_http_parser;
 
 /* --- types --- */
 
-/**
- * struct hf_http_head - head of a request or response
- * @method: request method
- * @target: request target as sent, with the query
- * @status: response status
- * @keep_alive: the connection may be reused after the message
- * @content_length: declared bytes of the body; -1: not declared
- * @chunked: the body has chunked transfer coding
- * @fields: struct hf_header, in the order received
- */
-struct hf_http_head
-{
-  struct hf_str method;
-  struct hf_str target;
-  unsigned status;
-  bool keep_alive;
-  int64_t content_length;
-  bool chunked;
-  GArray *fields;
-};
-
 /** enum hf_http_parse_error - reasons for which a message is rejected */
 enum hf_http_parse_error
 {
@@ -74,13 +51,4 @@
 bool hf_http_parser_finish (struct hf_http_parser *parser);
 bool hf_http_parser_is_idle (const struct hf_http_parser *parser); /* between two messages: none has begun */
 
-/* --- public functions: header fields --- */
-
-struct hf_str hf_http_head_field (const struct hf_http_head *head, const char *name); /* first value; empty: none */
-struct hf_http_head *hf_http_head_copy (const struct hf_http_head *head);             /* with all its strings */
-void hf_http_head_free (struct hf_http_head *head);                                   /* frees a copy */
-/* Whether a field applies to one connection only and must not be forwarded. */
-bool hf_http_head_is_hop_by_hop (const struct hf_http_head *head, struct hf_str name);
-void hf_http_append_field (GString *text, const char *name, struct hf_str value); /* appends "name: value" CR LF */
-
 #endif
--- a/src/hf-loop.c
+++ b/src/hf-loop.c
@@ -8,6 +8,7 @@
 #include "hf-platform.h"
 #include "hf-proxy.h"
 #include "hf-state.h"
+#include "hf-status.h"
 
 #include "hf-adapter.h"
 
--- a/src/hf-members.c
+++ b/src/hf-members.c
@@ -3,9 +3,7 @@
 
 #include <string.h>
 
-#include "hf-directory-sync.h"
 #include "hf-roles.h"
-#include "hf-slots.h"
 
 /* --- constants --- */
 
@@ -142,7 +140,7 @@
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &call))
     for (unsigned i = 0; i < call->n_attempts && n < HF_RPC_GRANTS_MAX; i++)
       if (call->attempts[i].phase == HF_PHASE_RUNNING && call->attempts[i].granter == granter)
-        tickets[n++] = hf_slots_ticket (call->id, i);
+        tickets[n++] = hf_state_ticket (call->id, i);
   return n;
 }
 
@@ -229,15 +227,6 @@
 
 /* --- public functions: look up --- */
 
-struct hf_member *
-hf_members_find (const struct hf_state *state, uint64_t boot_id)
-{
-  for (size_t i = 0; boot_id && i < state->members->len; i++)
-    if (member_at (state, i)->boot_id == boot_id)
-      return member_at (state, i);
-  return NULL;
-}
-
 uint64_t
 hf_members_owner (const struct hf_state *state, uint64_t subject)
 {
@@ -288,7 +277,8 @@
 hf_members_record_sender (struct hf_state *state, const struct hf_event *event)
 {
   uint64_t boot_id = event->peer.message->boot_id;
-  struct hf_member *member = hf_members_find (state, boot_id) ? NULL : find_by_address (state, event->peer.address);
+  struct hf_member *member
+      = hf_state_find_member (state, boot_id) ? NULL : find_by_address (state, event->peer.address);
   if (!member)
     return;
   if (member->boot_id)
@@ -341,7 +331,6 @@
   apply_loads (state, member, heartbeat);
   if (heartbeat->wants_reply || joined)
     send_single_heartbeat (state, member, false);
-  hf_directory_sync_note_revision (state, member, heartbeat->directory_revision);
 }
 
 void
--- a/src/hf-peer-socket.c
+++ b/src/hf-peer-socket.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "hf-state.h"
+#include "hf-status.h"
 #include "hf-wire.h"
 
 /* --- constants --- */
--- a/src/hf-pool.h
+++ b/src/hf-pool.h
@@ -34,7 +34,7 @@
 struct hf_slot_request
 {
   uint64_t entry;        /* boot id of the requesting entry */
-  uint64_t ticket;       /* identifies the attempt at that entry, see hf_slots_ticket */
+  uint64_t ticket;       /* identifies the attempt at that entry, see hf_state_ticket */
   unsigned priority;     /* 0: first in the queue */
   unsigned worth;        /* of a timely response; orders requests of the same priority, the highest first */
   int64_t soft_deadline; /* a response is worth most before then; 0: until the deadline */
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -151,6 +151,7 @@
     {
     case HF_RPC_HEARTBEAT:
       hf_members_handle_heartbeat (state, event);
+      hf_directory_sync_note_revision (state, event);
       hf_config_spread_note_member (state, event->peer.message->boot_id);
       break;
     case HF_RPC_ACQUIRE:
@@ -355,34 +356,9 @@
   state->effects = NULL;
 }
 
-bool
-hf_state_is_initialised (const struct hf_state *state)
-{
-  bool listed = !state->external_store || (state->directory.complete && state->directory.entries_complete);
-  return state->document && listed;
-}
-
-bool
-hf_state_is_ready (const struct hf_state *state)
-{
-  return hf_state_is_initialised (state) && !state->leaving;
-}
-
 bool
 hf_state_is_repeatable (const struct hf_state *state, const struct hf_request_head *head)
 {
   struct hf_route_target target;
   return state->document && hf_routing_find_target (state->document, head, 0, &target) && target.class->repeatable;
 }
-
-bool
-hf_state_is_leaving (const struct hf_state *state)
-{
-  return state->leaving;
-}
-
-uint64_t *
-hf_state_counters (struct hf_state *state)
-{
-  return state->counters;
-}
--- a/src/hf-reduce.h
+++ b/src/hf-reduce.h
@@ -21,10 +21,6 @@
 
 /* Applies one event to the state and appends the effects to the list. */
 void hf_reduce (struct hf_state *state, const struct hf_event *event, struct hf_effects *effects);
-bool hf_state_is_initialised (const struct hf_state *state); /* configuration and directory have been loaded */
-bool hf_state_is_ready (const struct hf_state *state);       /* the health check passes */
-bool hf_state_is_leaving (const struct hf_state *state);     /* it is shutting down */
 bool hf_state_is_repeatable (const struct hf_state *state, const struct hf_request_head *head); /* may run twice */
-uint64_t *hf_state_counters (struct hf_state *state);                                           /* by enum hf_counter */
 
 #endif
--- a/src/hf-slots.c
+++ b/src/hf-slots.c
@@ -75,7 +75,7 @@
   const struct hf_attempt *attempt = &call->attempts[attempt_index];
   struct hf_slot_request request = {
     .entry = state->boot_id,
-    .ticket = hf_slots_ticket (call->id, attempt_index),
+    .ticket = hf_state_ticket (call->id, attempt_index),
     .priority = (unsigned) call->class->priority,
     .worth = (unsigned) call->class->worth,
     .soft_deadline = call->soft_deadline,
@@ -100,7 +100,7 @@
   struct hf_rpc_message message = { .body = { .kind = HF_RPC_ACQUIRE } };
   message.body.hf_rpc_body_u.acquire = (struct hf_rpc_acquire){
     .service = call->slice_id,
-    .ticket = hf_slots_ticket (call->id, attempt_index),
+    .ticket = hf_state_ticket (call->id, attempt_index),
     .priority = (unsigned) call->class->priority,
     .worth = (unsigned) call->class->worth,
     .soft_deadline_ms = (int) ((call->soft_deadline - state->now) / HF_MS),
@@ -226,12 +226,6 @@
 
 /* --- public functions --- */
 
-uint64_t
-hf_slots_ticket (uint64_t call_id, unsigned attempt_index)
-{
-  return call_id * HF_ATTEMPTS_MAX + attempt_index;
-}
-
 void
 hf_slots_request (struct hf_state *state, struct hf_call *call, unsigned attempt_index)
 {
@@ -264,7 +258,7 @@
     {
       service->granter_bypassed_until = state->now + HF_GRANTER_BYPASS_MS * HF_MS;
       hf_state_increment (state, HF_COUNT_GRANTER_FALLBACKS);
-      const struct hf_member *member = hf_members_find (state, granter);
+      const struct hf_member *member = hf_state_find_member (state, granter);
       hf_state_log (state, HF_LOG_GRANTER_SILENT,
                     "granter " HF_STR_FMT " of " HF_STR_FMT " does not respond; granting slots locally",
                     HF_STR_ARG (member ? member->name : hf_str ("-")), HF_STR_ARG (service->name));
@@ -272,7 +266,7 @@
     }
   if (granter != attempt->granter)
     {
-      send_release (state, attempt->granter, service->id, hf_slots_ticket (call->id, attempt_index), 0, HF_SLOT_UNUSED,
+      send_release (state, attempt->granter, service->id, hf_state_ticket (call->id, attempt_index), 0, HF_SLOT_UNUSED,
                     0, 0);
       attempt->queued = false;
       hf_slots_request (state, call, attempt_index);
@@ -304,7 +298,7 @@
 {
   struct hf_service_state *service = hf_state_find_service (state, call->slice_id);
   struct hf_attempt *attempt = &call->attempts[attempt_index];
-  uint64_t ticket = hf_slots_ticket (call->id, attempt_index);
+  uint64_t ticket = hf_state_ticket (call->id, attempt_index);
   int64_t latency_us = attempt->started_at ? state->now - attempt->started_at : 0;
   hf_timers_cancel (&attempt->slot_resend_timer);
   if (!service)
@@ -324,7 +318,7 @@
 hf_slots_handle_message (struct hf_state *state, const struct hf_event *event)
 {
   const struct hf_rpc_message *message = event->peer.message;
-  if (!hf_members_find (state, message->boot_id))
+  if (!hf_state_find_member (state, message->boot_id))
     return;
   if (message->body.kind == HF_RPC_ACQUIRE)
     handle_acquire (state, message->boot_id, &message->body.hf_rpc_body_u.acquire);
--- a/src/hf-slots.h
+++ b/src/hf-slots.h
@@ -12,8 +12,6 @@
 
 /* --- public functions --- */
 
-uint64_t hf_slots_ticket (uint64_t call_id, unsigned attempt_index); /* identifies an attempt at this entry */
-
 /* --- public functions: attempts of this entry --- */
 
 /* Requests a slot; hf_calls_handle_decision gets the decision, immediately or later. */
--- a/src/hf-state.c
+++ b/src/hf-state.c
@@ -1,8 +1,6 @@
 /* Names of the counters, and helpers that add effects. */
 #include "hf-state.h"
 
-#include "hf-members.h"
-
 /* --- constants --- */
 
 const char *const hf_counter_names[HF_COUNTERS] = {
@@ -43,6 +41,21 @@
   return g_hash_table_lookup (state->services, &id);
 }
 
+struct hf_member *
+hf_state_find_member (const struct hf_state *state, uint64_t boot_id)
+{
+  for (size_t i = 0; boot_id && i < state->members->len; i++)
+    if (((struct hf_member *) g_ptr_array_index (state->members, i))->boot_id == boot_id)
+      return g_ptr_array_index (state->members, i);
+  return NULL;
+}
+
+uint64_t
+hf_state_ticket (uint64_t call_id, unsigned attempt_index)
+{
+  return call_id * HF_ATTEMPTS_MAX + attempt_index;
+}
+
 void
 hf_state_free_service (void *data)
 {
@@ -91,7 +104,7 @@
 void
 hf_state_send_to_member (struct hf_state *state, uint64_t boot_id, struct hf_rpc_message message)
 {
-  const struct hf_member *member = hf_members_find (state, boot_id);
+  const struct hf_member *member = hf_state_find_member (state, boot_id);
   if (member)
     hf_state_send_to_address (state, member->address, message);
 }
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -490,7 +490,9 @@
 
 extern const char *const hf_counter_names[HF_COUNTERS];                                     /* by enum hf_counter */
 struct hf_service_state *hf_state_find_service (const struct hf_state *state, uint64_t id); /* NULL if unknown */
-void hf_state_free_service (void *service); /* GDestroyNotify for the table of services */
+struct hf_member *hf_state_find_member (const struct hf_state *state, uint64_t boot_id);    /* NULL if unknown */
+uint64_t hf_state_ticket (uint64_t call_id, unsigned attempt_index); /* identifies an attempt at this entry */
+void hf_state_free_service (void *service);                          /* GDestroyNotify for the table of services */
 
 /* Marks a backend server as draining until a point in time (0: until unmarked) and logs that. Returns false if the
  * server is unknown or the source has marked it already. */
--- /dev/null
+++ b/src/hf-status.c
@@ -0,0 +1,29 @@
+/* What a process says of itself. */
+#include "hf-status.h"
+
+#include "hf-state.h"
+
+bool
+hf_state_is_initialised (const struct hf_state *state)
+{
+  bool listed = !state->external_store || (state->directory.complete && state->directory.entries_complete);
+  return state->document && listed;
+}
+
+bool
+hf_state_is_ready (const struct hf_state *state)
+{
+  return hf_state_is_initialised (state) && !state->leaving;
+}
+
+bool
+hf_state_is_leaving (const struct hf_state *state)
+{
+  return state->leaving;
+}
+
+uint64_t *
+hf_state_counters (struct hf_state *state)
+{
+  return state->counters;
+}
--- /dev/null
+++ b/src/hf-status.h
@@ -0,0 +1,18 @@
+/**
+ * DOC: hf-status - what a process says of itself
+ *
+ * Read by the health check, by the event loop, and before work is accepted.
+ */
+#ifndef HF_STATUS_H
+#define HF_STATUS_H
+
+#include "hf-base.h"
+
+struct hf_state;
+
+bool hf_state_is_initialised (const struct hf_state *state); /* configuration and directory have been loaded */
+bool hf_state_is_ready (const struct hf_state *state);       /* the health check passes */
+bool hf_state_is_leaving (const struct hf_state *state);     /* it is shutting down */
+uint64_t *hf_state_counters (struct hf_state *state);        /* by enum hf_counter */
+
+#endif
--- a/src/hickoryd.c
+++ b/src/hickoryd.c
@@ -9,6 +9,7 @@
 #include "hf-loop.h"
 #include "hf-peer-socket.h"
 #include "hf-proxy.h"
+#include "hf-status.h"
 #include "hf-http-server.h"
 
 #include "config.h"
--- a/src/hickoryfield.h
+++ b/src/hickoryfield.h
@@ -12,6 +12,7 @@
  *   hf-timers.h    timers that expire by the time passed in
  *   hf-wire.h      messages between entries as datagrams
  *   hf-reduce.h    reducer that combines all decisions: events in, effects out
+ *   hf-status.h    whether the process is ready
  *   hf-event.h     events and effects of the reducer
  */
 #ifndef HICKORYFIELD_H
@@ -23,6 +24,7 @@
 #include "hf-reduce.h"
 #include "hf-retry.h"
 #include "hf-routing.h"
+#include "hf-status.h"
 #include "hf-timers.h"
 #include "hf-wire.h"
 
--- a/tests/check.sh
+++ b/tests/check.sh
@@ -42,6 +42,11 @@
   count_check lint $status
 fi
 
+sh tests/circles.sh "$build" >"$log" 2>&1
+status=$?
+[ $status = 0 ] || cat "$log"
+count_check circles $status
+
 for test in "$build"/test-*; do
   [ -x "$test" ] && [ -f "$test" ] || continue
   name=$(basename "$test")
