An entry that is starting grants no slots

An entry that starts then has no directory; the others reach it by heartbeats, and rendezvous hashing makes it the granter of a service or not, by its new boot id. As a granter it knew no backend server and refused every slot at once as 'no backend server takes work', for 3.5 s.

Change: heartbeats say that the sender is starting; such an entry is a granter only if there is no other, and does not answer slot requests, so that the asking entry decides from its own pool.

Test: test-fleet /roles/starting failed before (the entry was the granter of subjects).

--- a/src/hf-members.c
+++ b/src/hf-members.c
@@ -162,6 +162,7 @@
   heartbeat->generation = state->document ? state->document->generation : 0;
   heartbeat->digest = state->document ? state->document->digest : 0;
   heartbeat->leaving = state->leaving;
+  heartbeat->starting = state->starting;
   heartbeat->wants_reply = wants_reply;
   heartbeat->loads.loads_val = loads;
   heartbeat->loads.loads_len = n;
@@ -310,7 +311,8 @@
   bool begins_leaving = heartbeat->leaving && !member->leaving;
   member->boot_id = event->peer.message->boot_id;
   bool rank_changed = member->failure_domain != heartbeat->failure_domain
-                      || member->platform_unreachable != heartbeat->platform_unreachable;
+                      || member->platform_unreachable != heartbeat->platform_unreachable
+                      || member->starting != heartbeat->starting;
   state->roles.update_pending
       = state->roles.update_pending || joined || member->leaving != heartbeat->leaving || rank_changed;
   member->last_heartbeat_at = state->now;
@@ -320,6 +322,7 @@
   member->failure_domain = heartbeat->failure_domain;
   member->cpu_share = (double) heartbeat->cpu_percent / PERCENT;
   member->leaving = heartbeat->leaving;
+  member->starting = heartbeat->starting;
   member->generation = heartbeat->generation;
   member->digest = heartbeat->digest;
   if (joined)
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -15,6 +15,7 @@
 #include "hf-roles.h"
 #include "hf-routing.h"
 #include "hf-slots.h"
+#include "hf-status.h"
 
 /* --- constants --- */
 
@@ -272,6 +273,15 @@
     }
 }
 
+/* Once this entry has a configuration and a directory it can grant slots. */
+static void
+note_initialised (struct hf_state *state)
+{
+  bool starting = !hf_state_is_initialised (state);
+  state->roles.update_pending = state->roles.update_pending || starting != state->starting;
+  state->starting = starting;
+}
+
 static void
 schedule_wakeup (struct hf_state *state)
 {
@@ -298,6 +308,7 @@
   state->boot_id = boot_id;
   state->random_state = boot_id;
   state->wakeup_at = -1;
+  state->starting = true;
   state->services = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, hf_state_free_service);
   state->service_by_server = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   state->class_deadlines = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
@@ -350,6 +361,7 @@
   run_due_timers (state);
   handle_event (state, event);
   run_due_timers (state);
+  note_initialised (state);
   if (state->roles.update_pending)
     hf_roles_update (state);
   schedule_wakeup (state);
--- a/src/hf-roles.c
+++ b/src/hf-roles.c
@@ -12,6 +12,7 @@
   uint64_t tie_breaker; /* hash of the address; orders entries with the same processor time */
   double cpu_share;
   bool platform_unreachable;
+  bool starting; /* knows no backend servers yet */
   bool is_coordinator;
   bool is_watcher;
   bool ranks_as_watcher; /* would watch if the platform responded to all */
@@ -39,7 +40,8 @@
                            .failure_domain = hf_hash (state->failure_domain, 0),
                            .tie_breaker = hf_hash (state->address, 0),
                            .cpu_share = state->cpu_share,
-                           .platform_unreachable = state->directory.platform_unreachable_until > state->now };
+                           .platform_unreachable = state->directory.platform_unreachable_until > state->now,
+                           .starting = state->starting };
   if (!state->leaving)
     g_array_append_val (candidates, own);
   for (guint i = 0; i < state->members->len; i++)
@@ -50,7 +52,8 @@
                                  .failure_domain = member->failure_domain,
                                  .tie_breaker = hf_hash (member->address, 0),
                                  .cpu_share = member->cpu_share,
-                                 .platform_unreachable = member->platform_unreachable };
+                                 .platform_unreachable = member->platform_unreachable,
+                                 .starting = member->starting };
       if (!member->timed_out && !member->leaving)
         g_array_append_val (candidates, other);
     }
@@ -98,14 +101,27 @@
     }
 }
 
+/* Entries that are starting grant slots only if there are no others. */
+static bool
+any_has_started (GArray *candidates)
+{
+  for (guint i = 0; i < candidates->len; i++)
+    {
+      const struct candidate *candidate = candidate_at (candidates, i);
+      if (candidate->is_coordinator && candidate->boot_id && !candidate->starting)
+        return true;
+    }
+  return false;
+}
+
 static double
-largest_cpu_share (GArray *candidates)
+largest_cpu_share (GArray *candidates, bool starting_too)
 {
   double share = 0;
   for (guint i = 0; i < candidates->len; i++)
     {
       const struct candidate *candidate = candidate_at (candidates, i);
-      if (candidate->is_coordinator && candidate->boot_id)
+      if (candidate->is_coordinator && candidate->boot_id && (starting_too || !candidate->starting))
         share = MAX (share, candidate->cpu_share);
     }
   return share;
@@ -129,7 +145,8 @@
 static void
 store_roles (struct hf_state *state, GArray *candidates)
 {
-  double cpu_share_min = largest_cpu_share (candidates) * HF_GRANTER_CPU_SHARE_MIN;
+  bool starting_too = !any_has_started (candidates);
+  double cpu_share_min = largest_cpu_share (candidates, starting_too) * HF_GRANTER_CPU_SHARE_MIN;
   for (guint i = 0; i < candidates->len; i++)
     {
       const struct candidate *candidate = candidate_at (candidates, i);
@@ -139,7 +156,8 @@
       *watches = candidate->is_watcher;
       if (!candidate->member)
         state->roles.ranks_as_watcher = candidate->ranks_as_watcher;
-      if (candidate->is_coordinator && candidate->boot_id && candidate->cpu_share >= cpu_share_min)
+      bool may_grant = candidate->is_coordinator && candidate->boot_id && (starting_too || !candidate->starting);
+      if (may_grant && candidate->cpu_share >= cpu_share_min)
         g_array_append_val (state->roles.granters, candidate->boot_id);
     }
 }
--- a/src/hf-rpc.c
+++ b/src/hf-rpc.c
@@ -32,6 +32,81 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->seq))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->failure_domain))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->cpu_percent))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->platform_unreachable))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->directory_revision))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->generation))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->digest))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->leaving))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->starting))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->wants_reply))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_BOOL(buf, objp->leaving);
+		IXDR_PUT_BOOL(buf, objp->starting);
+		IXDR_PUT_BOOL(buf, objp->wants_reply);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, HF_RPC_LOADS_MAX,
+			sizeof (hf_rpc_server_load), (xdrproc_t) xdr_hf_rpc_server_load))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->grants.grants_val, (u_int *) &objp->grants.grants_len, HF_RPC_GRANTS_MAX,
+			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->seq))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->failure_domain))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->cpu_percent))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->platform_unreachable))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->directory_revision))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->generation))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->digest))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->leaving))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->starting))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->wants_reply))
+				 return FALSE;
+
+		} else {
+		objp->leaving = IXDR_GET_BOOL(buf);
+		objp->starting = IXDR_GET_BOOL(buf);
+		objp->wants_reply = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, HF_RPC_LOADS_MAX,
+			sizeof (hf_rpc_server_load), (xdrproc_t) xdr_hf_rpc_server_load))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->grants.grants_val, (u_int *) &objp->grants.grants_len, HF_RPC_GRANTS_MAX,
+			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_u_quad_t (xdrs, &objp->seq))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->failure_domain))
@@ -48,6 +123,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->leaving))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->starting))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->wants_reply))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, HF_RPC_LOADS_MAX,
--- a/src/hf-rpc.h
+++ b/src/hf-rpc.h
@@ -54,6 +54,7 @@
 	u_quad_t generation;
 	u_quad_t digest;
 	bool_t leaving;
+	bool_t starting;
 	bool_t wants_reply;
 	struct {
 		u_int loads_len;
--- a/src/hf-rpc.x
+++ b/src/hf-rpc.x
@@ -42,7 +42,8 @@
  * platform_unreachable: the sender has no response from the platform and cannot watch its directory.
  * directory_revision: revision of the last directory change that the sender has applied.
  * generation, digest: of its configuration document, 0 if it has none.
- * leaving: the sender is shutting down. wants_reply: the receiver sends a heartbeat back immediately.
+ * leaving: the sender is shutting down. starting: it has not read its configuration or directory yet and cannot grant
+ * slots. wants_reply: the receiver sends a heartbeat back immediately.
  * grants: tickets of the slots granted by the receiver that the sender still uses. */
 struct hf_rpc_heartbeat {
   unsigned hyper seq;
@@ -53,6 +54,7 @@
   unsigned hyper generation;
   unsigned hyper digest;
   bool leaving;
+  bool starting;
   bool wants_reply;
   hf_rpc_server_load loads<HF_RPC_LOADS_MAX>;
   unsigned hyper grants<HF_RPC_GRANTS_MAX>;
--- a/src/hf-slots.c
+++ b/src/hf-slots.c
@@ -174,7 +174,8 @@
 handle_acquire (struct hf_state *state, uint64_t from, const struct hf_rpc_acquire *acquire)
 {
   struct hf_service_state *service = hf_state_find_service (state, acquire->service);
-  if (!service)
+  /* While starting, this entry knows no backend servers: no response lets the sender decide locally. */
+  if (!service || state->starting)
     return;
   struct hf_slot_request request = {
     .entry = from,
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -195,6 +195,7 @@
   uint64_t failure_domain;      /* hash of the name */
   double cpu_share;             /* processor time in cores */
   bool leaving;                 /* it is shutting down */
+  bool starting;                /* it has no configuration or directory yet and cannot grant slots */
   bool timed_out;               /* heartbeats were due and did not arrive */
   bool platform_unreachable;    /* it has no response from the platform and cannot be a watcher */
   bool is_coordinator;          /* exchanges heartbeats with all entries */
@@ -454,6 +455,7 @@
   int64_t heartbeat_due_at; /* later by HF_PAUSE_THRESHOLD_MS: the process was paused */
   int64_t wakeup_at;        /* earliest wakeup set; -1: none */
   bool leaving;             /* this entry is shutting down */
+  bool starting;            /* it has no configuration or directory yet and cannot grant slots */
   bool measure_timer_running;
   uint64_t heartbeat_seq;
   struct hf_effects *effects; /* of the current event */
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -242,26 +242,45 @@
 }
 
 static void
-open_entry (struct fleet *fleet, unsigned i, unsigned domains, double cpu_share)
+start_entry (struct fleet_entry *entry, double cpu_share, uint64_t boot_id)
 {
-  struct fleet_entry *entry = &fleet->entries[i];
-  *entry = (struct fleet_entry){ .fleet = fleet };
-  g_snprintf (entry->name, sizeof entry->name, "e%u", i);
-  g_snprintf (entry->failure_domain, sizeof entry->failure_domain, "d%u", i % domains);
-  g_snprintf (entry->address, sizeof entry->address, "10.0.%u.%u:7000", i / 100, i % 100 + 1);
   struct hf_settings settings = { .name = hf_str (entry->name),
                                   .failure_domain = hf_str (entry->failure_domain),
                                   .peer_address = hf_str (entry->address),
                                   .cpu_share = cpu_share,
                                   .store_address = hf_str ("10.9.0.1:1") };
-  g_hash_table_insert (fleet->entry_by_address, entry->address, entry);
-  entry->state = hf_state_new (&settings, i + 1);
+  entry->state = hf_state_new (&settings, boot_id);
   fleet_raise_event (entry, (struct hf_event){ .kind = HF_EVENT_START });
 }
 
+void
+fleet_restart (struct fleet *fleet, unsigned i, uint64_t boot_id)
+{
+  struct fleet_entry *entry = &fleet->entries[i];
+  double cpu_share = entry->state->cpu_share;
+  hf_state_free (entry->state);
+  entry->watch_mode = HF_WATCH_MODE_OFF;
+  entry->revision = 0;
+  entry->generation = 0;
+  start_entry (entry, cpu_share, boot_id);
+}
+
 static void
-report_initial_lists (struct fleet *fleet, struct fleet_entry *entry)
+open_entry (struct fleet *fleet, unsigned i, unsigned domains, double cpu_share)
 {
+  struct fleet_entry *entry = &fleet->entries[i];
+  *entry = (struct fleet_entry){ .fleet = fleet };
+  g_snprintf (entry->name, sizeof entry->name, "e%u", i);
+  g_snprintf (entry->failure_domain, sizeof entry->failure_domain, "d%u", i % domains);
+  g_snprintf (entry->address, sizeof entry->address, "10.0.%u.%u:7000", i / 100, i % 100 + 1);
+  g_hash_table_insert (fleet->entry_by_address, entry->address, entry);
+  start_entry (entry, cpu_share, i + 1);
+}
+
+void
+fleet_report_entries (struct fleet_entry *entry)
+{
+  const struct fleet *fleet = entry->fleet;
   for (unsigned i = 0; i < fleet->entry_count; i++)
     {
       const struct fleet_entry *other = &fleet->entries[i];
@@ -271,10 +290,16 @@
                                                               .failure_domain = hf_str (other->failure_domain),
                                                               .cpu_share = other->state->cpu_share } });
     }
-  fleet_report_full_list (entry);
   raise_list_step (entry, HF_LIST_ENTRIES_END, 0);
 }
 
+static void
+report_initial_lists (struct fleet_entry *entry)
+{
+  fleet_report_full_list (entry);
+  fleet_report_entries (entry);
+}
+
 struct fleet *
 fleet_open (unsigned entries, unsigned domains, unsigned large_per_domain)
 {
@@ -288,7 +313,7 @@
   for (unsigned i = 0; i < entries; i++)
     open_entry (fleet, i, domains, i < large_per_domain * domains ? 0.5 : 0.1);
   for (unsigned i = 0; i < entries; i++)
-    report_initial_lists (fleet, &fleet->entries[i]);
+    report_initial_lists (&fleet->entries[i]);
   fleet_advance (fleet, STARTUP_MS);
   return fleet;
 }
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -78,6 +78,7 @@
  * the processor time of the others. */
 struct fleet *fleet_open (unsigned entries, unsigned domains, unsigned large_per_domain);
 void fleet_close (struct fleet *fleet);
+void fleet_restart (struct fleet *fleet, unsigned i, uint64_t boot_id); /* a new process, which was told nothing yet */
 
 /* --- public functions: events --- */
 
@@ -85,6 +86,7 @@
 void fleet_raise_event (struct fleet_entry *entry, struct hf_event event);
 void fleet_change_server (struct fleet *fleet, unsigned i, struct fleet_server server);
 void fleet_report_full_list (struct fleet_entry *entry);          /* the platform's response to a list call */
+void fleet_report_entries (struct fleet_entry *entry);            /* the same for the list of entries */
 void fleet_write_document (struct fleet *fleet, unsigned routes); /* the operator writes the next generation */
 char *fleet_make_document (unsigned routes);                      /* YAML text; the caller frees it */
 
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -5,6 +5,7 @@
 
 /* --- constants --- */
 
+#define NEW_BOOT_ID      1000 /* of an entry that was restarted */
 #define RELIST_BYTES_MAX 2048 /* for each entry, after a list that brought two changes */
 
 /* --- internal functions --- */
@@ -97,6 +98,29 @@
   fleet_close (fleet);
 }
 
+/* An entry that restarts while the platform does not respond has no directory. It must not become a granter: it would
+ * refuse every slot, as it knows no backend server. */
+static void
+test_starting_entry (void)
+{
+  struct fleet *fleet = fleet_open (19, 3, 0);
+  fleet_write_document (fleet, 1);
+  fleet_advance (fleet, FLEET_PROPAGATION_MAX_MS);
+  for (unsigned i = 0; i < fleet->entry_count; i++)
+    fleet->entries[i].platform_unreachable = true;
+  fleet_restart (fleet, 7, NEW_BOOT_ID);
+  fleet_advance (fleet, FLEET_PROPAGATION_MAX_MS);
+  for (unsigned i = 0; i < fleet->entry_count; i++)
+    for (uint64_t subject = 1; subject < 500; subject++)
+      g_assert_cmpuint (hf_roles_granter (fleet->entries[i].state, subject), !=, NEW_BOOT_ID);
+  fleet_report_full_list (&fleet->entries[7]);
+  fleet_report_entries (&fleet->entries[7]);
+  fleet_advance (fleet, FLEET_PROPAGATION_MAX_MS);
+  for (unsigned i = 0; i < fleet->entry_count; i++)
+    g_assert_cmpuint (fleet->entries[i].state->roles.granters->len, ==, 19);
+  fleet_close (fleet);
+}
+
 /* --- tests: the directory --- */
 
 /* A change reaches all entries within 100 ms, and none but the watchers begins to watch the platform. */
@@ -347,6 +371,7 @@
   g_test_add_func ("/roles/large-fleet", test_large_fleet);
   g_test_add_func ("/roles/equal-fleet", test_equal_fleet);
   g_test_add_func ("/roles/large-lost", test_large_lost);
+  g_test_add_func ("/roles/starting", test_starting_entry);
   g_test_add_func ("/relay/changes", test_changes);
   g_test_add_func ("/relay/many-changes", test_many_changes);
   g_test_add_func ("/relay/lost-datagrams", test_lost_datagrams);
