An entry that starts while the store does not respond gets the directory from another one

It waited for the store with nothing to serve, although every other entry could send it directory and configuration: restarts during an outage took entries away until its end, and all of them if all restarted in turn.

Change: 1 s after its start without a list from the store, an entry asks the sender of a heartbeat for the whole directory, again each 500 ms from another one. The list of entries counts as complete then: those that matter have introduced themselves by heartbeats.

--- a/src/config.h
+++ b/src/config.h
@@ -166,6 +166,7 @@
 #define HF_DIRECTORY_SYNC_CHANGES_MAX       1000 /* kept for entries that missed some */
 #define HF_DIRECTORY_SYNC_PARTS_MAX         64   /* datagrams of one message */
 #define HF_DIRECTORY_SYNC_FULL_TIMEOUT_MS   500  /* then another entry may send the full directory */
+#define HF_DIRECTORY_SYNC_START_WAIT_MS     1000 /* for the platform's list after a start; then from an entry */
 #define HF_PLATFORM_UNREACHABLE_MS          5000 /* after a failed call, no watcher role for this long */
 
 /* Platform. */
--- a/src/hf-directory-sync.c
+++ b/src/hf-directory-sync.c
@@ -233,6 +233,8 @@
     {
       state->directory_sync.full_sync_from = 0;
       hf_directory_end_list (state);
+      /* The entries that matter to this one have introduced themselves by heartbeats before. */
+      state->directory.entries_complete = true;
     }
   hf_directory_update_pools (state);
   hf_directory_sync_advance (state, parts.to_revision, parts.full);
@@ -291,6 +293,18 @@
     directory->confirmed_at = MAX (directory->confirmed_at, state->now - message->age_ms * HF_MS);
 }
 
+/* The platform has not listed the directory to this entry since its start: requests all of it from another one. */
+static void
+pull_first_directory (struct hf_state *state, struct hf_str address)
+{
+  struct hf_directory_sync *sync = &state->directory_sync;
+  bool waited = state->now - state->started_at >= HF_DIRECTORY_SYNC_START_WAIT_MS * HF_MS;
+  if (!waited || state->now - sync->first_pull_at < HF_DIRECTORY_SYNC_FULL_TIMEOUT_MS * HF_MS)
+    return;
+  sync->first_pull_at = state->now;
+  pull_changes (state, address);
+}
+
 /* --- internal functions: watch mode --- */
 
 /* True shortly after an outage of the platform. Watchers with the same outage need a little longer to send changes
@@ -413,8 +427,13 @@
   struct hf_directory_sync *sync = &state->directory_sync;
   uint64_t own_revision = state->directory.revision;
   uint64_t revision = event->peer.message->body.hf_rpc_body_u.heartbeat.directory_revision;
-  if (!state->external_store || !state->directory.complete || revision <= own_revision)
+  if (!state->external_store || revision <= own_revision)
     return;
+  if (!state->directory.complete)
+    {
+      pull_first_directory (state, event->peer.address);
+      return;
+    }
   if (sync->remote_revision <= own_revision)
     sync->remote_ahead_since = state->now;
   sync->remote_revision = MAX (sync->remote_revision, revision);
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -40,6 +40,7 @@
   hf_state_start_timer (state, 0, HF_TIMER_HEARTBEAT, 0, 0);
   hf_state_start_timer (state, POOL_TICK_MS * HF_MS, HF_TIMER_POOL_TICK, 0, 0);
   state->heartbeat_due_at = state->now;
+  state->started_at = state->now;
   if (!state->external_store)
     hf_config_sync_start (state);
 }
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -423,6 +423,7 @@
  * @watch_mode: mode last set for the platform's client
  * @watch_until: a watch started by an entry that is not a watcher is kept until then
  * @last_sent_at: last update sent to the followers
+ * @first_pull_at: last request for the whole directory while the platform had not listed it yet
  */
 struct hf_directory_sync
 {
@@ -438,6 +439,7 @@
   enum hf_watch_mode watch_mode;
   int64_t watch_until;
   int64_t last_sent_at;
+  int64_t first_pull_at;
 };
 
 /** struct hf_state - the reducer's state */
@@ -452,6 +454,7 @@
   uint64_t random_state;
   int64_t now;              /* time of the current event */
   int64_t wall_time;        /* the same, since 1970 */
+  int64_t started_at;       /* time of the first event */
   int64_t heartbeat_due_at; /* later by HF_PAUSE_THRESHOLD_MS: the process was paused */
   int64_t wakeup_at;        /* earliest wakeup set; -1: none */
   bool leaving;             /* this entry is shutting down */
