--- a/src/hf-directory-sync.c
+++ b/src/hf-directory-sync.c
@@ -289,8 +289,12 @@
       return;
     }
   state->directory_sync.behind_since = 0;
-  if (!message->platform_unreachable)
-    directory->confirmed_at = MAX (directory->confirmed_at, state->now - message->age_ms * HF_MS);
+  if (message->platform_unreachable)
+    return;
+  int64_t confirmed_at = state->now - message->age_ms * HF_MS;
+  directory->confirmed_at = MAX (directory->confirmed_at, confirmed_at);
+  if (member->is_watcher)
+    state->directory_sync.watcher_confirmed_at = MAX (state->directory_sync.watcher_confirmed_at, confirmed_at);
 }
 
 /* The platform has not listed the directory to this entry since its start: requests all of it from another one. */
@@ -307,6 +311,13 @@
 
 /* --- internal functions: watch mode --- */
 
+/* A watcher that loses its role goes on until the entries that take over keep this one current. */
+static bool
+sends_updates (const struct hf_state *state)
+{
+  return state->roles.is_watcher || state->directory_sync.serves_others;
+}
+
 /* True shortly after an outage of the platform. Watchers with the same outage need a little longer to send changes
  * again. */
 static bool
@@ -326,7 +337,8 @@
   bool role_is_stable = state->now - state->roles.watcher_since >= HF_DIRECTORY_SYNC_ROLE_DELAY_MS * HF_MS;
   if (state->roles.is_watcher && (role_is_stable || sync->watch_mode == HF_WATCH_MODE_ON))
     return HF_WATCH_MODE_ON;
-  if (sync->watch_mode == HF_WATCH_MODE_ON && state->now < sync->watch_until)
+  bool replaced = sync->watcher_confirmed_at > state->roles.watcher_until;
+  if (sync->watch_mode == HF_WATCH_MODE_ON && (state->now < sync->watch_until || (sync->serves_others && !replaced)))
     return HF_WATCH_MODE_ON;
   if (is_current)
     return HF_WATCH_MODE_OFF;
@@ -400,7 +412,7 @@
     sync->changed_revision = revision;
   trim_changes (sync);
   state->directory.revision = revision;
-  if (!state->roles.is_watcher || !changed)
+  if (!sends_updates (state) || !changed)
     return;
   if (restart)
     hf_directory_sync_announce (state);
@@ -412,7 +424,7 @@
 void
 hf_directory_sync_announce (struct hf_state *state)
 {
-  if (!state->external_store || !state->roles.is_watcher || !state->directory.complete)
+  if (!state->external_store || !sends_updates (state) || !state->directory.complete)
     return;
   struct hf_rpc_message message = make_message (state, state->directory_sync.changed_revision, false);
   message.body.hf_rpc_body_u.directory_update.parts = 1;
@@ -455,6 +467,10 @@
       hf_roles_update (state);
     }
   set_watch_mode (state, wanted_watch_mode (state));
+  bool watches = state->directory_sync.watch_mode == HF_WATCH_MODE_ON;
+  bool responds = state->directory_sync.platform_reachable_since > 0;
+  state->directory_sync.serves_others
+      = watches && (state->directory_sync.serves_others || (state->roles.is_watcher && responds));
   if (state->now - state->directory_sync.last_sent_at >= HF_DIRECTORY_SYNC_INTERVAL_MS * HF_MS)
     hf_directory_sync_announce (state);
 }
--- a/src/hf-directory.c
+++ b/src/hf-directory.c
@@ -238,7 +238,7 @@
   directory->platform_unreachable_until = 0;
   if (state->directory_sync.watch_mode == HF_WATCH_MODE_ON)
     directory->confirmed_at = state->now;
-  else if (state->directory_sync.watch_mode != HF_WATCH_MODE_OFF && state->directory_sync.platform_reachable_since == 0)
+  if (state->directory_sync.watch_mode != HF_WATCH_MODE_OFF && state->directory_sync.platform_reachable_since == 0)
     state->directory_sync.platform_reachable_since = state->now;
   if (!was_unreachable)
     return;
--- a/src/hf-roles.c
+++ b/src/hf-roles.c
@@ -186,6 +186,8 @@
   store_roles (state, candidates);
   if (state->roles.is_watcher && !was_watcher)
     state->roles.watcher_since = state->now;
+  if (!state->roles.is_watcher && was_watcher)
+    state->roles.watcher_until = state->now;
   state->roles.update_pending = false;
   g_array_unref (candidates);
 }
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -396,6 +396,7 @@
  * @is_watcher: this entry watches the platform's directory for its failure domain
  * @ranks_as_watcher: it would be a watcher if the platform responded to all entries
  * @watcher_since: when it last became a watcher
+ * @watcher_until: when it last ceased to be one
  * @update_pending: the members changed since the roles were assigned
  * @granters: uint64_t, boot ids of the entries that grant slots
  */
@@ -405,6 +406,7 @@
   bool is_watcher;
   bool ranks_as_watcher;
   int64_t watcher_since;
+  int64_t watcher_until;
   bool update_pending;
   GArray *granters;
 };
@@ -423,6 +425,8 @@
  * @watch_mode: mode last set for the platform's client
  * @watch_until: a watch started by an entry that is not a watcher is kept until then
  * @last_sent_at: last update sent to the followers
+ * @watcher_confirmed_at: when a watcher last knew that the directory it sent here was current
+ * @serves_others: this entry watches the platform as a watcher, or was one and is not replaced yet
  * @first_pull_at: last request for the whole directory while the platform had not listed it yet
  */
 struct hf_directory_sync
@@ -440,6 +444,8 @@
   int64_t watch_until;
   int64_t last_sent_at;
   int64_t first_pull_at;
+  int64_t watcher_confirmed_at;
+  bool serves_others;
 };
 
 /** struct hf_state - the reducer's state */
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -34,6 +34,7 @@
   bool is_paused;            /* the process does not run; its datagrams wait */
   bool platform_unreachable; /* the platform does not respond to it */
   bool watch_hangs;          /* its watch delivers nothing, although its checks of the platform succeed */
+  bool checks_now;           /* it has begun to watch and checks the platform at once */
   unsigned lost_kind;        /* enum hf_rpc_kind of messages that never reach it; 0: none */
   uint64_t revision;         /* directory revision that the platform has reported to it */
   uint64_t generation;       /* configuration generation that the platform has reported to it */
@@ -70,6 +71,7 @@
   char *document;            /* its text */
   int64_t link_bytes_per_ms; /* bandwidth of each entry's link; 0: unlimited */
   unsigned watch_starts;     /* how often an entry began to watch the platform */
+  unsigned probe_starts;     /* how often one began to check the platform, as no watcher kept it current */
 };
 
 /* --- public functions: open and close --- */
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -633,6 +633,35 @@
   close_setup (setup);
 }
 
+static gboolean
+has_new_route (void *context)
+{
+  return request_status (context, "GET", "/new/x", "") == 200;
+}
+
+static gboolean
+has_log_event (const struct setup *setup, const char *name)
+{
+  for (guint i = 0; i < setup->log->len; i++)
+    if (strstr (g_ptr_array_index (setup->log, i), name))
+      return TRUE;
+  return FALSE;
+}
+
+/* The store cuts the watches that wait, but responds to everything else: the entry does not take it for unreachable,
+ * and watches it again. */
+static void
+test_watches_cut (void)
+{
+  struct setup *setup = open_setup ();
+  fake_store_set_error (setup->store, 503);
+  fake_store_set_error (setup->store, 0);
+  put_config (setup, 9, "\"service\":\"alpha\"", "/new/");
+  g_assert_true (harness_wait_until (has_new_route, setup, CHANGE_TIMEOUT_S));
+  g_assert_false (has_log_event (setup, "platform-lost"));
+  close_setup (setup);
+}
+
 static gboolean
 has_calls (void *context)
 {
@@ -1029,6 +1058,7 @@
   g_test_add_func ("/platform/lapse", test_missing_servers);
   g_test_add_func ("/platform/store-away", test_store_errors);
   g_test_add_func ("/platform/store-silent", test_store_silent);
+  g_test_add_func ("/platform/watches-cut", test_watches_cut);
   g_test_add_func ("/platform/silent-checks", test_silent_checks);
   g_test_add_func ("/platform/lost-write", test_lost_write);
   g_test_add_func ("/platform/refused", test_refused);
