One copy of two look-ups: generation in force, own failure domain

hf_state_generation and hf_state_is_in_own_domain in hf-state, for six places. No change of behaviour; fleet, config-spread, scripts, differential, units, console pass.

--- a/src/hf-config-spread.c
+++ b/src/hf-config-spread.c
@@ -8,22 +8,10 @@
 
 /* --- internal functions: state --- */
 
-static uint64_t
-current_generation (const struct hf_state *state)
-{
-  return state->document ? state->document->generation : 0;
-}
-
-static bool
-is_in_own_domain (const struct hf_state *state, const struct hf_member *member)
-{
-  return member->failure_domain == hf_hash (state->failure_domain, 0);
-}
-
 static enum hf_config_origin
 origin_of (const struct hf_state *state, const struct hf_member *member)
 {
-  return is_in_own_domain (state, member) ? HF_CONFIG_FROM_DOMAIN : HF_CONFIG_FROM_OTHER_DOMAIN;
+  return hf_state_is_in_own_domain (state, member) ? HF_CONFIG_FROM_DOMAIN : HF_CONFIG_FROM_OTHER_DOMAIN;
 }
 
 /* --- internal functions: offers --- */
@@ -50,7 +38,7 @@
 static bool
 gets_offer (const struct hf_state *state, const struct hf_member *member, enum hf_config_origin origin)
 {
-  bool in_own_domain = is_in_own_domain (state, member);
+  bool in_own_domain = hf_state_is_in_own_domain (state, member);
   if (member->timed_out)
     return false;
   if (member->is_coordinator || member->is_watcher)
@@ -131,8 +119,8 @@
 static bool
 is_better_source (const struct hf_state *state, const struct hf_member *a, const struct hf_member *b)
 {
-  bool a_in_domain = is_in_own_domain (state, a);
-  bool b_in_domain = is_in_own_domain (state, b);
+  bool a_in_domain = hf_state_is_in_own_domain (state, a);
+  bool b_in_domain = hf_state_is_in_own_domain (state, b);
   if (a_in_domain != b_in_domain)
     return a_in_domain;
   if (a->generation != b->generation)
@@ -149,7 +137,7 @@
     {
       const struct hf_member *member = g_ptr_array_index (state->members, i);
       bool usable = member->boot_id && member->boot_id != excluded && !member->timed_out;
-      if (!usable || member->generation <= current_generation (state))
+      if (!usable || member->generation <= hf_state_generation (state))
         continue;
       if (!best || is_better_source (state, member, best))
         best = member;
@@ -163,7 +151,7 @@
 {
   struct hf_config_spread *spread = &state->config_spread;
   const struct hf_config_pull *pull = &spread->pull;
-  if (member->generation <= current_generation (state))
+  if (member->generation <= hf_state_generation (state))
     return;
   if (spread->behind_since == 0)
     spread->behind_since = state->now;
@@ -311,7 +299,7 @@
                                  .text_bytes = chunk->text_bytes,
                                  .packed = g_byte_array_free_to_bytes (g_steal_pointer (&pull->packed)) });
   end_pull (pull);
-  if (!valid || chunk->generation <= current_generation (state))
+  if (!valid || chunk->generation <= hf_state_generation (state))
     {
       if (valid)
         hf_str_free (&text);
@@ -345,7 +333,7 @@
   const struct hf_member *source = find_source (state, 0);
   spread->behind_since = source ? state->now : 0;
   send_offers (state, origin);
-  if (spread->pull.boot_id && spread->pull.generation <= current_generation (state))
+  if (spread->pull.boot_id && spread->pull.generation <= hf_state_generation (state))
     end_pull (&spread->pull);
   if (source && !spread->pull.boot_id)
     start_pull (state, source, 0);
@@ -377,7 +365,7 @@
     }
   member->generation = body->hf_rpc_body_u.config_offer.generation;
   member->digest = body->hf_rpc_body_u.config_offer.digest;
-  bool waits = state->document && !is_in_own_domain (state, member);
+  bool waits = state->document && !hf_state_is_in_own_domain (state, member);
   consider_source (state, member, waits ? HF_CONFIG_OFFER_WAIT_MS : 0);
   return false;
 }
--- a/src/hf-config-sync.c
+++ b/src/hf-config-sync.c
@@ -13,12 +13,6 @@
 
 /* --- internal functions: adoption --- */
 
-static uint64_t
-current_generation (const struct hf_state *state)
-{
-  return state->document ? state->document->generation : 0;
-}
-
 static void
 mark_draining_servers (struct hf_state *state, struct hf_service_state *service)
 {
@@ -146,14 +140,14 @@
     }
   state->config_version = object->version;
   state->config_stored_generation = manifest.generation;
-  if (manifest.generation > current_generation (state))
+  if (manifest.generation > hf_state_generation (state))
     adopt_document (state, manifest.generation, manifest.document, HF_CONFIG_FROM_PLATFORM);
-  else if (manifest.generation < current_generation (state))
+  else if (manifest.generation < hf_state_generation (state))
     {
       hf_state_log (state, HF_LOG_CONFIG_OLD,
                     "the platform returned older generation %" G_GUINT64_FORMAT
                     "; keeping generation %" G_GUINT64_FORMAT " in force",
-                    (guint64) manifest.generation, (guint64) current_generation (state));
+                    (guint64) manifest.generation, (guint64) hf_state_generation (state));
       schedule_restore (state);
     }
   else if (manifest.digest != state->document->digest)
@@ -233,7 +227,7 @@
 void
 hf_config_sync_handle_document (struct hf_state *state, const struct hf_event *event)
 {
-  if (event->document.generation > current_generation (state))
+  if (event->document.generation > hf_state_generation (state))
     adopt_document (state, event->document.generation, event->document.text, HF_CONFIG_FROM_PLATFORM);
 }
 
@@ -331,7 +325,7 @@
 hf_config_sync_adopt_received (struct hf_state *state, const struct hf_config_received *received)
 {
   adopt_document (state, received->generation, received->text, received->origin);
-  if (!state->external_store && state->config_stored_generation < current_generation (state))
+  if (!state->external_store && state->config_stored_generation < hf_state_generation (state))
     schedule_restore (state);
 }
 
@@ -339,7 +333,7 @@
 hf_config_sync_restore (struct hf_state *state)
 {
   state->restore_timer = NULL;
-  if (!state->document || state->config_stored_generation >= current_generation (state))
+  if (!state->document || state->config_stored_generation >= hf_state_generation (state))
     return;
   if (!hf_members_is_owner (state, hf_hash (hf_str ("config"), 0)))
     return;
--- a/src/hf-directory-sync.c
+++ b/src/hf-directory-sync.c
@@ -118,7 +118,7 @@
     .full = full,
     .platform_unreachable = directory->platform_unreachable_until > state->now,
     .age_ms = (unsigned) CLAMP ((state->now - directory->confirmed_at) / HF_MS, 0, G_MAXUINT32),
-    .generation = state->document ? state->document->generation : 0,
+    .generation = hf_state_generation (state),
     .digest = state->document ? state->document->digest : 0,
   };
   return message;
@@ -129,7 +129,7 @@
 static bool
 is_follower (const struct hf_state *state, const struct hf_member *member)
 {
-  return member->failure_domain == hf_hash (state->failure_domain, 0) && !member->timed_out;
+  return hf_state_is_in_own_domain (state, member) && !member->timed_out;
 }
 
 static void
--- a/src/hf-members.c
+++ b/src/hf-members.c
@@ -159,7 +159,7 @@
   heartbeat->cpu_percent = (unsigned) (state->cpu_share * PERCENT);
   heartbeat->platform_unreachable = state->directory.platform_unreachable_until > state->now;
   heartbeat->directory_revision = state->directory_sync.changed_revision;
-  heartbeat->generation = state->document ? state->document->generation : 0;
+  heartbeat->generation = hf_state_generation (state);
   heartbeat->digest = state->document ? state->document->digest : 0;
   heartbeat->leaving = state->leaving;
   heartbeat->starting = state->starting;
--- a/src/hf-state.c
+++ b/src/hf-state.c
@@ -50,6 +50,18 @@
   return NULL;
 }
 
+uint64_t
+hf_state_generation (const struct hf_state *state)
+{
+  return state->document ? state->document->generation : 0;
+}
+
+bool
+hf_state_is_in_own_domain (const struct hf_state *state, const struct hf_member *member)
+{
+  return member->failure_domain == hf_hash (state->failure_domain, 0);
+}
+
 uint64_t
 hf_state_ticket (uint64_t call_id, unsigned attempt_index)
 {
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -503,7 +503,9 @@
 struct hf_service_state *hf_state_find_service (const struct hf_state *state, uint64_t id); /* NULL if unknown */
 struct hf_member *hf_state_find_member (const struct hf_state *state, uint64_t boot_id);    /* NULL if unknown */
 uint64_t hf_state_ticket (uint64_t call_id, unsigned attempt_index); /* identifies an attempt at this entry */
-void hf_state_free_service (void *service);                          /* GDestroyNotify for the table of services */
+uint64_t hf_state_generation (const struct hf_state *state);         /* of the configuration in force; 0: none */
+bool hf_state_is_in_own_domain (const struct hf_state *state, const struct hf_member *member);
+void hf_state_free_service (void *service); /* GDestroyNotify for the table of services */
 
 /* Marks a backend server as draining until a point in time (0: until unmarked) and logs that. Returns false if the
  * server is unknown or the source has marked it already. */
--- a/src/hf-trace.c
+++ b/src/hf-trace.c
@@ -145,7 +145,7 @@
 hf_trace_request_refused (struct hf_state *state, const struct hf_event *event, unsigned status, const char *reason)
 {
   const struct hf_log_field fields[] = { HF_LOG_INT ("status", status), HF_LOG_TEXT ("reason", hf_str (reason)),
-                                         HF_LOG_INT ("generation", state->document ? state->document->generation : 0) };
+                                         HF_LOG_INT ("generation", hf_state_generation (state)) };
   add_log_line (state, HF_LOG_REQUEST_REFUSED, event->request.id, fields, G_N_ELEMENTS (fields));
 }
 
