--- a/tests/test-config-spread.c
+++ b/tests/test-config-spread.c
@@ -9,8 +9,9 @@
 #define FAULT_IN_FORCE_MS   2000 /* the same while entries fail; the users allow 2,500 ms on these deployments */
 #define STORM_VERSIONS      25
 #define STORM_INTERVAL_MS   80
-#define ROUTES              40  /* a document of some kilobytes */
-#define ROUTES_LARGE        300 /* a document of some tens of kilobytes */
+#define ROUTES              40    /* a document of some kilobytes */
+#define ROUTES_LARGE        300   /* a document of some tens of kilobytes */
+#define ROUTES_LARGEST      12000 /* a document of more than a megabyte, as the platform's largest object gives */
 #define GENERATIONS_MAX     64
 #define STORE_READS_DIVISOR 8 /* at most 1 / this of the entries may need the store for a version */
 
@@ -176,6 +177,20 @@
   fleet_close (fleet);
 }
 
+/* Guards against entries that reject a document from one another because of its size. */
+static void
+test_largest_document (void)
+{
+  struct lag lag;
+  struct fleet *fleet = open_fleet (24, 2, &lag);
+  write_version (fleet, &lag, ROUTES_LARGEST);
+  g_assert_cmpuint (strlen (fleet->document), >, 1024 * 1024);
+  advance (fleet, &lag, FAULT_IN_FORCE_MS);
+  check_in_force (fleet, &lag, FAULT_IN_FORCE_MS);
+  g_assert_cmpuint (count_reads (fleet), ==, 0);
+  fleet_close (fleet);
+}
+
 /* Watchers and coordinators stop running just after a version was written: the others get it nevertheless. */
 static void
 test_lost_sources (void)
@@ -251,6 +266,7 @@
   g_test_add_func ("/config-spread/lossy-storm", test_lossy_storm);
   g_test_add_func ("/config-spread/large-fleet", test_large_fleet);
   g_test_add_func ("/config-spread/large-document", test_large_document);
+  g_test_add_func ("/config-spread/largest-document", test_largest_document);
   g_test_add_func ("/config-spread/lost-sources", test_lost_sources);
   g_test_add_func ("/config-spread/unreachable-domain", test_unreachable_domain);
   g_test_add_func ("/config-spread/store-read", test_store_read);
