Entries accept a document of any size that the store may hold

Cause: the text of a document that another entry sends was limited to 1,000,000 bytes; an object of the platform's store is limited to 1 MiB, and the document made of it is 1.5 times as long for the users' routes, up to five times for the shortest ones. The entry that reads the store itself had no limit, so only watchers adopted it. The others dropped it, each time anew, and read the store. Ruled out: fields out of range (the same document loads at the watchers).

The limit between entries is 8 MiB now.

--- a/src/config.h
+++ b/src/config.h
@@ -177,9 +177,10 @@
 #define HF_PLATFORM_RETRY_MAX_MS    5000
 
 /* Configuration sync. */
-#define HF_CONFIG_CHECK_INTERVAL_MS 3000 /* between comparisons with the stored version */
-#define HF_DOCUMENT_BYTES_MAX       (1000 * 1000)
-#define HF_DOCUMENT_PACK_LEVEL      3 /* of zlib; higher ones take more processor time for little */
+#define HF_CONFIG_CHECK_INTERVAL_MS 3000              /* between comparisons with the stored version */
+#define HF_DOCUMENT_BYTES_MAX       (8 * 1024 * 1024) /* an external store's largest object grows up to fivefold */
+#define HF_MANIFEST_BYTES_MAX       (1000 * 1000)     /* document in an object of the platform's object API */
+#define HF_DOCUMENT_PACK_LEVEL      3                 /* of zlib; higher ones take more processor time for little */
 
 /* Configuration spread: documents that entries get from one another. */
 #define HF_CONFIG_PROVIDERS            2   /* coordinators that offer a document to each other entry */
--- a/src/hickoryctl.c
+++ b/src/hickoryctl.c
@@ -104,9 +104,9 @@
         hf_settings_unload (&loaded);
       return ok;
     }
-  if (text.len > HF_DOCUMENT_BYTES_MAX)
+  if (text.len > HF_MANIFEST_BYTES_MAX)
     return hf_error_set (error, HF_ERROR_INVALID, "the document has %zu bytes; the limit is %d bytes", text.len,
-                         HF_DOCUMENT_BYTES_MAX);
+                         HF_MANIFEST_BYTES_MAX);
   struct hf_document *document = hf_document_load (text, error);
   bool ok = document != NULL;
   hf_document_unref (document);
