--- a/src/config.h
+++ b/src/config.h
@@ -189,6 +189,7 @@
 #define HF_CONFIG_PULL_DOUBLINGS_MAX   2
 #define HF_CONFIG_PULL_STALL_MS        300  /* without a chunk, the pull moves to another entry with the document */
 #define HF_CONFIG_READ_AFTER_MS        800  /* behind the other entries for longer: reads it from the platform */
+#define HF_CONFIG_READ_PROGRESS_MS     1500 /* the same while chunks of the document arrive */
 #define HF_CONFIG_READ_INTERVAL_MS     1000 /* between two such reads */
 #define HF_CONFIG_CHUNK_BYTES          8192 /* compressed bytes in one datagram */
 #define HF_CONFIG_SEND_WINDOW_MS       100
--- a/src/hf-config-spread.c
+++ b/src/hf-config-spread.c
@@ -160,19 +160,27 @@
     start_pull (state, member, wait_ms);
 }
 
+/* How long an entry may be behind the others before it reads the platform's copy. That takes its link and its processor
+ * longer than the rest of a pull that makes progress. */
+static int64_t
+read_delay_ms (const struct hf_state *state)
+{
+  return is_stalled (state) ? HF_CONFIG_READ_AFTER_MS : HF_CONFIG_READ_PROGRESS_MS;
+}
+
 /* Reads the platform's copy if other entries have not sent a newer document for too long. */
 static void
 read_if_late (struct hf_state *state)
 {
   struct hf_config_spread *spread = &state->config_spread;
-  bool late = state->now - spread->behind_since >= HF_CONFIG_READ_AFTER_MS * HF_MS;
+  bool late = state->now - spread->behind_since >= read_delay_ms (state) * HF_MS;
   bool read_lately = spread->read_at > 0 && state->now - spread->read_at < HF_CONFIG_READ_INTERVAL_MS * HF_MS;
   if (!state->external_store || !late || read_lately)
     return;
   spread->read_at = state->now;
   hf_state_log (state, HF_LOG_CONFIG_LATE,
                 "no entry has sent generation %" G_GUINT64_FORMAT " within %d ms; reading it from the platform",
-                (guint64) spread->pull.generation, HF_CONFIG_READ_AFTER_MS);
+                (guint64) spread->pull.generation, (int) read_delay_ms (state));
   hf_effects_add (state->effects, (struct hf_effect){ .kind = HF_EFFECT_READ_DOCUMENT });
 }
 
