--- a/src/hf-document.c
+++ b/src/hf-document.c
@@ -3,6 +3,8 @@
 
 #include <glib.h>
 
+#include "hf-fields-xdr.h"
+
 #include "config.h"
 
 /* --- constants --- */
@@ -448,18 +450,56 @@
   return ok && check_routes (document, error);
 }
 
+static struct hf_list
+new_list (size_t n, const struct hf_yaml_field *fields, size_t struct_size)
+{
+  struct hf_list list = { .items = g_malloc0_n (n + 1, struct_size), .n = n };
+  for (size_t i = 0; i < n; i++)
+    hf_yaml_set_defaults (fields, (char *) list.items + i * struct_size);
+  return list;
+}
+
+/* --- public functions: build --- */
+
+struct hf_document *
+hf_document_new (size_t services, size_t routes)
+{
+  struct hf_document *document = g_new0 (struct hf_document, 1);
+  document->ref_count = 1;
+  hf_yaml_set_defaults (hf_document_fields, document);
+  document->version = 1;
+  document->services = new_list (services, service_fields, sizeof (struct hf_service));
+  document->routes = new_list (routes, route_fields, sizeof (struct hf_route));
+  return document;
+}
+
+void
+hf_route_set_service_count (struct hf_route *route, size_t n)
+{
+  route->weighted_services = new_list (n, weighted_service_fields, sizeof (struct hf_weighted_service));
+}
+
+struct hf_str
+hf_document_encode (const struct hf_document *document)
+{
+  return hf_fields_encode (hf_document_fields, document);
+}
+
 /* --- public functions: load and release --- */
 
 struct hf_document *
 hf_document_load (struct hf_str text, struct hf_error *error)
 {
+  bool encoded = hf_fields_is_encoded (text);
+  bool (*read_fields) (struct hf_str, const struct hf_yaml_field *, void *, struct hf_error *)
+      = encoded ? hf_fields_decode : hf_yaml_load;
   struct hf_document *document = g_new0 (struct hf_document, 1);
   document->ref_count = 1;
   document->text = hf_str_dup (text);
   document->digest = hf_hash (text, 0);
-  if (text.len > 0 && hf_yaml_load (text, hf_document_fields, document, error) && check_document (document, error))
+  if (text.len > 0 && read_fields (text, hf_document_fields, document, error) && check_document (document, error))
     return document;
-  if (error && error->path[0] && error->line == 0)
+  if (!encoded && error && error->path[0] && error->line == 0)
     hf_yaml_locate_error (text, error);
   if (text.len == 0)
     hf_error_set (error, HF_ERROR_SYNTAX, "the document is empty");
--- a/src/hf-document.h
+++ b/src/hf-document.h
@@ -142,7 +142,7 @@
  * @ref_count: number of references
  * @generation: increases with each accepted change
  * @digest: hash of @text
- * @text: YAML text that it was loaded from
+ * @text: what it was loaded from: YAML text, or the form of hf_document_encode
  * @version: version of the format, 1
  * @entries_max: most entry VMs that run concurrently; connection limits are divided by it
  * @limits: limits for requests of callers
@@ -162,6 +162,12 @@
   struct hf_list routes;
 };
 
+/* --- public functions: build --- */
+
+struct hf_document *hf_document_new (size_t services, size_t routes);  /* every value is the default */
+void hf_route_set_service_count (struct hf_route *route, size_t n);    /* once: services with default values */
+struct hf_str hf_document_encode (const struct hf_document *document); /* for hf_document_load, to be freed */
+
 /* --- public functions: load and release --- */
 
 extern const struct hf_yaml_field hf_document_fields[];                            /* table of all keys */
--- a/src/hf-event.h
+++ b/src/hf-event.h
@@ -201,7 +201,7 @@
   struct
   {
     uint64_t generation;
-    struct hf_str text; /* YAML */
+    struct hf_str text; /* as hf_document_load reads it */
   } document;
   struct hf_server_report report; /* SERVER_REPORT */
   struct hf_listed_entry entry;   /* ENTRY_REPORT */
--- a/src/hf-yaml.c
+++ b/src/hf-yaml.c
@@ -174,25 +174,6 @@
   return false;
 }
 
-static void
-set_defaults (const struct hf_yaml_field *fields, void *out)
-{
-  for (const struct hf_yaml_field *field = fields; field->name; field++)
-    {
-      void *place = (char *) out + field->offset;
-      if (field->type == HF_YAML_INT || field->type == HF_YAML_CHOICE)
-        *(int64_t *) place = field->default_value;
-      else if (field->type == HF_YAML_REAL)
-        *(double *) place = (double) field->default_value / HF_YAML_REAL_SCALE;
-      else if (field->type == HF_YAML_BOOL)
-        *(bool *) place = field->default_value != 0;
-      else if (field->type == HF_YAML_STR || field->type == HF_YAML_ADDRESS)
-        *(struct hf_str *) place = hf_str_dup (hf_str (field->default_str ? field->default_str : ""));
-      else if (field->type == HF_YAML_MAP)
-        set_defaults (field->fields, place);
-    }
-}
-
 static const struct hf_yaml_field *
 find_field (const struct hf_yaml_field *fields, struct hf_str name)
 {
@@ -207,7 +188,7 @@
 {
   uint64_t seen = 0; /* bit i: the key of fields[i] was read */
   size_t path_len = strlen (reader->path);
-  set_defaults (fields, out);
+  hf_yaml_set_defaults (fields, out);
   if (node->type != YAML_MAPPING_NODE)
     return set_error (reader, node, "expected a mapping");
   for (yaml_node_pair_t *pair = node->data.mapping.pairs.start; pair < node->data.mapping.pairs.top; pair++)
@@ -330,6 +311,25 @@
   return ok;
 }
 
+void
+hf_yaml_set_defaults (const struct hf_yaml_field *fields, void *out)
+{
+  for (const struct hf_yaml_field *field = fields; field->name; field++)
+    {
+      void *place = (char *) out + field->offset;
+      if (field->type == HF_YAML_INT || field->type == HF_YAML_CHOICE)
+        *(int64_t *) place = field->default_value;
+      else if (field->type == HF_YAML_REAL)
+        *(double *) place = (double) field->default_value / HF_YAML_REAL_SCALE;
+      else if (field->type == HF_YAML_BOOL)
+        *(bool *) place = field->default_value != 0;
+      else if (field->type == HF_YAML_STR || field->type == HF_YAML_ADDRESS)
+        *(struct hf_str *) place = hf_str_dup (hf_str (field->default_str ? field->default_str : ""));
+      else if (field->type == HF_YAML_MAP)
+        hf_yaml_set_defaults (field->fields, place);
+    }
+}
+
 void
 hf_yaml_locate_error (struct hf_str text, struct hf_error *error)
 {
--- a/src/hf-yaml.h
+++ b/src/hf-yaml.h
@@ -77,8 +77,9 @@
 /* Fills the struct at @out, which must be zeroed; absent keys get defaults. False: *error is set. Either way the caller
  * releases the values with hf_yaml_free(). */
 bool hf_yaml_load (struct hf_str text, const struct hf_yaml_field *fields, void *out, struct hf_error *error);
-void hf_yaml_locate_error (struct hf_str text, struct hf_error *error); /* sets line and column from error->path */
-void hf_yaml_free (const struct hf_yaml_field *fields, void *out);      /* frees strings and lists of *out */
-bool hf_address_is_valid (struct hf_str address);                       /* true for IP:PORT */
+void hf_yaml_set_defaults (const struct hf_yaml_field *fields, void *out); /* fills a zeroed struct */
+void hf_yaml_locate_error (struct hf_str text, struct hf_error *error);    /* sets line and column from error->path */
+void hf_yaml_free (const struct hf_yaml_field *fields, void *out);         /* frees strings and lists of *out */
+bool hf_address_is_valid (struct hf_str address);                          /* true for IP:PORT */
 
 #endif
--- a/tests/fuzz.c
+++ b/tests/fuzz.c
@@ -1,7 +1,8 @@
 /*
  * libFuzzer target for every decoder of bytes from outside the process. The
  * first byte selects the decoder: settings, document, datagram, watch line,
- * platform object, HTTP requests and HTTP responses in pieces, store object.
+ * platform object, HTTP requests and HTTP responses in pieces, store object,
+ * packed document, encoded document.
  */
 #include <stddef.h>
 #include <stdint.h>
@@ -14,6 +15,10 @@
 #include "hf-store-objects.h"
 #include "hf-wire.h"
 
+/* --- constants --- */
+
+#define ENCODED_HEADER_BYTES 12 /* mark and hash of the table, in front of the values */
+
 /* --- internal functions --- */
 
 static void
@@ -139,15 +144,31 @@
   if (node && JSON_NODE_HOLDS_OBJECT (node))
     {
       hf_store_object_to_server_report (json_node_get_object (node), &report);
-      char *document = hf_store_object_to_document (json_node_get_object (node), &generation, &error);
-      if (document)
-        hf_document_unref (hf_document_load (hf_str (document), &error));
-      g_free (document);
+      struct hf_str encoded;
+      if (hf_store_object_to_document (json_node_get_object (node), &generation, &encoded, &error))
+        {
+          hf_document_unref (hf_document_load (encoded, &error));
+          hf_str_free (&encoded);
+        }
     }
   g_clear_pointer (&node, json_node_unref);
   g_free (copy);
 }
 
+static void
+fuzz_encoded_document (struct hf_str bytes)
+{
+  struct hf_document *empty = hf_document_new (0, 0);
+  struct hf_str encoded = hf_document_encode (empty);
+  struct hf_error error = { 0 };
+  GString *text = g_string_new_len (encoded.data, ENCODED_HEADER_BYTES);
+  g_string_append_len (text, bytes.data, (gssize) bytes.len);
+  hf_document_unref (hf_document_load ((struct hf_str){ text->str, text->len }, &error));
+  g_string_free (text, TRUE);
+  hf_str_free (&encoded);
+  hf_document_unref (empty);
+}
+
 static void
 fuzz_packed_document (struct hf_str bytes)
 {
@@ -165,8 +186,8 @@
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
   static void (*const decoders[]) (struct hf_str)
-      = { fuzz_settings, fuzz_document,  fuzz_datagram,     fuzz_watch_line,     fuzz_object,
-          fuzz_requests, fuzz_responses, fuzz_store_object, fuzz_packed_document };
+      = { fuzz_settings, fuzz_document,  fuzz_datagram,     fuzz_watch_line,      fuzz_object,
+          fuzz_requests, fuzz_responses, fuzz_store_object, fuzz_packed_document, fuzz_encoded_document };
   if (size == 0)
     return 0;
   decoders[data[0] % (sizeof decoders / sizeof *decoders)](
--- a/tests/test-units.c
+++ b/tests/test-units.c
@@ -293,6 +293,76 @@
   g_free (long_text);
 }
 
+static const char full_document[]
+    = "version: 1\n"
+      "limits: {head_bytes: 4096, idle_ms: 9000}\n"
+      "services:\n"
+      "  - name: a\n"
+      "    policy: two-choices\n"
+      "    servers: [{name: s1, address: \"10.0.0.1:80\", slots: 4, drain: true}]\n"
+      "    classes: [{name: c, methods: [GET, PUT], header: \"X: y\", hedge: true, repeatable: true}]\n"
+      "  - {name: b, directory: true, measure_ms: 250}\n"
+      "routes:\n"
+      "  - {name: r, host: h.example, path_prefix: /r/, class: {name: r, deadline_ms: 900, priority: 2},\n"
+      "     parts: [{service: a, weight: 3}, {service: b, weight: 0}]}\n";
+
+/* What YAML gives and what its encoded form gives are the same; truncated or foreign bytes are refused. */
+static void
+test_document_encode (void)
+{
+  struct hf_error error = { 0 };
+  struct hf_document *from_yaml = hf_document_load (hf_str (full_document), &error);
+  g_assert_nonnull (from_yaml);
+  struct hf_str encoded = hf_document_encode (from_yaml);
+  struct hf_document *decoded = hf_document_load (encoded, &error);
+  g_assert_nonnull (decoded);
+  struct hf_str encoded_again = hf_document_encode (decoded);
+  g_assert_true (hf_str_equal (encoded, encoded_again));
+  g_assert_cmpint (hf_document_get_service (decoded, 0)->policy, ==, HF_POLICY_TWO_CHOICES);
+  g_assert_cmpint (hf_route_get_service (hf_document_get_route (decoded, 0), 0)->weight, ==, 3);
+  for (size_t len = 1; len < encoded.len; len++)
+    g_assert_null (hf_document_load ((struct hf_str){ encoded.data, len }, &error));
+  char *foreign = g_memdup2 (encoded.data, encoded.len);
+  foreign[sizeof (uint32_t)] ^= 1;
+  g_assert_null (hf_document_load ((struct hf_str){ foreign, encoded.len }, &error));
+  g_assert_cmpstr (error.message, ==, "the values were encoded with another table of fields");
+  g_free (foreign);
+  hf_str_free (&encoded);
+  hf_str_free (&encoded_again);
+  hf_document_unref (from_yaml);
+  hf_document_unref (decoded);
+}
+
+/* A value that YAML would not be allowed to have is refused in the encoded form, too. */
+static void
+test_document_encode_ranges (void)
+{
+  struct hf_error error = { 0 };
+  for (unsigned variant = 0; variant < 6; variant++)
+    {
+      struct hf_document *document = hf_document_load (hf_str (full_document), &error);
+      struct hf_route *route = hf_document_get_route (document, 0);
+      struct hf_service *service = hf_document_get_service (document, 0);
+      struct hf_str *name = &hf_document_get_service (document, 1)->name;
+      if (variant == 1)
+        route->class.priority = 101;
+      else if (variant == 2)
+        service->policy = HF_POLICY_ROUND_ROBIN + 1;
+      else if (variant == 3)
+        service->path_prefix.len = 0;
+      else if (variant == 4)
+        hf_service_get_server (service, 0)->address.len = 3;
+      else if (variant == 5)
+        *name = (hf_str_free (name), hf_str_dup (hf_str ("a")));
+      struct hf_str encoded = hf_document_encode (document);
+      struct hf_document *decoded = hf_document_load (encoded, &error);
+      g_assert_true ((decoded != NULL) == (variant == 0));
+      hf_document_unref (decoded);
+      hf_str_free (&encoded);
+      hf_document_unref (document);
+    }
+}
+
 /* The last generations are kept, and fewer of them if they are large; the newest always. */
 static void
 test_config_history (void)
@@ -381,6 +451,8 @@
   g_test_add_func ("/units/wire", test_wire);
   g_test_add_func ("/units/slices", test_slices);
   g_test_add_func ("/units/document-pack", test_document_pack);
+  g_test_add_func ("/units/document-encode", test_document_encode);
+  g_test_add_func ("/units/document-encode-ranges", test_document_encode_ranges);
   g_test_add_func ("/units/config-history", test_config_history);
   g_test_add_func ("/units/measuring-ends", test_measuring_ends);
   g_test_add_func ("/pages/configuration", test_page_configuration);
