--- a/src/hf-base.c
+++ b/src/hf-base.c
@@ -17,7 +17,11 @@
 struct hf_str
 hf_str_dup (struct hf_str text)
 {
-  return (struct hf_str){ .data = g_strndup (text.data ? text.data : "", text.len), .len = text.len };
+  char *copy = g_malloc (text.len + 1);
+  if (text.len > 0)
+    memcpy (copy, text.data, text.len);
+  copy[text.len] = 0;
+  return (struct hf_str){ .data = copy, .len = text.len };
 }
 
 void
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -143,7 +143,7 @@
   entry->generation = fleet->generation;
   fleet_raise_event (
       entry, (struct hf_event){ .kind = HF_EVENT_DOCUMENT,
-                                .document = { .generation = fleet->generation, .text = hf_str (fleet->document) } });
+                                .document = { .generation = fleet->generation, .text = fleet->encoded_document } });
 }
 
 static void
@@ -179,11 +179,26 @@
 
 /* --- internal functions: the fleet --- */
 
+/* The form in which platform/ reports a configuration. */
+static struct hf_str
+encode_document (const char *text)
+{
+  struct hf_error error = { 0 };
+  struct hf_document *document = hf_document_load (hf_str (text), &error);
+  if (!document)
+    g_error ("%s", error.message);
+  struct hf_str encoded = hf_document_encode (document);
+  hf_document_unref (document);
+  return encoded;
+}
+
 void
 fleet_write_document (struct fleet *fleet, unsigned routes)
 {
   g_free (fleet->document);
+  hf_str_free (&fleet->encoded_document);
   fleet->document = fleet_make_document (routes);
+  fleet->encoded_document = encode_document (fleet->document);
   fleet->generation++;
 }
 
@@ -329,6 +344,7 @@
   g_queue_free_full (fleet->datagrams, g_free);
   g_hash_table_destroy (fleet->entry_by_address);
   g_free (fleet->document);
+  hf_str_free (&fleet->encoded_document);
   g_free (fleet);
 }
 
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -67,8 +67,9 @@
   unsigned loss_counter;
   struct fleet_server servers[FLEET_SERVERS_MAX];
   uint64_t revision;
-  uint64_t generation;       /* of the operator's configuration; 0: none yet */
-  char *document;            /* its text */
+  uint64_t generation; /* of the operator's configuration; 0: none yet */
+  char *document;      /* its text */
+  struct hf_str encoded_document;
   int64_t link_bytes_per_ms; /* bandwidth of each entry's link; 0: unlimited */
   unsigned watch_starts;     /* how often an entry began to watch the platform */
   unsigned probe_starts;     /* how often one began to check the platform, as no watcher kept it current */
