An entry sends documents as fast as its own link carries them

Cause: what an entry sends of a document was limited to 96 KB in 100 ms, for the smallest link of 10 Mbit/s, also at the watchers and coordinators, whose links carry twenty times as much there.

--- a/src/config.h
+++ b/src/config.h
@@ -183,20 +183,21 @@
 #define HF_DOCUMENT_PACK_LEVEL      3                 /* of zlib; higher ones take more processor time for little */
 
 /* Configuration spread: documents that entries get from one another. */
-#define HF_CONFIG_PROVIDERS            2   /* coordinators that offer a document to each other entry */
-#define HF_CONFIG_OFFER_WAIT_MS        150 /* wait for an offer of a provider before pulling from another entry */
-#define HF_CONFIG_PULL_RETRY_MS        100 /* before a missing chunk is requested again; doubles each time */
-#define HF_CONFIG_PULL_DOUBLINGS_MAX   2
-#define HF_CONFIG_PULL_STALL_MS        300  /* without a chunk, the pull moves to another entry with the document */
-#define HF_CONFIG_READ_AFTER_MS        800  /* behind the other entries for longer: reads it from the platform */
-#define HF_CONFIG_READ_PROGRESS_MS     1500 /* the same while chunks of the document arrive */
-#define HF_CONFIG_READ_INTERVAL_MS     1000 /* between two such reads */
-#define HF_CONFIG_CHUNK_BYTES          8192 /* compressed bytes in one datagram */
-#define HF_CONFIG_SEND_WINDOW_MS       100
-#define HF_CONFIG_SEND_BYTES_MAX       (96 * 1024) /* sent in one window; less than small links carry */
-#define HF_CONFIG_SEND_FIRST_BYTES_MAX (48 * 1024) /* above, only pulls that have begun get chunks */
-#define HF_CONFIG_HISTORY_MAX          16          /* compressed generations kept for pulls in progress */
-#define HF_CONFIG_HISTORY_BYTES_MAX    (256 * 1024)
+#define HF_CONFIG_PROVIDERS          2   /* coordinators that offer a document to each other entry */
+#define HF_CONFIG_OFFER_WAIT_MS      150 /* wait for an offer of a provider before pulling from another entry */
+#define HF_CONFIG_PULL_RETRY_MS      100 /* before a missing chunk is requested again; doubles each time */
+#define HF_CONFIG_PULL_DOUBLINGS_MAX 2
+#define HF_CONFIG_PULL_STALL_MS      300  /* without a chunk, the pull moves to another entry with the document */
+#define HF_CONFIG_READ_AFTER_MS      800  /* behind the other entries for longer: reads it from the platform */
+#define HF_CONFIG_READ_PROGRESS_MS   1500 /* the same while chunks of the document arrive */
+#define HF_CONFIG_READ_INTERVAL_MS   1000 /* between two such reads */
+#define HF_CONFIG_CHUNK_BYTES        8192 /* compressed bytes in one datagram */
+#define HF_CONFIG_SEND_WINDOW_MS     100
+#define HF_CONFIG_SEND_LINK_PERCENT  75 /* of what the link carries, for chunks */
+#define HF_CONFIG_SEND_FIRST_PERCENT 50 /* of that; above, only pulls that have begun get chunks */
+#define HF_LINK_DEFAULT_MBPS         10
+#define HF_CONFIG_HISTORY_MAX        16 /* compressed generations kept for pulls in progress */
+#define HF_CONFIG_HISTORY_BYTES_MAX  (256 * 1024)
 
 /* Idempotency claims. */
 #define HF_CLAIM_SHARDS                8
--- a/src/hf-config-spread.c
+++ b/src/hf-config-spread.c
@@ -198,7 +198,9 @@
       spread->send_window_at = state->now;
       spread->sent_bytes = 0;
     }
-  return spread->sent_bytes < (offset > 0 ? HF_CONFIG_SEND_BYTES_MAX : HF_CONFIG_SEND_FIRST_BYTES_MAX);
+  size_t limit = offset > 0 ? state->config_spread.send_bytes_max
+                            : state->config_spread.send_bytes_max * HF_CONFIG_SEND_FIRST_PERCENT / 100;
+  return spread->sent_bytes < limit;
 }
 
 /* The compressed document of a generation; if it is not kept any more, that of the one in force. */
@@ -321,9 +323,12 @@
 /* --- public functions --- */
 
 void
-hf_config_spread_init (struct hf_config_spread *spread)
+hf_config_spread_init (struct hf_config_spread *spread, double link_mbps)
 {
-  *spread = (struct hf_config_spread){ .history = hf_config_history_new () };
+  double link_bytes
+      = (link_mbps > 0 ? link_mbps : HF_LINK_DEFAULT_MBPS) * 1000 * 1000 / 8 * HF_CONFIG_SEND_WINDOW_MS / 1000;
+  *spread = (struct hf_config_spread){ .history = hf_config_history_new (),
+                                       .send_bytes_max = (size_t) (link_bytes * HF_CONFIG_SEND_LINK_PERCENT / 100) };
 }
 
 void
--- a/src/hf-config-spread.h
+++ b/src/hf-config-spread.h
@@ -29,7 +29,7 @@
 
 /* --- public functions: init and close --- */
 
-void hf_config_spread_init (struct hf_config_spread *spread);
+void hf_config_spread_init (struct hf_config_spread *spread, double link_mbps);
 void hf_config_spread_close (struct hf_config_spread *spread); /* frees all */
 
 /* --- public functions: events --- */
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -319,7 +319,7 @@
   state->suspects = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   hf_directory_init (&state->directory);
   hf_directory_sync_init (&state->directory_sync);
-  hf_config_spread_init (&state->config_spread);
+  hf_config_spread_init (&state->config_spread, settings->link_mbps);
   hf_roles_init (&state->roles);
   hf_latency_init (&state->latency);
   hf_claims_init (state);
--- a/src/hf-settings.h
+++ b/src/hf-settings.h
@@ -22,6 +22,7 @@
  * @store_address: address of the platform store that platform/ adapts to, or empty if @platform_address is set
  * @metrics_address: second address for the metrics; serves the same paths as @admin_address; or empty
  * @cpu_share: processor time of this VM in cores; VMs with more of it take on more work for other entries
+ * @link_mbps: bandwidth of this VM's link in Mbit/s; 0: HF_LINK_DEFAULT_MBPS
  * @first_start: true if the whole system starts for the first time; the first lists of the store are delayed
  * @shutdown_timeout_ms: milliseconds from SIGTERM after which the process exits even if calls are in flight
  * @drain_wait_ms: milliseconds that the listener stays open after SIGTERM, for the upstream load balancer to react
@@ -38,6 +39,7 @@
   struct hf_str store_address;
   struct hf_str metrics_address;
   double cpu_share;
+  double link_mbps;
   bool first_start;
   int64_t shutdown_timeout_ms;
   int64_t drain_wait_ms;
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -342,6 +342,7 @@
  * @read_at: last read of the platform's copy because of that
  * @send_window_at: start of the current window of the rate limit for chunks sent
  * @sent_bytes: bytes sent in that window
+ * @send_bytes_max: limit of them
  */
 struct hf_config_spread
 {
@@ -351,6 +352,7 @@
   int64_t read_at;
   int64_t send_window_at;
   size_t sent_bytes;
+  size_t send_bytes_max;
 };
 
 /** struct hf_watch - a watch of one collection of the platform */
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -42,7 +42,7 @@
   memcpy (datagram->bytes, bytes, size);
   datagram->due_at = MAX (fleet->now, entry->link_free_at);
   if (fleet->link_bytes_per_ms > 0)
-    datagram->due_at += (int64_t) size * HF_MS / fleet->link_bytes_per_ms;
+    datagram->due_at += (int64_t) size * HF_MS / (fleet->link_bytes_per_ms * MAX (1, entry->link_factor));
   entry->link_free_at = datagram->due_at;
   entry->sent_bytes += (int64_t) size;
   if (strcmp (to->failure_domain, entry->failure_domain) != 0)
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -35,6 +35,7 @@
   bool platform_unreachable; /* the platform does not respond to it */
   bool watch_hangs;          /* its watch delivers nothing, although its checks of the platform succeed */
   bool checks_now;           /* it has begun to watch and checks the platform at once */
+  int64_t link_factor;       /* its link carries this many times the fleet's link_bytes_per_ms; 0: once */
   unsigned lost_kind;        /* enum hf_rpc_kind of messages that never reach it; 0: none */
   uint64_t revision;         /* directory revision that the platform has reported to it */
   uint64_t generation;       /* configuration generation that the platform has reported to it */
--- a/tests/test-config-spread.c
+++ b/tests/test-config-spread.c
@@ -12,6 +12,7 @@
 #define ROUTES              40    /* a document of some kilobytes */
 #define ROUTES_LARGE        300   /* a document of some tens of kilobytes */
 #define ROUTES_LARGEST      12000 /* a document of more than a megabyte, as the platform's largest object gives */
+#define LARGE_LINK_FACTOR   20
 #define GENERATIONS_MAX     64
 #define STORE_READS_DIVISOR 8 /* at most 1 / this of the entries may need the store for a version */
 
@@ -191,6 +192,23 @@
   fleet_close (fleet);
 }
 
+/* Guards against watchers with large links that send as little as those with small ones. */
+static void
+test_large_links (void)
+{
+  struct lag lag;
+  struct fleet *fleet = open_fleet (60, 2, &lag);
+  for (unsigned i = 0; i < 4; i++)
+    {
+      fleet->entries[i].link_factor = LARGE_LINK_FACTOR;
+      fleet->entries[i].state->config_spread.send_bytes_max *= LARGE_LINK_FACTOR;
+    }
+  write_version (fleet, &lag, ROUTES_LARGEST);
+  advance (fleet, &lag, FAULT_IN_FORCE_MS);
+  check_in_force (fleet, &lag, IN_FORCE_MAX_MS);
+  fleet_close (fleet);
+}
+
 /* Watchers and coordinators stop running just after a version was written: the others get it nevertheless. */
 static void
 test_lost_sources (void)
@@ -267,6 +285,7 @@
   g_test_add_func ("/config-spread/large-fleet", test_large_fleet);
   g_test_add_func ("/config-spread/large-document", test_large_document);
   g_test_add_func ("/config-spread/largest-document", test_largest_document);
+  g_test_add_func ("/config-spread/large-links", test_large_links);
   g_test_add_func ("/config-spread/lost-sources", test_lost_sources);
   g_test_add_func ("/config-spread/unreachable-domain", test_unreachable_domain);
   g_test_add_func ("/config-spread/store-read", test_store_read);
