Probes: an entry that owned a service for a moment kept its probe tokens

Operators would see it after each start or replacement of an entry, for up to 10 s.

Cause, from a trace of each token and read: an entry that starts knows of no other one, owns every service, and took the whole budget of the epoch. The owner that all agree on 0.5 s later read the object, found the epoch written by another boot id, and probed nothing until the next epoch; the holder, no longer the owner, probed nothing either. Ruled out: a lost NOTICE, a probe without response (every probe sent to the draining server returned its state).

Change: the object says how many tokens are left. The owner takes half of them at a time, so that a later owner finds some even if the holder was killed; an entry that is not the owner any more gives back what it has. While none are left the owner reads again after 2 s. An object in the old form has none left, and an old entry takes none from the new form, so that the budget holds in a mixed fleet.

--- a/src/config.h
+++ b/src/config.h
@@ -211,9 +211,10 @@
 #define HF_QUARANTINE_SEC   60
 
 /* Health probes. */
-#define HF_PROBE_EPOCH_SEC   10   /* probe tokens are allotted for one epoch */
-#define HF_PROBE_IDLE_MS     2000 /* servers without a response for this long are probed */
-#define HF_PROBE_TIMEOUT_SEC 1
+#define HF_PROBE_EPOCH_SEC          10   /* probe tokens are allotted for one epoch */
+#define HF_PROBE_IDLE_MS            2000 /* servers without a response for this long are probed */
+#define HF_PROBE_ALLOTMENT_RETRY_MS 2000 /* until tokens that another entry gives back are found */
+#define HF_PROBE_TIMEOUT_SEC        1
 
 /* Shutdown. */
 #define HF_SHUTDOWN_TIMEOUT_SEC 60  /* default of the setting grace_ms */
--- a/src/hf-probes.c
+++ b/src/hf-probes.c
@@ -37,17 +37,16 @@
                           (struct hf_str){ 0 });
 }
 
+/* Writes how many tokens of the epoch are left. */
 static void
-write_allotment (struct hf_state *state, struct hf_service_state *service, uint64_t version)
+write_allotment (struct hf_state *state, struct hf_service_state *service, uint64_t version, unsigned left)
 {
   char name[40];
-  char boot_id[20];
   JsonObject *data = json_object_new ();
   JsonNode *node = json_node_new (JSON_NODE_OBJECT);
   object_name (service->id, name, sizeof name);
-  g_snprintf (boot_id, sizeof boot_id, "%016" G_GINT64_MODIFIER "x", (guint64) state->boot_id);
-  json_object_set_int_member (data, "epoch", current_epoch (state));
-  json_object_set_string_member (data, "boot", boot_id);
+  json_object_set_int_member (data, "epoch", service->probe_epoch);
+  json_object_set_int_member (data, "left", left);
   json_node_take_object (node, data);
   char *json = hf_object_to_json (name, version, node);
   service->probe_allotment_pending = true;
@@ -56,12 +55,73 @@
   g_free (json);
 }
 
+/* Tokens of an earlier epoch have expired. */
 static void
-start_epoch (struct hf_state *state, struct hf_service_state *service)
+update_epoch (const struct hf_state *state, struct hf_service_state *service)
 {
-  const struct hf_service *spec = find_spec (state, service->id);
+  if (service->probe_epoch == current_epoch (state))
+    return;
   service->probe_epoch = current_epoch (state);
-  service->probe_tokens = spec ? (unsigned) spec->probe_budget : 0;
+  service->probe_tokens = 0;
+  service->probe_tokens_requested = 0;
+  service->probe_allotment_retry_at = 0;
+}
+
+/* Takes half of the tokens that are left, so that another entry that becomes the owner in this epoch finds some. */
+static void
+take_tokens (struct hf_state *state, struct hf_service_state *service, uint64_t version, unsigned left)
+{
+  unsigned taken = (left + 1) / 2;
+  if (taken == 0)
+    {
+      service->probe_allotment_retry_at = state->now + HF_PROBE_ALLOTMENT_RETRY_MS * HF_MS;
+      return;
+    }
+  service->probe_tokens_requested = taken;
+  write_allotment (state, service, version, left - taken);
+}
+
+/* The tokens count as given back even if the write fails: whether it was applied may be unknown. */
+static void
+return_tokens (struct hf_state *state, struct hf_service_state *service, uint64_t version, unsigned left)
+{
+  unsigned returned = service->probe_tokens;
+  service->probe_tokens = 0;
+  write_allotment (state, service, version, left + returned);
+}
+
+/* Returns the tokens left in the epoch of @service; @object is NULL if there is none yet. */
+static unsigned
+count_left (const struct hf_service_state *service, const struct hf_service *spec, const struct hf_object *object)
+{
+  int64_t epoch = object ? (int64_t) hf_object_get_uint (object, "epoch") : -1;
+  if (epoch < service->probe_epoch)
+    return (unsigned) spec->probe_budget;
+  return epoch == service->probe_epoch ? (unsigned) hf_object_get_uint (object, "left") : 0;
+}
+
+static void
+handle_read (struct hf_state *state, struct hf_service_state *service, const struct hf_object *object)
+{
+  const struct hf_service *spec = find_spec (state, service->id);
+  uint64_t version = object ? object->version : 0;
+  update_epoch (state, service);
+  if (!spec)
+    return;
+  unsigned left = count_left (service, spec, object);
+  if (hf_members_is_owner (state, service->id))
+    take_tokens (state, service, version, left);
+  else if (service->probe_tokens > 0)
+    return_tokens (state, service, version, left);
+}
+
+/* Tokens whose write failed, or succeeded too late for its epoch, are not used. */
+static void
+handle_write (const struct hf_state *state, struct hf_service_state *service, bool written)
+{
+  if (written && service->probe_epoch == current_epoch (state))
+    service->probe_tokens += service->probe_tokens_requested;
+  service->probe_tokens_requested = 0;
 }
 
 static bool
@@ -101,19 +161,29 @@
   server->last_response_at = state->now; /* probed again after HF_PROBE_IDLE_MS at the earliest */
 }
 
+static void
+tick_owner (struct hf_state *state, struct hf_service_state *service, const struct hf_service *spec)
+{
+  struct hf_pool_server *idle = service->pool.servers->len ? next_idle_server (state, service) : NULL;
+  if (!idle)
+    return;
+  if (service->probe_tokens > 0)
+    send_probe (state, service, spec, idle);
+  else if (state->now >= service->probe_allotment_retry_at)
+    read_allotment (state, service);
+}
+
 static void
 tick_service (struct hf_state *state, struct hf_service_state *service)
 {
   const struct hf_service *spec = find_spec (state, service->id);
-  if (!spec || spec->probe_budget == 0 || service->pool.servers->len == 0 || !hf_members_is_owner (state, service->id))
+  if (!spec || spec->probe_budget == 0 || service->probe_allotment_pending)
     return;
-  struct hf_pool_server *idle = next_idle_server (state, service);
-  if (!idle || service->probe_allotment_pending)
-    return;
-  if (service->probe_epoch != current_epoch (state))
-    read_allotment (state, service);
+  update_epoch (state, service);
+  if (hf_members_is_owner (state, service->id))
+    tick_owner (state, service, spec);
   else if (service->probe_tokens > 0)
-    send_probe (state, service, spec, idle);
+    read_allotment (state, service); /* to give the tokens back */
 }
 
 /* --- public functions --- */
@@ -136,23 +206,16 @@
   if (!service)
     return;
   service->probe_allotment_pending = false;
-  bool known = (event->platform.status == 200 || event->platform.status == 201)
-               && hf_object_load (event->platform.data, &object, NULL);
-  if (!known && event->platform.status != 404)
-    return; /* allotment unknown: read again at the next tick */
-  int64_t epoch = known ? (int64_t) hf_object_get_uint (&object, "epoch") : -1;
-  bool own_allotment = known && hf_object_get_hex (&object, "boot") == state->boot_id;
-  if (epoch == current_epoch (state) && own_allotment && service->probe_epoch != epoch)
-    start_epoch (state, service);
-  else if (epoch < current_epoch (state) && event->platform.op == HF_PLATFORM_GET)
-    write_allotment (state, service, known ? object.version : 0);
-  else if (!own_allotment)
+  bool ok = event->platform.status == 200 || event->platform.status == 201;
+  if (event->platform.op == HF_PLATFORM_PUT)
+    handle_write (state, service, ok);
+  else if (event->platform.status == 404)
+    handle_read (state, service, NULL);
+  else if (ok && hf_object_load (event->platform.data, &object, NULL))
     {
-      service->probe_epoch = current_epoch (state);
-      service->probe_tokens = 0;
-    }
-  if (known)
-    hf_object_unload (&object);
+      handle_read (state, service, &object);
+      hf_object_unload (&object);
+    } /* else the allotment is unknown: read again at the next tick */
 }
 
 void
--- a/src/hf-probes.h
+++ b/src/hf-probes.h
@@ -2,9 +2,11 @@
  * DOC: hf-probes - health probes within the probe budget of a service
  *
  * Probes only backend servers without a recent response. The probe tokens of an
- * epoch are allotted by a conditional update in the platform, so that at most one
- * entry holds them, even if the entries disagree about the membership. While the
- * platform is unreachable no tokens are allotted and probes stop.
+ * epoch are allotted by conditional updates in the platform, so that no two
+ * entries hold the same ones, even if the entries disagree about the membership.
+ * The owner of a service takes half of the tokens left at a time; an entry that is
+ * not the owner any more gives back what it has. While the platform is unreachable
+ * no tokens are allotted and probes stop.
  */
 #ifndef HF_PROBES_H
 #define HF_PROBES_H
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -87,7 +87,9 @@
  * @granter_bypassed_until: slots are granted locally until then because the granter did not respond
  * @probe_epoch: epoch of the probe budget that @probe_tokens belongs to
  * @probe_tokens: probes left in the epoch
+ * @probe_tokens_requested: tokens that the write in progress at the platform takes
  * @probe_allotment_pending: a request for probe tokens is in progress at the platform
+ * @probe_allotment_retry_at: no tokens were left; the allotment is read again then
  * @next_probe_index: index of the next backend server to probe
  * @last_slot_request_at: last slot request at this entry
  */
@@ -101,7 +103,9 @@
   int64_t granter_bypassed_until;
   int64_t probe_epoch;
   unsigned probe_tokens;
+  unsigned probe_tokens_requested;
   bool probe_allotment_pending;
+  int64_t probe_allotment_retry_at;
   size_t next_probe_index;
   int64_t last_slot_request_at;
 };
--- a/tests/test-scripts.c
+++ b/tests/test-scripts.c
@@ -17,6 +17,7 @@
  *   AT peer BOOT acquire SERVICE TICKET WORTH REMAINING_MS
  *   AT peer BOOT release SERVICE TICKET RESULT_NUMBER LATENCY_US
  *   AT platform claims SHARD get|put STATUS [version=N] [keys=TEXT]
+ *   AT platform probes SERVICE get|put STATUS [version=N] [epoch=N] [left=N]
  *   AT watch-end PURPOSE STATUS
  *
  * Effects in an expected file:
@@ -27,7 +28,7 @@
  *   relay CALL.ATTEMPT OUTCOME                      forwards the backend server's response
  *   cut CALL                                        aborts a response that is partly forwarded
  *   send ADDRESS KIND ...                           message to another entry
- *   platform OP OBJECT version=N                    call to the platform's store
+ *   platform OP OBJECT version=N [left=N]           call to the platform's store; left: probe tokens that it writes
  *   probe SERVER                                    health probe
  *   renew SERVER                                    uses new connections to the backend server
  *   log HFNUMBER TEXT
@@ -98,6 +99,17 @@
   g_string_append_c (run->output, '\n');
 }
 
+static void
+print_tokens (struct script_run *run, const struct hf_effect *effect)
+{
+  struct hf_object object;
+  if (effect->purpose != HF_PURPOSE_PROBES || effect->op != HF_PLATFORM_PUT)
+    return;
+  g_assert_true (hf_object_load (effect->data, &object, NULL));
+  g_string_append_printf (run->output, " left=%u", (unsigned) hf_object_get_uint (&object, "left"));
+  hf_object_unload (&object);
+}
+
 static void
 print_effect (struct script_run *run, const struct hf_effect *effect)
 {
@@ -129,8 +141,10 @@
       print_message (run, effect);
       break;
     case HF_EFFECT_CALL_PLATFORM:
-      g_string_append_printf (output, "  platform %s " HF_STR_FMT " version=%d\n", ops[effect->op],
+      g_string_append_printf (output, "  platform %s " HF_STR_FMT " version=%d", ops[effect->op],
                               HF_STR_ARG (effect->name), (int) effect->version);
+      print_tokens (run, effect);
+      g_string_append_c (output, '\n');
       break;
     case HF_EFFECT_SEND_PROBE:
       g_string_append_printf (output, "  probe %s\n", server_name (run, effect->server));
@@ -328,6 +342,25 @@
   g_free (json);
 }
 
+static void
+raise_probes_result (struct script_run *run)
+{
+  const char *version = find_option (run, "version");
+  const char *epoch = find_option (run, "epoch");
+  const char *left = find_option (run, "left");
+  struct hf_event event = { .kind = HF_EVENT_PLATFORM_RESULT,
+                            .platform = { .purpose = HF_PURPOSE_PROBES,
+                                          .arg = hf_hash (hf_str (run->words[3]), 0),
+                                          .status = (unsigned) parse_number (run, 5) } };
+  event.platform.op = strcmp (run->words[4], "put") == 0 ? HF_PLATFORM_PUT : HF_PLATFORM_GET;
+  char *json = g_strdup_printf ("{\"metadata\":{\"name\":\"x\",\"resourceVersion\":\"%s\"},"
+                                "\"data\":{\"epoch\":%s,\"left\":%s}}",
+                                version ? version : "0", epoch ? epoch : "0", left ? left : "0");
+  event.platform.data = hf_str (json);
+  raise_event (run, event);
+  g_free (json);
+}
+
 static void
 run_line (struct script_run *run)
 {
@@ -353,6 +386,8 @@
     raise_attempt_end (run);
   else if (strcmp (event_name, "peer") == 0)
     raise_peer_message (run);
+  else if (strcmp (event_name, "platform") == 0 && strcmp (run->words[2], "probes") == 0)
+    raise_probes_result (run);
   else if (strcmp (event_name, "platform") == 0)
     raise_claims_result (run);
   else if (strcmp (event_name, "watch-end") == 0)
