Probes: one server at a tick of 500 ms, whatever the budget

Operators would see a server that says only at its health endpoint that it drains get requests for longer than 3 s, and a probe budget above 20 for 10 s without effect: a service of n idle servers was probed in turn, one each 500 ms.

Cause: a server is due 2 s after its last response, then waits for the tick, for the servers before it (500 ms each), and in a new epoch for another tick after the write of the allotment: 3 servers take up to 4 s. Ruled out: too few tokens (the budget of the test is 100).

Change: a tick probes all idle servers while there are tokens, and tokens are used as soon as the write that takes them has succeeded. The hard limit is unchanged (test-promises /probes/budget, 3 of 3 at once).

Tests: /scripts/probes-all-due, before: "not ok 1 /scripts/probes-all-due".

--- a/src/hf-probes.c
+++ b/src/hf-probes.c
@@ -115,15 +115,6 @@
     return_tokens (state, service, version, left);
 }
 
-/* Tokens whose write failed, or succeeded too late for its epoch, are not used. */
-static void
-handle_write (const struct hf_state *state, struct hf_service_state *service, bool written)
-{
-  if (written && service->probe_epoch == current_epoch (state))
-    service->probe_tokens += service->probe_tokens_requested;
-  service->probe_tokens_requested = 0;
-}
-
 static bool
 is_idle (const struct hf_state *state, const struct hf_pool_server *server)
 {
@@ -140,7 +131,7 @@
       struct hf_pool_server *server = &g_array_index (service->pool.servers, struct hf_pool_server, index);
       if (!is_idle (state, server))
         continue;
-      service->next_probe_index = index + 1;
+      service->next_probe_index = index;
       return server;
     }
   return NULL;
@@ -161,15 +152,17 @@
   server->last_response_at = state->now; /* probed again after HF_PROBE_IDLE_MS at the earliest */
 }
 
+/* Probes all idle servers, as far as there are tokens. */
 static void
 tick_owner (struct hf_state *state, struct hf_service_state *service, const struct hf_service *spec)
 {
-  struct hf_pool_server *idle = service->pool.servers->len ? next_idle_server (state, service) : NULL;
-  if (!idle)
-    return;
-  if (service->probe_tokens > 0)
-    send_probe (state, service, spec, idle);
-  else if (state->now >= service->probe_allotment_retry_at)
+  struct hf_pool_server *idle = next_idle_server (state, service);
+  while (idle && service->probe_tokens > 0)
+    {
+      send_probe (state, service, spec, idle);
+      idle = next_idle_server (state, service);
+    }
+  if (idle && state->now >= service->probe_allotment_retry_at)
     read_allotment (state, service);
 }
 
@@ -186,6 +179,17 @@
     read_allotment (state, service); /* to give the tokens back */
 }
 
+/* Tokens whose write failed, or succeeded too late for its epoch, are not used. */
+static void
+handle_write (struct hf_state *state, struct hf_service_state *service, bool written)
+{
+  if (written && service->probe_epoch == current_epoch (state))
+    service->probe_tokens += service->probe_tokens_requested;
+  service->probe_tokens_requested = 0;
+  if (written)
+    tick_service (state, service);
+}
+
 /* --- public functions --- */
 
 void
