--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -41,6 +41,7 @@
   SENDS_NOTHING,                /* keeps the connection open */
   SENDS_FOREIGN_RESPONSE_FIRST, /* a response to another request, then its own */
   SENDS_EXTRA_BYTES,            /* its own response, then one to another request */
+  REFUSES_ONCE,                 /* the first request; sends that 503 again before the next response of the connection */
   ENDS_BY_CLOSE,                /* response without length, ended by a close */
   ENDS_BY_RESET,                /* response without length, ended by a reset */
   SENDS_NON_HTTP,
@@ -56,6 +57,8 @@
   guint requests;
   GString *last_request;
   struct raw_connection *last_connection; /* of the last request */
+  struct raw_connection *refused_connection;
+  char *refused_id;
 };
 
 struct setup
@@ -95,6 +98,29 @@
       id, id, strlen (body), body);
 }
 
+static void
+refuse (struct raw_connection *connection, const char *id)
+{
+  raw_connection_send (connection,
+                       "HTTP/1.1 503 Full\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id);
+}
+
+/* Refuses the first request, and runs all others. */
+static void
+refuse_once (struct backend_server *server, struct raw_connection *connection, const char *id)
+{
+  if (!server->refused_connection)
+    {
+      server->refused_connection = connection;
+      server->refused_id = g_strdup (id);
+      refuse (connection, id);
+      return;
+    }
+  if (server->refused_connection == connection)
+    refuse (connection, server->refused_id);
+  send_response (connection, id, "hello");
+}
+
 static void
 respond_as_told (struct backend_server *server, struct raw_connection *connection, const char *id)
 {
@@ -105,8 +131,10 @@
       send_response (connection, id, "hello");
       break;
     case SENDS_NOT_RUN:
-      raw_connection_send (
-          connection, "HTTP/1.1 503 Full\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id);
+      refuse (connection, id);
+      break;
+    case REFUSES_ONCE:
+      refuse_once (server, connection, id);
       break;
     case SENDS_WRONG_INSTANCE:
       raw_connection_send (connection, "HTTP/1.1 421 Misdirected\r\nX-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", id);
@@ -383,6 +411,7 @@
   for (guint i = 0; i < SERVERS; i++)
     {
       raw_server_close (setup->servers[i].raw_server);
+      g_free (setup->servers[i].refused_id);
       g_string_free (setup->servers[i].last_request, TRUE);
     }
   hf_net_close (setup->net);
@@ -824,6 +853,20 @@
   close_setup (setup);
 }
 
+/* A server that refused a request runs it at the second attempt, and sends the refusal once more before its response.
+ */
+static void
+test_refused_again (void)
+{
+  struct setup *setup = open_setup ();
+  put_server (setup, 1, "alpha", "draining");
+  harness_pause (DIRECTORY_UPDATE_MS);
+  set_behaviour (setup, REFUSES_ONCE);
+  check_response (setup, "POST", "/w/x");
+  g_assert_cmpuint (setup->servers[0].requests, ==, 2);
+  close_setup (setup);
+}
+
 /* A response without a length ends with its connection: complete after a close, truncated after a reset. */
 static void
 test_no_length (void)
@@ -1066,6 +1109,7 @@
   g_test_add_func ("/platform/broken", test_broken);
   g_test_add_func ("/platform/timeout", test_timeout);
   g_test_add_func ("/platform/extra-answers", test_extra_answers);
+  g_test_add_func ("/platform/refused-again", test_refused_again);
   g_test_add_func ("/platform/no-length", test_no_length);
   g_test_add_func ("/platform/malformed", test_malformed);
   g_test_add_func ("/platform/limits", test_limits);
--- a/tests/test-scripts.c
+++ b/tests/test-scripts.c
@@ -21,8 +21,8 @@
  *
  * Effects in an expected file:
  *   answer CALL STATUS OUTCOME TEXT                 the entry sends an error response of its own
- *   dispatch CALL.ATTEMPT SERVER [proved] remaining=MS
- *       proved: only on a new connection or one that lately carried a response
+ *   dispatch CALL.ATTEMPT SERVER [proved|fresh] remaining=MS
+ *       proved: only on a new connection or one that lately carried a response; fresh: only on a new connection
  *   cancel CALL.ATTEMPT
  *   relay CALL.ATTEMPT OUTCOME                      forwards the backend server's response
  *   cut CALL                                        aborts a response that is partly forwarded
@@ -98,6 +98,14 @@
   g_string_append_c (run->output, '\n');
 }
 
+static const char *
+connection_kind (const struct hf_effect *dispatch)
+{
+  if (dispatch->idle_max_ms == 0)
+    return " fresh";
+  return dispatch->idle_max_ms < HF_CONNECTION_IDLE_MS ? " proved" : "";
+}
+
 static void
 print_effect (struct script_run *run, const struct hf_effect *effect)
 {
@@ -112,8 +120,7 @@
       break;
     case HF_EFFECT_DISPATCH:
       g_string_append_printf (output, "  dispatch %d.%u %s%s remaining=%d\n", (int) effect->call, effect->attempt,
-                              server_name (run, effect->server),
-                              effect->idle_max_ms < HF_CONNECTION_IDLE_MS ? " proved" : "", (int) effect->remaining_ms);
+                              server_name (run, effect->server), connection_kind (effect), (int) effect->remaining_ms);
       break;
     case HF_EFFECT_CANCEL_ATTEMPT:
       g_string_append_printf (output, "  cancel %d.%u\n", (int) effect->call, effect->attempt);
