What follows a response never answers the next request of its connection

Callers would see: on the project's own interface, where backend servers repeat no id, the response to an earlier request of somebody else. On the users' platform such a response is skipped by its id.

Cause: the HTTP client ended a request, and kept its connection, while bytes behind the response were still to be parsed. The owner sends its next request in the callback, over that connection, and the bytes were parsed as the response to it. The same happened with bytes that had arrived in the socket and were not read yet.

Change: a request ends once the parser has returned; a connection with bytes left is closed. Before a kept connection is used, a look into the socket shows that neither bytes nor the end wait there.

Ruled out: bytes that are read while the connection is idle (it is closed then). A copy that arrives after the next request was written remains open on the project's own interface (docs/GUARANTEES.md).

Both tests failed before, /copies/one-read and /copies/while-idle, each with check_copies: assertion failed ("first 0\nfirst 0\n" == "first 0\nsecond 0\n").

--- a/src/hf-http-client.c
+++ b/src/hf-http-client.c
@@ -41,6 +41,7 @@
   int64_t idle_timeout_us; /* closed after this idle time, before the server closes it */
   bool connected;
   bool close_after_response;
+  bool response_complete; /* the request ends once the parser has returned */
   bool skipping_response; /* the response being received is informational (1xx) or belongs to an earlier request */
   unsigned skipped_responses;
   unsigned informational_responses;
@@ -147,15 +148,17 @@
   end_request (request, result, sent);
 }
 
+/* The owner may send its next request at once, so the connection is kept only if nothing follows the response. */
 static void
-finish_response (struct connection *connection)
+finish_response (struct connection *connection, bool has_more_bytes)
 {
   struct hf_http_client_request *request = connection->request;
   bool has_unsent_body = request->has_more_body || hf_stream_unsent_bytes (connection->stream) > 0;
   bool sent = hf_stream_has_sent (connection->stream);
   request->connection = NULL;
   connection->request = NULL;
-  if (connection->close_after_response || has_unsent_body)
+  connection->response_complete = false;
+  if (connection->close_after_response || has_unsent_body || has_more_bytes)
     close_connection (connection);
   else
     keep_connection (connection, g_get_monotonic_time ());
@@ -227,7 +230,7 @@
   struct connection *connection = context;
   if (connection->skipping_response || !connection->request || connection->request->cancelled)
     return;
-  finish_response (connection);
+  connection->response_complete = true;
 }
 
 static void
@@ -291,6 +294,8 @@
       bytes.len -= used;
       if (!connection->closed && free_cancelled_request (connection))
         break;
+      if (!connection->closed && connection->response_complete)
+        finish_response (connection, bytes.len > 0);
     }
 }
 
@@ -318,7 +323,7 @@
     {
       connection->close_after_response = true;
       if (is_complete && connection->request && connection->request->got_head && !connection->skipping_response)
-        finish_response (connection);
+        finish_response (connection, false);
       else
         fail_connection (connection);
     }
@@ -359,7 +364,8 @@
   while (idle_max_us > 0 && idle_pool->connections->len > 0)
     {
       const struct connection *last = g_ptr_array_index (idle_pool->connections, idle_pool->connections->len - 1);
-      bool is_usable = hf_stream_is_open (last->stream) && now - last->used_at < last->idle_timeout_us;
+      bool is_usable = hf_stream_is_open (last->stream) && now - last->used_at < last->idle_timeout_us
+                       && hf_stream_is_quiet (last->stream);
       if (is_usable && now - last->used_at > idle_max_us)
         return NULL;
       struct connection *connection = g_ptr_array_steal_index (idle_pool->connections, idle_pool->connections->len - 1);
--- a/src/hf-net.c
+++ b/src/hf-net.c
@@ -515,6 +515,14 @@
   return stream->handle.fd >= 0 && !stream->connecting && !stream->ended;
 }
 
+bool
+hf_stream_is_quiet (const struct hf_stream *stream)
+{
+  char byte;
+  return recv (stream->handle.fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) < 0
+         && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 void
 hf_stream_shutdown_write (struct hf_stream *stream)
 {
--- a/src/hf-net.h
+++ b/src/hf-net.h
@@ -72,6 +72,7 @@
 bool hf_stream_has_sent (const struct hf_stream *stream);             /* wrote a byte since hf_stream_clear_sent */
 void hf_stream_clear_sent (struct hf_stream *stream);                 /* resets hf_stream_has_sent */
 bool hf_stream_is_open (const struct hf_stream *stream);              /* established, not ended or closed */
+bool hf_stream_is_quiet (const struct hf_stream *stream);             /* no byte or end waits in the socket */
 void hf_stream_shutdown_write (struct hf_stream *stream); /* sends the end of the stream; reading continues */
 void hf_stream_close (struct hf_stream *stream);          /* closes in order; queued bytes are dropped */
 void hf_stream_reset (struct hf_stream *stream);          /* closes with a TCP reset */
--- a/tests/test-http-client.c
+++ b/tests/test-http-client.c
@@ -1,7 +1,8 @@
 /*
  * Tests of the HTTP client against a server that sends bytes which are no
  * response, without end. Each request must end within a bounded number of bytes
- * and of memory, and its connection must not be used again.
+ * and of memory, and its connection must not be used again. And against one
+ * that sends a response twice.
  */
 #include <glib.h>
 #include <malloc.h>
@@ -202,6 +203,107 @@
   hf_net_close (run.net);
 }
 
+/* --- tests: second copies of a response --- */
+
+#define FIRST_RESPONSE  "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"
+#define SECOND_RESPONSE "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond"
+
+struct copies_run
+{
+  struct run run;
+  guint first_copies;     /* sent in one write */
+  gboolean sends_at_once; /* the second request, when the first has ended */
+  guint ended;            /* requests */
+  GString *bodies;
+};
+
+static void
+on_copies_request (void *context, struct raw_connection *connection, const char *text)
+{
+  struct copies_run *copies = context;
+  (void) text;
+  if (++copies->run.requests > 1)
+    raw_connection_send (connection, SECOND_RESPONSE);
+  else
+    raw_connection_send (connection, "%s%s", FIRST_RESPONSE, copies->first_copies > 1 ? FIRST_RESPONSE : "");
+  copies->run.connection = connection;
+}
+
+static void send_for_copies (struct copies_run *copies);
+
+static void
+on_copies_body (void *context, struct hf_str bytes)
+{
+  struct copies_run *copies = context;
+  g_string_append_len (copies->bodies, bytes.data, (gssize) bytes.len);
+}
+
+static void
+on_copies_ended (void *context, enum hf_http_client_result result, bool sent)
+{
+  struct copies_run *copies = context;
+  g_assert_true (sent);
+  g_string_append_printf (copies->bodies, " %d\n", result);
+  if (++copies->ended == 1 && copies->sends_at_once)
+    send_for_copies (copies);
+}
+
+static const struct hf_http_client_callbacks copies_callbacks
+    = { .on_head = on_head, .on_body = on_copies_body, .on_ended = on_copies_ended };
+
+static void
+send_for_copies (struct copies_run *copies)
+{
+  struct hf_http_client_params params = { .address = hf_str (raw_server_address (copies->run.server)),
+                                          .head = hf_str ("GET / HTTP/1.1\r\nHost: h\r\n\r\n"),
+                                          .idle_max_us = HF_CONNECTION_IDLE_MS * HF_MS };
+  hf_http_client_send (copies->run.client, &params, &copies_callbacks, copies);
+}
+
+static void
+run_until_ended (struct copies_run *copies, guint n)
+{
+  for (guint i = 0; copies->ended < n && i < TURNS_MAX; i++)
+    g_main_context_iteration (NULL, TRUE);
+}
+
+/* Responses carry no id: the second request must not get a second copy of the first response. */
+static void
+check_copies (struct copies_run copies)
+{
+  copies.bodies = g_string_new (NULL);
+  copies.run.net = hf_net_open ();
+  copies.run.server = raw_server_open (copies.run.net, on_copies_request, &copies);
+  copies.run.client = hf_http_client_open (copies.run.net);
+  send_for_copies (&copies);
+  run_until_ended (&copies, 1);
+  if (!copies.sends_at_once)
+    {
+      raw_connection_send (copies.run.connection, FIRST_RESPONSE);
+      send_for_copies (&copies);
+    }
+  run_until_ended (&copies, 2);
+  g_assert_cmpstr (copies.bodies->str, ==, "first 0\nsecond 0\n");
+  hf_http_client_close (copies.run.client);
+  raw_server_close (copies.run.server);
+  hf_net_close (copies.run.net);
+  g_string_free (copies.bodies, TRUE);
+}
+
+static void
+test_copy_in_one_read (void)
+{
+  check_copies ((struct copies_run){ .first_copies = 2, .sends_at_once = TRUE });
+}
+
+static void
+test_copy_while_idle (void)
+{
+  check_copies ((struct copies_run){ .first_copies = 1 });
+}
+
+/* --- tests: the store --- */
+
 static void
 on_store_response (void *context, unsigned status, JsonObject *body)
 {
@@ -239,6 +341,8 @@
   g_test_add_func ("/endless/foreign-body", test_foreign_body);
   g_test_add_func ("/endless/chunk-framing", test_chunk_framing);
   g_test_add_func ("/endless/bytes-after-response", test_bytes_after_response);
+  g_test_add_func ("/copies/one-read", test_copy_in_one_read);
+  g_test_add_func ("/copies/while-idle", test_copy_while_idle);
   g_test_add_func ("/endless/store-response", test_store_response);
   return g_test_run ();
 }
