A response with a request's id is not taken for a health response

Callers saw nothing directly: a second copy of a response that arrived before the health response of the same connection was taken for it, so that its status and speed report stood for the server's. Likewise any response answered a request without an id.

Cause: only attempts with a request id compared it with the response's.

Change: one function of the header codec decides whether a response belongs to a request, and health requests and requests without an id use it too: the response to these has no id.

/platform/foreign-before-health failed before, three of three: "'strstr (explanation, "slowdown_percent=500")' should not be NULL".

--- a/src/hf-exchange.c
+++ b/src/hf-exchange.c
@@ -22,10 +22,7 @@
 accepts_response (void *context, const struct hf_http_head *head)
 {
   const struct hf_exchange *exchange = context;
-  struct hf_str echo = hf_http_head_field (head, exchange->codec->request_id_field);
-  if (!exchange->codec->echoes_request_id || exchange->request_id.len == 0)
-    return true;
-  return hf_str_equal (echo, exchange->request_id);
+  return hf_header_codec_is_response_to (exchange->codec, head, exchange->request_id);
 }
 
 static void
--- a/src/hf-header-codec.c
+++ b/src/hf-header-codec.c
@@ -51,6 +51,14 @@
 
 /* --- public functions --- */
 
+bool
+hf_header_codec_is_response_to (const struct hf_header_codec *codec,
+                                const struct hf_http_head *head,
+                                struct hf_str request_id)
+{
+  return !codec->echoes_request_id || hf_str_equal (hf_http_head_field (head, codec->request_id_field), request_id);
+}
+
 int64_t
 hf_header_codec_parse_number (struct hf_str text, int64_t max)
 {
--- a/src/hf-header-codec.h
+++ b/src/hf-header-codec.h
@@ -42,6 +42,10 @@
 
 /* --- public functions and data --- */
 
+/* Whether a response is the one to a request with this id (empty: none); true if the codec cannot tell. */
+bool hf_header_codec_is_response_to (const struct hf_header_codec *codec,
+                                     const struct hf_http_head *head,
+                                     struct hf_str request_id);
 extern const struct hf_header_codec hf_header_codec_default;            /* header fields of this project */
 int64_t hf_header_codec_parse_number (struct hf_str text, int64_t max); /* decimal number from 0 to max, else -1 */
 
--- a/src/hf-proxy.c
+++ b/src/hf-proxy.c
@@ -453,6 +453,13 @@
 
 /* --- internal functions: probes --- */
 
+static bool
+accepts_probe_response (void *context, const struct hf_http_head *head)
+{
+  const struct probe *probe = context;
+  return hf_header_codec_is_response_to (probe->proxy->codec, head, (struct hf_str){ 0 });
+}
+
 static void
 on_probe_head (void *context, const struct hf_http_head *head)
 {
@@ -483,8 +490,10 @@
   hf_loop_raise_event (proxy->loop, event);
 }
 
-static const struct hf_http_client_callbacks probe_callbacks
-    = { .on_head = on_probe_head, .on_body = on_probe_body, .on_ended = on_probe_ended };
+static const struct hf_http_client_callbacks probe_callbacks = { .accepts_response = accepts_probe_response,
+                                                                 .on_head = on_probe_head,
+                                                                 .on_body = on_probe_body,
+                                                                 .on_ended = on_probe_ended };
 
 static void
 send_probe (struct hf_proxy *proxy, const struct hf_effect *effect)
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -53,7 +53,8 @@
   struct raw_server *raw_server;
   char name[16];
   enum server_behaviour behaviour;
-  guint slowdown_percent; /* current latency in percent of the usual, as health responses report it; 0: 100 */
+  gboolean copies_into_health; /* a response to another request precedes each of its health responses */
+  guint slowdown_percent;      /* current latency in percent of the usual, as health responses report it; 0: 100 */
   guint requests;
   GString *last_request;
   struct raw_connection *last_connection; /* of the last request */
@@ -172,6 +173,8 @@
   struct backend_server *server = context;
   if (g_str_has_prefix (text, "GET /health "))
     {
+      if (server->copies_into_health)
+        send_response (connection, "another", "not yours");
       raw_connection_send (
           connection, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\nX-Backend-Load: 0,0,3,%u\r\nContent-Length: 0\r\n\r\n",
           server->name, server->slowdown_percent ? server->slowdown_percent : 100);
@@ -867,6 +870,25 @@
   close_setup (setup);
 }
 
+/* A response to a request that comes before the health response says nothing about the server's health. */
+static void
+test_foreign_before_health (void)
+{
+  struct setup *setup = open_setup ();
+  for (guint i = 0; i < SERVERS; i++)
+    {
+      setup->servers[i].slowdown_percent = 500;
+      setup->servers[i].copies_into_health = TRUE;
+    }
+  g_assert_cmpuint (request_status (setup, "GET", "/r/x", ""), ==, 200);
+  harness_pause (300);
+  g_assert_cmpuint (request_status (setup, "GET", "/r/x", ""), ==, 200);
+  char *explanation = explain (setup, setup->next_id);
+  g_assert_nonnull (strstr (explanation, "slowdown_percent=500"));
+  g_free (explanation);
+  close_setup (setup);
+}
+
 /* A response without a length ends with its connection: complete after a close, truncated after a reset. */
 static void
 test_no_length (void)
@@ -1110,6 +1132,7 @@
   g_test_add_func ("/platform/timeout", test_timeout);
   g_test_add_func ("/platform/extra-answers", test_extra_answers);
   g_test_add_func ("/platform/refused-again", test_refused_again);
+  g_test_add_func ("/platform/foreign-before-health", test_foreign_before_health);
   g_test_add_func ("/platform/no-length", test_no_length);
   g_test_add_func ("/platform/malformed", test_malformed);
   g_test_add_func ("/platform/limits", test_limits);
