Test: a response that ends at any byte is never taken for a whole one

The report of another operator (a backend server stopped in the middle of its response head and closed; callers got a 200 with an empty or short body) does not happen here: the parser reports a head only when it is complete, and the end of a connection completes a response only if it has no length and the end was orderly.

/cut/anywhere ends thirteen responses (with length, chunked, without length, HTTP/1.0, HEAD, 204, 304, after informational responses) at each byte, in order and by a reset, and compares result and body with a naive reading.

--- a/tests/test-http-client.c
+++ b/tests/test-http-client.c
@@ -302,6 +302,125 @@
   check_copies ((struct copies_run){ .first_copies = 1 });
 }
 
+/* --- tests: responses that end early --- */
+
+/* A response, and what a reader that looks at nothing but these parts makes of its first bytes. */
+struct sample
+{
+  const char *head; /* with informational responses before it */
+  const char *wire; /* the body with its coding */
+  const char *body;
+  gboolean ends_by_close; /* the body has no length */
+  gboolean answers_head;  /* response to HEAD */
+};
+
+struct cut_run
+{
+  struct run run;
+  const struct sample *sample;
+  size_t bytes; /* of the response that the server sends */
+  GString *body;
+};
+
+static void
+on_cut_request (void *context, struct raw_connection *connection, const char *text)
+{
+  struct cut_run *cut = context;
+  char *response = g_strconcat (cut->sample->head, cut->sample->wire, NULL);
+  (void) text;
+  cut->run.connection = connection;
+  raw_connection_send (connection, "%.*s", (int) cut->bytes, response);
+  g_free (response);
+}
+
+static void
+on_cut_body (void *context, struct hf_str bytes)
+{
+  struct cut_run *cut = context;
+  g_string_append_len (cut->body, bytes.data, (gssize) bytes.len);
+}
+
+static const struct hf_http_client_callbacks cut_callbacks
+    = { .on_head = on_head, .on_body = on_cut_body, .on_ended = on_ended };
+
+static enum hf_http_client_result
+expected_result (const struct sample *sample, size_t bytes, gboolean reset)
+{
+  size_t head_bytes = strlen (sample->head);
+  if (bytes < head_bytes)
+    return HF_HTTP_CLIENT_BROKEN;
+  if (sample->ends_by_close)
+    return reset ? HF_HTTP_CLIENT_TRUNCATED : HF_HTTP_CLIENT_COMPLETE;
+  return bytes == head_bytes + strlen (sample->wire) ? HF_HTTP_CLIENT_COMPLETE : HF_HTTP_CLIENT_TRUNCATED;
+}
+
+/* The server sends the first bytes of a response, which the client reads, and ends the connection. */
+static void
+check_cut (struct cut_run *cut, gboolean reset)
+{
+  const struct sample *sample = cut->sample;
+  struct hf_http_client_params params = { .address = hf_str (raw_server_address (cut->run.server)),
+                                          .head = hf_str ("GET / HTTP/1.1\r\nHost: h\r\n\r\n"),
+                                          .response_has_no_body = sample->answers_head };
+  cut->run.ended = FALSE;
+  cut->run.connection = NULL;
+  g_string_truncate (cut->body, 0);
+  hf_http_client_send (cut->run.client, &params, &cut_callbacks, cut);
+  for (guint i = 0; i < TURNS_MAX && (!cut->run.connection || g_main_context_pending (NULL)); i++)
+    g_main_context_iteration (NULL, !cut->run.connection);
+  raw_connection_close (cut->run.connection, reset);
+  for (guint i = 0; i < TURNS_MAX && !cut->run.ended; i++)
+    g_main_context_iteration (NULL, TRUE);
+  g_assert_true (cut->run.ended);
+  g_assert_cmpint (cut->run.result, ==, expected_result (sample, cut->bytes, reset));
+  if (cut->run.result == HF_HTTP_CLIENT_COMPLETE && !sample->ends_by_close)
+    g_assert_cmpstr (cut->body->str, ==, sample->body);
+  else if (cut->run.result == HF_HTTP_CLIENT_COMPLETE)
+    g_assert_cmpuint (cut->body->len, ==, cut->bytes - strlen (sample->head));
+  g_assert_true (g_str_has_prefix (sample->body, cut->body->str));
+}
+
+static void
+test_cut_anywhere (void)
+{
+  static const struct sample samples[] = {
+    { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Id: own\r\n\r\n", "hello", "hello", FALSE, FALSE },
+    { "HTTP/1.1 200 OK\r\nX-Id: own\r\nContent-Length: 0\r\n\r\n", "", "", FALSE, FALSE },
+    { "HTTP/1.1 200 OK\r\nX-Id: own\r\nContent-Length: 15\r\n\r\n", "hello\r\n\r\nhello\n", "hello\r\n\r\nhello\n",
+      FALSE, FALSE },
+    { "HTTP/1.0 200 OK\r\nContent-Length: 5\r\nConnection: keep-alive\r\n\r\n", "hello", "hello", FALSE, FALSE },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\nhello\r\n1;a=b\r\n!\r\n0\r\nX: y\r\n\r\n",
+      "hello!", FALSE, FALSE },
+    { "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\nX: y\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: "
+      "2\r\n\r\n",
+      "ok", "ok", FALSE, FALSE },
+    { "HTTP/1.1 200 OK\r\nX-Id: own\r\nConnection: close\r\n\r\n", "hello", "hello", TRUE, FALSE },
+    { "HTTP/1.0 200 OK\r\nX-Id: own\r\n\r\n", "hello", "hello", TRUE, FALSE },
+    { "HTTP/1.1 204 No Content\r\nX-Id: own\r\n\r\n", "", "", FALSE, FALSE },
+    { "HTTP/1.1 304 Not Modified\r\nX-Id: own\r\n\r\n", "", "", FALSE, FALSE },
+    { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "", "", FALSE, TRUE },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "", "", FALSE, TRUE },
+    { "HTTP/1.1 503 Full\r\nX-Id: own\r\nContent-Length: 4\r\n\r\n", "full", "full", FALSE, FALSE },
+  };
+  struct cut_run cut = { .body = g_string_new (NULL) };
+  cut.run.net = hf_net_open ();
+  cut.run.server = raw_server_open (cut.run.net, on_cut_request, &cut);
+  cut.run.client = hf_http_client_open (cut.run.net);
+  for (guint i = 0; i < G_N_ELEMENTS (samples); i++)
+    {
+      cut.sample = &samples[i];
+      for (cut.bytes = 0; cut.bytes <= strlen (samples[i].head) + strlen (samples[i].wire); cut.bytes++)
+        {
+          check_cut (&cut, FALSE);
+          check_cut (&cut, TRUE);
+        }
+    }
+  hf_http_client_close (cut.run.client);
+  raw_server_close (cut.run.server);
+  hf_net_close (cut.run.net);
+  g_string_free (cut.body, TRUE);
+}
+
 /* --- tests: the store --- */
 
 static void
@@ -341,6 +460,7 @@
   g_test_add_func ("/endless/foreign-body", test_foreign_body);
   g_test_add_func ("/endless/chunk-framing", test_chunk_framing);
   g_test_add_func ("/endless/bytes-after-response", test_bytes_after_response);
+  g_test_add_func ("/cut/anywhere", test_cut_anywhere);
   g_test_add_func ("/copies/one-read", test_copy_in_one_read);
   g_test_add_func ("/copies/while-idle", test_copy_while_idle);
   g_test_add_func ("/endless/store-response", test_store_response);
