A 304 or 204 response has no body, whatever its head declares

Callers would see: 502 or 504 in place of a 304 that declares the length of the body it stands for, which HTTP allows.

Cause: the parser library reads a body of the declared length after a 304 or 204. The HTTP client waited for bytes that never come, or took those of the next response for them.

Change: the client skips the body of these two, also when the response belongs to an earlier request. The function is the one that the server side used.

--- a/src/hf-http-client.c
+++ b/src/hf-http-client.c
@@ -200,7 +200,7 @@
       connection->skipping_response = true;
       connection->close_after_response = true;
       connection->skipped_responses++;
-      return true;
+      return !hf_http_status_has_no_body (head->status);
     }
   if (!head->keep_alive)
     connection->close_after_response = true;
@@ -209,7 +209,7 @@
   request->in_callback = true;
   request->callbacks->on_head (request->context, head);
   request->in_callback = false;
-  return !request->response_has_no_body;
+  return !request->response_has_no_body && !hf_http_status_has_no_body (head->status);
 }
 
 static void
--- a/src/hf-http-connection.c
+++ b/src/hf-http-connection.c
@@ -572,7 +572,7 @@
 void
 hf_http_response_start (struct hf_http_request *request, unsigned status, struct hf_str fields, int64_t length)
 {
-  bool has_no_body = status == 204 || status == 304;
+  bool has_no_body = hf_http_status_has_no_body (status);
   /* The rest of an incomplete request body would be parsed as the next request. */
   request->keep_alive = may_keep_alive (request);
   request->response_started = true;
--- a/src/hf-http-head.c
+++ b/src/hf-http-head.c
@@ -156,6 +156,12 @@
   return lengths + codings <= 1;
 }
 
+bool
+hf_http_status_has_no_body (unsigned status)
+{
+  return status == 204 || status == 304;
+}
+
 bool
 hf_http_head_expects_continue (const struct hf_http_head *head)
 {
--- a/src/hf-http-head.h
+++ b/src/hf-http-head.h
@@ -60,6 +60,7 @@
 void hf_http_append_field (GString *text, const char *name, struct hf_str value); /* appends "name: value" CR LF */
 bool hf_http_head_has_clear_length (const struct hf_http_head *head); /* its body length cannot be read in two ways */
 bool hf_http_head_expects_continue (const struct hf_http_head *head); /* the body follows after 100 Continue */
+bool hf_http_status_has_no_body (unsigned status);                    /* whatever the head declares */
 
 /* --- public functions: heads to be sent --- */
 
