Test: no cut response of a backend server reaches a caller as a whole one

The same as /cut/anywhere of the HTTP client, through the real process: a response of a request that must not be repeated ends at each of its bytes, in order and by a reset.

--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -26,7 +26,8 @@
 #define SPLIT_REQUESTS          400
 #define SILENT_CHECKS           14 /* in SILENT_CHECKS_TIMEOUT_S; one after the other, each with its timeout, at most 9 fit */
 #define SILENT_CHECKS_TIMEOUT_S 10
-#define INITIAL_RETRIES         4 /* in the retry budget of a service at its start */
+#define CUT_BYTES_MAX           100 /* longer than the shortest response that is cut */
+#define INITIAL_RETRIES         4   /* in the retry budget of a service at its start */
 
 /* --- types --- */
 
@@ -44,6 +45,7 @@
   REFUSES_ONCE,                 /* the first request; sends that 503 again before the next response of the connection */
   ENDS_BY_CLOSE,                /* response without length, ended by a close */
   ENDS_BY_RESET,                /* response without length, ended by a reset */
+  ENDS_EARLY,                   /* after cut_bytes of its response */
   SENDS_NON_HTTP,
 };
 
@@ -53,6 +55,8 @@
   struct raw_server *raw_server;
   char name[16];
   enum server_behaviour behaviour;
+  gsize cut_bytes;
+  gboolean cuts_by_reset;
   gboolean copies_into_health; /* a response to another request precedes each of its health responses */
   guint slowdown_percent;      /* current latency in percent of the usual, as health responses report it; 0: 100 */
   guint requests;
@@ -122,6 +126,18 @@
   send_response (connection, id, "hello");
 }
 
+/* Sends the first bytes of a response, and ends the connection. */
+static void
+end_early (const struct backend_server *server, struct raw_connection *connection, const char *id)
+{
+  char *response = g_strdup_printf ("HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nX-Attempt-Id: %s\r\n"
+                                    "Content-Length: 5\r\n\r\nhello",
+                                    id);
+  raw_connection_send (connection, "%.*s", (int) MIN (server->cut_bytes, strlen (response) - 1), response);
+  raw_connection_close (connection, server->cuts_by_reset);
+  g_free (response);
+}
+
 static void
 respond_as_told (struct backend_server *server, struct raw_connection *connection, const char *id)
 {
@@ -161,6 +177,9 @@
       raw_connection_send (connection, response_without_length, id);
       raw_connection_close (connection, server->behaviour == ENDS_BY_RESET);
       break;
+    case ENDS_EARLY:
+      end_early (server, connection, id);
+      break;
     case SENDS_NON_HTTP:
       raw_connection_send (connection, "220 this is another protocol\r\n\r\n");
       break;
@@ -889,6 +908,30 @@
   close_setup (setup);
 }
 
+/* A response that ends at any byte, in order or by a reset: the caller gets no 200. */
+static void
+test_cut_anywhere (void)
+{
+  struct setup *setup = open_setup ();
+  guint before = count_requests (setup);
+  guint sent = 0;
+  set_behaviour (setup, ENDS_EARLY);
+  for (gsize bytes = 0; bytes < CUT_BYTES_MAX; bytes++)
+    for (guint reset = 0; reset < 2; reset++)
+      {
+        char path[32];
+        g_snprintf (path, sizeof path, "/w/%u", ++sent); /* the same request again would be quarantined */
+        for (guint i = 0; i < SERVERS; i++)
+          {
+            setup->servers[i].cut_bytes = bytes;
+            setup->servers[i].cuts_by_reset = reset > 0;
+          }
+        g_assert_cmpuint (request_status (setup, "POST", path, "b"), ==, 502);
+      }
+  g_assert_cmpuint (count_requests (setup), ==, before + sent);
+  close_setup (setup);
+}
+
 /* A response without a length ends with its connection: complete after a close, truncated after a reset. */
 static void
 test_no_length (void)
@@ -1133,6 +1176,7 @@
   g_test_add_func ("/platform/extra-answers", test_extra_answers);
   g_test_add_func ("/platform/refused-again", test_refused_again);
   g_test_add_func ("/platform/foreign-before-health", test_foreign_before_health);
+  g_test_add_func ("/platform/cut-anywhere", test_cut_anywhere);
   g_test_add_func ("/platform/no-length", test_no_length);
   g_test_add_func ("/platform/malformed", test_malformed);
   g_test_add_func ("/platform/limits", test_limits);
