From SIGTERM on only calls that can end before the exit are accepted

Callers saw: during a planned stop, requests that came late were passed on to a backend server, and at the end of grace_ms their connections were closed without a response, also for requests that must not be repeated.

Cause: the reducer did not know when the process exits. It accepted each request that arrived, gave its server the whole deadline of the class, and the loop left at the shutdown timeout with whatever was in flight.

Ruled out: requests accepted well before the end (they were answered, tests /platform/shutdown and /shutdown/rolling).

Change (hf-shutdown, docs/DESIGN.md "Shutdown"): a call is accepted if its deadline lies before the exit, or if it may be repeated and the 0.99 quantile of its class's latency does; any other is refused at once, with a short Retry-After. Deadlines are cut to 100 ms before the exit, those of the servers to 100 ms before that. So a call that still runs gets 504 with the outcome unknown, one that waits for a slot 503, and one whose body is still arriving 503, before the process exits. A slot that is granted too late is returned.

Failed before: /platform/shutdown-late with "(raw_client_status (client) == 503): (0 == 503)" and "(count_requests (setup) == before): (62 == 61)"; /platform/shutdown-last-answers with "(raw_client_status (running) == 504): (0 == 504)" and "(raw_client_status (arriving) == 503): (0 == 503)". /scripts/shutdown-late and /units/latency-quantile are new with the change. test-scripts runs with a grace of 5 s, which no earlier script reaches. test-platform: the settings of the entry in its tests can be chosen.

--- a/src/config.h
+++ b/src/config.h
@@ -31,6 +31,7 @@
 #define HF_RETRY_AFTER_DIVISOR    3  /* Retry-After is spread over about 1 / this of the caller's remaining time */
 #define HF_RETRY_AFTER_RANKS      3  /* priorities that Retry-After distinguishes */
 #define HF_RETRY_AFTER_STARTUP_MS 150  /* while a starting process loads the configuration */
+#define HF_RETRY_AFTER_LEAVING_MS 20   /* another entry serves the request */
 #define HF_RETRY_AFTER_DEFAULT_MS 1000 /* for errors without a more specific value */
 
 /* Connections to backend servers. */
@@ -50,6 +51,7 @@
 #define HF_LOG_SAMPLE_DIVISOR    16          /* under load, successes are logged for one request in this many */
 
 /* Latency histograms. */
+#define HF_LATENCY_SAMPLES_MIN 50 /* durations before a quantile of them is known */
 #define HF_LATENCY_CLASSES_MAX 64 /* request classes with their own histograms */
 
 /* Attempts. */
@@ -216,7 +218,9 @@
 #define HF_PROBE_TIMEOUT_SEC 1
 
 /* Shutdown. */
-#define HF_SHUTDOWN_TIMEOUT_SEC 60  /* default of the setting grace_ms */
-#define HF_EXIT_POLL_MS         100 /* interval between checks for calls in flight */
+#define HF_SHUTDOWN_TIMEOUT_SEC  60   /* default of the setting grace_ms */
+#define HF_EXIT_POLL_MS          100  /* interval between checks for calls in flight */
+#define HF_EXIT_FLUSH_MS         100  /* before the exit, to write the last responses */
+#define HF_EXIT_LATENCY_QUANTILE 0.99 /* of a class's latency: a call that ends in time with it is accepted */
 
 #endif
--- a/src/hf-calls.c
+++ b/src/hf-calls.c
@@ -8,6 +8,7 @@
 #include "hf-quarantine.h"
 #include "hf-reduce.h"
 #include "hf-routing.h"
+#include "hf-shutdown.h"
 #include "hf-slices.h"
 #include "hf-slots.h"
 #include "hf-status.h"
@@ -121,6 +122,16 @@
   remove_call (state, call);
 }
 
+/* The caller sends the request to another entry, which need not wait for it. */
+static void
+refuse_at_shutdown (struct hf_state *state, struct hf_call *call)
+{
+  int64_t retry_after_ms = call->class->aim_ms > 0 ? HF_RETRY_AFTER_LEAVING_MS : HF_RETRY_AFTER_DEFAULT_MS;
+  hf_trace_request_failed (state, call, 503, HF_OUTCOME_NOT_RUN, retry_after_ms, "shutting down");
+  send_error (state, call->id, 503, HF_OUTCOME_NOT_RUN, retry_after_ms, "shutting down");
+  remove_call (state, call);
+}
+
 /* Stops the other attempts: the caller gets the response of attempt @i. */
 static void
 relay_response (struct hf_state *state, struct hf_call *call, unsigned i, enum hf_outcome outcome)
@@ -193,7 +204,7 @@
     .attempt = i,
     .server = server->id,
     .idle_max_ms = connection_idle_max_ms (call, i, server->id),
-    .remaining_ms = MAX (1, (call->deadline - state->now) / HF_MS),
+    .remaining_ms = MAX (1, (hf_shutdown_server_deadline (state, call) - state->now) / HF_MS),
   };
   effect.address = hf_effects_copy (state->effects, server->address);
   effect.name = hf_effects_copy (state->effects, server->name);
@@ -515,6 +526,11 @@
   struct hf_call *call = add_call (state, event, &target);
   call->fingerprint = fingerprint;
   hf_trace_request_routed (state, call);
+  if (!hf_shutdown_accept (state, call))
+    {
+      refuse_at_shutdown (state, call);
+      return;
+    }
   if (!call->class->repeatable && event->request.idempotency_key.len > 0)
     hf_claims_begin (state, call, event->request.idempotency_key);
   else
@@ -614,17 +630,20 @@
     {
       /* The granter has no report yet that the server is draining. */
       attempt->excluded_server = decision->server;
-      attempt->server = decision->server;
-      bool ignored_refusals = call->ignore_refusals;
-      call->ignore_refusals = true;
-      hf_slots_release (state, call, i, HF_SLOT_UNUSED);
-      call->ignore_refusals = ignored_refusals;
+      hf_slots_return (state, call, i, decision->server);
       attempt->slot_resend_timer
           = hf_state_start_timer (state, HF_GRANT_RESEND_MS * HF_MS, HF_TIMER_SLOT_RESEND, call->id, i);
       attempt->queued = false;
       attempt->slot_requested_at = state->now;
       return true;
     }
+  if (server && !hf_shutdown_may_dispatch (state, call))
+    {
+      hf_slots_return (state, call, i, decision->server);
+      attempt->phase = HF_PHASE_ENDED;
+      handle_refusal (state, call, i, HF_REFUSAL_DEADLINE);
+      return true;
+    }
   if (server)
     {
       dispatch (state, call, i, server);
--- a/src/hf-event.h
+++ b/src/hf-event.h
@@ -214,21 +214,22 @@
 /** enum hf_effect_kind - actions for the event loop */
 enum hf_effect_kind
 {
-  HF_EFFECT_SEND_ERROR,     /* send the caller an error response */
-  HF_EFFECT_DISPATCH,       /* send the request to a backend server */
-  HF_EFFECT_CANCEL_ATTEMPT, /* stop an attempt */
-  HF_EFFECT_RELAY_RESPONSE, /* relay the attempt's response to the caller */
-  HF_EFFECT_ABORT_RESPONSE, /* close the caller's connection mid-response, so that it sees an error */
-  HF_EFFECT_SEND_MESSAGE,   /* send a message to an entry */
-  HF_EFFECT_CALL_PLATFORM,  /* call the platform's object API */
-  HF_EFFECT_SEND_PROBE,     /* request a backend server's health path */
-  HF_EFFECT_RECONNECT,      /* replace the connections to a backend server */
-  HF_EFFECT_LOG,            /* write a log line */
-  HF_EFFECT_SET_WAKEUP,     /* raise a TICK event at a time */
-  HF_EFFECT_EXIT,           /* end the process once no call is in flight, or at the shutdown timeout */
-  HF_EFFECT_SET_LIMITS,     /* change the limits on callers' requests */
-  HF_EFFECT_SET_WATCH,      /* change how the platform's directory is watched */
-  HF_EFFECT_READ_DOCUMENT,  /* read the configuration from the platform once */
+  HF_EFFECT_SEND_ERROR,        /* send the caller an error response */
+  HF_EFFECT_DISPATCH,          /* send the request to a backend server */
+  HF_EFFECT_CANCEL_ATTEMPT,    /* stop an attempt */
+  HF_EFFECT_RELAY_RESPONSE,    /* relay the attempt's response to the caller */
+  HF_EFFECT_ABORT_RESPONSE,    /* close the caller's connection mid-response, so that it sees an error */
+  HF_EFFECT_SEND_MESSAGE,      /* send a message to an entry */
+  HF_EFFECT_CALL_PLATFORM,     /* call the platform's object API */
+  HF_EFFECT_SEND_PROBE,        /* request a backend server's health path */
+  HF_EFFECT_RECONNECT,         /* replace the connections to a backend server */
+  HF_EFFECT_LOG,               /* write a log line */
+  HF_EFFECT_SET_WAKEUP,        /* raise a TICK event at a time */
+  HF_EFFECT_EXIT,              /* end the process once no call is in flight, or at the shutdown timeout */
+  HF_EFFECT_REJECT_INCOMPLETE, /* send an error to callers whose request has not arrived completely */
+  HF_EFFECT_SET_LIMITS,        /* change the limits on callers' requests */
+  HF_EFFECT_SET_WATCH,         /* change how the platform's directory is watched */
+  HF_EFFECT_READ_DOCUMENT,     /* read the configuration from the platform once */
 };
 
 /** struct hf_effect - one effect; only the members that its kind needs are set */
--- a/src/hf-latency.c
+++ b/src/hf-latency.c
@@ -78,6 +78,23 @@
   return histograms;
 }
 
+/* The upper limit of the bucket that holds the quantile. */
+static int64_t
+quantile_us (const struct stage_histogram *histogram, double quantile)
+{
+  double cumulative = 0;
+  double upper = 0;
+  for (size_t i = 0; i < gsl_histogram_bins (histogram->buckets); i++)
+    {
+      double lower;
+      gsl_histogram_get_range (histogram->buckets, i, &lower, &upper);
+      cumulative += gsl_histogram_get (histogram->buckets, i);
+      if (cumulative >= quantile * (double) histogram->count)
+        break;
+    }
+  return (int64_t) (upper * 1000.0);
+}
+
 static void
 write_histogram (GString *text, const char *class, const char *stage, const struct stage_histogram *histogram)
 {
@@ -129,6 +146,20 @@
   histogram->count++;
 }
 
+int64_t
+hf_latency_quantile (const struct hf_latency *latency,
+                     struct hf_str class,
+                     enum hf_latency_stage stage,
+                     double quantile)
+{
+  char *name = g_strndup (class.data, class.len);
+  const struct class_histograms *histograms = g_hash_table_lookup (latency->classes, name);
+  g_free (name);
+  if (!histograms || histograms->by_stage[stage].count < HF_LATENCY_SAMPLES_MIN)
+    return -1;
+  return quantile_us (&histograms->by_stage[stage], quantile);
+}
+
 void
 hf_latency_write (const struct hf_latency *latency, GString *text)
 {
--- a/src/hf-latency.h
+++ b/src/hf-latency.h
@@ -35,6 +35,11 @@
 
 /* Adds one duration in microseconds. Classes beyond HF_LATENCY_CLASSES_MAX share one histogram. */
 void hf_latency_record (struct hf_latency *latency, struct hf_str class, enum hf_latency_stage stage, int64_t us);
+/* A quantile from 0 to 1 in microseconds; -1: not known, with too few durations. */
+int64_t hf_latency_quantile (const struct hf_latency *latency,
+                             struct hf_str class,
+                             enum hf_latency_stage stage,
+                             double quantile);
 void hf_latency_write (const struct hf_latency *latency, GString *text); /* Prometheus text format, seconds */
 
 #endif
--- a/src/hf-loop.c
+++ b/src/hf-loop.c
@@ -70,6 +70,9 @@
     case HF_EFFECT_READ_DOCUMENT:
       hf_adapter_read_document (loop->adapter);
       break;
+    case HF_EFFECT_REJECT_INCOMPLETE:
+      hf_proxy_reject_incomplete (loop->proxy);
+      break;
     case HF_EFFECT_EXIT:
       loop->exiting = true;
       hf_proxy_stop (loop->proxy);
@@ -163,11 +166,8 @@
   hf_effects_init (&effects);
   event.now = hf_loop_now ();
   event.wall_time = g_get_real_time ();
-  if (event.kind == HF_EVENT_SHUTDOWN && !hf_state_is_leaving (loop->state))
-    {
-      loop->exit_deadline = event.now + loop->settings.shutdown_timeout_ms * HF_MS;
-      hf_proxy_end_keep_alive (loop->proxy);
-    }
+  if (event.kind == HF_EVENT_SHUTDOWN)
+    hf_proxy_end_keep_alive (loop->proxy);
   hf_reduce (loop->state, &event, &effects);
   for (guint i = 0; i < effects.items->len; i++)
     apply_effect (loop, &g_array_index (effects.items, struct hf_effect, i));
@@ -179,7 +179,7 @@
 {
   if (!loop->exiting)
     return;
-  if (hf_proxy_in_flight (loop->proxy) == 0 || hf_loop_now () >= loop->exit_deadline)
+  if (hf_proxy_in_flight (loop->proxy) == 0 || hf_loop_now () >= hf_state_exit_at (loop->state))
     g_main_loop_quit (loop->main_loop);
   else if (!loop->exit_timer)
     loop->exit_timer = g_timeout_add (HF_EXIT_POLL_MS, on_exit_timer, loop);
--- a/src/hf-loop.h
+++ b/src/hf-loop.h
@@ -30,7 +30,6 @@
  * @main_loop: GLib main loop; the owner of this struct runs it
  * @tick_source: timer that raises a TICK event
  * @exiting: leaves the main loop once no request is in flight
- * @exit_deadline: monotonic time in microseconds at which it leaves in any case
  * @exit_timer: GLib source that checks for the exit; 0: none
  */
 struct hf_loop
@@ -45,7 +44,6 @@
   GMainLoop *main_loop;
   GSource *tick_source;
   bool exiting;
-  int64_t exit_deadline;
   unsigned exit_timer;
 };
 
@@ -55,7 +53,7 @@
 bool hf_loop_open (struct hf_loop *loop, const struct hf_settings *settings, struct hf_error *error);
 void hf_loop_close (struct hf_loop *loop);                              /* closes sockets, frees the state */
 void hf_loop_raise_event (struct hf_loop *loop, struct hf_event event); /* reduces it, applies the effects */
-void hf_loop_check_exit (struct hf_loop *loop); /* if exiting: quits once idle, or at exit_deadline */
+void hf_loop_check_exit (struct hf_loop *loop); /* if exiting: quits once idle, or when the time is up */
 int64_t hf_loop_now (void);                     /* monotonic time in microseconds */
 
 #endif
--- a/src/hf-proxy.c
+++ b/src/hf-proxy.c
@@ -609,6 +609,20 @@
   hf_http_server_end_keep_alive (proxy->http_server);
 }
 
+void
+hf_proxy_reject_incomplete (struct hf_proxy *proxy)
+{
+  const struct hf_effect error = { .status = 503, .outcome = HF_OUTCOME_NOT_RUN, .text = hf_str ("shutting down") };
+  GList *calls = g_hash_table_get_values (proxy->calls);
+  for (GList *item = calls; item; item = item->next)
+    {
+      struct call *call = item->data;
+      if (!call->reported)
+        send_error_response (call, &error);
+    }
+  g_list_free (calls);
+}
+
 void
 hf_proxy_stop (struct hf_proxy *proxy)
 {
--- a/src/hf-proxy.h
+++ b/src/hf-proxy.h
@@ -25,8 +25,9 @@
 struct hf_str hf_proxy_address (const struct hf_proxy *proxy); /* listening address, IP:PORT */
 unsigned hf_proxy_in_flight (const struct hf_proxy *proxy);    /* requests in progress */
 void hf_proxy_set_limits (struct hf_proxy *proxy, struct hf_http_server_limits limits); /* limits on requests */
-void hf_proxy_end_keep_alive (struct hf_proxy *proxy); /* further responses close their connection */
-void hf_proxy_stop (struct hf_proxy *proxy);           /* accepts no new connection or request */
+void hf_proxy_end_keep_alive (struct hf_proxy *proxy);    /* further responses close their connection */
+void hf_proxy_reject_incomplete (struct hf_proxy *proxy); /* error response to each request that is still arriving */
+void hf_proxy_stop (struct hf_proxy *proxy);              /* accepts no new connection or request */
 /* Applies SEND_ERROR, DISPATCH, CANCEL_ATTEMPT, RELAY_RESPONSE, ABORT_RESPONSE, SEND_PROBE and RECONNECT. */
 void hf_proxy_apply_effect (struct hf_proxy *proxy, const struct hf_effect *effect);
 
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -14,6 +14,7 @@
 #include "hf-quarantine.h"
 #include "hf-roles.h"
 #include "hf-routing.h"
+#include "hf-shutdown.h"
 #include "hf-slots.h"
 #include "hf-status.h"
 
@@ -117,6 +118,9 @@
     case HF_TIMER_DIRECTORY_EXPIRE:
       hf_directory_remove_expired (state);
       break;
+    case HF_TIMER_LAST_RESPONSES:
+      hf_effects_add (state->effects, (struct hf_effect){ .kind = HF_EFFECT_REJECT_INCOMPLETE });
+      break;
     case HF_TIMER_EXIT:
       hf_effects_add (state->effects, (struct hf_effect){ .kind = HF_EFFECT_EXIT });
       break;
@@ -196,19 +200,6 @@
     hf_config_sync_handle_platform (state, event);
 }
 
-static void
-handle_shutdown (struct hf_state *state)
-{
-  if (state->leaving)
-    return;
-  state->leaving = true;
-  state->roles.update_pending = true;
-  hf_state_log (state, HF_LOG_SHUTDOWN, "the health check fails from now on; accepting requests for another %d ms",
-                (int) state->drain_wait_ms);
-  hf_members_send_heartbeats (state, false);
-  hf_state_start_timer (state, state->drain_wait_ms * HF_MS, HF_TIMER_EXIT, 0, 0);
-}
-
 /* After the list of entries is complete, sends a heartbeat to each heartbeat peer that is not known to be alive. */
 static void
 handle_list (struct hf_state *state, const struct hf_event *event)
@@ -269,7 +260,7 @@
       handle_list (state, event);
       break;
     case HF_EVENT_SHUTDOWN:
-      handle_shutdown (state);
+      hf_shutdown_begin (state);
       break;
     }
 }
@@ -305,6 +296,7 @@
   state->address = hf_str_dup (settings->peer_address);
   state->cpu_share = settings->cpu_share;
   state->drain_wait_ms = settings->drain_wait_ms;
+  state->shutdown_timeout_ms = settings->shutdown_timeout_ms;
   state->external_store = settings->store_address.len > 0;
   state->boot_id = boot_id;
   state->random_state = boot_id;
--- a/src/hf-slots.c
+++ b/src/hf-slots.c
@@ -315,6 +315,16 @@
                 attempt->slowdown_percent);
 }
 
+void
+hf_slots_return (struct hf_state *state, struct hf_call *call, unsigned attempt_index, uint64_t server)
+{
+  bool ignored_refusals = call->ignore_refusals;
+  call->attempts[attempt_index].server = server;
+  call->ignore_refusals = true;
+  hf_slots_release (state, call, attempt_index, HF_SLOT_UNUSED);
+  call->ignore_refusals = ignored_refusals;
+}
+
 void
 hf_slots_handle_message (struct hf_state *state, const struct hf_event *event)
 {
--- a/src/hf-slots.h
+++ b/src/hf-slots.h
@@ -27,6 +27,9 @@
 void
 hf_slots_release (struct hf_state *state, struct hf_call *call, unsigned attempt_index, enum hf_slot_result result);
 
+/* Gives back a slot that was granted at a server and is not used. */
+void hf_slots_return (struct hf_state *state, struct hf_call *call, unsigned attempt_index, uint64_t server);
+
 /* --- public functions: events --- */
 
 void hf_slots_handle_message (struct hf_state *state, const struct hf_event *event); /* acquire, decision, release */
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -71,6 +71,7 @@
   HF_TIMER_CONFIG_PULL,      /* no chunk from the peer yet, or no offer */
   HF_TIMER_CONFIG_RESTORE,   /* writes a lost generation back to the platform */
   HF_TIMER_EXIT,             /* the drain wait of the shutdown has passed */
+  HF_TIMER_LAST_RESPONSES,   /* the process exits soon: whatever is open is answered */
   HF_TIMER_MEASURE_TICK,     /* measurements of backend servers */
   HF_TIMER_DIRECTORY_EXPIRE, /* delayed removals from the directory are due */
 };
@@ -453,9 +454,10 @@
 {
   struct hf_str name;
   struct hf_str failure_domain;
-  struct hf_str address; /* IP:PORT of its peer socket, from the settings */
-  double cpu_share;      /* processor time in cores */
-  int64_t drain_wait_ms; /* the health check fails for this long before the exit */
+  struct hf_str address;       /* IP:PORT of its peer socket, from the settings */
+  double cpu_share;            /* processor time in cores */
+  int64_t drain_wait_ms;       /* the health check fails for this long before the exit */
+  int64_t shutdown_timeout_ms; /* from SIGTERM to the exit in any case */
   uint64_t boot_id;
   uint64_t random_state;
   int64_t now;              /* time of the current event */
@@ -464,6 +466,7 @@
   int64_t heartbeat_due_at; /* later by HF_PAUSE_THRESHOLD_MS: the process was paused */
   int64_t wakeup_at;        /* earliest wakeup set; -1: none */
   bool leaving;             /* this entry is shutting down */
+  int64_t exit_at;          /* if leaving: the process exits then in any case */
   bool starting;            /* it has no configuration or directory yet and cannot grant slots */
   bool measure_timer_running;
   uint64_t heartbeat_seq;
--- a/src/hf-status.c
+++ b/src/hf-status.c
@@ -22,6 +22,12 @@
   return state->leaving;
 }
 
+int64_t
+hf_state_exit_at (const struct hf_state *state)
+{
+  return state->exit_at;
+}
+
 uint64_t *
 hf_state_counters (struct hf_state *state)
 {
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -26,8 +26,12 @@
 #define SPLIT_REQUESTS          400
 #define SILENT_CHECKS           14 /* in SILENT_CHECKS_TIMEOUT_S; one after the other, each with its timeout, at most 9 fit */
 #define SILENT_CHECKS_TIMEOUT_S 10
-#define CUT_BYTES_MAX           100 /* longer than the shortest response that is cut */
-#define INITIAL_RETRIES         4   /* in the retry budget of a service at its start */
+#define CUT_BYTES_MAX           100  /* longer than the shortest response that is cut */
+#define DRAIN_WAIT_MS           300  /* from SIGTERM until the listener closes */
+#define GRACE_MS                3000 /* from SIGTERM to the exit of an entry */
+#define SHORT_GRACE_MS          700  /* shorter than the timeouts of the routes */
+#define KNOWN_LATENCY_REQUESTS  60   /* after that many an entry knows the usual latency of a class */
+#define INITIAL_RETRIES         4    /* in the retry budget of a service at its start */
 
 /* --- types --- */
 
@@ -72,6 +76,8 @@
   struct fake_store *store;
   struct backend_server servers[SERVERS];
   GSubprocess *entry;
+  int drain_wait_ms; /* settings of the entry */
+  int grace_ms;
   char *folder;
   char caller_address[64];
   char admin_address[64];
@@ -293,8 +299,8 @@
   char *program = g_build_filename (build, "hickoryd", NULL);
   char *file = g_build_filename (setup->folder, "settings.yaml", NULL);
   char *settings = g_strdup_printf ("name: e1\nfailure_domain: z1\nlisten: 127.0.0.1:0\nadmin: 127.0.0.1:0\n"
-                                    "peers: 127.0.0.1:0\nstore: %s\ndrain_wait_ms: 300\ngrace_ms: 3000\n",
-                                    fake_store_address (setup->store));
+                                    "peers: 127.0.0.1:0\nstore: %s\ndrain_wait_ms: %d\ngrace_ms: %d\n",
+                                    fake_store_address (setup->store), setup->drain_wait_ms, setup->grace_ms);
   g_assert_true (g_file_set_contents (file, settings, -1, NULL));
   setup->entry = g_subprocess_new (G_SUBPROCESS_FLAGS_STDOUT_PIPE, NULL, program, file, NULL);
   g_assert_nonnull (setup->entry);
@@ -391,9 +397,11 @@
 /* --- internal functions: setup --- */
 
 static struct setup *
-open_empty (void)
+open_empty_with_grace (int drain_wait_ms, int grace_ms)
 {
   struct setup *setup = g_new0 (struct setup, 1);
+  setup->drain_wait_ms = drain_wait_ms;
+  setup->grace_ms = grace_ms;
   setup->net = hf_net_open ();
   setup->store = fake_store_open (setup->net);
   setup->folder = g_dir_make_tmp ("hf-platform-XXXXXX", NULL);
@@ -410,9 +418,15 @@
 }
 
 static struct setup *
-open_setup (void)
+open_empty (void)
 {
-  struct setup *setup = open_empty ();
+  return open_empty_with_grace (DRAIN_WAIT_MS, GRACE_MS);
+}
+
+static struct setup *
+open_setup_with_grace (int drain_wait_ms, int grace_ms)
+{
+  struct setup *setup = open_empty_with_grace (drain_wait_ms, grace_ms);
   put_config (setup, 7, "\"service\":\"alpha\"", "/r/");
   for (guint i = 0; i < SERVERS; i++)
     put_server (setup, i, "alpha", "ready");
@@ -421,6 +435,12 @@
   return setup;
 }
 
+static struct setup *
+open_setup (void)
+{
+  return open_setup_with_grace (DRAIN_WAIT_MS, GRACE_MS);
+}
+
 static void
 close_setup (struct setup *setup)
 {
@@ -1066,6 +1086,14 @@
   close_setup (setup);
 }
 
+static void
+wait_for_exit (struct setup *setup)
+{
+  g_assert_true (g_subprocess_wait (setup->entry, NULL, NULL));
+  g_assert_true (g_subprocess_get_if_exited (setup->entry));
+  g_assert_cmpint (g_subprocess_get_exit_status (setup->entry), ==, 0);
+}
+
 /* On SIGTERM the health check reports 503, requests are still served with Connection: close, and the process exits with
  * status 0. */
 static void
@@ -1079,9 +1107,59 @@
   g_assert_cmpuint (raw_client_status (client), ==, 200);
   g_assert_nonnull (strstr (client->received->str, "Connection: close"));
   raw_client_close (client);
-  g_assert_true (g_subprocess_wait (setup->entry, NULL, NULL));
-  g_assert_true (g_subprocess_get_if_exited (setup->entry));
-  g_assert_cmpint (g_subprocess_get_exit_status (setup->entry), ==, 0);
+  wait_for_exit (setup);
+  close_setup (setup);
+}
+
+/* After SIGTERM a request that may take longer than the process has left is refused at once and reaches no server; one
+ * that is repeatable and usually ends in time is served. */
+static void
+test_shutdown_late (void)
+{
+  struct setup *setup = open_setup_with_grace (SHORT_GRACE_MS, SHORT_GRACE_MS);
+  for (guint i = 0; i < KNOWN_LATENCY_REQUESTS; i++)
+    g_assert_cmpuint (request_status (setup, "GET", "/r/x", ""), ==, 200);
+  g_subprocess_send_signal (setup->entry, SIGTERM);
+  harness_pause (50);
+  g_assert_cmpuint (request_status (setup, "GET", "/r/x", ""), ==, 200);
+  set_behaviour (setup, SENDS_NOTHING);
+  guint before = count_requests (setup);
+  struct raw_client *client = send_request (setup, "POST", "/w/x", "b");
+  g_assert_cmpuint (raw_client_status (client), ==, 503);
+  g_assert_nonnull (strstr (client->received->str, "Retry-After: "));
+  g_assert_nonnull (strstr (client->received->str, "Connection: close"));
+  g_assert_cmpuint (count_requests (setup), ==, before);
+  raw_client_close (client);
+  wait_for_exit (setup);
+  close_setup (setup);
+}
+
+/* Requests in progress at the end of the grace get a whole answer: 504 if a server may have run it, 503 if it never
+ * arrived completely. */
+static void
+test_shutdown_last_answers (void)
+{
+  struct setup *setup = open_setup_with_grace (SHORT_GRACE_MS, SHORT_GRACE_MS);
+  set_behaviour (setup, SENDS_NOTHING);
+  char *whole = format_request (setup, "POST", "/w/x", "b");
+  char *part = format_request (setup, "POST", "/w/x", "body");
+  part[strlen (part) - 1] = 0;
+  struct raw_client *running = raw_client_connect (setup->net, setup->caller_address, whole);
+  struct raw_client *arriving = raw_client_connect (setup->net, setup->caller_address, part);
+  harness_pause (50);
+  g_subprocess_send_signal (setup->entry, SIGTERM);
+  g_assert_true (harness_wait_until (has_response, running, CHANGE_TIMEOUT_S));
+  g_assert_true (harness_wait_until (has_response, arriving, CHANGE_TIMEOUT_S));
+  g_assert_cmpuint (raw_client_status (running), ==, 504);
+  g_assert_true (raw_client_has_response (running));
+  g_assert_cmpuint (raw_client_status (arriving), ==, 503);
+  g_assert_true (raw_client_has_response (arriving));
+  g_assert_cmpuint (count_requests (setup), ==, 1);
+  wait_for_exit (setup);
+  raw_client_close (running);
+  raw_client_close (arriving);
+  g_free (whole);
+  g_free (part);
   close_setup (setup);
 }
 
@@ -1184,6 +1262,8 @@
   g_test_add_func ("/platform/overlapping", test_overlapping);
   g_test_add_func ("/platform/gone", test_caller_disconnects);
   g_test_add_func ("/platform/shutdown", test_shutdown);
+  g_test_add_func ("/platform/shutdown-late", test_shutdown_late);
+  g_test_add_func ("/platform/shutdown-last-answers", test_shutdown_last_answers);
   g_test_add_func ("/platform/explain-refused", test_explain_refused);
   g_test_add_func ("/platform/explain-broken", test_explain_broken);
   g_test_add_func ("/platform/explain-slow", test_explain_slow);
--- a/tests/test-scripts.c
+++ b/tests/test-scripts.c
@@ -33,6 +33,7 @@
  *   log HFNUMBER TEXT
  *   follow MODE from REVISION                       changes how the platform's directory is watched
  *   exit
+ *   reject incomplete                               answers the requests that have not arrived completely
  */
 #include <glib.h>
 #include <stdio.h>
@@ -159,6 +160,9 @@
     case HF_EFFECT_SET_LIMITS:
     case HF_EFFECT_SET_WAKEUP:
       break; /* almost every event changes them; the ticks of a script show the result */
+    case HF_EFFECT_REJECT_INCOMPLETE:
+      g_string_append (output, "  reject incomplete\n");
+      break;
     case HF_EFFECT_EXIT:
       g_string_append (output, "  exit\n");
       break;
@@ -374,7 +378,8 @@
 run_script (gconstpointer data)
 {
   const char *path = data;
-  struct hf_settings settings = { .name = hf_str ("e1"), .failure_domain = hf_str ("d1"), .drain_wait_ms = 100 };
+  struct hf_settings settings
+      = { .name = hf_str ("e1"), .failure_domain = hf_str ("d1"), .drain_wait_ms = 100, .shutdown_timeout_ms = 5000 };
   struct script_run run
       = { .state = hf_state_new (&settings, 1), .output = g_string_new (NULL), .folder = g_path_get_dirname (path) };
   char *text = NULL;
--- a/tests/test-units.c
+++ b/tests/test-units.c
@@ -355,6 +355,23 @@
   g_free (page);
 }
 
+/* A quantile is known from HF_LATENCY_SAMPLES_MIN durations on, and lies in the bucket of the exact one. */
+static void
+test_latency_quantile (void)
+{
+  struct hf_latency latency;
+  hf_latency_init (&latency);
+  for (int i = 1; i < HF_LATENCY_SAMPLES_MIN; i++)
+    hf_latency_record (&latency, hf_str ("c"), HF_STAGE_WHOLE, 10 * HF_MS);
+  g_assert_cmpint (hf_latency_quantile (&latency, hf_str ("c"), HF_STAGE_WHOLE, 0.5), ==, -1);
+  g_assert_cmpint (hf_latency_quantile (&latency, hf_str ("d"), HF_STAGE_WHOLE, 0.5), ==, -1);
+  hf_latency_record (&latency, hf_str ("c"), HF_STAGE_WHOLE, 1000 * HF_MS);
+  g_assert_cmpint (hf_latency_quantile (&latency, hf_str ("c"), HF_STAGE_WHOLE, 0.98), ==, 12 * HF_MS);
+  g_assert_cmpint (hf_latency_quantile (&latency, hf_str ("c"), HF_STAGE_WHOLE, 0.99), ==, 1024 * HF_MS);
+  g_assert_cmpint (hf_latency_quantile (&latency, hf_str ("c"), HF_STAGE_ATTEMPT, 0.5), ==, -1);
+  hf_latency_close (&latency);
+}
+
 /* docs/EVENTS.md has a row for every log event. */
 static void
 test_page_events (void)
@@ -383,6 +400,7 @@
   g_test_add_func ("/units/document-pack", test_document_pack);
   g_test_add_func ("/units/config-history", test_config_history);
   g_test_add_func ("/units/measuring-ends", test_measuring_ends);
+  g_test_add_func ("/units/latency-quantile", test_latency_quantile);
   g_test_add_func ("/pages/configuration", test_page_configuration);
   g_test_add_func ("/pages/events", test_page_events);
   return g_test_run ();
