What waits in the sockets when the server stops is read and answered

Callers saw: in a planned stop, a connection that ended although a request had been sent on it in time, with a reset if the connection waited in the kernel's queue.

Cause: when the drain wait was over, the listener was closed with what waited in its queue, and each connection without a request was closed, whether or not bytes waited in its socket.

Change: the listener accepts what waits before it closes. Connections close when they have been idle for 50 ms and their socket is empty; a request that comes before is answered, and that response closes the connection.

/http-server/stop-unread failed before: "'g_hash_table_lookup (run->requests, "/s1")' should not be NULL".

--- a/src/config.h
+++ b/src/config.h
@@ -219,7 +219,8 @@
 
 /* Shutdown. */
 #define HF_SHUTDOWN_TIMEOUT_SEC  60   /* default of the setting grace_ms */
-#define HF_EXIT_POLL_MS          100  /* interval between checks for calls in flight */
+#define HF_STOP_IDLE_MS          50   /* idle time after which connections close, once the listener is closed */
+#define HF_EXIT_POLL_MS          100  /* interval between checks for connected callers */
 #define HF_EXIT_FLUSH_MS         100  /* before the exit, to write the last responses */
 #define HF_EXIT_LATENCY_QUANTILE 0.99 /* of a class's latency: a call that ends in time with it is accepted */
 
--- a/src/hf-http-connection.c
+++ b/src/hf-http-connection.c
@@ -383,7 +383,7 @@
   request = oldest_request (connection);
   if (connection->head_started_at && !request)
     connection->head_started_at = now_us ();
-  if (is_open (connection) && (!keep || (!request && connection->server->stopped)))
+  if (is_open (connection) && !keep)
     hf_http_connection_start_linger (connection);
   else if (is_open (connection) && request)
     begin_turn (request);
@@ -467,6 +467,17 @@
   end_all_requests (connection);
 }
 
+static void
+check_idle (struct hf_http_connection *connection, int64_t now)
+{
+  const struct hf_http_server *server = connection->server;
+  int64_t idle_us = now - connection->active_at;
+  if (server->stopped && idle_us > HF_STOP_IDLE_MS * HF_MS && hf_stream_is_quiet (connection->stream))
+    hf_http_connection_start_linger (connection);
+  else if (idle_us > server->limits.idle_timeout_us)
+    hf_http_connection_close (connection, false);
+}
+
 void
 hf_http_connection_check_timeouts (struct hf_http_connection *connection, int64_t now)
 {
@@ -487,16 +498,8 @@
     }
   else if (connection->head_started_at && now - connection->head_started_at > limits->head_timeout_us)
     reject (connection, 408, "the head of the request did not come in time");
-  else if (!connection->head_started_at && now - connection->active_at > limits->idle_timeout_us)
-    hf_http_connection_close (connection, false);
-}
-
-/* --- public functions: state --- */
-
-bool
-hf_http_connection_is_idle (const struct hf_http_connection *connection)
-{
-  return !oldest_request (connection) && !connection->head_started_at && !connection->linger_until;
+  else if (!connection->head_started_at)
+    check_idle (connection, now);
 }
 
 /* --- public functions: requests of the owner --- */
--- a/src/hf-http-connection.h
+++ b/src/hf-http-connection.h
@@ -71,8 +71,4 @@
 void hf_http_connection_start_linger (struct hf_http_connection *connection);      /* closes after what was queued */
 void hf_http_connection_check_timeouts (struct hf_http_connection *connection, int64_t now);
 
-/* --- public functions: state --- */
-
-bool hf_http_connection_is_idle (const struct hf_http_connection *connection); /* no request, not even a part of one */
-
 #endif
--- a/src/hf-http-server.c
+++ b/src/hf-http-server.c
@@ -34,14 +34,6 @@
   hf_http_connection_close (connection, false);
 }
 
-static void
-close_if_idle (struct hf_http_connection *connection, int64_t now)
-{
-  (void) now;
-  if (hf_http_connection_is_idle (connection))
-    hf_http_connection_start_linger (connection);
-}
-
 /* --- public functions: init and close --- */
 
 struct hf_http_server *
@@ -101,9 +93,15 @@
 {
   server->keep_alive_disabled = true;
   server->stopped = true;
+  hf_listener_accept_waiting (server->listener);
   hf_listener_close (server->listener);
   server->listener = NULL;
-  for_each_connection (server, close_if_idle, 0);
+}
+
+unsigned
+hf_http_server_connection_count (const struct hf_http_server *server)
+{
+  return g_hash_table_size (server->connections);
 }
 
 void
--- a/src/hf-http-server.h
+++ b/src/hf-http-server.h
@@ -67,7 +67,10 @@
 /* Sets the limits for requests that arrive from now on. */
 void hf_http_server_set_limits (struct hf_http_server *server, struct hf_http_server_limits limits);
 void hf_http_server_end_keep_alive (struct hf_http_server *server); /* further responses close their connection */
-void hf_http_server_stop (struct hf_http_server *server);           /* stops listening, closes idle connections */
+/* Stops listening. Connections close when they have been idle for HF_STOP_IDLE_MS, so that no request is left unread.
+ */
+void hf_http_server_stop (struct hf_http_server *server);
+unsigned hf_http_server_connection_count (const struct hf_http_server *server); /* open connections */
 /* Closes connections that have exceeded a timeout; called every HF_TIMEOUT_CHECK_MS. now: monotonic, microseconds. */
 void hf_http_server_check_timeouts (struct hf_http_server *server, int64_t now);
 
--- a/src/hf-net.c
+++ b/src/hf-net.c
@@ -403,6 +403,12 @@
   return listener;
 }
 
+void
+hf_listener_accept_waiting (struct hf_listener *listener)
+{
+  on_listener_events (&listener->handle, EPOLLIN);
+}
+
 void
 hf_listener_close (struct hf_listener *listener)
 {
--- a/src/hf-net.h
+++ b/src/hf-net.h
@@ -56,6 +56,7 @@
                                       void (*on_accepted) (void *context, struct hf_stream *stream),
                                       void *context,
                                       struct hf_error *error);
+void hf_listener_accept_waiting (struct hf_listener *listener);         /* accepts what waits in the kernel's queue */
 void hf_listener_close (struct hf_listener *listener);                  /* stops accepting connections */
 struct hf_str hf_listener_address (const struct hf_listener *listener); /* listening address, IP:PORT */
 
--- a/tests/test-http-server.c
+++ b/tests/test-http-server.c
@@ -4,8 +4,11 @@
  * compares with the expected text. Paths that begin with /s may overlap.
  */
 #include <glib.h>
+#include <netinet/in.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "hf-http-connection.h"
@@ -110,6 +113,20 @@
   return G_SOURCE_REMOVE;
 }
 
+/* --- internal functions: callers --- */
+
+/* Connects and sends without a turn of the main loop. */
+static int
+connect_blocking (const char *address, const char *text)
+{
+  struct sockaddr_in socket_address = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socket_address.sin_port = htons ((in_port_t) atoi (strchr (address, ':') + 1));
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  g_assert_cmpint (connect (fd, (struct sockaddr *) &socket_address, sizeof socket_address), ==, 0);
+  g_assert_cmpint (send (fd, text, strlen (text), 0), ==, strlen (text));
+  return fd;
+}
+
 /* --- internal functions: runs --- */
 
 static gboolean
@@ -341,6 +358,37 @@
   close_run (run);
 }
 
+/* Requests that wait in the sockets when the server stops, one of them in a connection that is not accepted yet, are
+ * answered; connections without a request close afterwards. */
+static void
+test_stop_unread (void)
+{
+  struct run *run = open_run ("");
+  struct hf_str address = hf_http_server_address (run->server);
+  char *text = g_strndup (address.data, address.len);
+  struct raw_client *idle = raw_client_connect (run->net, text, "");
+  settle ();
+  int waiting = connect_blocking (text, GET ("/s2"));
+  raw_client_send (run->client, GET ("/s1"));
+  hf_http_server_stop (run->server);
+  settle ();
+  g_assert_nonnull (g_hash_table_lookup (run->requests, "/s1"));
+  g_assert_nonnull (g_hash_table_lookup (run->requests, "/s2"));
+  respond (run, "/s1");
+  respond (run, "/s2");
+  check_received (run, "200 close </s1> end");
+  char received[256] = { 0 };
+  g_assert_cmpint (recv (waiting, received, sizeof received - 1, 0), >, 0);
+  g_assert_true (g_str_has_prefix (received, "HTTP/1.1 200 "));
+  hf_http_server_check_timeouts (run->server, g_get_monotonic_time () + HF_SEC);
+  settle ();
+  g_assert_true (idle->ended);
+  close (waiting);
+  raw_client_close (idle);
+  g_free (text);
+  close_run (run);
+}
+
 /* A caller that disconnects ends every request. */
 static void
 test_caller_gone (void)
@@ -519,6 +567,7 @@
   g_test_add_func ("/http-server/garbage-in-held-body", test_garbage_in_held_body);
   g_test_add_func ("/http-server/early-response", test_early_response);
   g_test_add_func ("/http-server/shutdown", test_shutdown);
+  g_test_add_func ("/http-server/stop-unread", test_stop_unread);
   g_test_add_func ("/http-server/caller-gone", test_caller_gone);
   g_test_add_func ("/http-server/aborted", test_aborted);
   g_test_add_func ("/http-server/many", test_many);
