The process exits after its callers have got their last responses

Callers saw: at a planned stop, a response that broke off with a reset.

Cause: the process left its loop when the last response was written to the socket. Where a caller had sent more than was read, closing the socket reset the connection, and with it went what the caller had not received yet. The lingering close that avoids this was cut short by the exit.

Change: the process waits until no caller is connected: until the callers have closed or the 2 s of the lingering close are over, at most until grace_ms.

--- a/src/hf-event.h
+++ b/src/hf-event.h
@@ -225,7 +225,7 @@
   HF_EFFECT_RECONNECT,         /* replace the connections to a backend server */
   HF_EFFECT_LOG,               /* write a log line */
   HF_EFFECT_SET_WAKEUP,        /* raise a TICK event at a time */
-  HF_EFFECT_EXIT,              /* end the process once no call is in flight, or at the shutdown timeout */
+  HF_EFFECT_EXIT,              /* end the process once no caller is connected, or at the shutdown timeout */
   HF_EFFECT_REJECT_INCOMPLETE, /* send an error to callers whose request has not arrived completely */
   HF_EFFECT_SET_LIMITS,        /* change the limits on callers' requests */
   HF_EFFECT_SET_WATCH,         /* change how the platform's directory is watched */
--- a/src/hf-loop.c
+++ b/src/hf-loop.c
@@ -179,7 +179,7 @@
 {
   if (!loop->exiting)
     return;
-  if (hf_proxy_in_flight (loop->proxy) == 0 || hf_loop_now () >= hf_state_exit_at (loop->state))
+  if (hf_proxy_is_idle (loop->proxy) || hf_loop_now () >= hf_state_exit_at (loop->state))
     g_main_loop_quit (loop->main_loop);
   else if (!loop->exit_timer)
     loop->exit_timer = g_timeout_add (HF_EXIT_POLL_MS, on_exit_timer, loop);
--- a/src/hf-loop.h
+++ b/src/hf-loop.h
@@ -29,7 +29,7 @@
  * @adapter: adapter to the store of the users' platform, in place of @platform; NULL: none configured
  * @main_loop: GLib main loop; the owner of this struct runs it
  * @tick_source: timer that raises a TICK event
- * @exiting: leaves the main loop once no request is in flight
+ * @exiting: leaves the main loop once no caller is connected
  * @exit_timer: GLib source that checks for the exit; 0: none
  */
 struct hf_loop
--- a/src/hf-proxy.c
+++ b/src/hf-proxy.c
@@ -591,10 +591,10 @@
   return hf_http_server_address (proxy->http_server);
 }
 
-unsigned
-hf_proxy_in_flight (const struct hf_proxy *proxy)
+bool
+hf_proxy_is_idle (const struct hf_proxy *proxy)
 {
-  return g_hash_table_size (proxy->calls);
+  return hf_http_server_connection_count (proxy->http_server) == 0;
 }
 
 void
--- a/src/hf-proxy.h
+++ b/src/hf-proxy.h
@@ -23,7 +23,7 @@
                                 struct hf_error *error);
 void hf_proxy_close (struct hf_proxy *proxy);                  /* closes all connections, frees the proxy */
 struct hf_str hf_proxy_address (const struct hf_proxy *proxy); /* listening address, IP:PORT */
-unsigned hf_proxy_in_flight (const struct hf_proxy *proxy);    /* requests in progress */
+bool hf_proxy_is_idle (const struct hf_proxy *proxy);          /* no caller is connected */
 void hf_proxy_set_limits (struct hf_proxy *proxy, struct hf_http_server_limits limits); /* limits on requests */
 void hf_proxy_end_keep_alive (struct hf_proxy *proxy);    /* further responses close their connection */
 void hf_proxy_reject_incomplete (struct hf_proxy *proxy); /* error response to each request that is still arriving */
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -26,6 +26,9 @@
 #define SPLIT_REQUESTS          400
 #define SILENT_CHECKS           14 /* in SILENT_CHECKS_TIMEOUT_S; one after the other, each with its timeout, at most 9 fit */
 #define SILENT_CHECKS_TIMEOUT_S 10
+#define LARGE_BODY_BYTES        (250 * 1000)  /* more than the socket of a caller that does not read takes */
+#define MORE_BYTES              (1024 * 1024) /* more than the process reads behind a request */
+#define LATE_READ_MS            300
 #define CUT_BYTES_MAX           100  /* longer than the shortest response that is cut */
 #define DRAIN_WAIT_MS           300  /* from SIGTERM until the listener closes */
 #define GRACE_MS                3000 /* from SIGTERM to the exit of an entry */
@@ -328,6 +331,12 @@
   return client->ended || raw_client_has_response (client);
 }
 
+static gboolean
+has_ended (void *context)
+{
+  return ((struct raw_client *) context)->ended;
+}
+
 /* Sends text and waits for the response or for the end of the connection. */
 static struct raw_client *
 send_text (struct setup *setup, const char *address, const char *text)
@@ -1163,6 +1172,37 @@
   close_setup (setup);
 }
 
+/* The last response before the exit reaches a caller completely that reads it late and has sent more than one request:
+ * what the process leaves unread would reset the connection, and with it what the caller has not read. */
+static void
+test_shutdown_unread_bytes (void)
+{
+  struct setup *setup = open_setup ();
+  set_behaviour (setup, SENDS_NOTHING);
+  char *text = format_request (setup, "POST", "/w/x", "b");
+  char *more = g_strnfill (MORE_BYTES, 'x');
+  char *body = g_strnfill (LARGE_BODY_BYTES, 'y');
+  struct raw_client *client = raw_client_connect (setup->net, setup->caller_address, text);
+  harness_pause (50);
+  raw_client_send (client, more);
+  g_subprocess_send_signal (setup->entry, SIGTERM);
+  harness_pause (DRAIN_WAIT_MS + 100);
+  const struct backend_server *server = &setup->servers[setup->servers[0].requests ? 0 : 1];
+  hf_stream_pause (client->stream, true);
+  send_response (server->last_connection, "id1", body);
+  harness_pause (LATE_READ_MS);
+  hf_stream_pause (client->stream, false);
+  g_assert_true (harness_wait_until (has_ended, client, CHANGE_TIMEOUT_S));
+  g_assert_false (client->reset);
+  g_assert_true (g_str_has_suffix (client->received->str, body));
+  raw_client_close (client);
+  wait_for_exit (setup);
+  g_free (more);
+  g_free (body);
+  g_free (text);
+  close_setup (setup);
+}
+
 /* --- tests: the cause of a failure, explained from the log alone --- */
 
 /* Every slot holds a request without a response, so the next one is refused as not run: the log shows that it was
@@ -1264,6 +1304,7 @@
   g_test_add_func ("/platform/shutdown", test_shutdown);
   g_test_add_func ("/platform/shutdown-late", test_shutdown_late);
   g_test_add_func ("/platform/shutdown-last-answers", test_shutdown_last_answers);
+  g_test_add_func ("/platform/shutdown-unread-bytes", test_shutdown_unread_bytes);
   g_test_add_func ("/platform/explain-refused", test_explain_refused);
   g_test_add_func ("/platform/explain-broken", test_explain_broken);
   g_test_add_func ("/platform/explain-slow", test_explain_slow);
