--- a/src/hf-proxy.c
+++ b/src/hf-proxy.c
@@ -453,6 +453,13 @@
 
 /* --- internal functions: probes --- */
 
+static bool
+accepts_probe_response (void *context, const struct hf_http_head *head)
+{
+  const struct probe *probe = context;
+  return hf_header_codec_is_response_to (probe->proxy->codec, head, (struct hf_str){ 0 });
+}
+
 static void
 on_probe_head (void *context, const struct hf_http_head *head)
 {
@@ -483,8 +490,10 @@
   hf_loop_raise_event (proxy->loop, event);
 }
 
-static const struct hf_http_client_callbacks probe_callbacks
-    = { .on_head = on_probe_head, .on_body = on_probe_body, .on_ended = on_probe_ended };
+static const struct hf_http_client_callbacks probe_callbacks = { .accepts_response = accepts_probe_response,
+                                                                 .on_head = on_probe_head,
+                                                                 .on_body = on_probe_body,
+                                                                 .on_ended = on_probe_ended };
 
 static void
 send_probe (struct hf_proxy *proxy, const struct hf_effect *effect)
@@ -582,10 +591,10 @@
   return hf_http_server_address (proxy->http_server);
 }
 
-unsigned
-hf_proxy_in_flight (const struct hf_proxy *proxy)
+bool
+hf_proxy_is_idle (const struct hf_proxy *proxy)
 {
-  return g_hash_table_size (proxy->calls);
+  return hf_http_server_connection_count (proxy->http_server) == 0;
 }
 
 void
@@ -600,6 +609,20 @@
   hf_http_server_end_keep_alive (proxy->http_server);
 }
 
+void
+hf_proxy_reject_incomplete (struct hf_proxy *proxy)
+{
+  const struct hf_effect error = { .status = 503, .outcome = HF_OUTCOME_NOT_RUN, .text = hf_str ("shutting down") };
+  GList *calls = g_hash_table_get_values (proxy->calls);
+  for (GList *item = calls; item; item = item->next)
+    {
+      struct call *call = item->data;
+      if (!call->reported)
+        send_error_response (call, &error);
+    }
+  g_list_free (calls);
+}
+
 void
 hf_proxy_stop (struct hf_proxy *proxy)
 {
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -15,18 +15,26 @@
 
 /* --- constants --- */
 
-#define SERVERS             2
-#define START_TIMEOUT_S     10
-#define CHANGE_TIMEOUT_S    5
-#define DIRECTORY_UPDATE_MS 1000 /* until a change in the store is in force */
-#define MISSING_REMOVAL_MS  2600 /* until servers that are missing after an outage are no longer used */
-#define OUTAGE_MS           1200 /* longer than a watch batches changes; entries time out after seconds only */
-#define RECOVERY_MS         2000 /* until a change is in force after the store has recovered */
-#define DISCONNECT_MS       500  /* until a caller's disconnect has reached the backend server */
-#define SPLIT_REQUESTS      400
-#define OVERLAPPING_CHECKS  14 /* of a silent store that are awaited */
-#define OVERLAP_TIMEOUT_S   60 /* ends a test that would wait without end */
-#define INITIAL_RETRIES     4  /* in the retry budget of a service at its start */
+#define SERVERS                2
+#define START_TIMEOUT_S        10
+#define CHANGE_TIMEOUT_S       5
+#define DIRECTORY_UPDATE_MS    1000 /* until a change in the store is in force */
+#define MISSING_REMOVAL_MS     2600 /* until servers that are missing after an outage are no longer used */
+#define OUTAGE_MS              1200 /* longer than a watch batches changes; entries time out after seconds only */
+#define RECOVERY_MS            2000 /* until a change is in force after the store has recovered */
+#define DISCONNECT_MS          500  /* until a caller's disconnect has reached the backend server */
+#define SPLIT_REQUESTS         400
+#define OVERLAPPING_CHECKS     14            /* of a silent store that are awaited */
+#define OVERLAP_TIMEOUT_S      60            /* ends a test that would wait without end */
+#define LARGE_BODY_BYTES       (250 * 1000)  /* more than the socket of a caller that does not read takes */
+#define MORE_BYTES             (1024 * 1024) /* more than the process reads behind a request */
+#define LATE_READ_MS           300
+#define CUT_BYTES_MAX          100  /* longer than the shortest response that is cut */
+#define DRAIN_WAIT_MS          300  /* from SIGTERM until the listener closes */
+#define GRACE_MS               3000 /* from SIGTERM to the exit of an entry */
+#define SHORT_GRACE_MS         700  /* shorter than the timeouts of the routes */
+#define KNOWN_LATENCY_REQUESTS 60   /* after that many an entry knows the usual latency of a class */
+#define INITIAL_RETRIES        4    /* in the retry budget of a service at its start */
 
 /* --- types --- */
 
@@ -41,8 +49,10 @@
   SENDS_NOTHING,                /* keeps the connection open */
   SENDS_FOREIGN_RESPONSE_FIRST, /* a response to another request, then its own */
   SENDS_EXTRA_BYTES,            /* its own response, then one to another request */
+  REFUSES_ONCE,                 /* the first request; sends that 503 again before the next response of the connection */
   ENDS_BY_CLOSE,                /* response without length, ended by a close */
   ENDS_BY_RESET,                /* response without length, ended by a reset */
+  ENDS_EARLY,                   /* after cut_bytes of its response */
   SENDS_NON_HTTP,
 };
 
@@ -52,10 +62,15 @@
   struct raw_server *raw_server;
   char name[16];
   enum server_behaviour behaviour;
-  guint slowdown_percent; /* current latency in percent of the usual, as health responses report it; 0: 100 */
+  gsize cut_bytes;
+  gboolean cuts_by_reset;
+  gboolean copies_into_health; /* a response to another request precedes each of its health responses */
+  guint slowdown_percent;      /* current latency in percent of the usual, as health responses report it; 0: 100 */
   guint requests;
   GString *last_request;
   struct raw_connection *last_connection; /* of the last request */
+  struct raw_connection *refused_connection;
+  char *refused_id;
 };
 
 struct setup
@@ -64,6 +79,8 @@
   struct fake_store *store;
   struct backend_server servers[SERVERS];
   GSubprocess *entry;
+  int drain_wait_ms; /* settings of the entry */
+  int grace_ms;
   char *folder;
   char caller_address[64];
   char admin_address[64];
@@ -94,6 +111,41 @@
       id, id, strlen (body), body);
 }
 
+static void
+refuse (struct raw_connection *connection, const char *id)
+{
+  raw_connection_send (connection,
+                       "HTTP/1.1 503 Full\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id);
+}
+
+/* Refuses the first request, and runs all others. */
+static void
+refuse_once (struct backend_server *server, struct raw_connection *connection, const char *id)
+{
+  if (!server->refused_connection)
+    {
+      server->refused_connection = connection;
+      server->refused_id = g_strdup (id);
+      refuse (connection, id);
+      return;
+    }
+  if (server->refused_connection == connection)
+    refuse (connection, server->refused_id);
+  send_response (connection, id, "hello");
+}
+
+/* Sends the first bytes of a response, and ends the connection. */
+static void
+end_early (const struct backend_server *server, struct raw_connection *connection, const char *id)
+{
+  char *response = g_strdup_printf ("HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nX-Attempt-Id: %s\r\n"
+                                    "Content-Length: 5\r\n\r\nhello",
+                                    id);
+  raw_connection_send (connection, "%.*s", (int) MIN (server->cut_bytes, strlen (response) - 1), response);
+  raw_connection_close (connection, server->cuts_by_reset);
+  g_free (response);
+}
+
 static void
 respond_as_told (struct backend_server *server, struct raw_connection *connection, const char *id)
 {
@@ -104,8 +156,10 @@
       send_response (connection, id, "hello");
       break;
     case SENDS_NOT_RUN:
-      raw_connection_send (
-          connection, "HTTP/1.1 503 Full\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id);
+      refuse (connection, id);
+      break;
+    case REFUSES_ONCE:
+      refuse_once (server, connection, id);
       break;
     case SENDS_WRONG_INSTANCE:
       raw_connection_send (connection, "HTTP/1.1 421 Misdirected\r\nX-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", id);
@@ -131,6 +185,9 @@
       raw_connection_send (connection, response_without_length, id);
       raw_connection_close (connection, server->behaviour == ENDS_BY_RESET);
       break;
+    case ENDS_EARLY:
+      end_early (server, connection, id);
+      break;
     case SENDS_NON_HTTP:
       raw_connection_send (connection, "220 this is another protocol\r\n\r\n");
       break;
@@ -143,6 +200,8 @@
   struct backend_server *server = context;
   if (g_str_has_prefix (text, "GET /health "))
     {
+      if (server->copies_into_health)
+        send_response (connection, "another", "not yours");
       raw_connection_send (
           connection, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\nX-Backend-Load: 0,0,3,%u\r\nContent-Length: 0\r\n\r\n",
           server->name, server->slowdown_percent ? server->slowdown_percent : 100);
@@ -242,8 +301,8 @@
   char *program = g_build_filename (build, "hickoryd", NULL);
   char *file = g_build_filename (setup->folder, "settings.yaml", NULL);
   char *settings = g_strdup_printf ("name: e1\nfailure_domain: z1\nlisten: 127.0.0.1:0\nadmin: 127.0.0.1:0\n"
-                                    "peers: 127.0.0.1:0\nstore: %s\ndrain_wait_ms: 300\ngrace_ms: 3000\n",
-                                    fake_store_address (setup->store));
+                                    "peers: 127.0.0.1:0\nstore: %s\ndrain_wait_ms: %d\ngrace_ms: %d\n",
+                                    fake_store_address (setup->store), setup->drain_wait_ms, setup->grace_ms);
   g_assert_true (g_file_set_contents (file, settings, -1, NULL));
   setup->entry = g_subprocess_new (G_SUBPROCESS_FLAGS_STDOUT_PIPE, NULL, program, file, NULL);
   g_assert_nonnull (setup->entry);
@@ -271,6 +330,12 @@
   return client->ended || raw_client_has_response (client);
 }
 
+static gboolean
+has_ended (void *context)
+{
+  return ((struct raw_client *) context)->ended;
+}
+
 /* Sends text and waits for the response or for the end of the connection. */
 static struct raw_client *
 send_text (struct setup *setup, const char *address, const char *text)
@@ -340,9 +405,11 @@
 /* --- internal functions: setup --- */
 
 static struct setup *
-open_empty (void)
+open_empty_with_grace (int drain_wait_ms, int grace_ms)
 {
   struct setup *setup = g_new0 (struct setup, 1);
+  setup->drain_wait_ms = drain_wait_ms;
+  setup->grace_ms = grace_ms;
   setup->net = hf_net_open ();
   setup->store = fake_store_open (setup->net);
   setup->folder = g_dir_make_tmp ("hf-platform-XXXXXX", NULL);
@@ -359,9 +426,15 @@
 }
 
 static struct setup *
-open_setup (void)
+open_empty (void)
 {
-  struct setup *setup = open_empty ();
+  return open_empty_with_grace (DRAIN_WAIT_MS, GRACE_MS);
+}
+
+static struct setup *
+open_setup_with_grace (int drain_wait_ms, int grace_ms)
+{
+  struct setup *setup = open_empty_with_grace (drain_wait_ms, grace_ms);
   put_config (setup, 7, "\"service\":\"alpha\"", "/r/");
   for (guint i = 0; i < SERVERS; i++)
     put_server (setup, i, "alpha", "ready");
@@ -370,6 +443,12 @@
   return setup;
 }
 
+static struct setup *
+open_setup (void)
+{
+  return open_setup_with_grace (DRAIN_WAIT_MS, GRACE_MS);
+}
+
 static void
 close_setup (struct setup *setup)
 {
@@ -382,6 +461,7 @@
   for (guint i = 0; i < SERVERS; i++)
     {
       raw_server_close (setup->servers[i].raw_server);
+      g_free (setup->servers[i].refused_id);
       g_string_free (setup->servers[i].last_request, TRUE);
     }
   hf_net_close (setup->net);
@@ -822,6 +902,63 @@
   close_setup (setup);
 }
 
+/* A server that refused a request runs it at the second attempt, and sends the refusal once more before its response.
+ */
+static void
+test_refused_again (void)
+{
+  struct setup *setup = open_setup ();
+  put_server (setup, 1, "alpha", "draining");
+  harness_pause (DIRECTORY_UPDATE_MS);
+  set_behaviour (setup, REFUSES_ONCE);
+  check_response (setup, "POST", "/w/x");
+  g_assert_cmpuint (setup->servers[0].requests, ==, 2);
+  close_setup (setup);
+}
+
+/* A response to a request that comes before the health response says nothing about the server's health. */
+static void
+test_foreign_before_health (void)
+{
+  struct setup *setup = open_setup ();
+  for (guint i = 0; i < SERVERS; i++)
+    {
+      setup->servers[i].slowdown_percent = 500;
+      setup->servers[i].copies_into_health = TRUE;
+    }
+  g_assert_cmpuint (request_status (setup, "GET", "/r/x", ""), ==, 200);
+  harness_pause (300);
+  g_assert_cmpuint (request_status (setup, "GET", "/r/x", ""), ==, 200);
+  char *explanation = explain (setup, setup->next_id);
+  g_assert_nonnull (strstr (explanation, "slowdown_percent=500"));
+  g_free (explanation);
+  close_setup (setup);
+}
+
+/* A response that ends at any byte, in order or by a reset: the caller gets no 200. */
+static void
+test_cut_anywhere (void)
+{
+  struct setup *setup = open_setup ();
+  guint before = count_requests (setup);
+  guint sent = 0;
+  set_behaviour (setup, ENDS_EARLY);
+  for (gsize bytes = 0; bytes < CUT_BYTES_MAX; bytes++)
+    for (guint reset = 0; reset < 2; reset++)
+      {
+        char path[32];
+        g_snprintf (path, sizeof path, "/w/%u", ++sent); /* the same request again would be quarantined */
+        for (guint i = 0; i < SERVERS; i++)
+          {
+            setup->servers[i].cut_bytes = bytes;
+            setup->servers[i].cuts_by_reset = reset > 0;
+          }
+        g_assert_cmpuint (request_status (setup, "POST", path, "b"), ==, 502);
+      }
+  g_assert_cmpuint (count_requests (setup), ==, before + sent);
+  close_setup (setup);
+}
+
 /* A response without a length ends with its connection: complete after a close, truncated after a reset. */
 static void
 test_no_length (void)
@@ -956,6 +1093,14 @@
   close_setup (setup);
 }
 
+static void
+wait_for_exit (struct setup *setup)
+{
+  g_assert_true (g_subprocess_wait (setup->entry, NULL, NULL));
+  g_assert_true (g_subprocess_get_if_exited (setup->entry));
+  g_assert_cmpint (g_subprocess_get_exit_status (setup->entry), ==, 0);
+}
+
 /* On SIGTERM the health check reports 503, requests are still served with Connection: close, and the process exits with
  * status 0. */
 static void
@@ -969,9 +1114,90 @@
   g_assert_cmpuint (raw_client_status (client), ==, 200);
   g_assert_nonnull (strstr (client->received->str, "Connection: close"));
   raw_client_close (client);
-  g_assert_true (g_subprocess_wait (setup->entry, NULL, NULL));
-  g_assert_true (g_subprocess_get_if_exited (setup->entry));
-  g_assert_cmpint (g_subprocess_get_exit_status (setup->entry), ==, 0);
+  wait_for_exit (setup);
+  close_setup (setup);
+}
+
+/* After SIGTERM a request that may take longer than the process has left is refused at once and reaches no server; one
+ * that is repeatable and usually ends in time is served. */
+static void
+test_shutdown_late (void)
+{
+  struct setup *setup = open_setup_with_grace (SHORT_GRACE_MS, SHORT_GRACE_MS);
+  for (guint i = 0; i < KNOWN_LATENCY_REQUESTS; i++)
+    g_assert_cmpuint (request_status (setup, "GET", "/r/x", ""), ==, 200);
+  g_subprocess_send_signal (setup->entry, SIGTERM);
+  harness_pause (50);
+  g_assert_cmpuint (request_status (setup, "GET", "/r/x", ""), ==, 200);
+  set_behaviour (setup, SENDS_NOTHING);
+  guint before = count_requests (setup);
+  struct raw_client *client = send_request (setup, "POST", "/w/x", "b");
+  g_assert_cmpuint (raw_client_status (client), ==, 503);
+  g_assert_nonnull (strstr (client->received->str, "Retry-After: "));
+  g_assert_nonnull (strstr (client->received->str, "Connection: close"));
+  g_assert_cmpuint (count_requests (setup), ==, before);
+  raw_client_close (client);
+  wait_for_exit (setup);
+  close_setup (setup);
+}
+
+/* Requests in progress at the end of the grace get a whole answer: 504 if a server may have run it, 503 if it never
+ * arrived completely. */
+static void
+test_shutdown_last_answers (void)
+{
+  struct setup *setup = open_setup_with_grace (SHORT_GRACE_MS, SHORT_GRACE_MS);
+  set_behaviour (setup, SENDS_NOTHING);
+  char *whole = format_request (setup, "POST", "/w/x", "b");
+  char *part = format_request (setup, "POST", "/w/x", "body");
+  part[strlen (part) - 1] = 0;
+  struct raw_client *running = raw_client_connect (setup->net, setup->caller_address, whole);
+  struct raw_client *arriving = raw_client_connect (setup->net, setup->caller_address, part);
+  harness_pause (50);
+  g_subprocess_send_signal (setup->entry, SIGTERM);
+  g_assert_true (harness_wait_until (has_response, running, CHANGE_TIMEOUT_S));
+  g_assert_true (harness_wait_until (has_response, arriving, CHANGE_TIMEOUT_S));
+  g_assert_cmpuint (raw_client_status (running), ==, 504);
+  g_assert_true (raw_client_has_response (running));
+  g_assert_cmpuint (raw_client_status (arriving), ==, 503);
+  g_assert_true (raw_client_has_response (arriving));
+  g_assert_cmpuint (count_requests (setup), ==, 1);
+  wait_for_exit (setup);
+  raw_client_close (running);
+  raw_client_close (arriving);
+  g_free (whole);
+  g_free (part);
+  close_setup (setup);
+}
+
+/* The last response before the exit reaches a caller completely that reads it late and has sent more than one request:
+ * what the process leaves unread would reset the connection, and with it what the caller has not read. */
+static void
+test_shutdown_unread_bytes (void)
+{
+  struct setup *setup = open_setup ();
+  set_behaviour (setup, SENDS_NOTHING);
+  char *text = format_request (setup, "POST", "/w/x", "b");
+  char *more = g_strnfill (MORE_BYTES, 'x');
+  char *body = g_strnfill (LARGE_BODY_BYTES, 'y');
+  struct raw_client *client = raw_client_connect (setup->net, setup->caller_address, text);
+  harness_pause (50);
+  raw_client_send (client, more);
+  g_subprocess_send_signal (setup->entry, SIGTERM);
+  harness_pause (DRAIN_WAIT_MS + 100);
+  const struct backend_server *server = &setup->servers[setup->servers[0].requests ? 0 : 1];
+  hf_stream_pause (client->stream, true);
+  send_response (server->last_connection, "id1", body);
+  harness_pause (LATE_READ_MS);
+  hf_stream_pause (client->stream, false);
+  g_assert_true (harness_wait_until (has_ended, client, CHANGE_TIMEOUT_S));
+  g_assert_false (client->reset);
+  g_assert_true (g_str_has_suffix (client->received->str, body));
+  raw_client_close (client);
+  wait_for_exit (setup);
+  g_free (more);
+  g_free (body);
+  g_free (text);
   close_setup (setup);
 }
 
@@ -1064,6 +1290,9 @@
   g_test_add_func ("/platform/broken", test_broken);
   g_test_add_func ("/platform/timeout", test_timeout);
   g_test_add_func ("/platform/extra-answers", test_extra_answers);
+  g_test_add_func ("/platform/refused-again", test_refused_again);
+  g_test_add_func ("/platform/foreign-before-health", test_foreign_before_health);
+  g_test_add_func ("/platform/cut-anywhere", test_cut_anywhere);
   g_test_add_func ("/platform/no-length", test_no_length);
   g_test_add_func ("/platform/malformed", test_malformed);
   g_test_add_func ("/platform/limits", test_limits);
@@ -1071,6 +1300,9 @@
   g_test_add_func ("/platform/overlapping", test_overlapping);
   g_test_add_func ("/platform/gone", test_caller_disconnects);
   g_test_add_func ("/platform/shutdown", test_shutdown);
+  g_test_add_func ("/platform/shutdown-late", test_shutdown_late);
+  g_test_add_func ("/platform/shutdown-last-answers", test_shutdown_last_answers);
+  g_test_add_func ("/platform/shutdown-unread-bytes", test_shutdown_unread_bytes);
   g_test_add_func ("/platform/explain-refused", test_explain_refused);
   g_test_add_func ("/platform/explain-broken", test_explain_broken);
   g_test_add_func ("/platform/explain-slow", test_explain_slow);
--- a/tests/test-scripts.c
+++ b/tests/test-scripts.c
@@ -22,8 +22,8 @@
  *
  * Effects in an expected file:
  *   answer CALL STATUS OUTCOME TEXT                 the entry sends an error response of its own
- *   dispatch CALL.ATTEMPT SERVER [proved] remaining=MS
- *       proved: only on a new connection or one that lately carried a response
+ *   dispatch CALL.ATTEMPT SERVER [proved|fresh] remaining=MS
+ *       proved: only on a new connection or one that lately carried a response; fresh: only on a new connection
  *   cancel CALL.ATTEMPT
  *   relay CALL.ATTEMPT OUTCOME                      forwards the backend server's response
  *   cut CALL                                        aborts a response that is partly forwarded
@@ -34,6 +34,7 @@
  *   log HFNUMBER TEXT
  *   follow MODE from REVISION                       changes how the platform's directory is watched
  *   exit
+ *   reject incomplete                               answers the requests that have not arrived completely
  */
 #include <glib.h>
 #include <stdio.h>
@@ -99,6 +100,14 @@
   g_string_append_c (run->output, '\n');
 }
 
+static const char *
+connection_kind (const struct hf_effect *dispatch)
+{
+  if (dispatch->idle_max_ms == 0)
+    return " fresh";
+  return dispatch->idle_max_ms < HF_CONNECTION_IDLE_MS ? " proved" : "";
+}
+
 static void
 print_tokens (struct script_run *run, const struct hf_effect *effect)
 {
@@ -124,8 +133,7 @@
       break;
     case HF_EFFECT_DISPATCH:
       g_string_append_printf (output, "  dispatch %d.%u %s%s remaining=%d\n", (int) effect->call, effect->attempt,
-                              server_name (run, effect->server),
-                              effect->idle_max_ms < HF_CONNECTION_IDLE_MS ? " proved" : "", (int) effect->remaining_ms);
+                              server_name (run, effect->server), connection_kind (effect), (int) effect->remaining_ms);
       break;
     case HF_EFFECT_CANCEL_ATTEMPT:
       g_string_append_printf (output, "  cancel %d.%u\n", (int) effect->call, effect->attempt);
@@ -166,6 +174,9 @@
     case HF_EFFECT_SET_LIMITS:
     case HF_EFFECT_SET_WAKEUP:
       break; /* almost every event changes them; the ticks of a script show the result */
+    case HF_EFFECT_REJECT_INCOMPLETE:
+      g_string_append (output, "  reject incomplete\n");
+      break;
     case HF_EFFECT_EXIT:
       g_string_append (output, "  exit\n");
       break;
@@ -402,7 +413,8 @@
 run_script (gconstpointer data)
 {
   const char *path = data;
-  struct hf_settings settings = { .name = hf_str ("e1"), .failure_domain = hf_str ("d1"), .drain_wait_ms = 100 };
+  struct hf_settings settings
+      = { .name = hf_str ("e1"), .failure_domain = hf_str ("d1"), .drain_wait_ms = 100, .shutdown_timeout_ms = 5000 };
   struct script_run run
       = { .state = hf_state_new (&settings, 1), .output = g_string_new (NULL), .folder = g_path_get_dirname (path) };
   char *text = NULL;
