--- a/src/hf-directory-sync.c
+++ b/src/hf-directory-sync.c
@@ -3,6 +3,7 @@
 
 #include "hf-directory.h"
 #include "hf-roles.h"
+#include "hf-wire.h"
 
 /* --- types --- */
 
@@ -108,13 +109,13 @@
 /* --- internal functions: sending --- */
 
 static struct hf_rpc_message
-make_message (const struct hf_state *state, uint64_t from, bool full)
+make_message (const struct hf_state *state, struct hf_store_position from, bool full)
 {
   const struct hf_directory *directory = &state->directory;
   struct hf_rpc_message message = { .body = { .kind = HF_RPC_DIRECTORY_UPDATE } };
   message.body.hf_rpc_body_u.directory_update = (struct hf_rpc_directory_update){
-    .from_revision = from,
-    .to_revision = directory->revision,
+    .from = hf_wire_write_position (from),
+    .to = hf_wire_write_position (directory->position),
     .full = full,
     .platform_unreachable = directory->platform_unreachable_until > state->now,
     .age_ms = (unsigned) CLAMP ((state->now - directory->confirmed_at) / HF_MS, 0, G_MAXUINT32),
@@ -145,7 +146,11 @@
 
 /* Sends the parts of one update, one datagram each, to @address or, if that is empty, to all followers. */
 static void
-send_reports (struct hf_state *state, struct hf_str address, uint64_t from, bool full, const GArray *items)
+send_reports (struct hf_state *state,
+              struct hf_str address,
+              struct hf_store_position from,
+              bool full,
+              const GArray *items)
 {
   struct hf_rpc_message message = make_message (state, from, full);
   struct hf_rpc_directory_update *directory = &message.body.hf_rpc_body_u.directory_update;
@@ -174,14 +179,15 @@
 }
 
 static void
-send_changes (struct hf_state *state, struct hf_str address, uint64_t from)
+send_changes (struct hf_state *state, struct hf_str address, struct hf_store_position from)
 {
   struct report_list reports = { .state = state, .items = g_array_new (FALSE, FALSE, sizeof (hf_rpc_server_report)) };
-  bool full = from < state->directory_sync.changes_since;
+  bool same_era = from.era == state->directory.position.era;
+  bool full = !same_era || from.revision < state->directory_sync.changes_since;
   if (full)
     hf_directory_foreach (state, add_report, &reports);
   else
-    collect_changes (&reports, from);
+    collect_changes (&reports, from.revision);
   send_reports (state, address, from, full, reports.items);
   g_array_unref (reports.items);
 }
@@ -191,7 +197,7 @@
 {
   struct hf_rpc_message message = { .body = { .kind = HF_RPC_DIRECTORY_PULL } };
   message.body.hf_rpc_body_u.directory_pull
-      = (struct hf_rpc_directory_pull){ .from_revision = state->directory.revision };
+      = (struct hf_rpc_directory_pull){ .from = hf_wire_write_position (state->directory.position) };
   hf_state_send_to_address (state, address, message);
 }
 
@@ -211,12 +217,13 @@
 begin_update (struct hf_state *state, struct hf_member *member, const struct hf_rpc_directory_update *message)
 {
   struct hf_directory_sync *sync = &state->directory_sync;
-  bool same_update
-      = member->directory_parts.to_revision == message->to_revision && member->directory_parts.full == message->full;
+  struct hf_store_position to = hf_wire_read_position (message->to);
+  bool same_position = hf_store_position_compare (member->directory_parts.to, to) == 0;
+  bool same_update = same_position && member->directory_parts.full == message->full;
   bool continues = !message->full || sync->full_sync_from == member->boot_id;
   if (same_update && continues)
     return;
-  member->directory_parts = (struct hf_directory_parts){ .to_revision = message->to_revision, .full = message->full };
+  member->directory_parts = (struct hf_directory_parts){ .to = to, .full = message->full };
   if (!message->full)
     return;
   sync->full_sync_from = member->boot_id;
@@ -237,7 +244,7 @@
       state->directory.entries_complete = true;
     }
   hf_directory_update_pools (state);
-  hf_directory_sync_advance (state, parts.to_revision, parts.full);
+  hf_directory_sync_advance (state, parts.to, parts.full);
 }
 
 static void
@@ -271,6 +278,19 @@
   pull_changes (state, address);
 }
 
+/* Whether the update follows on this entry's directory or replaces it. Changes of another era follow on nothing here.
+ */
+static bool
+is_applicable (const struct hf_state *state, const struct hf_rpc_directory_update *message)
+{
+  struct hf_store_position own = state->directory.position;
+  if (hf_store_position_compare (hf_wire_read_position (message->to), own) <= 0)
+    return false;
+  bool same_era = message->from.era == own.era && message->to.era == own.era;
+  return message->full || (same_era && message->from.revision <= own.revision);
+}
+
+/* A sender that has not noticed yet that the platform came back from an older copy confirms nothing. */
 static void
 handle_update (struct hf_state *state, struct hf_member *member, const struct hf_rpc_directory_update *message)
 {
@@ -280,10 +300,12 @@
   member->platform_unreachable = message->platform_unreachable;
   member->generation = message->generation;
   member->digest = message->digest;
-  bool is_newer = message->to_revision > directory->revision;
-  if (is_newer && (message->full || message->from_revision <= directory->revision))
+  hf_directory_note_era (state, message->to.era);
+  if (message->to.era < directory->era)
+    return;
+  if (is_applicable (state, message))
     apply_part (state, member, message);
-  if (directory->revision < message->to_revision)
+  if (hf_store_position_compare (directory->position, hf_wire_read_position (message->to)) < 0)
     {
       note_lag (state, member->address);
       return;
@@ -297,6 +319,15 @@
     state->directory_sync.watcher_confirmed_at = MAX (state->directory_sync.watcher_confirmed_at, confirmed_at);
 }
 
+/* One that knows a later era than this entry has no use for its list. */
+static void
+handle_pull (struct hf_state *state, struct hf_str address, const struct hf_rpc_directory_pull *message)
+{
+  hf_directory_note_era (state, message->from.era);
+  if (message->from.era <= state->directory.position.era)
+    send_changes (state, address, hf_wire_read_position (message->from));
+}
+
 /* The platform has not listed the directory to this entry since its start: requests all of it from another one. */
 static void
 pull_first_directory (struct hf_state *state, struct hf_str address)
@@ -362,14 +393,35 @@
   sync->platform_reachable_since = 0;
   sync->watch_until = state->roles.is_watcher ? 0 : state->now + HF_DIRECTORY_SYNC_WATCH_MIN_MS * HF_MS;
   hf_state_log (state, HF_LOG_FOLLOW, "%s; revision %" G_GUINT64_FORMAT, texts[mode],
-                (guint64) state->directory.revision);
+                (guint64) state->directory.position.revision);
   hf_effects_add (
       state->effects,
-      (struct hf_effect){ .kind = HF_EFFECT_SET_WATCH, .watch_mode = mode, .revision = state->directory.revision });
+      (struct hf_effect){ .kind = HF_EFFECT_SET_WATCH, .watch_mode = mode, .position = state->directory.position });
+}
+
+/* --- internal functions: eras --- */
+
+static void
+report_new_era (struct hf_state *state, struct hf_store_position before)
+{
+  struct hf_store_position now = state->directory.position;
+  hf_state_increment (state, HF_COUNT_PLATFORM_RESTORED);
+  hf_state_log (state, HF_LOG_PLATFORM_RESTORED,
+                "the platform came back from an older copy; the directory was in era %" G_GUINT64_FORMAT
+                " at revision %" G_GUINT64_FORMAT ", it is in era %" G_GUINT64_FORMAT " at revision %" G_GUINT64_FORMAT,
+                (guint64) before.era, (guint64) before.revision, (guint64) now.era, (guint64) now.revision);
 }
 
 /* --- public functions --- */
 
+void
+hf_directory_sync_handle_era (struct hf_state *state)
+{
+  struct hf_directory_sync *sync = &state->directory_sync;
+  sync->full_sync_from = 0;
+  sync->behind_since = 0;
+}
+
 void
 hf_directory_sync_init (struct hf_directory_sync *sync)
 {
@@ -391,28 +443,32 @@
 }
 
 void
-hf_directory_sync_advance (struct hf_state *state, uint64_t revision, bool full)
+hf_directory_sync_advance (struct hf_state *state, struct hf_store_position position, bool full)
 {
   struct hf_directory_sync *sync = &state->directory_sync;
-  uint64_t before = sync->changed_revision;
+  struct hf_store_position last = state->directory.position;
+  struct hf_store_position before = sync->changed_position;
+  bool new_era = last.revision > 0 && last.era != position.era;
   /* A list that follows on a known state shows by its differences what has changed since then. */
-  bool restart = full && (state->directory.revision == 0 || revision < state->directory.revision);
+  bool restart = full && (last.revision == 0 || new_era || hf_store_position_compare (position, last) < 0);
   bool changed = false;
   for (guint i = sync->changes->len; i-- > 0 && change_at (sync, i)->revision == 0;)
     {
-      change_at (sync, i)->revision = revision;
+      change_at (sync, i)->revision = position.revision;
       changed = true;
     }
   if (restart)
     {
       g_array_set_size (sync->changes, 0);
-      sync->changes_since = revision;
+      sync->changes_since = position.revision;
     }
   if (changed || restart)
-    sync->changed_revision = revision;
+    sync->changed_position = position;
   trim_changes (sync);
-  state->directory.revision = revision;
-  if (!sends_updates (state) || !changed)
+  state->directory.position = position;
+  if (new_era)
+    report_new_era (state, last);
+  if (!sends_updates (state) || !(changed || new_era))
     return;
   if (restart)
     hf_directory_sync_announce (state);
@@ -426,7 +482,7 @@
 {
   if (!state->external_store || !sends_updates (state) || !state->directory.complete)
     return;
-  struct hf_rpc_message message = make_message (state, state->directory_sync.changed_revision, false);
+  struct hf_rpc_message message = make_message (state, state->directory_sync.changed_position, false);
   message.body.hf_rpc_body_u.directory_update.parts = 1;
   send_to_followers (state, &message);
   state->directory_sync.last_sent_at = state->now;
@@ -434,21 +490,23 @@
 
 /* Requests changes that other failure domains have: the watches of all watchers here may hang unnoticed. */
 void
-hf_directory_sync_note_revision (struct hf_state *state, const struct hf_event *event)
+hf_directory_sync_note_position (struct hf_state *state, const struct hf_event *event)
 {
   struct hf_directory_sync *sync = &state->directory_sync;
-  uint64_t own_revision = state->directory.revision;
-  uint64_t revision = event->peer.message->body.hf_rpc_body_u.heartbeat.directory_revision;
-  if (!state->external_store || revision <= own_revision)
+  struct hf_store_position own = state->directory.position;
+  struct hf_store_position position
+      = hf_wire_read_position (event->peer.message->body.hf_rpc_body_u.heartbeat.directory_position);
+  if (!state->external_store || hf_store_position_compare (position, own) <= 0)
     return;
+  hf_directory_note_era (state, position.era);
   if (!state->directory.complete)
     {
       pull_first_directory (state, event->peer.address);
       return;
     }
-  if (sync->remote_revision <= own_revision)
+  if (hf_store_position_compare (sync->remote_position, own) <= 0)
     sync->remote_ahead_since = state->now;
-  sync->remote_revision = MAX (sync->remote_revision, revision);
+  sync->remote_position = hf_store_position_max (sync->remote_position, position);
   if (state->now - sync->remote_ahead_since < HF_DIRECTORY_SYNC_REMOTE_LAG_MAX_MS * HF_MS)
     return;
   sync->remote_ahead_since = state->now;
@@ -483,5 +541,5 @@
   if (message->body.kind == HF_RPC_DIRECTORY_UPDATE && member && state->external_store)
     handle_update (state, member, &message->body.hf_rpc_body_u.directory_update);
   else if (message->body.kind == HF_RPC_DIRECTORY_PULL && state->directory.complete)
-    send_changes (state, event->peer.address, message->body.hf_rpc_body_u.directory_pull.from_revision);
+    handle_pull (state, event->peer.address, &message->body.hf_rpc_body_u.directory_pull);
 }
--- a/src/hf-directory.c
+++ b/src/hf-directory.c
@@ -229,14 +229,16 @@
   state->roles.update_pending = true;
 }
 
-/* A response confirms the revision only if this entry watches for changes; a reachability check does not. */
+/* A response confirms the position only if this entry watches for changes, and those of the newest era; a reachability
+ * check does not. */
 static void
 note_reachable (struct hf_state *state)
 {
   struct hf_directory *directory = &state->directory;
   bool was_unreachable = directory->platform_unreachable_until > 0;
+  bool watches = state->directory_sync.watch_mode == HF_WATCH_MODE_ON;
   directory->platform_unreachable_until = 0;
-  if (state->directory_sync.watch_mode == HF_WATCH_MODE_ON)
+  if (watches && directory->position.era == directory->era)
     directory->confirmed_at = state->now;
   if (state->directory_sync.watch_mode != HF_WATCH_MODE_OFF && state->directory_sync.platform_reachable_since == 0)
     state->directory_sync.platform_reachable_since = state->now;
@@ -246,6 +248,45 @@
   hf_directory_sync_announce (state);
 }
 
+/* Reports of an older era are outdated: the platform, or a replica of it, sent them before it came back from a copy. */
+static bool
+is_outdated (struct hf_state *state, struct hf_store_position position)
+{
+  hf_directory_note_era (state, position.era);
+  return position.era < state->directory.era;
+}
+
+static void
+begin_platform_list (struct hf_state *state, struct hf_store_position position)
+{
+  if (is_outdated (state, position))
+    return;
+  state->directory.listing = true;
+  hf_directory_begin_list (state);
+}
+
+static void
+end_platform_list (struct hf_state *state, struct hf_store_position position)
+{
+  if (is_outdated (state, position))
+    return;
+  state->directory.listing = false;
+  hf_directory_end_list (state);
+  hf_directory_update_pools (state);
+  state->directory.confirmed_at = state->now;
+  hf_directory_sync_advance (state, position, true);
+}
+
+/* Changes of a new era follow on a list of it only. */
+static void
+advance_platform_list (struct hf_state *state, struct hf_store_position position)
+{
+  if (is_outdated (state, position) || position.era != state->directory.position.era)
+    return;
+  hf_directory_update_pools (state);
+  hf_directory_sync_advance (state, position, false);
+}
+
 /* --- public functions --- */
 
 void
@@ -300,6 +341,27 @@
   hf_slots_update_pools (state);
 }
 
+/* What the copy lacks is written again, which takes as long as after an outage. */
+void
+hf_directory_note_era (struct hf_state *state, uint64_t era)
+{
+  struct hf_directory *directory = &state->directory;
+  if (era <= directory->era)
+    return;
+  directory->era = era;
+  if (directory->complete)
+    directory->recovered_at = state->now;
+  hf_directory_sync_handle_era (state);
+  hf_effects_add (state->effects, (struct hf_effect){ .kind = HF_EFFECT_LIST_AGAIN, .position = { .era = era } });
+}
+
+void
+hf_directory_handle_report (struct hf_state *state, const struct hf_event *event)
+{
+  if (!is_outdated (state, event->position))
+    hf_directory_update_server (state, &event->report);
+}
+
 void
 hf_directory_handle_list (struct hf_state *state, const struct hf_event *event)
 {
@@ -307,19 +369,16 @@
   switch (event->list_step)
     {
     case HF_LIST_BEGIN:
-      directory->listing = true;
-      hf_directory_begin_list (state);
+      begin_platform_list (state, event->position);
       break;
     case HF_LIST_END:
-      directory->listing = false;
-      hf_directory_end_list (state);
-      hf_directory_update_pools (state);
-      directory->confirmed_at = state->now;
-      hf_directory_sync_advance (state, event->revision, true);
+      end_platform_list (state, event->position);
       break;
     case HF_LIST_PROGRESS:
-      hf_directory_update_pools (state);
-      hf_directory_sync_advance (state, event->revision, false);
+      advance_platform_list (state, event->position);
+      break;
+    case HF_LIST_NEW_ERA:
+      hf_directory_note_era (state, event->position.era);
       break;
     case HF_LIST_ENTRIES_END:
       directory->entries_complete = true;
--- a/src/hf-directory.h
+++ b/src/hf-directory.h
@@ -21,7 +21,11 @@
 void hf_directory_update_pools (struct hf_state *state); /* resizes slices and grants slots after a batch of updates */
 void hf_directory_begin_list (struct hf_state *state);   /* begins a full list */
 void hf_directory_end_list (struct hf_state *state);     /* removes the servers that the list did not report */
-void hf_directory_handle_list (struct hf_state *state, const struct hf_event *event); /* LIST_STEP */
+void hf_directory_handle_list (struct hf_state *state, const struct hf_event *event);   /* LIST_STEP */
+void hf_directory_handle_report (struct hf_state *state, const struct hf_event *event); /* SERVER_REPORT */
+
+/* The platform's store is known to be in this era. If it is a new one, all of the directory has to be listed again. */
+void hf_directory_note_era (struct hf_state *state, uint64_t era);
 
 /* --- public functions: look up --- */
 
--- a/src/hf-dump.c
+++ b/src/hf-dump.c
@@ -98,10 +98,12 @@
                           state->roles.is_coordinator ? " coordinates" : "", state->roles.is_watcher ? " watches" : "",
                           state->roles.granters->len);
   if (state->external_store)
-    g_string_append_printf (
-        text, "directory: %u servers at revision %" G_GUINT64_FORMAT ", current %" G_GINT64_FORMAT " ms ago, %s\n",
-        g_hash_table_size (directory->servers), (guint64) directory->revision, (now - directory->confirmed_at) / 1000,
-        watch_mode_names[state->directory_sync.watch_mode]);
+    g_string_append_printf (text,
+                            "directory: %u servers in era %" G_GUINT64_FORMAT " of %" G_GUINT64_FORMAT
+                            " at revision %" G_GUINT64_FORMAT ", current %" G_GINT64_FORMAT " ms ago, %s\n",
+                            g_hash_table_size (directory->servers), (guint64) directory->position.era,
+                            (guint64) directory->era, (guint64) directory->position.revision,
+                            (now - directory->confirmed_at) / 1000, watch_mode_names[state->directory_sync.watch_mode]);
 }
 
 static void
--- a/src/hf-event.h
+++ b/src/hf-event.h
@@ -16,6 +16,7 @@
 #include "hf-document.h"
 #include "hf-log.h"
 #include "hf-rpc.h"
+#include "hf-store-position.h"
 
 /* --- types: shared values --- */
 
@@ -116,11 +117,12 @@
 enum hf_list_step
 {
   HF_LIST_BEGIN,       /* servers not reported before HF_LIST_END are removed */
-  HF_LIST_END,         /* all servers of the event's revision were reported */
-  HF_LIST_PROGRESS,    /* all changes up to the event's revision were reported */
+  HF_LIST_END,         /* all servers at the event's position were reported */
+  HF_LIST_PROGRESS,    /* all changes up to the event's position were reported */
   HF_LIST_UNREACHABLE, /* the directory is unreachable */
   HF_LIST_REACHABLE,   /* the directory is reachable */
   HF_LIST_ENTRIES_END, /* all listed entries were reported */
+  HF_LIST_NEW_ERA,     /* the platform came back from an older copy; the event's position has the new era */
 };
 
 /** enum hf_watch_mode - how this entry watches the platform's directory */
@@ -203,10 +205,10 @@
     uint64_t generation;
     struct hf_str text; /* YAML */
   } document;
-  struct hf_server_report report; /* SERVER_REPORT */
-  struct hf_listed_entry entry;   /* ENTRY_REPORT */
-  enum hf_list_step list_step;    /* LIST_STEP */
-  uint64_t revision;              /* LIST_STEP: of the directory; 0: none */
+  struct hf_server_report report;    /* SERVER_REPORT */
+  struct hf_listed_entry entry;      /* ENTRY_REPORT */
+  enum hf_list_step list_step;       /* LIST_STEP */
+  struct hf_store_position position; /* LIST_STEP: of the directory; SERVER_REPORT: only the era that it is from */
 };
 
 /* --- types: effects --- */
@@ -229,6 +231,7 @@
   HF_EFFECT_SET_LIMITS,     /* change the limits on callers' requests */
   HF_EFFECT_SET_WATCH,      /* change how the platform's directory is watched */
   HF_EFFECT_READ_DOCUMENT,  /* read the configuration from the platform once */
+  HF_EFFECT_LIST_AGAIN,     /* the platform has a new era: list again what is watched, check the registration */
 };
 
 /** struct hf_effect - one effect; only the members that its kind needs are set */
@@ -252,7 +255,7 @@
   uint64_t arg;     /* returned in the result's event: claim shard or service, by purpose */
   uint64_t version; /* PUT: expected version of the object; 0: create it */
   enum hf_watch_mode watch_mode;
-  uint64_t revision; /* SET_WATCH: last known revision of the directory */
+  struct hf_store_position position; /* SET_WATCH: last known one of the directory; LIST_AGAIN: only the era */
   struct hf_str name;
   struct hf_str data;
   struct hf_caller_limits limits;
--- a/src/hf-log.c
+++ b/src/hf-log.c
@@ -44,6 +44,8 @@
   { HF_LOG_PLATFORM_BACK, HF_LOG_LEVEL_NOTICE, "platform-back" },
   { HF_LOG_WATCH_SILENT, HF_LOG_LEVEL_WARNING, "watch-silent" },
   { HF_LOG_FOLLOW, HF_LOG_LEVEL_INFO, "follow" },
+  { HF_LOG_PLATFORM_RESTORED, HF_LOG_LEVEL_WARNING, "platform-restored" },
+  { HF_LOG_PLATFORM_OUTDATED, HF_LOG_LEVEL_INFO, "platform-outdated" },
   { HF_LOG_LINES_DROPPED, HF_LOG_LEVEL_WARNING, "lines-dropped" },
   { HF_LOG_NOT_ACCEPTED, HF_LOG_LEVEL_WARNING, "not-accepted" },
   { HF_LOG_REQUEST_ROUTED, HF_LOG_LEVEL_INFO, "request-routed" },
--- a/src/hf-members.c
+++ b/src/hf-members.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "hf-roles.h"
+#include "hf-wire.h"
 
 /* --- constants --- */
 
@@ -158,7 +159,7 @@
   heartbeat->failure_domain = hf_hash (state->failure_domain, 0);
   heartbeat->cpu_percent = (unsigned) (state->cpu_share * PERCENT);
   heartbeat->platform_unreachable = state->directory.platform_unreachable_until > state->now;
-  heartbeat->directory_revision = state->directory_sync.changed_revision;
+  heartbeat->directory_position = hf_wire_write_position (state->directory_sync.changed_position);
   heartbeat->generation = hf_state_generation (state);
   heartbeat->digest = state->document ? state->document->digest : 0;
   heartbeat->leaving = state->leaving;
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -153,7 +153,7 @@
     {
     case HF_RPC_HEARTBEAT:
       hf_members_handle_heartbeat (state, event);
-      hf_directory_sync_note_revision (state, event);
+      hf_directory_sync_note_position (state, event);
       hf_config_spread_note_member (state, event->peer.message->boot_id);
       break;
     case HF_RPC_ACQUIRE:
@@ -260,7 +260,7 @@
       hf_config_sync_handle_document (state, event);
       break;
     case HF_EVENT_SERVER_REPORT:
-      hf_directory_update_server (state, &event->report);
+      hf_directory_handle_report (state, event);
       break;
     case HF_EVENT_ENTRY_REPORT:
       hf_members_update_entry (state, &event->entry);
--- a/src/hf-rpc.c
+++ b/src/hf-rpc.c
@@ -15,6 +15,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_hf_rpc_store_position (XDR *xdrs, hf_rpc_store_position *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->era))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_hf_rpc_server_load (XDR *xdrs, hf_rpc_server_load *objp)
 {
@@ -42,7 +54,7 @@
 			 return FALSE;
 		 if (!xdr_bool (xdrs, &objp->platform_unreachable))
 			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->directory_revision))
+		 if (!xdr_hf_rpc_store_position (xdrs, &objp->directory_position))
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->generation))
 			 return FALSE;
@@ -78,7 +90,7 @@
 			 return FALSE;
 		 if (!xdr_bool (xdrs, &objp->platform_unreachable))
 			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->directory_revision))
+		 if (!xdr_hf_rpc_store_position (xdrs, &objp->directory_position))
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->generation))
 			 return FALSE;
@@ -115,7 +127,7 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->platform_unreachable))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->directory_revision))
+	 if (!xdr_hf_rpc_store_position (xdrs, &objp->directory_position))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->generation))
 		 return FALSE;
@@ -578,9 +590,9 @@
 
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_u_quad_t (xdrs, &objp->from_revision))
+		 if (!xdr_hf_rpc_store_position (xdrs, &objp->from))
 			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->to_revision))
+		 if (!xdr_hf_rpc_store_position (xdrs, &objp->to))
 			 return FALSE;
 		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
@@ -611,9 +623,9 @@
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_u_quad_t (xdrs, &objp->from_revision))
+		 if (!xdr_hf_rpc_store_position (xdrs, &objp->from))
 			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->to_revision))
+		 if (!xdr_hf_rpc_store_position (xdrs, &objp->to))
 			 return FALSE;
 		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
@@ -645,9 +657,9 @@
 	 return TRUE;
 	}
 
-	 if (!xdr_u_quad_t (xdrs, &objp->from_revision))
+	 if (!xdr_hf_rpc_store_position (xdrs, &objp->from))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->to_revision))
+	 if (!xdr_hf_rpc_store_position (xdrs, &objp->to))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->part))
 		 return FALSE;
@@ -674,7 +686,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->from_revision))
+	 if (!xdr_hf_rpc_store_position (xdrs, &objp->from))
 		 return FALSE;
 	return TRUE;
 }
--- a/src/hf-rpc.h
+++ b/src/hf-rpc.h
@@ -14,7 +14,7 @@
 #endif
 
 #define HF_RPC_PROGRAM 541083233
-#define HF_RPC_VERSION 3
+#define HF_RPC_VERSION 4
 #define HF_RPC_LOADS_MAX 512
 #define HF_RPC_GRANTS_MAX 512
 #define HF_RPC_CONFIG_CHUNK_MAX 8192
@@ -39,6 +39,12 @@
 };
 typedef enum hf_rpc_kind hf_rpc_kind;
 
+struct hf_rpc_store_position {
+	u_quad_t era;
+	u_quad_t revision;
+};
+typedef struct hf_rpc_store_position hf_rpc_store_position;
+
 struct hf_rpc_server_load {
 	u_quad_t server;
 	u_int count;
@@ -50,7 +56,7 @@
 	u_quad_t failure_domain;
 	u_int cpu_percent;
 	bool_t platform_unreachable;
-	u_quad_t directory_revision;
+	hf_rpc_store_position directory_position;
 	u_quad_t generation;
 	u_quad_t digest;
 	bool_t leaving;
@@ -203,8 +209,8 @@
 typedef struct hf_rpc_server_report hf_rpc_server_report;
 
 struct hf_rpc_directory_update {
-	u_quad_t from_revision;
-	u_quad_t to_revision;
+	hf_rpc_store_position from;
+	hf_rpc_store_position to;
 	u_int part;
 	u_int parts;
 	bool_t full;
@@ -220,7 +226,7 @@
 typedef struct hf_rpc_directory_update hf_rpc_directory_update;
 
 struct hf_rpc_directory_pull {
-	u_quad_t from_revision;
+	hf_rpc_store_position from;
 };
 typedef struct hf_rpc_directory_pull hf_rpc_directory_pull;
 
@@ -255,6 +261,7 @@
 
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_hf_rpc_kind (XDR *, hf_rpc_kind*);
+extern  bool_t xdr_hf_rpc_store_position (XDR *, hf_rpc_store_position*);
 extern  bool_t xdr_hf_rpc_server_load (XDR *, hf_rpc_server_load*);
 extern  bool_t xdr_hf_rpc_heartbeat (XDR *, hf_rpc_heartbeat*);
 extern  bool_t xdr_hf_rpc_acquire (XDR *, hf_rpc_acquire*);
@@ -277,6 +284,7 @@
 
 #else /* K&R C */
 extern bool_t xdr_hf_rpc_kind ();
+extern bool_t xdr_hf_rpc_store_position ();
 extern bool_t xdr_hf_rpc_server_load ();
 extern bool_t xdr_hf_rpc_heartbeat ();
 extern bool_t xdr_hf_rpc_acquire ();
--- a/src/hf-rpc.x
+++ b/src/hf-rpc.x
@@ -7,7 +7,7 @@
  * constants and enumerators, are the wire format.
  */
 const HF_RPC_PROGRAM = 541083233;
-const HF_RPC_VERSION = 3;
+const HF_RPC_VERSION = 4;
 const HF_RPC_LOADS_MAX = 512;
 const HF_RPC_GRANTS_MAX = 512;
 const HF_RPC_CONFIG_CHUNK_MAX = 8192;
@@ -31,6 +31,12 @@
   HF_RPC_CONFIG_OFFER = 14
 };
 
+/* Position in the changes of the platform's store: number of its history, and revision in that history. */
+struct hf_rpc_store_position {
+  unsigned hyper era;
+  unsigned hyper revision;
+};
+
 /* Number of requests that the sender has in flight at one backend server. */
 struct hf_rpc_server_load {
   unsigned hyper server;
@@ -40,7 +46,7 @@
 /* Liveness, configuration in force and load of the sender.
  * failure_domain: hash of its name. cpu_percent: processor time of the sender, 100 is one core.
  * platform_unreachable: the sender has no response from the platform and cannot watch its directory.
- * directory_revision: revision of the last directory change that the sender has applied.
+ * directory_position: position of the last directory change that the sender has applied.
  * generation, digest: of its configuration document, 0 if it has none.
  * leaving: the sender is shutting down. starting: it has not read its configuration or directory yet and cannot grant
  * slots. wants_reply: the receiver sends a heartbeat back immediately.
@@ -50,7 +56,7 @@
   unsigned hyper failure_domain;
   unsigned int cpu_percent;
   bool platform_unreachable;
-  unsigned hyper directory_revision;
+  hf_rpc_store_position directory_position;
   unsigned hyper generation;
   unsigned hyper digest;
   bool leaving;
@@ -186,12 +192,12 @@
   unsigned int removal_delay_ms;
 };
 
-/* One part of a directory update: the changes between two revisions or, if full, the whole directory.
- * age_ms: time since to_revision was last known to be current.
+/* One part of a directory update: the changes between two positions or, if full, the whole directory.
+ * age_ms: time since the position to was last known to be current.
  * platform_unreachable, generation, digest: as in the heartbeat. */
 struct hf_rpc_directory_update {
-  unsigned hyper from_revision;
-  unsigned hyper to_revision;
+  hf_rpc_store_position from;
+  hf_rpc_store_position to;
   unsigned int part;
   unsigned int parts;
   bool full;
@@ -202,9 +208,9 @@
   hf_rpc_server_report reports<HF_RPC_REPORTS_MAX>;
 };
 
-/* Requests the directory changes since a revision. */
+/* Requests the directory changes since a position. */
 struct hf_rpc_directory_pull {
-  unsigned hyper from_revision;
+  hf_rpc_store_position from;
 };
 
 union hf_rpc_body switch (hf_rpc_kind kind) {
--- a/src/hf-state.c
+++ b/src/hf-state.c
@@ -23,6 +23,7 @@
   [HF_COUNT_PEER_MESSAGES_RECEIVED] = "peer_messages_received_total",
   [HF_COUNT_PLATFORM_CALLS] = "platform_calls_total",
   [HF_COUNT_PLATFORM_LOST] = "platform_lost_total",
+  [HF_COUNT_PLATFORM_RESTORED] = "platform_restored_total",
   [HF_COUNT_CLAIM_WRITES] = "claim_writes_total",
   [HF_COUNT_CLAIMS_COMMITTED] = "claims_committed_total",
   [HF_COUNT_CLAIMS_TAKEN] = "claims_taken_total",
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -41,7 +41,8 @@
   HF_COUNT_PEER_MESSAGES_SENT,
   HF_COUNT_PEER_MESSAGES_RECEIVED,
   HF_COUNT_PLATFORM_CALLS,
-  HF_COUNT_PLATFORM_LOST, /* platform calls without a response */
+  HF_COUNT_PLATFORM_LOST,     /* platform calls without a response */
+  HF_COUNT_PLATFORM_RESTORED, /* times that the platform's store came back from an older copy */
   HF_COUNT_CLAIM_WRITES,
   HF_COUNT_CLAIMS_COMMITTED,
   HF_COUNT_CLAIMS_TAKEN,      /* claims whose key another claim held */
@@ -177,9 +178,9 @@
 /** struct hf_directory_parts - which parts of a directory update have been received */
 struct hf_directory_parts
 {
-  uint64_t to_revision; /* revision after the update */
-  bool full;            /* it lists the whole directory, not only changes */
-  uint64_t received;    /* one bit for each part */
+  struct hf_store_position to; /* position after the update */
+  bool full;                   /* it lists the whole directory, not only changes */
+  uint64_t received;           /* one bit for each part */
 };
 
 /** struct hf_member - another entry */
@@ -372,8 +373,9 @@
  * @recovered_at: when it last began to respond again; 0: never
  * @listing: a list from the platform is being received
  * @pools_outdated: servers changed since the pools were last updated
- * @revision: revision of the platform's store up to which all changes have been applied
- * @confirmed_at: when @revision was last known to be current
+ * @position: position in the platform's store up to which all changes have been applied
+ * @era: newest era of the platform's store that is known; above that of @position: to be listed again
+ * @confirmed_at: when @position was last known to be current
  * @platform_unreachable_until: this entry cannot be a watcher before then, as the platform did not respond
  */
 struct hf_directory
@@ -385,7 +387,8 @@
   int64_t recovered_at;
   bool listing;
   bool pools_outdated;
-  uint64_t revision;
+  struct hf_store_position position;
+  uint64_t era;
   int64_t confirmed_at;
   int64_t platform_unreachable_until;
 };
@@ -414,12 +417,12 @@
 /**
  * struct hf_directory_sync - directory changes exchanged between entries
  * @changes: struct hf_directory_change, the oldest first
- * @changes_since: @changes holds every change after this revision
- * @changed_revision: revision of the last change
+ * @changes_since: @changes holds every change after this revision, in the era of the directory's position
+ * @changed_position: position of the last change
  * @full_sync_from: boot id of the entry whose full list is being received; 0: none
  * @full_sync_started_at: when that list began
- * @behind_since: another entry has announced a later revision since then; 0: none has
- * @remote_revision: latest change named in heartbeats
+ * @behind_since: another entry has announced a later position since then; 0: none has
+ * @remote_position: latest change named in heartbeats
  * @remote_ahead_since: since when that change has been missing here
  * @platform_reachable_since: the platform has responded to reachability checks since then; 0: it does not
  * @watch_mode: mode last set for the platform's client
@@ -433,11 +436,11 @@
 {
   GArray *changes;
   uint64_t changes_since;
-  uint64_t changed_revision;
+  struct hf_store_position changed_position;
   uint64_t full_sync_from;
   int64_t full_sync_started_at;
   int64_t behind_since;
-  uint64_t remote_revision;
+  struct hf_store_position remote_position;
   int64_t remote_ahead_since;
   int64_t platform_reachable_since;
   enum hf_watch_mode watch_mode;
--- a/src/hf-wire.c
+++ b/src/hf-wire.c
@@ -55,6 +55,18 @@
   return hf_error_set (error, HF_ERROR_SYNTAX, "datagram of %zu bytes is not a valid peer message", datagram.len);
 }
 
+hf_rpc_store_position
+hf_wire_write_position (struct hf_store_position position)
+{
+  return (hf_rpc_store_position){ .era = position.era, .revision = position.revision };
+}
+
+struct hf_store_position
+hf_wire_read_position (hf_rpc_store_position position)
+{
+  return (struct hf_store_position){ .era = position.era, .revision = position.revision };
+}
+
 void
 hf_wire_free (struct hf_rpc_message *message)
 {
--- a/src/hf-wire.h
+++ b/src/hf-wire.h
@@ -9,6 +9,7 @@
 
 #include "hf-base.h"
 #include "hf-rpc.h"
+#include "hf-store-position.h"
 
 /* --- constants --- */
 
@@ -22,4 +23,7 @@
 bool hf_wire_decode (struct hf_str datagram, struct hf_rpc_message *message, struct hf_error *error);
 void hf_wire_free (struct hf_rpc_message *message); /* a decoded message */
 
+hf_rpc_store_position hf_wire_write_position (struct hf_store_position position); /* for a message */
+struct hf_store_position hf_wire_read_position (hf_rpc_store_position position);  /* from a message */
+
 #endif
--- a/tests/fake-store.c
+++ b/tests/fake-store.c
@@ -44,6 +44,10 @@
   guint responses_to_drop; /* to the next writes */
   guint64 list_lag;        /* newest changes that the later pages of a stale list lack */
   guint call_count;
+  guint64 era;           /* how often an older copy was restored, and one */
+  GPtrArray *copy;       /* struct object of fake_store_save, NULL: none */
+  guint64 copy_revision; /* revision of that copy */
+  guint stale_lists;     /* next lists with allow_stale that come from a replica of the era before */
 };
 
 /* --- internal functions: objects --- */
@@ -70,6 +74,21 @@
   g_free (object);
 }
 
+static GPtrArray *
+copy_objects (const GPtrArray *objects)
+{
+  GPtrArray *copy = g_ptr_array_new_with_free_func (free_object);
+  for (guint i = 0; i < objects->len; i++)
+    {
+      struct object *object = g_memdup2 (g_ptr_array_index (objects, i), sizeof *object);
+      object->kind = g_strdup (object->kind);
+      object->name = g_strdup (object->name);
+      object->spec = g_strdup (object->spec);
+      g_ptr_array_add (copy, object);
+    }
+  return copy;
+}
+
 static gint
 compare_names (gconstpointer a, gconstpointer b)
 {
@@ -87,9 +106,39 @@
 /* --- internal functions: responses --- */
 
 static void
-respond (struct call *call, guint status, const char *body)
+respond_in_era (guint64 era, struct call *call, guint status, const char *body)
+{
+  char *fields = g_strdup_printf ("Content-Type: application/json\r\nStore-Era: %" G_GUINT64_FORMAT "\r\n", era);
+  hf_http_respond (call->request, status, hf_str (fields), hf_str (body));
+  g_free (fields);
+}
+
+static void
+respond (const struct fake_store *store, struct call *call, guint status, const char *body)
 {
-  hf_http_respond (call->request, status, hf_str ("Content-Type: application/json\r\n"), hf_str (body));
+  respond_in_era (store->era, call, status, body);
+}
+
+static void
+respond_with_object (const struct fake_store *store, struct call *call)
+{
+  const struct object *object = find_object (store, call->kind, call->name);
+  char *json = object && !object->deleted ? object_json (object) : NULL;
+  respond (store, call, json ? 200 : 404, json ? json : "{}");
+  g_free (json);
+}
+
+/* A replica that has not noticed the restore yet: it lists nothing that was written since. */
+static gboolean
+respond_from_stale_replica (struct fake_store *store, struct call *call)
+{
+  if (store->stale_lists == 0 || !g_hash_table_contains (call->query, "allow_stale"))
+    return FALSE;
+  store->stale_lists--;
+  char *body = g_strdup_printf ("{\"items\":[],\"more\":false,\"as_of\":%" G_GUINT64_FORMAT "}", store->revision);
+  respond_in_era (store->era - 1, call, 200, body);
+  g_free (body);
+  return TRUE;
 }
 
 static void
@@ -117,7 +166,7 @@
     }
   char *body = g_strdup_printf ("{\"items\":[%s],\"more\":%s,\"as_of\":%" G_GUINT64_FORMAT "}", items->str,
                                 more ? "true" : "false", as_of);
-  respond (call, 200, body);
+  respond (store, call, 200, body);
   g_free (body);
   g_string_free (items, TRUE);
 }
@@ -140,7 +189,7 @@
   if (has_events)
     {
       char *body = g_strdup_printf ("{\"events\":[%s],\"as_of\":%" G_GUINT64_FORMAT "}", events->str, store->revision);
-      respond (call, 200, body);
+      respond (store, call, 200, body);
       g_free (body);
     }
   g_string_free (events, TRUE);
@@ -202,9 +251,9 @@
   gboolean exists = existing && !existing->deleted;
   gboolean is_create = strcmp (call->method, "POST") == 0;
   if (!spec)
-    respond (call, 400, "{}");
+    respond (store, call, 400, "{}");
   else if (is_create == exists)
-    respond (call, is_create ? 409 : 404, "{}");
+    respond (store, call, is_create ? 409 : 404, "{}");
   else
     {
       change_object (store, call->kind, name, spec, FALSE);
@@ -215,7 +264,7 @@
           hf_http_response_abort (call->request);
         }
       else
-        respond (call, 200, json);
+        respond (store, call, 200, json);
       g_free (json);
     }
   g_free (name);
@@ -265,16 +314,21 @@
   if (store->silent)
     return;
   if (store->error_status)
-    respond (call, store->error_status, "{}");
+    respond (store, call, store->error_status, "{}");
   else if (strcmp (call->method, "GET") != 0)
     write_object (store, call);
+  else if (call->name)
+    respond_with_object (store, call);
   else if (!watch)
-    respond_with_list (store, call);
+    {
+      if (!respond_from_stale_replica (store, call))
+        respond_with_list (store, call);
+    }
   else
     {
       call->watch = g_ascii_strtoull (watch, NULL, 10);
-      if (call->watch < store->compacted_revision)
-        respond (call, 410, "{}");
+      if (call->watch < store->compacted_revision || call->watch > store->revision)
+        respond (store, call, 410, "{}");
       else if (!respond_with_events (store, call))
         g_ptr_array_add (store->pending_watches, call);
     }
@@ -313,7 +367,7 @@
 {
   GPtrArray *waiting = g_ptr_array_copy (store->pending_watches, NULL, NULL);
   for (guint i = 0; i < waiting->len; i++)
-    respond (g_ptr_array_index (waiting, i), status, "{}");
+    respond (store, g_ptr_array_index (waiting, i), status, "{}");
   g_ptr_array_unref (waiting);
 }
 
@@ -324,6 +378,7 @@
 {
   struct fake_store *store = g_new0 (struct fake_store, 1);
   store->revision = 1;
+  store->era = 1;
   store->objects = g_ptr_array_new_with_free_func (free_object);
   store->pending_watches = g_ptr_array_new ();
   store->http_server = hf_http_server_open (net, hf_str ("127.0.0.1:0"), &http_callbacks, store, NULL);
@@ -336,6 +391,7 @@
 {
   hf_http_server_close (store->http_server);
   g_ptr_array_unref (store->objects);
+  g_clear_pointer (&store->copy, g_ptr_array_unref);
   g_ptr_array_unref (store->pending_watches);
   g_free (store);
 }
@@ -403,6 +459,33 @@
   end_watches (store, 410);
 }
 
+void
+fake_store_save (struct fake_store *store)
+{
+  g_clear_pointer (&store->copy, g_ptr_array_unref);
+  store->copy = copy_objects (store->objects);
+  store->copy_revision = store->revision;
+}
+
+void
+fake_store_restore (struct fake_store *store)
+{
+  GPtrArray *waiting = g_ptr_array_copy (store->pending_watches, NULL, NULL);
+  g_ptr_array_unref (store->objects);
+  store->objects = copy_objects (store->copy);
+  store->revision = store->copy_revision;
+  store->era++;
+  for (guint i = 0; i < waiting->len; i++)
+    hf_http_response_abort (((struct call *) g_ptr_array_index (waiting, i))->request);
+  g_ptr_array_unref (waiting);
+}
+
+void
+fake_store_set_stale_lists (struct fake_store *store, guint lists)
+{
+  store->stale_lists = lists;
+}
+
 guint
 fake_store_call_count (const struct fake_store *store)
 {
--- a/tests/fake-store.h
+++ b/tests/fake-store.h
@@ -37,7 +37,12 @@
                                 guint writes); /* applies the next writes, aborts the responses */
 /* With allow_stale, the second and later pages of a list lack the newest changes, as from a lagging replica. */
 void fake_store_set_list_lag (struct fake_store *store, guint64 changes);
-void fake_store_compact (struct fake_store *store);           /* drops the history: older watches get 410 */
+void fake_store_compact (struct fake_store *store); /* drops the history: older watches get 410 */
+void fake_store_save (struct fake_store *store);    /* keeps a copy for fake_store_restore */
+/* Goes back to the copy: revisions are given out again, the era rises by one, pending watches are cut. */
+void fake_store_restore (struct fake_store *store);
+/* The next lists with allow_stale come from a replica that still is in the era before and lists nothing. */
+void fake_store_set_stale_lists (struct fake_store *store, guint lists);
 guint fake_store_call_count (const struct fake_store *store); /* calls received so far */
 
 #endif
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -50,6 +50,15 @@
   g_queue_push_tail (fleet->datagrams, datagram);
 }
 
+static void
+begin_era (struct fleet_entry *entry, uint64_t era)
+{
+  if (era <= entry->era)
+    return;
+  entry->era = era;
+  entry->revision = 0;
+}
+
 void
 fleet_raise_event (struct fleet_entry *entry, struct hf_event event)
 {
@@ -62,6 +71,8 @@
       const struct hf_effect *effect = &g_array_index (effects.items, struct hf_effect, i);
       if (effect->kind == HF_EFFECT_SEND_MESSAGE)
         send_datagram (entry, effect);
+      if (effect->kind == HF_EFFECT_LIST_AGAIN)
+        begin_era (entry, effect->position.era);
       if (effect->kind == HF_EFFECT_READ_DOCUMENT)
         {
           entry->document_reads++;
@@ -73,7 +84,8 @@
       entry->checks_now = effect->watch_mode == HF_WATCH_MODE_ON;
       entry->fleet->probe_starts += effect->watch_mode == HF_WATCH_MODE_PROBE;
       entry->watch_mode = effect->watch_mode;
-      entry->revision = MAX (entry->revision, effect->revision);
+      if (entry->era == effect->position.era)
+        entry->revision = MAX (entry->revision, effect->position.revision);
     }
   hf_effects_close (&effects);
 }
@@ -104,6 +116,7 @@
   g_snprintf (name, sizeof name, "s%u", i);
   g_snprintf (address, sizeof address, "10.1.0.%u:80", i % 200 + 1);
   fleet_raise_event (entry, (struct hf_event){ .kind = HF_EVENT_SERVER_REPORT,
+                                               .position = { .era = entry->fleet->era },
                                                .report = { .name = hf_str (name),
                                                            .service = hf_str ("a"),
                                                            .address = hf_str (address),
@@ -117,18 +130,27 @@
 static void
 raise_list_step (struct fleet_entry *entry, enum hf_list_step step, uint64_t revision)
 {
-  fleet_raise_event (entry, (struct hf_event){ .kind = HF_EVENT_LIST_STEP, .list_step = step, .revision = revision });
+  fleet_raise_event (entry, (struct hf_event){ .kind = HF_EVENT_LIST_STEP,
+                                               .list_step = step,
+                                               .position = { .era = entry->fleet->era, .revision = revision } });
 }
 
-/* Reports the changes since the last report to this entry. */
+/* Reports the changes since the last report to this entry, or all if the platform is in an era that is new to it. */
 static void
 report_changes (struct fleet_entry *entry)
 {
   struct fleet *fleet = entry->fleet;
+  bool is_known = entry->era == fleet->era && entry->revision > 0;
   if (entry->watch_mode != HF_WATCH_MODE_ON || entry->platform_unreachable || entry->watch_hangs
-      || entry->revision >= fleet->revision)
+      || (is_known && entry->revision >= fleet->revision))
     return;
   raise_list_step (entry, HF_LIST_REACHABLE, 0);
+  if (!is_known)
+    {
+      raise_list_step (entry, HF_LIST_NEW_ERA, 0);
+      fleet_report_full_list (entry);
+      return;
+    }
   for (unsigned i = 0; i < FLEET_SERVERS_MAX; i++)
     if (fleet->servers[i].revision > entry->revision)
       report_server (entry, i);
@@ -166,6 +188,7 @@
   for (unsigned i = 0; i < FLEET_SERVERS_MAX; i++)
     if (entry->fleet->servers[i].listed)
       report_server (entry, i);
+  entry->era = entry->fleet->era;
   entry->revision = entry->fleet->revision;
   raise_list_step (entry, HF_LIST_END, entry->revision);
 }
@@ -177,6 +200,21 @@
   fleet->servers[i] = server;
 }
 
+void
+fleet_save_platform (struct fleet *fleet)
+{
+  memcpy (fleet->saved_servers, fleet->servers, sizeof fleet->servers);
+  fleet->saved_revision = fleet->revision;
+}
+
+void
+fleet_restore_platform (struct fleet *fleet)
+{
+  memcpy (fleet->servers, fleet->saved_servers, sizeof fleet->servers);
+  fleet->revision = fleet->saved_revision;
+  fleet->era++;
+}
+
 /* --- internal functions: the fleet --- */
 
 void
@@ -263,6 +301,7 @@
   double cpu_share = entry->state->cpu_share;
   hf_state_free (entry->state);
   entry->watch_mode = HF_WATCH_MODE_OFF;
+  entry->era = 0;
   entry->revision = 0;
   entry->generation = 0;
   start_entry (entry, cpu_share, boot_id);
@@ -309,6 +348,7 @@
   struct fleet *fleet = g_new0 (struct fleet, 1);
   fleet->entry_count = entries;
   fleet->now = HF_SEC;
+  fleet->era = 1;
   fleet->datagrams = g_queue_new ();
   fleet->entry_by_address = g_hash_table_new (g_str_hash, g_str_equal);
   for (unsigned i = 0; i < 30; i++)
@@ -371,8 +411,8 @@
           bool is_listed = g_hash_table_contains (directory->servers, name);
           if (is_listed != fleet->servers[server].listed)
             g_error ("directory of entry %s %s %s at revision %d, the platform is at %d; the test stops",
-                     fleet->entries[i].name, is_listed ? "still lists" : "misses", name, (int) directory->revision,
-                     (int) fleet->revision);
+                     fleet->entries[i].name, is_listed ? "still lists" : "misses", name,
+                     (int) directory->position.revision, (int) fleet->revision);
         }
     }
 }
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -36,6 +36,7 @@
   bool watch_hangs;          /* its watch delivers nothing, although its checks of the platform succeed */
   bool checks_now;           /* it has begun to watch and checks the platform at once */
   unsigned lost_kind;        /* enum hf_rpc_kind of messages that never reach it; 0: none */
+  uint64_t era;              /* of the platform, as far as the entry's client knows */
   uint64_t revision;         /* directory revision that the platform has reported to it */
   uint64_t generation;       /* configuration generation that the platform has reported to it */
   unsigned datagrams_sent;
@@ -66,7 +67,10 @@
   unsigned loss_interval; /* one datagram in this many is lost; 0: none */
   unsigned loss_counter;
   struct fleet_server servers[FLEET_SERVERS_MAX];
-  uint64_t revision;
+  uint64_t era;      /* rises when the platform comes back from an older copy */
+  uint64_t revision; /* of the last change in that era */
+  struct fleet_server saved_servers[FLEET_SERVERS_MAX];
+  uint64_t saved_revision;
   uint64_t generation;       /* of the operator's configuration; 0: none yet */
   char *document;            /* its text */
   int64_t link_bytes_per_ms; /* bandwidth of each entry's link; 0: unlimited */
@@ -87,6 +91,8 @@
 void fleet_advance (struct fleet *fleet, int64_t ms); /* delivers what is due in that time, and ticks every entry */
 void fleet_raise_event (struct fleet_entry *entry, struct hf_event event);
 void fleet_change_server (struct fleet *fleet, unsigned i, struct fleet_server server);
+void fleet_save_platform (struct fleet *fleet);    /* keeps a copy of the directory */
+void fleet_restore_platform (struct fleet *fleet); /* goes back to it: revisions are given out again in a new era */
 void fleet_report_full_list (struct fleet_entry *entry);          /* the platform's response to a list call */
 void fleet_report_entries (struct fleet_entry *entry);            /* the same for the list of entries */
 void fleet_write_document (struct fleet *fleet, unsigned routes); /* the operator writes the next generation */
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -416,6 +416,233 @@
   fleet_close (fleet);
 }
 
+/* --- tests: the platform comes back from an older copy --- */
+
+/* Changes that are lost, and others in their place under the same revisions. */
+static void
+restore_and_change (struct fleet *fleet)
+{
+  fleet_restore_platform (fleet);
+  fleet_change_server (fleet, 202, (struct fleet_server){ .listed = true });
+  fleet_change_server (fleet, 5, (struct fleet_server){ 0 });
+  fleet_change_server (fleet, 3, (struct fleet_server){ 0 });
+  fleet_change_server (fleet, 4, (struct fleet_server){ 0 });
+}
+
+static struct fleet *
+open_fleet_with_lost_changes (void)
+{
+  struct fleet *fleet = fleet_open (60, 3, 2);
+  fleet_save_platform (fleet);
+  fleet_change_server (fleet, 200, (struct fleet_server){ .listed = true });
+  fleet_change_server (fleet, 201, (struct fleet_server){ .listed = true });
+  fleet_change_server (fleet, 3, (struct fleet_server){ 0 });
+  fleet_change_server (fleet, 4, (struct fleet_server){ 0 });
+  fleet_advance (fleet, 300);
+  fleet_check_directories (fleet);
+  return fleet;
+}
+
+/* Every entry is in the new era, has the platform's servers, and has counted one restore. */
+static void
+check_restored (const struct fleet *fleet)
+{
+  fleet_check_directories (fleet);
+  for (unsigned i = 0; i < fleet->entry_count; i++)
+    {
+      const struct hf_state *state = fleet->entries[i].state;
+      g_assert_cmpuint (state->directory.position.era, ==, 2);
+      g_assert_cmpuint (state->counters[HF_COUNT_PLATFORM_RESTORED], ==, 1);
+    }
+}
+
+/* Two histories of the platform share revisions and differ in content: every entry ends up with the second one. */
+static void
+test_restored_shared_revisions (void)
+{
+  struct fleet *fleet = open_fleet_with_lost_changes ();
+  fleet->watch_starts = 0;
+  restore_and_change (fleet);
+  fleet_advance (fleet, FLEET_PROPAGATION_MAX_MS + HF_DIRECTORY_OUTAGE_GRACE_MS);
+  check_restored (fleet);
+  g_assert_cmpuint (fleet->watch_starts, ==, 0);
+  fleet_close (fleet);
+}
+
+/* A server that joins after the restore is used everywhere as soon as any other new one. */
+static void
+test_restored_joined_server (void)
+{
+  struct fleet *fleet = open_fleet_with_lost_changes ();
+  restore_and_change (fleet);
+  fleet_advance (fleet, FLEET_PROPAGATION_MAX_MS);
+  for (unsigned i = 0; i < fleet->entry_count; i++)
+    g_assert_true (g_hash_table_contains (fleet->entries[i].state->directory.servers, "s202"));
+  fleet_close (fleet);
+}
+
+/* A server that registered after the copy was made registers again within the time that one has after an outage. */
+static void
+test_restored_missing_server (void)
+{
+  struct fleet *fleet = open_fleet_with_lost_changes ();
+  restore_and_change (fleet);
+  for (unsigned i = 0; i < 15; i++)
+    {
+      fleet_advance (fleet, 100);
+      for (unsigned entry = 0; entry < fleet->entry_count; entry++)
+        g_assert_true (g_hash_table_contains (fleet->entries[entry].state->directory.servers, "s200"));
+    }
+  fleet_change_server (fleet, 200, (struct fleet_server){ .listed = true });
+  fleet_advance (fleet, FLEET_PROPAGATION_MAX_MS + HF_DIRECTORY_OUTAGE_GRACE_MS);
+  check_restored (fleet);
+  fleet_close (fleet);
+}
+
+static void
+set_cut (struct fleet_entry *entry, bool is_cut)
+{
+  entry->is_disconnected = is_cut;
+  entry->platform_unreachable = is_cut;
+}
+
+/* Entries that were cut off during the restore, a watcher and one that is none, come back with positions of the lost
+ * history that are as high as the new ones. */
+static void
+test_restored_while_cut (void)
+{
+  struct fleet *fleet = open_fleet_with_lost_changes ();
+  set_cut (&fleet->entries[0], true);
+  set_cut (&fleet->entries[30], true);
+  fleet_advance (fleet, 1000);
+  restore_and_change (fleet);
+  fleet_advance (fleet, 3000);
+  set_cut (&fleet->entries[0], false);
+  set_cut (&fleet->entries[30], false);
+  fleet_advance (fleet, FLEET_PROPAGATION_MAX_MS + HF_DIRECTORY_OUTAGE_GRACE_MS);
+  check_restored (fleet);
+  fleet_close (fleet);
+}
+
+/* The same for entries that were paused. */
+static void
+test_restored_while_paused (void)
+{
+  struct fleet *fleet = open_fleet_with_lost_changes ();
+  fleet->entries[0].is_paused = true;
+  fleet->entries[30].is_paused = true;
+  restore_and_change (fleet);
+  fleet_advance (fleet, 4000);
+  fleet->entries[0].is_paused = false;
+  fleet->entries[30].is_paused = false;
+  fleet_advance (fleet, FLEET_PROPAGATION_MAX_MS + HF_DIRECTORY_OUTAGE_GRACE_MS);
+  check_restored (fleet);
+  fleet_close (fleet);
+}
+
+/* One watcher of a failure domain goes on in the lost history, as its watch hangs. */
+static void
+test_restored_one_watcher_behind (void)
+{
+  struct fleet *fleet = open_fleet_with_lost_changes ();
+  hang_watches (fleet, 3, 1);
+  restore_and_change (fleet);
+  fleet_advance (fleet, FLEET_PROPAGATION_MAX_MS + HF_DIRECTORY_OUTAGE_GRACE_MS);
+  check_restored (fleet);
+  fleet_close (fleet);
+}
+
+/* Both watchers of a failure domain go on in the lost history: the new one comes from other failure domains. */
+static void
+test_restored_both_watchers_behind (void)
+{
+  struct fleet *fleet = open_fleet_with_lost_changes ();
+  hang_watches (fleet, 3, 2);
+  restore_and_change (fleet);
+  fleet_advance (fleet, FLEET_PROPAGATION_MAX_MS + HF_DIRECTORY_OUTAGE_GRACE_MS);
+  check_restored (fleet);
+  fleet_close (fleet);
+}
+
+/* The platform goes back a second time, before all of the first restore has been applied. */
+static void
+test_restored_twice (void)
+{
+  struct fleet *fleet = open_fleet_with_lost_changes ();
+  restore_and_change (fleet);
+  fleet_advance (fleet, 150);
+  restore_and_change (fleet);
+  fleet_change_server (fleet, 203, (struct fleet_server){ .listed = true });
+  fleet_advance (fleet, FLEET_PROPAGATION_MAX_MS + HF_DIRECTORY_OUTAGE_GRACE_MS);
+  fleet_check_directories (fleet);
+  for (unsigned i = 0; i < fleet->entry_count; i++)
+    g_assert_cmpuint (fleet->entries[i].state->directory.position.era, ==, 3);
+  fleet_close (fleet);
+}
+
+/* A list of the lost history arrives late, from a replica that lags: it neither removes nor confirms anything. */
+static void
+test_restored_stale_list (void)
+{
+  struct fleet *fleet = open_fleet_with_lost_changes ();
+  restore_and_change (fleet);
+  fleet_advance (fleet, FLEET_PROPAGATION_MAX_MS + HF_DIRECTORY_OUTAGE_GRACE_MS);
+  struct fleet_entry *entry = &fleet->entries[0];
+  struct hf_event step
+      = { .kind = HF_EVENT_LIST_STEP, .list_step = HF_LIST_BEGIN, .position = { .era = 1, .revision = 100000 } };
+  fleet_raise_event (entry, step);
+  fleet_raise_event (entry, (struct hf_event){ .kind = HF_EVENT_SERVER_REPORT,
+                                               .position = { .era = 1 },
+                                               .report = { .name = hf_str ("s300"),
+                                                           .service = hf_str ("a"),
+                                                           .address = hf_str ("10.1.0.9:80"),
+                                                           .slots = 3,
+                                                           .incarnation = 1 } });
+  step.list_step = HF_LIST_END;
+  fleet_raise_event (entry, step);
+  step.list_step = HF_LIST_PROGRESS;
+  fleet_raise_event (entry, step);
+  fleet_advance (fleet, FLEET_PROPAGATION_MAX_MS + HF_DIRECTORY_OUTAGE_GRACE_MS);
+  check_restored (fleet);
+  fleet_close (fleet);
+}
+
+/* An update of an entry that is still in the lost history does not confirm the directory of one that is not. */
+static void
+test_restored_outdated_confirmation (void)
+{
+  struct fleet *fleet = open_fleet_with_lost_changes ();
+  restore_and_change (fleet);
+  fleet_advance (fleet, FLEET_PROPAGATION_MAX_MS);
+  struct hf_state *state = fleet->entries[30].state;
+  struct hf_rpc_message message = { .boot_id = 1, .body = { .kind = HF_RPC_DIRECTORY_UPDATE } };
+  message.body.hf_rpc_body_u.directory_update
+      = (struct hf_rpc_directory_update){ .to = { .era = 1, .revision = 100000 }, .parts = 1, .full = true };
+  int64_t confirmed_at = state->directory.confirmed_at;
+  fleet->now += 100 * HF_MS;
+  fleet_raise_event (
+      &fleet->entries[30],
+      (struct hf_event){ .kind = HF_EVENT_PEER_MESSAGE,
+                         .peer = { .message = &message, .address = hf_str (fleet->entries[0].address) } });
+  g_assert_cmpint (state->directory.confirmed_at, ==, confirmed_at);
+  g_assert_cmpuint (state->directory.position.era, ==, 2);
+  fleet_close (fleet);
+}
+
+/* An entry that starts after the restore gets its directory from others, as the platform does not respond to it. */
+static void
+test_restored_start (void)
+{
+  struct fleet *fleet = open_fleet_with_lost_changes ();
+  restore_and_change (fleet);
+  fleet->entries[30].platform_unreachable = true;
+  fleet_restart (fleet, 30, NEW_BOOT_ID);
+  fleet_advance (fleet, 2 * FLEET_PROPAGATION_MAX_MS + HF_DIRECTORY_OUTAGE_GRACE_MS);
+  fleet_check_directories (fleet);
+  g_assert_cmpuint (fleet->entries[30].state->directory.position.era, ==, 2);
+  fleet_close (fleet);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -440,5 +667,16 @@
   g_test_add_func ("/relay/hanging-watch", test_hanging_watch);
   g_test_add_func ("/relay/hanging-watches", test_hanging_watches);
   g_test_add_func ("/relay/small-link", test_small_link);
+  g_test_add_func ("/restored/shared-revisions", test_restored_shared_revisions);
+  g_test_add_func ("/restored/joined-server", test_restored_joined_server);
+  g_test_add_func ("/restored/missing-server", test_restored_missing_server);
+  g_test_add_func ("/restored/while-cut", test_restored_while_cut);
+  g_test_add_func ("/restored/while-paused", test_restored_while_paused);
+  g_test_add_func ("/restored/one-watcher-behind", test_restored_one_watcher_behind);
+  g_test_add_func ("/restored/both-watchers-behind", test_restored_both_watchers_behind);
+  g_test_add_func ("/restored/twice", test_restored_twice);
+  g_test_add_func ("/restored/stale-list", test_restored_stale_list);
+  g_test_add_func ("/restored/outdated-confirmation", test_restored_outdated_confirmation);
+  g_test_add_func ("/restored/start", test_restored_start);
   return g_test_run ();
 }
--- a/tests/test-http-client.c
+++ b/tests/test-http-client.c
@@ -203,11 +203,11 @@
 }
 
 static void
-on_store_response (void *context, unsigned status, JsonObject *body)
+on_store_response (void *context, const struct hf_store_response *response)
 {
   struct run *run = context;
-  g_assert_cmpuint (status, ==, 0);
-  g_assert_null (body);
+  g_assert_cmpuint (response->status, ==, 0);
+  g_assert_null (response->body);
   run->ended = TRUE;
 }
 
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -68,6 +68,7 @@
   char caller_address[64];
   char admin_address[64];
   guint next_id;
+  guint sequence;      /* of the reports of backend servers, which count their writes */
   GPtrArray *log;      /* log lines of the entry */
   guint calls_awaited; /* of the fake store */
 };
@@ -165,8 +166,8 @@
 {
   char *spec
       = g_strdup_printf ("{\"address\":\"%s\",\"born\":%u,\"info\":{\"service\":\"%s\",\"version\":\"v1\",\"zone\":"
-                         "\"z1\",\"slots\":3},\"status\":{\"state\":\"%s\",\"sequence\":1,\"cold_left\":\"0ms\"}}",
-                         raw_server_address (setup->servers[i].raw_server), i + 1, service, state);
+                         "\"z1\",\"slots\":3},\"status\":{\"state\":\"%s\",\"sequence\":%u,\"cold_left\":\"0ms\"}}",
+                         raw_server_address (setup->servers[i].raw_server), i + 1, service, state, ++setup->sequence);
   fake_store_put (setup->store, "servers", setup->servers[i].name, spec);
   g_free (spec);
 }
@@ -372,13 +373,19 @@
 }
 
 static void
-close_setup (struct setup *setup)
+kill_entry (struct setup *setup)
 {
   g_subprocess_force_exit (setup->entry);
   g_subprocess_wait (setup->entry, NULL, NULL);
   harness_pause (10);
   g_object_unref (setup->entry);
   g_ptr_array_unref (setup->log);
+}
+
+static void
+close_setup (struct setup *setup)
+{
+  kill_entry (setup);
   fake_store_close (setup->store);
   for (guint i = 0; i < SERVERS; i++)
     {
@@ -440,11 +447,7 @@
 test_older_page (void)
 {
   struct setup *setup = open_setup ();
-  g_subprocess_force_exit (setup->entry);
-  g_subprocess_wait (setup->entry, NULL, NULL);
-  harness_pause (10);
-  g_object_unref (setup->entry);
-  g_ptr_array_unref (setup->log);
+  kill_entry (setup);
   fake_store_put (setup->store, "servers", "a-0", "{}");
   fake_store_put (setup->store, "servers", "a-1", "{}");
   put_server (setup, SERVERS - 1, "alpha", "ready");
@@ -728,6 +731,105 @@
   return text;
 }
 
+/* --- tests: the store comes back from an older copy --- */
+
+/* Writes objects that name no backend server, so that the store's revision rises by as many. */
+static void
+raise_revision (struct setup *setup, guint count)
+{
+  for (guint i = 0; i < count; i++)
+    {
+      char *name = g_strdup_printf ("x-%u", ++setup->sequence);
+      fake_store_put (setup->store, "servers", name, "{}");
+      g_free (name);
+    }
+}
+
+/* A server joins after the restore, under a revision that the entry has seen in the history before: it is used. */
+static void
+test_restored_joined_server (void)
+{
+  struct setup *setup = open_setup ();
+  fake_store_delete (setup->store, "servers", "i-1");
+  harness_pause (DIRECTORY_UPDATE_MS);
+  setup->servers[1].requests = 0;
+  fake_store_save (setup->store);
+  raise_revision (setup, 3);
+  harness_pause (DIRECTORY_UPDATE_MS);
+  fake_store_restore (setup->store);
+  put_server (setup, 1, "alpha", "ready");
+  raise_revision (setup, 5);
+  setup->servers[0].behaviour = SENDS_NOT_RUN;
+  g_assert_true (harness_wait_until (last_server_used, setup, CHANGE_TIMEOUT_S));
+  close_setup (setup);
+}
+
+/* A configuration written after the restore, under a revision that the entry has seen before, is put in force. */
+static void
+test_restored_newer_config (void)
+{
+  struct setup *setup = open_setup ();
+  fake_store_save (setup->store);
+  put_config (setup, 8, "\"service\":\"alpha\"", "/lost/");
+  harness_pause (DIRECTORY_UPDATE_MS);
+  fake_store_restore (setup->store);
+  put_config (setup, 9, "\"service\":\"alpha\"", "/new/");
+  g_assert_true (harness_wait_until (has_new_route, setup, CHANGE_TIMEOUT_S));
+  close_setup (setup);
+}
+
+/* The configuration of the older copy does not replace the one in force, which the operator will write again. */
+static void
+test_restored_older_config (void)
+{
+  struct setup *setup = open_setup ();
+  fake_store_save (setup->store);
+  put_config (setup, 9, "\"service\":\"alpha\"", "/new/");
+  harness_pause (DIRECTORY_UPDATE_MS);
+  fake_store_restore (setup->store);
+  harness_pause (RECOVERY_MS);
+  g_assert_cmpuint (request_status (setup, "GET", "/new/x", ""), ==, 200);
+  g_assert_cmpuint (request_status (setup, "GET", "/r/x", ""), ==, 404);
+  close_setup (setup);
+}
+
+static gboolean
+is_registered (void *context)
+{
+  const struct setup *setup = context;
+  char *spec = fake_store_get (setup->store, "hickory-entries", "e1");
+  bool registered = spec != NULL;
+  g_free (spec);
+  return registered;
+}
+
+/* The older copy lacks the entry's registration: the entry writes it again. */
+static void
+test_restored_registration (void)
+{
+  struct setup *setup = open_setup ();
+  fake_store_delete (setup->store, "hickory-entries", "e1");
+  fake_store_save (setup->store);
+  fake_store_restore (setup->store);
+  g_assert_true (harness_wait_until (is_registered, setup, CHANGE_TIMEOUT_S));
+  close_setup (setup);
+}
+
+/* Lists of an entry that starts come from a replica of the history before the restore: it lists again. */
+static void
+test_restored_stale_list (void)
+{
+  struct setup *setup = open_setup ();
+  kill_entry (setup);
+  fake_store_save (setup->store);
+  fake_store_restore (setup->store);
+  fake_store_set_stale_lists (setup->store, 3);
+  start_entry (setup);
+  g_assert_true (harness_wait_until (is_ready, setup, CHANGE_TIMEOUT_S));
+  g_assert_cmpuint (request_status (setup, "GET", "/r/x", ""), ==, 200);
+  close_setup (setup);
+}
+
 /* --- tests: at most once, and responses that state not run --- */
 
 /* Each request may need one retry: the calls for two behaviours together stay within the initial retries. */
@@ -1061,6 +1163,11 @@
   g_test_add_func ("/platform/watches-cut", test_watches_cut);
   g_test_add_func ("/platform/silent-checks", test_silent_checks);
   g_test_add_func ("/platform/lost-write", test_lost_write);
+  g_test_add_func ("/restored/joined-server", test_restored_joined_server);
+  g_test_add_func ("/restored/newer-config", test_restored_newer_config);
+  g_test_add_func ("/restored/older-config", test_restored_older_config);
+  g_test_add_func ("/restored/registration", test_restored_registration);
+  g_test_add_func ("/restored/stale-list", test_restored_stale_list);
   g_test_add_func ("/platform/refused", test_refused);
   g_test_add_func ("/platform/false-promise", test_false_promise);
   g_test_add_func ("/platform/broken", test_broken);
--- a/tests/test-scripts.c
+++ b/tests/test-scripts.c
@@ -144,7 +144,10 @@
       g_string_append_printf (output, "  log HF%d " HF_STR_FMT "\n", effect->log_number, HF_STR_ARG (effect->text));
       break;
     case HF_EFFECT_SET_WATCH:
-      g_string_append_printf (output, "  follow %u from %d\n", effect->watch_mode, (int) effect->revision);
+      g_string_append_printf (output, "  follow %u from %d\n", effect->watch_mode, (int) effect->position.revision);
+      break;
+    case HF_EFFECT_LIST_AGAIN:
+      g_string_append_printf (output, "  list again in era %d\n", (int) effect->position.era);
       break;
     case HF_EFFECT_READ_DOCUMENT:
       g_string_append (output, "  read document\n");
--- a/tests/test-units.c
+++ b/tests/test-units.c
@@ -179,8 +179,8 @@
                                             .removed = removed } };
       raise_event (state, event);
     }
-  raise_event (state,
-               (struct hf_event){ .kind = HF_EVENT_LIST_STEP, .list_step = HF_LIST_PROGRESS, .revision = ++revision });
+  raise_event (state, (struct hf_event){
+                          .kind = HF_EVENT_LIST_STEP, .list_step = HF_LIST_PROGRESS, .position.revision = ++revision });
 }
 
 /* Counts the servers in all pools; @pools gets the number of pools that have servers. */
