Parts of two directory updates are no longer taken for one

What would be seen: after an outage or a restore of the store, with datagrams lost, an entry lacks a backend server that its watchers have, at the same position, until the server's next change.

Cause: parts of a full directory were collected by sender and position alone. Between two sendings at one position the sender removes servers whose grace has passed, and the list gets shorter. Trace of the test at entry e52: part 0 of 2 at 6530 ms (24 servers from s24 on), part 1 of 2 at 7530 ms (4 servers from s13 on), both from entry 1 at 2.34, taken for the whole directory; those between were removed. The same for changes that one sender sent from two positions. Not the era: sender and receiver were in the same one.

Change: an update carries a hash of its servers' names in order; parts with another one begin another update. Parts of equal sendings still add up, which a lossy link needs.

Test: test-fleet /restored/lost-datagrams, before: "directory of entry e52 misses s0 at revision 34, the platform is at 34; the test stops".

--- a/src/hf-directory-sync.c
+++ b/src/hf-directory-sync.c
@@ -144,6 +144,18 @@
     }
 }
 
+static uint64_t
+digest_names (const GArray *items)
+{
+  uint64_t digest = 0;
+  for (guint i = 0; i < items->len; i++)
+    {
+      const hf_rpc_server_report *report = &g_array_index (items, hf_rpc_server_report, i);
+      digest = hf_hash ((struct hf_str){ report->name.name_val, report->name.name_len }, digest);
+    }
+  return digest;
+}
+
 /* Sends the parts of one update, one datagram each, to @address or, if that is empty, to all followers. */
 static void
 send_reports (struct hf_state *state,
@@ -157,6 +169,7 @@
   hf_rpc_server_report *all = hf_effects_alloc (state->effects, (items->len + 1) * sizeof *all);
   for (guint i = 0; i < items->len; i++)
     all[i] = g_array_index (items, hf_rpc_server_report, i);
+  directory->reports_digest = digest_names (items);
   directory->parts = MAX (1, (items->len + HF_RPC_REPORTS_MAX - 1) / HF_RPC_REPORTS_MAX);
   if (directory->parts > HF_DIRECTORY_SYNC_PARTS_MAX)
     {
@@ -218,12 +231,14 @@
 {
   struct hf_directory_sync *sync = &state->directory_sync;
   struct hf_store_position to = hf_wire_read_position (message->to);
-  bool same_position = hf_store_position_compare (member->directory_parts.to, to) == 0;
-  bool same_update = same_position && member->directory_parts.full == message->full;
+  const struct hf_directory_parts *parts = &member->directory_parts;
+  bool same_update = hf_store_position_compare (parts->to, to) == 0 && parts->full == message->full
+                     && parts->reports_digest == message->reports_digest;
   bool continues = !message->full || sync->full_sync_from == member->boot_id;
   if (same_update && continues)
     return;
-  member->directory_parts = (struct hf_directory_parts){ .to = to, .full = message->full };
+  member->directory_parts
+      = (struct hf_directory_parts){ .to = to, .reports_digest = message->reports_digest, .full = message->full };
   if (!message->full)
     return;
   sync->full_sync_from = member->boot_id;
--- a/src/hf-rpc.c
+++ b/src/hf-rpc.c
@@ -594,12 +594,14 @@
 			 return FALSE;
 		 if (!xdr_hf_rpc_store_position (xdrs, &objp->to))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		 if (!xdr_u_int (xdrs, &objp->part))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->parts))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->reports_digest))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->part))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->parts))
-				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->full))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->platform_unreachable))
@@ -608,8 +610,6 @@
 				 return FALSE;
 
 		} else {
-		IXDR_PUT_U_LONG(buf, objp->part);
-		IXDR_PUT_U_LONG(buf, objp->parts);
 		IXDR_PUT_BOOL(buf, objp->full);
 		IXDR_PUT_BOOL(buf, objp->platform_unreachable);
 		IXDR_PUT_U_LONG(buf, objp->age_ms);
@@ -627,12 +627,14 @@
 			 return FALSE;
 		 if (!xdr_hf_rpc_store_position (xdrs, &objp->to))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		 if (!xdr_u_int (xdrs, &objp->part))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->parts))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->reports_digest))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->part))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->parts))
-				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->full))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->platform_unreachable))
@@ -641,8 +643,6 @@
 				 return FALSE;
 
 		} else {
-		objp->part = IXDR_GET_U_LONG(buf);
-		objp->parts = IXDR_GET_U_LONG(buf);
 		objp->full = IXDR_GET_BOOL(buf);
 		objp->platform_unreachable = IXDR_GET_BOOL(buf);
 		objp->age_ms = IXDR_GET_U_LONG(buf);
@@ -665,6 +665,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->parts))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->reports_digest))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->full))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->platform_unreachable))
--- a/src/hf-rpc.h
+++ b/src/hf-rpc.h
@@ -213,6 +213,7 @@
 	hf_rpc_store_position to;
 	u_int part;
 	u_int parts;
+	u_quad_t reports_digest;
 	bool_t full;
 	bool_t platform_unreachable;
 	u_int age_ms;
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -179,6 +179,7 @@
 struct hf_directory_parts
 {
   struct hf_store_position to; /* position after the update */
+  uint64_t reports_digest;     /* of all its servers */
   bool full;                   /* it lists the whole directory, not only changes */
   uint64_t received;           /* one bit for each part */
 };
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -564,6 +564,18 @@
   fleet_close (fleet);
 }
 
+/* Datagrams get lost while the new history spreads. */
+static void
+test_restored_lost_datagrams (void)
+{
+  struct fleet *fleet = open_fleet_with_lost_changes ();
+  fleet->loss_interval = 3;
+  restore_and_change (fleet);
+  fleet_advance (fleet, 2 * FLEET_PROPAGATION_MAX_MS + HF_DIRECTORY_OUTAGE_GRACE_MS);
+  check_restored (fleet);
+  fleet_close (fleet);
+}
+
 /* The platform goes back a second time, before all of the first restore has been applied. */
 static void
 test_restored_twice (void)
@@ -674,6 +686,7 @@
   g_test_add_func ("/restored/while-paused", test_restored_while_paused);
   g_test_add_func ("/restored/one-watcher-behind", test_restored_one_watcher_behind);
   g_test_add_func ("/restored/both-watchers-behind", test_restored_both_watchers_behind);
+  g_test_add_func ("/restored/lost-datagrams", test_restored_lost_datagrams);
   g_test_add_func ("/restored/twice", test_restored_twice);
   g_test_add_func ("/restored/stale-list", test_restored_stale_list);
   g_test_add_func ("/restored/outdated-confirmation", test_restored_outdated_confirmation);
