Reports of a backend server are ordered by its start and their number

What callers would see: requests sent to a backend server that has reported draining, or has left, when the store comes back from an older copy that lists it as ready (DRAIN); the same from a list of a replica that lags, or from a write that the store executes late.

Cause: whichever report arrived last was taken. The server's start was compared for equality only, its sequence was not read.

Change: the sequence is decoded and passed on between entries; a report older by (incarnation, sequence) than the last one known changes nothing. An object that is not valid removes its server, as before, and names no report.

Tests, on the code before: test-platform /restored/draining-server and /restored/removed-server "assertion failed (setup->servers[0].requests == before): (1 == 0)", /restored/missing-server the same with (20 == 0). test-fleet, with all reports taken: /restored/servers-stay-out 'is_in_use_anywhere (fleet, "s3")' should be FALSE, /reports/late 'is_in_use (entry, "s0")' should be FALSE. With the very last report taken in lists, too, /restored/removed-server fails: (19 == 0). /reports/removed-bounded is new and tests the memory's bounds.

--- a/src/hf-directory-sync.c
+++ b/src/hf-directory-sync.c
@@ -66,6 +66,7 @@
                                 .failure_domain = { (u_int) domain.len, (char *) domain.data },
                                 .slots = report->slots,
                                 .incarnation = report->incarnation,
+                                .sequence = report->sequence,
                                 .warmup_ms = (unsigned) report->warmup_ms,
                                 .draining = report->draining,
                                 .removed = report->removed,
@@ -83,6 +84,7 @@
                                                         item->failure_domain.failure_domain_len },
                                     .slots = item->slots,
                                     .incarnation = item->incarnation,
+                                    .sequence = item->sequence,
                                     .warmup_ms = item->warmup_ms,
                                     .draining = item->draining,
                                     .removed = item->removed,
@@ -273,7 +275,7 @@
   for (u_int i = 0; i < message->reports.reports_len; i++)
     {
       struct hf_server_report report = read_report (&message->reports.reports_val[i]);
-      hf_directory_update_server (state, &report);
+      hf_directory_update_server (state, &report, message->full);
     }
   member->directory_parts.received |= 1ULL << message->part;
   uint64_t all = message->parts == HF_DIRECTORY_SYNC_PARTS_MAX ? UINT64_MAX : (1ULL << message->parts) - 1;
--- a/src/hf-directory.c
+++ b/src/hf-directory.c
@@ -83,6 +83,14 @@
 
 /* --- internal functions: removal --- */
 
+static void
+drop_listed (struct hf_state *state, const struct listed_server *listed)
+{
+  remove_listed (state, listed);
+  hf_removed_servers_add (state->directory.removed, &listed->report, state->now);
+  g_hash_table_remove (state->directory.servers, listed->report.name.data);
+}
+
 /* Removes a server, now or after a delay. After an outage of the directory it takes a short time until all live
  * servers are listed again, so none is removed within HF_DIRECTORY_OUTAGE_GRACE_MS of its recovery. */
 static void
@@ -98,12 +106,45 @@
       hf_state_start_timer (state, remove_at - state->now, HF_TIMER_DIRECTORY_EXPIRE, 0, 0);
       return;
     }
-  remove_listed (state, listed);
-  g_hash_table_remove (state->directory.servers, listed->report.name.data);
+  drop_listed (state, listed);
+}
+
+/* A removal may name a newer report than the last one that arrived here, as not every report is passed on. An object
+ * that is not valid names none. */
+static void
+handle_removal (struct hf_state *state, struct listed_server *listed, const struct hf_server_report *report)
+{
+  if (!listed && report->incarnation > 0)
+    hf_removed_servers_add (state->directory.removed, report, state->now);
+  if (!listed)
+    return;
+  if (hf_server_report_compare_age (report, &listed->report) > 0)
+    {
+      listed->report.incarnation = report->incarnation;
+      listed->report.sequence = report->sequence;
+    }
+  if (listed->remove_at == 0)
+    schedule_removal (state, listed, report->removal_delay_ms);
 }
 
 /* --- internal functions: updates --- */
 
+/* Whether a newer report of the server is known. A list may be from an older copy of the directory, so it does not
+ * bring back a removed server by its last report either; a change does: the server has been written again. */
+static bool
+is_superseded (const struct hf_state *state,
+               const struct listed_server *listed,
+               const struct hf_server_report *report,
+               bool from_list)
+{
+  const struct hf_server_report *known
+      = listed ? &listed->report : hf_removed_servers_find (state->directory.removed, report->name, state->now);
+  if (!known)
+    return false;
+  int age = hf_server_report_compare_age (report, known);
+  return age < 0 || (age == 0 && from_list && !listed);
+}
+
 /* A report without service, address or slots counts as a removal. */
 static bool
 is_complete (const struct hf_server_report *report)
@@ -161,14 +202,15 @@
 }
 
 static void
-add_or_update (struct hf_state *state, const struct hf_server_report *report)
+add_or_update (struct hf_state *state, struct listed_server *listed, const struct hf_server_report *report)
 {
-  struct listed_server *listed = find_listed (state, report->name);
   if (listed && is_unchanged (listed, report))
     {
       listed->stale = false;
+      listed->report.sequence = report->sequence;
       return;
     }
+  hf_removed_servers_forget (state->directory.removed, report->name);
   hf_directory_sync_record_change (state, report->name);
   log_change (state, listed, report);
   if (listed && !hf_str_equal (listed->report.service, report->service))
@@ -190,6 +232,16 @@
   put_in_pool (state, listed);
 }
 
+static struct hf_server_report
+look_up_removed (const struct hf_state *state, struct hf_str name)
+{
+  const struct hf_server_report *last = hf_removed_servers_find (state->directory.removed, name, state->now);
+  struct hf_server_report report = last ? *last : (struct hf_server_report){ 0 };
+  report.name = name;
+  report.removed = true;
+  return report;
+}
+
 /* --- internal functions: lists --- */
 
 static void
@@ -293,22 +345,26 @@
 hf_directory_init (struct hf_directory *directory)
 {
   directory->servers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_listed);
+  directory->removed = hf_removed_servers_open ();
 }
 
 void
 hf_directory_close (struct hf_directory *directory)
 {
   g_hash_table_destroy (directory->servers);
+  hf_removed_servers_close (directory->removed);
 }
 
 void
-hf_directory_update_server (struct hf_state *state, const struct hf_server_report *report)
+hf_directory_update_server (struct hf_state *state, const struct hf_server_report *report, bool from_list)
 {
   struct listed_server *listed = find_listed (state, report->name);
-  if (!report->removed && is_complete (report))
-    add_or_update (state, report);
-  else if (listed && listed->remove_at == 0)
-    schedule_removal (state, listed, report->removal_delay_ms);
+  if (report->removed || !is_complete (report))
+    handle_removal (state, listed, report);
+  else if (!is_superseded (state, listed, report, from_list))
+    add_or_update (state, listed, report);
+  else if (listed)
+    listed->stale = false;
   state->directory.pools_outdated = true;
 }
 
@@ -359,7 +415,7 @@
 hf_directory_handle_report (struct hf_state *state, const struct hf_event *event)
 {
   if (!is_outdated (state, event->position))
-    hf_directory_update_server (state, &event->report);
+    hf_directory_update_server (state, &event->report, state->directory.listing);
 }
 
 void
@@ -411,8 +467,7 @@
       struct listed_server *listed = item->data;
       if (listed->remove_at == 0 || listed->remove_at > state->now)
         continue;
-      remove_listed (state, listed);
-      g_hash_table_remove (state->directory.servers, listed->report.name.data);
+      drop_listed (state, listed);
     }
   g_list_free (all);
 }
@@ -429,7 +484,7 @@
 {
   const struct listed_server *listed = find_listed (state, name);
   if (!listed)
-    return (struct hf_server_report){ .name = name, .removed = true };
+    return look_up_removed (state, name);
   struct hf_server_report report = listed->report;
   report.warmup_ms = MAX (0, (listed->warmup_until - state->now) / HF_MS);
   report.removed = listed->remove_at > 0;
--- a/src/hf-directory.h
+++ b/src/hf-directory.h
@@ -17,7 +17,8 @@
 
 /* --- public functions: changes --- */
 
-void hf_directory_update_server (struct hf_state *state, const struct hf_server_report *report); /* adds or removes */
+/* Adds, changes or removes a server. @from_list: the report is part of a list, not a change. */
+void hf_directory_update_server (struct hf_state *state, const struct hf_server_report *report, bool from_list);
 void hf_directory_update_pools (struct hf_state *state); /* resizes slices and grants slots after a batch of updates */
 void hf_directory_begin_list (struct hf_state *state);   /* begins a full list */
 void hf_directory_end_list (struct hf_state *state);     /* removes the servers that the list did not report */
--- a/src/hf-event.c
+++ b/src/hf-event.c
@@ -1,7 +1,24 @@
 /* Lists of effects. */
 #include "hf-event.h"
 
-/* --- public functions --- */
+/* --- internal functions --- */
+
+static int
+compare_numbers (uint64_t a, uint64_t b)
+{
+  return (a > b) - (a < b);
+}
+
+/* --- public functions: reports --- */
+
+int
+hf_server_report_compare_age (const struct hf_server_report *a, const struct hf_server_report *b)
+{
+  int order = compare_numbers (a->incarnation, b->incarnation);
+  return order ? order : compare_numbers (a->sequence, b->sequence);
+}
+
+/* --- public functions: effects --- */
 
 void
 hf_effects_init (struct hf_effects *effects)
--- a/src/hf-event.h
+++ b/src/hf-event.h
@@ -83,7 +83,8 @@
  * @address: IP:PORT
  * @failure_domain: name of its failure domain
  * @slots: number of requests it runs concurrently
- * @incarnation: changes when it restarts under the same name
+ * @incarnation: rises when it restarts under the same name
+ * @sequence: number of this report among those of the incarnation
  * @warmup_ms: remaining time of higher latency after its start
  * @draining: it accepts no new requests
  * @removed: it is no longer listed
@@ -97,6 +98,7 @@
   struct hf_str failure_domain;
   unsigned slots;
   uint64_t incarnation;
+  uint64_t sequence;
   int64_t warmup_ms;
   bool draining;
   bool removed;
@@ -273,7 +275,12 @@
   GPtrArray *allocations; /* memory of hf_effects_alloc, freed with the list */
 };
 
-/* --- public functions --- */
+/* --- public functions: reports --- */
+
+/* Below 0, 0 or above 0 if @a is older than @b, as old or newer; both are of one backend server. */
+int hf_server_report_compare_age (const struct hf_server_report *a, const struct hf_server_report *b);
+
+/* --- public functions: effects --- */
 
 void hf_effects_init (struct hf_effects *effects);                              /* empty list */
 void hf_effects_close (struct hf_effects *effects);                             /* frees list and contents */
--- a/src/hf-rpc.c
+++ b/src/hf-rpc.c
@@ -511,6 +511,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+			 return FALSE;
 		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->warmup_ms))
@@ -541,6 +543,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+			 return FALSE;
 		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->warmup_ms))
@@ -572,6 +576,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->warmup_ms))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->draining))
--- a/src/hf-rpc.h
+++ b/src/hf-rpc.h
@@ -201,6 +201,7 @@
 	} failure_domain;
 	u_int slots;
 	u_quad_t incarnation;
+	u_quad_t sequence;
 	u_int warmup_ms;
 	bool_t draining;
 	bool_t removed;
--- a/src/hf-rpc.x
+++ b/src/hf-rpc.x
@@ -178,7 +178,8 @@
   opaque data<HF_RPC_CONFIG_CHUNK_MAX>;
 };
 
-/* One backend server of the directory. One that was removed from it is still used for removal_delay_ms. */
+/* One backend server of the directory. One that was removed from it is still used for removal_delay_ms.
+ * sequence: number of the report among those of its incarnation. */
 struct hf_rpc_server_report {
   opaque name<HF_RPC_NAME_MAX>;
   opaque service<HF_RPC_NAME_MAX>;
@@ -186,6 +187,7 @@
   opaque failure_domain<HF_RPC_NAME_MAX>;
   unsigned int slots;
   unsigned hyper incarnation;
+  unsigned hyper sequence;
   unsigned int warmup_ms;
   bool draining;
   bool removed;
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -14,6 +14,7 @@
 #include "hf-log.h"
 #include "hf-objects.h"
 #include "hf-pool.h"
+#include "hf-removed-servers.h"
 #include "hf-timers.h"
 
 #include "config.h"
@@ -376,6 +377,7 @@
  * @pools_outdated: servers changed since the pools were last updated
  * @position: position in the platform's store up to which all changes have been applied
  * @era: newest era of the platform's store that is known; above that of @position: to be listed again
+ * @removed: backend servers removed lately
  * @confirmed_at: when @position was last known to be current
  * @platform_unreachable_until: this entry cannot be a watcher before then, as the platform did not respond
  */
@@ -390,6 +392,7 @@
   bool pools_outdated;
   struct hf_store_position position;
   uint64_t era;
+  struct hf_removed_servers *removed;
   int64_t confirmed_at;
   int64_t platform_unreachable_until;
 };
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -123,6 +123,7 @@
                                                            .failure_domain = hf_str ("d0"),
                                                            .slots = 3,
                                                            .incarnation = 1,
+                                                           .sequence = server->sequence,
                                                            .draining = server->draining,
                                                            .removed = !server->listed } });
 }
@@ -197,6 +198,7 @@
 fleet_change_server (struct fleet *fleet, unsigned i, struct fleet_server server)
 {
   server.revision = ++fleet->revision;
+  server.sequence = ++fleet->sequence;
   fleet->servers[i] = server;
 }
 
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -54,6 +54,7 @@
   bool listed;
   bool draining;
   uint64_t revision;
+  uint64_t sequence; /* of the server's reports */
 };
 
 /** struct fleet - entries, the datagrams between them, and the platform */
@@ -71,6 +72,7 @@
   uint64_t revision; /* of the last change in that era */
   struct fleet_server saved_servers[FLEET_SERVERS_MAX];
   uint64_t saved_revision;
+  uint64_t sequence;         /* last one of a server's report; it does not go back with the platform */
   uint64_t generation;       /* of the operator's configuration; 0: none yet */
   char *document;            /* its text */
   int64_t link_bytes_per_ms; /* bandwidth of each entry's link; 0: unlimited */
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -1,6 +1,7 @@
 /* Tests of the roles of entries, and of how the directory of backend servers spreads, in a simulated fleet. */
 #include "fleet.h"
 #include "hf-base.h"
+#include "hf-directory.h"
 #include "hf-roles.h"
 #include "hf-status.h"
 
@@ -655,6 +656,118 @@
   fleet_close (fleet);
 }
 
+/* --- tests: older reports of a backend server --- */
+
+/* Whether an entry lists a server of the fleet, and not as draining or removed. */
+static bool
+is_in_use (const struct fleet_entry *entry, const char *server)
+{
+  struct hf_server_report report = hf_directory_lookup (entry->state, hf_str (server));
+  return !report.removed && !report.draining;
+}
+
+static bool
+is_in_use_anywhere (const struct fleet *fleet, const char *server)
+{
+  for (unsigned i = 0; i < fleet->entry_count; i++)
+    if (!fleet->entries[i].is_disconnected && is_in_use (&fleet->entries[i], server))
+      return true;
+  return false;
+}
+
+/* The older copy lists servers as ready that have reported draining, or have left, since: nobody uses them again, not
+ * after an entry returns that has missed their leaving, and not before they have written anew. */
+static void
+test_restored_servers_stay_out (void)
+{
+  struct fleet *fleet = fleet_open (60, 3, 2);
+  fleet_save_platform (fleet);
+  set_cut (&fleet->entries[0], true);
+  fleet_change_server (fleet, 3, (struct fleet_server){ 0 });
+  fleet_change_server (fleet, 4, (struct fleet_server){ .listed = true, .draining = true });
+  fleet_advance (fleet, 3000);
+  fleet_restore_platform (fleet);
+  fleet_change_server (fleet, 200, (struct fleet_server){ .listed = true });
+  for (unsigned i = 0; i < 60; i++)
+    {
+      fleet_advance (fleet, 100);
+      g_assert_false (is_in_use_anywhere (fleet, "s3"));
+      g_assert_false (is_in_use_anywhere (fleet, "s4"));
+    }
+  fleet_change_server (fleet, 4, (struct fleet_server){ .listed = true, .draining = true });
+  set_cut (&fleet->entries[0], false);
+  fleet_advance (fleet, FLEET_PROPAGATION_MAX_MS);
+  for (unsigned i = 1; i < fleet->entry_count; i++)
+    {
+      g_assert_false (is_in_use (&fleet->entries[i], "s3"));
+      g_assert_false (is_in_use (&fleet->entries[i], "s4"));
+    }
+  fleet_change_server (fleet, 3, (struct fleet_server){ .listed = true });
+  fleet_advance (fleet, FLEET_PROPAGATION_MAX_MS);
+  for (unsigned i = 0; i < fleet->entry_count; i++)
+    g_assert_true (is_in_use (&fleet->entries[i], "s3"));
+  fleet_close (fleet);
+}
+
+static void
+report_change (struct fleet_entry *entry, uint64_t incarnation, uint64_t sequence, bool draining, bool removed)
+{
+  fleet_raise_event (entry, (struct hf_event){ .kind = HF_EVENT_SERVER_REPORT,
+                                               .position = { .era = entry->fleet->era },
+                                               .report = { .name = hf_str ("s0"),
+                                                           .service = hf_str ("a"),
+                                                           .address = hf_str ("10.1.0.1:80"),
+                                                           .failure_domain = hf_str ("d0"),
+                                                           .slots = 3,
+                                                           .incarnation = incarnation,
+                                                           .sequence = sequence,
+                                                           .draining = draining,
+                                                           .removed = removed } });
+}
+
+/* Within one history, too, a report that arrives late takes nothing back. A later start of the server counts its
+ * reports anew. */
+static void
+test_late_report (void)
+{
+  struct fleet *fleet = fleet_open (4, 1, 0);
+  struct fleet_entry *entry = &fleet->entries[0];
+  report_change (entry, 5, 21, true, false);
+  report_change (entry, 5, 17, false, false);
+  g_assert_false (is_in_use (entry, "s0"));
+  report_change (entry, 4, 90, false, false);
+  g_assert_false (is_in_use (entry, "s0"));
+  report_change (entry, 6, 1, false, false);
+  g_assert_true (is_in_use (entry, "s0"));
+  report_change (entry, 6, 20, false, true);
+  report_change (entry, 6, 17, false, false);
+  g_assert_false (is_in_use (entry, "s0"));
+  report_change (entry, 6, 20, false, false);
+  g_assert_true (is_in_use (entry, "s0"));
+  fleet_close (fleet);
+}
+
+/* A removed server is forgotten after a time, and of very many the first ones are. */
+static void
+test_removed_servers_bounded (void)
+{
+  struct hf_removed_servers *removed = hf_removed_servers_open ();
+  for (unsigned i = 0; i <= HF_DIRECTORY_REMOVED_MAX; i++)
+    {
+      char name[16];
+      g_snprintf (name, sizeof name, "s%u", i);
+      hf_removed_servers_add (
+          removed, &(struct hf_server_report){ .name = hf_str (name), .incarnation = 1, .sequence = i + 1 }, i);
+    }
+  int64_t now = HF_DIRECTORY_REMOVED_MAX;
+  g_assert_null (hf_removed_servers_find (removed, hf_str ("s0"), now));
+  g_assert_cmpuint (hf_removed_servers_find (removed, hf_str ("s1"), now)->sequence, ==, 2);
+  g_assert_null (hf_removed_servers_find (removed, hf_str ("s1"), HF_DIRECTORY_REMOVED_SEC * HF_SEC + 1));
+  hf_removed_servers_forget (removed, hf_str ("s2"));
+  g_assert_null (hf_removed_servers_find (removed, hf_str ("s2"), now));
+  hf_removed_servers_close (removed);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -691,5 +804,8 @@
   g_test_add_func ("/restored/stale-list", test_restored_stale_list);
   g_test_add_func ("/restored/outdated-confirmation", test_restored_outdated_confirmation);
   g_test_add_func ("/restored/start", test_restored_start);
+  g_test_add_func ("/restored/servers-stay-out", test_restored_servers_stay_out);
+  g_test_add_func ("/reports/late", test_late_report);
+  g_test_add_func ("/reports/removed-bounded", test_removed_servers_bounded);
   return g_test_run ();
 }
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -830,6 +830,54 @@
   close_setup (setup);
 }
 
+/* The older copy lists a draining server as ready: it stays without requests. */
+static void
+test_restored_draining_server (void)
+{
+  struct setup *setup = open_setup ();
+  fake_store_save (setup->store);
+  put_server (setup, 0, "alpha", "draining");
+  harness_pause (DIRECTORY_UPDATE_MS);
+  fake_store_restore (setup->store);
+  harness_pause (RECOVERY_MS);
+  check_first_server_unused (setup);
+  close_setup (setup);
+}
+
+/* The older copy lists a server that has left: it stays without requests. */
+static void
+test_restored_removed_server (void)
+{
+  struct setup *setup = open_setup ();
+  fake_store_save (setup->store);
+  fake_store_delete (setup->store, "servers", "i-0");
+  harness_pause (DIRECTORY_UPDATE_MS);
+  fake_store_restore (setup->store);
+  harness_pause (RECOVERY_MS);
+  check_first_server_unused (setup);
+  close_setup (setup);
+}
+
+/* Servers that registered after the copy was made are missing from it: they stay in use until they are there again. */
+static void
+test_restored_missing_server (void)
+{
+  struct setup *setup = open_setup ();
+  fake_store_delete (setup->store, "servers", "i-1");
+  harness_pause (DIRECTORY_UPDATE_MS);
+  fake_store_save (setup->store);
+  put_server (setup, 1, "alpha", "ready");
+  fake_store_delete (setup->store, "servers", "i-0");
+  harness_pause (DIRECTORY_UPDATE_MS);
+  fake_store_restore (setup->store);
+  harness_pause (DIRECTORY_UPDATE_MS);
+  g_assert_cmpuint (request_status (setup, "GET", "/r/x", ""), ==, 200);
+  put_server (setup, 1, "alpha", "ready");
+  harness_pause (MISSING_REMOVAL_MS);
+  check_first_server_unused (setup);
+  close_setup (setup);
+}
+
 /* --- tests: at most once, and responses that state not run --- */
 
 /* Each request may need one retry: the calls for two behaviours together stay within the initial retries. */
@@ -1167,6 +1215,9 @@
   g_test_add_func ("/restored/newer-config", test_restored_newer_config);
   g_test_add_func ("/restored/older-config", test_restored_older_config);
   g_test_add_func ("/restored/registration", test_restored_registration);
+  g_test_add_func ("/restored/draining-server", test_restored_draining_server);
+  g_test_add_func ("/restored/removed-server", test_restored_removed_server);
+  g_test_add_func ("/restored/missing-server", test_restored_missing_server);
   g_test_add_func ("/restored/stale-list", test_restored_stale_list);
   g_test_add_func ("/platform/refused", test_refused);
   g_test_add_func ("/platform/false-promise", test_false_promise);
