--- a/src/hf-directory.c
+++ b/src/hf-directory.c
@@ -83,6 +83,14 @@
 
 /* --- internal functions: removal --- */
 
+static void
+drop_listed (struct hf_state *state, const struct listed_server *listed)
+{
+  remove_listed (state, listed);
+  hf_removed_servers_add (state->directory.removed, &listed->report, state->now);
+  g_hash_table_remove (state->directory.servers, listed->report.name.data);
+}
+
 /* Removes a server, now or after a delay. After an outage of the directory it takes a short time until all live
  * servers are listed again, so none is removed within HF_DIRECTORY_OUTAGE_GRACE_MS of its recovery. */
 static void
@@ -98,12 +106,45 @@
       hf_state_start_timer (state, remove_at - state->now, HF_TIMER_DIRECTORY_EXPIRE, 0, 0);
       return;
     }
-  remove_listed (state, listed);
-  g_hash_table_remove (state->directory.servers, listed->report.name.data);
+  drop_listed (state, listed);
+}
+
+/* A removal may name a newer report than the last one that arrived here, as not every report is passed on. An object
+ * that is not valid names none. */
+static void
+handle_removal (struct hf_state *state, struct listed_server *listed, const struct hf_server_report *report)
+{
+  if (!listed && report->incarnation > 0)
+    hf_removed_servers_add (state->directory.removed, report, state->now);
+  if (!listed)
+    return;
+  if (hf_server_report_compare_age (report, &listed->report) > 0)
+    {
+      listed->report.incarnation = report->incarnation;
+      listed->report.sequence = report->sequence;
+    }
+  if (listed->remove_at == 0)
+    schedule_removal (state, listed, report->removal_delay_ms);
 }
 
 /* --- internal functions: updates --- */
 
+/* Whether a newer report of the server is known. A list may be from an older copy of the directory, so it does not
+ * bring back a removed server by its last report either; a change does: the server has been written again. */
+static bool
+is_superseded (const struct hf_state *state,
+               const struct listed_server *listed,
+               const struct hf_server_report *report,
+               bool from_list)
+{
+  const struct hf_server_report *known
+      = listed ? &listed->report : hf_removed_servers_find (state->directory.removed, report->name, state->now);
+  if (!known)
+    return false;
+  int age = hf_server_report_compare_age (report, known);
+  return age < 0 || (age == 0 && from_list && !listed);
+}
+
 /* A report without service, address or slots counts as a removal. */
 static bool
 is_complete (const struct hf_server_report *report)
@@ -161,14 +202,15 @@
 }
 
 static void
-add_or_update (struct hf_state *state, const struct hf_server_report *report)
+add_or_update (struct hf_state *state, struct listed_server *listed, const struct hf_server_report *report)
 {
-  struct listed_server *listed = find_listed (state, report->name);
   if (listed && is_unchanged (listed, report))
     {
       listed->stale = false;
+      listed->report.sequence = report->sequence;
       return;
     }
+  hf_removed_servers_forget (state->directory.removed, report->name);
   hf_directory_sync_record_change (state, report->name);
   log_change (state, listed, report);
   if (listed && !hf_str_equal (listed->report.service, report->service))
@@ -190,6 +232,16 @@
   put_in_pool (state, listed);
 }
 
+static struct hf_server_report
+look_up_removed (const struct hf_state *state, struct hf_str name)
+{
+  const struct hf_server_report *last = hf_removed_servers_find (state->directory.removed, name, state->now);
+  struct hf_server_report report = last ? *last : (struct hf_server_report){ 0 };
+  report.name = name;
+  report.removed = true;
+  return report;
+}
+
 /* --- internal functions: lists --- */
 
 static void
@@ -229,14 +281,16 @@
   state->roles.update_pending = true;
 }
 
-/* A response confirms the revision only if this entry watches for changes; a reachability check does not. */
+/* A response confirms the position only if this entry watches for changes, and those of the newest era; a reachability
+ * check does not. */
 static void
 note_reachable (struct hf_state *state)
 {
   struct hf_directory *directory = &state->directory;
   bool was_unreachable = directory->platform_unreachable_until > 0;
+  bool watches = state->directory_sync.watch_mode == HF_WATCH_MODE_ON;
   directory->platform_unreachable_until = 0;
-  if (state->directory_sync.watch_mode == HF_WATCH_MODE_ON)
+  if (watches && directory->position.era == directory->era)
     directory->confirmed_at = state->now;
   if (state->directory_sync.watch_mode != HF_WATCH_MODE_OFF && state->directory_sync.platform_reachable_since == 0)
     state->directory_sync.platform_reachable_since = state->now;
@@ -246,28 +300,71 @@
   hf_directory_sync_announce (state);
 }
 
+/* Reports of an older era are outdated: the platform, or a replica of it, sent them before it came back from a copy. */
+static bool
+is_outdated (struct hf_state *state, struct hf_store_position position)
+{
+  hf_directory_note_era (state, position.era);
+  return position.era < state->directory.era;
+}
+
+static void
+begin_platform_list (struct hf_state *state, struct hf_store_position position)
+{
+  if (is_outdated (state, position))
+    return;
+  state->directory.listing = true;
+  hf_directory_begin_list (state);
+}
+
+static void
+end_platform_list (struct hf_state *state, struct hf_store_position position)
+{
+  if (is_outdated (state, position))
+    return;
+  state->directory.listing = false;
+  hf_directory_end_list (state);
+  hf_directory_update_pools (state);
+  state->directory.confirmed_at = state->now;
+  hf_directory_sync_advance (state, position, true);
+}
+
+/* Changes of a new era follow on a list of it only. */
+static void
+advance_platform_list (struct hf_state *state, struct hf_store_position position)
+{
+  if (is_outdated (state, position) || position.era != state->directory.position.era)
+    return;
+  hf_directory_update_pools (state);
+  hf_directory_sync_advance (state, position, false);
+}
+
 /* --- public functions --- */
 
 void
 hf_directory_init (struct hf_directory *directory)
 {
   directory->servers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_listed);
+  directory->removed = hf_removed_servers_open ();
 }
 
 void
 hf_directory_close (struct hf_directory *directory)
 {
   g_hash_table_destroy (directory->servers);
+  hf_removed_servers_close (directory->removed);
 }
 
 void
-hf_directory_update_server (struct hf_state *state, const struct hf_server_report *report)
+hf_directory_update_server (struct hf_state *state, const struct hf_server_report *report, bool from_list)
 {
   struct listed_server *listed = find_listed (state, report->name);
-  if (!report->removed && is_complete (report))
-    add_or_update (state, report);
-  else if (listed && listed->remove_at == 0)
-    schedule_removal (state, listed, report->removal_delay_ms);
+  if (report->removed || !is_complete (report))
+    handle_removal (state, listed, report);
+  else if (!is_superseded (state, listed, report, from_list))
+    add_or_update (state, listed, report);
+  else if (listed)
+    listed->stale = false;
   state->directory.pools_outdated = true;
 }
 
@@ -300,6 +397,27 @@
   hf_slots_update_pools (state);
 }
 
+/* What the copy lacks is written again, which takes as long as after an outage. */
+void
+hf_directory_note_era (struct hf_state *state, uint64_t era)
+{
+  struct hf_directory *directory = &state->directory;
+  if (era <= directory->era)
+    return;
+  directory->era = era;
+  if (directory->complete)
+    directory->recovered_at = state->now;
+  hf_directory_sync_handle_era (state);
+  hf_effects_add (state->effects, (struct hf_effect){ .kind = HF_EFFECT_LIST_AGAIN, .position = { .era = era } });
+}
+
+void
+hf_directory_handle_report (struct hf_state *state, const struct hf_event *event)
+{
+  if (!is_outdated (state, event->position))
+    hf_directory_update_server (state, &event->report, state->directory.listing);
+}
+
 void
 hf_directory_handle_list (struct hf_state *state, const struct hf_event *event)
 {
@@ -307,19 +425,16 @@
   switch (event->list_step)
     {
     case HF_LIST_BEGIN:
-      directory->listing = true;
-      hf_directory_begin_list (state);
+      begin_platform_list (state, event->position);
       break;
     case HF_LIST_END:
-      directory->listing = false;
-      hf_directory_end_list (state);
-      hf_directory_update_pools (state);
-      directory->confirmed_at = state->now;
-      hf_directory_sync_advance (state, event->revision, true);
+      end_platform_list (state, event->position);
       break;
     case HF_LIST_PROGRESS:
-      hf_directory_update_pools (state);
-      hf_directory_sync_advance (state, event->revision, false);
+      advance_platform_list (state, event->position);
+      break;
+    case HF_LIST_NEW_ERA:
+      hf_directory_note_era (state, event->position.era);
       break;
     case HF_LIST_ENTRIES_END:
       directory->entries_complete = true;
@@ -352,8 +467,7 @@
       struct listed_server *listed = item->data;
       if (listed->remove_at == 0 || listed->remove_at > state->now)
         continue;
-      remove_listed (state, listed);
-      g_hash_table_remove (state->directory.servers, listed->report.name.data);
+      drop_listed (state, listed);
     }
   g_list_free (all);
 }
@@ -370,7 +484,7 @@
 {
   const struct listed_server *listed = find_listed (state, name);
   if (!listed)
-    return (struct hf_server_report){ .name = name, .removed = true };
+    return look_up_removed (state, name);
   struct hf_server_report report = listed->report;
   report.warmup_ms = MAX (0, (listed->warmup_until - state->now) / HF_MS);
   report.removed = listed->remove_at > 0;
--- a/src/hf-event.h
+++ b/src/hf-event.h
@@ -16,6 +16,7 @@
 #include "hf-document.h"
 #include "hf-log.h"
 #include "hf-rpc.h"
+#include "hf-store-position.h"
 
 /* --- types: shared values --- */
 
@@ -82,7 +83,8 @@
  * @address: IP:PORT
  * @failure_domain: name of its failure domain
  * @slots: number of requests it runs concurrently
- * @incarnation: changes when it restarts under the same name
+ * @incarnation: rises when it restarts under the same name
+ * @sequence: number of this report among those of the incarnation
  * @warmup_ms: remaining time of higher latency after its start
  * @draining: it accepts no new requests
  * @removed: it is no longer listed
@@ -96,6 +98,7 @@
   struct hf_str failure_domain;
   unsigned slots;
   uint64_t incarnation;
+  uint64_t sequence;
   int64_t warmup_ms;
   bool draining;
   bool removed;
@@ -116,11 +119,12 @@
 enum hf_list_step
 {
   HF_LIST_BEGIN,       /* servers not reported before HF_LIST_END are removed */
-  HF_LIST_END,         /* all servers of the event's revision were reported */
-  HF_LIST_PROGRESS,    /* all changes up to the event's revision were reported */
+  HF_LIST_END,         /* all servers at the event's position were reported */
+  HF_LIST_PROGRESS,    /* all changes up to the event's position were reported */
   HF_LIST_UNREACHABLE, /* the directory is unreachable */
   HF_LIST_REACHABLE,   /* the directory is reachable */
   HF_LIST_ENTRIES_END, /* all listed entries were reported */
+  HF_LIST_NEW_ERA,     /* the platform came back from an older copy; the event's position has the new era */
 };
 
 /** enum hf_watch_mode - how this entry watches the platform's directory */
@@ -203,10 +207,10 @@
     uint64_t generation;
     struct hf_str text; /* as hf_document_load reads it */
   } document;
-  struct hf_server_report report; /* SERVER_REPORT */
-  struct hf_listed_entry entry;   /* ENTRY_REPORT */
-  enum hf_list_step list_step;    /* LIST_STEP */
-  uint64_t revision;              /* LIST_STEP: of the directory; 0: none */
+  struct hf_server_report report;    /* SERVER_REPORT */
+  struct hf_listed_entry entry;      /* ENTRY_REPORT */
+  enum hf_list_step list_step;       /* LIST_STEP */
+  struct hf_store_position position; /* LIST_STEP: of the directory; SERVER_REPORT: only the era that it is from */
 };
 
 /* --- types: effects --- */
@@ -230,6 +234,7 @@
   HF_EFFECT_SET_LIMITS,        /* change the limits on callers' requests */
   HF_EFFECT_SET_WATCH,         /* change how the platform's directory is watched */
   HF_EFFECT_READ_DOCUMENT,     /* read the configuration from the platform once */
+  HF_EFFECT_LIST_AGAIN,        /* the platform has a new era: list again what is watched, check the registration */
 };
 
 /** struct hf_effect - one effect; only the members that its kind needs are set */
@@ -253,7 +258,7 @@
   uint64_t arg;     /* returned in the result's event: claim shard or service, by purpose */
   uint64_t version; /* PUT: expected version of the object; 0: create it */
   enum hf_watch_mode watch_mode;
-  uint64_t revision; /* SET_WATCH: last known revision of the directory */
+  struct hf_store_position position; /* SET_WATCH: last known one of the directory; LIST_AGAIN: only the era */
   struct hf_str name;
   struct hf_str data;
   struct hf_caller_limits limits;
@@ -271,7 +276,12 @@
   GPtrArray *allocations; /* memory of hf_effects_alloc, freed with the list */
 };
 
-/* --- public functions --- */
+/* --- public functions: reports --- */
+
+/* Below 0, 0 or above 0 if @a is older than @b, as old or newer; both are of one backend server. */
+int hf_server_report_compare_age (const struct hf_server_report *a, const struct hf_server_report *b);
+
+/* --- public functions: effects --- */
 
 void hf_effects_init (struct hf_effects *effects);                              /* empty list */
 void hf_effects_close (struct hf_effects *effects);                             /* frees list and contents */
--- a/src/hf-rpc.c
+++ b/src/hf-rpc.c
@@ -15,6 +15,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_hf_rpc_store_position (XDR *xdrs, hf_rpc_store_position *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->era))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_hf_rpc_server_load (XDR *xdrs, hf_rpc_server_load *objp)
 {
@@ -42,7 +54,7 @@
 			 return FALSE;
 		 if (!xdr_bool (xdrs, &objp->platform_unreachable))
 			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->directory_revision))
+		 if (!xdr_hf_rpc_store_position (xdrs, &objp->directory_position))
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->generation))
 			 return FALSE;
@@ -78,7 +90,7 @@
 			 return FALSE;
 		 if (!xdr_bool (xdrs, &objp->platform_unreachable))
 			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->directory_revision))
+		 if (!xdr_hf_rpc_store_position (xdrs, &objp->directory_position))
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->generation))
 			 return FALSE;
@@ -115,7 +127,7 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->platform_unreachable))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->directory_revision))
+	 if (!xdr_hf_rpc_store_position (xdrs, &objp->directory_position))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->generation))
 		 return FALSE;
@@ -499,6 +511,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+			 return FALSE;
 		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->warmup_ms))
@@ -529,6 +543,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+			 return FALSE;
 		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->warmup_ms))
@@ -560,6 +576,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->warmup_ms))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->draining))
@@ -578,16 +596,18 @@
 
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_u_quad_t (xdrs, &objp->from_revision))
+		 if (!xdr_hf_rpc_store_position (xdrs, &objp->from))
+			 return FALSE;
+		 if (!xdr_hf_rpc_store_position (xdrs, &objp->to))
 			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->to_revision))
+		 if (!xdr_u_int (xdrs, &objp->part))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		 if (!xdr_u_int (xdrs, &objp->parts))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->reports_digest))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->part))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->parts))
-				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->full))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->platform_unreachable))
@@ -596,8 +616,6 @@
 				 return FALSE;
 
 		} else {
-		IXDR_PUT_U_LONG(buf, objp->part);
-		IXDR_PUT_U_LONG(buf, objp->parts);
 		IXDR_PUT_BOOL(buf, objp->full);
 		IXDR_PUT_BOOL(buf, objp->platform_unreachable);
 		IXDR_PUT_U_LONG(buf, objp->age_ms);
@@ -611,16 +629,18 @@
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_u_quad_t (xdrs, &objp->from_revision))
+		 if (!xdr_hf_rpc_store_position (xdrs, &objp->from))
+			 return FALSE;
+		 if (!xdr_hf_rpc_store_position (xdrs, &objp->to))
 			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->to_revision))
+		 if (!xdr_u_int (xdrs, &objp->part))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		 if (!xdr_u_int (xdrs, &objp->parts))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->reports_digest))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->part))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->parts))
-				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->full))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->platform_unreachable))
@@ -629,8 +649,6 @@
 				 return FALSE;
 
 		} else {
-		objp->part = IXDR_GET_U_LONG(buf);
-		objp->parts = IXDR_GET_U_LONG(buf);
 		objp->full = IXDR_GET_BOOL(buf);
 		objp->platform_unreachable = IXDR_GET_BOOL(buf);
 		objp->age_ms = IXDR_GET_U_LONG(buf);
@@ -645,14 +663,16 @@
 	 return TRUE;
 	}
 
-	 if (!xdr_u_quad_t (xdrs, &objp->from_revision))
+	 if (!xdr_hf_rpc_store_position (xdrs, &objp->from))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->to_revision))
+	 if (!xdr_hf_rpc_store_position (xdrs, &objp->to))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->part))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->parts))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->reports_digest))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->full))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->platform_unreachable))
@@ -674,7 +694,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->from_revision))
+	 if (!xdr_hf_rpc_store_position (xdrs, &objp->from))
 		 return FALSE;
 	return TRUE;
 }
--- a/tests/fake-store.h
+++ b/tests/fake-store.h
@@ -40,5 +40,10 @@
 void fake_store_compact (struct fake_store *store); /* drops the history: older watches get 410 */
 /* Reads received while the store was silent and the caller still waited for an equal one. */
 guint fake_store_overlapping_reads (const struct fake_store *store);
+void fake_store_save (struct fake_store *store); /* keeps a copy for fake_store_restore */
+/* Goes back to the copy: revisions are given out again, the era rises by one, pending watches are cut. */
+void fake_store_restore (struct fake_store *store);
+/* The next lists with allow_stale come from a replica that still is in the era before and lists nothing. */
+void fake_store_set_stale_lists (struct fake_store *store, guint lists);
 
 #endif
