Leaving: an instance that says so in a response gets no further request

Callers would see nothing; backend servers would: a server that says in its responses that it leaves (Server-Leaving on the users' platform) went on getting calls and measurements as long as the directory listed it as ready, such as with the store down or restored from an older copy.

Cause: the platform's codec read no such field, and the only drain state that a response can set expires after 30 s and is taken back by a healthy check.

Ruled out: setting the existing drain sources. They belong to the pool's record of a server, which a list replaces, and HF_NOTICE_NOT_DRAINING removes them.

The head of a response that restricts requests raises SERVER_HINTS, from calls and measurements alike, before the body has arrived. hf-restrictions keeps what was said by instance (server and start) apart from the pools and applies it whenever the server is put into one; a response of another instance at the address (421, X-Instance-Id) tells nothing. A slot granted there goes back at once, and the granter is told, with the first response and with each such slot. An instance that is not listed is kept for an hour.

--- a/src/config.h
+++ b/src/config.h
@@ -76,6 +76,9 @@
 #define HF_LOAD_REPORT_MAX_AGE_MS     50    /* older load reports are ignored */
 #define HF_GRANT_GRACE_MS             1000  /* a slot grant is kept this long past the request's deadline */
 
+/* Requests that backend servers do not want. */
+#define HF_RESTRICTION_KEEP_SEC 3600 /* kept for an instance that is not listed: an older list may name it again */
+
 /* Reported speed of backend servers. */
 #define HF_SLOWDOWN_DECAY_MS         150 /* typical length of a slow phase; reports decay with this time constant */
 #define HF_SLOWDOWN_FACTOR_DEFAULT   1.5 /* expected slowdown once a report has decayed */
--- a/src/hf-calls.c
+++ b/src/hf-calls.c
@@ -181,6 +181,7 @@
     .call = call->id,
     .attempt = i,
     .server = server->id,
+    .incarnation = server->incarnation,
     .idle_max_ms = call->class->repeatable ? HF_CONNECTION_IDLE_MS : HF_CONNECTION_PROVEN_MS,
     .remaining_ms = MAX (1, (call->deadline - state->now) / HF_MS),
   };
@@ -601,17 +602,10 @@
   const struct hf_pool_server *server = service ? hf_pool_find_server (&service->pool, decision->server) : NULL;
   if (server && hf_health_is_draining (server, state->now))
     {
-      /* The granter has no report yet that the server is draining. */
-      attempt->excluded_server = decision->server;
-      attempt->server = decision->server;
       bool ignored_refusals = call->ignore_refusals;
       call->ignore_refusals = true;
-      hf_slots_release (state, call, i, HF_SLOT_UNUSED);
+      hf_slots_return (state, call, i, server);
       call->ignore_refusals = ignored_refusals;
-      attempt->slot_resend_timer
-          = hf_state_start_timer (state, HF_GRANT_RESEND_MS * HF_MS, HF_TIMER_SLOT_RESEND, call->id, i);
-      attempt->queued = false;
-      attempt->slot_requested_at = state->now;
       return true;
     }
   if (server)
--- a/src/hf-event.h
+++ b/src/hf-event.h
@@ -69,7 +69,8 @@
   unsigned status;        /* HTTP status; 0: no response to a probe */
   int load;               /* requests in progress there; -1: not reported */
   int slowdown_percent;   /* current processing time, 100: normal; 0: not reported */
-  bool draining;          /* it accepts no new requests */
+  bool draining;          /* it accepts no new requests now */
+  bool leaving;           /* this instance of it accepts no new requests any more */
   bool not_run;           /* it reports that it did not run the request */
   bool wrong_instance;    /* another backend server has taken over the address */
   int64_t retry_after_ms; /* -1: not reported */
@@ -147,6 +148,7 @@
   HF_EVENT_PLATFORM_RESULT, /* a platform call ended */
   HF_EVENT_WATCH_LINE,      /* one line of a watch of the platform */
   HF_EVENT_PROBE_RESULT,    /* a health probe or measurement ended */
+  HF_EVENT_SERVER_HINTS,    /* the head of a response tells which requests its server does not want */
   HF_EVENT_SHUTDOWN,        /* the process is to shut down */
   HF_EVENT_DOCUMENT,        /* a new configuration document from outside of the reducer */
   HF_EVENT_SERVER_REPORT,   /* a backend server was listed, changed or removed */
@@ -178,7 +180,7 @@
     size_t body_bytes;    /* length of a buffered body */
     bool body_streamed;   /* the body is too long to buffer */
   } request;
-  struct hf_response_hints hints; /* ATTEMPT_HEAD, ATTEMPT_END, PROBE_RESULT */
+  struct hf_response_hints hints; /* ATTEMPT_HEAD, ATTEMPT_END, PROBE_RESULT, SERVER_HINTS */
   enum hf_attempt_result result;  /* ATTEMPT_END */
   bool bytes_sent;                /* ATTEMPT_END: part of the request was sent */
   /* PEER_MESSAGE */
@@ -196,7 +198,8 @@
     unsigned status;    /* HTTP status, 0: no response; of a WATCH_LINE 0: a line arrived, else: the watch ended */
     struct hf_str data; /* JSON of the object, or one line of a watch */
   } platform;
-  uint64_t server; /* PROBE_RESULT: id of the backend server */
+  uint64_t server;      /* PROBE_RESULT, SERVER_HINTS: id of the backend server */
+  uint64_t incarnation; /* SERVER_HINTS: run of the server that the request was sent to */
   /* DOCUMENT */
   struct
   {
@@ -242,6 +245,7 @@
   int64_t retry_after_ms; /* 0: none */
   struct hf_str text;     /* reason of an error, or text of a log line */
   uint64_t server;        /* id of the backend server */
+  uint64_t incarnation;   /* DISPATCH, SEND_PROBE: run of the server that is meant */
   struct hf_str address;
   struct hf_str path;   /* SEND_PROBE */
   int64_t idle_max_ms;  /* DISPATCH: reuse only a connection idle for less; 0: open a new one */
--- a/src/hf-exchange.c
+++ b/src/hf-exchange.c
@@ -13,6 +13,7 @@
   g_string_free (exchange->response_fields, TRUE);
   g_byte_array_unref (exchange->response_body);
   hf_str_free (&exchange->request_id);
+  hf_str_free (&exchange->server_name);
   g_free (exchange);
 }
 
@@ -28,6 +29,20 @@
   return hf_str_equal (echo, exchange->request_id);
 }
 
+/* Raised with the head, not with the end of the response: what its server does not want counts from now on. */
+static void
+report_restriction (struct hf_exchange *exchange)
+{
+  struct hf_event event = { .kind = HF_EVENT_SERVER_HINTS,
+                            .server = exchange->server,
+                            .incarnation = exchange->incarnation,
+                            .hints = exchange->hints };
+  event.request.id = exchange->request_id;
+  exchange->ref_count++;
+  hf_loop_raise_event (exchange->loop, event);
+  unref_exchange (exchange);
+}
+
 static void
 on_head (void *context, const struct hf_http_head *head)
 {
@@ -44,6 +59,8 @@
       g_string_append_len (exchange->response_fields, field->value.data, (gssize) field->value.len);
       g_string_append (exchange->response_fields, "\r\n");
     }
+  if (hf_header_codec_has_restriction (exchange->codec, head, &exchange->hints, exchange->server_name))
+    report_restriction (exchange);
 }
 
 static void
@@ -136,6 +153,9 @@
   exchange->call = params->call;
   exchange->attempt = params->attempt;
   exchange->request_id = hf_str_dup (params->request_id);
+  exchange->server = params->server;
+  exchange->incarnation = params->incarnation;
+  exchange->server_name = hf_str_dup (params->server_name);
   exchange->on_request_drained = params->on_request_drained;
   exchange->context = params->context;
   exchange->content_length = -1;
--- a/src/hf-exchange.h
+++ b/src/hf-exchange.h
@@ -21,6 +21,9 @@
  * @call: id of the call
  * @attempt: number of the attempt within the call
  * @request_id: id of the request; empty: none
+ * @server: id of the backend server
+ * @incarnation: run of the server that is meant
+ * @server_name: name of the server
  * @request: the request on its connection; NULL: it has ended
  * @response_fields: header fields of the response to be forwarded
  * @content_length: declared bytes of the response body; -1: not declared
@@ -41,6 +44,9 @@
   uint64_t call;
   unsigned attempt;
   struct hf_str request_id;
+  uint64_t server;
+  uint64_t incarnation;
+  struct hf_str server_name;
   struct hf_http_client_request *request;
   GString *response_fields;
   int64_t content_length;
@@ -70,6 +76,9 @@
   uint64_t call;
   unsigned attempt;
   struct hf_str request_id;
+  uint64_t server;
+  uint64_t incarnation;
+  struct hf_str server_name;
   struct hf_http_client_params request;
   void (*on_request_drained) (void *context);
   void *context;
--- a/src/hf-header-codec.c
+++ b/src/hf-header-codec.c
@@ -51,6 +51,18 @@
 
 /* --- public functions --- */
 
+bool
+hf_header_codec_has_restriction (const struct hf_header_codec *codec,
+                                 const struct hf_http_head *head,
+                                 const struct hf_response_hints *hints,
+                                 struct hf_str name)
+{
+  if (!hints->leaving || hints->wrong_instance)
+    return false;
+  struct hf_str instance = codec->instance_field ? hf_http_head_field (head, codec->instance_field) : hf_str ("");
+  return instance.len == 0 || name.len == 0 || hf_str_equal (instance, name);
+}
+
 int64_t
 hf_header_codec_parse_number (struct hf_str text, int64_t max)
 {
--- a/src/hf-header-codec.h
+++ b/src/hf-header-codec.h
@@ -28,6 +28,7 @@
  * @is_replaced: true for a field of the caller that is not forwarded
  * @write_forward_fields: appends the fields added to a forwarded request
  * @read_response: reads status and response hints from a response head
+ * @instance_field: name of the field in which a backend server names itself; NULL: there is none
  */
 struct hf_header_codec
 {
@@ -38,11 +39,18 @@
   bool (*is_replaced) (struct hf_str name);
   void (*write_forward_fields) (GString *text, const struct hf_forward_info *info);
   struct hf_response_hints (*read_response) (const struct hf_http_head *head);
+  const char *instance_field;
 };
 
 /* --- public functions and data --- */
 
-extern const struct hf_header_codec hf_header_codec_default;            /* header fields of this project */
+extern const struct hf_header_codec hf_header_codec_default; /* header fields of this project */
+/* True if the response tells which requests its server does not want: a SERVER_HINTS event. name: the server that the
+ * request was sent to; a response of another one tells nothing about it. */
+bool hf_header_codec_has_restriction (const struct hf_header_codec *codec,
+                                      const struct hf_http_head *head,
+                                      const struct hf_response_hints *hints,
+                                      struct hf_str name);
 int64_t hf_header_codec_parse_number (struct hf_str text, int64_t max); /* decimal number from 0 to max, else -1 */
 
 #endif
--- a/src/hf-health.c
+++ b/src/hf-health.c
@@ -215,7 +215,7 @@
 bool
 hf_health_is_draining (const struct hf_pool_server *server, int64_t now)
 {
-  if (server->drain_sources & (HF_DRAIN_DOCUMENT | HF_DRAIN_VM_LIST | HF_DRAIN_DIRECTORY))
+  if (server->drain_sources & (HF_DRAIN_DOCUMENT | HF_DRAIN_VM_LIST | HF_DRAIN_DIRECTORY | HF_DRAIN_LEAVING))
     return true;
   return server->drain_sources != 0 && now < server->drain_until;
 }
--- a/src/hf-health.h
+++ b/src/hf-health.h
@@ -25,6 +25,7 @@
   HF_DRAIN_REFUSAL = 8,    /* the server itself, when it refused a request */
   HF_DRAIN_PEER = 16,      /* another entry */
   HF_DRAIN_DIRECTORY = 32, /* the platform's directory of backend servers */
+  HF_DRAIN_LEAVING = 64,   /* the server itself: this instance leaves for good */
   HF_DRAIN_TEMPORARY = HF_DRAIN_HEALTH | HF_DRAIN_REFUSAL | HF_DRAIN_PEER, /* these expire */
 };
 
--- a/src/hf-measure.c
+++ b/src/hf-measure.c
@@ -18,7 +18,7 @@
 static void
 send_measurement (struct hf_state *state, const struct hf_service *spec, struct hf_pool_server *server)
 {
-  struct hf_effect effect = { .kind = HF_EFFECT_SEND_PROBE, .server = server->id };
+  struct hf_effect effect = { .kind = HF_EFFECT_SEND_PROBE, .server = server->id, .incarnation = server->incarnation };
   effect.address = hf_effects_copy (state->effects, server->address);
   effect.path = hf_effects_copy (state->effects, spec->health_path);
   effect.name = hf_effects_copy (state->effects, server->name);
--- a/src/hf-probes.c
+++ b/src/hf-probes.c
@@ -67,7 +67,8 @@
 static bool
 is_idle (const struct hf_state *state, const struct hf_pool_server *server)
 {
-  return server->granted == 0 && state->now - server->last_response_at >= HF_PROBE_IDLE_MS * HF_MS;
+  bool leaving = (server->drain_sources & HF_DRAIN_LEAVING) != 0;
+  return !leaving && server->granted == 0 && state->now - server->last_response_at >= HF_PROBE_IDLE_MS * HF_MS;
 }
 
 static struct hf_pool_server *
@@ -93,6 +94,7 @@
             struct hf_pool_server *server)
 {
   struct hf_effect effect = { .kind = HF_EFFECT_SEND_PROBE, .server = server->id, .arg = service->id };
+  effect.incarnation = server->incarnation;
   effect.address = hf_effects_copy (state->effects, server->address);
   effect.path = hf_effects_copy (state->effects, spec->health_path);
   hf_effects_add (state->effects, effect);
--- a/src/hf-proxy.c
+++ b/src/hf-proxy.c
@@ -40,6 +40,8 @@
 {
   struct hf_proxy *proxy;
   uint64_t server;
+  uint64_t incarnation;
+  struct hf_str server_name;
   struct hf_http_client_request *request;
   struct hf_response_hints hints;
   bool got_head;
@@ -418,6 +420,9 @@
     .call = effect->call,
     .attempt = effect->attempt,
     .request_id = call->request_id,
+    .server = effect->server,
+    .incarnation = effect->incarnation,
+    .server_name = effect->name,
     .request = { .address = effect->address,
                  .head = { head->str, head->len },
                  .body = call->streams_body ? (struct hf_str){ 0 } : buffered_body,
@@ -459,6 +464,11 @@
   struct probe *probe = context;
   probe->got_head = true;
   probe->hints = probe->proxy->codec->read_response (head);
+  if (hf_header_codec_has_restriction (probe->proxy->codec, head, &probe->hints, probe->server_name))
+    hf_loop_raise_event (probe->proxy->loop, (struct hf_event){ .kind = HF_EVENT_SERVER_HINTS,
+                                                                .server = probe->server,
+                                                                .incarnation = probe->incarnation,
+                                                                .hints = probe->hints });
 }
 
 static void
@@ -468,6 +478,13 @@
   (void) bytes;
 }
 
+static void
+free_probe (struct probe *probe)
+{
+  hf_str_free (&probe->server_name);
+  g_free (probe);
+}
+
 static void
 on_probe_ended (void *context, enum hf_http_client_result result, bool sent)
 {
@@ -479,7 +496,7 @@
   if (result == HF_HTTP_CLIENT_COMPLETE && probe->got_head)
     event.hints = probe->hints;
   g_hash_table_remove (proxy->probes, probe);
-  g_free (probe);
+  free_probe (probe);
   hf_loop_raise_event (proxy->loop, event);
 }
 
@@ -498,6 +515,8 @@
   g_string_append (head, "\r\n");
   probe->proxy = proxy;
   probe->server = effect->server;
+  probe->incarnation = effect->incarnation;
+  probe->server_name = hf_str_dup (effect->name);
   probe->sent_at = hf_loop_now ();
   g_hash_table_add (proxy->probes, probe);
   struct hf_http_client_params params
@@ -568,7 +587,7 @@
   for (GList *item = probes; item; item = item->next)
     {
       hf_http_client_cancel (((struct probe *) item->data)->request);
-      g_free (item->data);
+      free_probe (item->data);
     }
   g_list_free (probes);
   g_hash_table_destroy (proxy->probes);
--- a/src/hf-quarantine.h
+++ b/src/hf-quarantine.h
@@ -20,6 +20,7 @@
   HF_NOTICE_CRASH,        /* subject: fingerprint, id: backend server that crashed */
   HF_NOTICE_CLEAR,        /* subject: fingerprint of a request that was answered */
   HF_NOTICE_NOT_DRAINING, /* subject: service, id: backend server that accepts requests again */
+  HF_NOTICE_LEAVING,      /* subject: backend server, id: its incarnation, which leaves; see hf-restrictions */
 };
 
 /* --- public functions --- */
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -12,6 +12,7 @@
 #include "hf-members.h"
 #include "hf-probes.h"
 #include "hf-quarantine.h"
+#include "hf-restrictions.h"
 #include "hf-roles.h"
 #include "hf-routing.h"
 #include "hf-slots.h"
@@ -69,6 +70,7 @@
     }
   hf_probes_tick (state);
   hf_quarantine_expire (state);
+  hf_restrictions_expire (state);
   hf_claims_expire (state);
 }
 
@@ -169,6 +171,7 @@
       break;
     case HF_RPC_NOTICE:
       hf_quarantine_handle_notice (state, event);
+      hf_restrictions_handle_notice (state, event);
       break;
     case HF_RPC_CONFIG_OFFER:
     case HF_RPC_CONFIG_PULL:
@@ -256,6 +259,9 @@
       hf_measure_handle_result (state, event);
       hf_slots_handle_measurement (state, event);
       break;
+    case HF_EVENT_SERVER_HINTS:
+      hf_restrictions_handle_hints (state, event);
+      break;
     case HF_EVENT_DOCUMENT:
       hf_config_sync_handle_document (state, event);
       break;
@@ -317,6 +323,7 @@
   state->members = g_ptr_array_new_with_free_func (free_member);
   state->draining_vms = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   state->suspects = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  hf_restrictions_init (state);
   hf_directory_init (&state->directory);
   hf_directory_sync_init (&state->directory_sync);
   hf_config_spread_init (&state->config_spread);
@@ -337,6 +344,7 @@
   g_ptr_array_unref (state->members);
   g_hash_table_destroy (state->draining_vms);
   g_hash_table_destroy (state->suspects);
+  hf_restrictions_close (state);
   hf_directory_close (&state->directory);
   hf_directory_sync_close (&state->directory_sync);
   hf_roles_close (&state->roles);
--- a/src/hf-slots.c
+++ b/src/hf-slots.c
@@ -4,6 +4,7 @@
 #include "hf-calls.h"
 #include "hf-measure.h"
 #include "hf-members.h"
+#include "hf-restrictions.h"
 
 /* --- internal functions: decisions of the own pool --- */
 
@@ -315,6 +316,24 @@
                 attempt->slowdown_percent);
 }
 
+void
+hf_slots_return (struct hf_state *state,
+                 struct hf_call *call,
+                 unsigned attempt_index,
+                 const struct hf_pool_server *server)
+{
+  struct hf_attempt *attempt = &call->attempts[attempt_index];
+  if (attempt->granter)
+    hf_restrictions_tell (state, attempt->granter, server);
+  attempt->excluded_server = server->id;
+  attempt->server = server->id;
+  hf_slots_release (state, call, attempt_index, HF_SLOT_UNUSED);
+  attempt->slot_resend_timer
+      = hf_state_start_timer (state, HF_GRANT_RESEND_MS * HF_MS, HF_TIMER_SLOT_RESEND, call->id, attempt_index);
+  attempt->queued = false;
+  attempt->slot_requested_at = state->now;
+}
+
 void
 hf_slots_handle_message (struct hf_state *state, const struct hf_event *event)
 {
--- a/src/hf-slots.h
+++ b/src/hf-slots.h
@@ -27,6 +27,13 @@
 void
 hf_slots_release (struct hf_state *state, struct hf_call *call, unsigned attempt_index, enum hf_slot_result result);
 
+/* Returns a slot at a server that this entry must not use and that its granter believes usable; requests another one
+ * a little later. */
+void hf_slots_return (struct hf_state *state,
+                      struct hf_call *call,
+                      unsigned attempt_index,
+                      const struct hf_pool_server *server);
+
 /* --- public functions: events --- */
 
 void hf_slots_handle_message (struct hf_state *state, const struct hf_event *event); /* acquire, decision, release */
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -484,6 +484,7 @@
   struct hf_roles roles;
   GHashTable *services;          /* struct hf_service_state by id */
   GHashTable *service_by_server; /* the same by id of a backend server */
+  GHashTable *restrictions;      /* what backend servers said of themselves, by instance; see hf-restrictions */
   GHashTable *class_deadlines;   /* struct hf_usual_deadline by hash of the class's name */
   GHashTable *calls;             /* struct hf_call by id */
   GPtrArray *members;            /* struct hf_member */
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -62,6 +62,8 @@
       const struct hf_effect *effect = &g_array_index (effects.items, struct hf_effect, i);
       if (effect->kind == HF_EFFECT_SEND_MESSAGE)
         send_datagram (entry, effect);
+      if (entry->fleet->on_effect)
+        entry->fleet->on_effect (entry->fleet->context, entry, effect);
       if (effect->kind == HF_EFFECT_READ_DOCUMENT)
         {
           entry->document_reads++;
@@ -109,7 +111,7 @@
                                                            .address = hf_str (address),
                                                            .failure_domain = hf_str ("d0"),
                                                            .slots = 3,
-                                                           .incarnation = 1,
+                                                           .incarnation = MAX (server->incarnation, 1),
                                                            .draining = server->draining,
                                                            .removed = !server->listed } });
 }
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -52,12 +52,15 @@
 {
   bool listed;
   bool draining;
+  uint64_t incarnation; /* 0: the first one */
   uint64_t revision;
 };
 
-/** struct fleet - entries, the datagrams between them, and the platform */
+/** struct fleet - entries, the datagrams between them, and the platform; @on_effect may be set by a test */
 struct fleet
 {
+  void (*on_effect) (void *context, struct fleet_entry *entry, const struct hf_effect *effect);
+  void *context;
   struct fleet_entry entries[FLEET_ENTRIES_MAX];
   unsigned entry_count;
   GHashTable *entry_by_address;
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -23,7 +23,10 @@
 #define OUTAGE_MS               1200 /* longer than a watch batches changes; entries time out after seconds only */
 #define RECOVERY_MS             2000 /* until a change is in force after the store has recovered */
 #define DISCONNECT_MS           500  /* until a caller's disconnect has reached the backend server */
+#define SETTLE_MS               50   /* until responses under way have arrived */
 #define SPLIT_REQUESTS          400
+#define BURST_REQUESTS          6
+#define BURSTS_MAX              40
 #define SILENT_CHECKS           14 /* in SILENT_CHECKS_TIMEOUT_S; one after the other, each with its timeout, at most 9 fit */
 #define SILENT_CHECKS_TIMEOUT_S 10
 #define INITIAL_RETRIES         4 /* in the retry budget of a service at its start */
@@ -52,8 +55,12 @@
   struct raw_server *raw_server;
   char name[16];
   enum server_behaviour behaviour;
-  guint slowdown_percent; /* current latency in percent of the usual, as health responses report it; 0: 100 */
+  guint slowdown_percent;    /* current latency in percent of the usual, as health responses report it; 0: 100 */
+  const char *extra_fields;  /* header lines in its responses to calls; NULL: none */
+  const char *health_fields; /* the same in those of its health endpoint */
+  guint64 started_at;        /* as it registers itself; 0: from its index */
   guint requests;
+  guint health_requests;
   GString *last_request;
   struct raw_connection *last_connection; /* of the last request */
 };
@@ -85,14 +92,20 @@
   return copy;
 }
 
+static const char *
+extra_fields (const struct backend_server *server)
+{
+  return server->extra_fields ? server->extra_fields : "";
+}
+
 static void
-send_response (struct raw_connection *connection, const char *id, const char *body)
+send_response (const struct backend_server *server, struct raw_connection *connection, const char *id, const char *body)
 {
   raw_connection_send (
       connection,
-      "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: stamp-%s\r\nX-Backend-Load: 1,0,3,100\r\n"
+      "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: stamp-%s\r\nX-Backend-Load: 1,0,3,100\r\n%s"
       "Content-Length: %zu\r\n\r\n%s",
-      id, id, strlen (body), body);
+      id, id, extra_fields (server), strlen (body), body);
 }
 
 static void
@@ -102,17 +115,19 @@
   switch (server->behaviour)
     {
     case SENDS_RESPONSE:
-      send_response (connection, id, "hello");
+      send_response (server, connection, id, "hello");
       break;
     case SENDS_NOT_RUN:
-      raw_connection_send (
-          connection, "HTTP/1.1 503 Full\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id);
+      raw_connection_send (connection,
+                           "HTTP/1.1 503 Full\r\nX-Attempt-Id: %s\r\n%sX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+                           id, extra_fields (server));
       break;
     case SENDS_WRONG_INSTANCE:
       raw_connection_send (connection, "HTTP/1.1 421 Misdirected\r\nX-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", id);
       break;
     case SENDS_503:
-      raw_connection_send (connection, "HTTP/1.1 503 Failed\r\nX-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", id);
+      raw_connection_send (connection, "HTTP/1.1 503 Failed\r\nX-Attempt-Id: %s\r\n%sContent-Length: 0\r\n\r\n", id,
+                           extra_fields (server));
       break;
     case RESETS_CONNECTION:
       raw_connection_close (connection, TRUE);
@@ -120,12 +135,12 @@
     case SENDS_NOTHING:
       break;
     case SENDS_FOREIGN_RESPONSE_FIRST:
-      send_response (connection, "another", "not yours");
-      send_response (connection, id, "hello");
+      send_response (server, connection, "another", "not yours");
+      send_response (server, connection, id, "hello");
       break;
     case SENDS_EXTRA_BYTES:
-      send_response (connection, id, "hello");
-      send_response (connection, "another", "not yours");
+      send_response (server, connection, id, "hello");
+      send_response (server, connection, "another", "not yours");
       break;
     case ENDS_BY_CLOSE:
     case ENDS_BY_RESET:
@@ -144,9 +159,11 @@
   struct backend_server *server = context;
   if (g_str_has_prefix (text, "GET /health "))
     {
+      server->health_requests++;
       raw_connection_send (
-          connection, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\nX-Backend-Load: 0,0,3,%u\r\nContent-Length: 0\r\n\r\n",
-          server->name, server->slowdown_percent ? server->slowdown_percent : 100);
+          connection, "HTTP/1.1 200 OK\r\n%sX-Instance-Id: %s\r\nX-Backend-Load: 0,0,3,%u\r\nContent-Length: 0\r\n\r\n",
+          server->health_fields ? server->health_fields : "", server->name,
+          server->slowdown_percent ? server->slowdown_percent : 100);
       return;
     }
   server->requests++;
@@ -163,10 +180,11 @@
 static void
 put_server (struct setup *setup, guint i, const char *service, const char *state)
 {
-  char *spec
-      = g_strdup_printf ("{\"address\":\"%s\",\"born\":%u,\"info\":{\"service\":\"%s\",\"version\":\"v1\",\"zone\":"
-                         "\"z1\",\"slots\":3},\"status\":{\"state\":\"%s\",\"sequence\":1,\"cold_left\":\"0ms\"}}",
-                         raw_server_address (setup->servers[i].raw_server), i + 1, service, state);
+  char *spec = g_strdup_printf (
+      "{\"address\":\"%s\",\"born\":%" G_GUINT64_FORMAT ",\"info\":{\"service\":\"%s\",\"version\":\"v1\",\"zone\":"
+      "\"z1\",\"slots\":3},\"status\":{\"state\":\"%s\",\"sequence\":1,\"cold_left\":\"0ms\"}}",
+      raw_server_address (setup->servers[i].raw_server),
+      setup->servers[i].started_at ? setup->servers[i].started_at : i + 1, service, state);
   fake_store_put (setup->store, "servers", setup->servers[i].name, spec);
   g_free (spec);
 }
@@ -553,6 +571,103 @@
   close_setup (setup);
 }
 
+/* Sends safe and unsafe requests at once, more than one server has slots for, and checks that all are answered. */
+static void
+send_burst (struct setup *setup)
+{
+  struct raw_client *clients[BURST_REQUESTS];
+  for (guint i = 0; i < BURST_REQUESTS; i++)
+    {
+      char *text = format_request (setup, i % 2 ? "POST" : "GET", i % 2 ? "/w/x" : "/r/x", "");
+      clients[i] = raw_client_connect (setup->net, setup->caller_address, text);
+      g_free (text);
+    }
+  for (guint i = 0; i < BURST_REQUESTS; i++)
+    {
+      g_assert_true (harness_wait_until (has_response, clients[i], CHANGE_TIMEOUT_S));
+      g_assert_cmpuint (raw_client_status (clients[i]), ==, 200);
+      raw_client_close (clients[i]);
+    }
+}
+
+/* Sends bursts of requests until server i gets one. */
+static void
+send_until_served_by (struct setup *setup, guint i)
+{
+  guint before = setup->servers[i].requests;
+  for (guint n = 0; n < BURSTS_MAX && setup->servers[i].requests == before; n++)
+    send_burst (setup);
+  g_assert_cmpuint (setup->servers[i].requests, >, before);
+}
+
+static void
+check_gets_nothing (struct setup *setup, guint i)
+{
+  guint requests = setup->servers[i].requests;
+  guint health_requests = setup->servers[i].health_requests;
+  for (guint n = 0; n < 10; n++)
+    send_burst (setup);
+  g_assert_cmpuint (setup->servers[i].requests, ==, requests);
+  g_assert_cmpuint (setup->servers[i].health_requests, ==, health_requests);
+}
+
+/* A server says in a response that it leaves, while the directory lists it as ready: it gets no further request,
+ * whatever the directory says of this instance; a new instance at its address is used. */
+static void
+test_leaving_by_response (void)
+{
+  struct setup *setup = open_setup ();
+  struct backend_server *server = &setup->servers[0];
+  server->extra_fields = "Server-Leaving: 1\r\n";
+  send_until_served_by (setup, 0);
+  harness_pause (SETTLE_MS);
+  check_gets_nothing (setup, 0);
+  put_server (setup, 0, "alpha", "draining");
+  harness_pause (DIRECTORY_UPDATE_MS);
+  put_server (setup, 0, "alpha", "ready");
+  harness_pause (DIRECTORY_UPDATE_MS);
+  check_gets_nothing (setup, 0);
+  fake_store_delete (setup->store, "servers", server->name);
+  harness_pause (MISSING_REMOVAL_MS);
+  put_server (setup, 0, "alpha", "ready");
+  harness_pause (DIRECTORY_UPDATE_MS);
+  fake_store_set_error (setup->store, 503);
+  check_gets_nothing (setup, 0);
+  fake_store_set_error (setup->store, 0);
+  server->extra_fields = NULL;
+  server->started_at = 1000;
+  put_server (setup, 0, "alpha", "ready");
+  harness_pause (RECOVERY_MS);
+  send_until_served_by (setup, 0);
+  close_setup (setup);
+}
+
+static gboolean
+got_health_request (void *context)
+{
+  return ((struct backend_server *) context)->health_requests > 0;
+}
+
+/* The same, said only in the response to a measurement; a response of another instance at the address counts for
+ * nothing. */
+static void
+test_leaving_by_health_response (void)
+{
+  struct setup *setup = open_setup ();
+  setup->servers[0].health_fields = "Server-Leaving: 1\r\n";
+  setup->servers[1].health_fields = "X-Instance-Id: another\r\nServer-Leaving: 1\r\n";
+  for (guint i = 0; i < SERVERS; i++)
+    {
+      send_until_served_by (setup, i);
+      setup->servers[i].health_requests = 0;
+    }
+  for (guint i = 0; i < SERVERS; i++)
+    g_assert_true (harness_wait_until (got_health_request, &setup->servers[i], CHANGE_TIMEOUT_S));
+  harness_pause (SETTLE_MS);
+  check_gets_nothing (setup, 0);
+  close_setup (setup);
+}
+
 /* A server whose object was deleted gets no new requests. */
 static void
 test_removed (void)
@@ -1053,6 +1168,8 @@
   g_test_add_func ("/platform/split", test_split);
   g_test_add_func ("/platform/foreign-entries", test_invalid_servers);
   g_test_add_func ("/platform/drain", test_drain);
+  g_test_add_func ("/platform/leaving-by-response", test_leaving_by_response);
+  g_test_add_func ("/platform/leaving-by-health-response", test_leaving_by_health_response);
   g_test_add_func ("/platform/removed", test_removed);
   g_test_add_func ("/platform/forgotten", test_compacted_history);
   g_test_add_func ("/platform/lapse", test_missing_servers);
--- a/tests/test-scripts.c
+++ b/tests/test-scripts.c
@@ -12,6 +12,7 @@
  *   AT end CALL ATTEMPT RESULT [status=N] [handed] [leaving] [not-run] [load=N] [retry=MS]
  *       RESULT: answered, connect-failed, broken, short (truncated), timeout, cancelled
  *       handed: bytes of the request were sent; leaving: the backend server is draining
+ *   AT hints SERVICE/SERVER [leaves] [status=N] [retry=MS]  head of a response with which the server restricts requests
  *   AT peer BOOT heartbeat [generation=N] [leaving]
  *   AT peer BOOT decision CALL ATTEMPT granted|queued|refused SERVICE/SERVER
  *   AT peer BOOT acquire SERVICE TICKET WORTH REMAINING_MS
@@ -264,6 +265,15 @@
   return id;
 }
 
+static void
+raise_server_hints (struct script_run *run)
+{
+  struct hf_response_hints hints = make_hints (run);
+  hints.leaving = find_option (run, "leaves") != NULL;
+  raise_event (run, (struct hf_event){
+                        .kind = HF_EVENT_SERVER_HINTS, .server = find_server_id (run, run->words[2]), .hints = hints });
+}
+
 static void
 raise_peer_message (struct script_run *run)
 {
@@ -349,6 +359,8 @@
                                          .call = parse_number (run, 2),
                                          .attempt = (unsigned) parse_number (run, 3),
                                          .hints = { .status = (unsigned) parse_number (run, 4), .load = -1 } });
+  else if (strcmp (event_name, "hints") == 0)
+    raise_server_hints (run);
   else if (strcmp (event_name, "end") == 0)
     raise_attempt_end (run);
   else if (strcmp (event_name, "peer") == 0)
