Pushback: a 503 with Retry-After keeps its server out for that time

Callers saw a retry delayed by the server's Retry-After, so mostly none; backend servers that had asked for no requests got them at the usual rate.

Ruled out: ejection by refusals. It counts failures, holds for all entries, is limited to a third of a service and has times of its own.

Change: Retry-After is decoded once (seconds, fraction, HTTP date; the longest of several; at most an hour; anything else is ignored with one log line for each instance). The head of such a response raises SERVER_HINTS. From then on the instance gets neither calls nor measurements nor probes from this entry. The end of the time is prolonged by later responses, never shortened, and a random part of it, at most a second, is added. The granter is told and keeps the entries of each server in a list: it gives them other servers, does not count the server's slots for them, and does not let them hold up the queue for others. The retry of the call itself goes to another server after the usual back-off. Such a 503 is no failure for the ejection.

--- a/src/config.h
+++ b/src/config.h
@@ -77,6 +77,8 @@
 #define HF_GRANT_GRACE_MS             1000  /* a slot grant is kept this long past the request's deadline */
 
 /* Requests that backend servers do not want. */
+#define HF_RETRY_AFTER_MAX_SEC  3600 /* a server's longer Retry-After counts as this */
+#define HF_PUSHBACK_SPREAD_MS   1000 /* entries that were told the same time return within at most this after it */
 #define HF_RESTRICTION_KEEP_SEC 3600 /* kept for an instance that is not listed: an older list may name it again */
 
 /* Reported speed of backend servers. */
--- a/src/hf-admission.c
+++ b/src/hf-admission.c
@@ -15,7 +15,7 @@
   double latency_us;
   if (pool->median_latency_us > 0)
     return pool->median_latency_us;
-  hf_placement_usable_slots (pool, now, &latency_us);
+  hf_placement_usable_slots (pool, now, 0, &latency_us);
   return latency_us;
 }
 
@@ -29,7 +29,7 @@
                                   unsigned ahead)
 {
   double latency_us;
-  unsigned slots = hf_placement_usable_slots (pool, now, &latency_us);
+  unsigned slots = hf_placement_usable_slots (pool, now, request->entry, &latency_us);
   if (slots == 0)
     return false;
   return (double) now + (ahead + 1) * latency_us / slots + latency_us > (double) request->deadline;
--- a/src/hf-attempts.c
+++ b/src/hf-attempts.c
@@ -2,6 +2,7 @@
 #include "hf-attempts.h"
 
 #include "hf-quarantine.h"
+#include "hf-restrictions.h"
 
 /* --- internal functions --- */
 
@@ -49,6 +50,8 @@
   switch (event->result)
     {
     case HF_ATTEMPT_ANSWERED:
+      if (hf_restrictions_pushes_back (&event->hints))
+        return HF_SLOT_UNUSED;
       if (event->hints.not_run)
         return HF_SLOT_REFUSED;
       return event->hints.status >= 500 ? HF_SLOT_FAILED : HF_SLOT_OK;
--- a/src/hf-calls.c
+++ b/src/hf-calls.c
@@ -276,8 +276,9 @@
   struct hf_attempt *attempt = &call->attempts[i];
   bool not_run = event->hints.not_run;
   bool failure = not_run || hf_attempts_is_failure_status (event->hints.status);
-  int64_t delay_us
-      = hf_retry_backoff_us (call->n_attempts - 1, event->hints.retry_after_ms, hf_random_next (&state->random_state));
+  /* That of a 503 keeps only its server out, see hf-restrictions. */
+  int64_t retry_after_ms = event->hints.status == 503 ? -1 : event->hints.retry_after_ms;
+  int64_t delay_us = hf_retry_backoff_us (call->n_attempts - 1, retry_after_ms, hf_random_next (&state->random_state));
   call->may_have_run = call->may_have_run || !not_run;
   /* Unless its class sets resend_refused, a non-repeatable request is sent only
    * once per arrival, even if the backend server refused it. */
@@ -600,7 +601,8 @@
     }
   const struct hf_service_state *service = hf_state_find_service (state, call->slice_id);
   const struct hf_pool_server *server = service ? hf_pool_find_server (&service->pool, decision->server) : NULL;
-  if (server && hf_health_is_draining (server, state->now))
+  bool unwanted = server && hf_pushback_until (server->pushbacks, state->boot_id) > state->now;
+  if (server && (unwanted || hf_health_is_draining (server, state->now)))
     {
       bool ignored_refusals = call->ignore_refusals;
       call->ignore_refusals = true;
--- a/src/hf-event.h
+++ b/src/hf-event.h
@@ -74,6 +74,7 @@
   bool not_run;           /* it reports that it did not run the request */
   bool wrong_instance;    /* another backend server has taken over the address */
   int64_t retry_after_ms; /* -1: not reported */
+  bool retry_after_invalid;
 };
 
 /**
--- a/src/hf-header-codec.c
+++ b/src/hf-header-codec.c
@@ -1,11 +1,60 @@
 /* Default header fields between callers, entries and backend servers. */
 #include "hf-header-codec.h"
 
+#include <libsoup/soup.h>
 #include <string.h>
 
+#include "config.h"
+
 /* --- constants --- */
 
-#define RETRY_AFTER_MAX_SEC 3600
+#define RETRY_AFTER_FIELD "Retry-After"
+#define DATE_BYTES_MAX    64 /* of an HTTP date */
+
+/* --- internal functions: Retry-After --- */
+
+/* Seconds with or without a fraction, in milliseconds, rounded up; -1: anything else. */
+static int64_t
+parse_seconds (struct hf_str text)
+{
+  const int64_t max_ms = HF_RETRY_AFTER_MAX_SEC * 1000;
+  int64_t ms = 0;
+  int64_t unit_ms = 1000;
+  bool has_rest = false;
+  size_t i = 0;
+  for (; i < text.len && g_ascii_isdigit (text.data[i]); i++)
+    ms = MIN (ms * 10 + (text.data[i] - '0') * unit_ms, max_ms);
+  if (i == 0)
+    return -1;
+  if (i == text.len)
+    return ms;
+  if (text.data[i++] != '.' || i == text.len)
+    return -1;
+  for (; i < text.len && g_ascii_isdigit (text.data[i]); i++)
+    {
+      unit_ms /= 10;
+      ms += (text.data[i] - '0') * unit_ms;
+      has_rest = has_rest || (unit_ms == 0 && text.data[i] != '0');
+    }
+  return i == text.len ? MIN (ms + has_rest, max_ms) : -1;
+}
+
+/* Time until an HTTP date, in milliseconds; 0: it has passed; -1: no date. */
+static int64_t
+parse_date (struct hf_str text, int64_t wall_time)
+{
+  char date[DATE_BYTES_MAX];
+  if (text.len == 0 || text.len >= sizeof date || !g_ascii_isalpha (text.data[0]))
+    return -1;
+  memcpy (date, text.data, text.len);
+  date[text.len] = 0;
+  GDateTime *at = soup_date_time_new_from_http_string (date);
+  if (!at)
+    return -1;
+  int64_t ms = (g_date_time_to_unix (at) * HF_SEC - wall_time) / HF_MS;
+  g_date_time_unref (at);
+  return CLAMP (ms, 0, HF_RETRY_AFTER_MAX_SEC * 1000);
+}
 
 /* --- internal functions --- */
 
@@ -31,10 +80,8 @@
 read_response (const struct hf_http_head *head)
 {
   struct hf_response_hints hints = { .status = head->status, .load = -1, .retry_after_ms = -1 };
-  int64_t retry = hf_header_codec_parse_number (hf_http_head_field (head, "Retry-After"), RETRY_AFTER_MAX_SEC);
   hints.load = (int) hf_header_codec_parse_number (hf_http_head_field (head, "Backend-Load"), G_MAXINT32);
-  if (retry >= 0)
-    hints.retry_after_ms = retry * 1000;
+  hf_header_codec_read_retry_after (head, g_get_real_time (), &hints);
   hints.draining = hf_str_equal (hf_http_head_field (head, "Backend-State"), hf_str ("draining"));
   hints.not_run = hf_str_equal (hf_http_head_field (head, "Backend-Outcome"), hf_str ("not-run"));
   return hints;
@@ -51,13 +98,30 @@
 
 /* --- public functions --- */
 
+void
+hf_header_codec_read_retry_after (const struct hf_http_head *head, int64_t wall_time, struct hf_response_hints *hints)
+{
+  if (head->status < 400)
+    return;
+  for (guint i = 0; i < head->fields->len; i++)
+    {
+      const struct hf_header *field = &g_array_index (head->fields, struct hf_header, i);
+      if (!hf_str_equal_nocase (field->name, hf_str (RETRY_AFTER_FIELD)))
+        continue;
+      int64_t ms = MAX (parse_seconds (field->value), parse_date (field->value, wall_time));
+      hints->retry_after_ms = MAX (hints->retry_after_ms, ms);
+      hints->retry_after_invalid = hints->retry_after_invalid || ms < 0;
+    }
+}
+
 bool
 hf_header_codec_has_restriction (const struct hf_header_codec *codec,
                                  const struct hf_http_head *head,
                                  const struct hf_response_hints *hints,
                                  struct hf_str name)
 {
-  if (!hints->leaving || hints->wrong_instance)
+  bool pushes_back = hints->status == 503 && (hints->retry_after_ms > 0 || hints->retry_after_invalid);
+  if (!(hints->leaving || pushes_back) || hints->wrong_instance)
     return false;
   struct hf_str instance = codec->instance_field ? hf_http_head_field (head, codec->instance_field) : hf_str ("");
   return instance.len == 0 || name.len == 0 || hf_str_equal (instance, name);
--- a/src/hf-header-codec.h
+++ b/src/hf-header-codec.h
@@ -52,5 +52,9 @@
                                       const struct hf_response_hints *hints,
                                       struct hf_str name);
 int64_t hf_header_codec_parse_number (struct hf_str text, int64_t max); /* decimal number from 0 to max, else -1 */
+/* Sets the hints of Retry-After: seconds with or without a fraction, or a date; of several valid fields the longest
+ * time, at most HF_RETRY_AFTER_MAX_SEC. wall_time: microseconds since 1970. */
+void
+hf_header_codec_read_retry_after (const struct hf_http_head *head, int64_t wall_time, struct hf_response_hints *hints);
 
 #endif
--- a/src/hf-health.c
+++ b/src/hf-health.c
@@ -156,6 +156,7 @@
       server->slow_start_successes = 0;
       break;
     case HF_SLOT_UNUSED:
+    case HF_SLOT_RETURNED:
       break;
     }
 }
@@ -212,6 +213,13 @@
   return warmup_factor * (HF_SLOWDOWN_FACTOR_DEFAULT + (reported - HF_SLOWDOWN_FACTOR_DEFAULT) * weight);
 }
 
+bool
+hf_health_reports_normal_speed (const struct hf_pool_server *server, int64_t now)
+{
+  bool fresh = now - server->slowdown_reported_at < HF_SLOWDOWN_DECAY_MS * HF_MS;
+  return fresh && server->slowdown_percent > 0 && server->slowdown_percent <= HF_SLOWDOWN_NORMAL_MAX_PERCENT;
+}
+
 bool
 hf_health_is_draining (const struct hf_pool_server *server, int64_t now)
 {
--- a/src/hf-health.h
+++ b/src/hf-health.h
@@ -13,6 +13,7 @@
 #include <glib.h>
 
 #include "hf-base.h"
+#include "hf-pushback.h"
 
 /* --- types --- */
 
@@ -39,6 +40,7 @@
   HF_SLOT_TIMED_OUT,       /* cancelled: no response in time */
   HF_SLOT_SUPERSEDED,      /* cancelled: another attempt of the request responded first */
   HF_SLOT_UNUSED,          /* no request was sent, or its end is no evidence about the server */
+  HF_SLOT_RETURNED,        /* the entry must not use the server: no request was sent */
 };
 
 /** enum hf_speed - speed of a backend server by its own reports */
@@ -93,12 +95,15 @@
   int64_t measurement_unanswered_since; /* first one sent since the last report; 0: none */
   unsigned unanswered_measurements;     /* measurements in a row without a response */
   int64_t connection_lost_at;           /* first loss since the last response; 0: none */
+  GArray *pushbacks;                    /* struct hf_pushback: entries that it wants no requests from; NULL: none */
+  int64_t measurable_at;                /* it wants no measurements of this entry before then; 0: it may be measured */
 };
 
 /* --- public functions --- */
 
 void hf_health_record_slowdown (struct hf_pool_server *server, int64_t now, int percent); /* a report; <= 0: none */
 enum hf_speed hf_health_speed (const struct hf_pool_server *server, int64_t now);
+bool hf_health_reports_normal_speed (const struct hf_pool_server *server, int64_t now); /* lately */
 void hf_health_measurement_sent (struct hf_pool_server *server, int64_t now);
 double hf_health_latency_factor (const struct hf_pool_server *server, int64_t now); /* expected / smoothed latency */
 
--- a/src/hf-log.c
+++ b/src/hf-log.c
@@ -36,6 +36,8 @@
   { HF_LOG_SERVER_SILENT, HF_LOG_LEVEL_WARNING, "server-silent" },
   { HF_LOG_SERVER_LISTED, HF_LOG_LEVEL_INFO, "server-listed" },
   { HF_LOG_SERVER_GONE, HF_LOG_LEVEL_NOTICE, "server-gone" },
+  { HF_LOG_SERVER_PUSHBACK, HF_LOG_LEVEL_NOTICE, "server-pushback" },
+  { HF_LOG_RETRY_AFTER_INVALID, HF_LOG_LEVEL_WARNING, "retry-after-invalid" },
   { HF_LOG_REQUEST_QUARANTINED, HF_LOG_LEVEL_WARNING, "request-quarantined" },
   { HF_LOG_CLAIM_SETTLED, HF_LOG_LEVEL_INFO, "claim-settled" },
   { HF_LOG_CLAIM_UNAVAILABLE, HF_LOG_LEVEL_WARNING, "claim-unavailable" },
--- a/src/hf-measure.c
+++ b/src/hf-measure.c
@@ -12,7 +12,8 @@
 {
   int64_t last_at = MAX (server->slowdown_reported_at, server->measurement_sent_at);
   bool full = server->granted + server->remote_load >= server->slots;
-  return !full && !hf_health_is_draining (server, state->now) && state->now - last_at >= interval_us;
+  return !full && server->measurable_at <= state->now && !hf_health_is_draining (server, state->now)
+         && state->now - last_at >= interval_us;
 }
 
 static void
--- a/src/hf-placement.c
+++ b/src/hf-placement.c
@@ -25,6 +25,13 @@
   return load;
 }
 
+/* True if the entry may send requests to the server, now or once a slot of it is free. */
+static bool
+is_usable_by (const struct hf_pool_server *server, int64_t now, uint64_t entry)
+{
+  return hf_health_is_usable (server, now) && hf_pushback_until (server->pushbacks, entry) <= now;
+}
+
 /* A server without results is expected to have the mean latency of the others. */
 static double
 expected_latency (const struct hf_pool *pool, const struct hf_pool_server *server)
@@ -67,8 +74,9 @@
 /* A request that starts in a slow phase of a server takes longer than most waits
  * for the end of that phase. Where measurements are required, a server that
  * reports its speed therefore gets requests only after a fresh report of normal
- * speed. Exceptions: a stale server whose measurement timed out, and a
- * persistently slow one for a request that has waited for long enough. */
+ * speed. Exceptions: a stale server whose measurement timed out or that must not
+ * be measured, and a persistently slow one for a request that has waited for long
+ * enough. */
 static bool
 may_start_now (const struct hf_pool *pool,
                int64_t now,
@@ -84,6 +92,8 @@
     case HF_SPEED_NORMAL:
       return true;
     case HF_SPEED_STALE:
+      if (server->measurable_at > now)
+        return true;
       return server->measurement_unanswered_since > 0
              && now - server->measurement_unanswered_since >= HF_MEASURE_TIMEOUT_MS * HF_MS;
     case HF_SPEED_PERSISTENTLY_SLOW:
@@ -108,6 +118,7 @@
       const struct hf_pool_server *server = server_at (pool, i);
       unsigned load = effective_load (pool, server, now);
       if (!hf_health_is_usable (server, now) || server->id == excluded_server
+          || !hf_pushback_allows (server->pushbacks, request->entry, now)
           || !may_start_now (pool, now, server, request))
         continue;
       if (pool->policy->skips_full_servers
@@ -180,14 +191,23 @@
 /* --- public functions --- */
 
 size_t
-hf_placement_usable_servers (const struct hf_pool *pool, int64_t now, uint64_t excluded_server)
+hf_placement_usable_servers (const struct hf_pool *pool, int64_t now, uint64_t entry, uint64_t excluded_server)
 {
   size_t n = 0;
   for (size_t i = 0; i < pool->servers->len; i++)
-    n += hf_health_is_usable (server_at (pool, i), now) && server_at (pool, i)->id != excluded_server;
+    n += is_usable_by (server_at (pool, i), now, entry) && server_at (pool, i)->id != excluded_server;
   return n;
 }
 
+bool
+hf_placement_is_pushed_back (const struct hf_pool *pool, int64_t now, uint64_t entry)
+{
+  for (size_t i = 0; i < pool->servers->len; i++)
+    if (!hf_pushback_allows (server_at (pool, i)->pushbacks, entry, now))
+      return true;
+  return false;
+}
+
 struct hf_pool_server *
 hf_placement_choose_server (struct hf_pool *pool, int64_t now, const struct hf_slot_request *request)
 {
@@ -196,7 +216,7 @@
   bool try_last_slots = hf_saturation_tries_last_slot (&pool->saturation);
   size_t n = list_candidates (pool, now, request, excluded_server, try_last_slots, candidates);
   /* The excluded server is used if no other one is usable. */
-  if (n == 0 && excluded_server && hf_placement_usable_servers (pool, now, excluded_server) == 0)
+  if (n == 0 && excluded_server && hf_placement_usable_servers (pool, now, request->entry, excluded_server) == 0)
     n = list_candidates (pool, now, request, 0, try_last_slots, candidates);
   if (try_last_slots)
     n = prefer_last_slots (pool, candidates, n);
@@ -211,14 +231,14 @@
 }
 
 unsigned
-hf_placement_usable_slots (const struct hf_pool *pool, int64_t now, double *latency_us)
+hf_placement_usable_slots (const struct hf_pool *pool, int64_t now, uint64_t entry, double *latency_us)
 {
   unsigned slots = 0;
   double sum = 0;
   for (size_t i = 0; i < pool->servers->len; i++)
     {
       const struct hf_pool_server *server = server_at (pool, i);
-      if (!hf_health_is_usable (server, now))
+      if (!is_usable_by (server, now, entry))
         continue;
       unsigned server_slots = usable_slots (pool, server);
       slots += server_slots;
@@ -252,7 +272,8 @@
     {
       struct hf_pool_server *server = &g_array_index (pool->servers, struct hf_pool_server, i);
       bool is_free = effective_load (pool, server, now) < usable_slots (pool, server);
-      if (!is_free || !hf_health_is_usable (server, now) || !is_measurement_due (server, now))
+      if (!is_free || server->measurable_at > now || !hf_health_is_usable (server, now)
+          || !is_measurement_due (server, now))
         continue;
       double cost = expected_latency (pool, server) * hf_health_latency_factor (server, now)
                     + distance_cost_us (server, request);
--- a/src/hf-placement.h
+++ b/src/hf-placement.h
@@ -12,15 +12,17 @@
 
 /* --- public functions --- */
 
-/* Counts the usable servers other than the excluded one. */
-size_t hf_placement_usable_servers (const struct hf_pool *pool, int64_t now, uint64_t excluded_server);
+/* Counts the servers other than the excluded one that an entry may use; entry 0: that any entry may use. */
+size_t hf_placement_usable_servers (const struct hf_pool *pool, int64_t now, uint64_t entry, uint64_t excluded_server);
+bool hf_placement_is_pushed_back (const struct hf_pool *pool, int64_t now, uint64_t entry); /* by some server */
 
 /* Chooses the server for a request by the pool's policy; NULL: none now. */
 struct hf_pool_server *
 hf_placement_choose_server (struct hf_pool *pool, int64_t now, const struct hf_slot_request *request);
 
-/* Counts the slots of usable servers, without last slots to be left free. latency_us: mean latency per slot. */
-unsigned hf_placement_usable_slots (const struct hf_pool *pool, int64_t now, double *latency_us);
+/* Counts the slots of servers that an entry may use (0: any entry), without last slots to be left free. latency_us:
+ * mean latency per slot. */
+unsigned hf_placement_usable_slots (const struct hf_pool *pool, int64_t now, uint64_t entry, double *latency_us);
 bool hf_placement_has_free_slot (const struct hf_pool *pool, int64_t now); /* true: a server may be available */
 
 /* Returns the best server for a request among those with a free slot and a measurement due; NULL: none. */
--- a/src/hf-pool.c
+++ b/src/hf-pool.c
@@ -22,6 +22,7 @@
   int64_t granted_at;
   bool last_slot;    /* it took the last free slot of its server */
   bool normal_speed; /* the server reported normal speed */
+  bool retry;        /* it took a token of the retry budget */
   int64_t expires_at;
 };
 
@@ -97,13 +98,6 @@
   add_decision (decisions, request, HF_DECISION_REFUSED, 0, reason);
 }
 
-static bool
-reports_normal_speed (const struct hf_pool_server *server, int64_t now)
-{
-  bool fresh = now - server->slowdown_reported_at < HF_SLOWDOWN_DECAY_MS * HF_MS;
-  return fresh && server->slowdown_percent > 0 && server->slowdown_percent <= HF_SLOWDOWN_NORMAL_MAX_PERCENT;
-}
-
 static void
 record_saturation (struct hf_pool *pool, const struct grant *grant, enum hf_slot_result result, int64_t latency_us)
 {
@@ -123,10 +117,12 @@
                            .server = server->id,
                            .granted_at = now,
                            .last_slot = server->slots > 1 && server->granted + 1 >= server->slots,
-                           .normal_speed = reports_normal_speed (server, now),
+                           .normal_speed = hf_health_reports_normal_speed (server, now),
+                           .retry = request->retry,
                            .expires_at = request->deadline + HF_GRANT_GRACE_MS * HF_MS };
   g_hash_table_replace (pool->grants, grant, grant);
   server->granted++;
+  hf_pushback_count_grant (server->pushbacks, request->entry);
   hf_saturation_count_grant (&pool->saturation);
   add_decision (decisions, request, HF_DECISION_GRANTED, server->id, HF_REFUSAL_NONE);
 }
@@ -162,7 +158,7 @@
 static void
 enqueue_or_refuse (struct hf_pool *pool, int64_t now, const struct hf_slot_request *request, GArray *decisions)
 {
-  if (hf_placement_usable_servers (pool, now, 0) == 0)
+  if (hf_placement_usable_servers (pool, now, 0, 0) == 0)
     {
       refuse (pool, decisions, request, HF_REFUSAL_NO_SERVER);
       return;
@@ -202,7 +198,8 @@
         return;
       struct hf_pool_server *server = hf_placement_choose_server (pool, now, &queued->request);
       /* A request without a soft deadline is never overtaken by those behind it. */
-      if (!server && queued->request.soft_deadline == 0)
+      if (!server && queued->request.soft_deadline == 0
+          && !hf_placement_is_pushed_back (pool, now, queued->request.entry))
         return;
       if (!server)
         continue;
@@ -215,8 +212,11 @@
 release_server_slot (struct hf_pool *pool, struct grant *grant)
 {
   struct hf_pool_server *server = hf_pool_find_server (pool, grant->server);
-  if (server && server->granted > 0)
+  if (!server)
+    return;
+  if (server->granted > 0)
     server->granted--;
+  hf_pushback_count_release (server->pushbacks, grant->key.entry);
 }
 
 static void
@@ -265,6 +265,7 @@
   struct hf_pool_server *server = data;
   hf_str_free (&server->name);
   hf_str_free (&server->address);
+  g_clear_pointer (&server->pushbacks, g_array_unref);
 }
 
 static GArray *
@@ -326,7 +327,10 @@
       struct hf_pool_server *known = hf_pool_find_server (pool, hf_server_id (service->name, spec->name));
       struct hf_pool_server server = known ? *known : make_server (service, spec, !first);
       if (known)
-        known->name = known->address = (struct hf_str){ 0 };
+        {
+          known->name = known->address = (struct hf_str){ 0 };
+          known->pushbacks = NULL;
+        }
       update_server (&server, spec);
       g_array_append_val (servers, server);
     }
@@ -452,6 +456,13 @@
     hf_pool_grant_queued (pool, now, decisions);
 }
 
+static void
+record_pushback_success (struct hf_pool_server *server, uint64_t entry, enum hf_slot_result result)
+{
+  if (result == HF_SLOT_OK)
+    hf_pushback_count_success (server->pushbacks, entry, server->slots);
+}
+
 void
 hf_pool_release_slot (struct hf_pool *pool,
                       int64_t now,
@@ -475,7 +486,10 @@
         {
           record_saturation (pool, grant, result, latency_us);
           hf_health_record_result (pool->servers, server, now, result, latency_us);
+          record_pushback_success (server, entry, result);
         }
+      if (result == HF_SLOT_RETURNED)
+        hf_retry_budget_refund (&pool->retry_budget, grant->retry);
       g_hash_table_remove (pool->grants, &key);
     }
   hf_pool_grant_queued (pool, now, decisions);
@@ -484,14 +498,17 @@
 void
 hf_pool_record_result (struct hf_pool *pool,
                        int64_t now,
+                       uint64_t entry,
                        uint64_t server,
                        enum hf_slot_result result,
                        int64_t latency_us)
 {
   struct hf_pool_server *known = hf_pool_find_server (pool, server);
   update_median_latency (pool, result, latency_us);
-  if (known)
-    hf_health_record_result (pool->servers, known, now, result, latency_us);
+  if (!known)
+    return;
+  hf_health_record_result (pool->servers, known, now, result, latency_us);
+  record_pushback_success (known, entry, result);
 }
 
 void
@@ -517,7 +534,7 @@
         g_hash_table_iter_remove (&iter);
       }
   double latency_us;
-  unsigned slots = hf_placement_usable_slots (pool, now, &latency_us);
+  unsigned slots = hf_placement_usable_slots (pool, now, 0, &latency_us);
   unsigned ahead = 0;
   GSequenceIter *position = g_sequence_get_begin_iter (pool->queue);
   while (!g_sequence_iter_is_end (position))
@@ -546,7 +563,10 @@
     if (remote_load->key.entry == entry)
       g_hash_table_iter_remove (&iter);
   for (size_t i = 0; i < pool->servers->len; i++)
-    recount_remote_load (pool, server_at (pool, i)->id);
+    {
+      recount_remote_load (pool, server_at (pool, i)->id);
+      hf_pushback_remove_entry (server_at (pool, i)->pushbacks, entry);
+    }
   GSequenceIter *position = g_sequence_get_begin_iter (pool->queue);
   while (!g_sequence_iter_is_end (position))
     {
--- a/src/hf-pool.h
+++ b/src/hf-pool.h
@@ -118,9 +118,10 @@
                            int64_t latency_us,
                            GArray *decisions);
 
-/* Records the result of an attempt whose slot another entry's pool granted. */
+/* Records the result of an attempt of this entry whose slot another entry's pool granted. */
 void hf_pool_record_result (struct hf_pool *pool,
                             int64_t now,
+                            uint64_t entry,
                             uint64_t server,
                             enum hf_slot_result result,
                             int64_t latency_us);
--- a/src/hf-probes.c
+++ b/src/hf-probes.c
@@ -67,8 +67,8 @@
 static bool
 is_idle (const struct hf_state *state, const struct hf_pool_server *server)
 {
-  bool leaving = (server->drain_sources & HF_DRAIN_LEAVING) != 0;
-  return !leaving && server->granted == 0 && state->now - server->last_response_at >= HF_PROBE_IDLE_MS * HF_MS;
+  bool unwanted = (server->drain_sources & HF_DRAIN_LEAVING) || server->measurable_at > state->now;
+  return !unwanted && server->granted == 0 && state->now - server->last_response_at >= HF_PROBE_IDLE_MS * HF_MS;
 }
 
 static struct hf_pool_server *
--- a/src/hf-restrictions.c
+++ b/src/hf-restrictions.c
@@ -19,6 +19,8 @@
   struct instance instance;
   int64_t listed_at;     /* when the instance was last known to be listed, or was heard */
   int64_t leaving_since; /* 0: it did not say that it leaves */
+  bool logged_invalid;   /* an invalid Retry-After was logged */
+  int64_t resume_at;     /* it wants no requests from this entry before then; 0: it never said so */
 };
 
 /* --- internal functions: table --- */
@@ -70,11 +72,16 @@
 /* --- internal functions: notices --- */
 
 static void
-send_notice (struct hf_state *state, uint64_t granter, enum hf_notice_kind kind, const struct instance *instance)
+send_notice (struct hf_state *state,
+             uint64_t granter,
+             enum hf_notice_kind kind,
+             const struct instance *instance,
+             int64_t hold_us)
 {
   struct hf_rpc_message message = { .body = { .kind = HF_RPC_NOTICE } };
-  message.body.hf_rpc_body_u.notice
-      = (struct hf_rpc_notice){ .kind = kind, .subject = instance->server, .id = instance->incarnation };
+  message.body.hf_rpc_body_u.notice = (struct hf_rpc_notice){
+    .kind = kind, .subject = instance->server, .id = instance->incarnation, .hold_ms = (unsigned) (hold_us / HF_MS)
+  };
   hf_state_send_to_member (state, granter, message);
 }
 
@@ -105,8 +112,73 @@
   return true;
 }
 
+/* --- internal functions: pushback --- */
+
+static void
+apply_pushback (struct hf_pool_server *server, uint64_t entry, int64_t until)
+{
+  hf_pushback_set (&server->pushbacks, entry, until);
+  server->measurable_at = MAX (server->measurable_at, until);
+}
+
+/* The entries that a server pushes back at the same time return at different times. */
+static int64_t
+pushback_us (struct hf_state *state, int64_t retry_after_ms)
+{
+  int64_t ms = MIN (retry_after_ms, HF_RETRY_AFTER_MAX_SEC * 1000);
+  int64_t spread_ms = MIN (ms, HF_PUSHBACK_SPREAD_MS);
+  return ms * HF_MS + (int64_t) (hf_random_next (&state->random_state) % (uint64_t) (spread_ms * HF_MS + 1));
+}
+
+static void
+set_pushback (struct hf_state *state, const struct instance *instance, const struct hf_response_hints *hints)
+{
+  struct restriction *restriction = find_or_add (state, instance->server, instance->incarnation);
+  struct hf_pool_server *server = find_listed (state, instance);
+  bool in_force = restriction->resume_at > state->now;
+  restriction->resume_at = MAX (restriction->resume_at, state->now + pushback_us (state, hints->retry_after_ms));
+  if (!server)
+    return;
+  apply_pushback (server, state->boot_id, restriction->resume_at);
+  send_notice (state, find_granter (state, server->id), HF_NOTICE_PUSHBACK, instance,
+               restriction->resume_at - state->now);
+  if (!in_force)
+    hf_state_log (state, HF_LOG_SERVER_PUSHBACK,
+                  "backend server " HF_STR_FMT " of " HF_STR_FMT " wants no requests of this entry for %d ms",
+                  HF_STR_ARG (server->name), HF_STR_ARG (find_service (state, server->id)->name),
+                  (int) ((restriction->resume_at - state->now) / HF_MS));
+}
+
+static void
+log_invalid_retry_after (struct hf_state *state, const struct instance *instance)
+{
+  const struct hf_pool_server *server = find_listed (state, instance);
+  struct restriction *restriction = find_or_add (state, instance->server, instance->incarnation);
+  if (!restriction->logged_invalid && server)
+    hf_state_log (state, HF_LOG_RETRY_AFTER_INVALID,
+                  "backend server " HF_STR_FMT " sends a Retry-After that is neither seconds nor a date; ignoring it",
+                  HF_STR_ARG (server->name));
+  restriction->logged_invalid = true;
+}
+
+/* The sender of the notice must get no slots there for that time. */
+static void
+handle_pushback_notice (struct hf_state *state, uint64_t sender, const struct hf_rpc_notice *notice)
+{
+  struct hf_pool_server *server = find_listed (state, &(struct instance){ notice->subject, notice->id });
+  int64_t max_us = HF_RETRY_AFTER_MAX_SEC * HF_SEC + HF_PUSHBACK_SPREAD_MS * HF_MS;
+  if (server && hf_state_find_member (state, sender))
+    hf_pushback_set (&server->pushbacks, sender, state->now + MIN (notice->hold_ms * HF_MS, max_us));
+}
+
 /* --- public functions --- */
 
+bool
+hf_restrictions_pushes_back (const struct hf_response_hints *hints)
+{
+  return hints->status == 503 && hints->retry_after_ms > 0;
+}
+
 void
 hf_restrictions_init (struct hf_state *state)
 {
@@ -124,7 +196,11 @@
 {
   const struct instance instance = { event->server, event->incarnation };
   if (event->hints.leaving && set_leaving (state, &instance, "its own response"))
-    send_notice (state, find_granter (state, event->server), HF_NOTICE_LEAVING, &instance);
+    send_notice (state, find_granter (state, event->server), HF_NOTICE_LEAVING, &instance, 0);
+  if (hf_restrictions_pushes_back (&event->hints))
+    set_pushback (state, &instance, &event->hints);
+  if (event->hints.retry_after_invalid)
+    log_invalid_retry_after (state, &instance);
 }
 
 void
@@ -134,12 +210,14 @@
   const struct instance instance = { notice->subject, notice->id };
   if (notice->kind == HF_NOTICE_LEAVING)
     set_leaving (state, &instance, "an entry that had its response");
+  else if (notice->kind == HF_NOTICE_PUSHBACK)
+    handle_pushback_notice (state, event->peer.message->boot_id, notice);
 }
 
 void
 hf_restrictions_apply (struct hf_state *state, struct hf_service_state *service, uint64_t server)
 {
-  const struct hf_pool_server *listed = hf_pool_find_server (&service->pool, server);
+  struct hf_pool_server *listed = hf_pool_find_server (&service->pool, server);
   struct instance instance = { server, listed ? listed->incarnation : 0 };
   struct restriction *restriction = g_hash_table_lookup (state->restrictions, &instance);
   if (!listed || !restriction)
@@ -147,6 +225,8 @@
   restriction->listed_at = state->now;
   if (restriction->leaving_since > 0)
     hf_pool_set_draining (&service->pool, server, HF_DRAIN_LEAVING, true, 0);
+  if (restriction->resume_at > state->now)
+    apply_pushback (listed, state->boot_id, restriction->resume_at);
 }
 
 void
@@ -154,7 +234,10 @@
 {
   const struct instance instance = { server->id, server->incarnation };
   if (server->drain_sources & HF_DRAIN_LEAVING)
-    send_notice (state, granter, HF_NOTICE_LEAVING, &instance);
+    send_notice (state, granter, HF_NOTICE_LEAVING, &instance, 0);
+  int64_t until = hf_pushback_until (server->pushbacks, state->boot_id);
+  if (until > state->now)
+    send_notice (state, granter, HF_NOTICE_PUSHBACK, &instance, until - state->now);
 }
 
 void
--- a/src/hf-restrictions.h
+++ b/src/hf-restrictions.h
@@ -3,8 +3,10 @@
  *
  * A backend server may say in any response that it is leaving. From then on
  * this entry sends that instance of it no request, whatever the directory or
- * other entries report; only another instance is used again. The entry that
- * grants the slots of its service is told, so that it grants no further ones.
+ * other entries report; only another instance is used again. With a 503 it may
+ * send Retry-After (pushback): then it gets nothing from this entry for that
+ * time, and other entries go on. The entry that grants the slots of its service
+ * is told of both, so that it grants no further ones.
  */
 #ifndef HF_RESTRICTIONS_H
 #define HF_RESTRICTIONS_H
@@ -20,6 +22,8 @@
 void hf_restrictions_handle_hints (struct hf_state *state, const struct hf_event *event);
 void hf_restrictions_handle_notice (struct hf_state *state, const struct hf_event *event);
 
+bool hf_restrictions_pushes_back (const struct hf_response_hints *hints); /* a 503 with a Retry-After */
+
 /* Applies what is known of a backend server that was added to the pool of a service, or restarted. */
 void hf_restrictions_apply (struct hf_state *state, struct hf_service_state *service, uint64_t server);
 
--- a/src/hf-retry.c
+++ b/src/hf-retry.c
@@ -21,6 +21,18 @@
     budget->tokens = budget->max_tokens;
 }
 
+void
+hf_retry_budget_refund (struct hf_retry_budget *budget, bool retry)
+{
+  if (!retry)
+    {
+      budget->tokens = MAX (budget->tokens - budget->deposit, 0);
+      return;
+    }
+  budget->tokens = MIN (budget->tokens + 1.0, budget->max_tokens);
+  budget->allowed--;
+}
+
 bool
 hf_retry_budget_withdraw (struct hf_retry_budget *budget)
 {
--- a/src/hf-retry.h
+++ b/src/hf-retry.h
@@ -35,7 +35,8 @@
 /* --- public functions --- */
 
 void hf_retry_budget_init (struct hf_retry_budget *budget, double max_tokens, double percent); /* full bucket */
-void hf_retry_budget_deposit (struct hf_retry_budget *budget);  /* call once per first attempt */
+void hf_retry_budget_deposit (struct hf_retry_budget *budget);            /* call once per first attempt */
+void hf_retry_budget_refund (struct hf_retry_budget *budget, bool retry); /* undoes a withdrawal, or a deposit */
 bool hf_retry_budget_withdraw (struct hf_retry_budget *budget); /* takes a token; false: the retry is denied */
 
 /* Delay of a hedge: so late that the hedge can just meet the soft deadline, but at least as long as the time reserved
--- a/src/hf-slots.c
+++ b/src/hf-slots.c
@@ -222,7 +222,7 @@
   struct hf_service_state *service = hf_state_find_service (state, release->service);
   if (service)
     hf_pool_record_slowdown (&service->pool, release->server, state->now, (int) release->slowdown_percent);
-  if (service && release->result <= HF_SLOT_UNUSED)
+  if (service && release->result <= HF_SLOT_RETURNED)
     release_in_pool (state, service, from, release->ticket, release->server, release->result, release->latency_us);
 }
 
@@ -311,7 +311,7 @@
       return;
     }
   /* The own pool gets the result, too: it decides while the granter does not respond. */
-  hf_pool_record_result (&service->pool, state->now, attempt->server, result, latency_us);
+  hf_pool_record_result (&service->pool, state->now, state->boot_id, attempt->server, result, latency_us);
   send_release (state, attempt->granter, call->slice_id, ticket, attempt->server, result, latency_us,
                 attempt->slowdown_percent);
 }
@@ -327,7 +327,7 @@
     hf_restrictions_tell (state, attempt->granter, server);
   attempt->excluded_server = server->id;
   attempt->server = server->id;
-  hf_slots_release (state, call, attempt_index, HF_SLOT_UNUSED);
+  hf_slots_release (state, call, attempt_index, HF_SLOT_RETURNED);
   attempt->slot_resend_timer
       = hf_state_start_timer (state, HF_GRANT_RESEND_MS * HF_MS, HF_TIMER_SLOT_RESEND, call->id, attempt_index);
   attempt->queued = false;
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -668,6 +668,46 @@
   close_setup (setup);
 }
 
+/* A server turns requests away with 503 and Retry-After: they are answered by the other one, and neither calls nor
+ * measurements reach it within that time; afterwards it is used again. */
+static void
+test_pushback (void)
+{
+  struct setup *setup = open_setup ();
+  struct backend_server *server = &setup->servers[0];
+  server->behaviour = SENDS_NOT_RUN;
+  server->extra_fields = "Retry-After: 8\r\n";
+  send_until_served_by (setup, 0);
+  int64_t told_at = g_get_monotonic_time ();
+  server->behaviour = SENDS_RESPONSE;
+  server->extra_fields = NULL;
+  harness_pause (SETTLE_MS);
+  check_gets_nothing (setup, 0);
+  put_server (setup, 0, "alpha", "draining");
+  harness_pause (DIRECTORY_UPDATE_MS);
+  put_server (setup, 0, "alpha", "ready");
+  harness_pause (DIRECTORY_UPDATE_MS);
+  check_gets_nothing (setup, 0);
+  g_assert_cmpint (g_get_monotonic_time () - told_at, <, 8 * G_USEC_PER_SEC);
+  harness_pause ((guint) (9200 - (g_get_monotonic_time () - told_at) / 1000));
+  send_until_served_by (setup, 0);
+  close_setup (setup);
+}
+
+/* A 503 with Retry-After that does not say that the request was not run: a request that may not be repeated goes to no
+ * other server, and its caller is not told that it did not run. */
+static void
+test_pushback_may_have_run (void)
+{
+  struct setup *setup = open_setup ();
+  set_behaviour (setup, SENDS_503);
+  for (guint i = 0; i < SERVERS; i++)
+    setup->servers[i].extra_fields = "Retry-After: 20\r\n";
+  g_assert_cmpuint (request_status (setup, "POST", "/w/x", ""), ==, 502);
+  g_assert_cmpuint (count_requests (setup), ==, 1);
+  close_setup (setup);
+}
+
 /* A server whose object was deleted gets no new requests. */
 static void
 test_removed (void)
@@ -1170,6 +1210,8 @@
   g_test_add_func ("/platform/drain", test_drain);
   g_test_add_func ("/platform/leaving-by-response", test_leaving_by_response);
   g_test_add_func ("/platform/leaving-by-health-response", test_leaving_by_health_response);
+  g_test_add_func ("/platform/pushback", test_pushback);
+  g_test_add_func ("/platform/pushback-may-have-run", test_pushback_may_have_run);
   g_test_add_func ("/platform/removed", test_removed);
   g_test_add_func ("/platform/forgotten", test_compacted_history);
   g_test_add_func ("/platform/lapse", test_missing_servers);
--- a/tests/test-restrictions.c
+++ b/tests/test-restrictions.c
@@ -6,6 +6,7 @@
 #include "fleet.h"
 #include "hf-adapter.h"
 #include "hf-base.h"
+#include "hf-http-parser.h"
 #include "hf-members.h"
 
 /* --- constants --- */
@@ -32,6 +33,7 @@
 struct server_says
 {
   bool leaves;
+  int64_t retry_after_ms; /* it turns requests away with this Retry-After; 0: it runs them */
 };
 
 /* What one instance has told one entry. */
@@ -41,6 +43,7 @@
   unsigned server;
   uint64_t incarnation;
   bool leaves;
+  int64_t until; /* it wants no requests before then */
 };
 
 struct simulation
@@ -52,6 +55,7 @@
   uint64_t calls;
   unsigned sent[SERVERS_IN_USE];     /* requests */
   unsigned sent_unwanted;            /* requests that the entry had been told not to send */
+  int64_t returned_at[ENTRIES];      /* first request of an entry to server 0 after it was told not to send any */
   unsigned measured[SERVERS_IN_USE]; /* measurements */
   unsigned errors;                   /* error responses of the entries */
   bool silent_to[ENTRIES];           /* servers say nothing to this entry */
@@ -81,7 +85,7 @@
 is_unwanted (const struct simulation *simulation, const struct fleet_entry *entry, const struct hf_effect *effect)
 {
   const struct told *told = find_told (simulation, entry, server_index (effect), effect->incarnation);
-  return told && told->leaves;
+  return told && (told->leaves || simulation->fleet->now < told->until);
 }
 
 static void
@@ -100,6 +104,10 @@
       return;
     }
   simulation->sent[server]++;
+  unsigned sender = (unsigned) (entry - simulation->fleet->entries);
+  const struct told *told = find_told (simulation, entry, server, effect->incarnation);
+  if (told && told->until > 0 && simulation->returned_at[sender] == 0)
+    simulation->returned_at[sender] = simulation->fleet->now;
   struct run run = { .entry = entry,
                      .call = effect->call,
                      .attempt = effect->attempt,
@@ -109,40 +117,61 @@
   g_array_append_val (simulation->runs, run);
 }
 
-static void
-tell (struct simulation *simulation, const struct run *run)
+static struct told *
+find_or_add_told (struct simulation *simulation, const struct run *run)
+{
+  struct told *told = find_told (simulation, run->entry, run->server, run->incarnation);
+  if (told)
+    return told;
+  struct told new_told = { .entry = run->entry, .server = run->server, .incarnation = run->incarnation };
+  g_array_append_val (simulation->told, new_told);
+  return &g_array_index (simulation->told, struct told, simulation->told->len - 1);
+}
+
+/* The head of a response, with what its server says to this entry. */
+static struct hf_response_hints
+make_hints (const struct simulation *simulation, const struct run *run)
 {
+  struct hf_response_hints hints = { .status = 200, .load = -1, .retry_after_ms = -1 };
   const struct server_says *says = &simulation->says[run->server];
-  struct hf_event event = { .kind = HF_EVENT_SERVER_HINTS,
-                            .server = hf_server_id (hf_str ("a"), hf_str ("s0")),
-                            .incarnation = run->incarnation,
-                            .hints = { .status = 200, .load = -1, .retry_after_ms = -1, .leaving = says->leaves } };
+  if (simulation->silent_to[run->entry - simulation->fleet->entries])
+    return hints;
+  hints.leaving = says->leaves;
+  if (says->retry_after_ms == 0)
+    return hints;
+  hints.status = 503;
+  hints.not_run = true;
+  hints.retry_after_ms = says->retry_after_ms;
+  return hints;
+}
+
+static void
+tell (struct simulation *simulation, const struct run *run, const struct hf_response_hints *hints)
+{
+  struct told *told = find_or_add_told (simulation, run);
   char name[16];
   g_snprintf (name, sizeof name, "s%u", run->server);
-  event.server = hf_server_id (hf_str ("a"), hf_str (name));
-  if (!says->leaves || simulation->silent_to[run->entry - simulation->fleet->entries])
-    return;
-  struct told *told = find_told (simulation, run->entry, run->server, run->incarnation);
-  if (!told)
-    {
-      struct told new_told = { .entry = run->entry, .server = run->server, .incarnation = run->incarnation };
-      g_array_append_val (simulation->told, new_told);
-      told = &g_array_index (simulation->told, struct told, simulation->told->len - 1);
-    }
-  told->leaves = true;
-  fleet_raise_event (run->entry, event);
+  told->leaves = told->leaves || hints->leaving;
+  if (hints->status == 503)
+    told->until = MAX (told->until, simulation->fleet->now + hints->retry_after_ms * HF_MS);
+  fleet_raise_event (run->entry, (struct hf_event){ .kind = HF_EVENT_SERVER_HINTS,
+                                                    .server = hf_server_id (hf_str ("a"), hf_str (name)),
+                                                    .incarnation = run->incarnation,
+                                                    .hints = *hints });
 }
 
 static void
 end_run (struct simulation *simulation, const struct run *run)
 {
-  tell (simulation, run);
+  struct hf_response_hints hints = make_hints (simulation, run);
+  if (hints.leaving || hints.status == 503)
+    tell (simulation, run, &hints);
   fleet_raise_event (run->entry, (struct hf_event){ .kind = HF_EVENT_ATTEMPT_END,
                                                     .call = run->call,
                                                     .attempt = run->attempt,
                                                     .result = HF_ATTEMPT_ANSWERED,
                                                     .bytes_sent = true,
-                                                    .hints = { .status = 200, .load = -1, .retry_after_ms = -1 } });
+                                                    .hints = hints });
 }
 
 static void
@@ -307,6 +336,175 @@
   close_simulation (simulation);
 }
 
+/* --- tests: pushback --- */
+
+/* A server turns the requests of all entries away for a time: none is sent to it within that time, others answer, and
+ * it is used again afterwards, not by all entries at the same time. */
+static void
+test_pushback_all (void)
+{
+  struct simulation *simulation = open_simulation ();
+  int64_t first = INT64_MAX;
+  int64_t last = 0;
+  simulation->says[0].retry_after_ms = 2000;
+  advance (simulation, 300);
+  simulation->says[0].retry_after_ms = 0;
+  unsigned sent = simulation->sent[0];
+  advance (simulation, 1500);
+  g_assert_cmpuint (simulation->sent[0], ==, sent);
+  advance (simulation, 5000);
+  g_assert_cmpuint (simulation->sent[0], >, sent);
+  g_assert_cmpuint (simulation->sent_unwanted, ==, 0);
+  g_assert_cmpuint (simulation->errors, ==, 0);
+  for (unsigned i = 0; i < ENTRIES; i++)
+    if (simulation->returned_at[i] > 0)
+      {
+        first = MIN (first, simulation->returned_at[i]);
+        last = MAX (last, simulation->returned_at[i]);
+      }
+  g_assert_cmpint (last - first, >, 100 * HF_MS);
+  close_simulation (simulation);
+}
+
+/* Only one entry is told: the others go on using the server. */
+static void
+test_pushback_one_entry (void)
+{
+  struct simulation *simulation = open_simulation ();
+  unsigned hearer = (granter_index (simulation) + 1) % ENTRIES;
+  for (unsigned i = 0; i < ENTRIES; i++)
+    simulation->silent_to[i] = i != hearer;
+  simulation->says[0].retry_after_ms = 5000;
+  advance (simulation, 500);
+  unsigned sent = simulation->sent[0];
+  advance (simulation, 2000);
+  g_assert_cmpuint (simulation->told->len, ==, 1);
+  g_assert_cmpuint (simulation->sent[0], >, sent);
+  g_assert_cmpuint (simulation->sent_unwanted, ==, 0);
+  g_assert_cmpuint (simulation->errors, ==, 0);
+  close_simulation (simulation);
+}
+
+/* Servers say at random times that they leave or want no requests, datagrams are lost, granters are cut off, servers
+ * are listed again: no entry sends what it was told not to send, by a list of instance and time. */
+static void
+test_against_list (gconstpointer data)
+{
+  struct simulation *simulation = open_simulation ();
+  uint64_t random_state = GPOINTER_TO_UINT (data);
+  uint64_t incarnations[SERVERS_IN_USE] = { 0 };
+  simulation->fleet->loss_interval = 5;
+  for (unsigned round = 0; round < 60; round++)
+    {
+      unsigned server = (unsigned) (hf_random_next (&random_state) % SERVERS_IN_USE);
+      uint64_t choice = hf_random_next (&random_state) % 6;
+      struct server_says *says = &simulation->says[server];
+      if (choice < 2)
+        says->retry_after_ms = (int64_t) (hf_random_next (&random_state) % 4) * 1000;
+      else if (choice == 2)
+        says->leaves = true;
+      else if (choice == 3)
+        list_again (simulation, server, incarnations[server]);
+      else if (choice == 4)
+        {
+          *says = (struct server_says){ 0 };
+          list_again (simulation, server, ++incarnations[server]);
+        }
+      else
+        simulation->fleet->entries[granter_index (simulation)].is_disconnected = true;
+      advance (simulation, 300);
+      for (unsigned i = 0; i < ENTRIES; i++)
+        simulation->fleet->entries[i].is_disconnected = false;
+    }
+  g_assert_cmpuint (simulation->told->len, >, 0);
+  g_assert_cmpuint (simulation->sent_unwanted, ==, 0);
+  close_simulation (simulation);
+}
+
+/* --- tests: header fields --- */
+
+struct retry_after_case
+{
+  const char *fields;
+  int64_t ms; /* -1: none */
+  bool invalid;
+};
+
+/* Each form of Retry-After: the time that it gives, and whether it is invalid. The time is 1994-11-06 08:49:37. */
+static const struct retry_after_case retry_after_cases[] = {
+  { "", -1, false },
+  { "Retry-After: 0\r\n", 0, false },
+  { "Retry-After: 5\r\n", 5000, false },
+  { "retry-after:   007  \r\n", 7000, false },
+  { "Retry-After: 1.5\r\n", 1500, false },
+  { "Retry-After: 0.0001\r\n", 1, false },
+  { "Retry-After: 3600\r\n", 3600000, false },
+  { "Retry-After: 3601\r\n", 3600000, false },
+  { "Retry-After: 99999999999999999999999999999999999999999999\r\n", 3600000, false },
+  { "Retry-After: -1\r\n", -1, true },
+  { "Retry-After: +1\r\n", -1, true },
+  { "Retry-After:\r\n", -1, true },
+  { "Retry-After: 1.\r\n", -1, true },
+  { "Retry-After: .5\r\n", -1, true },
+  { "Retry-After: 1e3\r\n", -1, true },
+  { "Retry-After: 1, 2\r\n", -1, true },
+  { "Retry-After: soon\r\n", -1, true },
+  { "Retry-After: 3\r\nRetry-After: 9\r\n", 9000, false },
+  { "Retry-After: soon\r\nRetry-After: 4\r\n", 4000, true },
+  { "Retry-After: Sun, 06 Nov 1994 08:49:47 GMT\r\n", 10000, false },
+  { "Retry-After: Sun, 06 Nov 1994 08:49:27 GMT\r\n", 0, false },
+  { "Retry-After: Sun, 06 Nov 2994 08:49:27 GMT\r\n", 3600000, false },
+};
+
+static bool
+on_head (void *context, const struct hf_http_head *head)
+{
+  struct hf_response_hints *hints = context;
+  *hints = (struct hf_response_hints){ .retry_after_ms = -1 };
+  hf_header_codec_read_retry_after (head, 784111777 * HF_SEC, hints);
+  return true;
+}
+
+static void
+ignore_body (void *context, struct hf_str bytes)
+{
+  (void) context;
+  (void) bytes;
+}
+
+static void
+ignore_end (void *context)
+{
+  (void) context;
+}
+
+static void
+ignore_error (void *context, enum hf_http_parse_error error)
+{
+  (void) context;
+  (void) error;
+}
+
+static void
+test_retry_after (void)
+{
+  static const struct hf_http_parser_callbacks callbacks
+      = { .on_head = on_head, .on_body = ignore_body, .on_complete = ignore_end, .on_error = ignore_error };
+  for (size_t i = 0; i < G_N_ELEMENTS (retry_after_cases); i++)
+    {
+      const struct retry_after_case *retry_after_case = &retry_after_cases[i];
+      struct hf_response_hints hints = { 0 };
+      char *text = g_strdup_printf ("HTTP/1.1 503 Full\r\n%sContent-Length: 0\r\n\r\n", retry_after_case->fields);
+      struct hf_http_parser *parser = hf_http_parser_open (false, &callbacks, &hints);
+      hf_http_parser_feed (parser, hf_str (text));
+      g_test_message ("case %zu: %s", i, retry_after_case->fields);
+      g_assert_cmpint (hints.retry_after_ms, ==, retry_after_case->ms);
+      g_assert_cmpint (hints.retry_after_invalid, ==, retry_after_case->invalid);
+      hf_http_parser_close (parser);
+      g_free (text);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -316,5 +514,14 @@
   g_test_add_func ("/restrictions/leaving-one-entry", test_leaving_one_entry);
   g_test_add_func ("/restrictions/leaving-hand-over", test_leaving_hand_over);
   g_test_add_func ("/restrictions/leaving-platform-down", test_leaving_platform_down);
+  g_test_add_func ("/restrictions/pushback-all", test_pushback_all);
+  g_test_add_func ("/restrictions/pushback-one-entry", test_pushback_one_entry);
+  for (guint seed = 1; seed <= 10; seed++)
+    {
+      char *path = g_strdup_printf ("/restrictions/against-list/%u", seed);
+      g_test_add_data_func (path, GUINT_TO_POINTER (seed), test_against_list);
+      g_free (path);
+    }
+  g_test_add_func ("/restrictions/retry-after", test_retry_after);
   return g_test_run ();
 }
