Pushback of a whole service: refused at once, or queued if it can be served

Callers of a service whose servers all answered 503 with Retry-After waited until their deadline (2 s) and were told to come back in 1 s, however long the servers wanted no requests.

Cause: an entry that may use no server had no slots in the estimate of the wait, which counted as no reason to refuse.

Ruled out: refusing whenever every server is pushed back: a short Retry-After leaves time to serve the request.

Change: hf-admission compares the first return of a server with the deadline, for new and for queued requests; a refusal for that reason gives back the retry token, and the caller's Retry-After includes the time until the first return. Ejected servers count with the end of their ejection. Slices without a server that the entry may use get no requests.

--- a/src/hf-admission.c
+++ b/src/hf-admission.c
@@ -21,18 +21,23 @@
 
 /* --- public functions --- */
 
-/* True if the wait in the queue leaves too little time to run the request. */
-bool
-hf_admission_would_miss_deadline (const struct hf_pool *pool,
-                                  int64_t now,
-                                  const struct hf_slot_request *request,
-                                  unsigned ahead)
+/* Refuses a request if the wait in the queue leaves too little time to run it. */
+enum hf_refusal_reason
+hf_admission_check (const struct hf_pool *pool, int64_t now, const struct hf_slot_request *request, unsigned ahead)
 {
   double latency_us;
   unsigned slots = hf_placement_usable_slots (pool, now, request->entry, &latency_us);
   if (slots == 0)
-    return false;
-  return (double) now + (ahead + 1) * latency_us / slots + latency_us > (double) request->deadline;
+    return hf_admission_is_pushed_back (pool, now, request) ? HF_REFUSAL_PUSHBACK : HF_REFUSAL_NONE;
+  bool misses = (double) now + (ahead + 1) * latency_us / slots + latency_us > (double) request->deadline;
+  return misses ? HF_REFUSAL_DEADLINE : HF_REFUSAL_NONE;
+}
+
+bool
+hf_admission_is_pushed_back (const struct hf_pool *pool, int64_t now, const struct hf_slot_request *request)
+{
+  int64_t return_at = hf_placement_first_return (pool, now, request->entry);
+  return return_at > now && (double) return_at + usual_latency_us (pool, now) > (double) request->deadline;
 }
 
 bool
--- a/src/hf-admission.h
+++ b/src/hf-admission.h
@@ -12,11 +12,13 @@
 
 /* --- public functions --- */
 
-/* True if the request would miss its deadline. ahead: requests queued before it. */
-bool hf_admission_would_miss_deadline (const struct hf_pool *pool,
-                                       int64_t now,
-                                       const struct hf_slot_request *request,
-                                       unsigned ahead);
+/* Why a request cannot be queued, such as that it would miss its deadline; HF_REFUSAL_NONE: it can. ahead: requests
+ * queued before it. */
+enum hf_refusal_reason
+hf_admission_check (const struct hf_pool *pool, int64_t now, const struct hf_slot_request *request, unsigned ahead);
+
+/* True if all servers want no requests from its entry until it is too late for the deadline. */
+bool hf_admission_is_pushed_back (const struct hf_pool *pool, int64_t now, const struct hf_slot_request *request);
 
 /* True if a start now is too late for the soft deadline. */
 bool hf_admission_misses_soft_deadline (const struct hf_pool *pool, int64_t now, const struct hf_slot_request *request);
--- a/src/hf-calls.c
+++ b/src/hf-calls.c
@@ -7,6 +7,7 @@
 #include "hf-members.h"
 #include "hf-quarantine.h"
 #include "hf-reduce.h"
+#include "hf-restrictions.h"
 #include "hf-routing.h"
 #include "hf-slices.h"
 #include "hf-slots.h"
@@ -115,7 +116,9 @@
   if (call->may_have_run && status == 503 && call->class->resend_refused)
     status = 502; /* to the caller, 503 means that the request has not run */
   hf_claims_end (state, call, outcome, 0);
-  int64_t retry_after_ms = status == 503 ? hf_deadlines_retry_after_ms (state, call) : 0;
+  int64_t retry_after_ms = 0;
+  if (status == 503)
+    retry_after_ms = hf_deadlines_retry_after_ms (state, call) + hf_restrictions_wait_ms (state, call->slice_id);
   hf_trace_request_failed (state, call, status, outcome, retry_after_ms, reason);
   send_error (state, call->id, status, outcome, retry_after_ms, reason);
   remove_call (state, call);
@@ -243,12 +246,13 @@
     [HF_REFUSAL_NO_SERVER] = { HF_COUNT_REFUSED_NO_SERVER, "no backend server takes work" },
     [HF_REFUSAL_RETRY_BUDGET] = { HF_COUNT_REFUSED_RETRY_BUDGET, "retry budget spent" },
     [HF_REFUSAL_HEDGE_NOT_NEEDED] = { HF_COUNT_REFUSED_RETRY_BUDGET, "the attempt is not slowed down" },
+    [HF_REFUSAL_PUSHBACK] = { HF_COUNT_REFUSED_PUSHBACK, "every backend server wants no requests for a time" },
   };
   int held_index = find_held_response (call);
   /* The function that is ending an attempt decides how the call goes on. */
   if (call->ignore_refusals)
     return;
-  if (reason == HF_REFUSAL_NONE || reason > HF_REFUSAL_HEDGE_NOT_NEEDED)
+  if (reason == HF_REFUSAL_NONE || reason > HF_REFUSAL_PUSHBACK)
     reason = HF_REFUSAL_NO_SERVER;
   hf_state_increment (state, refusals[reason].counter);
   hf_trace_slot_denied (state, call, i, refusals[reason].text);
--- a/src/hf-health.c
+++ b/src/hf-health.c
@@ -228,11 +228,16 @@
   return server->drain_sources != 0 && now < server->drain_until;
 }
 
+bool
+hf_health_is_unresponsive (const struct hf_pool_server *server)
+{
+  return server->unanswered_measurements >= HF_MEASURES_UNANSWERED_LIMIT;
+}
+
 bool
 hf_health_is_usable (const struct hf_pool_server *server, int64_t now)
 {
-  bool unresponsive = server->unanswered_measurements >= HF_MEASURES_UNANSWERED_LIMIT;
-  return !hf_health_is_draining (server, now) && server->ejected_until <= now && !unresponsive;
+  return !hf_health_is_draining (server, now) && server->ejected_until <= now && !hf_health_is_unresponsive (server);
 }
 
 unsigned
--- a/src/hf-health.h
+++ b/src/hf-health.h
@@ -115,6 +115,7 @@
                               int64_t latency_us);
 
 bool hf_health_is_draining (const struct hf_pool_server *server, int64_t now); /* it gets no new requests */
+bool hf_health_is_unresponsive (const struct hf_pool_server *server);          /* it does not answer measurements */
 bool hf_health_is_usable (const struct hf_pool_server *server, int64_t now); /* not draining, ejected or unresponsive */
 unsigned hf_health_usable_slots (const struct hf_pool_server *server);       /* slots that slow start allows */
 
--- a/src/hf-placement.c
+++ b/src/hf-placement.c
@@ -199,6 +199,23 @@
   return n;
 }
 
+int64_t
+hf_placement_first_return (const struct hf_pool *pool, int64_t now, uint64_t entry)
+{
+  int64_t first = 0;
+  for (size_t i = 0; i < pool->servers->len; i++)
+    {
+      const struct hf_pool_server *server = server_at (pool, i);
+      if (hf_health_is_draining (server, now) || hf_health_is_unresponsive (server))
+        continue;
+      int64_t return_at = MAX (server->ejected_until, hf_pushback_until (server->pushbacks, entry));
+      if (return_at <= now)
+        return 0;
+      first = first == 0 ? return_at : MIN (first, return_at);
+    }
+  return first;
+}
+
 bool
 hf_placement_is_pushed_back (const struct hf_pool *pool, int64_t now, uint64_t entry)
 {
--- a/src/hf-placement.h
+++ b/src/hf-placement.h
@@ -14,6 +14,9 @@
 
 /* Counts the servers other than the excluded one that an entry may use; entry 0: that any entry may use. */
 size_t hf_placement_usable_servers (const struct hf_pool *pool, int64_t now, uint64_t entry, uint64_t excluded_server);
+/* The first time at which some server may be used by an entry that may use none now; 0: it may use one, or none ever.
+ */
+int64_t hf_placement_first_return (const struct hf_pool *pool, int64_t now, uint64_t entry);
 bool hf_placement_is_pushed_back (const struct hf_pool *pool, int64_t now, uint64_t entry); /* by some server */
 
 /* Chooses the server for a request by the pool's policy; NULL: none now. */
--- a/src/hf-pool.c
+++ b/src/hf-pool.c
@@ -95,6 +95,8 @@
 refuse (struct hf_pool *pool, GArray *decisions, const struct hf_slot_request *request, enum hf_refusal_reason reason)
 {
   pool->refused[reason]++;
+  if (reason == HF_REFUSAL_PUSHBACK && request->retry)
+    hf_retry_budget_refund (&pool->retry_budget, true);
   add_decision (decisions, request, HF_DECISION_REFUSED, 0, reason);
 }
 
@@ -164,10 +166,11 @@
       return;
     }
   struct queued *queued = enqueue (pool, request);
-  if (hf_admission_would_miss_deadline (pool, now, &queued->request,
-                                        (unsigned) g_sequence_iter_get_position (queued->position)))
+  unsigned ahead = (unsigned) g_sequence_iter_get_position (queued->position);
+  enum hf_refusal_reason reason = hf_admission_check (pool, now, &queued->request, ahead);
+  if (reason != HF_REFUSAL_NONE)
     {
-      refuse (pool, decisions, request, HF_REFUSAL_DEADLINE);
+      refuse (pool, decisions, request, reason);
       remove_queued (pool, queued);
       return;
     }
@@ -542,9 +545,11 @@
       struct queued *queued = g_sequence_get (position);
       position = g_sequence_iter_next (position);
       ahead++;
-      if (queued->request.deadline > now && !hf_admission_should_shed (pool, now, &queued->request, ahead, slots))
+      bool pushed_back = hf_admission_is_pushed_back (pool, now, &queued->request);
+      if (queued->request.deadline > now && !pushed_back
+          && !hf_admission_should_shed (pool, now, &queued->request, ahead, slots))
         continue;
-      refuse (pool, decisions, &queued->request, HF_REFUSAL_DEADLINE);
+      refuse (pool, decisions, &queued->request, pushed_back ? HF_REFUSAL_PUSHBACK : HF_REFUSAL_DEADLINE);
       remove_queued (pool, queued);
     }
   hf_pool_grant_queued (pool, now, decisions);
--- a/src/hf-pool.h
+++ b/src/hf-pool.h
@@ -28,6 +28,7 @@
   HF_REFUSAL_NO_SERVER,        /* no backend server is usable */
   HF_REFUSAL_RETRY_BUDGET,     /* no token left for a retry */
   HF_REFUSAL_HEDGE_NOT_NEEDED, /* the first attempt has met no slow phase of its server */
+  HF_REFUSAL_PUSHBACK,         /* until its deadline every server wants no requests from its entry */
 };
 
 /** struct hf_slot_request - a request for one slot */
--- a/src/hf-restrictions.c
+++ b/src/hf-restrictions.c
@@ -2,6 +2,7 @@
 #include "hf-restrictions.h"
 
 #include "hf-members.h"
+#include "hf-placement.h"
 #include "hf-quarantine.h"
 
 /* --- types --- */
@@ -179,6 +180,14 @@
   return hints->status == 503 && hints->retry_after_ms > 0;
 }
 
+int64_t
+hf_restrictions_wait_ms (const struct hf_state *state, uint64_t slice_id)
+{
+  const struct hf_service_state *service = hf_state_find_service (state, slice_id);
+  int64_t return_at = service ? hf_placement_first_return (&service->pool, state->now, state->boot_id) : 0;
+  return MAX (return_at - state->now, 0) / HF_MS;
+}
+
 void
 hf_restrictions_init (struct hf_state *state)
 {
--- a/src/hf-restrictions.h
+++ b/src/hf-restrictions.h
@@ -24,6 +24,9 @@
 
 bool hf_restrictions_pushes_back (const struct hf_response_hints *hints); /* a 503 with a Retry-After */
 
+/* Time until the first server of a slice may be used, if every one wants no requests from this entry; else 0. */
+int64_t hf_restrictions_wait_ms (const struct hf_state *state, uint64_t slice_id);
+
 /* Applies what is known of a backend server that was added to the pool of a service, or restarted. */
 void hf_restrictions_apply (struct hf_state *state, struct hf_service_state *service, uint64_t server);
 
--- a/src/hf-slices.c
+++ b/src/hf-slices.c
@@ -16,7 +16,8 @@
   for (guint i = 0; i < slice->pool.servers->len; i++)
     {
       const struct hf_pool_server *server = &g_array_index (slice->pool.servers, struct hf_pool_server, i);
-      if (hf_health_is_usable (server, state->now))
+      bool pushes_back = hf_pushback_until (server->pushbacks, state->boot_id) > state->now;
+      if (!pushes_back && hf_health_is_usable (server, state->now))
         slots += hf_health_usable_slots (server);
     }
   return slots;
--- a/src/hf-slots.c
+++ b/src/hf-slots.c
@@ -204,7 +204,7 @@
                                   .entry = state->boot_id,
                                   .ticket = message->ticket,
                                   .server = message->server,
-                                  .reason = MIN (message->reason, HF_REFUSAL_HEDGE_NOT_NEEDED) };
+                                  .reason = MIN (message->reason, HF_REFUSAL_PUSHBACK) };
   const struct hf_call *call = g_hash_table_lookup (state->calls, &(uint64_t){ message->ticket / HF_ATTEMPTS_MAX });
   unsigned attempt_index = (unsigned) (message->ticket % HF_ATTEMPTS_MAX);
   bool expected = call && attempt_index < call->n_attempts && call->attempts[attempt_index].granter == from
--- a/src/hf-state.c
+++ b/src/hf-state.c
@@ -18,6 +18,7 @@
   [HF_COUNT_REFUSED_DEADLINE] = "refused_deadline_total",
   [HF_COUNT_REFUSED_NO_SERVER] = "refused_no_server_total",
   [HF_COUNT_REFUSED_RETRY_BUDGET] = "refused_retry_budget_total",
+  [HF_COUNT_REFUSED_PUSHBACK] = "refused_pushback_total",
   [HF_COUNT_GRANTER_FALLBACKS] = "granter_fallbacks_total",
   [HF_COUNT_PEER_MESSAGES_SENT] = "peer_messages_sent_total",
   [HF_COUNT_PEER_MESSAGES_RECEIVED] = "peer_messages_received_total",
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -37,6 +37,7 @@
   HF_COUNT_REFUSED_DEADLINE,
   HF_COUNT_REFUSED_NO_SERVER,
   HF_COUNT_REFUSED_RETRY_BUDGET, /* no retry token left, or a hedge that is not needed */
+  HF_COUNT_REFUSED_PUSHBACK,     /* every backend server wants no requests from this entry */
   HF_COUNT_GRANTER_FALLBACKS,    /* granters that did not respond; slots were granted locally */
   HF_COUNT_PEER_MESSAGES_SENT,
   HF_COUNT_PEER_MESSAGES_RECEIVED,
--- a/tests/test-restrictions.c
+++ b/tests/test-restrictions.c
@@ -50,14 +50,17 @@
 {
   struct fleet *fleet;
   struct server_says says[SERVERS_IN_USE];
-  GArray *runs; /* struct run */
-  GArray *told; /* struct told */
-  uint64_t calls;
+  GArray *runs;                      /* struct run */
+  GArray *told;                      /* struct told */
+  GArray *sent_at;                   /* int64_t, of each call */
   unsigned sent[SERVERS_IN_USE];     /* requests */
   unsigned sent_unwanted;            /* requests that the entry had been told not to send */
   int64_t returned_at[ENTRIES];      /* first request of an entry to server 0 after it was told not to send any */
   unsigned measured[SERVERS_IN_USE]; /* measurements */
   unsigned errors;                   /* error responses of the entries */
+  unsigned errors_unknown;           /* those that do not say that the request was not run */
+  int64_t retry_after_min_ms;        /* of those with status 503 */
+  int64_t error_delay_max;           /* from a request to its error response */
   bool silent_to[ENTRIES];           /* servers say nothing to this entry */
 };
 
@@ -88,11 +91,22 @@
   return told && (told->leaves || simulation->fleet->now < told->until);
 }
 
+static void
+record_error (struct simulation *simulation, const struct hf_effect *effect)
+{
+  int64_t sent_at = g_array_index (simulation->sent_at, int64_t, effect->call - 1);
+  simulation->errors++;
+  simulation->errors_unknown += effect->status != 503 || effect->outcome != HF_OUTCOME_NOT_RUN;
+  simulation->error_delay_max = MAX (simulation->error_delay_max, simulation->fleet->now - sent_at);
+  simulation->retry_after_min_ms = MIN (simulation->retry_after_min_ms, effect->retry_after_ms);
+}
+
 static void
 on_effect (void *context, struct fleet_entry *entry, const struct hf_effect *effect)
 {
   struct simulation *simulation = context;
-  simulation->errors += effect->kind == HF_EFFECT_SEND_ERROR;
+  if (effect->kind == HF_EFFECT_SEND_ERROR)
+    record_error (simulation, effect);
   if (effect->kind != HF_EFFECT_DISPATCH && effect->kind != HF_EFFECT_SEND_PROBE)
     return;
   unsigned server = server_index (effect);
@@ -191,12 +205,14 @@
 send_requests (struct simulation *simulation)
 {
   for (unsigned i = 0; i < simulation->fleet->entry_count; i++)
-    if (!simulation->fleet->entries[i].is_paused)
+    {
+      g_array_append_val (simulation->sent_at, simulation->fleet->now);
       fleet_raise_event (&simulation->fleet->entries[i], (struct hf_event){ .kind = HF_EVENT_REQUEST,
-                                                                            .call = ++simulation->calls,
+                                                                            .call = simulation->sent_at->len,
                                                                             .request = { .method = hf_str ("GET"),
                                                                                          .host = hf_str ("h.example"),
                                                                                          .path = hf_str ("/p0/x") } });
+    }
 }
 
 static void
@@ -218,6 +234,8 @@
   struct fleet *fleet = fleet_open (ENTRIES, 3, 0);
   simulation->fleet = fleet;
   simulation->runs = g_array_new (FALSE, FALSE, sizeof (struct run));
+  simulation->sent_at = g_array_new (FALSE, FALSE, sizeof (int64_t));
+  simulation->retry_after_min_ms = INT64_MAX;
   simulation->told = g_array_new (FALSE, FALSE, sizeof (struct told));
   for (unsigned i = SERVERS_IN_USE; i < 30; i++)
     fleet_change_server (fleet, i, (struct fleet_server){ 0 });
@@ -237,6 +255,7 @@
   fleet_close (simulation->fleet);
   g_array_unref (simulation->runs);
   g_array_unref (simulation->told);
+  g_array_unref (simulation->sent_at);
   g_free (simulation);
 }
 
@@ -385,6 +404,69 @@
   close_simulation (simulation);
 }
 
+/* All servers want no requests for longer than the callers wait: calls are refused at once, as not run, with the time
+ * until the first server may be used; nothing is sent. */
+static void
+test_pushback_service_long (void)
+{
+  struct simulation *simulation = open_simulation ();
+  for (unsigned i = 0; i < SERVERS_IN_USE; i++)
+    simulation->says[i].retry_after_ms = 60000;
+  advance (simulation, 1000);
+  simulation->error_delay_max = 0;
+  simulation->retry_after_min_ms = INT64_MAX;
+  simulation->errors = 0;
+  advance (simulation, 2000);
+  g_assert_cmpuint (simulation->errors, ==, ENTRIES * 2000 / REQUEST_INTERVAL_MS);
+  g_assert_cmpuint (simulation->errors_unknown, ==, 0);
+  g_assert_cmpint (simulation->error_delay_max, <=, 5 * FLEET_STEP_MS * HF_MS);
+  g_assert_cmpint (simulation->retry_after_min_ms, >=, 60000 - 3000);
+  g_assert_cmpuint (simulation->sent_unwanted, ==, 0);
+  close_simulation (simulation);
+}
+
+/* The same for a time that callers wait: calls are queued and served afterwards. */
+static void
+test_pushback_service_short (void)
+{
+  struct simulation *simulation = open_simulation ();
+  for (unsigned i = 0; i < SERVERS_IN_USE; i++)
+    simulation->says[i].retry_after_ms = 300;
+  advance (simulation, 200);
+  for (unsigned i = 0; i < SERVERS_IN_USE; i++)
+    simulation->says[i].retry_after_ms = 0;
+  unsigned errors = simulation->errors;
+  advance (simulation, 5000);
+  g_assert_cmpuint (simulation->errors, ==, errors);
+  g_assert_cmpuint (simulation->sent_unwanted, ==, 0);
+  close_simulation (simulation);
+}
+
+/* A retry that is refused because of pushback, or whose slot goes back, costs no token of the retry budget. */
+static void
+test_pushback_retry_budget (void)
+{
+  struct hf_pool pool;
+  GArray *decisions = g_array_new (FALSE, FALSE, sizeof (struct hf_decision));
+  struct hf_pool_listing listing = { .id = 7, .incarnation = 1, .spec = { .name = hf_str ("s"), .slots = 2 } };
+  struct hf_slot_request request = { .entry = 1, .ticket = 1, .deadline = 2 * HF_SEC, .retry = true };
+  hf_pool_init (&pool, 1);
+  hf_pool_put_server (&pool, &listing);
+  hf_retry_budget_init (&pool.retry_budget, 2, 10);
+  hf_pushback_set (&hf_pool_find_server (&pool, 7)->pushbacks, 1, 10 * HF_SEC);
+  hf_pool_acquire_slot (&pool, HF_SEC, request, decisions);
+  g_assert_cmpint (g_array_index (decisions, struct hf_decision, 0).reason, ==, HF_REFUSAL_PUSHBACK);
+  g_assert_cmpfloat (pool.retry_budget.tokens, ==, 2);
+  request.entry = 2;
+  hf_pool_acquire_slot (&pool, HF_SEC, request, decisions);
+  g_assert_cmpint (g_array_index (decisions, struct hf_decision, 1).kind, ==, HF_DECISION_GRANTED);
+  g_assert_cmpfloat (pool.retry_budget.tokens, ==, 1);
+  hf_pool_release_slot (&pool, HF_SEC, 2, 1, HF_SLOT_RETURNED, 0, decisions);
+  g_assert_cmpfloat (pool.retry_budget.tokens, ==, 2);
+  hf_pool_close (&pool);
+  g_array_unref (decisions);
+}
+
 /* Servers say at random times that they leave or want no requests, datagrams are lost, granters are cut off, servers
  * are listed again: no entry sends what it was told not to send, by a list of instance and time. */
 static void
@@ -516,6 +598,9 @@
   g_test_add_func ("/restrictions/leaving-platform-down", test_leaving_platform_down);
   g_test_add_func ("/restrictions/pushback-all", test_pushback_all);
   g_test_add_func ("/restrictions/pushback-one-entry", test_pushback_one_entry);
+  g_test_add_func ("/restrictions/pushback-service-long", test_pushback_service_long);
+  g_test_add_func ("/restrictions/pushback-service-short", test_pushback_service_short);
+  g_test_add_func ("/restrictions/pushback-retry-budget", test_pushback_retry_budget);
   for (guint seed = 1; seed <= 10; seed++)
     {
       char *path = g_strdup_printf ("/restrictions/against-list/%u", seed);
