--- a/src/hf-dump.c
+++ b/src/hf-dump.c
@@ -4,6 +4,7 @@
 #include <json-glib/json-glib.h>
 
 #include "hf-members.h"
+#include "hf-restrictions.h"
 
 /* --- constants --- */
 
@@ -37,6 +38,8 @@
 {
   if (hf_health_is_draining (server, now))
     return draining_text (server, now);
+  if (server->measurable_at > now)
+    return "wants no requests";
   if (server->ejected_until > now)
     return ejection_names[server->ejection_reason];
   return server->slow_start_slots < server->slots ? "ramping up" : "in use";
@@ -227,6 +230,7 @@
   json_add_int (builder, "refused_deadline", (gint64) pool->refused[HF_REFUSAL_DEADLINE]);
   json_add_int (builder, "refused_no_server", (gint64) pool->refused[HF_REFUSAL_NO_SERVER]);
   json_add_int (builder, "refused_retry_budget", (gint64) pool->refused[HF_REFUSAL_RETRY_BUDGET]);
+  json_add_int (builder, "refused_pushback", (gint64) pool->refused[HF_REFUSAL_PUSHBACK]);
   json_add_double (builder, "retry_tokens", pool->retry_budget.tokens);
   json_add_int (builder, "probe_tokens", service->probe_tokens);
   json_add_servers (builder, service, now);
@@ -255,6 +259,7 @@
                           g_hash_table_size (state->suspects));
   append_roles (text, state, now);
   append_members (text, state, now);
+  hf_restrictions_write (state, now, text);
   for (guint i = 0; i < services->len; i++)
     append_service (text, state, g_ptr_array_index (services, i), now);
   for (int i = 0; i < HF_COUNTERS; i++)
--- a/src/hf-log.h
+++ b/src/hf-log.h
@@ -73,6 +73,7 @@
   HF_LOG_REQUEST_CUT = 8010,
   HF_LOG_CALLER_GONE = 8011,
   HF_LOG_SLOT_DENIED = 8012,
+  HF_LOG_SLOT_RETURNED = 8013,
 };
 
 /**
--- a/src/hf-restrictions.c
+++ b/src/hf-restrictions.c
@@ -5,6 +5,10 @@
 #include "hf-placement.h"
 #include "hf-quarantine.h"
 
+/* --- constants --- */
+
+#define SOURCE_BYTES_MAX 160 /* of a text that names a request */
+
 /* --- types --- */
 
 /* One run of a backend server; hash key. */
@@ -18,10 +22,11 @@
 struct restriction
 {
   struct instance instance;
-  int64_t listed_at;     /* when the instance was last known to be listed, or was heard */
-  int64_t leaving_since; /* 0: it did not say that it leaves */
-  bool logged_invalid;   /* an invalid Retry-After was logged */
-  int64_t resume_at;     /* it wants no requests from this entry before then; 0: it never said so */
+  int64_t listed_at;      /* when the instance was last known to be listed, or was heard */
+  int64_t leaving_since;  /* 0: it did not say that it leaves */
+  int64_t pushed_back_at; /* when it last said so */
+  bool logged_invalid;    /* an invalid Retry-After was logged */
+  int64_t resume_at;      /* it wants no requests from this entry before then; 0: it never said so */
 };
 
 /* --- internal functions: table --- */
@@ -99,6 +104,17 @@
 
 /* --- internal functions: leaving --- */
 
+/* Names the response that told something; without a request id it was that of a measurement. */
+static void
+name_source (const struct hf_event *event, char source[SOURCE_BYTES_MAX])
+{
+  const struct hf_str *id = &event->request.id;
+  if (id->len > 0)
+    g_snprintf (source, SOURCE_BYTES_MAX, "its own response to request " HF_STR_FMT, HF_STR_ARG (*id));
+  else
+    g_strlcpy (source, "its own response", SOURCE_BYTES_MAX);
+}
+
 /* Returns true if it was not known. */
 static bool
 set_leaving (struct hf_state *state, const struct instance *instance, const char *reported_by)
@@ -113,6 +129,17 @@
   return true;
 }
 
+static void
+handle_leaving (struct hf_state *state, const struct instance *instance, const struct hf_event *event)
+{
+  char source[SOURCE_BYTES_MAX];
+  name_source (event, source);
+  if (!set_leaving (state, instance, source))
+    return;
+  hf_state_increment (state, HF_COUNT_SERVERS_LEAVING);
+  send_notice (state, find_granter (state, instance->server), HF_NOTICE_LEAVING, instance, 0);
+}
+
 /* --- internal functions: pushback --- */
 
 static void
@@ -132,29 +159,43 @@
 }
 
 static void
-set_pushback (struct hf_state *state, const struct instance *instance, const struct hf_response_hints *hints)
+log_pushback (struct hf_state *state,
+              const struct hf_pool_server *server,
+              const struct hf_event *event,
+              int64_t resume_at)
+{
+  char source[SOURCE_BYTES_MAX];
+  name_source (event, source);
+  hf_state_log (state, HF_LOG_SERVER_PUSHBACK,
+                "backend server " HF_STR_FMT " of " HF_STR_FMT " wants no requests of this entry for %d ms, said in %s",
+                HF_STR_ARG (server->name), HF_STR_ARG (find_service (state, server->id)->name),
+                (int) ((resume_at - state->now) / HF_MS), source);
+}
+
+static void
+set_pushback (struct hf_state *state, const struct instance *instance, const struct hf_event *event)
 {
   struct restriction *restriction = find_or_add (state, instance->server, instance->incarnation);
   struct hf_pool_server *server = find_listed (state, instance);
   bool in_force = restriction->resume_at > state->now;
-  restriction->resume_at = MAX (restriction->resume_at, state->now + pushback_us (state, hints->retry_after_ms));
+  restriction->pushed_back_at = state->now;
+  hf_state_increment (state, HF_COUNT_PUSHBACKS);
+  restriction->resume_at = MAX (restriction->resume_at, state->now + pushback_us (state, event->hints.retry_after_ms));
   if (!server)
     return;
   apply_pushback (server, state->boot_id, restriction->resume_at);
   send_notice (state, find_granter (state, server->id), HF_NOTICE_PUSHBACK, instance,
                restriction->resume_at - state->now);
   if (!in_force)
-    hf_state_log (state, HF_LOG_SERVER_PUSHBACK,
-                  "backend server " HF_STR_FMT " of " HF_STR_FMT " wants no requests of this entry for %d ms",
-                  HF_STR_ARG (server->name), HF_STR_ARG (find_service (state, server->id)->name),
-                  (int) ((restriction->resume_at - state->now) / HF_MS));
+    log_pushback (state, server, event, restriction->resume_at);
 }
 
 static void
-log_invalid_retry_after (struct hf_state *state, const struct instance *instance)
+handle_invalid_retry_after (struct hf_state *state, const struct instance *instance)
 {
   const struct hf_pool_server *server = find_listed (state, instance);
   struct restriction *restriction = find_or_add (state, instance->server, instance->incarnation);
+  hf_state_increment (state, HF_COUNT_RETRY_AFTER_INVALID);
   if (!restriction->logged_invalid && server)
     hf_state_log (state, HF_LOG_RETRY_AFTER_INVALID,
                   "backend server " HF_STR_FMT " sends a Retry-After that is neither seconds nor a date; ignoring it",
@@ -204,12 +245,12 @@
 hf_restrictions_handle_hints (struct hf_state *state, const struct hf_event *event)
 {
   const struct instance instance = { event->server, event->incarnation };
-  if (event->hints.leaving && set_leaving (state, &instance, "its own response"))
-    send_notice (state, find_granter (state, event->server), HF_NOTICE_LEAVING, &instance, 0);
+  if (event->hints.leaving)
+    handle_leaving (state, &instance, event);
   if (hf_restrictions_pushes_back (&event->hints))
-    set_pushback (state, &instance, &event->hints);
+    set_pushback (state, &instance, event);
   if (event->hints.retry_after_invalid)
-    log_invalid_retry_after (state, &instance);
+    handle_invalid_retry_after (state, &instance);
 }
 
 void
@@ -261,3 +302,25 @@
     else if (state->now - restriction->listed_at > HF_RESTRICTION_KEEP_SEC * HF_SEC)
       g_hash_table_iter_remove (&iter);
 }
+
+void
+hf_restrictions_write (const struct hf_state *state, int64_t now, GString *text)
+{
+  GHashTableIter iter;
+  const struct restriction *restriction;
+  g_hash_table_iter_init (&iter, state->restrictions);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &restriction))
+    {
+      const struct hf_pool_server *server = find_listed (state, &restriction->instance);
+      g_string_append_printf (text, "restriction: server %s, start %" G_GUINT64_FORMAT,
+                              server ? server->name.data : "no longer listed",
+                              (guint64) restriction->instance.incarnation);
+      if (restriction->leaving_since > 0)
+        g_string_append_printf (text, ", leaves, known for %d ms", (int) ((now - restriction->leaving_since) / HF_MS));
+      if (restriction->resume_at > 0)
+        g_string_append_printf (text, ", wants no requests, said %d ms ago, for another %d ms",
+                                (int) ((now - restriction->pushed_back_at) / HF_MS),
+                                (int) (MAX (restriction->resume_at - now, 0) / HF_MS));
+      g_string_append_c (text, '\n');
+    }
+}
--- a/src/hf-restrictions.h
+++ b/src/hf-restrictions.h
@@ -33,6 +33,9 @@
 /* Tells an entry that granted a slot which this entry must not use. */
 void hf_restrictions_tell (struct hf_state *state, uint64_t granter, const struct hf_pool_server *server);
 
+/* Appends one line for each instance: what it said, and how long ago. */
+void hf_restrictions_write (const struct hf_state *state, int64_t now, GString *text);
+
 /* Forgets instances that have not been listed for a long time. */
 void hf_restrictions_expire (struct hf_state *state);
 
--- a/src/hf-slots.c
+++ b/src/hf-slots.c
@@ -5,6 +5,7 @@
 #include "hf-measure.h"
 #include "hf-members.h"
 #include "hf-restrictions.h"
+#include "hf-trace.h"
 
 /* --- internal functions: decisions of the own pool --- */
 
@@ -325,6 +326,8 @@
   struct hf_attempt *attempt = &call->attempts[attempt_index];
   if (attempt->granter)
     hf_restrictions_tell (state, attempt->granter, server);
+  hf_state_increment (state, HF_COUNT_SLOTS_RETURNED);
+  hf_trace_slot_returned (state, call, attempt_index, server);
   attempt->excluded_server = server->id;
   attempt->server = server->id;
   hf_slots_release (state, call, attempt_index, HF_SLOT_RETURNED);
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -38,6 +38,10 @@
   HF_COUNT_REFUSED_NO_SERVER,
   HF_COUNT_REFUSED_RETRY_BUDGET, /* no retry token left, or a hedge that is not needed */
   HF_COUNT_REFUSED_PUSHBACK,     /* every backend server wants no requests from this entry */
+  HF_COUNT_SERVERS_LEAVING,      /* instances that said in a response that they leave */
+  HF_COUNT_PUSHBACKS,            /* responses with 503 and Retry-After */
+  HF_COUNT_RETRY_AFTER_INVALID,  /* such responses whose Retry-After was ignored */
+  HF_COUNT_SLOTS_RETURNED,       /* granted at servers that this entry must not use */
   HF_COUNT_GRANTER_FALLBACKS,    /* granters that did not respond; slots were granted locally */
   HF_COUNT_PEER_MESSAGES_SENT,
   HF_COUNT_PEER_MESSAGES_RECEIVED,
--- a/src/hf-trace.c
+++ b/src/hf-trace.c
@@ -91,6 +91,20 @@
   add_log_line (state, HF_LOG_SLOT_DENIED, call->request_id, fields, G_N_ELEMENTS (fields));
 }
 
+void
+hf_trace_slot_returned (struct hf_state *state,
+                        const struct hf_call *call,
+                        unsigned attempt,
+                        const struct hf_pool_server *server)
+{
+  bool draining = hf_health_is_draining (server, state->now);
+  const struct hf_log_field fields[]
+      = { HF_LOG_INT ("attempt", attempt), HF_LOG_TEXT ("server", server->name),
+          HF_LOG_TEXT ("by", slot_source (&call->attempts[attempt])),
+          HF_LOG_TEXT ("reason", hf_str (draining ? "it is draining" : "it wants no requests for a time")) };
+  add_log_line (state, HF_LOG_SLOT_RETURNED, call->request_id, fields, G_N_ELEMENTS (fields));
+}
+
 void
 hf_trace_request_sent (struct hf_state *state,
                        const struct hf_call *call,
--- a/src/hf-trace.h
+++ b/src/hf-trace.h
@@ -40,6 +40,12 @@
 /* No slot for attempt @attempt: why, who decided, time waited. */
 void hf_trace_slot_denied (struct hf_state *state, const struct hf_call *call, unsigned attempt, const char *reason);
 
+/* The slot of attempt @attempt at @server goes back to who granted it: why. */
+void hf_trace_slot_returned (struct hf_state *state,
+                             const struct hf_call *call,
+                             unsigned attempt,
+                             const struct hf_pool_server *server);
+
 /* Attempt @attempt goes to @server: who granted the slot, time waited, cached load data of the server. */
 void hf_trace_request_sent (struct hf_state *state,
                             const struct hf_call *call,
--- a/tests/test-restrictions.c
+++ b/tests/test-restrictions.c
@@ -3,9 +3,12 @@
  * simulated fleet whose requests are checked at the backend servers, per entry
  * and instance, against a list of what each entry was told.
  */
+#include <string.h>
+
 #include "fleet.h"
 #include "hf-adapter.h"
 #include "hf-base.h"
+#include "hf-dump.h"
 #include "hf-http-parser.h"
 #include "hf-members.h"
 
@@ -404,6 +407,27 @@
   close_simulation (simulation);
 }
 
+/* The state dump and the metrics of an entry name both kinds of restriction, with their age. */
+static void
+test_dump (void)
+{
+  struct simulation *simulation = open_simulation ();
+  struct fleet_entry *entry = &simulation->fleet->entries[granter_index (simulation)];
+  simulation->says[0].leaves = true;
+  simulation->says[1].retry_after_ms = 60000;
+  advance (simulation, 500);
+  char *text = hf_dump_text (entry->state, simulation->fleet->now);
+  char *metrics = hf_dump_metrics (entry->state, simulation->fleet->now);
+  g_assert_nonnull (strstr (text, "leaving (its response)"));
+  g_assert_nonnull (strstr (text, ", leaves, known for "));
+  g_assert_nonnull (strstr (text, "restriction: server s1, start 1, wants no requests, said "));
+  g_assert_nonnull (strstr (metrics, "hickoryfield_pushbacks_total "));
+  g_assert_null (strstr (metrics, "hickoryfield_pushbacks_total 0\n"));
+  g_free (metrics);
+  g_free (text);
+  close_simulation (simulation);
+}
+
 /* All servers want no requests for longer than the callers wait: calls are refused at once, as not run, with the time
  * until the first server may be used; nothing is sent. */
 static void
@@ -598,6 +622,7 @@
   g_test_add_func ("/restrictions/leaving-platform-down", test_leaving_platform_down);
   g_test_add_func ("/restrictions/pushback-all", test_pushback_all);
   g_test_add_func ("/restrictions/pushback-one-entry", test_pushback_one_entry);
+  g_test_add_func ("/restrictions/dump", test_dump);
   g_test_add_func ("/restrictions/pushback-service-long", test_pushback_service_long);
   g_test_add_func ("/restrictions/pushback-service-short", test_pushback_service_short);
   g_test_add_func ("/restrictions/pushback-retry-budget", test_pushback_retry_budget);
--- a/tests/test-scripts.c
+++ b/tests/test-scripts.c
@@ -12,13 +12,10 @@
  *   AT end CALL ATTEMPT RESULT [status=N] [handed] [leaving] [not-run] [load=N] [retry=MS]
  *       RESULT: answered, connect-failed, broken, short (truncated), timeout, cancelled
  *       handed: bytes of the request were sent; leaving: the backend server is draining
- *   AT hints SERVICE/SERVER [leaves] [status=N] [retry=MS]  head of a response with which the server restricts requests
- *   AT peer BOOT heartbeat [generation=N] [leaving]
- *   AT peer BOOT decision CALL ATTEMPT granted|queued|refused SERVICE/SERVER
- *   AT peer BOOT acquire SERVICE TICKET WORTH REMAINING_MS
- *   AT peer BOOT release SERVICE TICKET RESULT_NUMBER LATENCY_US
- *   AT platform claims SHARD get|put STATUS [version=N] [keys=TEXT]
- *   AT watch-end PURPOSE STATUS
+ *   AT hints SERVICE/SERVER [leaves] [status=N] [retry=MS] [id=ID]  head of a response with which the server restricts
+ * requests AT peer BOOT heartbeat [generation=N] [leaving] AT peer BOOT decision CALL ATTEMPT granted|queued|refused
+ * SERVICE/SERVER AT peer BOOT acquire SERVICE TICKET WORTH REMAINING_MS AT peer BOOT release SERVICE TICKET
+ * RESULT_NUMBER LATENCY_US AT platform claims SHARD get|put STATUS [version=N] [keys=TEXT] AT watch-end PURPOSE STATUS
  *
  * Effects in an expected file:
  *   answer CALL STATUS OUTCOME TEXT                 the entry sends an error response of its own
@@ -268,10 +265,11 @@
 static void
 raise_server_hints (struct script_run *run)
 {
-  struct hf_response_hints hints = make_hints (run);
-  hints.leaving = find_option (run, "leaves") != NULL;
-  raise_event (run, (struct hf_event){
-                        .kind = HF_EVENT_SERVER_HINTS, .server = find_server_id (run, run->words[2]), .hints = hints });
+  struct hf_event event
+      = { .kind = HF_EVENT_SERVER_HINTS, .server = find_server_id (run, run->words[2]), .hints = make_hints (run) };
+  event.hints.leaving = find_option (run, "leaves") != NULL;
+  event.request.id = hf_str (find_option (run, "id"));
+  raise_event (run, event);
 }
 
 static void
