--- a/src/hf-slots.c
+++ b/src/hf-slots.c
@@ -327,7 +327,8 @@
   if (attempt->granter)
     hf_restrictions_tell (state, attempt->granter, server);
   hf_state_increment (state, HF_COUNT_SLOTS_RETURNED);
-  hf_trace_slot_returned (state, call, attempt_index, server);
+  if (attempt->excluded_server != server->id)
+    hf_trace_slot_returned (state, call, attempt_index, server);
   attempt->excluded_server = server->id;
   attempt->server = server->id;
   hf_slots_release (state, call, attempt_index, HF_SLOT_RETURNED);
