--- a/src/hf-calls.c
+++ b/src/hf-calls.c
@@ -7,6 +7,7 @@
 #include "hf-members.h"
 #include "hf-quarantine.h"
 #include "hf-reduce.h"
+#include "hf-restrictions.h"
 #include "hf-routing.h"
 #include "hf-shutdown.h"
 #include "hf-slices.h"
@@ -116,7 +117,9 @@
   if (call->may_have_run && status == 503 && call->class->resend_refused)
     status = 502; /* to the caller, 503 means that the request has not run */
   hf_claims_end (state, call, outcome, 0);
-  int64_t retry_after_ms = status == 503 ? hf_deadlines_retry_after_ms (state, call) : 0;
+  int64_t retry_after_ms = 0;
+  if (status == 503)
+    retry_after_ms = hf_deadlines_retry_after_ms (state, call) + hf_restrictions_wait_ms (state, call->slice_id);
   hf_trace_request_failed (state, call, status, outcome, retry_after_ms, reason);
   send_error (state, call->id, status, outcome, retry_after_ms, reason);
   remove_call (state, call);
@@ -203,6 +206,7 @@
     .call = call->id,
     .attempt = i,
     .server = server->id,
+    .incarnation = server->incarnation,
     .idle_max_ms = connection_idle_max_ms (call, i, server->id),
     .remaining_ms = MAX (1, (hf_shutdown_server_deadline (state, call) - state->now) / HF_MS),
   };
@@ -264,12 +268,13 @@
     [HF_REFUSAL_NO_SERVER] = { HF_COUNT_REFUSED_NO_SERVER, "no backend server takes work" },
     [HF_REFUSAL_RETRY_BUDGET] = { HF_COUNT_REFUSED_RETRY_BUDGET, "retry budget spent" },
     [HF_REFUSAL_HEDGE_NOT_NEEDED] = { HF_COUNT_REFUSED_RETRY_BUDGET, "the attempt is not slowed down" },
+    [HF_REFUSAL_PUSHBACK] = { HF_COUNT_REFUSED_PUSHBACK, "every backend server wants no requests for a time" },
   };
   int held_index = find_held_response (call);
   /* The function that is ending an attempt decides how the call goes on. */
   if (call->ignore_refusals)
     return;
-  if (reason == HF_REFUSAL_NONE || reason > HF_REFUSAL_HEDGE_NOT_NEEDED)
+  if (reason == HF_REFUSAL_NONE || reason > HF_REFUSAL_PUSHBACK)
     reason = HF_REFUSAL_NO_SERVER;
   hf_state_increment (state, refusals[reason].counter);
   hf_trace_slot_denied (state, call, i, refusals[reason].text);
@@ -297,8 +302,9 @@
   struct hf_attempt *attempt = &call->attempts[i];
   bool not_run = event->hints.not_run;
   bool failure = not_run || hf_attempts_is_failure_status (event->hints.status);
-  int64_t delay_us
-      = hf_retry_backoff_us (call->n_attempts - 1, event->hints.retry_after_ms, hf_random_next (&state->random_state));
+  /* That of a 503 keeps only its server out, see hf-restrictions. */
+  int64_t retry_after_ms = event->hints.status == 503 ? -1 : event->hints.retry_after_ms;
+  int64_t delay_us = hf_retry_backoff_us (call->n_attempts - 1, retry_after_ms, hf_random_next (&state->random_state));
   call->may_have_run = call->may_have_run || !not_run;
   /* Unless its class sets resend_refused, a non-repeatable request is sent only
    * once per arrival, even if the backend server refused it. */
@@ -626,20 +632,18 @@
     }
   const struct hf_service_state *service = hf_state_find_service (state, call->slice_id);
   const struct hf_pool_server *server = service ? hf_pool_find_server (&service->pool, decision->server) : NULL;
-  if (server && hf_health_is_draining (server, state->now))
+  bool unwanted = server && hf_pushback_until (server->pushbacks, state->boot_id) > state->now;
+  if (server && (unwanted || hf_health_is_draining (server, state->now)))
     {
-      /* The granter has no report yet that the server is draining. */
-      attempt->excluded_server = decision->server;
-      hf_slots_return (state, call, i, decision->server);
-      attempt->slot_resend_timer
-          = hf_state_start_timer (state, HF_GRANT_RESEND_MS * HF_MS, HF_TIMER_SLOT_RESEND, call->id, i);
-      attempt->queued = false;
-      attempt->slot_requested_at = state->now;
+      bool ignored_refusals = call->ignore_refusals;
+      call->ignore_refusals = true;
+      hf_slots_return (state, call, i, server);
+      call->ignore_refusals = ignored_refusals;
       return true;
     }
   if (server && !hf_shutdown_may_dispatch (state, call))
     {
-      hf_slots_return (state, call, i, decision->server);
+      hf_slots_release_unused (state, call, i, decision->server);
       attempt->phase = HF_PHASE_ENDED;
       handle_refusal (state, call, i, HF_REFUSAL_DEADLINE);
       return true;
--- a/src/hf-pool.h
+++ b/src/hf-pool.h
@@ -28,6 +28,7 @@
   HF_REFUSAL_NO_SERVER,        /* no backend server is usable */
   HF_REFUSAL_RETRY_BUDGET,     /* no token left for a retry */
   HF_REFUSAL_HEDGE_NOT_NEEDED, /* the first attempt has met no slow phase of its server */
+  HF_REFUSAL_PUSHBACK,         /* until its deadline every server wants no requests from its entry */
 };
 
 /** struct hf_slot_request - a request for one slot */
@@ -118,9 +119,10 @@
                            int64_t latency_us,
                            GArray *decisions);
 
-/* Records the result of an attempt whose slot another entry's pool granted. */
+/* Records the result of an attempt of this entry whose slot another entry's pool granted. */
 void hf_pool_record_result (struct hf_pool *pool,
                             int64_t now,
+                            uint64_t entry,
                             uint64_t server,
                             enum hf_slot_result result,
                             int64_t latency_us);
--- a/src/hf-probes.c
+++ b/src/hf-probes.c
@@ -118,7 +118,8 @@
 static bool
 is_idle (const struct hf_state *state, const struct hf_pool_server *server)
 {
-  return server->granted == 0 && state->now - server->last_response_at >= HF_PROBE_IDLE_MS * HF_MS;
+  bool unwanted = (server->drain_sources & HF_DRAIN_LEAVING) || server->measurable_at > state->now;
+  return !unwanted && server->granted == 0 && state->now - server->last_response_at >= HF_PROBE_IDLE_MS * HF_MS;
 }
 
 static struct hf_pool_server *
@@ -144,6 +145,7 @@
             struct hf_pool_server *server)
 {
   struct hf_effect effect = { .kind = HF_EFFECT_SEND_PROBE, .server = server->id, .arg = service->id };
+  effect.incarnation = server->incarnation;
   effect.address = hf_effects_copy (state->effects, server->address);
   effect.path = hf_effects_copy (state->effects, spec->health_path);
   hf_effects_add (state->effects, effect);
--- a/src/hf-slots.c
+++ b/src/hf-slots.c
@@ -4,6 +4,8 @@
 #include "hf-calls.h"
 #include "hf-measure.h"
 #include "hf-members.h"
+#include "hf-restrictions.h"
+#include "hf-trace.h"
 
 /* --- internal functions: decisions of the own pool --- */
 
@@ -203,7 +205,7 @@
                                   .entry = state->boot_id,
                                   .ticket = message->ticket,
                                   .server = message->server,
-                                  .reason = MIN (message->reason, HF_REFUSAL_HEDGE_NOT_NEEDED) };
+                                  .reason = MIN (message->reason, HF_REFUSAL_PUSHBACK) };
   const struct hf_call *call = g_hash_table_lookup (state->calls, &(uint64_t){ message->ticket / HF_ATTEMPTS_MAX });
   unsigned attempt_index = (unsigned) (message->ticket % HF_ATTEMPTS_MAX);
   bool expected = call && attempt_index < call->n_attempts && call->attempts[attempt_index].granter == from
@@ -221,7 +223,7 @@
   struct hf_service_state *service = hf_state_find_service (state, release->service);
   if (service)
     hf_pool_record_slowdown (&service->pool, release->server, state->now, (int) release->slowdown_percent);
-  if (service && release->result <= HF_SLOT_UNUSED)
+  if (service && release->result <= HF_SLOT_RETURNED)
     release_in_pool (state, service, from, release->ticket, release->server, release->result, release->latency_us);
 }
 
@@ -310,13 +312,13 @@
       return;
     }
   /* The own pool gets the result, too: it decides while the granter does not respond. */
-  hf_pool_record_result (&service->pool, state->now, attempt->server, result, latency_us);
+  hf_pool_record_result (&service->pool, state->now, state->boot_id, attempt->server, result, latency_us);
   send_release (state, attempt->granter, call->slice_id, ticket, attempt->server, result, latency_us,
                 attempt->slowdown_percent);
 }
 
 void
-hf_slots_return (struct hf_state *state, struct hf_call *call, unsigned attempt_index, uint64_t server)
+hf_slots_release_unused (struct hf_state *state, struct hf_call *call, unsigned attempt_index, uint64_t server)
 {
   bool ignored_refusals = call->ignore_refusals;
   call->attempts[attempt_index].server = server;
@@ -325,6 +327,27 @@
   call->ignore_refusals = ignored_refusals;
 }
 
+void
+hf_slots_return (struct hf_state *state,
+                 struct hf_call *call,
+                 unsigned attempt_index,
+                 const struct hf_pool_server *server)
+{
+  struct hf_attempt *attempt = &call->attempts[attempt_index];
+  if (attempt->granter)
+    hf_restrictions_tell (state, attempt->granter, server);
+  hf_state_increment (state, HF_COUNT_SLOTS_RETURNED);
+  if (attempt->excluded_server != server->id)
+    hf_trace_slot_returned (state, call, attempt_index, server);
+  attempt->excluded_server = server->id;
+  attempt->server = server->id;
+  hf_slots_release (state, call, attempt_index, HF_SLOT_RETURNED);
+  attempt->slot_resend_timer
+      = hf_state_start_timer (state, HF_GRANT_RESEND_MS * HF_MS, HF_TIMER_SLOT_RESEND, call->id, attempt_index);
+  attempt->queued = false;
+  attempt->slot_requested_at = state->now;
+}
+
 void
 hf_slots_handle_message (struct hf_state *state, const struct hf_event *event)
 {
--- a/src/hf-slots.h
+++ b/src/hf-slots.h
@@ -27,8 +27,14 @@
 void
 hf_slots_release (struct hf_state *state, struct hf_call *call, unsigned attempt_index, enum hf_slot_result result);
 
-/* Gives back a slot that was granted at a server and is not used. */
-void hf_slots_return (struct hf_state *state, struct hf_call *call, unsigned attempt_index, uint64_t server);
+/* Releases a slot that was granted at a server and is not needed. */
+void hf_slots_release_unused (struct hf_state *state, struct hf_call *call, unsigned attempt_index, uint64_t server);
+/* Returns a slot at a server that this entry must not use and that its granter believes usable; requests another one
+ * a little later. */
+void hf_slots_return (struct hf_state *state,
+                      struct hf_call *call,
+                      unsigned attempt_index,
+                      const struct hf_pool_server *server);
 
 /* --- public functions: events --- */
 
--- a/tests/test-scripts.c
+++ b/tests/test-scripts.c
@@ -19,6 +19,8 @@
  *   AT platform claims SHARD get|put STATUS [version=N] [keys=TEXT]
  *   AT platform probes SERVICE get|put STATUS [version=N] [epoch=N] [left=N]
  *   AT watch-end PURPOSE STATUS
+ *   AT hints SERVICE/SERVER [leaves] [status=N] [retry=MS] [id=ID]
+ *       head of a response with which the server restricts requests
  *
  * Effects in an expected file:
  *   answer CALL STATUS OUTCOME TEXT                 the entry sends an error response of its own
@@ -292,6 +294,16 @@
   return id;
 }
 
+static void
+raise_server_hints (struct script_run *run)
+{
+  struct hf_event event
+      = { .kind = HF_EVENT_SERVER_HINTS, .server = find_server_id (run, run->words[2]), .hints = make_hints (run) };
+  event.hints.leaving = find_option (run, "leaves") != NULL;
+  event.request.id = hf_str (find_option (run, "id"));
+  raise_event (run, event);
+}
+
 static void
 raise_peer_message (struct script_run *run)
 {
@@ -396,6 +408,8 @@
                                          .call = parse_number (run, 2),
                                          .attempt = (unsigned) parse_number (run, 3),
                                          .hints = { .status = (unsigned) parse_number (run, 4), .load = -1 } });
+  else if (strcmp (event_name, "hints") == 0)
+    raise_server_hints (run);
   else if (strcmp (event_name, "end") == 0)
     raise_attempt_end (run);
   else if (strcmp (event_name, "peer") == 0)
