--- a/tests/fake-store.c
+++ b/tests/fake-store.c
@@ -408,6 +408,15 @@
   change_object (store, kind, name, spec, FALSE);
 }
 
+void
+fake_store_touch (struct fake_store *store, const char *kind, const char *name, const char *spec)
+{
+  struct object *object = find_object (store, kind, name);
+  g_assert_nonnull (object);
+  g_free (object->spec);
+  object->spec = g_strdup (spec);
+}
+
 void
 fake_store_delete (struct fake_store *store, const char *kind, const char *name)
 {
--- a/tests/fake-store.h
+++ b/tests/fake-store.h
@@ -22,6 +22,8 @@
 
 /* Creates or replaces an object and notifies the watches. */
 void fake_store_put (struct fake_store *store, const char *kind, const char *name, const char *spec);
+/* Replaces the spec of an object as a report that changes only its number does: without a revision or an event. */
+void fake_store_touch (struct fake_store *store, const char *kind, const char *name, const char *spec);
 /* Deletes an object and notifies the watches. */
 void fake_store_delete (struct fake_store *store, const char *kind, const char *name);
 /* Returns a copy of the spec, NULL if there is no such object. */
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -160,14 +160,20 @@
 
 /* --- internal functions: the store --- */
 
+/* The next report of server i; the caller frees it. */
+static char *
+make_report (struct setup *setup, guint i, const char *service, const char *state)
+{
+  return g_strdup_printf ("{\"address\":\"%s\",\"born\":%u,\"info\":{\"service\":\"%s\",\"version\":\"v1\",\"zone\":"
+                          "\"z1\",\"slots\":3},\"status\":{\"state\":\"%s\",\"sequence\":%u,\"cold_left\":\"0ms\"}}",
+                          raw_server_address (setup->servers[i].raw_server), i + 1, service, state, ++setup->sequence);
+}
+
 /* Writes the object of server i to the store, or replaces it. */
 static void
 put_server (struct setup *setup, guint i, const char *service, const char *state)
 {
-  char *spec
-      = g_strdup_printf ("{\"address\":\"%s\",\"born\":%u,\"info\":{\"service\":\"%s\",\"version\":\"v1\",\"zone\":"
-                         "\"z1\",\"slots\":3},\"status\":{\"state\":\"%s\",\"sequence\":%u,\"cold_left\":\"0ms\"}}",
-                         raw_server_address (setup->servers[i].raw_server), i + 1, service, state, ++setup->sequence);
+  char *spec = make_report (setup, i, service, state);
   fake_store_put (setup->store, "servers", setup->servers[i].name, spec);
   g_free (spec);
 }
@@ -878,6 +884,32 @@
   close_setup (setup);
 }
 
+static gboolean
+has_listed_restored (void *context)
+{
+  return has_log_event (context, "platform-restored");
+}
+
+/* A server that was silent for so long that it was removed lives, and the older copy lists it. Its reports change
+ * nothing but their number, so that no watch tells of them: it is used nevertheless. */
+static void
+test_restored_returned_server (void)
+{
+  struct setup *setup = open_setup ();
+  fake_store_save (setup->store);
+  fake_store_delete (setup->store, "servers", "i-1");
+  harness_pause (DIRECTORY_UPDATE_MS);
+  fake_store_restore (setup->store);
+  g_assert_true (harness_wait_until (has_listed_restored, setup, CHANGE_TIMEOUT_S));
+  char *spec = make_report (setup, 1, "alpha", "ready");
+  fake_store_touch (setup->store, "servers", "i-1", spec);
+  setup->servers[0].behaviour = SENDS_NOT_RUN;
+  setup->servers[1].requests = 0;
+  g_assert_true (harness_wait_until (last_server_used, setup, CHANGE_TIMEOUT_S));
+  g_free (spec);
+  close_setup (setup);
+}
+
 /* --- tests: at most once, and responses that state not run --- */
 
 /* Each request may need one retry: the calls for two behaviours together stay within the initial retries. */
@@ -1218,6 +1250,7 @@
   g_test_add_func ("/restored/draining-server", test_restored_draining_server);
   g_test_add_func ("/restored/removed-server", test_restored_removed_server);
   g_test_add_func ("/restored/missing-server", test_restored_missing_server);
+  g_test_add_func ("/restored/returned-server", test_restored_returned_server);
   g_test_add_func ("/restored/stale-list", test_restored_stale_list);
   g_test_add_func ("/platform/refused", test_refused);
   g_test_add_func ("/platform/false-promise", test_false_promise);
