A refusal without an era is no response of an older copy

What would be seen: a 503 or 429 of a gateway before the store names no era. It was dropped as outdated (HF7006) instead of counting as a failed call, and as the first response after a start it made the next one look like a restore, which lists everything without replicas.

The fake store's error responses name none any more.

Test: test-platform /restored/refusal-without-era, before: 'has_log_event (setup, "platform-outdated")' should be FALSE.

--- a/tests/fake-store.c
+++ b/tests/fake-store.c
@@ -108,7 +108,8 @@
 static void
 respond_in_era (guint64 era, struct call *call, guint status, const char *body)
 {
-  char *fields = g_strdup_printf ("Content-Type: application/json\r\nStore-Era: %" G_GUINT64_FORMAT "\r\n", era);
+  char *fields = era ? g_strdup_printf ("Content-Type: application/json\r\nStore-Era: %" G_GUINT64_FORMAT "\r\n", era)
+                     : g_strdup ("Content-Type: application/json\r\n");
   hf_http_respond (call->request, status, hf_str (fields), hf_str (body));
   g_free (fields);
 }
@@ -314,7 +315,7 @@
   if (store->silent)
     return;
   if (store->error_status)
-    respond (store, call, store->error_status, "{}");
+    respond_in_era (0, call, store->error_status, "{}");
   else if (strcmp (call->method, "GET") != 0)
     write_object (store, call);
   else if (call->name)
@@ -367,7 +368,7 @@
 {
   GPtrArray *waiting = g_ptr_array_copy (store->pending_watches, NULL, NULL);
   for (guint i = 0; i < waiting->len; i++)
-    respond (store, g_ptr_array_index (waiting, i), status, "{}");
+    respond_in_era (status == 410 ? store->era : 0, g_ptr_array_index (waiting, i), status, "{}");
   g_ptr_array_unref (waiting);
 }
 
--- a/tests/fake-store.h
+++ b/tests/fake-store.h
@@ -31,7 +31,8 @@
 
 /* --- public functions: failures --- */
 
-/* Responds to every call, and to the pending watches, with this status; 0 restores normal operation. */
+/* Responds to every call, and to the pending watches, with this status, as a gateway before it: without an era; 0
+ * restores normal operation. */
 void fake_store_set_error (struct fake_store *store, guint status);
 /* TRUE: sends no response to new calls, and never one to the watches that are pending now. */
 void fake_store_set_silent (struct fake_store *store, gboolean silent);
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -884,6 +884,21 @@
   close_setup (setup);
 }
 
+/* A refusal that names no era, as a gateway may send it, is not taken for a response of an older copy. */
+static void
+test_refusal_without_era (void)
+{
+  struct setup *setup = open_setup ();
+  fake_store_set_error (setup->store, 503);
+  harness_pause (OUTAGE_MS);
+  fake_store_set_error (setup->store, 0);
+  put_config (setup, 9, "\"service\":\"alpha\"", "/new/");
+  g_assert_true (harness_wait_until (has_new_route, setup, CHANGE_TIMEOUT_S));
+  g_assert_false (has_log_event (setup, "platform-outdated"));
+  g_assert_false (has_log_event (setup, "platform-restored"));
+  close_setup (setup);
+}
+
 static gboolean
 has_listed_restored (void *context)
 {
@@ -1251,6 +1266,7 @@
   g_test_add_func ("/restored/removed-server", test_restored_removed_server);
   g_test_add_func ("/restored/missing-server", test_restored_missing_server);
   g_test_add_func ("/restored/returned-server", test_restored_returned_server);
+  g_test_add_func ("/restored/refusal-without-era", test_refusal_without_era);
   g_test_add_func ("/restored/stale-list", test_restored_stale_list);
   g_test_add_func ("/platform/refused", test_refused);
   g_test_add_func ("/platform/false-promise", test_false_promise);
