--- a/tests/test-http-client.c
+++ b/tests/test-http-client.c
@@ -18,6 +18,7 @@
 
 #define FLOOD_BYTES      (16 * 1024 * 1024) /* stands for bytes without end */
 #define TURNS_MAX        100000             /* of the main loop */
+#define SLOW_TIMEOUT_MS  100                /* of a call whose response arrives in pieces */
 #define MEMORY_BYTES_MAX (4 * 1024 * 1024)  /* that one request may take for bytes that are no response */
 
 /* --- types --- */
@@ -203,6 +204,72 @@
   hf_net_close (run.net);
 }
 
+/* --- tests: responses that take long --- */
+
+static void
+on_slow_request (void *context, struct raw_connection *connection, const char *text)
+{
+  struct run *run = context;
+  (void) text;
+  run->connection = connection;
+  raw_connection_send (connection, "HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n");
+}
+
+static void
+on_slow_response (void *context, const struct hf_store_response *response)
+{
+  struct run *run = context;
+  run->ended = TRUE;
+  run->requests = response->status;
+}
+
+static gboolean
+on_pause_over (gpointer over)
+{
+  *(gboolean *) over = TRUE;
+  return G_SOURCE_REMOVE;
+}
+
+static void
+run_for (guint ms)
+{
+  gboolean over = FALSE;
+  g_timeout_add (ms, on_pause_over, &over);
+  while (!over)
+    g_main_context_iteration (NULL, TRUE);
+}
+
+/* Guards against a large response of the store that is given up, again and again, while it keeps arriving. */
+static void
+test_slow_store_response (void)
+{
+  struct run run = { .net = hf_net_open () };
+  run.server = raw_server_open (run.net, on_slow_request, &run);
+  struct hf_store *store = hf_store_open (run.net, hf_str (raw_server_address (run.server)));
+  struct hf_store_request request = { .method = "GET", .path = "/x", .timeout_ms = SLOW_TIMEOUT_MS };
+  int64_t timeout_at = g_get_monotonic_time () + SLOW_TIMEOUT_MS * HF_MS;
+  hf_store_start_call (store, &request, on_slow_response, &run);
+  while (!run.connection)
+    g_main_context_iteration (NULL, TRUE);
+  run_for (SLOW_TIMEOUT_MS);
+  raw_connection_send (run.connection, "{\"items\":");
+  run_for (SLOW_TIMEOUT_MS);
+  hf_store_check_timeouts (store, timeout_at + SLOW_TIMEOUT_MS * HF_MS);
+  g_assert_false (run.ended);
+  raw_connection_send (run.connection, "0}");
+  while (!run.ended)
+    g_main_context_iteration (NULL, TRUE);
+  g_assert_cmpuint (run.requests, ==, 200);
+  run.ended = FALSE;
+  hf_store_start_call (store, &request, on_slow_response, &run);
+  run_for (SLOW_TIMEOUT_MS);
+  hf_store_check_timeouts (store, g_get_monotonic_time () + SLOW_TIMEOUT_MS * HF_MS);
+  g_assert_true (run.ended);
+  hf_store_close (store);
+  raw_server_close (run.server);
+  hf_net_close (run.net);
+}
+
 /* --- tests: second copies of a response --- */
 
 #define FIRST_RESPONSE  "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"
@@ -467,5 +534,6 @@
   g_test_add_func ("/copies/one-read", test_copy_in_one_read);
   g_test_add_func ("/copies/while-idle", test_copy_while_idle);
   g_test_add_func ("/endless/store-response", test_store_response);
+  g_test_add_func ("/slow/store-response", test_slow_store_response);
   return g_test_run ();
 }
