--- a/src/hf-fields-xdr.c
+++ b/src/hf-fields-xdr.c
@@ -50,7 +50,7 @@
   if (ok && xdr->x_op == XDR_DECODE)
     {
       /* An element takes at least one unit of XDR. */
-      if (n > xdr->x_handy / BYTES_PER_XDR_UNIT)
+      if (n > xdr->x_handy / BYTES_PER_XDR_UNIT || (field->max && n > field->max))
         return false;
       list->items = g_malloc0_n (n + 1, size);
       list->n = n;
@@ -157,7 +157,7 @@
   switch (field->type)
     {
     case HF_YAML_INT:
-      return *number == field->default_value || (*number >= field->min && *number <= field->max);
+      return (!field->required && *number == field->default_value) || (*number >= field->min && *number <= field->max);
     case HF_YAML_REAL:
       return *real >= (double) field->min && *real <= (double) field->max;
     case HF_YAML_CHOICE:
--- a/tests/test-units.c
+++ b/tests/test-units.c
@@ -338,7 +338,7 @@
 test_document_encode_ranges (void)
 {
   struct hf_error error = { 0 };
-  for (unsigned variant = 0; variant < 6; variant++)
+  for (unsigned variant = 0; variant < 7; variant++)
     {
       struct hf_document *document = hf_document_load (hf_str (full_document), &error);
       struct hf_route *route = hf_document_get_route (document, 0);
@@ -354,6 +354,8 @@
         hf_service_get_server (service, 0)->address.len = 3;
       else if (variant == 5)
         *name = (hf_str_free (name), hf_str_dup (hf_str ("a")));
+      else if (variant == 6)
+        document->version = 0;
       struct hf_str encoded = hf_document_encode (document);
       struct hf_document *decoded = hf_document_load (encoded, &error);
       g_assert_true ((decoded != NULL) == (variant == 0));
