--- a/tests/fake-store.c
+++ b/tests/fake-store.c
@@ -39,6 +39,7 @@
   GPtrArray *pending_watches; /* struct call: watches that wait for a change */
   guint64 revision;
   guint64 compacted_revision; /* watches from an older revision get 410 */
+  guint64 cut_revision;       /* watches from an older revision are cut */
   guint error_status;         /* of every response, 0: none */
   gboolean silent;
   GPtrArray *unanswered_reads; /* struct call: reads that got no response because the store is silent */
@@ -346,7 +347,9 @@
   else
     {
       call->watch = g_ascii_strtoull (watch, NULL, 10);
-      if (call->watch < store->compacted_revision || call->watch > store->revision)
+      if (call->watch < store->cut_revision)
+        hf_http_response_abort (request);
+      else if (call->watch < store->compacted_revision || call->watch > store->revision)
         respond (store, call, 410, "{}");
       else if (!respond_with_events (store, call))
         g_ptr_array_add (store->pending_watches, call);
@@ -490,6 +493,12 @@
   end_watches (store, 410);
 }
 
+void
+fake_store_cut_old_watches (struct fake_store *store)
+{
+  store->cut_revision = store->revision;
+}
+
 void
 fake_store_save (struct fake_store *store)
 {
--- a/tests/fake-store.h
+++ b/tests/fake-store.h
@@ -40,7 +40,8 @@
                                 guint writes); /* applies the next writes, aborts the responses */
 /* With allow_stale, the second and later pages of a list lack the newest changes, as from a lagging replica. */
 void fake_store_set_list_lag (struct fake_store *store, guint64 changes);
-void fake_store_compact (struct fake_store *store); /* drops the history: older watches get 410 */
+void fake_store_cut_old_watches (struct fake_store *store); /* from now on, those from an older revision */
+void fake_store_compact (struct fake_store *store);         /* drops the history: older watches get 410 */
 /* Reads received while the store was silent and the caller still waited for an equal one. */
 guint fake_store_overlapping_reads (const struct fake_store *store);
 void fake_store_save (struct fake_store *store); /* keeps a copy for fake_store_restore */
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -883,6 +883,20 @@
   return request_status (context, "GET", "/new/x", "") == 200;
 }
 
+/* Guards against a watch from an old revision that is asked for again and again although it cannot be answered. */
+static void
+test_old_watch (void)
+{
+  struct setup *setup = open_setup ();
+  fake_store_set_silent (setup->store, TRUE);
+  harness_pause (OUTAGE_MS);
+  put_config (setup, 9, "\"service\":\"alpha\"", "/new/");
+  fake_store_cut_old_watches (setup->store);
+  fake_store_set_silent (setup->store, FALSE);
+  g_assert_true (harness_wait_until (has_new_route, setup, CHANGE_TIMEOUT_S));
+  close_setup (setup);
+}
+
 static gboolean
 has_log_event (const struct setup *setup, const char *name)
 {
@@ -1639,6 +1653,7 @@
   g_test_add_func ("/platform/lapse", test_missing_servers);
   g_test_add_func ("/platform/store-away", test_store_errors);
   g_test_add_func ("/platform/store-silent", test_store_silent);
+  g_test_add_func ("/platform/old-watch", test_old_watch);
   g_test_add_func ("/platform/watches-cut", test_watches_cut);
   g_test_add_func ("/platform/silent-checks", test_silent_checks);
   g_test_add_func ("/platform/lost-write", test_lost_write);
