An entry that was paused gave up requests whose responses had arrived

Callers would see 504 for every request in flight at an entry that is paused (SIGSTOP, a frozen VM) beyond half its deadline, although the backend server had answered meanwhile; a request that may not be repeated was reported as unknown. Repeatable ones with time left were sent again.

Cause: after a pause all timers are due. They ran before the sockets were read, so that deadlines and timeouts cancelled attempts whose responses lay in the kernel's buffers, and the servers' connections were replaced as silent. Ruled out: the connection (the response is complete when it is read later).

Change: the reducer, on an event 500 ms or more after the one before it (the pool tick makes one every 100 ms), moves the due timers that end a wait for a response (deadline, response, slot request) by 50 ms. All others run at once as before; a queued request past its deadline is still refused, not sent.

--- a/src/config.h
+++ b/src/config.h
@@ -146,6 +146,8 @@
 #define HF_PEER_TIMEOUT_MS             1800 /* per heartbeat round: without a heartbeat for this long, timed out */
 #define HF_PEER_FORGET_SEC             60 /* a listed member without heartbeats for this long is removed and gets none */
 #define HF_PAUSE_THRESHOLD_MS          1500 /* a heartbeat this late means that the process was paused */
+#define HF_PAUSE_MS                    500  /* no event for so long: the process was paused */
+#define HF_PAUSE_READ_MS               50   /* time to read what arrived during a pause before waits end */
 
 /* Roles of entries. */
 #define HF_SMALL_FLEET_ENTRIES_MAX 24  /* in a fleet of up to this many entries all are coordinators */
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -131,6 +131,25 @@
     run_timer (state, &timer);
 }
 
+/* Whether the timer ends a wait for a response, which may lie unread in a socket after a pause of the process. */
+static bool
+awaits_response (const struct hf_timer *timer)
+{
+  return timer->kind == HF_TIMER_CALL_DEADLINE || timer->kind == HF_TIMER_CALL_RESPONSE
+         || timer->kind == HF_TIMER_SLOT_RESEND;
+}
+
+/* There is an event at least every POOL_TICK_MS, unless the process was paused. */
+static void
+update_time (struct hf_state *state, const struct hf_event *event)
+{
+  bool paused = state->now > 0 && event->now - state->now >= HF_PAUSE_MS * HF_MS;
+  state->now = event->now;
+  state->wall_time = event->wall_time;
+  if (paused)
+    hf_timers_postpone_due (&state->timers, state->now, state->now + HF_PAUSE_READ_MS * HF_MS, awaits_response);
+}
+
 static void
 handle_config_message (struct hf_state *state, const struct hf_event *event)
 {
@@ -354,8 +373,7 @@
 void
 hf_reduce (struct hf_state *state, const struct hf_event *event, struct hf_effects *effects)
 {
-  state->now = event->now;
-  state->wall_time = event->wall_time;
+  update_time (state, event);
   state->effects = effects;
   if (state->wakeup_at >= 0 && state->wakeup_at <= state->now)
     state->wakeup_at = -1;
--- a/src/hf-timers.c
+++ b/src/hf-timers.c
@@ -55,6 +55,30 @@
   return true;
 }
 
+void
+hf_timers_postpone_due (struct hf_timers *timers,
+                        int64_t now,
+                        int64_t until,
+                        bool (*matches) (const struct hf_timer *timer))
+{
+  struct hf_timer postponed = { .due_at = until };
+  GSequenceIter *iter = g_sequence_get_begin_iter (timers->sequence);
+  while (!g_sequence_iter_is_end (iter))
+    {
+      GSequenceIter *next = g_sequence_iter_next (iter);
+      struct hf_timer *timer = g_sequence_get (iter);
+      if (timer->due_at > now)
+        return;
+      if (matches (timer))
+        {
+          /* Behind those that were postponed before it: their order stays. */
+          g_sequence_move (iter, g_sequence_search (timers->sequence, &postponed, compare, NULL));
+          timer->due_at = until;
+        }
+      iter = next;
+    }
+}
+
 int64_t
 hf_timers_next_due (const struct hf_timers *timers)
 {
--- a/src/hf-timers.h
+++ b/src/hf-timers.h
@@ -43,6 +43,11 @@
 
 /* Removes the earliest timer that is due; false if there is none. */
 bool hf_timers_take_due (struct hf_timers *timers, int64_t now, struct hf_timer *timer);
+/* Moves the due timers for which @matches holds to the time @until, which is later than @now. */
+void hf_timers_postpone_due (struct hf_timers *timers,
+                             int64_t now,
+                             int64_t until,
+                             bool (*matches) (const struct hf_timer *timer));
 int64_t hf_timers_next_due (const struct hf_timers *timers); /* time of the earliest, or -1 */
 
 #endif
--- a/tests/test-promises.c
+++ b/tests/test-promises.c
@@ -16,7 +16,8 @@
 
 #define DRAIN_MS         3000 /* until a draining server gets no new requests */
 #define CONFIG_TIMEOUT_S 10
-#define PROBE_BUDGET     4 /* per 10 s */
+#define PROBE_BUDGET     4    /* per 10 s */
+#define PAUSE_MS         4000 /* of an entry; longer than every deadline */
 
 /* --- tests: complete requests and responses --- */
 
@@ -570,6 +571,36 @@
   setup_close (setup);
 }
 
+/* Responses that arrive while the entry is paused, for longer than the deadlines, still reach their callers, and no
+ * request is sent again. */
+static void
+test_paused_in_flight (void)
+{
+  struct setup *setup = setup_open (1, 2, 200, NULL);
+  const struct entry *entry = setup_entry (setup, 0);
+  struct response *get = start_call (entry->listen_address, "GET", "/a/x", "paused-get", NULL, NULL);
+  struct response *post = start_call (entry->listen_address, "POST", "/a/x", "paused-post", NULL, NULL);
+  void *get_run[] = { setup, "paused-get" };
+  void *post_run[] = { setup, "paused-post" };
+  g_assert_true (harness_wait_until (has_run_key, get_run, 5));
+  g_assert_true (harness_wait_until (has_run_key, post_run, 5));
+  process_send_signal (entry->process, SIGSTOP);
+  harness_pause (PAUSE_MS);
+  process_send_signal (entry->process, SIGCONT);
+  g_assert_true (wait_for_response (get, 5));
+  g_assert_true (wait_for_response (post, 5));
+  g_assert_cmpuint (get->status, ==, 200);
+  g_assert_cmpuint (post->status, ==, 200);
+  g_assert_cmpuint (count_runs (setup, "paused-get"), ==, 1);
+  g_assert_cmpuint (count_runs (setup, "paused-post"), ==, 1);
+  check_gets_succeed (setup, "resumed", 0, 10);
+  clear_response (get);
+  clear_response (post);
+  g_free (get);
+  g_free (post);
+  setup_close (setup);
+}
+
 /* An unknown path, an unknown method, a too long header field and an invalid datagram are rejected, and the entry keeps
  * serving. */
 static void
@@ -751,6 +782,7 @@
   g_test_add_func ("/failures/silent-server", test_silent_server);
   g_test_add_func ("/failures/fail-fast", test_fail_fast);
   g_test_add_func ("/failures/granter-gone", test_granter_gone);
+  g_test_add_func ("/failures/paused-in-flight", test_paused_in_flight);
   g_test_add_func ("/failures/bad-input", test_bad_input);
   g_test_add_func ("/failures/huge-head", test_huge_head);
   g_test_add_func ("/failures/hangup", test_hangup);
