A pause of an entry counted as latency of the servers

Operators would see a healthy backend server ejected as slow (HF4002), and the median latency of its service raised at the granter, after an entry with a request in flight there had been paused.

Cause: the latency of an attempt is the time until the entry reads its end, the pause included; the eighth response, of 2 s, raised a smoothed latency of 19 ms above four times the median.

Change: the reducer notes the end of the last pause; the duration of an attempt that was started before it is no evidence (result unused) where the result is a response, a timeout or a cancelled attempt. Lost connections and failures count as before.

Test: /scripts/paused-latency, before: "log HF4002 backend server s4 of a is ejected and gets no requests for 1000 ms".

--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -146,8 +146,10 @@
   bool paused = state->now > 0 && event->now - state->now >= HF_PAUSE_MS * HF_MS;
   state->now = event->now;
   state->wall_time = event->wall_time;
-  if (paused)
-    hf_timers_postpone_due (&state->timers, state->now, state->now + HF_PAUSE_READ_MS * HF_MS, awaits_response);
+  if (!paused)
+    return;
+  state->resumed_at = state->now;
+  hf_timers_postpone_due (&state->timers, state->now, state->now + HF_PAUSE_READ_MS * HF_MS, awaits_response);
 }
 
 static void
--- a/src/hf-slots.c
+++ b/src/hf-slots.c
@@ -140,6 +140,15 @@
   hf_state_send_to_member (state, granter, message);
 }
 
+/* The duration of an attempt is no evidence about the server if the process was paused meanwhile. */
+static enum hf_slot_result
+discount_pause (const struct hf_state *state, const struct hf_attempt *attempt, enum hf_slot_result result)
+{
+  bool paused_meanwhile = attempt->started_at <= state->resumed_at;
+  bool has_duration = result == HF_SLOT_OK || result == HF_SLOT_TIMED_OUT || result == HF_SLOT_SUPERSEDED;
+  return paused_meanwhile && has_duration ? HF_SLOT_UNUSED : result;
+}
+
 static void
 log_ejection (struct hf_state *state, const struct hf_service_state *service, uint64_t id, bool was_ejected)
 {
@@ -302,6 +311,7 @@
   uint64_t ticket = hf_state_ticket (call->id, attempt_index);
   int64_t latency_us = attempt->started_at ? state->now - attempt->started_at : 0;
   hf_timers_cancel (&attempt->slot_resend_timer);
+  result = discount_pause (state, attempt, result);
   if (!service)
     return;
   if (!attempt->granter)
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -465,6 +465,7 @@
   int64_t now;              /* time of the current event */
   int64_t wall_time;        /* the same, since 1970 */
   int64_t started_at;       /* time of the first event */
+  int64_t resumed_at;       /* end of the last pause of the process; 0: none yet */
   int64_t heartbeat_due_at; /* later by HF_PAUSE_THRESHOLD_MS: the process was paused */
   int64_t wakeup_at;        /* earliest wakeup set; -1: none */
   bool leaving;             /* this entry is shutting down */
