Tests: a paused watcher, coordinator or follower goes back to nothing

Checked at each step of 10 ms: no entry uses an older revision than before, none with the newest revision lists the removed server, the others are current during the pause, the paused ones within 2 s after it. No fault found: /paused/watcher, both-watchers, coordinator, follower pass on the code as it is.

Mutant that fails: an update that names a revision its sender has not reached ("'g_hash_table_contains (directory->servers, removed)' should be FALSE"). Mutants that pass, as another mechanism covers them: updates accepted whatever their revision; no pull by an entry that is behind (it watches the store).

--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -6,10 +6,11 @@
 
 /* --- constants --- */
 
-#define ONE_CHECK_MS       500   /* in which each entry that watches checks the platform once */
-#define BOTH_HAND_OVERS_MS 10000 /* HF_PLATFORM_UNREACHABLE_MS is between them */
-#define NEW_BOOT_ID        1000  /* of an entry that was restarted */
-#define RELIST_BYTES_MAX   2048  /* for each entry, after a list that brought two changes */
+#define ONE_CHECK_MS        500   /* in which each entry that watches checks the platform once */
+#define BOTH_HAND_OVERS_MS  10000 /* HF_PLATFORM_UNREACHABLE_MS is between them */
+#define NEW_BOOT_ID         1000  /* of an entry that was restarted */
+#define PAUSE_FLEET_ENTRIES 123
+#define RELIST_BYTES_MAX    2048 /* for each entry, after a list that brought two changes */
 
 /* --- internal functions --- */
 
@@ -333,6 +334,82 @@
   fleet_close (fleet);
 }
 
+/* Paused entries: @first to @last, in steps of @step. */
+struct pause_case
+{
+  const char *name;
+  unsigned first, last, step;
+};
+
+/* In a fleet of PAUSE_FLEET_ENTRIES, with two large entries in each of three failure domains. */
+static const struct pause_case pause_cases[] = {
+  { "watcher", 0, 0, 1 },       /* also coordinator and granter */
+  { "both-watchers", 0, 3, 3 }, /* of the first failure domain */
+  { "coordinator", 6, 6, 1 },   /* watches nothing, grants nothing */
+  { "follower", 60, 60, 1 },
+};
+
+/* With @full_socket the datagrams that arrive during the pause are lost, else they are read after it. */
+static void
+set_paused (struct fleet *fleet, const struct pause_case *pause_case, bool paused, bool full_socket)
+{
+  for (unsigned i = pause_case->first; i <= pause_case->last; i += pause_case->step)
+    {
+      fleet->entries[i].is_paused = paused;
+      fleet->entries[i].is_disconnected = paused && full_socket;
+    }
+}
+
+/* Advances step by step; no running entry may use an older directory than before, or the removed server again. */
+static void
+advance_without_return (struct fleet *fleet, int64_t ms, uint64_t *revisions, const char *removed)
+{
+  for (int64_t end = fleet->now + ms * HF_MS; fleet->now < end;)
+    {
+      fleet_advance (fleet, FLEET_STEP_MS);
+      for (unsigned i = 0; i < fleet->entry_count; i++)
+        {
+          const struct hf_directory *directory = &fleet->entries[i].state->directory;
+          g_assert_cmpuint (directory->revision, >=, revisions[i]);
+          revisions[i] = directory->revision;
+          if (revisions[i] >= fleet->revision)
+            g_assert_false (g_hash_table_contains (directory->servers, removed));
+        }
+    }
+}
+
+/* While entries are paused, servers are removed, drained and added. The others get the changes in time; after the pause
+ * nobody goes back to what the paused entries knew, and these are current in time, too. */
+static void
+check_pause (const struct pause_case *pause_case, int64_t pause_ms, bool full_socket)
+{
+  struct fleet *fleet = fleet_open (PAUSE_FLEET_ENTRIES, 3, 2);
+  uint64_t revisions[PAUSE_FLEET_ENTRIES] = { 0 };
+  set_paused (fleet, pause_case, true, full_socket);
+  fleet_advance (fleet, 50);
+  fleet_change_server (fleet, 5, (struct fleet_server){ .listed = true, .draining = true });
+  fleet_change_server (fleet, 200, (struct fleet_server){ .listed = true });
+  fleet_change_server (fleet, 3, (struct fleet_server){ 0 });
+  advance_without_return (fleet, pause_ms, revisions, "s3");
+  for (unsigned i = 0; i < fleet->entry_count; i++)
+    if (!fleet->entries[i].is_paused)
+      g_assert_cmpuint (revisions[i], ==, fleet->revision);
+  set_paused (fleet, pause_case, false, full_socket);
+  advance_without_return (fleet, FLEET_PROPAGATION_MAX_MS, revisions, "s3");
+  fleet_check_directories (fleet);
+  fleet_close (fleet);
+}
+
+static void
+test_paused (gconstpointer data)
+{
+  for (int64_t pause_ms = 2000; pause_ms <= 10000; pause_ms += 4000)
+    {
+      check_pause (data, pause_ms, false);
+      check_pause (data, pause_ms, true);
+    }
+}
+
 /* An entry that restarts while the platform does not respond gets directory and configuration from the others, and can
  * serve. */
 static void
@@ -436,6 +513,12 @@
   g_test_add_func ("/relay/hand-over", test_hand_over);
   g_test_add_func ("/relay/await-platform", test_await_platform);
   g_test_add_func ("/relay/returned", test_rejoined);
+  for (guint i = 0; i < G_N_ELEMENTS (pause_cases); i++)
+    {
+      char *name = g_strdup_printf ("/paused/%s", pause_cases[i].name);
+      g_test_add_data_func (name, &pause_cases[i], test_paused);
+      g_free (name);
+    }
   g_test_add_func ("/relay/start-without-platform", test_start_without_platform);
   g_test_add_func ("/relay/hanging-watch", test_hanging_watch);
   g_test_add_func ("/relay/hanging-watches", test_hanging_watches);
