Tests: each entry paused in turn, with requests at it and at the others

The others serve POSTs meanwhile, a POST that arrives at the paused entry is served after the pause, all of them run exactly once, also right after the pause at each entry.

--- a/tests/test-promises.c
+++ b/tests/test-promises.c
@@ -601,6 +601,48 @@
   setup_close (setup);
 }
 
+static void
+check_post_runs_once (struct setup *setup, guint entry, const char *name, guint number)
+{
+  char *key = g_strdup_printf ("%s.%u.", name, number);
+  struct response response
+      = send_call (setup_entry (setup, entry)->listen_address, "POST", "/a/x", key, NULL, NULL, NULL);
+  g_assert_cmpuint (response.status, ==, 200);
+  g_assert_cmpuint (count_runs (setup, key), ==, 1);
+  clear_response (&response);
+  g_free (key);
+}
+
+/* Each entry, and so the granter too, is paused in turn. The others serve; a request that arrives at the paused one is
+ * served after the pause; and no request that may not be repeated runs twice, or fails. */
+static void
+test_paused_in_turn (void)
+{
+  struct setup *setup = setup_open (3, 3, 20, NULL);
+  for (guint paused = 0; paused < 3; paused++)
+    {
+      char *name = g_strdup_printf ("turn%u-", paused);
+      char *key = g_strconcat (name, "waits", NULL);
+      const struct entry *entry = setup_entry (setup, paused);
+      process_send_signal (entry->process, SIGSTOP);
+      struct response *waits = start_call (entry->listen_address, "POST", "/a/x", key, NULL, NULL);
+      gint64 paused_at = g_get_monotonic_time ();
+      for (guint i = 0; i < 20 || g_get_monotonic_time () < paused_at + PAUSE_MS * 1000; i++)
+        check_post_runs_once (setup, (paused + 1 + i % 2) % 3, name, i);
+      process_send_signal (entry->process, SIGCONT);
+      for (guint i = 0; i < 30; i++)
+        check_post_runs_once (setup, i % 3, key, i);
+      g_assert_true (wait_for_response (waits, 10));
+      g_assert_cmpuint (waits->status, ==, 200);
+      g_assert_cmpuint (count_runs (setup, key), ==, 1);
+      clear_response (waits);
+      g_free (waits);
+      g_free (key);
+      g_free (name);
+    }
+  setup_close (setup);
+}
+
 /* An unknown path, an unknown method, a too long header field and an invalid datagram are rejected, and the entry keeps
  * serving. */
 static void
@@ -783,6 +825,7 @@
   g_test_add_func ("/failures/fail-fast", test_fail_fast);
   g_test_add_func ("/failures/granter-gone", test_granter_gone);
   g_test_add_func ("/failures/paused-in-flight", test_paused_in_flight);
+  g_test_add_func ("/failures/paused-in-turn", test_paused_in_turn);
   g_test_add_func ("/failures/bad-input", test_bad_input);
   g_test_add_func ("/failures/huge-head", test_huge_head);
   g_test_add_func ("/failures/hangup", test_hangup);
