The console dropped limits and the class of routes

Operators who applied a document from the console lost its limits (the defaults came into force), and with routes the draft was not valid, since each route's class was written empty.

Cause: hf-form had no case for maps: their values were neither loaded nor written, and a new route had none.

Change: values of a map are kept under its path (limits.head_bytes), written as a map and shown as rows of their own on the console's pages. An optional map without values is omitted, as other empty values are.

Test: test-console /console/maps-kept, before: "assertion failed (hf_form_get (&form, "limits.head_bytes") == "4096"): ("" == "4096")" and "'loaded' should not be NULL".

--- a/src/hf-console.c
+++ b/src/hf-console.c
@@ -106,9 +106,13 @@
 }
 
 static void
-add_row (const struct console *console, GString *page, const struct hf_yaml_field *field, const char *path)
+add_row (const struct console *console,
+         GString *page,
+         const struct hf_yaml_field *field,
+         const char *label,
+         const char *path)
 {
-  g_string_append_printf (page, "<tr><th>%s</th><td>", field->name);
+  g_string_append_printf (page, "<tr><th>%s</th><td>", label);
   add_input (console, page, field, path);
   g_string_append (page, "</td><td class=\"help\">");
   add_escaped (page, field->help);
@@ -119,6 +123,27 @@
   g_string_append (page, "</td></tr>");
 }
 
+/* Adds a row for each value, those of a map included; the lists have tables of their own. */
+static void
+add_rows (const struct console *console,
+          GString *page,
+          const struct hf_yaml_field *fields,
+          const char *map,
+          const char *prefix)
+{
+  for (const struct hf_yaml_field *field = fields; field->name; field++)
+    {
+      char *label = *map ? g_strdup_printf ("%s.%s", map, field->name) : g_strdup (field->name);
+      char *path = *prefix ? g_strdup_printf ("%s.%s", prefix, field->name) : g_strdup (field->name);
+      if (field->type == HF_YAML_MAP)
+        add_rows (console, page, field->fields, label, path);
+      else if (field->type != HF_YAML_LIST)
+        add_row (console, page, field, label, path);
+      g_free (path);
+      g_free (label);
+    }
+}
+
 /* Adds a table with a row for each element of a list and a column for each field. */
 static void
 add_table (const struct console *console, GString *page, const struct hf_yaml_field *list, const char *path)
@@ -297,9 +322,7 @@
   begin_form (console, page, "/");
   /* Browsers submit a form with its first button when the Enter key is pressed. */
   g_string_append (page, "<p><button>check</button></p><h2>Fleet</h2><table>");
-  for (const struct hf_yaml_field *field = hf_document_fields; field->name; field++)
-    if (field->type != HF_YAML_LIST)
-      add_row (console, page, field, field->name);
+  add_rows (console, page, hf_document_fields, "", "");
   g_string_append (page, "</table>");
   add_services (console, page);
   g_string_append_printf (page,
@@ -336,13 +359,7 @@
   add_status (console, page);
   begin_form (console, page, action);
   g_string_append (page, "<p><button>check</button></p><table>");
-  for (const struct hf_yaml_field *field = services->fields; field->name; field++)
-    {
-      char *path = g_strdup_printf ("%s.%s", prefix, field->name);
-      if (field->type != HF_YAML_LIST)
-        add_row (console, page, field, path);
-      g_free (path);
-    }
+  add_rows (console, page, services->fields, "", prefix);
   g_string_append (page, "</table>");
   for (const struct hf_yaml_field *field = services->fields; field->name; field++)
     {
--- a/src/hf-form.c
+++ b/src/hf-form.c
@@ -65,6 +65,29 @@
   return NULL;
 }
 
+static void
+set_struct_values (struct hf_form *form, const struct hf_yaml_field *fields, const char *prefix, const void *data);
+
+static void
+set_list_values (struct hf_form *form, const struct hf_yaml_field *field, const char *path, const struct hf_list *list)
+{
+  for (size_t i = 0; i < list->n; i++)
+    {
+      char *item = g_strdup_printf ("%s[%zu]", path, i);
+      set_struct_values (form, field->fields, item, (const char *) list->items + i * field->struct_size);
+      g_free (item);
+    }
+  g_hash_table_insert (form->list_lengths, g_strdup (path), GUINT_TO_POINTER ((guint) list->n));
+}
+
+static void
+set_field_value (struct hf_form *form, const struct hf_yaml_field *field, const char *path, const void *place)
+{
+  char *text = format_field (field, place);
+  hf_form_set (form, path, text);
+  g_free (text);
+}
+
 static void
 set_struct_values (struct hf_form *form, const struct hf_yaml_field *fields, const char *prefix, const void *data)
 {
@@ -72,25 +95,29 @@
     {
       const void *place = (const char *) data + field->offset;
       char *path = join_path (prefix, field->name);
-      const struct hf_list *list = place;
-      if (field->type != HF_YAML_LIST)
-        {
-          char *text = format_field (field, place);
-          hf_form_set (form, path, text);
-          g_free (text);
-        }
-      for (size_t i = 0; field->type == HF_YAML_LIST && i < list->n; i++)
-        {
-          char *item = g_strdup_printf ("%s[%zu]", path, i);
-          set_struct_values (form, field->fields, item, (const char *) list->items + i * field->struct_size);
-          g_free (item);
-        }
       if (field->type == HF_YAML_LIST)
-        g_hash_table_insert (form->list_lengths, g_strdup (path), GUINT_TO_POINTER ((guint) list->n));
+        set_list_values (form, field, path, place);
+      else if (field->type == HF_YAML_MAP)
+        set_struct_values (form, field->fields, path, place);
+      else
+        set_field_value (form, field, path, place);
       g_free (path);
     }
 }
 
+static bool
+has_values (const struct hf_form *form, const struct hf_yaml_field *fields, const char *prefix)
+{
+  bool found = false;
+  for (const struct hf_yaml_field *field = fields; field->name && !found; field++)
+    {
+      char *path = join_path (prefix, field->name);
+      found = *hf_form_get (form, path) != 0;
+      g_free (path);
+    }
+  return found;
+}
+
 /* --- internal functions: YAML --- */
 
 static void
@@ -141,12 +168,15 @@
 {
   const char *text = hf_form_get (form, path);
   bool is_text = field->type == HF_YAML_STR || field->type == HF_YAML_ADDRESS;
+  bool is_empty = field->type == HF_YAML_MAP ? !has_values (form, field->fields, path) : *text == 0;
   /* An empty optional value is omitted, so that its default applies. */
-  if (field->type != HF_YAML_LIST && *text == 0 && !field->required)
+  if (field->type != HF_YAML_LIST && is_empty && !field->required)
     return;
   emit_scalar (emitter, field->name, false);
   if (field->type == HF_YAML_LIST)
     emit_list (emitter, form, field, path);
+  else if (field->type == HF_YAML_MAP)
+    emit_map (emitter, form, field->fields, path);
   else if (field->type == HF_YAML_STR_LIST)
     emit_str_list (emitter, text);
   else
@@ -208,6 +238,40 @@
   g_free (prefix);
 }
 
+static char *
+format_default (const struct hf_yaml_field *field)
+{
+  switch (field->type)
+    {
+    case HF_YAML_INT:
+      return g_strdup_printf ("%" G_GINT64_FORMAT, field->default_value);
+    case HF_YAML_BOOL:
+      return g_strdup ("false");
+    case HF_YAML_CHOICE:
+      return g_strdup (field->choices[field->default_value]);
+    default:
+      return g_strdup (field->default_str ? field->default_str : "");
+    }
+}
+
+static void
+set_default_values (struct hf_form *form, const struct hf_yaml_field *fields, const char *prefix)
+{
+  for (const struct hf_yaml_field *field = fields; field->name; field++)
+    {
+      char *path = join_path (prefix, field->name);
+      char *text = format_default (field);
+      if (field->type == HF_YAML_LIST)
+        g_hash_table_insert (form->list_lengths, g_strdup (path), NULL);
+      else if (field->type == HF_YAML_MAP)
+        set_default_values (form, field->fields, path);
+      else
+        hf_form_set (form, path, text);
+      g_free (text);
+      g_free (path);
+    }
+}
+
 /* --- public functions --- */
 
 void
@@ -284,20 +348,10 @@
   const char *key = strrchr (list, '.') ? strrchr (list, '.') + 1 : list;
   const struct hf_yaml_field *fields = find_element_fields (hf_document_fields, key);
   guint n = hf_form_list_length (form, list);
-  for (const struct hf_yaml_field *field = fields; field && field->name; field++)
-    {
-      char *path = g_strdup_printf ("%s[%u].%s", list, n, field->name);
-      char *text = field->type == HF_YAML_INT      ? g_strdup_printf ("%" G_GINT64_FORMAT, field->default_value)
-                   : field->type == HF_YAML_BOOL   ? g_strdup ("false")
-                   : field->type == HF_YAML_CHOICE ? g_strdup (field->choices[field->default_value])
-                                                   : g_strdup (field->default_str ? field->default_str : "");
-      if (field->type == HF_YAML_LIST)
-        g_hash_table_insert (form->list_lengths, g_strdup (path), NULL);
-      else
-        hf_form_set (form, path, text);
-      g_free (text);
-      g_free (path);
-    }
+  char *item = g_strdup_printf ("%s[%u]", list, n);
+  if (fields)
+    set_default_values (form, fields, item);
+  g_free (item);
   if (fields)
     g_hash_table_insert (form->list_lengths, g_strdup (list), GUINT_TO_POINTER (n + 1));
 }
--- a/tests/test-console.c
+++ b/tests/test-console.c
@@ -157,6 +157,36 @@
     }
 }
 
+/* A form keeps the values of maps: the limits, and the class of a route. */
+static void
+test_maps_kept (void)
+{
+  static const char document[] = "version: 1\nlimits: {head_bytes: 4096, idle_ms: 1500}\nservices:\n"
+                                 "  - name: a\n    path_prefix: /a\n    servers:\n"
+                                 "      - {name: s0, address: \"127.0.0.1:9\", slots: 3}\n"
+                                 "    classes:\n      - {name: read, worth: 1, deadline_ms: 2000}\n"
+                                 "routes:\n  - name: r0\n    host: h.example\n    path_prefix: /p/\n"
+                                 "    class: {name: fast, worth: 7, deadline_ms: 1234}\n    parts: [{service: a}]\n";
+  struct hf_form form;
+  hf_form_init (&form);
+  g_assert_true (hf_form_load (&form, hf_str (document), NULL));
+  g_assert_cmpstr (hf_form_get (&form, "limits.head_bytes"), ==, "4096");
+  char *text = hf_form_to_yaml (&form);
+  struct hf_document *loaded = hf_document_load (hf_str (text), NULL);
+  g_assert_nonnull (loaded);
+  if (loaded)
+    {
+      const struct hf_route *route = loaded->routes.items;
+      g_assert_cmpint (loaded->limits.head_bytes_max, ==, 4096);
+      g_assert_cmpint (loaded->limits.idle_timeout_ms, ==, 1500);
+      g_assert_cmpint (route->class.deadline_ms, ==, 1234);
+      g_assert_cmpint (route->class.worth, ==, 7);
+      hf_document_unref (loaded);
+    }
+  g_free (text);
+  hf_form_close (&form);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -164,5 +194,6 @@
   g_test_set_nonfatal_assertions ();
   g_test_add_func ("/console/forms", test_console);
   g_test_add_func ("/console/round-trip", test_round_trip);
+  g_test_add_func ("/console/maps-kept", test_maps_kept);
   return g_test_run ();
 }
