--- a/src/hickoryctl.c
+++ b/src/hickoryctl.c
@@ -160,6 +160,7 @@
 {
   gint64 deadline = g_get_monotonic_time () + options->wait_ms * HF_MS;
   guint n_behind = 0;
+  guint n_entries = 0;
   do
     {
       struct hf_error error = { 0 };
@@ -169,9 +170,9 @@
       n_behind = 0;
       for (guint i = 0; i < entries->len; i++)
         n_behind += get_entry_generation (g_ptr_array_index (entries, i)) < generation;
-      guint n_entries = entries->len;
+      n_entries = entries->len;
       g_ptr_array_unref (entries);
-      if (n_behind == 0)
+      if (n_entries > 0 && n_behind == 0)
         {
           printf ("in force at %u entries\n", n_entries);
           return 0;
@@ -179,10 +180,12 @@
       g_usleep (POLL_INTERVAL_US);
     }
   while (g_get_monotonic_time () < deadline);
-  fprintf (stderr,
-           "hickoryctl: the document is accepted, but not in force at %u entries "
-           "after %d ms\n",
-           n_behind, options->wait_ms);
+  if (n_entries == 0)
+    fprintf (stderr, "hickoryctl: the document is accepted, but the platform lists no entry after %d ms\n",
+             options->wait_ms);
+  else
+    fprintf (stderr, "hickoryctl: the document is accepted, but not in force at %u entries after %d ms\n", n_behind,
+             options->wait_ms);
   return EXIT_WAIT_TIMEOUT;
 }
 
--- a/tests/test-promises.c
+++ b/tests/test-promises.c
@@ -14,10 +14,11 @@
 
 /* --- constants --- */
 
-#define DRAIN_MS         3000 /* until a draining server gets no new requests */
-#define CONFIG_TIMEOUT_S 10
-#define PROBE_BUDGET     4    /* per 10 s */
-#define PAUSE_MS         4000 /* of an entry; longer than every deadline */
+#define DRAIN_MS          3000 /* until a draining server gets no new requests */
+#define CONFIG_TIMEOUT_S  10
+#define EXIT_WAIT_TIMEOUT 6    /* of hickoryctl */
+#define PROBE_BUDGET      4    /* per 10 s */
+#define PAUSE_MS          4000 /* of an entry; longer than every deadline */
 
 /* --- tests: complete requests and responses --- */
 
@@ -357,6 +358,26 @@
   setup_close (setup);
 }
 
+/* Where no entry is listed, nothing is in force: --wait must not report success. */
+static void
+test_wait_without_entries (void)
+{
+  struct setup setup = { .harness = harness_open (g_test_get_filename (G_TEST_BUILT, "x", NULL)) };
+  setup.backend = harness_add_backend_constant (setup.harness, 1, 3, 2);
+  char *document = setup_document (&setup, NULL, NULL);
+  char *file = harness_write_file (setup.harness, "document.yaml", document);
+  char *output = NULL;
+  int code = harness_run_hickoryctl (
+      setup.harness, &output,
+      (const char *[]){ "apply", "--wait", "--wait-ms", "300", "-p", setup.harness->platform_address, file, NULL });
+  g_assert_cmpint (code, ==, EXIT_WAIT_TIMEOUT);
+  g_assert_nonnull (strstr (output, "accepted as generation"));
+  g_free (output);
+  g_free (file);
+  g_free (document);
+  harness_close (setup.harness);
+}
+
 /* An entry that is paused during several changes must adopt the last one and never go back to an older one. */
 static void
 test_config_paused (void)
@@ -819,6 +840,7 @@
   g_test_add_func ("/config/rollback", test_config_rollback);
   g_test_add_func ("/config/race", test_config_race);
   g_test_add_func ("/config/rejected", test_config_rejected);
+  g_test_add_func ("/config/wait-without-entries", test_wait_without_entries);
   g_test_add_func ("/probes/budget", test_probe_budget);
   g_test_add_func ("/failures/crash", test_crash);
   g_test_add_func ("/failures/silent-server", test_silent_server);
