The metrics address served state dump and status to whoever reached it

On the users' platform the metrics address is the VM's own address, reachable by more than the operators; it showed /dump (requests in flight, suspects) and /status, as the admin address does.

Change: it serves /metrics alone. The event HF1002 names the address, too.

Test: test-platform /platform/metrics-address, before (the admin pages behind that address): "assertion failed (page_status (setup, setup->metrics_address, "/dump") == 404): (200 == 404)".

--- a/src/hickoryd.c
+++ b/src/hickoryd.c
@@ -41,6 +41,12 @@
   g_free (text);
 }
 
+static struct hf_str
+metrics_address (const struct daemon *daemon)
+{
+  return daemon->metrics ? hf_http_server_address (daemon->metrics) : hf_str ("");
+}
+
 static void
 admin_on_head (void *context, struct hf_http_request *request, const struct hf_http_head *head)
 {
@@ -75,6 +81,17 @@
     send_response (request, 404, "text/plain", g_strdup ("known paths: /healthz /metrics /dump /status\n"));
 }
 
+/* The metrics address may be reachable by others than operators: it serves the metrics alone. */
+static void
+metrics_on_complete (void *context, struct hf_http_request *request)
+{
+  const struct daemon *daemon = context;
+  if (strcmp (hf_http_request_data (request), "/metrics") == 0)
+    send_response (request, 200, "text/plain; version=0.0.4", hf_dump_metrics (daemon->loop.state, hf_loop_now ()));
+  else
+    send_response (request, 404, "text/plain", g_strdup ("known path: /metrics\n"));
+}
+
 static void
 admin_on_drained (void *context, struct hf_http_request *request)
 {
@@ -96,6 +113,12 @@
                                                                  .on_drained = admin_on_drained,
                                                                  .on_ended = admin_on_ended };
 
+static const struct hf_http_server_callbacks metrics_callbacks = { .on_head = admin_on_head,
+                                                                   .on_body = admin_on_body,
+                                                                   .on_complete = metrics_on_complete,
+                                                                   .on_drained = admin_on_drained,
+                                                                   .on_ended = admin_on_ended };
+
 static gboolean
 on_terminate_signal (gpointer data)
 {
@@ -171,7 +194,7 @@
     }
   if (settings->metrics_address.len)
     daemon.metrics
-        = hf_http_server_open (daemon.loop.net, settings->metrics_address, &admin_callbacks, &daemon, &error);
+        = hf_http_server_open (daemon.loop.net, settings->metrics_address, &metrics_callbacks, &daemon, &error);
   if (settings->metrics_address.len && !daemon.metrics)
     hf_log_write (HF_LOG_SETTINGS_INVALID, "%s", error.message);
   g_unix_signal_add (SIGTERM, on_terminate_signal, &daemon);
@@ -180,7 +203,8 @@
   g_unix_signal_add (SIGHUP, on_reload_signal, &daemon);
   struct hf_log_field addresses[] = { HF_LOG_TEXT ("callers", hf_proxy_address (daemon.loop.proxy)),
                                       HF_LOG_TEXT ("admin", hf_http_server_address (daemon.admin)),
-                                      HF_LOG_TEXT ("peers", hf_peer_socket_address (daemon.loop.peer_socket)) };
+                                      HF_LOG_TEXT ("peers", hf_peer_socket_address (daemon.loop.peer_socket)),
+                                      HF_LOG_TEXT ("metrics", metrics_address (&daemon)) };
   hf_log_write_fields (HF_LOG_LISTENING, (struct hf_str){ 0 }, addresses, G_N_ELEMENTS (addresses));
   g_main_loop_run (daemon.loop.main_loop);
   hf_log_write (HF_LOG_EXIT, "shutdown finished; the process exits");
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -67,6 +67,7 @@
   char *folder;
   char caller_address[64];
   char admin_address[64];
+  char metrics_address[64];
   guint next_id;
   GPtrArray *log; /* log lines of the entry */
 };
@@ -241,9 +242,10 @@
   char *build = g_path_get_dirname (g_get_prgname ());
   char *program = g_build_filename (build, "hickoryd", NULL);
   char *file = g_build_filename (setup->folder, "settings.yaml", NULL);
-  char *settings = g_strdup_printf ("name: e1\nfailure_domain: z1\nlisten: 127.0.0.1:0\nadmin: 127.0.0.1:0\n"
-                                    "peers: 127.0.0.1:0\nstore: %s\ndrain_wait_ms: 300\ngrace_ms: 3000\n",
-                                    fake_store_address (setup->store));
+  char *settings
+      = g_strdup_printf ("name: e1\nfailure_domain: z1\nlisten: 127.0.0.1:0\nadmin: 127.0.0.1:0\n"
+                         "peers: 127.0.0.1:0\nmetrics: 127.0.0.1:0\nstore: %s\ndrain_wait_ms: 300\ngrace_ms: 3000\n",
+                         fake_store_address (setup->store));
   g_assert_true (g_file_set_contents (file, settings, -1, NULL));
   setup->entry = g_subprocess_new (G_SUBPROCESS_FLAGS_STDOUT_PIPE, NULL, program, file, NULL);
   g_assert_nonnull (setup->entry);
@@ -256,6 +258,7 @@
   g_assert_true (harness_wait_until (has_text, log_reader->listening, START_TIMEOUT_S));
   copy_member (log_reader->listening->str, "callers", setup->caller_address, sizeof setup->caller_address);
   copy_member (log_reader->listening->str, "admin", setup->admin_address, sizeof setup->admin_address);
+  copy_member (log_reader->listening->str, "metrics", setup->metrics_address, sizeof setup->metrics_address);
   g_free (settings);
   g_free (file);
   g_free (program);
@@ -307,14 +310,22 @@
 }
 
 static guint
-health_status (struct setup *setup)
+page_status (struct setup *setup, const char *address, const char *path)
 {
-  struct raw_client *client = send_text (setup, setup->admin_address, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+  char *text = g_strdup_printf ("GET %s HTTP/1.1\r\nHost: x\r\n\r\n", path);
+  struct raw_client *client = send_text (setup, address, text);
   guint status = raw_client_status (client);
   raw_client_close (client);
+  g_free (text);
   return status;
 }
 
+static guint
+health_status (struct setup *setup)
+{
+  return page_status (setup, setup->admin_address, "/healthz");
+}
+
 static gboolean
 is_ready (void *context)
 {
@@ -1038,6 +1049,19 @@
   close_setup (setup);
 }
 
+/* The metrics address, which others than operators may reach, shows neither the state nor the requests. */
+static void
+test_metrics_address (void)
+{
+  struct setup *setup = open_setup ();
+  g_assert_cmpuint (page_status (setup, setup->metrics_address, "/metrics"), ==, 200);
+  g_assert_cmpuint (page_status (setup, setup->metrics_address, "/dump"), ==, 404);
+  g_assert_cmpuint (page_status (setup, setup->metrics_address, "/status"), ==, 404);
+  g_assert_cmpuint (page_status (setup, setup->admin_address, "/dump"), ==, 200);
+  g_assert_cmpuint (page_status (setup, setup->admin_address, "/status"), ==, 200);
+  close_setup (setup);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -1071,6 +1095,7 @@
   g_test_add_func ("/platform/overlapping", test_overlapping);
   g_test_add_func ("/platform/gone", test_caller_disconnects);
   g_test_add_func ("/platform/shutdown", test_shutdown);
+  g_test_add_func ("/platform/metrics-address", test_metrics_address);
   g_test_add_func ("/platform/explain-refused", test_explain_refused);
   g_test_add_func ("/platform/explain-broken", test_explain_broken);
   g_test_add_func ("/platform/explain-slow", test_explain_slow);
