--- a/tests/test-promises.c
+++ b/tests/test-promises.c
@@ -14,9 +14,11 @@
 
 /* --- constants --- */
 
-#define DRAIN_MS         3000 /* until a draining server gets no new requests */
-#define CONFIG_TIMEOUT_S 10
-#define PROBE_BUDGET     4 /* per 10 s */
+#define DRAIN_MS          3000 /* until a draining server gets no new requests */
+#define CONFIG_TIMEOUT_S  10
+#define EXIT_WAIT_TIMEOUT 6    /* of hickoryctl */
+#define PROBE_BUDGET      4    /* per 10 s */
+#define PAUSE_MS          4000 /* of an entry; longer than every deadline */
 
 /* --- tests: complete requests and responses --- */
 
@@ -356,6 +358,26 @@
   setup_close (setup);
 }
 
+/* Where no entry is listed, nothing is in force: --wait must not report success. */
+static void
+test_wait_without_entries (void)
+{
+  struct setup setup = { .harness = harness_open (g_test_get_filename (G_TEST_BUILT, "x", NULL)) };
+  setup.backend = harness_add_backend_constant (setup.harness, 1, 3, 2);
+  char *document = setup_document (&setup, NULL, NULL);
+  char *file = harness_write_file (setup.harness, "document.yaml", document);
+  char *output = NULL;
+  int code = harness_run_hickoryctl (
+      setup.harness, &output,
+      (const char *[]){ "apply", "--wait", "--wait-ms", "300", "-p", setup.harness->platform_address, file, NULL });
+  g_assert_cmpint (code, ==, EXIT_WAIT_TIMEOUT);
+  g_assert_nonnull (strstr (output, "accepted as generation"));
+  g_free (output);
+  g_free (file);
+  g_free (document);
+  harness_close (setup.harness);
+}
+
 /* An entry that is paused during several changes must adopt the last one and never go back to an older one. */
 static void
 test_config_paused (void)
@@ -570,6 +592,78 @@
   setup_close (setup);
 }
 
+/* Responses that arrive while the entry is paused, for longer than the deadlines, still reach their callers, and no
+ * request is sent again. */
+static void
+test_paused_in_flight (void)
+{
+  struct setup *setup = setup_open (1, 2, 200, NULL);
+  const struct entry *entry = setup_entry (setup, 0);
+  struct response *get = start_call (entry->listen_address, "GET", "/a/x", "paused-get", NULL, NULL);
+  struct response *post = start_call (entry->listen_address, "POST", "/a/x", "paused-post", NULL, NULL);
+  void *get_run[] = { setup, "paused-get" };
+  void *post_run[] = { setup, "paused-post" };
+  g_assert_true (harness_wait_until (has_run_key, get_run, 5));
+  g_assert_true (harness_wait_until (has_run_key, post_run, 5));
+  process_send_signal (entry->process, SIGSTOP);
+  harness_pause (PAUSE_MS);
+  process_send_signal (entry->process, SIGCONT);
+  g_assert_true (wait_for_response (get, 5));
+  g_assert_true (wait_for_response (post, 5));
+  g_assert_cmpuint (get->status, ==, 200);
+  g_assert_cmpuint (post->status, ==, 200);
+  g_assert_cmpuint (count_runs (setup, "paused-get"), ==, 1);
+  g_assert_cmpuint (count_runs (setup, "paused-post"), ==, 1);
+  check_gets_succeed (setup, "resumed", 0, 10);
+  clear_response (get);
+  clear_response (post);
+  g_free (get);
+  g_free (post);
+  setup_close (setup);
+}
+
+static void
+check_post_runs_once (struct setup *setup, guint entry, const char *name, guint number)
+{
+  char *key = g_strdup_printf ("%s.%u.", name, number);
+  struct response response
+      = send_call (setup_entry (setup, entry)->listen_address, "POST", "/a/x", key, NULL, NULL, NULL);
+  g_assert_cmpuint (response.status, ==, 200);
+  g_assert_cmpuint (count_runs (setup, key), ==, 1);
+  clear_response (&response);
+  g_free (key);
+}
+
+/* Each entry, and so the granter too, is paused in turn. The others serve; a request that arrives at the paused one is
+ * served after the pause; and no request that may not be repeated runs twice, or fails. */
+static void
+test_paused_in_turn (void)
+{
+  struct setup *setup = setup_open (3, 3, 20, NULL);
+  for (guint paused = 0; paused < 3; paused++)
+    {
+      char *name = g_strdup_printf ("turn%u-", paused);
+      char *key = g_strconcat (name, "waits", NULL);
+      const struct entry *entry = setup_entry (setup, paused);
+      process_send_signal (entry->process, SIGSTOP);
+      struct response *waits = start_call (entry->listen_address, "POST", "/a/x", key, NULL, NULL);
+      gint64 paused_at = g_get_monotonic_time ();
+      for (guint i = 0; i < 20 || g_get_monotonic_time () < paused_at + PAUSE_MS * 1000; i++)
+        check_post_runs_once (setup, (paused + 1 + i % 2) % 3, name, i);
+      process_send_signal (entry->process, SIGCONT);
+      for (guint i = 0; i < 30; i++)
+        check_post_runs_once (setup, i % 3, key, i);
+      g_assert_true (wait_for_response (waits, 10));
+      g_assert_cmpuint (waits->status, ==, 200);
+      g_assert_cmpuint (count_runs (setup, key), ==, 1);
+      clear_response (waits);
+      g_free (waits);
+      g_free (key);
+      g_free (name);
+    }
+  setup_close (setup);
+}
+
 /* An unknown path, an unknown method, a too long header field and an invalid datagram are rejected, and the entry keeps
  * serving. */
 static void
@@ -746,11 +840,14 @@
   g_test_add_func ("/config/rollback", test_config_rollback);
   g_test_add_func ("/config/race", test_config_race);
   g_test_add_func ("/config/rejected", test_config_rejected);
+  g_test_add_func ("/config/wait-without-entries", test_wait_without_entries);
   g_test_add_func ("/probes/budget", test_probe_budget);
   g_test_add_func ("/failures/crash", test_crash);
   g_test_add_func ("/failures/silent-server", test_silent_server);
   g_test_add_func ("/failures/fail-fast", test_fail_fast);
   g_test_add_func ("/failures/granter-gone", test_granter_gone);
+  g_test_add_func ("/failures/paused-in-flight", test_paused_in_flight);
+  g_test_add_func ("/failures/paused-in-turn", test_paused_in_turn);
   g_test_add_func ("/failures/bad-input", test_bad_input);
   g_test_add_func ("/failures/huge-head", test_huge_head);
   g_test_add_func ("/failures/hangup", test_hangup);
