Test: SIGTERM in the middle of streams of requests loses none

Twelve callers send one request after the other on kept connections to servers that take up to as long as the timeouts; the process gets SIGTERM with a grace that is hardly longer. Each request that reached a server is answered whole, and none that got 503 reached a server.

--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -13,6 +13,8 @@
 #include "hf-explain.h"
 #include "raw.h"
 
+#include "config.h"
+
 /* --- constants --- */
 
 #define SERVERS                 2
@@ -28,6 +30,11 @@
 #define SILENT_CHECKS_TIMEOUT_S 10
 #define LARGE_BODY_BYTES        (250 * 1000)  /* more than the socket of a caller that does not read takes */
 #define MORE_BYTES              (1024 * 1024) /* more than the process reads behind a request */
+#define STREAM_CALLERS          12            /* more than the servers have slots */
+#define STREAM_MS               1500          /* before the shutdown */
+#define STREAM_DRAIN_WAIT_MS    700
+#define STREAM_GRACE_MS         1200
+#define LATE_MAX_MS             1000
 #define LATE_READ_MS            300
 #define CUT_BYTES_MAX           100  /* longer than the shortest response that is cut */
 #define DRAIN_WAIT_MS           300  /* from SIGTERM until the listener closes */
@@ -52,6 +59,7 @@
   REFUSES_ONCE,                 /* the first request; sends that 503 again before the next response of the connection */
   ENDS_BY_CLOSE,                /* response without length, ended by a close */
   ENDS_BY_RESET,                /* response without length, ended by a reset */
+  SENDS_LATE,                   /* its response, up to LATE_MAX_MS later */
   ENDS_EARLY,                   /* after cut_bytes of its response */
   SENDS_NON_HTTP,
 };
@@ -87,6 +95,7 @@
   guint next_id;
   GPtrArray *log;      /* log lines of the entry */
   guint calls_awaited; /* of the fake store */
+  GHashTable *ids;     /* of the requests that reached a server */
 };
 
 /* --- internal functions: backend servers --- */
@@ -147,6 +156,31 @@
   g_free (response);
 }
 
+struct late_response
+{
+  struct raw_connection *connection;
+  char *id;
+};
+
+static gboolean
+send_late_response (gpointer data)
+{
+  struct late_response *late = data;
+  send_response (late->connection, late->id, "hello");
+  g_free (late->id);
+  g_free (late);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+schedule_response (struct raw_connection *connection, const char *id)
+{
+  struct late_response *late = g_new0 (struct late_response, 1);
+  late->connection = connection;
+  late->id = g_strdup (id);
+  g_timeout_add ((guint) g_test_rand_int_range (0, LATE_MAX_MS), send_late_response, late);
+}
+
 static void
 respond_as_told (struct backend_server *server, struct raw_connection *connection, const char *id)
 {
@@ -186,6 +220,9 @@
       raw_connection_send (connection, response_without_length, id);
       raw_connection_close (connection, server->behaviour == ENDS_BY_RESET);
       break;
+    case SENDS_LATE:
+      schedule_response (connection, id);
+      break;
     case ENDS_EARLY:
       end_early (server, connection, id);
       break;
@@ -212,6 +249,7 @@
   g_string_assign (server->last_request, text);
   server->last_connection = connection;
   char *id = header_value (text, "X-Attempt-Id");
+  g_hash_table_add (server->setup->ids, g_strdup (id));
   respond_as_told (server, connection, id);
   g_free (id);
 }
@@ -406,12 +444,13 @@
 /* --- internal functions: setup --- */
 
 static struct setup *
-open_empty_with_grace (int drain_wait_ms, int grace_ms)
+open_without_entry (int drain_wait_ms, int grace_ms)
 {
   struct setup *setup = g_new0 (struct setup, 1);
   setup->drain_wait_ms = drain_wait_ms;
   setup->grace_ms = grace_ms;
   setup->net = hf_net_open ();
+  setup->ids = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   setup->store = fake_store_open (setup->net);
   setup->folder = g_dir_make_tmp ("hf-platform-XXXXXX", NULL);
   for (guint i = 0; i < SERVERS; i++)
@@ -422,6 +461,13 @@
       server->raw_server = raw_server_open (setup->net, on_server_request, server);
       g_snprintf (server->name, sizeof server->name, "i-%u", i);
     }
+  return setup;
+}
+
+static struct setup *
+open_empty_with_grace (int drain_wait_ms, int grace_ms)
+{
+  struct setup *setup = open_without_entry (drain_wait_ms, grace_ms);
   start_entry (setup);
   return setup;
 }
@@ -466,6 +512,7 @@
       g_string_free (setup->servers[i].last_request, TRUE);
     }
   hf_net_close (setup->net);
+  g_hash_table_unref (setup->ids);
   char *file = g_build_filename (setup->folder, "settings.yaml", NULL);
   g_remove (file);
   g_rmdir (setup->folder);
@@ -766,18 +813,7 @@
 static void
 test_lost_write (void)
 {
-  struct setup *setup = open_empty ();
-  close_setup (setup);
-  setup = g_new0 (struct setup, 1);
-  setup->net = hf_net_open ();
-  setup->store = fake_store_open (setup->net);
-  setup->folder = g_dir_make_tmp ("hf-platform-XXXXXX", NULL);
-  for (guint i = 0; i < SERVERS; i++)
-    {
-      setup->servers[i].last_request = g_string_new (NULL);
-      setup->servers[i].raw_server = raw_server_open (setup->net, on_server_request, &setup->servers[i]);
-      g_snprintf (setup->servers[i].name, sizeof setup->servers[i].name, "i-%u", i);
-    }
+  struct setup *setup = open_without_entry (DRAIN_WAIT_MS, GRACE_MS);
   fake_store_drop_responses (setup->store, 1);
   put_config (setup, 7, "\"service\":\"alpha\"", "/r/");
   start_entry (setup);
@@ -1203,6 +1239,113 @@
   close_setup (setup);
 }
 
+/* A caller that sends one request after the other, on one connection as long as it stays open. */
+struct stream_caller
+{
+  struct setup *setup;
+  struct raw_client *client; /* NULL: not connected */
+  char id[16];               /* of the request in progress */
+  const char *method;
+  const char *path;
+  guint answered;
+  guint unanswered;
+};
+
+static void
+send_next (struct stream_caller *caller)
+{
+  struct setup *setup = caller->setup;
+  char *text = format_request (setup, caller->method, caller->path, "");
+  g_snprintf (caller->id, sizeof caller->id, "id%u", setup->next_id);
+  if (caller->client)
+    raw_client_send (caller->client, text);
+  else
+    caller->client = raw_client_connect (setup->net, setup->caller_address, text);
+  g_free (text);
+}
+
+/* A 503 says that the request has not run, and a request that reached a server is answered. */
+static void
+check_stream_response (struct stream_caller *caller)
+{
+  bool reached_server = g_hash_table_contains (caller->setup->ids, caller->id);
+  guint status = raw_client_status (caller->client);
+  if (!raw_client_has_response (caller->client))
+    {
+      g_assert_false (reached_server);
+      caller->unanswered++;
+      return;
+    }
+  caller->answered++;
+  g_assert_true (status == 200 || status == 503 || status == 504);
+  if (status == 503)
+    g_assert_false (reached_server);
+}
+
+static void
+step_caller (struct stream_caller *caller)
+{
+  if (!caller->client)
+    send_next (caller);
+  if (!has_response (caller->client))
+    return;
+  check_stream_response (caller);
+  if (caller->client->ended || strstr (caller->client->received->str, "Connection: close"))
+    {
+      raw_client_close (g_steal_pointer (&caller->client));
+      return;
+    }
+  g_string_truncate (caller->client->received, 0);
+  send_next (caller);
+}
+
+static gboolean
+is_running (const struct setup *setup)
+{
+  return g_subprocess_get_identifier (setup->entry) != NULL;
+}
+
+static void
+run_streams (struct setup *setup, struct stream_caller *callers, int64_t end)
+{
+  while (is_running (setup) && g_get_monotonic_time () < end)
+    {
+      for (guint i = 0; i < STREAM_CALLERS; i++)
+        step_caller (&callers[i]);
+      harness_pause (1);
+    }
+}
+
+/* SIGTERM in the middle of streams of requests on kept connections, with servers about as slow as the timeouts and a
+ * grace that is hardly longer. */
+static void
+test_shutdown_streams (void)
+{
+  struct setup *setup = open_setup_with_grace (STREAM_DRAIN_WAIT_MS, STREAM_GRACE_MS);
+  struct stream_caller callers[STREAM_CALLERS] = { 0 };
+  guint answered = 0;
+  for (guint i = 0; i < STREAM_CALLERS; i++)
+    callers[i]
+        = (struct stream_caller){ .setup = setup, .method = i % 2 ? "POST" : "GET", .path = i % 2 ? "/w/x" : "/r/x" };
+  set_behaviour (setup, SENDS_LATE);
+  run_streams (setup, callers, g_get_monotonic_time () + STREAM_MS * HF_MS);
+  g_subprocess_send_signal (setup->entry, SIGTERM);
+  run_streams (setup, callers, g_get_monotonic_time () + CHANGE_TIMEOUT_S * HF_SEC);
+  g_assert_false (is_running (setup));
+  wait_for_exit (setup);
+  harness_pause (LATE_MAX_MS);
+  for (guint i = 0; i < STREAM_CALLERS; i++)
+    {
+      answered += callers[i].answered;
+      if (!callers[i].client)
+        continue;
+      check_stream_response (&callers[i]);
+      raw_client_close (callers[i].client);
+    }
+  g_assert_cmpuint (answered, >, STREAM_CALLERS);
+  close_setup (setup);
+}
+
 /* --- tests: the cause of a failure, explained from the log alone --- */
 
 /* Every slot holds a request without a response, so the next one is refused as not run: the log shows that it was
@@ -1304,6 +1447,7 @@
   g_test_add_func ("/platform/shutdown", test_shutdown);
   g_test_add_func ("/platform/shutdown-late", test_shutdown_late);
   g_test_add_func ("/platform/shutdown-last-answers", test_shutdown_last_answers);
+  g_test_add_func ("/platform/shutdown-streams", test_shutdown_streams);
   g_test_add_func ("/platform/shutdown-unread-bytes", test_shutdown_unread_bytes);
   g_test_add_func ("/platform/explain-refused", test_explain_refused);
   g_test_add_func ("/platform/explain-broken", test_explain_broken);
