--- a/src/hf-attempts.c
+++ b/src/hf-attempts.c
@@ -1,4 +1,4 @@
-/* Evaluation of an attempt at a backend server. */
+/* Connection and evaluation of an attempt at a backend server. */
 #include "hf-attempts.h"
 
 #include "hf-quarantine.h"
@@ -37,6 +37,17 @@
 
 /* --- public functions --- */
 
+/* The request id does not tell the attempts of a call apart: a kept connection to a server that had one may still
+ * deliver a second copy of the earlier response. */
+int64_t
+hf_attempts_connection_idle_max_ms (const struct hf_call *call, unsigned i, uint64_t server)
+{
+  for (unsigned earlier = 0; earlier < i; earlier++)
+    if (call->attempts[earlier].server == server)
+      return 0;
+  return call->class->repeatable ? HF_CONNECTION_IDLE_MS : HF_CONNECTION_PROVEN_MS;
+}
+
 bool
 hf_attempts_is_failure_status (unsigned status)
 {
--- a/src/hf-calls.c
+++ b/src/hf-calls.c
@@ -183,17 +183,6 @@
   return MIN (timeout_us, MAX (hedge_us, HF_HEDGE_MIN_MS * HF_MS));
 }
 
-/* Longest idle time of the connection that attempt @i may use. The request id does not tell the attempts of a call
- * apart: a kept connection to a server that had one may still deliver a second copy of the earlier response. */
-static int64_t
-connection_idle_max_ms (const struct hf_call *call, unsigned i, uint64_t server)
-{
-  for (unsigned earlier = 0; earlier < i; earlier++)
-    if (call->attempts[earlier].server == server)
-      return 0;
-  return call->class->repeatable ? HF_CONNECTION_IDLE_MS : HF_CONNECTION_PROVEN_MS;
-}
-
 static void
 dispatch (struct hf_state *state, struct hf_call *call, unsigned i, const struct hf_pool_server *server)
 {
@@ -203,7 +192,7 @@
     .call = call->id,
     .attempt = i,
     .server = server->id,
-    .idle_max_ms = connection_idle_max_ms (call, i, server->id),
+    .idle_max_ms = hf_attempts_connection_idle_max_ms (call, i, server->id),
     .remaining_ms = MAX (1, (hf_shutdown_server_deadline (state, call) - state->now) / HF_MS),
   };
   effect.address = hf_effects_copy (state->effects, server->address);
