--- a/src/hf-settings.c
+++ b/src/hf-settings.c
@@ -69,7 +69,8 @@
     .max = 3600000,
     .default_value = HF_SHUTDOWN_TIMEOUT_SEC * 1000,
     .unit = "ms",
-    .help = "Longest time from SIGTERM to the exit of the process." },
+    .help = "Longest time from SIGTERM to the exit of the process. Requests that "
+            "could take longer are refused." },
   { .name = "drain_wait_ms",
     .type = HF_YAML_INT,
     .offset = offsetof (struct hf_settings, drain_wait_ms),
--- a/tests/test-http-server.c
+++ b/tests/test-http-server.c
@@ -358,8 +358,7 @@
   close_run (run);
 }
 
-/* Requests that wait in the sockets when the server stops, one of them in a connection that is not accepted yet, are
- * answered; connections without a request close afterwards. */
+/* Of two requests that wait in the kernel when the server stops, one is on a connection that is not accepted yet. */
 static void
 test_stop_unread (void)
 {
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -1156,8 +1156,7 @@
   close_setup (setup);
 }
 
-/* After SIGTERM a request that may take longer than the process has left is refused at once and reaches no server; one
- * that is repeatable and usually ends in time is served. */
+/* Only a request that may take longer than the process has left is refused, and then reaches no server. */
 static void
 test_shutdown_late (void)
 {
@@ -1179,8 +1178,7 @@
   close_setup (setup);
 }
 
-/* Requests in progress at the end of the grace get a whole answer: 504 if a server may have run it, 503 if it never
- * arrived completely. */
+/* Requests in progress at the exit: 504 if a server may have run it, 503 if it never arrived completely. */
 static void
 test_shutdown_last_answers (void)
 {
@@ -1208,8 +1206,7 @@
   close_setup (setup);
 }
 
-/* The last response before the exit reaches a caller completely that reads it late and has sent more than one request:
- * what the process leaves unread would reset the connection, and with it what the caller has not read. */
+/* Bytes that the process leaves unread would reset the connection, with what the caller has not received yet. */
 static void
 test_shutdown_unread_bytes (void)
 {
@@ -1316,8 +1313,7 @@
     }
 }
 
-/* SIGTERM in the middle of streams of requests on kept connections, with servers about as slow as the timeouts and a
- * grace that is hardly longer. */
+/* The servers are about as slow as the timeouts, and the grace is hardly longer. */
 static void
 test_shutdown_streams (void)
 {
