--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -371,8 +371,8 @@
       for (unsigned i = 0; i < fleet->entry_count; i++)
         {
           const struct hf_directory *directory = &fleet->entries[i].state->directory;
-          g_assert_cmpuint (directory->revision, >=, revisions[i]);
-          revisions[i] = directory->revision;
+          g_assert_cmpuint (directory->position.revision, >=, revisions[i]);
+          revisions[i] = directory->position.revision;
           if (revisions[i] >= fleet->revision)
             g_assert_false (g_hash_table_contains (directory->servers, removed));
         }
