Soak: servers that leave by header alone, and that turn requests away

In calm phases one server says in its responses that it leaves, while it is listed as ready, and another answers the first request of each entry with 503 and Retry-After. From half a second after such an answer the server checks, for each entry process, that nothing arrives from one that was told that it leaves, and at most two requests within the time of a Retry-After.

--- a/soak/soak.c
+++ b/soak/soak.c
@@ -17,7 +17,8 @@
  * - every request succeeds;
  * - the shutdown of an entry breaks off no request;
  * - a change in the store is in force everywhere in time;
- * - a draining server gets no new requests.
+ * - a draining server gets no new requests;
+ * - an entry to which a server has answered that it leaves, or that it wants no requests for a time, sends it none.
  */
 #include <gio/gio.h>
 #include <glib/gstdio.h>
@@ -50,6 +51,9 @@
 #define RETRY_BUDGET_WINDOW_S 10
 #define RETRY_BUDGET_RATIO    0.2 /* repeats allowed per request in the window */
 #define RETRY_BUDGET_EXTRA    58  /* further repeats allowed in the window */
+#define WISH_MS               500 /* after an answer with a restriction; then the entry must have stopped */
+#define PUSHBACK_REQUESTS_MAX 2   /* that may reach a server within the time for which it wants none */
+#define PUSHBACK_S            3   /* Retry-After of a server that turns requests away */
 #define DISCONNECT_ONE_IN     20  /* one caller in this many disconnects early, in phases with faults */
 #define WRITE_ONE_IN          3   /* one request in this many is not repeatable */
 
@@ -69,6 +73,22 @@
   SERVER_BEHAVIOUR_COUNT,
 };
 
+/** enum server_restriction - what a backend server says of itself in calm phases, while it is listed as ready */
+enum server_restriction
+{
+  WANTS_REQUESTS,
+  LEAVES,      /* all its responses say so */
+  PUSHES_BACK, /* it answers the first request of each entry with 503 and Retry-After */
+};
+
+/* What one server has told one entry. */
+struct told
+{
+  guint entry_start_count; /* process that was told; 0: none */
+  gint64 at;
+  guint requests_since; /* from WISH_MS on */
+};
+
 /* A fake backend server; it gets a new name each time it is replaced. */
 struct server
 {
@@ -82,6 +102,8 @@
   gint64 fault_ends_at;
   gboolean listed;
   gint64 draining_since; /* listed as draining since then, in a calm phase; 0: not draining */
+  enum server_restriction restriction;
+  struct told told[ENTRY_COUNT];
 };
 
 struct soak_entry
@@ -107,6 +129,8 @@
   guint run_count;
   gboolean is_write;
   gboolean refused; /* reported to the caller as not run */
+  guint entry;      /* that got it from the caller */
+  guint entry_start_count;
 };
 
 struct request
@@ -182,6 +206,13 @@
   return g_rand_int_range (soak->random, 100, (gint32) most_ms);
 }
 
+/* True in a calm phase, more than SETTLE_MS after the last fault. */
+static gboolean
+is_settled (const struct soak *soak)
+{
+  return soak->calm && now_ms () - soak->last_fault_end > SETTLE_MS;
+}
+
 /* --- internal functions: backend servers --- */
 
 static void
@@ -197,6 +228,13 @@
   g_free (spec);
 }
 
+static void
+set_restriction (struct server *server, enum server_restriction restriction)
+{
+  server->restriction = restriction;
+  memset (server->told, 0, sizeof server->told);
+}
+
 /* Lists a new server at the same address, perhaps for another service. */
 static void
 start_server (struct server *server, guint service)
@@ -205,6 +243,7 @@
   server->service = service;
   server->behaviour = SENDS_RESPONSE;
   server->draining_since = 0;
+  set_restriction (server, WANTS_REQUESTS);
   g_snprintf (server->name, sizeof server->name, "i-%u-%u", (guint) (server - server->soak->servers),
               server->start_count);
   put_server (server, "ready");
@@ -221,19 +260,51 @@
 }
 
 static void
-send_response (struct raw_connection *connection, const char *id)
+send_response (struct raw_connection *connection, const char *id, gboolean leaves)
 {
   char *body = g_strdup_printf ("answer to %s", id);
   raw_connection_send (
       connection,
-      "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: stamp-%s\r\nX-Backend-Load: 1,0,3,100\r\n"
+      "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: stamp-%s\r\nX-Backend-Load: 1,0,3,100\r\n%s"
       "Content-Length: %zu\r\n\r\n%s",
-      id, id, strlen (body), body);
+      id, id, leaves ? "Server-Leaving: 1\r\n" : "", strlen (body), body);
   g_free (body);
 }
 
+/* Notes that the entry which sent a request is told something now; returns FALSE if it had been told before. */
+static gboolean
+note_told (struct server *server, const struct request_record *request_record)
+{
+  struct told *told = &server->told[request_record->entry];
+  if (told->entry_start_count == request_record->entry_start_count)
+    return FALSE;
+  *told = (struct told){ .entry_start_count = request_record->entry_start_count, .at = now_ms () };
+  return TRUE;
+}
+
+/* Checks that the entry which sent a request was not told before to send none. */
+static void
+check_restriction (struct server *server, const struct request_record *request_record, const char *id)
+{
+  struct soak *soak = server->soak;
+  struct told *told = &server->told[request_record->entry];
+  gint64 elapsed_ms = now_ms () - told->at;
+  if (told->entry_start_count != request_record->entry_start_count || !soak->check_time_bounds || !is_settled (soak)
+      || elapsed_ms < WISH_MS)
+    return;
+  if (server->restriction == LEAVES)
+    report_failure (soak, "request %s reached server %s %d ms after it had told the entry that it leaves", id,
+                    server->name, (int) elapsed_ms);
+  if (server->restriction == PUSHES_BACK && elapsed_ms < PUSHBACK_S * 1000
+      && ++told->requests_since > PUSHBACK_REQUESTS_MAX)
+    report_failure (soak, "request %s reached server %s %d ms after it had told the entry to wait for %d s", id,
+                    server->name, (int) elapsed_ms, PUSHBACK_S);
+}
+
 struct work
 {
+  struct server *server;
+  struct request_record *request_record;
   struct raw_connection *connection;
   enum server_behaviour behaviour;
   char *id;
@@ -245,7 +316,7 @@
   struct work *work = data;
   const char *id = work->id;
   if (work->behaviour == SENDS_FOREIGN_RESPONSE_FIRST)
-    send_response (work->connection, "another");
+    send_response (work->connection, "another", FALSE);
   if (work->behaviour == SENDS_503)
     raw_connection_send (work->connection, "HTTP/1.1 503 Failed\r\nX-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", id);
   else if (work->behaviour == RESETS_CONNECTION)
@@ -253,26 +324,24 @@
   else if (work->behaviour == SENDS_NON_HTTP)
     raw_connection_send (work->connection, "220 this is another protocol\r\n\r\n");
   else if (work->behaviour != SENDS_NOTHING)
-    send_response (work->connection, id);
+    {
+      gboolean leaves = work->server->restriction == LEAVES;
+      if (leaves)
+        note_told (work->server, work->request_record);
+      send_response (work->connection, id, leaves);
+    }
   if (work->behaviour == SENDS_EXTRA_BYTES)
-    send_response (work->connection, "another");
+    send_response (work->connection, "another", FALSE);
   g_free (work->id);
   g_free (work);
   return G_SOURCE_REMOVE;
 }
 
 static void
-check_server_request (struct server *server, const char *text, const char *id)
+check_server_request (struct server *server, struct request_record *request_record, const char *text, const char *id)
 {
   struct soak *soak = server->soak;
-  guint64 request_id = g_ascii_strtoull (id, NULL, 10);
-  struct request_record *request_record = g_hash_table_lookup (soak->records, GUINT_TO_POINTER (request_id));
   gboolean is_write = g_str_has_prefix (text, "POST /w/");
-  if (!request_record)
-    {
-      report_failure (soak, "a server received request \"%s\", which no caller sent", id);
-      return;
-    }
   request_record->run_count++;
   gint64 now = now_ms ();
   if (request_record->run_count > 1)
@@ -304,16 +373,31 @@
     }
   char *id = header_value (text, "X-Attempt-Id");
   char *expected = header_value (text, "X-Expect-Instance");
+  guint64 request_id = g_ascii_strtoull (id, NULL, 10);
+  struct request_record *request_record = g_hash_table_lookup (server->soak->records, GUINT_TO_POINTER (request_id));
+  if (request_record && strcmp (expected, server->name) == 0)
+    check_restriction (server, request_record, id);
   if (strcmp (expected, server->name) != 0)
     raw_connection_send (connection, "HTTP/1.1 421 Misdirected\r\nX-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", id);
   else if (server->behaviour == SENDS_NOT_RUN)
     raw_connection_send (connection,
                          "HTTP/1.1 503 Full\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id);
+  else if (server->restriction == PUSHES_BACK && request_record && note_told (server, request_record))
+    raw_connection_send (connection,
+                         "HTTP/1.1 503 Full\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nRetry-After: %d\r\n"
+                         "Content-Length: 0\r\n\r\n",
+                         id, PUSHBACK_S);
+  else if (!request_record)
+    report_failure (server->soak, "a server received request \"%s\", which no caller sent", id);
   else
     {
       struct work *work = g_new (struct work, 1);
-      check_server_request (server, text, id);
-      *work = (struct work){ .connection = connection, .behaviour = server->behaviour, .id = g_strdup (id) };
+      check_server_request (server, request_record, text, id);
+      *work = (struct work){ .server = server,
+                             .request_record = request_record,
+                             .connection = connection,
+                             .behaviour = server->behaviour,
+                             .id = g_strdup (id) };
       g_timeout_add ((guint) g_rand_int_range (server->soak->random, 1, SERVICE_TIME_MS_MAX), finish_work, work);
     }
   g_free (id);
@@ -530,12 +614,6 @@
   g_ptr_array_unref (requests);
 }
 
-static gboolean
-is_settled (const struct soak *soak)
-{
-  return soak->calm && now_ms () - soak->last_fault_end > SETTLE_MS;
-}
-
 static void
 send_request (struct soak *soak)
 {
@@ -557,6 +635,8 @@
                           = now + (disconnects_early ? random_ms (soak, REQUEST_DEADLINE_MS / 4) : CALLER_TIMEOUT_MS),
                           .sent_in_calm = is_settled (soak) && now - entry->last_action_at > SETTLE_MS };
   request_record->is_write = is_write;
+  request_record->entry = (guint) (entry - soak->entries);
+  request_record->entry_start_count = entry->start_count;
   g_hash_table_insert (soak->records, GUINT_TO_POINTER (request->id), request_record);
   g_array_append_val (soak->request_times, now);
   char *path = uses_version_route ? g_strdup_printf ("/g%u/x", request->config_version)
@@ -715,11 +795,15 @@
 
 /* --- internal functions: run --- */
 
-/* Makes planned changes only: a new configuration, a draining server, the shutdown of an entry. */
+/* Makes planned changes only: a new configuration, a draining server, one that leaves and one that turns requests away
+ * while they are listed as ready, the shutdown of an entry. */
 static void
 run_calm_phase (struct soak *soak)
 {
-  struct server *server = &soak->servers[g_rand_int_range (soak->random, 0, SERVER_COUNT / 2)];
+  int first = g_rand_int_range (soak->random, 0, SERVER_COUNT / 2);
+  struct server *server = &soak->servers[first];
+  struct server *leaving_server = &soak->servers[(first + 1) % (SERVER_COUNT / 2)];
+  struct server *full_server = &soak->servers[(first + 2) % (SERVER_COUNT / 2)];
   /* A kept-alive connection that lost bytes stays silent after the fault and would fail the next request sent on it. */
   harness_pause (FAULT_MS_MAX);
   for (guint i = 0; i < SERVER_COUNT; i++)
@@ -728,10 +812,14 @@
   put_config (soak);
   put_server (server, "draining");
   server->draining_since = now_ms ();
+  set_restriction (leaving_server, LEAVES);
+  set_restriction (full_server, PUSHES_BACK);
   harness_pause (CHANGE_TIMEOUT_MS + 500);
   stop_entry (&soak->entries[g_rand_int_range (soak->random, 0, ENTRY_COUNT)], SIGTERM);
   harness_pause (CALM_DURATION_S * 1000 - SETTLE_MS - CHANGE_TIMEOUT_MS - 1000);
   replace_server (soak, server);
+  replace_server (soak, leaving_server);
+  set_restriction (full_server, WANTS_REQUESTS);
 }
 
 static void
