test-platform: restrictions under 200 requests a second

Bursts of six requests each 30 ms at a real process: a server that answered 503 with Retry-After gets two requests at most from half a second on, one that leaves none, also while the other does not respond and requests are hedged.

--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -25,6 +25,7 @@
 #define DISCONNECT_MS           500  /* until a caller's disconnect has reached the backend server */
 #define SETTLE_MS               50   /* until responses under way have arrived */
 #define SPLIT_REQUESTS          400
+#define BURST_INTERVAL_MS       30 /* 200 requests a second */
 #define BURST_REQUESTS          6
 #define BURSTS_MAX              40
 #define SILENT_CHECKS           14 /* in SILENT_CHECKS_TIMEOUT_S; one after the other, each with its timeout, at most 9 fit */
@@ -708,6 +709,66 @@
   close_setup (setup);
 }
 
+/* Sends BURST_REQUESTS every BURST_INTERVAL_MS for some time, without waiting for responses, and counts the failed
+ * ones. */
+static guint
+run_load (struct setup *setup, guint ms)
+{
+  GPtrArray *clients = g_ptr_array_new ();
+  gint64 end = g_get_monotonic_time () + ms * G_GINT64_CONSTANT (1000);
+  guint failures = 0;
+  while (g_get_monotonic_time () < end)
+    {
+      gboolean is_write = clients->len % 3 == 0;
+      char *text = format_request (setup, is_write ? "POST" : "GET", is_write ? "/w/x" : "/r/x", "");
+      g_ptr_array_add (clients, raw_client_connect (setup->net, setup->caller_address, text));
+      g_free (text);
+      if (clients->len % BURST_REQUESTS == 0)
+        harness_pause (BURST_INTERVAL_MS);
+    }
+  for (guint i = 0; i < clients->len; i++)
+    {
+      struct raw_client *client = g_ptr_array_index (clients, i);
+      g_assert_true (harness_wait_until (has_response, client, CHANGE_TIMEOUT_S));
+      failures += raw_client_status (client) != 200;
+      raw_client_close (client);
+    }
+  g_ptr_array_unref (clients);
+  return failures;
+}
+
+/* Under load a server that wants no requests gets two at most from half a second on; one that leaves gets none, also
+ * while the other one does not respond and requests are hedged. */
+static void
+test_restrictions_under_load (void)
+{
+  struct setup *setup = open_setup ();
+  struct backend_server *full = &setup->servers[0];
+  run_load (setup, 500);
+  full->behaviour = SENDS_NOT_RUN;
+  full->extra_fields = "Retry-After: 30\r\n";
+  send_until_served_by (setup, 0);
+  full->behaviour = SENDS_RESPONSE;
+  full->extra_fields = NULL;
+  run_load (setup, 500);
+  guint requests = full->requests;
+  g_assert_cmpuint (run_load (setup, 2000), ==, 0);
+  g_assert_cmpuint (full->requests, <=, requests + 2);
+  close_setup (setup);
+
+  setup = open_setup ();
+  setup->servers[0].extra_fields = "Server-Leaving: 1\r\n";
+  send_until_served_by (setup, 0);
+  run_load (setup, 500);
+  requests = setup->servers[0].requests;
+  setup->servers[1].behaviour = SENDS_NOTHING;
+  run_load (setup, 300);
+  setup->servers[1].behaviour = SENDS_RESPONSE;
+  run_load (setup, 1000);
+  g_assert_cmpuint (setup->servers[0].requests, ==, requests);
+  close_setup (setup);
+}
+
 /* A server whose object was deleted gets no new requests. */
 static void
 test_removed (void)
@@ -1212,6 +1273,7 @@
   g_test_add_func ("/platform/leaving-by-health-response", test_leaving_by_health_response);
   g_test_add_func ("/platform/pushback", test_pushback);
   g_test_add_func ("/platform/pushback-may-have-run", test_pushback_may_have_run);
+  g_test_add_func ("/platform/restrictions-under-load", test_restrictions_under_load);
   g_test_add_func ("/platform/removed", test_removed);
   g_test_add_func ("/platform/forgotten", test_compacted_history);
   g_test_add_func ("/platform/lapse", test_missing_servers);
