--- a/src/hf-restrictions.c
+++ b/src/hf-restrictions.c
@@ -209,7 +209,7 @@
 {
   struct hf_pool_server *server = find_listed (state, &(struct instance){ notice->subject, notice->id });
   int64_t max_us = HF_RETRY_AFTER_MAX_SEC * HF_SEC + HF_PUSHBACK_SPREAD_MS * HF_MS;
-  if (server && hf_state_find_member (state, sender))
+  if (server)
     hf_pushback_set (&server->pushbacks, sender, state->now + MIN (notice->hold_ms * HF_MS, max_us));
 }
 
@@ -258,6 +258,8 @@
 {
   const struct hf_rpc_notice *notice = &event->peer.message->body.hf_rpc_body_u.notice;
   const struct instance instance = { notice->subject, notice->id };
+  if (!hf_state_find_member (state, event->peer.message->boot_id))
+    return;
   if (notice->kind == HF_NOTICE_LEAVING)
     set_leaving (state, &instance, "an entry that had its response");
   else if (notice->kind == HF_NOTICE_PUSHBACK)
