test-restrictions: queue order, a granter that is pushed back, slow start

Failed with the check for pushback taken out of grant_queued, and of may_start_now: /restrictions/pushback-queue-order: last_decision (decisions)->kind == HF_DECISION_GRANTED (0 == 1) /restrictions/pushback-granter: the same

--- a/tests/test-restrictions.c
+++ b/tests/test-restrictions.c
@@ -10,6 +10,7 @@
 #include "hf-base.h"
 #include "hf-dump.h"
 #include "hf-http-parser.h"
+#include "hf-placement.h"
 #include "hf-members.h"
 
 /* --- constants --- */
@@ -491,6 +492,91 @@
   g_array_unref (decisions);
 }
 
+/* A pool with one server of one slot, which wants no requests from entry 1 until 10 s. */
+static void
+open_pushed_back_pool (struct hf_pool *pool)
+{
+  struct hf_pool_listing listing = { .id = 7, .incarnation = 1, .spec = { .name = hf_str ("s"), .slots = 1 } };
+  hf_pool_init (pool, 1);
+  pool->queue_limit = 10;
+  hf_pool_put_server (pool, &listing);
+  hf_pushback_set (&hf_pool_find_server (pool, 7)->pushbacks, 1, 10 * HF_SEC);
+}
+
+static const struct hf_decision *
+last_decision (const GArray *decisions)
+{
+  return &g_array_index (decisions, struct hf_decision, decisions->len - 1);
+}
+
+/* A queued request of an entry that is pushed back does not hold up those of others behind it, and is served at the
+ * end of that time. */
+static void
+test_pushback_queue_order (void)
+{
+  struct hf_pool pool;
+  GArray *decisions = g_array_new (FALSE, FALSE, sizeof (struct hf_decision));
+  open_pushed_back_pool (&pool);
+  struct hf_slot_request request = { .entry = 1, .ticket = 1, .deadline = 20 * HF_SEC, .worth = 2 };
+  hf_pool_acquire_slot (&pool, HF_SEC, request, decisions);
+  g_assert_cmpint (last_decision (decisions)->kind, ==, HF_DECISION_QUEUED);
+  request = (struct hf_slot_request){ .entry = 2, .ticket = 2, .deadline = 20 * HF_SEC, .worth = 1 };
+  hf_pool_acquire_slot (&pool, HF_SEC, request, decisions);
+  g_assert_cmpint (last_decision (decisions)->kind, ==, HF_DECISION_GRANTED);
+  g_assert_cmpuint (last_decision (decisions)->ticket, ==, 2);
+  hf_pool_release_slot (&pool, 2 * HF_SEC, 2, 2, HF_SLOT_OK, 1000, decisions);
+  g_assert_cmpuint (last_decision (decisions)->ticket, ==, 2);
+  hf_pool_expire (&pool, 10 * HF_SEC, decisions);
+  g_assert_cmpint (last_decision (decisions)->kind, ==, HF_DECISION_GRANTED);
+  g_assert_cmpuint (last_decision (decisions)->ticket, ==, 1);
+  hf_pool_close (&pool);
+  g_array_unref (decisions);
+}
+
+/* A granter that is pushed back must not measure the server; other entries get its slots without a fresh report. */
+static void
+test_pushback_granter (void)
+{
+  struct hf_pool pool;
+  GArray *decisions = g_array_new (FALSE, FALSE, sizeof (struct hf_decision));
+  open_pushed_back_pool (&pool);
+  struct hf_pool_server *server = hf_pool_find_server (&pool, 7);
+  struct hf_slot_request request = { .entry = 2, .ticket = 2, .deadline = 20 * HF_SEC };
+  pool.requires_measurements = true;
+  hf_health_record_slowdown (server, HF_SEC, 100);
+  g_assert_nonnull (hf_placement_server_to_measure (&pool, 5 * HF_SEC, &request));
+  server->measurable_at = 10 * HF_SEC;
+  g_assert_null (hf_placement_server_to_measure (&pool, 5 * HF_SEC, &request));
+  hf_pool_acquire_slot (&pool, 5 * HF_SEC, request, decisions);
+  g_assert_cmpint (last_decision (decisions)->kind, ==, HF_DECISION_GRANTED);
+  hf_pool_close (&pool);
+  g_array_unref (decisions);
+}
+
+/* After the time an entry gets one slot, and another one after two successes. */
+static void
+test_pushback_slow_start (void)
+{
+  GArray *pushbacks = NULL;
+  hf_pushback_set (&pushbacks, 1, 10);
+  hf_pushback_set (&pushbacks, 1, 5);
+  g_assert_false (hf_pushback_allows (pushbacks, 1, 9));
+  g_assert_true (hf_pushback_allows (pushbacks, 2, 9));
+  g_assert_true (hf_pushback_allows (pushbacks, 1, 10));
+  hf_pushback_count_grant (pushbacks, 1);
+  g_assert_false (hf_pushback_allows (pushbacks, 1, 10));
+  hf_pushback_count_success (pushbacks, 1, 2);
+  hf_pushback_count_success (pushbacks, 1, 2);
+  g_assert_true (hf_pushback_allows (pushbacks, 1, 10));
+  hf_pushback_count_grant (pushbacks, 1);
+  g_assert_false (hf_pushback_allows (pushbacks, 1, 10));
+  hf_pushback_count_release (pushbacks, 1);
+  hf_pushback_count_success (pushbacks, 1, 2);
+  hf_pushback_count_success (pushbacks, 1, 2);
+  g_assert_cmpint (hf_pushback_until (pushbacks, 1), ==, 0);
+  g_array_unref (pushbacks);
+}
+
 /* Servers say at random times that they leave or want no requests, datagrams are lost, granters are cut off, servers
  * are listed again: no entry sends what it was told not to send, by a list of instance and time. */
 static void
@@ -626,6 +712,9 @@
   g_test_add_func ("/restrictions/pushback-service-long", test_pushback_service_long);
   g_test_add_func ("/restrictions/pushback-service-short", test_pushback_service_short);
   g_test_add_func ("/restrictions/pushback-retry-budget", test_pushback_retry_budget);
+  g_test_add_func ("/restrictions/pushback-queue-order", test_pushback_queue_order);
+  g_test_add_func ("/restrictions/pushback-granter", test_pushback_granter);
+  g_test_add_func ("/restrictions/pushback-slow-start", test_pushback_slow_start);
   for (guint seed = 1; seed <= 10; seed++)
     {
       char *path = g_strdup_printf ("/restrictions/against-list/%u", seed);
