An update names servers that changed and changed back

What callers would see: requests sent to a backend server that has left, or none to one that is there, at some entries, at the same position as all others, until the server's next change.

Cause: an entry records a change only if it differs from what it has. One that gets joining and leaving of a server in one update, or its leaving and return, records nothing and sends the next update without that server. A third entry that knows only the first of the two changes lies between the update's positions, applies it and keeps its state.

Change: the removal of a server that is not listed is recorded, so is a newer report that changes nothing else, and in a list each server that the store changed since the last position (SERVER_REPORT carries the revision of the object).

Test: test-restore, random runs with changes, restores, cuts, pauses, restarts, hanging watches and lost datagrams against a plain table.

--- a/src/hf-directory.c
+++ b/src/hf-directory.c
@@ -117,7 +117,10 @@
   if (!listed && report->incarnation > 0)
     hf_removed_servers_add (state->directory.removed, report, state->now);
   if (!listed)
-    return;
+    {
+      hf_directory_sync_record_change (state, report->name);
+      return;
+    }
   if (hf_server_report_compare_age (report, &listed->report) > 0)
     {
       listed->report.incarnation = report->incarnation;
@@ -202,10 +205,15 @@
 }
 
 static void
-add_or_update (struct hf_state *state, struct listed_server *listed, const struct hf_server_report *report)
+add_or_update (struct hf_state *state,
+               struct listed_server *listed,
+               const struct hf_server_report *report,
+               bool from_list)
 {
   if (listed && is_unchanged (listed, report))
     {
+      if (!from_list && report->sequence > listed->report.sequence)
+        hf_directory_sync_record_change (state, report->name);
       listed->stale = false;
       listed->report.sequence = report->sequence;
       return;
@@ -362,7 +370,7 @@
   if (report->removed || !is_complete (report))
     handle_removal (state, listed, report);
   else if (!is_superseded (state, listed, report, from_list))
-    add_or_update (state, listed, report);
+    add_or_update (state, listed, report, from_list);
   else if (listed)
     listed->stale = false;
   state->directory.pools_outdated = true;
@@ -411,11 +419,16 @@
   hf_effects_add (state->effects, (struct hf_effect){ .kind = HF_EFFECT_LIST_AGAIN, .position = { .era = era } });
 }
 
+/* A list shows what a server is, not that it has changed and changed back since the list before. */
 void
 hf_directory_handle_report (struct hf_state *state, const struct hf_event *event)
 {
-  if (!is_outdated (state, event->position))
-    hf_directory_update_server (state, &event->report, state->directory.listing);
+  const struct hf_directory *directory = &state->directory;
+  if (is_outdated (state, event->position))
+    return;
+  if (directory->listing && event->position.revision > directory->position.revision)
+    hf_directory_sync_record_change (state, event->report.name);
+  hf_directory_update_server (state, &event->report, directory->listing);
 }
 
 void
--- a/src/hf-event.h
+++ b/src/hf-event.h
@@ -210,7 +210,7 @@
   struct hf_server_report report;    /* SERVER_REPORT */
   struct hf_listed_entry entry;      /* ENTRY_REPORT */
   enum hf_list_step list_step;       /* LIST_STEP */
-  struct hf_store_position position; /* LIST_STEP: of the directory; SERVER_REPORT: only the era that it is from */
+  struct hf_store_position position; /* LIST_STEP: of the directory; SERVER_REPORT: last change of the server */
 };
 
 /* --- types: effects --- */
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -116,7 +116,7 @@
   g_snprintf (name, sizeof name, "s%u", i);
   g_snprintf (address, sizeof address, "10.1.0.%u:80", i % 200 + 1);
   fleet_raise_event (entry, (struct hf_event){ .kind = HF_EVENT_SERVER_REPORT,
-                                               .position = { .era = entry->fleet->era },
+                                               .position = { .era = entry->fleet->era, .revision = server->revision },
                                                .report = { .name = hf_str (name),
                                                            .service = hf_str ("a"),
                                                            .address = hf_str (address),
