--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -55,7 +55,11 @@
       const struct hf_state *state = fleet->entries[i].state;
       g_assert_cmpuint (state->roles.granters->len, ==, 6);
       for (uint64_t subject = 1; subject < 50; subject++)
-        g_assert_cmpuint (hf_roles_granter (state, subject), <=, 6);
+        {
+          uint64_t granter = hf_roles_granter (state, subject);
+          g_assert_cmpuint (granter, <=, 6);
+          g_assert_cmpuint (granter, ==, hf_roles_granter (fleet->entries[0].state, subject));
+        }
       fleet->entries[i].heartbeats_sent = 0;
     }
   g_assert_cmpuint (fleet_count_active_watches (fleet), ==, 6);
--- a/tests/test-promises.c
+++ b/tests/test-promises.c
@@ -695,13 +695,20 @@
   setup_close (setup);
 }
 
+static gboolean
+has_reloaded (void *context)
+{
+  const struct entry *entry = context;
+  return strstr (entry->process->log->str, "\"reloaded\"") != NULL;
+}
+
 /* SIGHUP makes the entry reload its settings file; it must keep serving. */
 static void
 test_hangup (void)
 {
   struct setup *setup = setup_open (1, 1, 1, NULL);
   process_send_signal (setup_entry (setup, 0)->process, SIGHUP);
-  harness_pause (200);
+  g_assert_true (harness_wait_until (has_reloaded, setup_entry (setup, 0), CONFIG_TIMEOUT_S));
   check_gets_succeed (setup, "hangup", 0, 5);
   setup_close (setup);
 }
