--- a/src/config.h
+++ b/src/config.h
@@ -189,7 +189,7 @@
 
 /* Configuration sync. */
 #define HF_CONFIG_CHECK_INTERVAL_MS 3000              /* between comparisons with the stored version */
-#define HF_DOCUMENT_BYTES_MAX       (8 * 1024 * 1024) /* an external store's largest object grows up to fivefold */
+#define HF_DOCUMENT_BYTES_MAX       (8 * 1024 * 1024) /* more than an external store's largest object gives */
 #define HF_MANIFEST_BYTES_MAX       (1000 * 1000)     /* document in an object of the platform's object API */
 #define HF_DOCUMENT_PACK_LEVEL      3                 /* of zlib; higher ones take more processor time for little */
 
