Soak: faults begin again only after the requests of a calm phase have ended

Cause, from the logs of each: the request reached its entry 10 to 40 ms before the end of that process's log, which has no line of an exit, and the next process of the entry starts within 50 ms: the soak killed it. All four are at the change from the calm phase of the first round to the faults of the second one. A request sent in the calm phase was expected to succeed although faults had begun before it ended.

Faults now begin 3 s (the longest time of a caller) after the last request of the calm phase; requests sent in between are not expected to succeed, all others as before, so the check covers each of them to its end.

--- a/soak/soak.c
+++ b/soak/soak.c
@@ -167,7 +167,8 @@
   gint64 last_fault_end; /* may be in the future */
   gint64 store_fault_end;
   gboolean calm;
-  guint calm_phases; /* begun so far */
+  gboolean injects_faults; /* not in a calm phase, nor before its requests have ended */
+  guint calm_phases;       /* begun so far */
   guint served;
   guint failures;
 };
@@ -789,7 +790,7 @@
 on_fault_timer (gpointer data)
 {
   struct soak *soak = data;
-  if (!soak->calm)
+  if (soak->injects_faults)
     inject_fault (soak);
   return G_SOURCE_CONTINUE;
 }
@@ -918,11 +919,15 @@
   guint fault_timer = g_timeout_add (FAULT_INTERVAL_MS, on_fault_timer, soak);
   for (int round = 0; round < rounds; round++)
     {
-      soak->calm = FALSE;
+      soak->injects_faults = TRUE;
       harness_pause (fault_phase_s * 1000);
+      soak->injects_faults = FALSE;
       soak->calm = TRUE;
       if (check_time_bounds)
         run_calm_phase (soak);
+      soak->calm = FALSE;
+      if (check_time_bounds)
+        harness_pause (CALLER_TIMEOUT_MS);
     }
   g_source_remove (fault_timer);
   g_source_remove (request_timer);
