--- a/review/standins/standins.c
+++ b/review/standins/standins.c
@@ -20,7 +20,9 @@
 /* --- constants --- */
 
 #define SETTINGS_TEMPLATE "deploy/settings.yaml.in"
-#define PROGRAM           "target/hickoryd" /* first word of run in deploy/system.toml; the second is the settings file */
+#ifndef PROGRAM
+#define PROGRAM "target/hickoryd" /* first word of run in deploy/system.toml; the second is the settings file */
+#endif
 #define HEARTBEAT_MS      1500
 #define LIST_ITEMS_MAX    500
 
