review: case 4, a crashing request is never kept away from backends

Cause: the fingerprint of a request leaves out its query, and each sound answer with that fingerprint lifts the quarantine at all entries. Change: a script; nothing is fixed. The stand-ins start an entry again if another program took its port.

--- a/review/2/case.c
+++ b/review/2/case.c
@@ -8,13 +8,13 @@
 
 /* --- constants --- */
 
-#define CALLERS       6
-#define UPLOAD_BYTES  300000 /* the largest of the platform's are 360,000 */
-#define CHUNK_BYTES   4096
-#define CRASHES       20   /* one after the other, of one backend server at a time */
-#define CRASH_MS      700
-#define PAUSE_MS      700
-#define DEADLINE_MS   4000
+#define CALLERS      6
+#define UPLOAD_BYTES 300000 /* the largest of the platform's are 360,000 */
+#define CHUNK_BYTES  4096
+#define CRASHES      20 /* one after the other, of one backend server at a time */
+#define CRASH_MS     700
+#define PAUSE_MS     700
+#define DEADLINE_MS  4000
 
 static struct fleet fleet;
 static gint done;
--- a/review/3/case.c
+++ b/review/3/case.c
@@ -29,8 +29,7 @@
   char id[256];
   char text[20];
   header (request, "X-Attempt-Id", id);
-  bool fails = backend == &fleet.uploads[0] && now_ms () < trouble_until
-               && g_random_int_range (0, 100) < FAIL_PERCENT;
+  bool fails = backend == &fleet.uploads[0] && now_ms () < trouble_until && g_random_int_range (0, 100) < FAIL_PERCENT;
   if (!fails)
     return true;
   record ("backend %s: run id=%s digest=%s, and answers 503 without X-Not-Executed", backend->id, id,
--- a/review/standins/fleet.c
+++ b/review/standins/fleet.c
@@ -5,6 +5,7 @@
 
 #define READY_TIMEOUT_MS 20000
 #define SETTLE_MS        1500
+#define STARTS_MAX       3
 
 static GMutex sent_mutex;
 static GHashTable *sent; /* digest by request id */
@@ -46,6 +47,8 @@
       "\"timeout\":\"3000ms\",\"target_latency\":\"600ms\",\"priority\":1,\"service\":\"uploads\",\"max_attempts\":2},"
       "{\"name\":\"r-un\",\"host\":\"" FLEET_HOST "\",\"path_prefix\":\"/un/\",\"route_kind\":\"unsafe\","
       "\"timeout\":\"2000ms\",\"target_latency\":\"500ms\",\"priority\":1,\"service\":\"uploads\",\"max_attempts\":2},"
+      "{\"name\":\"r-ur\",\"host\":\"" FLEET_HOST "\",\"path_prefix\":\"/ur/\",\"route_kind\":\"safe\","
+      "\"timeout\":\"1500ms\",\"target_latency\":\"400ms\",\"priority\":2,\"service\":\"uploads\",\"max_attempts\":2},"
       "{\"name\":\"r-re\",\"host\":\"" FLEET_HOST "\",\"path_prefix\":\"/re/\",\"route_kind\":\"safe\","
       "\"timeout\":\"1500ms\",\"target_latency\":\"400ms\",\"priority\":2,\"service\":\"reads\",\"max_attempts\":2}],"
       "\"services\":[{\"name\":\"uploads\",\"health_path\":\"/health\",\"max_conns\":260,\"protocol\":\"h1\","
@@ -74,6 +77,19 @@
     }
 }
 
+/* Another program may take a free port before the entry does: the entry is then started once more, with other ports. */
+static void
+wait_ready (struct fleet *fleet, struct entry *entry)
+{
+  for (unsigned starts = 1; !entry_wait_ready (entry, READY_TIMEOUT_MS); starts++)
+    {
+      if (starts == STARTS_MAX || entry_is_running (entry))
+        give_up ("entry %s does not get ready", entry->name);
+      entry->front[0] = 0;
+      entry_start (entry, fleet->store, true);
+    }
+}
+
 void
 fleet_start (struct fleet *fleet)
 {
@@ -89,8 +105,7 @@
       entry_start (entry, fleet->store, true);
     }
   for (unsigned i = 0; i < FLEET_ENTRIES; i++)
-    if (!entry_wait_ready (&fleet->entries[i], READY_TIMEOUT_MS))
-      give_up ("entry %s does not get ready", fleet->entries[i].name);
+    wait_ready (fleet, &fleet->entries[i]);
   sleep_ms (SETTLE_MS);
   record ("fleet: all entries are ready");
 }
--- a/review/standins/fleet.h
+++ b/review/standins/fleet.h
@@ -22,7 +22,8 @@
 
 /* Starts all and waits until every entry is ready. */
 void fleet_start (struct fleet *fleet);
-/* Writes a configuration with routes /up/ (upload), /un/ (unsafe) and /re/ (safe). */
+/* Writes a configuration with routes /up/ (upload), /un/ (unsafe), /ur/ (safe) to the uploads, /re/ (safe) to the
+ * reads. */
 void fleet_configure (struct fleet *fleet, unsigned version);
 
 /* --- bodies that were sent, and what the backend servers ran --- */
--- a/review/standins/standins.c
+++ b/review/standins/standins.c
@@ -23,8 +23,8 @@
 #ifndef PROGRAM
 #define PROGRAM "target/hickoryd" /* first word of run in deploy/system.toml; the second is the settings file */
 #endif
-#define HEARTBEAT_MS      1500
-#define LIST_ITEMS_MAX    500
+#define HEARTBEAT_MS   1500
+#define LIST_ITEMS_MAX 500
 
 /* --- record --- */
 
@@ -267,8 +267,8 @@
 read_chunk (struct connection *connection, GByteArray *body, bool *last)
 {
   char *end;
-  while (!(connection->received->len
-           && (end = memmem (connection->received->data, connection->received->len, "\r\n", 2))))
+  while (
+      !(connection->received->len && (end = memmem (connection->received->data, connection->received->len, "\r\n", 2))))
     if (!receive (connection))
       return false;
   size_t line = (size_t) (end - (char *) connection->received->data);
@@ -558,8 +558,8 @@
       read_body (&connection, &request, false);
       GString *body = g_string_new (NULL);
       unsigned status = answer_store_call (job->store, &request, body);
-      char *head = g_strdup_printf (
-          "HTTP/1.1 %u X\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n\r\n", status, body->len);
+      char *head = g_strdup_printf ("HTTP/1.1 %u X\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n\r\n",
+                                    status, body->len);
       open = send_bytes (connection.fd, head, strlen (head)) && send_bytes (connection.fd, body->str, body->len);
       g_free (head);
       g_string_free (body, TRUE);
@@ -632,9 +632,9 @@
     return; /* it has crashed meanwhile */
   header (request, "X-Attempt-Id", id);
   char *load = load_field (backend);
-  char *text = g_strdup_printf ("HTTP/1.1 %s\r\n%s%s%s%s%sContent-Length: %zu\r\n\r\n%s", status,
-                                id[0] ? "X-Attempt-Id: " : "", id, id[0] ? "\r\n" : "", load, fields, strlen (body),
-                                body);
+  char *text
+      = g_strdup_printf ("HTTP/1.1 %s\r\n%s%s%s%s%sContent-Length: %zu\r\n\r\n%s", status,
+                         id[0] ? "X-Attempt-Id: " : "", id, id[0] ? "\r\n" : "", load, fields, strlen (body), body);
   send_bytes (connection->fd, text, strlen (text));
   g_free (text);
   g_free (load);
@@ -901,13 +901,19 @@
 {
   if (!entry->front[0])
     {
-      char name[] = "/tmp/review-XXXXXX";
       find_free_port (entry->front);
       find_free_port (entry->ready);
       find_free_port (entry->peers);
       find_free_port (entry->metrics);
-      g_strlcpy (entry->folder, g_mkdtemp (name), sizeof entry->folder);
-      g_ptr_array_add (entries, entry);
+      if (!entry->folder[0])
+        {
+          char *folder = g_dir_make_tmp ("review-XXXXXX", NULL);
+          if (!folder)
+            give_up ("no temporary folder");
+          g_strlcpy (entry->folder, folder, sizeof entry->folder);
+          g_free (folder);
+          g_ptr_array_add (entries, entry);
+        }
     }
   entry->store = store;
   char *settings = render_settings (entry, first_start);
@@ -947,6 +953,8 @@
     {
       if (entry_is_ready (entry))
         return true;
+      if (!entry_is_running (entry))
+        return false;
       sleep_ms (50);
     }
   return false;
@@ -962,9 +970,10 @@
 bool
 entry_is_running (const struct entry *entry)
 {
-  int status;
-  if (waitpid (entry->pid, &status, WNOHANG) == 0)
+  siginfo_t info = { 0 };
+  if (waitid (P_PID, (id_t) entry->pid, &info, WEXITED | WNOHANG | WNOWAIT) == 0 && info.si_pid == 0)
     return true;
+  int status = info.si_status;
   record ("entry %s: the process has ended, status 0x%x", entry->name, (unsigned) status);
   return false;
 }
