review: case 5, a configuration is not in force after a silence of the store

Cause: a watch of the configuration that is sent in a silence is lost and not sent again for 16 s if no check of the store falls into the silence. Nothing is fixed.

--- a/review/5/case.c
+++ b/review/5/case.c
@@ -1,140 +1,89 @@
 /*
- * Uploads above 256 KB whose callers leave before their deadline, at a service
- * whose requests wait for slots. Counts the requests that reach a backend
- * server over half a second after their caller has closed its connection.
+ * The store goes silent for a moment after it has told the entries of a new
+ * configuration. Three seconds later, with the store calm, the next version
+ * adds a route; the entries are asked for it once it must be in force.
  */
 #include "fleet.h"
 
 #include <stdlib.h>
-#include <string.h>
 
 /* --- constants --- */
 
-#define CALLERS       90
-#define UPLOAD_BYTES  360000 /* the largest of the platform's */
-#define WORK_MS       700    /* the longest of the platform's uploads take 1,200 ms */
-#define TROUBLE_MS    11000
-#define LEAVE_PERCENT 20
-#define LEAVE_MS      300 /* half the objective */
-#define LATE_MS       500
-#define FEW           5 /* "more than a few" */
-#define DEADLINE_MS   4000
+#define IDLE_ROUTES     1400 /* added by the platform's operator at once in "big_config" */
+#define SILENCE_MS      150
+#define CONTACT_MS      3000 /* bound "contact": then the store is stable */
+#define CONFIG_APPLY_MS 2000 /* bound "config_apply" */
+#define MARGIN_MS       200
+#define TRIALS          14
+#define DEADLINE_MS     1000
 
 static struct fleet fleet;
-static int64_t end_at;
-static bool callers_leave;
-static GMutex mutex;
-static GHashTable *left; /* when the caller of a request left, in ms */
-static unsigned late;
-static unsigned late_runs;
-
-static int64_t
-left_at (const char *id)
-{
-  g_mutex_lock (&mutex);
-  gint64 *at = g_hash_table_lookup (left, id);
-  g_mutex_unlock (&mutex);
-  return at ? *at : 0;
-}
-
-static bool
-before_body (struct backend *backend, struct connection *connection, const struct message *request)
-{
-  char id[256];
-  (void) connection;
-  int64_t at = left_at (header (request, "X-Attempt-Id", id));
-  if (at == 0 || now_ms () - at <= LATE_MS)
-    return true;
-  record ("GONE: id=%s reaches backend %s %d ms after its caller has left", id, backend->id, (int) (now_ms () - at));
-  g_mutex_lock (&mutex);
-  late++;
-  g_mutex_unlock (&mutex);
-  return true;
-}
-
-static bool
-before_run (struct backend *backend, struct connection *connection, const struct message *request)
-{
-  char id[256];
-  (void) connection;
-  int64_t at = left_at (header (request, "X-Attempt-Id", id));
-  if (at > 0 && now_ms () - at > LATE_MS)
-    {
-      record ("GONE: id=%s is complete at backend %s, which runs it", id, backend->id);
-      g_mutex_lock (&mutex);
-      late_runs++;
-      g_mutex_unlock (&mutex);
-    }
-  return true;
-}
 
+/* Until the events of the last change are sent to all entries. */
 static void
-send_and_leave (struct connection *connection, const char *id, const GByteArray *body)
+wait_for_watches (unsigned before)
 {
-  char *head = g_strdup_printf ("POST /up/file HTTP/1.1\r\nHost: " FLEET_HOST "\r\nX-Attempt-Id: %s\r\n"
-                                "X-Deadline-Ms: %u\r\nContent-Length: %u\r\n\r\n",
-                                id, DEADLINE_MS, body->len);
-  send_bytes (connection->fd, head, strlen (head));
-  send_bytes (connection->fd, body->data, body->len);
-  g_free (head);
-  sleep_ms (LEAVE_MS);
-  gint64 *at = g_new (gint64, 1);
-  *at = now_ms ();
-  connection_clear (connection, false);
-  g_mutex_lock (&mutex);
-  g_hash_table_insert (left, g_strdup (id), at);
-  g_mutex_unlock (&mutex);
-  record ("caller: id=%s closes its connection", id);
+  int64_t end = g_get_monotonic_time () + MARGIN_MS * 1000;
+  while (store_watch_answers (fleet.store) < before + FLEET_ENTRIES && g_get_monotonic_time () < end)
+    g_usleep (50);
 }
 
-static gpointer
-send_uploads (gpointer data)
+static unsigned
+count_not_found (unsigned version, unsigned trial)
 {
-  unsigned number = GPOINTER_TO_UINT (data);
-  for (unsigned i = 0; now_ms () < end_at; i++)
+  unsigned n = 0;
+  for (unsigned i = 0; i < FLEET_ENTRIES; i++)
     {
       char id[64];
-      const struct entry *entry = &fleet.entries[(number + i) % FLEET_ENTRIES];
-      g_snprintf (id, sizeof id, "u%u-%u", number, i);
-      GByteArray *body = make_body (UPLOAD_BYTES, id);
-      struct connection connection = { .fd = connect_to (entry->front) };
-      sent_add (id, body);
-      if (callers_leave && g_random_int_range (0, 100) < LEAVE_PERCENT)
-        send_and_leave (&connection, id, body);
-      else
-        {
-          struct answer answer = caller_send (&connection, "POST", FLEET_HOST, "/up/file", id, DEADLINE_MS, body, 0);
-          record ("caller: id=%s entry=%s answer=%u", id, entry->name, answer.status);
-          connection_clear (&connection, false);
-        }
-      g_byte_array_unref (body);
-      sleep_ms (100);
+      char path[64];
+      g_snprintf (id, sizeof id, "t%u-%u", trial, i);
+      g_snprintf (path, sizeof path, "/version%u/item", version);
+      struct connection connection = { .fd = connect_to (fleet.entries[i].front) };
+      struct answer answer = caller_send (&connection, "GET", FLEET_HOST, path, id, DEADLINE_MS, NULL, 0);
+      record ("caller: id=%s %s entry=%s answer=%u", id, path, fleet.entries[i].name, answer.status);
+      connection_clear (&connection, false);
+      n += answer.status == 404;
     }
-  return NULL;
+  return n;
 }
 
 int
 main (int argc, char **argv)
 {
-  GThread *threads[CALLERS];
+  unsigned version = 8;
+  unsigned not_found = 0;
   if (argc != 2)
     return 2;
   record_open (argv[1]);
-  left = g_hash_table_new (g_str_hash, g_str_equal);
-  for (unsigned i = 0; i < FLEET_UPLOADS; i++)
+  fleet.idle_routes = IDLE_ROUTES;
+  fleet_start (&fleet);
+  for (unsigned trial = 0; trial < TRIALS && not_found == 0; trial++)
     {
-      fleet.uploads[i].before_body = before_body;
-      fleet.uploads[i].before_run = before_run;
+      unsigned before = store_watch_answers (fleet.store);
+      fleet_configure (&fleet, ++version);
+      wait_for_watches (before);
+      if (trouble_wanted ())
+        store_set_silent (fleet.store, true);
+      sleep_ms (SILENCE_MS);
+      if (trouble_wanted ())
+        store_set_silent (fleet.store, false);
+      sleep_ms (CONTACT_MS + MARGIN_MS);
+      fleet_configure (&fleet, ++version);
+      sleep_ms (CONFIG_APPLY_MS + MARGIN_MS);
+      not_found = count_not_found (version, trial);
+      record ("trial %u: %u of %u entries answer 404, %d ms after the acknowledgement", trial, not_found, FLEET_ENTRIES,
+              CONFIG_APPLY_MS + MARGIN_MS);
     }
-  fleet_start (&fleet);
-  for (unsigned i = 0; i < FLEET_UPLOADS; i++)
-    fleet.uploads[i].work_ms = WORK_MS;
-  callers_leave = trouble_wanted ();
-  end_at = now_ms () + TROUBLE_MS;
-  for (unsigned i = 0; i < CALLERS; i++)
-    threads[i] = g_thread_new ("caller", send_uploads, GUINT_TO_POINTER (i));
-  for (unsigned i = 0; i < CALLERS; i++)
-    g_thread_join (threads[i]);
-  record ("%u requests reached a backend server over %d ms late, %u of them complete", late, LATE_MS, late_runs);
-  finish (late > FEW);
+  if (not_found > 0)
+    record ("CONFIG: version r%u is not in force", version);
+  for (unsigned waited = 0; not_found > 0 && waited < 20; waited++)
+    {
+      sleep_ms (1000);
+      if (count_not_found (version, 100 + waited) == 0)
+        {
+          record ("version r%u is in force everywhere %u s later", version, waited + 1);
+          break;
+        }
+    }
+  finish (not_found > 0);
 }
--- a/review/standins/fleet.c
+++ b/review/standins/fleet.c
@@ -41,6 +41,13 @@
 void
 fleet_configure (struct fleet *fleet, unsigned version)
 {
+  GString *idle = g_string_new (NULL);
+  for (unsigned i = 0; i < fleet->idle_routes; i++)
+    g_string_append_printf (idle,
+                            ",{\"name\":\"r-idle-%u\",\"host\":\"" FLEET_HOST "\",\"path_prefix\":\"/idle%u/\","
+                            "\"route_kind\":\"safe\",\"timeout\":\"1500ms\",\"target_latency\":\"400ms\","
+                            "\"priority\":2,\"service\":\"reads\",\"max_attempts\":2}",
+                            i, i);
   char *spec = g_strdup_printf (
       "{\"version\":\"r%u\",\"routes\":["
       "{\"name\":\"r-up\",\"host\":\"" FLEET_HOST "\",\"path_prefix\":\"/up/\",\"route_kind\":\"upload\","
@@ -50,13 +57,16 @@
       "{\"name\":\"r-ur\",\"host\":\"" FLEET_HOST "\",\"path_prefix\":\"/ur/\",\"route_kind\":\"safe\","
       "\"timeout\":\"1500ms\",\"target_latency\":\"400ms\",\"priority\":2,\"service\":\"uploads\",\"max_attempts\":2},"
       "{\"name\":\"r-re\",\"host\":\"" FLEET_HOST "\",\"path_prefix\":\"/re/\",\"route_kind\":\"safe\","
-      "\"timeout\":\"1500ms\",\"target_latency\":\"400ms\",\"priority\":2,\"service\":\"reads\",\"max_attempts\":2}],"
+      "\"timeout\":\"1500ms\",\"target_latency\":\"400ms\",\"priority\":2,\"service\":\"reads\",\"max_attempts\":2},"
+      "{\"name\":\"r-version\",\"host\":\"" FLEET_HOST "\",\"path_prefix\":\"/version%u/\",\"route_kind\":\"safe\","
+      "\"timeout\":\"1500ms\",\"target_latency\":\"400ms\",\"priority\":2,\"service\":\"reads\",\"max_attempts\":2}%s],"
       "\"services\":[{\"name\":\"uploads\",\"health_path\":\"/health\",\"max_conns\":260,\"protocol\":\"h1\","
       "\"tls\":false},{\"name\":\"reads\",\"health_path\":\"/health\",\"max_conns\":260,\"protocol\":\"h1\","
       "\"tls\":false}],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,"
       "\"header_timeout\":\"3000ms\",\"idle_timeout\":\"15000ms\"}}",
-      version);
+      version, version, idle->str);
   store_put (fleet->store, "config", "main", spec);
+  g_string_free (idle, TRUE);
   g_free (spec);
 }
 
--- a/review/standins/fleet.h
+++ b/review/standins/fleet.h
@@ -18,6 +18,7 @@
   struct entry entries[FLEET_ENTRIES];
   struct backend uploads[FLEET_UPLOADS];
   struct backend reads[FLEET_READS];
+  unsigned idle_routes; /* further routes of the configuration */
 };
 
 /* Starts all and waits until every entry is ready. */
--- a/review/standins/standins.c
+++ b/review/standins/standins.c
@@ -343,6 +343,8 @@
   GCond changed;
   GPtrArray *objects; /* struct object, sorted by name */
   uint64_t revision;
+  gint silent;        /* calls get no answer, and their connections stay silent */
+  gint watch_answers; /* events sent to watches of the configuration */
 };
 
 struct store_connection
@@ -433,6 +435,19 @@
   record ("store: %s/%s removed", kind, name);
 }
 
+void
+store_set_silent (struct store *store, bool silent)
+{
+  g_atomic_int_set (&store->silent, silent);
+  record ("store: %s", silent ? "silent" : "answers again");
+}
+
+unsigned
+store_watch_answers (struct store *store)
+{
+  return (unsigned) g_atomic_int_get (&store->watch_answers);
+}
+
 static void
 list_objects (struct store *store, const char *kind, const char *after, GString *body)
 {
@@ -546,6 +561,33 @@
   return status;
 }
 
+/* Returns false if the connection is of no more use. */
+static bool
+serve_store_call (struct store *store, struct connection *connection, const struct message *request)
+{
+  bool is_watch = strstr (request->first_line, "/config?watch=") != NULL;
+  bool lost = g_atomic_int_get (&store->silent);
+  GString *body = g_string_new (NULL);
+  unsigned status = lost ? 0 : answer_store_call (store, request, body);
+  lost = lost || g_atomic_int_get (&store->silent);
+  if (lost)
+    {
+      record ("store: never answers %s", request->first_line);
+      while (receive (connection))
+        ;
+      g_string_free (body, TRUE);
+      return false;
+    }
+  char *head = g_strdup_printf ("HTTP/1.1 %u X\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n\r\n",
+                                status, body->len);
+  bool sent = send_bytes (connection->fd, head, strlen (head)) && send_bytes (connection->fd, body->str, body->len);
+  if (is_watch)
+    g_atomic_int_inc (&store->watch_answers);
+  g_free (head);
+  g_string_free (body, TRUE);
+  return sent;
+}
+
 static gpointer
 serve_store_connection (gpointer data)
 {
@@ -556,13 +598,7 @@
   while (open && read_head (&connection, &request))
     {
       read_body (&connection, &request, false);
-      GString *body = g_string_new (NULL);
-      unsigned status = answer_store_call (job->store, &request, body);
-      char *head = g_strdup_printf ("HTTP/1.1 %u X\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n\r\n",
-                                    status, body->len);
-      open = send_bytes (connection.fd, head, strlen (head)) && send_bytes (connection.fd, body->str, body->len);
-      g_free (head);
-      g_string_free (body, TRUE);
+      open = serve_store_call (job->store, &connection, &request);
       message_clear (&request);
     }
   connection_clear (&connection, false);
--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -115,6 +115,9 @@
 void store_put (struct store *store, const char *kind, const char *name, const char *spec);
 void store_touch (struct store *store, const char *kind, const char *name, const char *spec); /* without an event */
 void store_delete (struct store *store, const char *kind, const char *name);
+/* While it is silent, calls that arrive, or would be answered, get no answer; their connections return nothing more. */
+void store_set_silent (struct store *store, bool silent);
+unsigned store_watch_answers (struct store *store); /* to watches of the configuration, so far */
 
 /* --- backend servers --- */
 
