--- /dev/null
+++ b/tests/platform-setup.c
@@ -0,0 +1,470 @@
+/* Fixture of tests with the platform's store. */
+#include "platform-setup.h"
+
+#include <gio/gio.h>
+#include <glib/gstdio.h>
+#include <string.h>
+
+/* --- constants --- */
+
+#define START_TIMEOUT_S 10
+
+/* --- backend servers --- */
+
+char *
+header_value (const char *text, const char *name)
+{
+  char *start = g_strdup_printf ("\r\n%s: ", name);
+  const char *at = strstr (text, start);
+  const char *value = at ? at + strlen (start) : "";
+  char *copy = g_strndup (value, strcspn (value, "\r"));
+  g_free (start);
+  return copy;
+}
+
+const char *
+extra_fields (const struct backend_server *server)
+{
+  return server->extra_fields ? server->extra_fields : "";
+}
+
+void
+send_response (const struct backend_server *server, struct raw_connection *connection, const char *id, const char *body)
+{
+  raw_connection_send (
+      connection,
+      "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: stamp-%s\r\nX-Backend-Load: 1,0,3,100\r\n%s"
+      "Content-Length: %zu\r\n\r\n%s",
+      id, id, extra_fields (server), strlen (body), body);
+}
+
+static void
+refuse (const struct backend_server *server, struct raw_connection *connection, const char *id)
+{
+  raw_connection_send (connection,
+                       "HTTP/1.1 503 Full\r\nX-Attempt-Id: %s\r\n%sX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id,
+                       extra_fields (server));
+}
+
+/* Refuses the first request, and runs all others. */
+static void
+refuse_once (struct backend_server *server, struct raw_connection *connection, const char *id)
+{
+  if (!server->refused_connection)
+    {
+      server->refused_connection = connection;
+      server->refused_id = g_strdup (id);
+      refuse (server, connection, id);
+      return;
+    }
+  if (server->refused_connection == connection)
+    refuse (server, connection, server->refused_id);
+  send_response (server, connection, id, "hello");
+}
+
+/* Sends the first bytes of a response, and ends the connection. */
+static void
+end_early (const struct backend_server *server, struct raw_connection *connection, const char *id)
+{
+  char *response = g_strdup_printf ("HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nX-Attempt-Id: %s\r\n"
+                                    "Content-Length: 5\r\n\r\nhello",
+                                    id);
+  raw_connection_send (connection, "%.*s", (int) MIN (server->cut_bytes, strlen (response) - 1), response);
+  raw_connection_close (connection, server->cuts_by_reset);
+  g_free (response);
+}
+
+struct late_response
+{
+  const struct backend_server *server;
+  struct raw_connection *connection;
+  char *id;
+};
+
+static gboolean
+send_late_response (gpointer data)
+{
+  struct late_response *late = data;
+  send_response (late->server, late->connection, late->id, "hello");
+  g_free (late->id);
+  g_free (late);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+schedule_response (const struct backend_server *server, struct raw_connection *connection, const char *id)
+{
+  struct late_response *late = g_new0 (struct late_response, 1);
+  late->server = server;
+  late->connection = connection;
+  late->id = g_strdup (id);
+  g_timeout_add ((guint) g_test_rand_int_range (0, LATE_MAX_MS), send_late_response, late);
+}
+
+static void
+respond_as_told (struct backend_server *server, struct raw_connection *connection, const char *id)
+{
+  const char *response_without_length = "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nConnection: close\r\n\r\nhello";
+  switch (server->behaviour)
+    {
+    case SENDS_RESPONSE:
+      send_response (server, connection, id, "hello");
+      break;
+    case SENDS_NOT_RUN:
+      refuse (server, connection, id);
+      break;
+    case REFUSES_ONCE:
+      refuse_once (server, connection, id);
+      break;
+    case SENDS_WRONG_INSTANCE:
+      raw_connection_send (connection, "HTTP/1.1 421 Misdirected\r\nX-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", id);
+      break;
+    case SENDS_503:
+      raw_connection_send (connection, "HTTP/1.1 503 Failed\r\nX-Attempt-Id: %s\r\n%sContent-Length: 0\r\n\r\n", id,
+                           extra_fields (server));
+      break;
+    case RESETS_CONNECTION:
+      raw_connection_close (connection, TRUE);
+      break;
+    case SENDS_NOTHING:
+      break;
+    case SENDS_FOREIGN_RESPONSE_FIRST:
+      send_response (server, connection, "another", "not yours");
+      send_response (server, connection, id, "hello");
+      break;
+    case SENDS_EXTRA_BYTES:
+      send_response (server, connection, id, "hello");
+      send_response (server, connection, "another", "not yours");
+      break;
+    case ENDS_BY_CLOSE:
+    case ENDS_BY_RESET:
+      raw_connection_send (connection, response_without_length, id);
+      raw_connection_close (connection, server->behaviour == ENDS_BY_RESET);
+      break;
+    case SENDS_LATE:
+      schedule_response (server, connection, id);
+      break;
+    case ENDS_EARLY:
+      end_early (server, connection, id);
+      break;
+    case SENDS_NON_HTTP:
+      raw_connection_send (connection, "220 this is another protocol\r\n\r\n");
+      break;
+    }
+}
+
+static void
+on_server_request (void *context, struct raw_connection *connection, const char *text)
+{
+  struct backend_server *server = context;
+  if (g_str_has_prefix (text, "GET /health "))
+    {
+      if (server->copies_into_health)
+        send_response (server, connection, "another", "not yours");
+      server->health_requests++;
+      raw_connection_send (
+          connection, "HTTP/1.1 200 OK\r\n%sX-Instance-Id: %s\r\nX-Backend-Load: 0,0,3,%u\r\nContent-Length: 0\r\n\r\n",
+          server->health_fields ? server->health_fields : "", server->name,
+          server->slowdown_percent ? server->slowdown_percent : 100);
+      return;
+    }
+  server->requests++;
+  g_string_assign (server->last_request, text);
+  server->last_connection = connection;
+  char *id = header_value (text, "X-Attempt-Id");
+  g_hash_table_add (server->setup->ids, g_strdup (id));
+  respond_as_told (server, connection, id);
+  g_free (id);
+}
+
+/* --- the store --- */
+
+/* The next report of server i; the caller frees it. */
+char *
+make_report (struct setup *setup, guint i, const char *service, const char *state)
+{
+  const struct backend_server *server = &setup->servers[i];
+  return g_strdup_printf ("{\"address\":\"%s\",\"born\":%" G_GUINT64_FORMAT
+                          ",\"info\":{\"service\":\"%s\",\"version\":\"v1\",\"zone\":"
+                          "\"z1\",\"slots\":3},\"status\":{\"state\":\"%s\",\"sequence\":%u,\"cold_left\":\"0ms\"}}",
+                          raw_server_address (server->raw_server), server->started_at ? server->started_at : i + 1,
+                          service, state, ++setup->sequence);
+}
+
+/* Writes the object of server i to the store, or replaces it. */
+void
+put_server (struct setup *setup, guint i, const char *service, const char *state)
+{
+  char *spec = make_report (setup, i, service, state);
+  fake_store_put (setup->store, "servers", setup->servers[i].name, spec);
+  g_free (spec);
+}
+
+/* Writes the configuration to the store: a read route with this prefix and target, and a write route to alpha. */
+void
+put_config (struct setup *setup, guint version, const char *read_target, const char *read_prefix)
+{
+  char *spec = g_strdup_printf (
+      "{\"version\":\"r%u\",\"routes\":["
+      "{\"name\":\"read\",\"host\":\"h.example\",\"path_prefix\":\"%s\",\"route_kind\":\"safe\",\"timeout\":\"1000ms\","
+      "\"target_latency\":\"300ms\",\"priority\":2,%s,\"max_attempts\":2},"
+      "{\"name\":\"write\",\"host\":\"h.example\",\"path_prefix\":\"/w/"
+      "\",\"route_kind\":\"unsafe\",\"timeout\":\"800ms\","
+      "\"target_latency\":\"300ms\",\"priority\":1,\"service\":\"alpha\",\"max_attempts\":2}],"
+      "\"services\":[{\"name\":\"alpha\",\"health_path\":\"/health\",\"max_conns\":10},"
+      "{\"name\":\"beta\",\"health_path\":\"/health\",\"max_conns\":10}],"
+      "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":10000,\"header_timeout\":\"500ms\","
+      "\"idle_timeout\":\"15000ms\"}}",
+      version, read_prefix, read_target);
+  fake_store_put (setup->store, "config", "main", spec);
+  g_free (spec);
+}
+
+/* --- the entry --- */
+
+/* Copies the string value of a member of a JSON line to out. */
+static void
+copy_member (const char *line, const char *member, char *out, gsize size)
+{
+  char *start = g_strdup_printf ("\"%s\":\"", member);
+  const char *at = strstr (line, start);
+  const char *value = at ? at + strlen (start) : "";
+  g_strlcpy (out, value, MIN (size, strcspn (value, "\"") + 1));
+  g_free (start);
+}
+
+struct log_reader
+{
+  GDataInputStream *lines;
+  GString *listening;
+  GPtrArray *log;
+};
+
+static void
+on_line_read (GObject *source, GAsyncResult *result, gpointer data)
+{
+  struct log_reader *log_reader = data;
+  char *line = g_data_input_stream_read_line_finish (G_DATA_INPUT_STREAM (source), result, NULL, NULL);
+  if (!line)
+    {
+      g_object_unref (log_reader->lines);
+      g_string_free (log_reader->listening, TRUE);
+      g_ptr_array_unref (log_reader->log);
+      g_free (log_reader);
+      return;
+    }
+  if (strstr (line, "\"listening\""))
+    g_string_assign (log_reader->listening, line);
+  g_ptr_array_add (log_reader->log, line);
+  g_data_input_stream_read_line_async (log_reader->lines, G_PRIORITY_DEFAULT, NULL, on_line_read, log_reader);
+}
+
+static gboolean
+has_text (void *context)
+{
+  return ((GString *) context)->len > 0;
+}
+
+void
+start_entry (struct setup *setup)
+{
+  char *build = g_path_get_dirname (g_get_prgname ());
+  char *program = g_build_filename (build, "hickoryd", NULL);
+  char *file = g_build_filename (setup->folder, "settings.yaml", NULL);
+  char *settings
+      = g_strdup_printf ("name: e1\nfailure_domain: z1\nlisten: 127.0.0.1:0\nadmin: 127.0.0.1:0\n"
+                         "peers: 127.0.0.1:0\nmetrics: 127.0.0.1:0\nstore: %s\ndrain_wait_ms: %d\ngrace_ms: %d\n",
+                         fake_store_address (setup->store), setup->drain_wait_ms, setup->grace_ms);
+  g_assert_true (g_file_set_contents (file, settings, -1, NULL));
+  setup->entry = g_subprocess_new (G_SUBPROCESS_FLAGS_STDOUT_PIPE, NULL, program, file, NULL);
+  g_assert_nonnull (setup->entry);
+  struct log_reader *log_reader = g_new0 (struct log_reader, 1);
+  log_reader->lines = g_data_input_stream_new (g_subprocess_get_stdout_pipe (setup->entry));
+  log_reader->listening = g_string_new (NULL);
+  setup->log = g_ptr_array_new_with_free_func (g_free);
+  log_reader->log = g_ptr_array_ref (setup->log);
+  g_data_input_stream_read_line_async (log_reader->lines, G_PRIORITY_DEFAULT, NULL, on_line_read, log_reader);
+  g_assert_true (harness_wait_until (has_text, log_reader->listening, START_TIMEOUT_S));
+  copy_member (log_reader->listening->str, "callers", setup->caller_address, sizeof setup->caller_address);
+  copy_member (log_reader->listening->str, "admin", setup->admin_address, sizeof setup->admin_address);
+  copy_member (log_reader->listening->str, "metrics", setup->metrics_address, sizeof setup->metrics_address);
+  g_free (settings);
+  g_free (file);
+  g_free (program);
+  g_free (build);
+}
+
+/* --- callers --- */
+
+gboolean
+has_response (void *context)
+{
+  const struct raw_client *client = context;
+  return client->ended || raw_client_has_response (client);
+}
+
+gboolean
+has_ended (void *context)
+{
+  return ((struct raw_client *) context)->ended;
+}
+
+/* Sends text and waits for the response or for the end of the connection. */
+struct raw_client *
+send_text (struct setup *setup, const char *address, const char *text)
+{
+  struct raw_client *client = raw_client_connect (setup->net, address, text);
+  g_assert_true (harness_wait_until (has_response, client, CHANGE_TIMEOUT_S));
+  return client;
+}
+
+char *
+format_request (struct setup *setup, const char *method, const char *path, const char *body)
+{
+  return g_strdup_printf ("%s %s HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: id%u\r\nX-Deadline-Ms: 2000\r\n"
+                          "Content-Length: %zu\r\n\r\n%s",
+                          method, path, ++setup->next_id, strlen (body), body);
+}
+
+struct raw_client *
+send_request (struct setup *setup, const char *method, const char *path, const char *body)
+{
+  char *text = format_request (setup, method, path, body);
+  struct raw_client *client = send_text (setup, setup->caller_address, text);
+  g_free (text);
+  return client;
+}
+
+guint
+request_status (struct setup *setup, const char *method, const char *path, const char *body)
+{
+  struct raw_client *client = send_request (setup, method, path, body);
+  guint status = raw_client_status (client);
+  raw_client_close (client);
+  return status;
+}
+
+guint
+page_status (struct setup *setup, const char *address, const char *path)
+{
+  char *text = g_strdup_printf ("GET %s HTTP/1.1\r\nHost: x\r\n\r\n", path);
+  struct raw_client *client = send_text (setup, address, text);
+  guint status = raw_client_status (client);
+  raw_client_close (client);
+  g_free (text);
+  return status;
+}
+
+guint
+health_status (struct setup *setup)
+{
+  return page_status (setup, setup->admin_address, "/healthz");
+}
+
+gboolean
+is_ready (void *context)
+{
+  return health_status (context) == 200;
+}
+
+guint
+count_requests (const struct setup *setup)
+{
+  guint n = 0;
+  for (guint i = 0; i < SERVERS; i++)
+    n += setup->servers[i].requests;
+  return n;
+}
+
+void
+set_behaviour (struct setup *setup, enum server_behaviour behaviour)
+{
+  for (guint i = 0; i < SERVERS; i++)
+    setup->servers[i].behaviour = behaviour;
+}
+
+/* --- setup --- */
+
+struct setup *
+open_without_entry (int drain_wait_ms, int grace_ms)
+{
+  struct setup *setup = g_new0 (struct setup, 1);
+  setup->drain_wait_ms = drain_wait_ms;
+  setup->grace_ms = grace_ms;
+  setup->net = hf_net_open ();
+  setup->ids = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  setup->store = fake_store_open (setup->net);
+  setup->folder = g_dir_make_tmp ("hf-platform-XXXXXX", NULL);
+  for (guint i = 0; i < SERVERS; i++)
+    {
+      struct backend_server *server = &setup->servers[i];
+      server->setup = setup;
+      server->last_request = g_string_new (NULL);
+      server->raw_server = raw_server_open (setup->net, on_server_request, server);
+      g_snprintf (server->name, sizeof server->name, "i-%u", i);
+    }
+  return setup;
+}
+
+static struct setup *
+open_empty_with_grace (int drain_wait_ms, int grace_ms)
+{
+  struct setup *setup = open_without_entry (drain_wait_ms, grace_ms);
+  start_entry (setup);
+  return setup;
+}
+
+struct setup *
+open_empty (void)
+{
+  return open_empty_with_grace (DRAIN_WAIT_MS, GRACE_MS);
+}
+
+struct setup *
+open_setup_with_grace (int drain_wait_ms, int grace_ms)
+{
+  struct setup *setup = open_empty_with_grace (drain_wait_ms, grace_ms);
+  put_config (setup, 7, "\"service\":\"alpha\"", "/r/");
+  for (guint i = 0; i < SERVERS; i++)
+    put_server (setup, i, "alpha", "ready");
+  g_assert_true (harness_wait_until (is_ready, setup, CHANGE_TIMEOUT_S));
+  harness_pause (DIRECTORY_UPDATE_MS);
+  return setup;
+}
+
+struct setup *
+open_setup (void)
+{
+  return open_setup_with_grace (DRAIN_WAIT_MS, GRACE_MS);
+}
+
+void
+kill_entry (struct setup *setup)
+{
+  g_subprocess_force_exit (setup->entry);
+  g_subprocess_wait (setup->entry, NULL, NULL);
+  harness_pause (10);
+  g_object_unref (setup->entry);
+  g_ptr_array_unref (setup->log);
+}
+
+void
+close_setup (struct setup *setup)
+{
+  kill_entry (setup);
+  fake_store_close (setup->store);
+  for (guint i = 0; i < SERVERS; i++)
+    {
+      raw_server_close (setup->servers[i].raw_server);
+      g_free (setup->servers[i].refused_id);
+      g_string_free (setup->servers[i].last_request, TRUE);
+    }
+  hf_net_close (setup->net);
+  g_hash_table_unref (setup->ids);
+  char *file = g_build_filename (setup->folder, "settings.yaml", NULL);
+  g_remove (file);
+  g_rmdir (setup->folder);
+  g_free (file);
+  g_free (setup->folder);
+  g_free (setup);
+}
--- /dev/null
+++ b/tests/platform-setup.h
@@ -0,0 +1,126 @@
+/**
+ * DOC: platform-setup - fixture of tests with the platform's store
+ *
+ * One real hickoryd, a fake store, fake backend servers that misbehave as told,
+ * and raw callers.
+ */
+#ifndef PLATFORM_SETUP_H
+#define PLATFORM_SETUP_H
+
+#include "fake-store.h"
+#include "harness.h"
+#include "raw.h"
+
+/* --- constants --- */
+
+#define SERVERS             2
+#define CHANGE_TIMEOUT_S    5
+#define DIRECTORY_UPDATE_MS 1000 /* until a change in the store is in force */
+#define LATE_MAX_MS         1000
+#define DRAIN_WAIT_MS       300  /* from SIGTERM until the listener closes */
+#define GRACE_MS            3000 /* from SIGTERM to the exit of an entry */
+
+/* --- types --- */
+
+/** enum server_behaviour - what a backend server does with a request */
+enum server_behaviour
+{
+  SENDS_RESPONSE,
+  SENDS_NOT_RUN,                /* 503 with X-Not-Executed */
+  SENDS_WRONG_INSTANCE,         /* 421: the address now belongs to another server */
+  SENDS_503,                    /* 503 without X-Not-Executed */
+  RESETS_CONNECTION,            /* after it has read the request */
+  SENDS_NOTHING,                /* keeps the connection open */
+  SENDS_FOREIGN_RESPONSE_FIRST, /* a response to another request, then its own */
+  SENDS_EXTRA_BYTES,            /* its own response, then one to another request */
+  REFUSES_ONCE,                 /* the first request; sends that 503 again before the next response of the connection */
+  ENDS_BY_CLOSE,                /* response without length, ended by a close */
+  ENDS_BY_RESET,                /* response without length, ended by a reset */
+  SENDS_LATE,                   /* its response, up to LATE_MAX_MS later */
+  ENDS_EARLY,                   /* after cut_bytes of its response */
+  SENDS_NON_HTTP,
+};
+
+struct backend_server
+{
+  struct setup *setup;
+  struct raw_server *raw_server;
+  char name[16];
+  enum server_behaviour behaviour;
+  gsize cut_bytes;
+  gboolean cuts_by_reset;
+  gboolean copies_into_health; /* a response to another request precedes each of its health responses */
+  guint slowdown_percent;      /* current latency in percent of the usual, as health responses report it; 0: 100 */
+  const char *extra_fields;    /* header lines in its responses to calls; NULL: none */
+  const char *health_fields;   /* the same in those of its health endpoint */
+  guint64 started_at;          /* as it registers itself; 0: from its index */
+  guint requests;
+  guint health_requests;
+  GString *last_request;
+  struct raw_connection *last_connection; /* of the last request */
+  struct raw_connection *refused_connection;
+  char *refused_id;
+};
+
+struct setup
+{
+  struct hf_net *net;
+  struct fake_store *store;
+  struct backend_server servers[SERVERS];
+  GSubprocess *entry;
+  int drain_wait_ms; /* settings of the entry */
+  int grace_ms;
+  char *folder;
+  char caller_address[64];
+  char admin_address[64];
+  char metrics_address[64];
+  guint next_id;
+  guint sequence;  /* of the reports of backend servers, which count their writes */
+  GPtrArray *log;  /* log lines of the entry */
+  GHashTable *ids; /* of the requests that reached a server */
+};
+
+/* --- public functions: init and close --- */
+
+struct setup *open_setup (void);                                       /* all ready */
+struct setup *open_setup_with_grace (int drain_wait_ms, int grace_ms); /* with these settings */
+struct setup *open_empty (void);                                       /* an entry, and an empty store */
+struct setup *open_without_entry (int drain_wait_ms, int grace_ms);    /* the entry is started later */
+void start_entry (struct setup *setup);                                /* waits until it listens */
+void kill_entry (struct setup *setup);                                 /* SIGKILL */
+void close_setup (struct setup *setup);                                /* ends the entry, frees everything */
+
+/* --- public functions: backend servers --- */
+
+void set_behaviour (struct setup *setup, enum server_behaviour behaviour); /* of all servers */
+const char *extra_fields (const struct backend_server *server);            /* header lines of its responses */
+void send_response (const struct backend_server *server,
+                    struct raw_connection *connection,
+                    const char *id,
+                    const char *body);            /* 200 */
+guint count_requests (const struct setup *setup); /* that reached the servers */
+
+/* --- public functions: objects of the store --- */
+
+void put_server (struct setup *setup, guint i, const char *service, const char *state);
+char *make_report (struct setup *setup, guint i, const char *service, const char *state);
+void put_config (struct setup *setup, guint version, const char *read_target, const char *read_prefix);
+
+/* --- public functions: callers --- */
+
+char *format_request (struct setup *setup, const char *method, const char *path, const char *body);
+struct raw_client *send_request (struct setup *setup, const char *method, const char *path, const char *body);
+struct raw_client *send_text (struct setup *setup, const char *address, const char *text);
+guint
+request_status (struct setup *setup, const char *method, const char *path, const char *body); /* sends it and waits */
+guint page_status (struct setup *setup, const char *address, const char *path); /* of a page of the entry */
+guint health_status (struct setup *setup);                                      /* of the entry */
+char *header_value (const char *text, const char *name);
+
+/* --- public functions: conditions, for harness_wait_until --- */
+
+gboolean is_ready (void *context);     /* context: struct setup */
+gboolean has_response (void *context); /* context: struct raw_client, as below */
+gboolean has_ended (void *context);    /* closed by the entry */
+
+#endif
