--- a/src/hf-calls.c
+++ b/src/hf-calls.c
@@ -332,7 +332,6 @@
   struct hf_attempt *attempt = &call->attempts[i];
   uint64_t server = attempt->server;
   call->may_have_run = call->may_have_run || event->bytes_sent;
-  call->bytes_sent = call->bytes_sent || event->bytes_sent;
   if (crash)
     hf_quarantine_record_crash (state, call->fingerprint, server, true);
   if (has_live_attempt (call))
@@ -570,6 +569,7 @@
   hf_trace_attempt_ended (state, call, event->attempt, event);
   hf_latency_record (&state->latency, call->class->name, HF_STAGE_ATTEMPT, state->now - attempt->started_at);
   bool crash = hf_attempts_is_crash (state, call, attempt, event);
+  call->bytes_sent = call->bytes_sent || event->bytes_sent;
   call->ignore_refusals = true;
   end_attempt (state, call, event->attempt, hf_attempts_slot_result (event));
   call->ignore_refusals = false;
--- a/tests/raw.c
+++ b/tests/raw.c
@@ -13,6 +13,7 @@
   void (*on_request) (void *context, struct raw_connection *connection, const char *text);
   void *context;
   GPtrArray *connections;
+  char *address;
   gboolean head_only;
 };
 
@@ -32,6 +33,17 @@
   return field ? (gsize) g_ascii_strtoull (field + strlen ("\r\ncontent-length:"), NULL, 10) : 0;
 }
 
+/* Length of a body in chunks that contain no NUL and no empty line, 0 while it is incomplete. */
+static gsize
+chunked_length (const char *body)
+{
+  static const char end[] = "0\r\n\r\n";
+  if (g_str_has_prefix (body, end))
+    return strlen (end);
+  const char *at = strstr (body, "\r\n0\r\n\r\n");
+  return at ? (gsize) (at - body) + strlen ("\r\n") + strlen (end) : 0;
+}
+
 /* Length of the first message in bytes, 0 while it is incomplete. */
 static gsize
 message_length (const GString *text, gboolean head_only)
@@ -39,7 +51,14 @@
   const char *end = strstr (text->str, "\r\n\r\n");
   if (!end)
     return 0;
-  gsize size = (gsize) (end - text->str) + 4 + (head_only ? 0 : body_length (text->str));
+  gsize head_size = (gsize) (end - text->str) + 4;
+  const char *chunked = strcasestr (text->str, "\r\ntransfer-encoding: chunked\r\n");
+  if (!head_only && chunked && chunked < end)
+    {
+      gsize size = chunked_length (text->str + head_size);
+      return size > 0 ? head_size + size : 0;
+    }
+  gsize size = head_size + (head_only ? 0 : body_length (text->str));
   return text->len >= size ? size : 0;
 }
 
@@ -94,6 +113,7 @@
   server->connections = g_ptr_array_new ();
   server->listener = hf_listener_open (net, hf_str ("127.0.0.1:0"), on_accepted, server, NULL);
   g_assert_nonnull (server->listener);
+  server->address = g_strdup (hf_listener_address (server->listener).data);
   return server;
 }
 
@@ -109,13 +129,23 @@
       g_free (connection);
     }
   g_ptr_array_unref (server->connections);
+  g_free (server->address);
   g_free (server);
 }
 
 const char *
 raw_server_address (const struct raw_server *server)
 {
-  return hf_listener_address (server->listener).data;
+  return server->address;
+}
+
+void
+raw_server_set_refusing (struct raw_server *server)
+{
+  hf_listener_close (server->listener);
+  server->listener = NULL;
+  for (guint i = 0; i < server->connections->len; i++)
+    raw_connection_close (g_ptr_array_index (server->connections, i), FALSE);
 }
 
 gboolean
--- a/tests/raw.h
+++ b/tests/raw.h
@@ -27,13 +27,14 @@
 
 /* --- public functions: server --- */
 
-/* Listens on a free loopback port and calls on_request with each complete request. */
+/* Listens on a free loopback port and calls on_request with each complete request; bodies hold no NUL byte. */
 struct raw_server *
 raw_server_open (struct hf_net *net,
                  void (*on_request) (void *context, struct raw_connection *connection, const char *text),
                  void *context);
 void raw_server_close (struct raw_server *server);                /* closes its connections, frees everything */
-const char *raw_server_address (const struct raw_server *server); /* IP:PORT */
+const char *raw_server_address (const struct raw_server *server); /* IP:PORT, also while it refuses connections */
+void raw_server_set_refusing (struct raw_server *server);         /* from now on its port refuses connections */
 /* TRUE: calls on_request after each head, without waiting for the body. */
 void raw_server_set_head_only (struct raw_server *server, gboolean head_only);
 gboolean raw_connection_is_open (const struct raw_connection *connection); /* closed by neither side */
--- /dev/null
+++ b/tests/test-uploads.c
@@ -0,0 +1,195 @@
+/*
+ * Tests of request bodies around and above HF_BODY_BUFFER_BYTES with the real
+ * hickoryd: whatever happens to an attempt, a backend server gets the caller's
+ * whole body or no complete request, and a request that must run once is
+ * never run twice.
+ */
+#include <string.h>
+
+#include "platform-setup.h"
+
+#include "config.h"
+
+/* --- constants --- */
+
+#define CHUNK_BYTES       4096 /* smaller than one read of the entry */
+#define UPLOADS           6    /* of one kind, so that each server gets some first */
+#define UPLOAD_TIMEOUT_S  4
+#define UPLOAD_REQUEST_ID "upload"
+
+/* --- types --- */
+
+/** struct body - what a caller sends */
+struct body
+{
+  gsize size;
+  gboolean chunked;
+};
+
+static const struct body bodies[] = {
+  { HF_BODY_BUFFER_BYTES - 1, FALSE },      { HF_BODY_BUFFER_BYTES - 1, TRUE },
+  { HF_BODY_BUFFER_BYTES, FALSE },          { HF_BODY_BUFFER_BYTES, TRUE },
+  { HF_BODY_BUFFER_BYTES + 1, FALSE },      { HF_BODY_BUFFER_BYTES + 1, TRUE },
+  { HF_BODY_BUFFER_BYTES + 40000, FALSE },  { HF_BODY_BUFFER_BYTES + 40000, TRUE },
+  { 4 * HF_BODY_BUFFER_BYTES + 77, FALSE }, { 4 * HF_BODY_BUFFER_BYTES + 77, TRUE },
+};
+
+/* --- internal functions: bodies --- */
+
+/* Text in which each place differs from its neighbours: a hole or a shift shows. */
+static char *
+make_content (gsize size)
+{
+  GString *text = g_string_sized_new (size + 16);
+  while (text->len < size)
+    g_string_append_printf (text, "%zu.", text->len);
+  g_string_truncate (text, size);
+  return g_string_free (text, FALSE);
+}
+
+static void
+append_chunks (GString *request, const char *content)
+{
+  for (gsize left = strlen (content); left > 0;)
+    {
+      gsize size = MIN (left, CHUNK_BYTES);
+      g_string_append_printf (request, "%zx\r\n", size);
+      g_string_append_len (request, content, (gssize) size);
+      g_string_append (request, "\r\n");
+      content += size;
+      left -= size;
+    }
+  g_string_append (request, "0\r\n\r\n");
+}
+
+/* The caller frees it. */
+static char *
+make_upload (struct setup *setup, const struct body *body, const char *content)
+{
+  GString *request = g_string_new (NULL);
+  g_string_printf (request, "POST /u/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: %s%u\r\nX-Deadline-Ms: 2000\r\n",
+                   UPLOAD_REQUEST_ID, ++setup->next_id);
+  if (body->chunked)
+    g_string_append (request, "Transfer-Encoding: chunked\r\n\r\n");
+  else
+    g_string_append_printf (request, "Content-Length: %zu\r\n\r\n", body->size);
+  if (body->chunked)
+    append_chunks (request, content);
+  else
+    g_string_append (request, content);
+  return g_string_free (request, FALSE);
+}
+
+/* The body of a request as a server received it; the caller frees it. */
+static char *
+read_body (const char *request)
+{
+  const char *at = strstr (request, "\r\n\r\n") + 4;
+  if (!strstr (request, "chunked\r\n"))
+    return g_strdup (at);
+  GString *content = g_string_new (NULL);
+  for (gsize size = g_ascii_strtoull (at, NULL, 16); size > 0; size = g_ascii_strtoull (at, NULL, 16))
+    {
+      at = strstr (at, "\r\n") + 2;
+      g_string_append_len (content, at, (gssize) size);
+      at += size + 2;
+    }
+  return g_string_free (content, FALSE);
+}
+
+/* --- internal functions: uploads --- */
+
+static void
+put_upload_config (struct setup *setup, guint version)
+{
+  char *spec = g_strdup_printf (
+      "{\"version\":\"r%u\",\"routes\":["
+      "{\"name\":\"up\",\"host\":\"h.example\",\"path_prefix\":\"/u/"
+      "\",\"route_kind\":\"upload\",\"timeout\":\"2000ms\","
+      "\"target_latency\":\"300ms\",\"priority\":1,\"service\":\"alpha\",\"max_attempts\":3}],"
+      "\"services\":[{\"name\":\"alpha\",\"health_path\":\"/health\",\"max_conns\":10}],"
+      "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":64000000,\"header_timeout\":\"500ms\","
+      "\"idle_timeout\":\"15000ms\"}}",
+      version);
+  fake_store_put (setup->store, "config", "main", spec);
+  g_free (spec);
+}
+
+static struct setup *
+open_uploads (void)
+{
+  struct setup *setup = open_setup ();
+  put_upload_config (setup, 8);
+  harness_pause (DIRECTORY_UPDATE_MS);
+  return setup;
+}
+
+/* Every complete request that a server received has the whole body. */
+static void
+assert_whole (const struct setup *setup, const char *content)
+{
+  for (guint i = 0; i < SERVERS; i++)
+    {
+      const GString *request = setup->servers[i].last_request;
+      if (request->len == 0)
+        continue;
+      char *received = read_body (request->str);
+      g_assert_cmpuint (strlen (received), ==, strlen (content));
+      g_assert_cmpstr (received, ==, content);
+      g_free (received);
+    }
+}
+
+/* Sends one upload; returns the status of its response. */
+static guint
+upload (struct setup *setup, const struct body *body)
+{
+  char *content = make_content (body->size);
+  char *request = make_upload (setup, body, content);
+  for (guint i = 0; i < SERVERS; i++)
+    g_string_truncate (setup->servers[i].last_request, 0);
+  struct raw_client *client = raw_client_connect (setup->net, setup->caller_address, request);
+  g_assert_true (harness_wait_until (has_response, client, UPLOAD_TIMEOUT_S));
+  guint status = raw_client_status (client);
+  raw_client_close (client);
+  assert_whole (setup, content);
+  g_free (request);
+  g_free (content);
+  return status;
+}
+
+/* --- tests --- */
+
+static void
+test_whole (void)
+{
+  struct setup *setup = open_uploads ();
+  for (gsize i = 0; i < G_N_ELEMENTS (bodies); i++)
+    g_assert_cmpuint (upload (setup, &bodies[i]), ==, 200);
+  close_setup (setup);
+}
+
+/* Guards against review/1: an upload that one server sheds, and of which bytes were sent and not kept, must not be sent
+ * to another server without them. It has not run, so the caller is told so at once. */
+static void
+test_shed (void)
+{
+  struct setup *setup = open_uploads ();
+  setup->servers[0].behaviour = SENDS_NOT_RUN;
+  for (gsize i = 0; i < G_N_ELEMENTS (bodies); i++)
+    for (guint n = 0; n < UPLOADS; n++)
+      {
+        guint status = upload (setup, &bodies[i]);
+        g_assert_true (status == 200 || status == 503);
+      }
+  close_setup (setup);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/uploads/whole", test_whole);
+  g_test_add_func ("/uploads/shed", test_shed);
+  return g_test_run ();
+}
