--- a/src/hf-proxy.c
+++ b/src/hf-proxy.c
@@ -24,10 +24,11 @@
   struct hf_event event; /* REQUEST event, with the values read from the head */
   bool has_body;
   int64_t content_length; /* declared bytes of the body; -1: chunked, or no body */
-  GByteArray *body;       /* buffered bytes */
+  GByteArray *body;       /* kept bytes */
   uint64_t digest;        /* hash of a buffered body */
   bool reported;          /* the REQUEST event was raised */
   bool streams_body;      /* the body is too long to buffer and is forwarded as it arrives */
+  bool drops_body;        /* bytes are no longer kept: an attempt has written all that it was given */
   bool body_complete;     /* the complete body has arrived */
   bool answered;          /* a response was started, or the caller has disconnected */
   struct hf_exchange *attempts[HF_ATTEMPTS_MAX];
@@ -285,30 +286,30 @@
     hf_http_client_send_body (request, hf_str ("0\r\n\r\n"), true);
 }
 
-/* The attempt has written the buffered bytes to its connection. They are no longer kept for another attempt. */
+/* The attempt has written the kept bytes to its connection. From now on none are kept for another attempt. */
 static void
 on_upload_drained (void *context)
 {
   struct call *call = context;
   if (!call->upload_exchange || call->answered)
     return;
+  call->drops_body = true;
   g_byte_array_set_size (call->body, 0);
   hf_http_request_pause_body (call->request, false);
 }
 
+/* Until the attempt has written what it was given, its connection may be refused and the bytes be lost with it: they
+ * are kept for the next attempt as well. */
 static void
 forward_request_body (struct call *call, struct hf_str bytes)
 {
-  if (call->upload_exchange)
-    {
-      send_body (call, bytes, false);
-      if (call->upload_exchange->request
-          && hf_http_client_unsent_bytes (call->upload_exchange->request) > HF_BODY_BUFFER_BYTES)
-        hf_http_request_pause_body (call->request, true);
-      return;
-    }
-  g_byte_array_append (call->body, (const guint8 *) bytes.data, (guint) bytes.len);
-  hf_http_request_pause_body (call->request, true);
+  struct hf_http_client_request *upload = call->upload_exchange ? call->upload_exchange->request : NULL;
+  if (!call->drops_body)
+    g_byte_array_append (call->body, (const guint8 *) bytes.data, (guint) bytes.len);
+  if (upload)
+    send_body (call, bytes, false);
+  if (!upload || hf_http_client_unsent_bytes (upload) > HF_BODY_BUFFER_BYTES)
+    hf_http_request_pause_body (call->request, true);
 }
 
 static void
--- a/tests/test-uploads.c
+++ b/tests/test-uploads.c
@@ -185,11 +185,33 @@
   close_setup (setup);
 }
 
+/* Guards against review/2: an upload whose first connection is refused must reach the next server without a hole. Once
+ * the retry budget is spent, the caller is told that it has not run. */
+static void
+test_refused (void)
+{
+  for (gsize i = 0; i < G_N_ELEMENTS (bodies); i++)
+    {
+      struct setup *setup = open_uploads ();
+      guint served = 0;
+      raw_server_set_refusing (setup->servers[0].raw_server);
+      for (guint n = 0; n < UPLOADS; n++)
+        {
+          guint status = upload (setup, &bodies[i]);
+          g_assert_true (status == 200 || status == 503);
+          served += status == 200;
+        }
+      g_assert_cmpuint (served, >=, UPLOADS / 2);
+      close_setup (setup);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/uploads/whole", test_whole);
   g_test_add_func ("/uploads/shed", test_shed);
+  g_test_add_func ("/uploads/refused", test_refused);
   return g_test_run ();
 }
