--- a/src/hf-calls.c
+++ b/src/hf-calls.c
@@ -31,14 +31,20 @@
   return &call->attempts[i];
 }
 
-/* True if an attempt waits for a slot or runs, or a retry is scheduled. */
+/* Attempts that wait for a slot or run, and a scheduled retry. */
+static unsigned
+count_live_attempts (const struct hf_call *call)
+{
+  unsigned n = call->retry_timer ? 1 : 0;
+  for (unsigned i = 0; i < call->n_attempts; i++)
+    n += call->attempts[i].phase == HF_PHASE_WAITING || call->attempts[i].phase == HF_PHASE_RUNNING;
+  return n;
+}
+
 static bool
 has_live_attempt (const struct hf_call *call)
 {
-  for (unsigned i = 0; i < call->n_attempts; i++)
-    if (call->attempts[i].phase == HF_PHASE_WAITING || call->attempts[i].phase == HF_PHASE_RUNNING)
-      return true;
-  return call->retry_timer != NULL;
+  return count_live_attempts (call) > 0;
 }
 
 static int
@@ -284,22 +290,43 @@
 
 /* --- internal functions: the end of an attempt --- */
 
+static bool
+is_failure (const struct hf_response_hints *hints)
+{
+  return hints->not_run || hf_attempts_is_failure_status (hints->status);
+}
+
+/* Delay before the request is sent again after this response. */
+static int64_t
+response_backoff_us (struct hf_state *state, const struct hf_call *call, const struct hf_response_hints *hints)
+{
+  /* That of a 503 keeps only its server out, see hf-restrictions. */
+  int64_t retry_after_ms = hints->status == 503 ? -1 : hints->retry_after_ms;
+  return hf_retry_backoff_us (call->n_attempts - 1, retry_after_ms, hf_random_next (&state->random_state));
+}
+
+/* Unless its class sets resend_refused, a non-repeatable request is sent only
+ * once per arrival, even if the backend server refused it. */
+static bool
+may_retry_response (const struct hf_state *state,
+                    const struct hf_call *call,
+                    const struct hf_response_hints *hints,
+                    int64_t delay_us)
+{
+  bool could_run_twice = !(hints->not_run && call->class->resend_refused);
+  return may_retry (call, could_run_twice, state->now, delay_us);
+}
+
 /* The response is relayed unless it is a failure that can be retried. */
 static void
 handle_response (struct hf_state *state, struct hf_call *call, unsigned i, const struct hf_event *event)
 {
   struct hf_attempt *attempt = &call->attempts[i];
-  bool not_run = event->hints.not_run;
-  bool failure = not_run || hf_attempts_is_failure_status (event->hints.status);
-  /* That of a 503 keeps only its server out, see hf-restrictions. */
-  int64_t retry_after_ms = event->hints.status == 503 ? -1 : event->hints.retry_after_ms;
-  int64_t delay_us = hf_retry_backoff_us (call->n_attempts - 1, retry_after_ms, hf_random_next (&state->random_state));
-  call->may_have_run = call->may_have_run || !not_run;
-  /* Unless its class sets resend_refused, a non-repeatable request is sent only
-   * once per arrival, even if the backend server refused it. */
-  bool could_run_twice = !(not_run && call->class->resend_refused);
+  bool failure = is_failure (&event->hints);
+  int64_t delay_us = response_backoff_us (state, call, &event->hints);
+  call->may_have_run = call->may_have_run || !event->hints.not_run;
   bool has_other_attempt = has_live_attempt (call);
-  if (failure && (has_other_attempt || may_retry (call, could_run_twice, state->now, delay_us)))
+  if (failure && (has_other_attempt || may_retry_response (state, call, &event->hints, delay_us)))
     {
       attempt->response_held = true;
       attempt->held_status = event->hints.status;
@@ -322,6 +349,47 @@
   remove_call (state, call);
 }
 
+/* Ends the attempt at the head of a response that is too long to be buffered, without its body. */
+static void
+drop_long_response (struct hf_state *state, struct hf_call *call, unsigned i, const struct hf_event *event)
+{
+  struct hf_event end = *event;
+  end.kind = HF_EVENT_ATTEMPT_END;
+  end.result = HF_ATTEMPT_ANSWERED;
+  end.bytes_sent = true;
+  hf_trace_attempt_ended (state, call, i, &end);
+  call->ignore_refusals = true;
+  cancel_attempt (state, call, i, hf_attempts_slot_result (&end));
+  call->ignore_refusals = false;
+}
+
+/* A response that is too long to be buffered cannot be held back: it is relayed, or dropped for good. It is dropped if
+ * the request may be sent again, if it is the server's statement that the request has not run, or if its status would
+ * be taken for one. */
+static void
+handle_long_response (struct hf_state *state, struct hf_call *call, unsigned i, const struct hf_event *event)
+{
+  const struct hf_response_hints *hints = &event->hints;
+  int64_t delay_us = response_backoff_us (state, call, hints);
+  call->bytes_sent = true;
+  call->may_have_run = call->may_have_run || !hints->not_run;
+  bool misleads = call->class->resend_refused && falsely_signals_not_run (hints->status, HF_OUTCOME_UNKNOWN);
+  bool retries = is_failure (hints) && may_retry_response (state, call, hints, delay_us);
+  bool has_other_attempt = count_live_attempts (call) > 1;
+  if (!hints->not_run && !misleads && !retries && !(is_failure (hints) && has_other_attempt))
+    {
+      relay_response (state, call, i, hints->status >= 500 ? HF_OUTCOME_UNKNOWN : HF_OUTCOME_ANSWERED);
+      return;
+    }
+  drop_long_response (state, call, i, event);
+  if (has_live_attempt (call))
+    return;
+  if (retries)
+    schedule_retry (state, call, delay_us);
+  else
+    end_with_error (state, call, call->may_have_run ? 502 : 503, "the backend server failed");
+}
+
 static void
 handle_attempt_failure (struct hf_state *state,
                         struct hf_call *call,
@@ -554,8 +622,7 @@
     return;
   hf_timers_cancel (&attempt->response_timer);
   hf_attempts_record_hints (state, call, attempt, &event->hints);
-  call->may_have_run = true;
-  relay_response (state, call, event->attempt, event->hints.status >= 500 ? HF_OUTCOME_UNKNOWN : HF_OUTCOME_ANSWERED);
+  handle_long_response (state, call, event->attempt, event);
 }
 
 void
--- a/tests/platform-setup.c
+++ b/tests/platform-setup.c
@@ -46,6 +46,25 @@
                        extra_fields (server));
 }
 
+/* With a length, in one chunk, or up to the end of the connection, in turn. */
+static void
+send_long_503 (const struct backend_server *server,
+               struct raw_connection *connection,
+               const char *id,
+               const char *fields)
+{
+  char *body = g_strnfill (LONG_BODY_BYTES, 'x');
+  guint framing = server->requests % 3;
+  raw_connection_send (connection, "HTTP/1.1 503 Failed\r\nX-Attempt-Id: %s\r\n%s", id, fields);
+  if (framing == 0)
+    raw_connection_send (connection, "Content-Length: %d\r\n\r\n%s", LONG_BODY_BYTES, body);
+  else if (framing == 1)
+    raw_connection_send (connection, "Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", LONG_BODY_BYTES, body);
+  else
+    raw_connection_send (connection, "Connection: close\r\n\r\n%s", body);
+  g_free (body);
+}
+
 /* Refuses the first request, and runs all others. */
 static void
 refuse_once (struct backend_server *server, struct raw_connection *connection, const char *id)
@@ -123,6 +142,12 @@
       raw_connection_send (connection, "HTTP/1.1 503 Failed\r\nX-Attempt-Id: %s\r\n%sContent-Length: 0\r\n\r\n", id,
                            extra_fields (server));
       break;
+    case SENDS_LONG_503:
+      send_long_503 (server, connection, id, "");
+      break;
+    case SENDS_LONG_NOT_RUN:
+      send_long_503 (server, connection, id, "X-Not-Executed: 1\r\n");
+      break;
     case RESETS_CONNECTION:
       raw_connection_close (connection, TRUE);
       break;
--- a/tests/platform-setup.h
+++ b/tests/platform-setup.h
@@ -15,7 +15,8 @@
 
 #define SERVERS             2
 #define CHANGE_TIMEOUT_S    5
-#define DIRECTORY_UPDATE_MS 1000 /* until a change in the store is in force */
+#define DIRECTORY_UPDATE_MS 1000   /* until a change in the store is in force */
+#define LONG_BODY_BYTES     300000 /* more than the entry buffers */
 #define LATE_MAX_MS         1000
 #define DRAIN_WAIT_MS       300  /* from SIGTERM until the listener closes */
 #define GRACE_MS            3000 /* from SIGTERM to the exit of an entry */
@@ -29,6 +30,8 @@
   SENDS_NOT_RUN,                /* 503 with X-Not-Executed */
   SENDS_WRONG_INSTANCE,         /* 421: the address now belongs to another server */
   SENDS_503,                    /* 503 without X-Not-Executed */
+  SENDS_LONG_503,               /* the same with LONG_BODY_BYTES, in each framing in turn */
+  SENDS_LONG_NOT_RUN,           /* 503 with X-Not-Executed and LONG_BODY_BYTES */
   RESETS_CONNECTION,            /* after it has read the request */
   SENDS_NOTHING,                /* keeps the connection open */
   SENDS_FOREIGN_RESPONSE_FIRST, /* a response to another request, then its own */
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -35,6 +35,7 @@
 #define CUT_BYTES_MAX          100 /* longer than the shortest response that is cut */
 #define SHORT_GRACE_MS         700 /* shorter than the timeouts of the routes */
 #define KNOWN_LATENCY_REQUESTS 60  /* after that many an entry knows the usual latency of a class */
+#define LONG_RESPONSES         6   /* of two servers, each in every framing */
 #define INITIAL_RETRIES        4   /* in the retry budget of a service at its start */
 
 /* --- tests: requests and configuration --- */
@@ -795,6 +796,32 @@
   close_setup (setup);
 }
 
+/* Guards against review/3: the same for a 503 that is too long to be buffered, in each framing. */
+static void
+test_long_false_promise (void)
+{
+  struct setup *setup = open_setup ();
+  set_behaviour (setup, SENDS_LONG_503);
+  guint before = count_requests (setup);
+  for (guint i = 0; i < LONG_RESPONSES; i++)
+    g_assert_cmpuint (request_status (setup, "POST", "/w/x", "b"), ==, 502);
+  g_assert_cmpuint (count_requests (setup), ==, before + LONG_RESPONSES);
+  close_setup (setup);
+}
+
+/* The same where the server states that it did not run the request: it is sent to the next server, and if none runs it
+ * the caller is told so. */
+static void
+test_long_refusal (void)
+{
+  struct setup *setup = open_setup ();
+  setup->servers[0].behaviour = SENDS_LONG_NOT_RUN;
+  send_within_budget (setup);
+  setup->servers[1].behaviour = SENDS_LONG_NOT_RUN;
+  g_assert_cmpuint (request_status (setup, "POST", "/w/x", "b"), ==, 503);
+  close_setup (setup);
+}
+
 /* A reset, or bytes that are not HTTP, after the request was sent: it may have run, so it is not retried and the caller
  * gets 502. */
 static void
@@ -1367,6 +1394,8 @@
   g_test_add_func ("/restored/stale-list", test_restored_stale_list);
   g_test_add_func ("/platform/refused", test_refused);
   g_test_add_func ("/platform/false-promise", test_false_promise);
+  g_test_add_func ("/platform/long-false-promise", test_long_false_promise);
+  g_test_add_func ("/platform/long-refusal", test_long_refusal);
   g_test_add_func ("/platform/broken", test_broken);
   g_test_add_func ("/platform/timeout", test_timeout);
   g_test_add_func ("/platform/extra-answers", test_extra_answers);
--- a/tests/test-scripts.c
+++ b/tests/test-scripts.c
@@ -8,7 +8,7 @@
  *   AT document GENERATION FILE                     the platform's watch delivers a configuration document
  *   AT request CALL METHOD PATH [key=K] [body=TEXT] [streamed]
  *   AT gone CALL                                    the caller disconnected
- *   AT head CALL ATTEMPT STATUS                     head of a streamed response
+ *   AT head CALL ATTEMPT STATUS [not-run] [load=N] [retry=MS]   head of a streamed response
  *   AT end CALL ATTEMPT RESULT [status=N] [handed] [leaving] [not-run] [load=N] [retry=MS]
  *       RESULT: answered, connect-failed, broken, short (truncated), timeout, cancelled
  *       handed: bytes of the request were sent; leaving: the backend server is draining
@@ -268,6 +268,17 @@
   return hints;
 }
 
+static void
+raise_attempt_head (struct script_run *run)
+{
+  struct hf_event event = { .kind = HF_EVENT_ATTEMPT_HEAD,
+                            .call = parse_number (run, 2),
+                            .attempt = (unsigned) parse_number (run, 3),
+                            .hints = make_hints (run) };
+  event.hints.status = (unsigned) parse_number (run, 4);
+  raise_event (run, event);
+}
+
 static void
 raise_attempt_end (struct script_run *run)
 {
@@ -404,10 +415,7 @@
   else if (strcmp (event_name, "gone") == 0)
     raise_event (run, (struct hf_event){ .kind = HF_EVENT_CALLER_GONE, .call = parse_number (run, 2) });
   else if (strcmp (event_name, "head") == 0)
-    raise_event (run, (struct hf_event){ .kind = HF_EVENT_ATTEMPT_HEAD,
-                                         .call = parse_number (run, 2),
-                                         .attempt = (unsigned) parse_number (run, 3),
-                                         .hints = { .status = (unsigned) parse_number (run, 4), .load = -1 } });
+    raise_attempt_head (run);
   else if (strcmp (event_name, "hints") == 0)
     raise_server_hints (run);
   else if (strcmp (event_name, "end") == 0)
