--- a/tests/fake-store.c
+++ b/tests/fake-store.c
@@ -2,6 +2,7 @@
 #include "fake-store.h"
 
 #include <json-glib/json-glib.h>
+#include <stdlib.h>
 #include <string.h>
 
 /* --- constants --- */
@@ -30,6 +31,8 @@
   GHashTable *query;
   GString *body;
   guint64 watch; /* revision after which changes are awaited; 0: not a watch */
+  struct fake_store *store;
+  guint wait_timer; /* end of a watch that waits; 0: none */
 };
 
 struct fake_store
@@ -199,6 +202,27 @@
   return has_events;
 }
 
+static gboolean
+on_watch_waited (gpointer data)
+{
+  struct call *call = data;
+  char *body = g_strdup_printf ("{\"events\":[],\"as_of\":%" G_GUINT64_FORMAT "}", call->store->revision);
+  call->wait_timer = 0;
+  if (g_ptr_array_find (call->store->pending_watches, call, NULL))
+    respond (call->store, call, 200, body);
+  g_free (body);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+keep_watch (struct fake_store *store, struct call *call)
+{
+  const char *wait_ms = g_hash_table_lookup (call->query, "wait_ms");
+  g_ptr_array_add (store->pending_watches, call);
+  call->store = store;
+  call->wait_timer = g_timeout_add (wait_ms ? (guint) atoi (wait_ms) : 0, on_watch_waited, call);
+}
+
 static void
 notify_watches (struct fake_store *store)
 {
@@ -352,7 +376,7 @@
       else if (call->watch < store->compacted_revision || call->watch > store->revision)
         respond (store, call, 410, "{}");
       else if (!respond_with_events (store, call))
-        g_ptr_array_add (store->pending_watches, call);
+        keep_watch (store, call);
     }
 }
 
@@ -369,6 +393,8 @@
   struct fake_store *store = context;
   struct call *call = hf_http_request_data (request);
   (void) answered;
+  if (call->wait_timer)
+    g_source_remove (call->wait_timer);
   g_ptr_array_remove_fast (store->pending_watches, call);
   g_ptr_array_remove_fast (store->unanswered_reads, call);
   g_hash_table_destroy (call->query);
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -16,6 +16,12 @@
 
 #define MISSING_REMOVAL_MS     2600 /* until servers that are missing after an outage are no longer used */
 #define OUTAGE_MS              1200 /* longer than a watch batches changes; entries time out after seconds only */
+#define SHORT_SILENCE_MS       150  /* shorter than the pauses between checks of the store */
+#define CONTACT_MS             3000 /* from the users' pages: calm of the store after which bounds hold */
+#define CONFIG_APPLY_MS        2000 /* from the users' pages: from the store's response to the version in force */
+#define DRAIN_MS               2000 /* from the users' pages: from the store's response to the last request */
+#define LOST_WATCHES           4    /* in some of them a check does fall into the silence */
+#define DRAIN_REQUESTS         10
 #define RECOVERY_MS            2000 /* until a change is in force after the store has recovered */
 #define DISCONNECT_MS          500  /* until a caller's disconnect has reached the backend server */
 #define SETTLE_MS              50   /* until responses under way have arrived */
@@ -499,6 +505,57 @@
   return FALSE;
 }
 
+/* A silence that no check falls into, just after a change: the entry's next watch is lost in it. */
+static void
+lose_watches (struct setup *setup)
+{
+  fake_store_set_silent (setup->store, TRUE);
+  harness_pause (SHORT_SILENCE_MS);
+  fake_store_set_silent (setup->store, FALSE);
+  harness_pause (CONTACT_MS);
+}
+
+/* Guards against review/5: a watch that is lost in a short silence of the store is sent again in time. Once the store
+ * has been calm for CONTACT_MS, a new configuration is in force CONFIG_APPLY_MS after its write. */
+static void
+test_lost_watch (void)
+{
+  struct setup *setup = open_setup ();
+  for (guint version = 10; version < 10 + 2 * LOST_WATCHES; version += 2)
+    {
+      char *prefix = g_strdup_printf ("/new%u/", version);
+      char *path = g_strdup_printf ("%sx", prefix);
+      put_config (setup, version, "\"service\":\"alpha\"", "/r/");
+      lose_watches (setup);
+      put_config (setup, version + 1, "\"service\":\"alpha\"", prefix);
+      harness_pause (CONFIG_APPLY_MS);
+      g_assert_cmpuint (request_status (setup, "GET", path, ""), ==, 200);
+      g_free (path);
+      g_free (prefix);
+    }
+  close_setup (setup);
+}
+
+/* The same for the watch of the servers: one that reports that it drains gets no request DRAIN_MS after its report. */
+static void
+test_lost_servers_watch (void)
+{
+  struct setup *setup = open_setup ();
+  for (guint i = 0; i < LOST_WATCHES; i++)
+    {
+      lose_watches (setup);
+      put_server (setup, 0, "alpha", "draining");
+      harness_pause (DRAIN_MS);
+      guint before = setup->servers[0].requests;
+      for (guint n = 0; n < DRAIN_REQUESTS; n++)
+        g_assert_cmpuint (request_status (setup, "GET", "/r/x", ""), ==, 200);
+      g_assert_cmpuint (setup->servers[0].requests, ==, before);
+      put_server (setup, 0, "alpha", "ready");
+      harness_pause (DIRECTORY_UPDATE_MS);
+    }
+  close_setup (setup);
+}
+
 /* The store cuts the watches that wait, but responds to everything else: the entry does not take it for unreachable,
  * and watches it again. */
 static void
@@ -1378,6 +1435,8 @@
   g_test_add_func ("/platform/lapse", test_missing_servers);
   g_test_add_func ("/platform/store-away", test_store_errors);
   g_test_add_func ("/platform/store-silent", test_store_silent);
+  g_test_add_func ("/platform/lost-watch", test_lost_watch);
+  g_test_add_func ("/platform/lost-servers-watch", test_lost_servers_watch);
   g_test_add_func ("/platform/old-watch", test_old_watch);
   g_test_add_func ("/platform/watches-cut", test_watches_cut);
   g_test_add_func ("/platform/silent-checks", test_silent_checks);
