--- a/src/config.h
+++ b/src/config.h
@@ -44,6 +44,9 @@
 /* Memory. */
 #define HF_MALLOC_TRIM_BYTES (4 * 1024 * 1024) /* free heap kept before it goes back to the kernel */
 
+/* Values of other writers. */
+#define HF_JSON_DEPTH_MAX 32 /* containers in one another; deeper ones are not read */
+
 /* Log. */
 #define HF_LOG_LINES_PER_SEC     400         /* above: lines are dropped and counted */
 #define HF_LOG_PENDING_BYTES_MAX (64 * 1024) /* not yet read from the pipe; above: lines are dropped and counted */
--- a/src/hf-log.c
+++ b/src/hf-log.c
@@ -48,6 +48,7 @@
   { HF_LOG_FOLLOW, HF_LOG_LEVEL_INFO, "follow" },
   { HF_LOG_PLATFORM_RESTORED, HF_LOG_LEVEL_WARNING, "platform-restored" },
   { HF_LOG_PLATFORM_OUTDATED, HF_LOG_LEVEL_INFO, "platform-outdated" },
+  { HF_LOG_PLATFORM_UNREADABLE, HF_LOG_LEVEL_WARNING, "platform-unreadable" },
   { HF_LOG_LINES_DROPPED, HF_LOG_LEVEL_WARNING, "lines-dropped" },
   { HF_LOG_NOT_ACCEPTED, HF_LOG_LEVEL_WARNING, "not-accepted" },
   { HF_LOG_REQUEST_ROUTED, HF_LOG_LEVEL_INFO, "request-routed" },
--- a/src/hf-objects.c
+++ b/src/hf-objects.c
@@ -3,6 +3,8 @@
 
 #include <string.h>
 
+#include "hf-json.h"
+
 /* --- internal functions --- */
 
 static JsonObject *
@@ -24,19 +26,9 @@
 static JsonObject *
 parse_json_object (struct hf_str text, struct hf_object *object, struct hf_error *error)
 {
-  GError *json_error = NULL;
+  unsigned replaced;
   *object = (struct hf_object){ .parser = json_parser_new () };
-  if (!json_parser_load_from_data (object->parser, text.data, (gssize) text.len, &json_error))
-    {
-      hf_error_set (error, HF_ERROR_SYNTAX, "not valid JSON: %s", json_error->message);
-      g_clear_error (&json_error);
-      return NULL;
-    }
-  JsonNode *root = json_parser_get_root (object->parser);
-  if (root && JSON_NODE_HOLDS_OBJECT (root))
-    return json_node_get_object (root);
-  hf_error_set (error, HF_ERROR_INVALID, "expected a JSON object");
-  return NULL;
+  return hf_json_load (object->parser, text, &replaced, error);
 }
 
 static void
@@ -107,7 +99,8 @@
 hf_object_get_uint (const struct hf_object *object, const char *member)
 {
   JsonNode *node = object->data ? json_object_get_member (object->data, member) : NULL;
-  return node && JSON_NODE_HOLDS_VALUE (node) ? (uint64_t) json_node_get_int (node) : 0;
+  bool is_number = node && JSON_NODE_HOLDS_VALUE (node) && json_node_get_value_type (node) == G_TYPE_INT64;
+  return is_number ? (uint64_t) MAX (json_node_get_int (node), 0) : 0;
 }
 
 char *
--- a/src/hf-yaml.c
+++ b/src/hf-yaml.c
@@ -1,6 +1,7 @@
 /* Reads YAML into structs by a table of fields, with libyaml. */
 #include "hf-yaml.h"
 
+#include <arpa/inet.h>
 #include <gio/gio.h>
 #include <string.h>
 #include <yaml.h>
@@ -272,11 +273,13 @@
   char *text = g_strndup (address.data, address.len);
   char *colon = strrchr (text, ':');
   guint64 port = 0;
+  struct in_addr host;
   bool valid = false;
   if (colon)
     {
       *colon = 0;
-      valid = g_ascii_string_to_unsigned (colon + 1, 10, 0, 65535, &port, NULL) && g_hostname_is_ip_address (text);
+      valid = g_ascii_string_to_unsigned (colon + 1, 10, 0, G_MAXUINT16, &port, NULL)
+              && inet_pton (AF_INET, text, &host) == 1;
     }
   g_free (text);
   return valid;
--- a/src/hf-yaml.h
+++ b/src/hf-yaml.h
@@ -80,6 +80,6 @@
 void hf_yaml_set_defaults (const struct hf_yaml_field *fields, void *out); /* fills a zeroed struct */
 void hf_yaml_locate_error (struct hf_str text, struct hf_error *error);    /* sets line and column from error->path */
 void hf_yaml_free (const struct hf_yaml_field *fields, void *out);         /* frees strings and lists of *out */
-bool hf_address_is_valid (struct hf_str address);                          /* true for IP:PORT */
+bool hf_address_is_valid (struct hf_str address);                          /* true for IP:PORT, IPv4 */
 
 #endif
--- a/tests/fuzz.c
+++ b/tests/fuzz.c
@@ -11,6 +11,7 @@
 #include "hf-document.h"
 #include "hf-document-pack.h"
 #include "hf-http-parser.h"
+#include "hf-json.h"
 #include "hf-objects.h"
 #include "hf-settings.h"
 #include "hf-store-objects.h"
@@ -143,20 +144,18 @@
   struct hf_server_report report;
   struct hf_error error = { 0 };
   uint64_t generation;
-  char *copy = g_strndup (text.data, text.len);
-  JsonNode *node = json_from_string (copy, NULL);
-  if (node && JSON_NODE_HOLDS_OBJECT (node))
+  struct hf_str encoded;
+  unsigned replaced;
+  JsonParser *parser = json_parser_new ();
+  JsonObject *object = hf_json_load (parser, text, &replaced, &error);
+  if (object)
+    hf_store_object_to_server_report (object, &report);
+  if (object && hf_store_object_to_document (object, &generation, &encoded, &error))
     {
-      hf_store_object_to_server_report (json_node_get_object (node), &report);
-      struct hf_str encoded;
-      if (hf_store_object_to_document (json_node_get_object (node), &generation, &encoded, &error))
-        {
-          hf_document_unref (hf_document_load (encoded, &error));
-          hf_str_free (&encoded);
-        }
+      hf_document_unref (hf_document_load (encoded, &error));
+      hf_str_free (&encoded);
     }
-  g_clear_pointer (&node, json_node_unref);
-  g_free (copy);
+  g_object_unref (parser);
 }
 
 static void
--- a/tests/platform-setup.c
+++ b/tests/platform-setup.c
@@ -3,6 +3,7 @@
 
 #include <gio/gio.h>
 #include <glib/gstdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 /* --- constants --- */
@@ -369,13 +370,22 @@
   return status;
 }
 
+char *
+page_text (struct setup *setup, const char *address, const char *path)
+{
+  char *request = g_strdup_printf ("GET %s HTTP/1.1\r\nHost: x\r\n\r\n", path);
+  struct raw_client *client = send_text (setup, address, request);
+  char *text = g_strdup (client->received->str);
+  raw_client_close (client);
+  g_free (request);
+  return text;
+}
+
 guint
 page_status (struct setup *setup, const char *address, const char *path)
 {
-  char *text = g_strdup_printf ("GET %s HTTP/1.1\r\nHost: x\r\n\r\n", path);
-  struct raw_client *client = send_text (setup, address, text);
-  guint status = raw_client_status (client);
-  raw_client_close (client);
+  char *text = page_text (setup, address, path);
+  guint status = g_str_has_prefix (text, "HTTP/1.1 ") ? (guint) atoi (text + strlen ("HTTP/1.1 ")) : 0;
   g_free (text);
   return status;
 }
--- a/tests/platform-setup.h
+++ b/tests/platform-setup.h
@@ -116,6 +116,7 @@
 struct raw_client *send_text (struct setup *setup, const char *address, const char *text);
 guint
 request_status (struct setup *setup, const char *method, const char *path, const char *body); /* sends it and waits */
+char *page_text (struct setup *setup, const char *address, const char *path);   /* head and body; the caller frees it */
 guint page_status (struct setup *setup, const char *address, const char *path); /* of a page of the entry */
 guint health_status (struct setup *setup);                                      /* of the entry */
 char *header_value (const char *text, const char *name);
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -14,10 +14,12 @@
 
 /* --- constants --- */
 
-#define MISSING_REMOVAL_MS     2600 /* until servers that are missing after an outage are no longer used */
-#define OUTAGE_MS              1200 /* longer than a watch batches changes; entries time out after seconds only */
-#define SHORT_SILENCE_MS       150  /* shorter than the pauses between checks of the store */
-#define CONTACT_MS             3000 /* from the users' pages: calm of the store after which bounds hold */
+#define MISSING_REMOVAL_MS     2600   /* until servers that are missing after an outage are no longer used */
+#define OUTAGE_MS              1200   /* longer than a watch batches changes; entries time out after seconds only */
+#define NESTED_LEVELS          150000 /* with a key each, less than the store's largest object */
+#define UNUSED_ADDRESS         "127.0.0.1:1" /* no server listens there */
+#define SHORT_SILENCE_MS       150           /* shorter than the pauses between checks of the store */
+#define CONTACT_MS             3000          /* from the users' pages: calm of the store after which bounds hold */
 #define CONFIG_APPLY_MS        2000 /* from the users' pages: from the store's response to the version in force */
 #define DRAIN_MS               2000 /* from the users' pages: from the store's response to the last request */
 #define LOST_WATCHES           4    /* in some of them a check does fall into the silence */
@@ -178,6 +180,120 @@
   close_setup (setup);
 }
 
+static char *
+make_nested (const char *open, const char *close, guint levels)
+{
+  GString *text = g_string_new (NULL);
+  for (guint i = 0; i < levels; i++)
+    g_string_append (text, open);
+  g_string_append (text, "1");
+  for (guint i = 0; i < levels; i++)
+    g_string_append (text, close);
+  return g_string_free (text, FALSE);
+}
+
+/* Entry i of another writer; NULL: there are no more. All would name a server if their odd value was passed over. */
+static char *
+make_odd_entry (guint i)
+{
+  static const char *const values[] = { "1e999",
+                                        "-1e999",
+                                        "123456789012345678901234567890",
+                                        "-5",
+                                        "0",
+                                        "3.5e300",
+                                        "2.5",
+                                        "NaN",
+                                        "\"\\ud800\"",
+                                        "\"\\udc00\\ud800\"",
+                                        "\"\\u0000\"",
+                                        "\"\xff\xfe\"",
+                                        "\"3\"",
+                                        "true",
+                                        "null",
+                                        "[]",
+                                        "{}" };
+  static const char *const addresses[]
+      = { "127.0.0.1:70000", "127.0.0.1:0",  "127.0.0.1:-1", "127.0.0.1:99999999999999999999",
+          "127.0.0.1:",      "127.0.0.1",    "[::1]:80",     "::1:80",
+          "256.1.1.1:80",    "127.0.0.1:1 ", "127.0.0.1:+80" };
+  static const char format[] = "{\"address\":\"%s\",\"born\":%s,\"info\":{\"service\":\"alpha\",\"version\":\"v1\","
+                               "\"zone\":\"z1\",\"slots\":%s},\"status\":{\"state\":\"ready\",\"sequence\":%s,"
+                               "\"cold_left\":%s}}";
+  const guint n = G_N_ELEMENTS (values);
+  if (i < G_N_ELEMENTS (addresses))
+    return g_strdup_printf (format, addresses[i], "1", "3", "1", "\"0ms\"");
+  i -= G_N_ELEMENTS (addresses);
+  if (i < n)
+    return g_strdup_printf (format, UNUSED_ADDRESS, "1", values[i], "1", "\"0ms\"");
+  i -= n;
+  if (i < 2)
+    return g_strdup_printf (format, UNUSED_ADDRESS, values[i], "3", "1", "\"0ms\"");
+  i -= 2;
+  if (i < 2)
+    return g_strdup_printf (format, UNUSED_ADDRESS, "1", "3", values[i], "\"0ms\"");
+  i -= 2;
+  if (i < 2)
+    {
+      char *nested = make_nested (i ? "{\"a\":" : "[", i ? "}" : "]", NESTED_LEVELS);
+      char *entry = g_strdup_printf ("{\"address\":\"%s\",\"info\":%s}", UNUSED_ADDRESS, nested);
+      g_free (nested);
+      return entry;
+    }
+  return NULL;
+}
+
+static gboolean
+has_route (void *context)
+{
+  struct setup *setup = context;
+  char *path = g_strdup_printf ("/n%u/x", setup->sequence);
+  gboolean served = request_status (setup, "GET", path, "") == 200;
+  g_free (path);
+  return served;
+}
+
+/* A new configuration is followed, and a server that joins or leaves the list. */
+static void
+check_follows (struct setup *setup, guint version)
+{
+  char *prefix = g_strdup_printf ("/n%u/", ++setup->sequence);
+  put_config (setup, version, "\"service\":\"alpha\"", prefix);
+  g_assert_true (harness_wait_until (has_route, setup, CHANGE_TIMEOUT_S));
+  g_free (prefix);
+}
+
+/* Guards against a process that ends, or follows the store no more, because of one entry of another writer. Each comes
+ * while the entry watches, then all are in the list that it reads at its start. None names a server to use, and the
+ * others hold. */
+static void
+test_odd_entries (void)
+{
+  struct setup *setup = open_setup ();
+  guint i = 0;
+  for (char *spec = make_odd_entry (i); spec; spec = make_odd_entry (i))
+    {
+      char *name = g_strdup_printf ("odd-%02u", i++);
+      g_test_message ("%s: %.200s", name, spec);
+      fake_store_put (setup->store, "servers", name, spec);
+      check_follows (setup, 100 + i);
+      g_free (name);
+      g_free (spec);
+    }
+  kill_entry (setup);
+  start_entry (setup);
+  g_assert_true (harness_wait_until (is_ready, setup, CHANGE_TIMEOUT_S));
+  check_follows (setup, 200);
+  harness_pause (DIRECTORY_UPDATE_MS);
+  for (guint n = 0; n < 20; n++)
+    g_assert_cmpuint (request_status (setup, "POST", "/w/x", "b"), ==, 200);
+  char *dump = page_text (setup, setup->admin_address, "/dump");
+  g_assert_nonnull (strstr (dump, "i-0"));
+  g_assert_null (strstr (dump, "odd-"));
+  g_free (dump);
+  close_setup (setup);
+}
+
 /* Checks that requests succeed and that server 0 gets none of them. */
 static void
 check_first_server_unused (struct setup *setup)
@@ -1424,6 +1540,7 @@
   g_test_add_func ("/platform/config", test_config);
   g_test_add_func ("/platform/split", test_split);
   g_test_add_func ("/platform/foreign-entries", test_invalid_servers);
+  g_test_add_func ("/platform/odd-entries", test_odd_entries);
   g_test_add_func ("/platform/drain", test_drain);
   g_test_add_func ("/platform/leaving-by-response", test_leaving_by_response);
   g_test_add_func ("/platform/leaving-by-health-response", test_leaving_by_health_response);
--- a/tests/test-units.c
+++ b/tests/test-units.c
@@ -9,6 +9,7 @@
 #include "hf-config-history.h"
 #include "hf-document.h"
 #include "hf-document-pack.h"
+#include "hf-json.h"
 #include "hf-log.h"
 #include "hf-reduce.h"
 #include "hf-routing.h"
@@ -459,12 +460,86 @@
   g_free (page);
 }
 
+struct json_case
+{
+  const char *text;
+  const char *expected; /* as json-glib writes what was read; NULL: no object */
+};
+
+/* Values that json-glib cannot read, or reads wrongly, become null; the rest of the text holds. */
+static void
+test_json (void)
+{
+  static const struct json_case cases[] = {
+    { "{\"a\":1,\"b\":[true,false,null,-2,0,1.5,1e3]}", "{\"a\":1,\"b\":[true,false,null,-2,0,1.5,1000.0]}" },
+    { "{\"a\":9223372036854775807,\"b\":-9223372036854775808}",
+      "{\"a\":9223372036854775807,\"b\":-9223372036854775808}" },
+    { "{\"a\":9223372036854775808,\"b\":-9223372036854775809}", "{\"a\":null,\"b\":null}" },
+    { "{\"a\":1e999,\"b\":-1e999,\"c\":1.5}", "{\"a\":null,\"b\":null,\"c\":1.5}" },
+    { "{\"a\":NaN,\"b\":-Infinity,\"c\":0x10,\"d\":010,\"e\":1e,\"f\":-,\"g\":+1,\"h\":.5}",
+      "{\"a\":null,\"b\":null,\"c\":null,\"d\":null,\"e\":null,\"f\":null,\"g\":null,\"h\":null}" },
+    { "{\"a\":\"x\\ud83d\\ude00y\\n\\\"\"}", "{\"a\":\"x\xf0\x9f\x98\x80y\\n\\\"\"}" },
+    { "{\"a\":\"\\ud800\",\"b\":\"\\udc00\\ud800\",\"c\":\"\\ud800\\u0041\",\"d\":\"\\u0000\"}",
+      "{\"a\":\"\xef\xbf\xbd\",\"b\":\"\xef\xbf\xbd\xef\xbf\xbd\",\"c\":\"\xef\xbf\xbd"
+      "A\",\"d\":\"\xef\xbf\xbd\"}" },
+    { "{\"a\":\"\xff\"}", "{\"a\":\"\xef\xbf\xbd\"}" },
+    { "{\"a\":\"1\\qx\\uzz\"}", "{\"a\":\"1\xef\xbf\xbdqx\xef\xbf\xbdzz\"}" },
+    { "{\"a\":/*\"*/[[1]],\"b\":\"*/\"}", NULL },
+    { "{\"a\":'\"'}", NULL },
+    { "{\"a\":1]", NULL },
+    { "]", NULL },
+    { "{\"a\":\"", NULL },
+    { "[1]", NULL },
+    { "", NULL },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      JsonParser *parser = json_parser_new ();
+      unsigned replaced;
+      struct hf_error error = { 0 };
+      JsonObject *object = hf_json_load (parser, hf_str (cases[i].text), &replaced, &error);
+      char *text = object ? json_to_string (json_parser_get_root (parser), FALSE) : NULL;
+      g_assert_cmpstr (text, ==, cases[i].expected);
+      g_free (text);
+      g_object_unref (parser);
+    }
+}
+
+/* Guards against the end of the process by one entry: containers in one another up to the limit, one more, and as many
+ * as fit into the store's largest object, as value and as YAML. */
+static void
+test_nesting (void)
+{
+  static const unsigned levels[] = { HF_JSON_DEPTH_MAX - 1, HF_JSON_DEPTH_MAX, 500000 };
+  for (size_t i = 0; i < G_N_ELEMENTS (levels); i++)
+    {
+      char *open = g_strnfill (levels[i], '[');
+      char *close = g_strnfill (levels[i], ']');
+      char *text = g_strdup_printf ("{\"a\":%s%s,\"b\":1}", open, close);
+      JsonParser *parser = json_parser_new ();
+      unsigned replaced;
+      JsonObject *object = hf_json_load (parser, hf_str (text), &replaced, NULL);
+      g_assert_nonnull (object);
+      g_assert_cmpint (json_object_get_int_member (object, "b"), ==, 1);
+      g_assert_cmpuint (replaced, ==, levels[i] < HF_JSON_DEPTH_MAX ? 0 : 1);
+      struct hf_error error = { 0 };
+      g_assert_null (hf_document_load (hf_str (text), &error));
+      g_assert_null (hf_document_load (hf_str (open), &error));
+      g_object_unref (parser);
+      g_free (text);
+      g_free (close);
+      g_free (open);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_set_nonfatal_assertions ();
   g_test_add_func ("/units/document-errors", test_document_errors);
+  g_test_add_func ("/units/json", test_json);
+  g_test_add_func ("/units/nesting", test_nesting);
   g_test_add_func ("/units/samples", test_example_documents);
   g_test_add_func ("/units/routing", test_routing);
   g_test_add_func ("/units/wire", test_wire);
