--- a/src/hickoryd.c
+++ b/src/hickoryd.c
@@ -28,6 +28,7 @@
   struct hf_loop loop;
   struct hf_http_server *admin;
   struct hf_http_server *metrics; /* NULL: on the admin address only */
+  bool running;                   /* the loop is open: signals have something to act on */
 };
 
 /* --- internal functions --- */
@@ -123,7 +124,8 @@
 on_terminate_signal (gpointer data)
 {
   struct daemon *daemon = data;
-  hf_loop_raise_event (&daemon->loop, (struct hf_event){ .kind = HF_EVENT_SHUTDOWN });
+  if (daemon->running)
+    hf_loop_raise_event (&daemon->loop, (struct hf_event){ .kind = HF_EVENT_SHUTDOWN });
   return G_SOURCE_CONTINUE;
 }
 
@@ -131,6 +133,8 @@
 on_dump_signal (gpointer data)
 {
   struct daemon *daemon = data;
+  if (!daemon->running)
+    return G_SOURCE_CONTINUE;
   char *text = hf_dump_text (daemon->loop.state, hf_loop_now ());
   hf_log_write (HF_LOG_STATE_DUMP, "state dump follows on standard error");
   fputs (text, stderr);
@@ -175,42 +179,49 @@
   return G_SOURCE_CONTINUE;
 }
 
+/* From now on signals wait for the loop, so that one that comes during the start does not end the process. */
+static void
+catch_signals (struct daemon *daemon)
+{
+  g_unix_signal_add (SIGTERM, on_terminate_signal, daemon);
+  g_unix_signal_add (SIGINT, on_terminate_signal, daemon);
+  g_unix_signal_add (SIGUSR1, on_dump_signal, daemon);
+  g_unix_signal_add (SIGHUP, on_reload_signal, daemon);
+}
+
 static int
-run (const struct hf_settings *settings, const char *file)
+run (struct daemon *daemon, const struct hf_settings *settings)
 {
-  struct daemon daemon = { .settings_file = file };
   struct hf_error error = { 0 };
-  if (!hf_loop_open (&daemon.loop, settings, &error))
+  if (!hf_loop_open (&daemon->loop, settings, &error))
     {
       hf_log_write (HF_LOG_SETTINGS_INVALID, "%s", error.message);
       return EXIT_IO;
     }
-  daemon.admin = hf_http_server_open (daemon.loop.net, settings->admin_address, &admin_callbacks, &daemon, &error);
-  if (!daemon.admin)
+  daemon->admin = hf_http_server_open (daemon->loop.net, settings->admin_address, &admin_callbacks, daemon, &error);
+  if (!daemon->admin)
     {
       hf_log_write (HF_LOG_SETTINGS_INVALID, "%s", error.message);
-      hf_loop_close (&daemon.loop);
+      hf_loop_close (&daemon->loop);
       return EXIT_IO;
     }
   if (settings->metrics_address.len)
-    daemon.metrics
-        = hf_http_server_open (daemon.loop.net, settings->metrics_address, &metrics_callbacks, &daemon, &error);
-  if (settings->metrics_address.len && !daemon.metrics)
+    daemon->metrics
+        = hf_http_server_open (daemon->loop.net, settings->metrics_address, &metrics_callbacks, daemon, &error);
+  if (settings->metrics_address.len && !daemon->metrics)
     hf_log_write (HF_LOG_SETTINGS_INVALID, "%s", error.message);
-  g_unix_signal_add (SIGTERM, on_terminate_signal, &daemon);
-  g_unix_signal_add (SIGINT, on_terminate_signal, &daemon);
-  g_unix_signal_add (SIGUSR1, on_dump_signal, &daemon);
-  g_unix_signal_add (SIGHUP, on_reload_signal, &daemon);
-  struct hf_log_field addresses[] = { HF_LOG_TEXT ("callers", hf_proxy_address (daemon.loop.proxy)),
-                                      HF_LOG_TEXT ("admin", hf_http_server_address (daemon.admin)),
-                                      HF_LOG_TEXT ("peers", hf_peer_socket_address (daemon.loop.peer_socket)),
-                                      HF_LOG_TEXT ("metrics", metrics_address (&daemon)) };
+  struct hf_log_field addresses[] = { HF_LOG_TEXT ("callers", hf_proxy_address (daemon->loop.proxy)),
+                                      HF_LOG_TEXT ("admin", hf_http_server_address (daemon->admin)),
+                                      HF_LOG_TEXT ("peers", hf_peer_socket_address (daemon->loop.peer_socket)),
+                                      HF_LOG_TEXT ("metrics", metrics_address (daemon)) };
   hf_log_write_fields (HF_LOG_LISTENING, (struct hf_str){ 0 }, addresses, G_N_ELEMENTS (addresses));
-  g_main_loop_run (daemon.loop.main_loop);
+  daemon->running = true;
+  g_main_loop_run (daemon->loop.main_loop);
+  daemon->running = false;
   hf_log_write (HF_LOG_EXIT, "shutdown finished; the process exits");
-  hf_http_server_close (daemon.admin);
-  hf_http_server_close (daemon.metrics);
-  hf_loop_close (&daemon.loop);
+  hf_http_server_close (daemon->admin);
+  hf_http_server_close (daemon->metrics);
+  hf_loop_close (&daemon->loop);
   return 0;
 }
 
@@ -251,6 +262,8 @@
       g_clear_error (&gerror);
       return EXIT_USAGE;
     }
+  struct daemon daemon = { .settings_file = argv[1] };
+  catch_signals (&daemon);
   if (!load_settings (argv[1], &settings))
     {
       hf_log_close ();
@@ -259,7 +272,7 @@
   hf_log_open ("hickoryd", settings.name, (enum hf_log_level) settings.log_level);
   hf_log_write (HF_LOG_STARTED, "version %s, entry " HF_STR_FMT " in " HF_STR_FMT, HF_VERSION,
                 HF_STR_ARG (settings.name), HF_STR_ARG (settings.failure_domain));
-  int code = check ? 0 : run (&settings, argv[1]);
+  int code = check ? 0 : run (&daemon, &settings);
   hf_settings_unload (&settings);
   hf_log_close ();
   return code;
--- a/tests/platform-setup.c
+++ b/tests/platform-setup.c
@@ -291,19 +291,17 @@
   return ((GString *) context)->len > 0;
 }
 
+char *
+make_settings (const struct setup *setup)
+{
+  return g_strdup_printf ("name: e1\nfailure_domain: z1\nlisten: 127.0.0.1:0\nadmin: 127.0.0.1:0\n"
+                          "peers: 127.0.0.1:0\nmetrics: 127.0.0.1:0\nstore: %s\ndrain_wait_ms: %d\ngrace_ms: %d\n",
+                          fake_store_address (setup->store), setup->drain_wait_ms, setup->grace_ms);
+}
+
 void
-start_entry (struct setup *setup)
+await_listening (struct setup *setup)
 {
-  char *build = g_path_get_dirname (g_get_prgname ());
-  char *program = g_build_filename (build, "hickoryd", NULL);
-  char *file = g_build_filename (setup->folder, "settings.yaml", NULL);
-  char *settings
-      = g_strdup_printf ("name: e1\nfailure_domain: z1\nlisten: 127.0.0.1:0\nadmin: 127.0.0.1:0\n"
-                         "peers: 127.0.0.1:0\nmetrics: 127.0.0.1:0\nstore: %s\ndrain_wait_ms: %d\ngrace_ms: %d\n",
-                         fake_store_address (setup->store), setup->drain_wait_ms, setup->grace_ms);
-  g_assert_true (g_file_set_contents (file, settings, -1, NULL));
-  setup->entry = g_subprocess_new (G_SUBPROCESS_FLAGS_STDOUT_PIPE, NULL, program, file, NULL);
-  g_assert_nonnull (setup->entry);
   struct log_reader *log_reader = g_new0 (struct log_reader, 1);
   log_reader->lines = g_data_input_stream_new (g_subprocess_get_stdout_pipe (setup->entry));
   log_reader->listening = g_string_new (NULL);
@@ -314,6 +312,19 @@
   copy_member (log_reader->listening->str, "callers", setup->caller_address, sizeof setup->caller_address);
   copy_member (log_reader->listening->str, "admin", setup->admin_address, sizeof setup->admin_address);
   copy_member (log_reader->listening->str, "metrics", setup->metrics_address, sizeof setup->metrics_address);
+}
+
+void
+start_entry (struct setup *setup)
+{
+  char *build = g_path_get_dirname (g_get_prgname ());
+  char *program = g_build_filename (build, "hickoryd", NULL);
+  char *file = g_build_filename (setup->folder, "settings.yaml", NULL);
+  char *settings = make_settings (setup);
+  g_assert_true (g_file_set_contents (file, settings, -1, NULL));
+  setup->entry = g_subprocess_new (G_SUBPROCESS_FLAGS_STDOUT_PIPE, NULL, program, file, NULL);
+  g_assert_nonnull (setup->entry);
+  await_listening (setup);
   g_free (settings);
   g_free (file);
   g_free (program);
--- a/tests/platform-setup.h
+++ b/tests/platform-setup.h
@@ -90,8 +90,10 @@
 struct setup *open_empty (void);                                       /* an entry, and an empty store */
 struct setup *open_without_entry (int drain_wait_ms, int grace_ms);    /* the entry is started later */
 void start_entry (struct setup *setup);                                /* waits until it listens */
-void kill_entry (struct setup *setup);                                 /* SIGKILL */
-void close_setup (struct setup *setup);                                /* ends the entry, frees everything */
+char *make_settings (const struct setup *setup);                       /* of the entry; the caller frees it */
+void await_listening (struct setup *setup); /* of an entry that was started in another way; reads its addresses */
+void kill_entry (struct setup *setup);      /* SIGKILL */
+void close_setup (struct setup *setup);     /* ends the entry, frees everything */
 
 /* --- public functions: backend servers --- */
 
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -3,9 +3,14 @@
  * fake backend servers and raw callers, each with the failures that it may
  * cause.
  */
+#include <fcntl.h>
 #include <gio/gio.h>
+#include <gio/gunixinputstream.h>
+#include <glib/gstdio.h>
 #include <signal.h>
 #include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
 
 #include "hf-explain.h"
 #include "platform-setup.h"
@@ -43,8 +48,9 @@
 #define CUT_BYTES_MAX          100 /* longer than the shortest response that is cut */
 #define SHORT_GRACE_MS         700 /* shorter than the timeouts of the routes */
 #define KNOWN_LATENCY_REQUESTS 60  /* after that many an entry knows the usual latency of a class */
-#define LONG_RESPONSES         6   /* of two servers, each in every framing */
-#define INITIAL_RETRIES        4   /* in the retry budget of a service at its start */
+#define LOGGED_REQUESTS        5
+#define LONG_RESPONSES         6 /* of two servers, each in every framing */
+#define INITIAL_RETRIES        4 /* in the retry budget of a service at its start */
 
 /* --- tests: requests and configuration --- */
 
@@ -1528,6 +1534,52 @@
   close_setup (setup);
 }
 
+/* Guards against a process that ends by a signal although it handles it: a SIGHUP that comes while it starts. Its
+ * settings are read from a pipe here, so that the signal comes before they are there. */
+static void
+test_early_signal (void)
+{
+  struct setup *setup = open_without_entry (DRAIN_WAIT_MS, GRACE_MS);
+  char *build = g_path_get_dirname (g_get_prgname ());
+  char *program = g_build_filename (build, "hickoryd", NULL);
+  char *file = g_build_filename (setup->folder, "settings.yaml", NULL);
+  char *text = make_settings (setup);
+  g_assert_cmpint (mkfifo (file, 0600), ==, 0);
+  setup->entry = g_subprocess_new (G_SUBPROCESS_FLAGS_STDOUT_PIPE, NULL, program, file, NULL);
+  int pipe_end = open (file, O_WRONLY); /* returns once the process has opened its end */
+  g_subprocess_send_signal (setup->entry, SIGHUP);
+  harness_pause (SETTLE_MS);
+  g_remove (file);
+  g_assert_true (g_file_set_contents (file, text, -1, NULL));
+  g_assert_nonnull (g_subprocess_get_identifier (setup->entry)); /* it still runs */
+  g_assert_cmpint (write (pipe_end, text, strlen (text)), ==, strlen (text));
+  close (pipe_end);
+  await_listening (setup);
+  g_assert_cmpuint (health_status (setup), ==, 503);
+  g_free (text);
+  g_free (file);
+  g_free (program);
+  g_free (build);
+  close_setup (setup);
+}
+
+/* Guards against a process that ends with the reader of its log. */
+static void
+test_log_reader_gone (void)
+{
+  struct setup *setup = open_setup ();
+  int nowhere = open ("/dev/null", O_RDONLY);
+  GInputStream *log = g_subprocess_get_stdout_pipe (setup->entry);
+  g_assert_cmpint (dup2 (nowhere, g_unix_input_stream_get_fd (G_UNIX_INPUT_STREAM (log))), >=, 0);
+  close (nowhere);
+  for (guint i = 0; i < LOGGED_REQUESTS; i++)
+    {
+      g_assert_cmpuint (request_status (setup, "POST", "/w/x", "b"), ==, 200);
+      harness_pause (SETTLE_MS);
+    }
+  close_setup (setup);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -1541,6 +1593,8 @@
   g_test_add_func ("/platform/split", test_split);
   g_test_add_func ("/platform/foreign-entries", test_invalid_servers);
   g_test_add_func ("/platform/odd-entries", test_odd_entries);
+  g_test_add_func ("/platform/early-signal", test_early_signal);
+  g_test_add_func ("/platform/log-reader-gone", test_log_reader_gone);
   g_test_add_func ("/platform/drain", test_drain);
   g_test_add_func ("/platform/leaving-by-response", test_leaving_by_response);
   g_test_add_func ("/platform/leaving-by-health-response", test_leaving_by_health_response);
