--- a/src/hf-http-connection.c
+++ b/src/hf-http-connection.c
@@ -195,6 +195,14 @@
   return true;
 }
 
+/* Whether the caller of a body that was not read for a time has closed: the rest of it may have been sent before, and
+ * its last bytes would complete a request that nobody waits for. */
+static bool
+has_left (const struct hf_http_request *request)
+{
+  return request->body_was_paused && !request->response_started && hf_stream_has_hung_up (request->connection->stream);
+}
+
 static void
 on_body (void *context, struct hf_str bytes)
 {
@@ -204,6 +212,11 @@
   bool wanted = request && (request->reported || request->held_head);
   if (!wanted || request->response_finished || connection->linger_until)
     return;
+  if (has_left (request))
+    {
+      hf_http_connection_close (connection, false);
+      return;
+    }
   request->body_bytes += (int64_t) bytes.len;
   if (request->body_bytes > server->limits.body_bytes_max && !request->response_started)
     {
@@ -223,6 +236,11 @@
   struct hf_http_request *request = arriving_request (connection);
   if (!request || connection->linger_until)
     return;
+  if (has_left (request))
+    {
+      hf_http_connection_close (connection, false);
+      return;
+    }
   request->body_complete = true;
   if (request->reported && !request->response_finished)
     connection->server->callbacks->on_complete (connection->server->context, request);
@@ -413,8 +431,17 @@
   hf_http_connection_close (context, false);
 }
 
-static const struct hf_stream_callbacks stream_callbacks
-    = { .on_data = on_stream_data, .on_drained = on_stream_drained, .on_ended = on_stream_ended };
+/* The caller has left, and nothing of its requests is worth reading any more. */
+static void
+on_stream_hung_up (void *context)
+{
+  hf_http_connection_close (context, false);
+}
+
+static const struct hf_stream_callbacks stream_callbacks = { .on_data = on_stream_data,
+                                                             .on_drained = on_stream_drained,
+                                                             .on_ended = on_stream_ended,
+                                                             .on_hung_up = on_stream_hung_up };
 
 /* A caller that reads slowly makes progress although the queue of bytes never gets empty. */
 static void
@@ -520,6 +547,7 @@
 hf_http_request_pause_body (struct hf_http_request *request, bool paused)
 {
   request->body_paused = paused;
+  request->body_was_paused = request->body_was_paused || paused;
   update_reading (request->connection);
 }
 
--- a/src/hf-http-connection.h
+++ b/src/hf-http-connection.h
@@ -53,7 +53,8 @@
   bool keep_alive;
   bool is_head_method; /* HEAD request: the response has no body */
   bool body_complete;
-  bool body_paused; /* the owner has paused the request body */
+  bool body_paused;     /* the owner has paused the request body */
+  bool body_was_paused; /* it has been paused before */
   bool response_started;
   bool response_finished;
   bool response_aborted; /* its turn came, or will come, with a response that cannot be completed */
--- a/src/hf-net.c
+++ b/src/hf-net.c
@@ -66,6 +66,7 @@
   bool writable;
   bool readable;
   bool paused;
+  bool hung_up; /* the peer has closed; bytes may be left to read */
   bool ended;
   bool in_unread; /* listed in hf_net.unread */
 };
@@ -138,6 +139,15 @@
   g_ptr_array_add (stream->handle.net->unread, stream);
 }
 
+/* A stream that is not read would not show that its peer has closed. */
+static void
+report_hang_up (struct hf_stream *stream)
+{
+  bool unnoticed = stream->paused && stream->hung_up && !stream->ended && stream->handle.fd >= 0;
+  if (unnoticed && stream->callbacks && stream->callbacks->on_hung_up)
+    stream->callbacks->on_hung_up (stream->context);
+}
+
 static void
 read_stream (struct hf_stream *stream)
 {
@@ -192,7 +202,9 @@
   if (handle->fd >= 0 && (events & (EPOLLIN | EPOLLRDHUP | EPOLLERR | EPOLLHUP)))
     {
       stream->readable = true;
+      stream->hung_up = stream->hung_up || (events & (EPOLLRDHUP | EPOLLERR | EPOLLHUP)) != 0;
       read_stream (stream);
+      report_hang_up (stream);
     }
 }
 
@@ -305,6 +317,7 @@
       struct hf_stream *stream = g_ptr_array_index (unread, i);
       stream->in_unread = false;
       read_stream (stream);
+      report_hang_up (stream);
     }
   g_ptr_array_unref (unread);
   if (net->unread->len == 0)
@@ -489,7 +502,8 @@
   if (stream->paused == paused)
     return;
   stream->paused = paused;
-  if (paused || !stream->readable || stream->handle.fd < 0)
+  bool has_work = paused ? stream->hung_up : stream->readable;
+  if (!has_work || stream->handle.fd < 0)
     return;
   add_to_unread (stream);
   struct hf_net *net = stream->handle.net;
@@ -529,6 +543,16 @@
          && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool
+hf_stream_has_hung_up (const struct hf_stream *stream)
+{
+  char byte;
+  if (stream->hung_up)
+    return true;
+  ssize_t received = recv (stream->handle.fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+  return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 void
 hf_stream_shutdown_write (struct hf_stream *stream)
 {
--- a/src/hf-net.h
+++ b/src/hf-net.h
@@ -34,6 +34,8 @@
  * @on_data: bytes arrived
  * @on_drained: every queued byte was written to the socket
  * @on_ended: no more bytes will arrive; the owner has to close the stream
+ * @on_hung_up: the peer has closed while reading is paused; what it sent before has not been read. NULL: shown by
+ *              @on_ended only, once all is read
  */
 struct hf_stream_callbacks
 {
@@ -41,6 +43,7 @@
   void (*on_data) (void *context, struct hf_str bytes);
   void (*on_drained) (void *context);
   void (*on_ended) (void *context, enum hf_stream_end end);
+  void (*on_hung_up) (void *context);
 };
 
 /* --- public functions: init and close --- */
@@ -74,6 +77,7 @@
 void hf_stream_clear_sent (struct hf_stream *stream);                 /* resets hf_stream_has_sent */
 bool hf_stream_is_open (const struct hf_stream *stream);              /* established, not ended or closed */
 bool hf_stream_is_quiet (const struct hf_stream *stream);             /* no byte or end waits in the socket */
+bool hf_stream_has_hung_up (const struct hf_stream *stream);          /* the peer has closed; bytes may be unread */
 void hf_stream_shutdown_write (struct hf_stream *stream); /* sends the end of the stream; reading continues */
 void hf_stream_close (struct hf_stream *stream);          /* closes in order; queued bytes are dropped */
 void hf_stream_reset (struct hf_stream *stream);          /* closes with a TCP reset */
--- a/tests/platform-setup.c
+++ b/tests/platform-setup.c
@@ -212,9 +212,9 @@
   const struct backend_server *server = &setup->servers[i];
   return g_strdup_printf ("{\"address\":\"%s\",\"born\":%" G_GUINT64_FORMAT
                           ",\"info\":{\"service\":\"%s\",\"version\":\"v1\",\"zone\":"
-                          "\"z1\",\"slots\":3},\"status\":{\"state\":\"%s\",\"sequence\":%u,\"cold_left\":\"0ms\"}}",
+                          "\"z1\",\"slots\":%d},\"status\":{\"state\":\"%s\",\"sequence\":%u,\"cold_left\":\"0ms\"}}",
                           raw_server_address (server->raw_server), server->started_at ? server->started_at : i + 1,
-                          service, state, ++setup->sequence);
+                          service, SERVER_SLOTS, state, ++setup->sequence);
 }
 
 /* Writes the object of server i to the store, or replaces it. */
--- a/tests/platform-setup.h
+++ b/tests/platform-setup.h
@@ -15,7 +15,8 @@
 
 #define SERVERS             2
 #define CHANGE_TIMEOUT_S    5
-#define DIRECTORY_UPDATE_MS 1000   /* until a change in the store is in force */
+#define DIRECTORY_UPDATE_MS 1000 /* until a change in the store is in force */
+#define SERVER_SLOTS        3
 #define LONG_BODY_BYTES     300000 /* more than the entry buffers */
 #define LATE_MAX_MS         1000
 #define DRAIN_WAIT_MS       300  /* from SIGTERM until the listener closes */
--- a/tests/test-uploads.c
+++ b/tests/test-uploads.c
@@ -15,6 +15,8 @@
 #define CHUNK_BYTES       4096 /* smaller than one read of the entry */
 #define UPLOADS           6    /* of one kind, so that each server gets some first */
 #define UPLOAD_TIMEOUT_S  4
+#define HOLD_MS           700 /* how long slots are kept busy */
+#define ARRIVAL_MS        200 /* until a request on loopback has arrived */
 #define UPLOAD_REQUEST_ID "upload"
 
 /* --- types --- */
@@ -206,6 +208,55 @@
     }
 }
 
+/* A request that keeps a slot until its deadline; the servers do not answer. */
+static struct raw_client *
+hold_slot (struct setup *setup)
+{
+  char *request = g_strdup_printf ("POST /u/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: hold%u\r\n"
+                                   "X-Deadline-Ms: %d\r\nContent-Length: 1\r\n\r\nx",
+                                   ++setup->next_id, HOLD_MS);
+  struct raw_client *client = raw_client_connect (setup->net, setup->caller_address, request);
+  g_free (request);
+  return client;
+}
+
+/* Sends an upload that waits for a slot and is given up; it must not reach a server once slots are free. */
+static void
+check_given_up (const struct body *body)
+{
+  struct setup *setup = open_uploads ();
+  struct raw_client *holders[SERVERS * SERVER_SLOTS];
+  char *content = make_content (body->size);
+  g_test_message ("%zu bytes, %s", body->size, body->chunked ? "in chunks" : "with a length");
+  set_behaviour (setup, SENDS_NOTHING);
+  for (guint n = 0; n < G_N_ELEMENTS (holders); n++)
+    holders[n] = hold_slot (setup);
+  harness_pause (ARRIVAL_MS);
+  char *request = make_upload (setup, body, content);
+  char *id = g_strdup_printf (UPLOAD_REQUEST_ID "%u", setup->next_id);
+  struct raw_client *client = raw_client_connect (setup->net, setup->caller_address, request);
+  harness_pause (ARRIVAL_MS);
+  g_assert_false (g_hash_table_contains (setup->ids, id));
+  raw_client_close (client);
+  harness_pause (HOLD_MS + ARRIVAL_MS);
+  g_assert_false (g_hash_table_contains (setup->ids, id));
+  for (guint n = 0; n < G_N_ELEMENTS (holders); n++)
+    raw_client_close (holders[n]);
+  g_free (id);
+  g_free (request);
+  g_free (content);
+  close_setup (setup);
+}
+
+/* Guards against the finding GONE of the review: the entry does not read the connection of a long upload that waits,
+ * and notices its close nevertheless. */
+static void
+test_gone (void)
+{
+  for (gsize i = 0; i < G_N_ELEMENTS (bodies); i++)
+    check_given_up (&bodies[i]);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -213,5 +264,6 @@
   g_test_add_func ("/uploads/whole", test_whole);
   g_test_add_func ("/uploads/shed", test_shed);
   g_test_add_func ("/uploads/refused", test_refused);
+  g_test_add_func ("/uploads/gone", test_gone);
   return g_test_run ();
 }
