--- a/src/hf-event.h
+++ b/src/hf-event.h
@@ -175,12 +175,13 @@
     struct hf_str method;
     struct hf_str host;
     struct hf_str path;
+    struct hf_str query;           /* what follows the path and its '?'; empty: none */
     struct hf_str idempotency_key; /* empty: none */
     const struct hf_header *headers;
     size_t n_headers;
     struct hf_str id;     /* request id for logs; empty: none */
     int64_t arrived_at;   /* monotonic time at which its head arrived */
-    uint64_t body_digest; /* hash of the body */
+    uint64_t body_digest; /* hash of the body; of its length and first bytes if it is streamed */
     int64_t deadline_ms;  /* how long the caller waits; 0: not given */
     size_t body_bytes;    /* length of a buffered body */
     bool body_streamed;   /* the body is too long to buffer */
--- a/src/hf-proxy.c
+++ b/src/hf-proxy.c
@@ -25,7 +25,6 @@
   bool has_body;
   int64_t content_length; /* declared bytes of the body; -1: chunked, or no body */
   GByteArray *body;       /* kept bytes */
-  uint64_t digest;        /* hash of a buffered body */
   bool reported;          /* the REQUEST event was raised */
   bool streams_body;      /* the body is too long to buffer and is forwarded as it arrives */
   bool drops_body;        /* bytes are no longer kept: an attempt has written all that it was given */
@@ -178,6 +177,23 @@
   return target;
 }
 
+static struct hf_str
+query_of (struct hf_str target)
+{
+  size_t path_len = path_of (target).len;
+  size_t skipped = MIN (path_len + 1, target.len);
+  return (struct hf_str){ target.data + skipped, target.len - skipped };
+}
+
+/* Of a streamed body: its declared length and the bytes that are kept in any case, however they arrive. */
+static uint64_t
+body_digest (const struct call *call)
+{
+  size_t len = MIN (call->body->len, HF_BODY_BUFFER_BYTES);
+  uint64_t seed = call->streams_body ? (uint64_t) call->content_length : 0;
+  return hf_hash ((struct hf_str){ (const char *) call->body->data, len }, seed);
+}
+
 static void
 report_request (struct call *call)
 {
@@ -189,7 +205,8 @@
   event.request.path = path_of (call->target);
   event.request.headers = (const struct hf_header *) call->header_copies->data;
   event.request.n_headers = call->header_copies->len;
-  event.request.body_digest = call->digest;
+  event.request.query = query_of (call->target);
+  event.request.body_digest = body_digest (call);
   event.request.body_bytes = call->body->len;
   event.request.body_streamed = call->streams_body;
   event.request.id = call->request_id;
@@ -346,7 +363,6 @@
         send_body (call, (struct hf_str){ 0 }, true);
       return;
     }
-  call->digest = hf_hash ((struct hf_str){ (const char *) call->body->data, call->body->len }, 0);
   report_request (call);
 }
 
--- a/tests/test-scripts.c
+++ b/tests/test-scripts.c
@@ -6,7 +6,7 @@
  * Events in a script (AT and MS in milliseconds, # begins a comment line):
  *   AT start | tick | shutdown
  *   AT document GENERATION FILE                     the platform's watch delivers a configuration document
- *   AT request CALL METHOD PATH [key=K] [body=TEXT] [streamed]
+ *   AT request CALL METHOD PATH[?QUERY] [key=K] [body=TEXT] [streamed]
  *   AT gone CALL                                    the caller disconnected
  *   AT head CALL ATTEMPT STATUS [not-run] [load=N] [retry=MS]   head of a streamed response
  *   AT end CALL ATTEMPT RESULT [status=N] [handed] [leaving] [not-run] [load=N] [retry=MS]
@@ -245,12 +245,15 @@
 {
   struct hf_event event = { .kind = HF_EVENT_REQUEST, .call = parse_number (run, 2) };
   event.request.method = hf_str (run->words[3]);
-  event.request.path = hf_str (run->words[4]);
+  char **target = g_strsplit (run->words[4], "?", 2);
+  event.request.path = hf_str (target[0]);
+  event.request.query = hf_str (target[1]);
   event.request.host = hf_str ("example");
   event.request.idempotency_key = hf_str (find_option (run, "key"));
   event.request.body_digest = hf_hash (hf_str (find_option (run, "body")), 0);
   event.request.body_streamed = find_option (run, "streamed") != NULL;
   raise_event (run, event);
+  g_strfreev (target);
 }
 
 static struct hf_response_hints
