--- a/src/hf-http-parser.c
+++ b/src/hf-http-parser.c
@@ -8,6 +8,9 @@
 
 /* --- constants --- */
 
+#define HEAD_IS_INVALID        (-1) /* return value of a callback: the library stops with an error */
+#define STATUS_MIN             100  /* of a response; the library accepts fewer digits */
+#define STATUS_MAX             599
 #define LIBRARY_HEAD_BYTES_MAX (1024 * 1024) /* exceeds any head_bytes_max, which is checked first */
 
 /* --- types --- */
@@ -106,6 +109,8 @@
 {
   struct hf_http_parser *parser = library->data;
   struct hf_http_head *head = &parser->head;
+  if (!parser->parses_requests && (library->status_code < STATUS_MIN || library->status_code > STATUS_MAX))
+    return HEAD_IS_INVALID;
   build_fields (parser);
   library->upgrade = 0;
   head->method = (struct hf_str){ .data = parser->method->str, .len = parser->method->len };
--- a/tests/platform-setup.c
+++ b/tests/platform-setup.c
@@ -173,6 +173,9 @@
     case ENDS_EARLY:
       end_early (server, connection, id);
       break;
+    case SENDS_SHORT_STATUS:
+      raw_connection_send (connection, "HTTP/1.1 20 OK\r\nX-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", id);
+      break;
     case SENDS_NON_HTTP:
       raw_connection_send (connection, "220 this is another protocol\r\n\r\n");
       break;
--- a/tests/platform-setup.h
+++ b/tests/platform-setup.h
@@ -43,6 +43,7 @@
   SENDS_LATE,                   /* its response, up to LATE_MAX_MS later */
   ENDS_EARLY,                   /* after cut_bytes of its response */
   SENDS_NON_HTTP,
+  SENDS_SHORT_STATUS, /* a status line with two digits */
 };
 
 struct backend_server
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -1014,6 +1014,9 @@
   set_behaviour (setup, SENDS_NON_HTTP);
   g_assert_cmpuint (request_status (setup, "POST", "/w/x", "b"), ==, 502);
   g_assert_cmpuint (count_requests (setup), ==, before + 2);
+  set_behaviour (setup, SENDS_SHORT_STATUS);
+  g_assert_cmpuint (request_status (setup, "POST", "/w/x", "b"), ==, 502);
+  g_assert_cmpuint (count_requests (setup), ==, before + 3);
   close_setup (setup);
 }
 
