--- a/tests/platform-setup.c
+++ b/tests/platform-setup.c
@@ -8,7 +8,10 @@
 
 /* --- constants --- */
 
-#define START_TIMEOUT_S 10
+#define ENDLESS_LINE_BYTES  1000
+#define ENDLESS_QUEUE_BYTES (1024 * 1024)
+#define ENDLESS_INTERVAL_MS 5
+#define START_TIMEOUT_S     10
 
 /* --- backend servers --- */
 
@@ -121,6 +124,35 @@
   g_timeout_add ((guint) g_test_rand_int_range (0, LATE_MAX_MS), send_late_response, late);
 }
 
+/* Keeps each connection full, as long as the other side takes the bytes. */
+static gboolean
+send_without_end (gpointer data)
+{
+  struct setup *setup = data;
+  char *line = g_strnfill (ENDLESS_LINE_BYTES, 'x');
+  for (guint i = 0; i < setup->endless->len; i++)
+    {
+      struct raw_connection *connection = g_ptr_array_index (setup->endless, i);
+      while (raw_connection_is_open (connection) && raw_connection_unsent_bytes (connection) < ENDLESS_QUEUE_BYTES)
+        raw_connection_send (connection, "X-More: %s\r\n", line);
+    }
+  g_free (line);
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+begin_without_end (struct setup *setup, struct raw_connection *connection, const char *begin, const char *id)
+{
+  raw_connection_send (connection, "%s", begin);
+  if (*begin)
+    raw_connection_send (connection, "X-Attempt-Id: %s\r\n", id);
+  if (strstr (begin, "close"))
+    raw_connection_send (connection, "\r\n");
+  g_ptr_array_add (setup->endless, connection);
+  if (!setup->endless_timer)
+    setup->endless_timer = g_timeout_add (ENDLESS_INTERVAL_MS, send_without_end, setup);
+}
+
 static void
 respond_as_told (struct backend_server *server, struct raw_connection *connection, const char *id)
 {
@@ -173,6 +205,15 @@
     case ENDS_EARLY:
       end_early (server, connection, id);
       break;
+    case SENDS_ENDLESS_HEAD:
+      begin_without_end (server->setup, connection, "HTTP/1.1 200 OK\r\n", id);
+      break;
+    case SENDS_ENDLESS_BODY:
+      begin_without_end (server->setup, connection, "HTTP/1.1 200 OK\r\nConnection: close\r\n", id);
+      break;
+    case SENDS_ENDLESS_NOISE:
+      begin_without_end (server->setup, connection, "", id);
+      break;
     case SENDS_SHORT_STATUS:
       raw_connection_send (connection, "HTTP/1.1 20 OK\r\nX-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", id);
       break;
@@ -441,6 +482,7 @@
   setup->drain_wait_ms = drain_wait_ms;
   setup->grace_ms = grace_ms;
   setup->net = hf_net_open ();
+  setup->endless = g_ptr_array_new ();
   setup->ids = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   setup->store = fake_store_open (setup->net);
   setup->folder = g_dir_make_tmp ("hf-platform-XXXXXX", NULL);
@@ -501,6 +543,9 @@
 close_setup (struct setup *setup)
 {
   kill_entry (setup);
+  if (setup->endless_timer)
+    g_source_remove (setup->endless_timer);
+  g_ptr_array_unref (setup->endless);
   fake_store_close (setup->store);
   for (guint i = 0; i < SERVERS; i++)
     {
--- a/tests/platform-setup.h
+++ b/tests/platform-setup.h
@@ -43,7 +43,10 @@
   SENDS_LATE,                   /* its response, up to LATE_MAX_MS later */
   ENDS_EARLY,                   /* after cut_bytes of its response */
   SENDS_NON_HTTP,
-  SENDS_SHORT_STATUS, /* a status line with two digits */
+  SENDS_ENDLESS_HEAD,  /* header fields until the connection is closed */
+  SENDS_ENDLESS_BODY,  /* the same with a body without length */
+  SENDS_ENDLESS_NOISE, /* the same with bytes that are no response */
+  SENDS_SHORT_STATUS,  /* a status line with two digits */
 };
 
 struct backend_server
@@ -80,9 +83,11 @@
   char admin_address[64];
   char metrics_address[64];
   guint next_id;
-  guint sequence;  /* of the reports of backend servers, which count their writes */
-  GPtrArray *log;  /* log lines of the entry */
-  GHashTable *ids; /* of the requests that reached a server */
+  guint sequence;     /* of the reports of backend servers, which count their writes */
+  GPtrArray *log;     /* log lines of the entry */
+  GHashTable *ids;    /* of the requests that reached a server */
+  GPtrArray *endless; /* struct raw_connection, on which bytes are sent without end */
+  guint endless_timer;
 };
 
 /* --- public functions: init and close --- */
--- a/tests/raw.c
+++ b/tests/raw.c
@@ -175,6 +175,12 @@
   g_free (text);
 }
 
+gsize
+raw_connection_unsent_bytes (const struct raw_connection *connection)
+{
+  return connection->stream ? hf_stream_unsent_bytes (connection->stream) : 0;
+}
+
 void
 raw_connection_close (struct raw_connection *connection, gboolean reset)
 {
--- a/tests/raw.h
+++ b/tests/raw.h
@@ -40,6 +40,7 @@
 gboolean raw_connection_is_open (const struct raw_connection *connection); /* closed by neither side */
 /* Sends formatted bytes as they are. */
 void raw_connection_send (struct raw_connection *connection, const char *format, ...) G_GNUC_PRINTF (2, 3);
+gsize raw_connection_unsent_bytes (const struct raw_connection *connection);   /* queued, not yet written */
 void raw_connection_close (struct raw_connection *connection, gboolean reset); /* closes in order or by a reset */
 
 /* --- public functions: client --- */
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -49,8 +49,11 @@
 #define SHORT_GRACE_MS         700 /* shorter than the timeouts of the routes */
 #define KNOWN_LATENCY_REQUESTS 60  /* after that many an entry knows the usual latency of a class */
 #define LOGGED_REQUESTS        5
-#define LONG_RESPONSES         6 /* of two servers, each in every framing */
-#define INITIAL_RETRIES        4 /* in the retry budget of a service at its start */
+#define ENDLESS_CALLERS        12
+#define ENDLESS_MS             2000
+#define ENTRY_MEMORY_MAX_KB    (64 * 1024) /* a fraction of the 260 MB of the users' machines */
+#define LONG_RESPONSES         6           /* of two servers, each in every framing */
+#define INITIAL_RETRIES        4           /* in the retry budget of a service at its start */
 
 /* --- tests: requests and configuration --- */
 
@@ -1583,6 +1586,52 @@
   close_setup (setup);
 }
 
+/* Peak memory of the entry's process in KB. */
+static guint64
+peak_memory_kb (const struct setup *setup)
+{
+  char *file = g_strdup_printf ("/proc/%s/status", g_subprocess_get_identifier (setup->entry));
+  char *text = NULL;
+  g_assert_true (g_file_get_contents (file, &text, NULL, NULL));
+  const char *at = strstr (text, "VmHWM:");
+  guint64 kb = at ? g_ascii_strtoull (at + strlen ("VmHWM:"), NULL, 10) : 0;
+  g_free (text);
+  g_free (file);
+  return kb;
+}
+
+/* Guards against other operators' report: a server sends bytes without end, and the machine that called it keeps them
+ * all. The callers do not read, so that nothing but the entry's limits holds the bytes back. Others are served. */
+static void
+test_endless_answers (void)
+{
+  static const enum server_behaviour behaviours[] = { SENDS_ENDLESS_HEAD, SENDS_ENDLESS_BODY, SENDS_ENDLESS_NOISE };
+  for (gsize b = 0; b < G_N_ELEMENTS (behaviours); b++)
+    {
+      struct setup *setup = open_setup ();
+      struct raw_client *callers[ENDLESS_CALLERS];
+      setup->servers[0].behaviour = behaviours[b];
+      for (guint i = 0; i < ENDLESS_CALLERS; i++)
+        {
+          char *request = format_request (setup, "GET", "/r/x", "");
+          callers[i] = raw_client_connect (setup->net, setup->caller_address, request);
+          hf_stream_pause (callers[i]->stream, TRUE);
+          g_free (request);
+          harness_pause (SETTLE_MS);
+        }
+      harness_pause (ENDLESS_MS);
+      for (guint i = 0; i < ENDLESS_CALLERS; i++)
+        raw_client_close (callers[i]);
+      g_assert_cmpuint (setup->endless->len, >, 0);
+      g_assert_cmpuint (peak_memory_kb (setup), <, ENTRY_MEMORY_MAX_KB);
+      setup->servers[0].behaviour = SENDS_RESPONSE;
+      harness_pause (RECOVERY_MS);
+      for (guint i = 0; i < 20; i++)
+        g_assert_cmpuint (request_status (setup, "POST", "/w/x", "b"), ==, 200);
+      close_setup (setup);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -1598,6 +1647,7 @@
   g_test_add_func ("/platform/odd-entries", test_odd_entries);
   g_test_add_func ("/platform/early-signal", test_early_signal);
   g_test_add_func ("/platform/log-reader-gone", test_log_reader_gone);
+  g_test_add_func ("/platform/endless-answers", test_endless_answers);
   g_test_add_func ("/platform/drain", test_drain);
   g_test_add_func ("/platform/leaving-by-response", test_leaving_by_response);
   g_test_add_func ("/platform/leaving-by-health-response", test_leaving_by_health_response);
