--- a/soak/soak.c
+++ b/soak/soak.c
@@ -10,6 +10,7 @@
  * Checked all the time, as callers and backend servers see it:
  * - a request that is not repeatable runs at most once;
  * - a request that is not repeatable never runs if it was refused as not run;
+ * - a request that runs has the whole body that its caller sent;
  * - a response is complete and belongs to the caller's request;
  * - a server gets only requests that some configuration routed to its service;
  * - an entry never goes back to an older configuration.
@@ -29,9 +30,12 @@
 
 #include "fake-store.h"
 #include "harness.h"
+#include "input.h"
 #include "proxy.h"
 #include "raw.h"
 
+#include "config.h"
+
 /* --- constants --- */
 
 #define ENTRY_COUNT           4
@@ -55,7 +59,13 @@
 #define PUSHBACK_REQUESTS_MAX 2   /* that may reach a server within the time for which it wants none */
 #define PUSHBACK_S            3   /* Retry-After of a server that turns requests away */
 #define DISCONNECT_ONE_IN     20  /* one caller in this many disconnects early, in phases with faults */
-#define WRITE_ONE_IN          3   /* one request in this many is not repeatable */
+#define LONG_BODY_ONE_IN      8   /* one body in this many is about as long as an entry buffers, or longer */
+#define SHORT_BODY_BYTES_MAX  1000
+#define LONG_BODY_BYTES_MAX   (1024 * 1024)
+#define LONG_BODY_BYTES       300000 /* of a server's response; more than an entry buffers */
+#define SHORT_SILENCE_MS_MAX  400    /* of the store; shorter than the pauses between its checks */
+#define PROGRAM_START_MS      100    /* until a process that was started handles signals */
+#define WRITE_ONE_IN          3      /* one request in this many is not repeatable */
 
 /* --- types --- */
 
@@ -63,8 +73,10 @@
 enum server_behaviour
 {
   SENDS_RESPONSE,
-  SENDS_NOT_RUN, /* 503 with X-Not-Executed, without running the request */
-  SENDS_503,     /* after running the request, as all below */
+  SENDS_NOT_RUN,      /* 503 with X-Not-Executed, without running the request */
+  SENDS_LONG_NOT_RUN, /* the same with a long body */
+  SENDS_503,          /* after running the request, as all below */
+  SENDS_LONG_503,     /* the same with a long body */
   RESETS_CONNECTION,
   SENDS_NOTHING,
   SENDS_FOREIGN_RESPONSE_FIRST, /* a response to another request, then the right one */
@@ -127,6 +139,7 @@
 struct request_record
 {
   guint run_count;
+  gsize body_size;
   gboolean is_write;
   gboolean refused; /* reported to the caller as not run */
   guint entry;      /* that got it from the caller */
@@ -312,6 +325,15 @@
   char *id;
 };
 
+static void
+send_long_503 (struct raw_connection *connection, const char *id, const char *fields)
+{
+  char *body = make_content (LONG_BODY_BYTES);
+  raw_connection_send (connection, "HTTP/1.1 503 Failed\r\nX-Attempt-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", id,
+                       fields, LONG_BODY_BYTES, body);
+  g_free (body);
+}
+
 static gboolean
 finish_work (gpointer data)
 {
@@ -321,6 +343,8 @@
     send_response (work->connection, "another", FALSE);
   if (work->behaviour == SENDS_503)
     raw_connection_send (work->connection, "HTTP/1.1 503 Failed\r\nX-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", id);
+  else if (work->behaviour == SENDS_LONG_503)
+    send_long_503 (work->connection, id, "");
   else if (work->behaviour == RESETS_CONNECTION)
     raw_connection_close (work->connection, TRUE);
   else if (work->behaviour == SENDS_NON_HTTP)
@@ -339,12 +363,26 @@
   return G_SOURCE_REMOVE;
 }
 
+/* The body is the caller's, without a hole. */
+static void
+check_body (struct server *server, const struct request_record *request_record, const char *text, const char *id)
+{
+  char *content = make_content (request_record->body_size);
+  char *received = read_body (text);
+  if (strcmp (received, content) != 0)
+    report_failure (server->soak, "request %s reached server %s with %zu of %zu bytes, or with others", id,
+                    server->name, strlen (received), strlen (content));
+  g_free (received);
+  g_free (content);
+}
+
 static void
 check_server_request (struct server *server, struct request_record *request_record, const char *text, const char *id)
 {
   struct soak *soak = server->soak;
   gboolean is_write = g_str_has_prefix (text, "POST /w/");
   request_record->run_count++;
+  check_body (server, request_record, text, id);
   gint64 now = now_ms ();
   if (request_record->run_count > 1)
     g_array_append_val (soak->repeat_times, now);
@@ -384,6 +422,8 @@
   else if (server->behaviour == SENDS_NOT_RUN)
     raw_connection_send (connection,
                          "HTTP/1.1 503 Full\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id);
+  else if (server->behaviour == SENDS_LONG_NOT_RUN)
+    send_long_503 (connection, id, "X-Not-Executed: 1\r\n");
   else if (server->restriction == PUSHES_BACK && request_record && note_told (server, request_record))
     raw_connection_send (connection,
                          "HTTP/1.1 503 Full\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nRetry-After: %d\r\n"
@@ -424,7 +464,7 @@
       spec,
       "{\"version\":\"r%u\",\"services\":[{\"name\":\"alpha\",\"health_path\":\"/health\",\"max_conns\":50},"
       "{\"name\":\"beta\",\"health_path\":\"/health\",\"max_conns\":50}],"
-      "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":10000,\"header_timeout\":\"500ms\","
+      "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":64000000,\"header_timeout\":\"500ms\","
       "\"idle_timeout\":\"15000ms\"},\"routes\":["
       "{\"name\":\"read\",\"host\":\"h.example\",\"path_prefix\":\"/r/"
       "\",\"route_kind\":\"safe\",\"timeout\":\"1500ms\","
@@ -486,6 +526,16 @@
   g_free (file);
 }
 
+/* By SIGKILL or, after a SIGTERM, in order; or by that SIGTERM, which may come before the program has begun. */
+static gboolean
+is_expected_end (const struct soak_entry *entry)
+{
+  int signal = g_subprocess_get_if_signaled (entry->process) ? g_subprocess_get_term_sig (entry->process) : 0;
+  if (signal)
+    return signal == SIGKILL || (entry->leaving && signal == SIGTERM);
+  return entry->leaving && g_subprocess_get_exit_status (entry->process) == 0;
+}
+
 static void
 on_process_ended (GObject *source, GAsyncResult *result, gpointer data)
 {
@@ -493,8 +543,8 @@
   g_subprocess_wait_finish (G_SUBPROCESS (source), result, NULL);
   if (entry->process != G_SUBPROCESS (source))
     return;
-  if (!entry->leaving && g_subprocess_get_if_exited (entry->process))
-    report_failure (entry->soak, "entry e%u exited unexpectedly; restarting it", entry->number);
+  if (!is_expected_end (entry))
+    report_failure (entry->soak, "entry e%u ended by itself; restarting it", entry->number);
   g_clear_object (&entry->process);
   start_entry (entry);
   g_subprocess_wait_async (entry->process, NULL, on_process_ended, entry);
@@ -616,6 +666,37 @@
   g_ptr_array_unref (requests);
 }
 
+/* Most are short; of the others, half stand at the limit of what an entry buffers. */
+static gsize
+choose_body_size (struct soak *soak)
+{
+  static const gsize sizes[] = { HF_BODY_BUFFER_BYTES - 1, HF_BODY_BUFFER_BYTES, HF_BODY_BUFFER_BYTES + 1 };
+  if (g_rand_int_range (soak->random, 0, LONG_BODY_ONE_IN) > 0)
+    return (gsize) g_rand_int_range (soak->random, 0, SHORT_BODY_BYTES_MAX);
+  if (g_rand_boolean (soak->random))
+    return sizes[g_rand_int_range (soak->random, 0, G_N_ELEMENTS (sizes))];
+  return (gsize) g_rand_int_range (soak->random, HF_BODY_BUFFER_BYTES, LONG_BODY_BYTES_MAX);
+}
+
+/* Of a request with this body; the caller frees it. */
+static char *
+make_request (struct soak *soak, const struct request *request, const char *method, const char *path, gsize body_size)
+{
+  char *content = make_content (body_size);
+  GString *text = g_string_new (NULL);
+  g_string_printf (text, "%s %s HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: %u\r\nX-Deadline-Ms: %d\r\n", method, path,
+                   request->id, REQUEST_DEADLINE_MS);
+  if (body_size > 0 && g_rand_boolean (soak->random))
+    {
+      g_string_append (text, "Transfer-Encoding: chunked\r\n\r\n");
+      append_chunks (text, content);
+    }
+  else
+    g_string_append_printf (text, "Content-Length: %zu\r\n\r\n%s", body_size, content);
+  g_free (content);
+  return g_string_free (text, FALSE);
+}
+
 static void
 send_request (struct soak *soak)
 {
@@ -643,10 +724,8 @@
   g_array_append_val (soak->request_times, now);
   char *path = uses_version_route ? g_strdup_printf ("/g%u/x", request->config_version)
                                   : g_strdup (is_write ? "/w/x" : "/r/x");
-  char *request_text = g_strdup_printf ("%s %s HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: %u\r\nX-Deadline-Ms: %d\r\n"
-                                        "Content-Length: %d\r\n\r\n%s",
-                                        is_write ? "POST" : "GET", path, request->id, REQUEST_DEADLINE_MS,
-                                        is_write ? 4 : 0, is_write ? "data" : "");
+  request_record->body_size = is_write ? choose_body_size (soak) : 0;
+  char *request_text = make_request (soak, request, is_write ? "POST" : "GET", path, request_record->body_size);
   request->client = raw_client_connect (soak->net, entry->caller_address, request_text);
   g_ptr_array_add (soak->requests, request);
   g_free (request_text);
@@ -694,13 +773,30 @@
   return G_SOURCE_REMOVE;
 }
 
+/* An entry of another writer, beside those of the servers or in place of the one before it. */
+static void
+put_odd_entry (struct soak *soak)
+{
+  char *spec = make_odd_entry ((guint) g_rand_int_range (soak->random, 0, (gint32) count_odd_entries ()));
+  fake_store_put (soak->store, "servers", "odd", spec);
+  g_free (spec);
+}
+
 static void
 inject_store_fault (struct soak *soak)
 {
   gint64 ms = random_ms (soak, FAULT_MS_MAX);
   note_fault (soak, ms);
-  switch (g_rand_int_range (soak->random, 0, 4))
+  switch (g_rand_int_range (soak->random, 0, 6))
     {
+    case 4:
+      put_config (soak); /* the watches that follow it are lost */
+      fake_store_set_silent (soak->store, TRUE);
+      ms = random_ms (soak, SHORT_SILENCE_MS_MAX);
+      break;
+    case 5:
+      put_odd_entry (soak);
+      break;
     case 0:
       fake_store_set_error (soak->store, g_rand_boolean (soak->random) ? 503 : 429);
       break;
@@ -762,7 +858,7 @@
       stop_entry (entry, SIGTERM);
       break;
     case 3:
-      if (!entry->paused && !entry->leaving)
+      if (!entry->paused && !entry->leaving && now_ms () - entry->last_action_at > PROGRAM_START_MS)
         g_subprocess_send_signal (entry->process, SIGHUP);
       break;
     case 4:
--- a/src/hf-directory-sync.c
+++ b/src/hf-directory-sync.c
@@ -272,6 +272,7 @@
   if (message->full && !may_accept_full (state, member->boot_id))
     return;
   begin_update (state, member, message);
+  state->directory.update_to = hf_wire_read_position (message->to);
   for (u_int i = 0; i < message->reports.reports_len; i++)
     {
       struct hf_server_report report = read_report (&message->reports.reports_val[i]);
--- a/src/hf-directory.c
+++ b/src/hf-directory.c
@@ -85,11 +85,20 @@
 
 /* --- internal functions: removal --- */
 
+/* Position at which a server is removed now: nothing up to it brings it back. */
+static struct hf_store_position
+removal_position (const struct hf_state *state)
+{
+  static const struct hf_store_position last = { .era = UINT64_MAX, .revision = UINT64_MAX };
+  struct hf_store_position to = state->directory.update_to;
+  return to.revision ? to : last;
+}
+
 static void
 drop_listed (struct hf_state *state, const struct listed_server *listed)
 {
   remove_listed (state, listed);
-  hf_removed_servers_add (state->directory.removed, &listed->report, state->now);
+  hf_removed_servers_add (state->directory.removed, &listed->report, removal_position (state), state->now);
   g_hash_table_remove (state->directory.servers, listed->report.name.data);
 }
 
@@ -117,7 +126,7 @@
 handle_removal (struct hf_state *state, struct listed_server *listed, const struct hf_server_report *report)
 {
   if (!listed && report->incarnation > 0)
-    hf_removed_servers_add (state->directory.removed, report, state->now);
+    hf_removed_servers_add (state->directory.removed, report, removal_position (state), state->now);
   if (!listed)
     {
       hf_directory_sync_record_change (state, report->name);
@@ -135,7 +144,8 @@
 /* --- internal functions: updates --- */
 
 /* Whether a newer report of the server is known. A list may be from an older copy of the directory, so it does not
- * bring back a removed server by its last report either; a change does: the server has been written again. */
+ * bring back a removed server by its last report either, unless it is known to be newer than the removal: an older
+ * list, which the server was not on yet, may have removed it. A change does: the server has been written again. */
 static bool
 is_superseded (const struct hf_state *state,
                const struct listed_server *listed,
@@ -147,7 +157,10 @@
   if (!known)
     return false;
   int age = hf_server_report_compare_age (report, known);
-  return age < 0 || (age == 0 && from_list && !listed);
+  if (age != 0 || !from_list || listed)
+    return age < 0;
+  struct hf_store_position removed_at = hf_removed_servers_find_position (state->directory.removed, report->name);
+  return hf_store_position_compare (state->directory.update_to, removed_at) <= 0;
 }
 
 /* A report without service, address or slots counts as a removal. */
@@ -333,6 +346,7 @@
   if (is_outdated (state, position))
     return;
   state->directory.listing = false;
+  state->directory.update_to = position;
   hf_directory_end_list (state);
   hf_directory_update_pools (state);
   state->directory.confirmed_at = state->now;
@@ -430,6 +444,7 @@
     return;
   if (directory->listing && event->position.revision > directory->position.revision)
     hf_directory_sync_record_change (state, event->report.name);
+  state->directory.update_to = directory->listing ? (struct hf_store_position){ 0 } : event->position;
   hf_directory_update_server (state, &event->report, directory->listing);
 }
 
@@ -477,6 +492,7 @@
 hf_directory_remove_expired (struct hf_state *state)
 {
   GList *all = g_hash_table_get_values (state->directory.servers);
+  state->directory.update_to = state->directory.position;
   for (GList *item = all; item; item = item->next)
     {
       struct listed_server *listed = item->data;
--- a/src/hf-removed-servers.c
+++ b/src/hf-removed-servers.c
@@ -8,6 +8,7 @@
 struct removed_server
 {
   struct hf_server_report report; /* incarnation and sequence only */
+  struct hf_store_position position;
   int64_t removed_at;
 };
 
@@ -64,7 +65,10 @@
 }
 
 void
-hf_removed_servers_add (struct hf_removed_servers *removed, const struct hf_server_report *report, int64_t now)
+hf_removed_servers_add (struct hf_removed_servers *removed,
+                        const struct hf_server_report *report,
+                        struct hf_store_position position,
+                        int64_t now)
 {
   struct removed_server *server = find (removed, report->name);
   if (!server)
@@ -75,6 +79,7 @@
       g_hash_table_insert (removed->by_name, g_strndup (report->name.data, report->name.len), server);
     }
   server->removed_at = now;
+  server->position = hf_store_position_max (server->position, position);
   if (hf_server_report_compare_age (report, &server->report) <= 0)
     return;
   server->report = (struct hf_server_report){ .incarnation = report->incarnation, .sequence = report->sequence };
@@ -95,3 +100,10 @@
   bool is_recent = server && now - server->removed_at < HF_DIRECTORY_REMOVED_SEC * HF_SEC;
   return is_recent ? &server->report : NULL;
 }
+
+struct hf_store_position
+hf_removed_servers_find_position (const struct hf_removed_servers *removed, struct hf_str name)
+{
+  const struct removed_server *server = find (removed, name);
+  return server ? server->position : (struct hf_store_position){ 0 };
+}
--- a/src/hf-removed-servers.h
+++ b/src/hf-removed-servers.h
@@ -16,12 +16,19 @@
 struct hf_removed_servers *hf_removed_servers_open (void);
 void hf_removed_servers_close (struct hf_removed_servers *removed);
 
-/* Keeps the age of a server's last report, of several the newest, for HF_DIRECTORY_REMOVED_SEC. */
-void hf_removed_servers_add (struct hf_removed_servers *removed, const struct hf_server_report *report, int64_t now);
+/* Keeps the age of a server's last report, and the position at which it was removed, of several the newest, for
+ * HF_DIRECTORY_REMOVED_SEC. */
+void hf_removed_servers_add (struct hf_removed_servers *removed,
+                             const struct hf_server_report *report,
+                             struct hf_store_position position,
+                             int64_t now);
 void hf_removed_servers_forget (struct hf_removed_servers *removed, struct hf_str name); /* it is listed again */
 
 /* The report that was kept; of its members only incarnation and sequence are set. NULL: none, or too long ago. */
 const struct hf_server_report *
 hf_removed_servers_find (const struct hf_removed_servers *removed, struct hf_str name, int64_t now);
+/* Position at which it was removed; the first position of all if it is not kept. */
+struct hf_store_position hf_removed_servers_find_position (const struct hf_removed_servers *removed,
+                                                           struct hf_str name);
 
 #endif
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -388,6 +388,7 @@
  * @listing: a list from the platform is being received
  * @pools_outdated: servers changed since the pools were last updated
  * @position: position in the platform's store up to which all changes have been applied
+ * @update_to: position to which the reports lead that are being applied; revision 0: not known, in the platform's lists
  * @era: newest era of the platform's store that is known; above that of @position: to be listed again
  * @removed: backend servers removed lately
  * @confirmed_at: when @position was last known to be current
@@ -403,6 +404,7 @@
   bool listing;
   bool pools_outdated;
   struct hf_store_position position;
+  struct hf_store_position update_to;
   uint64_t era;
   struct hf_removed_servers *removed;
   int64_t confirmed_at;
--- a/tests/input.c
+++ b/tests/input.c
@@ -115,3 +115,15 @@
     }
   return NULL;
 }
+
+guint
+count_odd_entries (void)
+{
+  guint n = 0;
+  for (char *spec = make_odd_entry (n); spec; spec = make_odd_entry (n))
+    {
+      g_free (spec);
+      n++;
+    }
+  return n;
+}
--- a/tests/input.h
+++ b/tests/input.h
@@ -17,5 +17,6 @@
 /* Spec of entry i; the caller frees it; NULL: there are no more. Each would name a server if its odd value was passed
  * over. */
 char *make_odd_entry (guint i);
+guint count_odd_entries (void);
 
 #endif
