--- a/src/hf-directory-sync.c
+++ b/src/hf-directory-sync.c
@@ -46,6 +46,21 @@
   g_array_remove_range (sync->changes, 0, surplus);
 }
 
+static bool
+is_in_gap (const struct hf_directory_sync *sync, uint64_t revision)
+{
+  return revision > sync->gap_begin && revision < sync->gap_end;
+}
+
+/* One gap is kept: the history before an earlier one is dropped. */
+static void
+note_gap (struct hf_directory_sync *sync, uint64_t begin, uint64_t end)
+{
+  sync->changes_since = MAX (sync->changes_since, sync->gap_end);
+  sync->gap_begin = begin;
+  sync->gap_end = end;
+}
+
 /* --- internal functions: reports --- */
 
 static void
@@ -114,9 +129,11 @@
 make_message (const struct hf_state *state, struct hf_store_position from, bool full)
 {
   const struct hf_directory *directory = &state->directory;
+  const struct hf_directory_sync *sync = &state->directory_sync;
   struct hf_rpc_message message = { .body = { .kind = HF_RPC_DIRECTORY_UPDATE } };
   message.body.hf_rpc_body_u.directory_update = (struct hf_rpc_directory_update){
     .from = hf_wire_write_position (from),
+    .from_max = !full && from.revision <= sync->gap_begin && sync->gap_end > 0 ? sync->gap_begin : 0,
     .to = hf_wire_write_position (directory->position),
     .full = full,
     .platform_unreachable = directory->platform_unreachable_until > state->now,
@@ -198,7 +215,9 @@
 {
   struct report_list reports = { .state = state, .items = g_array_new (FALSE, FALSE, sizeof (hf_rpc_server_report)) };
   bool same_era = from.era == state->directory.position.era;
-  bool full = !same_era || from.revision < state->directory_sync.changes_since;
+  bool known
+      = from.revision >= state->directory_sync.changes_since && !is_in_gap (&state->directory_sync, from.revision);
+  bool full = !same_era || !known;
   if (full)
     hf_directory_foreach (state, add_report, &reports);
   else
@@ -239,8 +258,9 @@
   bool continues = !message->full || sync->full_sync_from == member->boot_id;
   if (same_update && continues)
     return;
-  member->directory_parts
-      = (struct hf_directory_parts){ .to = to, .reports_digest = message->reports_digest, .full = message->full };
+  member->directory_parts = (struct hf_directory_parts){
+    .to = to, .reports_digest = message->reports_digest, .has_gap = message->from_max > 0, .full = message->full
+  };
   if (!message->full)
     return;
   sync->full_sync_from = member->boot_id;
@@ -261,6 +281,8 @@
       state->directory.entries_complete = true;
     }
   hf_directory_update_pools (state);
+  if (parts.has_gap)
+    note_gap (&state->directory_sync, state->directory.position.revision, parts.to.revision);
   hf_directory_sync_advance (state, parts.to, parts.full);
 }
 
@@ -305,7 +327,9 @@
   if (hf_store_position_compare (hf_wire_read_position (message->to), own) <= 0)
     return false;
   bool same_era = message->from.era == own.era && message->to.era == own.era;
-  return message->full || (same_era && message->from.revision <= own.revision);
+  bool follows
+      = message->from.revision <= own.revision && (message->from_max == 0 || own.revision <= message->from_max);
+  return message->full || (same_era && follows);
 }
 
 /* A sender that has not noticed yet that the platform came back from an older copy confirms nothing. */
@@ -479,7 +503,10 @@
     {
       g_array_set_size (sync->changes, 0);
       sync->changes_since = position.revision;
+      sync->gap_begin = sync->gap_end = 0;
     }
+  else if (full)
+    note_gap (sync, last.revision, position.revision);
   if (changed || restart)
     sync->changed_position = position;
   trim_changes (sync);
--- a/src/hf-rpc.c
+++ b/src/hf-rpc.c
@@ -598,6 +598,8 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_hf_rpc_store_position (xdrs, &objp->from))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->from_max))
+			 return FALSE;
 		 if (!xdr_hf_rpc_store_position (xdrs, &objp->to))
 			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->part))
@@ -631,6 +633,8 @@
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_hf_rpc_store_position (xdrs, &objp->from))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->from_max))
+			 return FALSE;
 		 if (!xdr_hf_rpc_store_position (xdrs, &objp->to))
 			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->part))
@@ -665,6 +669,8 @@
 
 	 if (!xdr_hf_rpc_store_position (xdrs, &objp->from))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->from_max))
+		 return FALSE;
 	 if (!xdr_hf_rpc_store_position (xdrs, &objp->to))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->part))
--- a/src/hf-rpc.h
+++ b/src/hf-rpc.h
@@ -211,6 +211,7 @@
 
 struct hf_rpc_directory_update {
 	hf_rpc_store_position from;
+	u_quad_t from_max;
 	hf_rpc_store_position to;
 	u_int part;
 	u_int parts;
--- a/src/hf-rpc.x
+++ b/src/hf-rpc.x
@@ -196,10 +196,12 @@
 
 /* One part of a directory update: the changes between two positions or, if full, the whole directory.
  * age_ms: time since the position to was last known to be current.
+ * from_max: highest revision on which it follows, as it has the differences of a list from there on; 0: no limit.
  * reports_digest: hash of the names of all its servers, in order; parts that differ in it belong to different updates.
  * platform_unreachable, generation, digest: as in the heartbeat. */
 struct hf_rpc_directory_update {
   hf_rpc_store_position from;
+  unsigned hyper from_max;
   hf_rpc_store_position to;
   unsigned int part;
   unsigned int parts;
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -191,6 +191,7 @@
 {
   struct hf_store_position to; /* position after the update */
   uint64_t reports_digest;     /* of all its servers */
+  bool has_gap;                /* it has the differences of a list, not each change */
   bool full;                   /* it lists the whole directory, not only changes */
   uint64_t received;           /* one bit for each part */
 };
@@ -436,6 +437,9 @@
  * struct hf_directory_sync - directory changes exchanged between entries
  * @changes: struct hf_directory_change, the oldest first
  * @changes_since: @changes holds every change after this revision, in the era of the directory's position
+ * @gap_begin: from this revision to @gap_end the differences of a list are known, but no change that was undone in
+ *             between: they follow on no revision that lies between them
+ * @gap_end: 0: there is no gap
  * @changed_position: position of the last change
  * @full_sync_from: boot id of the entry whose full list is being received; 0: none
  * @full_sync_started_at: when that list began
@@ -454,6 +458,8 @@
 {
   GArray *changes;
   uint64_t changes_since;
+  uint64_t gap_begin;
+  uint64_t gap_end;
   struct hf_store_position changed_position;
   uint64_t full_sync_from;
   int64_t full_sync_started_at;
--- a/tests/test-restore.c
+++ b/tests/test-restore.c
@@ -19,7 +19,6 @@
 #define DOMAINS         3
 #define SERVERS         60 /* also of more than one datagram */
 #define RESTORE_PERCENT 8
-#define FOUND_SEED      336548584
 #define REWRITE_MS      500 /* until the backend servers have written again what the older copy lacks */
 #define LOSS_INTERVAL   4
 #define SETTLE_MS       12000 /* longer than each timeout that a fault may leave pending */
@@ -215,11 +214,17 @@
     run_seed (choose_seed (i), false);
 }
 
-/* A seed with which a server stays missing at an entry at the same position as all others. */
+/* Seeds that once revealed a fault. */
 static void
 test_relay_found (void)
 {
-  run_seed (FOUND_SEED, false);
+  run_seed (336548584, false); /* a server stayed missing at an entry at the same position as all others */
+}
+
+static void
+test_restored_found (void)
+{
+  run_seed (1211884851, true); /* a server that had left stayed listed at an entry */
 }
 
 int
@@ -230,5 +235,6 @@
   g_test_add_func ("/restored/random", test_restored_random);
   g_test_add_func ("/relay/random", test_relay_random);
   g_test_add_func ("/relay/found", test_relay_found);
+  g_test_add_func ("/restored/found", test_restored_found);
   return g_test_run ();
 }
