--- a/soak/soak.c
+++ b/soak/soak.c
@@ -155,7 +155,8 @@
   guint config_version; /* configuration that added the route of its path; 0: a route of all versions */
   gint64 sent_at;
   gint64 give_up_at;
-  gboolean sent_in_calm; /* sent more than SETTLE_MS after the last fault and the last action on the entry */
+  gboolean is_sent_again; /* by its caller, as it was refused as not run */
+  gboolean sent_in_calm;  /* sent more than SETTLE_MS after the last fault and the last action on the entry */
   struct raw_client *client;
 };
 
@@ -628,6 +629,8 @@
     }
 }
 
+static gboolean send_again (const struct request *request, const struct request_record *request_record);
+
 static void
 check_response (struct request *request)
 {
@@ -645,7 +648,8 @@
   soak->served += complete && status == 200;
   if (request->config_version > 0 && complete)
     check_config_version (request, status);
-  else if (request->sent_in_calm && soak->check_time_bounds && !(complete && status == 200))
+  else if (request->sent_in_calm && soak->check_time_bounds && !(complete && status == 200)
+           && !send_again (request, request_record))
     report_failure (soak, "request %u at entry e%u failed in a calm phase: status %u, response %s", request->id,
                     request->entry->number, status, complete ? "whole" : "cut");
 }
@@ -697,41 +701,63 @@
   return g_string_free (text, FALSE);
 }
 
+/* Sends a request of which id, time and client are not set yet. */
 static void
-send_request (struct soak *soak)
+start_request (struct soak *soak, struct request template, const char *path, gsize body_size)
 {
-  struct soak_entry *entry = &soak->entries[g_rand_int_range (soak->random, 0, ENTRY_COUNT)];
-  gboolean is_write = g_rand_int_range (soak->random, 0, WRITE_ONE_IN) == 0;
-  gboolean uses_version_route = !is_write && soak->config_version > 0 && g_rand_int_range (soak->random, 0, 4) == 0;
-  gboolean disconnects_early = !soak->calm && g_rand_int_range (soak->random, 0, DISCONNECT_ONE_IN) == 0;
-  struct request *request = g_new0 (struct request, 1);
+  struct soak_entry *entry = template.entry;
+  struct request *request = g_memdup2 (&template, sizeof template);
   struct request_record *request_record = g_new0 (struct request_record, 1);
-  gint64 now = now_ms ();
-  *request
-      = (struct request){ .soak = soak,
-                          .entry = entry,
-                          .entry_start_count = entry->start_count,
-                          .id = ++soak->next_id,
-                          .config_version = uses_version_route ? soak->config_version : 0,
-                          .sent_at = now,
-                          .give_up_at
-                          = now + (disconnects_early ? random_ms (soak, REQUEST_DEADLINE_MS / 4) : CALLER_TIMEOUT_MS),
-                          .sent_in_calm = is_settled (soak) && now - entry->last_action_at > SETTLE_MS };
-  request_record->is_write = is_write;
+  request->soak = soak;
+  request->entry_start_count = entry->start_count;
+  request->id = ++soak->next_id;
+  request->sent_at = now_ms ();
+  request->give_up_at += request->sent_at;
+  request_record->is_write = g_str_has_prefix (path, "/w/");
+  request_record->body_size = body_size;
   request_record->entry = (guint) (entry - soak->entries);
   request_record->entry_start_count = entry->start_count;
   g_hash_table_insert (soak->records, GUINT_TO_POINTER (request->id), request_record);
-  g_array_append_val (soak->request_times, now);
-  char *path = uses_version_route ? g_strdup_printf ("/g%u/x", request->config_version)
-                                  : g_strdup (is_write ? "/w/x" : "/r/x");
-  request_record->body_size = is_write ? choose_body_size (soak) : 0;
-  char *request_text = make_request (soak, request, is_write ? "POST" : "GET", path, request_record->body_size);
-  request->client = raw_client_connect (soak->net, entry->caller_address, request_text);
+  g_array_append_val (soak->request_times, request->sent_at);
+  char *text = make_request (soak, request, request_record->is_write ? "POST" : "GET", path, body_size);
+  request->client = raw_client_connect (soak->net, entry->caller_address, text);
   g_ptr_array_add (soak->requests, request);
-  g_free (request_text);
+  g_free (text);
+}
+
+static void
+send_request (struct soak *soak)
+{
+  struct soak_entry *entry = &soak->entries[g_rand_int_range (soak->random, 0, ENTRY_COUNT)];
+  gboolean is_write = g_rand_int_range (soak->random, 0, WRITE_ONE_IN) == 0;
+  gboolean uses_version_route = !is_write && soak->config_version > 0 && g_rand_int_range (soak->random, 0, 4) == 0;
+  gboolean disconnects_early = !soak->calm && g_rand_int_range (soak->random, 0, DISCONNECT_ONE_IN) == 0;
+  struct request request
+      = { .entry = entry,
+          .config_version = uses_version_route ? soak->config_version : 0,
+          .give_up_at = disconnects_early ? random_ms (soak, REQUEST_DEADLINE_MS / 4) : CALLER_TIMEOUT_MS,
+          .sent_in_calm = is_settled (soak) && now_ms () - entry->last_action_at > SETTLE_MS };
+  char *path
+      = uses_version_route ? g_strdup_printf ("/g%u/x", request.config_version) : g_strdup (is_write ? "/w/x" : "/r/x");
+  start_request (soak, request, path, is_write ? choose_body_size (soak) : 0);
   g_free (path);
 }
 
+/* An entry does not keep what it has sent of a long body. If the server states that it has not run the request, the
+ * entry passes that on, and the caller sends it again. */
+static gboolean
+send_again (const struct request *request, const struct request_record *request_record)
+{
+  struct request again = { .entry = request->entry,
+                           .give_up_at = CALLER_TIMEOUT_MS,
+                           .sent_in_calm = request->sent_in_calm,
+                           .is_sent_again = TRUE };
+  if (request->is_sent_again || !request_record->refused || request_record->body_size <= HF_BODY_BUFFER_BYTES)
+    return FALSE;
+  start_request (request->soak, again, "/w/x", request_record->body_size);
+  return TRUE;
+}
+
 static gboolean
 on_request_timer (gpointer data)
 {
