--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
   libglib2.0-dev libsoup-3.0-dev libjson-glib-dev libyaml-dev libtirpc-dev \
   libxxhash-dev libgsl-dev libhttp-parser-dev
 
-.PHONY: all setup build demo check check-sanitize bench soak fuzz format rpc
+.PHONY: all setup build demo check check-sanitize bench soak explore fuzz format rpc
 
 all: build
 
@@ -37,6 +37,11 @@
 soak: build
 	@sh soak/soak.sh $(BUILD) $(SEEDS) $(SEED) $(SOAK_JOBS)
 
+# Searches all orders of events of one request, DEPTH events after it, for a broken invariant.
+DEPTH ?= 6
+explore: build
+	@$(BUILD)/hf-explore --depth=$(DEPTH)
+
 format:
 	@clang-format -i $$(ls src/*.[ch] platform/*.[ch] tests/*.[ch] bench/*.[ch] soak/*.[ch] examples/*.c 2>/dev/null | grep -v hf-rpc)
 
--- a/tests/check.sh
+++ b/tests/check.sh
@@ -78,6 +78,12 @@
   [ $status = 0 ] || cat "$log"
 done
 
+# All orders of events of one request, up to a depth.
+"$build"/hf-explore --depth=4 >"$log" 2>&1
+status=$?
+count_check hf-explore $status
+[ $status = 0 ] || cat "$log"
+
 for example in "$build"/example-*; do
   [ -x "$example" ] && [ -f "$example" ] || continue
   "$example" >"$log" 2>&1
