--- a/src/hf-calls.c
+++ b/src/hf-calls.c
@@ -542,13 +542,12 @@
 }
 
 /* Of all that makes a request crash servers again: requests that differ in any of it are told apart, as a sound one
- * makes the crashes of its fingerprint forgotten. */
+ * makes the crashes of its fingerprint forgotten. The host may be the address of this entry: it is no part of it. */
 static uint64_t
 request_fingerprint (const struct hf_event *event)
 {
   uint64_t method = hf_hash (event->request.method, 0);
-  uint64_t host = hf_hash (event->request.host, method);
-  uint64_t path = hf_hash (event->request.path, host);
+  uint64_t path = hf_hash (event->request.path, method);
   uint64_t query = hf_hash (event->request.query, path);
   return hf_hash_pair (query, event->request.body_digest);
 }
