--- a/tests/explore.c
+++ b/tests/explore.c
@@ -203,7 +203,7 @@
 static void
 apply_effect (struct run *run, const struct hf_effect *effect, const struct hf_event *cause)
 {
-  struct model_attempt *attempt = effect->attempt < HF_ATTEMPTS_MAX ? &run->attempts[effect->attempt] : NULL;
+  struct model_attempt *attempt = &run->attempts[MIN (effect->attempt, HF_ATTEMPTS_MAX - 1)];
   if (effect->kind == HF_EFFECT_DISPATCH)
     {
       run->n_attempts = MAX (run->n_attempts, effect->attempt + 1);
