--- a/src/config.h
+++ b/src/config.h
@@ -46,6 +46,7 @@
 
 /* Values of other writers. */
 #define HF_JSON_DEPTH_MAX 32 /* containers in one another; deeper ones are not read */
+#define HF_YAML_DEPTH_MAX 32 /* the same; a deeper document is not valid */
 
 /* Log. */
 #define HF_LOG_LINES_PER_SEC     400         /* above: lines are dropped and counted */
--- a/src/hf-yaml.c
+++ b/src/hf-yaml.c
@@ -6,6 +6,8 @@
 #include <string.h>
 #include <yaml.h>
 
+#include "config.h"
+
 /* --- types --- */
 
 struct reader
@@ -263,6 +265,29 @@
   return node;
 }
 
+/* libyaml's time rises with the square of the depth. */
+static bool
+is_nested_too_deeply (struct hf_str text)
+{
+  yaml_parser_t parser;
+  yaml_event_t event = { 0 };
+  unsigned depth = 0;
+  bool ended = false;
+  yaml_parser_initialize (&parser);
+  yaml_parser_set_input_string (&parser, (const unsigned char *) text.data, text.len);
+  while (!ended && depth <= HF_YAML_DEPTH_MAX && yaml_parser_parse (&parser, &event))
+    {
+      bool opens = event.type == YAML_SEQUENCE_START_EVENT || event.type == YAML_MAPPING_START_EVENT;
+      bool closes = event.type == YAML_SEQUENCE_END_EVENT || event.type == YAML_MAPPING_END_EVENT;
+      depth += opens;
+      depth -= closes;
+      ended = event.type == YAML_STREAM_END_EVENT;
+      yaml_event_delete (&event);
+    }
+  yaml_parser_delete (&parser);
+  return depth > HF_YAML_DEPTH_MAX;
+}
+
 /* --- public functions --- */
 
 bool
@@ -290,6 +315,8 @@
 {
   yaml_parser_t parser;
   yaml_document_t yaml;
+  if (is_nested_too_deeply (text))
+    return hf_error_set (error, HF_ERROR_SYNTAX, "nested more than %d levels deep", HF_YAML_DEPTH_MAX);
   yaml_parser_initialize (&parser);
   yaml_parser_set_input_string (&parser, (const unsigned char *) text.data, text.len);
   if (!yaml_parser_load (&parser, &yaml))
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -953,9 +953,18 @@
   set_behaviour (setup, SENDS_NON_HTTP);
   g_assert_cmpuint (request_status (setup, "POST", "/w/x", "b"), ==, 502);
   g_assert_cmpuint (count_requests (setup), ==, before + 2);
+  close_setup (setup);
+}
+
+/* The same for a status line without a status of three digits. Servers that failed before would be out. */
+static void
+test_short_status (void)
+{
+  struct setup *setup = open_setup ();
   set_behaviour (setup, SENDS_SHORT_STATUS);
+  guint before = count_requests (setup);
   g_assert_cmpuint (request_status (setup, "POST", "/w/x", "b"), ==, 502);
-  g_assert_cmpuint (count_requests (setup), ==, before + 3);
+  g_assert_cmpuint (count_requests (setup), ==, before + 1);
   close_setup (setup);
 }
 
@@ -1616,6 +1625,7 @@
   g_test_add_func ("/platform/long-false-promise", test_long_false_promise);
   g_test_add_func ("/platform/long-refusal", test_long_refusal);
   g_test_add_func ("/platform/broken", test_broken);
+  g_test_add_func ("/platform/short-status", test_short_status);
   g_test_add_func ("/platform/timeout", test_timeout);
   g_test_add_func ("/platform/extra-answers", test_extra_answers);
   g_test_add_func ("/platform/refused-again", test_refused_again);
