--- a/soak/soak.c
+++ b/soak/soak.c
@@ -171,6 +171,7 @@
   gboolean check_time_bounds; /* have calm phases and check their bounds */
   char *program;
   char *folder;
+  GHashTable *reserved;  /* addresses of entries, as the kernel may give out a port again */
   GHashTable *records;   /* struct request_record by id */
   GPtrArray *requests;   /* struct request */
   GArray *request_times; /* gint64, when callers sent them */
@@ -496,9 +497,13 @@
 static void
 reserve_address (struct soak *soak, char *address, gsize size)
 {
-  struct hf_listener *listener = hf_listener_open (soak->net, hf_str ("127.0.0.1:0"), NULL, NULL, NULL);
-  g_strlcpy (address, hf_listener_address (listener).data, size);
-  hf_listener_close (listener);
+  do
+    {
+      struct hf_listener *listener = hf_listener_open (soak->net, hf_str ("127.0.0.1:0"), NULL, NULL, NULL);
+      g_strlcpy (address, hf_listener_address (listener).data, size);
+      hf_listener_close (listener);
+    }
+  while (!g_hash_table_add (soak->reserved, g_strdup (address)));
 }
 
 static void
@@ -977,6 +982,7 @@
                          .check_time_bounds = check_time_bounds,
                          .program = g_build_filename (build, "hickoryd", NULL),
                          .folder = g_dir_make_tmp ("hf-soak-XXXXXX", NULL),
+                         .reserved = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL),
                          .records = g_hash_table_new_full (NULL, NULL, NULL, g_free),
                          .requests = g_ptr_array_new (),
                          .request_times = g_array_new (FALSE, FALSE, sizeof (gint64)),
