Log lines of an attempt name its connection, and skipped responses have one

Change: HF8004 and HF8005 have the number of the connection and how many requests it had carried before; the new HF8014 is written for each response that is skipped, with the request that it names. The lines of two attempts, or of two arrivals under one id, now show whether they shared a connection.

--- a/src/hf-event.h
+++ b/src/hf-event.h
@@ -64,6 +64,13 @@
   struct hf_str value;
 };
 
+/** struct hf_connection_use - which connection to a backend server a request used */
+struct hf_connection_use
+{
+  uint64_t number;           /* in the order of opening; 0: none could be opened */
+  uint64_t earlier_requests; /* that the connection had carried before */
+};
+
 /** struct hf_response_hints - status and coordination headers of a backend server's response */
 struct hf_response_hints
 {
@@ -186,9 +193,10 @@
     size_t body_bytes;    /* length of a buffered body */
     bool body_streamed;   /* the body is too long to buffer */
   } request;
-  struct hf_response_hints hints; /* ATTEMPT_HEAD, ATTEMPT_END, PROBE_RESULT, SERVER_HINTS */
-  enum hf_attempt_result result;  /* ATTEMPT_END */
-  bool bytes_sent;                /* ATTEMPT_END: part of the request was sent */
+  struct hf_response_hints hints;      /* ATTEMPT_HEAD, ATTEMPT_END, PROBE_RESULT, SERVER_HINTS */
+  enum hf_attempt_result result;       /* ATTEMPT_END */
+  bool bytes_sent;                     /* ATTEMPT_END: part of the request was sent */
+  struct hf_connection_use connection; /* ATTEMPT_HEAD, ATTEMPT_END: for logs */
   /* PEER_MESSAGE */
   struct
   {
--- a/src/hf-exchange.c
+++ b/src/hf-exchange.c
@@ -1,8 +1,14 @@
 /* One attempt of a call at a backend server. */
 #include "hf-exchange.h"
 
+#include "hf-log.h"
+
 #include "config.h"
 
+/* --- constants --- */
+
+#define LOGGED_ID_BYTES_MAX 64 /* of an id that the backend server made up */
+
 /* --- internal functions: memory --- */
 
 static void
@@ -19,11 +25,29 @@
 
 /* --- internal functions: callbacks of the HTTP client --- */
 
+static void
+log_skipped_response (const struct hf_exchange *exchange, const struct hf_http_head *head)
+{
+  struct hf_str response_to = hf_header_codec_request_id (exchange->codec, head);
+  response_to.len = MIN (response_to.len, LOGGED_ID_BYTES_MAX);
+  const struct hf_log_field fields[] = { HF_LOG_TEXT ("request", exchange->request_id),
+                                         HF_LOG_INT ("attempt", exchange->attempt),
+                                         HF_LOG_TEXT ("server", exchange->server_name),
+                                         HF_LOG_INT ("status", head->status),
+                                         HF_LOG_TEXT ("response_to", response_to),
+                                         HF_LOG_INT ("connection", exchange->connection.number),
+                                         HF_LOG_INT ("earlier_requests", exchange->connection.earlier_requests) };
+  hf_log_write_fields (HF_LOG_RESPONSE_SKIPPED, exchange->request_id, fields, G_N_ELEMENTS (fields));
+}
+
 static bool
 accepts_response (void *context, const struct hf_http_head *head)
 {
   const struct hf_exchange *exchange = context;
-  return hf_header_codec_is_response_to (exchange->codec, head, exchange->request_id);
+  bool accepted = hf_header_codec_is_response_to (exchange->codec, head, exchange->request_id);
+  if (!accepted)
+    log_skipped_response (exchange, head);
+  return accepted;
 }
 
 /* Raised with the head, not with the end of the response: what its server does not want counts from now on. */
@@ -67,6 +91,7 @@
   hf_loop_raise_event (exchange->loop, (struct hf_event){ .kind = HF_EVENT_ATTEMPT_HEAD,
                                                           .call = exchange->call,
                                                           .attempt = exchange->attempt,
+                                                          .connection = exchange->connection,
                                                           .hints = exchange->hints });
 }
 
@@ -125,6 +150,7 @@
                                                           .call = exchange->call,
                                                           .attempt = exchange->attempt,
                                                           .result = attempt_result (result),
+                                                          .connection = exchange->connection,
                                                           .hints = exchange->hints,
                                                           .bytes_sent = sent });
   if (!exchange->closed && exchange->on_response_complete && result == HF_HTTP_CLIENT_COMPLETE)
@@ -160,6 +186,7 @@
   exchange->response_fields = g_string_new (NULL);
   exchange->response_body = g_byte_array_new ();
   exchange->request = hf_http_client_send (params->http_client, &params->request, &client_callbacks, exchange);
+  exchange->connection = hf_http_client_connection_use (exchange->request);
   return exchange;
 }
 
--- a/src/hf-exchange.h
+++ b/src/hf-exchange.h
@@ -25,6 +25,7 @@
  * @incarnation: run of the server that is meant
  * @server_name: name of the server
  * @request: the request on its connection; NULL: it has ended
+ * @connection: which connection it used
  * @response_fields: header fields of the response to be forwarded
  * @content_length: declared bytes of the response body; -1: not declared
  * @response_body: buffered bytes of the response
@@ -48,6 +49,7 @@
   uint64_t incarnation;
   struct hf_str server_name;
   struct hf_http_client_request *request;
+  struct hf_connection_use connection;
   GString *response_fields;
   int64_t content_length;
   GByteArray *response_body;
--- a/src/hf-header-codec.c
+++ b/src/hf-header-codec.c
@@ -98,12 +98,18 @@
 
 /* --- public functions --- */
 
+struct hf_str
+hf_header_codec_request_id (const struct hf_header_codec *codec, const struct hf_http_head *head)
+{
+  return hf_http_head_field (head, codec->request_id_field);
+}
+
 bool
 hf_header_codec_is_response_to (const struct hf_header_codec *codec,
                                 const struct hf_http_head *head,
                                 struct hf_str request_id)
 {
-  return !codec->echoes_request_id || hf_str_equal (hf_http_head_field (head, codec->request_id_field), request_id);
+  return !codec->echoes_request_id || hf_str_equal (hf_header_codec_request_id (codec, head), request_id);
 }
 
 void
--- a/src/hf-header-codec.h
+++ b/src/hf-header-codec.h
@@ -44,6 +44,8 @@
 
 /* --- public functions and data --- */
 
+/* Request id that a request or a response names; empty: none. */
+struct hf_str hf_header_codec_request_id (const struct hf_header_codec *codec, const struct hf_http_head *head);
 /* Whether a response is the one to a request with this id (empty: none); true if the codec cannot tell. */
 bool hf_header_codec_is_response_to (const struct hf_header_codec *codec,
                                      const struct hf_http_head *head,
--- a/src/hf-http-client.c
+++ b/src/hf-http-client.c
@@ -20,6 +20,7 @@
   GHashTable *idle_pools; /* struct idle_pool by address */
   GPtrArray *connections; /* struct connection, all that are open */
   GPtrArray *closed;      /* struct connection, to be freed outside of callbacks */
+  uint64_t opened;        /* connections so far */
 };
 
 /* Idle connections to one address. */
@@ -36,6 +37,8 @@
   struct hf_http_parser *parser;
   struct hf_http_client_request *request; /* using the connection; NULL: idle */
   char *address;
+  uint64_t number;   /* in the order of opening, from 1 */
+  uint64_t requests; /* carried so far, with the current one */
   int64_t opened_at;
   int64_t used_at;         /* end of the last request */
   int64_t idle_timeout_us; /* closed after this idle time, before the server closes it */
@@ -344,6 +347,7 @@
   connection->client = client;
   connection->stream = stream;
   connection->address = g_strndup (address.data, address.len);
+  connection->number = ++client->opened;
   connection->opened_at = g_get_monotonic_time ();
   connection->parser = hf_http_parser_open (false, &parser_callbacks, connection);
   hf_http_parser_set_head_limit (connection->parser, HF_RESPONSE_HEAD_BYTES_MAX);
@@ -465,6 +469,7 @@
       return request;
     }
   connection->request = request;
+  connection->requests++;
   hf_stream_clear_sent (connection->stream);
   hf_stream_queue (connection->stream, params->head);
   hf_stream_queue (connection->stream, params->body);
@@ -489,6 +494,15 @@
     hf_stream_flush (request->connection->stream);
 }
 
+struct hf_connection_use
+hf_http_client_connection_use (const struct hf_http_client_request *request)
+{
+  const struct connection *connection = request->connection;
+  if (!connection)
+    return (struct hf_connection_use){ 0 };
+  return (struct hf_connection_use){ .number = connection->number, .earlier_requests = connection->requests - 1 };
+}
+
 size_t
 hf_http_client_unsent_bytes (const struct hf_http_client_request *request)
 {
--- a/src/hf-http-client.h
+++ b/src/hf-http-client.h
@@ -80,6 +80,7 @@
                                                     void *context);
 /* Sends more of a body that was started with has_more_body. */
 void hf_http_client_send_body (struct hf_http_client_request *request, struct hf_str bytes, bool last);
+struct hf_connection_use hf_http_client_connection_use (const struct hf_http_client_request *request); /* for logs */
 size_t hf_http_client_unsent_bytes (const struct hf_http_client_request *request); /* queued, not yet written */
 void hf_http_client_pause (struct hf_http_client_request *request, bool paused);   /* stops or resumes reading */
 void hf_http_client_cancel (struct hf_http_client_request *request); /* closes the connection; no further callback */
--- a/src/hf-log.c
+++ b/src/hf-log.c
@@ -64,6 +64,7 @@
   { HF_LOG_CALLER_GONE, HF_LOG_LEVEL_NOTICE, "caller-gone" },
   { HF_LOG_SLOT_DENIED, HF_LOG_LEVEL_NOTICE, "slot-denied" },
   { HF_LOG_SLOT_RETURNED, HF_LOG_LEVEL_NOTICE, "slot-returned" },
+  { HF_LOG_RESPONSE_SKIPPED, HF_LOG_LEVEL_NOTICE, "response-skipped" },
   { 0 },
 };
 
--- a/src/hf-log.h
+++ b/src/hf-log.h
@@ -77,6 +77,7 @@
   HF_LOG_CALLER_GONE = 8011,
   HF_LOG_SLOT_DENIED = 8012,
   HF_LOG_SLOT_RETURNED = 8013,
+  HF_LOG_RESPONSE_SKIPPED = 8014,
 };
 
 /**
--- a/src/hf-proxy.c
+++ b/src/hf-proxy.c
@@ -231,7 +231,7 @@
 set_request_id (struct call *call, const struct hf_http_head *head)
 {
   const struct hf_header_codec *codec = call->proxy->codec;
-  struct hf_str id = hf_http_head_field (head, codec->request_id_field);
+  struct hf_str id = hf_header_codec_request_id (codec, head);
   if (id.len > 0 || !codec->generates_request_id)
     {
       call->request_id = hf_str_dup (id);
--- a/src/hf-trace.c
+++ b/src/hf-trace.c
@@ -140,7 +140,9 @@
                                          HF_LOG_INT ("not_run", event->hints.not_run),
                                          HF_LOG_INT ("handed", event->bytes_sent),
                                          HF_LOG_INT ("latency_ms", elapsed_ms (state, ended->started_at)),
-                                         HF_LOG_INT ("slowdown_percent", event->hints.slowdown_percent) };
+                                         HF_LOG_INT ("slowdown_percent", event->hints.slowdown_percent),
+                                         HF_LOG_INT ("connection", event->connection.number),
+                                         HF_LOG_INT ("earlier_requests", event->connection.earlier_requests) };
   add_log_line (state, succeeded ? HF_LOG_ATTEMPT_ENDED : HF_LOG_ATTEMPT_FAILED, call->request_id, fields,
                 G_N_ELEMENTS (fields));
 }
