--- a/tests/platform-setup.c
+++ b/tests/platform-setup.c
@@ -50,6 +50,12 @@
                        extra_fields (server));
 }
 
+static void
+refuse_other_instance (struct raw_connection *connection, const char *id)
+{
+  raw_connection_send (connection, "HTTP/1.1 421 Misdirected\r\nX-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", id);
+}
+
 /* With a length, in one chunk, or up to the end of the connection, in turn. */
 static void
 send_long_503 (const struct backend_server *server,
@@ -69,20 +75,64 @@
   g_free (body);
 }
 
-/* Refuses the first request, and runs all others. */
+struct refusal
+{
+  const struct raw_connection *connection;
+  char *id;
+  gboolean other_instance;
+};
+
 static void
-refuse_once (struct backend_server *server, struct raw_connection *connection, const char *id)
+free_refusal (gpointer data)
 {
-  if (!server->refused_connection)
+  struct refusal *refusal = data;
+  g_free (refusal->id);
+  g_free (refusal);
+}
+
+static void
+send_refusal (const struct backend_server *server, struct raw_connection *connection, const struct refusal *refusal)
+{
+  if (refusal->other_instance)
+    refuse_other_instance (connection, refusal->id);
+  else
+    refuse (server, connection, refusal->id);
+}
+
+static void
+repeat_refusals (const struct backend_server *server, struct raw_connection *connection)
+{
+  for (guint i = 0; i < server->refusals->len; i++)
     {
-      server->refused_connection = connection;
-      server->refused_id = g_strdup (id);
-      refuse (server, connection, id);
-      return;
+      const struct refusal *refusal = g_ptr_array_index (server->refusals, i);
+      if (refusal->connection == connection)
+        send_refusal (server, connection, refusal);
+    }
+}
+
+/* Sends copies of the refusals on this connection, then refuses the request or runs it. */
+static void
+respond_after_copies (struct backend_server *server, struct raw_connection *connection, const char *id)
+{
+  char *expected = header_value (server->last_request->str, "X-Expect-Instance");
+  gboolean other_instance = server->instance && strcmp (expected, server->instance) != 0;
+  repeat_refusals (server, connection);
+  if (other_instance || server->refusals_left > 0)
+    {
+      struct refusal *refusal = g_new0 (struct refusal, 1);
+      refusal->connection = connection;
+      refusal->id = g_strdup (id);
+      refusal->other_instance = other_instance;
+      g_ptr_array_add (server->refusals, refusal);
+      send_refusal (server, connection, refusal);
+      server->refusals_left -= !other_instance;
+    }
+  else
+    {
+      g_hash_table_add (server->runs, g_strdup (id));
+      send_response (server, connection, id, "hello");
     }
-  if (server->refused_connection == connection)
-    refuse (server, connection, server->refused_id);
-  send_response (server, connection, id, "hello");
+  g_free (expected);
 }
 
 /* Sends the first bytes of a response, and ends the connection. */
@@ -165,11 +215,11 @@
     case SENDS_NOT_RUN:
       refuse (server, connection, id);
       break;
-    case REFUSES_ONCE:
-      refuse_once (server, connection, id);
+    case REPEATS_REFUSALS:
+      respond_after_copies (server, connection, id);
       break;
     case SENDS_WRONG_INSTANCE:
-      raw_connection_send (connection, "HTTP/1.1 421 Misdirected\r\nX-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", id);
+      refuse_other_instance (connection, id);
       break;
     case SENDS_503:
       raw_connection_send (connection, "HTTP/1.1 503 Failed\r\nX-Attempt-Id: %s\r\n%sContent-Length: 0\r\n\r\n", id,
@@ -491,6 +541,8 @@
       struct backend_server *server = &setup->servers[i];
       server->setup = setup;
       server->last_request = g_string_new (NULL);
+      server->refusals = g_ptr_array_new_with_free_func (free_refusal);
+      server->runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
       server->raw_server = raw_server_open (setup->net, on_server_request, server);
       g_snprintf (server->name, sizeof server->name, "i-%u", i);
     }
@@ -550,7 +602,8 @@
   for (guint i = 0; i < SERVERS; i++)
     {
       raw_server_close (setup->servers[i].raw_server);
-      g_free (setup->servers[i].refused_id);
+      g_ptr_array_unref (setup->servers[i].refusals);
+      g_hash_table_unref (setup->servers[i].runs);
       g_string_free (setup->servers[i].last_request, TRUE);
     }
   hf_net_close (setup->net);
--- a/tests/platform-setup.h
+++ b/tests/platform-setup.h
@@ -37,7 +37,7 @@
   SENDS_NOTHING,                /* keeps the connection open */
   SENDS_FOREIGN_RESPONSE_FIRST, /* a response to another request, then its own */
   SENDS_EXTRA_BYTES,            /* its own response, then one to another request */
-  REFUSES_ONCE,                 /* the first request; sends that 503 again before the next response of the connection */
+  REPEATS_REFUSALS,             /* sends all refusals of the connection again before each response on it */
   ENDS_BY_CLOSE,                /* response without length, ended by a close */
   ENDS_BY_RESET,                /* response without length, ended by a reset */
   SENDS_LATE,                   /* its response, up to LATE_MAX_MS later */
@@ -66,8 +66,11 @@
   guint health_requests;
   GString *last_request;
   struct raw_connection *last_connection; /* of the last request */
-  struct raw_connection *refused_connection;
-  char *refused_id;
+  /* With REPEATS_REFUSALS. */
+  guint refusals_left;  /* requests that it refuses with 503 before it runs others */
+  const char *instance; /* refuses with 421 what is meant for another one; NULL: runs all */
+  GPtrArray *refusals;  /* struct refusal, all so far */
+  GHashTable *runs;     /* ids of the requests that it ran */
 };
 
 struct setup
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -1015,7 +1015,8 @@
   struct setup *setup = open_setup ();
   put_server (setup, 1, "alpha", "draining");
   harness_pause (DIRECTORY_UPDATE_MS);
-  set_behaviour (setup, REFUSES_ONCE);
+  set_behaviour (setup, REPEATS_REFUSALS);
+  setup->servers[0].refusals_left = 1;
   check_response (setup, "POST", "/w/x");
   g_assert_cmpuint (setup->servers[0].requests, ==, 2);
   close_setup (setup);
