A connection carries each request id once

Callers saw: 421 or 503, which promise that a request has not run, for a write that the backend server ran.

Two ways were left in which a request came back on the connection that had carried it: - the server starts again at its address under a new name while the directory lists the former one: it refuses what is meant for the former (421), and the next attempt goes to the new name.

Remembering the last id of a connection, or refusals only: other requests lie in between, and copies of other responses would still be taken for the response due. Closing each connection that carried a refusal: a new connection for each refusal, and no help against copies of other responses.

Change: hf-reuse decides in one place, as a function without a socket, which kept connection may carry which request. A connection remembers the ids of all that it has carried, and carries each once; after 512 it is closed, so nothing is forgotten. Why it works: a copy can arrive only on a connection that has carried the request; there, the id never comes again, so the copy meets another id and is skipped. Attempts, hedges, later arrivals, names, services and routes all pass there.

--- a/src/hf-exchange.c
+++ b/src/hf-exchange.c
@@ -175,7 +175,7 @@
   exchange->codec = params->codec;
   exchange->call = params->call;
   exchange->attempt = params->attempt;
-  exchange->request_id = hf_str_dup (params->request_id);
+  exchange->request_id = hf_str_dup (params->request.request_id);
   exchange->server = params->server;
   exchange->incarnation = params->incarnation;
   exchange->server_name = hf_str_dup (params->server_name);
--- a/src/hf-exchange.h
+++ b/src/hf-exchange.h
@@ -68,7 +68,7 @@
 /**
  * struct hf_exchange_params - parameters of an attempt; other fields as in struct hf_exchange
  * @http_client: client that sends the request
- * @request: address, head and body of the request
+ * @request: address, id, head and body of the request
  */
 struct hf_exchange_params
 {
@@ -77,7 +77,6 @@
   const struct hf_header_codec *codec;
   uint64_t call;
   unsigned attempt;
-  struct hf_str request_id;
   uint64_t server;
   uint64_t incarnation;
   struct hf_str server_name;
--- a/src/hf-http-client.c
+++ b/src/hf-http-client.c
@@ -3,6 +3,8 @@
 
 #include <string.h>
 
+#include "hf-reuse.h"
+
 #include "config.h"
 
 /* --- constants --- */
@@ -39,6 +41,7 @@
   char *address;
   uint64_t number;   /* in the order of opening, from 1 */
   uint64_t requests; /* carried so far, with the current one */
+  struct hf_carried carried;
   int64_t opened_at;
   int64_t used_at;         /* end of the last request */
   int64_t idle_timeout_us; /* closed after this idle time, before the server closes it */
@@ -92,6 +95,7 @@
 {
   struct connection *connection = data;
   hf_http_parser_close (connection->parser);
+  hf_carried_clear (&connection->carried);
   g_free (connection->address);
   g_free (connection);
 }
@@ -161,7 +165,8 @@
   request->connection = NULL;
   connection->request = NULL;
   connection->response_complete = false;
-  if (connection->close_after_response || has_unsent_body || has_more_bytes)
+  bool is_full = hf_carried_is_full (&connection->carried);
+  if (connection->close_after_response || has_unsent_body || has_more_bytes || is_full)
     close_connection (connection);
   else
     keep_connection (connection, g_get_monotonic_time ());
@@ -356,26 +361,38 @@
   return connection;
 }
 
-/* Takes the most recently used idle connection and closes unusable ones; NULL if none was idle for at most
- * idle_max_us. */
+static enum hf_reuse
+decide_reuse (const struct connection *connection, const struct hf_http_client_params *params)
+{
+  const struct hf_kept_connection kept = {
+    .usable = hf_stream_is_open (connection->stream) && hf_stream_is_quiet (connection->stream),
+    .idle_us = g_get_monotonic_time () - connection->used_at,
+    .idle_timeout_us = connection->idle_timeout_us,
+    .carried = &connection->carried,
+  };
+  return hf_reuse_decide (&kept, params->request_id, params->idle_max_us);
+}
+
+/* Takes the most recently used idle connection that may carry the request, and closes unusable ones; NULL: none may.
+ */
 static struct connection *
-take_idle_connection (struct hf_http_client *client, struct hf_str address, int64_t idle_max_us)
+take_idle_connection (struct hf_http_client *client, const struct hf_http_client_params *params)
 {
-  char *text = g_strndup (address.data, address.len);
-  struct idle_pool *idle_pool = find_idle_pool (client, text);
-  int64_t now = g_get_monotonic_time ();
+  char *text = g_strndup (params->address.data, params->address.len);
+  GPtrArray *idle = find_idle_pool (client, text)->connections;
   g_free (text);
-  while (idle_max_us > 0 && idle_pool->connections->len > 0)
+  if (params->idle_max_us == 0)
+    return NULL;
+  for (guint i = idle->len; i-- > 0;)
     {
-      const struct connection *last = g_ptr_array_index (idle_pool->connections, idle_pool->connections->len - 1);
-      bool is_usable = hf_stream_is_open (last->stream) && now - last->used_at < last->idle_timeout_us
-                       && hf_stream_is_quiet (last->stream);
-      if (is_usable && now - last->used_at > idle_max_us)
-        return NULL;
-      struct connection *connection = g_ptr_array_steal_index (idle_pool->connections, idle_pool->connections->len - 1);
-      if (is_usable)
-        return connection;
-      close_connection (connection);
+      struct connection *connection = g_ptr_array_index (idle, i);
+      enum hf_reuse reuse = decide_reuse (connection, params);
+      if (reuse == HF_REUSE_YES)
+        return g_ptr_array_steal_index (idle, i);
+      if (reuse == HF_REUSE_NEVER)
+        close_connection (connection);
+      else if (reuse == HF_REUSE_IDLE_LONG)
+        return NULL; /* the others were used even longer ago */
     }
   return NULL;
 }
@@ -459,7 +476,7 @@
   request->context = context;
   request->has_more_body = params->has_more_body;
   request->response_has_no_body = params->response_has_no_body;
-  struct connection *connection = take_idle_connection (client, params->address, params->idle_max_us);
+  struct connection *connection = take_idle_connection (client, params);
   if (!connection)
     connection = open_connection (client, params->address);
   request->connection = connection;
@@ -470,6 +487,7 @@
     }
   connection->request = request;
   connection->requests++;
+  hf_carried_add (&connection->carried, params->request_id);
   hf_stream_clear_sent (connection->stream);
   hf_stream_queue (connection->stream, params->head);
   hf_stream_queue (connection->stream, params->body);
--- a/src/hf-http-client.h
+++ b/src/hf-http-client.h
@@ -4,7 +4,8 @@
  * Sends each request on a pooled or a new connection and reports the
  * response. It never retries, and reports reliably whether any byte of the
  * request was written to a connection. A connection is reused only if
- * nothing but the one response was received on it.
+ * nothing but the one response was received on it, and never for a request id
+ * that it has carried before.
  */
 #ifndef HF_HTTP_CLIENT_H
 #define HF_HTTP_CLIENT_H
@@ -49,6 +50,7 @@
  * @head: request line and header fields, with the empty line at the end
  * @body: bytes of the body that are available now
  * @has_more_body: the rest of the body follows by hf_http_client_send_body
+ * @request_id: by which responses are told apart; a connection carries it once; empty: it does not matter
  * @response_has_no_body: the response has no body, whatever its head declares (HEAD)
  * @idle_max_us: a pooled connection is used if it was idle for at most this time; 0: always a new connection
  */
@@ -58,6 +60,7 @@
   struct hf_str head;
   struct hf_str body;
   bool has_more_body;
+  struct hf_str request_id;
   bool response_has_no_body;
   int64_t idle_max_us;
 };
--- a/tests/test-http-client.c
+++ b/tests/test-http-client.c
@@ -369,6 +369,63 @@
   check_copies ((struct copies_run){ .first_copies = 1 });
 }
 
+/* --- tests: one id on one connection --- */
+
+struct ids_run
+{
+  struct run run;
+  GPtrArray *connections; /* struct raw_connection, in the order of their first request */
+  GString *used;          /* "ID:CONNECTION " of each request, as the server sees it */
+};
+
+static void
+on_ids_request (void *context, struct raw_connection *connection, const char *text)
+{
+  struct ids_run *ids = context;
+  guint i;
+  if (!g_ptr_array_find (ids->connections, connection, &i))
+    {
+      i = ids->connections->len;
+      g_ptr_array_add (ids->connections, connection);
+    }
+  g_string_append_printf (ids->used, "%c:%u ", text[strlen ("GET /")], i);
+  raw_connection_send (connection, "HTTP/1.1 200 OK\r\nX-Id: own\r\nContent-Length: 0\r\n\r\n");
+}
+
+static void
+run_with_id (struct ids_run *ids, char id)
+{
+  char *head = g_strdup_printf ("GET /%c HTTP/1.1\r\nHost: h\r\n\r\n", id);
+  struct hf_http_client_params params = { .address = hf_str (raw_server_address (ids->run.server)),
+                                          .head = hf_str (head),
+                                          .request_id = { &id, id == '-' ? 0 : 1 },
+                                          .idle_max_us = HF_CONNECTION_IDLE_MS * HF_MS };
+  ids->run.ended = FALSE;
+  hf_http_client_send (ids->run.client, &params, &callbacks, &ids->run);
+  while (!ids->run.ended)
+    g_main_context_iteration (NULL, TRUE);
+  g_free (head);
+}
+
+/* Guards against a copy of an earlier response under the same id: a connection carries each id once, also with other
+ * requests in between; a request without an id may use any. */
+static void
+test_one_id (void)
+{
+  struct ids_run ids = { .connections = g_ptr_array_new (), .used = g_string_new (NULL) };
+  ids.run.net = hf_net_open ();
+  ids.run.server = raw_server_open (ids.run.net, on_ids_request, &ids);
+  ids.run.client = hf_http_client_open (ids.run.net);
+  for (const char *id = "abacab-b-"; *id; id++)
+    run_with_id (&ids, *id);
+  g_assert_cmpstr (ids.used->str, ==, "a:0 b:0 a:1 c:1 a:2 b:2 -:2 b:1 -:1 ");
+  hf_http_client_close (ids.run.client);
+  raw_server_close (ids.run.server);
+  hf_net_close (ids.run.net);
+  g_string_free (ids.used, TRUE);
+  g_ptr_array_unref (ids.connections);
+}
+
 /* --- tests: responses that end early --- */
 
 /* A response, and what a reader that looks at nothing but these parts makes of its first bytes. */
@@ -533,6 +590,7 @@
   g_test_add_func ("/cut/anywhere", test_cut_anywhere);
   g_test_add_func ("/copies/one-read", test_copy_in_one_read);
   g_test_add_func ("/copies/while-idle", test_copy_while_idle);
+  g_test_add_func ("/copies/one-id", test_one_id);
   g_test_add_func ("/endless/store-response", test_store_response);
   g_test_add_func ("/slow/store-response", test_slow_store_response);
   return g_test_run ();
--- a/tests/test-units.c
+++ b/tests/test-units.c
@@ -12,6 +12,7 @@
 #include "hf-json.h"
 #include "hf-log.h"
 #include "hf-reduce.h"
+#include "hf-reuse.h"
 #include "hf-routing.h"
 #include "hf-slices.h"
 #include "hf-settings.h"
@@ -532,6 +533,67 @@
     }
 }
 
+struct reuse_case
+{
+  const char *carried; /* ids, separated by spaces */
+  const char *id;
+  bool usable;
+  int idle_ms;
+  int idle_max_ms;
+  enum hf_reuse expected;
+};
+
+/* A connection that the server closes after 1000 ms. */
+static const struct reuse_case reuse_cases[] = {
+  { "", "a", true, 10, 500, HF_REUSE_YES },          { "b c", "a", true, 10, 500, HF_REUSE_YES },
+  { "a", "a", true, 10, 500, HF_REUSE_NOT_BY_THIS }, { "a b c d", "a", true, 10, 500, HF_REUSE_NOT_BY_THIS },
+  { "aa", "a", true, 10, 500, HF_REUSE_YES },        { "a", "", true, 10, 500, HF_REUSE_YES },
+  { "", "", true, 10, 500, HF_REUSE_YES },           { "b", "a", true, 500, 500, HF_REUSE_YES },
+  { "b", "a", true, 501, 500, HF_REUSE_IDLE_LONG },  { "a", "a", true, 501, 500, HF_REUSE_IDLE_LONG },
+  { "b", "a", true, 1000, 5000, HF_REUSE_NEVER },    { "b", "a", false, 10, 500, HF_REUSE_NEVER },
+};
+
+static void
+test_reuse (void)
+{
+  for (gsize i = 0; i < G_N_ELEMENTS (reuse_cases); i++)
+    {
+      const struct reuse_case *reuse_case = &reuse_cases[i];
+      struct hf_carried carried = { 0 };
+      char **ids = g_strsplit (reuse_case->carried, " ", -1);
+      for (char **id = ids; *id; id++)
+        hf_carried_add (&carried, hf_str (*id));
+      const struct hf_kept_connection kept = { .usable = reuse_case->usable,
+                                               .idle_us = reuse_case->idle_ms * HF_MS,
+                                               .idle_timeout_us = 1000 * HF_MS,
+                                               .carried = &carried };
+      g_test_message ("case %zu", i);
+      g_assert_cmpint (hf_reuse_decide (&kept, hf_str (reuse_case->id), reuse_case->idle_max_ms * HF_MS), ==,
+                       reuse_case->expected);
+      hf_carried_clear (&carried);
+      g_strfreev (ids);
+    }
+}
+
+/* What is remembered of a connection is bounded: it ends, and forgets no id before. */
+static void
+test_reuse_bound (void)
+{
+  struct hf_carried carried = { 0 };
+  char id[16];
+  for (guint i = 0; i < HF_CONNECTION_IDS_MAX; i++)
+    {
+      g_assert_false (hf_carried_is_full (&carried));
+      g_snprintf (id, sizeof id, "id%u", i);
+      hf_carried_add (&carried, hf_str (id));
+    }
+  g_assert_true (hf_carried_is_full (&carried));
+  g_assert_true (hf_carried_has (&carried, hf_str ("id0")));
+  const struct hf_kept_connection kept = { .usable = true, .idle_timeout_us = HF_SEC, .carried = &carried };
+  g_assert_cmpint (hf_reuse_decide (&kept, hf_str ("another"), HF_SEC), ==, HF_REUSE_NEVER);
+  hf_carried_clear (&carried);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -550,6 +612,8 @@
   g_test_add_func ("/units/config-history", test_config_history);
   g_test_add_func ("/units/measuring-ends", test_measuring_ends);
   g_test_add_func ("/units/latency-quantile", test_latency_quantile);
+  g_test_add_func ("/units/reuse", test_reuse);
+  g_test_add_func ("/units/reuse-bound", test_reuse_bound);
   g_test_add_func ("/pages/configuration", test_page_configuration);
   g_test_add_func ("/pages/events", test_page_events);
   return g_test_run ();
