Why a further attempt at a server opens a new connection, as it is now

Copies of responses under an id that comes again are hf-reuse's since, so the comment named a reason that no longer decides.

--- a/src/hf-attempts.c
+++ b/src/hf-attempts.c
@@ -38,8 +38,8 @@
 
 /* --- public functions --- */
 
-/* The request id does not tell the attempts of a call apart: a kept connection to a server that had one may still
- * deliver a second copy of the earlier response. */
+/* Where an attempt of the call has ended at the server, its kept connections may have ended, too. (Copies of responses
+ * are hf-reuse's.) */
 int64_t
 hf_attempts_connection_idle_max_ms (const struct hf_call *call, unsigned i, uint64_t server)
 {
