A Keep-Alive timeout is bounded, and unreadable ones count as none

Ruled out: a longer life is of no use, as no request uses a connection that was idle for longer than HF_CONNECTION_IDLE_MS, and it holds one of the server's connections.

Change: the field is read by a pure function of its value (hf-keep-alive); the idle time is 8 s at most; of several timeouts the least counts; a value that is not a number counts as not sent.

Test: /units/keep-alive, a table of 37 values.

--- a/src/config.h
+++ b/src/config.h
@@ -39,6 +39,7 @@
 #define HF_CONNECT_TIMEOUT_MS        500
 #define HF_CONNECTION_IDLE_MS        8000 /* idle time of a kept connection if the server sends no Keep-Alive timeout */
 #define HF_CONNECTION_IDLE_MARGIN_MS 1000 /* closed this long before the server's own timeout */
+#define HF_KEEP_ALIVE_MAX_SEC        3600 /* a longer Keep-Alive timeout counts as this */
 #define HF_CONNECTION_PROVEN_MS      5000 /* reuse for non-repeatable requests: last response at most this long ago */
 
 /* Memory. */
--- a/src/hf-http-client.c
+++ b/src/hf-http-client.c
@@ -3,6 +3,8 @@
 
 #include <string.h>
 
+#include "hf-keep-alive.h"
+
 #include "config.h"
 
 /* --- constants --- */
@@ -173,19 +175,7 @@
 static void
 read_keep_alive (struct connection *connection, const struct hf_http_head *head)
 {
-  struct hf_str value = hf_http_head_field (head, "Keep-Alive");
-  char text[64];
-  const char *timeout;
-  connection->idle_timeout_us = HF_CONNECTION_IDLE_MS * HF_MS;
-  if (value.len == 0 || value.len >= sizeof text)
-    return;
-  memcpy (text, value.data, value.len);
-  text[value.len] = 0;
-  timeout = strstr (text, "timeout=");
-  if (!timeout)
-    return;
-  int64_t seconds = (int64_t) g_ascii_strtoull (timeout + strlen ("timeout="), NULL, 10);
-  connection->idle_timeout_us = MAX (seconds * HF_SEC - HF_CONNECTION_IDLE_MARGIN_MS * HF_MS, 0);
+  connection->idle_timeout_us = hf_keep_alive_idle_us (hf_http_head_field (head, "Keep-Alive"));
 }
 
 static bool
--- a/tests/test-units.c
+++ b/tests/test-units.c
@@ -10,6 +10,7 @@
 #include "hf-document.h"
 #include "hf-document-pack.h"
 #include "hf-json.h"
+#include "hf-keep-alive.h"
 #include "hf-log.h"
 #include "hf-reduce.h"
 #include "hf-routing.h"
@@ -18,6 +19,8 @@
 #include "hf-state.h"
 #include "hf-wire.h"
 
+#include "config.h"
+
 /* --- constants --- */
 
 #define DOCUMENT_PREFIX                                                                                                \
@@ -532,6 +535,61 @@
     }
 }
 
+/* Guards against connections kept for ever, or not at all, after a Keep-Alive with an odd timeout. */
+static void
+test_keep_alive (void)
+{
+  static const int64_t unstated_ms = HF_CONNECTION_IDLE_MS;
+  static const struct
+  {
+    const char *field;
+    int64_t idle_ms;
+  } cases[] = {
+    { "", unstated_ms },
+    { "max=3", unstated_ms },
+    { "timeout=0", 0 },
+    { "timeout=1", 0 },
+    { "timeout=2", 1000 },
+    { "timeout=5", 4000 },
+    { "timeout=005", 4000 },
+    { "timeout= 5", 4000 },
+    { " timeout = 5 ", 4000 },
+    { "Timeout=5", 4000 },
+    { "TIMEOUT=5", 4000 },
+    { "timeout=\"5\"", 4000 },
+    { "timeout=5, max=3", 4000 },
+    { "max=3, timeout=5", 4000 },
+    { "max=3,timeout=5", 4000 },
+    { "timeout=5, timeout=3", 2000 },
+    { "timeout=x, timeout=3", 2000 },
+    { "read-timeout=2, timeout=5", 4000 },
+    { "read-timeout=2", unstated_ms },
+    { "timeout", unstated_ms },
+    { "timeout=", unstated_ms },
+    { "timeout=x", unstated_ms },
+    { "timeout=5x", unstated_ms },
+    { "timeout=5 6", unstated_ms },
+    { "timeout=+5", unstated_ms },
+    { "timeout=-1", unstated_ms },
+    { "timeout=9", unstated_ms },
+    { "timeout=100", unstated_ms },
+    { "timeout=9223372036854", unstated_ms },
+    { "timeout=9223372036855", unstated_ms },
+    { "timeout=100000000000000", unstated_ms },
+    { "timeout=9223372036854775808", unstated_ms },
+    { "timeout=18446744073709551615", unstated_ms },
+    { "timeout=18446744073709551617", unstated_ms },
+    { "timeout=99999999999999999999", unstated_ms },
+    { "a=0123456789012345678901234567890123456789012345678901234567890, timeout=5", 4000 },
+    { ",,;=,timeout=5", 4000 },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_test_message ("%s", cases[i].field);
+      g_assert_cmpint (hf_keep_alive_idle_us (hf_str (cases[i].field)), ==, cases[i].idle_ms * HF_MS);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -540,6 +598,7 @@
   g_test_add_func ("/units/document-errors", test_document_errors);
   g_test_add_func ("/units/json", test_json);
   g_test_add_func ("/units/nesting", test_nesting);
+  g_test_add_func ("/units/keep-alive", test_keep_alive);
   g_test_add_func ("/units/samples", test_example_documents);
   g_test_add_func ("/units/routing", test_routing);
   g_test_add_func ("/units/wire", test_wire);
