A start waits for addresses that a former process still holds

What was seen: a process that is started while the former one of the entry shuts down ended with code 4 at once (test-process /process/restart-in-place: no line 'listening' within 10 s; address-in-use: ended after 12 ms).

Cause: the peers' UDP address is held until the former process exits, up to grace_ms after its SIGTERM, and an address in use was an error like any other.

Ruled out: a killed process. With 20 open connections and as many that have been closed the next one starts at once (/process/restart-killed, passing before and after).

Change: an address in use has an error code of its own; the start tries again every 50 ms, for grace_ms and a second at the longest, with one line HF1011; then code 4 as before. SIGTERM ends the wait.

Tests: /process/restart-in-place, address-in-use and stopped-while-waiting failed before, all four pass now.

--- a/src/config.h
+++ b/src/config.h
@@ -235,6 +235,10 @@
 #define HF_PROBE_ALLOTMENT_RETRY_MS 2000 /* until tokens that another entry gives back are found */
 #define HF_PROBE_TIMEOUT_SEC        1
 
+/* Start. */
+#define HF_ADDRESS_WAIT_MS  1000 /* for an address in use, beyond grace_ms, which a former process has to end */
+#define HF_ADDRESS_RETRY_MS 50
+
 /* Shutdown. */
 #define HF_SHUTDOWN_TIMEOUT_SEC  60   /* default of the setting grace_ms */
 #define HF_STOP_IDLE_MS          50   /* idle time after which connections close, once the listener is closed */
--- a/src/hf-base.h
+++ b/src/hf-base.h
@@ -34,6 +34,7 @@
   HF_ERROR_IO,          /* file or socket operation failed */
   HF_ERROR_CONFLICT,    /* object was changed by another writer first */
   HF_ERROR_UNAVAILABLE, /* no response from the remote side */
+  HF_ERROR_IN_USE,      /* another process has the address */
 };
 
 /**
--- a/src/hf-net.c
+++ b/src/hf-net.c
@@ -397,8 +397,8 @@
   setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   if (fd < 0 || bind (fd, (struct sockaddr *) &socket_address, size) != 0 || listen (fd, LISTEN_BACKLOG) != 0)
     {
-      hf_error_set (error, HF_ERROR_IO, "cannot listen on " HF_STR_FMT ": %s", HF_STR_ARG (address),
-                    g_strerror (errno));
+      hf_error_set (error, errno == EADDRINUSE ? HF_ERROR_IN_USE : HF_ERROR_IO, "cannot listen on " HF_STR_FMT ": %s",
+                    HF_STR_ARG (address), g_strerror (errno));
       if (fd >= 0)
         close (fd);
       return NULL;
--- a/src/hf-peer-socket.c
+++ b/src/hf-peer-socket.c
@@ -106,8 +106,9 @@
                                    : NULL;
   if (!socket || !g_socket_bind (socket, socket_address, FALSE, &cause))
     {
-      hf_error_set (error, HF_ERROR_IO, "cannot bind the peer socket to " HF_STR_FMT ": %s", HF_STR_ARG (address),
-                    cause ? cause->message : "not an IP:PORT address");
+      bool in_use = g_error_matches (cause, G_IO_ERROR, G_IO_ERROR_ADDRESS_IN_USE);
+      hf_error_set (error, in_use ? HF_ERROR_IN_USE : HF_ERROR_IO, "cannot bind the peer socket to " HF_STR_FMT ": %s",
+                    HF_STR_ARG (address), cause ? cause->message : "not an IP:PORT address");
       g_clear_error (&cause);
       g_clear_object (&socket);
       g_clear_object (&socket_address);
--- a/src/hickoryd.c
+++ b/src/hickoryd.c
@@ -29,6 +29,7 @@
   struct hf_http_server *admin;
   struct hf_http_server *metrics; /* NULL: on the admin address only */
   bool running;                   /* the loop is open: signals have something to act on */
+  bool terminated;                /* SIGTERM or SIGINT was received */
 };
 
 /* --- internal functions --- */
@@ -126,6 +127,7 @@
   struct daemon *daemon = data;
   if (daemon->running)
     hf_loop_raise_event (&daemon->loop, (struct hf_event){ .kind = HF_EVENT_SHUTDOWN });
+  daemon->terminated = true;
   return G_SOURCE_CONTINUE;
 }
 
@@ -189,20 +191,66 @@
   g_unix_signal_add (SIGHUP, on_reload_signal, daemon);
 }
 
+static bool
+open_sockets (struct daemon *daemon, const struct hf_settings *settings, struct hf_error *error)
+{
+  if (!hf_loop_open (&daemon->loop, settings, error))
+    return false;
+  daemon->admin = hf_http_server_open (daemon->loop.net, settings->admin_address, &admin_callbacks, daemon, error);
+  if (!daemon->admin)
+    hf_loop_close (&daemon->loop);
+  return daemon->admin != NULL;
+}
+
+static gboolean
+on_pause_over (gpointer data)
+{
+  *(bool *) data = true;
+  return G_SOURCE_REMOVE;
+}
+
+/* Waits and handles signals meanwhile; SIGTERM ends it early. */
+static void
+pause_start (const struct daemon *daemon, unsigned ms)
+{
+  bool over = false;
+  guint timer = g_timeout_add (ms, on_pause_over, &over);
+  while (!over && !daemon->terminated)
+    g_main_context_iteration (NULL, TRUE);
+  if (!over)
+    g_source_remove (timer);
+}
+
+/* A former process of this entry may hold its addresses until its grace_ms are over. */
+static bool
+open_sockets_when_free (struct daemon *daemon, const struct hf_settings *settings, struct hf_error *error)
+{
+  int64_t wait_ms = settings->shutdown_timeout_ms + HF_ADDRESS_WAIT_MS;
+  int64_t until = hf_loop_now () + wait_ms * HF_MS;
+  bool logged = false;
+  while (!open_sockets (daemon, settings, error))
+    {
+      if (error->code != HF_ERROR_IN_USE || hf_loop_now () >= until)
+        return false;
+      if (!logged)
+        hf_log_write (HF_LOG_ADDRESS_IN_USE, "%s; waiting up to %d ms", error->message, (int) wait_ms);
+      logged = true;
+      pause_start (daemon, HF_ADDRESS_RETRY_MS);
+      if (daemon->terminated)
+        return false;
+    }
+  return true;
+}
+
 static int
 run (struct daemon *daemon, const struct hf_settings *settings)
 {
   struct hf_error error = { 0 };
-  if (!hf_loop_open (&daemon->loop, settings, &error))
-    {
-      hf_log_write (HF_LOG_SETTINGS_INVALID, "%s", error.message);
-      return EXIT_IO;
-    }
-  daemon->admin = hf_http_server_open (daemon->loop.net, settings->admin_address, &admin_callbacks, daemon, &error);
-  if (!daemon->admin)
+  if (!open_sockets_when_free (daemon, settings, &error))
     {
+      if (daemon->terminated)
+        return 0;
       hf_log_write (HF_LOG_SETTINGS_INVALID, "%s", error.message);
-      hf_loop_close (&daemon->loop);
       return EXIT_IO;
     }
   if (settings->metrics_address.len)
