A start reads missing or invalid settings again for two seconds

What was seen: a process that is started while its settings are being written (missing, then empty, then half of them) ended with code 3 (test-process /process/start-half-written: no line 'listening' within 10 s).

Cause: the settings were read once.

Ruled out, by tests that pass before and after: SIGHUP with unreadable settings (/process/reload-unreadable), settings that change without a signal (settings-changed), SIGTERM twice (terminated-twice) and in the start (terminated-in-start), all of 48 descriptors in use while the store fails and SIGHUP comes (descriptors-used-up), no working directory and no environment (no-surroundings).

Tests: /process/start-half-written and start-invalid failed before; test-process 12 of 12.

--- a/src/config.h
+++ b/src/config.h
@@ -237,7 +237,8 @@
 
 /* Start. */
 #define HF_ADDRESS_WAIT_MS  1000 /* for an address in use, beyond grace_ms, which a former process has to end */
-#define HF_ADDRESS_RETRY_MS 50
+#define HF_SETTINGS_WAIT_MS 2000 /* for settings that are missing or invalid, as they may be written just now */
+#define HF_START_RETRY_MS   50
 
 /* Shutdown. */
 #define HF_SHUTDOWN_TIMEOUT_SEC  60   /* default of the setting grace_ms */
--- a/src/hickoryd.c
+++ b/src/hickoryd.c
@@ -145,26 +145,33 @@
 }
 
 static bool
-load_settings (const char *file, struct hf_settings *settings)
+load_settings (const char *file, struct hf_settings *settings, struct hf_error *error)
 {
   char *text = NULL;
   gsize size = 0;
-  GError *gerror = NULL;
-  struct hf_error error = { 0 };
-  if (!g_file_get_contents (file, &text, &size, &gerror))
+  GError *cause = NULL;
+  *error = (struct hf_error){ 0 };
+  if (!g_file_get_contents (file, &text, &size, &cause))
     {
-      hf_log_write (HF_LOG_SETTINGS_INVALID, "%s", gerror->message);
-      g_clear_error (&gerror);
+      hf_error_set (error, HF_ERROR_IO, "%s", cause->message);
+      g_clear_error (&cause);
       return false;
     }
-  bool ok = hf_settings_load ((struct hf_str){ .data = text, .len = size }, settings, &error);
-  if (!ok)
-    hf_log_write (HF_LOG_SETTINGS_INVALID, "%s:%u:%u: %s: %s", file, error.line, error.column, error.path,
-                  error.message);
+  bool ok = hf_settings_load ((struct hf_str){ .data = text, .len = size }, settings, error);
   g_free (text);
   return ok;
 }
 
+static void
+log_settings_error (const char *file, const struct hf_error *error)
+{
+  if (error->code == HF_ERROR_IO)
+    hf_log_write (HF_LOG_SETTINGS_INVALID, "%s", error->message);
+  else
+    hf_log_write (HF_LOG_SETTINGS_INVALID, "%s:%u:%u: %s: %s", file, error->line, error->column, error->path,
+                  error->message);
+}
+
 /* Applies the settings that can change at run time: the log level, and the entry's name in log lines. An invalid file
  * changes nothing. */
 static gboolean
@@ -172,8 +179,12 @@
 {
   struct daemon *daemon = data;
   struct hf_settings settings = { 0 };
-  if (!load_settings (daemon->settings_file, &settings))
-    return G_SOURCE_CONTINUE;
+  struct hf_error error;
+  if (!load_settings (daemon->settings_file, &settings, &error))
+    {
+      log_settings_error (daemon->settings_file, &error);
+      return G_SOURCE_CONTINUE;
+    }
   hf_log_open ("hickoryd", settings.name, (enum hf_log_level) settings.log_level);
   hf_log_write (HF_LOG_RELOADED, "%s: log level applied; changes of addresses take effect at the next start",
                 daemon->settings_file);
@@ -191,17 +202,6 @@
   g_unix_signal_add (SIGHUP, on_reload_signal, daemon);
 }
 
-static bool
-open_sockets (struct daemon *daemon, const struct hf_settings *settings, struct hf_error *error)
-{
-  if (!hf_loop_open (&daemon->loop, settings, error))
-    return false;
-  daemon->admin = hf_http_server_open (daemon->loop.net, settings->admin_address, &admin_callbacks, daemon, error);
-  if (!daemon->admin)
-    hf_loop_close (&daemon->loop);
-  return daemon->admin != NULL;
-}
-
 static gboolean
 on_pause_over (gpointer data)
 {
@@ -221,6 +221,39 @@
     g_source_remove (timer);
 }
 
+/* The settings may be written just now. */
+static bool
+load_settings_when_complete (const struct daemon *daemon, struct hf_settings *settings)
+{
+  struct hf_error error;
+  int64_t until = hf_loop_now () + HF_SETTINGS_WAIT_MS * HF_MS;
+  bool logged = false;
+  while (!load_settings (daemon->settings_file, settings, &error))
+    {
+      bool is_last = hf_loop_now () >= until;
+      if (is_last || !logged)
+        log_settings_error (daemon->settings_file, &error);
+      if (is_last)
+        return false;
+      logged = true;
+      pause_start (daemon, HF_START_RETRY_MS);
+      if (daemon->terminated)
+        return false;
+    }
+  return true;
+}
+
+static bool
+open_sockets (struct daemon *daemon, const struct hf_settings *settings, struct hf_error *error)
+{
+  if (!hf_loop_open (&daemon->loop, settings, error))
+    return false;
+  daemon->admin = hf_http_server_open (daemon->loop.net, settings->admin_address, &admin_callbacks, daemon, error);
+  if (!daemon->admin)
+    hf_loop_close (&daemon->loop);
+  return daemon->admin != NULL;
+}
+
 /* A former process of this entry may hold its addresses until its grace_ms are over. */
 static bool
 open_sockets_when_free (struct daemon *daemon, const struct hf_settings *settings, struct hf_error *error)
@@ -235,7 +268,7 @@
       if (!logged)
         hf_log_write (HF_LOG_ADDRESS_IN_USE, "%s; waiting up to %d ms", error->message, (int) wait_ms);
       logged = true;
-      pause_start (daemon, HF_ADDRESS_RETRY_MS);
+      pause_start (daemon, HF_START_RETRY_MS);
       if (daemon->terminated)
         return false;
     }
@@ -312,10 +345,14 @@
     }
   struct daemon daemon = { .settings_file = argv[1] };
   catch_signals (&daemon);
-  if (!load_settings (argv[1], &settings))
+  struct hf_error error;
+  bool loaded = check ? load_settings (argv[1], &settings, &error) : load_settings_when_complete (&daemon, &settings);
+  if (check && !loaded)
+    log_settings_error (argv[1], &error);
+  if (!loaded)
     {
       hf_log_close ();
-      return EXIT_SETTINGS;
+      return daemon.terminated ? 0 : EXIT_SETTINGS;
     }
   hf_log_open ("hickoryd", settings.name, (enum hf_log_level) settings.log_level);
   hf_log_write (HF_LOG_STARTED, "version %s, entry " HF_STR_FMT " in " HF_STR_FMT, HF_VERSION,
--- a/tests/test-process.c
+++ b/tests/test-process.c
@@ -2,9 +2,14 @@
  * Tests of the process hickoryd itself: how it starts and ends, and what it does
  * when its surroundings are not as they should be.
  */
+#include <fcntl.h>
 #include <gio/gio.h>
+#include <glib/gstdio.h>
 #include <signal.h>
 #include <string.h>
+#include <sys/resource.h>
+#include <sys/stat.h>
+#include <unistd.h>
 
 #include "platform-setup.h"
 
@@ -12,11 +17,16 @@
 
 /* --- constants --- */
 
-#define SHORT_GRACE_MS     700
+#define EXIT_CODE_SETTINGS 3
 #define EXIT_CODE_ADDRESS  4
+#define SHORT_GRACE_MS     700
 #define WAIT_TIMEOUT_S     10
+#define HELD_MS            300 /* until the process has begun to wait */
+#define SETTLE_MS          50
 #define KILLED_CONNECTIONS 20
-#define HELD_MS            300 /* until the process that finds its address in use has begun to wait */
+#define LOGGED_REQUESTS    5
+#define DESCRIPTORS        48
+#define USED_UP_MS         2500 /* longer than a watch */
 
 /* --- internal functions: processes --- */
 
@@ -39,7 +49,8 @@
 spawn (const struct setup *setup, GSpawnChildSetupFunc child_setup)
 {
   char *build = g_path_get_dirname (g_get_prgname ());
-  char *program = g_build_filename (build, "hickoryd", NULL);
+  char *relative = g_build_filename (build, "hickoryd", NULL);
+  char *program = g_canonicalize_filename (relative, NULL);
   char *file = settings_file (setup);
   GSubprocessLauncher *launcher = g_subprocess_launcher_new (G_SUBPROCESS_FLAGS_STDOUT_PIPE);
   g_subprocess_launcher_set_child_setup (launcher, child_setup, NULL, NULL);
@@ -48,6 +59,7 @@
   g_object_unref (launcher);
   g_free (file);
   g_free (program);
+  g_free (relative);
   g_free (build);
   return process;
 }
@@ -217,6 +229,274 @@
   close_setup (setup);
 }
 
+/* --- tests: descriptors --- */
+
+static void
+limit_descriptors (gpointer data)
+{
+  struct rlimit limit = { .rlim_cur = DESCRIPTORS, .rlim_max = DESCRIPTORS };
+  (void) data;
+  if (setrlimit (RLIMIT_NOFILE, &limit) != 0)
+    _exit (1);
+}
+
+static gboolean
+has_new_route (void *context)
+{
+  return request_status (context, "GET", "/new/x", "") == 200;
+}
+
+/* Guards against a process that ends, or serves or follows the store no more, because its descriptors were used up.
+ * Meanwhile its watches and connections end, and its settings are reloaded. */
+static void
+test_descriptors_used_up (void)
+{
+  struct setup *setup = open_setup ();
+  char *settings = make_same_settings (setup);
+  struct raw_client *clients[2 * DESCRIPTORS];
+  write_settings (setup, settings);
+  g_subprocess_force_exit (setup->entry);
+  g_assert_cmpint (exit_code (setup->entry), ==, -1);
+  replace_entry (setup, spawn (setup, limit_descriptors));
+  g_assert_true (harness_wait_until (is_ready, setup, CHANGE_TIMEOUT_S));
+  for (guint i = 0; i < G_N_ELEMENTS (clients); i++)
+    {
+      char *request = format_request (setup, "GET", "/r/x", "");
+      clients[i] = raw_client_connect (setup->net, setup->caller_address, request);
+      g_free (request);
+    }
+  harness_pause (DIRECTORY_UPDATE_MS);
+  char *not_accepted = logged_value (setup, "not-accepted", "text");
+  g_assert_nonnull (not_accepted);
+  fake_store_set_error (setup->store, 503);
+  g_subprocess_send_signal (setup->entry, SIGHUP);
+  harness_pause (USED_UP_MS);
+  fake_store_set_error (setup->store, 0);
+  harness_pause (USED_UP_MS);
+  g_assert_nonnull (g_subprocess_get_identifier (setup->entry)); /* it still runs */
+  for (guint i = 0; i < G_N_ELEMENTS (clients); i++)
+    raw_client_close (clients[i]);
+  harness_pause (DIRECTORY_UPDATE_MS);
+  put_config (setup, 9, "\"service\":\"alpha\"", "/new/");
+  g_assert_true (harness_wait_until (has_new_route, setup, WAIT_TIMEOUT_S));
+  for (guint i = 0; i < LOGGED_REQUESTS; i++)
+    g_assert_cmpuint (request_status (setup, "POST", "/w/x", "b"), ==, 200);
+  g_free (not_accepted);
+  g_free (settings);
+  close_setup (setup);
+}
+
+/* --- tests: settings --- */
+
+static guint
+count_logged (const struct setup *setup, const char *name)
+{
+  char *text = g_strdup_printf ("\"%s\"", name);
+  guint n = 0;
+  for (guint i = 0; i < setup->log->len; i++)
+    n += strstr (g_ptr_array_index (setup->log, i), text) != NULL;
+  g_free (text);
+  return n;
+}
+
+static void
+reload (struct setup *setup)
+{
+  g_subprocess_send_signal (setup->entry, SIGHUP);
+  harness_pause (SETTLE_MS);
+  g_assert_nonnull (g_subprocess_get_identifier (setup->entry)); /* it still runs */
+  g_assert_cmpuint (request_status (setup, "POST", "/w/x", "b"), ==, 200);
+}
+
+/* Guards against a process that ends, or changes, by a SIGHUP while its settings are missing, a directory, empty,
+ * half-written or no text. */
+static void
+test_reload_unreadable (void)
+{
+  static const char *const texts[] = { "", "\n", "name: e", "name: [", "{", "\xff\xfe\x01", "store: 1\nstore: 2\n" };
+  struct setup *setup = open_setup ();
+  char *settings = make_same_settings (setup);
+  char *file = settings_file (setup);
+  for (gsize i = 0; i < G_N_ELEMENTS (texts); i++)
+    {
+      write_settings (setup, texts[i]);
+      reload (setup);
+    }
+  write_settings (setup, settings);
+  for (gsize len = strlen (settings) / 2; len > 0; len /= 2)
+    {
+      g_assert_cmpint (truncate (file, (off_t) len), ==, 0);
+      reload (setup);
+    }
+  g_remove (file);
+  reload (setup);
+  g_assert_cmpint (g_mkdir (file, 0700), ==, 0);
+  reload (setup);
+  g_rmdir (file);
+  g_assert_cmpuint (count_logged (setup, "reloaded"), ==, 0);
+  write_settings (setup, settings);
+  reload (setup);
+  g_assert_cmpuint (count_logged (setup, "reloaded"), ==, 1);
+  g_free (file);
+  g_free (settings);
+  close_setup (setup);
+}
+
+/* Settings that change without a signal change nothing until the next start, which uses them. */
+static void
+test_settings_changed (void)
+{
+  struct setup *setup = open_setup ();
+  char *settings = make_same_settings (setup);
+  char *changed = g_strdup_printf ("%slog_level: notice\n", strstr (settings, "failure_domain"));
+  char *text = g_strconcat ("name: e2\n", changed, NULL);
+  write_settings (setup, text);
+  g_assert_cmpuint (request_status (setup, "POST", "/w/x", "b"), ==, 200);
+  g_subprocess_send_signal (setup->entry, SIGTERM);
+  g_assert_cmpint (exit_code (setup->entry), ==, 0);
+  replace_entry (setup, spawn (setup, NULL));
+  char *name = logged_value (setup, "listening", "entry");
+  g_assert_cmpstr (name, ==, "e2");
+  g_assert_true (harness_wait_until (is_ready, setup, CHANGE_TIMEOUT_S));
+  harness_pause (DIRECTORY_UPDATE_MS);
+  g_assert_cmpuint (request_status (setup, "POST", "/w/x", "b"), ==, 200);
+  g_free (name);
+  g_free (text);
+  g_free (changed);
+  g_free (settings);
+  close_setup (setup);
+}
+
+/* Guards against a process that does not start because its settings are being written: missing, empty, then half. */
+static void
+test_start_half_written (void)
+{
+  struct setup *setup = open_without_entry (SHORT_GRACE_MS / 2, SHORT_GRACE_MS);
+  char *settings = make_settings (setup);
+  char *half = g_strndup (settings, strlen (settings) / 2);
+  setup->entry = spawn (setup, NULL);
+  harness_pause (HELD_MS);
+  write_settings (setup, "");
+  harness_pause (HELD_MS);
+  write_settings (setup, half);
+  harness_pause (HELD_MS);
+  write_settings (setup, settings);
+  await_listening (setup);
+  g_assert_cmpuint (health_status (setup), ==, 503);
+  g_free (half);
+  g_free (settings);
+  close_setup (setup);
+}
+
+/* A process whose settings stay invalid or missing ends with the code for it, and SIGTERM ends its wait. */
+static void
+test_start_invalid (void)
+{
+  struct setup *setup = open_setup ();
+  char *file = settings_file (setup);
+  GSubprocess *next;
+  write_settings (setup, "name: e1\n");
+  next = spawn (setup, NULL);
+  g_assert_cmpint (exit_code (next), ==, EXIT_CODE_SETTINGS);
+  g_object_unref (next);
+  g_remove (file);
+  next = spawn (setup, NULL);
+  g_assert_cmpint (exit_code (next), ==, EXIT_CODE_SETTINGS);
+  g_object_unref (next);
+  next = spawn (setup, NULL);
+  harness_pause (HELD_MS);
+  g_subprocess_send_signal (next, SIGTERM);
+  g_assert_cmpint (exit_code (next), ==, 0);
+  g_object_unref (next);
+  g_free (file);
+  close_setup (setup);
+}
+
+/* --- tests: signals and surroundings --- */
+
+/* Guards against a second signal that ends a process before it has answered what it accepted. */
+static void
+test_terminated_twice (void)
+{
+  struct setup *setup = open_setup ();
+  set_behaviour (setup, SENDS_LATE);
+  struct raw_client *clients[SERVERS];
+  for (guint i = 0; i < G_N_ELEMENTS (clients); i++)
+    {
+      char *request = format_request (setup, "GET", "/r/x", "");
+      clients[i] = raw_client_connect (setup->net, setup->caller_address, request);
+      g_free (request);
+    }
+  harness_pause (SETTLE_MS);
+  g_subprocess_send_signal (setup->entry, SIGTERM);
+  harness_pause (SETTLE_MS);
+  g_subprocess_send_signal (setup->entry, SIGTERM);
+  g_subprocess_send_signal (setup->entry, SIGINT);
+  g_subprocess_send_signal (setup->entry, SIGHUP);
+  for (guint i = 0; i < G_N_ELEMENTS (clients); i++)
+    {
+      g_assert_true (harness_wait_until (has_response, clients[i], CHANGE_TIMEOUT_S));
+      g_assert_cmpuint (raw_client_status (clients[i]), !=, 0);
+      raw_client_close (clients[i]);
+    }
+  g_assert_cmpint (exit_code (setup->entry), ==, 0);
+  close_setup (setup);
+}
+
+/* SIGTERM, once and twice, while the settings are read from a pipe: the process starts and shuts down in order. */
+static void
+test_terminated_in_start (void)
+{
+  for (guint signals = 1; signals <= 2; signals++)
+    {
+      struct setup *setup = open_without_entry (SHORT_GRACE_MS / 2, SHORT_GRACE_MS);
+      char *settings = make_settings (setup);
+      char *file = settings_file (setup);
+      g_assert_cmpint (mkfifo (file, 0600), ==, 0);
+      setup->entry = spawn (setup, NULL);
+      int pipe_end = open (file, O_WRONLY); /* returns once the process has opened its end */
+      for (guint i = 0; i < signals; i++)
+        {
+          g_subprocess_send_signal (setup->entry, SIGTERM);
+          harness_pause (SETTLE_MS);
+        }
+      g_assert_cmpint (write (pipe_end, settings, strlen (settings)), ==, strlen (settings));
+      close (pipe_end);
+      await_listening (setup);
+      g_assert_cmpint (exit_code (setup->entry), ==, 0);
+      g_free (file);
+      g_free (settings);
+      close_setup (setup);
+    }
+}
+
+static void
+clear_surroundings (gpointer data)
+{
+  char folder[] = "/tmp/hf-gone-XXXXXX";
+  (void) data;
+  if (!g_mkdtemp (folder) || chdir (folder) != 0 || rmdir (folder) != 0)
+    _exit (1);
+  clearenv ();
+}
+
+/* Guards against a process that needs a working directory, a home or any other variable of its surroundings. */
+static void
+test_no_surroundings (void)
+{
+  struct setup *setup = open_setup ();
+  char *settings = make_same_settings (setup);
+  write_settings (setup, settings);
+  g_subprocess_force_exit (setup->entry);
+  g_assert_cmpint (exit_code (setup->entry), ==, -1);
+  replace_entry (setup, spawn (setup, clear_surroundings));
+  g_assert_true (harness_wait_until (is_ready, setup, CHANGE_TIMEOUT_S));
+  harness_pause (DIRECTORY_UPDATE_MS);
+  g_assert_cmpuint (request_status (setup, "POST", "/w/x", "b"), ==, 200);
+  g_free (settings);
+  close_setup (setup);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -227,5 +507,13 @@
   g_test_add_func ("/process/restart-killed", test_restart_killed);
   g_test_add_func ("/process/address-in-use", test_address_in_use);
   g_test_add_func ("/process/stopped-while-waiting", test_stopped_while_waiting);
+  g_test_add_func ("/process/descriptors-used-up", test_descriptors_used_up);
+  g_test_add_func ("/process/reload-unreadable", test_reload_unreadable);
+  g_test_add_func ("/process/settings-changed", test_settings_changed);
+  g_test_add_func ("/process/start-half-written", test_start_half_written);
+  g_test_add_func ("/process/start-invalid", test_start_invalid);
+  g_test_add_func ("/process/terminated-twice", test_terminated_twice);
+  g_test_add_func ("/process/terminated-in-start", test_terminated_in_start);
+  g_test_add_func ("/process/no-surroundings", test_no_surroundings);
   return g_test_run ();
 }
