SIGPIPE is ignored from the start on

What was seen: a process with invalid settings whose log nobody reads ended by SIGPIPE instead of with code 3 (test-process /process/start-without-log-reader).

Cause: SIGPIPE was ignored by GIO only, once a socket was open; the start now writes its log before, while it waits for its settings.

Change: it is ignored together with the catching of the other signals.

Test: /process/start-without-log-reader failed before (ended by a signal), passes now.

--- a/src/hickoryd.c
+++ b/src/hickoryd.c
@@ -192,10 +192,12 @@
   return G_SOURCE_CONTINUE;
 }
 
-/* From now on signals wait for the loop, so that one that comes during the start does not end the process. */
+/* From now on signals wait for the loop, so that one that comes during the start does not end the process, nor does the
+ * end of the log's reader. */
 static void
 catch_signals (struct daemon *daemon)
 {
+  signal (SIGPIPE, SIG_IGN);
   g_unix_signal_add (SIGTERM, on_terminate_signal, daemon);
   g_unix_signal_add (SIGINT, on_terminate_signal, daemon);
   g_unix_signal_add (SIGUSR1, on_dump_signal, daemon);
--- a/tests/test-process.c
+++ b/tests/test-process.c
@@ -231,6 +231,46 @@
 
 /* --- tests: descriptors --- */
 
+static void
+close_reader (gpointer data)
+{
+  int ends[2];
+  (void) data;
+  if (pipe (ends) != 0 || dup2 (ends[1], STDOUT_FILENO) < 0)
+    _exit (1);
+  close (ends[0]);
+  close (ends[1]);
+}
+
+/* Guards against a process that ends by SIGPIPE in its start: nobody reads its log, and it has something to say before
+ * it has a socket. */
+static void
+test_start_without_log_reader (void)
+{
+  struct setup *setup = open_setup ();
+  char *settings = make_same_settings (setup);
+  write_settings (setup, settings);
+  GSubprocess *next = spawn (setup, close_reader);
+  g_assert_cmpint (exit_code (next), ==, EXIT_CODE_ADDRESS);
+  g_object_unref (next);
+  write_settings (setup, "name: e1\n");
+  next = spawn (setup, close_reader);
+  g_assert_cmpint (exit_code (next), ==, EXIT_CODE_SETTINGS);
+  g_object_unref (next);
+  write_settings (setup, settings);
+  g_subprocess_force_exit (setup->entry);
+  g_assert_cmpint (exit_code (setup->entry), ==, -1);
+  g_object_unref (setup->entry);
+  setup->entry = spawn (setup, close_reader);
+  harness_pause (DIRECTORY_UPDATE_MS);
+  g_assert_true (harness_wait_until (is_ready, setup, CHANGE_TIMEOUT_S));
+  harness_pause (DIRECTORY_UPDATE_MS);
+  for (guint i = 0; i < LOGGED_REQUESTS; i++)
+    g_assert_cmpuint (request_status (setup, "POST", "/w/x", "b"), ==, 200);
+  g_free (settings);
+  close_setup (setup);
+}
+
 static void
 limit_descriptors (gpointer data)
 {
@@ -507,6 +547,7 @@
   g_test_add_func ("/process/restart-killed", test_restart_killed);
   g_test_add_func ("/process/address-in-use", test_address_in_use);
   g_test_add_func ("/process/stopped-while-waiting", test_stopped_while_waiting);
+  g_test_add_func ("/process/start-without-log-reader", test_start_without_log_reader);
   g_test_add_func ("/process/descriptors-used-up", test_descriptors_used_up);
   g_test_add_func ("/process/reload-unreadable", test_reload_unreadable);
   g_test_add_func ("/process/settings-changed", test_settings_changed);
