Standard streams that are closed at the start are opened on /dev/null

What was seen: in a process that starts with its standard streams closed, numbers 0 and 1 were eventfds of GLib and 2 its epoll instance (test-process /process/streams-closed), so that each log line was written to an eventfd, eight bytes at a time. Callers got no such bytes in that run: GLib's descriptors come first.

Cause: the kernel gives the lowest free numbers.

Change: the start opens /dev/null for each of the three that is closed, before anything else.

Test: /process/streams-closed failed before on the three descriptors, passes now.

--- a/src/hickoryd.c
+++ b/src/hickoryd.c
@@ -1,8 +1,10 @@
 /* hickoryd: daemon of an entry VM. */
+#include <fcntl.h>
 #include <gio/gio.h>
 #include <glib-unix.h>
 #include <malloc.h>
 #include <stdio.h>
+#include <unistd.h>
 
 #include "hf-dump.h"
 #include "hf-log.h"
@@ -192,6 +194,16 @@
   return G_SOURCE_CONTINUE;
 }
 
+/* Opens standard streams that are closed, so that no file or socket of the process gets their numbers: the log would be
+ * written to it. */
+static void
+open_standard_streams (void)
+{
+  for (int fd = STDIN_FILENO; fd <= STDERR_FILENO; fd++)
+    if (fcntl (fd, F_GETFD) < 0 && open ("/dev/null", O_RDWR) < 0)
+      return;
+}
+
 /* From now on signals wait for the loop, so that one that comes during the start does not end the process, nor does the
  * end of the log's reader. */
 static void
@@ -328,6 +340,7 @@
                                     "Signals: SIGTERM and SIGINT shut down after the requests in flight, SIGUSR1 "
                                     "dumps the state, SIGHUP reloads the settings.");
   g_option_context_add_main_entries (context, options, NULL);
+  open_standard_streams ();
   hf_log_open ("hickoryd", (struct hf_str){ 0 }, HF_LOG_LEVEL_INFO);
   /* Returning freed memory to the kernel and requesting it again for each response would cost more time than the kept
    * memory is worth. */
--- a/tests/test-process.c
+++ b/tests/test-process.c
@@ -231,6 +231,49 @@
 
 /* --- tests: descriptors --- */
 
+static void
+close_standard_streams (gpointer data)
+{
+  (void) data;
+  close (STDIN_FILENO);
+  close (STDOUT_FILENO);
+  close (STDERR_FILENO);
+}
+
+/* Guards against log lines in files and sockets of the process, which would get the numbers of standard streams that
+ * are closed when it starts. */
+static void
+test_streams_closed (void)
+{
+  struct setup *setup = open_setup ();
+  char *settings = make_same_settings (setup);
+  write_settings (setup, settings);
+  g_subprocess_force_exit (setup->entry);
+  g_assert_cmpint (exit_code (setup->entry), ==, -1);
+  g_object_unref (setup->entry);
+  setup->entry = spawn (setup, close_standard_streams);
+  harness_pause (DIRECTORY_UPDATE_MS);
+  g_assert_true (harness_wait_until (is_ready, setup, CHANGE_TIMEOUT_S));
+  for (guint i = 0; i < LOGGED_REQUESTS; i++)
+    {
+      struct raw_client *client = send_request (setup, "POST", "/w/x", "b");
+      harness_pause (SETTLE_MS);
+      g_assert_cmpuint (raw_client_status (client), ==, 200);
+      g_assert_true (g_str_has_suffix (client->received->str, "hello"));
+      raw_client_close (client);
+    }
+  for (int fd = STDIN_FILENO; fd <= STDERR_FILENO; fd++)
+    {
+      char *link = g_strdup_printf ("/proc/%s/fd/%d", g_subprocess_get_identifier (setup->entry), fd);
+      char *target = g_file_read_link (link, NULL);
+      g_assert_cmpstr (target, ==, "/dev/null");
+      g_free (target);
+      g_free (link);
+    }
+  g_free (settings);
+  close_setup (setup);
+}
+
 static void
 close_reader (gpointer data)
 {
@@ -547,6 +590,7 @@
   g_test_add_func ("/process/restart-killed", test_restart_killed);
   g_test_add_func ("/process/address-in-use", test_address_in_use);
   g_test_add_func ("/process/stopped-while-waiting", test_stopped_while_waiting);
+  g_test_add_func ("/process/streams-closed", test_streams_closed);
   g_test_add_func ("/process/start-without-log-reader", test_start_without_log_reader);
   g_test_add_func ("/process/descriptors-used-up", test_descriptors_used_up);
   g_test_add_func ("/process/reload-unreadable", test_reload_unreadable);
