Test: the time of day of an entry's process steps

A hickoryd whose C library's clock functions are replaced at link time steps every 300 ms by up to 50 years.

--- a/tests/test-process.c
+++ b/tests/test-process.c
@@ -23,6 +23,8 @@
 #define WAIT_TIMEOUT_S     10
 #define HELD_MS            300 /* until the process has begun to wait */
 #define SETTLE_MS          50
+#define CLOCK_STEP_MS      350 /* longer than the time between two steps */
+#define CLOCK_ROUNDS       10
 #define KILLED_CONNECTIONS 20
 #define LOGGED_REQUESTS    5
 #define DESCRIPTORS        48
@@ -44,12 +46,12 @@
   g_free (file);
 }
 
-/* Starts another process with the settings in the file, and does not wait until it listens. */
+/* Starts a program of the build with the settings in the file, and does not wait until it listens. */
 static GSubprocess *
-spawn (const struct setup *setup, GSpawnChildSetupFunc child_setup)
+spawn_program (const struct setup *setup, const char *name, GSpawnChildSetupFunc child_setup)
 {
   char *build = g_path_get_dirname (g_get_prgname ());
-  char *relative = g_build_filename (build, "hickoryd", NULL);
+  char *relative = g_build_filename (build, name, NULL);
   char *program = g_canonicalize_filename (relative, NULL);
   char *file = settings_file (setup);
   GSubprocessLauncher *launcher = g_subprocess_launcher_new (G_SUBPROCESS_FLAGS_STDOUT_PIPE);
@@ -64,6 +66,12 @@
   return process;
 }
 
+static GSubprocess *
+spawn (const struct setup *setup, GSpawnChildSetupFunc child_setup)
+{
+  return spawn_program (setup, "hickoryd", child_setup);
+}
+
 /* Value of a member of the entry's log line with this name; the caller frees it. */
 static char *
 logged_value (const struct setup *setup, const char *name, const char *member)
@@ -580,6 +588,50 @@
   close_setup (setup);
 }
 
+/* Time of day in the last line of the entry's log, in seconds. */
+static double
+last_logged_time (const struct setup *setup)
+{
+  const char *line = g_ptr_array_index (setup->log, setup->log->len - 1);
+  const char *at = strstr (line, "\"time\":");
+  return at ? g_ascii_strtod (at + strlen ("\"time\":"), NULL) : 0;
+}
+
+/* Guards against a process that ends, hangs, or serves or follows the store no more, because its time of day steps, by
+ * seconds, days and years, forwards and backwards. */
+static void
+test_clock_steps (void)
+{
+  struct setup *setup = open_setup ();
+  char *settings = make_same_settings (setup);
+  guint steps_back = 0;
+  write_settings (setup, settings);
+  g_subprocess_force_exit (setup->entry);
+  g_assert_cmpint (exit_code (setup->entry), ==, -1);
+  replace_entry (setup, spawn_program (setup, "hickoryd-stepping-clock", NULL));
+  g_assert_true (harness_wait_until (is_ready, setup, CHANGE_TIMEOUT_S));
+  harness_pause (DIRECTORY_UPDATE_MS);
+  for (guint i = 0; i < CLOCK_ROUNDS; i++)
+    {
+      double before = last_logged_time (setup);
+      char *prefix = g_strdup_printf ("/r%u/", i);
+      char *path = g_strdup_printf ("/r%u/x", i);
+      put_config (setup, 10 + i, "\"service\":\"alpha\"", prefix);
+      harness_pause (CLOCK_STEP_MS);
+      g_assert_cmpuint (request_status (setup, "GET", path, ""), ==, 200);
+      g_assert_cmpuint (request_status (setup, "POST", "/w/x", "b"), ==, 200);
+      harness_pause (SETTLE_MS);
+      steps_back += last_logged_time (setup) < before;
+      g_free (path);
+      g_free (prefix);
+    }
+  g_assert_cmpuint (steps_back, >, 0);
+  g_subprocess_send_signal (setup->entry, SIGTERM);
+  g_assert_cmpint (exit_code (setup->entry), ==, 0);
+  g_free (settings);
+  close_setup (setup);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -600,5 +652,6 @@
   g_test_add_func ("/process/terminated-twice", test_terminated_twice);
   g_test_add_func ("/process/terminated-in-start", test_terminated_in_start);
   g_test_add_func ("/process/no-surroundings", test_no_surroundings);
+  g_test_add_func ("/process/clock-steps", test_clock_steps);
   return g_test_run ();
 }
