The bodies of all requests of callers take bounded memory

What was seen: 1,500 callers that send 250 KB each but for 10 bytes took the process to 384,488 KB (test-process /process/unfinished-bodies); the users' machines end it at 260 MB, with the requests of all others.

Cause: up to 256 KB of each body are kept, and nothing bounded their sum.

Ruled out: complete bodies that wait for a slot; the same 1,500 callers with whole bodies took 111,988 KB (trial), as their requests are refused when they cannot meet their deadline. 4,100 descriptors in use without bodies: 15,776 KB (trial).

Change: the server counts the bytes of its requests' bodies; above 64 MB a request with more than 16 KB that is not passed on yet is refused, 503 with Retry-After, so that no backend server has got any of it.

Test: /process/unfinished-bodies failed before; now 77,228 KB. test-http-server 16 of 16, test-uploads 4 of 4, test-promises /whole 4 of 4.

--- a/src/config.h
+++ b/src/config.h
@@ -25,6 +25,10 @@
 #define HF_TCP_USER_TIMEOUT_MS      3000         /* unacknowledged data for that long ends a connection */
 #define HF_TIMEOUT_CHECK_MS         100          /* interval between checks for connections that timed out */
 
+/* Memory for the bodies of all requests from callers. */
+#define HF_BODIES_BYTES_MAX (64 * 1024 * 1024) /* above, requests with bodies that are not short are refused */
+#define HF_BODY_SHORT_BYTES (16 * 1024)
+
 /* Deadlines and Retry-After. */
 #define HF_CALLER_NETWORK_MS      24 /* a caller's wait outside of this process: connection set-up, both network ways */
 #define HF_DEADLINE_VOTES_MAX     50 /* after at most this many callers with another deadline, the usual one changes */
--- a/src/hf-http-connection.c
+++ b/src/hf-http-connection.c
@@ -3,6 +3,8 @@
 
 #include <string.h>
 
+#include "hf-log.h"
+
 #include "config.h"
 
 /* --- constants --- */
@@ -11,6 +13,8 @@
  * kernel reset the connection, and the caller could lose the response. */
 #define LINGER_US (2 * HF_SEC)
 
+#define REJECTED_FIELDS "Content-Type: text/plain\r\nHickory-Outcome: not-run\r\n"
+
 /* --- internal functions: requests in order --- */
 
 static int64_t
@@ -61,10 +65,20 @@
   g_clear_pointer (&request->held_body, g_byte_array_unref);
 }
 
+/* Bytes of the request's body that are in memory at most: the rest of a long body is passed on as it arrives. */
+static int64_t
+buffered_bytes (const struct hf_http_request *request)
+{
+  return MIN (request->body_bytes, HF_BODY_BUFFER_BYTES);
+}
+
 static void
 end_request (struct hf_http_connection *connection, struct hf_http_request *request, bool answered)
 {
   g_queue_remove (&connection->requests, request);
+  connection->server->body_bytes -= buffered_bytes (request);
+  if (connection->server->body_bytes <= HF_BODIES_BYTES_MAX / 2)
+    connection->server->refuses_bodies = false;
   if (request->reported)
     connection->server->callbacks->on_ended (connection->server->context, request, answered);
   drop_held (request);
@@ -126,9 +140,10 @@
 respond_rejected (struct hf_http_request *request, unsigned status, const char *reason)
 {
   char *text = g_strdup_printf ("%s\n", reason);
+  struct hf_str fields = status == 503 ? hf_str (REJECTED_FIELDS "Retry-After: 1\r\n") : hf_str (REJECTED_FIELDS);
   drop_held (request);
   request->keep_alive = false;
-  hf_http_respond (request, status, hf_str ("Content-Type: text/plain\r\nHickory-Outcome: not-run\r\n"), hf_str (text));
+  hf_http_respond (request, status, fields, hf_str (text));
   g_free (text);
 }
 
@@ -203,6 +218,32 @@
   return request->body_was_paused && !request->response_started && hf_stream_has_hung_up (request->connection->stream);
 }
 
+static void
+count_body (struct hf_http_request *request, size_t len)
+{
+  int64_t before = buffered_bytes (request);
+  request->body_bytes += (int64_t) len;
+  request->connection->server->body_bytes += buffered_bytes (request) - before;
+}
+
+/* Whether a body that is not passed on yet would take more memory than there is for all. */
+static bool
+lacks_memory (const struct hf_http_request *request, size_t len)
+{
+  bool is_short = request->body_bytes <= HF_BODY_SHORT_BYTES;
+  bool is_passed_on = request->body_bytes - (int64_t) len > HF_BODY_BUFFER_BYTES;
+  return !is_short && !is_passed_on && request->connection->server->body_bytes > HF_BODIES_BYTES_MAX;
+}
+
+static void
+log_refusal (struct hf_http_server *server)
+{
+  if (!server->refuses_bodies)
+    hf_log_write (HF_LOG_BODIES_REFUSED, "request bodies take %d KB; requests with longer ones than %d KB are refused",
+                  (int) (server->body_bytes / 1024), HF_BODY_SHORT_BYTES / 1024);
+  server->refuses_bodies = true;
+}
+
 static void
 on_body (void *context, struct hf_str bytes)
 {
@@ -217,12 +258,18 @@
       hf_http_connection_close (connection, false);
       return;
     }
-  request->body_bytes += (int64_t) bytes.len;
+  count_body (request, bytes.len);
   if (request->body_bytes > server->limits.body_bytes_max && !request->response_started)
     {
       reject (connection, 413, "the body is too large");
       return;
     }
+  if (lacks_memory (request, bytes.len) && !request->response_started)
+    {
+      log_refusal (server);
+      reject (connection, 503, "too many bodies are arriving");
+      return;
+    }
   if (request->held_body)
     g_byte_array_append (request->held_body, (const guint8 *) bytes.data, (guint) bytes.len);
   else
--- a/src/hf-http-connection.h
+++ b/src/hf-http-connection.h
@@ -25,8 +25,10 @@
   void *context;
   struct hf_http_server_limits limits;
   GHashTable *connections; /* struct hf_http_connection, as a set */
+  int64_t body_bytes;      /* of all requests that have not ended, as far as bodies are buffered */
   bool keep_alive_disabled;
   bool stopped;
+  bool refuses_bodies; /* logged; until body_bytes are half of what they may be */
 };
 
 /** struct hf_http_connection - connection of a caller, reference-counted by g_rc_box */
--- a/src/hf-log.c
+++ b/src/hf-log.c
@@ -52,6 +52,7 @@
   { HF_LOG_LINES_DROPPED, HF_LOG_LEVEL_WARNING, "lines-dropped" },
   { HF_LOG_NOT_ACCEPTED, HF_LOG_LEVEL_WARNING, "not-accepted" },
   { HF_LOG_ADDRESS_IN_USE, HF_LOG_LEVEL_WARNING, "address-in-use" },
+  { HF_LOG_BODIES_REFUSED, HF_LOG_LEVEL_WARNING, "bodies-refused" },
   { HF_LOG_REQUEST_ROUTED, HF_LOG_LEVEL_INFO, "request-routed" },
   { HF_LOG_REQUEST_QUEUED, HF_LOG_LEVEL_DEBUG, "request-queued" },
   { HF_LOG_REQUEST_SENT, HF_LOG_LEVEL_INFO, "request-sent" },
--- a/tests/test-process.c
+++ b/tests/test-process.c
@@ -17,18 +17,22 @@
 
 /* --- constants --- */
 
-#define EXIT_CODE_SETTINGS 3
-#define EXIT_CODE_ADDRESS  4
-#define SHORT_GRACE_MS     700
-#define WAIT_TIMEOUT_S     10
-#define HELD_MS            300 /* until the process has begun to wait */
-#define SETTLE_MS          50
-#define CLOCK_STEP_MS      350 /* longer than the time between two steps */
-#define CLOCK_ROUNDS       10
-#define KILLED_CONNECTIONS 20
-#define LOGGED_REQUESTS    5
-#define DESCRIPTORS        48
-#define USED_UP_MS         2500 /* longer than a watch */
+#define EXIT_CODE_SETTINGS    3
+#define EXIT_CODE_ADDRESS     4
+#define SHORT_GRACE_MS        700
+#define WAIT_TIMEOUT_S        10
+#define HELD_MS               300 /* until the process has begun to wait */
+#define SETTLE_MS             50
+#define CLOCK_STEP_MS         350 /* longer than the time between two steps */
+#define CLOCK_ROUNDS          10
+#define MACHINE_MEMORY_KB     (260 * 1000) /* of the users' machines */
+#define UNFINISHED_CALLERS    1500
+#define UNFINISHED_BODY_BYTES 250000 /* less than the entry buffers */
+#define UNFINISHED_BYTES      10
+#define KILLED_CONNECTIONS    20
+#define LOGGED_REQUESTS       5
+#define DESCRIPTORS           48
+#define USED_UP_MS            2500 /* longer than a watch */
 
 /* --- internal functions: processes --- */
 
@@ -104,6 +108,17 @@
   return text;
 }
 
+static guint
+count_logged (const struct setup *setup, const char *name)
+{
+  char *text = g_strdup_printf ("\"%s\"", name);
+  guint n = 0;
+  for (guint i = 0; i < setup->log->len; i++)
+    n += strstr (g_ptr_array_index (setup->log, i), text) != NULL;
+  g_free (text);
+  return n;
+}
+
 static void
 on_exit_noticed (GObject *source, GAsyncResult *result, gpointer data)
 {
@@ -377,19 +392,84 @@
   close_setup (setup);
 }
 
-/* --- tests: settings --- */
+/* --- tests: memory --- */
 
-static guint
-count_logged (const struct setup *setup, const char *name)
+static void
+put_long_body_config (struct setup *setup)
+{
+  fake_store_put (setup->store, "config", "main",
+                  "{\"version\":\"r99\",\"routes\":["
+                  "{\"name\":\"write\",\"host\":\"h.example\",\"path_prefix\":\"/w/"
+                  "\",\"route_kind\":\"unsafe\",\"timeout\":\"8000ms\","
+                  "\"target_latency\":\"300ms\",\"priority\":1,\"service\":\"alpha\",\"max_attempts\":2}],"
+                  "\"services\":[{\"name\":\"alpha\",\"health_path\":\"/health\",\"max_conns\":10}],"
+                  "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":1000000,\"header_timeout\":\"5000ms\","
+                  "\"idle_timeout\":\"15000ms\"}}");
+  harness_pause (DIRECTORY_UPDATE_MS);
+}
+
+/* Peak memory of the entry's process in KB. */
+static guint64
+peak_memory_kb (const struct setup *setup)
 {
-  char *text = g_strdup_printf ("\"%s\"", name);
-  guint n = 0;
-  for (guint i = 0; i < setup->log->len; i++)
-    n += strstr (g_ptr_array_index (setup->log, i), text) != NULL;
+  char *file = g_strdup_printf ("/proc/%s/status", g_subprocess_get_identifier (setup->entry));
+  char *text = NULL;
+  g_assert_true (g_file_get_contents (file, &text, NULL, NULL));
+  const char *at = strstr (text, "VmHWM:");
+  guint64 kb = at ? g_ascii_strtoull (at + strlen ("VmHWM:"), NULL, 10) : 0;
   g_free (text);
-  return n;
+  g_free (file);
+  return kb;
 }
 
+/* Connects a caller that sends all of a request but its last bytes. */
+static struct raw_client *
+connect_unfinished (struct setup *setup, const char *body)
+{
+  char *request = format_request (setup, "POST", "/w/x", body);
+  request[strlen (request) - UNFINISHED_BYTES] = 0;
+  struct raw_client *client = raw_client_connect (setup->net, setup->caller_address, request);
+  g_free (request);
+  return client;
+}
+
+/* Guards against a process that runs out of memory because of many bodies that arrive slowly. Those that are refused
+ * have not run, short ones of others are served meanwhile, and long ones afterwards. */
+static void
+test_unfinished_bodies (void)
+{
+  struct setup *setup = open_setup ();
+  struct raw_client *clients[UNFINISHED_CALLERS];
+  char *body = g_strnfill (UNFINISHED_BODY_BYTES, 'x');
+  guint refused = 0;
+  put_long_body_config (setup);
+  for (guint i = 0; i < G_N_ELEMENTS (clients); i++)
+    clients[i] = connect_unfinished (setup, body);
+  harness_pause (USED_UP_MS);
+  for (guint i = 0; i < LOGGED_REQUESTS; i++)
+    g_assert_cmpuint (request_status (setup, "POST", "/w/x", "b"), ==, 200);
+  g_assert_cmpuint (count_requests (setup), ==, LOGGED_REQUESTS);
+  g_assert_cmpuint (count_logged (setup, "bodies-refused"), ==, 1);
+  g_test_message ("peak memory: %" G_GUINT64_FORMAT " KB", peak_memory_kb (setup));
+  g_assert_cmpuint (peak_memory_kb (setup), <, MACHINE_MEMORY_KB);
+  for (guint i = 0; i < G_N_ELEMENTS (clients); i++)
+    {
+      guint status = raw_client_status (clients[i]);
+      g_assert_true (status == 0 || status == 503);
+      g_assert_true (status == 0 || strstr (clients[i]->received->str, "Retry-After: "));
+      refused += status == 503;
+      raw_client_close (clients[i]);
+    }
+  g_assert_cmpuint (refused, >, 0);
+  harness_pause (DIRECTORY_UPDATE_MS);
+  for (guint i = 0; i < LOGGED_REQUESTS; i++)
+    g_assert_cmpuint (request_status (setup, "POST", "/w/x", body), ==, 200);
+  g_free (body);
+  close_setup (setup);
+}
+
+/* --- tests: settings --- */
+
 static void
 reload (struct setup *setup)
 {
@@ -645,6 +725,7 @@
   g_test_add_func ("/process/streams-closed", test_streams_closed);
   g_test_add_func ("/process/start-without-log-reader", test_start_without_log_reader);
   g_test_add_func ("/process/descriptors-used-up", test_descriptors_used_up);
+  g_test_add_func ("/process/unfinished-bodies", test_unfinished_bodies);
   g_test_add_func ("/process/reload-unreadable", test_reload_unreadable);
   g_test_add_func ("/process/settings-changed", test_settings_changed);
   g_test_add_func ("/process/start-half-written", test_start_half_written);
