Test: uploads that arrive while the process is told to end

40 uploads of 1 KB to 900 KB, with a length and in chunks, half sent at SIGTERM and SIGHUP, the rest 50 to 2,400 ms later.

--- a/tests/test-process.c
+++ b/tests/test-process.c
@@ -11,6 +11,7 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include "input.h"
 #include "platform-setup.h"
 
 #include "config.h"
@@ -395,17 +396,20 @@
 /* --- tests: memory --- */
 
 static void
-put_long_body_config (struct setup *setup)
-{
-  fake_store_put (setup->store, "config", "main",
-                  "{\"version\":\"r99\",\"routes\":["
-                  "{\"name\":\"write\",\"host\":\"h.example\",\"path_prefix\":\"/w/"
-                  "\",\"route_kind\":\"unsafe\",\"timeout\":\"8000ms\","
-                  "\"target_latency\":\"300ms\",\"priority\":1,\"service\":\"alpha\",\"max_attempts\":2}],"
-                  "\"services\":[{\"name\":\"alpha\",\"health_path\":\"/health\",\"max_conns\":10}],"
-                  "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":1000000,\"header_timeout\":\"5000ms\","
-                  "\"idle_timeout\":\"15000ms\"}}");
+put_long_body_config (struct setup *setup, guint timeout_ms)
+{
+  char *spec = g_strdup_printf (
+      "{\"version\":\"r99\",\"routes\":["
+      "{\"name\":\"write\",\"host\":\"h.example\",\"path_prefix\":\"/w/"
+      "\",\"route_kind\":\"unsafe\",\"timeout\":\"%ums\","
+      "\"target_latency\":\"300ms\",\"priority\":1,\"service\":\"alpha\",\"max_attempts\":2}],"
+      "\"services\":[{\"name\":\"alpha\",\"health_path\":\"/health\",\"max_conns\":10}],"
+      "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":1000000,\"header_timeout\":\"5000ms\","
+      "\"idle_timeout\":\"15000ms\"}}",
+      timeout_ms);
+  fake_store_put (setup->store, "config", "main", spec);
   harness_pause (DIRECTORY_UPDATE_MS);
+  g_free (spec);
 }
 
 /* Peak memory of the entry's process in KB. */
@@ -442,7 +446,7 @@
   struct raw_client *clients[UNFINISHED_CALLERS];
   char *body = g_strnfill (UNFINISHED_BODY_BYTES, 'x');
   guint refused = 0;
-  put_long_body_config (setup);
+  put_long_body_config (setup, 8000);
   for (guint i = 0; i < G_N_ELEMENTS (clients); i++)
     clients[i] = connect_unfinished (setup, body);
   harness_pause (USED_UP_MS);
@@ -585,6 +589,85 @@
 
 /* --- tests: signals and surroundings --- */
 
+/* An upload of which the last part is sent later. */
+struct slow_upload
+{
+  struct raw_client *client;
+  char *id;
+  char *last_part;
+  gint64 last_part_ms; /* after SIGTERM */
+};
+
+static struct slow_upload
+begin_upload (struct setup *setup, gsize size, gboolean chunked, gint64 last_part_ms)
+{
+  char *content = make_content (size);
+  char *id = g_strdup_printf ("upload%u", ++setup->next_id);
+  GString *request = g_string_new (NULL);
+  g_string_printf (request, "POST /w/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 6000\r\n", id);
+  if (chunked)
+    g_string_append (request, "Transfer-Encoding: chunked\r\n\r\n");
+  else
+    g_string_append_printf (request, "Content-Length: %zu\r\n\r\n", size);
+  if (chunked)
+    append_chunks (request, content);
+  else
+    g_string_append (request, content);
+  char *last_part = g_strdup (request->str + request->len / 2);
+  g_string_truncate (request, request->len / 2);
+  struct raw_client *client = raw_client_connect (setup->net, setup->caller_address, request->str);
+  g_string_free (request, TRUE);
+  g_free (content);
+  return (struct slow_upload){ .client = client, .id = id, .last_part = last_part, .last_part_ms = last_part_ms };
+}
+
+/* Checks that the upload was answered, has run if the answer says so, and has not if the answer promises that. */
+static void
+end_upload (struct setup *setup, struct slow_upload *upload)
+{
+  guint status = raw_client_status (upload->client);
+  gboolean ran = g_hash_table_contains (setup->ids, upload->id);
+  g_test_message ("%s, last part after %d ms: status %u, %s", upload->id, (int) upload->last_part_ms, status,
+                  ran ? "ran" : "not run");
+  g_assert_true (raw_client_has_response (upload->client));
+  g_assert_true (status == 504 || status == (ran ? 200 : 503)); /* 504 at the route's timeout promises nothing */
+  raw_client_close (upload->client);
+  g_free (upload->last_part);
+  g_free (upload->id);
+}
+
+/* Guards against uploads that end without an answer, or run although they were refused, because the process was told to
+ * end, or to reload its settings, while they arrived. */
+static void
+test_uploads_at_shutdown (void)
+{
+  static const gsize sizes[] = { 1000, 100000, 400000, 900000 };
+  static const gint64 last_part_ms[] = { 50, 250, 600, 1500, 2400 };
+  struct slow_upload uploads[G_N_ELEMENTS (sizes) * G_N_ELEMENTS (last_part_ms) * 2];
+  struct setup *setup = open_setup ();
+  gsize n = 0;
+  put_long_body_config (setup, 2000);
+  for (gsize size = 0; size < G_N_ELEMENTS (sizes); size++)
+    for (gsize moment = 0; moment < G_N_ELEMENTS (last_part_ms); moment++)
+      for (guint chunked = 0; chunked < 2; chunked++)
+        uploads[n++] = begin_upload (setup, sizes[size], chunked, last_part_ms[moment]);
+  harness_pause (HELD_MS);
+  g_subprocess_send_signal (setup->entry, SIGHUP);
+  g_subprocess_send_signal (setup->entry, SIGTERM);
+  gint64 start = g_get_monotonic_time ();
+  for (gsize moment = 0; moment < G_N_ELEMENTS (last_part_ms); moment++)
+    {
+      harness_pause ((guint) MAX (last_part_ms[moment] - (g_get_monotonic_time () - start) / HF_MS, 1));
+      for (gsize i = 0; i < n; i++)
+        if (uploads[i].last_part_ms == last_part_ms[moment] && !uploads[i].client->ended)
+          raw_client_send (uploads[i].client, uploads[i].last_part);
+    }
+  g_assert_cmpint (exit_code (setup->entry), ==, 0);
+  for (gsize i = 0; i < n; i++)
+    end_upload (setup, &uploads[i]);
+  close_setup (setup);
+}
+
 /* Guards against a second signal that ends a process before it has answered what it accepted. */
 static void
 test_terminated_twice (void)
@@ -730,6 +813,7 @@
   g_test_add_func ("/process/settings-changed", test_settings_changed);
   g_test_add_func ("/process/start-half-written", test_start_half_written);
   g_test_add_func ("/process/start-invalid", test_start_invalid);
+  g_test_add_func ("/process/uploads-at-shutdown", test_uploads_at_shutdown);
   g_test_add_func ("/process/terminated-twice", test_terminated_twice);
   g_test_add_func ("/process/terminated-in-start", test_terminated_in_start);
   g_test_add_func ("/process/no-surroundings", test_no_surroundings);
