--- a/src/config.h
+++ b/src/config.h
@@ -25,6 +25,10 @@
 #define HF_TCP_USER_TIMEOUT_MS      3000         /* unacknowledged data for that long ends a connection */
 #define HF_TIMEOUT_CHECK_MS         100          /* interval between checks for connections that timed out */
 
+/* Memory for the bodies of all requests from callers. */
+#define HF_BODIES_BYTES_MAX (64 * 1024 * 1024) /* above, requests with bodies that are not short are refused */
+#define HF_BODY_SHORT_BYTES (16 * 1024)
+
 /* Deadlines and Retry-After. */
 #define HF_CALLER_NETWORK_MS      24 /* a caller's wait outside of this process: connection set-up, both network ways */
 #define HF_DEADLINE_VOTES_MAX     50 /* after at most this many callers with another deadline, the usual one changes */
@@ -40,6 +44,7 @@
 #define HF_CONNECTION_IDLE_MS        8000 /* idle time of a kept connection if the server sends no Keep-Alive timeout */
 #define HF_CONNECTION_IDLE_MARGIN_MS 1000 /* closed this long before the server's own timeout */
 #define HF_CONNECTION_IDS_MAX        512  /* request ids remembered of a connection; then it is closed */
+#define HF_KEEP_ALIVE_MAX_SEC        3600 /* a longer Keep-Alive timeout counts as this */
 #define HF_CONNECTION_PROVEN_MS      5000 /* reuse for non-repeatable requests: last response at most this long ago */
 
 /* Memory. */
@@ -235,6 +240,11 @@
 #define HF_PROBE_ALLOTMENT_RETRY_MS 2000 /* until tokens that another entry gives back are found */
 #define HF_PROBE_TIMEOUT_SEC        1
 
+/* Start. */
+#define HF_ADDRESS_WAIT_MS  1000 /* for an address in use, beyond grace_ms, which a former process has to end */
+#define HF_SETTINGS_WAIT_MS 2000 /* for settings that are missing or invalid, as they may be written just now */
+#define HF_START_RETRY_MS   50
+
 /* Shutdown. */
 #define HF_SHUTDOWN_TIMEOUT_SEC  60   /* default of the setting grace_ms */
 #define HF_STOP_IDLE_MS          50   /* idle time after which connections close, once the listener is closed */
--- a/src/hickoryd.c
+++ b/src/hickoryd.c
@@ -1,8 +1,10 @@
 /* hickoryd: daemon of an entry VM. */
+#include <fcntl.h>
 #include <gio/gio.h>
 #include <glib-unix.h>
 #include <malloc.h>
 #include <stdio.h>
+#include <unistd.h>
 
 #include "hf-dump.h"
 #include "hf-log.h"
@@ -29,6 +31,7 @@
   struct hf_http_server *admin;
   struct hf_http_server *metrics; /* NULL: on the admin address only */
   bool running;                   /* the loop is open: signals have something to act on */
+  bool terminated;                /* SIGTERM or SIGINT was received */
 };
 
 /* --- internal functions --- */
@@ -126,6 +129,7 @@
   struct daemon *daemon = data;
   if (daemon->running)
     hf_loop_raise_event (&daemon->loop, (struct hf_event){ .kind = HF_EVENT_SHUTDOWN });
+  daemon->terminated = true;
   return G_SOURCE_CONTINUE;
 }
 
@@ -143,26 +147,33 @@
 }
 
 static bool
-load_settings (const char *file, struct hf_settings *settings)
+load_settings (const char *file, struct hf_settings *settings, struct hf_error *error)
 {
   char *text = NULL;
   gsize size = 0;
-  GError *gerror = NULL;
-  struct hf_error error = { 0 };
-  if (!g_file_get_contents (file, &text, &size, &gerror))
+  GError *cause = NULL;
+  *error = (struct hf_error){ 0 };
+  if (!g_file_get_contents (file, &text, &size, &cause))
     {
-      hf_log_write (HF_LOG_SETTINGS_INVALID, "%s", gerror->message);
-      g_clear_error (&gerror);
+      hf_error_set (error, HF_ERROR_IO, "%s", cause->message);
+      g_clear_error (&cause);
       return false;
     }
-  bool ok = hf_settings_load ((struct hf_str){ .data = text, .len = size }, settings, &error);
-  if (!ok)
-    hf_log_write (HF_LOG_SETTINGS_INVALID, "%s:%u:%u: %s: %s", file, error.line, error.column, error.path,
-                  error.message);
+  bool ok = hf_settings_load ((struct hf_str){ .data = text, .len = size }, settings, error);
   g_free (text);
   return ok;
 }
 
+static void
+log_settings_error (const char *file, const struct hf_error *error)
+{
+  if (error->code == HF_ERROR_IO)
+    hf_log_write (HF_LOG_SETTINGS_INVALID, "%s", error->message);
+  else
+    hf_log_write (HF_LOG_SETTINGS_INVALID, "%s:%u:%u: %s: %s", file, error->line, error->column, error->path,
+                  error->message);
+}
+
 /* Applies the settings that can change at run time: the log level, and the entry's name in log lines. An invalid file
  * changes nothing. */
 static gboolean
@@ -170,8 +181,12 @@
 {
   struct daemon *daemon = data;
   struct hf_settings settings = { 0 };
-  if (!load_settings (daemon->settings_file, &settings))
-    return G_SOURCE_CONTINUE;
+  struct hf_error error;
+  if (!load_settings (daemon->settings_file, &settings, &error))
+    {
+      log_settings_error (daemon->settings_file, &error);
+      return G_SOURCE_CONTINUE;
+    }
   hf_log_open ("hickoryd", settings.name, (enum hf_log_level) settings.log_level);
   hf_log_write (HF_LOG_RELOADED, "%s: log level applied; changes of addresses take effect at the next start",
                 daemon->settings_file);
@@ -179,30 +194,110 @@
   return G_SOURCE_CONTINUE;
 }
 
-/* From now on signals wait for the loop, so that one that comes during the start does not end the process. */
+/* Opens standard streams that are closed, so that no file or socket of the process gets their numbers: the log would be
+ * written to it. */
+static void
+open_standard_streams (void)
+{
+  for (int fd = STDIN_FILENO; fd <= STDERR_FILENO; fd++)
+    if (fcntl (fd, F_GETFD) < 0 && open ("/dev/null", O_RDWR) < 0)
+      return;
+}
+
+/* From now on signals wait for the loop, so that one that comes during the start does not end the process, nor does the
+ * end of the log's reader. */
 static void
 catch_signals (struct daemon *daemon)
 {
+  signal (SIGPIPE, SIG_IGN);
   g_unix_signal_add (SIGTERM, on_terminate_signal, daemon);
   g_unix_signal_add (SIGINT, on_terminate_signal, daemon);
   g_unix_signal_add (SIGUSR1, on_dump_signal, daemon);
   g_unix_signal_add (SIGHUP, on_reload_signal, daemon);
 }
 
-static int
-run (struct daemon *daemon, const struct hf_settings *settings)
+static gboolean
+on_pause_over (gpointer data)
 {
-  struct hf_error error = { 0 };
-  if (!hf_loop_open (&daemon->loop, settings, &error))
+  *(bool *) data = true;
+  return G_SOURCE_REMOVE;
+}
+
+/* Waits and handles signals meanwhile; SIGTERM ends it early. */
+static void
+pause_start (const struct daemon *daemon, unsigned ms)
+{
+  bool over = false;
+  guint timer = g_timeout_add (ms, on_pause_over, &over);
+  while (!over && !daemon->terminated)
+    g_main_context_iteration (NULL, TRUE);
+  if (!over)
+    g_source_remove (timer);
+}
+
+/* The settings may be written just now. */
+static bool
+load_settings_when_complete (const struct daemon *daemon, struct hf_settings *settings)
+{
+  struct hf_error error;
+  int64_t until = hf_loop_now () + HF_SETTINGS_WAIT_MS * HF_MS;
+  bool logged = false;
+  while (!load_settings (daemon->settings_file, settings, &error))
     {
-      hf_log_write (HF_LOG_SETTINGS_INVALID, "%s", error.message);
-      return EXIT_IO;
+      bool is_last = hf_loop_now () >= until;
+      if (is_last || !logged)
+        log_settings_error (daemon->settings_file, &error);
+      if (is_last)
+        return false;
+      logged = true;
+      pause_start (daemon, HF_START_RETRY_MS);
+      if (daemon->terminated)
+        return false;
     }
-  daemon->admin = hf_http_server_open (daemon->loop.net, settings->admin_address, &admin_callbacks, daemon, &error);
+  return true;
+}
+
+static bool
+open_sockets (struct daemon *daemon, const struct hf_settings *settings, struct hf_error *error)
+{
+  if (!hf_loop_open (&daemon->loop, settings, error))
+    return false;
+  daemon->admin = hf_http_server_open (daemon->loop.net, settings->admin_address, &admin_callbacks, daemon, error);
   if (!daemon->admin)
+    hf_loop_close (&daemon->loop);
+  return daemon->admin != NULL;
+}
+
+/* A former process of this entry may hold its addresses until its grace_ms are over. */
+static bool
+open_sockets_when_free (struct daemon *daemon, const struct hf_settings *settings, struct hf_error *error)
+{
+  int64_t wait_ms = settings->shutdown_timeout_ms + HF_ADDRESS_WAIT_MS;
+  int64_t until = hf_loop_now () + wait_ms * HF_MS;
+  bool logged = false;
+  while (!open_sockets (daemon, settings, error))
+    {
+      if (error->code != HF_ERROR_IN_USE || hf_loop_now () >= until)
+        return false;
+      if (!logged)
+        hf_log_write (HF_LOG_ADDRESS_IN_USE, "%s; waiting up to %d ms", error->message, (int) wait_ms);
+      logged = true;
+      pause_start (daemon, HF_START_RETRY_MS);
+      if (daemon->terminated)
+        return false;
+    }
+  return true;
+}
+
+static int
+run (struct daemon *daemon, const struct hf_settings *settings)
+{
+  struct hf_error error = { 0 };
+  if (!open_sockets_when_free (daemon, settings, &error))
     {
+      if (daemon->terminated)
+        return 0;
       hf_log_write (HF_LOG_SETTINGS_INVALID, "%s", error.message);
-      hf_loop_close (&daemon->loop);
       return EXIT_IO;
     }
   if (settings->metrics_address.len)
@@ -245,6 +340,7 @@
                                     "Signals: SIGTERM and SIGINT shut down after the requests in flight, SIGUSR1 "
                                     "dumps the state, SIGHUP reloads the settings.");
   g_option_context_add_main_entries (context, options, NULL);
+  open_standard_streams ();
   hf_log_open ("hickoryd", (struct hf_str){ 0 }, HF_LOG_LEVEL_INFO);
   /* Returning freed memory to the kernel and requesting it again for each response would cost more time than the kept
    * memory is worth. */
@@ -264,10 +360,14 @@
     }
   struct daemon daemon = { .settings_file = argv[1] };
   catch_signals (&daemon);
-  if (!load_settings (argv[1], &settings))
+  struct hf_error error;
+  bool loaded = check ? load_settings (argv[1], &settings, &error) : load_settings_when_complete (&daemon, &settings);
+  if (check && !loaded)
+    log_settings_error (argv[1], &error);
+  if (!loaded)
     {
       hf_log_close ();
-      return EXIT_SETTINGS;
+      return daemon.terminated ? 0 : EXIT_SETTINGS;
     }
   hf_log_open ("hickoryd", settings.name, (enum hf_log_level) settings.log_level);
   hf_log_write (HF_LOG_STARTED, "version %s, entry " HF_STR_FMT " in " HF_STR_FMT, HF_VERSION,
