A kept connection is read again after its last response was paused

Cause: a response whose caller reads slowly pauses the server's connection. If that happens with the last bytes, the response is complete, the connection is kept, and nothing resumes it: the next request on it, a probe or a write, gets its answer but the entry never reads it.

Ruled out: the resumption when the caller's buffer drains; it finds no request any more. Change: keeping a connection resumes it.

Test: test-http-client /kept/paused failed before (the second request did not end within 10 s); all 13 of test-http-client pass.

--- a/src/hf-http-client.c
+++ b/src/hf-http-client.c
@@ -121,6 +121,7 @@
   connection->informational_responses = 0;
   connection->skipped_bytes = 0;
   connection->used_at = now;
+  hf_stream_pause (connection->stream, false);
   g_ptr_array_add (find_idle_pool (connection->client, connection->address)->connections, connection);
 }
 
--- a/tests/test-http-client.c
+++ b/tests/test-http-client.c
@@ -16,10 +16,11 @@
 
 /* --- constants --- */
 
-#define FLOOD_BYTES      (16 * 1024 * 1024) /* stands for bytes without end */
-#define TURNS_MAX        100000             /* of the main loop */
-#define SLOW_TIMEOUT_MS  100                /* of a call whose response arrives in pieces */
-#define MEMORY_BYTES_MAX (4 * 1024 * 1024)  /* that one request may take for bytes that are no response */
+#define FLOOD_BYTES       (16 * 1024 * 1024) /* stands for bytes without end */
+#define TURNS_MAX         100000             /* of the main loop */
+#define SLOW_TIMEOUT_MS   100                /* of a call whose response arrives in pieces */
+#define UNREAD_TIMEOUT_MS 10000              /* ends a test that would wait without end */
+#define MEMORY_BYTES_MAX  (4 * 1024 * 1024)  /* that one request may take for bytes that are no response */
 
 /* --- types --- */
 
@@ -426,6 +427,59 @@
   g_ptr_array_unref (ids.connections);
 }
 
+/* --- tests: what a response leaves behind --- */
+
+struct pause_run
+{
+  struct run run;
+  struct hf_http_client_request *request;
+};
+
+static void
+on_pause_request (void *context, struct raw_connection *connection, const char *text)
+{
+  (void) context;
+  (void) text;
+  raw_connection_send (connection, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello");
+}
+
+static void
+on_pause_body (void *context, struct hf_str bytes)
+{
+  struct pause_run *pause = context;
+  (void) bytes;
+  hf_http_client_pause (pause->request, true);
+}
+
+static const struct hf_http_client_callbacks pause_callbacks
+    = { .on_head = on_head, .on_body = on_pause_body, .on_ended = on_ended };
+
+/* Guards against a kept connection that is not read, as the owner of the last response paused it with its last bytes.
+ */
+static void
+test_kept_paused (void)
+{
+  struct pause_run pause = { 0 };
+  pause.run.net = hf_net_open ();
+  pause.run.server = raw_server_open (pause.run.net, on_pause_request, &pause);
+  pause.run.client = hf_http_client_open (pause.run.net);
+  struct hf_http_client_params params = { .address = hf_str (raw_server_address (pause.run.server)),
+                                          .head = hf_str ("GET / HTTP/1.1\r\nHost: h\r\n\r\n"),
+                                          .idle_max_us = HF_CONNECTION_IDLE_MS * HF_MS };
+  for (guint i = 0; i < 2; i++)
+    {
+      pause.run.ended = FALSE;
+      pause.request = hf_http_client_send (pause.run.client, &params, &pause_callbacks, &pause);
+      gint64 until = g_get_monotonic_time () + UNREAD_TIMEOUT_MS * HF_MS;
+      while (!pause.run.ended && g_get_monotonic_time () < until)
+        g_main_context_iteration (NULL, FALSE);
+      g_assert_true (pause.run.ended);
+    }
+  hf_http_client_close (pause.run.client);
+  raw_server_close (pause.run.server);
+  hf_net_close (pause.run.net);
+}
+
 /* --- tests: responses that end early --- */
 
 /* A response, and what a reader that looks at nothing but these parts makes of its first bytes. */
@@ -591,6 +645,7 @@
   g_test_add_func ("/copies/one-read", test_copy_in_one_read);
   g_test_add_func ("/copies/while-idle", test_copy_while_idle);
   g_test_add_func ("/copies/one-id", test_one_id);
+  g_test_add_func ("/kept/paused", test_kept_paused);
   g_test_add_func ("/endless/store-response", test_store_response);
   g_test_add_func ("/slow/store-response", test_slow_store_response);
   return g_test_run ();
