An upload that a server may work at is not called "not run" when its body breaks a rule

Cause: an answer of the HTTP connection itself said not-run whatever it had passed on. Change: not-run only up to the bytes that are kept; above, the outcome is unknown. Ruled out: 408 (an unread head), 503 for bodies that take too much memory (only before anything is passed on).

Test: test-uploads /uploads/malformed-rest failed before; test-uploads and test-http-server pass.

--- a/src/hf-http-connection.c
+++ b/src/hf-http-connection.c
@@ -13,7 +13,7 @@
  * kernel reset the connection, and the caller could lose the response. */
 #define LINGER_US (2 * HF_SEC)
 
-#define REJECTED_FIELDS "Content-Type: text/plain\r\nHickory-Outcome: not-run\r\n"
+#define REJECTED_FIELDS "Content-Type: text/plain\r\n"
 
 /* --- internal functions: requests in order --- */
 
@@ -136,14 +136,24 @@
 
 /* --- internal functions: rejected requests --- */
 
+/* The rest of a body that is longer than the buffer is forwarded while it arrives: a server may work at it. */
+static bool
+may_be_forwarded (const struct hf_http_request *request)
+{
+  return request->body_bytes > HF_BODY_BUFFER_BYTES;
+}
+
 static void
 respond_rejected (struct hf_http_request *request, unsigned status, const char *reason)
 {
   char *text = g_strdup_printf ("%s\n", reason);
-  struct hf_str fields = status == 503 ? hf_str (REJECTED_FIELDS "Retry-After: 1\r\n") : hf_str (REJECTED_FIELDS);
+  char *fields
+      = g_strdup_printf (REJECTED_FIELDS "Hickory-Outcome: %s\r\n%s",
+                         may_be_forwarded (request) ? "unknown" : "not-run", status == 503 ? "Retry-After: 1\r\n" : "");
   drop_held (request);
   request->keep_alive = false;
-  hf_http_respond (request, status, fields, hf_str (text));
+  hf_http_respond (request, status, hf_str (fields), hf_str (text));
+  g_free (fields);
   g_free (text);
 }
 
--- a/tests/test-uploads.c
+++ b/tests/test-uploads.c
@@ -214,6 +214,31 @@
     check_given_up (&bodies[i]);
 }
 
+/* Guards against "not run" for an upload that a server works at, where the rest of its body is malformed. */
+static void
+test_malformed_rest (void)
+{
+  struct setup *setup = open_uploads ();
+  char *content = make_content (HF_BODY_BUFFER_BYTES + 40000);
+  char *request = g_strdup_printf ("POST /u/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: malformed\r\n"
+                                   "X-Deadline-Ms: 2000\r\nTransfer-Encoding: chunked\r\n\r\n%zx\r\n%s\r\n",
+                                   strlen (content), content);
+  for (guint i = 0; i < SERVERS; i++)
+    raw_server_set_head_only (setup->servers[i].raw_server, TRUE);
+  set_behaviour (setup, SENDS_NOTHING);
+  struct raw_client *client = raw_client_connect (setup->net, setup->caller_address, request);
+  harness_pause (ARRIVAL_MS);
+  g_assert_true (g_hash_table_contains (setup->ids, "malformed"));
+  raw_client_send (client, "zz\r\n");
+  g_assert_true (harness_wait_until (has_response, client, UPLOAD_TIMEOUT_S));
+  g_assert_cmpuint (raw_client_status (client), ==, 400);
+  g_assert_nonnull (strstr (client->received->str, "Hickory-Outcome: unknown"));
+  raw_client_close (client);
+  g_free (request);
+  g_free (content);
+  close_setup (setup);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -222,5 +247,6 @@
   g_test_add_func ("/uploads/shed", test_shed);
   g_test_add_func ("/uploads/refused", test_refused);
   g_test_add_func ("/uploads/gone", test_gone);
+  g_test_add_func ("/uploads/malformed-rest", test_malformed_rest);
   return g_test_run ();
 }
