A request without an id uses a new connection

Change: hf-proxy sends a call without an id on a new connection. Probes, which have none either, keep theirs: a copy of a health response promises nothing.

--- a/src/hf-http-client.h
+++ b/src/hf-http-client.h
@@ -50,7 +50,7 @@
  * @head: request line and header fields, with the empty line at the end
  * @body: bytes of the body that are available now
  * @has_more_body: the rest of the body follows by hf_http_client_send_body
- * @request_id: by which responses are told apart; a connection carries it once; empty: it does not matter
+ * @request_id: by which responses are told apart; a connection carries it once; empty: not told apart
  * @response_has_no_body: the response has no body, whatever its head declares (HEAD)
  * @idle_max_us: a pooled connection is used if it was idle for at most this time; 0: always a new connection
  */
--- a/src/hf-http-connection.c
+++ b/src/hf-http-connection.c
@@ -147,9 +147,9 @@
 respond_rejected (struct hf_http_request *request, unsigned status, const char *reason)
 {
   char *text = g_strdup_printf ("%s\n", reason);
-  char *fields
-      = g_strdup_printf (REJECTED_FIELDS "Hickory-Outcome: %s\r\n%s",
-                         may_be_forwarded (request) ? "unknown" : "not-run", status == 503 ? "Retry-After: 1\r\n" : "");
+  bool not_run = status == 503 || !may_be_forwarded (request); /* 503 is sent before anything is forwarded */
+  char *fields = g_strdup_printf (REJECTED_FIELDS "Hickory-Outcome: %s\r\n%s", not_run ? "not-run" : "unknown",
+                                  status == 503 ? "Retry-After: 1\r\n" : "");
   drop_held (request);
   request->keep_alive = false;
   hf_http_respond (request, status, hf_str (fields), hf_str (text));
--- a/src/hf-proxy.c
+++ b/src/hf-proxy.c
@@ -429,6 +429,8 @@
   if (!call || call->answered)
     return;
   GString *head = build_request_head (call, effect);
+  /* Without an id a response of an earlier request cannot be told from the one due. */
+  int64_t idle_max_ms = call->request_id.len > 0 ? effect->idle_max_ms : 0;
   struct hf_str buffered_body = { (const char *) call->body->data, call->body->len };
   struct hf_exchange_params params = {
     .loop = proxy->loop,
@@ -445,7 +447,7 @@
                  .has_more_body = call->streams_body,
                  .request_id = call->request_id,
                  .response_has_no_body = hf_str_equal (call->method, hf_str ("HEAD")),
-                 .idle_max_us = effect->idle_max_ms * HF_MS },
+                 .idle_max_us = idle_max_ms * HF_MS },
     .on_request_drained = call->streams_body ? on_upload_drained : NULL,
     .context = call,
   };
--- a/src/hf-reuse.h
+++ b/src/hf-reuse.h
@@ -51,7 +51,7 @@
 bool hf_carried_has (const struct hf_carried *carried, struct hf_str id);
 bool hf_carried_is_full (const struct hf_carried *carried); /* HF_CONNECTION_IDS_MAX: to be used no more */
 void hf_carried_clear (struct hf_carried *carried);         /* frees its memory */
-/* Whether a request may use the connection; id: of the request, empty: its response needs no id; idle_max_us: longest
+/* Whether a request may use the connection; id: of the request, empty: it may use any; idle_max_us: longest
  * idle time that suits it. */
 enum hf_reuse hf_reuse_decide (const struct hf_kept_connection *kept, struct hf_str id, int64_t idle_max_us);
 
--- a/tests/test-copies.c
+++ b/tests/test-copies.c
@@ -102,11 +102,28 @@
   g_assert_cmpuint (runs, >=, STARTS * CALLS_OF_START / 2);
 }
 
+/* Guards against a copy of a refusal where requests have no id, so that no response tells whose it is. */
+static void
+test_no_id (void)
+{
+  struct setup *setup = open_with_one_server ();
+  const char *request = "POST /w/x HTTP/1.1\r\nHost: h.example\r\nX-Deadline-Ms: 2000\r\nContent-Length: 1\r\n\r\nb";
+  for (guint i = 0; i < CALLS; i++)
+    {
+      setup->servers[0].refusals_left = i % 3 == 0 ? WRITE_ATTEMPTS_MAX : 0;
+      g_hash_table_remove_all (setup->servers[0].runs);
+      send_write (setup, request, "");
+    }
+  g_assert_cmpuint (setup->servers[0].refusals->len, >, 0);
+  close_setup (setup);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/copies/caller-returns", test_caller_returns);
   g_test_add_func ("/copies/two-names", test_two_names);
+  g_test_add_func ("/copies/no-id", test_no_id);
   return g_test_run ();
 }
