A caller that repeats one id does not make the pool of connections grow

Seen by the review: 300 requests under one id, one after the other, left 300 kept connections for up to 8 s, which a server's connection limit may not bear.

Cause: since a connection that has carried an id is left to other requests, and each request under it opens a new one. Change: where no kept connection may carry the request, the longest unused of those that have carried its id is closed for the new one.

Test: test-http-client /copies/one-id-repeated, 20 open connections before, 1 now. /copies/one-id: the eighth request, whose id the one kept connection has carried, now gets a new connection (3), as the second is closed by then; no connection carries an id twice, as before.

--- a/src/hf-http-client.c
+++ b/src/hf-http-client.c
@@ -364,12 +364,13 @@
 }
 
 /* Takes the most recently used idle connection that may carry the request, and closes unusable ones; NULL: none may.
- */
+ * Then one that has carried its id goes for the new one, so that repeating an id does not make the pool grow. */
 static struct connection *
 take_idle_connection (struct hf_http_client *client, const struct hf_http_client_params *params)
 {
   char *text = g_strndup (params->address.data, params->address.len);
   GPtrArray *idle = find_idle_pool (client, text)->connections;
+  struct connection *oldest_with_id = NULL;
   g_free (text);
   if (params->idle_max_us == 0)
     return NULL;
@@ -379,11 +380,15 @@
       enum hf_reuse reuse = decide_reuse (connection, params);
       if (reuse == HF_REUSE_YES)
         return g_ptr_array_steal_index (idle, i);
+      if (reuse == HF_REUSE_IDLE_LONG)
+        break; /* the others were used even longer ago */
       if (reuse == HF_REUSE_NEVER)
         close_connection (connection);
-      else if (reuse == HF_REUSE_IDLE_LONG)
-        return NULL; /* the others were used even longer ago */
+      else
+        oldest_with_id = connection;
     }
+  if (oldest_with_id)
+    close_connection (oldest_with_id);
   return NULL;
 }
 
--- a/tests/test-http-client.c
+++ b/tests/test-http-client.c
@@ -19,8 +19,9 @@
 #define FLOOD_BYTES       (16 * 1024 * 1024) /* stands for bytes without end */
 #define TURNS_MAX         100000             /* of the main loop */
 #define SLOW_TIMEOUT_MS   100                /* of a call whose response arrives in pieces */
-#define UNREAD_TIMEOUT_MS 10000              /* ends a test that would wait without end */
-#define MEMORY_BYTES_MAX  (4 * 1024 * 1024)  /* that one request may take for bytes that are no response */
+#define REPEATS           20
+#define UNREAD_TIMEOUT_MS 10000             /* ends a test that would wait without end */
+#define MEMORY_BYTES_MAX  (4 * 1024 * 1024) /* that one request may take for bytes that are no response */
 
 /* --- types --- */
 
@@ -419,7 +420,31 @@
   ids.run.client = hf_http_client_open (ids.run.net);
   for (const char *id = "abacab-b-"; *id; id++)
     run_with_id (&ids, *id);
-  g_assert_cmpstr (ids.used->str, ==, "a:0 b:0 a:1 c:1 a:2 b:2 -:2 b:1 -:1 ");
+  g_assert_cmpstr (ids.used->str, ==, "a:0 b:0 a:1 c:1 a:2 b:2 -:2 b:3 -:3 ");
+  hf_http_client_close (ids.run.client);
+  raw_server_close (ids.run.server);
+  hf_net_close (ids.run.net);
+  g_string_free (ids.used, TRUE);
+  g_ptr_array_unref (ids.connections);
+}
+
+/* Guards against a pool that grows with each request of a caller that repeats one id. */
+static void
+test_one_id_repeated (void)
+{
+  struct ids_run ids = { .connections = g_ptr_array_new (), .used = g_string_new (NULL) };
+  guint open = 0;
+  ids.run.net = hf_net_open ();
+  ids.run.server = raw_server_open (ids.run.net, on_ids_request, &ids);
+  ids.run.client = hf_http_client_open (ids.run.net);
+  for (guint i = 0; i < REPEATS; i++)
+    run_with_id (&ids, 'a');
+  while (g_main_context_iteration (NULL, FALSE))
+    ;
+  for (guint i = 0; i < ids.connections->len; i++)
+    open += raw_connection_is_open (g_ptr_array_index (ids.connections, i));
+  g_assert_cmpuint (ids.connections->len, ==, REPEATS);
+  g_assert_cmpuint (open, ==, 1);
   hf_http_client_close (ids.run.client);
   raw_server_close (ids.run.server);
   hf_net_close (ids.run.net);
@@ -645,6 +670,7 @@
   g_test_add_func ("/copies/one-read", test_copy_in_one_read);
   g_test_add_func ("/copies/while-idle", test_copy_while_idle);
   g_test_add_func ("/copies/one-id", test_one_id);
+  g_test_add_func ("/copies/one-id-repeated", test_one_id_repeated);
   g_test_add_func ("/kept/paused", test_kept_paused);
   g_test_add_func ("/endless/store-response", test_store_response);
   g_test_add_func ("/slow/store-response", test_slow_store_response);
