A connection that has carried a HEAD is not kept

Callers would see (found by the review at the client): the response due read as the body of a copy of a response to HEAD, and the request ended as broken.

Cause: a response that is skipped is read with its declared body, which a response to HEAD does not have. Ruled out: to skip without a body, as a copy of another response on the same connection has one. Change: such a connection is closed after the response.

Test: test-http-client /kept/after-head failed before (one connection for both requests); all of test-http-client pass.

--- a/src/hf-http-client.c
+++ b/src/hf-http-client.c
@@ -157,21 +157,30 @@
   end_request (request, result, sent);
 }
 
+/* A copy of a response to HEAD declares a body that does not follow, so what is behind it would be read as that body.
+ */
+static bool
+may_keep (const struct connection *connection, const struct hf_http_client_request *request)
+{
+  bool has_unsent_body = request->has_more_body || hf_stream_unsent_bytes (connection->stream) > 0;
+  return !connection->close_after_response && !has_unsent_body && !request->response_has_no_body
+         && !hf_carried_is_full (&connection->carried);
+}
+
 /* The owner may send its next request at once, so the connection is kept only if nothing follows the response. */
 static void
 finish_response (struct connection *connection, bool has_more_bytes)
 {
   struct hf_http_client_request *request = connection->request;
-  bool has_unsent_body = request->has_more_body || hf_stream_unsent_bytes (connection->stream) > 0;
+  bool keep = may_keep (connection, request) && !has_more_bytes;
   bool sent = hf_stream_has_sent (connection->stream);
   request->connection = NULL;
   connection->request = NULL;
   connection->response_complete = false;
-  bool is_full = hf_carried_is_full (&connection->carried);
-  if (connection->close_after_response || has_unsent_body || has_more_bytes || is_full)
-    close_connection (connection);
-  else
+  if (keep)
     keep_connection (connection, g_get_monotonic_time ());
+  else
+    close_connection (connection);
   end_request (request, HF_HTTP_CLIENT_COMPLETE, sent);
 }
 
--- a/tests/test-http-client.c
+++ b/tests/test-http-client.c
@@ -454,6 +454,45 @@
 
 /* --- tests: what a response leaves behind --- */
 
+static void
+on_head_request (void *context, struct raw_connection *connection, const char *text)
+{
+  struct ids_run *ids = context;
+  const char *body = g_str_has_prefix (text, "HEAD") ? "" : "own";
+  if (!g_ptr_array_find (ids->connections, connection, NULL))
+    g_ptr_array_add (ids->connections, connection);
+  raw_connection_send (connection, "HTTP/1.1 200 OK\r\nX-Id: own\r\nContent-Length: 3\r\n\r\n%s", body);
+}
+
+/* Guards against a copy of a response to HEAD, whose declared body would be taken from the response due: the connection
+ * is not kept. */
+static void
+test_kept_after_head (void)
+{
+  struct ids_run ids = { .connections = g_ptr_array_new () };
+  ids.run.net = hf_net_open ();
+  ids.run.server = raw_server_open (ids.run.net, on_head_request, &ids);
+  ids.run.client = hf_http_client_open (ids.run.net);
+  for (guint i = 0; i < 2; i++)
+    {
+      struct hf_http_client_params params
+          = { .address = hf_str (raw_server_address (ids.run.server)),
+              .head = hf_str (i == 0 ? "HEAD / HTTP/1.1\r\nHost: h\r\n\r\n" : "GET / HTTP/1.1\r\nHost: h\r\n\r\n"),
+              .response_has_no_body = i == 0,
+              .idle_max_us = HF_CONNECTION_IDLE_MS * HF_MS };
+      ids.run.ended = FALSE;
+      hf_http_client_send (ids.run.client, &params, &callbacks, &ids.run);
+      while (!ids.run.ended)
+        g_main_context_iteration (NULL, TRUE);
+      g_assert_cmpint (ids.run.result, ==, HF_HTTP_CLIENT_COMPLETE);
+    }
+  g_assert_cmpuint (ids.connections->len, ==, 2);
+  hf_http_client_close (ids.run.client);
+  raw_server_close (ids.run.server);
+  hf_net_close (ids.run.net);
+  g_ptr_array_unref (ids.connections);
+}
+
 struct pause_run
 {
   struct run run;
@@ -671,6 +710,7 @@
   g_test_add_func ("/copies/while-idle", test_copy_while_idle);
   g_test_add_func ("/copies/one-id", test_one_id);
   g_test_add_func ("/copies/one-id-repeated", test_one_id_repeated);
+  g_test_add_func ("/kept/after-head", test_kept_after_head);
   g_test_add_func ("/kept/paused", test_kept_paused);
   g_test_add_func ("/endless/store-response", test_store_response);
   g_test_add_func ("/slow/store-response", test_slow_store_response);
