hf-explore copies only those pages of the region that some state has changed

Cause: each event began with a copy of the region's 174 KB, of which the states change about a third (pages of the lines that were kept, a trial at depth 6).

Change: the region is write-protected once the first state is in it; a page that is written to is noted, and only such pages are copied and compared.

--- a/tests/explore.c
+++ b/tests/explore.c
@@ -13,9 +13,11 @@
  */
 #include <errno.h>
 #include <glib.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/mman.h>
 #include <unistd.h>
 
 #include "hf-reduce.h"
@@ -30,6 +32,9 @@
 #define QUIET_MS        10000 /* longer than each deadline and timeout of the document */
 #define QUIET_DEPTH     6     /* states up to this depth are followed for all of QUIET_MS */
 #define REGION_BYTES    (1 << 20)
+#define PAGE_BYTES      4096
+#define REGION_PAGES    (sizeof (struct region) / PAGE_BYTES)
+#define LINES_PER_PAGE  (PAGE_BYTES / LINE_BYTES)
 #define LINE_BYTES      64 /* of the region; those that differ from the first state are kept */
 #define BLOCK_POWERS    20
 #define BLOCK_BYTES_MIN 32
@@ -160,15 +165,16 @@
 /** struct region - all memory that the reducer allocates */
 struct region
 {
-  size_t used;
+  _Alignas(PAGE_BYTES) size_t used;
   struct block *free[BLOCK_POWERS];
   _Alignas(LINE_BYTES) char bytes[REGION_BYTES];
 };
 
 static struct region region;
-static struct region first_region; /* of the state after the request */
-static size_t region_used_max;     /* what lies behind is zero */
-static bool region_in_use;         /* what is allocated now belongs to the reducer */
+static struct region first_region;                /* of the state after the request */
+static size_t region_used_max;                    /* what lies behind is zero */
+static volatile bool changed_pages[REGION_PAGES]; /* by some state; the others are those of the first state */
+static bool region_in_use;                        /* what is allocated now belongs to the reducer */
 
 #if USE_REGION
 
@@ -254,25 +260,78 @@
 
 #endif
 
+static char *
+page_at (struct region *copy, size_t page)
+{
+  return (char *) copy + page * PAGE_BYTES;
+}
+
+/* The pages are write-protected until they change. */
+static void
+handle_write (int signal_number, siginfo_t *info, void *context)
+{
+  size_t page = ((uintptr_t) info->si_addr - (uintptr_t) &region) / PAGE_BYTES;
+  (void) context;
+  if ((uintptr_t) info->si_addr < (uintptr_t) &region || page >= REGION_PAGES || changed_pages[page])
+    {
+      signal (signal_number, SIG_DFL);
+      return;
+    }
+  changed_pages[page] = true;
+  mprotect (page_at (&region, page), PAGE_BYTES, PROT_READ | PROT_WRITE);
+}
+
+static void
+clear_region (void)
+{
+  mprotect (&region, sizeof region, PROT_READ | PROT_WRITE);
+  memset (&region, 0, offsetof (struct region, bytes) + region_used_max);
+  region_used_max = 0;
+}
+
+/* The region now holds the first state. */
+static void
+keep_first_region (void)
+{
+  const struct sigaction action = { .sa_sigaction = handle_write, .sa_flags = SA_SIGINFO };
+  memcpy (&first_region, &region, sizeof region);
+  memset ((void *) changed_pages, 0, sizeof changed_pages);
+  sigaction (SIGSEGV, &action, NULL);
+  if (mprotect (&region, sizeof region, PROT_READ) != 0)
+    memset ((void *) changed_pages, true, sizeof changed_pages);
+}
+
+static void
+copy_page_lines (GArray *lines, size_t page)
+{
+  for (size_t i = page * LINES_PER_PAGE; i < (page + 1) * LINES_PER_PAGE; i++)
+    {
+      const char *bytes = (const char *) &region + i * LINE_BYTES;
+      struct line line = { .index = (uint32_t) i };
+      if (memcmp (bytes, (const char *) &first_region + i * LINE_BYTES, LINE_BYTES) == 0)
+        continue;
+      memcpy (line.bytes, bytes, LINE_BYTES);
+      g_array_append_val (lines, line);
+    }
+}
+
 /* What differs from the first state. */
 static GArray *
 copy_lines (void)
 {
   GArray *lines = g_array_new (FALSE, FALSE, sizeof (struct line));
-  for (uint32_t i = 0; (size_t) i * LINE_BYTES < offsetof (struct region, bytes) + region.used; i++)
-    {
-      struct line line = { .index = i };
-      memcpy (line.bytes, (char *) &region + (size_t) i * LINE_BYTES, LINE_BYTES);
-      if (memcmp (line.bytes, (char *) &first_region + (size_t) i * LINE_BYTES, LINE_BYTES) != 0)
-        g_array_append_val (lines, line);
-    }
+  for (size_t page = 0; page < REGION_PAGES; page++)
+    if (changed_pages[page])
+      copy_page_lines (lines, page);
   return lines;
 }
 
 static void
 restore_lines (const GArray *lines)
 {
-  memcpy (&region, &first_region, offsetof (struct region, bytes) + region_used_max);
+  for (size_t page = 0; page < REGION_PAGES; page++)
+    if (changed_pages[page])
+      memcpy (page_at (&region, page), page_at (&first_region, page), PAGE_BYTES);
   for (guint i = 0; i < lines->len; i++)
     {
       const struct line *line = &g_array_index (lines, struct line, i);
@@ -533,7 +592,7 @@
   const struct request_kind *kind = search->kind;
   *run = (struct run){ .kind = kind, .in_region = in_region, .script = script };
   if (in_region)
-    memset (&region, 0, offsetof (struct region, bytes) + region_used_max);
+    clear_region ();
   region_in_use = in_region;
   run->state = hf_state_new (&settings, 1);
   region_in_use = false;
@@ -794,7 +853,8 @@
   struct run run;
   struct node request = { 0 };
   open_run (&run, search, USE_REGION, NULL);
-  memcpy (&first_region, &region, sizeof region);
+  if (run.in_region)
+    keep_first_region ();
   visit (search, &run, &request, 0);
   close_run (&run);
   for (unsigned depth = 1; depth <= search->depth_max && search->violations == 0; depth++)
