hf-explore: a wait keeps the wakeups of the entry, and a pause is an event

Cause: pass_time forgot a wakeup that was not due at its end. After a wait of 15 ms a wait of 520 ms had no tick in it (a trial: ticks at 15 and 535 ms only), so the reducer took it for a pause of the process and postponed its deadlines, and every second long wait was such a pause. Ruled out: the timers of the call that the hash left out (with them the counts still differ).

Change: a wakeup stays until it is due, and each wait checks that it is no pause. A pause of 520 ms, above HF_PAUSE_MS, is now an event of its own, so the orders with a paused process are still searched; the accidental pauses of 1,100 ms are not. What the hash left out is in it: when the timers of the call are due, and of each backend server its drain, ejection, slots and failures. So fewer states are taken for equal, and no merge is new.

Before the change the new check fails at depth 1: "assertion failed (run->now - run->state->now < HF_PAUSE_MS * HF_MS): (520000 < 500000)".

--- a/tests/explore.c
+++ b/tests/explore.c
@@ -46,6 +46,7 @@
 enum move_kind
 {
   MOVE_WAIT,      /* time passes */
+  MOVE_PAUSE,     /* the same while the process does not run */
   MOVE_GONE,      /* the caller leaves */
   MOVE_SHUTDOWN,  /* SIGTERM */
   MOVE_NOT_SENT,  /* the connection is refused, or lost before a byte was sent */
@@ -66,12 +67,13 @@
 static const struct answer answers[]
     = { { 200, false }, { 500, false }, { 503, false }, { 429, false }, { 503, true }, { 421, true }, { 400, true } };
 static const int waits_ms[] = { 15, 520, 1100 };
+static const int pauses_ms[] = { 520 };
 
 struct move
 {
   enum move_kind kind;
   unsigned attempt;
-  unsigned choice; /* index in answers or waits_ms */
+  unsigned choice; /* index in answers, waits_ms or pauses_ms */
 };
 
 /** struct request_kind - the request that a search is about */
@@ -490,12 +492,22 @@
     {
       bool wakes = run->wakeup_at > 0 && run->wakeup_at < until;
       run->now = wakes ? MAX (run->now + 1, run->wakeup_at) : until;
-      run->wakeup_at = 0;
+      g_assert_cmpint (run->now - run->state->now, <, HF_PAUSE_MS * HF_MS);
+      run->wakeup_at = wakes ? 0 : run->wakeup_at;
       record (run, "tick");
       raise_event (run, (struct hf_event){ .kind = HF_EVENT_TICK });
     }
 }
 
+static void
+pause_process (struct run *run, int ms)
+{
+  run->now += ms * HF_MS;
+  run->wakeup_at = 0;
+  record (run, "tick");
+  raise_event (run, (struct hf_event){ .kind = HF_EVENT_TICK });
+}
+
 static void
 record_end (const struct run *run, const struct move *move, enum hf_attempt_result result, const struct answer *answer)
 {
@@ -553,6 +565,9 @@
     case MOVE_WAIT:
       pass_time (run, waits_ms[move->choice]);
       break;
+    case MOVE_PAUSE:
+      pause_process (run, pauses_ms[move->choice]);
+      break;
     case MOVE_GONE:
       run->gone = true;
       record (run, "gone %d", CALL);
@@ -630,6 +645,7 @@
 {
   GArray *moves = g_array_new (FALSE, FALSE, sizeof (struct move));
   add_move (moves, MOVE_WAIT, 0, G_N_ELEMENTS (waits_ms));
+  add_move (moves, MOVE_PAUSE, 0, G_N_ELEMENTS (pauses_ms));
   if (!run->gone)
     add_move (moves, MOVE_GONE, 0, 1);
   if (!run->shutting_down)
@@ -659,6 +675,26 @@
   return hf_hash_pair (hash, value);
 }
 
+static uint64_t
+hash_timer (uint64_t hash, GSequenceIter *timer)
+{
+  return mix (hash, timer ? (uint64_t) ((const struct hf_timer *) g_sequence_get (timer))->due_at : 0);
+}
+
+static uint64_t
+hash_servers (uint64_t hash, const struct run *run, uint64_t slice_id)
+{
+  const struct hf_service_state *service = hf_state_find_service (run->state, slice_id);
+  for (guint i = 0; i < service->pool.servers->len; i++)
+    {
+      const struct hf_pool_server *server = &g_array_index (service->pool.servers, struct hf_pool_server, i);
+      hash = mix (hash, (uint64_t) server->drain_until);
+      hash = mix (hash, (uint64_t) server->ejected_until);
+      hash = mix (mix (hash, server->granted), mix (server->consecutive_failures, server->slow_start_slots));
+    }
+  return hash;
+}
+
 /* Of all of the model and of the call that decides what comes next. */
 static uint64_t
 hash_run (const struct run *run)
@@ -681,8 +717,10 @@
       const struct hf_attempt *attempt = &call->attempts[i];
       hash = mix (hash, attempt->phase * 4096 + attempt->held_status * 2 + attempt->response_held);
       hash = mix (hash, attempt->server ^ attempt->excluded_server);
+      hash = hash_timer (hash_timer (hash, attempt->response_timer), attempt->slot_resend_timer);
     }
-  return hash;
+  hash = hash_timer (hash_timer (hash, call->deadline_timer), call->retry_timer);
+  return hash_servers (hash, run, call->slice_id);
 }
 
 /* Whether the request has had its end on both sides. The reducer acts for the calls in its table only. */
