Test leaving-by-health-response counts measurements from its begin

Cause, in the test: it set the count of health requests to 0 after a server was used, and waited for one. If the measurement that says that the server leaves came before, none followed, as it must be.

Change: the count is set to 0 before the servers are used.

--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -346,10 +346,9 @@
   setup->servers[0].health_fields = "Server-Leaving: 1\r\n";
   setup->servers[1].health_fields = "X-Instance-Id: another\r\nServer-Leaving: 1\r\n";
   for (guint i = 0; i < SERVERS; i++)
-    {
-      send_until_served_by (setup, i);
-      setup->servers[i].health_requests = 0;
-    }
+    setup->servers[i].health_requests = 0;
+  for (guint i = 0; i < SERVERS; i++)
+    send_until_served_by (setup, i);
   for (guint i = 0; i < SERVERS; i++)
     g_assert_true (harness_wait_until (got_health_request, &setup->servers[i], CHANGE_TIMEOUT_S));
   harness_pause (SETTLE_MS);
