Soak: copies of refusals, callers that come back, a former start still listed

Its servers sent responses to "another" request only, its callers never came back under an id, and the former name of a server left the store before the new one came.

Change: on each connection servers keep refusals (503 with X-Not-Executed, 421) and some other answers, and send copies of them just before, together with or after a later answer, or while the connection is idle (copies.c). Callers come back under their id after a refusal, at once or later, to the same entry or any. Servers start again at their addresses while the store lists the former names for up to 3 s. At times all servers refuse one request in two.

Checks: as strict as before, and kept for each arrival: callers number their arrivals in a field that entries pass on, so that a run is known to belong to one arrival. What was refused at an arrival never runs because of it, and over all arrivals a write runs at most once. A long body that was refused in a calm phase now comes again under its id; before, it got a new one. Repeats are counted within an arrival.

Requests in phases with faults have paths of their own. Calm phases keep the common path, so a quarantine in them still shows.

--- a/soak/soak.c
+++ b/soak/soak.c
@@ -5,11 +5,14 @@
  * Each entry is a process of its own that reaches the store through a proxy of
  * its own; each backend server is reached through a proxy, too. Phases with
  * overlapping faults of processes, proxies, store and servers alternate with
- * calm phases without faults.
+ * calm phases without faults. In phases with faults, backend servers also send
+ * copies of earlier answers (copies.h), start again at their addresses under new
+ * names while the store still lists the former ones, and callers come back under
+ * the same id after a refusal.
  *
  * Checked all the time, as callers and backend servers see it:
- * - a request that is not repeatable runs at most once;
- * - a request that is not repeatable never runs if it was refused as not run;
+ * - a request that is not repeatable runs at most once, also if its caller comes back under the same id;
+ * - a request that is not repeatable never runs because of an arrival that was refused as not run;
  * - a request that runs has the whole body that its caller sent;
  * - a response is complete and belongs to the caller's request;
  * - a server gets only requests that some configuration routed to its service;
@@ -28,6 +31,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "copies.h"
 #include "fake-store.h"
 #include "harness.h"
 #include "input.h"
@@ -41,6 +45,7 @@
 #define ENTRY_COUNT           4
 #define SERVER_COUNT          8
 #define SERVICE_COUNT         2
+#define SERVER_NAME_BYTES     24
 #define FAULT_INTERVAL_MS     250  /* between two injected faults */
 #define REQUEST_INTERVAL_MS   12   /* between two requests */
 #define CALM_DURATION_S       9    /* at the end of each round */
@@ -66,6 +71,10 @@
 #define SHORT_SILENCE_MS_MAX  400    /* of the store; shorter than the pauses between its checks */
 #define PROGRAM_START_MS      100    /* until a process that was started handles signals */
 #define WRITE_ONE_IN          3      /* one request in this many is not repeatable */
+#define ARRIVALS_MAX          4      /* of a request whose caller comes back */
+#define STAY_AWAY_ONE_IN      4      /* one caller in this many does not come back */
+#define COME_BACK_MS_MAX      1000
+#define FORMER_LISTED_MS_MAX  3000 /* of a server that has started again at its address */
 
 /* --- types --- */
 
@@ -107,7 +116,7 @@
   struct soak *soak;
   struct raw_server *raw_server;
   struct proxy *proxy;
-  char name[24];
+  char name[SERVER_NAME_BYTES];
   guint start_count; /* instances so far */
   guint service;     /* index in service_names */
   enum server_behaviour behaviour;
@@ -135,28 +144,36 @@
   gint64 newest_version_at;
 };
 
-/* Observations of a request, kept for the whole run. */
-struct request_record
+/* Observations of one arrival of a request at an entry. */
+struct arrival
 {
   guint run_count;
-  gsize body_size;
-  gboolean is_write;
   gboolean refused; /* reported to the caller as not run */
   guint entry;      /* that got it from the caller */
   guint entry_start_count;
 };
 
+/* Observations of a request, kept for the whole run. Its caller comes back only after a refusal. */
+struct request_record
+{
+  guint run_count; /* of all arrivals */
+  gsize body_size;
+  gboolean is_write;
+  guint arrival_count;
+  struct arrival arrivals[ARRIVALS_MAX];
+};
+
 struct request
 {
   struct soak *soak;
   struct soak_entry *entry;
   guint entry_start_count; /* when the request was sent */
   guint id;
+  guint arrival;        /* index in its record */
   guint config_version; /* configuration that added the route of its path; 0: a route of all versions */
   gint64 sent_at;
   gint64 give_up_at;
-  gboolean is_sent_again; /* by its caller, as it was refused as not run */
-  gboolean sent_in_calm;  /* sent more than SETTLE_MS after the last fault and the last action on the entry */
+  gboolean sent_in_calm; /* sent more than SETTLE_MS after the last fault and the last action on the entry */
   struct raw_client *client;
 };
 
@@ -173,6 +190,7 @@
   char *folder;
   GHashTable *reserved;  /* addresses of entries, as the kernel may give out a port again */
   GHashTable *records;   /* struct request_record by id */
+  struct copies *copies; /* of answers of the servers */
   GPtrArray *requests;   /* struct request */
   GArray *request_times; /* gint64, when callers sent them */
   GArray *repeat_times;  /* gint64, when a server ran a request again */
@@ -180,11 +198,12 @@
   guint config_version;
   gint64 config_changed_at;
   gint64 last_fault_end; /* may be in the future */
-  gint64 store_fault_end;
+  gint64 crowded_until;  /* then the servers stop refusing one request in two */
   gboolean calm;
   gboolean injects_faults; /* not in a calm phase, nor before its requests have ended */
   guint calm_phases;       /* begun so far */
   guint served;
+  guint came_back; /* arrivals after the first one */
   guint failures;
 };
 
@@ -276,37 +295,53 @@
   return copy;
 }
 
-static void
-send_response (struct raw_connection *connection, const char *id, gboolean leaves)
+static char *
+make_response (const char *id, gboolean leaves)
 {
   char *body = g_strdup_printf ("answer to %s", id);
-  raw_connection_send (
-      connection,
+  char *text = g_strdup_printf (
       "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: stamp-%s\r\nX-Backend-Load: 1,0,3,100\r\n%s"
       "Content-Length: %zu\r\n\r\n%s",
       id, id, leaves ? "Server-Leaving: 1\r\n" : "", strlen (body), body);
   g_free (body);
+  return text;
+}
+
+static void
+send_foreign_response (struct raw_connection *connection)
+{
+  char *text = make_response ("another", FALSE);
+  raw_connection_send (connection, "%s", text);
+  g_free (text);
+}
+
+/* Sends an answer to the request with this id and frees its text. */
+static void
+send_answer (struct soak *soak, struct raw_connection *connection, enum answer_kind kind, const char *id, char *text)
+{
+  copies_answer (soak->copies, connection, kind, id, text);
+  g_free (text);
 }
 
 /* Notes that the entry which sent a request is told something now; returns FALSE if it had been told before. */
 static gboolean
-note_told (struct server *server, const struct request_record *request_record)
+note_told (struct server *server, const struct arrival *arrival)
 {
-  struct told *told = &server->told[request_record->entry];
-  if (told->entry_start_count == request_record->entry_start_count)
+  struct told *told = &server->told[arrival->entry];
+  if (told->entry_start_count == arrival->entry_start_count)
     return FALSE;
-  *told = (struct told){ .entry_start_count = request_record->entry_start_count, .at = now_ms () };
+  *told = (struct told){ .entry_start_count = arrival->entry_start_count, .at = now_ms () };
   return TRUE;
 }
 
 /* Checks that the entry which sent a request was not told before to send none. */
 static void
-check_restriction (struct server *server, const struct request_record *request_record, const char *id)
+check_restriction (struct server *server, const struct arrival *arrival, const char *id)
 {
   struct soak *soak = server->soak;
-  struct told *told = &server->told[request_record->entry];
+  struct told *told = &server->told[arrival->entry];
   gint64 elapsed_ms = now_ms () - told->at;
-  if (told->entry_start_count != request_record->entry_start_count || !soak->check_time_bounds || !is_settled (soak)
+  if (told->entry_start_count != arrival->entry_start_count || !soak->check_time_bounds || !is_settled (soak)
       || elapsed_ms < WISH_MS)
     return;
   if (server->restriction == LEAVES)
@@ -321,19 +356,20 @@
 struct work
 {
   struct server *server;
-  struct request_record *request_record;
+  const struct arrival *arrival;
   struct raw_connection *connection;
   enum server_behaviour behaviour;
   char *id;
 };
 
-static void
-send_long_503 (struct raw_connection *connection, const char *id, const char *fields)
+static char *
+make_503 (const char *id, const char *fields, gsize body_size)
 {
-  char *body = make_content (LONG_BODY_BYTES);
-  raw_connection_send (connection, "HTTP/1.1 503 Failed\r\nX-Attempt-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", id,
-                       fields, LONG_BODY_BYTES, body);
+  char *body = make_content (body_size);
+  char *text = g_strdup_printf ("HTTP/1.1 503 Failed\r\nX-Attempt-Id: %s\r\n%sContent-Length: %zu\r\n\r\n%s", id,
+                                fields, body_size, body);
   g_free (body);
+  return text;
 }
 
 static gboolean
@@ -341,12 +377,13 @@
 {
   struct work *work = data;
   const char *id = work->id;
+  struct soak *soak = work->server->soak;
   if (work->behaviour == SENDS_FOREIGN_RESPONSE_FIRST)
-    send_response (work->connection, "another", FALSE);
+    send_foreign_response (work->connection);
   if (work->behaviour == SENDS_503)
-    raw_connection_send (work->connection, "HTTP/1.1 503 Failed\r\nX-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", id);
+    send_answer (soak, work->connection, ANSWER_OTHER, id, make_503 (id, "", 0));
   else if (work->behaviour == SENDS_LONG_503)
-    send_long_503 (work->connection, id, "");
+    send_answer (soak, work->connection, ANSWER_OTHER, id, make_503 (id, "", LONG_BODY_BYTES));
   else if (work->behaviour == RESETS_CONNECTION)
     raw_connection_close (work->connection, TRUE);
   else if (work->behaviour == SENDS_NON_HTTP)
@@ -355,11 +392,11 @@
     {
       gboolean leaves = work->server->restriction == LEAVES;
       if (leaves)
-        note_told (work->server, work->request_record);
-      send_response (work->connection, id, leaves);
+        note_told (work->server, work->arrival);
+      send_answer (soak, work->connection, ANSWER_OTHER, id, make_response (id, leaves));
     }
   if (work->behaviour == SENDS_EXTRA_BYTES)
-    send_response (work->connection, "another", FALSE);
+    send_foreign_response (work->connection);
   g_free (work->id);
   g_free (work);
   return G_SOURCE_REMOVE;
@@ -379,19 +416,26 @@
 }
 
 static void
-check_server_request (struct server *server, struct request_record *request_record, const char *text, const char *id)
+check_server_request (struct server *server,
+                      struct request_record *request_record,
+                      struct arrival *arrival,
+                      const char *text,
+                      const char *id)
 {
   struct soak *soak = server->soak;
   gboolean is_write = g_str_has_prefix (text, "POST /w/");
   request_record->run_count++;
+  arrival->run_count++;
   check_body (server, request_record, text, id);
   gint64 now = now_ms ();
-  if (request_record->run_count > 1)
+  if (arrival->run_count > 1)
     g_array_append_val (soak->repeat_times, now);
   if (request_record->is_write && request_record->run_count > 1)
-    report_failure (soak, "request %s is not repeatable, but it ran %u times", id, request_record->run_count);
-  if (request_record->refused && request_record->is_write)
-    report_failure (soak, "request %s ran after it was refused as not run", id);
+    report_failure (soak, "request %s is not repeatable, but it ran %u times in %u arrivals", id,
+                    request_record->run_count, request_record->arrival_count);
+  if (arrival->refused && request_record->is_write)
+    report_failure (soak, "request %s ran because of its arrival %u after that was refused as not run", id,
+                    (guint) (arrival - request_record->arrivals));
   /* Only reads may be routed to the second service. */
   if (is_write && server->service != 0)
     report_failure (soak, "write request %s ran at service %s, to which no route sends writes", id,
@@ -402,48 +446,81 @@
                     (int) (now - server->draining_since));
 }
 
+/* The arrival that a request at a server belongs to: entries pass on the field in which callers number arrivals. */
+static struct arrival *
+find_arrival (struct request_record *request_record, const char *text)
+{
+  char *number = header_value (text, "X-Arrival");
+  guint64 arrival = *number ? g_ascii_strtoull (number, NULL, 10) : ARRIVALS_MAX;
+  g_free (number);
+  return request_record && arrival < request_record->arrival_count ? &request_record->arrivals[arrival] : NULL;
+}
+
+/* NULL: the server does not refuse the request; the caller frees the text. */
+static char *
+make_refusal (struct server *server, const struct arrival *arrival, const char *id)
+{
+  struct soak *soak = server->soak;
+  gboolean is_crowded = now_ms () < soak->crowded_until && g_rand_boolean (soak->random);
+  if (is_crowded || server->behaviour == SENDS_NOT_RUN)
+    return make_503 (id, "X-Not-Executed: 1\r\n", 0);
+  if (server->behaviour == SENDS_LONG_NOT_RUN)
+    return make_503 (id, "X-Not-Executed: 1\r\n", LONG_BODY_BYTES);
+  if (server->restriction != PUSHES_BACK || !arrival || !note_told (server, arrival))
+    return NULL;
+  char *fields = g_strdup_printf ("X-Not-Executed: 1\r\nRetry-After: %d\r\n", PUSHBACK_S);
+  char *text = make_503 (id, fields, 0);
+  g_free (fields);
+  return text;
+}
+
 static void
-on_server_request (void *context, struct raw_connection *connection, const char *text)
+start_work (struct server *server, const struct arrival *arrival, struct raw_connection *connection, const char *id)
 {
-  struct server *server = context;
-  if (g_str_has_prefix (text, "GET /health "))
+  struct work *work = g_new (struct work, 1);
+  *work = (struct work){
+    .server = server, .arrival = arrival, .connection = connection, .behaviour = server->behaviour, .id = g_strdup (id)
+  };
+  g_timeout_add ((guint) g_rand_int_range (server->soak->random, 1, SERVICE_TIME_MS_MAX), finish_work, work);
+}
+
+static void
+answer_request (struct server *server, struct raw_connection *connection, const char *text, const char *id)
+{
+  struct soak *soak = server->soak;
+  guint64 request_id = g_ascii_strtoull (id, NULL, 10);
+  struct request_record *request_record = g_hash_table_lookup (soak->records, GUINT_TO_POINTER (request_id));
+  struct arrival *arrival = find_arrival (request_record, text);
+  if (arrival)
+    check_restriction (server, arrival, id);
+  char *refusal = make_refusal (server, arrival, id);
+  if (refusal)
+    send_answer (soak, connection, ANSWER_REFUSAL, id, refusal);
+  else if (!arrival)
+    report_failure (soak, "a server received request \"%s\", which no caller sent", id);
+  else
     {
-      raw_connection_send (
-          connection, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\nX-Backend-Load: 0,0,3,100\r\nContent-Length: 0\r\n\r\n",
-          server->name);
-      return;
+      check_server_request (server, request_record, arrival, text, id);
+      start_work (server, arrival, connection, id);
     }
+}
+
+static void
+on_server_request (void *context, struct raw_connection *connection, const char *text)
+{
+  struct server *server = context;
   char *id = header_value (text, "X-Attempt-Id");
   char *expected = header_value (text, "X-Expect-Instance");
-  guint64 request_id = g_ascii_strtoull (id, NULL, 10);
-  struct request_record *request_record = g_hash_table_lookup (server->soak->records, GUINT_TO_POINTER (request_id));
-  if (request_record && strcmp (expected, server->name) == 0)
-    check_restriction (server, request_record, id);
-  if (strcmp (expected, server->name) != 0)
-    raw_connection_send (connection, "HTTP/1.1 421 Misdirected\r\nX-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", id);
-  else if (server->behaviour == SENDS_NOT_RUN)
-    raw_connection_send (connection,
-                         "HTTP/1.1 503 Full\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id);
-  else if (server->behaviour == SENDS_LONG_NOT_RUN)
-    send_long_503 (connection, id, "X-Not-Executed: 1\r\n");
-  else if (server->restriction == PUSHES_BACK && request_record && note_told (server, request_record))
-    raw_connection_send (connection,
-                         "HTTP/1.1 503 Full\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nRetry-After: %d\r\n"
-                         "Content-Length: 0\r\n\r\n",
-                         id, PUSHBACK_S);
-  else if (!request_record)
-    report_failure (server->soak, "a server received request \"%s\", which no caller sent", id);
+  if (g_str_has_prefix (text, "GET /health "))
+    send_answer (server->soak, connection, ANSWER_WITHOUT_ID, "",
+                 g_strdup_printf ("HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\nX-Backend-Load: 0,0,3,100\r\n"
+                                  "Content-Length: 0\r\n\r\n",
+                                  server->name));
+  else if (strcmp (expected, server->name) != 0)
+    send_answer (server->soak, connection, ANSWER_REFUSAL, id,
+                 g_strdup_printf ("HTTP/1.1 421 Misdirected\r\nX-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", id));
   else
-    {
-      struct work *work = g_new (struct work, 1);
-      check_server_request (server, request_record, text, id);
-      *work = (struct work){ .server = server,
-                             .request_record = request_record,
-                             .connection = connection,
-                             .behaviour = server->behaviour,
-                             .id = g_strdup (id) };
-      g_timeout_add ((guint) g_rand_int_range (server->soak->random, 1, SERVICE_TIME_MS_MAX), finish_work, work);
-    }
+    answer_request (server, connection, text, id);
   g_free (id);
   g_free (expected);
 }
@@ -634,7 +711,7 @@
     }
 }
 
-static gboolean send_again (const struct request *request, const struct request_record *request_record);
+static gboolean come_back (const struct request *request);
 
 static void
 check_response (struct request *request)
@@ -643,18 +720,20 @@
   guint status = raw_client_status (request->client);
   struct request_record *request_record = g_hash_table_lookup (soak->records, GUINT_TO_POINTER (request->id));
   gboolean complete = raw_client_has_response (request->client);
+  struct arrival *arrival = &request_record->arrivals[request->arrival];
   gboolean reported_not_run = status == 503 || status == 429 || status == 408 || status == 421;
   if (complete && status == 200 && !is_own_response (request))
     report_failure (soak, "request %u received a response that is not its own: %s", request->id,
                     request->client->received->str);
-  if (complete && reported_not_run && request_record->is_write && request_record->run_count > 0)
-    report_failure (soak, "request %u was refused as not run, but it has run", request->id);
-  request_record->refused = request_record->refused || (complete && reported_not_run);
+  if (complete && reported_not_run && request_record->is_write && arrival->run_count > 0)
+    report_failure (soak, "arrival %u of request %u at entry e%u was refused as not run (%u), but it has run",
+                    request->arrival, request->id, request->entry->number, status);
+  arrival->refused = complete && reported_not_run;
   soak->served += complete && status == 200;
+  gboolean comes_back = arrival->refused && come_back (request);
   if (request->config_version > 0 && complete)
     check_config_version (request, status);
-  else if (request->sent_in_calm && soak->check_time_bounds && !(complete && status == 200)
-           && !send_again (request, request_record))
+  else if (request->sent_in_calm && soak->check_time_bounds && !(complete && status == 200) && !comes_back)
     report_failure (soak, "request %u at entry e%u failed in a calm phase: status %u, response %s", request->id,
                     request->entry->number, status, complete ? "whole" : "cut");
 }
@@ -693,8 +772,9 @@
 {
   char *content = make_content (body_size);
   GString *text = g_string_new (NULL);
-  g_string_printf (text, "%s %s HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: %u\r\nX-Deadline-Ms: %d\r\n", method, path,
-                   request->id, REQUEST_DEADLINE_MS);
+  g_string_printf (text,
+                   "%s %s HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: %u\r\nX-Arrival: %u\r\nX-Deadline-Ms: %d\r\n",
+                   method, path, request->id, request->arrival, REQUEST_DEADLINE_MS);
   if (body_size > 0 && g_rand_boolean (soak->random))
     {
       g_string_append (text, "Transfer-Encoding: chunked\r\n\r\n");
@@ -706,28 +786,38 @@
   return g_string_free (text, FALSE);
 }
 
-/* Sends a request of which id, time and client are not set yet. */
+/* Each request sent in a phase with faults has a path of its own: entries refuse a request during which two servers
+ * have broken off connections, and know it by method, path and body. The caller frees the path. */
+static char *
+make_path (const struct request *request, const struct request_record *request_record)
+{
+  char *name = request->sent_in_calm ? g_strdup ("x") : g_strdup_printf ("%u", request->id);
+  char *path = request->config_version > 0 ? g_strdup_printf ("/g%u/%s", request->config_version, name)
+                                           : g_strdup_printf (request_record->is_write ? "/w/%s" : "/r/%s", name);
+  g_free (name);
+  return path;
+}
+
+/* Sends a request of which arrival, time and client are not set yet. */
 static void
-start_request (struct soak *soak, struct request template, const char *path, gsize body_size)
+start_arrival (struct request template, struct request_record *request_record)
 {
+  struct soak *soak = template.soak;
   struct soak_entry *entry = template.entry;
   struct request *request = g_memdup2 (&template, sizeof template);
-  struct request_record *request_record = g_new0 (struct request_record, 1);
-  request->soak = soak;
   request->entry_start_count = entry->start_count;
-  request->id = ++soak->next_id;
+  request->arrival = request_record->arrival_count++;
   request->sent_at = now_ms ();
   request->give_up_at += request->sent_at;
-  request_record->is_write = g_str_has_prefix (path, "/w/");
-  request_record->body_size = body_size;
-  request_record->entry = (guint) (entry - soak->entries);
-  request_record->entry_start_count = entry->start_count;
-  g_hash_table_insert (soak->records, GUINT_TO_POINTER (request->id), request_record);
+  request_record->arrivals[request->arrival]
+      = (struct arrival){ .entry = (guint) (entry - soak->entries), .entry_start_count = entry->start_count };
   g_array_append_val (soak->request_times, request->sent_at);
-  char *text = make_request (soak, request, request_record->is_write ? "POST" : "GET", path, body_size);
+  char *path = make_path (request, request_record);
+  char *text = make_request (soak, request, request_record->is_write ? "POST" : "GET", path, request_record->body_size);
   request->client = raw_client_connect (soak->net, entry->caller_address, text);
   g_ptr_array_add (soak->requests, request);
   g_free (text);
+  g_free (path);
 }
 
 static void
@@ -738,28 +828,57 @@
   gboolean uses_version_route = !is_write && soak->config_version > 0 && g_rand_int_range (soak->random, 0, 4) == 0;
   gboolean disconnects_early = !soak->calm && g_rand_int_range (soak->random, 0, DISCONNECT_ONE_IN) == 0;
   struct request request
-      = { .entry = entry,
+      = { .soak = soak,
+          .entry = entry,
+          .id = ++soak->next_id,
           .config_version = uses_version_route ? soak->config_version : 0,
           .give_up_at = disconnects_early ? random_ms (soak, REQUEST_DEADLINE_MS / 4) : CALLER_TIMEOUT_MS,
           .sent_in_calm = is_settled (soak) && now_ms () - entry->last_action_at > SETTLE_MS };
-  char *path
-      = uses_version_route ? g_strdup_printf ("/g%u/x", request.config_version) : g_strdup (is_write ? "/w/x" : "/r/x");
-  start_request (soak, request, path, is_write ? choose_body_size (soak) : 0);
-  g_free (path);
+  struct request_record *request_record = g_new0 (struct request_record, 1);
+  request_record->is_write = is_write;
+  request_record->body_size = is_write ? choose_body_size (soak) : 0;
+  g_hash_table_insert (soak->records, GUINT_TO_POINTER (request.id), request_record);
+  start_arrival (request, request_record);
 }
 
-/* An entry does not keep what it has sent of a long body. If the server states that it has not run the request, the
- * entry passes that on, and the caller sends it again. */
 static gboolean
-send_again (const struct request *request, const struct request_record *request_record)
+start_later_arrival (gpointer data)
 {
-  struct request again = { .entry = request->entry,
-                           .give_up_at = CALLER_TIMEOUT_MS,
-                           .sent_in_calm = request->sent_in_calm,
-                           .is_sent_again = TRUE };
-  if (request->is_sent_again || !request_record->refused || request_record->body_size <= HF_BODY_BUFFER_BYTES)
-    return FALSE;
-  start_request (request->soak, again, "/w/x", request_record->body_size);
+  struct request *request = data;
+  struct soak *soak = request->soak;
+  soak->came_back++;
+  start_arrival (*request, g_hash_table_lookup (soak->records, GUINT_TO_POINTER (request->id)));
+  g_free (request);
+  return G_SOURCE_REMOVE;
+}
+
+/* In phases with faults, most callers come back under the same id after a refusal: at once or later, to the same entry
+ * or to any. In calm phases only those come back, at once and once, whose body is too long for the entry to keep: if
+ * the server states that it has not run the request, the entry passes that on. Returns FALSE if the caller does not. */
+static gboolean
+come_back (const struct request *request)
+{
+  struct soak *soak = request->soak;
+  const struct request_record *request_record = g_hash_table_lookup (soak->records, GUINT_TO_POINTER (request->id));
+  struct request again = *request;
+  guint later_ms = 0;
+  again.give_up_at = CALLER_TIMEOUT_MS;
+  if (request->sent_in_calm)
+    {
+      if (request->arrival > 0 || request_record->body_size <= HF_BODY_BUFFER_BYTES)
+        return FALSE;
+    }
+  else
+    {
+      if (!soak->injects_faults || request_record->arrival_count == ARRIVALS_MAX
+          || g_rand_int_range (soak->random, 0, STAY_AWAY_ONE_IN) == 0)
+        return FALSE;
+      if (g_rand_boolean (soak->random))
+        again.entry = &soak->entries[g_rand_int_range (soak->random, 0, ENTRY_COUNT)];
+      if (g_rand_boolean (soak->random))
+        later_ms = (guint) random_ms (soak, COME_BACK_MS_MAX);
+    }
+  g_timeout_add (later_ms, start_later_arrival, g_memdup2 (&again, sizeof again));
   return TRUE;
 }
 
@@ -871,13 +990,51 @@
   g_timeout_add ((guint) ms, clear_server_fault, server);
 }
 
+struct former_start
+{
+  struct soak *soak;
+  char name[SERVER_NAME_BYTES];
+};
+
+static gboolean
+forget_former_start (gpointer data)
+{
+  struct former_start *former_start = data;
+  fake_store_delete (former_start->soak->store, "servers", former_start->name);
+  g_free (former_start);
+  return G_SOURCE_REMOVE;
+}
+
+/* The server starts again at its address under a new name, while its former one stays listed for a time. */
+static void
+restart_server (struct soak *soak, struct server *server)
+{
+  gint64 ms = random_ms (soak, FORMER_LISTED_MS_MAX);
+  struct former_start *former_start = g_new (struct former_start, 1);
+  note_fault (soak, ms);
+  former_start->soak = soak;
+  g_strlcpy (former_start->name, server->name, sizeof former_start->name);
+  g_timeout_add ((guint) ms, forget_former_start, former_start);
+  proxy_reset_connections (server->proxy);
+  start_server (server, server->service);
+}
+
+/* Some of the servers of the first service, which gets all requests that are not repeatable. */
+static void
+restart_servers (struct soak *soak)
+{
+  for (guint i = 0; i < SERVER_COUNT / 2; i++)
+    if (g_rand_boolean (soak->random))
+      restart_server (soak, &soak->servers[i]);
+}
+
 static void
 inject_fault (struct soak *soak)
 {
   struct soak_entry *entry = &soak->entries[g_rand_int_range (soak->random, 0, ENTRY_COUNT)];
   struct server *server = &soak->servers[g_rand_int_range (soak->random, 0, SERVER_COUNT)];
   note_fault (soak, 0);
-  switch (g_rand_int_range (soak->random, 0, 10))
+  switch (g_rand_int_range (soak->random, 0, 12))
     {
     case 0:
       pause_entry (entry, random_ms (soak, PAUSE_MS_MAX));
@@ -907,6 +1064,13 @@
     case 8:
       replace_server (soak, server);
       break;
+    case 9:
+      restart_servers (soak);
+      break;
+    case 10:
+      soak->crowded_until = now_ms () + random_ms (soak, FAULT_MS_MAX);
+      note_fault (soak, soak->crowded_until - now_ms ());
+      break;
     default:
       put_config (soak);
       break;
@@ -988,6 +1152,7 @@
                          .request_times = g_array_new (FALSE, FALSE, sizeof (gint64)),
                          .repeat_times = g_array_new (FALSE, FALSE, sizeof (gint64)) };
   soak->store = fake_store_open (soak->net);
+  soak->copies = copies_open (soak->random);
   for (guint i = 0; i < SERVER_COUNT; i++)
     {
       struct server *server = &soak->servers[i];
@@ -1048,8 +1213,10 @@
   for (int round = 0; round < rounds; round++)
     {
       soak->injects_faults = TRUE;
+      copies_set_sending (soak->copies, TRUE);
       harness_pause (fault_phase_s * 1000);
       soak->injects_faults = FALSE;
+      copies_set_sending (soak->copies, FALSE);
       soak->calm = TRUE;
       if (check_time_bounds)
         run_calm_phase (soak);
@@ -1066,8 +1233,12 @@
   kill_entries (soak);
   if (soak->served == 0)
     report_failure (soak, "no request succeeded");
-  printf ("seed %" G_GUINT64_FORMAT ": %u requests, %u served, %u repeats, %u failures%s%s\n", seed, soak->next_id,
-          soak->served, soak->repeat_times->len, soak->failures, soak->failures ? ", logs in " : "",
+  struct copies_counts copies = copies_count (soak->copies);
+  printf ("seed %" G_GUINT64_FORMAT
+          ": %u requests, %u came back, %u served, %u repeats, %u copies, %u before an answer "
+          "with their id, %u failures%s%s\n",
+          seed, soak->next_id, soak->came_back, soak->served, soak->repeat_times->len, copies.sent,
+          copies.sent_before_own_id, soak->failures, soak->failures ? ", logs in " : "",
           soak->failures ? soak->folder : "");
   if (soak->failures == 0)
     remove_folder (soak->folder);
