Soak: a request that comes again after a fault in a calm phase is not in calm

In the same millisecond as the first arrival the soak ended the calm phase and replaced i-1-5 without draining it first; all four entries listed its successor 0.80 s later (bound 2.5 s), and the second arrival, 46 ms after the first, met i-1-5 again.

The check was wrong: "sent in calm" means more than 4 s after the last fault, and the second arrival took it over from the first. It now stands for the arrival itself, as for every other request sent after that fault. An action on the entry (its shutdown) still excuses no second arrival.

--- a/soak/soak.c
+++ b/soak/soak.c
@@ -159,6 +159,7 @@
   guint run_count; /* of all arrivals */
   gsize body_size;
   gboolean is_write;
+  gboolean has_own_path; /* FALSE: that of all requests in calm phases */
   guint arrival_count;
   struct arrival arrivals[ARRIVALS_MAX];
 };
@@ -791,7 +792,7 @@
 static char *
 make_path (const struct request *request, const struct request_record *request_record)
 {
-  char *name = request->sent_in_calm ? g_strdup ("x") : g_strdup_printf ("%u", request->id);
+  char *name = request_record->has_own_path ? g_strdup_printf ("%u", request->id) : g_strdup ("x");
   char *path = request->config_version > 0 ? g_strdup_printf ("/g%u/%s", request->config_version, name)
                                            : g_strdup_printf (request_record->is_write ? "/w/%s" : "/r/%s", name);
   g_free (name);
@@ -836,6 +837,7 @@
           .sent_in_calm = is_settled (soak) && now_ms () - entry->last_action_at > SETTLE_MS };
   struct request_record *request_record = g_new0 (struct request_record, 1);
   request_record->is_write = is_write;
+  request_record->has_own_path = !request.sent_in_calm;
   request_record->body_size = is_write ? choose_body_size (soak) : 0;
   g_hash_table_insert (soak->records, GUINT_TO_POINTER (request.id), request_record);
   start_arrival (request, request_record);
@@ -867,6 +869,7 @@
     {
       if (request->arrival > 0 || request_record->body_size <= HF_BODY_BUFFER_BYTES)
         return FALSE;
+      again.sent_in_calm = is_settled (soak);
     }
   else
     {
