Soak: entries of two runs at a time never get one address

Cause: both runs had chosen 127.0.0.1:39903 for the peer socket of their e1 (settings of both; HF1005 "Address already in use"): a port is reserved by opening it for a moment, so another process can find it, too, while the entry is not up. Then entries of the two runs were peers of each other.

Each process now takes a loopback address from its process id for its entries.

--- a/soak/soak.c
+++ b/soak/soak.c
@@ -30,6 +30,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "copies.h"
 #include "fake-store.h"
@@ -571,13 +572,18 @@
   entry->last_action_at = now_ms ();
 }
 
-/* Finds a free port, which the entry keeps through its restarts. */
+/* Finds a free port, which the entry keeps through its restarts. Each hf-soak process has a loopback address of its
+ * own, as another one may find the same port while the entry starts again. */
 static void
 reserve_address (struct soak *soak, char *address, gsize size)
 {
+  guint process = (guint) getpid ();
+  char host[32];
+  g_snprintf (host, sizeof host, "127.%u.%u.%u:0", 1 + process / 62500 % 250, 1 + process / 250 % 250,
+              1 + process % 250);
   do
     {
-      struct hf_listener *listener = hf_listener_open (soak->net, hf_str ("127.0.0.1:0"), NULL, NULL, NULL);
+      struct hf_listener *listener = hf_listener_open (soak->net, hf_str (host), NULL, NULL, NULL);
       g_strlcpy (address, hf_listener_address (listener).data, size);
       hf_listener_close (listener);
     }
