--- a/soak/copies.c
+++ b/soak/copies.c
@@ -1,6 +1,7 @@
 /* Answers of backend servers, with copies of earlier ones. */
 #include "copies.h"
 
+#include <stdio.h>
 #include <string.h>
 
 /* --- constants --- */
@@ -184,7 +185,11 @@
   if (copy)
     {
       copies->counts.sent++;
-      copies->counts.sent_before_own_id += is_before && strcmp (copy->id, id) == 0;
+      if (is_before && strcmp (copy->id, id) == 0)
+        {
+          copies->counts.sent_before_own_id++;
+          printf ("a copy of an answer to request \"%s\" was sent before another answer to it\n", id);
+        }
       send_with_copy (copies, connection, place, text, copy->text);
     }
   else
