Changes of a list whose rest is lost do not go missing at others

An entry applies the parts of an update as they arrive. If the rest of a list is lost and an older update follows, the entry's position is older than what it has applied: it counted that change as one of the older position, or dropped it with the history, and its own watch, which reported it again, brought no change. An entry at the older position got the changes since then without it and kept the old state: a server that drains stayed in use there.

Change: the latest position to which such parts lead is kept, and below it the history of changes is not relied on: who asks gets the full list.

Test: test-fleet /relay/lost-part, failing before: no report of the server is sent.

--- a/src/hf-directory-sync.c
+++ b/src/hf-directory-sync.c
@@ -61,6 +61,16 @@
   sync->gap_end = end;
 }
 
+/* The parts that have arrived of a later update are applied, but not as changes after this position: the history begins
+ * where that update leads. */
+static void
+drop_history_before_parts (struct hf_directory_sync *sync, struct hf_store_position position)
+{
+  struct hf_store_position partial = sync->partial_position;
+  if (partial.era == position.era && partial.revision > position.revision)
+    sync->changes_since = MAX (sync->changes_since, partial.revision);
+}
+
 /* --- internal functions: reports --- */
 
 static void
@@ -295,6 +305,9 @@
     return;
   begin_update (state, member, message);
   state->directory.update_to = hf_wire_read_position (message->to);
+  if (message->parts > 1)
+    state->directory_sync.partial_position
+        = hf_store_position_max (state->directory_sync.partial_position, state->directory.update_to);
   for (u_int i = 0; i < message->reports.reports_len; i++)
     {
       struct hf_server_report report = read_report (&message->reports.reports_val[i]);
@@ -507,6 +520,7 @@
     }
   else if (full)
     note_gap (sync, last.revision, position.revision);
+  drop_history_before_parts (sync, position);
   if (changed || restart)
     sync->changed_position = position;
   trim_changes (sync);
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -440,6 +440,7 @@
  * @gap_begin: from this revision to @gap_end the differences of a list are known, but no change that was undone in
  *             between: they follow on no revision that lies between them
  * @gap_end: 0: there is no gap
+ * @partial_position: latest one to which parts of an update lead that were applied before all had arrived
  * @changed_position: position of the last change
  * @full_sync_from: boot id of the entry whose full list is being received; 0: none
  * @full_sync_started_at: when that list began
@@ -460,6 +461,7 @@
   uint64_t changes_since;
   uint64_t gap_begin;
   uint64_t gap_end;
+  struct hf_store_position partial_position;
   struct hf_store_position changed_position;
   uint64_t full_sync_from;
   int64_t full_sync_started_at;
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -498,6 +498,81 @@
   fleet_close (fleet);
 }
 
+/* --- tests: lists of which a part is lost --- */
+
+struct update
+{
+  unsigned sender;
+  uint64_t from;
+  uint64_t to;
+  unsigned server;
+  unsigned parts; /* only the first is delivered */
+  bool full;
+};
+
+static void
+deliver_update (struct fleet_entry *entry, struct update update)
+{
+  char server[16];
+  const struct fleet_entry *sender = &entry->fleet->entries[update.sender];
+  g_snprintf (server, sizeof server, "s%u", update.server);
+  hf_rpc_server_report report = { .name = { (u_int) strlen (server), server },
+                                  .service = { 1, "a" },
+                                  .address = { 11, "10.1.0.1:80" },
+                                  .slots = 3,
+                                  .incarnation = 1,
+                                  .sequence = 1000,
+                                  .draining = true };
+  struct hf_rpc_message message = { .boot_id = sender->state->boot_id, .body = { .kind = HF_RPC_DIRECTORY_UPDATE } };
+  message.body.hf_rpc_body_u.directory_update
+      = (struct hf_rpc_directory_update){ .from = { .era = 1, .revision = update.from },
+                                          .to = { .era = 1, .revision = update.to },
+                                          .parts = update.parts,
+                                          .full = update.full,
+                                          .reports = { .reports_len = 1, .reports_val = &report } };
+  fleet_raise_event (entry, (struct hf_event){ .kind = HF_EVENT_PEER_MESSAGE,
+                                               .peer = { .message = &message, .address = hf_str (sender->address) } });
+}
+
+/* Counts the reports of server s3 that entries send. */
+static void
+count_reports (void *context, struct fleet_entry *entry, const struct hf_effect *effect)
+{
+  const struct hf_rpc_directory_update *update = &effect->message.body.hf_rpc_body_u.directory_update;
+  unsigned *count = context;
+  (void) entry;
+  if (effect->kind != HF_EFFECT_SEND_MESSAGE || effect->message.body.kind != HF_RPC_DIRECTORY_UPDATE)
+    return;
+  for (u_int i = 0; i < update->reports.reports_len; i++)
+    {
+      const hf_rpc_server_report *report = &update->reports.reports_val[i];
+      *count += hf_str_equal ((struct hf_str){ report->name.name_val, report->name.name_len }, hf_str ("s3"));
+    }
+}
+
+/* Guards against hf-test-restore seed 16: an entry has the change of revision 32 from a part of a list whose rest was
+ * lost, and then reaches revision 31. Whoever asks it for the changes since 31 must get that change. */
+static void
+test_lost_part (void)
+{
+  struct fleet *fleet = fleet_open (19, 3, 0);
+  struct fleet_entry *entry = &fleet->entries[18];
+  unsigned reports = 0;
+  struct hf_rpc_message pull = { .boot_id = 16, .body = { .kind = HF_RPC_DIRECTORY_PULL } };
+  pull.body.hf_rpc_body_u.directory_pull.from = (struct hf_rpc_store_position){ .era = 1, .revision = 31 };
+  deliver_update (entry, (struct update){ .sender = 0, .to = 32, .server = 3, .parts = 2, .full = true });
+  deliver_update (entry, (struct update){ .sender = 3, .from = 30, .to = 31, .server = 4, .parts = 1 });
+  deliver_update (entry, (struct update){ .sender = 3, .from = 31, .to = 32, .server = 3, .parts = 1 });
+  fleet->on_effect = count_reports;
+  fleet->context = &reports;
+  fleet_raise_event (entry,
+                     (struct hf_event){ .kind = HF_EVENT_PEER_MESSAGE,
+                                        .peer = { .message = &pull, .address = hf_str (fleet->entries[15].address) } });
+  g_assert_cmpuint (entry->state->directory.position.revision, ==, 32);
+  g_assert_cmpuint (reports, >, 0);
+  fleet_close (fleet);
+}
+
 /* --- tests: the platform comes back from an older copy --- */
 
 /* Changes that are lost, and others in their place under the same revisions. */
@@ -881,6 +956,7 @@
   g_test_add_func ("/relay/hanging-watch", test_hanging_watch);
   g_test_add_func ("/relay/hanging-watches", test_hanging_watches);
   g_test_add_func ("/relay/small-link", test_small_link);
+  g_test_add_func ("/relay/lost-part", test_lost_part);
   g_test_add_func ("/restored/shared-revisions", test_restored_shared_revisions);
   g_test_add_func ("/restored/joined-server", test_restored_joined_server);
   g_test_add_func ("/restored/missing-server", test_restored_missing_server);
