Only two watchers of the fleet wait 1.8 s for the store, the others 15 s

Cause of the price: since each watch of each watcher waits 1.8 s, so that one lost in a short silence is replaced in time; two watchers of each failure domain did so, though one that notices is enough if all learn what it learns.

Change: two watchers of the whole fleet, the first of two failure domains if there are, wait 1.8 s (hf-roles, a pure function of the ranking; entries that are starting or not known to be alive do not count, and with too few all wait shortly). The others wait 15 s. What the two learn reaches all: configurations were offered to all failure domains already; changes of servers now go to the watchers of all failure domains, which pass them on (by heartbeats it took too long for the 2 s of drain). An entry that becomes one of the two replaces its watches at once, as they may be lost. An entry alone, or one that watches without being a watcher, waits shortly. The wait is data of the SET_WATCH effect.

Considered: replacing a watch that is behind another watcher's position (shows nothing when all are lost); one such entry in each failure domain (saves half at most). Not covered within the 3 s of calm: both of the two gone at the moment of the loss in a fleet whose entries time out later than 1.8 s (above 35 members).

--- a/src/config.h
+++ b/src/config.h
@@ -167,6 +167,7 @@
 #define HF_ENTRIES_PER_COORDINATOR 16  /* in a failure domain of a larger fleet */
 #define HF_COORDINATORS_MIN        2   /* in each failure domain */
 #define HF_WATCHERS_PER_DOMAIN     2   /* entries that watch the platform's directory for the others */
+#define HF_SHORT_WATCHERS          2   /* of the fleet's watchers: so many notice soon that their watches are lost */
 #define HF_GRANTER_CPU_SHARE_MIN   0.5 /* of the coordinators' largest CPU share; entries with less grant no slots */
 
 /* Directory sync between entries. One entry at a time sends the full directory. */
@@ -184,6 +185,11 @@
 #define HF_DIRECTORY_SYNC_START_WAIT_MS     1000 /* for the platform's list after a start; then from an entry */
 #define HF_PLATFORM_UNREACHABLE_MS          5000 /* after a failed call, no watcher role for this long */
 
+/* Watches of the platform's store: how long one waits for a change, and how much later it counts as lost. */
+#define HF_STORE_WATCH_WAIT_MS       15000
+#define HF_STORE_WATCH_WAIT_SHORT_MS 1800 /* with the margin less than the 3 s of calm after which bounds hold */
+#define HF_STORE_WATCH_MARGIN_MS     700  /* a check waits as long for its response */
+
 /* Platform. */
 #define HF_PLATFORM_TIMEOUT_SEC     2
 #define HF_WATCH_DURATION_SEC       30
--- a/src/hf-directory-sync.c
+++ b/src/hf-directory-sync.c
@@ -162,13 +162,24 @@
   return hf_state_is_in_own_domain (state, member) && !member->timed_out;
 }
 
+/* The watches of all watchers of another failure domain may be lost: whose watches are renewed often sends changes to
+ * the watchers there, which pass them on. */
+static bool
+gets_changes (const struct hf_state *state, const struct hf_member *member)
+{
+  bool is_remote_watcher = state->roles.has_short_watches && member->is_watcher && !member->timed_out;
+  return is_follower (state, member) || is_remote_watcher;
+}
+
 static void
-send_to_followers (struct hf_state *state, const struct hf_rpc_message *message)
+send_to_members (struct hf_state *state,
+                 const struct hf_rpc_message *message,
+                 bool (*is_receiver) (const struct hf_state *state, const struct hf_member *member))
 {
   for (guint i = 0; i < state->members->len; i++)
     {
       const struct hf_member *member = g_ptr_array_index (state->members, i);
-      if (is_follower (state, member))
+      if (is_receiver (state, member))
         hf_state_send_to_address (state, member->address, *message);
     }
 }
@@ -185,7 +196,7 @@
   return digest;
 }
 
-/* Sends the parts of one update, one datagram each, to @address or, if that is empty, to all followers. */
+/* Sends the parts of one update, one datagram each, to @address or, if that is empty, to all that get changes. */
 static void
 send_reports (struct hf_state *state,
               struct hf_str address,
@@ -216,7 +227,7 @@
       if (address.len)
         hf_state_send_to_address (state, address, message);
       else
-        send_to_followers (state, &message);
+        send_to_members (state, &message, gets_changes);
     }
 }
 
@@ -370,7 +381,7 @@
     return;
   int64_t confirmed_at = state->now - message->age_ms * HF_MS;
   directory->confirmed_at = MAX (directory->confirmed_at, confirmed_at);
-  if (member->is_watcher)
+  if (member->is_watcher && hf_state_is_in_own_domain (state, member))
     state->directory_sync.watcher_confirmed_at = MAX (state->directory_sync.watcher_confirmed_at, confirmed_at);
 }
 
@@ -433,25 +444,51 @@
   return state->roles.ranks_as_watcher ? HF_WATCH_MODE_AWAIT : HF_WATCH_MODE_PROBE;
 }
 
+/* A watcher waits long while others of the fleet renew their watches often. An entry that watches without the role does
+ * so because it knows of no such watcher. */
+static int64_t
+wanted_watch_wait_ms (const struct hf_state *state)
+{
+  bool is_covered = state->roles.is_watcher && !state->roles.has_short_watches;
+  return is_covered ? HF_STORE_WATCH_WAIT_MS : HF_STORE_WATCH_WAIT_SHORT_MS;
+}
+
 static void
-set_watch_mode (struct hf_state *state, enum hf_watch_mode mode)
+log_watch_mode (struct hf_state *state, enum hf_watch_mode mode)
 {
   static const char *const texts[]
       = { [HF_WATCH_MODE_OFF] = "watchers send directory changes; this entry does not watch the platform",
           [HF_WATCH_MODE_AWAIT] = "checking often whether the platform responds, to watch it then",
           [HF_WATCH_MODE_PROBE] = "no watcher sends current changes; checking whether the platform responds",
           [HF_WATCH_MODE_ON] = "this entry watches the platform's directory" };
+  hf_state_log (state, HF_LOG_FOLLOW, "%s; revision %" G_GUINT64_FORMAT, texts[mode],
+                (guint64) state->directory.position.revision);
+}
+
+static void
+begin_watch_mode (struct hf_state *state, enum hf_watch_mode mode)
+{
   struct hf_directory_sync *sync = &state->directory_sync;
-  if (sync->watch_mode == mode)
-    return;
   sync->watch_mode = mode;
   sync->platform_reachable_since = 0;
   sync->watch_until = state->roles.is_watcher ? 0 : state->now + HF_DIRECTORY_SYNC_WATCH_MIN_MS * HF_MS;
-  hf_state_log (state, HF_LOG_FOLLOW, "%s; revision %" G_GUINT64_FORMAT, texts[mode],
-                (guint64) state->directory.position.revision);
-  hf_effects_add (
-      state->effects,
-      (struct hf_effect){ .kind = HF_EFFECT_SET_WATCH, .watch_mode = mode, .position = state->directory.position });
+  log_watch_mode (state, mode);
+}
+
+static void
+set_watch_mode (struct hf_state *state, enum hf_watch_mode mode, int64_t wait_ms)
+{
+  struct hf_directory_sync *sync = &state->directory_sync;
+  bool waits_otherwise = mode == HF_WATCH_MODE_ON && sync->watch_wait_ms != wait_ms;
+  if (sync->watch_mode == mode && !waits_otherwise)
+    return;
+  if (sync->watch_mode != mode)
+    begin_watch_mode (state, mode);
+  sync->watch_wait_ms = wait_ms;
+  hf_effects_add (state->effects, (struct hf_effect){ .kind = HF_EFFECT_SET_WATCH,
+                                                      .watch_mode = mode,
+                                                      .watch_wait_ms = wait_ms,
+                                                      .position = state->directory.position });
 }
 
 /* --- internal functions: eras --- */
@@ -543,7 +580,7 @@
     return;
   struct hf_rpc_message message = make_message (state, state->directory_sync.changed_position, false);
   message.body.hf_rpc_body_u.directory_update.parts = 1;
-  send_to_followers (state, &message);
+  send_to_members (state, &message, is_follower);
   state->directory_sync.last_sent_at = state->now;
 }
 
@@ -583,7 +620,7 @@
       directory->platform_unreachable_until = 0;
       hf_roles_update (state);
     }
-  set_watch_mode (state, wanted_watch_mode (state));
+  set_watch_mode (state, wanted_watch_mode (state), wanted_watch_wait_ms (state));
   bool watches = state->directory_sync.watch_mode == HF_WATCH_MODE_ON;
   bool responds = state->directory_sync.platform_reachable_since > 0;
   state->directory_sync.serves_others
--- a/src/hf-roles.c
+++ b/src/hf-roles.c
@@ -15,6 +15,8 @@
   bool starting; /* knows no backend servers yet */
   bool is_coordinator;
   bool is_watcher;
+  guint watcher_rank; /* among the watchers of its failure domain */
+  bool has_short_watches;
   bool ranks_as_watcher; /* would watch if the platform responded to all */
 };
 
@@ -84,6 +86,7 @@
       struct candidate *candidate = candidate_at (candidates, i);
       candidate->is_coordinator = i - begin < coordinators;
       candidate->is_watcher = !candidate->platform_unreachable && watchers < HF_WATCHERS_PER_DOMAIN;
+      candidate->watcher_rank = watchers;
       candidate->ranks_as_watcher = i - begin < HF_WATCHERS_PER_DOMAIN;
       watchers += candidate->is_watcher;
     }
@@ -101,6 +104,34 @@
     }
 }
 
+/* Watchers of one rank that are known to be alive and to have a directory get short watches. Returns how many entries
+ * have them then. */
+static guint
+assign_short_watches_of_rank (GArray *candidates, guint rank, guint assigned)
+{
+  for (guint i = 0; i < candidates->len && assigned < HF_SHORT_WATCHERS; i++)
+    {
+      struct candidate *candidate = candidate_at (candidates, i);
+      bool usable = candidate->is_watcher && candidate->boot_id && !candidate->starting;
+      if (!usable || candidate->watcher_rank != rank)
+        continue;
+      candidate->has_short_watches = true;
+      assigned++;
+    }
+  return assigned;
+}
+
+/* Prefers watchers of different failure domains. If there are too few, all watchers have short watches. */
+static void
+assign_short_watches (GArray *candidates)
+{
+  guint assigned = 0;
+  for (guint rank = 0; rank < HF_WATCHERS_PER_DOMAIN; rank++)
+    assigned = assign_short_watches_of_rank (candidates, rank, assigned);
+  for (guint i = 0; i < candidates->len && assigned < HF_SHORT_WATCHERS; i++)
+    candidate_at (candidates, i)->has_short_watches = candidate_at (candidates, i)->is_watcher;
+}
+
 /* Entries that are starting grant slots only if there are no others. */
 static bool
 any_has_started (GArray *candidates)
@@ -132,6 +163,7 @@
 {
   state->roles.is_coordinator = false;
   state->roles.is_watcher = false;
+  state->roles.has_short_watches = false;
   state->roles.ranks_as_watcher = false;
   g_array_set_size (state->roles.granters, 0);
   for (guint i = 0; i < state->members->len; i++)
@@ -155,7 +187,10 @@
       *coordinates = candidate->is_coordinator;
       *watches = candidate->is_watcher;
       if (!candidate->member)
-        state->roles.ranks_as_watcher = candidate->ranks_as_watcher;
+        {
+          state->roles.has_short_watches = candidate->has_short_watches;
+          state->roles.ranks_as_watcher = candidate->ranks_as_watcher;
+        }
       bool may_grant = candidate->is_coordinator && candidate->boot_id && (starting_too || !candidate->starting);
       if (may_grant && candidate->cpu_share >= cpu_share_min)
         g_array_append_val (state->roles.granters, candidate->boot_id);
@@ -183,6 +218,7 @@
   bool was_watcher = state->roles.is_watcher;
   clear_roles (state);
   assign_roles (candidates);
+  assign_short_watches (candidates);
   store_roles (state, candidates);
   if (state->roles.is_watcher && !was_watcher)
     state->roles.watcher_since = state->now;
--- a/src/hf-roles.h
+++ b/src/hf-roles.h
@@ -4,8 +4,9 @@
  * In each failure domain the entries are ranked, those with more processor time
  * first. The first ones are coordinators: they exchange heartbeats with all
  * entries, and those with enough processor time grant slots. The first two that
- * reach the platform are watchers: they watch its directory for the others. In
- * a small fleet every entry is a coordinator.
+ * reach the platform are watchers: they watch its directory for the others. Two
+ * watchers of the fleet renew their watches often, to notice when all are lost.
+ * In a small fleet every entry is a coordinator.
  */
 #ifndef HF_ROLES_H
 #define HF_ROLES_H
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -416,6 +416,7 @@
  * struct hf_roles - roles of this entry, and the entries that grant slots
  * @is_coordinator: this entry exchanges heartbeats with all others
  * @is_watcher: this entry watches the platform's directory for its failure domain
+ * @has_short_watches: a watcher whose watches wait shortly, so that the fleet notices when all watches are lost
  * @ranks_as_watcher: it would be a watcher if the platform responded to all entries
  * @watcher_since: when it last became a watcher
  * @watcher_until: when it last ceased to be one
@@ -426,6 +427,7 @@
 {
   bool is_coordinator;
   bool is_watcher;
+  bool has_short_watches;
   bool ranks_as_watcher;
   int64_t watcher_since;
   int64_t watcher_until;
@@ -449,6 +451,7 @@
  * @remote_ahead_since: since when that change has been missing here
  * @platform_reachable_since: the platform has responded to reachability checks since then; 0: it does not
  * @watch_mode: mode last set for the platform's client
+ * @watch_wait_ms: how long a watch waits, last set for it
  * @watch_until: a watch started by an entry that is not a watcher is kept until then
  * @last_sent_at: last update sent to the followers
  * @watcher_confirmed_at: when a watcher last knew that the directory it sent here was current
@@ -470,6 +473,7 @@
   int64_t remote_ahead_since;
   int64_t platform_reachable_since;
   enum hf_watch_mode watch_mode;
+  int64_t watch_wait_ms;
   int64_t watch_until;
   int64_t last_sent_at;
   int64_t first_pull_at;
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -59,6 +59,22 @@
   entry->revision = 0;
 }
 
+static void
+set_watch (struct fleet_entry *entry, const struct hf_effect *effect)
+{
+  bool changes_mode = effect->watch_mode != entry->watch_mode;
+  bool begins = changes_mode && effect->watch_mode == HF_WATCH_MODE_ON;
+  entry->fleet->watch_starts += begins;
+  entry->fleet->probe_starts += effect->watch_mode == HF_WATCH_MODE_PROBE;
+  entry->checks_now = effect->watch_mode == HF_WATCH_MODE_ON && (entry->checks_now || begins);
+  if (begins || effect->watch_wait_ms < entry->watch_wait_ms)
+    entry->watch_lost_until = 0;
+  entry->watch_mode = effect->watch_mode;
+  entry->watch_wait_ms = effect->watch_wait_ms;
+  if (changes_mode && entry->era == effect->position.era)
+    entry->revision = MAX (entry->revision, effect->position.revision);
+}
+
 void
 fleet_raise_event (struct fleet_entry *entry, struct hf_event event)
 {
@@ -80,14 +96,8 @@
           entry->document_reads++;
           entry->read_at = entry->fleet->now;
         }
-      if (effect->kind != HF_EFFECT_SET_WATCH)
-        continue;
-      entry->fleet->watch_starts += effect->watch_mode == HF_WATCH_MODE_ON && entry->watch_mode != HF_WATCH_MODE_ON;
-      entry->checks_now = effect->watch_mode == HF_WATCH_MODE_ON;
-      entry->fleet->probe_starts += effect->watch_mode == HF_WATCH_MODE_PROBE;
-      entry->watch_mode = effect->watch_mode;
-      if (entry->era == effect->position.era)
-        entry->revision = MAX (entry->revision, effect->position.revision);
+      if (effect->kind == HF_EFFECT_SET_WATCH)
+        set_watch (entry, effect);
     }
   hf_effects_close (&effects);
 }
@@ -138,14 +148,20 @@
                                                .position = { .era = entry->fleet->era, .revision = revision } });
 }
 
+static bool
+gets_watch_responses (const struct fleet_entry *entry)
+{
+  bool is_lost = entry->watch_hangs || entry->fleet->now < entry->watch_lost_until;
+  return entry->watch_mode == HF_WATCH_MODE_ON && !entry->platform_unreachable && !is_lost;
+}
+
 /* Reports the changes since the last report to this entry, or all if the platform is in an era that is new to it. */
 static void
 report_changes (struct fleet_entry *entry)
 {
   struct fleet *fleet = entry->fleet;
   bool is_known = entry->era == fleet->era && entry->revision > 0;
-  if (entry->watch_mode != HF_WATCH_MODE_ON || entry->platform_unreachable || entry->watch_hangs
-      || (is_known && entry->revision >= fleet->revision))
+  if (!gets_watch_responses (entry) || (is_known && entry->revision >= fleet->revision))
     return;
   raise_list_step (entry, HF_LIST_REACHABLE, 0);
   if (!is_known)
@@ -179,8 +195,7 @@
       entry->read_at = 0;
       report_document (entry);
     }
-  bool watches = entry->watch_mode == HF_WATCH_MODE_ON && !entry->platform_unreachable && !entry->watch_hangs;
-  if (watches && entry->generation < entry->fleet->generation)
+  if (gets_watch_responses (entry) && entry->generation < entry->fleet->generation)
     report_document (entry);
 }
 
@@ -204,6 +219,12 @@
   fleet->servers[i] = server;
 }
 
+void
+fleet_lose_watches (struct fleet_entry *entry)
+{
+  entry->watch_lost_until = entry->fleet->now + (entry->watch_wait_ms + HF_STORE_WATCH_MARGIN_MS) * HF_MS;
+}
+
 void
 fleet_save_platform (struct fleet *fleet)
 {
@@ -401,6 +422,16 @@
   return n;
 }
 
+unsigned
+fleet_count_short_watches (const struct fleet *fleet)
+{
+  unsigned n = 0;
+  for (unsigned i = 0; i < fleet->entry_count; i++)
+    n += fleet->entries[i].watch_mode == HF_WATCH_MODE_ON
+         && fleet->entries[i].watch_wait_ms == HF_STORE_WATCH_WAIT_SHORT_MS;
+  return n;
+}
+
 unsigned
 fleet_count_watchers (const struct fleet *fleet, unsigned domains, unsigned domain)
 {
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -34,6 +34,8 @@
   bool is_paused;            /* the process does not run; its datagrams wait */
   bool platform_unreachable; /* the platform does not respond to it */
   bool watch_hangs;          /* its watch delivers nothing, although its checks of the platform succeed */
+  int64_t watch_wait_ms;     /* how long its watches wait for a change */
+  int64_t watch_lost_until;  /* its watches deliver nothing, and are renewed then */
   bool checks_now;           /* it has begun to watch and checks the platform at once */
   int64_t link_factor;       /* its link carries this many times the fleet's link_bytes_per_ms; 0: once */
   unsigned lost_kind;        /* enum hf_rpc_kind of messages that never reach it; 0: none */
@@ -98,6 +100,8 @@
 void fleet_advance (struct fleet *fleet, int64_t ms); /* delivers what is due in that time, and ticks every entry */
 void fleet_raise_event (struct fleet_entry *entry, struct hf_event event);
 void fleet_change_server (struct fleet *fleet, unsigned i, struct fleet_server server);
+/* The watches that the entry has just sent are lost: each is renewed once it times out, or is replaced. */
+void fleet_lose_watches (struct fleet_entry *entry);
 void fleet_save_platform (struct fleet *fleet);    /* keeps a copy of the directory */
 void fleet_restore_platform (struct fleet *fleet); /* goes back to it: revisions are given out again in a new era */
 void fleet_report_full_list (struct fleet_entry *entry);          /* the platform's response to a list call */
@@ -108,6 +112,7 @@
 /* --- public functions: checks --- */
 
 unsigned fleet_count_active_watches (const struct fleet *fleet);
+unsigned fleet_count_short_watches (const struct fleet *fleet); /* of those */
 unsigned fleet_count_watchers (const struct fleet *fleet, unsigned domains, unsigned domain);
 uint64_t fleet_generation (const struct fleet_entry *entry); /* of the configuration in force; 0: none */
 /* Every entry that is not disconnected has exactly the servers that the platform lists. */
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -11,6 +11,10 @@
 #define BOTH_HAND_OVERS_MS  10000 /* HF_PLATFORM_UNREACHABLE_MS is between them */
 #define NEW_BOOT_ID         1000  /* of an entry that was restarted */
 #define PAUSE_FLEET_ENTRIES 123
+#define CONTACT_MS          3000 /* of calm, after which bounds hold */
+#define WATCH_BATCH_MS      800  /* of a bound, for changes to be collected before a watch is sent */
+#define LOSS_ROUNDS         8
+#define LOSS_ROUND_STEP_MS  130  /* by which the losses of the rounds fall at other times between heartbeats */
 #define RELIST_BYTES_MAX    2048 /* for each entry, after a list that brought two changes */
 
 /* --- internal functions --- */
@@ -473,6 +477,149 @@
   fleet_close (fleet);
 }
 
+/* --- tests: watches lost in a short silence of the store --- */
+
+/* All entries have started: each has a configuration. */
+static struct fleet *
+open_started_fleet (unsigned entries, unsigned domains, unsigned large_per_domain)
+{
+  struct fleet *fleet = fleet_open (entries, domains, large_per_domain);
+  fleet_write_document (fleet, 1);
+  fleet_advance (fleet, FLEET_PROPAGATION_MAX_MS);
+  return fleet;
+}
+
+static void
+lose_watches (struct fleet *fleet, const char *domain)
+{
+  for (unsigned i = 0; i < fleet->entry_count; i++)
+    if (!domain || strcmp (fleet->entries[i].failure_domain, domain) == 0)
+      fleet_lose_watches (&fleet->entries[i]);
+}
+
+/* A server that leaves and a configuration, written now, are known to all entries in time. */
+static void
+check_bounds (struct fleet *fleet)
+{
+  fleet_change_server (fleet, 3, (struct fleet_server){ .listed = !fleet->servers[3].listed });
+  fleet_write_document (fleet, 1);
+  fleet_advance (fleet, FLEET_PROPAGATION_MAX_MS - WATCH_BATCH_MS);
+  fleet_check_directories (fleet);
+  for (unsigned i = 0; i < fleet->entry_count; i++)
+    if (!fleet->entries[i].is_disconnected)
+      g_assert_cmpuint (fleet_generation (&fleet->entries[i]), ==, fleet->generation);
+}
+
+struct loss_case
+{
+  const char *name;
+  unsigned entries;
+  unsigned domains;
+  unsigned large_per_domain;
+  const char *lost_domain; /* NULL: all */
+};
+
+static const struct loss_case loss_cases[] = {
+  { .name = "alone", .entries = 1, .domains = 1 },
+  { .name = "pair", .entries = 2, .domains = 1 },
+  { .name = "one-domain", .entries = 15, .domains = 1 },
+  { .name = "small", .entries = 19, .domains = 3 },
+  { .name = "large", .entries = 139, .domains = 3, .large_per_domain = 2 },
+  { .name = "small-one-of-three", .entries = 19, .domains = 3, .lost_domain = "d0" },
+  { .name = "large-one-of-three", .entries = 139, .domains = 3, .large_per_domain = 2, .lost_domain = "d1" },
+};
+
+/* Guards against review/5 with watches that wait long: all watches of the fleet, or of a failure domain, are lost. */
+static void
+test_lost_watches (const void *data)
+{
+  const struct loss_case *loss = data;
+  struct fleet *fleet = open_started_fleet (loss->entries, loss->domains, loss->large_per_domain);
+  for (unsigned round = 0; round < LOSS_ROUNDS; round++)
+    {
+      fleet_advance (fleet, LOSS_ROUND_STEP_MS);
+      lose_watches (fleet, loss->lost_domain);
+      fleet_advance (fleet, CONTACT_MS);
+      check_bounds (fleet);
+    }
+  fleet_close (fleet);
+}
+
+static bool
+has_short_watches (const struct fleet_entry *entry)
+{
+  return entry->watch_mode == HF_WATCH_MODE_ON && entry->watch_wait_ms == HF_STORE_WATCH_WAIT_SHORT_MS;
+}
+
+static void
+disconnect_short_watchers (struct fleet *fleet, unsigned count)
+{
+  for (unsigned i = 0; i < fleet->entry_count && count > 0; i++)
+    if (has_short_watches (&fleet->entries[i]))
+      {
+        fleet->entries[i].is_disconnected = true;
+        count--;
+      }
+  g_assert_cmpuint (count, ==, 0);
+}
+
+/* All watches are lost, and at the same time one entry is cut off that would have noticed it soon. */
+static void
+test_lost_watches_one_cut (void)
+{
+  struct fleet *fleet = open_started_fleet (139, 3, 2);
+  lose_watches (fleet, NULL);
+  disconnect_short_watchers (fleet, 1);
+  fleet_advance (fleet, CONTACT_MS);
+  check_bounds (fleet);
+  fleet_close (fleet);
+}
+
+/* The same with both: others take over, and replace their watches, which may be lost, at once. */
+static void
+test_lost_watches_both_cut (void)
+{
+  struct fleet *fleet = open_started_fleet (19, 3, 0);
+  lose_watches (fleet, NULL);
+  disconnect_short_watchers (fleet, HF_SHORT_WATCHERS);
+  fleet_advance (fleet, CONTACT_MS);
+  check_bounds (fleet);
+  fleet_close (fleet);
+}
+
+/* All watches are lost while the store does not respond to those that would notice it soon: others take over. */
+static void
+test_lost_watches_unreachable (void)
+{
+  struct fleet *fleet = open_started_fleet (19, 3, 0);
+  lose_watches (fleet, NULL);
+  for (unsigned i = 0; i < fleet->entry_count; i++)
+    fleet->entries[i].platform_unreachable = has_short_watches (&fleet->entries[i]);
+  fleet_advance (fleet, CONTACT_MS);
+  check_bounds (fleet);
+  fleet_close (fleet);
+}
+
+/* However large the fleet is, two watchers renew their watches often, in different failure domains if there are. */
+static void
+test_short_watchers (void)
+{
+  static const unsigned sizes[] = { 4, 15, 60, 139, 472 };
+  for (unsigned n = 0; n < G_N_ELEMENTS (sizes); n++)
+    {
+      struct fleet *fleet = open_started_fleet (sizes[n], 3, 1);
+      const char *domain = NULL;
+      g_assert_cmpuint (fleet_count_short_watches (fleet), ==, HF_SHORT_WATCHERS);
+      for (unsigned i = 0; i < fleet->entry_count; i++)
+        if (has_short_watches (&fleet->entries[i]))
+          {
+            g_assert_cmpstr (fleet->entries[i].failure_domain, !=, domain);
+            domain = fleet->entries[i].failure_domain;
+          }
+      fleet_close (fleet);
+    }
+}
+
 /* One entry gets a large document first, and all others pull it concurrently over its link of 10 Mbit/s. Repeated
  * requests must not overload the link: all entries have the document in time. */
 static void
@@ -955,6 +1102,16 @@
   g_test_add_func ("/relay/start-without-platform", test_start_without_platform);
   g_test_add_func ("/relay/hanging-watch", test_hanging_watch);
   g_test_add_func ("/relay/hanging-watches", test_hanging_watches);
+  for (size_t i = 0; i < G_N_ELEMENTS (loss_cases); i++)
+    {
+      char *name = g_strdup_printf ("/lost-watches/%s", loss_cases[i].name);
+      g_test_add_data_func (name, &loss_cases[i], test_lost_watches);
+      g_free (name);
+    }
+  g_test_add_func ("/lost-watches/one-cut", test_lost_watches_one_cut);
+  g_test_add_func ("/lost-watches/both-cut", test_lost_watches_both_cut);
+  g_test_add_func ("/lost-watches/unreachable", test_lost_watches_unreachable);
+  g_test_add_func ("/lost-watches/short-watchers", test_short_watchers);
   g_test_add_func ("/relay/small-link", test_small_link);
   g_test_add_func ("/relay/lost-part", test_lost_part);
   g_test_add_func ("/restored/shared-revisions", test_restored_shared_revisions);
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -12,6 +12,7 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include "hf-base.h"
 #include "hf-explain.h"
 #include "input.h"
 #include "platform-setup.h"
@@ -28,6 +29,9 @@
 #define DRAIN_MS               2000 /* from the users' pages: from the store's response to the last request */
 #define LOST_WATCHES           4    /* in some of them a check does fall into the silence */
 #define DRAIN_REQUESTS         10
+#define OTHER_ENTRIES          HF_SHORT_WATCHERS
+#define START_MS               200  /* in which a process reads its settings */
+#define FLEET_START_MS         8000 /* until its entries have met and the watches of the start have ended */
 #define RECOVERY_MS            2000 /* until a change is in force after the store has recovered */
 #define DISCONNECT_MS          500  /* until a caller's disconnect has reached the backend server */
 #define SETTLE_MS              50   /* until responses under way have arrived */
@@ -617,6 +621,79 @@
   close_setup (setup);
 }
 
+static guint
+find_free_port (void)
+{
+  GInetAddress *loopback = g_inet_address_new_loopback (G_SOCKET_FAMILY_IPV4);
+  GSocketAddress *any_port = g_inet_socket_address_new (loopback, 0);
+  GSocket *udp = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM, G_SOCKET_PROTOCOL_UDP, NULL);
+  g_assert_true (g_socket_bind (udp, any_port, FALSE, NULL));
+  GSocketAddress *bound = g_socket_get_local_address (udp, NULL);
+  guint port = g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (bound));
+  g_object_unref (bound);
+  g_object_unref (udp);
+  g_object_unref (any_port);
+  g_object_unref (loopback);
+  return port;
+}
+
+/* Another entry, in a failure domain that ranks before the one of the entry under test. */
+static GSubprocess *
+start_other_entry (const struct setup *setup, guint *domain)
+{
+  char name[16];
+  char *build = g_path_get_dirname (g_get_prgname ());
+  char *program = g_build_filename (build, "hickoryd", NULL);
+  char *file = g_build_filename (setup->folder, "other.yaml", NULL);
+  do
+    g_snprintf (name, sizeof name, "z%u", ++*domain);
+  while (hf_hash (hf_str (name), 0) >= hf_hash (hf_str ("z1"), 0));
+  char *settings = g_strdup_printf ("name: %s\nfailure_domain: %s\nlisten: 127.0.0.1:0\nadmin: 127.0.0.1:0\n"
+                                    "peers: 127.0.0.1:%u\nmetrics: 127.0.0.1:0\nstore: %s\n",
+                                    name, name, find_free_port (), fake_store_address (setup->store));
+  g_assert_true (g_file_set_contents (file, settings, -1, NULL));
+  GSubprocess *entry = g_subprocess_new (G_SUBPROCESS_FLAGS_STDOUT_SILENCE, NULL, program, file, NULL);
+  harness_pause (START_MS);
+  g_remove (file);
+  g_free (settings);
+  g_free (file);
+  g_free (program);
+  g_free (build);
+  return entry;
+}
+
+/* All watches are lost, and the entries that would notice it soon are gone: the one whose watches wait long replaces
+ * them. */
+static void
+test_lost_long_watch (void)
+{
+  struct setup *setup = open_without_entry (DRAIN_WAIT_MS, GRACE_MS);
+  GSubprocess *others[OTHER_ENTRIES];
+  guint domain = 1;
+  put_config (setup, 9, "\"service\":\"alpha\"", "/r/");
+  put_server (setup, 0, "alpha", "ready");
+  for (guint i = 0; i < OTHER_ENTRIES; i++)
+    others[i] = start_other_entry (setup, &domain);
+  start_entry (setup);
+  harness_pause (FLEET_START_MS);
+  put_config (setup, 10, "\"service\":\"alpha\"", "/r/");
+  fake_store_set_silent (setup->store, TRUE);
+  harness_pause (SHORT_SILENCE_MS);
+  fake_store_set_silent (setup->store, FALSE);
+  for (guint i = 0; i < OTHER_ENTRIES; i++)
+    g_subprocess_force_exit (others[i]);
+  harness_pause (CONTACT_MS);
+  put_config (setup, 11, "\"service\":\"alpha\"", "/new/");
+  harness_pause (CONFIG_APPLY_MS);
+  g_assert_cmpuint (request_status (setup, "GET", "/new/x", ""), ==, 200);
+  for (guint i = 0; i < OTHER_ENTRIES; i++)
+    {
+      g_subprocess_wait (others[i], NULL, NULL);
+      g_object_unref (others[i]);
+    }
+  close_setup (setup);
+}
+
 /* The store cuts the watches that wait, but responds to everything else: the entry does not take it for unreachable,
  * and watches it again. */
 static void
@@ -1606,6 +1683,7 @@
   g_test_add_func ("/platform/store-silent", test_store_silent);
   g_test_add_func ("/platform/lost-watch", test_lost_watch);
   g_test_add_func ("/platform/lost-servers-watch", test_lost_servers_watch);
+  g_test_add_func ("/platform/lost-long-watch", test_lost_long_watch);
   g_test_add_func ("/platform/old-watch", test_old_watch);
   g_test_add_func ("/platform/watches-cut", test_watches_cut);
   g_test_add_func ("/platform/silent-checks", test_silent_checks);
