--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -11,6 +11,10 @@
 #define BOTH_HAND_OVERS_MS  10000 /* HF_PLATFORM_UNREACHABLE_MS is between them */
 #define NEW_BOOT_ID         1000  /* of an entry that was restarted */
 #define PAUSE_FLEET_ENTRIES 123
+#define CONTACT_MS          3000 /* of calm, after which bounds hold */
+#define WATCH_BATCH_MS      800  /* of a bound, for changes to be collected before a watch is sent */
+#define LOSS_ROUNDS         8
+#define LOSS_ROUND_STEP_MS  130  /* by which the losses of the rounds fall at other times between heartbeats */
 #define RELIST_BYTES_MAX    2048 /* for each entry, after a list that brought two changes */
 
 /* --- internal functions --- */
@@ -473,6 +477,149 @@
   fleet_close (fleet);
 }
 
+/* --- tests: watches lost in a short silence of the store --- */
+
+/* All entries have started: each has a configuration. */
+static struct fleet *
+open_started_fleet (unsigned entries, unsigned domains, unsigned large_per_domain)
+{
+  struct fleet *fleet = fleet_open (entries, domains, large_per_domain);
+  fleet_write_document (fleet, 1);
+  fleet_advance (fleet, FLEET_PROPAGATION_MAX_MS);
+  return fleet;
+}
+
+static void
+lose_watches (struct fleet *fleet, const char *domain)
+{
+  for (unsigned i = 0; i < fleet->entry_count; i++)
+    if (!domain || strcmp (fleet->entries[i].failure_domain, domain) == 0)
+      fleet_lose_watches (&fleet->entries[i]);
+}
+
+/* A server that leaves and a configuration, written now, are known to all entries in time. */
+static void
+check_bounds (struct fleet *fleet)
+{
+  fleet_change_server (fleet, 3, (struct fleet_server){ .listed = !fleet->servers[3].listed });
+  fleet_write_document (fleet, 1);
+  fleet_advance (fleet, FLEET_PROPAGATION_MAX_MS - WATCH_BATCH_MS);
+  fleet_check_directories (fleet);
+  for (unsigned i = 0; i < fleet->entry_count; i++)
+    if (!fleet->entries[i].is_disconnected)
+      g_assert_cmpuint (fleet_generation (&fleet->entries[i]), ==, fleet->generation);
+}
+
+struct loss_case
+{
+  const char *name;
+  unsigned entries;
+  unsigned domains;
+  unsigned large_per_domain;
+  const char *lost_domain; /* NULL: all */
+};
+
+static const struct loss_case loss_cases[] = {
+  { .name = "alone", .entries = 1, .domains = 1 },
+  { .name = "pair", .entries = 2, .domains = 1 },
+  { .name = "one-domain", .entries = 15, .domains = 1 },
+  { .name = "small", .entries = 19, .domains = 3 },
+  { .name = "large", .entries = 139, .domains = 3, .large_per_domain = 2 },
+  { .name = "small-one-of-three", .entries = 19, .domains = 3, .lost_domain = "d0" },
+  { .name = "large-one-of-three", .entries = 139, .domains = 3, .large_per_domain = 2, .lost_domain = "d1" },
+};
+
+/* Guards against review/5 with watches that wait long: all watches of the fleet, or of a failure domain, are lost. */
+static void
+test_lost_watches (const void *data)
+{
+  const struct loss_case *loss = data;
+  struct fleet *fleet = open_started_fleet (loss->entries, loss->domains, loss->large_per_domain);
+  for (unsigned round = 0; round < LOSS_ROUNDS; round++)
+    {
+      fleet_advance (fleet, LOSS_ROUND_STEP_MS);
+      lose_watches (fleet, loss->lost_domain);
+      fleet_advance (fleet, CONTACT_MS);
+      check_bounds (fleet);
+    }
+  fleet_close (fleet);
+}
+
+static bool
+has_short_watches (const struct fleet_entry *entry)
+{
+  return entry->watch_mode == HF_WATCH_MODE_ON && entry->watch_wait_ms == HF_STORE_WATCH_WAIT_SHORT_MS;
+}
+
+static void
+disconnect_short_watchers (struct fleet *fleet, unsigned count)
+{
+  for (unsigned i = 0; i < fleet->entry_count && count > 0; i++)
+    if (has_short_watches (&fleet->entries[i]))
+      {
+        fleet->entries[i].is_disconnected = true;
+        count--;
+      }
+  g_assert_cmpuint (count, ==, 0);
+}
+
+/* All watches are lost, and at the same time one entry is cut off that would have noticed it soon. */
+static void
+test_lost_watches_one_cut (void)
+{
+  struct fleet *fleet = open_started_fleet (139, 3, 2);
+  lose_watches (fleet, NULL);
+  disconnect_short_watchers (fleet, 1);
+  fleet_advance (fleet, CONTACT_MS);
+  check_bounds (fleet);
+  fleet_close (fleet);
+}
+
+/* The same with both: others take over, and replace their watches, which may be lost, at once. */
+static void
+test_lost_watches_both_cut (void)
+{
+  struct fleet *fleet = open_started_fleet (19, 3, 0);
+  lose_watches (fleet, NULL);
+  disconnect_short_watchers (fleet, HF_SHORT_WATCHERS);
+  fleet_advance (fleet, CONTACT_MS);
+  check_bounds (fleet);
+  fleet_close (fleet);
+}
+
+/* All watches are lost while the store does not respond to those that would notice it soon: others take over. */
+static void
+test_lost_watches_unreachable (void)
+{
+  struct fleet *fleet = open_started_fleet (19, 3, 0);
+  lose_watches (fleet, NULL);
+  for (unsigned i = 0; i < fleet->entry_count; i++)
+    fleet->entries[i].platform_unreachable = has_short_watches (&fleet->entries[i]);
+  fleet_advance (fleet, CONTACT_MS);
+  check_bounds (fleet);
+  fleet_close (fleet);
+}
+
+/* However large the fleet is, two watchers renew their watches often, in different failure domains if there are. */
+static void
+test_short_watchers (void)
+{
+  static const unsigned sizes[] = { 4, 15, 60, 139, 472 };
+  for (unsigned n = 0; n < G_N_ELEMENTS (sizes); n++)
+    {
+      struct fleet *fleet = open_started_fleet (sizes[n], 3, 1);
+      const char *domain = NULL;
+      g_assert_cmpuint (fleet_count_short_watches (fleet), ==, HF_SHORT_WATCHERS);
+      for (unsigned i = 0; i < fleet->entry_count; i++)
+        if (has_short_watches (&fleet->entries[i]))
+          {
+            g_assert_cmpstr (fleet->entries[i].failure_domain, !=, domain);
+            domain = fleet->entries[i].failure_domain;
+          }
+      fleet_close (fleet);
+    }
+}
+
 /* One entry gets a large document first, and all others pull it concurrently over its link of 10 Mbit/s. Repeated
  * requests must not overload the link: all entries have the document in time. */
 static void
@@ -498,6 +645,81 @@
   fleet_close (fleet);
 }
 
+/* --- tests: lists of which a part is lost --- */
+
+struct update
+{
+  unsigned sender;
+  uint64_t from;
+  uint64_t to;
+  unsigned server;
+  unsigned parts; /* only the first is delivered */
+  bool full;
+};
+
+static void
+deliver_update (struct fleet_entry *entry, struct update update)
+{
+  char server[16];
+  const struct fleet_entry *sender = &entry->fleet->entries[update.sender];
+  g_snprintf (server, sizeof server, "s%u", update.server);
+  hf_rpc_server_report report = { .name = { (u_int) strlen (server), server },
+                                  .service = { 1, "a" },
+                                  .address = { 11, "10.1.0.1:80" },
+                                  .slots = 3,
+                                  .incarnation = 1,
+                                  .sequence = 1000,
+                                  .draining = true };
+  struct hf_rpc_message message = { .boot_id = sender->state->boot_id, .body = { .kind = HF_RPC_DIRECTORY_UPDATE } };
+  message.body.hf_rpc_body_u.directory_update
+      = (struct hf_rpc_directory_update){ .from = { .era = 1, .revision = update.from },
+                                          .to = { .era = 1, .revision = update.to },
+                                          .parts = update.parts,
+                                          .full = update.full,
+                                          .reports = { .reports_len = 1, .reports_val = &report } };
+  fleet_raise_event (entry, (struct hf_event){ .kind = HF_EVENT_PEER_MESSAGE,
+                                               .peer = { .message = &message, .address = hf_str (sender->address) } });
+}
+
+/* Counts the reports of server s3 that entries send. */
+static void
+count_reports (void *context, struct fleet_entry *entry, const struct hf_effect *effect)
+{
+  const struct hf_rpc_directory_update *update = &effect->message.body.hf_rpc_body_u.directory_update;
+  unsigned *count = context;
+  (void) entry;
+  if (effect->kind != HF_EFFECT_SEND_MESSAGE || effect->message.body.kind != HF_RPC_DIRECTORY_UPDATE)
+    return;
+  for (u_int i = 0; i < update->reports.reports_len; i++)
+    {
+      const hf_rpc_server_report *report = &update->reports.reports_val[i];
+      *count += hf_str_equal ((struct hf_str){ report->name.name_val, report->name.name_len }, hf_str ("s3"));
+    }
+}
+
+/* Guards against hf-test-restore seed 16: an entry has the change of revision 32 from a part of a list whose rest was
+ * lost, and then reaches revision 31. Whoever asks it for the changes since 31 must get that change. */
+static void
+test_lost_part (void)
+{
+  struct fleet *fleet = fleet_open (19, 3, 0);
+  struct fleet_entry *entry = &fleet->entries[18];
+  unsigned reports = 0;
+  struct hf_rpc_message pull = { .boot_id = 16, .body = { .kind = HF_RPC_DIRECTORY_PULL } };
+  pull.body.hf_rpc_body_u.directory_pull.from = (struct hf_rpc_store_position){ .era = 1, .revision = 31 };
+  deliver_update (entry, (struct update){ .sender = 0, .to = 32, .server = 3, .parts = 2, .full = true });
+  deliver_update (entry, (struct update){ .sender = 3, .from = 30, .to = 31, .server = 4, .parts = 1 });
+  deliver_update (entry, (struct update){ .sender = 3, .from = 31, .to = 32, .server = 3, .parts = 1 });
+  fleet->on_effect = count_reports;
+  fleet->context = &reports;
+  fleet_raise_event (entry,
+                     (struct hf_event){ .kind = HF_EVENT_PEER_MESSAGE,
+                                        .peer = { .message = &pull, .address = hf_str (fleet->entries[15].address) } });
+  g_assert_cmpuint (entry->state->directory.position.revision, ==, 32);
+  g_assert_cmpuint (reports, >, 0);
+  fleet_close (fleet);
+}
+
 /* --- tests: the platform comes back from an older copy --- */
 
 /* Changes that are lost, and others in their place under the same revisions. */
@@ -880,7 +1102,18 @@
   g_test_add_func ("/relay/start-without-platform", test_start_without_platform);
   g_test_add_func ("/relay/hanging-watch", test_hanging_watch);
   g_test_add_func ("/relay/hanging-watches", test_hanging_watches);
+  for (size_t i = 0; i < G_N_ELEMENTS (loss_cases); i++)
+    {
+      char *name = g_strdup_printf ("/lost-watches/%s", loss_cases[i].name);
+      g_test_add_data_func (name, &loss_cases[i], test_lost_watches);
+      g_free (name);
+    }
+  g_test_add_func ("/lost-watches/one-cut", test_lost_watches_one_cut);
+  g_test_add_func ("/lost-watches/both-cut", test_lost_watches_both_cut);
+  g_test_add_func ("/lost-watches/unreachable", test_lost_watches_unreachable);
+  g_test_add_func ("/lost-watches/short-watchers", test_short_watchers);
   g_test_add_func ("/relay/small-link", test_small_link);
+  g_test_add_func ("/relay/lost-part", test_lost_part);
   g_test_add_func ("/restored/shared-revisions", test_restored_shared_revisions);
   g_test_add_func ("/restored/joined-server", test_restored_joined_server);
   g_test_add_func ("/restored/missing-server", test_restored_missing_server);
