--- a/tests/test-process.c
+++ b/tests/test-process.c
@@ -727,7 +727,7 @@
 static void
 clear_surroundings (gpointer data)
 {
-  char folder[] = "/tmp/hf-gone-XXXXXX";
+  char folder[] = "/tmp/gone-XXXXXX";
   (void) data;
   if (!g_mkdtemp (folder) || chdir (folder) != 0 || rmdir (folder) != 0)
     _exit (1);
