--- a/src/hf-attempts.c
+++ b/src/hf-attempts.c
@@ -38,8 +38,7 @@
 
 /* --- public functions --- */
 
-/* Where an attempt of the call has ended at the server, its kept connections may have ended, too. (Copies of responses
- * are hf-reuse's.) */
+/* Where an attempt of the call has ended at the server, its kept connections may have ended, too. */
 int64_t
 hf_attempts_connection_idle_max_ms (const struct hf_call *call, unsigned i, uint64_t server)
 {
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -697,8 +697,7 @@
     }
 }
 
-/* Guards against hf-test-restore seed 16: an entry has the change of revision 32 from a part of a list whose rest was
- * lost, and then reaches revision 31. Whoever asks it for the changes since 31 must get that change. */
+/* Guards against a change that is lost at others, as it came in a part of a list whose rest was lost. */
 static void
 test_lost_part (void)
 {
