Document and settings hold organisations, cold servers and the bounds that limit them

Two customers need keys and quotas of organisations, limits for cold backend servers and the evacuation of failure domains. The document gets organisations, public routes and cold limits of services; the settings get the bounds, with a type for durations that are written with their unit.

--- a/src/hf-document.c
+++ b/src/hf-document.c
@@ -135,6 +135,47 @@
     .offset = offsetof (struct hf_request_class, hedge),
     .help
     = "True: a second attempt may start while a slow one still runs, within the retry budget; only with repeatable." },
+  { .name = "public",
+    .type = HF_YAML_BOOL,
+    .offset = offsetof (struct hf_request_class, is_public),
+    .help = "True: its requests need no key of an organisation." },
+  { 0 },
+};
+
+static const struct hf_yaml_field organisation_fields[] = {
+  { .name = "name",
+    .type = HF_YAML_STR,
+    .offset = offsetof (struct hf_organisation, name),
+    .required = true,
+    .min = 1,
+    .max = NAME_BYTES_MAX,
+    .help = "Name of the organisation, unique; backend servers get it with each request." },
+  { .name = "keys",
+    .type = HF_YAML_STR_LIST,
+    .offset = offsetof (struct hf_organisation, keys),
+    .max = 10000,
+    .help = "Keys of its callers; no other organisation has them." },
+  { .name = "priority",
+    .type = HF_YAML_INT,
+    .offset = offsetof (struct hf_organisation, priority),
+    .min = -1,
+    .max = 100,
+    .default_value = -1,
+    .help = "Rank of its requests in the queue for slots, 0 first; -1: that of the route." },
+  { .name = "rate_per_s",
+    .type = HF_YAML_REAL,
+    .offset = offsetof (struct hf_organisation, rate_per_s),
+    .min = 0,
+    .max = 10000000,
+    .unit = "requests/s",
+    .help = "Requests a second that it may send, over all entries; 0: no limit." },
+  { .name = "burst",
+    .type = HF_YAML_REAL,
+    .offset = offsetof (struct hf_organisation, burst),
+    .min = 0,
+    .max = 10000000,
+    .unit = "requests",
+    .help = "Requests that it may send at once beyond rate_per_s." },
   { 0 },
 };
 
@@ -205,6 +246,20 @@
     .type = HF_YAML_BOOL,
     .offset = offsetof (struct hf_service, uses_directory),
     .help = "True: its backend servers are listed by the platform's directory." },
+  { .name = "cold_requests_per_s",
+    .type = HF_YAML_REAL,
+    .offset = offsetof (struct hf_service, cold_requests_per_s),
+    .min = 0,
+    .max = 10000000,
+    .unit = "requests/s",
+    .help = "Requests a second that a cold backend server tolerates; 0: no limit." },
+  { .name = "cold_ms",
+    .type = HF_YAML_INT,
+    .offset = offsetof (struct hf_service, cold_ms),
+    .min = 0,
+    .max = 3600000,
+    .unit = "ms",
+    .help = "How long a backend server is cold after its start; 0: not at all." },
   { .name = "servers",
     .type = HF_YAML_LIST,
     .offset = offsetof (struct hf_service, servers),
@@ -349,6 +404,13 @@
     .help = "Services.",
     .fields = service_fields,
     .struct_size = sizeof (struct hf_service) },
+  { .name = "organisations",
+    .type = HF_YAML_LIST,
+    .offset = offsetof (struct hf_document, organisations),
+    .max = 100000,
+    .help = "Organisations whose callers identify themselves with a key; none: requests need no key.",
+    .fields = organisation_fields,
+    .struct_size = sizeof (struct hf_organisation) },
   { .name = "routes",
     .type = HF_YAML_LIST,
     .offset = offsetof (struct hf_document, routes),
@@ -473,6 +535,18 @@
   return document;
 }
 
+void
+hf_document_set_organisation_count (struct hf_document *document, size_t n)
+{
+  document->organisations = new_list (n, organisation_fields, sizeof (struct hf_organisation));
+}
+
+void
+hf_organisation_set_key_count (struct hf_organisation *organisation, size_t n)
+{
+  organisation->keys = (struct hf_list){ .items = g_malloc0_n (n + 1, sizeof (struct hf_str)), .n = n };
+}
+
 void
 hf_route_set_service_count (struct hf_route *route, size_t n)
 {
@@ -548,6 +622,12 @@
   return (struct hf_route *) document->routes.items + i;
 }
 
+struct hf_organisation *
+hf_document_get_organisation (const struct hf_document *document, size_t i)
+{
+  return (struct hf_organisation *) document->organisations.items + i;
+}
+
 struct hf_weighted_service *
 hf_route_get_service (const struct hf_route *route, size_t i)
 {
--- a/src/hf-document.h
+++ b/src/hf-document.h
@@ -55,6 +55,7 @@
  * @resend_refused: true: a request that a backend server refused as not run goes to another one, repeatable or not
  * @repeatable: true: idempotent, it may run more than once
  * @hedge: true: a second attempt may start while the first still runs
+ * @is_public: true: its requests need no key of an organisation
  */
 struct hf_request_class
 {
@@ -71,6 +72,24 @@
   bool resend_refused;
   bool repeatable;
   bool hedge;
+  bool is_public;
+};
+
+/**
+ * struct hf_organisation - organisation whose callers identify themselves with a key
+ * @name: unique; backend servers get it with each request
+ * @keys: struct hf_str, the keys of its callers
+ * @priority: rank of its requests in the queue for slots, before that of the route; -1: that of the route
+ * @rate_per_s: requests a second that it may send, over all entries; 0: no limit
+ * @burst: requests that it may send beyond that at once
+ */
+struct hf_organisation
+{
+  struct hf_str name;
+  struct hf_list keys;
+  int64_t priority;
+  double rate_per_s;
+  double burst;
 };
 
 /**
@@ -85,6 +104,8 @@
  * @health_path: path of the backend servers' health endpoint
  * @measure_interval_ms: interval in which the granter measures the load of free backend servers, 0: never
  * @uses_directory: true: the backend servers are listed by the platform's directory
+ * @cold_requests_per_s: requests a second that a cold backend server tolerates, 0: no limit
+ * @cold_ms: how long a backend server is cold after its start, in milliseconds, 0: not at all
  * @servers: struct hf_server
  * @classes: struct hf_request_class
  */
@@ -100,6 +121,8 @@
   struct hf_str health_path;
   int64_t measure_interval_ms;
   bool uses_directory;
+  double cold_requests_per_s;
+  int64_t cold_ms;
   struct hf_list servers;
   struct hf_list classes;
 };
@@ -147,6 +170,7 @@
  * @entries_max: most entry VMs that run concurrently; connection limits are divided by it
  * @limits: limits for requests of callers
  * @services: struct hf_service
+ * @organisations: struct hf_organisation; none: requests need no key
  * @routes: struct hf_route; matched before the hosts and paths of @services
  */
 struct hf_document
@@ -159,12 +183,15 @@
   int64_t entries_max;
   struct hf_caller_limits limits;
   struct hf_list services;
+  struct hf_list organisations;
   struct hf_list routes;
 };
 
 /* --- public functions: build --- */
 
-struct hf_document *hf_document_new (size_t services, size_t routes);  /* every value is the default */
+struct hf_document *hf_document_new (size_t services, size_t routes);                /* every value is the default */
+void hf_document_set_organisation_count (struct hf_document *document, size_t n);    /* once: default values */
+void hf_organisation_set_key_count (struct hf_organisation *organisation, size_t n); /* once: empty keys */
 void hf_route_set_service_count (struct hf_route *route, size_t n);    /* once: services with default values */
 struct hf_str hf_document_encode (const struct hf_document *document); /* for hf_document_load, to be freed */
 
@@ -182,6 +209,7 @@
 struct hf_weighted_service *hf_route_get_service (const struct hf_route *route, size_t i);  /* i-th, with weight */
 struct hf_server *hf_service_get_server (const struct hf_service *service, size_t i);       /* i-th backend server */
 struct hf_request_class *hf_service_get_class (const struct hf_service *service, size_t i); /* i-th request class */
+struct hf_organisation *hf_document_get_organisation (const struct hf_document *document, size_t i); /* i-th one */
 uint64_t hf_service_id (const struct hf_service *service); /* stable id, hash of the name */
 
 /* Finds a service by name; NULL: none. */
--- a/src/hf-fields-xdr.c
+++ b/src/hf-fields-xdr.c
@@ -69,6 +69,7 @@
   switch (field->type)
     {
     case HF_YAML_INT:
+    case HF_YAML_DURATION:
     case HF_YAML_CHOICE:
       return xdr_int64_t (xdr, value);
     case HF_YAML_REAL:
@@ -157,6 +158,7 @@
   switch (field->type)
     {
     case HF_YAML_INT:
+    case HF_YAML_DURATION:
       return (!field->required && *number == field->default_value) || (*number >= field->min && *number <= field->max);
     case HF_YAML_REAL:
       return *real >= (double) field->min && *real <= (double) field->max;
--- a/src/hf-form.c
+++ b/src/hf-form.c
@@ -50,6 +50,8 @@
       return g_strdup (((const struct hf_str *) place)->data);
     case HF_YAML_INT:
       return g_strdup_printf ("%" G_GINT64_FORMAT, *(const int64_t *) place);
+    case HF_YAML_DURATION:
+      return g_strdup_printf ("%" G_GINT64_FORMAT "ms", *(const int64_t *) place);
     case HF_YAML_REAL:
       return g_strdup_printf ("%g", *(const double *) place);
     case HF_YAML_BOOL:
--- a/src/hf-settings.h
+++ b/src/hf-settings.h
@@ -26,6 +26,14 @@
  * @first_start: true if the whole system starts for the first time; the first lists of the store are delayed
  * @shutdown_timeout_ms: milliseconds from SIGTERM after which the process exits even if calls are in flight
  * @drain_wait_ms: milliseconds that the listener stays open after SIGTERM, for the upstream load balancer to react
+ * @quota_window_ms: window in which the requests of an organisation are counted; 0: limits are not enforced
+ * @quota_overshoot: share of an organisation's limit that may run beyond it in one window
+ * @quota_slack: requests that may run beyond that in one window
+ * @cold_overshoot: factor on the requests a second that a cold backend server tolerates; 0: not limited
+ * @cold_slack: requests that it may get beyond that in one second
+ * @evacuate_ms: longest time from the order to evacuate a failure domain to the last request there; 0: no such orders
+ * @strict_revoke: without contact to the store for @revoke_ms, requests with keys are refused
+ * @revoke_ms: longest time for which a removed key is accepted
  * @log_level: least level of the log lines, enum hf_log_level
  */
 struct hf_settings
@@ -43,6 +51,14 @@
   bool first_start;
   int64_t shutdown_timeout_ms;
   int64_t drain_wait_ms;
+  int64_t quota_window_ms;
+  double quota_overshoot;
+  double quota_slack;
+  double cold_overshoot;
+  double cold_slack;
+  int64_t evacuate_ms;
+  bool strict_revoke;
+  int64_t revoke_ms;
   int64_t log_level;
 };
 
--- a/src/hf-yaml.c
+++ b/src/hf-yaml.c
@@ -8,6 +8,11 @@
 
 #include "config.h"
 
+/* --- constants --- */
+
+#define DURATION_BYTES_MAX 20
+#define DURATION_MAX_MS    864000000.0 /* ten days; more is an error of its writer */
+
 /* --- types --- */
 
 struct reader
@@ -119,6 +124,17 @@
   return true;
 }
 
+static bool
+read_duration (struct reader *reader, yaml_node_t *node, const struct hf_yaml_field *field, int64_t *out)
+{
+  if (!hf_duration_parse (scalar_text (node), out))
+    return set_error (reader, node, "expected a duration such as 500ms or 1.5s, found \"%.40s\"",
+                      node->data.scalar.value);
+  if (*out < field->min || *out > field->max)
+    return set_error (reader, node, "expected %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT " ms", field->min, field->max);
+  return true;
+}
+
 static bool
 read_list (struct reader *reader, yaml_node_t *node, const struct hf_yaml_field *field, struct hf_list *out)
 {
@@ -160,6 +176,8 @@
       return read_int (reader, node, field, place);
     case HF_YAML_REAL:
       return read_real (reader, node, field, place);
+    case HF_YAML_DURATION:
+      return read_duration (reader, node, field, place);
     case HF_YAML_BOOL:
       return read_bool (reader, node, place);
     case HF_YAML_CHOICE:
@@ -290,6 +308,23 @@
 
 /* --- public functions --- */
 
+bool
+hf_duration_parse (struct hf_str text, int64_t *out_ms)
+{
+  char copy[DURATION_BYTES_MAX + 1];
+  char *unit;
+  if (text.len == 0 || text.len > DURATION_BYTES_MAX || !g_ascii_isdigit (text.data[0]))
+    return false;
+  memcpy (copy, text.data, text.len);
+  copy[text.len] = 0;
+  double number = g_ascii_strtod (copy, &unit);
+  double scale = strcmp (unit, "ms") == 0 ? 1.0 : strcmp (unit, "s") == 0 ? 1000.0 : 0.0;
+  if (scale == 0.0 || !(number * scale <= DURATION_MAX_MS))
+    return false;
+  *out_ms = (int64_t) (number * scale);
+  return true;
+}
+
 bool
 hf_address_is_valid (struct hf_str address)
 {
@@ -347,7 +382,7 @@
   for (const struct hf_yaml_field *field = fields; field->name; field++)
     {
       void *place = (char *) out + field->offset;
-      if (field->type == HF_YAML_INT || field->type == HF_YAML_CHOICE)
+      if (field->type == HF_YAML_INT || field->type == HF_YAML_DURATION || field->type == HF_YAML_CHOICE)
         *(int64_t *) place = field->default_value;
       else if (field->type == HF_YAML_REAL)
         *(double *) place = (double) field->default_value / HF_YAML_REAL_SCALE;
--- a/src/hf-yaml.h
+++ b/src/hf-yaml.h
@@ -20,6 +20,7 @@
   HF_YAML_STR,      /* struct hf_str */
   HF_YAML_INT,      /* int64_t, with min and max */
   HF_YAML_REAL,     /* double, with min and max; default in 1/HF_YAML_REAL_SCALE */
+  HF_YAML_DURATION, /* int64_t in milliseconds, written with its unit: 500ms, 1.5s */
   HF_YAML_BOOL,     /* bool */
   HF_YAML_CHOICE,   /* int64_t, index into choices */
   HF_YAML_ADDRESS,  /* struct hf_str, IP:PORT */
@@ -80,6 +81,7 @@
 void hf_yaml_set_defaults (const struct hf_yaml_field *fields, void *out); /* fills a zeroed struct */
 void hf_yaml_locate_error (struct hf_str text, struct hf_error *error);    /* sets line and column from error->path */
 void hf_yaml_free (const struct hf_yaml_field *fields, void *out);         /* frees strings and lists of *out */
+bool hf_duration_parse (struct hf_str text, int64_t *out_ms);              /* 500ms, 1.5s; false: not a duration */
 bool hf_address_is_valid (struct hf_str address);                          /* true for IP:PORT, IPv4 */
 
 #endif
