Servers that refuse no more than the others of their service are not ejected

Cause: a refusal of a server that reports its speed counts as a failure, and five in a row or more than half eject it. Ruled out: the queue limit, and lost messages (granters responded). Change: a server is ejected for failures only if its failure rate exceeds the median of its service by 0.35.

--- a/src/config.h
+++ b/src/config.h
@@ -81,6 +81,7 @@
 #define HF_EJECT_BASE_MS              1000 /* doubled with every further ejection */
 #define HF_EJECT_MAX_MS               30000
 #define HF_EJECT_SERVERS_DIVISOR      3     /* at most 1 / this of a service's servers are ejected */
+#define HF_EJECT_FAILURE_RATE_EXCESS  0.35  /* over the median of the service; five failures in a row give 0.41 */
 #define HF_EJECT_LATENCY_RATIO        4.0   /* times the median latency of the servers; above: ejected */
 #define HF_EJECT_MIN_SAMPLES          8     /* samples before latency or failure rate can eject a server */
 #define HF_SLOW_START_SUCCESSES       2     /* successes before the next slot is used again */
--- a/src/hf-health.c
+++ b/src/hf-health.c
@@ -64,6 +64,30 @@
   server->failure_rate = 0;
 }
 
+/* Half of the servers with enough samples fail no more often. */
+static double
+median_failure_rate (GArray *servers)
+{
+  GArray *rates = g_array_new (FALSE, FALSE, sizeof (double));
+  double median = 0;
+  for (size_t i = 0; i < servers->len; i++)
+    if (server_at (servers, i)->samples >= HF_EJECT_MIN_SAMPLES)
+      g_array_append_val (rates, server_at (servers, i)->failure_rate);
+  g_array_sort (rates, compare_double);
+  if (rates->len > 0)
+    median = g_array_index (rates, double, (rates->len - 1) / 2);
+  g_array_unref (rates);
+  return median;
+}
+
+/* A server that fails no more than the others is not ejected: where all of a service refuse a part of their requests,
+ * ejections would only add their slots to what is missing. */
+static bool
+fails_more_than_others (GArray *servers, const struct hf_pool_server *server)
+{
+  return server->failure_rate - median_failure_rate (servers) >= HF_EJECT_FAILURE_RATE_EXCESS;
+}
+
 static void
 record_failure (GArray *servers, struct hf_pool_server *server, int64_t now)
 {
@@ -71,7 +95,8 @@
   server->consecutive_failures++;
   server->samples++;
   bool mostly_failing = server->samples >= HF_EJECT_MIN_SAMPLES && server->failure_rate > 0.5;
-  if (server->consecutive_failures >= HF_EJECT_CONSECUTIVE_FAILURES || mostly_failing)
+  bool failing = server->consecutive_failures >= HF_EJECT_CONSECUTIVE_FAILURES || mostly_failing;
+  if (failing && fails_more_than_others (servers, server))
     eject (servers, server, now, HF_EJECTED_FAILURES);
 }
 
--- a/tests/test-placing.c
+++ b/tests/test-placing.c
@@ -26,6 +26,8 @@
 #define SLOWDOWN_FACTOR    5 /* latency of a request that starts in such a window, in LATENCY_MS */
 #define MEASUREMENT_RTT_MS 2 /* from sending a measurement to its response */
 
+#define FAILING_SERVERS 24 /* in the tests of ejections */
+
 /* --- types --- */
 
 struct fixture
@@ -359,6 +361,60 @@
   close_fixture (fixture);
 }
 
+/* --- tests: ejections where many servers fail --- */
+
+/* Lets each of 24 servers end @rounds requests, one after the other; that at index i fails with a probability of
+ * shares[i] percent. Returns the mean share of the servers that were usable, in percent. */
+static double
+run_failures (const int *shares, int rounds, unsigned *ejected)
+{
+  GArray *servers = g_array_new (FALSE, TRUE, sizeof (struct hf_pool_server));
+  uint64_t random_state = 1;
+  int64_t now = HF_SEC;
+  uint64_t usable = 0;
+  g_array_set_size (servers, FAILING_SERVERS);
+  for (int i = 0; i < FAILING_SERVERS; i++)
+    g_array_index (servers, struct hf_pool_server, i).slots = SLOTS_PER_SERVER;
+  for (int n = 0; n < rounds * FAILING_SERVERS; n++)
+    {
+      struct hf_pool_server *server = &g_array_index (servers, struct hf_pool_server, n % FAILING_SERVERS);
+      bool fails = (int) (hf_random_next (&random_state) % 100) < shares[n % FAILING_SERVERS];
+      now += HF_MS;
+      hf_health_record_slowdown (server, now, 100);
+      if (server->ejected_until <= now)
+        hf_health_record_result (servers, server, now, fails ? HF_SLOT_REFUSED : HF_SLOT_OK, LATENCY_MS * HF_MS);
+      usable += hf_health_is_usable (server, now);
+      ejected[n % FAILING_SERVERS] += server->ejected_until > now;
+    }
+  g_array_unref (servers);
+  return 100.0 * (double) usable / (rounds * FAILING_SERVERS);
+}
+
+/* Guards against a third of the servers being ejected while all of them refuse a part of their requests: the others
+ * then lack their slots, and none of them refuses less. */
+static void
+test_all_refuse (void)
+{
+  int shares[FAILING_SERVERS];
+  unsigned ejected[FAILING_SERVERS] = { 0 };
+  for (int i = 0; i < FAILING_SERVERS; i++)
+    shares[i] = 55;
+  g_assert_cmpfloat (run_failures (shares, 300, ejected), >=, 95);
+}
+
+/* Servers that fail far more than the others are ejected, also where these are half of the service. */
+static void
+test_some_refuse (void)
+{
+  int shares[FAILING_SERVERS];
+  unsigned ejected[FAILING_SERVERS] = { 0 };
+  for (int i = 0; i < FAILING_SERVERS; i++)
+    shares[i] = i % 2 ? 90 : 2;
+  run_failures (shares, 300, ejected);
+  for (int i = 0; i < FAILING_SERVERS; i++)
+    g_assert_true ((ejected[i] > 0) == (i % 2 == 1));
+}
+
 /* --- tests: servers that are measured before they get requests --- */
 
 static struct fixture *
@@ -625,6 +681,8 @@
   g_test_add_func ("/placing/silent", test_silent_server);
   g_test_add_func ("/placing/crowding", test_saturation);
   g_test_add_func ("/placing/overload", test_overload);
+  g_test_add_func ("/placing/all-refuse", test_all_refuse);
+  g_test_add_func ("/placing/some-refuse", test_some_refuse);
   g_test_add_func ("/placing/asks-first", test_measure_before_grant);
   g_test_add_func ("/placing/no-slow-start", test_no_grant_while_slow);
   g_test_add_func ("/placing/lasting-slow", test_persistent_slowness);
