Requests carry the key of an organisation; without one they get 401

Callers of one large site belong to organisations, which are to be told apart by the backend servers and served by priorities of their own. If the document has organisations, a request needs a key of one of them unless its class is public: else it gets 401 before a slot is requested. Backend servers get the name of the organisation instead of the key, whatever fields the caller sent; the codec of the header fields names the two fields and the scheme.

The keys are in a hash table that is built with the document and finds a key that two organisations have. Which fields are dropped is decided by the call's document when an attempt starts, since a request may arrive under one configuration and be routed by the next.

Slot requests carry the organisation, in messages, too (version 5); pools do not read it yet. The quarantine tells requests of two organisations apart.

--- a/src/hf-calls.c
+++ b/src/hf-calls.c
@@ -5,6 +5,7 @@
 #include "hf-call-end.h"
 #include "hf-claims.h"
 #include "hf-deadlines.h"
+#include "hf-organisations.h"
 #include "hf-quarantine.h"
 #include "hf-routing.h"
 #include "hf-shutdown.h"
@@ -84,7 +85,10 @@
     .incarnation = server->incarnation,
     .idle_max_ms = hf_attempts_connection_idle_max_ms (call, i, server->id),
     .remaining_ms = MAX (1, (hf_shutdown_server_deadline (state, call) - state->now) / HF_MS),
+    .has_organisations = call->document->organisations.n > 0,
   };
+  if (call->organisation)
+    effect.organisation = hf_effects_copy (state->effects, call->organisation->name);
   effect.address = hf_effects_copy (state->effects, server->address);
   effect.name = hf_effects_copy (state->effects, server->name);
   attempt->phase = HF_PHASE_RUNNING;
@@ -404,7 +408,10 @@
 /* --- internal functions: arrival --- */
 
 static struct hf_call *
-add_call (struct hf_state *state, const struct hf_event *event, const struct hf_route_target *target)
+add_call (struct hf_state *state,
+          const struct hf_event *event,
+          const struct hf_route_target *target,
+          const struct hf_organisation *organisation)
 {
   const struct hf_request_class *class = target->class;
   struct hf_call *call = g_new0 (struct hf_call, 1);
@@ -412,6 +419,8 @@
   call->document = hf_document_ref (state->document);
   call->service = target->service;
   call->class = class;
+  call->organisation = organisation;
+  call->priority = (unsigned) (organisation && organisation->priority >= 0 ? organisation->priority : class->priority);
   call->slice_id = hf_slices_choose (state, hf_service_id (target->service));
   hf_deadlines_set (state, call, event);
   call->body_bytes = event->request.body_bytes;
@@ -422,15 +431,51 @@
   return call;
 }
 
+/* Why a request is refused with 401, by its credential. */
+static const char *
+explain_unauthorised (enum hf_credential credential)
+{
+  switch (credential)
+    {
+    case HF_CREDENTIAL_NONE:
+      return "the request has no key";
+    case HF_CREDENTIAL_KEY:
+      return "the key is not known";
+    case HF_CREDENTIAL_MALFORMED:
+      return "the request has no key of the expected scheme";
+    case HF_CREDENTIAL_SEVERAL:
+      return "the request has more than one field for a key";
+    }
+  return "";
+}
+
+/* Finds the organisation of the caller. Returns false if the request needs a key and has no valid one. */
+static bool
+authorise (struct hf_state *state,
+           const struct hf_event *event,
+           const struct hf_request_class *class,
+           const struct hf_organisation **organisation)
+{
+  const struct hf_document *document = state->document;
+  *organisation = hf_organisations_find (document->organisation_keys, event->request.organisation_key);
+  if (*organisation || class->is_public || document->organisations.n == 0)
+    return true;
+  const char *reason = explain_unauthorised (event->request.credential);
+  hf_trace_request_unauthorised (state, event, class, reason);
+  hf_call_send_error (state, event->call, 401, HF_OUTCOME_NOT_RUN, 0, reason);
+  return false;
+}
+
 /* Of all that makes a request crash servers again: requests that differ in any of it are told apart, as a sound one
  * makes the crashes of its fingerprint forgotten. The host may be the address of this entry: it is no part of it. */
 static uint64_t
-request_fingerprint (const struct hf_event *event)
+request_fingerprint (const struct hf_event *event, const struct hf_organisation *organisation)
 {
   uint64_t method = hf_hash (event->request.method, 0);
   uint64_t path = hf_hash (event->request.path, method);
   uint64_t query = hf_hash (event->request.query, path);
-  return hf_hash_pair (query, event->request.body_digest);
+  uint64_t fingerprint = hf_hash_pair (query, event->request.body_digest);
+  return organisation ? hf_hash_pair (fingerprint, hf_organisation_id (organisation)) : fingerprint;
 }
 
 /* --- public functions: events --- */
@@ -462,7 +507,10 @@
                           target.service ? "no request class matches" : "no such service");
       return;
     }
-  uint64_t fingerprint = request_fingerprint (event);
+  const struct hf_organisation *organisation;
+  if (!authorise (state, event, target.class, &organisation))
+    return;
+  uint64_t fingerprint = request_fingerprint (event, organisation);
   if (hf_quarantine_is_active (state, fingerprint))
     {
       hf_state_increment (state, HF_COUNT_QUARANTINED);
@@ -471,7 +519,7 @@
                           "quarantined: backend servers broke under this request");
       return;
     }
-  struct hf_call *call = add_call (state, event, &target);
+  struct hf_call *call = add_call (state, event, &target, organisation);
   call->fingerprint = fingerprint;
   hf_trace_request_routed (state, call);
   if (!hf_shutdown_accept (state, call))
--- a/src/hf-deadlines.c
+++ b/src/hf-deadlines.c
@@ -74,7 +74,7 @@
   if (call->class->aim_ms == 0)
     return HF_RETRY_AFTER_DEFAULT_MS;
   int64_t spread_ms = MAX (left_ms / HF_RETRY_AFTER_DIVISOR, 1);
-  int64_t rank = call->class->priority == 0 ? 1 : MIN (call->class->priority, HF_RETRY_AFTER_RANKS);
+  int64_t rank = call->priority == 0 ? 1 : MIN ((int64_t) call->priority, HF_RETRY_AFTER_RANKS);
   int64_t window_ms = spread_ms * rank / HF_RETRY_AFTER_RANKS;
   return MAX (spread_ms / HF_RETRY_AFTER_RANKS / 2, 1)
          + (int64_t) (hf_random_next (&state->random_state) % (uint64_t) MAX (window_ms, 1));
--- a/src/hf-document.c
+++ b/src/hf-document.c
@@ -4,6 +4,7 @@
 #include <glib.h>
 
 #include "hf-fields-xdr.h"
+#include "hf-organisations.h"
 
 #include "config.h"
 
@@ -493,8 +494,19 @@
   return ok;
 }
 
+/* Builds the table of keys, which finds keys that two organisations have. */
 static bool
-check_document (const struct hf_document *document, struct hf_error *error)
+check_organisations (struct hf_document *document, struct hf_error *error)
+{
+  if (document->organisations.n == 0)
+    return true;
+  uint64_t seed = (uint64_t) g_random_int () << 32 | g_random_int ();
+  document->organisation_keys = hf_organisations_new (&document->organisations, seed, error);
+  return document->organisation_keys != NULL;
+}
+
+static bool
+check_document (struct hf_document *document, struct hf_error *error)
 {
   GHashTable *names = g_hash_table_new (g_str_hash, g_str_equal);
   bool ok = true;
@@ -509,7 +521,7 @@
         ok = check_service (document, i, error);
     }
   g_hash_table_destroy (names);
-  return ok && check_routes (document, error);
+  return ok && check_routes (document, error) && check_organisations (document, error);
 }
 
 static struct hf_list
@@ -594,6 +606,7 @@
 {
   if (!document || --document->ref_count > 0)
     return;
+  hf_organisations_free (document->organisation_keys);
   hf_yaml_free (hf_document_fields, document);
   hf_str_free (&document->text);
   g_free (document);
--- a/src/hf-document.h
+++ b/src/hf-document.h
@@ -10,6 +10,8 @@
 
 #include "hf-yaml.h"
 
+struct hf_organisations;
+
 /* --- types --- */
 
 /** enum hf_policy_kind - how a backend server of a service is chosen */
@@ -171,6 +173,7 @@
  * @limits: limits for requests of callers
  * @services: struct hf_service
  * @organisations: struct hf_organisation; none: requests need no key
+ * @organisation_keys: table of their keys; NULL: there are no organisations
  * @routes: struct hf_route; matched before the hosts and paths of @services
  */
 struct hf_document
@@ -184,6 +187,7 @@
   struct hf_caller_limits limits;
   struct hf_list services;
   struct hf_list organisations;
+  struct hf_organisations *organisation_keys;
   struct hf_list routes;
 };
 
--- a/src/hf-event.h
+++ b/src/hf-event.h
@@ -57,6 +57,15 @@
   HF_PURPOSE_PROBES,
 };
 
+/** enum hf_credential - what a request carries to identify the organisation of its caller */
+enum hf_credential
+{
+  HF_CREDENTIAL_NONE,
+  HF_CREDENTIAL_KEY,       /* one key */
+  HF_CREDENTIAL_MALFORMED, /* the field is there, but has another scheme or no key */
+  HF_CREDENTIAL_SEVERAL,   /* more than one field, so that none counts */
+};
+
 /** struct hf_header - one HTTP header field of a request */
 struct hf_header
 {
@@ -184,6 +193,8 @@
     struct hf_str path;
     struct hf_str query;           /* what follows the path and its '?'; empty: none */
     struct hf_str idempotency_key; /* empty: none */
+    enum hf_credential credential;
+    struct hf_str organisation_key; /* HF_CREDENTIAL_KEY: the key, never logged; else empty */
     const struct hf_header *headers;
     size_t n_headers;
     struct hf_str id;     /* request id for logs; empty: none */
@@ -263,9 +274,11 @@
   uint64_t server;        /* id of the backend server */
   uint64_t incarnation;   /* DISPATCH, SEND_PROBE: run of the server that is meant */
   struct hf_str address;
-  struct hf_str path;   /* SEND_PROBE */
-  int64_t idle_max_ms;  /* DISPATCH: reuse only a connection idle for less; 0: open a new one */
-  int64_t remaining_ms; /* DISPATCH: remaining deadline, sent to the backend server */
+  struct hf_str path;         /* SEND_PROBE */
+  int64_t idle_max_ms;        /* DISPATCH: reuse only a connection idle for less; 0: open a new one */
+  int64_t remaining_ms;       /* DISPATCH: remaining deadline, sent to the backend server */
+  bool has_organisations;     /* DISPATCH: the caller's fields for key and organisation are not forwarded */
+  struct hf_str organisation; /* DISPATCH: name sent to the backend server; empty: none */
   struct hf_rpc_message message;
   enum hf_platform_op op;
   enum hf_platform_purpose purpose;
--- a/src/hf-header-codec.c
+++ b/src/hf-header-codec.c
@@ -8,8 +8,9 @@
 
 /* --- constants --- */
 
-#define RETRY_AFTER_FIELD "Retry-After"
-#define DATE_BYTES_MAX    64 /* of an HTTP date */
+#define RETRY_AFTER_FIELD  "Retry-After"
+#define ORGANISATION_FIELD "Hickory-Organisation"
+#define DATE_BYTES_MAX     64 /* of an HTTP date */
 
 /* --- internal functions: Retry-After --- */
 
@@ -56,6 +57,27 @@
   return CLAMP (ms, 0, HF_RETRY_AFTER_MAX_SEC * 1000);
 }
 
+/* --- internal functions: key of an organisation --- */
+
+static bool
+is_blank (char byte)
+{
+  return byte == ' ' || byte == '\t';
+}
+
+/* Reads "scheme key"; returns false if the value has another scheme or no key. */
+static bool
+parse_key (struct hf_str value, struct hf_str scheme, struct hf_str *key)
+{
+  size_t i = scheme.len;
+  if (value.len <= i || !hf_str_equal_nocase ((struct hf_str){ value.data, i }, scheme) || !is_blank (value.data[i]))
+    return false;
+  while (i < value.len && is_blank (value.data[i]))
+    i++;
+  *key = (struct hf_str){ value.data + i, value.len - i };
+  return key->len > 0;
+}
+
 /* --- internal functions --- */
 
 static void
@@ -74,6 +96,8 @@
 write_forward_fields (GString *text, const struct hf_forward_info *info)
 {
   g_string_append_printf (text, "Request-Deadline-Ms: %" G_GINT64_FORMAT "\r\n", info->remaining_ms);
+  if (info->organisation.len > 0)
+    hf_http_append_field (text, ORGANISATION_FIELD, info->organisation);
 }
 
 static struct hf_response_hints
@@ -91,6 +115,9 @@
 
 const struct hf_header_codec hf_header_codec_default = { .request_id_field = "X-Request-Id",
                                                          .generates_request_id = true,
+                                                         .key_field = "Authorization",
+                                                         .key_scheme = "Bearer",
+                                                         .organisation_field = ORGANISATION_FIELD,
                                                          .read_request = read_request,
                                                          .is_replaced = is_replaced,
                                                          .write_forward_fields = write_forward_fields,
@@ -112,6 +139,32 @@
   return !codec->echoes_request_id || hf_str_equal (hf_header_codec_request_id (codec, head), request_id);
 }
 
+void
+hf_header_codec_read_key (const struct hf_header_codec *codec, const struct hf_http_head *head, struct hf_event *event)
+{
+  struct hf_str key = { 0 };
+  event->request.credential = HF_CREDENTIAL_NONE;
+  for (guint i = 0; i < head->fields->len; i++)
+    {
+      const struct hf_header *field = &g_array_index (head->fields, struct hf_header, i);
+      if (!hf_str_equal_nocase (field->name, hf_str (codec->key_field)))
+        continue;
+      bool is_first = event->request.credential == HF_CREDENTIAL_NONE;
+      bool is_valid = parse_key (field->value, hf_str (codec->key_scheme), &key);
+      event->request.credential = is_valid ? HF_CREDENTIAL_KEY : HF_CREDENTIAL_MALFORMED;
+      if (!is_first)
+        event->request.credential = HF_CREDENTIAL_SEVERAL;
+    }
+  event->request.organisation_key = event->request.credential == HF_CREDENTIAL_KEY ? key : (struct hf_str){ 0 };
+}
+
+bool
+hf_header_codec_is_organisation_field (const struct hf_header_codec *codec, struct hf_str name)
+{
+  return hf_str_equal_nocase (name, hf_str (codec->key_field))
+         || hf_str_equal_nocase (name, hf_str (codec->organisation_field));
+}
+
 void
 hf_header_codec_read_retry_after (const struct hf_http_head *head, int64_t wall_time, struct hf_response_hints *hints)
 {
--- a/src/hf-header-codec.h
+++ b/src/hf-header-codec.h
@@ -15,8 +15,9 @@
 /** struct hf_forward_info - values that an entry adds to a forwarded request */
 struct hf_forward_info
 {
-  struct hf_str server; /* name of the backend server that is to run it */
-  int64_t remaining_ms; /* time left until the deadline */
+  struct hf_str server;       /* name of the backend server that is to run it */
+  int64_t remaining_ms;       /* time left until the deadline */
+  struct hf_str organisation; /* name of the caller's organisation; empty: none */
 };
 
 /**
@@ -24,6 +25,9 @@
  * @request_id_field: name of the field that identifies a request
  * @echoes_request_id: backend servers repeat the request id in every response
  * @generates_request_id: a request without an id is given one
+ * @key_field: name of the field with the key of the caller's organisation
+ * @key_scheme: scheme before the key in that field
+ * @organisation_field: name of the field that names the organisation to a backend server
  * @read_request: sets idempotency key and deadline of a REQUEST event, if the codec has fields for them
  * @is_replaced: true for a field of the caller that is not forwarded
  * @write_forward_fields: appends the fields added to a forwarded request
@@ -35,6 +39,9 @@
   const char *request_id_field;
   bool echoes_request_id;
   bool generates_request_id;
+  const char *key_field;
+  const char *key_scheme;
+  const char *organisation_field;
   void (*read_request) (const struct hf_http_head *head, struct hf_event *event);
   bool (*is_replaced) (struct hf_str name);
   void (*write_forward_fields) (GString *text, const struct hf_forward_info *info);
@@ -51,6 +58,11 @@
                                      const struct hf_http_head *head,
                                      struct hf_str request_id);
 extern const struct hf_header_codec hf_header_codec_default; /* header fields of this project */
+/* Sets credential and organisation key of a REQUEST event; the key points into the head. */
+void
+hf_header_codec_read_key (const struct hf_header_codec *codec, const struct hf_http_head *head, struct hf_event *event);
+/* True for a field that is forwarded only if the configuration has no organisations. */
+bool hf_header_codec_is_organisation_field (const struct hf_header_codec *codec, struct hf_str name);
 /* True if the response tells which requests its server does not want: a SERVER_HINTS event. name: the server that the
  * request was sent to; a response of another one tells nothing about it. */
 bool hf_header_codec_has_restriction (const struct hf_header_codec *codec,
--- a/src/hf-http-head.c
+++ b/src/hf-http-head.c
@@ -44,6 +44,7 @@
   } reasons[] = { { 200, "OK" },
                   { 204, "No Content" },
                   { 400, "Bad Request" },
+                  { 401, "Unauthorized" },
                   { 404, "Not Found" },
                   { 405, "Method Not Allowed" },
                   { 408, "Request Timeout" },
--- a/src/hf-pool.h
+++ b/src/hf-pool.h
@@ -37,6 +37,7 @@
   uint64_t entry;        /* boot id of the requesting entry */
   uint64_t ticket;       /* identifies the attempt at that entry, see hf_state_ticket */
   unsigned priority;     /* 0: first in the queue */
+  uint64_t organisation; /* hf_organisation_id of the caller's organisation; 0: none */
   unsigned worth;        /* of a timely response; orders requests of the same priority, the highest first */
   int64_t soft_deadline; /* a response is worth most before then; 0: until the deadline */
   int64_t deadline;
--- a/src/hf-proxy.c
+++ b/src/hf-proxy.c
@@ -9,6 +9,13 @@
 
 /* --- types --- */
 
+/* A part of a text. */
+struct span
+{
+  size_t begin;
+  size_t len;
+};
+
 /* A caller's request, until its response is sent. */
 struct call
 {
@@ -19,9 +26,10 @@
   struct hf_str host;
   struct hf_str target;
   struct hf_str request_id;
-  GString *fields;       /* header lines that are forwarded */
-  GArray *header_copies; /* struct hf_header, all fields, for routing */
-  struct hf_event event; /* REQUEST event, with the values read from the head */
+  GString *fields;             /* header lines that are forwarded */
+  GArray *organisation_fields; /* struct span, lines of @fields with the key or name of an organisation */
+  GArray *header_copies;       /* struct hf_header, all fields, for routing */
+  struct hf_event event;       /* REQUEST event, with the values read from the head */
   bool has_body;
   int64_t content_length; /* declared bytes of the body; -1: chunked, or no body */
   GByteArray *body;       /* kept bytes */
@@ -77,12 +85,14 @@
     }
   g_array_unref (call->header_copies);
   g_string_free (call->fields, TRUE);
+  g_array_unref (call->organisation_fields);
   g_byte_array_unref (call->body);
   hf_str_free (&call->method);
   hf_str_free (&call->host);
   hf_str_free (&call->target);
   hf_str_free (&call->request_id);
   hf_str_free (&call->event.request.idempotency_key);
+  hf_str_free (&call->event.request.organisation_key);
   g_free (call);
 }
 
@@ -117,6 +127,8 @@
   if (call->request_id.len > 0)
     hf_http_append_field (fields, call->proxy->codec->request_id_field, call->request_id);
   append_retry_after (fields, effect->retry_after_ms);
+  if (effect->status == 401)
+    hf_http_append_field (fields, "WWW-Authenticate", hf_str (call->proxy->codec->key_scheme));
   call->answered = true;
   hf_http_respond (call->request, effect->status, (struct hf_str){ fields->str, fields->len }, hf_str (body));
   g_string_free (fields, TRUE);
@@ -221,10 +233,14 @@
   g_array_append_val (call->header_copies, copy);
   if (hf_http_head_is_hop_by_hop (head, field->name) || call->proxy->codec->is_replaced (field->name))
     return;
+  struct span span = { .begin = call->fields->len };
   g_string_append_len (call->fields, field->name.data, (gssize) field->name.len);
   g_string_append (call->fields, ": ");
   g_string_append_len (call->fields, field->value.data, (gssize) field->value.len);
   g_string_append (call->fields, "\r\n");
+  span.len = call->fields->len - span.begin;
+  if (hf_header_codec_is_organisation_field (call->proxy->codec, field->name))
+    g_array_append_val (call->organisation_fields, span);
 }
 
 static void
@@ -270,12 +286,15 @@
   call->content_length = head->content_length;
   call->body = g_byte_array_new ();
   call->fields = g_string_new (NULL);
+  call->organisation_fields = g_array_new (FALSE, FALSE, sizeof (struct span));
   call->header_copies = g_array_new (FALSE, FALSE, sizeof (struct hf_header));
   for (guint i = 0; i < head->fields->len; i++)
     add_field (call, head, &g_array_index (head->fields, struct hf_header, i));
   set_request_id (call, head);
   proxy->codec->read_request (head, &call->event);
+  hf_header_codec_read_key (proxy->codec, head, &call->event);
   call->event.request.idempotency_key = hf_str_dup (call->event.request.idempotency_key);
+  call->event.request.organisation_key = hf_str_dup (call->event.request.organisation_key);
   call->event.request.arrived_at = hf_loop_now ();
   hf_http_request_set_data (request, call);
   g_hash_table_insert (proxy->calls, &call->id, call);
@@ -404,14 +423,29 @@
   return g_hash_table_lookup (proxy->calls, &id);
 }
 
+/* Appends the caller's fields, without those of its organisation if the configuration has organisations. */
+static void
+append_caller_fields (GString *head, const struct call *call, bool has_organisations)
+{
+  size_t begin = 0;
+  for (guint i = 0; has_organisations && i < call->organisation_fields->len; i++)
+    {
+      const struct span *span = &g_array_index (call->organisation_fields, struct span, i);
+      g_string_append_len (head, call->fields->str + begin, (gssize) (span->begin - begin));
+      begin = span->begin + span->len;
+    }
+  g_string_append_len (head, call->fields->str + begin, (gssize) (call->fields->len - begin));
+}
+
 static GString *
 build_request_head (const struct call *call, const struct hf_effect *effect)
 {
   GString *head = g_string_sized_new (call->fields->len + 256);
-  struct hf_forward_info forward_info = { .server = effect->name, .remaining_ms = effect->remaining_ms };
+  struct hf_forward_info forward_info
+      = { .server = effect->name, .remaining_ms = effect->remaining_ms, .organisation = effect->organisation };
   g_string_append_printf (head, HF_STR_FMT " " HF_STR_FMT " HTTP/1.1\r\n", HF_STR_ARG (call->method),
                           HF_STR_ARG (call->target));
-  g_string_append_len (head, call->fields->str, (gssize) call->fields->len);
+  append_caller_fields (head, call, effect->has_organisations);
   call->proxy->codec->write_forward_fields (head, &forward_info);
   int64_t length = call->streams_body ? call->content_length : (int64_t) call->body->len;
   if (call->has_body && length >= 0)
--- a/src/hf-rpc.c
+++ b/src/hf-rpc.c
@@ -159,10 +159,12 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->ticket))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		 if (!xdr_u_int (xdrs, &objp->priority))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->organisation))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->priority))
-				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->worth))
 				 return FALSE;
 			 if (!xdr_int (xdrs, &objp->soft_deadline_ms))
@@ -171,7 +173,6 @@
 				 return FALSE;
 
 		} else {
-		IXDR_PUT_U_LONG(buf, objp->priority);
 		IXDR_PUT_U_LONG(buf, objp->worth);
 		IXDR_PUT_LONG(buf, objp->soft_deadline_ms);
 		IXDR_PUT_U_LONG(buf, objp->remaining_ms);
@@ -200,10 +201,12 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->ticket))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		 if (!xdr_u_int (xdrs, &objp->priority))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->organisation))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->priority))
-				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->worth))
 				 return FALSE;
 			 if (!xdr_int (xdrs, &objp->soft_deadline_ms))
@@ -212,7 +215,6 @@
 				 return FALSE;
 
 		} else {
-		objp->priority = IXDR_GET_U_LONG(buf);
 		objp->worth = IXDR_GET_U_LONG(buf);
 		objp->soft_deadline_ms = IXDR_GET_LONG(buf);
 		objp->remaining_ms = IXDR_GET_U_LONG(buf);
@@ -244,6 +246,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->priority))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->organisation))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->worth))
 		 return FALSE;
 	 if (!xdr_int (xdrs, &objp->soft_deadline_ms))
--- a/src/hf-rpc.h
+++ b/src/hf-rpc.h
@@ -14,7 +14,7 @@
 #endif
 
 #define HF_RPC_PROGRAM 541083233
-#define HF_RPC_VERSION 4
+#define HF_RPC_VERSION 5
 #define HF_RPC_LOADS_MAX 512
 #define HF_RPC_GRANTS_MAX 512
 #define HF_RPC_CONFIG_CHUNK_MAX 8192
@@ -77,6 +77,7 @@
 	u_quad_t service;
 	u_quad_t ticket;
 	u_int priority;
+	u_quad_t organisation;
 	u_int worth;
 	int soft_deadline_ms;
 	u_int remaining_ms;
--- a/src/hf-rpc.x
+++ b/src/hf-rpc.x
@@ -7,7 +7,7 @@
  * constants and enumerators, are the wire format.
  */
 const HF_RPC_PROGRAM = 541083233;
-const HF_RPC_VERSION = 4;
+const HF_RPC_VERSION = 5;
 const HF_RPC_LOADS_MAX = 512;
 const HF_RPC_GRANTS_MAX = 512;
 const HF_RPC_CONFIG_CHUNK_MAX = 8192;
@@ -66,12 +66,14 @@
   unsigned hyper grants<HF_RPC_GRANTS_MAX>;
 };
 
-/* Requests one slot from the granter of a service (service: id of the slice, ticket: id of the attempt at the sender).
+/* Requests one slot from the granter of a service (service: id of the slice, ticket: id of the attempt at the sender,
+ * organisation: hash of the name of the caller's organisation, 0: none).
  * soft_deadline_ms, remaining_ms: time until the soft deadline (negative: it has passed) and until the deadline. */
 struct hf_rpc_acquire {
   unsigned hyper service;
   unsigned hyper ticket;
   unsigned int priority;
+  unsigned hyper organisation;
   unsigned int worth;
   int soft_deadline_ms;
   unsigned int remaining_ms;
--- a/src/hf-slots.c
+++ b/src/hf-slots.c
@@ -4,6 +4,7 @@
 #include "hf-calls.h"
 #include "hf-measure.h"
 #include "hf-members.h"
+#include "hf-organisations.h"
 #include "hf-restrictions.h"
 #include "hf-trace.h"
 
@@ -78,7 +79,8 @@
   struct hf_slot_request request = {
     .entry = state->boot_id,
     .ticket = hf_state_ticket (call->id, attempt_index),
-    .priority = (unsigned) call->class->priority,
+    .priority = call->priority,
+    .organisation = hf_organisation_id (call->organisation),
     .worth = (unsigned) call->class->worth,
     .soft_deadline = call->soft_deadline,
     .deadline = call->deadline,
@@ -103,7 +105,8 @@
   message.body.hf_rpc_body_u.acquire = (struct hf_rpc_acquire){
     .service = call->slice_id,
     .ticket = hf_state_ticket (call->id, attempt_index),
-    .priority = (unsigned) call->class->priority,
+    .priority = call->priority,
+    .organisation = hf_organisation_id (call->organisation),
     .worth = (unsigned) call->class->worth,
     .soft_deadline_ms = (int) ((call->soft_deadline - state->now) / HF_MS),
     .remaining_ms = (unsigned) MAX (remaining_ms, 0),
@@ -192,6 +195,7 @@
     .entry = from,
     .ticket = acquire->ticket,
     .priority = acquire->priority,
+    .organisation = acquire->organisation,
     .worth = acquire->worth,
     .soft_deadline = state->now + acquire->soft_deadline_ms * HF_MS,
     .failure_domain = acquire->failure_domain,
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -164,11 +164,13 @@
   struct hf_document *document; /* reference to the configuration that it was routed by */
   const struct hf_service *service;
   const struct hf_request_class *class;
-  uint64_t slice_id;       /* id of the slice that serves it */
-  int64_t arrived_at;      /* when its head arrived */
-  int64_t deadline;        /* the call fails then */
-  int64_t caller_deadline; /* the caller gives up then; it may retry before */
-  int64_t soft_deadline;   /* a response before then is worth most */
+  const struct hf_organisation *organisation; /* of @document, by the key of the request; NULL: none */
+  unsigned priority;                          /* rank in the queue for slots: of the organisation or the class */
+  uint64_t slice_id;                          /* id of the slice that serves it */
+  int64_t arrived_at;                         /* when its head arrived */
+  int64_t deadline;                           /* the call fails then */
+  int64_t caller_deadline;                    /* the caller gives up then; it may retry before */
+  int64_t soft_deadline;                      /* a response before then is worth most */
   size_t body_bytes;
   struct hf_str request_id;
   uint64_t fingerprint;  /* hash for the quarantine */
--- a/src/hf-trace.c
+++ b/src/hf-trace.c
@@ -3,6 +3,8 @@
 
 #include <string.h>
 
+#include "hf-organisations.h"
+
 /* --- constants --- */
 
 static const char *const result_names[] = {
@@ -165,6 +167,21 @@
   add_log_line (state, HF_LOG_REQUEST_REFUSED, event->request.id, fields, G_N_ELEMENTS (fields));
 }
 
+void
+hf_trace_request_unauthorised (struct hf_state *state,
+                               const struct hf_event *event,
+                               const struct hf_request_class *class,
+                               const char *reason)
+{
+  char digest[HF_KEY_DIGEST_CHARS + 1] = "";
+  if (event->request.organisation_key.len > 0)
+    hf_organisations_key_digest (event->request.organisation_key, digest);
+  const struct hf_log_field fields[]
+      = { HF_LOG_INT ("status", 401), HF_LOG_TEXT ("reason", hf_str (reason)), HF_LOG_TEXT ("class", class->name),
+          HF_LOG_TEXT ("key_digest", hf_str (digest)), HF_LOG_INT ("generation", hf_state_generation (state)) };
+  add_log_line (state, HF_LOG_REQUEST_REFUSED, event->request.id, fields, G_N_ELEMENTS (fields));
+}
+
 void
 hf_trace_request_failed (struct hf_state *state,
                          const struct hf_call *call,
