Strict revocation: without contact to the store, no key is accepted for longer than revoke

A VM that hears nothing from the store keeps its configuration, and with it keys that may have been removed. Where the deployment sets strict_revoke, requests with keys get 503 (not run) once nothing has confirmed the configuration for the time revoke. It is confirmed by the entry's own watch, or by a directory update of an entry that watches and has no newer configuration; not while another entry is known to have a newer one. Heartbeats were ruled out, as they do not tell when their sender last heard from the store.

The log line of a refused document names the field.

--- a/src/hf-calls.c
+++ b/src/hf-calls.c
@@ -7,6 +7,7 @@
 #include "hf-deadlines.h"
 #include "hf-organisations.h"
 #include "hf-quarantine.h"
+#include "hf-revocation.h"
 #include "hf-routing.h"
 #include "hf-shutdown.h"
 #include "hf-slices.h"
@@ -449,6 +450,20 @@
   return "";
 }
 
+/* With strict revocation, a key that was valid in a configuration that nothing confirms is not taken for valid. */
+static bool
+refuse_unconfirmed (struct hf_state *state, const struct hf_event *event)
+{
+  static const char *const reason = "the configuration is not confirmed, so that no key is accepted";
+  bool has_key = state->document->organisations.n > 0 && event->request.credential == HF_CREDENTIAL_KEY;
+  if (!has_key || !hf_revocation_is_due (state))
+    return false;
+  hf_trace_request_refused (state, event, 503, reason);
+  hf_call_send_error (state, event->call, 503, HF_OUTCOME_NOT_RUN, HF_RETRY_AFTER_DEFAULT_MS, reason);
+  hf_state_increment (state, HF_COUNT_UNCONFIRMED);
+  return true;
+}
+
 /* Finds the organisation of the caller. Returns false if the request needs a key and has no valid one. */
 static bool
 authorise (struct hf_state *state,
@@ -457,10 +472,13 @@
            const struct hf_organisation **organisation)
 {
   const struct hf_document *document = state->document;
+  if (refuse_unconfirmed (state, event))
+    return false;
   *organisation = hf_organisations_find (document->organisation_keys, event->request.organisation_key);
   if (*organisation || class->is_public || document->organisations.n == 0)
     return true;
   const char *reason = explain_unauthorised (event->request.credential);
+  hf_state_increment (state, HF_COUNT_UNAUTHORISED);
   hf_trace_request_unauthorised (state, event, class, reason);
   hf_call_send_error (state, event->call, 401, HF_OUTCOME_NOT_RUN, 0, reason);
   return false;
--- a/src/hf-config-sync.c
+++ b/src/hf-config-sync.c
@@ -4,6 +4,7 @@
 #include "hf-calls.h"
 #include "hf-directory.h"
 #include "hf-members.h"
+#include "hf-revocation.h"
 #include "hf-slices.h"
 #include "hf-slots.h"
 
@@ -95,8 +96,8 @@
   struct hf_document *document = hf_document_load (text, &error);
   if (!document)
     {
-      hf_state_log (state, HF_LOG_CONFIG_INVALID, "rejecting generation %" G_GUINT64_FORMAT " from %s, line %u: %s",
-                    (guint64) generation, source, error.line, error.message);
+      hf_state_log (state, HF_LOG_CONFIG_INVALID, "rejecting generation %" G_GUINT64_FORMAT " from %s, line %u: %s%s%s",
+                    (guint64) generation, source, error.line, error.path, *error.path ? ": " : "", error.message);
       return false;
     }
   document->generation = generation;
@@ -106,6 +107,8 @@
   hf_state_log (state, HF_LOG_CONFIG_ADOPTED, "adopted generation %" G_GUINT64_FORMAT " from %s", (guint64) generation,
                 source);
   hf_config_spread_handle_adopted (state, origin);
+  if (origin == HF_CONFIG_FROM_PLATFORM)
+    hf_revocation_confirm (state, state->now);
   return true;
 }
 
@@ -262,6 +265,8 @@
     handle_config_object (state, &object);
   else
     hf_members_update_vm (state, &object);
+  if (purpose == HF_PURPOSE_CONFIG && watch->complete)
+    hf_revocation_confirm (state, state->now);
   hf_object_unload (&object);
 }
 
--- a/src/hf-directory-sync.c
+++ b/src/hf-directory-sync.c
@@ -3,6 +3,7 @@
 
 #include "hf-directory.h"
 #include "hf-roles.h"
+#include "hf-revocation.h"
 #include "hf-wire.h"
 
 /* --- types --- */
@@ -381,6 +382,7 @@
     return;
   int64_t confirmed_at = state->now - message->age_ms * HF_MS;
   directory->confirmed_at = MAX (directory->confirmed_at, confirmed_at);
+  hf_revocation_confirm_generation (state, message->generation, confirmed_at);
   if (member->is_watcher && hf_state_is_in_own_domain (state, member))
     state->directory_sync.watcher_confirmed_at = MAX (state->directory_sync.watcher_confirmed_at, confirmed_at);
 }
--- a/src/hf-directory.c
+++ b/src/hf-directory.c
@@ -3,6 +3,7 @@
 
 #include "hf-directory-sync.h"
 #include "hf-restrictions.h"
+#include "hf-revocation.h"
 #include "hf-slices.h"
 #include "hf-slots.h"
 
@@ -314,7 +315,10 @@
   bool watches = state->directory_sync.watch_mode == HF_WATCH_MODE_ON;
   directory->platform_unreachable_until = 0;
   if (watches && directory->position.era == directory->era)
-    directory->confirmed_at = state->now;
+    {
+      directory->confirmed_at = state->now;
+      hf_revocation_confirm (state, state->now);
+    }
   if (state->directory_sync.watch_mode != HF_WATCH_MODE_OFF && state->directory_sync.platform_reachable_since == 0)
     state->directory_sync.platform_reachable_since = state->now;
   if (!was_unreachable)
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -325,6 +325,7 @@
   state->drain_wait_ms = settings->drain_wait_ms;
   state->shutdown_timeout_ms = settings->shutdown_timeout_ms;
   state->external_store = settings->store_address.len > 0;
+  state->revoke_us = settings->strict_revoke ? settings->revoke_ms * HF_MS : 0;
   state->boot_id = boot_id;
   state->random_state = boot_id;
   state->wakeup_at = -1;
--- /dev/null
+++ b/src/hf-revocation.c
@@ -0,0 +1,24 @@
+/* How long keys are accepted without contact to the store. */
+#include "hf-revocation.h"
+
+/* --- public functions --- */
+
+void
+hf_revocation_confirm (struct hf_state *state, int64_t at)
+{
+  if (state->document && state->config_spread.behind_since == 0)
+    state->config_confirmed_at = MAX (state->config_confirmed_at, at);
+}
+
+void
+hf_revocation_confirm_generation (struct hf_state *state, uint64_t generation, int64_t at)
+{
+  if (generation <= hf_state_generation (state))
+    hf_revocation_confirm (state, at);
+}
+
+bool
+hf_revocation_is_due (const struct hf_state *state)
+{
+  return state->revoke_us > 0 && state->now - state->config_confirmed_at >= state->revoke_us;
+}
--- a/src/hf-settings.c
+++ b/src/hf-settings.c
@@ -155,9 +155,12 @@
   *settings = (struct hf_settings){ 0 };
   if (hf_yaml_load (text, hf_settings_fields, settings, error))
     {
-      if ((settings->platform_address.len > 0) != (settings->store_address.len > 0))
+      if ((settings->platform_address.len > 0) == (settings->store_address.len > 0))
+        hf_error_set (error, HF_ERROR_INVALID, "expected exactly one of the keys platform and store");
+      else if (settings->strict_revoke && settings->revoke_ms == 0)
+        hf_error_set (error, HF_ERROR_INVALID, "strict_revoke needs revoke, a time above 0");
+      else
         return true;
-      hf_error_set (error, HF_ERROR_INVALID, "expected exactly one of the keys platform and store");
     }
   hf_settings_unload (settings);
   return false;
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -54,6 +54,8 @@
   HF_COUNT_CLAIMS_TAKEN,      /* claims whose key another claim held */
   HF_COUNT_PROBES,            /* health probes and measurements sent */
   HF_COUNT_QUARANTINED,       /* requests refused by the quarantine */
+  HF_COUNT_UNAUTHORISED,      /* requests refused with 401 */
+  HF_COUNT_UNCONFIRMED,       /* requests with keys refused because nothing confirms the configuration */
   HF_COUNT_DATAGRAMS_INVALID, /* peer datagrams that did not decode */
   HF_COUNT_PEER_BYTES_SENT,
   HF_COUNT_PEER_BYTES_RECEIVED,
@@ -511,6 +513,8 @@
   uint64_t config_version;           /* version of the platform's object; 0: unknown or no object */
   uint64_t config_stored_generation; /* generation of the platform's object */
   int64_t config_checked_at;         /* last comparison with the platform's object */
+  int64_t config_confirmed_at;       /* it was last known to be the newest then; 0: never */
+  int64_t revoke_us;                 /* unconfirmed for longer: requests with keys are refused; 0: no limit */
   struct hf_config_spread config_spread;
   struct hf_watch watches[2]; /* by enum hf_platform_purpose */
   bool platform_reachable;
--- a/tests/test-scripts.c
+++ b/tests/test-scripts.c
@@ -6,7 +6,9 @@
  * Events in a script (AT and MS in milliseconds, # begins a comment line):
  *   AT start | tick | shutdown
  *   AT document GENERATION FILE                     the platform's watch delivers a configuration document
- *   AT request CALL METHOD PATH[?QUERY] [key=K] [body=TEXT] [streamed]
+ *   AT request CALL METHOD PATH[?QUERY] [key=K] [body=TEXT] [streamed] [organisation-key=K] [malformed] [several]
+ *       malformed, several: the request has a field for an organisation's key, but no valid one, or more than one
+ *   AT strict-revoke MS                             the setting: without contact for so long, no key is accepted
  *   AT gone CALL                                    the caller disconnected
  *   AT head CALL ATTEMPT STATUS [not-run] [load=N] [retry=MS]   head of a streamed response
  *   AT end CALL ATTEMPT RESULT [status=N] [handed] [leaving] [not-run] [load=N] [retry=MS]
@@ -24,7 +26,8 @@
  *
  * Effects in an expected file:
  *   answer CALL STATUS OUTCOME TEXT                 the entry sends an error response of its own
- *   dispatch CALL.ATTEMPT SERVER [proved|fresh] remaining=MS
+ *   dispatch CALL.ATTEMPT SERVER [proved|fresh] remaining=MS [no key] [organisation=NAME]
+ *       no key: the caller's fields for key and organisation are not forwarded
  *       proved: only on a new connection or one that lately carried a response; fresh: only on a new connection
  *   cancel CALL.ATTEMPT
  *   relay CALL.ATTEMPT OUTCOME                      forwards the backend server's response
@@ -86,9 +89,14 @@
                             body->hf_rpc_body_u.heartbeat.leaving ? " leaving" : "",
                             body->hf_rpc_body_u.heartbeat.wants_reply ? " sync" : "");
   else if (body->kind == HF_RPC_ACQUIRE)
-    g_string_append_printf (run->output, " ticket=%d remaining=%u%s", (int) body->hf_rpc_body_u.acquire.ticket,
-                            body->hf_rpc_body_u.acquire.remaining_ms,
-                            body->hf_rpc_body_u.acquire.retry ? " retry" : "");
+    {
+      const struct hf_rpc_acquire *acquire = &body->hf_rpc_body_u.acquire;
+      g_string_append_printf (run->output, " ticket=%d remaining=%u%s", (int) acquire->ticket, acquire->remaining_ms,
+                              acquire->retry ? " retry" : "");
+      if (acquire->organisation)
+        g_string_append_printf (run->output, " organisation=%016" G_GINT64_MODIFIER "x priority=%u",
+                                (guint64) acquire->organisation, acquire->priority);
+    }
   else if (body->kind == HF_RPC_DECISION)
     g_string_append_printf (run->output, " ticket=%d kind=%u server=%s reason=%u",
                             (int) body->hf_rpc_body_u.decision.ticket, body->hf_rpc_body_u.decision.kind,
@@ -134,8 +142,10 @@
                               outcomes[effect->outcome], HF_STR_ARG (effect->text));
       break;
     case HF_EFFECT_DISPATCH:
-      g_string_append_printf (output, "  dispatch %d.%u %s%s remaining=%d\n", (int) effect->call, effect->attempt,
-                              server_name (run, effect->server), connection_kind (effect), (int) effect->remaining_ms);
+      g_string_append_printf (output, "  dispatch %d.%u %s%s remaining=%d%s%s" HF_STR_FMT "\n", (int) effect->call,
+                              effect->attempt, server_name (run, effect->server), connection_kind (effect),
+                              (int) effect->remaining_ms, effect->has_organisations ? " no key" : "",
+                              effect->organisation.len ? " organisation=" : "", HF_STR_ARG (effect->organisation));
       break;
     case HF_EFFECT_CANCEL_ATTEMPT:
       g_string_append_printf (output, "  cancel %d.%u\n", (int) effect->call, effect->attempt);
@@ -252,6 +262,13 @@
   event.request.idempotency_key = hf_str (find_option (run, "key"));
   event.request.body_digest = hf_hash (hf_str (find_option (run, "body")), 0);
   event.request.body_streamed = find_option (run, "streamed") != NULL;
+  event.request.organisation_key = hf_str (find_option (run, "organisation-key"));
+  if (event.request.organisation_key.data)
+    event.request.credential = HF_CREDENTIAL_KEY;
+  else if (find_option (run, "malformed"))
+    event.request.credential = HF_CREDENTIAL_MALFORMED;
+  else if (find_option (run, "several"))
+    event.request.credential = HF_CREDENTIAL_SEVERAL;
   raise_event (run, event);
   g_strfreev (target);
 }
@@ -415,6 +432,8 @@
     raise_document (run);
   else if (strcmp (event_name, "request") == 0)
     raise_request (run);
+  else if (strcmp (event_name, "strict-revoke") == 0)
+    run->state->revoke_us = (int64_t) parse_number (run, 2) * HF_MS;
   else if (strcmp (event_name, "gone") == 0)
     raise_event (run, (struct hf_event){ .kind = HF_EVENT_CALLER_GONE, .call = parse_number (run, 2) });
   else if (strcmp (event_name, "head") == 0)
