Tests of the keys of organisations with a real entry, a fake store and sockets

Which requests run and what the backend server sees of their organisation: letter case, blanks, doubled fields, trailers, pipelined requests, retries, kept connections across versions, documents that are refused, a silent store with and without strict revocation. Each test also looks for keys in the log and in the pages of the entry.

--- a/tests/platform-setup.c
+++ b/tests/platform-setup.c
@@ -389,8 +389,9 @@
 make_settings (const struct setup *setup)
 {
   return g_strdup_printf ("name: e1\nfailure_domain: z1\nlisten: 127.0.0.1:0\nadmin: 127.0.0.1:0\n"
-                          "peers: 127.0.0.1:0\nmetrics: 127.0.0.1:0\nstore: %s\ndrain_wait_ms: %d\ngrace_ms: %d\n",
-                          fake_store_address (setup->store), setup->drain_wait_ms, setup->grace_ms);
+                          "peers: 127.0.0.1:0\nmetrics: 127.0.0.1:0\nstore: %s\ndrain_wait_ms: %d\ngrace_ms: %d\n%s",
+                          fake_store_address (setup->store), setup->drain_wait_ms, setup->grace_ms,
+                          setup->extra_settings ? setup->extra_settings : "");
 }
 
 void
--- a/tests/platform-setup.h
+++ b/tests/platform-setup.h
@@ -81,6 +81,7 @@
   GSubprocess *entry;
   int drain_wait_ms; /* settings of the entry */
   int grace_ms;
+  const char *extra_settings; /* more lines of its settings; NULL: none */
   char *folder;
   char caller_address[64];
   char admin_address[64];
--- /dev/null
+++ b/tests/test-organisations.c
@@ -0,0 +1,511 @@
+/*
+ * Tests of the keys of organisations with the real hickoryd: a fake store, a
+ * backend server that keeps each request as it received it, and raw callers.
+ * Each test also checks that no key has reached the server, the log or a page.
+ */
+#include <gio/gio.h>
+#include <glib/gstdio.h>
+#include <string.h>
+
+#include "platform-setup.h"
+
+/* --- constants --- */
+
+#define ALPHA_KEY       "k-alpha-31d7"
+#define BETA_KEY        "k-beta-9c02"
+#define NEW_KEY         "k-new-77aa"
+#define CONFIG_APPLY_MS 2500 /* from the users' pages: from the store's response to the version in force */
+#define RESPONSE_MS     300  /* in which responses to pipelined requests arrive */
+#define REVOKE_MS       1500
+
+#define TENANTS_OF(alpha_keys, beta_keys)                                                                              \
+  ",\"tenants\":[{\"name\":\"alpha\",\"api_keys\":[" alpha_keys "]},"                                                  \
+  "{\"name\":\"beta org\",\"api_keys\":[" beta_keys "]}]"
+#define TENANTS TENANTS_OF ("\"" ALPHA_KEY "\"", "\"" BETA_KEY "\"")
+
+/* --- types --- */
+
+/* A backend server that keeps the requests that it received. */
+struct recorder
+{
+  struct raw_server *raw_server;
+  GPtrArray *requests; /* char *, as received */
+  guint refusals_left; /* requests that it refuses as not run before it runs others */
+};
+
+struct test
+{
+  struct setup *setup;
+  struct recorder recorder;
+};
+
+/* Header lines of a request, and what is to come of it. */
+struct case_of_fields
+{
+  const char *path;
+  const char *fields;
+  guint status;
+  const char *tenant; /* that the server gets; NULL: none */
+};
+
+/* --- internal functions: the backend server --- */
+
+/* Values of all fields of this name in the head of a request. */
+static GPtrArray *
+field_values (const char *request, const char *name)
+{
+  GPtrArray *values = g_ptr_array_new_with_free_func (g_free);
+  char **lines = g_strsplit (request, "\r\n", -1);
+  for (guint i = 1; lines[i] && lines[i][0]; i++)
+    {
+      const char *colon = strchr (lines[i], ':');
+      gsize len = colon ? (gsize) (colon - lines[i]) : 0;
+      if (len == strlen (name) && g_ascii_strncasecmp (lines[i], name, len) == 0)
+        g_ptr_array_add (values, g_strdup (g_strstrip (lines[i] + len + 1)));
+    }
+  g_strfreev (lines);
+  return values;
+}
+
+static void
+on_request (void *context, struct raw_connection *connection, const char *text)
+{
+  struct recorder *recorder = context;
+  if (g_str_has_prefix (text, "GET /health "))
+    {
+      raw_connection_send (connection, "HTTP/1.1 200 OK\r\nX-Backend-Load: 0,0,3,100\r\nContent-Length: 0\r\n\r\n");
+      return;
+    }
+  g_ptr_array_add (recorder->requests, g_strdup (text));
+  GPtrArray *ids = field_values (text, "X-Attempt-Id");
+  g_assert_cmpuint (ids->len, ==, 1);
+  const char *id = g_ptr_array_index (ids, 0);
+  if (recorder->refusals_left > 0)
+    {
+      recorder->refusals_left--;
+      raw_connection_send (
+          connection, "HTTP/1.1 503 Full\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id);
+    }
+  else
+    raw_connection_send (connection, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nContent-Length: 2\r\n\r\nok", id);
+  g_ptr_array_unref (ids);
+}
+
+static const char *
+last_request (const struct test *test)
+{
+  const GPtrArray *requests = test->recorder.requests;
+  return requests->len ? g_ptr_array_index (requests, requests->len - 1) : "";
+}
+
+/* The server got this tenant exactly once, NULL: none, and neither an Authorization field nor a key. */
+static void
+check_forwarded (const char *request, const char *tenant)
+{
+  GPtrArray *tenants = field_values (request, "X-Tenant");
+  GPtrArray *authorizations = field_values (request, "Authorization");
+  g_assert_cmpuint (tenants->len, ==, tenant ? 1 : 0);
+  if (tenant)
+    g_assert_cmpstr (g_ptr_array_index (tenants, 0), ==, tenant);
+  g_assert_cmpuint (authorizations->len, ==, 0);
+  g_assert_null (strstr (request, ALPHA_KEY));
+  g_assert_null (strstr (request, BETA_KEY));
+  g_ptr_array_unref (tenants);
+  g_ptr_array_unref (authorizations);
+}
+
+/* --- internal functions: the store --- */
+
+/* Two routes that need a key, one of each kind, and a public one. */
+static void
+put_tenants (struct test *test, guint version, const char *tenants)
+{
+  char *spec = g_strdup_printf (
+      "{\"version\":\"r%u\",\"routes\":["
+      "{\"name\":\"read\",\"host\":\"h.example\",\"path_prefix\":\"/r/"
+      "\",\"route_kind\":\"safe\",\"timeout\":\"1000ms\","
+      "\"service\":\"alpha\",\"max_attempts\":2},"
+      "{\"name\":\"write\",\"host\":\"h.example\",\"path_prefix\":\"/w/\",\"route_kind\":\"unsafe\","
+      "\"timeout\":\"1000ms\",\"service\":\"alpha\",\"max_attempts\":2},"
+      "{\"name\":\"open\",\"host\":\"h.example\",\"path_prefix\":\"/open/\",\"route_kind\":\"safe\",\"public\":true,"
+      "\"timeout\":\"1000ms\",\"service\":\"alpha\",\"max_attempts\":2}],"
+      "\"services\":[{\"name\":\"alpha\",\"health_path\":\"/health\"}],"
+      "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":10000,\"header_timeout\":\"500ms\","
+      "\"idle_timeout\":\"15000ms\"}%s}",
+      version, tenants);
+  fake_store_put (test->setup->store, "config", "main", spec);
+  g_free (spec);
+}
+
+static void
+put_recorder (struct test *test)
+{
+  char *spec = g_strdup_printf ("{\"address\":\"%s\",\"born\":1,\"info\":{\"service\":\"alpha\",\"version\":\"v1\","
+                                "\"zone\":\"z1\",\"slots\":3},\"status\":{\"state\":\"ready\",\"sequence\":1,"
+                                "\"cold_left\":\"0ms\"}}",
+                                raw_server_address (test->recorder.raw_server));
+  fake_store_put (test->setup->store, "servers", "i-0", spec);
+  g_free (spec);
+}
+
+static struct test *
+open_test (const char *extra_settings)
+{
+  struct test *test = g_new0 (struct test, 1);
+  test->setup = open_without_entry (DRAIN_WAIT_MS, GRACE_MS);
+  test->setup->extra_settings = extra_settings;
+  test->recorder.requests = g_ptr_array_new_with_free_func (g_free);
+  test->recorder.raw_server = raw_server_open (test->setup->net, on_request, &test->recorder);
+  put_tenants (test, 7, TENANTS);
+  put_recorder (test);
+  start_entry (test->setup);
+  g_assert_true (harness_wait_until (is_ready, test->setup, CHANGE_TIMEOUT_S));
+  harness_pause (DIRECTORY_UPDATE_MS);
+  return test;
+}
+
+static void
+check_has_no_key (const char *text)
+{
+  g_assert_null (strstr (text, ALPHA_KEY));
+  g_assert_null (strstr (text, BETA_KEY));
+  g_assert_null (strstr (text, NEW_KEY));
+}
+
+/* No key in a log line or a page, whatever the test did. */
+static void
+close_test (struct test *test)
+{
+  static const char *const pages[] = { "/dump", "/status", "/metrics" };
+  struct setup *setup = test->setup;
+  for (guint i = 0; i < G_N_ELEMENTS (pages); i++)
+    {
+      char *text = page_text (setup, setup->admin_address, pages[i]);
+      check_has_no_key (text);
+      g_free (text);
+    }
+  for (guint i = 0; i < setup->log->len; i++)
+    check_has_no_key (g_ptr_array_index (setup->log, i));
+  raw_server_close (test->recorder.raw_server);
+  g_ptr_array_unref (test->recorder.requests);
+  close_setup (setup);
+  g_free (test);
+}
+
+/* --- internal functions: callers --- */
+
+static char *
+format_with_fields (struct test *test, const char *method, const char *path, const char *fields)
+{
+  return g_strdup_printf ("%s %s HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: id%u\r\nX-Deadline-Ms: 2000\r\n%s"
+                          "Content-Length: 0\r\n\r\n",
+                          method, path, ++test->setup->next_id, fields);
+}
+
+static guint
+status_with_fields (struct test *test, const char *method, const char *path, const char *fields)
+{
+  char *text = format_with_fields (test, method, path, fields);
+  struct raw_client *client = send_text (test->setup, test->setup->caller_address, text);
+  guint status = raw_client_status (client);
+  check_has_no_key (client->received->str);
+  raw_client_close (client);
+  g_free (text);
+  return status;
+}
+
+/* --- tests --- */
+
+/* Which requests run, and which organisation the server sees. Guards against a request that runs with the tenant that
+ * its caller names, with the key passed on, or without a key, and against 401 for a valid key. */
+static void
+test_fields (void)
+{
+  static const struct case_of_fields cases[] = {
+    { "/r/x", "Authorization: Token " ALPHA_KEY "\r\n", 200, "alpha" },
+    { "/r/x", "authorization:tOKEN    " ALPHA_KEY "  \r\n", 200, "alpha" },
+    { "/r/x", "AUTHORIZATION: TOKEN \t" BETA_KEY "\r\n", 200, "beta org" },
+    { "/r/x", "", 401, NULL },
+    { "/r/x", "X-Tenant: alpha\r\n", 401, NULL },
+    { "/r/x", "Authorization: Token " ALPHA_KEY "x\r\n", 401, NULL },
+    { "/r/x", "Authorization: Token k-alpha\r\n", 401, NULL },
+    { "/r/x", "Authorization: Token " ALPHA_KEY " " ALPHA_KEY "\r\n", 401, NULL },
+    { "/r/x", "Authorization: Token" ALPHA_KEY "\r\n", 401, NULL },
+    { "/r/x", "Authorization: Token\r\n", 401, NULL },
+    { "/r/x", "Authorization: Token \r\n", 401, NULL },
+    { "/r/x", "Authorization:\r\n", 401, NULL },
+    { "/r/x", "Authorization: " ALPHA_KEY "\r\n", 401, NULL },
+    { "/r/x", "Authorization: Bearer " ALPHA_KEY "\r\n", 401, NULL },
+    { "/r/x", "Proxy-Authorization: Token " ALPHA_KEY "\r\n", 401, NULL },
+    { "/r/x", "Authorization: Token " ALPHA_KEY "\r\nAuthorization: Token " ALPHA_KEY "\r\n", 401, NULL },
+    { "/r/x", "Authorization: Token " ALPHA_KEY "\r\nauthorization: Token " BETA_KEY "\r\n", 401, NULL },
+    { "/r/x", "Authorization: Token " ALPHA_KEY "\r\nAuthorization:\r\n", 401, NULL },
+    { "/r/x", "Authorization: Token " ALPHA_KEY "\r\nX-Tenant: beta org\r\n", 200, "alpha" },
+    { "/r/x", "x-tenant: beta org\r\nAuthorization: Token " ALPHA_KEY "\r\nX-TENANT: x\r\n", 200, "alpha" },
+    { "/r/x", "X-Tenant:\r\nX-tenanT: beta org\r\nAuthorization: Token " ALPHA_KEY "\r\n", 200, "alpha" },
+    { "/r/x", "Connection: X-Tenant\r\nAuthorization: Token " ALPHA_KEY "\r\n", 200, "alpha" },
+    { "/r/x", "Connection: Authorization\r\nAuthorization: Token " ALPHA_KEY "\r\n", 200, "alpha" },
+    { "/w/x", "Authorization: Token " BETA_KEY "\r\n", 200, "beta org" },
+    { "/w/x", "", 401, NULL },
+    { "/open/x", "Authorization: Token " ALPHA_KEY "\r\nX-Tenant: beta org\r\n", 200, "alpha" },
+    { "/open/x", "X-Tenant: alpha\r\nx-tenant: beta org\r\n", 200, NULL },
+    { "/open/x", "Authorization: Token unknown\r\n", 200, NULL },
+    { "/open/x", "Authorization: Basic " ALPHA_KEY "\r\n", 200, NULL },
+    { "/open/x", "Authorization: Token " ALPHA_KEY "\r\nAuthorization: Token " ALPHA_KEY "\r\n", 200, NULL },
+    { "/nowhere/x", "", 404, NULL },
+  };
+  struct test *test = open_test (NULL);
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      guint before = test->recorder.requests->len;
+      g_test_message ("case %u: %s", i, cases[i].fields);
+      g_assert_cmpuint (status_with_fields (test, "GET", cases[i].path, cases[i].fields), ==, cases[i].status);
+      g_assert_cmpuint (test->recorder.requests->len - before, ==, cases[i].status == 200 ? 1 : 0);
+      if (cases[i].status == 200)
+        check_forwarded (last_request (test), cases[i].tenant);
+    }
+  close_test (test);
+}
+
+/* A 401 names the scheme, says that the request has not run, and belongs to it by its id. */
+static void
+test_unauthorised_response (void)
+{
+  struct test *test = open_test (NULL);
+  char *text = format_with_fields (test, "GET", "/r/x", "Authorization: Token unknown\r\n");
+  struct raw_client *client = send_text (test->setup, test->setup->caller_address, text);
+  GPtrArray *schemes = field_values (client->received->str, "WWW-Authenticate");
+  GPtrArray *ids = field_values (client->received->str, "X-Attempt-Id");
+  g_assert_cmpuint (raw_client_status (client), ==, 401);
+  g_assert_cmpuint (schemes->len, ==, 1);
+  g_assert_cmpstr (g_ptr_array_index (schemes, 0), ==, "Token");
+  g_assert_cmpstr (g_ptr_array_index (ids, 0), ==, "id1");
+  g_assert_nonnull (strstr (client->received->str, "not-run"));
+  g_ptr_array_unref (ids);
+  g_ptr_array_unref (schemes);
+  raw_client_close (client);
+  g_free (text);
+  close_test (test);
+}
+
+/* Trailer fields are no header fields: they give neither a key nor a tenant. Guards against a tenant that comes behind
+ * the body. */
+static void
+test_trailer (void)
+{
+  static const char *const body
+      = "Transfer-Encoding: chunked\r\nTrailer: X-Tenant, Authorization\r\n\r\n3\r\nabc\r\n0\r\n"
+        "X-Tenant: beta org\r\nAuthorization: Token " BETA_KEY "\r\n\r\n";
+  struct test *test = open_test (NULL);
+  for (guint has_key = 0; has_key < 2; has_key++)
+    {
+      char *text
+          = g_strdup_printf ("POST /w/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: id%u\r\n%s%s",
+                             ++test->setup->next_id, has_key ? "Authorization: Token " ALPHA_KEY "\r\n" : "", body);
+      struct raw_client *client = send_text (test->setup, test->setup->caller_address, text);
+      g_assert_cmpuint (raw_client_status (client), ==, has_key ? 200 : 401);
+      raw_client_close (client);
+      g_free (text);
+    }
+  g_assert_cmpuint (test->recorder.requests->len, ==, 1);
+  check_forwarded (last_request (test), "alpha");
+  close_test (test);
+}
+
+/* Requests that overlap on one connection have a key each. Guards against the key of one counting for another. */
+static void
+test_pipelined (void)
+{
+  static const char *const tenants[] = { "alpha", "beta org" };
+  struct test *test = open_test (NULL);
+  char *first = format_with_fields (test, "GET", "/r/0", "Authorization: Token " ALPHA_KEY "\r\n");
+  char *second = format_with_fields (test, "GET", "/r/1", "Authorization: Token " BETA_KEY "\r\n");
+  char *third = format_with_fields (test, "GET", "/r/2", "");
+  char *fourth = format_with_fields (test, "POST", "/w/0", "Authorization: Token " ALPHA_KEY "\r\n");
+  char *all = g_strconcat (first, second, third, fourth, NULL);
+  struct raw_client *client = send_text (test->setup, test->setup->caller_address, all);
+  harness_pause (RESPONSE_MS);
+  char **responses = g_strsplit (client->received->str, "HTTP/1.1 ", -1);
+  static const char *const statuses[] = { "200", "200", "401", "200" };
+  g_assert_cmpuint (g_strv_length (responses), ==, 1 + G_N_ELEMENTS (statuses));
+  for (guint i = 0; i < G_N_ELEMENTS (statuses); i++)
+    g_assert_true (g_str_has_prefix (responses[i + 1], statuses[i]));
+  g_assert_cmpuint (test->recorder.requests->len, ==, 3);
+  for (guint i = 0; i < test->recorder.requests->len; i++)
+    {
+      const char *request = g_ptr_array_index (test->recorder.requests, i);
+      const char *number = strstr (request, " /r/") ? strstr (request, " /r/") + 4 : "0";
+      check_forwarded (request, tenants[*number - '0']);
+    }
+  g_strfreev (responses);
+  raw_client_close (client);
+  g_free (all);
+  g_free (first);
+  g_free (second);
+  g_free (third);
+  g_free (fourth);
+  close_test (test);
+}
+
+/* A second attempt carries the same organisation as the first. */
+static void
+test_retry (void)
+{
+  static const char *const fields = "X-Tenant: beta org\r\nAuthorization: Token " ALPHA_KEY "\r\nx-tenant: x\r\n";
+  struct test *test = open_test (NULL);
+  test->recorder.refusals_left = 1;
+  g_assert_cmpuint (status_with_fields (test, "POST", "/w/x", fields), ==, 200);
+  g_assert_cmpuint (test->recorder.requests->len, ==, 2);
+  check_forwarded (g_ptr_array_index (test->recorder.requests, 0), "alpha");
+  check_forwarded (g_ptr_array_index (test->recorder.requests, 1), "alpha");
+  close_test (test);
+}
+
+static guint
+status_on (struct test *test, struct raw_client *client, const char *fields)
+{
+  char *text = format_with_fields (test, "GET", "/r/x", fields);
+  g_string_truncate (client->received, 0);
+  raw_client_send (client, text);
+  g_assert_true (harness_wait_until (has_response, client, CHANGE_TIMEOUT_S));
+  g_free (text);
+  return raw_client_status (client);
+}
+
+/* Keys come and go with versions of the document, on a kept connection, too. Without organisations, both fields are
+ * forwarded. Guards against keys that are kept by connection, and against a removed key that runs. */
+static void
+test_versions (void)
+{
+  struct test *test = open_test (NULL);
+  char *first = format_with_fields (test, "GET", "/r/x", "Authorization: Token " ALPHA_KEY "\r\n");
+  struct raw_client *client = send_text (test->setup, test->setup->caller_address, first);
+  g_assert_cmpuint (raw_client_status (client), ==, 200);
+  put_tenants (test, 8, TENANTS_OF ("\"" NEW_KEY "\",\"k-2\"", "\"" BETA_KEY "\""));
+  harness_pause (CONFIG_APPLY_MS);
+  g_assert_cmpuint (status_on (test, client, "Authorization: Token " ALPHA_KEY "\r\n"), ==, 401);
+  g_assert_cmpuint (status_on (test, client, "Authorization: Token " NEW_KEY "\r\n"), ==, 200);
+  check_forwarded (last_request (test), "alpha");
+  /* The key moves to the other organisation. */
+  put_tenants (test, 9, TENANTS_OF ("", "\"" NEW_KEY "\""));
+  harness_pause (CONFIG_APPLY_MS);
+  g_assert_cmpuint (status_on (test, client, "Authorization: Token " NEW_KEY "\r\n"), ==, 200);
+  check_forwarded (last_request (test), "beta org");
+  put_tenants (test, 10, "");
+  harness_pause (CONFIG_APPLY_MS);
+  g_assert_cmpuint (status_on (test, client, "Authorization: Basic eHg=\r\nX-Tenant: gamma\r\n"), ==, 200);
+  g_assert_nonnull (strstr (last_request (test), "\r\nAuthorization: Basic eHg=\r\nX-Tenant: gamma\r\n"));
+  g_assert_cmpuint (status_on (test, client, ""), ==, 200);
+  raw_client_close (client);
+  g_free (first);
+  close_test (test);
+}
+
+static gboolean
+has_logged (struct setup *setup, const char *text)
+{
+  for (guint i = 0; i < setup->log->len; i++)
+    if (strstr (g_ptr_array_index (setup->log, i), text))
+      return TRUE;
+  return FALSE;
+}
+
+/* Documents whose keys or names cannot be used are refused with a line that names the field; the one before stays in
+ * force. Guards against a request whose organisation depends on the order of the list. */
+static void
+test_refused_documents (void)
+{
+  static const struct
+  {
+    const char *tenants;
+    const char *path;
+  } cases[] = {
+    { TENANTS_OF ("\"" NEW_KEY "\"", "\"x\",\"" NEW_KEY "\""), "organisations[1].keys[1]" },
+    { TENANTS_OF ("\"\"", "\"x\""), "organisations[0].keys[0]" },
+    { TENANTS_OF ("\"x\",\"a b\"", "\"y\""), "organisations[0].keys[1]" },
+    { TENANTS_OF ("\"x\"", "\"a\\tb\""), "organisations[1].keys[0]" },
+    { TENANTS_OF ("\"x\"", "\"a\\u007fb\""), "organisations[1].keys[0]: expected" },
+    { ",\"tenants\":[{\"name\":\"a\\nX-Role: admin\",\"api_keys\":[\"x\"]}]", "organisations[0].name" },
+    { ",\"tenants\":[{\"name\":\" a\",\"api_keys\":[\"x\"]}]", "organisations[0].name: expected a name without" },
+    { ",\"tenants\":[{\"name\":\"a\",\"api_keys\":[\"x\"]},{\"name\":\"a\",\"api_keys\":[\"y\"]}]",
+      "organisations[1].name" },
+  };
+  struct test *test = open_test (NULL);
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      put_tenants (test, 8 + i, cases[i].tenants);
+      harness_pause (DIRECTORY_UPDATE_MS);
+      g_test_message ("case %u", i);
+      g_assert_true (has_logged (test->setup, cases[i].path));
+      g_assert_cmpuint (status_with_fields (test, "GET", "/r/x", "Authorization: Token " ALPHA_KEY "\r\n"), ==, 200);
+    }
+  /* Two equal keys of one organisation are no contradiction. */
+  put_tenants (test, 99, TENANTS_OF ("\"" NEW_KEY "\",\"" NEW_KEY "\"", "\"x\""));
+  harness_pause (DIRECTORY_UPDATE_MS);
+  g_assert_cmpuint (status_with_fields (test, "GET", "/r/x", "Authorization: Token " NEW_KEY "\r\n"), ==, 200);
+  close_test (test);
+}
+
+static gboolean
+accepts_key (void *context)
+{
+  return status_with_fields (context, "GET", "/r/x", "Authorization: Token " ALPHA_KEY "\r\n") == 200;
+}
+
+static gboolean
+accepts_no_key (void *context)
+{
+  guint status = status_with_fields (context, "GET", "/r/x", "Authorization: Token " ALPHA_KEY "\r\n");
+  g_assert_true (status == 200 || status == 503);
+  return status == 503;
+}
+
+/* Without contact to the store keys are accepted for a time only, if the deployment says so. Guards against a revoked
+ * key that a VM without contact accepts, and against 401 for keys that may be valid. */
+static void
+test_strict_revocation (void)
+{
+  struct test *test = open_test ("strict_revoke: true\nrevoke: 1500ms\n");
+  harness_pause (2 * REVOKE_MS);
+  g_assert_true (accepts_key (test));
+  fake_store_set_silent (test->setup->store, TRUE);
+  g_assert_true (harness_wait_until (accepts_no_key, test, CHANGE_TIMEOUT_S));
+  g_assert_cmpuint (status_with_fields (test, "GET", "/r/x", ""), ==, 401);
+  g_assert_cmpuint (status_with_fields (test, "GET", "/open/x", ""), ==, 200);
+  guint before = test->recorder.requests->len;
+  g_assert_cmpuint (status_with_fields (test, "GET", "/r/x", "Authorization: Token unknown\r\n"), ==, 503);
+  g_assert_cmpuint (test->recorder.requests->len, ==, before);
+  fake_store_set_silent (test->setup->store, FALSE);
+  g_assert_true (harness_wait_until (accepts_key, test, CHANGE_TIMEOUT_S));
+  close_test (test);
+}
+
+/* The same without the setting: the entry goes on with the configuration that it has. */
+static void
+test_silent_store (void)
+{
+  struct test *test = open_test ("revoke: 1500ms\n");
+  fake_store_set_silent (test->setup->store, TRUE);
+  harness_pause (2 * REVOKE_MS);
+  g_assert_true (accepts_key (test));
+  g_assert_cmpuint (status_with_fields (test, "GET", "/r/x", "Authorization: Token unknown\r\n"), ==, 401);
+  fake_store_set_silent (test->setup->store, FALSE);
+  close_test (test);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_set_nonfatal_assertions ();
+  g_test_add_func ("/organisations/fields", test_fields);
+  g_test_add_func ("/organisations/unauthorised-response", test_unauthorised_response);
+  g_test_add_func ("/organisations/trailer", test_trailer);
+  g_test_add_func ("/organisations/pipelined", test_pipelined);
+  g_test_add_func ("/organisations/retry", test_retry);
+  g_test_add_func ("/organisations/versions", test_versions);
+  g_test_add_func ("/organisations/refused-documents", test_refused_documents);
+  g_test_add_func ("/organisations/strict-revocation", test_strict_revocation);
+  g_test_add_func ("/organisations/silent-store", test_silent_store);
+  return g_test_run ();
+}
