--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -13,6 +13,7 @@
 #include "hf-latency.h"
 #include "hf-log.h"
 #include "hf-objects.h"
+#include "hf-organisation-counts.h"
 #include "hf-pool.h"
 #include "hf-removed-servers.h"
 #include "hf-timers.h"
@@ -54,6 +55,8 @@
   HF_COUNT_CLAIMS_TAKEN,      /* claims whose key another claim held */
   HF_COUNT_PROBES,            /* health probes and measurements sent */
   HF_COUNT_QUARANTINED,       /* requests refused by the quarantine */
+  HF_COUNT_UNAUTHORISED,      /* requests refused with 401 */
+  HF_COUNT_UNCONFIRMED,       /* requests with keys refused because nothing confirms the configuration */
   HF_COUNT_DATAGRAMS_INVALID, /* peer datagrams that did not decode */
   HF_COUNT_PEER_BYTES_SENT,
   HF_COUNT_PEER_BYTES_RECEIVED,
@@ -164,11 +167,13 @@
   struct hf_document *document; /* reference to the configuration that it was routed by */
   const struct hf_service *service;
   const struct hf_request_class *class;
-  uint64_t slice_id;       /* id of the slice that serves it */
-  int64_t arrived_at;      /* when its head arrived */
-  int64_t deadline;        /* the call fails then */
-  int64_t caller_deadline; /* the caller gives up then; it may retry before */
-  int64_t soft_deadline;   /* a response before then is worth most */
+  const struct hf_organisation *organisation; /* of @document, by the key of the request; NULL: none */
+  unsigned priority;                          /* rank in the queue for slots: of the organisation or the class */
+  uint64_t slice_id;                          /* id of the slice that serves it */
+  int64_t arrived_at;                         /* when its head arrived */
+  int64_t deadline;                           /* the call fails then */
+  int64_t caller_deadline;                    /* the caller gives up then; it may retry before */
+  int64_t soft_deadline;                      /* a response before then is worth most */
   size_t body_bytes;
   struct hf_str request_id;
   uint64_t fingerprint;  /* hash for the quarantine */
@@ -509,6 +514,8 @@
   uint64_t config_version;           /* version of the platform's object; 0: unknown or no object */
   uint64_t config_stored_generation; /* generation of the platform's object */
   int64_t config_checked_at;         /* last comparison with the platform's object */
+  int64_t config_confirmed_at;       /* it was last known to be the newest then; 0: never */
+  int64_t revoke_us;                 /* unconfirmed for longer: requests with keys are refused; 0: no limit */
   struct hf_config_spread config_spread;
   struct hf_watch watches[2]; /* by enum hf_platform_purpose */
   bool platform_reachable;
@@ -532,6 +539,7 @@
   struct hf_timers timers;
   uint64_t counters[HF_COUNTERS];
   struct hf_latency latency;
+  struct hf_organisation_counts organisation_counts;
 };
 
 /* --- public functions: helpers of the reducer's modules --- */
