Evacuate a failure domain on the operator's order in the store

Cause: an operator has to take a failure domain out of use at once, without touching each of its backend servers.

Watchers list and watch the kind evacuations where the settings name a bound (evacuate). A step of the store, a list or the changes up to a position, takes effect as a whole; the set with its position spreads in heartbeats, and the later position wins. A changed set is announced at once by who has it from the store and by coordinators. The servers of the domain get the drain source HF_DRAIN_EVACUATED in all pools, also those listed later, so that granters grant nothing there and entries return such grants. An entry is ready only once it knows the set.

Ruled out: a message of its own (one more kind, and heartbeats repeat lost datagrams anyway); the names in heartbeats (hashes are bounded).

--- a/src/config.h
+++ b/src/config.h
@@ -113,6 +113,7 @@
 #define HF_DIRECTORY_OUTAGE_GRACE_MS 2000 /* after an outage, unlisted servers are kept this long before removal */
 #define HF_DIRECTORY_REMOVED_SEC     60   /* an older report of a removed server is recognised for this long */
 #define HF_DIRECTORY_REMOVED_MAX     1000 /* removed servers remembered */
+#define HF_EVACUATIONS_MAX           32   /* failure domains evacuated together; at most HF_RPC_EVACUATIONS_MAX */
 
 /* Placement: expected latency of a server. */
 #define HF_PLACEMENT_FAR_US           5000 /* cost of a server in another failure domain */
--- a/src/hf-directory.c
+++ b/src/hf-directory.c
@@ -2,6 +2,7 @@
 #include "hf-directory.h"
 
 #include "hf-directory-sync.h"
+#include "hf-evacuation-sync.h"
 #include "hf-restrictions.h"
 #include "hf-slices.h"
 #include "hf-slots.h"
@@ -67,6 +68,8 @@
   hf_pool_put_server (&service->pool, &listing);
   hf_pool_set_draining (&service->pool, listing.id, HF_DRAIN_DIRECTORY, listed->report.draining, 0);
   hf_restrictions_apply (state, service, listing.id);
+  hf_evacuation_sync_note_name (state, listed->report.failure_domain);
+  hf_evacuation_sync_apply (state, service, listing.id);
   g_hash_table_insert (state->service_by_server, g_memdup2 (&listing.id, sizeof listing.id), service);
 }
 
--- a/src/hf-dump.c
+++ b/src/hf-dump.c
@@ -27,6 +27,8 @@
     return "leaving (VM list)";
   if (server->drain_sources & HF_DRAIN_REFUSAL)
     return "leaving (refusal)";
+  if (server->drain_sources & HF_DRAIN_EVACUATED)
+    return "evacuated";
   if (server->drain_sources & HF_DRAIN_LEAVING)
     return "leaving (its response)";
   return server->drain_sources & HF_DRAIN_HEALTH ? "leaving (health)" : "leaving (another entry)";
--- a/src/hf-event.h
+++ b/src/hf-event.h
@@ -150,22 +150,24 @@
 /** enum hf_event_kind - kinds of events */
 enum hf_event_kind
 {
-  HF_EVENT_START,           /* the process has started */
-  HF_EVENT_TICK,            /* a timer may be due */
-  HF_EVENT_REQUEST,         /* a caller's request arrived */
-  HF_EVENT_CALLER_GONE,     /* the caller disconnected, or its response was sent */
-  HF_EVENT_ATTEMPT_HEAD,    /* the head of a long response arrived */
-  HF_EVENT_ATTEMPT_END,     /* an attempt ended */
-  HF_EVENT_PEER_MESSAGE,    /* a message from another entry */
-  HF_EVENT_PLATFORM_RESULT, /* a platform call ended */
-  HF_EVENT_WATCH_LINE,      /* one line of a watch of the platform */
-  HF_EVENT_PROBE_RESULT,    /* a health probe or measurement ended */
-  HF_EVENT_SERVER_HINTS,    /* the head of a response tells which requests its server does not want */
-  HF_EVENT_SHUTDOWN,        /* the process is to shut down */
-  HF_EVENT_DOCUMENT,        /* a new configuration document from outside of the reducer */
-  HF_EVENT_SERVER_REPORT,   /* a backend server was listed, changed or removed */
-  HF_EVENT_ENTRY_REPORT,    /* an entry was listed or removed */
-  HF_EVENT_LIST_STEP,       /* progress of listing the platform's directory */
+  HF_EVENT_START,             /* the process has started */
+  HF_EVENT_TICK,              /* a timer may be due */
+  HF_EVENT_REQUEST,           /* a caller's request arrived */
+  HF_EVENT_CALLER_GONE,       /* the caller disconnected, or its response was sent */
+  HF_EVENT_ATTEMPT_HEAD,      /* the head of a long response arrived */
+  HF_EVENT_ATTEMPT_END,       /* an attempt ended */
+  HF_EVENT_PEER_MESSAGE,      /* a message from another entry */
+  HF_EVENT_PLATFORM_RESULT,   /* a platform call ended */
+  HF_EVENT_WATCH_LINE,        /* one line of a watch of the platform */
+  HF_EVENT_PROBE_RESULT,      /* a health probe or measurement ended */
+  HF_EVENT_SERVER_HINTS,      /* the head of a response tells which requests its server does not want */
+  HF_EVENT_SHUTDOWN,          /* the process is to shut down */
+  HF_EVENT_DOCUMENT,          /* a new configuration document from outside of the reducer */
+  HF_EVENT_SERVER_REPORT,     /* a backend server was listed, changed or removed */
+  HF_EVENT_ENTRY_REPORT,      /* an entry was listed or removed */
+  HF_EVENT_LIST_STEP,         /* progress of listing the platform's directory */
+  HF_EVENT_EVACUATION_REPORT, /* the evacuation of a failure domain was ordered or ended */
+  HF_EVENT_EVACUATION_STEP,   /* progress of listing these orders */
 };
 
 /** struct hf_event - one event; comments name the kinds of event that set a member */
@@ -222,8 +224,15 @@
   } document;
   struct hf_server_report report;    /* SERVER_REPORT */
   struct hf_listed_entry entry;      /* ENTRY_REPORT */
-  enum hf_list_step list_step;       /* LIST_STEP */
-  struct hf_store_position position; /* LIST_STEP: of the directory; SERVER_REPORT: last change of the server */
+  enum hf_list_step list_step;       /* LIST_STEP; EVACUATION_STEP: BEGIN, END or PROGRESS */
+  struct hf_store_position position; /* LIST_STEP: of the directory; SERVER_REPORT: last change of the server;
+                                      * EVACUATION_STEP: of the orders */
+  /* EVACUATION_REPORT */
+  struct
+  {
+    struct hf_str domain; /* name of the failure domain */
+    bool in_force;        /* its backend servers are to get no requests */
+  } evacuation;
 };
 
 /* --- types: effects --- */
--- a/src/hf-health.c
+++ b/src/hf-health.c
@@ -223,7 +223,8 @@
 bool
 hf_health_is_draining (const struct hf_pool_server *server, int64_t now)
 {
-  if (server->drain_sources & (HF_DRAIN_DOCUMENT | HF_DRAIN_VM_LIST | HF_DRAIN_DIRECTORY | HF_DRAIN_LEAVING))
+  if (server->drain_sources
+      & (HF_DRAIN_DOCUMENT | HF_DRAIN_VM_LIST | HF_DRAIN_DIRECTORY | HF_DRAIN_LEAVING | HF_DRAIN_EVACUATED))
     return true;
   return server->drain_sources != 0 && now < server->drain_until;
 }
--- a/src/hf-health.h
+++ b/src/hf-health.h
@@ -20,13 +20,14 @@
 /** enum hf_drain_source - source that reports a backend server as draining; bits */
 enum hf_drain_source
 {
-  HF_DRAIN_DOCUMENT = 1,   /* drain: true in the document */
-  HF_DRAIN_VM_LIST = 2,    /* its VM, in the platform's VM list */
-  HF_DRAIN_HEALTH = 4,     /* the server itself, in a health probe or a response */
-  HF_DRAIN_REFUSAL = 8,    /* the server itself, when it refused a request */
-  HF_DRAIN_PEER = 16,      /* another entry */
-  HF_DRAIN_DIRECTORY = 32, /* the platform's directory of backend servers */
-  HF_DRAIN_LEAVING = 64,   /* the server itself: this instance leaves for good */
+  HF_DRAIN_DOCUMENT = 1,    /* drain: true in the document */
+  HF_DRAIN_VM_LIST = 2,     /* its VM, in the platform's VM list */
+  HF_DRAIN_HEALTH = 4,      /* the server itself, in a health probe or a response */
+  HF_DRAIN_REFUSAL = 8,     /* the server itself, when it refused a request */
+  HF_DRAIN_PEER = 16,       /* another entry */
+  HF_DRAIN_DIRECTORY = 32,  /* the platform's directory of backend servers */
+  HF_DRAIN_LEAVING = 64,    /* the server itself: this instance leaves for good */
+  HF_DRAIN_EVACUATED = 128, /* the operator evacuates its failure domain */
   HF_DRAIN_TEMPORARY = HF_DRAIN_HEALTH | HF_DRAIN_REFUSAL | HF_DRAIN_PEER, /* these expire */
 };
 
--- a/src/hf-members.c
+++ b/src/hf-members.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "hf-evacuation-sync.h"
 #include "hf-roles.h"
 #include "hf-wire.h"
 
@@ -170,6 +171,7 @@
   heartbeat->grants.grants_val = hf_effects_alloc (state->effects, HF_RPC_GRANTS_MAX * sizeof (uint64_t));
   if (member->boot_id)
     heartbeat->grants.grants_len = list_grants (state, member->boot_id, heartbeat->grants.grants_val);
+  hf_evacuation_sync_write (state, heartbeat);
   hf_state_send_to_address (state, member->address, message);
 }
 
@@ -275,6 +277,16 @@
       send_heartbeat (state, member_at (state, i), wants_reply || !member_at (state, i)->alive, loads, n);
 }
 
+void
+hf_members_announce (struct hf_state *state)
+{
+  struct hf_rpc_server_load *loads = hf_effects_alloc (state->effects, HF_RPC_LOADS_MAX * sizeof *loads);
+  unsigned n = list_loads (state, loads);
+  for (size_t i = 0; i < state->members->len; i++)
+    if (hf_roles_is_heartbeat_peer (state, member_at (state, i)))
+      send_heartbeat (state, member_at (state, i), false, loads, n);
+}
+
 void
 hf_members_record_sender (struct hf_state *state, const struct hf_event *event)
 {
--- a/src/hf-members.h
+++ b/src/hf-members.h
@@ -22,6 +22,8 @@
 
 /* Sends heartbeats to this round's members, or with wants_reply to all of them, which then reply immediately. */
 void hf_members_send_heartbeats (struct hf_state *state, bool wants_reply);
+void
+hf_members_announce (struct hf_state *state); /* one to all of them, whatever the round, as its content has changed */
 
 /* --- public functions: events --- */
 
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -8,6 +8,7 @@
 #include "hf-config-sync.h"
 #include "hf-directory-sync.h"
 #include "hf-directory.h"
+#include "hf-evacuation-sync.h"
 #include "hf-measure.h"
 #include "hf-members.h"
 #include "hf-probes.h"
@@ -168,6 +169,31 @@
   hf_str_free (&received.text);
 }
 
+/* A changed set is passed on at once: by who has it from the platform to all, and by coordinators, whose heartbeats
+ * reach the entries that hear of no others. */
+static void
+handle_evacuation_step (struct hf_state *state, const struct hf_event *event)
+{
+  if (!hf_evacuation_sync_handle_step (state, event))
+    return;
+  hf_members_announce (state);
+  hf_slots_update_pools (state);
+}
+
+static void
+handle_heartbeat (struct hf_state *state, const struct hf_event *event)
+{
+  const struct hf_rpc_message *message = event->peer.message;
+  hf_members_handle_heartbeat (state, event);
+  hf_directory_sync_note_position (state, event);
+  hf_config_spread_note_member (state, message->boot_id);
+  if (!hf_evacuation_sync_handle_heartbeat (state, &message->body.hf_rpc_body_u.heartbeat))
+    return;
+  if (state->roles.is_coordinator)
+    hf_members_announce (state);
+  hf_slots_update_pools (state);
+}
+
 static void
 handle_peer_message (struct hf_state *state, const struct hf_event *event)
 {
@@ -179,9 +205,7 @@
   switch (event->peer.message->body.kind)
     {
     case HF_RPC_HEARTBEAT:
-      hf_members_handle_heartbeat (state, event);
-      hf_directory_sync_note_position (state, event);
-      hf_config_spread_note_member (state, event->peer.message->boot_id);
+      handle_heartbeat (state, event);
       break;
     case HF_RPC_ACQUIRE:
     case HF_RPC_DECISION:
@@ -286,6 +310,12 @@
     case HF_EVENT_LIST_STEP:
       handle_list (state, event);
       break;
+    case HF_EVENT_EVACUATION_REPORT:
+      hf_evacuation_sync_handle_report (state, event);
+      break;
+    case HF_EVENT_EVACUATION_STEP:
+      handle_evacuation_step (state, event);
+      break;
     case HF_EVENT_SHUTDOWN:
       hf_shutdown_begin (state);
       break;
@@ -325,6 +355,8 @@
   state->drain_wait_ms = settings->drain_wait_ms;
   state->shutdown_timeout_ms = settings->shutdown_timeout_ms;
   state->external_store = settings->store_address.len > 0;
+  state->follows_evacuations = state->external_store && settings->evacuate_ms > 0;
+  state->domain_names = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   state->boot_id = boot_id;
   state->random_state = boot_id;
   state->wakeup_at = -1;
@@ -357,6 +389,7 @@
   g_ptr_array_unref (state->members);
   g_hash_table_destroy (state->draining_vms);
   g_hash_table_destroy (state->suspects);
+  g_hash_table_destroy (state->domain_names);
   hf_restrictions_close (state);
   hf_directory_close (&state->directory);
   hf_directory_sync_close (&state->directory_sync);
--- a/src/hf-rpc.c
+++ b/src/hf-rpc.c
@@ -80,6 +80,11 @@
 		 if (!xdr_array (xdrs, (char **)&objp->grants.grants_val, (u_int *) &objp->grants.grants_len, HF_RPC_GRANTS_MAX,
 			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 			 return FALSE;
+		 if (!xdr_hf_rpc_store_position (xdrs, &objp->evacuations_position))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->evacuated.evacuated_val, (u_int *) &objp->evacuated.evacuated_len, HF_RPC_EVACUATIONS_MAX,
+			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->seq))
@@ -116,6 +121,11 @@
 		 if (!xdr_array (xdrs, (char **)&objp->grants.grants_val, (u_int *) &objp->grants.grants_len, HF_RPC_GRANTS_MAX,
 			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 			 return FALSE;
+		 if (!xdr_hf_rpc_store_position (xdrs, &objp->evacuations_position))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->evacuated.evacuated_val, (u_int *) &objp->evacuated.evacuated_len, HF_RPC_EVACUATIONS_MAX,
+			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -145,6 +155,11 @@
 	 if (!xdr_array (xdrs, (char **)&objp->grants.grants_val, (u_int *) &objp->grants.grants_len, HF_RPC_GRANTS_MAX,
 		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 		 return FALSE;
+	 if (!xdr_hf_rpc_store_position (xdrs, &objp->evacuations_position))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->evacuated.evacuated_val, (u_int *) &objp->evacuated.evacuated_len, HF_RPC_EVACUATIONS_MAX,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/hf-rpc.h
+++ b/src/hf-rpc.h
@@ -14,11 +14,12 @@
 #endif
 
 #define HF_RPC_PROGRAM 541083233
-#define HF_RPC_VERSION 4
+#define HF_RPC_VERSION 5
 #define HF_RPC_LOADS_MAX 512
 #define HF_RPC_GRANTS_MAX 512
 #define HF_RPC_CONFIG_CHUNK_MAX 8192
 #define HF_RPC_NAME_MAX 128
+#define HF_RPC_EVACUATIONS_MAX 32
 #define HF_RPC_REPORTS_MAX 24
 
 enum hf_rpc_kind {
@@ -70,6 +71,11 @@
 		u_int grants_len;
 		u_quad_t *grants_val;
 	} grants;
+	hf_rpc_store_position evacuations_position;
+	struct {
+		u_int evacuated_len;
+		u_quad_t *evacuated_val;
+	} evacuated;
 };
 typedef struct hf_rpc_heartbeat hf_rpc_heartbeat;
 
--- a/src/hf-rpc.x
+++ b/src/hf-rpc.x
@@ -7,11 +7,12 @@
  * constants and enumerators, are the wire format.
  */
 const HF_RPC_PROGRAM = 541083233;
-const HF_RPC_VERSION = 4;
+const HF_RPC_VERSION = 5;
 const HF_RPC_LOADS_MAX = 512;
 const HF_RPC_GRANTS_MAX = 512;
 const HF_RPC_CONFIG_CHUNK_MAX = 8192;
 const HF_RPC_NAME_MAX = 128;
+const HF_RPC_EVACUATIONS_MAX = 32;
 const HF_RPC_REPORTS_MAX = 24;
 
 enum hf_rpc_kind {
@@ -50,7 +51,9 @@
  * generation, digest: of its configuration document, 0 if it has none.
  * leaving: the sender is shutting down. starting: it has not read its configuration or directory yet and cannot grant
  * slots. wants_reply: the receiver sends a heartbeat back immediately.
- * grants: tickets of the slots granted by the receiver that the sender still uses. */
+ * grants: tickets of the slots granted by the receiver that the sender still uses.
+ * evacuated: hashes of the names of the failure domains that are evacuated; evacuations_position: position up to which
+ * they are complete, revision 0 if the sender does not know them. */
 struct hf_rpc_heartbeat {
   unsigned hyper seq;
   unsigned hyper failure_domain;
@@ -64,6 +67,8 @@
   bool wants_reply;
   hf_rpc_server_load loads<HF_RPC_LOADS_MAX>;
   unsigned hyper grants<HF_RPC_GRANTS_MAX>;
+  hf_rpc_store_position evacuations_position;
+  unsigned hyper evacuated<HF_RPC_EVACUATIONS_MAX>;
 };
 
 /* Requests one slot from the granter of a service (service: id of the slice, ticket: id of the attempt at the sender).
--- a/src/hf-slices.c
+++ b/src/hf-slices.c
@@ -1,6 +1,8 @@
 /* Slices of a large service. */
 #include "hf-slices.h"
 
+#include "hf-evacuation-sync.h"
+
 /* --- internal functions --- */
 
 static uint64_t
@@ -60,7 +62,11 @@
 {
   unsigned slices = hf_slices_find_or_add (state, spec, 0)->slice_count;
   for (unsigned i = 0; i < slices; i++)
-    hf_pool_configure (&hf_slices_find_or_add (state, spec, i)->pool, spec);
+    {
+      struct hf_service_state *slice = hf_slices_find_or_add (state, spec, i);
+      hf_pool_configure (&slice->pool, spec);
+      hf_evacuation_sync_apply_all (state, slice);
+    }
 }
 
 struct hf_service_state *
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -9,6 +9,7 @@
 #define HF_STATE_H
 
 #include "hf-document.h"
+#include "hf-evacuations.h"
 #include "hf-event.h"
 #include "hf-latency.h"
 #include "hf-log.h"
@@ -517,6 +518,9 @@
   bool external_store; /* document, VM list and directory arrive as events; the reducer opens no watches */
   struct hf_directory directory;
   struct hf_directory_sync directory_sync;
+  bool follows_evacuations; /* orders of the operator to evacuate a failure domain are in force */
+  struct hf_evacuations evacuations;
+  GHashTable *domain_names; /* names of failure domains by their hash, for log lines */
   struct hf_roles roles;
   GHashTable *services;          /* struct hf_service_state by id */
   GHashTable *service_by_server; /* the same by id of a backend server */
--- a/src/hf-status.c
+++ b/src/hf-status.c
@@ -7,7 +7,8 @@
 hf_state_is_initialised (const struct hf_state *state)
 {
   bool listed = !state->external_store || (state->directory.complete && state->directory.entries_complete);
-  return state->document && listed;
+  bool knows_evacuations = !state->follows_evacuations || state->evacuations.position.revision > 0;
+  return state->document && listed && knows_evacuations;
 }
 
 bool
--- a/src/hf-status.h
+++ b/src/hf-status.h
@@ -10,10 +10,11 @@
 
 struct hf_state;
 
-bool hf_state_is_initialised (const struct hf_state *state); /* configuration and directory have been loaded */
-bool hf_state_is_ready (const struct hf_state *state);       /* the health check passes */
-bool hf_state_is_leaving (const struct hf_state *state);     /* it is shutting down */
-int64_t hf_state_exit_at (const struct hf_state *state);     /* if leaving: time of the exit in any case */
-uint64_t *hf_state_counters (struct hf_state *state);        /* by enum hf_counter */
+/* Configuration and directory have been loaded, and what is evacuated where that is ordered. */
+bool hf_state_is_initialised (const struct hf_state *state);
+bool hf_state_is_ready (const struct hf_state *state);   /* the health check passes */
+bool hf_state_is_leaving (const struct hf_state *state); /* it is shutting down */
+int64_t hf_state_exit_at (const struct hf_state *state); /* if leaving: time of the exit in any case */
+uint64_t *hf_state_counters (struct hf_state *state);    /* by enum hf_counter */
 
 #endif
--- a/tests/fake-store.c
+++ b/tests/fake-store.c
@@ -19,6 +19,7 @@
   char *spec;
   guint64 revision;
   gboolean deleted;
+  gboolean deleting; /* it is still there, until its finalizers are gone */
 };
 
 /* One HTTP request of an entry. */
@@ -104,8 +105,8 @@
 object_json (const struct object *object)
 {
   return g_strdup_printf ("{\"metadata\":{\"name\":\"%s\",\"revision\":%" G_GUINT64_FORMAT
-                          ",\"created_rev\":1,\"finalizers\":[],\"deleting\":false},\"spec\":%s,\"status\":null}",
-                          object->name, object->revision, object->spec);
+                          ",\"created_rev\":1,\"finalizers\":[],\"deleting\":%s},\"spec\":%s,\"status\":null}",
+                          object->name, object->revision, object->deleting ? "true" : "false", object->spec);
 }
 
 /* --- internal functions: responses --- */
@@ -250,6 +251,7 @@
       object->spec = g_strdup (spec);
     }
   object->deleted = deleted;
+  object->deleting = FALSE;
   object->revision = ++store->revision;
   notify_watches (store);
 }
@@ -474,6 +476,16 @@
   change_object (store, kind, name, NULL, TRUE);
 }
 
+void
+fake_store_mark_deleting (struct fake_store *store, const char *kind, const char *name)
+{
+  struct object *object = find_object (store, kind, name);
+  g_assert_nonnull (object);
+  object->deleting = TRUE;
+  object->revision = ++store->revision;
+  notify_watches (store);
+}
+
 char *
 fake_store_get (const struct fake_store *store, const char *kind, const char *name)
 {
--- a/tests/fake-store.h
+++ b/tests/fake-store.h
@@ -26,6 +26,8 @@
 void fake_store_touch (struct fake_store *store, const char *kind, const char *name, const char *spec);
 /* Deletes an object and notifies the watches. */
 void fake_store_delete (struct fake_store *store, const char *kind, const char *name);
+/* Marks an object as being deleted, as a deletion does while it has finalizers, and notifies the watches. */
+void fake_store_mark_deleting (struct fake_store *store, const char *kind, const char *name);
 /* Returns a copy of the spec, NULL if there is no such object. */
 char *fake_store_get (const struct fake_store *store, const char *kind, const char *name);
 
--- a/tests/platform-setup.c
+++ b/tests/platform-setup.c
@@ -306,9 +306,10 @@
   const struct backend_server *server = &setup->servers[i];
   return g_strdup_printf ("{\"address\":\"%s\",\"born\":%" G_GUINT64_FORMAT
                           ",\"info\":{\"service\":\"%s\",\"version\":\"v1\",\"zone\":"
-                          "\"z1\",\"slots\":%d},\"status\":{\"state\":\"%s\",\"sequence\":%u,\"cold_left\":\"0ms\"}}",
+                          "\"%s\",\"slots\":%d},\"status\":{\"state\":\"%s\",\"sequence\":%u,%s}}",
                           raw_server_address (server->raw_server), server->started_at ? server->started_at : i + 1,
-                          service, SERVER_SLOTS, state, ++setup->sequence);
+                          service, server->failure_domain ? server->failure_domain : "z1", SERVER_SLOTS, state,
+                          ++setup->sequence, server->cold_left ? server->cold_left : "\"cold_left\":\"0ms\"");
 }
 
 /* Writes the object of server i to the store, or replaces it. */
@@ -331,11 +332,11 @@
       "{\"name\":\"write\",\"host\":\"h.example\",\"path_prefix\":\"/w/"
       "\",\"route_kind\":\"unsafe\",\"timeout\":\"800ms\","
       "\"target_latency\":\"300ms\",\"priority\":1,\"service\":\"alpha\",\"max_attempts\":2}],"
-      "\"services\":[{\"name\":\"alpha\",\"health_path\":\"/health\",\"max_conns\":10},"
+      "\"services\":[{\"name\":\"alpha\",\"health_path\":\"/health\",\"max_conns\":10%s},"
       "{\"name\":\"beta\",\"health_path\":\"/health\",\"max_conns\":10}],"
       "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":10000,\"header_timeout\":\"500ms\","
       "\"idle_timeout\":\"15000ms\"}}",
-      version, read_prefix, read_target);
+      version, read_prefix, read_target, setup->cold_fields ? setup->cold_fields : "");
   fake_store_put (setup->store, "config", "main", spec);
   g_free (spec);
 }
@@ -389,8 +390,9 @@
 make_settings (const struct setup *setup)
 {
   return g_strdup_printf ("name: e1\nfailure_domain: z1\nlisten: 127.0.0.1:0\nadmin: 127.0.0.1:0\n"
-                          "peers: 127.0.0.1:0\nmetrics: 127.0.0.1:0\nstore: %s\ndrain_wait_ms: %d\ngrace_ms: %d\n",
-                          fake_store_address (setup->store), setup->drain_wait_ms, setup->grace_ms);
+                          "peers: 127.0.0.1:0\nmetrics: 127.0.0.1:0\nstore: %s\ndrain_wait_ms: %d\ngrace_ms: %d\n%s",
+                          fake_store_address (setup->store), setup->drain_wait_ms, setup->grace_ms,
+                          setup->more_settings ? setup->more_settings : "");
 }
 
 void
--- a/tests/platform-setup.h
+++ b/tests/platform-setup.h
@@ -62,6 +62,8 @@
   const char *extra_fields;    /* header lines in its responses to calls; NULL: none */
   const char *health_fields;   /* the same in those of its health endpoint */
   guint64 started_at;          /* as it registers itself; 0: from its index */
+  const char *failure_domain;  /* the same; NULL: that of the entry */
+  const char *cold_left;       /* the same, as a JSON member; NULL: 0 ms */
   guint requests;
   guint health_requests;
   GString *last_request;
@@ -81,6 +83,8 @@
   GSubprocess *entry;
   int drain_wait_ms; /* settings of the entry */
   int grace_ms;
+  const char *more_settings; /* lines of YAML; NULL: none */
+  const char *cold_fields;   /* JSON members of the services, each after a comma; NULL: none */
   char *folder;
   char caller_address[64];
   char admin_address[64];
