Metrics count bytes by kind and by whether they cross failure domains

Bytes between failure domains are expensive to one customer, and no metric told which kind of traffic crosses. Counting them at the sockets alone was ruled out: the sockets do not know the domain of an address, so each effect that sends something says whether it crosses. Bytes of messages are counted where they are sent, those of HTTP in both directions.

--- a/src/hf-calls.c
+++ b/src/hf-calls.c
@@ -86,6 +86,7 @@
     .remaining_ms = MAX (1, (hf_shutdown_server_deadline (state, call) - state->now) / HF_MS),
   };
   effect.address = hf_effects_copy (state->effects, server->address);
+  effect.crosses_domain = hf_state_crosses_domain (state, server->failure_domain);
   effect.name = hf_effects_copy (state->effects, server->name);
   attempt->phase = HF_PHASE_RUNNING;
   attempt->server = server->id;
--- a/src/hf-dump.c
+++ b/src/hf-dump.c
@@ -302,6 +302,17 @@
   return json;
 }
 
+static void
+append_traffic (GString *text, const struct hf_traffic *traffic)
+{
+  g_string_append (text, "# TYPE hickoryfield_bytes_total counter\n");
+  for (int kind = 0; kind < HF_TRAFFIC_KINDS; kind++)
+    for (int crossing = 0; crossing < 2; crossing++)
+      g_string_append_printf (text, "hickoryfield_bytes_total{kind=\"%s\",crossing=\"%s\"} %" G_GUINT64_FORMAT "\n",
+                              hf_traffic_names[kind], crossing ? "yes" : "no",
+                              (guint64) traffic->bytes[kind][crossing]);
+}
+
 char *
 hf_dump_metrics (const struct hf_state *state, gint64 now)
 {
@@ -309,6 +320,7 @@
   for (int i = 0; i < HF_COUNTERS; i++)
     g_string_append_printf (text, "# TYPE hickoryfield_%s counter\nhickoryfield_%s %" G_GUINT64_FORMAT "\n",
                             hf_counter_names[i], hf_counter_names[i], (guint64) state->counters[i]);
+  append_traffic (text, &state->traffic);
   g_string_append_printf (text,
                           "# TYPE hickoryfield_generation "
                           "gauge\nhickoryfield_generation %" G_GUINT64_FORMAT "\n",
--- a/src/hf-event.h
+++ b/src/hf-event.h
@@ -263,6 +263,7 @@
   uint64_t server;        /* id of the backend server */
   uint64_t incarnation;   /* DISPATCH, SEND_PROBE: run of the server that is meant */
   struct hf_str address;
+  bool crosses_domain;  /* DISPATCH, SEND_PROBE, SEND_MESSAGE: the address is in another failure domain */
   struct hf_str path;   /* SEND_PROBE */
   int64_t idle_max_ms;  /* DISPATCH: reuse only a connection idle for less; 0: open a new one */
   int64_t remaining_ms; /* DISPATCH: remaining deadline, sent to the backend server */
--- a/src/hf-http-client.c
+++ b/src/hf-http-client.c
@@ -66,7 +66,9 @@
   bool got_head;    /* the response head was received */
   bool in_callback; /* hf_http_client_send or a callback of the owner is running */
   bool cancelled;
-  guint failure_source; /* idle source that reports the missing connection; 0: none */
+  uint64_t *sent_bytes;     /* counter; NULL: not counted */
+  uint64_t *received_bytes; /* the same */
+  guint failure_source;     /* idle source that reports the missing connection; 0: none */
 };
 
 /* --- internal functions: connections --- */
@@ -127,6 +129,13 @@
 
 /* --- internal functions: requests --- */
 
+static void
+count_bytes (uint64_t *counter, size_t bytes)
+{
+  if (counter)
+    *counter += bytes;
+}
+
 /* Reports the end and frees the request. */
 static void
 end_request (struct hf_http_client_request *request, enum hf_http_client_result result, bool sent)
@@ -287,6 +296,8 @@
 on_stream_data (void *context, struct hf_str bytes)
 {
   struct connection *connection = context;
+  if (connection->request)
+    count_bytes (connection->request->received_bytes, bytes.len);
   while (bytes.len > 0 && !connection->closed)
     {
       /* Bytes without a request are no response to anything: the connection is unusable. */
@@ -480,6 +491,8 @@
   request->context = context;
   request->has_more_body = params->has_more_body;
   request->response_has_no_body = params->response_has_no_body;
+  request->sent_bytes = params->sent_bytes;
+  request->received_bytes = params->received_bytes;
   struct connection *connection = take_idle_connection (client, params);
   if (!connection)
     connection = open_connection (client, params->address);
@@ -495,6 +508,7 @@
   hf_stream_clear_sent (connection->stream);
   hf_stream_queue (connection->stream, params->head);
   hf_stream_queue (connection->stream, params->body);
+  count_bytes (request->sent_bytes, params->head.len + params->body.len);
   if (connection->connected)
     {
       request->in_callback = true;
@@ -512,6 +526,7 @@
   if (!request->connection)
     return;
   hf_stream_queue (request->connection->stream, bytes);
+  count_bytes (request->sent_bytes, bytes.len);
   if (request->connection->connected)
     hf_stream_flush (request->connection->stream);
 }
--- a/src/hf-http-client.h
+++ b/src/hf-http-client.h
@@ -52,6 +52,8 @@
  * @has_more_body: the rest of the body follows by hf_http_client_send_body
  * @request_id: by which responses are told apart; a connection carries it once; empty: not told apart
  * @response_has_no_body: the response has no body, whatever its head declares (HEAD)
+ * @sent_bytes: counter of the bytes of the request, which outlives the client; NULL: not counted
+ * @received_bytes: the same for the bytes received
  * @idle_max_us: a pooled connection is used if it was idle for at most this time; 0: always a new connection
  */
 struct hf_http_client_params
@@ -63,6 +65,8 @@
   struct hf_str request_id;
   bool response_has_no_body;
   int64_t idle_max_us;
+  uint64_t *sent_bytes;
+  uint64_t *received_bytes;
 };
 
 /* --- public functions: init and close --- */
--- a/src/hf-measure.c
+++ b/src/hf-measure.c
@@ -21,6 +21,7 @@
 {
   struct hf_effect effect = { .kind = HF_EFFECT_SEND_PROBE, .server = server->id, .incarnation = server->incarnation };
   effect.address = hf_effects_copy (state->effects, server->address);
+  effect.crosses_domain = hf_state_crosses_domain (state, server->failure_domain);
   effect.path = hf_effects_copy (state->effects, spec->health_path);
   effect.name = hf_effects_copy (state->effects, server->name);
   hf_effects_add (state->effects, effect);
--- a/src/hf-peer-socket.c
+++ b/src/hf-peer-socket.c
@@ -159,6 +159,9 @@
     return;
   /* If the socket buffer is full, the datagram is lost, as datagrams may be in the network. */
   gssize sent = g_socket_send_to (peer_socket->socket, to, buffer, size, NULL, NULL);
-  if (sent > 0)
-    hf_state_counters (peer_socket->loop->state)[HF_COUNT_PEER_BYTES_SENT] += (uint64_t) sent;
+  if (sent <= 0)
+    return;
+  enum hf_traffic_kind kind = hf_traffic_kind_of_message (effect->message.body.kind);
+  hf_state_counters (peer_socket->loop->state)[HF_COUNT_PEER_BYTES_SENT] += (uint64_t) sent;
+  hf_state_traffic (peer_socket->loop->state)->bytes[kind][effect->crosses_domain] += (uint64_t) sent;
 }
--- a/src/hf-probes.c
+++ b/src/hf-probes.c
@@ -147,6 +147,7 @@
   struct hf_effect effect = { .kind = HF_EFFECT_SEND_PROBE, .server = server->id, .arg = service->id };
   effect.incarnation = server->incarnation;
   effect.address = hf_effects_copy (state->effects, server->address);
+  effect.crosses_domain = hf_state_crosses_domain (state, server->failure_domain);
   effect.path = hf_effects_copy (state->effects, spec->health_path);
   hf_effects_add (state->effects, effect);
   hf_state_increment (state, HF_COUNT_PROBES);
--- a/src/hf-proxy.c
+++ b/src/hf-proxy.c
@@ -6,6 +6,7 @@
 #include "hf-exchange.h"
 #include "hf-http-server.h"
 #include "hf-state.h"
+#include "hf-status.h"
 
 /* --- types --- */
 
@@ -431,6 +432,7 @@
   GString *head = build_request_head (call, effect);
   /* Without an id a response of an earlier request cannot be told from the one due. */
   int64_t idle_max_ms = call->request_id.len > 0 ? effect->idle_max_ms : 0;
+  struct hf_traffic *traffic = hf_state_traffic (proxy->loop->state);
   struct hf_str buffered_body = { (const char *) call->body->data, call->body->len };
   struct hf_exchange_params params = {
     .loop = proxy->loop,
@@ -447,7 +449,9 @@
                  .has_more_body = call->streams_body,
                  .request_id = call->request_id,
                  .response_has_no_body = hf_str_equal (call->method, hf_str ("HEAD")),
-                 .idle_max_us = idle_max_ms * HF_MS },
+                 .idle_max_us = idle_max_ms * HF_MS,
+                 .sent_bytes = &traffic->bytes[HF_TRAFFIC_REQUEST][effect->crosses_domain],
+                 .received_bytes = &traffic->bytes[HF_TRAFFIC_RESPONSE][effect->crosses_domain] },
     .on_request_drained = call->streams_body ? on_upload_drained : NULL,
     .context = call,
   };
@@ -547,8 +551,12 @@
   probe->server_name = hf_str_dup (effect->name);
   probe->sent_at = hf_loop_now ();
   g_hash_table_add (proxy->probes, probe);
-  struct hf_http_client_params params
-      = { .address = effect->address, .head = { head->str, head->len }, .idle_max_us = HF_CONNECTION_IDLE_MS * HF_MS };
+  uint64_t *bytes = &hf_state_traffic (proxy->loop->state)->bytes[HF_TRAFFIC_MEASUREMENT][effect->crosses_domain];
+  struct hf_http_client_params params = { .address = effect->address,
+                                          .head = { head->str, head->len },
+                                          .idle_max_us = HF_CONNECTION_IDLE_MS * HF_MS,
+                                          .sent_bytes = bytes,
+                                          .received_bytes = bytes };
   probe->request = hf_http_client_send (proxy->http_client, &params, &probe_callbacks, probe);
   g_string_free (head, TRUE);
 }
--- a/src/hf-state.c
+++ b/src/hf-state.c
@@ -39,6 +39,34 @@
   [HF_COUNT_PEER_BYTES_RECEIVED] = "peer_bytes_received_total",
 };
 
+/* --- internal functions --- */
+
+static const struct hf_member *
+find_member_by_address (const struct hf_state *state, struct hf_str address)
+{
+  for (guint i = 0; i < state->members->len; i++)
+    {
+      const struct hf_member *member = g_ptr_array_index (state->members, i);
+      if (hf_str_equal (member->address, address))
+        return member;
+    }
+  return NULL;
+}
+
+static void
+send_message (struct hf_state *state,
+              struct hf_str address,
+              const struct hf_member *member,
+              struct hf_rpc_message message)
+{
+  message.boot_id = state->boot_id;
+  struct hf_effect effect = { .kind = HF_EFFECT_SEND_MESSAGE, .message = message };
+  effect.address = hf_effects_copy (state->effects, address);
+  effect.crosses_domain = member && hf_state_crosses_domain (state, member->failure_domain);
+  hf_effects_add (state->effects, effect);
+  hf_state_increment (state, HF_COUNT_PEER_MESSAGES_SENT);
+}
+
 /* --- public functions: helpers of the reducer's modules --- */
 
 struct hf_service_state *
@@ -68,6 +96,12 @@
   return member->failure_domain == hf_hash (state->failure_domain, 0);
 }
 
+bool
+hf_state_crosses_domain (const struct hf_state *state, uint64_t failure_domain)
+{
+  return hf_traffic_crosses (hf_hash (state->failure_domain, 0), failure_domain);
+}
+
 uint64_t
 hf_state_ticket (uint64_t call_id, unsigned attempt_index)
 {
@@ -124,17 +158,13 @@
 {
   const struct hf_member *member = hf_state_find_member (state, boot_id);
   if (member)
-    hf_state_send_to_address (state, member->address, message);
+    send_message (state, member->address, member, message);
 }
 
 void
 hf_state_send_to_address (struct hf_state *state, struct hf_str address, struct hf_rpc_message message)
 {
-  message.boot_id = state->boot_id;
-  struct hf_effect effect = { .kind = HF_EFFECT_SEND_MESSAGE, .message = message };
-  effect.address = hf_effects_copy (state->effects, address);
-  hf_effects_add (state->effects, effect);
-  hf_state_increment (state, HF_COUNT_PEER_MESSAGES_SENT);
+  send_message (state, address, find_member_by_address (state, address), message);
 }
 
 void
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -16,6 +16,7 @@
 #include "hf-pool.h"
 #include "hf-removed-servers.h"
 #include "hf-timers.h"
+#include "hf-traffic.h"
 
 #include "config.h"
 
@@ -531,6 +532,7 @@
   GHashTable *suspects; /* struct hf_suspect by fingerprint */
   struct hf_timers timers;
   uint64_t counters[HF_COUNTERS];
+  struct hf_traffic traffic;
   struct hf_latency latency;
 };
 
@@ -542,6 +544,7 @@
 uint64_t hf_state_ticket (uint64_t call_id, unsigned attempt_index); /* identifies an attempt at this entry */
 uint64_t hf_state_generation (const struct hf_state *state);         /* of the configuration in force; 0: none */
 bool hf_state_is_in_own_domain (const struct hf_state *state, const struct hf_member *member);
+bool hf_state_crosses_domain (const struct hf_state *state, uint64_t failure_domain); /* known to be another one */
 void hf_state_free_service (void *service); /* GDestroyNotify for the table of services */
 
 /* Marks a backend server as draining until a point in time (0: until unmarked) and logs that. Returns false if the
--- a/src/hf-status.c
+++ b/src/hf-status.c
@@ -33,3 +33,9 @@
 {
   return state->counters;
 }
+
+struct hf_traffic *
+hf_state_traffic (struct hf_state *state)
+{
+  return &state->traffic;
+}
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -47,6 +47,8 @@
   entry->sent_bytes += (int64_t) size;
   if (strcmp (to->failure_domain, entry->failure_domain) != 0)
     entry->sent_bytes_other += (int64_t) size;
+  if (effect->crosses_domain)
+    entry->crossing_bytes[hf_traffic_kind_of_message (effect->message.body.kind)] += (int64_t) size;
   g_queue_push_tail (fleet->datagrams, datagram);
 }
 
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -44,11 +44,12 @@
   uint64_t generation;       /* configuration generation that the platform has reported to it */
   unsigned datagrams_sent;
   unsigned heartbeats_sent;
-  unsigned document_reads;  /* requests to the platform for the configuration */
-  int64_t read_at;          /* last such request that is not answered yet; 0: none */
-  int64_t sent_bytes;       /* in datagrams */
-  int64_t sent_bytes_other; /* in datagrams to other failure domains */
-  int64_t link_free_at;     /* time when its datagrams so far have been sent */
+  unsigned document_reads;                  /* requests to the platform for the configuration */
+  int64_t read_at;                          /* last such request that is not answered yet; 0: none */
+  int64_t sent_bytes;                       /* in datagrams */
+  int64_t sent_bytes_other;                 /* in datagrams to other failure domains */
+  int64_t crossing_bytes[HF_TRAFFIC_KINDS]; /* in datagrams that its reducer marked as crossing, by kind */
+  int64_t link_free_at;                     /* time when its datagrams so far have been sent */
 };
 
 /** struct fleet_server - a backend server in the platform's directory, and the revision of its last change */
