Entries measure the round trip between failure domains and agree on affinity

Where a crossing takes long, requests are to stay in their failure domain. Each heartbeat now returns the time stamp of the last one from its receiver, so round trips are measured without further messages; the smallest sample of 30 to 60 s counts, as busy VMs delay most of them. One entry, chosen as granters are, decides by the smallest round trip between any two domains (on from 4 ms, off below 3 ms), and the others adopt the decision by its number: slices and granters must not differ between entries. Ruled out: a decision of each domain by itself, under which one service would have two sets of slices.

The setting domain_affinity (auto, on, off) overrides it. Nothing depends on the decision yet. The version of the messages rises to 5.

--- a/src/hf-dump.c
+++ b/src/hf-dump.c
@@ -3,6 +3,7 @@
 
 #include <json-glib/json-glib.h>
 
+#include "hf-affinity-sync.h"
 #include "hf-members.h"
 #include "hf-restrictions.h"
 
@@ -313,6 +314,16 @@
                               (guint64) traffic->bytes[kind][crossing]);
 }
 
+static void
+append_affinity (GString *text, const struct hf_state *state)
+{
+  g_string_append_printf (text, "# TYPE hickoryfield_domain_affinity gauge\nhickoryfield_domain_affinity %d\n",
+                          hf_affinity_is_on (&state->affinity));
+  g_string_append_printf (text,
+                          "# TYPE hickoryfield_domain_rtt_us gauge\nhickoryfield_domain_rtt_us %" G_GINT64_FORMAT "\n",
+                          hf_affinity_sync_rtt_us (state));
+}
+
 char *
 hf_dump_metrics (const struct hf_state *state, gint64 now)
 {
@@ -321,6 +332,7 @@
     g_string_append_printf (text, "# TYPE hickoryfield_%s counter\nhickoryfield_%s %" G_GUINT64_FORMAT "\n",
                             hf_counter_names[i], hf_counter_names[i], (guint64) state->counters[i]);
   append_traffic (text, &state->traffic);
+  append_affinity (text, state);
   g_string_append_printf (text,
                           "# TYPE hickoryfield_generation "
                           "gauge\nhickoryfield_generation %" G_GUINT64_FORMAT "\n",
--- a/src/hf-log.c
+++ b/src/hf-log.c
@@ -31,6 +31,7 @@
   { HF_LOG_MEMBER_LOST, HF_LOG_LEVEL_WARNING, "member-lost" },
   { HF_LOG_MEMBER_LEAVING, HF_LOG_LEVEL_INFO, "member-leaving" },
   { HF_LOG_GRANTER_SILENT, HF_LOG_LEVEL_WARNING, "granter-silent" },
+  { HF_LOG_AFFINITY, HF_LOG_LEVEL_NOTICE, "domain-affinity" },
   { HF_LOG_SERVER_LEAVING, HF_LOG_LEVEL_NOTICE, "server-leaving" },
   { HF_LOG_SERVER_OUT, HF_LOG_LEVEL_WARNING, "server-out" },
   { HF_LOG_SERVER_SILENT, HF_LOG_LEVEL_WARNING, "server-silent" },
--- a/src/hf-members.c
+++ b/src/hf-members.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "hf-affinity-sync.h"
 #include "hf-roles.h"
 #include "hf-wire.h"
 
@@ -165,6 +166,7 @@
   heartbeat->leaving = state->leaving;
   heartbeat->starting = state->starting;
   heartbeat->wants_reply = wants_reply;
+  hf_affinity_sync_fill (state, member, heartbeat);
   heartbeat->loads.loads_val = loads;
   heartbeat->loads.loads_len = n;
   heartbeat->grants.grants_val = hf_effects_alloc (state->effects, HF_RPC_GRANTS_MAX * sizeof (uint64_t));
@@ -332,6 +334,7 @@
                   HF_STR_ARG (member->name), (guint64) heartbeat->generation);
   if (begins_leaving)
     hf_state_log (state, HF_LOG_MEMBER_LEAVING, "entry " HF_STR_FMT " is leaving", HF_STR_ARG (member->name));
+  hf_affinity_sync_handle (state, member, heartbeat);
   apply_loads (state, member, heartbeat);
   if (heartbeat->wants_reply || joined)
     send_single_heartbeat (state, member, false);
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -1,6 +1,7 @@
 /* The reducer: passes each event and each due timer to the module that handles it. */
 #include "hf-reduce.h"
 
+#include "hf-affinity-sync.h"
 #include "hf-calls.h"
 #include "hf-claim-shards.h"
 #include "hf-claims.h"
@@ -69,6 +70,7 @@
       hf_config_sync_check_watches (state);
       hf_config_sync_check_stored (state);
     }
+  hf_affinity_sync_tick (state);
   hf_probes_tick (state);
   hf_quarantine_expire (state);
   hf_restrictions_expire (state);
@@ -325,6 +327,7 @@
   state->drain_wait_ms = settings->drain_wait_ms;
   state->shutdown_timeout_ms = settings->shutdown_timeout_ms;
   state->external_store = settings->store_address.len > 0;
+  state->affinity.mode = (enum hf_affinity_mode) settings->domain_affinity;
   state->boot_id = boot_id;
   state->random_state = boot_id;
   state->wakeup_at = -1;
--- a/src/hf-rpc.c
+++ b/src/hf-rpc.c
@@ -60,7 +60,7 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->digest))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 8 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_bool (xdrs, &objp->leaving))
 				 return FALSE;
@@ -68,11 +68,26 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->wants_reply))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->sent_at))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->echo_sent_at))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->echo_held_us))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->rtt_us))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->affinity_epoch))
+				 return FALSE;
 
 		} else {
 		IXDR_PUT_BOOL(buf, objp->leaving);
 		IXDR_PUT_BOOL(buf, objp->starting);
 		IXDR_PUT_BOOL(buf, objp->wants_reply);
+		IXDR_PUT_U_LONG(buf, objp->sent_at);
+		IXDR_PUT_U_LONG(buf, objp->echo_sent_at);
+		IXDR_PUT_U_LONG(buf, objp->echo_held_us);
+		IXDR_PUT_U_LONG(buf, objp->rtt_us);
+		IXDR_PUT_U_LONG(buf, objp->affinity_epoch);
 		}
 		 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, HF_RPC_LOADS_MAX,
 			sizeof (hf_rpc_server_load), (xdrproc_t) xdr_hf_rpc_server_load))
@@ -96,7 +111,7 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->digest))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 8 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_bool (xdrs, &objp->leaving))
 				 return FALSE;
@@ -104,11 +119,26 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->wants_reply))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->sent_at))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->echo_sent_at))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->echo_held_us))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->rtt_us))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->affinity_epoch))
+				 return FALSE;
 
 		} else {
 		objp->leaving = IXDR_GET_BOOL(buf);
 		objp->starting = IXDR_GET_BOOL(buf);
 		objp->wants_reply = IXDR_GET_BOOL(buf);
+		objp->sent_at = IXDR_GET_U_LONG(buf);
+		objp->echo_sent_at = IXDR_GET_U_LONG(buf);
+		objp->echo_held_us = IXDR_GET_U_LONG(buf);
+		objp->rtt_us = IXDR_GET_U_LONG(buf);
+		objp->affinity_epoch = IXDR_GET_U_LONG(buf);
 		}
 		 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, HF_RPC_LOADS_MAX,
 			sizeof (hf_rpc_server_load), (xdrproc_t) xdr_hf_rpc_server_load))
@@ -139,6 +169,16 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->wants_reply))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->sent_at))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->echo_sent_at))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->echo_held_us))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->rtt_us))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->affinity_epoch))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, HF_RPC_LOADS_MAX,
 		sizeof (hf_rpc_server_load), (xdrproc_t) xdr_hf_rpc_server_load))
 		 return FALSE;
--- a/src/hf-rpc.h
+++ b/src/hf-rpc.h
@@ -14,7 +14,7 @@
 #endif
 
 #define HF_RPC_PROGRAM 541083233
-#define HF_RPC_VERSION 4
+#define HF_RPC_VERSION 5
 #define HF_RPC_LOADS_MAX 512
 #define HF_RPC_GRANTS_MAX 512
 #define HF_RPC_CONFIG_CHUNK_MAX 8192
@@ -62,6 +62,11 @@
 	bool_t leaving;
 	bool_t starting;
 	bool_t wants_reply;
+	u_int sent_at;
+	u_int echo_sent_at;
+	u_int echo_held_us;
+	u_int rtt_us;
+	u_int affinity_epoch;
 	struct {
 		u_int loads_len;
 		hf_rpc_server_load *loads_val;
--- a/src/hf-rpc.x
+++ b/src/hf-rpc.x
@@ -7,7 +7,7 @@
  * constants and enumerators, are the wire format.
  */
 const HF_RPC_PROGRAM = 541083233;
-const HF_RPC_VERSION = 4;
+const HF_RPC_VERSION = 5;
 const HF_RPC_LOADS_MAX = 512;
 const HF_RPC_GRANTS_MAX = 512;
 const HF_RPC_CONFIG_CHUNK_MAX = 8192;
@@ -50,6 +50,10 @@
  * generation, digest: of its configuration document, 0 if it has none.
  * leaving: the sender is shutting down. starting: it has not read its configuration or directory yet and cannot grant
  * slots. wants_reply: the receiver sends a heartbeat back immediately.
+ * sent_at: time of the sender's clock, low bits in microseconds. echo_sent_at: the same of the last heartbeat that the
+ * sender got from the receiver; echo_held_us: time since that arrived, 4294967295: there was none lately.
+ * rtt_us: smallest round trip to another failure domain that the sender has measured lately, 0: none.
+ * affinity_epoch: number of the last decision on domain affinity that the sender knows.
  * grants: tickets of the slots granted by the receiver that the sender still uses. */
 struct hf_rpc_heartbeat {
   unsigned hyper seq;
@@ -62,6 +66,11 @@
   bool leaving;
   bool starting;
   bool wants_reply;
+  unsigned int sent_at;
+  unsigned int echo_sent_at;
+  unsigned int echo_held_us;
+  unsigned int rtt_us;
+  unsigned int affinity_epoch;
   hf_rpc_server_load loads<HF_RPC_LOADS_MAX>;
   unsigned hyper grants<HF_RPC_GRANTS_MAX>;
 };
--- a/src/hf-settings.c
+++ b/src/hf-settings.c
@@ -5,6 +5,7 @@
 
 /* --- constants --- */
 
+static const char *const affinity_names[] = { "auto", "on", "off", NULL }; /* by enum hf_affinity_mode */
 static const char *const level_names[] = { "debug", "info", "notice", "warning", "err", NULL };
 
 const struct hf_yaml_field hf_settings_fields[] = {
@@ -138,6 +139,12 @@
     .min = 0,
     .max = 3600000,
     .help = "Longest time for which a removed key is accepted; only with strict_revoke." },
+  { .name = "domain_affinity",
+    .type = HF_YAML_CHOICE,
+    .offset = offsetof (struct hf_settings, domain_affinity),
+    .choices = affinity_names,
+    .help = "Whether requests stay in the failure domain that they arrived in while they are served in time there; "
+            "auto: if round trips to the others take 4 ms or longer. The same at all entries." },
   { .name = "log_level",
     .type = HF_YAML_CHOICE,
     .offset = offsetof (struct hf_settings, log_level),
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -8,6 +8,7 @@
 #ifndef HF_STATE_H
 #define HF_STATE_H
 
+#include "hf-affinity.h"
 #include "hf-document.h"
 #include "hf-event.h"
 #include "hf-latency.h"
@@ -220,6 +221,9 @@
   int64_t listed_at;
   bool stale; /* not listed again yet since the list was restarted */
   struct hf_directory_parts directory_parts;
+  unsigned echo_sent_at;    /* sent_at of its last heartbeat */
+  int64_t echo_received_at; /* when that arrived; 0: never */
+  int64_t rtt_us;           /* smallest round trip to another failure domain that it reports; 0: none */
 };
 
 /* --- types: claims --- */
@@ -519,6 +523,7 @@
   struct hf_directory directory;
   struct hf_directory_sync directory_sync;
   struct hf_roles roles;
+  struct hf_affinity affinity;
   GHashTable *services;          /* struct hf_service_state by id */
   GHashTable *service_by_server; /* the same by id of a backend server */
   GHashTable *restrictions;      /* what backend servers said of themselves, by instance; see hf-restrictions */
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -331,6 +331,7 @@
                                   .failure_domain = hf_str (entry->failure_domain),
                                   .peer_address = hf_str (entry->address),
                                   .cpu_share = cpu_share,
+                                  .domain_affinity = entry->fleet->affinity_mode,
                                   .store_address = hf_str ("10.9.0.1:1") };
   entry->state = hf_state_new (&settings, boot_id);
   fleet_raise_event (entry, (struct hf_event){ .kind = HF_EVENT_START });
@@ -386,8 +387,15 @@
 
 struct fleet *
 fleet_open (unsigned entries, unsigned domains, unsigned large_per_domain)
+{
+  return fleet_open_with_affinity (entries, domains, large_per_domain, HF_AFFINITY_OFF);
+}
+
+struct fleet *
+fleet_open_with_affinity (unsigned entries, unsigned domains, unsigned large_per_domain, enum hf_affinity_mode mode)
 {
   struct fleet *fleet = g_new0 (struct fleet, 1);
+  fleet->affinity_mode = mode;
   fleet->entry_count = entries;
   fleet->now = HF_SEC;
   fleet->era = 1;
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -69,6 +69,7 @@
   void *context;
   struct fleet_entry entries[FLEET_ENTRIES_MAX];
   unsigned entry_count;
+  enum hf_affinity_mode affinity_mode; /* setting of all entries */
   GHashTable *entry_by_address;
   GQueue *datagrams;
   int64_t now;
@@ -93,6 +94,10 @@
 /* Entries that have exchanged heartbeats; the first @large_per_domain entries of each failure domain have five times
  * the processor time of the others. */
 struct fleet *fleet_open (unsigned entries, unsigned domains, unsigned large_per_domain);
+/* The same with another setting of domain affinity than off. A round trip takes two steps of the simulated time, so
+ * automatic affinity is on after some seconds. */
+struct fleet *
+fleet_open_with_affinity (unsigned entries, unsigned domains, unsigned large_per_domain, enum hf_affinity_mode mode);
 void fleet_close (struct fleet *fleet);
 void fleet_restart (struct fleet *fleet, unsigned i, uint64_t boot_id); /* a new process, which was told nothing yet */
 
--- a/tests/test-affinity.c
+++ b/tests/test-affinity.c
@@ -3,9 +3,10 @@
 
 /* --- constants --- */
 
-#define ENTRIES    105
-#define DOMAINS    4
-#define MEASURE_MS 6000 /* several rounds of heartbeats to all */
+#define NEW_BOOT_ID 1000 /* of an entry that was restarted */
+#define ENTRIES     105
+#define DOMAINS     4
+#define MEASURE_MS  6000 /* several rounds of heartbeats to all */
 
 /* --- internal functions --- */
 
@@ -36,6 +37,82 @@
   return (sum_crossing_bytes (fleet, kind) - before) * 1000 / MEASURE_MS;
 }
 
+/* --- tests: decision --- */
+
+/* Guards against affinity where a crossing takes no noticeable time, and against a decision that toggles with round
+ * trips near the limit. */
+static void
+test_decide (void)
+{
+  struct hf_affinity affinity = { .mode = HF_AFFINITY_AUTO };
+  g_assert_false (hf_affinity_decide (&affinity, 0));
+  g_assert_false (hf_affinity_decide (&affinity, 3999));
+  g_assert_false (hf_affinity_is_on (&affinity));
+  g_assert_true (hf_affinity_decide (&affinity, 4000));
+  g_assert_true (hf_affinity_is_on (&affinity));
+  g_assert_false (hf_affinity_decide (&affinity, 3000));
+  g_assert_false (hf_affinity_decide (&affinity, 0));
+  g_assert_true (hf_affinity_decide (&affinity, 2999));
+  g_assert_false (hf_affinity_is_on (&affinity));
+  g_assert_false (hf_affinity_adopt (&affinity, 1));
+  g_assert_true (hf_affinity_adopt (&affinity, 3));
+  g_assert_true (hf_affinity_is_on (&affinity));
+}
+
+/* Guards against a setting that the measured round trips or other entries override. */
+static void
+test_fixed_mode (void)
+{
+  struct hf_affinity on = { .mode = HF_AFFINITY_ON };
+  struct hf_affinity off = { .mode = HF_AFFINITY_OFF };
+  g_assert_false (hf_affinity_decide (&on, 100));
+  g_assert_false (hf_affinity_adopt (&on, 2));
+  g_assert_true (hf_affinity_is_on (&on));
+  g_assert_false (hf_affinity_decide (&off, 50000));
+  g_assert_false (hf_affinity_adopt (&off, 1));
+  g_assert_false (hf_affinity_is_on (&off));
+}
+
+/* Guards against one slow sample that counts as the round trip, and against a smallest sample that counts for ever. */
+static void
+test_window (void)
+{
+  const int64_t window_us = HF_AFFINITY_WINDOW_MS * HF_MS;
+  struct hf_affinity affinity = { 0 };
+  int64_t now = window_us;
+  hf_affinity_record_rtt (&affinity, now, 90000);
+  hf_affinity_record_rtt (&affinity, now, 1800);
+  hf_affinity_record_rtt (&affinity, now, 50000);
+  hf_affinity_record_rtt (&affinity, now, 11 * HF_SEC);
+  g_assert_cmpint (hf_affinity_rtt_us (&affinity, now), ==, 1800);
+  hf_affinity_record_rtt (&affinity, now + window_us, 7000);
+  g_assert_cmpint (hf_affinity_rtt_us (&affinity, now + window_us), ==, 1800);
+  g_assert_cmpint (hf_affinity_rtt_us (&affinity, now + 2 * window_us), ==, 7000);
+  g_assert_cmpint (hf_affinity_rtt_us (&affinity, now + 4 * window_us), ==, 0);
+  g_assert_false (hf_affinity_has_settled (&affinity, now + window_us));
+}
+
+static void
+check_epoch (const struct fleet *fleet, unsigned epoch)
+{
+  for (unsigned i = 0; i < fleet->entry_count; i++)
+    g_assert_cmpuint (fleet->entries[i].state->affinity.epoch, ==, epoch);
+}
+
+/* All entries agree on the decision, also one that starts later: they must agree on who grants which slots. */
+static void
+test_fleet_agrees (void)
+{
+  struct fleet *fleet = fleet_open_with_affinity (40, 4, 2, HF_AFFINITY_AUTO);
+  fleet_advance (fleet, HF_AFFINITY_SETTLE_MS + 3000);
+  check_epoch (fleet, 1);
+  fleet_restart (fleet, 39, NEW_BOOT_ID);
+  fleet_report_entries (&fleet->entries[39]);
+  fleet_advance (fleet, 500);
+  check_epoch (fleet, 1);
+  fleet_close (fleet);
+}
+
 /* --- tests: traffic --- */
 
 /* Guards against bytes that are counted as crossing although they stay in their failure domain, or the reverse: the
@@ -63,6 +140,10 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/affinity/decide", test_decide);
+  g_test_add_func ("/affinity/fixed-mode", test_fixed_mode);
+  g_test_add_func ("/affinity/window", test_window);
+  g_test_add_func ("/affinity/fleet-agrees", test_fleet_agrees);
   g_test_add_func ("/traffic/crossing-bytes", test_crossing_bytes);
   return g_test_run ();
 }
