With domain affinity, a server in another failure domain costs 60 ms

The cost is now a value of each pool, 60 ms while affinity is on and 5 ms as before otherwise. From 20 ms on a request with time to spare waits up to 80 ms for a nearer server, and one without crosses at once: the target latency bounds it.

--- a/src/hf-affinity-sync.c
+++ b/src/hf-affinity-sync.c
@@ -2,6 +2,7 @@
 #include "hf-affinity-sync.h"
 
 #include "hf-roles.h"
+#include "hf-slices.h"
 
 /* --- constants --- */
 
@@ -32,6 +33,7 @@
   hf_state_log (state, HF_LOG_AFFINITY,
                 "domain affinity is %s (decision %u); the smallest round trip between failure domains is %d us",
                 is_on ? "on" : "off", state->affinity.epoch, (int) hf_affinity_sync_rtt_us (state));
+  hf_slices_handle_affinity (state);
 }
 
 /* --- public functions --- */
--- a/src/hf-placement.c
+++ b/src/hf-placement.c
@@ -52,11 +52,13 @@
 }
 
 static double
-distance_cost_us (const struct hf_pool_server *server, const struct hf_slot_request *request)
+distance_cost_us (const struct hf_pool *pool,
+                  const struct hf_pool_server *server,
+                  const struct hf_slot_request *request)
 {
   bool same_domain = request->failure_domain == 0 || server->failure_domain == 0
                      || request->failure_domain == server->failure_domain;
-  return same_domain ? 0 : HF_PLACEMENT_FAR_US + HF_PLACEMENT_FAR_US_PER_BYTE * (double) request->body_bytes;
+  return same_domain ? 0 : pool->far_cost_us + HF_PLACEMENT_FAR_US_PER_BYTE * (double) request->body_bytes;
 }
 
 /* Slots that may be used, without a last slot that is to be left free. */
@@ -129,7 +131,7 @@
                                                .slots = hf_health_usable_slots (server),
                                                .latency_us = expected_latency (pool, server),
                                                .latency_factor = hf_health_latency_factor (server, now),
-                                               .distance_cost_us = distance_cost_us (server, request),
+                                               .distance_cost_us = distance_cost_us (pool, server, request),
                                                .failure_rate = server->failure_rate };
     }
   return n;
@@ -293,7 +295,7 @@
           || !is_measurement_due (server, now))
         continue;
       double cost = expected_latency (pool, server) * hf_health_latency_factor (server, now)
-                    + distance_cost_us (server, request);
+                    + distance_cost_us (pool, server, request);
       if (best && cost >= lowest_cost)
         continue;
       best = server;
--- a/src/hf-pool.c
+++ b/src/hf-pool.c
@@ -300,7 +300,9 @@
 void
 hf_pool_init (struct hf_pool *pool, uint64_t random_seed)
 {
-  *pool = (struct hf_pool){ .policy = &hf_policies[HF_POLICY_GRANTS], .random_state = random_seed };
+  *pool = (struct hf_pool){ .policy = &hf_policies[HF_POLICY_GRANTS],
+                            .random_state = random_seed,
+                            .far_cost_us = HF_PLACEMENT_FAR_US };
   pool->servers = new_servers ();
   pool->grants = g_hash_table_new_full (key_hash, key_equal, NULL, g_free);
   pool->queue = g_sequence_new (g_free);
--- a/src/hf-pool.h
+++ b/src/hf-pool.h
@@ -87,9 +87,10 @@
   struct hf_saturation saturation;
   struct hf_retry_budget retry_budget;
   unsigned queue_limit;
-  unsigned median_samples;    /* responses in median_latency_us */
-  double median_latency_us;   /* estimated median of all responses; 0: none yet */
-  bool configured;            /* hf_pool_configure was called */
+  double far_cost_us;       /* added to the expected latency of a server in another failure domain than the request's */
+  unsigned median_samples;  /* responses in median_latency_us */
+  double median_latency_us; /* estimated median of all responses; 0: none yet */
+  bool configured;          /* hf_pool_configure was called */
   bool requires_measurements; /* servers need a fresh report of their speed to get requests */
   uint64_t random_state;
   uint64_t choices;    /* servers chosen so far */
--- a/src/hf-slices.c
+++ b/src/hf-slices.c
@@ -23,6 +23,12 @@
   return slots;
 }
 
+static void
+set_far_cost (const struct hf_state *state, struct hf_service_state *service)
+{
+  service->pool.far_cost_us = hf_affinity_is_on (&state->affinity) ? HF_AFFINITY_FAR_US : HF_PLACEMENT_FAR_US;
+}
+
 /* --- public functions --- */
 
 unsigned
@@ -51,6 +57,7 @@
   service->slice_count = 1;
   service->name = hf_str_dup (spec->name);
   hf_pool_init (&service->pool, hf_random_next (&state->random_state));
+  set_far_cost (state, service);
   g_hash_table_insert (state->services, &service->id, service);
   return service;
 }
@@ -116,3 +123,13 @@
 {
   return hf_state_find_service (state, slice_id (service, slice));
 }
+
+void
+hf_slices_handle_affinity (struct hf_state *state)
+{
+  GHashTableIter iter;
+  struct hf_service_state *service;
+  g_hash_table_iter_init (&iter, state->services);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &service))
+    set_far_cost (state, service);
+}
--- a/src/hf-slices.h
+++ b/src/hf-slices.h
@@ -29,4 +29,6 @@
 /* Finds a slice by its index; NULL: there is none. */
 struct hf_service_state *hf_slices_find (const struct hf_state *state, uint64_t service, unsigned slice);
 
+void hf_slices_handle_affinity (struct hf_state *state); /* after domain affinity was turned on or off */
+
 #endif
--- a/tests/test-placing.c
+++ b/tests/test-placing.c
@@ -611,6 +611,42 @@
     g_assert_cmpuint (run_slowdowns (intervals_ms[i], false) * 10, >=, run_slowdowns (intervals_ms[i], true) * 9);
 }
 
+/* A request from d0, whose servers are slower by 40 ms. */
+static const struct hf_decision *
+request_from_d0 (struct fixture *fixture, int64_t target_latency_ms)
+{
+  struct hf_slot_request request = make_request (fixture, target_latency_ms, 1000);
+  request.failure_domain = hf_hash (hf_str ("d0"), 0);
+  return request_slot (fixture, request);
+}
+
+static bool
+is_in_d0 (const struct hf_decision *decision)
+{
+  return decision->server == server_id (0) || decision->server == server_id (2);
+}
+
+/* With domain affinity a request stays in its failure domain although servers of another one are faster by less than
+ * the distance cost; without, it does not. When there is no slot at home and no time to spare it crosses: guards
+ * against requests that wait at home beyond their target latency. */
+static void
+test_affinity (void)
+{
+  struct fixture *fixture = open_fixture ();
+  train_pool (fixture);
+  for (int i = 0; i < SERVERS; i++)
+    hf_pool_find_server (&fixture->pool, server_id (i))->latency_us = (i % 2 ? 100 : 140) * HF_MS;
+  g_assert_false (is_in_d0 (request_from_d0 (fixture, 500)));
+  fixture->pool.far_cost_us = HF_AFFINITY_FAR_US;
+  const struct hf_decision *decision = request_from_d0 (fixture, 500);
+  for (; decision->kind == HF_DECISION_GRANTED; decision = request_from_d0 (fixture, 500))
+    g_assert_true (is_in_d0 (decision));
+  decision = request_from_d0 (fixture, 90);
+  g_assert_cmpint (decision->kind, ==, HF_DECISION_GRANTED);
+  g_assert_false (is_in_d0 (decision));
+  close_fixture (fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -631,5 +667,6 @@
   g_test_add_func ("/placing/no-word", test_unanswered_measurement);
   g_test_add_func ("/placing/long-running", test_long_running);
   g_test_add_func ("/placing/noise", test_measured_slowdowns);
+  g_test_add_func ("/placing/affinity", test_affinity);
   return g_test_run ();
 }
