With domain affinity, most heartbeats stay in their failure domain

Coordinators exchanged heartbeats with all entries. With affinity they do so with all coordinators and with the entries of their own domain; to the latter they report the live coordinators of other domains, with the time since these were heard, so that all entries choose the same granters and find them silent after the same time. An entry that a granter does not know is introduced by its slot request, with its domain: the granter would have dropped that. Members that have timed out get heartbeats in any case, as domains that were cut off would not find each other again. For 3 s after a change of the decision both kinds are sent.

Grants that an entry of another domain no longer uses are now found by their expiry only (deadline and 1 s), not by its heartbeats. The tests of the fleet and of the configuration's spread run a second time with affinity, with the same bounds.

--- a/src/config.h
+++ b/src/config.h
@@ -176,6 +176,7 @@
 #define HF_AFFINITY_SAMPLES_MIN 20    /* round trips that an entry has measured before it decides */
 #define HF_AFFINITY_SETTLE_MS   3000  /* the same: time since the first, as the first ones are of VMs that start */
 #define HF_AFFINITY_ECHO_MAX_MS 10000 /* a heartbeat that arrived longer ago is not answered any more */
+#define HF_AFFINITY_SPREAD_MS   3000  /* until all entries know a decision: heartbeats of both kinds are sent */
 #define HF_AFFINITY_FAR_US      60000 /* distance cost with affinity: so much longer a request may take to stay */
 
 /* Roles of entries. */
--- a/src/hf-affinity-sync.c
+++ b/src/hf-affinity-sync.c
@@ -57,7 +57,7 @@
   member->echo_sent_at = heartbeat->sent_at;
   member->echo_received_at = state->now;
   member->rtt_us = heartbeat->rtt_us;
-  if (hf_affinity_adopt (&state->affinity, heartbeat->affinity_epoch))
+  if (hf_affinity_adopt (&state->affinity, state->now, heartbeat->affinity_epoch))
     handle_change (state);
 }
 
@@ -67,7 +67,7 @@
   bool decides = hf_roles_granter (state, hf_hash (hf_str ("affinity"), 0)) == state->boot_id;
   if (!decides || !hf_affinity_has_settled (&state->affinity, state->now))
     return;
-  if (hf_affinity_decide (&state->affinity, hf_affinity_sync_rtt_us (state)))
+  if (hf_affinity_decide (&state->affinity, state->now, hf_affinity_sync_rtt_us (state)))
     handle_change (state);
 }
 
--- a/src/hf-affinity.c
+++ b/src/hf-affinity.c
@@ -67,21 +67,29 @@
 }
 
 bool
-hf_affinity_decide (struct hf_affinity *affinity, int64_t rtt_us)
+hf_affinity_has_spread (const struct hf_affinity *affinity, int64_t now)
+{
+  return affinity->changed_at == 0 || now - affinity->changed_at >= HF_AFFINITY_SPREAD_MS * HF_MS;
+}
+
+bool
+hf_affinity_decide (struct hf_affinity *affinity, int64_t now, int64_t rtt_us)
 {
   bool is_on = affinity->epoch % 2 == 1;
   int64_t limit_us = is_on ? HF_AFFINITY_RTT_KEEP_MS * HF_MS : HF_AFFINITY_RTT_MIN_MS * HF_MS;
   if (affinity->mode != HF_AFFINITY_AUTO || rtt_us == 0 || (rtt_us >= limit_us) == is_on)
     return false;
   affinity->epoch++;
+  affinity->changed_at = now;
   return true;
 }
 
 bool
-hf_affinity_adopt (struct hf_affinity *affinity, unsigned epoch)
+hf_affinity_adopt (struct hf_affinity *affinity, int64_t now, unsigned epoch)
 {
   if (affinity->mode != HF_AFFINITY_AUTO || epoch <= affinity->epoch)
     return false;
   affinity->epoch = epoch;
+  affinity->changed_at = now;
   return true;
 }
--- a/src/hf-affinity.h
+++ b/src/hf-affinity.h
@@ -28,6 +28,7 @@
  * struct hf_affinity - affinity as one entry knows it
  * @mode: setting of this entry
  * @epoch: number of the fleet's decision, odd: on; used with HF_AFFINITY_AUTO only
+ * @changed_at: when this entry learned of the decision; 0: never
  * @samples: round trips measured by this entry so far
  * @first_sample_at: when it measured the first one; 0: none
  * @window_at: start of the current window of samples
@@ -38,6 +39,7 @@
 {
   enum hf_affinity_mode mode;
   unsigned epoch;
+  int64_t changed_at;
   unsigned samples;
   int64_t first_sample_at;
   int64_t window_at;
@@ -55,12 +57,13 @@
 /* --- public functions: decision --- */
 
 bool hf_affinity_is_on (const struct hf_affinity *affinity);
+bool hf_affinity_has_spread (const struct hf_affinity *affinity, int64_t now); /* all entries know the decision */
 
 /* Decides for the fleet by the smallest round trip between its failure domains (0: unknown); returns true if that
  * changes the decision. */
-bool hf_affinity_decide (struct hf_affinity *affinity, int64_t rtt_us);
+bool hf_affinity_decide (struct hf_affinity *affinity, int64_t now, int64_t rtt_us);
 
 /* Adopts the decision that another entry knows; returns true if it is newer. */
-bool hf_affinity_adopt (struct hf_affinity *affinity, unsigned epoch);
+bool hf_affinity_adopt (struct hf_affinity *affinity, int64_t now, unsigned epoch);
 
 #endif
--- a/src/hf-members.c
+++ b/src/hf-members.c
@@ -146,6 +146,85 @@
   return n;
 }
 
+/* --- internal functions: coordinators of other failure domains --- */
+
+/* Lists the coordinators of other failure domains that this entry knows to be alive. Returns how many. */
+static unsigned
+list_coordinators (const struct hf_state *state, hf_rpc_coordinator *list)
+{
+  unsigned n = 0;
+  for (guint i = 0; i < state->members->len && n < HF_RPC_COORDINATORS_MAX; i++)
+    {
+      const struct hf_member *member = member_at (state, i);
+      bool is_reported = member->is_coordinator && member->alive && !hf_state_is_in_own_domain (state, member);
+      if (!is_reported || member->address.len > HF_RPC_NAME_MAX)
+        continue;
+      struct hf_str address = hf_effects_copy (state->effects, member->address);
+      list[n++] = (hf_rpc_coordinator){ .boot_id = member->boot_id,
+                                        .failure_domain = member->failure_domain,
+                                        .address = { (u_int) address.len, (char *) address.data },
+                                        .cpu_percent = (unsigned) (member->cpu_share * PERCENT),
+                                        .silent_ms = (unsigned) ((state->now - member->last_heartbeat_at) / HF_MS),
+                                        .platform_unreachable = member->platform_unreachable,
+                                        .leaving = member->leaving,
+                                        .starting = member->starting };
+    }
+  return n;
+}
+
+static void
+fill_coordinators (const struct hf_state *state, const struct hf_member *member, struct hf_rpc_heartbeat *heartbeat)
+{
+  if (!hf_roles_reports_coordinators (state, member))
+    return;
+  hf_rpc_coordinator *list = hf_effects_alloc (state->effects, HF_RPC_COORDINATORS_MAX * sizeof *list);
+  heartbeat->coordinators.coordinators_val = list;
+  heartbeat->coordinators.coordinators_len = list_coordinators (state, list);
+}
+
+/* The report counts as a heartbeat that arrived when the sender of the report got it. */
+static void
+apply_coordinator (struct hf_state *state, const hf_rpc_coordinator *report)
+{
+  struct hf_str address = { report->address.address_val, report->address.address_len };
+  int64_t heard_at = state->now - report->silent_ms * HF_MS;
+  struct hf_member *member = find_by_address (state, address);
+  if (!member)
+    member = add_member (state, address, address);
+  if (heard_at <= member->last_heartbeat_at)
+    return;
+  bool is_new = member->boot_id != report->boot_id;
+  bool rank_changed = member->failure_domain != report->failure_domain || member->leaving != report->leaving
+                      || member->platform_unreachable != report->platform_unreachable
+                      || member->starting != report->starting;
+  state->roles.update_pending = state->roles.update_pending || is_new || !member->alive || rank_changed;
+  if (is_new && member->boot_id)
+    remove_entry_from_pools (state, member->boot_id);
+  member->boot_id = report->boot_id;
+  member->last_heartbeat_at = heard_at;
+  member->failure_domain = report->failure_domain;
+  member->cpu_share = (double) report->cpu_percent / PERCENT;
+  member->platform_unreachable = report->platform_unreachable;
+  member->leaving = report->leaving;
+  member->starting = report->starting;
+  member->alive = true;
+  member->timed_out = false;
+}
+
+/* Coordinators hear the others themselves. An outdated report of one that has timed out here does not bring it back. */
+static void
+apply_coordinators (struct hf_state *state, const struct hf_rpc_heartbeat *heartbeat)
+{
+  int64_t limit_ms = HF_PEER_TIMEOUT_MS * hf_members_heartbeat_rounds (state);
+  if (state->roles.is_coordinator)
+    return;
+  for (u_int i = 0; i < heartbeat->coordinators.coordinators_len; i++)
+    if (heartbeat->coordinators.coordinators_val[i].silent_ms < limit_ms)
+      apply_coordinator (state, &heartbeat->coordinators.coordinators_val[i]);
+}
+
+/* --- internal functions: heartbeats --- */
+
 /* @loads is the same for every member, so the caller lists it once for all heartbeats of a round. */
 static void
 send_heartbeat (struct hf_state *state,
@@ -167,6 +246,7 @@
   heartbeat->starting = state->starting;
   heartbeat->wants_reply = wants_reply;
   hf_affinity_sync_fill (state, member, heartbeat);
+  fill_coordinators (state, member, heartbeat);
   heartbeat->loads.loads_val = loads;
   heartbeat->loads.loads_len = n;
   heartbeat->grants.grants_val = hf_effects_alloc (state->effects, HF_RPC_GRANTS_MAX * sizeof (uint64_t));
@@ -182,6 +262,21 @@
   send_heartbeat (state, member, wants_reply, loads, list_loads (state, loads));
 }
 
+/* With domain affinity, an entry of another failure domain sends no heartbeats here. Its slot requests introduce it. */
+static bool
+introduces_sender (const struct hf_state *state, const struct hf_event *event)
+{
+  return hf_affinity_is_on (&state->affinity) && event->peer.message->body.kind == HF_RPC_ACQUIRE;
+}
+
+static struct hf_member *
+add_sender (struct hf_state *state, const struct hf_event *event)
+{
+  struct hf_member *member = add_member (state, event->peer.address, event->peer.address);
+  member->failure_domain = event->peer.message->body.hf_rpc_body_u.acquire.failure_domain;
+  return member;
+}
+
 static unsigned
 find_load (const struct hf_rpc_heartbeat *heartbeat, uint64_t server)
 {
@@ -281,13 +376,15 @@
 hf_members_record_sender (struct hf_state *state, const struct hf_event *event)
 {
   uint64_t boot_id = event->peer.message->boot_id;
-  struct hf_member *member
-      = hf_state_find_member (state, boot_id) ? NULL : find_by_address (state, event->peer.address);
-  if (!member)
+  if (hf_state_find_member (state, boot_id))
     return;
-  if (member->boot_id)
+  struct hf_member *member = find_by_address (state, event->peer.address);
+  if (member && member->boot_id)
     remove_entry_from_pools (state, member->boot_id);
-  member->boot_id = boot_id;
+  if (!member && introduces_sender (state, event))
+    member = add_sender (state, event);
+  if (member)
+    member->boot_id = boot_id;
 }
 
 void
@@ -335,6 +432,7 @@
   if (begins_leaving)
     hf_state_log (state, HF_LOG_MEMBER_LEAVING, "entry " HF_STR_FMT " is leaving", HF_STR_ARG (member->name));
   hf_affinity_sync_handle (state, member, heartbeat);
+  apply_coordinators (state, heartbeat);
   apply_loads (state, member, heartbeat);
   if (heartbeat->wants_reply || joined)
     send_single_heartbeat (state, member, false);
@@ -405,11 +503,11 @@
       member_at (state, i)->listed = false;
 }
 
-/* Heartbeats are exchanged only between coordinators and all other entries; no others can be overdue. */
+/* Only heartbeats that are exchanged, or reported by coordinators, can be overdue. */
 static bool
 is_overdue (const struct hf_state *state, struct hf_member *member)
 {
-  if (!hf_roles_is_heartbeat_peer (state, member))
+  if (!hf_roles_expects_heartbeats (state, member))
     {
       member->heartbeats_due_since = 0;
       return false;
--- a/src/hf-roles.c
+++ b/src/hf-roles.c
@@ -245,8 +245,29 @@
   return granter;
 }
 
+/* One that has timed out may be a coordinator: the failure domains find each other again after they were cut off. */
 bool
 hf_roles_is_heartbeat_peer (const struct hf_state *state, const struct hf_member *member)
 {
+  bool skips_distant = hf_affinity_is_on (&state->affinity) && hf_affinity_has_spread (&state->affinity, state->now);
+  if (skips_distant && !hf_state_is_in_own_domain (state, member))
+    return state->roles.is_coordinator && (member->is_coordinator || member->timed_out);
   return state->roles.is_coordinator || member->is_coordinator;
 }
+
+/* After a change of the decision, the member may know it earlier or later than this entry. */
+bool
+hf_roles_expects_heartbeats (const struct hf_state *state, const struct hf_member *member)
+{
+  bool may_be_skipped = hf_affinity_is_on (&state->affinity) || !hf_affinity_has_spread (&state->affinity, state->now);
+  if (may_be_skipped && !hf_state_is_in_own_domain (state, member))
+    return member->is_coordinator || member->timed_out;
+  return state->roles.is_coordinator || member->is_coordinator;
+}
+
+bool
+hf_roles_reports_coordinators (const struct hf_state *state, const struct hf_member *member)
+{
+  return hf_affinity_is_on (&state->affinity) && state->roles.is_coordinator && !member->is_coordinator
+         && hf_state_is_in_own_domain (state, member);
+}
--- a/src/hf-rpc.c
+++ b/src/hf-rpc.c
@@ -39,6 +39,87 @@
 	return TRUE;
 }
 
+bool_t
+xdr_hf_rpc_coordinator (XDR *xdrs, hf_rpc_coordinator *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->boot_id))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->failure_domain))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->address.address_val, (u_int *) &objp->address.address_len, HF_RPC_NAME_MAX))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->cpu_percent))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->silent_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->platform_unreachable))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->leaving))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->starting))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->cpu_percent);
+			IXDR_PUT_U_LONG(buf, objp->silent_ms);
+			IXDR_PUT_BOOL(buf, objp->platform_unreachable);
+			IXDR_PUT_BOOL(buf, objp->leaving);
+			IXDR_PUT_BOOL(buf, objp->starting);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->boot_id))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->failure_domain))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->address.address_val, (u_int *) &objp->address.address_len, HF_RPC_NAME_MAX))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->cpu_percent))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->silent_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->platform_unreachable))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->leaving))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->starting))
+				 return FALSE;
+		} else {
+			objp->cpu_percent = IXDR_GET_U_LONG(buf);
+			objp->silent_ms = IXDR_GET_U_LONG(buf);
+			objp->platform_unreachable = IXDR_GET_BOOL(buf);
+			objp->leaving = IXDR_GET_BOOL(buf);
+			objp->starting = IXDR_GET_BOOL(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->boot_id))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->failure_domain))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->address.address_val, (u_int *) &objp->address.address_len, HF_RPC_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->cpu_percent))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->silent_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->platform_unreachable))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->leaving))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->starting))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_hf_rpc_heartbeat (XDR *xdrs, hf_rpc_heartbeat *objp)
 {
@@ -89,6 +170,9 @@
 		IXDR_PUT_U_LONG(buf, objp->rtt_us);
 		IXDR_PUT_U_LONG(buf, objp->affinity_epoch);
 		}
+		 if (!xdr_array (xdrs, (char **)&objp->coordinators.coordinators_val, (u_int *) &objp->coordinators.coordinators_len, HF_RPC_COORDINATORS_MAX,
+			sizeof (hf_rpc_coordinator), (xdrproc_t) xdr_hf_rpc_coordinator))
+			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, HF_RPC_LOADS_MAX,
 			sizeof (hf_rpc_server_load), (xdrproc_t) xdr_hf_rpc_server_load))
 			 return FALSE;
@@ -140,6 +224,9 @@
 		objp->rtt_us = IXDR_GET_U_LONG(buf);
 		objp->affinity_epoch = IXDR_GET_U_LONG(buf);
 		}
+		 if (!xdr_array (xdrs, (char **)&objp->coordinators.coordinators_val, (u_int *) &objp->coordinators.coordinators_len, HF_RPC_COORDINATORS_MAX,
+			sizeof (hf_rpc_coordinator), (xdrproc_t) xdr_hf_rpc_coordinator))
+			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, HF_RPC_LOADS_MAX,
 			sizeof (hf_rpc_server_load), (xdrproc_t) xdr_hf_rpc_server_load))
 			 return FALSE;
@@ -179,6 +266,9 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->affinity_epoch))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->coordinators.coordinators_val, (u_int *) &objp->coordinators.coordinators_len, HF_RPC_COORDINATORS_MAX,
+		sizeof (hf_rpc_coordinator), (xdrproc_t) xdr_hf_rpc_coordinator))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, HF_RPC_LOADS_MAX,
 		sizeof (hf_rpc_server_load), (xdrproc_t) xdr_hf_rpc_server_load))
 		 return FALSE;
--- a/src/hf-rpc.h
+++ b/src/hf-rpc.h
@@ -20,6 +20,7 @@
 #define HF_RPC_CONFIG_CHUNK_MAX 8192
 #define HF_RPC_NAME_MAX 128
 #define HF_RPC_REPORTS_MAX 24
+#define HF_RPC_COORDINATORS_MAX 64
 
 enum hf_rpc_kind {
 	HF_RPC_HEARTBEAT = 1,
@@ -51,6 +52,21 @@
 };
 typedef struct hf_rpc_server_load hf_rpc_server_load;
 
+struct hf_rpc_coordinator {
+	u_quad_t boot_id;
+	u_quad_t failure_domain;
+	struct {
+		u_int address_len;
+		char *address_val;
+	} address;
+	u_int cpu_percent;
+	u_int silent_ms;
+	bool_t platform_unreachable;
+	bool_t leaving;
+	bool_t starting;
+};
+typedef struct hf_rpc_coordinator hf_rpc_coordinator;
+
 struct hf_rpc_heartbeat {
 	u_quad_t seq;
 	u_quad_t failure_domain;
@@ -67,6 +83,10 @@
 	u_int echo_held_us;
 	u_int rtt_us;
 	u_int affinity_epoch;
+	struct {
+		u_int coordinators_len;
+		hf_rpc_coordinator *coordinators_val;
+	} coordinators;
 	struct {
 		u_int loads_len;
 		hf_rpc_server_load *loads_val;
@@ -271,6 +291,7 @@
 extern  bool_t xdr_hf_rpc_kind (XDR *, hf_rpc_kind*);
 extern  bool_t xdr_hf_rpc_store_position (XDR *, hf_rpc_store_position*);
 extern  bool_t xdr_hf_rpc_server_load (XDR *, hf_rpc_server_load*);
+extern  bool_t xdr_hf_rpc_coordinator (XDR *, hf_rpc_coordinator*);
 extern  bool_t xdr_hf_rpc_heartbeat (XDR *, hf_rpc_heartbeat*);
 extern  bool_t xdr_hf_rpc_acquire (XDR *, hf_rpc_acquire*);
 extern  bool_t xdr_hf_rpc_decision (XDR *, hf_rpc_decision*);
@@ -294,6 +315,7 @@
 extern bool_t xdr_hf_rpc_kind ();
 extern bool_t xdr_hf_rpc_store_position ();
 extern bool_t xdr_hf_rpc_server_load ();
+extern bool_t xdr_hf_rpc_coordinator ();
 extern bool_t xdr_hf_rpc_heartbeat ();
 extern bool_t xdr_hf_rpc_acquire ();
 extern bool_t xdr_hf_rpc_decision ();
--- a/src/hf-rpc.x
+++ b/src/hf-rpc.x
@@ -13,6 +13,7 @@
 const HF_RPC_CONFIG_CHUNK_MAX = 8192;
 const HF_RPC_NAME_MAX = 128;
 const HF_RPC_REPORTS_MAX = 24;
+const HF_RPC_COORDINATORS_MAX = 64;
 
 enum hf_rpc_kind {
   HF_RPC_HEARTBEAT = 1,
@@ -43,6 +44,19 @@
   unsigned int count;
 };
 
+/* A live coordinator of another failure domain. address: IP:PORT of its peer socket. silent_ms: time since its last
+ * heartbeat. The other fields are those of that heartbeat. */
+struct hf_rpc_coordinator {
+  unsigned hyper boot_id;
+  unsigned hyper failure_domain;
+  opaque address<HF_RPC_NAME_MAX>;
+  unsigned int cpu_percent;
+  unsigned int silent_ms;
+  bool platform_unreachable;
+  bool leaving;
+  bool starting;
+};
+
 /* Liveness, configuration in force and load of the sender.
  * failure_domain: hash of its name. cpu_percent: processor time of the sender, 100 is one core.
  * platform_unreachable: the sender has no response from the platform and cannot watch its directory.
@@ -54,6 +68,7 @@
  * sender got from the receiver; echo_held_us: time since that arrived, 4294967295: there was none lately.
  * rtt_us: smallest round trip to another failure domain that the sender has measured lately, 0: none.
  * affinity_epoch: number of the last decision on domain affinity that the sender knows.
+ * coordinators: of other failure domains, from a coordinator to an entry that exchanges no heartbeats with them.
  * grants: tickets of the slots granted by the receiver that the sender still uses. */
 struct hf_rpc_heartbeat {
   unsigned hyper seq;
@@ -71,6 +86,7 @@
   unsigned int echo_held_us;
   unsigned int rtt_us;
   unsigned int affinity_epoch;
+  hf_rpc_coordinator coordinators<HF_RPC_COORDINATORS_MAX>;
   hf_rpc_server_load loads<HF_RPC_LOADS_MAX>;
   unsigned hyper grants<HF_RPC_GRANTS_MAX>;
 };
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -388,7 +388,7 @@
 struct fleet *
 fleet_open (unsigned entries, unsigned domains, unsigned large_per_domain)
 {
-  return fleet_open_with_affinity (entries, domains, large_per_domain, HF_AFFINITY_OFF);
+  return fleet_open_with_affinity (entries, domains, large_per_domain, FLEET_AFFINITY);
 }
 
 struct fleet *
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -19,6 +19,10 @@
 #define FLEET_STEP_MS            10
 #define FLEET_PROPAGATION_MAX_MS 2000 /* until every entry has applied a change */
 
+#ifndef FLEET_AFFINITY
+#define FLEET_AFFINITY HF_AFFINITY_OFF /* of fleet_open; a program may be built with another one */
+#endif
+
 /* --- types --- */
 
 /** struct fleet_entry - one entry; the flags are set by tests */
@@ -94,7 +98,7 @@
 /* Entries that have exchanged heartbeats; the first @large_per_domain entries of each failure domain have five times
  * the processor time of the others. */
 struct fleet *fleet_open (unsigned entries, unsigned domains, unsigned large_per_domain);
-/* The same with another setting of domain affinity than off. A round trip takes two steps of the simulated time, so
+/* The same with a setting of domain affinity. A round trip takes two steps of the simulated time, so
  * automatic affinity is on after some seconds. */
 struct fleet *
 fleet_open_with_affinity (unsigned entries, unsigned domains, unsigned large_per_domain, enum hf_affinity_mode mode);
