--- a/src/hf-calls.c
+++ b/src/hf-calls.c
@@ -91,6 +91,7 @@
   if (call->organisation)
     effect.organisation = hf_effects_copy (state->effects, call->organisation->name);
   effect.address = hf_effects_copy (state->effects, server->address);
+  effect.crosses_domain = hf_state_crosses_domain (state, server->failure_domain);
   effect.name = hf_effects_copy (state->effects, server->name);
   attempt->phase = HF_PHASE_RUNNING;
   attempt->server = server->id;
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -1,6 +1,7 @@
 /* The reducer: passes each event and each due timer to the module that handles it. */
 #include "hf-reduce.h"
 
+#include "hf-affinity-sync.h"
 #include "hf-calls.h"
 #include "hf-claim-shards.h"
 #include "hf-claims.h"
@@ -70,6 +71,7 @@
       hf_config_sync_check_watches (state);
       hf_config_sync_check_stored (state);
     }
+  hf_affinity_sync_tick (state);
   hf_probes_tick (state);
   hf_quarantine_expire (state);
   hf_restrictions_expire (state);
@@ -358,6 +360,7 @@
   state->revoke_us = settings->strict_revoke ? settings->revoke_ms * HF_MS : 0;
   state->follows_evacuations = state->external_store && settings->evacuate_ms > 0;
   state->domain_names = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  state->affinity.mode = (enum hf_affinity_mode) settings->domain_affinity;
   state->boot_id = boot_id;
   state->random_state = boot_id;
   state->wakeup_at = -1;
--- a/src/hf-rpc.x
+++ b/src/hf-rpc.x
@@ -14,6 +14,7 @@
 const HF_RPC_NAME_MAX = 128;
 const HF_RPC_EVACUATIONS_MAX = 32;
 const HF_RPC_REPORTS_MAX = 24;
+const HF_RPC_COORDINATORS_MAX = 64;
 
 enum hf_rpc_kind {
   HF_RPC_HEARTBEAT = 1,
@@ -44,6 +45,19 @@
   unsigned int count;
 };
 
+/* A live coordinator of another failure domain. address: IP:PORT of its peer socket. silent_ms: time since its last
+ * heartbeat. The other fields are those of that heartbeat. */
+struct hf_rpc_coordinator {
+  unsigned hyper boot_id;
+  unsigned hyper failure_domain;
+  opaque address<HF_RPC_NAME_MAX>;
+  unsigned int cpu_percent;
+  unsigned int silent_ms;
+  bool platform_unreachable;
+  bool leaving;
+  bool starting;
+};
+
 /* Liveness, configuration in force and load of the sender.
  * failure_domain: hash of its name. cpu_percent: processor time of the sender, 100 is one core.
  * platform_unreachable: the sender has no response from the platform and cannot watch its directory.
@@ -51,6 +65,11 @@
  * generation, digest: of its configuration document, 0 if it has none.
  * leaving: the sender is shutting down. starting: it has not read its configuration or directory yet and cannot grant
  * slots. wants_reply: the receiver sends a heartbeat back immediately.
+ * sent_at: time of the sender's clock, low bits in microseconds. echo_sent_at: the same of the last heartbeat that the
+ * sender got from the receiver; echo_held_us: time since that arrived, 4294967295: there was none lately.
+ * rtt_us: smallest round trip to another failure domain that the sender has measured lately, 0: none.
+ * affinity_epoch: number of the last decision on domain affinity that the sender knows.
+ * coordinators: of other failure domains, from a coordinator to an entry that exchanges no heartbeats with them.
  * grants: tickets of the slots granted by the receiver that the sender still uses.
  * evacuated: hashes of the names of the failure domains that are evacuated; evacuations_position: position up to which
  * they are complete, revision 0 if the sender does not know them. */
@@ -65,6 +84,12 @@
   bool leaving;
   bool starting;
   bool wants_reply;
+  unsigned int sent_at;
+  unsigned int echo_sent_at;
+  unsigned int echo_held_us;
+  unsigned int rtt_us;
+  unsigned int affinity_epoch;
+  hf_rpc_coordinator coordinators<HF_RPC_COORDINATORS_MAX>;
   hf_rpc_server_load loads<HF_RPC_LOADS_MAX>;
   unsigned hyper grants<HF_RPC_GRANTS_MAX>;
   hf_rpc_store_position evacuations_position;
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -8,6 +8,7 @@
 #ifndef HF_STATE_H
 #define HF_STATE_H
 
+#include "hf-affinity.h"
 #include "hf-document.h"
 #include "hf-evacuations.h"
 #include "hf-event.h"
@@ -18,6 +19,7 @@
 #include "hf-pool.h"
 #include "hf-removed-servers.h"
 #include "hf-timers.h"
+#include "hf-traffic.h"
 
 #include "config.h"
 
@@ -225,6 +227,9 @@
   int64_t listed_at;
   bool stale; /* not listed again yet since the list was restarted */
   struct hf_directory_parts directory_parts;
+  unsigned echo_sent_at;    /* sent_at of its last heartbeat */
+  int64_t echo_received_at; /* when that arrived; 0: never */
+  int64_t rtt_us;           /* smallest round trip to another failure domain that it reports; 0: none */
 };
 
 /* --- types: claims --- */
@@ -529,6 +534,7 @@
   struct hf_evacuations evacuations;
   GHashTable *domain_names; /* names of failure domains by their hash, for log lines */
   struct hf_roles roles;
+  struct hf_affinity affinity;
   GHashTable *services;          /* struct hf_service_state by id */
   GHashTable *service_by_server; /* the same by id of a backend server */
   GHashTable *restrictions;      /* what backend servers said of themselves, by instance; see hf-restrictions */
@@ -542,6 +548,7 @@
   GHashTable *suspects; /* struct hf_suspect by fingerprint */
   struct hf_timers timers;
   uint64_t counters[HF_COUNTERS];
+  struct hf_traffic traffic;
   struct hf_latency latency;
   struct hf_organisation_counts organisation_counts;
 };
@@ -554,6 +561,7 @@
 uint64_t hf_state_ticket (uint64_t call_id, unsigned attempt_index); /* identifies an attempt at this entry */
 uint64_t hf_state_generation (const struct hf_state *state);         /* of the configuration in force; 0: none */
 bool hf_state_is_in_own_domain (const struct hf_state *state, const struct hf_member *member);
+bool hf_state_crosses_domain (const struct hf_state *state, uint64_t failure_domain); /* known to be another one */
 void hf_state_free_service (void *service); /* GDestroyNotify for the table of services */
 
 /* Marks a backend server as draining until a point in time (0: until unmarked) and logs that. Returns false if the
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -19,6 +19,10 @@
 #define FLEET_STEP_MS            10
 #define FLEET_PROPAGATION_MAX_MS 2000 /* until every entry has applied a change */
 
+#ifndef FLEET_AFFINITY
+#define FLEET_AFFINITY HF_AFFINITY_OFF /* of fleet_open; a program may be built with another one */
+#endif
+
 /* --- types --- */
 
 /** struct fleet_entry - one entry; the flags are set by tests */
@@ -44,11 +48,12 @@
   uint64_t generation;       /* configuration generation that the platform has reported to it */
   unsigned datagrams_sent;
   unsigned heartbeats_sent;
-  unsigned document_reads;  /* requests to the platform for the configuration */
-  int64_t read_at;          /* last such request that is not answered yet; 0: none */
-  int64_t sent_bytes;       /* in datagrams */
-  int64_t sent_bytes_other; /* in datagrams to other failure domains */
-  int64_t link_free_at;     /* time when its datagrams so far have been sent */
+  unsigned document_reads;                  /* requests to the platform for the configuration */
+  int64_t read_at;                          /* last such request that is not answered yet; 0: none */
+  int64_t sent_bytes;                       /* in datagrams */
+  int64_t sent_bytes_other;                 /* in datagrams to other failure domains */
+  int64_t crossing_bytes[HF_TRAFFIC_KINDS]; /* in datagrams that its reducer marked as crossing, by kind */
+  int64_t link_free_at;                     /* time when its datagrams so far have been sent */
 };
 
 /** struct fleet_server - a backend server in the platform's directory, and the revision of its last change */
@@ -68,6 +73,7 @@
   void *context;
   struct fleet_entry entries[FLEET_ENTRIES_MAX];
   unsigned entry_count;
+  enum hf_affinity_mode affinity_mode; /* setting of all entries */
   GHashTable *entry_by_address;
   GQueue *datagrams;
   int64_t now;
@@ -92,6 +98,10 @@
 /* Entries that have exchanged heartbeats; the first @large_per_domain entries of each failure domain have five times
  * the processor time of the others. */
 struct fleet *fleet_open (unsigned entries, unsigned domains, unsigned large_per_domain);
+/* The same with a setting of domain affinity. A round trip takes two steps of the simulated time, so
+ * automatic affinity is on after some seconds. */
+struct fleet *
+fleet_open_with_affinity (unsigned entries, unsigned domains, unsigned large_per_domain, enum hf_affinity_mode mode);
 void fleet_close (struct fleet *fleet);
 void fleet_restart (struct fleet *fleet, unsigned i, uint64_t boot_id); /* a new process, which was told nothing yet */
 
