--- a/tests/raw.c
+++ b/tests/raw.c
@@ -191,6 +191,13 @@
   connection->stream = NULL;
 }
 
+void
+raw_connection_shut_down (struct raw_connection *connection)
+{
+  hf_stream_pause (connection->stream, true);
+  hf_stream_shutdown_write (connection->stream);
+}
+
 /* --- public functions: client --- */
 
 static void
--- a/tests/raw.h
+++ b/tests/raw.h
@@ -42,6 +42,7 @@
 void raw_connection_send (struct raw_connection *connection, const char *format, ...) G_GNUC_PRINTF (2, 3);
 gsize raw_connection_unsent_bytes (const struct raw_connection *connection);   /* queued, not yet written */
 void raw_connection_close (struct raw_connection *connection, gboolean reset); /* closes in order or by a reset */
+void raw_connection_shut_down (struct raw_connection *connection); /* ends the sending side, reads no further bytes */
 
 /* --- public functions: client --- */
 
