How a connection ended is one value from the socket to the exchange

Cause: a socket reports an error once. A failed send(), or a recv() with MSG_PEEK that checks a connection, took it, and the next recv() returned 0: a reset counted as an orderly close, which completed a body without a length.

Ruled out: SO_ERROR at the end of a stream. It is empty once the send() has taken the error, and it is set after an orderly close whose other direction was reset later, which is complete.

The stream records the first error, whoever meets it, and ends with it: reset, failed write or time-out. Only an orderly close ends a body without a length, and only once the request has been written. Callers' connections have the same streams.

--- a/src/hf-event.h
+++ b/src/hf-event.h
@@ -13,6 +13,7 @@
 #include <glib.h>
 
 #include "hf-base.h"
+#include "hf-stream-end.h"
 #include "hf-document.h"
 #include "hf-log.h"
 #include "hf-rpc.h"
@@ -197,6 +198,7 @@
   enum hf_attempt_result result;       /* ATTEMPT_END */
   bool bytes_sent;                     /* ATTEMPT_END: part of the request was sent */
   struct hf_connection_use connection; /* ATTEMPT_HEAD, ATTEMPT_END: for logs */
+  enum hf_stream_end connection_end;   /* ATTEMPT_END: for logs */
   /* PEER_MESSAGE */
   struct
   {
--- a/src/hf-exchange.c
+++ b/src/hf-exchange.c
@@ -141,7 +141,7 @@
 }
 
 static void
-on_ended (void *context, enum hf_http_client_result result, bool sent)
+on_ended (void *context, const struct hf_http_client_end *end)
 {
   struct hf_exchange *exchange = context;
   exchange->request = NULL;
@@ -149,11 +149,12 @@
   hf_loop_raise_event (exchange->loop, (struct hf_event){ .kind = HF_EVENT_ATTEMPT_END,
                                                           .call = exchange->call,
                                                           .attempt = exchange->attempt,
-                                                          .result = attempt_result (result),
+                                                          .result = attempt_result (end->result),
+                                                          .connection_end = end->connection,
                                                           .connection = exchange->connection,
                                                           .hints = exchange->hints,
-                                                          .bytes_sent = sent });
-  if (!exchange->closed && exchange->on_response_complete && result == HF_HTTP_CLIENT_COMPLETE)
+                                                          .bytes_sent = end->sent });
+  if (!exchange->closed && exchange->on_response_complete && end->result == HF_HTTP_CLIENT_COMPLETE)
     exchange->on_response_complete (exchange->context);
   unref_exchange (exchange);
 }
--- a/src/hf-http-client.c
+++ b/src/hf-http-client.c
@@ -129,19 +129,19 @@
 
 /* Reports the end and frees the request. */
 static void
-end_request (struct hf_http_client_request *request, enum hf_http_client_result result, bool sent)
+end_request (struct hf_http_client_request *request, const struct hf_http_client_end *end)
 {
   if (!request->cancelled)
     {
       request->in_callback = true;
-      request->callbacks->on_ended (request->context, result, sent);
+      request->callbacks->on_ended (request->context, end);
     }
   g_free (request);
 }
 
 /* Closes a connection that was lost or carried invalid data, and ends its request. */
 static void
-fail_connection (struct connection *connection)
+fail_connection (struct connection *connection, enum hf_stream_end connection_end, enum hf_http_parse_error fault)
 {
   struct hf_http_client_request *request = connection->request;
   connection->request = NULL;
@@ -151,10 +151,19 @@
   if (!request)
     return;
   request->connection = NULL;
-  enum hf_http_client_result result = request->got_head   ? HF_HTTP_CLIENT_TRUNCATED
-                                      : sent || connected ? HF_HTTP_CLIENT_BROKEN
-                                                          : HF_HTTP_CLIENT_CONNECT_FAILED;
-  end_request (request, result, sent);
+  const struct hf_http_client_end end = { .result = request->got_head   ? HF_HTTP_CLIENT_TRUNCATED
+                                                    : sent || connected ? HF_HTTP_CLIENT_BROKEN
+                                                                        : HF_HTTP_CLIENT_CONNECT_FAILED,
+                                          .connection = connection_end,
+                                          .sent = sent,
+                                          .fault = fault };
+  end_request (request, &end);
+}
+
+static bool
+is_written (const struct connection *connection, const struct hf_http_client_request *request)
+{
+  return !request->has_more_body && hf_stream_unsent_bytes (connection->stream) == 0;
 }
 
 /* A copy of a response to HEAD declares a body that does not follow, so what is behind it would be read as that body.
@@ -162,18 +171,20 @@
 static bool
 may_keep (const struct connection *connection, const struct hf_http_client_request *request)
 {
-  bool has_unsent_body = request->has_more_body || hf_stream_unsent_bytes (connection->stream) > 0;
-  return !connection->close_after_response && !has_unsent_body && !request->response_has_no_body
+  return !connection->close_after_response && is_written (connection, request) && !request->response_has_no_body
          && !hf_carried_is_full (&connection->carried);
 }
 
 /* The owner may send its next request at once, so the connection is kept only if nothing follows the response. */
 static void
-finish_response (struct connection *connection, bool has_more_bytes)
+finish_response (struct connection *connection, enum hf_stream_end connection_end, bool has_more_bytes)
 {
   struct hf_http_client_request *request = connection->request;
-  bool keep = may_keep (connection, request) && !has_more_bytes;
-  bool sent = hf_stream_has_sent (connection->stream);
+  bool keep = connection_end == HF_STREAM_OPEN && may_keep (connection, request) && !has_more_bytes;
+  const struct hf_http_client_end end
+      = { .result = HF_HTTP_CLIENT_COMPLETE,
+          .connection = keep || connection_end != HF_STREAM_OPEN ? connection_end : HF_STREAM_CLOSED_LOCALLY,
+          .sent = hf_stream_has_sent (connection->stream) };
   request->connection = NULL;
   connection->request = NULL;
   connection->response_complete = false;
@@ -181,7 +192,7 @@
     keep_connection (connection, g_get_monotonic_time ());
   else
     close_connection (connection);
-  end_request (request, HF_HTTP_CLIENT_COMPLETE, sent);
+  end_request (request, &end);
 }
 
 /* --- internal functions: callbacks of the parser --- */
@@ -244,9 +255,8 @@
 on_error (void *context, enum hf_http_parse_error error)
 {
   struct connection *connection = context;
-  (void) error;
   if (!connection->closed && !(connection->request && connection->request->cancelled))
-    fail_connection (connection);
+    fail_connection (connection, HF_STREAM_CLOSED_LOCALLY, error);
 }
 
 static const struct hf_http_parser_callbacks parser_callbacks
@@ -292,7 +302,7 @@
       /* Bytes without a request are no response to anything: the connection is unusable. */
       if (!connection->request || has_skipped_too_much (connection))
         {
-          fail_connection (connection);
+          fail_connection (connection, HF_STREAM_CLOSED_LOCALLY, HF_HTTP_PARSE_UNEXPECTED);
           break;
         }
       size_t used = hf_http_parser_feed (connection->parser, bytes);
@@ -302,7 +312,7 @@
       if (!connection->closed && free_cancelled_request (connection))
         break;
       if (!connection->closed && connection->response_complete)
-        finish_response (connection, bytes.len > 0);
+        finish_response (connection, HF_STREAM_OPEN, bytes.len > 0);
     }
 }
 
@@ -319,21 +329,27 @@
   free_cancelled_request (connection);
 }
 
+/* Whether the end of the connection completes a response without a length. */
+static bool
+completes_response (const struct connection *connection, enum hf_stream_end end)
+{
+  const struct hf_http_client_request *request = connection->request;
+  bool takes_body = request && request->got_head && !connection->skipping_response;
+  return takes_body && hf_stream_end_completes_body (end, is_written (connection, request))
+         && hf_http_parser_finish (connection->parser);
+}
+
 static void
 on_stream_ended (void *context, enum hf_stream_end end)
 {
   struct connection *connection = context;
-  bool is_complete = false;
-  if (end == HF_STREAM_CLOSED && connection->request)
-    is_complete = hf_http_parser_finish (connection->parser);
-  if (!connection->closed && !free_cancelled_request (connection))
-    {
-      connection->close_after_response = true;
-      if (is_complete && connection->request && connection->request->got_head && !connection->skipping_response)
-        finish_response (connection, false);
-      else
-        fail_connection (connection);
-    }
+  bool is_complete = completes_response (connection, end);
+  if (connection->closed || free_cancelled_request (connection))
+    return;
+  if (is_complete)
+    finish_response (connection, end, false);
+  else
+    fail_connection (connection, end, HF_HTTP_PARSE_OK);
 }
 
 static const struct hf_stream_callbacks stream_callbacks = { .on_connected = on_stream_connected,
@@ -406,7 +422,9 @@
 {
   struct hf_http_client_request *request = data;
   request->failure_source = 0;
-  end_request (request, HF_HTTP_CLIENT_CONNECT_FAILED, false);
+  const struct hf_http_client_end end
+      = { .result = HF_HTTP_CLIENT_CONNECT_FAILED, .connection = HF_STREAM_CONNECT_FAILED };
+  end_request (request, &end);
   return G_SOURCE_REMOVE;
 }
 
@@ -450,7 +468,7 @@
         continue; /* a callback closed several connections */
       struct connection *connection = g_ptr_array_index (client->connections, i);
       if (!connection->connected && now - connection->opened_at > HF_CONNECT_TIMEOUT_MS * HF_MS)
-        fail_connection (connection);
+        fail_connection (connection, HF_STREAM_TIMED_OUT, HF_HTTP_PARSE_OK);
       else if (connection->connected && !connection->request
                && now - connection->used_at >= connection->idle_timeout_us)
         close_connection (connection);
--- a/src/hf-http-client.h
+++ b/src/hf-http-client.h
@@ -27,13 +27,28 @@
   HF_HTTP_CLIENT_TRUNCATED,      /* the response broke off after its head */
 };
 
+/**
+ * struct hf_http_client_end - end of a request
+ * @result: how the request ended
+ * @connection: how its connection ended; HF_STREAM_OPEN: it was kept
+ * @sent: at least one byte of the request was written to the connection
+ * @fault: what is invalid in the response; HF_HTTP_PARSE_OK: nothing
+ */
+struct hf_http_client_end
+{
+  enum hf_http_client_result result;
+  enum hf_stream_end connection;
+  bool sent;
+  enum hf_http_parse_error fault;
+};
+
 /**
  * struct hf_http_client_callbacks - events of a request that are reported to its owner
  * @accepts_response: returns false if the response belongs to an earlier request and is skipped; NULL: accepts all
  * @on_head: the head of the response is complete
  * @on_body: a piece of the response body arrived
  * @on_drained: every queued byte of the request was written to the socket
- * @on_ended: last callback; sent: at least one byte of the request was written to the connection
+ * @on_ended: last callback
  */
 struct hf_http_client_callbacks
 {
@@ -41,7 +56,7 @@
   void (*on_head) (void *context, const struct hf_http_head *head);
   void (*on_body) (void *context, struct hf_str bytes);
   void (*on_drained) (void *context);
-  void (*on_ended) (void *context, enum hf_http_client_result result, bool sent);
+  void (*on_ended) (void *context, const struct hf_http_client_end *end);
 };
 
 /**
--- a/src/hf-http-parser.h
+++ b/src/hf-http-parser.h
@@ -19,8 +19,10 @@
 /** enum hf_http_parse_error - reasons for which a message is rejected */
 enum hf_http_parse_error
 {
+  HF_HTTP_PARSE_OK, /* none */
   HF_HTTP_PARSE_MALFORMED,
   HF_HTTP_PARSE_HEAD_TOO_LARGE,
+  HF_HTTP_PARSE_UNEXPECTED, /* bytes where none are due, or too many before the response */
 };
 
 /**
--- a/src/hf-net.c
+++ b/src/hf-net.c
@@ -68,7 +68,8 @@
   bool paused;
   bool hung_up; /* the peer has closed; bytes may be left to read */
   bool ended;
-  bool in_unread; /* listed in hf_net.unread */
+  bool in_unread;             /* listed in hf_net.unread */
+  enum hf_stream_end failure; /* the first error that the socket reported; HF_STREAM_OPEN: none */
 };
 
 /* --- internal functions: addresses --- */
@@ -107,6 +108,8 @@
 
 /* --- internal functions: streams --- */
 
+static gboolean process_unread (gpointer data);
+
 static void
 end_stream (struct hf_stream *stream, enum hf_stream_end end)
 {
@@ -139,6 +142,50 @@
   g_ptr_array_add (stream->handle.net->unread, stream);
 }
 
+/* Reads the stream in the next turn of the main loop. */
+static void
+schedule_read (struct hf_stream *stream)
+{
+  struct hf_net *net = stream->handle.net;
+  add_to_unread (stream);
+  if (!net->unread_source)
+    net->unread_source = g_idle_add (process_unread, net);
+}
+
+/* A socket reports an error once, to whichever call comes first; afterwards reads report a close in order. */
+static void
+record_failure (struct hf_stream *stream, int error, bool by_write)
+{
+  if (stream->failure == HF_STREAM_OPEN)
+    stream->failure = hf_stream_end_of_error (error, by_write);
+  stream->hung_up = true;
+}
+
+/* Looks whether a byte, the end or an error waits in the socket: as recv, 0 after a close, -1 and errno otherwise. */
+static ssize_t
+peek (struct hf_stream *stream)
+{
+  char byte;
+  ssize_t received = recv (stream->handle.fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+  int error = errno;
+  if (received < 0 && error != EAGAIN && error != EWOULDBLOCK && error != EINTR)
+    record_failure (stream, error, false);
+  errno = error;
+  return received;
+}
+
+static void
+stop_writing (struct hf_stream *stream, int error)
+{
+  stream->writable = false;
+  if (error == EAGAIN || error == EWOULDBLOCK)
+    return;
+  /* Reported by the next read, after the bytes that were still received. */
+  record_failure (stream, error, true);
+  stream->readable = true;
+  schedule_read (stream);
+}
+
 /* A stream that is not read would not show that its peer has closed. */
 static void
 report_hang_up (struct hf_stream *stream)
@@ -160,11 +207,14 @@
       if (received > 0)
         stream->callbacks->on_data (stream->context, (struct hf_str){ .data = net->buffer, .len = (size_t) received });
       else if (received == 0)
-        end_stream (stream, HF_STREAM_CLOSED);
+        end_stream (stream, stream->failure == HF_STREAM_OPEN ? HF_STREAM_CLOSED : stream->failure);
       else if (errno == EAGAIN || errno == EWOULDBLOCK)
         stream->readable = false;
       else if (errno != EINTR)
-        end_stream (stream, HF_STREAM_BROKEN);
+        {
+          record_failure (stream, errno, false);
+          end_stream (stream, stream->failure);
+        }
     }
   if (stream->handle.fd >= 0 && stream->readable && !stream->ended)
     add_to_unread (stream);
@@ -474,7 +524,8 @@
 void
 hf_stream_flush (struct hf_stream *stream)
 {
-  if (stream->handle.fd < 0 || stream->connecting || !stream->writable || stream->write_buffer->len == 0)
+  bool may_write = stream->writable && stream->failure == HF_STREAM_OPEN;
+  if (stream->handle.fd < 0 || stream->connecting || !may_write || stream->write_buffer->len == 0)
     return;
   while (stream->written < stream->write_buffer->len)
     {
@@ -484,8 +535,7 @@
         continue;
       if (sent < 0)
         {
-          stream->writable = false;
-          /* A broken connection is reported by the next read, after the bytes that were still received. */
+          stop_writing (stream, errno);
           return;
         }
       stream->has_sent = true;
@@ -505,10 +555,7 @@
   bool has_work = paused ? stream->hung_up : stream->readable;
   if (!has_work || stream->handle.fd < 0)
     return;
-  add_to_unread (stream);
-  struct hf_net *net = stream->handle.net;
-  if (!net->unread_source)
-    net->unread_source = g_idle_add (process_unread, net);
+  schedule_read (stream);
 }
 
 size_t
@@ -532,25 +579,20 @@
 bool
 hf_stream_is_open (const struct hf_stream *stream)
 {
-  return stream->handle.fd >= 0 && !stream->connecting && !stream->ended;
+  bool has_ended = stream->ended || stream->failure != HF_STREAM_OPEN;
+  return stream->handle.fd >= 0 && !stream->connecting && !has_ended;
 }
 
 bool
-hf_stream_is_quiet (const struct hf_stream *stream)
+hf_stream_is_quiet (struct hf_stream *stream)
 {
-  char byte;
-  return recv (stream->handle.fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) < 0
-         && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return peek (stream) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 bool
-hf_stream_has_hung_up (const struct hf_stream *stream)
+hf_stream_has_hung_up (struct hf_stream *stream)
 {
-  char byte;
-  if (stream->hung_up)
-    return true;
-  ssize_t received = recv (stream->handle.fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
-  return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+  return stream->hung_up || peek (stream) == 0 || stream->failure != HF_STREAM_OPEN;
 }
 
 void
--- a/src/hf-net.h
+++ b/src/hf-net.h
@@ -13,6 +13,7 @@
 #include <glib.h>
 
 #include "hf-base.h"
+#include "hf-stream-end.h"
 
 struct hf_net;
 struct hf_stream;
@@ -20,14 +21,6 @@
 
 /* --- types --- */
 
-/** enum hf_stream_end - how a stream ended */
-enum hf_stream_end
-{
-  HF_STREAM_CLOSED,         /* closed by the remote end in order */
-  HF_STREAM_BROKEN,         /* reset by the remote end, or socket error */
-  HF_STREAM_CONNECT_FAILED, /* the connection was never established */
-};
-
 /**
  * struct hf_stream_callbacks - events that a stream reports to its owner
  * @on_connected: an outgoing connection is established
@@ -75,9 +68,9 @@
 size_t hf_stream_unsent_bytes (const struct hf_stream *stream);       /* queued, not yet written */
 bool hf_stream_has_sent (const struct hf_stream *stream);             /* wrote a byte since hf_stream_clear_sent */
 void hf_stream_clear_sent (struct hf_stream *stream);                 /* resets hf_stream_has_sent */
-bool hf_stream_is_open (const struct hf_stream *stream);              /* established, not ended or closed */
-bool hf_stream_is_quiet (const struct hf_stream *stream);             /* no byte or end waits in the socket */
-bool hf_stream_has_hung_up (const struct hf_stream *stream);          /* the peer has closed; bytes may be unread */
+bool hf_stream_is_open (const struct hf_stream *stream);              /* established, not ended, failed or closed */
+bool hf_stream_is_quiet (struct hf_stream *stream);                   /* no byte or end waits in the socket */
+bool hf_stream_has_hung_up (struct hf_stream *stream);                /* the peer has closed; bytes may be unread */
 void hf_stream_shutdown_write (struct hf_stream *stream); /* sends the end of the stream; reading continues */
 void hf_stream_close (struct hf_stream *stream);          /* closes in order; queued bytes are dropped */
 void hf_stream_reset (struct hf_stream *stream);          /* closes with a TCP reset */
--- a/src/hf-proxy.c
+++ b/src/hf-proxy.c
@@ -512,14 +512,13 @@
 }
 
 static void
-on_probe_ended (void *context, enum hf_http_client_result result, bool sent)
+on_probe_ended (void *context, const struct hf_http_client_end *end)
 {
   struct probe *probe = context;
   struct hf_proxy *proxy = probe->proxy;
   struct hf_event event
       = { .kind = HF_EVENT_PROBE_RESULT, .server = probe->server, .hints = { .load = -1, .retry_after_ms = -1 } };
-  (void) sent;
-  if (result == HF_HTTP_CLIENT_COMPLETE && probe->got_head)
+  if (end->result == HF_HTTP_CLIENT_COMPLETE && probe->got_head)
     event.hints = probe->hints;
   g_hash_table_remove (proxy->probes, probe);
   free_probe (probe);
@@ -556,6 +555,8 @@
 static void
 fail_expired_probes (struct hf_proxy *proxy, int64_t now)
 {
+  const struct hf_http_client_end timed_out
+      = { .result = HF_HTTP_CLIENT_BROKEN, .connection = HF_STREAM_TIMED_OUT, .sent = true };
   GList *probes = g_hash_table_get_keys (proxy->probes);
   for (GList *item = probes; item; item = item->next)
     {
@@ -563,7 +564,7 @@
       if (now - probe->sent_at < HF_PROBE_TIMEOUT_SEC * HF_SEC)
         continue;
       hf_http_client_cancel (probe->request);
-      on_probe_ended (probe, HF_HTTP_CLIENT_BROKEN, true);
+      on_probe_ended (probe, &timed_out);
     }
   g_list_free (probes);
 }
--- a/src/hf-trace.c
+++ b/src/hf-trace.c
@@ -133,18 +133,21 @@
 {
   const struct hf_attempt *ended = &call->attempts[attempt];
   bool succeeded = event->result == HF_ATTEMPT_ANSWERED && event->hints.status < 500;
-  const struct hf_log_field fields[] = { HF_LOG_INT ("attempt", attempt),
-                                         HF_LOG_TEXT ("server", server_name (state, call, attempt)),
-                                         HF_LOG_TEXT ("result", hf_str (result_names[event->result])),
-                                         HF_LOG_INT ("status", event->hints.status),
-                                         HF_LOG_INT ("not_run", event->hints.not_run),
-                                         HF_LOG_INT ("handed", event->bytes_sent),
-                                         HF_LOG_INT ("latency_ms", elapsed_ms (state, ended->started_at)),
-                                         HF_LOG_INT ("slowdown_percent", event->hints.slowdown_percent),
-                                         HF_LOG_INT ("connection", event->connection.number),
-                                         HF_LOG_INT ("earlier_requests", event->connection.earlier_requests) };
+  const struct hf_log_field fields[]
+      = { HF_LOG_INT ("attempt", attempt),
+          HF_LOG_TEXT ("server", server_name (state, call, attempt)),
+          HF_LOG_TEXT ("result", hf_str (result_names[event->result])),
+          HF_LOG_INT ("status", event->hints.status),
+          HF_LOG_INT ("not_run", event->hints.not_run),
+          HF_LOG_INT ("handed", event->bytes_sent),
+          HF_LOG_INT ("latency_ms", elapsed_ms (state, ended->started_at)),
+          HF_LOG_INT ("slowdown_percent", event->hints.slowdown_percent),
+          HF_LOG_INT ("connection", event->connection.number),
+          HF_LOG_INT ("earlier_requests", event->connection.earlier_requests),
+          HF_LOG_TEXT ("connection_end", hf_str (hf_stream_end_name (event->connection_end))) };
+  bool tells_end = !succeeded && event->connection_end != HF_STREAM_OPEN;
   add_log_line (state, succeeded ? HF_LOG_ATTEMPT_ENDED : HF_LOG_ATTEMPT_FAILED, call->request_id, fields,
-                G_N_ELEMENTS (fields));
+                G_N_ELEMENTS (fields) - (tells_end ? 0 : 1));
 }
 
 void
--- a/tests/test-http-client.c
+++ b/tests/test-http-client.c
@@ -87,12 +87,11 @@
 }
 
 static void
-on_ended (void *context, enum hf_http_client_result result, bool sent)
+on_ended (void *context, const struct hf_http_client_end *end)
 {
   struct run *run = context;
-  (void) sent;
   run->ended = TRUE;
-  run->result = result;
+  run->result = end->result;
 }
 
 static const struct hf_http_client_callbacks callbacks
@@ -308,11 +307,11 @@
 }
 
 static void
-on_copies_ended (void *context, enum hf_http_client_result result, bool sent)
+on_copies_ended (void *context, const struct hf_http_client_end *end)
 {
   struct copies_run *copies = context;
-  g_assert_true (sent);
-  g_string_append_printf (copies->bodies, " %d\n", result);
+  g_assert_true (end->sent);
+  g_string_append_printf (copies->bodies, " %d\n", end->result);
   if (++copies->ended == 1 && copies->sends_at_once)
     send_for_copies (copies);
 }
--- a/tests/test-response-ends.c
+++ b/tests/test-response-ends.c
@@ -78,12 +78,11 @@
 }
 
 static void
-on_ended (void *context, enum hf_http_client_result result, bool sent)
+on_ended (void *context, const struct hf_http_client_end *end)
 {
   struct run *run = context;
-  (void) sent;
   run->ended = TRUE;
-  run->result = result;
+  run->result = end->result;
 }
 
 static const struct hf_http_client_callbacks callbacks
