Responses with a malformed head or damaged chunks are refused

Cause: the http_parser library takes blanks in names of fields and any byte in place of the CR LF around chunks, and "chunked" followed by a tab for another coding, whose body ends with the connection. A random comparison with a naive strict reader showed the last two: such a response counted as complete. An informational response with a Content-Length took the next response for its body.

Ruled out: the library's strict mode, which is chosen when it is built.

hf-http-syntax checks each head by line, hf-http-chunks the framing of each chunked body, before the library gets the bytes; requests, too. A response whose length is not clear is malformed as a request is. A tab behind the number of Content-Length stays refused by the library, though HTTP allows it.

--- a/src/hf-http-client.c
+++ b/src/hf-http-client.c
@@ -212,7 +212,7 @@
   connection->skipping_response = !request || is_informational;
   connection->informational_responses += is_informational;
   if (connection->skipping_response)
-    return true;
+    return !is_informational;
   if (request->callbacks->accepts_response && !request->callbacks->accepts_response (request->context, head))
     {
       connection->skipping_response = true;
--- a/src/hf-http-head.c
+++ b/src/hf-http-head.c
@@ -61,18 +61,31 @@
   return "Answer";
 }
 
-/* --- public functions: received heads --- */
-
-struct hf_str
-hf_http_head_field (const struct hf_http_head *head, const char *name)
+static const struct hf_header *
+find_field (const struct hf_http_head *head, const char *name)
 {
   for (guint i = 0; i < head->fields->len; i++)
     {
       const struct hf_header *field = &g_array_index (head->fields, struct hf_header, i);
       if (hf_str_equal_nocase (field->name, hf_str (name)))
-        return field->value;
+        return field;
     }
-  return (struct hf_str){ 0 };
+  return NULL;
+}
+
+/* --- public functions: received heads --- */
+
+struct hf_str
+hf_http_head_field (const struct hf_http_head *head, const char *name)
+{
+  const struct hf_header *field = find_field (head, name);
+  return field ? field->value : (struct hf_str){ 0 };
+}
+
+bool
+hf_http_head_has_field (const struct hf_http_head *head, const char *name)
+{
+  return find_field (head, name) != NULL;
 }
 
 struct hf_http_head *
@@ -159,7 +172,7 @@
 bool
 hf_http_status_has_no_body (unsigned status)
 {
-  return status == 204 || status == 304;
+  return status / 100 == 1 || status == 204 || status == 304;
 }
 
 bool
--- a/src/hf-http-head.h
+++ b/src/hf-http-head.h
@@ -53,6 +53,7 @@
 /* --- public functions: received heads --- */
 
 struct hf_str hf_http_head_field (const struct hf_http_head *head, const char *name); /* first value; empty: none */
+bool hf_http_head_has_field (const struct hf_http_head *head, const char *name);      /* also an empty one */
 struct hf_http_head *hf_http_head_copy (const struct hf_http_head *head);             /* with all its strings */
 void hf_http_head_free (struct hf_http_head *head);                                   /* frees a copy */
 /* Whether a field applies to one connection only and must not be forwarded. */
--- a/src/hf-http-parser.c
+++ b/src/hf-http-parser.c
@@ -4,13 +4,13 @@
 #include <http_parser.h>
 #include <string.h>
 
+#include "hf-http-chunks.h"
+
 #include "config.h"
 
 /* --- constants --- */
 
-#define HEAD_IS_INVALID        (-1) /* return value of a callback: the library stops with an error */
-#define STATUS_MIN             100  /* of a response; the library accepts fewer digits */
-#define STATUS_MAX             599
+#define HEAD_IS_INVALID        (-1)          /* return value of a callback: the library stops with an error */
 #define LIBRARY_HEAD_BYTES_MAX (1024 * 1024) /* exceeds any head_bytes_max, which is checked first */
 
 /* --- types --- */
@@ -26,6 +26,7 @@
   GString *method;
   GArray *spans; /* struct span, one for each field */
   struct hf_http_head head;
+  struct hf_http_chunks chunks; /* progress within a chunked body */
   size_t target_len;
   bool parses_requests;
   bool in_body;        /* the head is complete, the message is not */
@@ -47,6 +48,15 @@
 
 /* --- internal functions: callbacks of the library --- */
 
+static void
+report_error (struct hf_http_parser *parser, enum hf_http_parse_error error)
+{
+  if (parser->failed || parser->closed)
+    return;
+  parser->failed = true;
+  parser->callbacks->on_error (parser->context, error);
+}
+
 static int
 on_url (http_parser *library, const char *at, size_t size)
 {
@@ -109,8 +119,6 @@
 {
   struct hf_http_parser *parser = library->data;
   struct hf_http_head *head = &parser->head;
-  if (!parser->parses_requests && (library->status_code < STATUS_MIN || library->status_code > STATUS_MAX))
-    return HEAD_IS_INVALID;
   build_fields (parser);
   library->upgrade = 0;
   head->method = (struct hf_str){ .data = parser->method->str, .len = parser->method->len };
@@ -120,6 +128,13 @@
   head->chunked = (library->flags & F_CHUNKED) != 0;
   bool declared = !head->chunked && library->content_length != ULLONG_MAX;
   head->content_length = declared ? (int64_t) MIN (library->content_length, G_MAXINT64) : -1;
+  /* The library takes "chunked" with a tab behind it for another coding, whose body ends with the connection. */
+  bool coding_is_read = head->chunked || !hf_http_head_has_field (head, "Transfer-Encoding");
+  if (!parser->parses_requests && (!coding_is_read || !hf_http_head_has_clear_length (head)))
+    {
+      report_error (parser, HF_HTTP_PARSE_LENGTH);
+      return HEAD_IS_INVALID;
+    }
   parser->in_body = true;
   return parser->callbacks->on_head (parser->context, head) ? 0 : 1;
 }
@@ -161,47 +176,12 @@
   g_string_truncate (parser->text, 0);
   g_array_set_size (parser->spans, 0);
   parser->target_len = 0;
+  parser->chunks = (struct hf_http_chunks){ 0 };
   parser->in_body = false;
   parser->last_was_value = false;
   parser->complete = false;
 }
 
-/* Whether all lines end with CR LF, no line is folded, no space precedes the colon of a field, and no byte is NUL. */
-static bool
-has_strict_syntax (const GString *raw)
-{
-  bool in_name = false;
-  bool first_line = true;
-  for (size_t i = 0; i < raw->len; i++)
-    {
-      char byte = raw->str[i];
-      bool is_line_end = byte == '\r' && raw->str[i + 1] == '\n';
-      if (byte == 0 || (byte == '\r' && !is_line_end) || (byte == '\n' && (i == 0 || raw->str[i - 1] != '\r')))
-        return false;
-      if (byte == '\n')
-        {
-          first_line = false;
-          in_name = true;
-          if (raw->str[i + 1] == ' ' || raw->str[i + 1] == '\t')
-            return false;
-        }
-      else if (byte == ':')
-        in_name = false;
-      else if (!first_line && in_name && (byte == ' ' || byte == '\t'))
-        return false;
-    }
-  return true;
-}
-
-static void
-report_error (struct hf_http_parser *parser, enum hf_http_parse_error error)
-{
-  if (parser->failed || parser->closed)
-    return;
-  parser->failed = true;
-  parser->callbacks->on_error (parser->context, error);
-}
-
 static bool
 starts_like_response (const GString *raw)
 {
@@ -247,19 +227,13 @@
   return used;
 }
 
-static bool
-is_token_char (char byte)
-{
-  return g_ascii_isalnum (byte) || strchr ("!#$%&'*+-.^_`|~", byte);
-}
-
 /* Stores the method and passes POST to the library in its place. The library
  * accepts only a fixed list of methods, and framing does not depend on them. */
 static size_t
 parse_method (struct hf_http_parser *parser)
 {
   size_t size = 0;
-  while (size < parser->raw->len && parser->raw->str[size] && is_token_char (parser->raw->str[size]))
+  while (size < parser->raw->len && hf_http_syntax_is_token_byte (parser->raw->str[size]))
     size++;
   g_string_assign (parser->method, "");
   g_string_append_len (parser->method, parser->raw->str, (gssize) size);
@@ -275,6 +249,19 @@
   parse (parser, parser->raw->str + begin, parser->raw->len - begin);
 }
 
+/* Of a chunked body, the library gets only bytes whose framing is valid. */
+static size_t
+parse_body (struct hf_http_parser *parser, struct hf_str bytes)
+{
+  if (!parser->head.chunked)
+    return parse (parser, bytes.data, bytes.len);
+  size_t valid = hf_http_chunks_take (&parser->chunks, bytes);
+  size_t used = parse (parser, bytes.data, valid);
+  if (parser->chunks.part == HF_CHUNKS_INVALID)
+    report_error (parser, HF_HTTP_PARSE_CHUNK);
+  return used;
+}
+
 static void
 finish_message (struct hf_http_parser *parser)
 {
@@ -331,14 +318,16 @@
   parser->feeding = true;
   if (!parser->in_body && !parser->failed && collect_head (parser, bytes, &used))
     {
-      if (has_strict_syntax (parser->raw))
+      struct hf_str head = { parser->raw->str, parser->raw->len };
+      enum hf_http_parse_error error = hf_http_syntax_check_head (head, parser->parses_requests);
+      if (error == HF_HTTP_PARSE_OK)
         parse_head (parser);
       else
-        report_error (parser, HF_HTTP_PARSE_MALFORMED);
+        report_error (parser, error);
       g_string_truncate (parser->raw, 0);
     }
   if (parser->in_body && !parser->complete && !parser->failed && !parser->closed && used < bytes.len)
-    used += parse (parser, bytes.data + used, bytes.len - used);
+    used += parse_body (parser, (struct hf_str){ bytes.data + used, bytes.len - used });
   if (parser->complete && !parser->failed && !parser->closed)
     finish_message (parser);
   parser->feeding = false;
--- a/src/hf-http-parser.h
+++ b/src/hf-http-parser.h
@@ -11,20 +11,12 @@
 #define HF_HTTP_PARSER_H
 
 #include "hf-http-head.h"
+#include "hf-http-syntax.h"
 
 struct hf_http_parser;
 
 /* --- types --- */
 
-/** enum hf_http_parse_error - reasons for which a message is rejected */
-enum hf_http_parse_error
-{
-  HF_HTTP_PARSE_OK, /* none */
-  HF_HTTP_PARSE_MALFORMED,
-  HF_HTTP_PARSE_HEAD_TOO_LARGE,
-  HF_HTTP_PARSE_UNEXPECTED, /* bytes where none are due, or too many before the response */
-};
-
 /**
  * struct hf_http_parser_callbacks - events that a parser reports to its owner
  * @on_head: the head is complete; returns false for a response without a body, whatever its head declares
