Limit the requests started at cold backend servers

Cause: a backend server is cold for a time after its start, or again at any moment, and crashes well above the few requests a second that it then tolerates.

Where the service has a limit (cold_requests_per_s) and the settings a factor (cold_overshoot), the granter counts the starts at each server in a sliding window and grants no more to a cold one. A server tells that it is cold in the directory (cold_left) and in responses (X-Cold-Ms); it is taken as cold after a restart of which nothing is known and after the evacuation of its domain. An entry that hears it first tells the granter. Admission counts a cold server with the slots that the limit keeps busy. Pools of entries that are not the granter use no cold server.

The bound holds for all entries together, in touch or not: the full share needs contact with more than half of the entries, a granter in touch with a quarter has the other half of the slack, as has a new granter for 3 s.

Ruled out: half of the window used up for a new granter (13 of the former one and 6 of the new one are more than 17 in a second); a window of exactly one second (two bursts whose ways to the server differ would meet).

--- a/src/config.h
+++ b/src/config.h
@@ -109,6 +109,13 @@
 #define HF_MEASURE_IDLE_MS           1000 /* a service without requests for this long is not measured */
 #define HF_MEASURES_UNANSWERED_LIMIT 2    /* consecutive unanswered measurements that stop grants to a server */
 
+/* Cold backend servers. */
+#define HF_COLD_WINDOW_MS         1250  /* one second, and the most by which the way to the server may differ */
+#define HF_COLD_TAKEOVER_MS       3000  /* of a new granter: heartbeats to all at three rounds, a lost one, a window */
+#define HF_COLD_RESPONSE_FRESH_MS 2000  /* the directory's copy is not newer than a response of that time */
+#define HF_COLD_STARTS_MAX        10000 /* limit of starts in a window */
+#define HF_COLD_MAX_MS            3600000 /* longest cold time that is taken over */
+
 /* Directory of backend servers. */
 #define HF_DIRECTORY_OUTAGE_GRACE_MS 2000 /* after an outage, unlisted servers are kept this long before removal */
 #define HF_DIRECTORY_REMOVED_SEC     60   /* an older report of a removed server is recognised for this long */
--- a/src/hf-admission.c
+++ b/src/hf-admission.c
@@ -26,7 +26,7 @@
 hf_admission_check (const struct hf_pool *pool, int64_t now, const struct hf_slot_request *request, unsigned ahead)
 {
   double latency_us;
-  unsigned slots = hf_placement_usable_slots (pool, now, request->entry, &latency_us);
+  double slots = hf_placement_usable_slots (pool, now, request->entry, &latency_us);
   if (slots == 0)
     return hf_admission_is_pushed_back (pool, now, request) ? HF_REFUSAL_PUSHBACK : HF_REFUSAL_NONE;
   bool misses = (double) now + (ahead + 1) * latency_us / slots + latency_us > (double) request->deadline;
@@ -54,7 +54,7 @@
                           int64_t now,
                           const struct hf_slot_request *request,
                           unsigned ahead,
-                          unsigned slots)
+                          double slots)
 {
   if (!hf_admission_misses_soft_deadline (pool, now, request) || slots == 0)
     return false;
--- a/src/hf-admission.h
+++ b/src/hf-admission.h
@@ -28,7 +28,7 @@
                                int64_t now,
                                const struct hf_slot_request *request,
                                unsigned ahead,
-                               unsigned slots);
+                               double slots);
 
 /* True if even a start now is too late for the deadline. */
 bool hf_admission_is_too_late (const struct hf_pool *pool, int64_t now, const struct hf_slot_request *request);
--- a/src/hf-directory.c
+++ b/src/hf-directory.c
@@ -222,16 +222,47 @@
          && hf_str_equal (current->failure_domain, report->failure_domain);
 }
 
+/* How long the latency of the server stays higher. One that has just started and does not tell is taken as cold where
+ * its service limits cold servers. */
+static int64_t
+warmup_of (const struct hf_state *state, const struct listed_server *before, const struct hf_server_report *report)
+{
+  const struct hf_service_state *service = hf_state_find_service (state, hf_hash (report->service, 0));
+  bool has_started = !before || before->report.incarnation != report->incarnation;
+  if (!report->warmup_unknown || !has_started || !service || !service->pool.cold.enabled)
+    return report->warmup_ms * HF_MS;
+  return service->pool.cold.cold_us;
+}
+
+/* A server that is listed already has become cold again, or has ceased to be: matters where its service limits cold
+ * servers. */
+static void
+note_cold (struct hf_state *state, struct listed_server *listed, const struct hf_server_report *report)
+{
+  uint64_t id = hf_server_id (report->service, report->name);
+  struct hf_service_state *service = g_hash_table_lookup (state->service_by_server, &id);
+  struct hf_pool_server *server = service ? hf_pool_find_server (&service->pool, id) : NULL;
+  if (!server || !service->pool.cold.enabled || report->warmup_unknown)
+    return;
+  listed->warmup_until = report->warmup_ms > 0 ? state->now + report->warmup_ms * HF_MS : 0;
+  hf_cold_record_listing (&server->cold, state->now, report->warmup_ms * HF_MS);
+}
+
 static void
 add_or_update (struct hf_state *state,
                struct listed_server *listed,
                const struct hf_server_report *report,
                bool from_list)
 {
+  bool is_newer = !listed || hf_server_report_compare_age (report, &listed->report) > 0;
+  bool is_same_start = listed && listed->report.incarnation == report->incarnation;
+  int64_t warmup_us = warmup_of (state, listed, report);
   if (listed && is_unchanged (listed, report))
     {
       if (!from_list && report->sequence > listed->report.sequence)
         hf_directory_sync_record_change (state, report->name);
+      if (is_newer)
+        note_cold (state, listed, report);
       listed->stale = false;
       listed->report.sequence = report->sequence;
       return;
@@ -253,9 +284,11 @@
   listed->report.service = hf_str_dup (report->service);
   listed->report.address = hf_str_dup (report->address);
   listed->report.failure_domain = hf_str_dup (report->failure_domain);
-  if (report->warmup_ms > 0)
-    listed->warmup_until = state->now + report->warmup_ms * HF_MS;
+  if (warmup_us > 0)
+    listed->warmup_until = state->now + warmup_us;
   put_in_pool (state, listed);
+  if (is_newer && is_same_start)
+    note_cold (state, listed, report);
 }
 
 static struct hf_server_report
--- a/src/hf-evacuation-sync.c
+++ b/src/hf-evacuation-sync.c
@@ -51,12 +51,16 @@
 /* --- internal functions: pools --- */
 
 static void
-apply_to_server (const struct hf_state *state, struct hf_pool *pool, const struct hf_pool_server *server)
+apply_to_server (const struct hf_state *state, struct hf_pool *pool, struct hf_pool_server *server)
 {
   bool evacuated = hf_evacuations_contain (&state->evacuations, server->failure_domain);
   bool drains = (server->drain_sources & HF_DRAIN_EVACUATED) != 0;
-  if (evacuated != drains)
-    hf_pool_set_draining (pool, server->id, HF_DRAIN_EVACUATED, evacuated, 0);
+  if (evacuated == drains)
+    return;
+  hf_pool_set_draining (pool, server->id, HF_DRAIN_EVACUATED, evacuated, 0);
+  /* What it kept warm by requests has not been used since. */
+  if (!evacuated)
+    hf_cold_assume (&server->cold, state->now, pool->cold.cold_us);
 }
 
 static void
@@ -142,7 +146,7 @@
 void
 hf_evacuation_sync_apply (const struct hf_state *state, struct hf_service_state *service, uint64_t server)
 {
-  const struct hf_pool_server *known = hf_pool_find_server (&service->pool, server);
+  struct hf_pool_server *known = hf_pool_find_server (&service->pool, server);
   if (known)
     apply_to_server (state, &service->pool, known);
 }
--- a/src/hf-event.h
+++ b/src/hf-event.h
@@ -81,6 +81,8 @@
   bool leaving;           /* this instance of it accepts no new requests any more */
   bool not_run;           /* it reports that it did not run the request */
   bool wrong_instance;    /* another backend server has taken over the address */
+  bool tells_cold;        /* it reports whether it is cold */
+  int64_t cold_ms;        /* tells_cold: for how long it stays cold; 0: it is not */
   int64_t retry_after_ms; /* -1: not reported */
   bool retry_after_invalid;
 };
@@ -95,6 +97,7 @@
  * @incarnation: rises when it restarts under the same name
  * @sequence: number of this report among those of the incarnation
  * @warmup_ms: remaining time of higher latency after its start
+ * @warmup_unknown: the directory does not tell @warmup_ms
  * @draining: it accepts no new requests
  * @removed: it is no longer listed
  * @removal_delay_ms: a removed server is kept this long in case it is listed again
@@ -109,6 +112,7 @@
   uint64_t incarnation;
   uint64_t sequence;
   int64_t warmup_ms;
+  bool warmup_unknown;
   bool draining;
   bool removed;
   int64_t removal_delay_ms;
@@ -150,22 +154,23 @@
 /** enum hf_event_kind - kinds of events */
 enum hf_event_kind
 {
-  HF_EVENT_START,             /* the process has started */
-  HF_EVENT_TICK,              /* a timer may be due */
-  HF_EVENT_REQUEST,           /* a caller's request arrived */
-  HF_EVENT_CALLER_GONE,       /* the caller disconnected, or its response was sent */
-  HF_EVENT_ATTEMPT_HEAD,      /* the head of a long response arrived */
-  HF_EVENT_ATTEMPT_END,       /* an attempt ended */
-  HF_EVENT_PEER_MESSAGE,      /* a message from another entry */
-  HF_EVENT_PLATFORM_RESULT,   /* a platform call ended */
-  HF_EVENT_WATCH_LINE,        /* one line of a watch of the platform */
-  HF_EVENT_PROBE_RESULT,      /* a health probe or measurement ended */
-  HF_EVENT_SERVER_HINTS,      /* the head of a response tells which requests its server does not want */
-  HF_EVENT_SHUTDOWN,          /* the process is to shut down */
-  HF_EVENT_DOCUMENT,          /* a new configuration document from outside of the reducer */
-  HF_EVENT_SERVER_REPORT,     /* a backend server was listed, changed or removed */
-  HF_EVENT_ENTRY_REPORT,      /* an entry was listed or removed */
-  HF_EVENT_LIST_STEP,         /* progress of listing the platform's directory */
+  HF_EVENT_START,           /* the process has started */
+  HF_EVENT_TICK,            /* a timer may be due */
+  HF_EVENT_REQUEST,         /* a caller's request arrived */
+  HF_EVENT_CALLER_GONE,     /* the caller disconnected, or its response was sent */
+  HF_EVENT_ATTEMPT_HEAD,    /* the head of a long response arrived */
+  HF_EVENT_ATTEMPT_END,     /* an attempt ended */
+  HF_EVENT_PEER_MESSAGE,    /* a message from another entry */
+  HF_EVENT_PLATFORM_RESULT, /* a platform call ended */
+  HF_EVENT_WATCH_LINE,      /* one line of a watch of the platform */
+  HF_EVENT_PROBE_RESULT,    /* a health probe or measurement ended */
+  HF_EVENT_SERVER_HINTS,  /* the head of a response tells which requests its server does not want, or whether it is cold
+                           */
+  HF_EVENT_SHUTDOWN,      /* the process is to shut down */
+  HF_EVENT_DOCUMENT,      /* a new configuration document from outside of the reducer */
+  HF_EVENT_SERVER_REPORT, /* a backend server was listed, changed or removed */
+  HF_EVENT_ENTRY_REPORT,  /* an entry was listed or removed */
+  HF_EVENT_LIST_STEP,     /* progress of listing the platform's directory */
   HF_EVENT_EVACUATION_REPORT, /* the evacuation of a failure domain was ordered or ended */
   HF_EVENT_EVACUATION_STEP,   /* progress of listing these orders */
 };
--- a/src/hf-header-codec.c
+++ b/src/hf-header-codec.c
@@ -135,7 +135,7 @@
                                  struct hf_str name)
 {
   bool pushes_back = hints->status == 503 && (hints->retry_after_ms > 0 || hints->retry_after_invalid);
-  if (!(hints->leaving || pushes_back) || hints->wrong_instance)
+  if (!(hints->leaving || pushes_back || hints->tells_cold) || hints->wrong_instance)
     return false;
   struct hf_str instance = codec->instance_field ? hf_http_head_field (head, codec->instance_field) : hf_str ("");
   return instance.len == 0 || name.len == 0 || hf_str_equal (instance, name);
--- a/src/hf-header-codec.h
+++ b/src/hf-header-codec.h
@@ -51,8 +51,8 @@
                                      const struct hf_http_head *head,
                                      struct hf_str request_id);
 extern const struct hf_header_codec hf_header_codec_default; /* header fields of this project */
-/* True if the response tells which requests its server does not want: a SERVER_HINTS event. name: the server that the
- * request was sent to; a response of another one tells nothing about it. */
+/* True if the response tells which requests its server does not want, or whether it is cold: a SERVER_HINTS event.
+ * name: the server that the request was sent to; a response of another one tells nothing about it. */
 bool hf_header_codec_has_restriction (const struct hf_header_codec *codec,
                                       const struct hf_http_head *head,
                                       const struct hf_response_hints *hints,
--- a/src/hf-health.h
+++ b/src/hf-health.h
@@ -13,6 +13,7 @@
 #include <glib.h>
 
 #include "hf-base.h"
+#include "hf-cold.h"
 #include "hf-pushback.h"
 
 /* --- types --- */
@@ -97,6 +98,7 @@
   unsigned unanswered_measurements;     /* measurements in a row without a response */
   int64_t connection_lost_at;           /* first loss since the last response; 0: none */
   GArray *pushbacks;                    /* struct hf_pushback: entries that it wants no requests from; NULL: none */
+  struct hf_cold cold;                  /* used where the service limits the starts at cold servers */
   int64_t measurable_at;                /* it wants no measurements of this entry before then; 0: it may be measured */
 };
 
--- a/src/hf-placement.c
+++ b/src/hf-placement.c
@@ -27,9 +27,10 @@
 
 /* True if the entry may send requests to the server, now or once a slot of it is free. */
 static bool
-is_usable_by (const struct hf_pool_server *server, int64_t now, uint64_t entry)
+is_usable_by (const struct hf_pool *pool, const struct hf_pool_server *server, int64_t now, uint64_t entry)
 {
-  return hf_health_is_usable (server, now) && hf_pushback_until (server->pushbacks, entry) <= now;
+  bool too_cold = hf_cold_is_limited (&pool->cold, &server->cold, now) && pool->cold.allowed == 0;
+  return hf_health_is_usable (server, now) && !too_cold && hf_pushback_until (server->pushbacks, entry) <= now;
 }
 
 /* A server without results is expected to have the mean latency of the others. */
@@ -119,7 +120,7 @@
       unsigned load = effective_load (pool, server, now);
       if (!hf_health_is_usable (server, now) || server->id == excluded_server
           || !hf_pushback_allows (server->pushbacks, request->entry, now)
-          || !may_start_now (pool, now, server, request))
+          || !hf_cold_allows_start (&pool->cold, &server->cold, now) || !may_start_now (pool, now, server, request))
         continue;
       if (pool->policy->skips_full_servers
           && load >= (try_last_slots ? hf_health_usable_slots (server) : usable_slots (pool, server)))
@@ -195,7 +196,7 @@
 {
   size_t n = 0;
   for (size_t i = 0; i < pool->servers->len; i++)
-    n += is_usable_by (server_at (pool, i), now, entry) && server_at (pool, i)->id != excluded_server;
+    n += is_usable_by (pool, server_at (pool, i), now, entry) && server_at (pool, i)->id != excluded_server;
   return n;
 }
 
@@ -247,21 +248,24 @@
   return i < n ? &g_array_index (pool->servers, struct hf_pool_server, candidates[i].server_index) : NULL;
 }
 
-unsigned
+double
 hf_placement_usable_slots (const struct hf_pool *pool, int64_t now, uint64_t entry, double *latency_us)
 {
-  unsigned slots = 0;
+  double slots = 0;
   double sum = 0;
   for (size_t i = 0; i < pool->servers->len; i++)
     {
       const struct hf_pool_server *server = server_at (pool, i);
-      if (!is_usable_by (server, now, entry))
+      if (!is_usable_by (pool, server, now, entry))
         continue;
-      unsigned server_slots = usable_slots (pool, server);
+      double latency = expected_latency (pool, server);
+      double server_slots = usable_slots (pool, server);
+      if (hf_cold_is_limited (&pool->cold, &server->cold, now))
+        server_slots = MIN (server_slots, hf_cold_busy_slots (&pool->cold, latency));
       slots += server_slots;
-      sum += expected_latency (pool, server) * server_slots;
+      sum += latency * server_slots;
     }
-  *latency_us = slots ? sum / slots : 0;
+  *latency_us = slots > 0 ? sum / slots : 0;
   return slots;
 }
 
@@ -274,7 +278,8 @@
       const struct hf_pool_server *server = server_at (pool, i);
       unsigned slots = try_last_slots ? hf_health_usable_slots (server) : usable_slots (pool, server);
       bool is_slow = pool->requires_measurements && hf_health_speed (server, now) == HF_SPEED_SLOW;
-      if (hf_health_is_usable (server, now) && !is_slow && effective_load (pool, server, now) < slots)
+      bool may_start = hf_cold_allows_start (&pool->cold, &server->cold, now);
+      if (hf_health_is_usable (server, now) && !is_slow && may_start && effective_load (pool, server, now) < slots)
         return true;
     }
   return !pool->policy->skips_full_servers;
@@ -290,7 +295,7 @@
       struct hf_pool_server *server = &g_array_index (pool->servers, struct hf_pool_server, i);
       bool is_free = effective_load (pool, server, now) < usable_slots (pool, server);
       if (!is_free || server->measurable_at > now || !hf_health_is_usable (server, now)
-          || !is_measurement_due (server, now))
+          || !is_measurement_due (server, now) || !hf_cold_allows_start (&pool->cold, &server->cold, now))
         continue;
       double cost = expected_latency (pool, server) * hf_health_latency_factor (server, now)
                     + distance_cost_us (server, request);
--- a/src/hf-placement.h
+++ b/src/hf-placement.h
@@ -23,9 +23,9 @@
 struct hf_pool_server *
 hf_placement_choose_server (struct hf_pool *pool, int64_t now, const struct hf_slot_request *request);
 
-/* Counts the slots of servers that an entry may use (0: any entry), without last slots to be left free. latency_us:
- * mean latency per slot. */
-unsigned hf_placement_usable_slots (const struct hf_pool *pool, int64_t now, uint64_t entry, double *latency_us);
+/* Counts the slots of servers that an entry may use (0: any entry), without last slots to be left free; those of a cold
+ * server as far as its limit keeps them busy. latency_us: mean latency per slot. */
+double hf_placement_usable_slots (const struct hf_pool *pool, int64_t now, uint64_t entry, double *latency_us);
 bool hf_placement_has_free_slot (const struct hf_pool *pool, int64_t now); /* true: a server may be available */
 
 /* Returns the best server for a request among those with a free slot and a measurement due; NULL: none. */
--- a/src/hf-pool.c
+++ b/src/hf-pool.c
@@ -124,6 +124,7 @@
                            .expires_at = request->deadline + HF_GRANT_GRACE_MS * HF_MS };
   g_hash_table_replace (pool->grants, grant, grant);
   server->granted++;
+  hf_cold_count_start (&pool->cold, &server->cold, now);
   hf_pushback_count_grant (server->pushbacks, request->entry);
   hf_saturation_count_grant (&pool->saturation);
   add_decision (decisions, request, HF_DECISION_GRANTED, server->id, HF_REFUSAL_NONE);
@@ -269,6 +270,7 @@
   hf_str_free (&server->name);
   hf_str_free (&server->address);
   g_clear_pointer (&server->pushbacks, g_array_unref);
+  hf_cold_close (&server->cold);
 }
 
 static GArray *
@@ -333,6 +335,7 @@
         {
           known->name = known->address = (struct hf_str){ 0 };
           known->pushbacks = NULL;
+          known->cold = (struct hf_cold){ 0 };
         }
       update_server (&server, spec);
       g_array_append_val (servers, server);
@@ -354,8 +357,10 @@
   struct hf_pool_server *known = hf_pool_find_server (pool, listing->id);
   if (!known)
     {
-      struct hf_pool_server server
-          = { .id = listing->id, .reported_load = -1, .slow_start_slots = (unsigned) listing->spec.slots };
+      struct hf_pool_server server = { .id = listing->id,
+                                       .reported_load = -1,
+                                       .slow_start_slots = (unsigned) listing->spec.slots,
+                                       .cold = { .until = listing->warmup_until } };
       g_array_append_val (pool->servers, server);
       known = hf_pool_find_server (pool, listing->id);
     }
@@ -366,7 +371,8 @@
       clear_server (known);
       *known = (struct hf_pool_server){ .id = listing->id,
                                         .reported_load = -1,
-                                        .slow_start_slots = (unsigned) listing->spec.slots };
+                                        .slow_start_slots = (unsigned) listing->spec.slots,
+                                        .cold = { .until = listing->warmup_until } };
       known->granted = granted;
     }
   update_server (known, &listing->spec);
@@ -537,7 +543,7 @@
         g_hash_table_iter_remove (&iter);
       }
   double latency_us;
-  unsigned slots = hf_placement_usable_slots (pool, now, 0, &latency_us);
+  double slots = hf_placement_usable_slots (pool, now, 0, &latency_us);
   unsigned ahead = 0;
   GSequenceIter *position = g_sequence_get_begin_iter (pool->queue);
   while (!g_sequence_iter_is_end (position))
--- a/src/hf-pool.h
+++ b/src/hf-pool.h
@@ -86,6 +86,7 @@
   GHashTable *remote_loads;  /* requests without a grant, by entry and server */
   struct hf_saturation saturation;
   struct hf_retry_budget retry_budget;
+  struct hf_cold_limits cold;
   unsigned queue_limit;
   unsigned median_samples;    /* responses in median_latency_us */
   double median_latency_us;   /* estimated median of all responses; 0: none yet */
--- a/src/hf-quarantine.h
+++ b/src/hf-quarantine.h
@@ -22,6 +22,7 @@
   HF_NOTICE_NOT_DRAINING, /* subject: service, id: backend server that accepts requests again */
   HF_NOTICE_LEAVING,      /* subject: backend server, id: its incarnation, which leaves; see hf-restrictions */
   HF_NOTICE_PUSHBACK,     /* the same; it wants no requests from the sender for hold_ms */
+  HF_NOTICE_COLD,         /* the same; it is cold for hold_ms, 0: no longer; see hf-cold-servers */
 };
 
 /* --- public functions --- */
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -4,6 +4,7 @@
 #include "hf-calls.h"
 #include "hf-claim-shards.h"
 #include "hf-claims.h"
+#include "hf-cold-servers.h"
 #include "hf-config-spread.h"
 #include "hf-config-sync.h"
 #include "hf-directory-sync.h"
@@ -81,6 +82,7 @@
 {
   hf_directory_sync_tick (state);
   hf_state_start_timer (state, POOL_TICK_MS * HF_MS, HF_TIMER_POOL_TICK, 0, 0);
+  hf_cold_servers_update (state);
   hf_slots_update_pools (state);
 }
 
@@ -221,6 +223,7 @@
     case HF_RPC_NOTICE:
       hf_quarantine_handle_notice (state, event);
       hf_restrictions_handle_notice (state, event);
+      hf_cold_servers_handle_notice (state, event);
       break;
     case HF_RPC_CONFIG_OFFER:
     case HF_RPC_CONFIG_PULL:
@@ -297,6 +300,7 @@
       break;
     case HF_EVENT_SERVER_HINTS:
       hf_restrictions_handle_hints (state, event);
+      hf_cold_servers_handle_hints (state, event);
       break;
     case HF_EVENT_DOCUMENT:
       hf_config_sync_handle_document (state, event);
@@ -331,6 +335,15 @@
   state->starting = starting;
 }
 
+static void
+update_roles (struct hf_state *state)
+{
+  if (!state->roles.update_pending)
+    return;
+  hf_roles_update (state);
+  hf_cold_servers_update (state);
+}
+
 static void
 schedule_wakeup (struct hf_state *state)
 {
@@ -354,6 +367,8 @@
   state->cpu_share = settings->cpu_share;
   state->drain_wait_ms = settings->drain_wait_ms;
   state->shutdown_timeout_ms = settings->shutdown_timeout_ms;
+  state->cold_overshoot = settings->cold_overshoot;
+  state->cold_slack = settings->cold_slack;
   state->external_store = settings->store_address.len > 0;
   state->follows_evacuations = state->external_store && settings->evacuate_ms > 0;
   state->domain_names = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
@@ -416,8 +431,7 @@
   handle_event (state, event);
   run_due_timers (state);
   note_initialised (state);
-  if (state->roles.update_pending)
-    hf_roles_update (state);
+  update_roles (state);
   schedule_wakeup (state);
   state->effects = NULL;
 }
--- a/src/hf-slices.c
+++ b/src/hf-slices.c
@@ -1,6 +1,7 @@
 /* Slices of a large service. */
 #include "hf-slices.h"
 
+#include "hf-cold-servers.h"
 #include "hf-evacuation-sync.h"
 
 /* --- internal functions --- */
@@ -19,8 +20,11 @@
     {
       const struct hf_pool_server *server = &g_array_index (slice->pool.servers, struct hf_pool_server, i);
       bool pushes_back = hf_pushback_until (server->pushbacks, state->boot_id) > state->now;
-      if (!pushes_back && hf_health_is_usable (server, state->now))
-        slots += hf_health_usable_slots (server);
+      if (pushes_back || !hf_health_is_usable (server, state->now))
+        continue;
+      /* The limit of a cold server keeps about one slot busy. */
+      bool is_limited = hf_cold_is_limited (&slice->pool.cold, &server->cold, state->now);
+      slots += is_limited ? 1 : hf_health_usable_slots (server);
     }
   return slots;
 }
@@ -65,6 +69,7 @@
     {
       struct hf_service_state *slice = hf_slices_find_or_add (state, spec, i);
       hf_pool_configure (&slice->pool, spec);
+      hf_cold_servers_configure (state, &slice->pool, spec);
       hf_evacuation_sync_apply_all (state, slice);
     }
 }
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -101,6 +101,7 @@
  * @probe_allotment_retry_at: no tokens were left; the allotment is read again then
  * @next_probe_index: index of the next backend server to probe
  * @last_slot_request_at: last slot request at this entry
+ * @granter_since: this entry has been the granter since then; 0: it is not; kept where cold servers are limited
  */
 struct hf_service_state
 {
@@ -117,6 +118,7 @@
   int64_t probe_allotment_retry_at;
   size_t next_probe_index;
   int64_t last_slot_request_at;
+  int64_t granter_since;
 };
 
 /* --- types: calls --- */
@@ -489,6 +491,8 @@
   struct hf_str failure_domain;
   struct hf_str address;       /* IP:PORT of its peer socket, from the settings */
   double cpu_share;            /* processor time in cores */
+  double cold_overshoot;       /* factor on the starts that cold servers tolerate; 0: they are not limited */
+  double cold_slack;           /* starts beyond that in a second */
   int64_t drain_wait_ms;       /* the health check fails for this long before the exit */
   int64_t shutdown_timeout_ms; /* from SIGTERM to the exit in any case */
   uint64_t boot_id;
