Spread cold servers in heartbeats; tests of cold servers and evacuations in a fleet

Cause: only the granter measures servers. In a simulated fleet whose granter was killed, entries that decided by themselves sent up to 25 requests in a second to a server of which they did not know that it was cold again; the limit is 17.

Heartbeats name the servers that told the sender that they are cold, unless the directory tells it, and a new one is announced at once, at most each 500 ms. In three parts of a split fleet a granter that had just taken over granted beside the former one (18 requests): without contact to more than half of the entries it now grants none for 3 s, and contact regained counts as a take-over.

Ruled out: notices to all entries for each server (9,174 datagrams when 66 servers become cold at 139 entries).

--- a/src/config.h
+++ b/src/config.h
@@ -113,6 +113,8 @@
 #define HF_COLD_WINDOW_MS         1250  /* one second, and the most by which the way to the server may differ */
 #define HF_COLD_TAKEOVER_MS       3000  /* of a new granter: heartbeats to all at three rounds, a lost one, a window */
 #define HF_COLD_RESPONSE_FRESH_MS 2000  /* the directory's copy is not newer than a response of that time */
+#define HF_COLD_SHARED_MS         500   /* by which the entries may differ in the end of a cold time that all know */
+#define HF_COLD_ANNOUNCE_MS       500   /* between two announcements to all entries */
 #define HF_COLD_STARTS_MAX        10000 /* limit of starts in a window */
 #define HF_COLD_MAX_MS            3600000 /* longest cold time that is taken over */
 
--- a/src/hf-cold-servers.c
+++ b/src/hf-cold-servers.c
@@ -1,6 +1,7 @@
 /* Cold backend servers in the pools. */
 #include "hf-cold-servers.h"
 
+#include "hf-cold-spread.h"
 #include "hf-members.h"
 #include "hf-quarantine.h"
 
@@ -26,35 +27,46 @@
   return in_touch;
 }
 
+/* Whether it is so long ago that no former granter's last requests are still under way, and that all
+ * entries in touch agree on the granter. */
+static bool
+has_settled (const struct hf_state *state, int64_t since)
+{
+  return state->now - since >= HF_COLD_TAKEOVER_MS * HF_MS;
+}
+
 /* At most one granter is in touch with more than half of the entries, and beside it one with a quarter of them, or four
- * of these without it. */
+ * of these without it. One that has just got so far counts as one of the latter, beside the former granter. */
 static unsigned
-share_of_granter (const struct hf_state *state, const struct hf_cold_limits *limits)
+share_of_granter (const struct hf_state *state, struct hf_service_state *service)
 {
+  const struct hf_cold_limits *limits = &service->pool.cold;
   unsigned known;
   unsigned in_touch = count_in_touch (state, &known);
-  if (in_touch * 2 > known)
-    return limits->starts;
-  return in_touch * 4 >= known ? limits->other_starts : 0;
+  if (in_touch * 2 <= known)
+    {
+      service->majority_since = 0;
+      return in_touch * 4 >= known && has_settled (state, service->granter_since) ? limits->other_starts : 0;
+    }
+  if (service->majority_since == 0)
+    service->majority_since = state->now;
+  return has_settled (state, service->majority_since) ? limits->starts : limits->other_starts;
 }
 
-/* What a former granter granted last may still run, and for a short time both may take themselves for the granter. */
 static void
 update_pool (struct hf_state *state, struct hf_service_state *service)
 {
-  struct hf_cold_limits *limits = &service->pool.cold;
   bool grants = !state->starting && hf_members_is_owner (state, service->id);
   if (!grants)
     {
       service->granter_since = 0;
-      limits->allowed = 0;
+      service->majority_since = 0;
+      service->pool.cold.allowed = 0;
       return;
     }
   if (service->granter_since == 0)
     service->granter_since = state->now;
-  limits->allowed = share_of_granter (state, limits);
-  if (state->now - service->granter_since < HF_COLD_TAKEOVER_MS * HF_MS)
-    limits->allowed = MIN (limits->allowed, limits->other_starts);
+  service->pool.cold.allowed = share_of_granter (state, service);
 }
 
 /* --- internal functions: reports --- */
@@ -115,6 +127,7 @@
     return;
   bool was_cold = server->cold.until > state->now;
   hf_cold_record_response (&server->cold, state->now, event->hints.cold_ms * HF_MS);
+  hf_cold_spread_note (state, server);
   if (was_cold != (event->hints.cold_ms > 0))
     tell_granter (state, service, server, event->hints.cold_ms);
 }
@@ -128,6 +141,8 @@
     return;
   struct hf_pool_server *server = find_instance (state, notice->subject, notice->id, &service);
   int64_t remaining_ms = MIN (notice->hold_ms, HF_COLD_MAX_MS);
-  if (server)
-    hf_cold_record_response (&server->cold, state->now, remaining_ms * HF_MS);
+  if (!server)
+    return;
+  hf_cold_record_response (&server->cold, state->now, remaining_ms * HF_MS);
+  hf_cold_spread_note (state, server);
 }
--- a/src/hf-cold.c
+++ b/src/hf-cold.c
@@ -83,7 +83,7 @@
 {
   bool told_lately = cold->response_at > 0 && now - cold->response_at < HF_COLD_RESPONSE_FRESH_MS * HF_MS;
   if (remaining_us > 0)
-    cold->until = MAX (cold->until, now + remaining_us);
+    hf_cold_assume (cold, now, remaining_us);
   else if (!told_lately)
     cold->until = 0;
 }
@@ -92,6 +92,13 @@
 hf_cold_assume (struct hf_cold *cold, int64_t now, int64_t remaining_us)
 {
   cold->until = MAX (cold->until, now + remaining_us);
+  cold->shared_until = MAX (cold->shared_until, now + remaining_us);
+}
+
+bool
+hf_cold_is_known_here_only (const struct hf_cold *cold, int64_t now)
+{
+  return cold->until > now && cold->until > cold->shared_until + HF_COLD_SHARED_MS * HF_MS;
 }
 
 void
--- a/src/hf-cold.h
+++ b/src/hf-cold.h
@@ -38,6 +38,7 @@
 struct hf_cold
 {
   int64_t until;         /* it is cold until then; 0: it is not */
+  int64_t shared_until;  /* the other entries know that it is cold until then; 0: they know nothing */
   int64_t response_at;   /* its last response that told; 0: none */
   GArray *recent_starts; /* int64_t, times of the last ones, the newest at the end; NULL: none */
 };
@@ -64,7 +65,9 @@
 
 /* The same from the directory, whose copies are older: 0 does not end a cold time that a response told lately. */
 void hf_cold_record_listing (struct hf_cold *cold, int64_t now, int64_t remaining_us);
-void hf_cold_assume (struct hf_cold *cold, int64_t now, int64_t remaining_us); /* at least for that time */
+/* It is cold at least for that time, as all entries know. */
+void hf_cold_assume (struct hf_cold *cold, int64_t now, int64_t remaining_us);
+bool hf_cold_is_known_here_only (const struct hf_cold *cold, int64_t now); /* it is cold, and the others do not know */
 void hf_cold_close (struct hf_cold *cold);
 
 #endif
--- a/src/hf-members.c
+++ b/src/hf-members.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "hf-cold-spread.h"
 #include "hf-evacuation-sync.h"
 #include "hf-roles.h"
 #include "hf-wire.h"
@@ -172,6 +173,7 @@
   if (member->boot_id)
     heartbeat->grants.grants_len = list_grants (state, member->boot_id, heartbeat->grants.grants_val);
   hf_evacuation_sync_write (state, heartbeat);
+  hf_cold_spread_write (state, heartbeat);
   hf_state_send_to_address (state, member->address, message);
 }
 
--- a/src/hf-pool.c
+++ b/src/hf-pool.c
@@ -357,10 +357,11 @@
   struct hf_pool_server *known = hf_pool_find_server (pool, listing->id);
   if (!known)
     {
-      struct hf_pool_server server = { .id = listing->id,
-                                       .reported_load = -1,
-                                       .slow_start_slots = (unsigned) listing->spec.slots,
-                                       .cold = { .until = listing->warmup_until } };
+      struct hf_pool_server server
+          = { .id = listing->id,
+              .reported_load = -1,
+              .slow_start_slots = (unsigned) listing->spec.slots,
+              .cold = { .until = listing->warmup_until, .shared_until = listing->warmup_until } };
       g_array_append_val (pool->servers, server);
       known = hf_pool_find_server (pool, listing->id);
     }
@@ -372,7 +373,8 @@
       *known = (struct hf_pool_server){ .id = listing->id,
                                         .reported_load = -1,
                                         .slow_start_slots = (unsigned) listing->spec.slots,
-                                        .cold = { .until = listing->warmup_until } };
+                                        .cold
+                                        = { .until = listing->warmup_until, .shared_until = listing->warmup_until } };
       known->granted = granted;
     }
   update_server (known, &listing->spec);
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -5,6 +5,7 @@
 #include "hf-claim-shards.h"
 #include "hf-claims.h"
 #include "hf-cold-servers.h"
+#include "hf-cold-spread.h"
 #include "hf-config-spread.h"
 #include "hf-config-sync.h"
 #include "hf-directory-sync.h"
@@ -83,6 +84,8 @@
   hf_directory_sync_tick (state);
   hf_state_start_timer (state, POOL_TICK_MS * HF_MS, HF_TIMER_POOL_TICK, 0, 0);
   hf_cold_servers_update (state);
+  if (hf_cold_spread_is_announcement_due (state))
+    hf_members_announce (state);
   hf_slots_update_pools (state);
 }
 
@@ -189,6 +192,7 @@
   hf_members_handle_heartbeat (state, event);
   hf_directory_sync_note_position (state, event);
   hf_config_spread_note_member (state, message->boot_id);
+  hf_cold_spread_handle_heartbeat (state, &message->body.hf_rpc_body_u.heartbeat);
   if (!hf_evacuation_sync_handle_heartbeat (state, &message->body.hf_rpc_body_u.heartbeat))
     return;
   if (state->roles.is_coordinator)
--- a/src/hf-rpc.c
+++ b/src/hf-rpc.c
@@ -39,6 +39,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_hf_rpc_cold_server (XDR *xdrs, hf_rpc_cold_server *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->server))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->remaining_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_hf_rpc_heartbeat (XDR *xdrs, hf_rpc_heartbeat *objp)
 {
@@ -85,6 +97,9 @@
 		 if (!xdr_array (xdrs, (char **)&objp->evacuated.evacuated_val, (u_int *) &objp->evacuated.evacuated_len, HF_RPC_EVACUATIONS_MAX,
 			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->cold.cold_val, (u_int *) &objp->cold.cold_len, HF_RPC_COLD_MAX,
+			sizeof (hf_rpc_cold_server), (xdrproc_t) xdr_hf_rpc_cold_server))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->seq))
@@ -126,6 +141,9 @@
 		 if (!xdr_array (xdrs, (char **)&objp->evacuated.evacuated_val, (u_int *) &objp->evacuated.evacuated_len, HF_RPC_EVACUATIONS_MAX,
 			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->cold.cold_val, (u_int *) &objp->cold.cold_len, HF_RPC_COLD_MAX,
+			sizeof (hf_rpc_cold_server), (xdrproc_t) xdr_hf_rpc_cold_server))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -160,6 +178,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->evacuated.evacuated_val, (u_int *) &objp->evacuated.evacuated_len, HF_RPC_EVACUATIONS_MAX,
 		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->cold.cold_val, (u_int *) &objp->cold.cold_len, HF_RPC_COLD_MAX,
+		sizeof (hf_rpc_cold_server), (xdrproc_t) xdr_hf_rpc_cold_server))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/hf-rpc.h
+++ b/src/hf-rpc.h
@@ -20,6 +20,7 @@
 #define HF_RPC_CONFIG_CHUNK_MAX 8192
 #define HF_RPC_NAME_MAX 128
 #define HF_RPC_EVACUATIONS_MAX 32
+#define HF_RPC_COLD_MAX 256
 #define HF_RPC_REPORTS_MAX 24
 
 enum hf_rpc_kind {
@@ -52,6 +53,12 @@
 };
 typedef struct hf_rpc_server_load hf_rpc_server_load;
 
+struct hf_rpc_cold_server {
+	u_quad_t server;
+	u_int remaining_ms;
+};
+typedef struct hf_rpc_cold_server hf_rpc_cold_server;
+
 struct hf_rpc_heartbeat {
 	u_quad_t seq;
 	u_quad_t failure_domain;
@@ -76,6 +83,10 @@
 		u_int evacuated_len;
 		u_quad_t *evacuated_val;
 	} evacuated;
+	struct {
+		u_int cold_len;
+		hf_rpc_cold_server *cold_val;
+	} cold;
 };
 typedef struct hf_rpc_heartbeat hf_rpc_heartbeat;
 
@@ -272,6 +283,7 @@
 extern  bool_t xdr_hf_rpc_kind (XDR *, hf_rpc_kind*);
 extern  bool_t xdr_hf_rpc_store_position (XDR *, hf_rpc_store_position*);
 extern  bool_t xdr_hf_rpc_server_load (XDR *, hf_rpc_server_load*);
+extern  bool_t xdr_hf_rpc_cold_server (XDR *, hf_rpc_cold_server*);
 extern  bool_t xdr_hf_rpc_heartbeat (XDR *, hf_rpc_heartbeat*);
 extern  bool_t xdr_hf_rpc_acquire (XDR *, hf_rpc_acquire*);
 extern  bool_t xdr_hf_rpc_decision (XDR *, hf_rpc_decision*);
@@ -295,6 +307,7 @@
 extern bool_t xdr_hf_rpc_kind ();
 extern bool_t xdr_hf_rpc_store_position ();
 extern bool_t xdr_hf_rpc_server_load ();
+extern bool_t xdr_hf_rpc_cold_server ();
 extern bool_t xdr_hf_rpc_heartbeat ();
 extern bool_t xdr_hf_rpc_acquire ();
 extern bool_t xdr_hf_rpc_decision ();
--- a/src/hf-rpc.x
+++ b/src/hf-rpc.x
@@ -13,6 +13,7 @@
 const HF_RPC_CONFIG_CHUNK_MAX = 8192;
 const HF_RPC_NAME_MAX = 128;
 const HF_RPC_EVACUATIONS_MAX = 32;
+const HF_RPC_COLD_MAX = 256;
 const HF_RPC_REPORTS_MAX = 24;
 
 enum hf_rpc_kind {
@@ -44,6 +45,12 @@
   unsigned int count;
 };
 
+/* A backend server that is cold, and for how long. */
+struct hf_rpc_cold_server {
+  unsigned hyper server;
+  unsigned int remaining_ms;
+};
+
 /* Liveness, configuration in force and load of the sender.
  * failure_domain: hash of its name. cpu_percent: processor time of the sender, 100 is one core.
  * platform_unreachable: the sender has no response from the platform and cannot watch its directory.
@@ -53,7 +60,8 @@
  * slots. wants_reply: the receiver sends a heartbeat back immediately.
  * grants: tickets of the slots granted by the receiver that the sender still uses.
  * evacuated: hashes of the names of the failure domains that are evacuated; evacuations_position: position up to which
- * they are complete, revision 0 if the sender does not know them. */
+ * they are complete, revision 0 if the sender does not know them.
+ * cold: backend servers that told the sender that they are cold, unless the directory tells it, too. */
 struct hf_rpc_heartbeat {
   unsigned hyper seq;
   unsigned hyper failure_domain;
@@ -69,6 +77,7 @@
   unsigned hyper grants<HF_RPC_GRANTS_MAX>;
   hf_rpc_store_position evacuations_position;
   unsigned hyper evacuated<HF_RPC_EVACUATIONS_MAX>;
+  hf_rpc_cold_server cold<HF_RPC_COLD_MAX>;
 };
 
 /* Requests one slot from the granter of a service (service: id of the slice, ticket: id of the attempt at the sender).
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -102,6 +102,7 @@
  * @next_probe_index: index of the next backend server to probe
  * @last_slot_request_at: last slot request at this entry
  * @granter_since: this entry has been the granter since then; 0: it is not; kept where cold servers are limited
+ * @majority_since: the same, and in touch with more than half of the entries
  */
 struct hf_service_state
 {
@@ -119,6 +120,7 @@
   size_t next_probe_index;
   int64_t last_slot_request_at;
   int64_t granter_since;
+  int64_t majority_since;
 };
 
 /* --- types: calls --- */
@@ -489,12 +491,14 @@
 {
   struct hf_str name;
   struct hf_str failure_domain;
-  struct hf_str address;       /* IP:PORT of its peer socket, from the settings */
-  double cpu_share;            /* processor time in cores */
-  double cold_overshoot;       /* factor on the starts that cold servers tolerate; 0: they are not limited */
-  double cold_slack;           /* starts beyond that in a second */
-  int64_t drain_wait_ms;       /* the health check fails for this long before the exit */
-  int64_t shutdown_timeout_ms; /* from SIGTERM to the exit in any case */
+  struct hf_str address;          /* IP:PORT of its peer socket, from the settings */
+  double cpu_share;               /* processor time in cores */
+  double cold_overshoot;          /* factor on the starts that cold servers tolerate; 0: they are not limited */
+  double cold_slack;              /* starts beyond that in a second */
+  bool cold_announcement_pending; /* a server is cold that the other entries do not know of */
+  int64_t cold_announced_at;      /* when they were last told of such ones at once; 0: never */
+  int64_t drain_wait_ms;          /* the health check fails for this long before the exit */
+  int64_t shutdown_timeout_ms;    /* from SIGTERM to the exit in any case */
   uint64_t boot_id;
   uint64_t random_state;
   int64_t now;              /* time of the current event */
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -107,7 +107,8 @@
 {
   bool lost = fleet->loss_interval > 0 && ++fleet->loss_counter % fleet->loss_interval == 0;
   struct hf_rpc_message message;
-  if (datagram->to->is_disconnected || datagram->from->is_disconnected || lost)
+  bool cut = datagram->to->part != datagram->from->part;
+  if (datagram->to->is_disconnected || datagram->from->is_disconnected || cut || lost)
     return;
   g_assert_true (hf_wire_decode ((struct hf_str){ datagram->bytes, datagram->size }, &message, NULL));
   if (message.body.kind != datagram->to->lost_kind)
@@ -125,6 +126,8 @@
   const struct fleet_server *server = &entry->fleet->servers[i];
   char name[16];
   char address[32];
+  char domain[16];
+  g_snprintf (domain, sizeof domain, "d%u", server->domain);
   g_snprintf (name, sizeof name, "s%u", i);
   g_snprintf (address, sizeof address, "10.1.0.%u:80", i % 200 + 1);
   fleet_raise_event (entry, (struct hf_event){ .kind = HF_EVENT_SERVER_REPORT,
@@ -132,10 +135,11 @@
                                                .report = { .name = hf_str (name),
                                                            .service = hf_str ("a"),
                                                            .address = hf_str (address),
-                                                           .failure_domain = hf_str ("d0"),
+                                                           .failure_domain = hf_str (domain),
                                                            .slots = 3,
                                                            .incarnation = MAX (server->incarnation, 1),
                                                            .sequence = server->sequence,
+                                                           .warmup_ms = server->warmup_ms,
                                                            .draining = server->draining,
                                                            .removed = !server->listed } });
 }
@@ -155,6 +159,36 @@
   return entry->watch_mode == HF_WATCH_MODE_ON && !entry->platform_unreachable && !is_lost;
 }
 
+/* Reports the orders to evacuate a failure domain as one step of the platform. */
+static void
+report_orders (struct fleet_entry *entry, enum hf_list_step end)
+{
+  const struct fleet *fleet = entry->fleet;
+  struct hf_event step = { .kind = HF_EVENT_EVACUATION_STEP,
+                           .list_step = HF_LIST_BEGIN,
+                           .position = { .era = fleet->era, .revision = fleet->revision } };
+  if (fleet->settings.evacuate_ms == 0)
+    return;
+  fleet_raise_event (entry, step);
+  if (fleet->evacuated[0])
+    fleet_raise_event (entry,
+                       (struct hf_event){ .kind = HF_EVENT_EVACUATION_REPORT,
+                                          .evacuation = { .domain = hf_str (fleet->evacuated), .in_force = true } });
+  step.list_step = end;
+  fleet_raise_event (entry, step);
+  entry->orders_era = fleet->era;
+  entry->orders_revision = fleet->revision;
+}
+
+static void
+report_new_orders (struct fleet_entry *entry)
+{
+  const struct fleet *fleet = entry->fleet;
+  bool is_known = entry->orders_era == fleet->era && entry->orders_revision >= fleet->orders_revision;
+  if (gets_watch_responses (entry) && !is_known)
+    report_orders (entry, HF_LIST_PROGRESS);
+}
+
 /* Reports the changes since the last report to this entry, or all if the platform is in an era that is new to it. */
 static void
 report_changes (struct fleet_entry *entry)
@@ -219,6 +253,13 @@
   fleet->servers[i] = server;
 }
 
+void
+fleet_evacuate (struct fleet *fleet, const char *failure_domain)
+{
+  g_strlcpy (fleet->evacuated, failure_domain, sizeof fleet->evacuated);
+  fleet->orders_revision = ++fleet->revision;
+}
+
 void
 fleet_lose_watches (struct fleet_entry *entry)
 {
@@ -229,6 +270,7 @@
 fleet_save_platform (struct fleet *fleet)
 {
   memcpy (fleet->saved_servers, fleet->servers, sizeof fleet->servers);
+  memcpy (fleet->saved_evacuated, fleet->evacuated, sizeof fleet->evacuated);
   fleet->saved_revision = fleet->revision;
 }
 
@@ -236,12 +278,27 @@
 fleet_restore_platform (struct fleet *fleet)
 {
   memcpy (fleet->servers, fleet->saved_servers, sizeof fleet->servers);
+  memcpy (fleet->evacuated, fleet->saved_evacuated, sizeof fleet->evacuated);
   fleet->revision = fleet->saved_revision;
   fleet->era++;
 }
 
 /* --- internal functions: the fleet --- */
 
+static char *
+make_document (unsigned routes, const char *service_fields)
+{
+  GString *text = g_string_new (NULL);
+  g_string_printf (text, "{version: 1, services: [{name: a, directory: true%s}], routes: [", service_fields);
+  for (unsigned i = 0; i < routes; i++)
+    g_string_append_printf (text,
+                            "%s{name: r%u, host: h.example, path_prefix: /p%u/, class: {name: c%u}, parts: [{service: "
+                            "a}]}",
+                            i ? ", " : "", i, i, i);
+  g_string_append (text, "]}");
+  return g_string_free (text, FALSE);
+}
+
 /* The form in which platform/ reports a configuration. */
 static struct hf_str
 encode_document (const char *text)
@@ -260,7 +317,7 @@
 {
   g_free (fleet->document);
   hf_str_free (&fleet->encoded_document);
-  fleet->document = fleet_make_document (routes);
+  fleet->document = make_document (routes, fleet->service_fields ? fleet->service_fields : "");
   fleet->encoded_document = encode_document (fleet->document);
   fleet->generation++;
 }
@@ -268,14 +325,7 @@
 char *
 fleet_make_document (unsigned routes)
 {
-  GString *text = g_string_new ("{version: 1, services: [{name: a, directory: true}], routes: [");
-  for (unsigned i = 0; i < routes; i++)
-    g_string_append_printf (text,
-                            "%s{name: r%u, host: h.example, path_prefix: /p%u/, class: {name: c%u}, parts: [{service: "
-                            "a}]}",
-                            i ? ", " : "", i, i, i);
-  g_string_append (text, "]}");
-  return g_string_free (text, FALSE);
+  return make_document (routes, "");
 }
 
 /* --- internal functions: the fleet --- */
@@ -306,6 +356,7 @@
   if (is_check_due)
     raise_list_step (entry, entry->platform_unreachable ? HF_LIST_UNREACHABLE : HF_LIST_REACHABLE, 0);
   report_changes (entry);
+  report_new_orders (entry);
   report_new_document (entry);
 }
 
@@ -325,11 +376,12 @@
 static void
 start_entry (struct fleet_entry *entry, double cpu_share, uint64_t boot_id)
 {
-  struct hf_settings settings = { .name = hf_str (entry->name),
-                                  .failure_domain = hf_str (entry->failure_domain),
-                                  .peer_address = hf_str (entry->address),
-                                  .cpu_share = cpu_share,
-                                  .store_address = hf_str ("10.9.0.1:1") };
+  struct hf_settings settings = entry->fleet->settings;
+  settings.name = hf_str (entry->name);
+  settings.failure_domain = hf_str (entry->failure_domain);
+  settings.peer_address = hf_str (entry->address);
+  settings.cpu_share = cpu_share;
+  settings.store_address = hf_str ("10.9.0.1:1");
   entry->state = hf_state_new (&settings, boot_id);
   fleet_raise_event (entry, (struct hf_event){ .kind = HF_EVENT_START });
 }
@@ -343,6 +395,7 @@
   entry->watch_mode = HF_WATCH_MODE_OFF;
   entry->era = 0;
   entry->revision = 0;
+  entry->orders_era = 0;
   entry->generation = 0;
   start_entry (entry, cpu_share, boot_id);
 }
@@ -379,13 +432,21 @@
 report_initial_lists (struct fleet_entry *entry)
 {
   fleet_report_full_list (entry);
+  report_orders (entry, HF_LIST_END);
   fleet_report_entries (entry);
 }
 
 struct fleet *
 fleet_open (unsigned entries, unsigned domains, unsigned large_per_domain)
+{
+  return fleet_open_with (entries, domains, large_per_domain, &(struct hf_settings){ 0 });
+}
+
+struct fleet *
+fleet_open_with (unsigned entries, unsigned domains, unsigned large_per_domain, const struct hf_settings *settings)
 {
   struct fleet *fleet = g_new0 (struct fleet, 1);
+  fleet->settings = *settings;
   fleet->entry_count = entries;
   fleet->now = HF_SEC;
   fleet->era = 1;
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -10,6 +10,7 @@
 
 #include <glib.h>
 
+#include "hf-settings.h"
 #include "hf-state.h"
 
 /* --- constants --- */
@@ -38,10 +39,13 @@
   int64_t watch_lost_until;  /* its watches deliver nothing, and are renewed then */
   bool checks_now;           /* it has begun to watch and checks the platform at once */
   int64_t link_factor;       /* its link carries this many times the fleet's link_bytes_per_ms; 0: once */
+  unsigned part;             /* datagrams pass between entries of one part only */
   unsigned lost_kind;        /* enum hf_rpc_kind of messages that never reach it; 0: none */
   uint64_t era;              /* of the platform, as far as the entry's client knows */
   uint64_t revision;         /* directory revision that the platform has reported to it */
-  uint64_t generation;       /* configuration generation that the platform has reported to it */
+  uint64_t orders_era;       /* the same of the orders to evacuate a failure domain */
+  uint64_t orders_revision;
+  uint64_t generation; /* configuration generation that the platform has reported to it */
   unsigned datagrams_sent;
   unsigned heartbeats_sent;
   unsigned document_reads;  /* requests to the platform for the configuration */
@@ -59,6 +63,8 @@
   uint64_t incarnation; /* 0: the first one */
   uint64_t revision;
   uint64_t sequence; /* of the server's reports */
+  unsigned domain;   /* it is in the failure domain "d" with this number */
+  int64_t warmup_ms; /* as it reports it with each change */
 };
 
 /** struct fleet - entries, the datagrams between them, and the platform; @on_effect may be set by a test */
@@ -78,9 +84,14 @@
   uint64_t revision; /* of the last change in that era */
   struct fleet_server saved_servers[FLEET_SERVERS_MAX];
   uint64_t saved_revision;
-  uint64_t sequence;   /* last one of a server's report; it does not go back with the platform */
-  uint64_t generation; /* of the operator's configuration; 0: none yet */
-  char *document;      /* its text */
+  uint64_t sequence;           /* last one of a server's report; it does not go back with the platform */
+  uint64_t generation;         /* of the operator's configuration; 0: none yet */
+  char *document;              /* its text */
+  struct hf_settings settings; /* of each entry, besides its names and addresses */
+  const char *service_fields;  /* of the document, each after a comma; NULL: none */
+  char evacuated[16];          /* failure domain that is to be evacuated; empty: none */
+  char saved_evacuated[16];
+  uint64_t orders_revision; /* of the last change of that */
   struct hf_str encoded_document;
   int64_t link_bytes_per_ms; /* bandwidth of each entry's link; 0: unlimited */
   unsigned watch_starts;     /* how often an entry began to watch the platform */
@@ -92,6 +103,8 @@
 /* Entries that have exchanged heartbeats; the first @large_per_domain entries of each failure domain have five times
  * the processor time of the others. */
 struct fleet *fleet_open (unsigned entries, unsigned domains, unsigned large_per_domain);
+struct fleet *
+fleet_open_with (unsigned entries, unsigned domains, unsigned large_per_domain, const struct hf_settings *settings);
 void fleet_close (struct fleet *fleet);
 void fleet_restart (struct fleet *fleet, unsigned i, uint64_t boot_id); /* a new process, which was told nothing yet */
 
@@ -100,6 +113,7 @@
 void fleet_advance (struct fleet *fleet, int64_t ms); /* delivers what is due in that time, and ticks every entry */
 void fleet_raise_event (struct fleet_entry *entry, struct hf_event event);
 void fleet_change_server (struct fleet *fleet, unsigned i, struct fleet_server server);
+void fleet_evacuate (struct fleet *fleet, const char *failure_domain); /* the operator's order; "": none stands */
 /* The watches that the entry has just sent are lost: each is renewed once it times out, or is replaced. */
 void fleet_lose_watches (struct fleet_entry *entry);
 void fleet_save_platform (struct fleet *fleet);    /* keeps a copy of the directory */
