--- a/src/hf-dump.c
+++ b/src/hf-dump.c
@@ -36,7 +36,7 @@
 
 /* "in use", or why no or fewer requests are sent to the server. */
 static const char *
-server_state (const struct hf_pool_server *server, gint64 now)
+server_state (const struct hf_pool *pool, const struct hf_pool_server *server, gint64 now)
 {
   if (hf_health_is_draining (server, now))
     return draining_text (server, now);
@@ -44,6 +44,8 @@
     return "wants no requests";
   if (server->ejected_until > now)
     return ejection_names[server->ejection_reason];
+  if (hf_cold_is_limited (&pool->cold, &server->cold, now))
+    return "cold";
   return server->slow_start_slots < server->slots ? "ramping up" : "in use";
 }
 
@@ -113,6 +115,22 @@
                             (now - directory->confirmed_at) / 1000, watch_mode_names[state->directory_sync.watch_mode]);
 }
 
+static void
+append_evacuations (GString *text, const struct hf_state *state)
+{
+  const struct hf_evacuations *evacuations = &state->evacuations;
+  if (!state->follows_evacuations)
+    return;
+  g_string_append_printf (text, "evacuations: %zu in era %" G_GUINT64_FORMAT " at revision %" G_GUINT64_FORMAT "\n",
+                          evacuations->in_force.n, (guint64) evacuations->position.era,
+                          (guint64) evacuations->position.revision);
+  for (size_t i = 0; i < evacuations->in_force.n; i++)
+    {
+      const char *name = g_hash_table_lookup (state->domain_names, &evacuations->in_force.domains[i]);
+      g_string_append_printf (text, "  failure domain %s\n", name ? name : "of unknown name");
+    }
+}
+
 static void
 append_members (GString *text, const struct hf_state *state, gint64 now)
 {
@@ -147,7 +165,7 @@
                               "latency %.1f ms failures %.0f%% %s\n",
                               server->name.data, server->address.data, server->slow_start_slots, server->slots,
                               server->granted, server->remote_load, server->latency_us / 1000,
-                              server->failure_rate * 100, server_state (server, now));
+                              server->failure_rate * 100, server_state (pool, server, now));
     }
 }
 
@@ -203,7 +221,7 @@
       const struct hf_pool_server *server = get_server (service, i);
       json_builder_begin_object (builder);
       json_add_str (builder, "name", server->name.data);
-      json_add_str (builder, "state", server_state (server, now));
+      json_add_str (builder, "state", server_state (&service->pool, server, now));
       json_add_int (builder, "slots", server->slots);
       json_add_int (builder, "used", server->granted);
       json_add_int (builder, "used_elsewhere", server->remote_load);
@@ -262,6 +280,7 @@
                           g_hash_table_size (state->calls), g_hash_table_size (state->claims),
                           g_hash_table_size (state->suspects));
   append_roles (text, state, now);
+  append_evacuations (text, state);
   append_members (text, state, now);
   hf_restrictions_write (state, now, text);
   for (guint i = 0; i < services->len; i++)
@@ -327,16 +346,29 @@
                           "# TYPE hickoryfield_platform_reachable "
                           "gauge\nhickoryfield_platform_reachable %d\n",
                           state->platform_reachable);
+  g_string_append_printf (text,
+                          "# TYPE hickoryfield_evacuated_domains "
+                          "gauge\nhickoryfield_evacuated_domains %zu\n",
+                          state->evacuations.in_force.n);
   GPtrArray *services = sort_services_by_name (state);
   for (guint i = 0; i < services->len; i++)
     {
       const struct hf_service_state *service = g_ptr_array_index (services, i);
       unsigned ejected = 0;
+      unsigned cold = 0;
       for (guint s = 0; s < service->pool.servers->len; s++)
-        ejected += get_server (service, s)->ejected_until > now;
+        {
+          ejected += get_server (service, s)->ejected_until > now;
+          cold += hf_cold_is_limited (&service->pool.cold, &get_server (service, s)->cold, now);
+        }
       g_string_append_printf (text, "hickoryfield_waiting{service=\"%s\"} %u\n", service->name.data,
                               hf_pool_queue_length (&service->pool));
       g_string_append_printf (text, "hickoryfield_servers_out{service=\"%s\"} %u\n", service->name.data, ejected);
+      if (service->pool.cold.enabled)
+        g_string_append_printf (text,
+                                "hickoryfield_servers_cold{service=\"%s\"} %u\n"
+                                "hickoryfield_cold_starts_allowed{service=\"%s\"} %u\n",
+                                service->name.data, cold, service->name.data, service->pool.cold.allowed);
       g_string_append_printf (text, "hickoryfield_retry_tokens{service=\"%s\"} %.1f\n", service->name.data,
                               service->pool.retry_budget.tokens);
     }
--- a/tests/test-evacuation.c
+++ b/tests/test-evacuation.c
@@ -1,6 +1,7 @@
 /*
- * Tests of the evacuation of a failure domain with the real hickoryd, a fake
- * store, and a backend server in each of two failure domains.
+ * Tests of the evacuation of a failure domain, and of cold backend servers, with
+ * the real hickoryd, a fake store, and a backend server in each of two failure
+ * domains.
  */
 #include "platform-setup.h"
 
@@ -13,6 +14,8 @@
 #define GROUP         6    /* requests at a time */
 #define REQUESTS      24
 #define USED_ATTEMPTS 60
+#define COLD_GROUPS   12
+#define COLD_LIMIT    17 /* of the rule: requests in a second */
 
 /* --- internal functions --- */
 
@@ -176,6 +179,69 @@
   close_setup (setup);
 }
 
+/* --- tests: cold servers --- */
+
+/* Sends groups of requests as fast as they are answered. Returns how many were answered with 200. */
+static guint
+send_groups (struct setup *setup, guint groups)
+{
+  guint answered = 0;
+  for (guint n = 0; n < groups; n++)
+    {
+      struct raw_client *clients[GROUP];
+      for (guint i = 0; i < GROUP; i++)
+        {
+          char *text = format_request (setup, "GET", "/r/x", "");
+          clients[i] = raw_client_connect (setup->net, setup->caller_address, text);
+          g_free (text);
+        }
+      for (guint i = 0; i < GROUP; i++)
+        {
+          g_assert_true (harness_wait_until (has_response, clients[i], CHANGE_TIMEOUT_S));
+          answered += raw_client_status (clients[i]) == 200;
+          raw_client_close (clients[i]);
+        }
+    }
+  return answered;
+}
+
+static void
+set_health_fields (struct setup *setup, const char *fields)
+{
+  for (guint i = 0; i < SERVERS; i++)
+    setup->servers[i].health_fields = fields;
+}
+
+/* Servers say in their health responses that they are cold: each gets no more than its limit, for however long the
+ * requests took, and some. Once they say that they are not, they get all. */
+static void
+test_cold (void)
+{
+  struct setup *setup = open_without_entry (DRAIN_WAIT_MS, GRACE_MS);
+  setup->more_settings = "cold_overshoot: 1.5\ncold_slack: 8\n";
+  setup->cold_fields = ",\"cold_per_s\":6.4,\"cold_start\":\"60s\"";
+  set_health_fields (setup, "X-Cold-Ms: 60000\r\n");
+  put_config (setup, 7, "\"service\":\"alpha\"", "/r/");
+  for (guint i = 0; i < SERVERS; i++)
+    {
+      setup->servers[i].cold_left = "\"cold_left\":\"60s\"";
+      put_server (setup, i, "alpha", "ready");
+    }
+  start_entry (setup);
+  g_assert_true (harness_wait_until (is_ready, setup, CHANGE_TIMEOUT_S));
+  gint64 begin = g_get_monotonic_time ();
+  guint answered = send_groups (setup, COLD_GROUPS);
+  guint seconds = (guint) ((g_get_monotonic_time () - begin) / G_USEC_PER_SEC) + 1;
+  g_assert_cmpuint (answered, >, 0);
+  for (guint i = 0; i < SERVERS; i++)
+    g_assert_cmpuint (setup->servers[i].requests, <=, seconds * COLD_LIMIT);
+  set_health_fields (setup, "X-Cold-Ms: 0\r\n");
+  harness_pause (SPREAD_MS);
+  send_groups (setup, 1); /* those in the queue ask for measurements, which tell */
+  g_assert_cmpuint (send_groups (setup, COLD_GROUPS), ==, COLD_GROUPS * GROUP);
+  close_setup (setup);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -188,5 +254,6 @@
   g_test_add_func ("/evacuation/store-down", test_store_down);
   g_test_add_func ("/evacuation/restored", test_restored);
   g_test_add_func ("/evacuation/off", test_off);
+  g_test_add_func ("/cold/health-response", test_cold);
   return g_test_run ();
 }
