--- a/bench/harness.c
+++ b/bench/harness.c
@@ -246,8 +246,9 @@
   g_snprintf (entry->name, sizeof entry->name, "vm-%u", harness->entries->len + 1);
   g_strlcpy (entry->domain, domain, sizeof entry->domain);
   char *settings = g_strdup_printf ("name: %s\nfailure_domain: %s\nlisten: 127.0.0.1:0\nadmin: "
-                                    "127.0.0.1:0\npeers: 127.0.0.1:0\nplatform: %s\ndrain_wait_ms: %d\n",
-                                    entry->name, domain, harness->platform_address, harness->drain_wait_ms);
+                                    "127.0.0.1:0\npeers: 127.0.0.1:0\nplatform: %s\ndrain_wait_ms: %d\n%s",
+                                    entry->name, domain, harness->platform_address, harness->drain_wait_ms,
+                                    harness->more_settings ? harness->more_settings : "");
   char *file = harness_write_file (harness, entry->name, settings);
   char *argv[] = { program_path (harness, "hickoryd"), file, NULL };
   entry->process = start_process (argv, TRUE);
--- a/bench/harness.h
+++ b/bench/harness.h
@@ -52,6 +52,7 @@
   GPtrArray *entries;        /* struct entry */
   GPtrArray *backends;       /* struct backend */
   int drain_wait_ms;         /* setting of entries started later, milliseconds */
+  const char *more_settings; /* lines of YAML in theirs; NULL: none */
 };
 
 /* --- public functions: init and close --- */
--- a/src/hf-admin-client.c
+++ b/src/hf-admin-client.c
@@ -167,6 +167,26 @@
   return true;
 }
 
+bool
+hf_admin_client_set_evacuation (const char *address, const char *failure_domain, bool evacuated, struct hf_error *error)
+{
+  unsigned status = 0;
+  char *name = g_uri_escape_string (failure_domain, NULL, FALSE);
+  char *path = g_strdup_printf (API_PATH "/evacuations/%s", name);
+  char *json = hf_object_to_json (failure_domain, 0, json_node_init_object (json_node_alloc (), json_object_new ()));
+  char *response = evacuated ? send_request ("POST", address, API_PATH "/evacuations", NULL, json, &status, error)
+                             : send_request ("DELETE", address, path, NULL, NULL, &status, error);
+  bool has_response = response != NULL;
+  bool was_done = status == (evacuated ? 409 : 404);
+  g_free (response);
+  g_free (json);
+  g_free (path);
+  g_free (name);
+  if (has_response && !was_done && status != 200 && status != 201)
+    return hf_error_set (error, HF_ERROR_UNAVAILABLE, "the platform responded with status %u", status);
+  return has_response;
+}
+
 bool
 hf_admin_client_list_addresses (const char *address, GPtrArray *addresses, struct hf_error *error)
 {
--- a/src/hf-admin-client.h
+++ b/src/hf-admin-client.h
@@ -39,6 +39,14 @@
 void hf_admin_client_free_document (struct hf_stored_document *stored); /* frees the text */
 uint64_t hf_admin_client_base_generation (struct hf_str text);          /* from a comment in its first line, or 0 */
 
+/* --- public functions: evacuations --- */
+
+/* Orders the evacuation of a failure domain, or withdraws the order; neither fails if that was done before. */
+bool hf_admin_client_set_evacuation (const char *address,
+                                     const char *failure_domain,
+                                     bool evacuated,
+                                     struct hf_error *error);
+
 /* --- public functions: entries --- */
 
 /* Appends the admin address (IP:PORT) of each live entry in the VM list of the platform at @address. */
--- a/src/hf-config-sync.c
+++ b/src/hf-config-sync.c
@@ -3,13 +3,15 @@
 
 #include "hf-calls.h"
 #include "hf-directory.h"
+#include "hf-evacuation-sync.h"
 #include "hf-members.h"
 #include "hf-slices.h"
 #include "hf-slots.h"
 
 /* --- constants --- */
 
-static const char *const watch_names[] = { [HF_PURPOSE_CONFIG] = "config", [HF_PURPOSE_VMS] = "vms" };
+static const char *const watch_names[]
+    = { [HF_PURPOSE_CONFIG] = "config", [HF_PURPOSE_VMS] = "vms", [HF_PURPOSE_EVACUATIONS] = "evacuations" };
 
 /* --- internal functions: adoption --- */
 
@@ -165,6 +167,8 @@
   watch->complete = false;
   if (purpose == HF_PURPOSE_VMS)
     hf_members_begin_list (state);
+  if (purpose == HF_PURPOSE_EVACUATIONS)
+    hf_evacuations_begin_list (&state->evacuations);
   hf_state_call_platform (state, HF_PLATFORM_WATCH, purpose, 0, hf_str (watch_names[purpose]), 0, (struct hf_str){ 0 });
 }
 
@@ -214,6 +218,42 @@
   open_watch (state, HF_PURPOSE_CONFIG);
 }
 
+/* --- internal functions: evacuations --- */
+
+/* Each entry watches for itself here, so the position only orders what this one has received. */
+static void
+apply_evacuations (struct hf_state *state)
+{
+  struct hf_event step = { .list_step = HF_LIST_PROGRESS, .position = state->evacuations.position };
+  step.position.revision++;
+  if (hf_evacuation_sync_handle_step (state, &step))
+    hf_slots_update_pools (state);
+}
+
+static void
+handle_evacuation (struct hf_state *state, const struct hf_object *object)
+{
+  const struct hf_event report
+      = { .evacuation = { .domain = object->name, .in_force = object->event_type != HF_WATCH_DELETED } };
+  hf_evacuation_sync_handle_report (state, &report);
+  if (state->watches[HF_PURPOSE_EVACUATIONS].complete)
+    apply_evacuations (state);
+}
+
+/* The first bookmark of a watch shows that every object was listed. */
+static void
+handle_bookmark (struct hf_state *state, enum hf_platform_purpose purpose)
+{
+  bool was_complete = state->watches[purpose].complete;
+  state->watches[purpose].complete = true;
+  if (was_complete)
+    return;
+  if (purpose == HF_PURPOSE_VMS)
+    hf_members_end_list (state);
+  if (purpose == HF_PURPOSE_EVACUATIONS)
+    apply_evacuations (state);
+}
+
 /* --- public functions --- */
 
 void
@@ -222,6 +262,8 @@
   state->platform_reachable = true;
   open_watch (state, HF_PURPOSE_CONFIG);
   open_watch (state, HF_PURPOSE_VMS);
+  if (state->follows_evacuations)
+    open_watch (state, HF_PURPOSE_EVACUATIONS);
 }
 
 void
@@ -253,13 +295,11 @@
       return;
     }
   if (object.event_type == HF_WATCH_BOOKMARK)
-    {
-      if (purpose == HF_PURPOSE_VMS && !watch->complete)
-        hf_members_end_list (state);
-      watch->complete = true;
-    }
+    handle_bookmark (state, purpose);
   else if (purpose == HF_PURPOSE_CONFIG)
     handle_config_object (state, &object);
+  else if (purpose == HF_PURPOSE_EVACUATIONS)
+    handle_evacuation (state, &object);
   else
     hf_members_update_vm (state, &object);
   hf_object_unload (&object);
@@ -275,7 +315,8 @@
 void
 hf_config_sync_check_watches (struct hf_state *state)
 {
-  for (int purpose = HF_PURPOSE_CONFIG; purpose <= HF_PURPOSE_VMS; purpose++)
+  int last = state->follows_evacuations ? HF_PURPOSE_EVACUATIONS : HF_PURPOSE_VMS;
+  for (int purpose = HF_PURPOSE_CONFIG; purpose <= last; purpose++)
     {
       struct hf_watch *watch = &state->watches[purpose];
       if (watch->timer || state->now - watch->last_event_at < HF_WATCH_SILENCE_TIMEOUT_MS * HF_MS)
--- a/src/hf-evacuation-sync.c
+++ b/src/hf-evacuation-sync.c
@@ -125,7 +125,8 @@
   for (size_t i = 0; i < set.n; i++)
     set.domains[i] = heartbeat->evacuated.evacuated_val[i];
   struct hf_store_position position = hf_wire_read_position (heartbeat->evacuations_position);
-  if (!state->follows_evacuations || !hf_evacuations_merge (&state->evacuations, &set, position))
+  bool takes_sets = state->follows_evacuations && state->external_store;
+  if (!takes_sets || !hf_evacuations_merge (&state->evacuations, &set, position))
     return false;
   apply_change (state, &before);
   return true;
--- a/src/hf-evacuation-sync.h
+++ b/src/hf-evacuation-sync.h
@@ -1,8 +1,9 @@
 /**
  * DOC: hf-evacuation-sync - evacuations among the entries and in the pools
  *
- * Watchers learn from the platform which failure domains are evacuated; all
- * entries tell one another in heartbeats. The backend servers of an evacuated
+ * Watchers learn from the platform's store which failure domains are evacuated;
+ * all entries tell one another in heartbeats. With the project's own object API
+ * each entry watches it by itself. The backend servers of an evacuated
  * domain get no new requests; what they run is not disturbed.
  */
 #ifndef HF_EVACUATION_SYNC_H
--- a/src/hf-event.h
+++ b/src/hf-event.h
@@ -53,6 +53,7 @@
 {
   HF_PURPOSE_CONFIG,
   HF_PURPOSE_VMS,
+  HF_PURPOSE_EVACUATIONS, /* the last one that is watched */
   HF_PURPOSE_CLAIMS,
   HF_PURPOSE_PROBES,
 };
--- a/src/hf-platform.c
+++ b/src/hf-platform.c
@@ -8,7 +8,7 @@
 /* --- constants --- */
 
 #define API_PATH             "/apis/hickoryfield/v1"
-#define WATCH_COUNT          2 /* HF_PURPOSE_CONFIG and HF_PURPOSE_VMS */
+#define WATCH_COUNT          (HF_PURPOSE_EVACUATIONS + 1)
 #define ACCEPT_METADATA_ONLY "application/json;as=PartialObjectMetadata;g=meta.k8s.io;v=1"
 
 /* --- types --- */
@@ -154,12 +154,14 @@
 static void
 start_watch (struct hf_platform *platform, const struct hf_effect *effect)
 {
-  bool vms = effect->purpose == HF_PURPOSE_VMS;
+  static const char *const paths[WATCH_COUNT] = { [HF_PURPOSE_CONFIG] = API_PATH "/objects",
+                                                  [HF_PURPOSE_VMS] = API_PATH "/vms",
+                                                  [HF_PURPOSE_EVACUATIONS] = API_PATH "/evacuations" };
+  bool is_config = effect->purpose == HF_PURPOSE_CONFIG;
   char query[160];
   g_snprintf (query, sizeof query, "watch=true&allowWatchBookmarks=true&timeoutSeconds=%d%s", HF_WATCH_DURATION_SEC,
-              vms ? "" : "&fieldSelector=metadata.name%3Dconfig");
-  SoupMessage *message
-      = hf_soup_message_new ("GET", platform->address, vms ? API_PATH "/vms" : API_PATH "/objects", query);
+              is_config ? "&fieldSelector=metadata.name%3Dconfig" : "");
+  SoupMessage *message = hf_soup_message_new ("GET", platform->address, paths[effect->purpose], query);
   /* Uses a new connection, as the kept one may be dead if the previous watch on it fell silent. */
   soup_message_add_flags (message, SOUP_MESSAGE_NEW_CONNECTION);
   struct call *call = new_call (platform, effect, message);
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -374,7 +374,7 @@
   state->cold_overshoot = settings->cold_overshoot;
   state->cold_slack = settings->cold_slack;
   state->external_store = settings->store_address.len > 0;
-  state->follows_evacuations = state->external_store && settings->evacuate_ms > 0;
+  state->follows_evacuations = settings->evacuate_ms > 0;
   state->domain_names = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   state->boot_id = boot_id;
   state->random_state = boot_id;
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -519,7 +519,7 @@
   uint64_t config_stored_generation; /* generation of the platform's object */
   int64_t config_checked_at;         /* last comparison with the platform's object */
   struct hf_config_spread config_spread;
-  struct hf_watch watches[2]; /* by enum hf_platform_purpose */
+  struct hf_watch watches[HF_PURPOSE_EVACUATIONS + 1]; /* by enum hf_platform_purpose */
   bool platform_reachable;
   GSequenceIter *restore_timer;
 
--- a/src/hickoryctl.c
+++ b/src/hickoryctl.c
@@ -34,6 +34,7 @@
   gboolean wait;
   gboolean settings;
   gboolean version;
+  gboolean undo;
   int wait_ms;
 };
 
@@ -271,6 +272,25 @@
   return code;
 }
 
+static int
+run_evacuate (const struct options *options, char **arguments)
+{
+  struct hf_error error = { 0 };
+  if (!require_platform (options))
+    return EXIT_USAGE;
+  if (!*arguments[0])
+    {
+      fprintf (stderr, "hickoryctl: expected the name of a failure domain\n");
+      return EXIT_USAGE;
+    }
+  if (!hf_admin_client_set_evacuation (options->platform, arguments[0], !options->undo, &error))
+    return report_error (NULL, &error);
+  printf (options->undo ? "the evacuation of failure domain %s is withdrawn\n"
+                        : "the evacuation of failure domain %s is ordered\n",
+          arguments[0]);
+  return 0;
+}
+
 static void
 print_service (JsonObject *service)
 {
@@ -409,8 +429,9 @@
 }
 
 static const struct command commands[] = {
-  { "check", 1, run_check }, { "apply", 1, run_apply },     { "show", 0, run_show },        { "status", 0, run_status },
-  { "dump", 1, run_dump },   { "console", 0, run_console }, { "explain", -2, run_explain }, { 0 },
+  { "check", 1, run_check },      { "apply", 1, run_apply },       { "show", 0, run_show },
+  { "status", 0, run_status },    { "dump", 1, run_dump },         { "console", 0, run_console },
+  { "explain", -2, run_explain }, { "evacuate", 1, run_evacuate }, { 0 },
 };
 
 static bool
@@ -446,6 +467,7 @@
     { "wait-ms", 0, 0, G_OPTION_ARG_INT, &options.wait_ms, "apply: timeout of --wait in milliseconds (10000)", "MS" },
     { "settings", 0, 0, G_OPTION_ARG_NONE, &options.settings,
       "check: FILE holds settings of a hickoryd, not a document", NULL },
+    { "undo", 0, 0, G_OPTION_ARG_NONE, &options.undo, "evacuate: withdraw the order", NULL },
     { "version", 0, 0, G_OPTION_ARG_NONE, &options.version, "Print the version and exit", NULL },
     { 0 },
   };
@@ -457,7 +479,9 @@
                                          "  status        prints the state of entries, services and budgets\n"
                                          "  dump ADDRESS  prints the full state of one entry, given its admin address\n"
                                          "  console       serves a web page with forms to edit the document\n"
-                                         "  explain ID FILE...  prints the history of one request from log files");
+                                         "  explain ID FILE...  prints the history of one request from log files\n"
+                                         "  evacuate DOMAIN     sends no new requests to the backend servers of a "
+                                         "failure domain");
   g_option_context_set_description (context,
                                     "Exit codes: 0 success, 2 wrong usage, 3 invalid document or settings, 4 conflict "
                                     "with another change,\n"
--- a/tests/test-promises.c
+++ b/tests/test-promises.c
@@ -223,6 +223,58 @@
   setup_close (setup);
 }
 
+static void
+check_gets_succeed_at (const struct entry *entry, const char *name, int n)
+{
+  for (int i = 0; i < n; i++)
+    {
+      char *key = g_strdup_printf ("%s%d", name, i);
+      struct response response = send_call (entry->listen_address, "GET", "/a/x", key, NULL, NULL, NULL);
+      g_assert_cmpuint (response.status, ==, 200);
+      clear_response (&response);
+      g_free (key);
+    }
+}
+
+static void
+run_evacuate (struct setup *setup, const char *option)
+{
+  g_assert_cmpint (harness_run_hickoryctl (
+                       setup->harness, NULL,
+                       (const char *[]){ "evacuate", "d2", "-p", setup->harness->platform_address, option, NULL }),
+                   ==, 0);
+}
+
+/* hickoryctl orders the evacuation of the failure domain of one server, twice, and withdraws it: an entry whose
+ * settings call for that sends no request there meanwhile, though the other entry, whose settings do not, may grant
+ * slots there. */
+static void
+test_evacuate (void)
+{
+  struct setup *setup = setup_open (1, 2, 2, NULL);
+  setup->harness->more_settings = "evacuate: 5s\n";
+  const struct entry *entry = harness_add_entry (setup->harness, "d2");
+  g_assert_true (wait_for_members (setup, 2));
+  char *document = setup_document (setup, NULL, ", failure_domain: d2");
+  g_assert_true (harness_apply_document (setup->harness, document));
+  check_gets_succeed_at (entry, "before", 30);
+  g_assert_cmpuint (server_stat (setup, 0, "runs"), >, 0);
+  run_evacuate (setup, NULL);
+  run_evacuate (setup, NULL);
+  harness_pause (DRAIN_MS);
+  guint runs = server_stat (setup, 0, "runs");
+  check_gets_succeed_at (entry, "evacuated", 60);
+  g_assert_cmpuint (server_stat (setup, 0, "runs"), ==, runs);
+  g_assert_cmpuint (entry_metric (entry, "evacuated_domains"), ==, 1);
+  run_evacuate (setup, "--undo");
+  run_evacuate (setup, "--undo");
+  harness_pause (DRAIN_MS);
+  check_gets_succeed_at (entry, "after", 60);
+  g_assert_cmpuint (server_stat (setup, 0, "runs"), >, runs);
+  g_free (document);
+  setup_close (setup);
+}
+
 static gboolean
 has_run_key (void *context)
 {
@@ -831,6 +883,7 @@
   g_test_set_nonfatal_assertions ();
   g_test_add_func ("/whole/short", test_truncated_response);
   g_test_add_func ("/whole/small", test_request_body);
+  g_test_add_func ("/leaving/evacuation", test_evacuate);
   g_test_add_func ("/whole/large", test_large);
   g_test_add_func ("/whole/passed-on", test_forwarded_head);
   for (gsize i = 0; i < G_N_ELEMENTS (drain_cases); i++)
