Cold servers: unknown state from the directory at any order, one announcement each; log line; tests of the count

Cause: a server whose report does not tell its state was taken as warm if the document arrived after the directory.

--- a/src/hf-cold-servers.c
+++ b/src/hf-cold-servers.c
@@ -80,6 +80,18 @@
   return is_limited ? server : NULL;
 }
 
+static void
+note_cold (struct hf_state *state,
+           const struct hf_service_state *service,
+           const struct hf_pool_server *server,
+           int64_t remaining_ms)
+{
+  hf_state_log (state, HF_LOG_SERVER_COLD,
+                "backend server " HF_STR_FMT " of " HF_STR_FMT " is cold for %d ms, as it says in a response",
+                HF_STR_ARG (server->name), HF_STR_ARG (service->name), (int) remaining_ms);
+  hf_cold_spread_note (state, server);
+}
+
 /* The granter counts the starts, so it has to know; it may hear only from others that the server is cold again. */
 static void
 tell_granter (struct hf_state *state,
@@ -127,7 +139,8 @@
     return;
   bool was_cold = server->cold.until > state->now;
   hf_cold_record_response (&server->cold, state->now, event->hints.cold_ms * HF_MS);
-  hf_cold_spread_note (state, server);
+  if (!was_cold && event->hints.cold_ms > 0)
+    note_cold (state, service, server, event->hints.cold_ms);
   if (was_cold != (event->hints.cold_ms > 0))
     tell_granter (state, service, server, event->hints.cold_ms);
 }
@@ -143,6 +156,8 @@
   int64_t remaining_ms = MIN (notice->hold_ms, HF_COLD_MAX_MS);
   if (!server)
     return;
+  bool was_cold = server->cold.until > state->now;
   hf_cold_record_response (&server->cold, state->now, remaining_ms * HF_MS);
-  hf_cold_spread_note (state, server);
+  if (!was_cold)
+    hf_cold_spread_note (state, server);
 }
--- a/src/hf-directory.c
+++ b/src/hf-directory.c
@@ -14,8 +14,9 @@
 {
   struct hf_server_report report;
   int64_t warmup_until;
-  bool stale;        /* not reported yet since the list began */
-  int64_t remove_at; /* when a delayed removal is due; 0: it is listed */
+  int64_t started_at; /* when this start of it was first reported here */
+  bool stale;         /* not reported yet since the list began */
+  int64_t remove_at;  /* when a delayed removal is due; 0: it is listed */
 };
 
 /* --- internal functions: memory --- */
@@ -47,9 +48,18 @@
 
 /* --- internal functions: pools --- */
 
+/* A server whose report does not tell is taken as cold after its start where its service limits cold servers. */
+static void
+assume_cold (const struct hf_service_state *service, struct listed_server *listed)
+{
+  const struct hf_cold_limits *limits = &service->pool.cold;
+  if (limits->enabled && listed->report.warmup_unknown)
+    listed->warmup_until = MAX (listed->warmup_until, listed->started_at + limits->cold_us);
+}
+
 /* Adds or updates the server in the pool of its slice, and removes it from the pool of its former slice. */
 static void
-put_in_pool (struct hf_state *state, const struct listed_server *listed)
+put_in_pool (struct hf_state *state, struct listed_server *listed)
 {
   uint64_t id = hf_server_id (listed->report.service, listed->report.name);
   struct hf_service_state *service = hf_slices_find_by_server (state, hf_hash (listed->report.service, 0), id);
@@ -58,6 +68,7 @@
     hf_pool_remove_server (&before->pool, id);
   if (!service)
     return;
+  assume_cold (service, listed);
   struct hf_pool_listing listing = { .spec = { .name = listed->report.name,
                                                .address = listed->report.address,
                                                .failure_domain = listed->report.failure_domain,
@@ -222,18 +233,6 @@
          && hf_str_equal (current->failure_domain, report->failure_domain);
 }
 
-/* How long the latency of the server stays higher. One that has just started and does not tell is taken as cold where
- * its service limits cold servers. */
-static int64_t
-warmup_of (const struct hf_state *state, const struct listed_server *before, const struct hf_server_report *report)
-{
-  const struct hf_service_state *service = hf_state_find_service (state, hf_hash (report->service, 0));
-  bool has_started = !before || before->report.incarnation != report->incarnation;
-  if (!report->warmup_unknown || !has_started || !service || !service->pool.cold.enabled)
-    return report->warmup_ms * HF_MS;
-  return service->pool.cold.cold_us;
-}
-
 /* A server that is listed already has become cold again, or has ceased to be: matters where its service limits cold
  * servers. */
 static void
@@ -255,8 +254,8 @@
                bool from_list)
 {
   bool is_newer = !listed || hf_server_report_compare_age (report, &listed->report) > 0;
+  int64_t started_at = listed ? listed->started_at : 0;
   bool is_same_start = listed && listed->report.incarnation == report->incarnation;
-  int64_t warmup_us = warmup_of (state, listed, report);
   if (listed && is_unchanged (listed, report))
     {
       if (!from_list && report->sequence > listed->report.sequence)
@@ -284,8 +283,9 @@
   listed->report.service = hf_str_dup (report->service);
   listed->report.address = hf_str_dup (report->address);
   listed->report.failure_domain = hf_str_dup (report->failure_domain);
-  if (warmup_us > 0)
-    listed->warmup_until = state->now + warmup_us;
+  if (report->warmup_ms > 0)
+    listed->warmup_until = state->now + report->warmup_ms * HF_MS;
+  listed->started_at = is_same_start ? started_at : state->now;
   put_in_pool (state, listed);
   if (is_newer && is_same_start)
     note_cold (state, listed, report);
--- a/src/hf-log.c
+++ b/src/hf-log.c
@@ -41,6 +41,7 @@
   { HF_LOG_EVACUATION_BEGUN, HF_LOG_LEVEL_NOTICE, "evacuation-begun" },
   { HF_LOG_EVACUATION_ENDED, HF_LOG_LEVEL_NOTICE, "evacuation-ended" },
   { HF_LOG_EVACUATION_IGNORED, HF_LOG_LEVEL_WARNING, "evacuation-ignored" },
+  { HF_LOG_SERVER_COLD, HF_LOG_LEVEL_INFO, "server-cold" },
   { HF_LOG_REQUEST_QUARANTINED, HF_LOG_LEVEL_WARNING, "request-quarantined" },
   { HF_LOG_CLAIM_SETTLED, HF_LOG_LEVEL_INFO, "claim-settled" },
   { HF_LOG_CLAIM_UNAVAILABLE, HF_LOG_LEVEL_WARNING, "claim-unavailable" },
--- a/src/hf-trace.c
+++ b/src/hf-trace.c
@@ -98,10 +98,12 @@
                         const struct hf_pool_server *server)
 {
   bool draining = hf_health_is_draining (server, state->now);
+  bool evacuated = (server->drain_sources & HF_DRAIN_EVACUATED) != 0;
+  const char *drains = evacuated ? "its failure domain is evacuated" : "it is draining";
   const struct hf_log_field fields[]
       = { HF_LOG_INT ("attempt", attempt), HF_LOG_TEXT ("server", server->name),
           HF_LOG_TEXT ("by", slot_source (&call->attempts[attempt])),
-          HF_LOG_TEXT ("reason", hf_str (draining ? "it is draining" : "it wants no requests for a time")) };
+          HF_LOG_TEXT ("reason", hf_str (draining ? drains : "it wants no requests for a time")) };
   add_log_line (state, HF_LOG_SLOT_RETURNED, call->request_id, fields, G_N_ELEMENTS (fields));
 }
 
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -140,6 +140,7 @@
                                                            .incarnation = MAX (server->incarnation, 1),
                                                            .sequence = server->sequence,
                                                            .warmup_ms = server->warmup_ms,
+                                                           .warmup_unknown = server->warmup_unknown,
                                                            .draining = server->draining,
                                                            .removed = !server->listed } });
 }
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -62,9 +62,10 @@
   bool draining;
   uint64_t incarnation; /* 0: the first one */
   uint64_t revision;
-  uint64_t sequence; /* of the server's reports */
-  unsigned domain;   /* it is in the failure domain "d" with this number */
-  int64_t warmup_ms; /* as it reports it with each change */
+  uint64_t sequence;   /* of the server's reports */
+  unsigned domain;     /* it is in the failure domain "d" with this number */
+  bool warmup_unknown; /* it does not report the next */
+  int64_t warmup_ms;   /* as it reports it with each change */
 };
 
 /** struct fleet - entries, the datagrams between them, and the platform; @on_effect may be set by a test */
--- a/tests/test-cold.c
+++ b/tests/test-cold.c
@@ -402,6 +402,77 @@
   close_simulation (simulation);
 }
 
+/* The count of starts against a naive list of all, at random times: a start that is forgotten too early, or counted too
+ * long, differs. */
+static void
+test_count (void)
+{
+  struct hf_cold_limits limits = hf_cold_make_limits (6.4, 1.5, 8, COLD_MS * HF_MS);
+  struct hf_cold cold = { .until = INT64_MAX };
+  GArray *all = g_array_new (FALSE, FALSE, sizeof (int64_t));
+  GRand *random = g_rand_new_with_seed (7);
+  int64_t now = HF_SEC;
+  g_assert_cmpuint (limits.starts, ==, 13);
+  g_assert_cmpuint (limits.other_starts, ==, 4);
+  for (unsigned i = 0; i < 20000; i++)
+    {
+      unsigned recent = 0;
+      now += g_rand_int_range (random, 0, 150) * HF_MS;
+      limits.allowed = (unsigned) g_rand_int_range (random, 0, (gint32) limits.starts + 1);
+      for (guint k = 0; k < all->len; k++)
+        recent += now - g_array_index (all, int64_t, k) < HF_COLD_WINDOW_MS * HF_MS;
+      g_assert_true (hf_cold_allows_start (&limits, &cold, now) == (recent < limits.allowed));
+      /* Starts beyond the limit happen while a server is not cold. */
+      if (g_rand_boolean (random))
+        continue;
+      hf_cold_count_start (&limits, &cold, now);
+      g_array_append_val (all, now);
+      if (all->len > 200)
+        g_array_remove_range (all, 0, 100);
+    }
+  g_rand_free (random);
+  g_array_unref (all);
+  hf_cold_close (&cold);
+}
+
+/* A report of 0 ends the cold time, except one of the directory soon after a response that told otherwise; of several
+ * ends the latest counts. */
+static void
+test_reports (void)
+{
+  struct hf_cold cold = { 0 };
+  hf_cold_record_response (&cold, 1 * HF_SEC, 5 * HF_SEC);
+  hf_cold_record_response (&cold, 2 * HF_SEC, 1 * HF_SEC);
+  g_assert_cmpint (cold.until, ==, 6 * HF_SEC);
+  hf_cold_record_listing (&cold, 2 * HF_SEC, 0);
+  g_assert_cmpint (cold.until, ==, 6 * HF_SEC);
+  hf_cold_record_listing (&cold, 5 * HF_SEC, 0);
+  g_assert_cmpint (cold.until, ==, 0);
+  hf_cold_record_listing (&cold, 5 * HF_SEC, 3 * HF_SEC);
+  g_assert_cmpint (cold.until, ==, 8 * HF_SEC);
+  hf_cold_record_response (&cold, 6 * HF_SEC, 0);
+  g_assert_cmpint (cold.until, ==, 0);
+}
+
+/* A new start whose entry in the directory does not tell is taken as cold: its
+ * state is not known. */
+static void
+test_unknown (void)
+{
+  struct simulation *simulation = open_simulation (ENTRIES);
+  for (unsigned i = 0; i < SERVERS; i++)
+    {
+      simulation->servers[i].tells = false;
+      list_server (simulation, i, 2, 0);
+      simulation->fleet->servers[i].warmup_unknown = true;
+    }
+  advance (simulation, 500); /* until the entries know of the new starts */
+  begin_cold_all (simulation, COLD_MS - 1000);
+  advance (simulation, COLD_MS);
+  check_limit (simulation);
+  close_simulation (simulation);
+}
+
 /* --- tests: evacuations --- */
 
 static void
@@ -569,6 +640,9 @@
       g_free (name);
     }
   g_test_add_func ("/cold/lost-datagrams", test_lost_datagrams);
+  g_test_add_func ("/cold/count", test_count);
+  g_test_add_func ("/cold/reports", test_reports);
+  g_test_add_func ("/cold/unknown", test_unknown);
   g_test_add_func ("/evacuation/under-load", test_evacuation);
   g_test_add_func ("/evacuation/ignorant-granter", test_ignorant_granter);
   g_test_add_func ("/evacuation/spread", test_spread);
