--- a/src/config.h
+++ b/src/config.h
@@ -122,6 +122,7 @@
 #define HF_DIRECTORY_OUTAGE_GRACE_MS 2000 /* after an outage, unlisted servers are kept this long before removal */
 #define HF_DIRECTORY_REMOVED_SEC     60   /* an older report of a removed server is recognised for this long */
 #define HF_DIRECTORY_REMOVED_MAX     1000 /* removed servers remembered */
+#define HF_EVACUATIONS_WAIT_MS       5000 /* of an entry that starts, for the orders: longer than a first start's lists */
 #define HF_EVACUATIONS_MAX           32   /* failure domains evacuated together; at most HF_RPC_EVACUATIONS_MAX */
 
 /* Placement: expected latency of a server. */
--- a/src/hf-status.c
+++ b/src/hf-status.c
@@ -3,12 +3,19 @@
 
 #include "hf-state.h"
 
+/* An entry to which nobody tells the orders is not in touch. It must not stay out of use for that. */
+static bool
+knows_evacuations (const struct hf_state *state)
+{
+  bool has_waited = state->now - state->started_at >= HF_EVACUATIONS_WAIT_MS * HF_MS;
+  return !state->follows_evacuations || state->evacuations.position.revision > 0 || has_waited;
+}
+
 bool
 hf_state_is_initialised (const struct hf_state *state)
 {
   bool listed = !state->external_store || (state->directory.complete && state->directory.entries_complete);
-  bool knows_evacuations = !state->follows_evacuations || state->evacuations.position.revision > 0;
-  return state->document && listed && knows_evacuations;
+  return state->document && listed && knows_evacuations (state);
 }
 
 bool
--- a/tests/fake-store.c
+++ b/tests/fake-store.c
@@ -45,6 +45,7 @@
   guint64 compacted_revision; /* watches from an older revision get 410 */
   guint64 cut_revision;       /* watches from an older revision are cut */
   guint error_status;         /* of every response, 0: none */
+  const char *refused_kind;   /* NULL: none */
   gboolean silent;
   GPtrArray *unanswered_reads; /* struct call: reads that got no response because the store is silent */
   guint overlapping_reads;
@@ -359,6 +360,8 @@
   const char *watch = g_hash_table_lookup (call->query, "watch");
   if (store->silent)
     keep_unanswered (store, call);
+  else if (g_strcmp0 (call->kind, store->refused_kind) == 0)
+    respond (store, call, 404, "{}");
   else if (store->error_status)
     respond_in_era (0, call, store->error_status, "{}");
   else if (strcmp (call->method, "GET") != 0)
@@ -509,6 +512,12 @@
     g_ptr_array_set_size (store->pending_watches, 0);
 }
 
+void
+fake_store_refuse_kind (struct fake_store *store, const char *kind)
+{
+  store->refused_kind = kind;
+}
+
 void
 fake_store_drop_responses (struct fake_store *store, guint writes)
 {
--- a/tests/fake-store.h
+++ b/tests/fake-store.h
@@ -38,6 +38,8 @@
 void fake_store_set_error (struct fake_store *store, guint status);
 /* TRUE: sends no response to new calls, and never one to the watches that are pending now. */
 void fake_store_set_silent (struct fake_store *store, gboolean silent);
+/* Responds to lists and watches of this kind with 404, as a store without it; NULL: none. */
+void fake_store_refuse_kind (struct fake_store *store, const char *kind);
 void fake_store_drop_responses (struct fake_store *store,
                                 guint writes); /* applies the next writes, aborts the responses */
 /* With allow_stale, the second and later pages of a list lack the newest changes, as from a lagging replica. */
--- a/tests/test-evacuation.c
+++ b/tests/test-evacuation.c
@@ -168,6 +168,21 @@
   close_setup (setup);
 }
 
+/* A store that does not list the orders must not keep an entry out of use for ever. */
+static void
+test_refused_kind (void)
+{
+  struct setup *setup = open_without_entry (DRAIN_WAIT_MS, GRACE_MS);
+  setup->more_settings = "evacuate: 5s\n";
+  fake_store_refuse_kind (setup->store, "evacuations");
+  put_config (setup, 7, "\"service\":\"alpha\"", "/r/");
+  put_server (setup, 0, "alpha", "ready");
+  start_entry (setup);
+  g_assert_true (harness_wait_until (is_ready, setup, 3 * CHANGE_TIMEOUT_S));
+  g_assert_cmpuint (request_status (setup, "GET", "/r/x", ""), ==, 200);
+  close_setup (setup);
+}
+
 /* Where the settings name no bound, orders have no effect and cost no call. */
 static void
 test_off (void)
@@ -253,6 +268,7 @@
   g_test_add_func ("/evacuation/start", test_start);
   g_test_add_func ("/evacuation/store-down", test_store_down);
   g_test_add_func ("/evacuation/restored", test_restored);
+  g_test_add_func ("/evacuation/refused-kind", test_refused_kind);
   g_test_add_func ("/evacuation/off", test_off);
   g_test_add_func ("/cold/health-response", test_cold);
   return g_test_run ();
