--- a/src/hf-header-codec.h
+++ b/src/hf-header-codec.h
@@ -63,8 +63,8 @@
 hf_header_codec_read_key (const struct hf_header_codec *codec, const struct hf_http_head *head, struct hf_event *event);
 /* True for a field that is forwarded only if the configuration has no organisations. */
 bool hf_header_codec_is_organisation_field (const struct hf_header_codec *codec, struct hf_str name);
-/* True if the response tells which requests its server does not want: a SERVER_HINTS event. name: the server that the
- * request was sent to; a response of another one tells nothing about it. */
+/* True if the response tells which requests its server does not want, or whether it is cold: a SERVER_HINTS event.
+ * name: the server that the request was sent to; a response of another one tells nothing about it. */
 bool hf_header_codec_has_restriction (const struct hf_header_codec *codec,
                                       const struct hf_http_head *head,
                                       const struct hf_response_hints *hints,
--- a/src/hf-members.c
+++ b/src/hf-members.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "hf-affinity-sync.h"
+#include "hf-cold-spread.h"
 #include "hf-evacuation-sync.h"
 #include "hf-roles.h"
 #include "hf-wire.h"
@@ -254,6 +255,7 @@
   if (member->boot_id)
     heartbeat->grants.grants_len = list_grants (state, member->boot_id, heartbeat->grants.grants_val);
   hf_evacuation_sync_write (state, heartbeat);
+  hf_cold_spread_write (state, heartbeat);
   hf_state_send_to_address (state, member->address, message);
 }
 
--- a/src/hf-pool.h
+++ b/src/hf-pool.h
@@ -87,6 +87,7 @@
   GHashTable *remote_loads;  /* requests without a grant, by entry and server */
   struct hf_saturation saturation;
   struct hf_retry_budget retry_budget;
+  struct hf_cold_limits cold;
   unsigned queue_limit;
   double far_cost_us;       /* added to the expected latency of a server in another failure domain than the request's */
   unsigned median_samples;  /* responses in median_latency_us */
--- a/src/hf-rpc.c
+++ b/src/hf-rpc.c
@@ -120,6 +120,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_hf_rpc_cold_server (XDR *xdrs, hf_rpc_cold_server *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->server))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->remaining_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_hf_rpc_heartbeat (XDR *xdrs, hf_rpc_heartbeat *objp)
 {
@@ -184,6 +196,9 @@
 		 if (!xdr_array (xdrs, (char **)&objp->evacuated.evacuated_val, (u_int *) &objp->evacuated.evacuated_len, HF_RPC_EVACUATIONS_MAX,
 			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->cold.cold_val, (u_int *) &objp->cold.cold_len, HF_RPC_COLD_MAX,
+			sizeof (hf_rpc_cold_server), (xdrproc_t) xdr_hf_rpc_cold_server))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->seq))
@@ -243,6 +258,9 @@
 		 if (!xdr_array (xdrs, (char **)&objp->evacuated.evacuated_val, (u_int *) &objp->evacuated.evacuated_len, HF_RPC_EVACUATIONS_MAX,
 			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->cold.cold_val, (u_int *) &objp->cold.cold_len, HF_RPC_COLD_MAX,
+			sizeof (hf_rpc_cold_server), (xdrproc_t) xdr_hf_rpc_cold_server))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -290,6 +308,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->evacuated.evacuated_val, (u_int *) &objp->evacuated.evacuated_len, HF_RPC_EVACUATIONS_MAX,
 		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->cold.cold_val, (u_int *) &objp->cold.cold_len, HF_RPC_COLD_MAX,
+		sizeof (hf_rpc_cold_server), (xdrproc_t) xdr_hf_rpc_cold_server))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -106,6 +106,8 @@
  * @probe_allotment_retry_at: no tokens were left; the allotment is read again then
  * @next_probe_index: index of the next backend server to probe
  * @last_slot_request_at: last slot request at this entry
+ * @granter_since: this entry has been the granter since then; 0: it is not; kept where cold servers are limited
+ * @majority_since: the same, and in touch with more than half of the entries
  */
 struct hf_service_state
 {
@@ -122,6 +124,8 @@
   int64_t probe_allotment_retry_at;
   size_t next_probe_index;
   int64_t last_slot_request_at;
+  int64_t granter_since;
+  int64_t majority_since;
 };
 
 /* --- types: calls --- */
@@ -497,10 +501,14 @@
 {
   struct hf_str name;
   struct hf_str failure_domain;
-  struct hf_str address;       /* IP:PORT of its peer socket, from the settings */
-  double cpu_share;            /* processor time in cores */
-  int64_t drain_wait_ms;       /* the health check fails for this long before the exit */
-  int64_t shutdown_timeout_ms; /* from SIGTERM to the exit in any case */
+  struct hf_str address;          /* IP:PORT of its peer socket, from the settings */
+  double cpu_share;               /* processor time in cores */
+  double cold_overshoot;          /* factor on the starts that cold servers tolerate; 0: they are not limited */
+  double cold_slack;              /* starts beyond that in a second */
+  bool cold_announcement_pending; /* a server is cold that the other entries do not know of */
+  int64_t cold_announced_at;      /* when they were last told of such ones at once; 0: never */
+  int64_t drain_wait_ms;          /* the health check fails for this long before the exit */
+  int64_t shutdown_timeout_ms;    /* from SIGTERM to the exit in any case */
   uint64_t boot_id;
   uint64_t random_state;
   int64_t now;              /* time of the current event */
@@ -523,7 +531,7 @@
   int64_t config_confirmed_at;       /* it was last known to be the newest then; 0: never */
   int64_t revoke_us;                 /* unconfirmed for longer: requests with keys are refused; 0: no limit */
   struct hf_config_spread config_spread;
-  struct hf_watch watches[2]; /* by enum hf_platform_purpose */
+  struct hf_watch watches[HF_PURPOSE_EVACUATIONS + 1]; /* by enum hf_platform_purpose */
   bool platform_reachable;
   GSequenceIter *restore_timer;
 
