Token bucket and leases of credits for quotas over the fleet

An organisation may send a limited number of requests over all entries, and the sum must hold in every window while messages are lost, entries are killed and the fleet is split. Returned credits go back into the bucket, and a count of the credits given in a sliding window bounds what that can add up to. At most one side of a split fleet gives the full rate: the one that reaches more than half of all entries.

Ruled out: a sliding window alone, as a whole window's credits could be used at once; a bucket alone, as credits that are returned while it fills count twice.

Nothing uses the module yet.

--- a/src/config.h
+++ b/src/config.h
@@ -158,6 +158,13 @@
 #define HF_GRANTER_BYPASS_MS      500 /* how long an entry decides locally after a granter timed out */
 #define HF_GRANT_TRANSIT_MS       100 /* younger grants may be in transit: a heartbeat without them keeps them */
 
+/* Quotas of organisations over the fleet. */
+#define HF_QUOTA_LEASE_RATIO 0.9  /* validity of a lease, of what the overshoot allows; the rest is for the slices */
+#define HF_QUOTA_SLICES      128  /* time slices in which the credits given in a window are counted */
+#define HF_QUOTA_LEASES_MAX  8    /* of one organisation at one entry */
+#define HF_QUOTA_HANDOVER_MS 30   /* a new owner waits so long for the bucket of the former one */
+#define HF_QUOTA_MOVED_MS    3000 /* until all entries know the new owner: two rounds of heartbeats of a large fleet */
+
 /* Membership. */
 #define HF_HEARTBEAT_MS                500
 #define HF_HEARTBEAT_MEMBERS_PER_ROUND 35 /* one more round per this many members, until all have got a heartbeat */
