--- a/src/hf-call-end.c
+++ b/src/hf-call-end.c
@@ -3,6 +3,7 @@
 
 #include "hf-claims.h"
 #include "hf-deadlines.h"
+#include "hf-quota-leases.h"
 #include "hf-restrictions.h"
 #include "hf-slots.h"
 #include "hf-trace.h"
@@ -66,6 +67,7 @@
   cancel_others (state, call, -1);
   hf_timers_cancel (&call->deadline_timer);
   hf_timers_cancel (&call->retry_timer);
+  hf_quota_leases_release (state, call);
   g_hash_table_remove (state->calls, &call->id);
 }
 
@@ -112,6 +114,20 @@
   hf_call_remove (state, call);
 }
 
+/* Only calls that were never sent to a backend server wait for credit. */
+void
+hf_call_refuse_by_quota (struct hf_state *state, struct hf_call *call, int64_t retry_after_ms)
+{
+  const char *reason = "the organisation is beyond its limit of requests";
+  cancel_others (state, call, -1);
+  hf_claims_end (state, call, HF_OUTCOME_NOT_RUN, 0);
+  hf_state_increment (state, HF_COUNT_QUOTA_REFUSED);
+  retry_after_ms = MAX (retry_after_ms, 1);
+  hf_trace_request_failed (state, call, 429, HF_OUTCOME_NOT_RUN, retry_after_ms, reason);
+  hf_call_send_error (state, call->id, 429, HF_OUTCOME_NOT_RUN, retry_after_ms, reason);
+  hf_call_remove (state, call);
+}
+
 /* Stops the other attempts: the caller gets the response of attempt @i. */
 void
 hf_call_relay_response (struct hf_state *state, struct hf_call *call, unsigned i, enum hf_outcome outcome)
--- a/src/hf-call-end.h
+++ b/src/hf-call-end.h
@@ -33,6 +33,8 @@
 /* Sends an error with the outcome that the attempts allow, and removes the call. */
 void hf_call_end_with_error (struct hf_state *state, struct hf_call *call, unsigned status, const char *reason);
 void hf_call_refuse_at_shutdown (struct hf_state *state, struct hf_call *call); /* removes it, too */
+/* Refuses a call of an organisation that is beyond its limit: 429, not run; removes it. */
+void hf_call_refuse_by_quota (struct hf_state *state, struct hf_call *call, int64_t retry_after_ms);
 /* Gives the caller the response of attempt @i and stops the others. */
 void hf_call_relay_response (struct hf_state *state, struct hf_call *call, unsigned i, enum hf_outcome outcome);
 
--- a/src/hf-calls.c
+++ b/src/hf-calls.c
@@ -7,6 +7,7 @@
 #include "hf-deadlines.h"
 #include "hf-organisations.h"
 #include "hf-quarantine.h"
+#include "hf-quota-leases.h"
 #include "hf-routing.h"
 #include "hf-shutdown.h"
 #include "hf-slices.h"
@@ -478,6 +479,19 @@
   return organisation ? hf_hash_pair (fingerprint, hf_organisation_id (organisation)) : fingerprint;
 }
 
+/* Claims the idempotency key if there is one; otherwise starts the first attempt. */
+static void
+begin_call (struct hf_state *state, struct hf_call *call)
+{
+  struct hf_str key = call->idempotency_key;
+  call->idempotency_key = (struct hf_str){ 0 };
+  if (key.len > 0)
+    hf_claims_begin (state, call, key);
+  else
+    start_attempt (state, call, false, false, 0);
+  hf_str_free (&key);
+}
+
 /* --- public functions: events --- */
 
 void
@@ -527,10 +541,10 @@
       hf_call_refuse_at_shutdown (state, call);
       return;
     }
-  if (!call->class->repeatable && event->request.idempotency_key.len > 0)
-    hf_claims_begin (state, call, event->request.idempotency_key);
-  else
-    start_attempt (state, call, false, false, 0);
+  if (!call->class->repeatable)
+    call->idempotency_key = hf_str_dup (event->request.idempotency_key);
+  if (hf_quota_leases_admit (state, call))
+    begin_call (state, call);
 }
 
 void
@@ -571,6 +585,8 @@
   hf_latency_record (&state->latency, call->class->name, HF_STAGE_ATTEMPT, state->now - attempt->started_at);
   bool crash = hf_attempts_is_crash (state, call, attempt, event);
   call->bytes_sent = call->bytes_sent || event->bytes_sent;
+  if (!call->bytes_sent && hf_call_count_live_attempts (call) == 1)
+    hf_quota_leases_keep_unsent (call);
   call->ignore_refusals = true;
   hf_call_end_attempt (state, call, event->attempt, hf_attempts_slot_result (event));
   call->ignore_refusals = false;
@@ -638,6 +654,8 @@
       handle_refusal (state, call, i, HF_REFUSAL_DEADLINE);
       return true;
     }
+  if (server && !hf_quota_leases_confirm (state, call, i, server->id))
+    return true;
   if (server)
     {
       dispatch (state, call, i, server);
@@ -649,6 +667,20 @@
   return false;
 }
 
+void
+hf_calls_handle_credit (struct hf_state *state, uint64_t id)
+{
+  struct hf_call *call = find_call (state, id);
+  if (call->quota.server == 0)
+    {
+      begin_call (state, call);
+      return;
+    }
+  struct hf_decision granted = { .kind = HF_DECISION_GRANTED, .server = call->quota.server };
+  call->quota.server = 0;
+  hf_calls_handle_decision (state, id, call->quota.attempt, &granted);
+}
+
 void
 hf_calls_handle_claim_committed (struct hf_state *state, uint64_t id)
 {
@@ -689,5 +721,6 @@
   struct hf_call *call = data;
   hf_document_unref (call->document);
   hf_str_free (&call->request_id);
+  hf_str_free (&call->idempotency_key);
   g_free (call);
 }
--- a/src/hf-calls.h
+++ b/src/hf-calls.h
@@ -23,7 +23,8 @@
 bool hf_calls_handle_decision (struct hf_state *state,
                                uint64_t id,
                                unsigned attempt,
-                               const struct hf_decision *decision);         /* false: the slot is not used */
+                               const struct hf_decision *decision); /* false: the slot is not used */
+void hf_calls_handle_credit (struct hf_state *state, uint64_t id);  /* begins the call, or sends it if it has a slot */
 void hf_calls_handle_claim_committed (struct hf_state *state, uint64_t id); /* starts the first attempt */
 void hf_calls_handle_claim_failed (struct hf_state *state,
                                    uint64_t id,
--- a/src/hf-http-head.c
+++ b/src/hf-http-head.c
@@ -51,6 +51,7 @@
                   { 409, "Conflict" },
                   { 413, "Content Too Large" },
                   { 422, "Unprocessable Content" },
+                  { 429, "Too Many Requests" },
                   { 431, "Request Header Fields Too Large" },
                   { 500, "Internal Server Error" },
                   { 502, "Bad Gateway" },
--- a/src/hf-quota.c
+++ b/src/hf-quota.c
@@ -38,6 +38,7 @@
   bool handed_over;          /* the bucket has the level that a former owner gave */
   uint64_t moved_to;         /* boot id of the entry that got the bucket */
   int64_t moved_at;
+  int64_t began_at; /* with less than its capacity; 0: it did not */
   struct hf_quota_bucket bucket;
   GHashTable *holders; /* struct holder by boot id */
   int64_t asked_at;
@@ -136,6 +137,7 @@
   organisation->id = id;
   organisation->is_owned = !limit.partial;
   organisation->holders = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_holder);
+  organisation->began_at = level < limit.capacity ? now : 0;
   hf_quota_bucket_init (&organisation->bucket, limit, limit.partial ? 0 : level, now);
   g_hash_table_insert (book->organisations, &organisation->id, organisation);
   return organisation;
@@ -150,7 +152,10 @@
   bool ends = limit.partial && organisation->is_owned;
   hf_quota_bucket_set_limit (bucket, limit, now);
   if (begins)
-    bucket->level = MIN (level, limit.capacity);
+    {
+      bucket->level = MIN (level, limit.capacity);
+      organisation->began_at = level < limit.capacity ? now : 0;
+    }
   if (ends)
     bucket->level = 0;
   organisation->is_owned = !limit.partial;
@@ -233,6 +238,7 @@
   struct hf_quota_answer answer = { 0 };
   unsigned available = hf_quota_bucket_available (bucket, now);
   answer.credits = MIN (request->needed, available);
+  answer.is_filling = organisation->began_at > 0 && now - organisation->began_at < HF_QUOTA_FILLING_MS * HF_MS;
   if (answer.credits < request->needed)
     answer.retry_after_us = hf_quota_bucket_forecast (bucket, now, request->needed - answer.credits);
   else
@@ -516,14 +522,20 @@
   fill (&organisation->bucket, now);
   organisation->bucket.level = MIN (level, organisation->bucket.limit.capacity);
   organisation->handed_over = true;
+  organisation->began_at = level < organisation->bucket.limit.capacity ? now : 0;
 }
 
 double
-hf_quota_book_hand_over (struct hf_quota_book *book, uint64_t id, uint64_t owner, int64_t now)
+hf_quota_book_hand_over (struct hf_quota_book *book,
+                         uint64_t id,
+                         struct hf_quota_limit limit,
+                         double level,
+                         uint64_t owner,
+                         int64_t now)
 {
   struct organisation *organisation = find_organisation (book, id);
   if (!organisation)
-    return -1;
+    organisation = add_organisation (book, id, limit, level, now);
   /* The answer to the first request may have been lost: the level is the same, less what was filled since. */
   bool was_moved = organisation->moved_to == owner && now - organisation->moved_at < HF_QUOTA_MOVED_MS * HF_MS;
   bool was_owner = organisation->is_owned || now - organisation->disowned_at < HF_QUOTA_MOVED_MS * HF_MS;
--- a/src/hf-quota.h
+++ b/src/hf-quota.h
@@ -101,6 +101,7 @@
 {
   unsigned credits;
   int64_t retry_after_us; /* if not all that were needed are given: when credit is expected for the others */
+  bool is_filling;        /* the bucket began empty in the last HF_QUOTA_FILLING_MS */
 };
 
 struct hf_quota_book;
@@ -196,9 +197,14 @@
                                     struct hf_quota_limit limit,
                                     int64_t now);
 void hf_quota_book_receive_handover (struct hf_quota_book *book, uint64_t organisation, double level, int64_t now);
-/* Hands a bucket over to another owner and returns its level; 0 if this entry was not its owner just now; -1: it has no
- * bucket. */
-double hf_quota_book_hand_over (struct hf_quota_book *book, uint64_t organisation, uint64_t owner, int64_t now);
+/* Hands a bucket over to another owner and returns its level; 0 if this entry was not its owner just now.
+ * @level: of a bucket that is new. */
+double hf_quota_book_hand_over (struct hf_quota_book *book,
+                                uint64_t organisation,
+                                struct hf_quota_limit limit,
+                                double level,
+                                uint64_t owner,
+                                int64_t now);
 /* Who got the bucket in the last HF_QUOTA_MOVED_MS; 0: nobody. */
 uint64_t hf_quota_book_moved_to (const struct hf_quota_book *book, uint64_t organisation, int64_t now);
 /* Notes for which organisations another entry is the owner now: their buckets get a new level later. */
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -1,6 +1,7 @@
 /* The reducer: passes each event and each due timer to the module that handles it. */
 #include "hf-reduce.h"
 
+#include "hf-call-end.h"
 #include "hf-calls.h"
 #include "hf-claim-shards.h"
 #include "hf-claims.h"
@@ -12,6 +13,7 @@
 #include "hf-members.h"
 #include "hf-probes.h"
 #include "hf-quarantine.h"
+#include "hf-quota-leases.h"
 #include "hf-restrictions.h"
 #include "hf-roles.h"
 #include "hf-routing.h"
@@ -73,6 +75,7 @@
   hf_quarantine_expire (state);
   hf_restrictions_expire (state);
   hf_claims_expire (state);
+  hf_quota_leases_expire (state);
 }
 
 static void
@@ -117,6 +120,9 @@
     case HF_TIMER_MEASURE_TICK:
       hf_measure_tick (state);
       break;
+    case HF_TIMER_QUOTA:
+      hf_quota_leases_handle_timer (state, timer->id);
+      break;
     case HF_TIMER_DIRECTORY_EXPIRE:
       hf_directory_remove_expired (state);
       break;
@@ -142,7 +148,7 @@
 awaits_response (const struct hf_timer *timer)
 {
   return timer->kind == HF_TIMER_CALL_DEADLINE || timer->kind == HF_TIMER_CALL_RESPONSE
-         || timer->kind == HF_TIMER_SLOT_RESEND;
+         || timer->kind == HF_TIMER_SLOT_RESEND || timer->kind == HF_TIMER_QUOTA;
 }
 
 /* There is an event at least every POOL_TICK_MS, unless the process was paused. */
@@ -203,6 +209,11 @@
     case HF_RPC_CONFIG_CHUNK:
       handle_config_message (state, event);
       break;
+    case HF_RPC_QUOTA_REQUEST:
+    case HF_RPC_QUOTA_LEASE:
+    case HF_RPC_QUOTA_HANDOVER:
+      hf_quota_leases_handle_message (state, event);
+      break;
     case HF_RPC_DIRECTORY_UPDATE:
     case HF_RPC_DIRECTORY_PULL:
       hf_directory_sync_handle_message (state, event);
@@ -342,6 +353,8 @@
   hf_config_spread_init (&state->config_spread, settings->link_mbps);
   hf_roles_init (&state->roles);
   hf_latency_init (&state->latency);
+  state->quota = hf_quota_leases_open (
+      settings, (struct hf_quota_callbacks){ .begin = hf_calls_handle_credit, .refuse = hf_call_refuse_by_quota });
   hf_claims_init (state);
   hf_timers_init (&state->timers);
   return state;
@@ -362,6 +375,7 @@
   hf_directory_sync_close (&state->directory_sync);
   hf_roles_close (&state->roles);
   hf_latency_close (&state->latency);
+  hf_quota_leases_close (state->quota);
   hf_claims_close (state);
   hf_timers_close (&state->timers);
   hf_config_spread_close (&state->config_spread);
@@ -385,6 +399,7 @@
   note_initialised (state);
   if (state->roles.update_pending)
     hf_roles_update (state);
+  hf_quota_leases_update_owners (state);
   schedule_wakeup (state);
   state->effects = NULL;
 }
--- a/src/hf-roles.c
+++ b/src/hf-roles.c
@@ -1,6 +1,8 @@
 /* Assigns the roles of coordinator, watcher and granter to entries. */
 #include "hf-roles.h"
 
+#include <string.h>
+
 /* --- types --- */
 
 /* An entry that may get a role. */
@@ -197,6 +199,71 @@
     }
 }
 
+/* --- internal functions: changes --- */
+
+static bool
+same_granters (const GArray *a, const GArray *b)
+{
+  return a->len == b->len && (a->len == 0 || memcmp (a->data, b->data, a->len * sizeof (uint64_t)) == 0);
+}
+
+static bool
+contains_granter (const GArray *granters, uint64_t boot_id)
+{
+  for (guint i = 0; i < granters->len; i++)
+    if (g_array_index (granters, uint64_t, i) == boot_id)
+      return true;
+  return false;
+}
+
+/* Whether a former granter may still grant, as it is only known to be silent. One that leaves does not, and one whose
+ * address has another boot id now has ended. */
+static bool
+may_still_grant (const struct hf_state *state, uint64_t boot_id)
+{
+  const struct hf_member *member = hf_state_find_member (state, boot_id);
+  return member && !member->leaving && !member->alive;
+}
+
+static void
+note_granters (struct hf_state *state, const GArray *former)
+{
+  struct hf_roles *roles = &state->roles;
+  if (same_granters (former, roles->granters))
+    return;
+  roles->granters_changed_before = roles->granters_changed_at;
+  roles->granters_changed_at = state->now;
+  for (guint i = 0; i < former->len; i++)
+    {
+      uint64_t boot_id = g_array_index (former, uint64_t, i);
+      if (!contains_granter (roles->granters, boot_id) && may_still_grant (state, boot_id))
+        roles->granter_lost_at = state->now;
+    }
+}
+
+/* Counts the entries that are listed or alive, and those with which there is contact. Entries that are starting do not
+ * count as reached: each of them may believe that it is the only granter. */
+static void
+count_reached (struct hf_state *state)
+{
+  struct hf_roles *roles = &state->roles;
+  roles->reached = 1;
+  roles->entries = 1;
+  for (guint i = 0; i < state->members->len; i++)
+    {
+      const struct hf_member *member = g_ptr_array_index (state->members, i);
+      if (member->leaving)
+        continue;
+      roles->reached += member->alive && !member->starting;
+      roles->entries += member->alive || member->listed;
+    }
+  bool has_majority = 2 * roles->reached > roles->entries;
+  if (!has_majority)
+    roles->majority_since = 0;
+  else if (roles->majority_since == 0)
+    roles->majority_since = state->now;
+}
+
 /* --- public functions --- */
 
 void
@@ -215,6 +282,7 @@
 hf_roles_update (struct hf_state *state)
 {
   GArray *candidates = list_candidates (state);
+  GArray *former_granters = g_array_copy (state->roles.granters);
   bool was_watcher = state->roles.is_watcher;
   clear_roles (state);
   assign_roles (candidates);
@@ -225,6 +293,9 @@
   if (!state->roles.is_watcher && was_watcher)
     state->roles.watcher_until = state->now;
   state->roles.update_pending = false;
+  note_granters (state, former_granters);
+  count_reached (state);
+  g_array_unref (former_granters);
   g_array_unref (candidates);
 }
 
@@ -245,6 +316,29 @@
   return granter;
 }
 
+void
+hf_roles_rank_granters (const struct hf_state *state, uint64_t subject, uint64_t ranked[2])
+{
+  uint64_t weights[2] = { 0, 0 };
+  ranked[0] = 0;
+  ranked[1] = 0;
+  for (guint i = 0; i < state->roles.granters->len; i++)
+    {
+      uint64_t boot_id = g_array_index (state->roles.granters, uint64_t, i);
+      uint64_t weight = hf_hash_pair (subject, boot_id);
+      unsigned rank = weight >= weights[0] ? 0 : 1;
+      if (weight < weights[1])
+        continue;
+      if (rank == 0)
+        {
+          weights[1] = weights[0];
+          ranked[1] = ranked[0];
+        }
+      weights[rank] = weight;
+      ranked[rank] = boot_id;
+    }
+}
+
 bool
 hf_roles_is_heartbeat_peer (const struct hf_state *state, const struct hf_member *member)
 {
--- a/src/hf-roles.h
+++ b/src/hf-roles.h
@@ -19,6 +19,8 @@
 void hf_roles_close (struct hf_roles *roles);                               /* frees all */
 void hf_roles_update (struct hf_state *state);                              /* after a change of the members */
 uint64_t hf_roles_granter (const struct hf_state *state, uint64_t subject); /* boot id, by rendezvous hashing */
+/* Boot ids of the first and the second granter for a subject; 0: there is none. */
+void hf_roles_rank_granters (const struct hf_state *state, uint64_t subject, uint64_t ranked[2]);
 /* Whether heartbeats are exchanged with a member: it or this entry is a coordinator. */
 bool hf_roles_is_heartbeat_peer (const struct hf_state *state, const struct hf_member *member);
 
--- a/src/hf-rpc.c
+++ b/src/hf-rpc.c
@@ -709,6 +709,162 @@
 	return TRUE;
 }
 
+bool_t
+xdr_hf_rpc_quota_request (XDR *xdrs, hf_rpc_quota_request *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->organisation))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->needed))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->expected))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->returned))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->needed);
+		IXDR_PUT_U_LONG(buf, objp->expected);
+		IXDR_PUT_U_LONG(buf, objp->returned);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->returned_sequence))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->organisation))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->needed))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->expected))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->returned))
+				 return FALSE;
+
+		} else {
+		objp->needed = IXDR_GET_U_LONG(buf);
+		objp->expected = IXDR_GET_U_LONG(buf);
+		objp->returned = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->returned_sequence))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->organisation))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->needed))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->expected))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->returned))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->returned_sequence))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_hf_rpc_quota_lease (XDR *xdrs, hf_rpc_quota_lease *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->organisation))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->credits))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->valid_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->filling))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->credits);
+		IXDR_PUT_U_LONG(buf, objp->valid_ms);
+		IXDR_PUT_U_LONG(buf, objp->retry_after_ms);
+		IXDR_PUT_BOOL(buf, objp->filling);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->moved_to))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->organisation))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->credits))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->valid_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->filling))
+				 return FALSE;
+
+		} else {
+		objp->credits = IXDR_GET_U_LONG(buf);
+		objp->valid_ms = IXDR_GET_U_LONG(buf);
+		objp->retry_after_ms = IXDR_GET_U_LONG(buf);
+		objp->filling = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->moved_to))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->organisation))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->credits))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->valid_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->filling))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->moved_to))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_hf_rpc_quota_handover (XDR *xdrs, hf_rpc_quota_handover *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->organisation))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->has_level))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->level_permille))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_hf_rpc_body (XDR *xdrs, hf_rpc_body *objp)
 {
@@ -773,6 +929,18 @@
 		 if (!xdr_hf_rpc_config_offer (xdrs, &objp->hf_rpc_body_u.config_offer))
 			 return FALSE;
 		break;
+	case HF_RPC_QUOTA_REQUEST:
+		 if (!xdr_hf_rpc_quota_request (xdrs, &objp->hf_rpc_body_u.quota_request))
+			 return FALSE;
+		break;
+	case HF_RPC_QUOTA_LEASE:
+		 if (!xdr_hf_rpc_quota_lease (xdrs, &objp->hf_rpc_body_u.quota_lease))
+			 return FALSE;
+		break;
+	case HF_RPC_QUOTA_HANDOVER:
+		 if (!xdr_hf_rpc_quota_handover (xdrs, &objp->hf_rpc_body_u.quota_handover))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/src/hf-rpc.h
+++ b/src/hf-rpc.h
@@ -36,6 +36,9 @@
 	HF_RPC_DIRECTORY_UPDATE = 12,
 	HF_RPC_DIRECTORY_PULL = 13,
 	HF_RPC_CONFIG_OFFER = 14,
+	HF_RPC_QUOTA_REQUEST = 15,
+	HF_RPC_QUOTA_LEASE = 16,
+	HF_RPC_QUOTA_HANDOVER = 17,
 };
 typedef enum hf_rpc_kind hf_rpc_kind;
 
@@ -234,6 +237,34 @@
 };
 typedef struct hf_rpc_directory_pull hf_rpc_directory_pull;
 
+struct hf_rpc_quota_request {
+	u_quad_t organisation;
+	u_quad_t sequence;
+	u_int needed;
+	u_int expected;
+	u_int returned;
+	u_quad_t returned_sequence;
+};
+typedef struct hf_rpc_quota_request hf_rpc_quota_request;
+
+struct hf_rpc_quota_lease {
+	u_quad_t organisation;
+	u_quad_t sequence;
+	u_int credits;
+	u_int valid_ms;
+	u_int retry_after_ms;
+	bool_t filling;
+	u_quad_t moved_to;
+};
+typedef struct hf_rpc_quota_lease hf_rpc_quota_lease;
+
+struct hf_rpc_quota_handover {
+	u_quad_t organisation;
+	bool_t has_level;
+	u_int level_permille;
+};
+typedef struct hf_rpc_quota_handover hf_rpc_quota_handover;
+
 struct hf_rpc_body {
 	hf_rpc_kind kind;
 	union {
@@ -251,6 +282,9 @@
 		hf_rpc_directory_update directory_update;
 		hf_rpc_directory_pull directory_pull;
 		hf_rpc_config_offer config_offer;
+		hf_rpc_quota_request quota_request;
+		hf_rpc_quota_lease quota_lease;
+		hf_rpc_quota_handover quota_handover;
 	} hf_rpc_body_u;
 };
 typedef struct hf_rpc_body hf_rpc_body;
@@ -283,6 +317,9 @@
 extern  bool_t xdr_hf_rpc_server_report (XDR *, hf_rpc_server_report*);
 extern  bool_t xdr_hf_rpc_directory_update (XDR *, hf_rpc_directory_update*);
 extern  bool_t xdr_hf_rpc_directory_pull (XDR *, hf_rpc_directory_pull*);
+extern  bool_t xdr_hf_rpc_quota_request (XDR *, hf_rpc_quota_request*);
+extern  bool_t xdr_hf_rpc_quota_lease (XDR *, hf_rpc_quota_lease*);
+extern  bool_t xdr_hf_rpc_quota_handover (XDR *, hf_rpc_quota_handover*);
 extern  bool_t xdr_hf_rpc_body (XDR *, hf_rpc_body*);
 extern  bool_t xdr_hf_rpc_message (XDR *, hf_rpc_message*);
 
@@ -306,6 +343,9 @@
 extern bool_t xdr_hf_rpc_server_report ();
 extern bool_t xdr_hf_rpc_directory_update ();
 extern bool_t xdr_hf_rpc_directory_pull ();
+extern bool_t xdr_hf_rpc_quota_request ();
+extern bool_t xdr_hf_rpc_quota_lease ();
+extern bool_t xdr_hf_rpc_quota_handover ();
 extern bool_t xdr_hf_rpc_body ();
 extern bool_t xdr_hf_rpc_message ();
 
--- a/src/hf-rpc.x
+++ b/src/hf-rpc.x
@@ -28,7 +28,10 @@
   HF_RPC_CONFIG_CHUNK = 11,
   HF_RPC_DIRECTORY_UPDATE = 12,
   HF_RPC_DIRECTORY_PULL = 13,
-  HF_RPC_CONFIG_OFFER = 14
+  HF_RPC_CONFIG_OFFER = 14,
+  HF_RPC_QUOTA_REQUEST = 15,
+  HF_RPC_QUOTA_LEASE = 16,
+  HF_RPC_QUOTA_HANDOVER = 17
 };
 
 /* Position in the changes of the platform's store: number of its history, and revision in that history. */
@@ -221,6 +224,38 @@
   hf_rpc_store_position from;
 };
 
+/* Requests credits of an organisation from its owner and returns unused ones. The members are those of struct
+ * hf_quota_request. */
+struct hf_rpc_quota_request {
+  unsigned hyper organisation;
+  unsigned hyper sequence;
+  unsigned int needed;
+  unsigned int expected;
+  unsigned int returned;
+  unsigned hyper returned_sequence;
+};
+
+/* The owner's answer: credits that are valid for valid_ms after the request was first sent.
+ * retry_after_ms: when credit is expected, if not all that were needed are given.
+ * filling: the bucket began empty a moment ago; the requests may wait for it.
+ * moved_to: boot id of the entry that is the owner now, 0: the sender is. */
+struct hf_rpc_quota_lease {
+  unsigned hyper organisation;
+  unsigned hyper sequence;
+  unsigned int credits;
+  unsigned int valid_ms;
+  unsigned int retry_after_ms;
+  bool filling;
+  unsigned hyper moved_to;
+};
+
+/* A new owner of an organisation asks the former one for the bucket, or gets its level in thousandths of a credit. */
+struct hf_rpc_quota_handover {
+  unsigned hyper organisation;
+  bool has_level;
+  unsigned int level_permille;
+};
+
 union hf_rpc_body switch (hf_rpc_kind kind) {
 case HF_RPC_HEARTBEAT: hf_rpc_heartbeat heartbeat;
 case HF_RPC_ACQUIRE: hf_rpc_acquire acquire;
@@ -236,6 +271,9 @@
 case HF_RPC_DIRECTORY_UPDATE: hf_rpc_directory_update directory_update;
 case HF_RPC_DIRECTORY_PULL: hf_rpc_directory_pull directory_pull;
 case HF_RPC_CONFIG_OFFER: hf_rpc_config_offer config_offer;
+case HF_RPC_QUOTA_REQUEST: hf_rpc_quota_request quota_request;
+case HF_RPC_QUOTA_LEASE: hf_rpc_quota_lease quota_lease;
+case HF_RPC_QUOTA_HANDOVER: hf_rpc_quota_handover quota_handover;
 };
 
 /* Every message carries the boot id of its sender. */
--- a/src/hf-state.c
+++ b/src/hf-state.c
@@ -37,6 +37,14 @@
   [HF_COUNT_DATAGRAMS_INVALID] = "datagrams_invalid_total",
   [HF_COUNT_PEER_BYTES_SENT] = "peer_bytes_sent_total",
   [HF_COUNT_PEER_BYTES_RECEIVED] = "peer_bytes_received_total",
+  [HF_COUNT_QUOTA_REFUSED] = "quota_refused_total",
+  [HF_COUNT_QUOTA_REQUESTS] = "quota_requests_total",
+  [HF_COUNT_QUOTA_LEASES] = "quota_leases_total",
+  [HF_COUNT_QUOTA_CREDITS_GIVEN] = "quota_credits_given_total",
+  [HF_COUNT_QUOTA_CREDITS_REFUSED] = "quota_credits_refused_total",
+  [HF_COUNT_QUOTA_CREDITS_RETURNED] = "quota_credits_returned_total",
+  [HF_COUNT_QUOTA_RESERVE_USED] = "quota_reserve_used_total",
+  [HF_COUNT_QUOTA_FALLBACKS] = "quota_fallbacks_total",
 };
 
 /* --- public functions: helpers of the reducer's modules --- */
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -14,6 +14,7 @@
 #include "hf-log.h"
 #include "hf-objects.h"
 #include "hf-pool.h"
+#include "hf-quota.h"
 #include "hf-removed-servers.h"
 #include "hf-timers.h"
 
@@ -57,6 +58,14 @@
   HF_COUNT_DATAGRAMS_INVALID, /* peer datagrams that did not decode */
   HF_COUNT_PEER_BYTES_SENT,
   HF_COUNT_PEER_BYTES_RECEIVED,
+  HF_COUNT_QUOTA_REFUSED,          /* requests refused with 429 */
+  HF_COUNT_QUOTA_REQUESTS,         /* requests for credits sent to owners, resent ones not counted */
+  HF_COUNT_QUOTA_LEASES,           /* answers of this entry as owner */
+  HF_COUNT_QUOTA_CREDITS_GIVEN,    /* in these answers */
+  HF_COUNT_QUOTA_CREDITS_REFUSED,  /* needed and not given */
+  HF_COUNT_QUOTA_CREDITS_RETURNED, /* by entries that did not use them */
+  HF_COUNT_QUOTA_RESERVE_USED,     /* credits of the local reserve */
+  HF_COUNT_QUOTA_FALLBACKS,        /* owners that did not respond */
   HF_COUNTERS,
 };
 
@@ -81,6 +90,7 @@
   HF_TIMER_LAST_RESPONSES,   /* the process exits soon: whatever is open is answered */
   HF_TIMER_MEASURE_TICK,     /* measurements of backend servers */
   HF_TIMER_DIRECTORY_EXPIRE, /* delayed removals from the directory are due */
+  HF_TIMER_QUOTA,            /* id: organisation; credits are awaited, or unused ones have expired */
 };
 
 /* --- types: services --- */
@@ -157,6 +167,31 @@
   unsigned votes; /* majority vote: up for a caller with this deadline, down for any other */
 };
 
+/** enum hf_quota_phase - whether a call has a credit of its organisation */
+enum hf_quota_phase
+{
+  HF_QUOTA_UNLIMITED, /* it needs none */
+  HF_QUOTA_WAITING,   /* for the first credit; no attempt has begun */
+  HF_QUOTA_HELD,      /* not sent to a backend server yet */
+  HF_QUOTA_RENEWING,  /* has a slot, but its credit had expired; waits for another one */
+  HF_QUOTA_SPENT,     /* sent */
+};
+
+/**
+ * struct hf_call_quota - credit of a call
+ * @phase: whether it has one
+ * @credit: if held or spent
+ * @attempt: while renewing: the attempt that has a slot
+ * @server: while renewing: id of the backend server of the slot
+ */
+struct hf_call_quota
+{
+  enum hf_quota_phase phase;
+  struct hf_quota_credit credit;
+  unsigned attempt;
+  uint64_t server;
+};
+
 /** struct hf_call - one request of a caller while it is in progress */
 struct hf_call
 {
@@ -173,13 +208,15 @@
   int64_t soft_deadline;                      /* a response before then is worth most */
   size_t body_bytes;
   struct hf_str request_id;
-  uint64_t fingerprint;  /* hash for the quarantine */
-  bool body_streamed;    /* the body was too long to be kept; it cannot be sent twice */
-  bool response_relayed; /* a response is being relayed to the caller */
-  bool ignore_refusals;  /* an attempt is being ended; refused slots of others do not end the call */
-  bool may_have_run;     /* a backend server may have run it */
-  bool bytes_sent;       /* written to a backend connection; a streamed body cannot be sent again */
-  uint64_t claim;        /* sequence number of its idempotency claim; 0: none */
+  uint64_t fingerprint;          /* hash for the quarantine */
+  bool body_streamed;            /* the body was too long to be kept; it cannot be sent twice */
+  bool response_relayed;         /* a response is being relayed to the caller */
+  bool ignore_refusals;          /* an attempt is being ended; refused slots of others do not end the call */
+  bool may_have_run;             /* a backend server may have run it */
+  bool bytes_sent;               /* written to a backend connection; a streamed body cannot be sent again */
+  uint64_t claim;                /* sequence number of its idempotency claim; 0: none */
+  struct hf_str idempotency_key; /* until the claim begins; empty: none */
+  struct hf_call_quota quota;
   unsigned n_attempts;
   struct hf_attempt attempts[HF_ATTEMPTS_MAX];
   GSequenceIter *deadline_timer;
@@ -424,6 +461,12 @@
  * @watcher_until: when it last ceased to be one
  * @update_pending: the members changed since the roles were assigned
  * @granters: uint64_t, boot ids of the entries that grant slots
+ * @granters_changed_at: last change of @granters
+ * @granters_changed_before: the change before that one
+ * @granter_lost_at: when one of them was last lost that may still grant, as it was only silent; 0: never
+ * @reached: entries of the fleet that have started and with which there is contact, this one included
+ * @entries: entries of the fleet, this one included
+ * @majority_since: since when more than half of the fleet has been reached; 0: it is not
  */
 struct hf_roles
 {
@@ -435,6 +478,12 @@
   int64_t watcher_until;
   bool update_pending;
   GArray *granters;
+  int64_t granters_changed_at;
+  int64_t granters_changed_before;
+  int64_t granter_lost_at;
+  size_t reached;
+  size_t entries;
+  int64_t majority_since;
 };
 
 /**
@@ -530,7 +579,8 @@
   GHashTable *claims;            /* struct hf_claim by seq */
   uint64_t last_claim_seq;
   struct hf_claim_shard claim_shards[HF_CLAIM_SHARDS];
-  GHashTable *suspects; /* struct hf_suspect by fingerprint */
+  GHashTable *suspects;          /* struct hf_suspect by fingerprint */
+  struct hf_quota_leases *quota; /* NULL: limits of organisations are not enforced */
   struct hf_timers timers;
   uint64_t counters[HF_COUNTERS];
   struct hf_latency latency;
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -329,7 +329,10 @@
                                   .failure_domain = hf_str (entry->failure_domain),
                                   .peer_address = hf_str (entry->address),
                                   .cpu_share = cpu_share,
-                                  .store_address = hf_str ("10.9.0.1:1") };
+                                  .store_address = hf_str ("10.9.0.1:1"),
+                                  .quota_window_ms = FLEET_QUOTA_WINDOW_MS,
+                                  .quota_overshoot = FLEET_QUOTA_OVERSHOOT,
+                                  .quota_slack = FLEET_QUOTA_SLACK };
   entry->state = hf_state_new (&settings, boot_id);
   fleet_raise_event (entry, (struct hf_event){ .kind = HF_EVENT_START });
 }
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -18,6 +18,9 @@
 #define FLEET_SERVERS_MAX        400
 #define FLEET_STEP_MS            10
 #define FLEET_PROPAGATION_MAX_MS 2000 /* until every entry has applied a change */
+#define FLEET_QUOTA_WINDOW_MS    5000
+#define FLEET_QUOTA_OVERSHOOT    0.1
+#define FLEET_QUOTA_SLACK        20
 
 /* --- types --- */
 
--- /dev/null
+++ b/tests/test-quota-fleet.c
@@ -0,0 +1,439 @@
+/*
+ * Quotas in a simulated fleet: reducers that exchange messages, callers of two
+ * organisations at all entries, and backend servers that count what they run.
+ */
+#include "fleet.h"
+#include "hf-base.h"
+#include "hf-roles.h"
+
+/* --- constants --- */
+
+#define ENTRIES     24
+#define LARGE       2 /* entries of each failure domain with much processor time; those grant */
+#define DOMAINS     3
+#define SERVICE_MS  30 /* of each request */
+#define SMALL_RATE  10
+#define SMALL_BURST 10
+#define LARGE_RATE  150
+#define LARGE_BURST 150
+#define RUNS_MAX    32768
+#define DOCUMENT                                                                                                       \
+  "{version: 1, services: [{name: a, directory: true}],"                                                               \
+  " organisations: [{name: small, keys: [ks], rate_per_s: 10, burst: 10},"                                             \
+  " {name: large, keys: [kl], rate_per_s: 150, burst: 150}, {name: free, keys: [kf]}],"                                \
+  " routes: [{name: r, host: h, path_prefix: /, class: {name: c, deadline_ms: 4000, repeatable: true},"                \
+  " parts: [{service: a}]}]}"
+
+/* --- types --- */
+
+enum organisation
+{
+  SMALL,
+  LARGE_ONE,
+  FREE,
+  ORGANISATIONS,
+};
+
+struct run
+{
+  struct fleet_entry *entry;
+  uint64_t call;
+  unsigned attempt;
+  int64_t ends_at;
+};
+
+/* What became of the requests of one organisation. */
+struct tally
+{
+  int64_t run_at[RUNS_MAX]; /* in order of time */
+  unsigned n_run;
+  unsigned refused; /* 429 */
+  unsigned other;   /* errors of any other kind */
+  int64_t retry_after_min_ms;
+  int64_t refused_after_max_ms; /* from a request to its refusal */
+  int64_t refused_at;           /* the last one */
+};
+
+struct simulation
+{
+  struct fleet *fleet;
+  uint64_t random;
+  GArray *runs;    /* struct run */
+  GArray *sent_at; /* int64_t of each call */
+  GArray *owners;  /* unsigned, organisation of each call */
+  struct tally tallies[ORGANISATIONS];
+  bool servers_stall;
+};
+
+/* --- internal functions: servers --- */
+
+static void
+on_effect (void *context, struct fleet_entry *entry, const struct hf_effect *effect)
+{
+  struct simulation *simulation = context;
+  struct fleet *fleet = simulation->fleet;
+  if (effect->kind != HF_EFFECT_DISPATCH && effect->kind != HF_EFFECT_SEND_ERROR)
+    return;
+  struct tally *tally = &simulation->tallies[g_array_index (simulation->owners, unsigned, effect->call - 1)];
+  int64_t sent_at = g_array_index (simulation->sent_at, int64_t, effect->call - 1);
+  if (effect->kind == HF_EFFECT_DISPATCH)
+    {
+      struct run run = { entry, effect->call, effect->attempt, fleet->now + SERVICE_MS * HF_MS };
+      g_array_append_val (simulation->runs, run);
+      g_assert_cmpuint (tally->n_run, <, RUNS_MAX);
+      tally->run_at[tally->n_run++] = fleet->now;
+    }
+  else if (effect->status == 429)
+    {
+      g_assert_cmpint (effect->outcome, ==, HF_OUTCOME_NOT_RUN);
+      g_assert_cmpint (effect->retry_after_ms, >, 0);
+      tally->refused++;
+      tally->refused_at = fleet->now;
+      tally->refused_after_max_ms = MAX (tally->refused_after_max_ms, (fleet->now - sent_at) / HF_MS);
+    }
+  else
+    tally->other++;
+}
+
+static void
+end_runs (struct simulation *simulation)
+{
+  for (guint i = 0; i < simulation->runs->len && !simulation->servers_stall;)
+    {
+      struct run run = g_array_index (simulation->runs, struct run, i);
+      if (run.ends_at > simulation->fleet->now)
+        {
+          i++;
+          continue;
+        }
+      g_array_remove_index_fast (simulation->runs, i);
+      fleet_raise_event (run.entry, (struct hf_event){ .kind = HF_EVENT_ATTEMPT_END,
+                                                       .call = run.call,
+                                                       .attempt = run.attempt,
+                                                       .result = HF_ATTEMPT_ANSWERED,
+                                                       .bytes_sent = true,
+                                                       .hints = { .status = 200, .load = -1, .retry_after_ms = -1 } });
+    }
+}
+
+/* --- internal functions: callers --- */
+
+static void
+send_request (struct simulation *simulation, enum organisation organisation)
+{
+  static const char *const keys[] = { "ks", "kl", "kf" };
+  struct fleet *fleet = simulation->fleet;
+  unsigned index = (unsigned) (hf_random_next (&simulation->random) % fleet->entry_count);
+  struct fleet_entry *entry = &fleet->entries[index];
+  unsigned owner = organisation;
+  g_array_append_val (simulation->sent_at, fleet->now);
+  g_array_append_val (simulation->owners, owner);
+  if (entry->is_paused)
+    return;
+  fleet_raise_event (entry, (struct hf_event){ .kind = HF_EVENT_REQUEST,
+                                               .call = simulation->sent_at->len,
+                                               .request = { .method = hf_str ("GET"),
+                                                            .host = hf_str ("h"),
+                                                            .path = hf_str ("/"),
+                                                            .organisation_key = hf_str (keys[organisation]),
+                                                            .credential = HF_CREDENTIAL_KEY,
+                                                            .arrived_at = fleet->now } });
+}
+
+/* Requests arrive at random times; @rates: a second, of each organisation. */
+static void
+run_load (struct simulation *simulation, int64_t ms, const double rates[ORGANISATIONS])
+{
+  for (int64_t end = simulation->fleet->now + ms * HF_MS; simulation->fleet->now < end;)
+    {
+      for (unsigned i = 0; i < ORGANISATIONS; i++)
+        {
+          double expected = rates[i] * FLEET_STEP_MS / 1000;
+          double p = expected / (1 + expected);
+          while ((double) (hf_random_next (&simulation->random) >> 11) / (double) (1ULL << 53) < p)
+            send_request (simulation, i);
+        }
+      fleet_advance (simulation->fleet, FLEET_STEP_MS);
+      end_runs (simulation);
+    }
+}
+
+/* --- internal functions: open, close and check --- */
+
+static void
+write_document (struct fleet *fleet)
+{
+  struct hf_error error = { 0 };
+  struct hf_document *document = hf_document_load (hf_str (DOCUMENT), &error);
+  if (!document)
+    g_error ("%s", error.message);
+  hf_str_free (&fleet->encoded_document);
+  fleet->encoded_document = hf_document_encode (document);
+  fleet->generation++;
+  hf_document_unref (document);
+}
+
+static struct simulation *
+open_simulation (unsigned entries)
+{
+  struct simulation *simulation = g_new0 (struct simulation, 1);
+  simulation->random = 7;
+  simulation->runs = g_array_new (FALSE, FALSE, sizeof (struct run));
+  simulation->sent_at = g_array_new (FALSE, FALSE, sizeof (int64_t));
+  simulation->owners = g_array_new (FALSE, FALSE, sizeof (unsigned));
+  simulation->fleet = fleet_open (entries, DOMAINS, LARGE);
+  simulation->fleet->on_effect = on_effect;
+  simulation->fleet->context = simulation;
+  write_document (simulation->fleet);
+  fleet_advance (simulation->fleet, FLEET_PROPAGATION_MAX_MS);
+  return simulation;
+}
+
+static void
+close_simulation (struct simulation *simulation)
+{
+  fleet_close (simulation->fleet);
+  g_array_unref (simulation->runs);
+  g_array_unref (simulation->sent_at);
+  g_array_unref (simulation->owners);
+  g_free (simulation);
+}
+
+static unsigned
+most_in_window (const struct tally *tally)
+{
+  unsigned most = 0;
+  unsigned begin = 0;
+  for (unsigned i = 0; i < tally->n_run; i++)
+    {
+      while (tally->run_at[begin] <= tally->run_at[i] - FLEET_QUOTA_WINDOW_MS * HF_MS)
+        begin++;
+      most = MAX (most, i - begin + 1);
+    }
+  return most;
+}
+
+static void
+check_windows (const struct simulation *simulation)
+{
+  static const double rates[] = { SMALL_RATE, LARGE_RATE };
+  static const double bursts[] = { SMALL_BURST, LARGE_BURST };
+  for (unsigned i = 0; i < G_N_ELEMENTS (rates); i++)
+    {
+      double max
+          = (rates[i] * FLEET_QUOTA_WINDOW_MS / 1000 + bursts[i]) * (1 + FLEET_QUOTA_OVERSHOOT) + FLEET_QUOTA_SLACK;
+      const struct tally *tally = &simulation->tallies[i];
+      g_test_message ("organisation %u: %u run, at most %u of %.0f in a window, %u refused, %u other errors, refused "
+                      "after at most %d ms",
+                      i, tally->n_run, most_in_window (tally), max, tally->refused, tally->other,
+                      (int) tally->refused_after_max_ms);
+      g_assert_cmpfloat (most_in_window (tally), <=, max);
+    }
+}
+
+static uint64_t
+count (const struct simulation *simulation, enum hf_counter counter)
+{
+  uint64_t n = 0;
+  for (unsigned i = 0; i < simulation->fleet->entry_count; i++)
+    n += simulation->fleet->entries[i].state->counters[counter];
+  return n;
+}
+
+/* The entry that owns an organisation, as entry 0 knows it. */
+static struct fleet_entry *
+find_owner (const struct simulation *simulation, const char *name)
+{
+  uint64_t owner = hf_roles_granter (simulation->fleet->entries[0].state, hf_hash (hf_str (name), 0));
+  for (unsigned i = 0; i < simulation->fleet->entry_count; i++)
+    if (simulation->fleet->entries[i].state->boot_id == owner)
+      return &simulation->fleet->entries[i];
+  g_assert_not_reached ();
+}
+
+/* --- tests --- */
+
+/* Below their limits organisations are not refused, with at most about one request for credits per request, and one
+ * without a limit causes none: guards against credits that are left over at entries, and against messages without use.
+ */
+static void
+test_calm (void)
+{
+  struct simulation *simulation = open_simulation (ENTRIES);
+  run_load (simulation, 20000, (double[]){ 5, 100, 50 });
+  check_windows (simulation);
+  for (unsigned i = 0; i < ORGANISATIONS; i++)
+    g_assert_cmpuint (simulation->tallies[i].refused + simulation->tallies[i].other, ==, 0);
+  unsigned limited = simulation->tallies[SMALL].n_run + simulation->tallies[LARGE_ONE].n_run;
+  g_test_message ("%d requests for credits, %u requests of limited organisations",
+                  (int) count (simulation, HF_COUNT_QUOTA_REQUESTS), limited);
+  g_assert_cmpuint (count (simulation, HF_COUNT_QUOTA_REQUESTS), <=, limited + limited / 10);
+  close_simulation (simulation);
+}
+
+/* Beyond the limit requests are refused at once, the limit itself is used, and other organisations do not suffer. */
+static void
+test_beyond (void)
+{
+  struct simulation *simulation = open_simulation (ENTRIES);
+  run_load (simulation, 20000, (double[]){ 5, 400, 50 });
+  check_windows (simulation);
+  g_assert_cmpuint (simulation->tallies[SMALL].refused, ==, 0);
+  g_assert_cmpuint (simulation->tallies[FREE].refused, ==, 0);
+  g_assert_cmpuint (simulation->tallies[LARGE_ONE].n_run, >, 20 * LARGE_RATE);
+  g_assert_cmpint (simulation->tallies[LARGE_ONE].refused_after_max_ms, <=, 100);
+  close_simulation (simulation);
+}
+
+/* An owner is killed and comes back as a new process some seconds later, twice: each time another entry may take over.
+ * The rule holds, and the organisation gets its limit again. */
+static void
+test_owner_killed (void)
+{
+  static const double rates[] = { 5, 250, 0 };
+  struct simulation *simulation = open_simulation (ENTRIES);
+  struct tally *tally = &simulation->tallies[LARGE_ONE];
+  run_load (simulation, 8000, rates);
+  for (uint64_t i = 0; i < 2; i++)
+    {
+      struct fleet_entry *owner = find_owner (simulation, "large");
+      owner->is_disconnected = true;
+      owner->is_paused = true;
+      run_load (simulation, 2500, rates);
+      owner->is_disconnected = false;
+      owner->is_paused = false;
+      fleet_restart (simulation->fleet, (unsigned) (owner - simulation->fleet->entries), 1000 + i);
+      fleet_report_full_list (owner);
+      fleet_report_entries (owner);
+      run_load (simulation, 1500, rates);
+    }
+  run_load (simulation, 10000, rates);
+  check_windows (simulation);
+  unsigned before = tally->n_run;
+  run_load (simulation, 5000, rates);
+  g_assert_cmpuint (tally->n_run - before, >, 4 * LARGE_RATE);
+  close_simulation (simulation);
+}
+
+/* A restarted entry becomes the owner while the former one lives: no moment with two full buckets, and an organisation
+ * below its limit is not refused. */
+static void
+test_owner_joins (void)
+{
+  static const double rates[] = { 5, 100, 0 };
+  struct simulation *simulation = open_simulation (ENTRIES);
+  run_load (simulation, 3000, rates);
+  for (uint64_t i = 0; i < 12; i++)
+    {
+      unsigned other = (unsigned) (i % (DOMAINS * LARGE));
+      struct fleet_entry *entry = &simulation->fleet->entries[other];
+      if (entry == find_owner (simulation, "large") || entry == find_owner (simulation, "small"))
+        continue;
+      fleet_restart (simulation->fleet, other, 2000 + i);
+      fleet_report_full_list (entry);
+      fleet_report_entries (entry);
+      run_load (simulation, 1000, rates);
+    }
+  check_windows (simulation);
+  g_assert_cmpuint (simulation->tallies[SMALL].refused, ==, 0);
+  g_assert_cmpuint (simulation->tallies[LARGE_ONE].refused, ==, 0);
+  close_simulation (simulation);
+}
+
+/* One failure domain loses its links: both sides together keep the rule, and the larger one gets nearly the limit. */
+static void
+test_split (void)
+{
+  static const double rates[] = { 30, 400, 0 };
+  struct simulation *simulation = open_simulation (ENTRIES);
+  struct fleet *fleet = simulation->fleet;
+  run_load (simulation, 8000, rates);
+  for (unsigned i = 0; i < fleet->entry_count; i += DOMAINS)
+    fleet->entries[i].is_disconnected = true;
+  run_load (simulation, 12000, rates);
+  unsigned before = simulation->tallies[LARGE_ONE].n_run;
+  run_load (simulation, 5000, rates);
+  g_assert_cmpuint (simulation->tallies[LARGE_ONE].n_run - before, >, 4 * LARGE_RATE);
+  for (unsigned i = 0; i < fleet->entry_count; i += DOMAINS)
+    fleet->entries[i].is_disconnected = false;
+  run_load (simulation, 12000, rates);
+  check_windows (simulation);
+  close_simulation (simulation);
+}
+
+/* Servers do not respond for two seconds, then all of them do: requests that waited longer than their credit is valid
+ * take another one. Guards against a window in which the waiting requests come on top of the limit. */
+static void
+test_stall (void)
+{
+  static const double rates[] = { 5, 400, 0 };
+  struct simulation *simulation = open_simulation (ENTRIES);
+  run_load (simulation, 8000, rates);
+  for (unsigned i = 0; i < 3; i++)
+    {
+      simulation->servers_stall = true;
+      run_load (simulation, 2000, rates);
+      simulation->servers_stall = false;
+      run_load (simulation, 3000, rates);
+    }
+  check_windows (simulation);
+  g_assert_cmpuint (simulation->tallies[LARGE_ONE].n_run, >, 17 * LARGE_RATE);
+  close_simulation (simulation);
+}
+
+/* Every second datagram of some is lost: no request waits longer than for one owner and the next. */
+static void
+test_loss (void)
+{
+  static const double rates[] = { 5, 100, 0 };
+  struct simulation *simulation = open_simulation (ENTRIES);
+  simulation->fleet->loss_interval = 10;
+  run_load (simulation, 10000, rates);
+  check_windows (simulation);
+  g_assert_cmpuint (simulation->tallies[SMALL].refused, ==, 0);
+  g_assert_cmpuint (simulation->tallies[LARGE_ONE].refused, ==, 0);
+  close_simulation (simulation);
+}
+
+/* All processes are killed at once and start again: the buckets begin empty, and requests wait for them instead of
+ * being refused. */
+static void
+test_all_killed (void)
+{
+  static const double rates[] = { 5, 100, 0 };
+  struct simulation *simulation = open_simulation (ENTRIES);
+  struct fleet *fleet = simulation->fleet;
+  run_load (simulation, 5000, rates);
+  for (unsigned i = 0; i < fleet->entry_count; i++)
+    fleet_restart (fleet, i, 3000 + i);
+  g_array_set_size (simulation->runs, 0);
+  for (unsigned i = 0; i < fleet->entry_count; i++)
+    {
+      fleet_report_full_list (&fleet->entries[i]);
+      fleet_report_entries (&fleet->entries[i]);
+    }
+  fleet_advance (fleet, 300);
+  unsigned before[] = { simulation->tallies[SMALL].other, simulation->tallies[LARGE_ONE].other };
+  run_load (simulation, 5000, rates);
+  check_windows (simulation);
+  g_test_message ("errors other than 429 after the start: %u", simulation->tallies[LARGE_ONE].other - before[1]);
+  g_assert_cmpuint (simulation->tallies[SMALL].refused, ==, 0);
+  g_assert_cmpuint (simulation->tallies[LARGE_ONE].refused, ==, 0);
+  close_simulation (simulation);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_set_nonfatal_assertions ();
+  g_test_add_func ("/quota-fleet/calm", test_calm);
+  g_test_add_func ("/quota-fleet/beyond", test_beyond);
+  g_test_add_func ("/quota-fleet/owner-killed", test_owner_killed);
+  g_test_add_func ("/quota-fleet/owner-joins", test_owner_joins);
+  g_test_add_func ("/quota-fleet/split", test_split);
+  g_test_add_func ("/quota-fleet/stall", test_stall);
+  g_test_add_func ("/quota-fleet/loss", test_loss);
+  g_test_add_func ("/quota-fleet/all-killed", test_all_killed);
+  return g_test_run ();
+}
--- a/tests/test-quota.c
+++ b/tests/test-quota.c
@@ -348,7 +348,9 @@
         hf_quota_book_receive_handover (to->book, ORGANISATION, message.level, fleet->now);
       else
         {
-          double level = hf_quota_book_hand_over (to->book, ORGANISATION, message.from + 1, fleet->now);
+          struct hf_quota_limit limit = hf_quota_limit_full (&rule, fleet->rate, fleet->burst);
+          double level = hf_quota_book_hand_over (to->book, ORGANISATION, limit, first_level (fleet, to),
+                                                  message.from + 1, fleet->now);
           send_message (fleet, (struct message){
                                    .kind = LEVEL, .from = message.to, .to = message.from, .level = MAX (level, 0) });
         }
