Buckets of limited organisations pass from owner to owner

In test-quota-fleet a leaving owner took the bucket of its organisations with it, so that callers below the limit were refused; with two changes within three seconds, a bucket came back that had been filling at a former owner, and 1,061 requests ran in a window that allows 1,010.

An entry now remembers the last sets of granters, with times: from them it tells since when it is the owner, who was it before, and whether it was it itself. The former owner is asked for the bucket if it is alive; one that leaves gives credits until it is asked. An entry that was not the owner hands over an empty bucket, also when it is asked twice. Entries remember by boot id, not by rank, who does not respond. An organisation that the owner's document does not limit gets what it needs; one that it does not know waits for the document.

Tests: owners that leave, below and beyond the limit, and a fleet of 127 with a split.

--- a/src/config.h
+++ b/src/config.h
@@ -165,7 +165,8 @@
 #define HF_QUOTA_HANDOVER_MS 30   /* a new owner waits so long for the bucket of the former one */
 #define HF_QUOTA_MOVED_MS    3000 /* until all entries know the new owner: two rounds of heartbeats of a large fleet */
 
-#define HF_QUOTA_RESEND_MS        5 /* before an unanswered request for credits is sent again; doubles each time */
+#define HF_QUOTA_CREDITS_MAX      10000 /* in one request of an entry */
+#define HF_QUOTA_RESEND_MS        5     /* before an unanswered request for credits is sent again; doubles each time */
 #define HF_QUOTA_RESEND_DOUBLINGS 2
 #define HF_QUOTA_START_MS         3000  /* after its start an owner may not know most others: requests wait for it */
 #define HF_QUOTA_FILLING_MS       1000  /* requests wait for a bucket that began empty so lately */
@@ -188,6 +189,7 @@
 #define HF_COORDINATORS_MIN        2   /* in each failure domain */
 #define HF_WATCHERS_PER_DOMAIN     2   /* entries that watch the platform's directory for the others */
 #define HF_SHORT_WATCHERS          2   /* of the fleet's watchers: so many notice soon that their watches are lost */
+#define HF_GRANTERS_HISTORY_MAX    8   /* former sets of granters that are known, to tell who was one before */
 #define HF_GRANTER_CPU_SHARE_MIN   0.5 /* of the coordinators' largest CPU share; entries with less grant no slots */
 
 /* Directory sync between entries. One entry at a time sends the full directory. */
--- a/src/hf-quota-leases.c
+++ b/src/hf-quota-leases.c
@@ -10,10 +10,18 @@
 /* --- constants --- */
 
 #define PERMILLE     1000
+#define SILENT_MAX   3 /* entries of an organisation that do not respond: owner, former owner and second granter */
 #define IDLE_WINDOWS 2 /* an account without requests for so many windows is dropped */
 
 /* --- types --- */
 
+/* An entry that did not respond is not asked again for a time. */
+struct silent_entry
+{
+  uint64_t boot_id;
+  int64_t until;
+};
+
 /* Credits of one organisation at this entry, and the calls that wait for them. */
 struct account
 {
@@ -21,10 +29,10 @@
   struct hf_quota_account credits;
   GQueue waiting; /* ids of calls, as pointers to the members of the calls */
   GSequenceIter *timer;
-  unsigned sends;            /* of the request that has no answer yet */
-  int64_t ask_at;            /* waits for a bucket that is filling until then */
-  int64_t bypassed_until[2]; /* by rank: the granter did not respond */
-  uint64_t moved_to;         /* boot id of an owner that is not yet the first granter here */
+  unsigned sends; /* of the request that has no answer yet */
+  int64_t ask_at; /* waits for a bucket that is filling until then */
+  struct silent_entry silent[SILENT_MAX];
+  uint64_t moved_to; /* boot id of an owner that is not yet the first granter here */
   int64_t moved_until;
   unsigned reserve_used;
   int64_t reserve_used_at;
@@ -95,17 +103,20 @@
 
 /* --- internal functions: owner --- */
 
-/* When the bucket of a new owner began to fill. A former owner that was lost may have given credits until it noticed
- * that it reaches too few entries. */
+/* When the bucket of an owner that is new began to fill. A former owner that was lost may have given credits until it
+ * noticed that it reaches too few entries. */
 static int64_t
-owned_since (const struct hf_state *state)
+owned_since (const struct hf_state *state, uint64_t organisation)
 {
   const struct hf_roles *roles = &state->roles;
   int64_t settle_ms = HF_HEARTBEAT_MS * (hf_members_heartbeat_rounds (state) + 1);
-  int64_t since = MAX (roles->granters_changed_at, roles->majority_since);
-  if (roles->granter_lost_at > 0)
-    since = MAX (since, roles->granter_lost_at + settle_ms * HF_MS);
-  return since;
+  int64_t since = state->now;
+  int64_t until = 0;
+  if (!hf_roles_last_granted (state, organisation, &since, &until) || until > 0)
+    return state->now;
+  if (roles->granter_lost_at >= since)
+    since = roles->granter_lost_at + settle_ms * HF_MS;
+  return MAX (since, roles->majority_since);
 }
 
 static double
@@ -114,16 +125,37 @@
   return organisation->rate_per_s * (double) (state->now - since) / HF_SEC;
 }
 
+/* Level of a bucket that this entry had as owner without any request for it; 0: it was not the owner just now. */
+static double
+unused_level (const struct hf_state *state, const struct hf_organisation *organisation)
+{
+  const struct hf_roles *roles = &state->roles;
+  int64_t since = 0;
+  int64_t until = 0;
+  bool was_owner = hf_roles_last_granted (state, hf_organisation_id (organisation), &since, &until);
+  if (!was_owner || (until > 0 && state->now - until >= HF_QUOTA_MOVED_MS * HF_MS) || roles->majority_since == 0)
+    return 0;
+  if (until == 0)
+    return level_since (state, organisation, owned_since (state, hf_organisation_id (organisation)));
+  return level_since (state, organisation, MAX (since, roles->majority_since));
+}
+
 static bool
-is_first_granter (const void *context, uint64_t organisation)
+may_be_owner (const void *context, uint64_t organisation)
 {
-  return hf_members_is_owner (context, organisation);
+  const struct hf_state *state = context;
+  return state->roles.majority_since > 0 && hf_members_is_owner (state, organisation);
 }
 
-/* 0: owner, 1: second, 2: neither. */
+/* 0: owner, 1: second, 2: neither. An owner that leaves remains it until another one asks for the bucket. */
 static size_t
-own_rank (const struct hf_state *state, const uint64_t ranked[2])
+own_rank (const struct hf_state *state, uint64_t organisation, const uint64_t ranked[2])
 {
+  int64_t since = 0;
+  int64_t until = 0;
+  if (state->leaving && hf_roles_last_granted (state, organisation, &since, &until)
+      && state->now - until < HF_QUOTA_MOVED_MS * HF_MS)
+    return 0;
   return ranked[0] == state->boot_id ? 0 : ranked[1] == state->boot_id ? 1 : 2;
 }
 
@@ -139,18 +171,41 @@
   hf_state_send_to_member (state, to, message);
 }
 
-/* An owner that came lately may have to wait for the bucket of the former one, which is the second granter now. */
+/* The entry that may have the bucket of an owner that is new since a time: the former owner if that is alive, which may
+ * be leaving. An owner that has just joined does not know it: it is the second granter now. */
+static uint64_t
+find_former_owner (const struct hf_state *state, uint64_t organisation, const uint64_t ranked[2], int64_t since)
+{
+  uint64_t former = hf_roles_granter_before (state, organisation, since);
+  const struct hf_member *member = hf_state_find_member (state, former);
+  return member && member->alive ? former : ranked[1];
+}
+
+/* An owner that came lately may have to wait for the bucket of the former one. */
 static bool
 awaits_handover (struct hf_state *state, uint64_t id, const uint64_t ranked[2], const struct hf_quota_limit *limit)
 {
-  bool is_new = state->now - state->roles.granters_changed_at < HF_QUOTA_MOVED_MS * HF_MS;
-  if (limit->partial || !is_new || ranked[1] == 0
-      || !hf_quota_book_awaits_handover (state->quota->book, id, *limit, state->now))
+  int64_t since = 0;
+  int64_t until = 0;
+  if (limit->partial || !hf_roles_last_granted (state, id, &since, &until)
+      || state->now - since >= HF_QUOTA_MOVED_MS * HF_MS)
+    return false;
+  uint64_t former = find_former_owner (state, id, ranked, since);
+  if (former == 0 || !hf_quota_book_awaits_handover (state->quota->book, id, *limit, state->now))
     return false;
-  send_handover (state, ranked[1], id, false, 0);
+  send_handover (state, former, id, false, 0);
   return true;
 }
 
+static uint64_t
+moved_to (const struct hf_state *state, uint64_t organisation)
+{
+  int64_t since = 0;
+  int64_t until = 0;
+  hf_roles_last_granted (state, organisation, &since, &until);
+  return hf_quota_book_moved_to (state->quota->book, organisation, since, state->now);
+}
+
 /* An entry that has just started may not have heard yet which others have started, too. */
 static bool
 has_just_started (const struct hf_state *state)
@@ -168,6 +223,20 @@
     state->counters[HF_COUNT_QUOTA_CREDITS_REFUSED] += request->needed - answer->credits;
 }
 
+/* The document here may be older or newer than that of the holder: an organisation without a limit gets what it needs;
+ * requests of one that is not known yet wait for the document. */
+static void
+answer_without_limit (const struct hf_state *state,
+                      const struct hf_quota_request *request,
+                      struct hf_rpc_quota_lease *lease)
+{
+  lease->filling = true;
+  lease->retry_after_ms = HF_QUOTA_WAIT_MAX_MS;
+  for (size_t i = 0; state->document && i < state->document->organisations.n; i++)
+    if (hf_organisation_id (hf_document_get_organisation (state->document, i)) == request->organisation)
+      lease->credits = request->needed;
+}
+
 /* Answers a request as owner, or as the second granter. False: there is nothing to say, the holder asks again. */
 static bool
 answer_request (struct hf_state *state, const struct hf_quota_request *request, struct hf_rpc_quota_lease *lease)
@@ -182,11 +251,16 @@
     .sequence = request->sequence,
     .valid_ms = (unsigned) (hf_quota_lease_us (&leases->rule) / HF_MS),
   };
-  if (!organisation || state->starting || state->leaving)
+  if (state->starting)
     return false;
+  if (!organisation)
+    {
+      answer_without_limit (state, request, lease);
+      return true;
+    }
   hf_roles_rank_granters (state, request->organisation, ranked);
-  size_t rank = own_rank (state, ranked);
-  lease->moved_to = rank == 0 ? hf_quota_book_moved_to (leases->book, request->organisation, state->now) : 0;
+  size_t rank = own_rank (state, request->organisation, ranked);
+  lease->moved_to = rank == 1 ? 0 : moved_to (state, request->organisation);
   if (lease->moved_to)
     return true;
   if (!hf_quota_limit_by_rank (&leases->rule, organisation->rate_per_s, organisation->burst, rank, state->roles.reached,
@@ -196,7 +270,7 @@
   lease->filling = limit.partial && rank == 0 && has_just_started (state);
   if (lease->filling)
     return true;
-  double level = level_since (state, organisation, owned_since (state));
+  double level = unused_level (state, organisation);
   if (!hf_quota_book_answer (leases->book, request, limit, level, state->roles.entries, state->now, &answer))
     return false;
   count_answer (state, request, &answer);
@@ -291,16 +365,35 @@
     }
 }
 
+static bool
+is_silent (const struct hf_state *state, const struct account *account, uint64_t boot_id)
+{
+  for (unsigned i = 0; i < SILENT_MAX; i++)
+    if (account->silent[i].boot_id == boot_id && account->silent[i].until > state->now)
+      return true;
+  return false;
+}
+
+static void
+mark_silent (const struct hf_state *state, struct account *account, uint64_t boot_id)
+{
+  struct silent_entry *oldest = &account->silent[0];
+  for (unsigned i = 1; i < SILENT_MAX; i++)
+    if (account->silent[i].until < oldest->until)
+      oldest = &account->silent[i];
+  *oldest = (struct silent_entry){ boot_id, state->now + HF_GRANTER_BYPASS_MS * HF_MS };
+}
+
 /* Who is asked for credits; 0: nobody responds. */
 static uint64_t
 choose_owner (const struct hf_state *state, const struct account *account)
 {
   uint64_t ranked[2];
-  if (account->moved_until > state->now)
+  if (account->moved_until > state->now && !is_silent (state, account, account->moved_to))
     return account->moved_to;
   hf_roles_rank_granters (state, account->id, ranked);
   for (unsigned rank = 0; rank < G_N_ELEMENTS (ranked); rank++)
-    if (ranked[rank] && account->bypassed_until[rank] <= state->now)
+    if (ranked[rank] && !is_silent (state, account, ranked[rank]))
       return ranked[rank];
   return 0;
 }
@@ -318,7 +411,7 @@
   struct hf_quota_credit credit;
   if (has_just_started (state))
     {
-      memset (account->bypassed_until, 0, sizeof account->bypassed_until);
+      memset (account->silent, 0, sizeof account->silent);
       wait_for_bucket (state, account, HF_QUOTA_WAIT_MAX_MS);
       return;
     }
@@ -378,14 +471,9 @@
 static void
 give_up_request (struct hf_state *state, struct account *account)
 {
-  uint64_t ranked[2];
   uint64_t owner = account->credits.owner;
-  hf_roles_rank_granters (state, account->id, ranked);
   account->credits.request.sequence = 0;
-  account->moved_until = 0;
-  for (unsigned rank = 0; rank < G_N_ELEMENTS (ranked); rank++)
-    if (ranked[rank] == owner)
-      account->bypassed_until[rank] = state->now + HF_GRANTER_BYPASS_MS * HF_MS;
+  mark_silent (state, account, owner);
   if (account->credits.request.needed == 0)
     return;
   hf_state_increment (state, HF_COUNT_QUOTA_FALLBACKS);
@@ -394,6 +482,20 @@
                 HF_STR_ARG (member ? member->name : hf_str ("-")));
 }
 
+/* The owner that was asked has handed the bucket over to another one. */
+static void
+follow_owner (struct hf_state *state, struct account *account, uint64_t from, uint64_t owner)
+{
+  bool is_known = owner == state->boot_id || hf_state_find_member (state, owner);
+  if (!is_known || is_silent (state, account, owner))
+    {
+      mark_silent (state, account, from);
+      return;
+    }
+  account->moved_to = owner;
+  account->moved_until = state->now + HF_QUOTA_MOVED_MS * HF_MS;
+}
+
 static void
 receive_lease (struct hf_state *state, uint64_t from, const struct hf_rpc_quota_lease *lease)
 {
@@ -402,15 +504,12 @@
     return;
   unsigned needed = account->credits.request.needed;
   if (!hf_quota_account_receive (&account->credits, from, lease->sequence, lease->credits,
-                                 (int64_t) lease->valid_ms * HF_MS))
+                                 MIN (lease->valid_ms * HF_MS, hf_quota_lease_us (&state->quota->rule))))
     return;
   serve_waiting (state, account);
-  if (lease->moved_to && (lease->moved_to == state->boot_id || hf_state_find_member (state, lease->moved_to)))
-    {
-      account->moved_to = lease->moved_to;
-      account->moved_until = state->now + HF_QUOTA_MOVED_MS * HF_MS;
-    }
-  else if (lease->moved_to || (lease->credits < needed && lease->filling))
+  if (lease->moved_to)
+    follow_owner (state, account, from, lease->moved_to);
+  else if (lease->credits < needed && lease->filling)
     wait_for_bucket (state, account, lease->retry_after_ms);
   else if (lease->credits < needed)
     refuse_waiting (state, account, needed - lease->credits, lease->retry_after_ms);
@@ -550,9 +649,9 @@
     .organisation = request->organisation,
     .holder = from,
     .sequence = request->sequence,
-    .needed = request->needed,
-    .expected = request->expected,
-    .returned = request->returned,
+    .needed = MIN (request->needed, HF_QUOTA_CREDITS_MAX),
+    .expected = MIN (request->expected, HF_QUOTA_CREDITS_MAX),
+    .returned = MIN (request->returned, HF_QUOTA_CREDITS_MAX),
     .returned_sequence = request->returned_sequence,
   };
   if (answer_request (state, &asked, &message.body.hf_rpc_body_u.quota_lease))
@@ -565,7 +664,6 @@
   struct hf_quota_leases *leases = state->quota;
   uint64_t id = handover->organisation;
   const struct hf_organisation *organisation = state->document ? find_limited (state, id) : NULL;
-  const struct hf_roles *roles = &state->roles;
   if (handover->has_level)
     {
       hf_quota_book_receive_handover (leases->book, id, (double) handover->level_permille / PERMILLE, state->now);
@@ -573,14 +671,9 @@
     }
   if (!organisation)
     return;
-  /* The sender may have come with the last change of the granters. */
-  bool is_new = state->now - roles->granters_changed_at < HF_QUOTA_MOVED_MS * HF_MS;
-  bool is_lost = roles->granter_lost_at > 0 && roles->granter_lost_at >= roles->granters_changed_before;
-  int64_t since
-      = is_new && !is_lost ? MAX (roles->granters_changed_before, roles->majority_since) : owned_since (state);
   struct hf_quota_limit limit = hf_quota_limit_full (&leases->rule, organisation->rate_per_s, organisation->burst);
   double level
-      = hf_quota_book_hand_over (leases->book, id, limit, level_since (state, organisation, since), from, state->now);
+      = hf_quota_book_hand_over (leases->book, id, limit, unused_level (state, organisation), from, state->now);
   send_handover (state, from, id, true, level);
 }
 
@@ -620,8 +713,9 @@
 void
 hf_quota_leases_update_owners (struct hf_state *state)
 {
-  if (state->quota && state->roles.granters_changed_at == state->now)
-    hf_quota_book_disown (state->quota->book, state->now, is_first_granter, state);
+  bool changed = state->roles.granters_changed_at == state->now || state->roles.majority_changed_at == state->now;
+  if (state->quota && changed && !state->leaving)
+    hf_quota_book_disown (state->quota->book, state->now, may_be_owner, state);
 }
 
 void
--- a/src/hf-quota.c
+++ b/src/hf-quota.c
@@ -240,7 +240,8 @@
   answer.credits = MIN (request->needed, available);
   answer.is_filling = organisation->began_at > 0 && now - organisation->began_at < HF_QUOTA_FILLING_MS * HF_MS;
   if (answer.credits < request->needed)
-    answer.retry_after_us = hf_quota_bucket_forecast (bucket, now, request->needed - answer.credits);
+    answer.retry_after_us
+        = hf_quota_bucket_forecast (bucket, now, answer.is_filling ? 0 : request->needed - answer.credits);
   else
     answer.credits += give_expected (request->expected, available - answer.credits, bucket->limit.capacity, entries);
   if (answer.credits == 0)
@@ -540,17 +541,21 @@
   bool was_moved = organisation->moved_to == owner && now - organisation->moved_at < HF_QUOTA_MOVED_MS * HF_MS;
   bool was_owner = organisation->is_owned || now - organisation->disowned_at < HF_QUOTA_MOVED_MS * HF_MS;
   fill (&organisation->bucket, was_moved ? organisation->moved_at : now);
+  if (!was_owner && !was_moved)
+    organisation->bucket.level = 0;
   organisation->is_owned = false;
   organisation->moved_to = owner;
   organisation->moved_at = now;
-  return was_owner || was_moved ? MAX (organisation->bucket.level, 0) : 0;
+  return MAX (organisation->bucket.level, 0);
 }
 
 uint64_t
-hf_quota_book_moved_to (const struct hf_quota_book *book, uint64_t id, int64_t now)
+hf_quota_book_moved_to (const struct hf_quota_book *book, uint64_t id, int64_t owner_since, int64_t now)
 {
   const struct organisation *organisation = find_organisation (book, id);
-  return organisation && now - organisation->moved_at < HF_QUOTA_MOVED_MS * HF_MS ? organisation->moved_to : 0;
+  if (!organisation || organisation->moved_at < owner_since)
+    return 0;
+  return now - organisation->moved_at < HF_QUOTA_MOVED_MS * HF_MS ? organisation->moved_to : 0;
 }
 
 void
--- a/src/hf-quota.h
+++ b/src/hf-quota.h
@@ -205,8 +205,9 @@
                                 double level,
                                 uint64_t owner,
                                 int64_t now);
-/* Who got the bucket in the last HF_QUOTA_MOVED_MS; 0: nobody. */
-uint64_t hf_quota_book_moved_to (const struct hf_quota_book *book, uint64_t organisation, int64_t now);
+/* Who got the bucket in the last HF_QUOTA_MOVED_MS, and after this entry last became the owner; 0: nobody. */
+uint64_t
+hf_quota_book_moved_to (const struct hf_quota_book *book, uint64_t organisation, int64_t owner_since, int64_t now);
 /* Notes for which organisations another entry is the owner now: their buckets get a new level later. */
 void hf_quota_book_disown (struct hf_quota_book *book,
                            int64_t now,
--- a/src/hf-roles.c
+++ b/src/hf-roles.c
@@ -225,13 +225,23 @@
   return member && !member->leaving && !member->alive;
 }
 
+static void
+drop_oldest_granters (struct hf_roles *roles)
+{
+  g_array_unref (g_array_index (roles->granters_history, struct hf_granters, 0).granters);
+  g_array_remove_index (roles->granters_history, 0);
+}
+
 static void
 note_granters (struct hf_state *state, const GArray *former)
 {
   struct hf_roles *roles = &state->roles;
   if (same_granters (former, roles->granters))
     return;
-  roles->granters_changed_before = roles->granters_changed_at;
+  struct hf_granters current = { .since = state->now, .granters = g_array_copy (roles->granters) };
+  if (roles->granters_history->len == HF_GRANTERS_HISTORY_MAX)
+    drop_oldest_granters (roles);
+  g_array_append_val (roles->granters_history, current);
   roles->granters_changed_at = state->now;
   for (guint i = 0; i < former->len; i++)
     {
@@ -258,10 +268,30 @@
       roles->entries += member->alive || member->listed;
     }
   bool has_majority = 2 * roles->reached > roles->entries;
-  if (!has_majority)
-    roles->majority_since = 0;
-  else if (roles->majority_since == 0)
-    roles->majority_since = state->now;
+  if (has_majority == (roles->majority_since > 0))
+    return;
+  roles->majority_since = has_majority ? state->now : 0;
+  roles->majority_changed_at = state->now;
+}
+
+/* --- internal functions: rendezvous hashing --- */
+
+/* The entry with the greatest weight; @fallback if there are none. */
+static uint64_t
+first_by_weight (const GArray *granters, uint64_t subject, uint64_t fallback)
+{
+  uint64_t granter = fallback;
+  uint64_t best = 0;
+  for (guint i = 0; i < granters->len; i++)
+    {
+      uint64_t boot_id = g_array_index (granters, uint64_t, i);
+      uint64_t weight = hf_hash_pair (subject, boot_id);
+      if (weight < best)
+        continue;
+      best = weight;
+      granter = boot_id;
+    }
+  return granter;
 }
 
 /* --- public functions --- */
@@ -269,13 +299,18 @@
 void
 hf_roles_init (struct hf_roles *roles)
 {
-  *roles = (struct hf_roles){ .granters = g_array_new (FALSE, FALSE, sizeof (uint64_t)), .update_pending = true };
+  *roles = (struct hf_roles){ .granters = g_array_new (FALSE, FALSE, sizeof (uint64_t)),
+                              .granters_history = g_array_new (FALSE, FALSE, sizeof (struct hf_granters)),
+                              .update_pending = true };
 }
 
 void
 hf_roles_close (struct hf_roles *roles)
 {
   g_array_unref (roles->granters);
+  while (roles->granters_history->len > 0)
+    drop_oldest_granters (roles);
+  g_array_unref (roles->granters_history);
 }
 
 void
@@ -302,18 +337,41 @@
 uint64_t
 hf_roles_granter (const struct hf_state *state, uint64_t subject)
 {
-  uint64_t granter = state->boot_id;
-  uint64_t best = 0;
-  for (guint i = 0; i < state->roles.granters->len; i++)
+  return first_by_weight (state->roles.granters, subject, state->boot_id);
+}
+
+bool
+hf_roles_last_granted (const struct hf_state *state, uint64_t subject, int64_t *since, int64_t *until)
+{
+  const GArray *history = state->roles.granters_history;
+  bool found = false;
+  *until = 0;
+  for (guint i = history->len; i-- > 0;)
     {
-      uint64_t boot_id = g_array_index (state->roles.granters, uint64_t, i);
-      uint64_t weight = hf_hash_pair (subject, boot_id);
-      if (weight < best)
-        continue;
-      best = weight;
-      granter = boot_id;
+      const struct hf_granters *granters = &g_array_index (history, struct hf_granters, i);
+      bool is_own = first_by_weight (granters->granters, subject, 0) == state->boot_id;
+      if (found && !is_own)
+        return true;
+      if (is_own)
+        *since = granters->since;
+      else
+        *until = granters->since;
+      found = found || is_own;
     }
-  return granter;
+  return found;
+}
+
+uint64_t
+hf_roles_granter_before (const struct hf_state *state, uint64_t subject, int64_t time)
+{
+  const GArray *history = state->roles.granters_history;
+  for (guint i = history->len; i-- > 0;)
+    {
+      const struct hf_granters *granters = &g_array_index (history, struct hf_granters, i);
+      if (granters->since < time)
+        return first_by_weight (granters->granters, subject, 0);
+    }
+  return 0;
 }
 
 void
--- a/src/hf-roles.h
+++ b/src/hf-roles.h
@@ -21,6 +21,11 @@
 uint64_t hf_roles_granter (const struct hf_state *state, uint64_t subject); /* boot id, by rendezvous hashing */
 /* Boot ids of the first and the second granter for a subject; 0: there is none. */
 void hf_roles_rank_granters (const struct hf_state *state, uint64_t subject, uint64_t ranked[2]);
+/* The last time for which this entry was the first granter for a subject: from @since, until another one became it, or
+ * 0: it still is. Returns false if it was not, as far as is known. */
+bool hf_roles_last_granted (const struct hf_state *state, uint64_t subject, int64_t *since, int64_t *until);
+/* Who was the first granter for a subject before a time; 0: not known. */
+uint64_t hf_roles_granter_before (const struct hf_state *state, uint64_t subject, int64_t time);
 /* Whether heartbeats are exchanged with a member: it or this entry is a coordinator. */
 bool hf_roles_is_heartbeat_peer (const struct hf_state *state, const struct hf_member *member);
 
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -451,6 +451,13 @@
   int64_t platform_unreachable_until;
 };
 
+/** struct hf_granters - the entries that granted slots from a time on */
+struct hf_granters
+{
+  int64_t since;
+  GArray *granters; /* uint64_t, boot ids */
+};
+
 /**
  * struct hf_roles - roles of this entry, and the entries that grant slots
  * @is_coordinator: this entry exchanges heartbeats with all others
@@ -461,11 +468,12 @@
  * @watcher_until: when it last ceased to be one
  * @update_pending: the members changed since the roles were assigned
  * @granters: uint64_t, boot ids of the entries that grant slots
+ * @granters_history: struct hf_granters, the last HF_GRANTERS_HISTORY_MAX values of @granters, the newest last
  * @granters_changed_at: last change of @granters
- * @granters_changed_before: the change before that one
  * @granter_lost_at: when one of them was last lost that may still grant, as it was only silent; 0: never
  * @reached: entries of the fleet that have started and with which there is contact, this one included
  * @entries: entries of the fleet, this one included
+ * @majority_changed_at: when that last became more than half of the fleet, or ceased to be
  * @majority_since: since when more than half of the fleet has been reached; 0: it is not
  */
 struct hf_roles
@@ -478,11 +486,12 @@
   int64_t watcher_until;
   bool update_pending;
   GArray *granters;
+  GArray *granters_history;
   int64_t granters_changed_at;
-  int64_t granters_changed_before;
   int64_t granter_lost_at;
   size_t reached;
   size_t entries;
+  int64_t majority_changed_at;
   int64_t majority_since;
 };
 
--- a/tests/test-quota-fleet.c
+++ b/tests/test-quota-fleet.c
@@ -1,6 +1,7 @@
 /*
  * Quotas in a simulated fleet: reducers that exchange messages, callers of two
  * organisations at all entries, and backend servers that count what they run.
+ * HF_SEED=NUMBER draws other times of arrival.
  */
 #include "fleet.h"
 #include "hf-base.h"
@@ -128,7 +129,7 @@
   unsigned owner = organisation;
   g_array_append_val (simulation->sent_at, fleet->now);
   g_array_append_val (simulation->owners, owner);
-  if (entry->is_paused)
+  if (entry->is_paused || entry->state->leaving)
     return;
   fleet_raise_event (entry, (struct hf_event){ .kind = HF_EVENT_REQUEST,
                                                .call = simulation->sent_at->len,
@@ -177,7 +178,7 @@
 open_simulation (unsigned entries)
 {
   struct simulation *simulation = g_new0 (struct simulation, 1);
-  simulation->random = 7;
+  simulation->random = g_getenv ("HF_SEED") ? g_ascii_strtoull (g_getenv ("HF_SEED"), NULL, 10) : 7;
   simulation->runs = g_array_new (FALSE, FALSE, sizeof (struct run));
   simulation->sent_at = g_array_new (FALSE, FALSE, sizeof (int64_t));
   simulation->owners = g_array_new (FALSE, FALSE, sizeof (unsigned));
@@ -422,6 +423,84 @@
   close_simulation (simulation);
 }
 
+/* The owner leaves, again and again: the next one gets its bucket and has no second one. */
+static void
+test_owner_leaves (void)
+{
+  static const double rates[] = { 5, 100, 0 };
+  struct simulation *simulation = open_simulation (ENTRIES);
+  run_load (simulation, 3000, rates);
+  for (uint64_t i = 0; i < 6; i++)
+    {
+      struct fleet_entry *owner = find_owner (simulation, i % 2 ? "large" : "small");
+      unsigned index = (unsigned) (owner - simulation->fleet->entries);
+      if (index == 0)
+        continue;
+      fleet_raise_event (owner, (struct hf_event){ .kind = HF_EVENT_SHUTDOWN });
+      run_load (simulation, 1500, rates);
+      fleet_restart (simulation->fleet, index, 4000 + i);
+      fleet_report_full_list (owner);
+      fleet_report_entries (owner);
+      run_load (simulation, 1500, rates);
+    }
+  check_windows (simulation);
+  g_assert_cmpuint (simulation->tallies[SMALL].refused, ==, 0);
+  g_assert_cmpuint (simulation->tallies[LARGE_ONE].refused, ==, 0);
+  close_simulation (simulation);
+}
+
+/* The same beyond the limit: guards against a full bucket at each new owner. */
+static void
+test_owner_leaves_beyond (void)
+{
+  static const double rates[] = { 30, 400, 0 };
+  struct simulation *simulation = open_simulation (ENTRIES);
+  run_load (simulation, 8000, rates);
+  for (uint64_t i = 0; i < 8; i++)
+    {
+      struct fleet_entry *owner = find_owner (simulation, "large");
+      unsigned index = (unsigned) (owner - simulation->fleet->entries);
+      if (index == 0)
+        break;
+      fleet_raise_event (owner, (struct hf_event){ .kind = HF_EVENT_SHUTDOWN });
+      run_load (simulation, 1000, rates);
+      fleet_restart (simulation->fleet, index, 5000 + i);
+      fleet_report_full_list (owner);
+      fleet_report_entries (owner);
+      run_load (simulation, 1000, rates);
+    }
+  run_load (simulation, 5000, rates);
+  check_windows (simulation);
+  close_simulation (simulation);
+}
+
+/* A large fleet, in which each entry sees few requests: credits that are left over at entries must not starve others,
+ * and a split or a silent owner is noticed late there. */
+static void
+test_large_fleet (void)
+{
+  static const double calm[] = { 6, 120, 0 };
+  static const double rates[] = { 30, 400, 0 };
+  struct simulation *simulation = open_simulation (127);
+  struct fleet *fleet = simulation->fleet;
+  run_load (simulation, 10000, calm);
+  g_assert_cmpuint (simulation->tallies[SMALL].refused, ==, 0);
+  g_assert_cmpuint (simulation->tallies[LARGE_ONE].refused, ==, 0);
+  unsigned limited = simulation->tallies[SMALL].n_run + simulation->tallies[LARGE_ONE].n_run;
+  g_test_message ("%d requests for credits, %u requests of limited organisations",
+                  (int) count (simulation, HF_COUNT_QUOTA_REQUESTS), limited);
+  g_assert_cmpuint (count (simulation, HF_COUNT_QUOTA_REQUESTS), <=, limited + limited / 10);
+  run_load (simulation, 6000, rates);
+  for (unsigned i = 0; i < fleet->entry_count; i += DOMAINS)
+    fleet->entries[i].is_disconnected = true;
+  run_load (simulation, 14000, rates);
+  for (unsigned i = 0; i < fleet->entry_count; i += DOMAINS)
+    fleet->entries[i].is_disconnected = false;
+  run_load (simulation, 10000, rates);
+  check_windows (simulation);
+  close_simulation (simulation);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -431,6 +510,9 @@
   g_test_add_func ("/quota-fleet/beyond", test_beyond);
   g_test_add_func ("/quota-fleet/owner-killed", test_owner_killed);
   g_test_add_func ("/quota-fleet/owner-joins", test_owner_joins);
+  g_test_add_func ("/quota-fleet/owner-leaves", test_owner_leaves);
+  g_test_add_func ("/quota-fleet/owner-leaves-beyond", test_owner_leaves_beyond);
+  g_test_add_func ("/quota-fleet/large-fleet", test_large_fleet);
   g_test_add_func ("/quota-fleet/split", test_split);
   g_test_add_func ("/quota-fleet/stall", test_stall);
   g_test_add_func ("/quota-fleet/loss", test_loss);
--- a/tests/test-quota.c
+++ b/tests/test-quota.c
@@ -209,7 +209,7 @@
   if (!hf_quota_limit_by_rank (&rule, fleet->rate, fleet->burst, own_rank (fleet, message->to),
                                count_seen (fleet, entry), fleet->n, &limit))
     return;
-  if (hf_quota_book_moved_to (entry->book, ORGANISATION, fleet->now) != 0)
+  if (hf_quota_book_moved_to (entry->book, ORGANISATION, 0, fleet->now) != 0)
     return;
   unsigned second = ranked (fleet, entry, 1);
   if (!limit.partial && second < fleet->n && fleet->now - entry->changed_at < HF_QUOTA_MOVED_MS * HF_MS
