A new owner of credits waits for the former one; two owners no longer overlap in a split

An entry joined and took over as the fleet split; after 30 ms without an answer it gave the full rate beside the former owner. A new owner now waits until the former one answers or is known to be silent, and tells holders to ask again; if the former one has ended without handing over, the bucket starts empty at that time.

An entry that is not the owner names it instead of refusing, so that a view that lags behind does not cause a 429. A level handed over is no longer cut to the small bucket that the new owner had as second granter.

--- a/src/config.h
+++ b/src/config.h
@@ -162,7 +162,6 @@
 #define HF_QUOTA_LEASE_RATIO 0.9  /* validity of a lease, of what the overshoot allows; the rest is for the slices */
 #define HF_QUOTA_SLICES      128  /* time slices in which the credits given in a window are counted */
 #define HF_QUOTA_LEASES_MAX  8    /* of one organisation at one entry */
-#define HF_QUOTA_HANDOVER_MS 30   /* a new owner waits so long for the bucket of the former one */
 #define HF_QUOTA_MOVED_MS    3000 /* until all entries know the new owner: two rounds of heartbeats of a large fleet */
 
 #define HF_QUOTA_CREDITS_MAX      10000 /* in one request of an entry */
--- a/src/hf-quota-leases.c
+++ b/src/hf-quota-leases.c
@@ -171,29 +171,56 @@
   hf_state_send_to_member (state, to, message);
 }
 
-/* The entry that may have the bucket of an owner that is new since a time: the former owner if that is alive, which may
- * be leaving. An owner that has just joined does not know it: it is the second granter now. */
+/* The entry that has the bucket of an owner that is new since a time: the former owner, which may be leaving. An owner
+ * that has just joined does not know it: it is the second granter now. 0: the former owner has ended or is silent. */
 static uint64_t
 find_former_owner (const struct hf_state *state, uint64_t organisation, const uint64_t ranked[2], int64_t since)
 {
   uint64_t former = hf_roles_granter_before (state, organisation, since);
   const struct hf_member *member = hf_state_find_member (state, former);
-  return member && member->alive ? former : ranked[1];
+  if (former == 0 || former == state->boot_id)
+    return ranked[1];
+  return member && member->alive ? former : 0;
 }
 
-/* An owner that came lately may have to wait for the bucket of the former one. */
+/* Whether this entry has been the owner so shortly that another one may not know it. */
 static bool
-awaits_handover (struct hf_state *state, uint64_t id, const uint64_t ranked[2], const struct hf_quota_limit *limit)
+is_owner_lately (const struct hf_state *state, uint64_t organisation, int64_t *since)
 {
-  int64_t since = 0;
   int64_t until = 0;
-  if (limit->partial || !hf_roles_last_granted (state, id, &since, &until)
-      || state->now - since >= HF_QUOTA_MOVED_MS * HF_MS)
+  int64_t silent_ms = HF_PEER_TIMEOUT_MS * hf_members_heartbeat_rounds (state) + HF_HEARTBEAT_MS;
+  return hf_roles_last_granted (state, organisation, since, &until)
+         && state->now - *since < MAX (HF_QUOTA_MOVED_MS, silent_ms) * HF_MS;
+}
+
+/* Level of a bucket that nobody handed over. A former owner that has ended may have given credits until then. */
+static double
+first_level (const struct hf_state *state, const struct hf_organisation *organisation)
+{
+  int64_t since = 0;
+  double level = unused_level (state, organisation);
+  return is_owner_lately (state, hf_organisation_id (organisation), &since) ? MIN (level, 0) : level;
+}
+
+/* Whether an owner that came lately waits for the bucket of the former one, which may give credits as long as it does
+ * not know better. One that does not answer is waited for until it is known to be silent. */
+static bool
+awaits_handover (struct hf_state *state,
+                 uint64_t id,
+                 const uint64_t ranked[2],
+                 const struct hf_quota_limit *limit,
+                 struct hf_rpc_quota_lease *lease)
+{
+  int64_t since = 0;
+  if (limit->partial || !is_owner_lately (state, id, &since))
     return false;
   uint64_t former = find_former_owner (state, id, ranked, since);
-  if (former == 0 || !hf_quota_book_awaits_handover (state->quota->book, id, *limit, state->now))
+  int64_t waited_us = former ? hf_quota_book_await_handover (state->quota->book, id, *limit, state->now) : -1;
+  if (waited_us < 0)
     return false;
   send_handover (state, former, id, false, 0);
+  lease->filling = true;
+  lease->retry_after_ms = (unsigned) CLAMP (waited_us / HF_MS, HF_QUOTA_RESEND_MS, HF_QUOTA_WAIT_MAX_MS);
   return true;
 }
 
@@ -264,19 +291,26 @@
   if (lease->moved_to)
     return true;
   if (!hf_quota_limit_by_rank (&leases->rule, organisation->rate_per_s, organisation->burst, rank, state->roles.reached,
-                               state->roles.entries, &limit)
-      || awaits_handover (state, request->organisation, ranked, &limit))
-    return false;
-  lease->filling = limit.partial && rank == 0 && has_just_started (state);
+                               state->roles.entries, &limit))
+    {
+      lease->moved_to = ranked[0];
+      return ranked[0] != 0;
+    }
+  if (awaits_handover (state, request->organisation, ranked, &limit, lease))
+    return true;
+  lease->filling = rank == 0 && state->roles.majority_since == 0 && has_just_started (state);
   if (lease->filling)
     return true;
-  double level = unused_level (state, organisation);
+  double level = first_level (state, organisation);
   if (!hf_quota_book_answer (leases->book, request, limit, level, state->roles.entries, state->now, &answer))
     return false;
   count_answer (state, request, &answer);
   lease->credits = answer.credits;
   lease->retry_after_ms = (unsigned) (answer.retry_after_us / HF_MS);
   lease->filling = answer.is_filling;
+  /* The holder may not know the owner yet. */
+  if (rank == 1 && answer.credits < request->needed)
+    lease->moved_to = ranked[0];
   return true;
 }
 
@@ -389,7 +423,8 @@
 choose_owner (const struct hf_state *state, const struct account *account)
 {
   uint64_t ranked[2];
-  if (account->moved_until > state->now && !is_silent (state, account, account->moved_to))
+  bool is_current = account->moved_until - HF_QUOTA_MOVED_MS * HF_MS > state->roles.granters_changed_at;
+  if (is_current && account->moved_until > state->now && !is_silent (state, account, account->moved_to))
     return account->moved_to;
   hf_roles_rank_granters (state, account->id, ranked);
   for (unsigned rank = 0; rank < G_N_ELEMENTS (ranked); rank++)
@@ -492,6 +527,9 @@
       mark_silent (state, account, from);
       return;
     }
+  /* Entries that do not agree on the owner may name one another until the next heartbeats. */
+  if (account->moved_until > state->now)
+    wait_for_bucket (state, account, HF_QUOTA_WAIT_MAX_MS);
   account->moved_to = owner;
   account->moved_until = state->now + HF_QUOTA_MOVED_MS * HF_MS;
 }
--- a/src/hf-quota.c
+++ b/src/hf-quota.c
@@ -498,8 +498,8 @@
   return true;
 }
 
-bool
-hf_quota_book_awaits_handover (struct hf_quota_book *book, uint64_t id, struct hf_quota_limit limit, int64_t now)
+int64_t
+hf_quota_book_await_handover (struct hf_quota_book *book, uint64_t id, struct hf_quota_limit limit, int64_t now)
 {
   struct organisation *organisation = find_organisation (book, id);
   if (!organisation)
@@ -508,10 +508,12 @@
       organisation->is_owned = false;
     }
   if (organisation->is_owned || organisation->handed_over)
-    return false;
+    return -1;
+  /* The level that is handed over is that of a full bucket. */
+  hf_quota_bucket_set_limit (&organisation->bucket, limit, now);
   if (organisation->handover_asked_at == 0)
     organisation->handover_asked_at = now;
-  return now - organisation->handover_asked_at < HF_QUOTA_HANDOVER_MS * HF_MS;
+  return now - organisation->handover_asked_at;
 }
 
 void
--- a/src/hf-quota.h
+++ b/src/hf-quota.h
@@ -191,11 +191,11 @@
                            int64_t now,
                            struct hf_quota_answer *answer);
 
-/* Whether the owner has to wait for the level that a former owner hands over; false after HF_QUOTA_HANDOVER_MS. */
-bool hf_quota_book_awaits_handover (struct hf_quota_book *book,
-                                    uint64_t organisation,
-                                    struct hf_quota_limit limit,
-                                    int64_t now);
+/* How long the owner has waited for the level that a former owner hands over; -1: it need not. */
+int64_t hf_quota_book_await_handover (struct hf_quota_book *book,
+                                      uint64_t organisation,
+                                      struct hf_quota_limit limit,
+                                      int64_t now);
 void hf_quota_book_receive_handover (struct hf_quota_book *book, uint64_t organisation, double level, int64_t now);
 /* Hands a bucket over to another owner and returns its level; 0 if this entry was not its owner just now.
  * @level: of a bucket that is new. */
--- a/tests/test-quota.c
+++ b/tests/test-quota.c
@@ -1,7 +1,9 @@
 /*
  * Quotas over the fleet: random runs of owners and holders with lost, duplicated
  * and late messages, killed entries and splits, checked by an exact counter of
- * every use. HF_SEED=NUMBER repeats one run.
+ * every use. Killed entries come back as new processes; at times servers do not
+ * respond, and all requests that wait for them are sent at once afterwards.
+ * HF_SEED=NUMBER repeats one run.
  */
 #include <stdlib.h>
 
@@ -20,6 +22,8 @@
 #define SETTLE_MS       1000
 #define MESSAGE_MAX_MS  400
 #define IN_FLIGHT_MAX   256
+#define HELD_MAX        512
+#define START_MS        3000 /* HF_QUOTA_START_MS */
 #define USES_MAX        16384
 
 static const struct hf_quota_rule rule = { .window_us = 5 * HF_SEC, .overshoot = 0.1, .slack = 20 };
@@ -39,6 +43,8 @@
   enum message_kind kind;
   unsigned from;
   unsigned to;
+  uint64_t from_id;
+  uint64_t to_id;
   int64_t due_at;
   struct hf_quota_request request;
   uint64_t sequence;
@@ -56,16 +62,21 @@
 struct entry
 {
   bool alive;
+  uint64_t id; /* of the process */
+  int64_t started_at;
+  int64_t restart_at;
   struct hf_quota_book *book;
   struct hf_quota_account account;
   int64_t heard_at[ENTRIES_MAX];
   bool sees[ENTRIES_MAX];
   int64_t changed_at; /* an entry came or was lost */
   int64_t lost_at;    /* an entry was lost */
+  unsigned former;    /* entry of the first rank before the last change; the fleet's size: not known */
   unsigned waiting;
   unsigned sends;
   unsigned first; /* entry asked, by rank */
-  struct held held[32];
+  unsigned asked;
+  struct held held[HELD_MAX];
   unsigned n_held;
 };
 
@@ -84,6 +95,7 @@
   unsigned n_in_flight;
   int64_t uses[USES_MAX];
   unsigned n_uses;
+  int64_t stalled_until; /* no request is sent to a server before */
   unsigned refused;
 };
 
@@ -106,6 +118,8 @@
 static void
 send_message (struct fleet *fleet, struct message message)
 {
+  message.from_id = fleet->entries[message.from].id;
+  message.to_id = fleet->entries[message.to].id;
   unsigned copies = draw (fleet) < fleet->loss ? 0 : 1 + (draw (fleet) < fleet->loss);
   for (; copies > 0 && fleet->n_in_flight < IN_FLIGHT_MAX; copies--)
     {
@@ -156,6 +170,7 @@
 update_view (struct fleet *fleet, unsigned self)
 {
   struct entry *entry = &fleet->entries[self];
+  unsigned former = ranked (fleet, entry, 0);
   bool changed = false;
   for (unsigned i = 0; i < fleet->n; i++)
     {
@@ -170,6 +185,7 @@
   if (!changed)
     return;
   entry->changed_at = fleet->now;
+  entry->former = former;
   bool owner = own_rank (fleet, self) == 0;
   hf_quota_book_disown (entry->book, fleet->now, is_owner, &owner);
 }
@@ -209,13 +225,18 @@
   if (!hf_quota_limit_by_rank (&rule, fleet->rate, fleet->burst, own_rank (fleet, message->to),
                                count_seen (fleet, entry), fleet->n, &limit))
     return;
+  bool is_majority = 2 * count_seen (fleet, entry) > fleet->n;
+  if (!is_majority && fleet->now - entry->started_at < START_MS * HF_MS)
+    return;
   if (hf_quota_book_moved_to (entry->book, ORGANISATION, 0, fleet->now) != 0)
     return;
-  unsigned second = ranked (fleet, entry, 1);
-  if (!limit.partial && second < fleet->n && fleet->now - entry->changed_at < HF_QUOTA_MOVED_MS * HF_MS
-      && hf_quota_book_awaits_handover (entry->book, ORGANISATION, limit, fleet->now))
+  unsigned former
+      = entry->former == fleet->n || entry->former == message->to ? ranked (fleet, entry, 1) : entry->former;
+  if (!limit.partial && former < fleet->n && entry->sees[former]
+      && fleet->now - entry->changed_at < HF_QUOTA_MOVED_MS * HF_MS
+      && hf_quota_book_await_handover (entry->book, ORGANISATION, limit, fleet->now) >= 0)
     {
-      send_message (fleet, (struct message){ .kind = HANDOVER, .from = message->to, .to = second });
+      send_message (fleet, (struct message){ .kind = HANDOVER, .from = message->to, .to = former });
       return;
     }
   if (!hf_quota_book_answer (entry->book, &message->request, limit, first_level (fleet, entry), fleet->n, fleet->now,
@@ -256,15 +277,15 @@
   if (!again)
     {
       entry->sends = 0;
-      hf_quota_account_request (&entry->account, fleet->now, &rule, to + 1, ++fleet->sequence, entry->waiting);
+      hf_quota_account_request (&entry->account, fleet->now, &rule, fleet->entries[to].id, ++fleet->sequence,
+                                entry->waiting);
       entry->account.request.organisation = ORGANISATION;
-      entry->account.request.holder = self + 1;
+      entry->account.request.holder = entry->id;
+      entry->asked = to;
     }
   entry->sends++;
-  send_message (fleet, (struct message){ .kind = REQUEST,
-                                         .from = self,
-                                         .to = (unsigned) entry->account.owner - 1,
-                                         .request = entry->account.request });
+  send_message (
+      fleet, (struct message){ .kind = REQUEST, .from = self, .to = entry->asked, .request = entry->account.request });
 }
 
 static void
@@ -272,7 +293,7 @@
 {
   struct entry *entry = &fleet->entries[message->to];
   unsigned needed = entry->account.request.needed;
-  if (!hf_quota_account_receive (&entry->account, message->from + 1, message->sequence, message->credits,
+  if (!hf_quota_account_receive (&entry->account, message->from_id, message->sequence, message->credits,
                                  hf_quota_lease_us (&rule)))
     return;
   entry->first = 0;
@@ -292,7 +313,7 @@
   for (unsigned i = entry->n_held; i-- > 0;)
     {
       struct held held = entry->held[i];
-      if (held.ends_at > fleet->now)
+      if (held.ends_at > fleet->now || fleet->stalled_until > fleet->now)
         continue;
       entry->held[i] = entry->held[--entry->n_held];
       if (held.credit.expires_at <= fleet->now || draw (fleet) < 0.2)
@@ -338,7 +359,7 @@
         continue;
       fleet->in_flight[i] = fleet->in_flight[--fleet->n_in_flight];
       struct entry *to = &fleet->entries[message.to];
-      if (!to->alive || fleet->side[message.from] != fleet->side[message.to])
+      if (!to->alive || to->id != message.to_id || fleet->side[message.from] != fleet->side[message.to])
         continue;
       if (message.kind == REQUEST)
         answer_request (fleet, &message);
@@ -350,7 +371,7 @@
         {
           struct hf_quota_limit limit = hf_quota_limit_full (&rule, fleet->rate, fleet->burst);
           double level = hf_quota_book_hand_over (to->book, ORGANISATION, limit, first_level (fleet, to),
-                                                  message.from + 1, fleet->now);
+                                                  message.from_id, fleet->now);
           send_message (fleet, (struct message){
                                    .kind = LEVEL, .from = message.to, .to = message.from, .level = MAX (level, 0) });
         }
@@ -358,23 +379,44 @@
 }
 
 static void
-kill_entry (struct entry *entry)
+kill_entry (struct fleet *fleet, struct entry *entry)
 {
   entry->alive = false;
   entry->n_held = 0;
+  entry->waiting = 0;
+  entry->restart_at = fleet->now + draw_between (fleet, 100, 4000) * HF_MS;
+}
+
+/* The new process asks all entries for a heartbeat. */
+static void
+restart_entry (struct fleet *fleet, unsigned self)
+{
+  struct entry *entry = &fleet->entries[self];
+  hf_quota_book_close (entry->book);
+  *entry = (struct entry){ .alive = true, .id = entry->id + ENTRIES_MAX, .book = hf_quota_book_open () };
+  entry->started_at = fleet->now;
+  for (unsigned i = 0; i < fleet->n; i++)
+    if (i == self || (fleet->entries[i].alive && fleet->side[i] == fleet->side[self]))
+      entry->heard_at[i] = fleet->now;
+  update_view (fleet, self);
 }
 
-/* Two faults in a run: a killed owner or any killed entry, and a split that may heal. */
+/* Killed entries, the owner more often than others; a split that may heal; servers that do not respond. */
 static void
 inject_faults (struct fleet *fleet, unsigned step, const unsigned *kill_step, unsigned split_step, unsigned heal_step)
 {
   for (unsigned i = 0; i < 2; i++)
     if (step == kill_step[i])
-      kill_entry (&fleet->entries[draw (fleet) < 0.5 ? i : (unsigned) draw_between (fleet, 0, fleet->n - 1)]);
+      kill_entry (fleet, &fleet->entries[draw (fleet) < 0.5 ? 0 : (unsigned) draw_between (fleet, 0, fleet->n - 1)]);
+  for (unsigned i = 0; i < fleet->n; i++)
+    if (!fleet->entries[i].alive && fleet->now >= fleet->entries[i].restart_at)
+      restart_entry (fleet, i);
   for (unsigned i = 0; step == split_step && i < fleet->n; i++)
     fleet->side[i] = (unsigned) draw_between (fleet, 0, 2);
   for (unsigned i = 0; step == heal_step && i < fleet->n; i++)
     fleet->side[i] = 0;
+  if (draw (fleet) < 0.001)
+    fleet->stalled_until = fleet->now + draw_between (fleet, 0, 2000) * HF_MS;
 }
 
 /* The exact counter: of every window that ends with a use. */
@@ -405,8 +447,10 @@
     {
       struct entry *entry = &fleet->entries[i];
       entry->alive = true;
+      entry->id = i + 1;
       entry->book = hf_quota_book_open ();
       entry->changed_at = fleet->now;
+      entry->former = fleet->n;
       for (unsigned other = 0; other < fleet->n; other++)
         {
           entry->heard_at[other] = fleet->now;
