--- a/src/hf-dump.c
+++ b/src/hf-dump.c
@@ -259,6 +259,11 @@
   g_string_append_printf (text, "calls in flight: %u, claims known: %u, requests under suspicion: %u\n",
                           g_hash_table_size (state->calls), g_hash_table_size (state->claims),
                           g_hash_table_size (state->suspects));
+  if (state->revoke_us > 0)
+    g_string_append_printf (text,
+                            "keys: configuration confirmed %" G_GINT64_FORMAT
+                            " ms ago, keys accepted for %" G_GINT64_FORMAT " ms after that\n",
+                            (now - state->config_confirmed_at) / 1000, state->revoke_us / 1000);
   append_roles (text, state, now);
   append_members (text, state, now);
   hf_restrictions_write (state, now, text);
--- a/src/hf-log.c
+++ b/src/hf-log.c
@@ -27,6 +27,8 @@
   { HF_LOG_CONFIG_RESTORED, HF_LOG_LEVEL_NOTICE, "config-restored" },
   { HF_LOG_CONFIG_SPLIT, HF_LOG_LEVEL_ERR, "config-split" },
   { HF_LOG_CONFIG_LATE, HF_LOG_LEVEL_WARNING, "config-late" },
+  { HF_LOG_CONFIG_UNCONFIRMED, HF_LOG_LEVEL_WARNING, "config-unconfirmed" },
+  { HF_LOG_CONFIG_CONFIRMED, HF_LOG_LEVEL_NOTICE, "config-confirmed" },
   { HF_LOG_MEMBER_JOINED, HF_LOG_LEVEL_INFO, "member-joined" },
   { HF_LOG_MEMBER_LOST, HF_LOG_LEVEL_WARNING, "member-lost" },
   { HF_LOG_MEMBER_LEAVING, HF_LOG_LEVEL_INFO, "member-leaving" },
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -13,6 +13,7 @@
 #include "hf-probes.h"
 #include "hf-quarantine.h"
 #include "hf-restrictions.h"
+#include "hf-revocation.h"
 #include "hf-roles.h"
 #include "hf-routing.h"
 #include "hf-shutdown.h"
@@ -69,6 +70,7 @@
       hf_config_sync_check_watches (state);
       hf_config_sync_check_stored (state);
     }
+  hf_revocation_tick (state);
   hf_probes_tick (state);
   hf_quarantine_expire (state);
   hf_restrictions_expire (state);
--- a/src/hf-revocation.c
+++ b/src/hf-revocation.c
@@ -22,3 +22,20 @@
 {
   return state->revoke_us > 0 && state->now - state->config_confirmed_at >= state->revoke_us;
 }
+
+void
+hf_revocation_tick (struct hf_state *state)
+{
+  bool has_keys = state->document && state->document->organisations.n > 0;
+  bool unconfirmed = has_keys && hf_revocation_is_due (state);
+  if (unconfirmed == state->config_unconfirmed)
+    return;
+  state->config_unconfirmed = unconfirmed;
+  if (unconfirmed)
+    hf_state_log (state, HF_LOG_CONFIG_UNCONFIRMED,
+                  "nothing has confirmed generation %" G_GUINT64_FORMAT " for %d ms; refusing requests with keys",
+                  (guint64) hf_state_generation (state), (int) (state->revoke_us / HF_MS));
+  else
+    hf_state_log (state, HF_LOG_CONFIG_CONFIRMED, "generation %" G_GUINT64_FORMAT " is confirmed; accepting keys",
+                  (guint64) hf_state_generation (state));
+}
--- a/src/hf-revocation.h
+++ b/src/hf-revocation.h
@@ -20,5 +20,6 @@
 /* The same for the configuration of another entry, which has this generation. */
 void hf_revocation_confirm_generation (struct hf_state *state, uint64_t generation, int64_t at);
 bool hf_revocation_is_due (const struct hf_state *state); /* true: requests with keys are refused */
+void hf_revocation_tick (struct hf_state *state);         /* with each heartbeat: logs when that begins and ends */
 
 #endif
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -515,6 +515,7 @@
   uint64_t config_stored_generation; /* generation of the platform's object */
   int64_t config_checked_at;         /* last comparison with the platform's object */
   int64_t config_confirmed_at;       /* it was last known to be the newest then; 0: never */
+  bool config_unconfirmed;           /* requests with keys are refused, and the log says so */
   int64_t revoke_us;                 /* unconfirmed for longer: requests with keys are refused; 0: no limit */
   struct hf_config_spread config_spread;
   struct hf_watch watches[2]; /* by enum hf_platform_purpose */
--- a/tests/test-organisations.c
+++ b/tests/test-organisations.c
@@ -713,6 +713,7 @@
   g_assert_true (accepts_key (test));
   fake_store_set_silent (test->setup->store, TRUE);
   g_assert_true (harness_wait_until (accepts_no_key, test, CHANGE_TIMEOUT_S));
+  harness_pause (HF_HEARTBEAT_MS + LOG_MS);
   g_assert_cmpuint (status_with_fields (test, "GET", "/r/x", ""), ==, 401);
   g_assert_cmpuint (status_with_fields (test, "GET", "/open/x", ""), ==, 200);
   guint before = test->recorder.requests->len;
@@ -720,6 +721,9 @@
   g_assert_cmpuint (test->recorder.requests->len, ==, before);
   fake_store_set_silent (test->setup->store, FALSE);
   g_assert_true (harness_wait_until (accepts_key, test, CHANGE_TIMEOUT_S));
+  harness_pause (HF_HEARTBEAT_MS + LOG_MS);
+  g_assert_true (has_logged (test->setup, "config-unconfirmed"));
+  g_assert_true (has_logged (test->setup, "config-confirmed"));
   close_test (test);
 }
 
