--- a/src/hf-calls.c
+++ b/src/hf-calls.c
@@ -8,6 +8,7 @@
 #include "hf-organisations.h"
 #include "hf-quarantine.h"
 #include "hf-quota-leases.h"
+#include "hf-revocation.h"
 #include "hf-routing.h"
 #include "hf-shutdown.h"
 #include "hf-slices.h"
@@ -450,6 +451,20 @@
   return "";
 }
 
+/* With strict revocation, a key that was valid in a configuration that nothing confirms is not taken for valid. */
+static bool
+refuse_unconfirmed (struct hf_state *state, const struct hf_event *event)
+{
+  static const char *const reason = "the configuration is not confirmed, so that no key is accepted";
+  bool has_key = state->document->organisations.n > 0 && event->request.credential == HF_CREDENTIAL_KEY;
+  if (!has_key || !hf_revocation_is_due (state))
+    return false;
+  hf_trace_request_refused (state, event, 503, reason);
+  hf_call_send_error (state, event->call, 503, HF_OUTCOME_NOT_RUN, HF_RETRY_AFTER_DEFAULT_MS, reason);
+  hf_state_increment (state, HF_COUNT_UNCONFIRMED);
+  return true;
+}
+
 /* Finds the organisation of the caller. Returns false if the request needs a key and has no valid one. */
 static bool
 authorise (struct hf_state *state,
@@ -458,10 +473,13 @@
            const struct hf_organisation **organisation)
 {
   const struct hf_document *document = state->document;
+  if (refuse_unconfirmed (state, event))
+    return false;
   *organisation = hf_organisations_find (document->organisation_keys, event->request.organisation_key);
   if (*organisation || class->is_public || document->organisations.n == 0)
     return true;
   const char *reason = explain_unauthorised (event->request.credential);
+  hf_state_increment (state, HF_COUNT_UNAUTHORISED);
   hf_trace_request_unauthorised (state, event, class, reason);
   hf_call_send_error (state, event->call, 401, HF_OUTCOME_NOT_RUN, 0, reason);
   return false;
@@ -528,6 +546,7 @@
   if (hf_quarantine_is_active (state, fingerprint))
     {
       hf_state_increment (state, HF_COUNT_QUARANTINED);
+      hf_call_count_outcome (state, organisation, HF_ORGANISATION_NOT_RUN);
       hf_trace_request_refused (state, event, 503, "quarantined");
       hf_call_send_error (state, event->call, 503, HF_OUTCOME_NOT_RUN, 0,
                           "quarantined: backend servers broke under this request");
@@ -555,6 +574,8 @@
     return;
   hf_state_increment (state, HF_COUNT_CALLERS_GONE);
   hf_trace_caller_disconnected (state, call);
+  if (!call->response_relayed)
+    hf_call_count_outcome (state, call->organisation, HF_ORGANISATION_GONE);
   for (unsigned i = 0; i < call->n_attempts; i++)
     call->may_have_run = call->may_have_run || call->attempts[i].phase == HF_PHASE_RUNNING;
   hf_claims_end (state, call, call->may_have_run ? HF_OUTCOME_UNKNOWN : HF_OUTCOME_NOT_RUN, 0);
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -15,6 +15,7 @@
 #include "hf-quarantine.h"
 #include "hf-quota-leases.h"
 #include "hf-restrictions.h"
+#include "hf-revocation.h"
 #include "hf-roles.h"
 #include "hf-routing.h"
 #include "hf-shutdown.h"
@@ -71,6 +72,7 @@
       hf_config_sync_check_watches (state);
       hf_config_sync_check_stored (state);
     }
+  hf_revocation_tick (state);
   hf_probes_tick (state);
   hf_quarantine_expire (state);
   hf_restrictions_expire (state);
@@ -336,6 +338,7 @@
   state->drain_wait_ms = settings->drain_wait_ms;
   state->shutdown_timeout_ms = settings->shutdown_timeout_ms;
   state->external_store = settings->store_address.len > 0;
+  state->revoke_us = settings->strict_revoke ? settings->revoke_ms * HF_MS : 0;
   state->boot_id = boot_id;
   state->random_state = boot_id;
   state->wakeup_at = -1;
@@ -355,6 +358,7 @@
   hf_latency_init (&state->latency);
   state->quota = hf_quota_leases_open (
       settings, (struct hf_quota_callbacks){ .begin = hf_calls_handle_credit, .refuse = hf_call_refuse_by_quota });
+  hf_organisation_counts_init (&state->organisation_counts);
   hf_claims_init (state);
   hf_timers_init (&state->timers);
   return state;
@@ -376,6 +380,7 @@
   hf_roles_close (&state->roles);
   hf_latency_close (&state->latency);
   hf_quota_leases_close (state->quota);
+  hf_organisation_counts_close (&state->organisation_counts);
   hf_claims_close (state);
   hf_timers_close (&state->timers);
   hf_config_spread_close (&state->config_spread);
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -13,6 +13,7 @@
 #include "hf-latency.h"
 #include "hf-log.h"
 #include "hf-objects.h"
+#include "hf-organisation-counts.h"
 #include "hf-pool.h"
 #include "hf-quota.h"
 #include "hf-removed-servers.h"
@@ -55,6 +56,8 @@
   HF_COUNT_CLAIMS_TAKEN,      /* claims whose key another claim held */
   HF_COUNT_PROBES,            /* health probes and measurements sent */
   HF_COUNT_QUARANTINED,       /* requests refused by the quarantine */
+  HF_COUNT_UNAUTHORISED,      /* requests refused with 401 */
+  HF_COUNT_UNCONFIRMED,       /* requests with keys refused because nothing confirms the configuration */
   HF_COUNT_DATAGRAMS_INVALID, /* peer datagrams that did not decode */
   HF_COUNT_PEER_BYTES_SENT,
   HF_COUNT_PEER_BYTES_RECEIVED,
@@ -569,6 +572,9 @@
   uint64_t config_version;           /* version of the platform's object; 0: unknown or no object */
   uint64_t config_stored_generation; /* generation of the platform's object */
   int64_t config_checked_at;         /* last comparison with the platform's object */
+  int64_t config_confirmed_at;       /* it was last known to be the newest then; 0: never */
+  bool config_unconfirmed;           /* requests with keys are refused, and the log says so */
+  int64_t revoke_us;                 /* unconfirmed for longer: requests with keys are refused; 0: no limit */
   struct hf_config_spread config_spread;
   struct hf_watch watches[2]; /* by enum hf_platform_purpose */
   bool platform_reachable;
@@ -593,6 +599,7 @@
   struct hf_timers timers;
   uint64_t counters[HF_COUNTERS];
   struct hf_latency latency;
+  struct hf_organisation_counts organisation_counts;
 };
 
 /* --- public functions: helpers of the reducer's modules --- */
