The log explains a 429: organisation, limit and which entry had no credit

hickoryctl explain collects the lines of a request; that of a refusal by quota named the status only, so that an operator could not tell an organisation beyond its limit from an owner that does not respond. Counted as not run in the metrics by organisation. test-quota-fleet beyond checks that each refusal has such a line.

--- a/src/hf-call-end.c
+++ b/src/hf-call-end.c
@@ -130,13 +130,14 @@
 void
 hf_call_refuse_by_quota (struct hf_state *state, struct hf_call *call, int64_t retry_after_ms)
 {
-  const char *reason = "the organisation is beyond its limit of requests";
   cancel_others (state, call, -1);
   hf_claims_end (state, call, HF_OUTCOME_NOT_RUN, 0);
   hf_state_increment (state, HF_COUNT_QUOTA_REFUSED);
   retry_after_ms = MAX (retry_after_ms, 1);
-  hf_trace_request_failed (state, call, 429, HF_OUTCOME_NOT_RUN, retry_after_ms, reason);
-  hf_call_send_error (state, call->id, 429, HF_OUTCOME_NOT_RUN, retry_after_ms, reason);
+  hf_trace_request_over_quota (state, call, retry_after_ms);
+  hf_call_count_outcome (state, call->organisation, HF_ORGANISATION_NOT_RUN);
+  hf_call_send_error (state, call->id, 429, HF_OUTCOME_NOT_RUN, retry_after_ms,
+                      "the organisation is beyond its limit of requests");
   hf_call_remove (state, call);
 }
 
--- a/src/hf-quota-leases.c
+++ b/src/hf-quota-leases.c
@@ -384,9 +384,10 @@
                 HF_STR_ARG (organisation->name), organisation->rate_per_s, organisation->burst);
 }
 
-/* Refuses the calls that have waited longest: the request for credits named them. Each one gets a later place. */
+/* Refuses the calls that have waited longest: the request for credits named them. Each one gets a later place.
+ * @by: boot id of the entry that has no credit; 0: nobody responds. */
 static void
-refuse_waiting (struct hf_state *state, struct account *account, unsigned n, int64_t retry_after_ms)
+refuse_waiting (struct hf_state *state, struct account *account, uint64_t by, unsigned n, int64_t retry_after_ms)
 {
   for (unsigned i = 0; i < n && !g_queue_is_empty (&account->waiting); i++)
     {
@@ -394,7 +395,7 @@
       double interval_ms = PERMILLE / call->organisation->rate_per_s;
       double spread_ms = (double) (hf_random_next (&state->random_state) % PERMILLE) / PERMILLE;
       log_exceeded (state, account, call->organisation);
-      call->quota.phase = HF_QUOTA_UNLIMITED;
+      call->quota = (struct hf_call_quota){ .credit.owner = by };
       state->quota->callbacks.refuse (state, call, retry_after_ms + (int64_t) ((i + spread_ms) * interval_ms));
     }
 }
@@ -452,7 +453,7 @@
     }
   while (!g_queue_is_empty (&account->waiting) && take_from_reserve (state, account, &credit))
     give_credit (state, pop_waiting (state, account), credit);
-  refuse_waiting (state, account, g_queue_get_length (&account->waiting), HF_GRANTER_BYPASS_MS);
+  refuse_waiting (state, account, 0, g_queue_get_length (&account->waiting), HF_GRANTER_BYPASS_MS);
 }
 
 static void receive_lease (struct hf_state *state, uint64_t from, const struct hf_rpc_quota_lease *lease);
@@ -550,7 +551,7 @@
   else if (lease->credits < needed && lease->filling)
     wait_for_bucket (state, account, lease->retry_after_ms);
   else if (lease->credits < needed)
-    refuse_waiting (state, account, needed - lease->credits, lease->retry_after_ms);
+    refuse_waiting (state, account, from, needed - lease->credits, lease->retry_after_ms);
   begin_request (state, account);
   schedule (state, account);
 }
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -183,7 +183,7 @@
 /**
  * struct hf_call_quota - credit of a call
  * @phase: whether it has one
- * @credit: if held or spent
+ * @credit: if held or spent; of a refused call: its @owner is who refused it, 0: nobody responded
  * @attempt: while renewing: the attempt that has a slot
  * @server: while renewing: id of the backend server of the slot
  */
--- a/src/hf-trace.c
+++ b/src/hf-trace.c
@@ -185,6 +185,26 @@
   add_log_line (state, HF_LOG_REQUEST_UNAUTHORISED, event->request.id, fields, G_N_ELEMENTS (fields));
 }
 
+void
+hf_trace_request_over_quota (struct hf_state *state, const struct hf_call *call, int64_t retry_after_ms)
+{
+  uint64_t owner = call->quota.credit.owner;
+  const struct hf_member *member = hf_state_find_member (state, owner);
+  struct hf_str name = owner == state->boot_id ? state->name : member ? member->name : hf_str ("");
+  const char *reason
+      = owner ? "the organisation is beyond its limit" : "no entry that may give credits to the organisation responds";
+  const struct hf_log_field fields[] = { HF_LOG_INT ("status", 429),
+                                         HF_LOG_TEXT ("outcome", hf_str (outcome_names[HF_OUTCOME_NOT_RUN])),
+                                         HF_LOG_TEXT ("reason", hf_str (reason)),
+                                         HF_LOG_TEXT ("organisation", call->organisation->name),
+                                         HF_LOG_INT ("rate_per_s", call->organisation->rate_per_s),
+                                         HF_LOG_INT ("burst", call->organisation->burst),
+                                         HF_LOG_TEXT ("by", name),
+                                         HF_LOG_INT ("retry_after_ms", retry_after_ms),
+                                         HF_LOG_INT ("total_ms", elapsed_ms (state, call->arrived_at)) };
+  add_log_line (state, HF_LOG_REQUEST_REFUSED, call->request_id, fields, G_N_ELEMENTS (fields));
+}
+
 void
 hf_trace_request_failed (struct hf_state *state,
                          const struct hf_call *call,
--- a/tests/test-quota-fleet.c
+++ b/tests/test-quota-fleet.c
@@ -64,15 +64,26 @@
   GArray *owners;  /* unsigned, organisation of each call */
   struct tally tallies[ORGANISATIONS];
   bool servers_stall;
+  unsigned explained; /* log lines that name the organisation and who refused a request */
 };
 
 /* --- internal functions: servers --- */
 
+static bool
+explains_refusal (const struct hf_effect *effect)
+{
+  unsigned n = 0;
+  for (size_t i = 0; effect->log_number == HF_LOG_REQUEST_REFUSED && i < effect->n_log_fields; i++)
+    n += g_str_equal (effect->log_fields[i].name, "organisation") || g_str_equal (effect->log_fields[i].name, "by");
+  return n == 2;
+}
+
 static void
 on_effect (void *context, struct fleet_entry *entry, const struct hf_effect *effect)
 {
   struct simulation *simulation = context;
   struct fleet *fleet = simulation->fleet;
+  simulation->explained += effect->kind == HF_EFFECT_LOG && explains_refusal (effect);
   if (effect->kind != HF_EFFECT_DISPATCH && effect->kind != HF_EFFECT_SEND_ERROR)
     return;
   struct tally *tally = &simulation->tallies[g_array_index (simulation->owners, unsigned, effect->call - 1)];
@@ -283,6 +294,7 @@
   g_assert_cmpuint (simulation->tallies[FREE].refused, ==, 0);
   g_assert_cmpuint (simulation->tallies[LARGE_ONE].n_run, >, 20 * LARGE_RATE);
   g_assert_cmpint (simulation->tallies[LARGE_ONE].refused_after_max_ms, <=, 100);
+  g_assert_cmpuint (simulation->explained, ==, simulation->tallies[LARGE_ONE].refused);
   close_simulation (simulation);
 }
 
