--- a/tests/test-organisations.c
+++ b/tests/test-organisations.c
@@ -24,14 +24,15 @@
 #define KEYS_MAX      40
 #define KEY_BYTES_MAX 3 /* short and of few letters, so that many are equal or prefixes of others */
 
-#define ALPHA_KEY       "k-alpha-31d7"
-#define BETA_KEY        "k-beta-9c02"
-#define NEW_KEY         "k-new-77aa"
-#define CONFIG_APPLY_MS 2500 /* from the users' pages: from the store's response to the version in force */
-#define RESPONSE_MS     300  /* in which responses to pipelined requests arrive */
-#define LOG_MS          100  /* until a log line has been read */
-#define POLL_MS         20
-#define REVOKE_MS       1500
+#define ALPHA_KEY            "k-alpha-31d7"
+#define BETA_KEY             "k-beta-9c02"
+#define NEW_KEY              "k-new-77aa"
+#define CONFIG_APPLY_MS      2500 /* from the users' pages: from the store's response to the version in force */
+#define RESPONSE_MS          300  /* in which responses to pipelined requests arrive */
+#define LOG_MS               100  /* until a log line has been read */
+#define POLL_MS              20
+#define REVOKE_MS            1500
+#define LIMITED_REQUESTS_MAX 500
 
 #define TENANTS_OF(alpha_keys, beta_keys)                                                                              \
   ",\"tenants\":[{\"name\":\"alpha\",\"api_keys\":[" alpha_keys "]},"                                                  \
@@ -744,6 +745,57 @@
   close_test (test);
 }
 
+/* --- tests: limits --- */
+
+/* Sends requests of alpha until one is refused; the response is that one's. */
+static struct raw_client *
+send_until_refused (struct test *test)
+{
+  struct raw_client *client = NULL;
+  for (guint i = 0; i < LIMITED_REQUESTS_MAX; i++)
+    {
+      char *text = format_with_fields (test, "GET", "/r/x", "Authorization: Token " ALPHA_KEY "\r\n");
+      client = send_text (test->setup, test->setup->caller_address, text);
+      g_free (text);
+      if (raw_client_status (client) == 429)
+        return client;
+      raw_client_close (client);
+    }
+  g_error ("no request was refused");
+}
+
+/* Beyond the limit of its organisation a request gets 429 with Retry-After, says that it has not run, and has not; the
+ * other organisation is served. Guards against a 429 without the fields that callers go by. */
+static void
+test_limit (void)
+{
+  struct test *test = open_test ("quota_window: 5s\nquota_overshoot: 0.1\nquota_slack: 20\n");
+  put_tenants (test, 8,
+               ",\"tenants\":[{\"name\":\"alpha\",\"api_keys\":[\"" ALPHA_KEY "\"],\"rate_per_s\":5,\"burst\":3},"
+               "{\"name\":\"beta org\",\"api_keys\":[\"" BETA_KEY "\"]}]");
+  harness_pause (CONFIG_APPLY_MS);
+  struct raw_client *client = send_until_refused (test);
+  GPtrArray *waits = field_values (client->received->str, "Retry-After");
+  g_assert_cmpuint (waits->len, ==, 1);
+  g_assert_cmpfloat (g_ascii_strtod (g_ptr_array_index (waits, 0), NULL), >, 0);
+  g_assert_nonnull (strstr (client->received->str, "not-run"));
+  char *id = g_strdup_printf ("id%u", test->setup->next_id);
+  char *field = g_strdup_printf ("X-Attempt-Id: %s\r\n", id);
+  for (guint i = 0; i < test->recorder.requests->len; i++)
+    g_assert_null (strstr (g_ptr_array_index (test->recorder.requests, i), field));
+  g_assert_cmpuint (status_with_fields (test, "GET", "/r/x", "Authorization: Token " BETA_KEY "\r\n"), ==, 200);
+  harness_pause (LOG_MS);
+  char *explanation = explain (test->setup, id);
+  g_assert_nonnull (strstr (explanation, "status=429"));
+  g_assert_nonnull (strstr (explanation, "organisation=\"alpha\""));
+  g_free (explanation);
+  g_free (field);
+  g_free (id);
+  g_ptr_array_unref (waits);
+  raw_client_close (client);
+  close_test (test);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -763,5 +815,6 @@
   g_test_add_func ("/organisations/refused-documents", test_refused_documents);
   g_test_add_func ("/organisations/strict-revocation", test_strict_revocation);
   g_test_add_func ("/organisations/silent-store", test_silent_store);
+  g_test_add_func ("/organisations/limit", test_limit);
   return g_test_run ();
 }
