A partly granted request for credits gets a forecast for the rest

The forecast was made before the credits were taken, so that callers refused together with a partial grant were told to come back at once.

--- a/src/hf-quota.c
+++ b/src/hf-quota.c
@@ -238,17 +238,18 @@
   struct hf_quota_answer answer = { 0 };
   unsigned available = hf_quota_bucket_available (bucket, now);
   answer.credits = MIN (request->needed, available);
+  if (answer.credits == request->needed)
+    answer.credits += give_expected (request->expected, available - answer.credits, bucket->limit.capacity, entries);
+  if (answer.credits > 0)
+    {
+      struct given given = { .sequence = request->sequence, .credits = answer.credits, .given_at = now };
+      hf_quota_bucket_take (bucket, now, answer.credits);
+      g_array_append_val (holder->given, given);
+    }
   answer.is_filling = organisation->began_at > 0 && now - organisation->began_at < HF_QUOTA_FILLING_MS * HF_MS;
   if (answer.credits < request->needed)
     answer.retry_after_us
         = hf_quota_bucket_forecast (bucket, now, answer.is_filling ? 0 : request->needed - answer.credits);
-  else
-    answer.credits += give_expected (request->expected, available - answer.credits, bucket->limit.capacity, entries);
-  if (answer.credits == 0)
-    return answer;
-  hf_quota_bucket_take (bucket, now, answer.credits);
-  struct given given = { .sequence = request->sequence, .credits = answer.credits, .given_at = now };
-  g_array_append_val (holder->given, given);
   return answer;
 }
 
--- a/tests/test-quota.c
+++ b/tests/test-quota.c
@@ -539,6 +539,87 @@
     }
 }
 
+/* Credits come back after the bucket had filled meanwhile, so that it could hold more than if they had never been
+ * given: guards against counting them twice, which the window must bound. */
+static void
+test_returned (void)
+{
+  struct hf_quota_limit limit = hf_quota_limit_full (&rule, 200, 100);
+  struct hf_quota_bucket bucket;
+  int64_t given_at = 100 * HF_SEC;
+  int64_t begin = given_at + hf_quota_lease_us (&rule) - 1;
+  unsigned used = 0;
+  hf_quota_bucket_init (&bucket, limit, limit.capacity, given_at);
+  unsigned returned = hf_quota_bucket_available (&bucket, given_at);
+  hf_quota_bucket_take (&bucket, given_at, returned);
+  for (int64_t now = begin; now < begin + limit.window_us; now += 10 * HF_MS)
+    {
+      unsigned credits = hf_quota_bucket_available (&bucket, now);
+      hf_quota_bucket_take (&bucket, now, credits);
+      used += credits;
+      if (now == begin)
+        hf_quota_bucket_return (&bucket, now, returned, given_at);
+    }
+  g_assert_cmpfloat (used, <=, limit.window_max);
+  g_assert_cmpfloat (used, >, 0.95 * limit.window_max);
+}
+
+/* A request that arrives twice gets the same answer, and one that was overtaken none: guards against credits that are
+ * given or taken back twice after a resend. */
+static void
+test_repeated_request (void)
+{
+  struct hf_quota_book *book = hf_quota_book_open ();
+  struct hf_quota_limit limit = hf_quota_limit_full (&rule, 10, 10);
+  struct hf_quota_request request = { .organisation = 1, .holder = 2, .sequence = 5, .needed = 4 };
+  struct hf_quota_answer answer;
+  int64_t now = 100 * HF_SEC;
+  for (int i = 0; i < 3; i++)
+    {
+      g_assert_true (hf_quota_book_answer (book, &request, limit, limit.capacity, 1, now + i * HF_MS, &answer));
+      g_assert_cmpuint (answer.credits, ==, 4);
+    }
+  struct hf_quota_request next
+      = { .organisation = 1, .holder = 2, .sequence = 6, .needed = 20, .returned = 2, .returned_sequence = 5 };
+  for (int i = 0; i < 3; i++)
+    {
+      g_assert_true (hf_quota_book_answer (book, &next, limit, 0, 1, now + 3 * HF_MS, &answer));
+      g_assert_cmpuint (answer.credits, ==, 9);
+      g_assert_cmpint (answer.retry_after_us, >, 0);
+    }
+  g_assert_false (hf_quota_book_answer (book, &request, limit, 0, 1, now + 4 * HF_MS, &answer));
+  hf_quota_book_close (book);
+}
+
+/* Refused requests get places one after the other, at the rate of the limit: guards against callers that all come back
+ * at the same time. A lowered limit cuts the bucket. */
+static void
+test_forecast (void)
+{
+  struct hf_quota_limit limit = hf_quota_limit_full (&rule, 10, 10);
+  struct hf_quota_bucket bucket;
+  int64_t now = 100 * HF_SEC;
+  hf_quota_bucket_init (&bucket, limit, 0, now);
+  for (int64_t place = 1; place <= 20; place++)
+    g_assert_cmpint (hf_quota_bucket_forecast (&bucket, now, 1), ==, place * 100 * HF_MS);
+  hf_quota_bucket_init (&bucket, limit, limit.capacity, now);
+  hf_quota_bucket_set_limit (&bucket, hf_quota_limit_full (&rule, 5, 3), now);
+  g_assert_cmpuint (hf_quota_bucket_available (&bucket, now), ==, 3);
+}
+
+/* All local reserves together stay within half of the slack. */
+static void
+test_reserve (void)
+{
+  for (size_t entries = 1; entries < 200; entries++)
+    {
+      unsigned sum = 0;
+      for (size_t rank = 0; rank < entries; rank++)
+        sum += hf_quota_reserve (&rule, rank, entries);
+      g_assert_cmpuint (sum, ==, (unsigned) rule.slack / 2);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -546,5 +627,9 @@
   g_test_set_nonfatal_assertions ();
   g_test_add_func ("/quota/window", test_window);
   g_test_add_func ("/quota/calm", test_calm);
+  g_test_add_func ("/quota/returned", test_returned);
+  g_test_add_func ("/quota/repeated-request", test_repeated_request);
+  g_test_add_func ("/quota/forecast", test_forecast);
+  g_test_add_func ("/quota/reserve", test_reserve);
   return g_test_run ();
 }
