Callers refused for a silent owner are told when another one takes over; tests of changed limits

Further tests: an isolated entry, which runs nothing beyond its reserve; a limit that is lowered, taken away and raised.

--- a/src/hf-quota-leases.c
+++ b/src/hf-quota-leases.c
@@ -441,6 +441,20 @@
   account->ask_at = state->now + CLAMP (wait_ms, HF_QUOTA_RESEND_MS, HF_QUOTA_WAIT_MAX_MS) * HF_MS;
 }
 
+/* Time until a silent owner leaves the granters and another entry takes over. */
+static int64_t
+takeover_wait_ms (const struct hf_state *state, const struct account *account)
+{
+  uint64_t ranked[2];
+  hf_roles_rank_granters (state, account->id, ranked);
+  const struct hf_member *owner = hf_state_find_member (state, ranked[0]);
+  if (!owner)
+    return HF_GRANTER_BYPASS_MS;
+  int64_t timeout_ms = (HF_PEER_TIMEOUT_MS + HF_HEARTBEAT_MS) * hf_members_heartbeat_rounds (state);
+  int64_t due_at = owner->last_heartbeat_at + timeout_ms * HF_MS;
+  return MAX ((due_at - state->now) / HF_MS, HF_GRANTER_BYPASS_MS);
+}
+
 static void
 fall_back (struct hf_state *state, struct account *account)
 {
@@ -453,7 +467,7 @@
     }
   while (!g_queue_is_empty (&account->waiting) && take_from_reserve (state, account, &credit))
     give_credit (state, pop_waiting (state, account), credit);
-  refuse_waiting (state, account, 0, g_queue_get_length (&account->waiting), HF_GRANTER_BYPASS_MS);
+  refuse_waiting (state, account, 0, g_queue_get_length (&account->waiting), takeover_wait_ms (state, account));
 }
 
 static void receive_lease (struct hf_state *state, uint64_t from, const struct hf_rpc_quota_lease *lease);
--- a/tests/test-quota-fleet.c
+++ b/tests/test-quota-fleet.c
@@ -18,12 +18,13 @@
 #define LARGE_RATE  150
 #define LARGE_BURST 150
 #define RUNS_MAX    32768
-#define DOCUMENT                                                                                                       \
+#define DOCUMENT_WITH(large)                                                                                           \
   "{version: 1, services: [{name: a, directory: true}],"                                                               \
   " organisations: [{name: small, keys: [ks], rate_per_s: 10, burst: 10},"                                             \
-  " {name: large, keys: [kl], rate_per_s: 150, burst: 150}, {name: free, keys: [kf]}],"                                \
+  " {name: large, keys: [kl], " large "}, {name: free, keys: [kf]}],"                                                  \
   " routes: [{name: r, host: h, path_prefix: /, class: {name: c, deadline_ms: 4000, repeatable: true},"                \
   " parts: [{service: a}]}]}"
+#define DOCUMENT DOCUMENT_WITH ("rate_per_s: 150, burst: 150")
 
 /* --- types --- */
 
@@ -173,10 +174,10 @@
 /* --- internal functions: open, close and check --- */
 
 static void
-write_document (struct fleet *fleet)
+write_document (struct fleet *fleet, const char *text)
 {
   struct hf_error error = { 0 };
-  struct hf_document *document = hf_document_load (hf_str (DOCUMENT), &error);
+  struct hf_document *document = hf_document_load (hf_str (text), &error);
   if (!document)
     g_error ("%s", error.message);
   hf_str_free (&fleet->encoded_document);
@@ -196,7 +197,7 @@
   simulation->fleet = fleet_open (entries, DOMAINS, LARGE);
   simulation->fleet->on_effect = on_effect;
   simulation->fleet->context = simulation;
-  write_document (simulation->fleet);
+  write_document (simulation->fleet, DOCUMENT);
   fleet_advance (simulation->fleet, FLEET_PROPAGATION_MAX_MS);
   return simulation;
 }
@@ -513,6 +514,71 @@
   close_simulation (simulation);
 }
 
+/* The owner is silent and does not come back: the rule holds, and organisations below their limits get credits again
+ * once it has left the granters. Guards against an owner that is waited for without end. */
+static void
+test_owner_silent (void)
+{
+  static const double rates[] = { 5, 100, 0 };
+  struct simulation *simulation = open_simulation (127);
+  run_load (simulation, 8000, rates);
+  struct fleet_entry *owner = find_owner (simulation, "large");
+  int64_t silent_at = simulation->fleet->now;
+  owner->is_disconnected = true;
+  owner->is_paused = true;
+  run_load (simulation, 15000, rates);
+  check_windows (simulation);
+  g_test_message ("refused until %d ms after the owner fell silent",
+                  (int) ((simulation->tallies[LARGE_ONE].refused_at - silent_at) / HF_MS));
+  g_assert_cmpint (simulation->tallies[LARGE_ONE].refused_at - silent_at, <, 12 * HF_SEC);
+  close_simulation (simulation);
+}
+
+/* An entry without links uses what it holds, then refuses; it runs nothing beyond its reserve. */
+static void
+test_isolated_entry (void)
+{
+  static const double rates[] = { 5, 100, 0 };
+  struct simulation *simulation = open_simulation (ENTRIES);
+  struct fleet_entry *entry = &simulation->fleet->entries[ENTRIES - 1];
+  run_load (simulation, 8000, rates);
+  entry->is_disconnected = true;
+  run_load (simulation, 12000, rates);
+  uint64_t sent = entry->state->counters[HF_COUNT_DISPATCHED];
+  run_load (simulation, 12000, rates);
+  sent = entry->state->counters[HF_COUNT_DISPATCHED] - sent;
+  check_windows (simulation);
+  g_test_message ("%d requests sent by an isolated entry in 12 s", (int) sent);
+  g_assert_cmpuint (sent, <=, 3 * FLEET_QUOTA_SLACK / 2);
+  close_simulation (simulation);
+}
+
+/* A limit is lowered and taken away: the lower one binds a window after all entries have it, and without a limit
+ * nothing is refused. Guards against limits of documents that are not in force any more. */
+static void
+test_limit_changes (void)
+{
+  static const double rates[] = { 5, 200, 0 };
+  struct simulation *simulation = open_simulation (ENTRIES);
+  struct tally *tally = &simulation->tallies[LARGE_ONE];
+  run_load (simulation, 8000, rates);
+  write_document (simulation->fleet, DOCUMENT_WITH ("rate_per_s: 20, burst: 20"));
+  run_load (simulation, FLEET_PROPAGATION_MAX_MS + FLEET_QUOTA_WINDOW_MS, rates);
+  tally->n_run = 0;
+  run_load (simulation, 12000, rates);
+  g_assert_cmpuint (most_in_window (tally), <=, (20 * 5 + 20) * 1.1 + 20);
+  g_assert_cmpuint (tally->n_run, >, 12 * 20 * 9 / 10);
+  write_document (simulation->fleet, DOCUMENT_WITH ("rate_per_s: 0"));
+  run_load (simulation, FLEET_PROPAGATION_MAX_MS, rates);
+  unsigned refused = tally->refused;
+  run_load (simulation, 3000, rates);
+  g_assert_cmpuint (tally->refused, ==, refused);
+  write_document (simulation->fleet, DOCUMENT_WITH ("rate_per_s: 400, burst: 400"));
+  run_load (simulation, 5000, rates);
+  g_assert_cmpuint (tally->refused, ==, refused);
+  close_simulation (simulation);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -529,5 +595,8 @@
   g_test_add_func ("/quota-fleet/stall", test_stall);
   g_test_add_func ("/quota-fleet/loss", test_loss);
   g_test_add_func ("/quota-fleet/all-killed", test_all_killed);
+  g_test_add_func ("/quota-fleet/owner-silent", test_owner_silent);
+  g_test_add_func ("/quota-fleet/isolated-entry", test_isolated_entry);
+  g_test_add_func ("/quota-fleet/limit-changes", test_limit_changes);
   return g_test_run ();
 }
