An owner that was paused asks for its bucket again

An owner that is paused for some seconds is replaced. When it ran again, it gave its full bucket beside the burst of the one that had replaced it: 1,051 requests in a window that allows 1,010 (test-quota-fleet owner-paused).

--- a/src/hf-members.c
+++ b/src/hf-members.c
@@ -439,6 +439,7 @@
 void
 hf_members_resume (struct hf_state *state)
 {
+  state->roles.resumed_at = state->now;
   for (size_t i = 0; i < state->members->len; i++)
     {
       struct hf_member *member = member_at (state, i);
--- a/src/hf-quota-leases.c
+++ b/src/hf-quota-leases.c
@@ -103,6 +103,18 @@
 
 /* --- internal functions: owner --- */
 
+/* The last time for which this entry was the owner, as hf_roles_last_granted. During a pause another entry may have
+ * been it. */
+static bool
+last_owned (const struct hf_state *state, uint64_t organisation, int64_t *since, int64_t *until)
+{
+  if (!hf_roles_last_granted (state, organisation, since, until))
+    return false;
+  if (*until == 0)
+    *since = MAX (*since, state->roles.resumed_at);
+  return true;
+}
+
 /* When the bucket of an owner that is new began to fill. A former owner that was lost may have given credits until it
  * noticed that it reaches too few entries. */
 static int64_t
@@ -112,7 +124,7 @@
   int64_t settle_ms = HF_HEARTBEAT_MS * (hf_members_heartbeat_rounds (state) + 1);
   int64_t since = state->now;
   int64_t until = 0;
-  if (!hf_roles_last_granted (state, organisation, &since, &until) || until > 0)
+  if (!last_owned (state, organisation, &since, &until) || until > 0)
     return state->now;
   if (roles->granter_lost_at >= since)
     since = roles->granter_lost_at + settle_ms * HF_MS;
@@ -132,7 +144,7 @@
   const struct hf_roles *roles = &state->roles;
   int64_t since = 0;
   int64_t until = 0;
-  bool was_owner = hf_roles_last_granted (state, hf_organisation_id (organisation), &since, &until);
+  bool was_owner = last_owned (state, hf_organisation_id (organisation), &since, &until);
   if (!was_owner || (until > 0 && state->now - until >= HF_QUOTA_MOVED_MS * HF_MS) || roles->majority_since == 0)
     return 0;
   if (until == 0)
@@ -144,7 +156,8 @@
 may_be_owner (const void *context, uint64_t organisation)
 {
   const struct hf_state *state = context;
-  return state->roles.majority_since > 0 && hf_members_is_owner (state, organisation);
+  return state->roles.resumed_at != state->now && state->roles.majority_since > 0
+         && hf_members_is_owner (state, organisation);
 }
 
 /* 0: owner, 1: second, 2: neither. An owner that leaves remains it until another one asks for the bucket. */
@@ -153,7 +166,7 @@
 {
   int64_t since = 0;
   int64_t until = 0;
-  if (state->leaving && hf_roles_last_granted (state, organisation, &since, &until)
+  if (state->leaving && last_owned (state, organisation, &since, &until)
       && state->now - until < HF_QUOTA_MOVED_MS * HF_MS)
     return 0;
   return ranked[0] == state->boot_id ? 0 : ranked[1] == state->boot_id ? 1 : 2;
@@ -189,7 +202,7 @@
 {
   int64_t until = 0;
   int64_t silent_ms = HF_PEER_TIMEOUT_MS * hf_members_heartbeat_rounds (state) + HF_HEARTBEAT_MS;
-  return hf_roles_last_granted (state, organisation, since, &until)
+  return last_owned (state, organisation, since, &until)
          && state->now - *since < MAX (HF_QUOTA_MOVED_MS, silent_ms) * HF_MS;
 }
 
@@ -229,7 +242,7 @@
 {
   int64_t since = 0;
   int64_t until = 0;
-  hf_roles_last_granted (state, organisation, &since, &until);
+  last_owned (state, organisation, &since, &until);
   return hf_quota_book_moved_to (state->quota->book, organisation, since, state->now);
 }
 
@@ -766,7 +779,9 @@
 void
 hf_quota_leases_update_owners (struct hf_state *state)
 {
-  bool changed = state->roles.granters_changed_at == state->now || state->roles.majority_changed_at == state->now;
+  const struct hf_roles *roles = &state->roles;
+  bool changed = roles->granters_changed_at == state->now || roles->majority_changed_at == state->now
+                 || roles->resumed_at == state->now;
   if (state->quota && changed && !state->leaving)
     hf_quota_book_disown (state->quota->book, state->now, may_be_owner, state);
 }
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -59,6 +59,8 @@
                     "process was paused for %d ms; dropping the loads of other entries and requesting new heartbeats",
                     (int) ((state->now - state->heartbeat_due_at) / HF_MS));
       hf_members_resume (state);
+      /* Before the event itself is handled: it may be a request for credits of this owner. */
+      hf_quota_leases_update_owners (state);
     }
   else
     {
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -477,6 +477,8 @@
  * @reached: entries of the fleet that have started and with which there is contact, this one included
  * @entries: entries of the fleet, this one included
  * @majority_changed_at: when that last became more than half of the fleet, or ceased to be
+ * @resumed_at: end of the last pause in which the other entries may have found others for the roles of this one; 0:
+ * none
  * @majority_since: since when more than half of the fleet has been reached; 0: it is not
  */
 struct hf_roles
@@ -496,6 +498,7 @@
   size_t entries;
   int64_t majority_changed_at;
   int64_t majority_since;
+  int64_t resumed_at;
 };
 
 /**
--- a/tests/test-quota-fleet.c
+++ b/tests/test-quota-fleet.c
@@ -534,6 +534,25 @@
   close_simulation (simulation);
 }
 
+/* The owner is paused until another one has replaced it, and wakes while that one's burst is being used: guards against
+ * the full bucket of an owner that did not notice its pause. */
+static void
+test_owner_paused (void)
+{
+  static const double calm[] = { 2, 20, 0 };
+  static const double surge[] = { 2, 600, 0 };
+  struct simulation *simulation = open_simulation (ENTRIES);
+  run_load (simulation, 8000, calm);
+  struct fleet_entry *owner = find_owner (simulation, "large");
+  owner->is_paused = true;
+  run_load (simulation, 10000, calm);
+  run_load (simulation, 1000, surge);
+  owner->is_paused = false;
+  run_load (simulation, 6000, surge);
+  check_windows (simulation);
+  close_simulation (simulation);
+}
+
 /* An entry without links uses what it holds, then refuses; it runs nothing beyond its reserve. */
 static void
 test_isolated_entry (void)
@@ -596,6 +615,7 @@
   g_test_add_func ("/quota-fleet/loss", test_loss);
   g_test_add_func ("/quota-fleet/all-killed", test_all_killed);
   g_test_add_func ("/quota-fleet/owner-silent", test_owner_silent);
+  g_test_add_func ("/quota-fleet/owner-paused", test_owner_paused);
   g_test_add_func ("/quota-fleet/isolated-entry", test_isolated_entry);
   g_test_add_func ("/quota-fleet/limit-changes", test_limit_changes);
   return g_test_run ();
