--- a/src/config.h
+++ b/src/config.h
@@ -174,6 +174,20 @@
 #define HF_GRANTER_BYPASS_MS      500 /* how long an entry decides locally after a granter timed out */
 #define HF_GRANT_TRANSIT_MS       100 /* younger grants may be in transit: a heartbeat without them keeps them */
 
+/* Quotas of organisations over the fleet. */
+#define HF_QUOTA_LEASE_RATIO 0.9  /* validity of a lease, of what the overshoot allows; the rest is for the slices */
+#define HF_QUOTA_SLICES      128  /* time slices in which the credits given in a window are counted */
+#define HF_QUOTA_LEASES_MAX  8    /* of one organisation at one entry */
+#define HF_QUOTA_MOVED_MS    3000 /* until all entries know the new owner: two rounds of heartbeats of a large fleet */
+
+#define HF_QUOTA_CREDITS_MAX      10000 /* in one request of an entry */
+#define HF_QUOTA_RESEND_MS        5     /* before an unanswered request for credits is sent again; doubles each time */
+#define HF_QUOTA_RESEND_DOUBLINGS 2
+#define HF_QUOTA_START_MS         3000  /* after its start an owner may not know most others: requests wait for it */
+#define HF_QUOTA_FILLING_MS       1000  /* requests wait for a bucket that began empty so lately */
+#define HF_QUOTA_WAIT_MAX_MS      100   /* before credits of such a bucket are requested again */
+#define HF_QUOTA_LOG_INTERVAL_MS  10000 /* between lines on the same organisation */
+
 /* Membership. */
 #define HF_HEARTBEAT_MS                500
 #define HF_HEARTBEAT_MEMBERS_PER_ROUND 35 /* one more round per this many members, until all have got a heartbeat */
@@ -201,6 +215,7 @@
 #define HF_COORDINATORS_MIN        2   /* in each failure domain */
 #define HF_WATCHERS_PER_DOMAIN     2   /* entries that watch the platform's directory for the others */
 #define HF_SHORT_WATCHERS          2   /* of the fleet's watchers: so many notice soon that their watches are lost */
+#define HF_GRANTERS_HISTORY_MAX    8   /* former sets of granters that are known, to tell who was one before */
 #define HF_GRANTER_CPU_SHARE_MIN   0.5 /* of the coordinators' largest CPU share; entries with less grant no slots */
 
 /* Directory sync between entries. One entry at a time sends the full directory. */
--- a/src/hf-call-end.c
+++ b/src/hf-call-end.c
@@ -3,6 +3,7 @@
 
 #include "hf-claims.h"
 #include "hf-deadlines.h"
+#include "hf-quota-leases.h"
 #include "hf-restrictions.h"
 #include "hf-slots.h"
 #include "hf-trace.h"
@@ -75,6 +76,7 @@
   cancel_others (state, call, -1);
   hf_timers_cancel (&call->deadline_timer);
   hf_timers_cancel (&call->retry_timer);
+  hf_quota_leases_release (state, call);
   g_hash_table_remove (state->calls, &call->id);
 }
 
@@ -124,6 +126,21 @@
   hf_call_remove (state, call);
 }
 
+/* Only calls that were never sent to a backend server wait for credit. */
+void
+hf_call_refuse_by_quota (struct hf_state *state, struct hf_call *call, int64_t retry_after_ms)
+{
+  cancel_others (state, call, -1);
+  hf_claims_end (state, call, HF_OUTCOME_NOT_RUN, 0);
+  hf_state_increment (state, HF_COUNT_QUOTA_REFUSED);
+  retry_after_ms = MAX (retry_after_ms, 1);
+  hf_trace_request_over_quota (state, call, retry_after_ms);
+  hf_call_count_outcome (state, call->organisation, HF_ORGANISATION_NOT_RUN);
+  hf_call_send_error (state, call->id, 429, HF_OUTCOME_NOT_RUN, retry_after_ms,
+                      "the organisation is beyond its limit of requests");
+  hf_call_remove (state, call);
+}
+
 /* Stops the other attempts: the caller gets the response of attempt @i. */
 void
 hf_call_relay_response (struct hf_state *state, struct hf_call *call, unsigned i, enum hf_outcome outcome)
--- a/src/hf-log.c
+++ b/src/hf-log.c
@@ -27,6 +27,8 @@
   { HF_LOG_CONFIG_RESTORED, HF_LOG_LEVEL_NOTICE, "config-restored" },
   { HF_LOG_CONFIG_SPLIT, HF_LOG_LEVEL_ERR, "config-split" },
   { HF_LOG_CONFIG_LATE, HF_LOG_LEVEL_WARNING, "config-late" },
+  { HF_LOG_CONFIG_UNCONFIRMED, HF_LOG_LEVEL_WARNING, "config-unconfirmed" },
+  { HF_LOG_CONFIG_CONFIRMED, HF_LOG_LEVEL_NOTICE, "config-confirmed" },
   { HF_LOG_MEMBER_JOINED, HF_LOG_LEVEL_INFO, "member-joined" },
   { HF_LOG_MEMBER_LOST, HF_LOG_LEVEL_WARNING, "member-lost" },
   { HF_LOG_MEMBER_LEAVING, HF_LOG_LEVEL_INFO, "member-leaving" },
@@ -72,6 +74,9 @@
   { HF_LOG_SLOT_DENIED, HF_LOG_LEVEL_NOTICE, "slot-denied" },
   { HF_LOG_SLOT_RETURNED, HF_LOG_LEVEL_NOTICE, "slot-returned" },
   { HF_LOG_RESPONSE_SKIPPED, HF_LOG_LEVEL_NOTICE, "response-skipped" },
+  { HF_LOG_REQUEST_UNAUTHORISED, HF_LOG_LEVEL_INFO, "request-unauthorised" },
+  { HF_LOG_QUOTA_OWNER_SILENT, HF_LOG_LEVEL_WARNING, "quota-owner-silent" },
+  { HF_LOG_QUOTA_EXCEEDED, HF_LOG_LEVEL_NOTICE, "quota-exceeded" },
   { 0 },
 };
 
--- a/src/hf-roles.c
+++ b/src/hf-roles.c
@@ -1,6 +1,8 @@
 /* Assigns the roles of coordinator, watcher and granter to entries. */
 #include "hf-roles.h"
 
+#include <string.h>
+
 /* --- types --- */
 
 /* An entry that may get a role. */
@@ -197,24 +199,125 @@
     }
 }
 
+/* --- internal functions: changes --- */
+
+static bool
+same_granters (const GArray *a, const GArray *b)
+{
+  return a->len == b->len && (a->len == 0 || memcmp (a->data, b->data, a->len * sizeof (uint64_t)) == 0);
+}
+
+static bool
+contains_granter (const GArray *granters, uint64_t boot_id)
+{
+  for (guint i = 0; i < granters->len; i++)
+    if (g_array_index (granters, uint64_t, i) == boot_id)
+      return true;
+  return false;
+}
+
+/* Whether a former granter may still grant, as it is only known to be silent. One that leaves does not, and one whose
+ * address has another boot id now has ended. */
+static bool
+may_still_grant (const struct hf_state *state, uint64_t boot_id)
+{
+  const struct hf_member *member = hf_state_find_member (state, boot_id);
+  return member && !member->leaving && !member->alive;
+}
+
+static void
+drop_oldest_granters (struct hf_roles *roles)
+{
+  g_array_unref (g_array_index (roles->granters_history, struct hf_granters, 0).granters);
+  g_array_remove_index (roles->granters_history, 0);
+}
+
+static void
+note_granters (struct hf_state *state, const GArray *former)
+{
+  struct hf_roles *roles = &state->roles;
+  if (same_granters (former, roles->granters))
+    return;
+  struct hf_granters current = { .since = state->now, .granters = g_array_copy (roles->granters) };
+  if (roles->granters_history->len == HF_GRANTERS_HISTORY_MAX)
+    drop_oldest_granters (roles);
+  g_array_append_val (roles->granters_history, current);
+  roles->granters_changed_at = state->now;
+  for (guint i = 0; i < former->len; i++)
+    {
+      uint64_t boot_id = g_array_index (former, uint64_t, i);
+      if (!contains_granter (roles->granters, boot_id) && may_still_grant (state, boot_id))
+        roles->granter_lost_at = state->now;
+    }
+}
+
+/* Counts the entries that are listed or alive, and those with which there is contact. Entries that are starting do not
+ * count as reached: each of them may believe that it is the only granter. */
+static void
+count_reached (struct hf_state *state)
+{
+  struct hf_roles *roles = &state->roles;
+  roles->reached = 1;
+  roles->entries = 1;
+  for (guint i = 0; i < state->members->len; i++)
+    {
+      const struct hf_member *member = g_ptr_array_index (state->members, i);
+      if (member->leaving)
+        continue;
+      roles->reached += member->alive && !member->starting;
+      roles->entries += member->alive || member->listed;
+    }
+  bool has_majority = 2 * roles->reached > roles->entries;
+  if (has_majority == (roles->majority_since > 0))
+    return;
+  roles->majority_since = has_majority ? state->now : 0;
+  roles->majority_changed_at = state->now;
+}
+
+/* --- internal functions: rendezvous hashing --- */
+
+/* The entry with the greatest weight; @fallback if there are none. */
+static uint64_t
+first_by_weight (const GArray *granters, uint64_t subject, uint64_t fallback)
+{
+  uint64_t granter = fallback;
+  uint64_t best = 0;
+  for (guint i = 0; i < granters->len; i++)
+    {
+      uint64_t boot_id = g_array_index (granters, uint64_t, i);
+      uint64_t weight = hf_hash_pair (subject, boot_id);
+      if (weight < best)
+        continue;
+      best = weight;
+      granter = boot_id;
+    }
+  return granter;
+}
+
 /* --- public functions --- */
 
 void
 hf_roles_init (struct hf_roles *roles)
 {
-  *roles = (struct hf_roles){ .granters = g_array_new (FALSE, FALSE, sizeof (uint64_t)), .update_pending = true };
+  *roles = (struct hf_roles){ .granters = g_array_new (FALSE, FALSE, sizeof (uint64_t)),
+                              .granters_history = g_array_new (FALSE, FALSE, sizeof (struct hf_granters)),
+                              .update_pending = true };
 }
 
 void
 hf_roles_close (struct hf_roles *roles)
 {
   g_array_unref (roles->granters);
+  while (roles->granters_history->len > 0)
+    drop_oldest_granters (roles);
+  g_array_unref (roles->granters_history);
 }
 
 void
 hf_roles_update (struct hf_state *state)
 {
   GArray *candidates = list_candidates (state);
+  GArray *former_granters = g_array_copy (state->roles.granters);
   bool was_watcher = state->roles.is_watcher;
   clear_roles (state);
   assign_roles (candidates);
@@ -225,24 +328,73 @@
   if (!state->roles.is_watcher && was_watcher)
     state->roles.watcher_until = state->now;
   state->roles.update_pending = false;
+  note_granters (state, former_granters);
+  count_reached (state);
+  g_array_unref (former_granters);
   g_array_unref (candidates);
 }
 
 uint64_t
 hf_roles_granter (const struct hf_state *state, uint64_t subject)
 {
-  uint64_t granter = state->boot_id;
-  uint64_t best = 0;
+  return first_by_weight (state->roles.granters, subject, state->boot_id);
+}
+
+bool
+hf_roles_last_granted (const struct hf_state *state, uint64_t subject, int64_t *since, int64_t *until)
+{
+  const GArray *history = state->roles.granters_history;
+  bool found = false;
+  *until = 0;
+  for (guint i = history->len; i-- > 0;)
+    {
+      const struct hf_granters *granters = &g_array_index (history, struct hf_granters, i);
+      bool is_own = first_by_weight (granters->granters, subject, 0) == state->boot_id;
+      if (found && !is_own)
+        return true;
+      if (is_own)
+        *since = granters->since;
+      else
+        *until = granters->since;
+      found = found || is_own;
+    }
+  return found;
+}
+
+uint64_t
+hf_roles_granter_before (const struct hf_state *state, uint64_t subject, int64_t time)
+{
+  const GArray *history = state->roles.granters_history;
+  for (guint i = history->len; i-- > 0;)
+    {
+      const struct hf_granters *granters = &g_array_index (history, struct hf_granters, i);
+      if (granters->since < time)
+        return first_by_weight (granters->granters, subject, 0);
+    }
+  return 0;
+}
+
+void
+hf_roles_rank_granters (const struct hf_state *state, uint64_t subject, uint64_t ranked[2])
+{
+  uint64_t weights[2] = { 0, 0 };
+  ranked[0] = 0;
+  ranked[1] = 0;
   for (guint i = 0; i < state->roles.granters->len; i++)
     {
       uint64_t boot_id = g_array_index (state->roles.granters, uint64_t, i);
       uint64_t weight = hf_hash_pair (subject, boot_id);
-      if (weight < best)
+      unsigned rank = weight >= weights[0] ? 0 : 1;
+      if (weight < weights[1])
         continue;
-      best = weight;
-      granter = boot_id;
+      if (rank == 0)
+        {
+          weights[1] = weights[0];
+          ranked[1] = ranked[0];
+        }
+      weights[rank] = weight;
+      ranked[rank] = boot_id;
     }
-  return granter;
 }
 
 /* One that has timed out may be a coordinator: the failure domains find each other again after they were cut off. */
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -449,7 +449,11 @@
 struct fleet *
 fleet_open_with_affinity (unsigned entries, unsigned domains, unsigned large_per_domain, enum hf_affinity_mode mode)
 {
-  return fleet_open_with (entries, domains, large_per_domain, &(struct hf_settings){ .domain_affinity = mode });
+  const struct hf_settings settings = { .domain_affinity = mode,
+                                        .quota_window_ms = FLEET_QUOTA_WINDOW_MS,
+                                        .quota_overshoot = FLEET_QUOTA_OVERSHOOT,
+                                        .quota_slack = FLEET_QUOTA_SLACK };
+  return fleet_open_with (entries, domains, large_per_domain, &settings);
 }
 
 struct fleet *
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -19,6 +19,9 @@
 #define FLEET_SERVERS_MAX        400
 #define FLEET_STEP_MS            10
 #define FLEET_PROPAGATION_MAX_MS 2000 /* until every entry has applied a change */
+#define FLEET_QUOTA_WINDOW_MS    5000
+#define FLEET_QUOTA_OVERSHOOT    0.1
+#define FLEET_QUOTA_SLACK        20
 
 #ifndef FLEET_AFFINITY
 #define FLEET_AFFINITY HF_AFFINITY_OFF /* of fleet_open; a program may be built with another one */
