--- a/src/hf-cold-servers.c
+++ b/src/hf-cold-servers.c
@@ -4,12 +4,13 @@
 #include "hf-cold-spread.h"
 #include "hf-members.h"
 #include "hf-quarantine.h"
+#include "hf-roles.h"
 
 /* --- internal functions: limits --- */
 
-/* Members heard of lately, and this entry. A granter that another one may have replaced by now no longer hears the
- * entries that have: they replace it only after HF_PEER_TIMEOUT_MS without a heartbeat of it, and the last one that it
- * sent them is up to a heartbeat older than the last one that it got. */
+/* Members heard of lately among those that send heartbeats here, and this entry. A granter that another one may have
+ * replaced by now no longer hears the entries that have: they replace it only after HF_PEER_TIMEOUT_MS without a
+ * heartbeat of it, and the last one that it sent them is up to a heartbeat older than the last one that it got. */
 static unsigned
 count_in_touch (const struct hf_state *state, unsigned *known)
 {
@@ -19,7 +20,7 @@
   for (guint i = 0; i < state->members->len; i++)
     {
       const struct hf_member *member = g_ptr_array_index (state->members, i);
-      if (member->leaving)
+      if (member->leaving || !hf_roles_is_heartbeat_peer (state, member))
         continue;
       ++*known;
       in_touch += member->boot_id && state->now - member->last_heartbeat_at < fresh_us;
