Malformed responses have a log line; tests of them with the real process

One line (HF8015) names what is wrong with a response and its connection; the caller gets 502, or a reset where a part was passed on, counted in cut_total.

Tests: test-platform /platform/malformed-responses, long-partial; test-uploads /uploads/reset: 100 uploads whose server responds at once and resets.

--- a/src/hf-exchange.c
+++ b/src/hf-exchange.c
@@ -140,12 +140,26 @@
   return HF_ATTEMPT_BROKEN;
 }
 
+static void
+log_malformed_response (const struct hf_exchange *exchange, enum hf_http_parse_error fault)
+{
+  const struct hf_log_field fields[] = { HF_LOG_TEXT ("request", exchange->request_id),
+                                         HF_LOG_INT ("attempt", exchange->attempt),
+                                         HF_LOG_TEXT ("server", exchange->server_name),
+                                         HF_LOG_TEXT ("fault", hf_str (hf_http_parse_error_text (fault))),
+                                         HF_LOG_INT ("connection", exchange->connection.number),
+                                         HF_LOG_INT ("earlier_requests", exchange->connection.earlier_requests) };
+  hf_log_write_fields (HF_LOG_RESPONSE_MALFORMED, exchange->request_id, fields, G_N_ELEMENTS (fields));
+}
+
 static void
 on_ended (void *context, const struct hf_http_client_end *end)
 {
   struct hf_exchange *exchange = context;
   exchange->request = NULL;
   exchange->ref_count++;
+  if (end->fault != HF_HTTP_PARSE_OK)
+    log_malformed_response (exchange, end->fault);
   hf_loop_raise_event (exchange->loop, (struct hf_event){ .kind = HF_EVENT_ATTEMPT_END,
                                                           .call = exchange->call,
                                                           .attempt = exchange->attempt,
--- a/tests/platform-setup.c
+++ b/tests/platform-setup.c
@@ -203,6 +203,17 @@
     setup->endless_timer = g_timeout_add (ENDLESS_INTERVAL_MS, send_without_end, setup);
 }
 
+static void
+send_own_text (const struct backend_server *server, struct raw_connection *connection, const char *id)
+{
+  GString *text = g_string_new (server->text);
+  g_string_replace (text, "{id}", id, 0);
+  raw_connection_send (connection, "%s", text->str);
+  if (server->cuts_by_reset)
+    raw_connection_close (connection, TRUE);
+  g_string_free (text, TRUE);
+}
+
 static void
 respond_as_told (struct backend_server *server, struct raw_connection *connection, const char *id)
 {
@@ -264,6 +275,9 @@
     case SENDS_ENDLESS_NOISE:
       begin_without_end (server->setup, connection, "", id);
       break;
+    case SENDS_TEXT:
+      send_own_text (server, connection, id);
+      break;
     case SENDS_SHORT_STATUS:
       raw_connection_send (connection, "HTTP/1.1 20 OK\r\nX-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", id);
       break;
--- a/tests/platform-setup.h
+++ b/tests/platform-setup.h
@@ -46,6 +46,7 @@
   SENDS_ENDLESS_HEAD,  /* header fields until the connection is closed */
   SENDS_ENDLESS_BODY,  /* the same with a body without length */
   SENDS_ENDLESS_NOISE, /* the same with bytes that are no response */
+  SENDS_TEXT,          /* text of the server; then it resets the connection if cuts_by_reset */
   SENDS_SHORT_STATUS,  /* a status line with two digits */
 };
 
@@ -56,6 +57,7 @@
   char name[16];
   enum server_behaviour behaviour;
   gsize cut_bytes;
+  const char *text; /* "{id}" stands for the id of the request */
   gboolean cuts_by_reset;
   gboolean copies_into_health; /* a response to another request precedes each of its health responses */
   guint slowdown_percent;      /* current latency in percent of the usual, as health responses report it; 0: 100 */
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -1153,6 +1153,91 @@
   close_setup (setup);
 }
 
+static guint
+count_logged (const struct setup *setup, const char *event)
+{
+  guint n = 0;
+  for (guint i = 0; i < setup->log->len; i++)
+    n += strstr (g_ptr_array_index (setup->log, i), event) != NULL;
+  return n;
+}
+
+static void
+set_text (struct setup *setup, const char *text)
+{
+  set_behaviour (setup, SENDS_TEXT);
+  for (guint i = 0; i < SERVERS; i++)
+    setup->servers[i].text = text;
+}
+
+/* Guards against a malformed response that reaches the caller, or whose connection is used again: each ends in a 502
+ * and one log line. test-http-syntax has all cases. */
+static void
+test_malformed_responses (void)
+{
+  static const char *const texts[] = {
+    "HTTP/1.1 000 None\r\nX-Attempt-Id: {id}\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 600 High\r\nX-Attempt-Id: {id}\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-A : b\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX A: b\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX\001A: b\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-A: b\r\n folded\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-A: \001\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nContent-Length: 2, 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nokxx0\r\n\r\n",
+  };
+  struct setup *setup = open_setup ();
+  for (guint i = 0; i < G_N_ELEMENTS (texts); i++)
+    {
+      char path[32];
+      g_snprintf (path, sizeof path, "/w/%u", i); /* the same request again would be quarantined */
+      set_text (setup, texts[i]);
+      g_assert_cmpuint (request_status (setup, "POST", path, "b"), ==, 502);
+      harness_pause (DISCONNECT_MS);
+      for (guint j = 0; j < SERVERS; j++)
+        if (setup->servers[j].last_connection)
+          g_assert_false (raw_connection_is_open (setup->servers[j].last_connection));
+    }
+  g_assert_cmpuint (count_logged (setup, "response-malformed"), ==, G_N_ELEMENTS (texts));
+  close_setup (setup);
+}
+
+static gboolean
+has_received_long (void *context)
+{
+  const struct raw_client *client = context;
+  return client->received->len >= LONG_BODY_BYTES;
+}
+
+/* Guards against a long response without a length that is reset and looks complete to the caller, who has got a part of
+ * it: no last chunk, a reset, and a count. */
+static void
+test_long_partial (void)
+{
+  struct setup *setup = open_setup ();
+  char *body = g_strnfill (LONG_BODY_BYTES, 'x');
+  char *text = g_strconcat ("HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\n\r\n", body, NULL);
+  set_text (setup, text);
+  char *request = format_request (setup, "POST", "/w/x", "b");
+  struct raw_client *client = raw_client_connect (setup->net, setup->caller_address, request);
+  g_assert_true (harness_wait_until (has_received_long, client, CHANGE_TIMEOUT_S));
+  for (guint i = 0; i < SERVERS; i++)
+    if (setup->servers[i].last_connection)
+      raw_connection_close (setup->servers[i].last_connection, TRUE);
+  g_assert_true (harness_wait_until (has_ended, client, CHANGE_TIMEOUT_S));
+  g_assert_true (client->reset);
+  g_assert_false (g_str_has_suffix (client->received->str, "0\r\n\r\n"));
+  char *metrics = page_text (setup, setup->metrics_address, "/metrics");
+  g_assert_nonnull (strstr (metrics, "cut_total 1\n"));
+  raw_client_close (client);
+  g_free (metrics);
+  g_free (request);
+  g_free (text);
+  g_free (body);
+  close_setup (setup);
+}
+
 /* --- tests: callers --- */
 
 /* Heads that two HTTP parsers may read differently allow request smuggling: each gets 400 and reaches no server. */
@@ -1710,6 +1795,8 @@
   g_test_add_func ("/platform/foreign-before-health", test_foreign_before_health);
   g_test_add_func ("/platform/cut-anywhere", test_cut_anywhere);
   g_test_add_func ("/platform/no-length", test_no_length);
+  g_test_add_func ("/platform/malformed-responses", test_malformed_responses);
+  g_test_add_func ("/platform/long-partial", test_long_partial);
   g_test_add_func ("/platform/malformed", test_malformed);
   g_test_add_func ("/platform/limits", test_limits);
   g_test_add_func ("/platform/pipelined", test_pipelined);
--- a/tests/test-uploads.c
+++ b/tests/test-uploads.c
@@ -13,11 +13,13 @@
 
 /* --- constants --- */
 
-#define UPLOADS           6 /* of one kind, so that each server gets some first */
-#define UPLOAD_TIMEOUT_S  4
-#define HOLD_MS           700 /* how long slots are kept busy */
-#define ARRIVAL_MS        200 /* until a request on loopback has arrived */
-#define UPLOAD_REQUEST_ID "upload"
+#define UPLOADS            6 /* of one kind, so that each server gets some first */
+#define UPLOAD_TIMEOUT_S   4
+#define HOLD_MS            700 /* how long slots are kept busy */
+#define ARRIVAL_MS         200 /* until a request on loopback has arrived */
+#define UPLOAD_REQUEST_ID  "upload"
+#define RESET_UPLOADS      100
+#define RESET_UPLOAD_BYTES (2 * 1024 * 1024)
 
 /* --- types --- */
 
@@ -99,11 +101,10 @@
     }
 }
 
-/* Sends one upload; returns the status of its response. */
+/* Returns the status of the response. */
 static guint
-upload (struct setup *setup, const struct body *body)
+send_upload (struct setup *setup, const struct body *body, const char *content)
 {
-  char *content = make_content (body->size);
   char *request = make_upload (setup, body, content);
   for (guint i = 0; i < SERVERS; i++)
     g_string_truncate (setup->servers[i].last_request, 0);
@@ -111,8 +112,17 @@
   g_assert_true (harness_wait_until (has_response, client, UPLOAD_TIMEOUT_S));
   guint status = raw_client_status (client);
   raw_client_close (client);
-  assert_whole (setup, content);
   g_free (request);
+  return status;
+}
+
+/* The same; each server that has received the request has the whole body. */
+static guint
+upload (struct setup *setup, const struct body *body)
+{
+  char *content = make_content (body->size);
+  guint status = send_upload (setup, body, content);
+  assert_whole (setup, content);
   g_free (content);
   return status;
 }
@@ -239,6 +249,29 @@
   close_setup (setup);
 }
 
+/* Guards against a partial response that counts as complete: the server responds at once without a length and resets
+ * the connection while the upload is still written to it. */
+static void
+test_reset (void)
+{
+  const struct body body = { RESET_UPLOAD_BYTES, FALSE };
+  struct setup *setup = open_uploads ();
+  for (guint i = 0; i < SERVERS; i++)
+    {
+      raw_server_set_head_only (setup->servers[i].raw_server, TRUE);
+      setup->servers[i].behaviour = SENDS_TEXT;
+      setup->servers[i].text = "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\n\r\npart";
+      setup->servers[i].cuts_by_reset = TRUE;
+    }
+  char *content = make_content (body.size);
+  guint before = count_requests (setup);
+  for (guint i = 0; i < RESET_UPLOADS; i++)
+    g_assert_cmpuint (send_upload (setup, &body, content), !=, 200);
+  g_assert_cmpuint (count_requests (setup), >, before);
+  g_free (content);
+  close_setup (setup);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -248,5 +281,6 @@
   g_test_add_func ("/uploads/refused", test_refused);
   g_test_add_func ("/uploads/gone", test_gone);
   g_test_add_func ("/uploads/malformed-rest", test_malformed_rest);
+  g_test_add_func ("/uploads/reset", test_reset);
   return g_test_run ();
 }
