--- a/tests/test-response-ends.c
+++ b/tests/test-response-ends.c
@@ -5,16 +5,22 @@
  * the connection has arrived, or a write has failed of it, before the client
  * reads.
  */
+#include <arpa/inet.h>
 #include <glib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include "hf-admin-client.h"
 #include "hf-http-client.h"
+#include "hf-store.h"
 #include "raw.h"
 
 #include "config.h"
 
 /* --- constants --- */
 
+#define UNSET_STATUS  1                 /* before a response */
 #define TURNS_MAX     100000            /* of the main loop */
 #define UPLOAD_BYTES  (8 * 1024 * 1024) /* more than the sockets of a connection hold */
 #define WRITES_MAX    1000000           /* into a connection that was reset */
@@ -61,6 +67,13 @@
   GString *body;
 };
 
+/* A server for clients that block. */
+struct blocking_server
+{
+  int fd;
+  gboolean resets;
+};
+
 /* --- internal functions --- */
 
 static void
@@ -212,6 +225,87 @@
 static const struct end_case paused_then_failed_write
     = { NO_LENGTH "part", RESETS, WRITES_INTO_END, TRUE, HF_HTTP_CLIENT_TRUNCATED, "part" };
 
+/* --- tests: other readers of responses --- */
+
+static void
+on_store_request (void *context, struct raw_connection *connection, const char *text)
+{
+  const gboolean *reset = context;
+  (void) text;
+  raw_connection_send (connection, "HTTP/1.1 200 OK\r\n\r\n{\"items\":[]}");
+  raw_connection_close (connection, *reset);
+}
+
+static void
+on_store_response (void *context, const struct hf_store_response *response)
+{
+  guint *status = context;
+  *status = response->status;
+}
+
+/* Guards against a list of the store that is taken for whole although the connection was reset. */
+static void
+test_store (void)
+{
+  struct hf_net *net = hf_net_open ();
+  for (gboolean reset = FALSE; reset <= TRUE; reset++)
+    {
+      struct raw_server *server = raw_server_open (net, on_store_request, &reset);
+      struct hf_store *store = hf_store_open (net, hf_str (raw_server_address (server)));
+      struct hf_store_request request = { .method = "GET", .path = "/x", .timeout_ms = 60000 };
+      guint status = UNSET_STATUS;
+      hf_store_start_call (store, &request, on_store_response, &status);
+      for (guint i = 0; status == UNSET_STATUS && i < TURNS_MAX; i++)
+        g_main_context_iteration (NULL, TRUE);
+      g_assert_cmpuint (status, ==, reset ? 0 : 200);
+      hf_store_close (store);
+      raw_server_close (server);
+    }
+  hf_net_close (net);
+}
+
+/* Serves one connection: a response without a length whose connection is reset or closed in order. */
+static gpointer
+serve_once (gpointer data)
+{
+  struct blocking_server *server = data;
+  static const char response[] = "HTTP/1.1 200 OK\r\n\r\npart";
+  const struct linger no_linger = { .l_onoff = 1, .l_linger = 0 };
+  char request[4096];
+  int fd = accept (server->fd, NULL, NULL);
+  g_assert_cmpint (recv (fd, request, sizeof request, 0), >, 0);
+  g_assert_cmpint (send (fd, response, sizeof response - 1, MSG_NOSIGNAL), ==, sizeof response - 1);
+  if (server->resets)
+    setsockopt (fd, SOL_SOCKET, SO_LINGER, &no_linger, sizeof no_linger);
+  close (fd);
+  return NULL;
+}
+
+/* Guards against a page of an entry or a document of the platform of which hickoryctl takes a part for all. */
+static void
+test_admin_client (void)
+{
+  for (gboolean reset = FALSE; reset <= TRUE; reset++)
+    {
+      struct sockaddr_in address = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+      socklen_t size = sizeof address;
+      struct blocking_server server = { .fd = socket (AF_INET, SOCK_STREAM, 0), .resets = reset };
+      g_assert_cmpint (bind (server.fd, (struct sockaddr *) &address, size), ==, 0);
+      g_assert_cmpint (listen (server.fd, 1), ==, 0);
+      getsockname (server.fd, (struct sockaddr *) &address, &size);
+      char *name = g_strdup_printf ("127.0.0.1:%u", (guint) ntohs (address.sin_port));
+      GThread *thread = g_thread_new ("server", serve_once, &server);
+      struct hf_error error = { 0 };
+      unsigned status = 0;
+      char *text = hf_admin_client_get_text (name, "/dump", &status, &error);
+      g_assert_cmpstr (text, ==, reset ? NULL : "part");
+      g_thread_join (thread);
+      close (server.fd);
+      g_free (text);
+      g_free (name);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -232,5 +326,7 @@
   g_test_init (&argc, &argv, NULL);
   for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
     g_test_add_data_func (cases[i].path, cases[i].end_case, check_end);
+  g_test_add_func ("/response-ends/store", test_store);
+  g_test_add_func ("/response-ends/admin-client", test_admin_client);
   return g_test_run ();
 }
