--- a/tests/raw.c
+++ b/tests/raw.c
@@ -260,6 +260,13 @@
   g_free (client);
 }
 
+void
+raw_client_reset (struct raw_client *client)
+{
+  hf_stream_reset (g_steal_pointer (&client->stream));
+  raw_client_close (client);
+}
+
 guint
 raw_client_status (const struct raw_client *client)
 {
--- a/tests/raw.h
+++ b/tests/raw.h
@@ -50,6 +50,7 @@
 struct raw_client *raw_client_connect (struct hf_net *net, const char *address, const char *request);
 void raw_client_send (struct raw_client *client, const char *bytes); /* sends more bytes */
 void raw_client_close (struct raw_client *client);                   /* closes the connection, frees everything */
+void raw_client_reset (struct raw_client *client);                   /* the same by a reset */
 guint raw_client_status (const struct raw_client *client);           /* status of the first response, 0: none yet */
 gboolean raw_client_has_response (const struct raw_client *client);  /* first response has its declared length */
 
--- a/tests/test-http-server.c
+++ b/tests/test-http-server.c
@@ -409,7 +409,7 @@
       struct run *run = open_run (text);
       run->reports_complete = true;
       check_events (run, "head /u1\nbody /u1 part\n");
-      hf_stream_reset (run->client->stream);
+      raw_client_reset (g_steal_pointer (&run->client));
       settle ();
       check_events (run, "dropped /u1\n");
       close_run (run);
