A slot whose request got no response can be kept for a time (silent_hold)

Cause: some servers never answer what they cannot queue. A request given up there gave its slot back at once, so that the next one was sent to a server that might still hold the former.

Ruled out: ejection, which takes the slots that do work; a hold without a limit, which leaves no request by which the server could recover.

With the setting silent_hold the pool keeps the slot for that time; a success at the server gives the oldest one back. 0, the default: as before, bit for bit. Partial: see "Open" in docs/design/silent-servers.md.

--- a/src/hf-pool.c
+++ b/src/hf-pool.c
@@ -24,6 +24,7 @@
   bool normal_speed; /* the server reported normal speed */
   bool retry;        /* it took a token of the retry budget */
   int64_t expires_at;
+  bool silent; /* its request got no response; the server may still hold it */
 };
 
 struct queued
@@ -245,7 +246,7 @@
   unsigned n = 0;
   g_hash_table_iter_init (&iter, pool->grants);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &grant))
-    n += grant->key.entry == entry && grant->server == server;
+    n += grant->key.entry == entry && grant->server == server && !grant->silent;
   return n;
 }
 
@@ -459,6 +460,39 @@
     hf_pool_grant_queued (pool, now, decisions);
 }
 
+static struct grant *
+find_oldest_silent (const struct hf_pool *pool, uint64_t server)
+{
+  GHashTableIter iter;
+  struct grant *grant;
+  struct grant *oldest = NULL;
+  g_hash_table_iter_init (&iter, pool->grants);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &grant))
+    if (grant->silent && grant->server == server && (!oldest || grant->granted_at < oldest->granted_at))
+      oldest = grant;
+  return oldest;
+}
+
+/* A server that never answers what it cannot queue may hold a request that got no response: its slot is kept for a
+ * time. Each success there shows that it works on, and gives back one of those. */
+static void
+hold_or_release (struct hf_pool *pool, int64_t now, struct grant *grant, enum hf_slot_result result)
+{
+  if (pool->silent_hold_us > 0 && (result == HF_SLOT_TIMED_OUT || result == HF_SLOT_SUPERSEDED))
+    {
+      grant->silent = true;
+      grant->expires_at = now + pool->silent_hold_us;
+      return;
+    }
+  release_server_slot (pool, grant);
+  struct grant *silent
+      = result == HF_SLOT_OK && pool->silent_hold_us > 0 ? find_oldest_silent (pool, grant->server) : NULL;
+  if (!silent)
+    return;
+  release_server_slot (pool, silent);
+  g_hash_table_remove (pool->grants, &silent->key);
+}
+
 static void
 record_pushback_success (struct hf_pool_server *server, uint64_t entry, enum hf_slot_result result)
 {
@@ -480,11 +514,11 @@
   struct grant *grant = g_hash_table_lookup (pool->grants, &key);
   if (queued)
     remove_queued (pool, queued);
-  if (grant)
+  if (grant && !grant->silent)
     {
       struct hf_pool_server *server = hf_pool_find_server (pool, grant->server);
       update_median_latency (pool, result, latency_us);
-      release_server_slot (pool, grant);
+      hold_or_release (pool, now, grant, result);
       if (server)
         {
           record_saturation (pool, grant, result, latency_us);
@@ -493,7 +527,8 @@
         }
       if (result == HF_SLOT_RETURNED)
         hf_retry_budget_refund (&pool->retry_budget, grant->retry);
-      g_hash_table_remove (pool->grants, &key);
+      if (!grant->silent)
+        g_hash_table_remove (pool->grants, &key);
     }
   hf_pool_grant_queued (pool, now, decisions);
 }
@@ -591,7 +626,7 @@
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &grant))
     {
       bool held = false;
-      if (grant->key.entry != entry || now - grant->granted_at < HF_GRANT_TRANSIT_MS * HF_MS)
+      if (grant->silent || grant->key.entry != entry || now - grant->granted_at < HF_GRANT_TRANSIT_MS * HF_MS)
         continue;
       for (size_t i = 0; i < n && !held; i++)
         held = tickets[i] == grant->key.id;
--- a/src/hf-pool.h
+++ b/src/hf-pool.h
@@ -87,6 +87,7 @@
   struct hf_saturation saturation;
   struct hf_retry_budget retry_budget;
   unsigned queue_limit;
+  int64_t silent_hold_us;     /* a slot whose request got no response is kept for this time; 0: given back at once */
   unsigned median_samples;    /* responses in median_latency_us */
   double median_latency_us;   /* estimated median of all responses; 0: none yet */
   bool configured;            /* hf_pool_configure was called */
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -324,6 +324,7 @@
   state->cpu_share = settings->cpu_share;
   state->drain_wait_ms = settings->drain_wait_ms;
   state->shutdown_timeout_ms = settings->shutdown_timeout_ms;
+  state->silent_hold_us = settings->silent_hold_ms * HF_MS;
   state->external_store = settings->store_address.len > 0;
   state->boot_id = boot_id;
   state->random_state = boot_id;
--- a/src/hf-settings.c
+++ b/src/hf-settings.c
@@ -138,6 +138,14 @@
     .min = 0,
     .max = 3600000,
     .help = "Longest time for which a removed key is accepted; only with strict_revoke." },
+  { .name = "silent_hold",
+    .type = HF_YAML_DURATION,
+    .offset = offsetof (struct hf_settings, silent_hold_ms),
+    .min = 0,
+    .max = 3600000,
+    .help
+    = "For backend servers that never answer what they cannot queue: a slot whose request got no response is kept "
+      "from use for this time, or until a request succeeds there; 0s: it is given back at once." },
   { .name = "log_level",
     .type = HF_YAML_CHOICE,
     .offset = offsetof (struct hf_settings, log_level),
--- a/src/hf-settings.h
+++ b/src/hf-settings.h
@@ -34,6 +34,7 @@
  * @evacuate_ms: longest time from the order to evacuate a failure domain to the last request there; 0: no such orders
  * @strict_revoke: without contact to the store for @revoke_ms, requests with keys are refused
  * @revoke_ms: longest time for which a removed key is accepted
+ * @silent_hold_ms: a slot whose request got no response is kept from use for this time; 0: it is given back at once
  * @log_level: least level of the log lines, enum hf_log_level
  */
 struct hf_settings
@@ -59,6 +60,7 @@
   int64_t evacuate_ms;
   bool strict_revoke;
   int64_t revoke_ms;
+  int64_t silent_hold_ms;
   int64_t log_level;
 };
 
--- a/src/hf-slices.c
+++ b/src/hf-slices.c
@@ -51,6 +51,7 @@
   service->slice_count = 1;
   service->name = hf_str_dup (spec->name);
   hf_pool_init (&service->pool, hf_random_next (&state->random_state));
+  service->pool.silent_hold_us = state->silent_hold_us;
   g_hash_table_insert (state->services, &service->id, service);
   return service;
 }
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -489,6 +489,7 @@
   struct hf_str address;       /* IP:PORT of its peer socket, from the settings */
   double cpu_share;            /* processor time in cores */
   int64_t drain_wait_ms;       /* the health check fails for this long before the exit */
+  int64_t silent_hold_us;      /* of new pools, from the settings */
   int64_t shutdown_timeout_ms; /* from SIGTERM to the exit in any case */
   uint64_t boot_id;
   uint64_t random_state;
--- a/tests/test-scripts.c
+++ b/tests/test-scripts.c
@@ -407,6 +407,8 @@
   const char *event_name = run->words[1];
   if (strcmp (event_name, "start") == 0)
     raise_event (run, (struct hf_event){ .kind = HF_EVENT_START });
+  else if (strcmp (event_name, "silent-hold") == 0)
+    run->state->silent_hold_us = g_ascii_strtoll (run->words[2], NULL, 10) * HF_MS;
   else if (strcmp (event_name, "tick") == 0)
     raise_event (run, (struct hf_event){ .kind = HF_EVENT_TICK });
   else if (strcmp (event_name, "shutdown") == 0)
