--- a/src/hf-pool.h
+++ b/src/hf-pool.h
@@ -89,6 +89,7 @@
   struct hf_retry_budget retry_budget;
   struct hf_cold_limits cold;
   unsigned queue_limit;
+  int64_t silent_hold_us;   /* a slot whose request got no response is kept for this time; 0: given back at once */
   double far_cost_us;       /* added to the expected latency of a server in another failure domain than the request's */
   unsigned median_samples;  /* responses in median_latency_us */
   double median_latency_us; /* estimated median of all responses; 0: none yet */
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -390,6 +390,7 @@
   state->shutdown_timeout_ms = settings->shutdown_timeout_ms;
   state->cold_overshoot = settings->cold_overshoot;
   state->cold_slack = settings->cold_slack;
+  state->silent_hold_us = settings->silent_hold_ms * HF_MS;
   state->external_store = settings->store_address.len > 0;
   state->revoke_us = settings->strict_revoke ? settings->revoke_ms * HF_MS : 0;
   state->follows_evacuations = settings->evacuate_ms > 0;
--- a/src/hf-settings.c
+++ b/src/hf-settings.c
@@ -145,6 +145,14 @@
     .choices = affinity_names,
     .help = "Whether requests stay in the failure domain that they arrived in while they are served in time there; "
             "auto: if round trips to the others take 4 ms or longer. The same at all entries." },
+  { .name = "silent_hold",
+    .type = HF_YAML_DURATION,
+    .offset = offsetof (struct hf_settings, silent_hold_ms),
+    .min = 0,
+    .max = 3600000,
+    .help
+    = "For backend servers that never answer what they cannot queue: a slot whose request got no response is kept "
+      "from use for this time, or until a request succeeds there; 0s: it is given back at once." },
   { .name = "log_level",
     .type = HF_YAML_CHOICE,
     .offset = offsetof (struct hf_settings, log_level),
--- a/src/hf-settings.h
+++ b/src/hf-settings.h
@@ -35,6 +35,7 @@
  * @strict_revoke: without contact to the store for @revoke_ms, requests with keys are refused
  * @revoke_ms: longest time for which a removed key is accepted
  * @domain_affinity: whether requests stay in the failure domain that they arrived in, enum hf_affinity_mode
+ * @silent_hold_ms: a slot whose request got no response is kept from use for this time; 0: it is given back at once
  * @log_level: least level of the log lines, enum hf_log_level
  */
 struct hf_settings
@@ -61,6 +62,7 @@
   bool strict_revoke;
   int64_t revoke_ms;
   int64_t domain_affinity;
+  int64_t silent_hold_ms;
   int64_t log_level;
 };
 
--- a/src/hf-slices.c
+++ b/src/hf-slices.c
@@ -64,6 +64,7 @@
   service->name = hf_str_dup (spec->name);
   hf_pool_init (&service->pool, hf_random_next (&state->random_state));
   set_far_cost (state, service);
+  service->pool.silent_hold_us = state->silent_hold_us;
   g_hash_table_insert (state->services, &service->id, service);
   return service;
 }
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -562,6 +562,7 @@
 {
   struct hf_str name;
   struct hf_str failure_domain;
+  int64_t silent_hold_us;         /* of new pools, from the settings */
   struct hf_str address;          /* IP:PORT of its peer socket, from the settings */
   double cpu_share;               /* processor time in cores */
   double cold_overshoot;          /* factor on the starts that cold servers tolerate; 0: they are not limited */
