--- a/src/hf-quota-leases.c
+++ b/src/hf-quota-leases.c
@@ -317,7 +317,8 @@
   double level = first_level (state, organisation);
   if (!hf_quota_book_answer (leases->book, request, limit, level, state->roles.entries, state->now, &answer))
     return false;
-  count_answer (state, request, &answer);
+  if (!answer.is_repeated)
+    count_answer (state, request, &answer);
   lease->credits = answer.credits;
   lease->retry_after_ms = (unsigned) (answer.retry_after_us / HF_MS);
   lease->filling = answer.is_filling;
--- a/src/hf-quota.c
+++ b/src/hf-quota.c
@@ -485,7 +485,8 @@
     holder = add_holder (organisation, request->holder);
   if (request->sequence < holder->sequence)
     return false;
-  if (request->sequence > holder->sequence)
+  bool is_repeated = request->sequence == holder->sequence;
+  if (!is_repeated)
     {
       update_limit (organisation, limit, level, now);
       forget_old (holder, limit.window_us, now);
@@ -496,6 +497,7 @@
       organisation->asked_at = now;
     }
   *answer = holder->answer;
+  answer->is_repeated = is_repeated;
   return true;
 }
 
--- a/src/hf-quota.h
+++ b/src/hf-quota.h
@@ -99,6 +99,7 @@
 /** struct hf_quota_answer - the owner's answer */
 struct hf_quota_answer
 {
+  bool is_repeated; /* the request came before */
   unsigned credits;
   int64_t retry_after_us; /* if not all that were needed are given: when credit is expected for the others */
   bool is_filling;        /* the bucket began empty in the last HF_QUOTA_FILLING_MS */
--- a/tests/test-quota-fleet.c
+++ b/tests/test-quota-fleet.c
@@ -9,15 +9,16 @@
 
 /* --- constants --- */
 
-#define ENTRIES     24
-#define LARGE       2 /* entries of each failure domain with much processor time; those grant */
-#define DOMAINS     3
-#define SERVICE_MS  30 /* of each request */
-#define SMALL_RATE  10
-#define SMALL_BURST 10
-#define LARGE_RATE  150
-#define LARGE_BURST 150
-#define RUNS_MAX    32768
+#define ENTRIES       24
+#define LARGE         2 /* entries of each failure domain with much processor time; those grant */
+#define DOMAINS       3
+#define SERVICE_MS    30 /* of each request */
+#define SMALL_RATE    10
+#define SMALL_BURST   10
+#define LARGE_RATE    150
+#define LARGE_BURST   150
+#define FAILING_CALLS 10
+#define RUNS_MAX      32768
 #define DOCUMENT_WITH(large)                                                                                           \
   "{version: 1, services: [{name: a, directory: true}],"                                                               \
   " organisations: [{name: small, keys: [ks], rate_per_s: 10, burst: 10},"                                             \
@@ -65,6 +66,7 @@
   GArray *owners;  /* unsigned, organisation of each call */
   struct tally tallies[ORGANISATIONS];
   bool servers_stall;
+  bool attempts_fail; /* the first attempt of one call in FAILING_CALLS cannot connect, so that nothing is sent */
   unsigned explained; /* log lines that name the organisation and who refused a request */
 };
 
@@ -120,12 +122,14 @@
           continue;
         }
       g_array_remove_index_fast (simulation->runs, i);
-      fleet_raise_event (run.entry, (struct hf_event){ .kind = HF_EVENT_ATTEMPT_END,
-                                                       .call = run.call,
-                                                       .attempt = run.attempt,
-                                                       .result = HF_ATTEMPT_ANSWERED,
-                                                       .bytes_sent = true,
-                                                       .hints = { .status = 200, .load = -1, .retry_after_ms = -1 } });
+      bool fails = simulation->attempts_fail && run.attempt == 0 && run.call % FAILING_CALLS == 0;
+      fleet_raise_event (run.entry,
+                         (struct hf_event){ .kind = HF_EVENT_ATTEMPT_END,
+                                            .call = run.call,
+                                            .attempt = run.attempt,
+                                            .result = fails ? HF_ATTEMPT_CONNECT_FAILED : HF_ATTEMPT_ANSWERED,
+                                            .bytes_sent = !fails,
+                                            .hints = { .status = 200, .load = -1, .retry_after_ms = -1 } });
     }
 }
 
@@ -553,6 +557,39 @@
   close_simulation (simulation);
 }
 
+/* A second attempt takes no second credit, and a request that ends before it was sent gives its credit back: guards
+ * against limits that count attempts. */
+static void
+test_attempts (void)
+{
+  static const double rates[] = { 4, 0, 0 };
+  struct simulation *simulation = open_simulation (ENTRIES);
+  simulation->attempts_fail = true;
+  run_load (simulation, 10000, rates);
+  run_load (simulation, 1000, (double[]){ 0, 0, 0 });
+  unsigned calls = simulation->sent_at->len;
+  g_assert_cmpuint (simulation->tallies[SMALL].n_run, ==, calls + calls / FAILING_CALLS);
+  g_assert_cmpuint (count (simulation, HF_COUNT_QUOTA_CREDITS_GIVEN), ==, calls);
+  simulation->attempts_fail = false;
+  simulation->servers_stall = true;
+  run_load (simulation, 10000, (double[]){ 0, 0, 200 });
+  fleet_advance (simulation->fleet, 1000);
+  unsigned sent = simulation->tallies[SMALL].n_run;
+  calls = simulation->sent_at->len;
+  for (unsigned i = 0; i < 5; i++)
+    send_request (simulation, SMALL);
+  fleet_advance (simulation->fleet, 100);
+  for (unsigned i = 0; i < simulation->fleet->entry_count; i++)
+    for (unsigned call = calls + 1; call <= simulation->sent_at->len; call++)
+      fleet_raise_event (&simulation->fleet->entries[i],
+                         (struct hf_event){ .kind = HF_EVENT_CALLER_GONE, .call = call });
+  uint64_t returned = count (simulation, HF_COUNT_QUOTA_CREDITS_RETURNED);
+  fleet_advance (simulation->fleet, 1000);
+  g_assert_cmpuint (simulation->tallies[SMALL].n_run, ==, sent);
+  g_assert_cmpuint (count (simulation, HF_COUNT_QUOTA_CREDITS_RETURNED) - returned, ==, 5);
+  close_simulation (simulation);
+}
+
 /* An entry without links uses what it holds, then refuses; it runs nothing beyond its reserve. */
 static void
 test_isolated_entry (void)
@@ -616,6 +653,7 @@
   g_test_add_func ("/quota-fleet/all-killed", test_all_killed);
   g_test_add_func ("/quota-fleet/owner-silent", test_owner_silent);
   g_test_add_func ("/quota-fleet/owner-paused", test_owner_paused);
+  g_test_add_func ("/quota-fleet/attempts", test_attempts);
   g_test_add_func ("/quota-fleet/isolated-entry", test_isolated_entry);
   g_test_add_func ("/quota-fleet/limit-changes", test_limit_changes);
   return g_test_run ();
