--- a/tests/fuzz.c
+++ b/tests/fuzz.c
@@ -80,6 +80,9 @@
   hf_http_head_field (head, "Keep-Alive");
   for (guint i = 0; i < head->fields->len; i++)
     hf_http_head_is_hop_by_hop (head, g_array_index (head->fields, struct hf_header, i).name);
+  struct hf_event event = { 0 };
+  hf_header_codec_read_key (&hf_header_codec_default, head, &event);
+  hf_header_codec_read_key (&hf_adapter_header_codec, head, &event);
   hf_header_codec_default.read_response (head);
   struct hf_response_hints hints = hf_adapter_header_codec.read_response (head);
   hf_header_codec_has_restriction (&hf_adapter_header_codec, head, &hints, hf_str ("i-1"));
--- a/tests/test-organisations.c
+++ b/tests/test-organisations.c
@@ -14,6 +14,8 @@
 #include "hf-header-codec.h"
 #include "hf-organisation-counts.h"
 #include "hf-organisations.h"
+#include "hf-settings.h"
+#include "hf-store-objects.h"
 #include "platform-setup.h"
 
 #include "config.h"
@@ -330,6 +332,53 @@
   g_assert_null (strstr (error.message, "same-key"));
 }
 
+/* --- tests: conversion of what the platform gives --- */
+
+/* The operator's object becomes a document with its organisations, public routes, cold limits and kinds of routes;
+ * durations of settings are read with their units. Guards against a limit that is lost on its way into the document. */
+static void
+test_conversion (void)
+{
+  static const char *const json
+      = "{\"spec\":{\"version\":\"r3\",\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/\",\"route_kind\":"
+        "\"download\",\"public\":true,\"service\":\"a\"}],\"services\":[{\"name\":\"a\",\"cold_per_s\":6.4,"
+        "\"cold_start\":\"1.5s\"}],\"tenants\":[{\"name\":\"p\",\"api_keys\":[\"k\"],\"priority\":3,\"rate_per_s\":12."
+        "5,"
+        "\"burst\":40},{\"name\":\"q\",\"api_keys\":[]}]}}";
+  struct hf_error error = { 0 };
+  struct hf_str encoded = { 0 };
+  uint64_t generation = 0;
+  JsonNode *node = json_from_string (json, NULL);
+  g_assert_true (hf_store_object_to_document (json_node_get_object (node), &generation, &encoded, &error));
+  struct hf_document *document = hf_document_load (encoded, &error);
+  g_assert_cmpstr (error.message, ==, "");
+  const struct hf_organisation *p = hf_document_get_organisation (document, 0);
+  g_assert_true (hf_organisations_find (document->organisation_keys, hf_str ("k")) == p);
+  g_assert_cmpint (p->priority, ==, 3);
+  g_assert_cmpfloat (p->rate_per_s, ==, 12.5);
+  g_assert_cmpfloat (p->burst, ==, 40);
+  g_assert_cmpint (p[1].priority, ==, -1);
+  g_assert_cmpfloat (p[1].rate_per_s, ==, 0);
+  g_assert_true (hf_document_get_route (document, 0)->class.is_public);
+  g_assert_true (hf_document_get_route (document, 0)->class.repeatable);
+  g_assert_cmpfloat (hf_document_get_service (document, 0)->cold_requests_per_s, ==, 6.4);
+  g_assert_cmpint (hf_document_get_service (document, 0)->cold_ms, ==, 1500);
+  hf_document_unref (document);
+  hf_str_free (&encoded);
+  json_node_unref (node);
+
+  static const char *const text = "name: e\nfailure_domain: z\nlisten: 127.0.0.1:0\nadmin: 127.0.0.1:0\n"
+                                  "peers: 127.0.0.1:0\nstore: 127.0.0.1:1\nstrict_revoke: true\n";
+  char *whole = g_strconcat (text, "revoke: 2.5s\nevacuate: 700ms\n", NULL);
+  struct hf_settings settings;
+  g_assert_true (hf_settings_load (hf_str (whole), &settings, &error));
+  g_assert_cmpint (settings.revoke_ms, ==, 2500);
+  g_assert_cmpint (settings.evacuate_ms, ==, 700);
+  hf_settings_unload (&settings);
+  g_assert_false (hf_settings_load (hf_str (text), &settings, &error));
+  g_free (whole);
+}
+
 /* --- tests: counts --- */
 
 /* HF_ORGANISATION_SERIES_MAX organisations with most requests have series, the rest is added up; no request is lost,
@@ -751,6 +800,7 @@
   g_test_set_nonfatal_assertions ();
   g_test_add_func ("/organisations/table", test_table);
   g_test_add_func ("/organisations/document-errors", test_document_errors);
+  g_test_add_func ("/organisations/conversion", test_conversion);
   g_test_add_func ("/organisations/counts", test_counts);
   g_test_add_func ("/organisations/form", test_form);
   g_test_add_func ("/organisations/default-codec", test_default_codec);
