Errors of JSON name the place and quote nothing

json-glib's messages quote the strings that it has read, so a response of the store that is no JSON could bring a key into the log (tried with a missing comma between two keys). The error names line and column only.

--- a/src/hf-json.c
+++ b/src/hf-json.c
@@ -2,6 +2,7 @@
 #include "hf-json.h"
 
 #include <math.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "config.h"
@@ -272,6 +273,19 @@
   return pass.out;
 }
 
+/* Only the place of the library's message ("<data>:LINE:COLUMN: ..."): the rest quotes strings of the text, which may
+ * be keys of organisations, and error texts are logged. */
+static void
+set_syntax_error (struct hf_error *error, const char *message)
+{
+  unsigned line = 0;
+  unsigned column = 0;
+  if (sscanf (message, "%*[^:]:%u:%u:", &line, &column) == 2)
+    hf_error_set (error, HF_ERROR_SYNTAX, "not valid JSON at line %u, column %u", line, column);
+  else
+    hf_error_set (error, HF_ERROR_SYNTAX, "not valid JSON");
+}
+
 /* --- public functions --- */
 
 JsonObject *
@@ -283,7 +297,7 @@
   g_string_free (readable, TRUE);
   if (!ok)
     {
-      hf_error_set (error, HF_ERROR_SYNTAX, "not valid JSON: %s", json_error->message);
+      set_syntax_error (error, json_error->message);
       g_clear_error (&json_error);
       return NULL;
     }
--- a/tests/test-organisations.c
+++ b/tests/test-organisations.c
@@ -12,6 +12,7 @@
 #include "hf-explain.h"
 #include "hf-form.h"
 #include "hf-header-codec.h"
+#include "hf-json.h"
 #include "hf-organisation-counts.h"
 #include "hf-organisations.h"
 #include "hf-settings.h"
@@ -332,6 +333,24 @@
   g_assert_null (strstr (error.message, "same-key"));
 }
 
+/* The same of a response of the store that is no JSON: json-glib's messages quote what they have read. */
+static void
+test_json_errors (void)
+{
+  static const char *const texts[] = { "{\"api_keys\":[\"a-key\" \"a-key\"]}", "{\"api_keys\":\n[\"a-key\":1]}",
+                                       "{\"a-key\" 1}", "{\"api_keys\":[\"a-key" };
+  for (guint i = 0; i < G_N_ELEMENTS (texts); i++)
+    {
+      JsonParser *parser = json_parser_new ();
+      struct hf_error error = { 0 };
+      unsigned replaced;
+      g_assert_null (hf_json_load (parser, hf_str (texts[i]), &replaced, &error));
+      g_assert_nonnull (strstr (error.message, i == 1 ? "not valid JSON at line 2" : "not valid JSON at line 1"));
+      g_assert_null (strstr (error.message, "a-key"));
+      g_object_unref (parser);
+    }
+}
+
 /* --- tests: conversion of what the platform gives --- */
 
 /* The operator's object becomes a document with its organisations, public routes, cold limits and kinds of routes;
@@ -800,6 +819,7 @@
   g_test_set_nonfatal_assertions ();
   g_test_add_func ("/organisations/table", test_table);
   g_test_add_func ("/organisations/document-errors", test_document_errors);
+  g_test_add_func ("/organisations/json-errors", test_json_errors);
   g_test_add_func ("/organisations/conversion", test_conversion);
   g_test_add_func ("/organisations/counts", test_counts);
   g_test_add_func ("/organisations/form", test_form);
