A lost granter delays only the buckets that it owned

The wait of a new owner for a silent former one was applied to every bucket opened within it, also where the lost granter had nothing to do with the organisation: one that had been idle was refused below its limit (test-quota-fleet other-granter-lost: 5 refusals). The history of the granters notes which change followed on a loss.

--- a/src/hf-quota-leases.c
+++ b/src/hf-quota-leases.c
@@ -126,8 +126,8 @@
   int64_t until = 0;
   if (!last_owned (state, organisation, &since, &until) || until > 0)
     return state->now;
-  if (roles->granter_lost_at >= since)
-    since = roles->granter_lost_at + settle_ms * HF_MS;
+  if (hf_roles_lost_granter_at (state, since))
+    since += settle_ms * HF_MS;
   return MAX (since, roles->majority_since);
 }
 
--- a/src/hf-roles.c
+++ b/src/hf-roles.c
@@ -239,16 +239,16 @@
   if (same_granters (former, roles->granters))
     return;
   struct hf_granters current = { .since = state->now, .granters = g_array_copy (roles->granters) };
-  if (roles->granters_history->len == HF_GRANTERS_HISTORY_MAX)
-    drop_oldest_granters (roles);
-  g_array_append_val (roles->granters_history, current);
-  roles->granters_changed_at = state->now;
   for (guint i = 0; i < former->len; i++)
     {
       uint64_t boot_id = g_array_index (former, uint64_t, i);
-      if (!contains_granter (roles->granters, boot_id) && may_still_grant (state, boot_id))
-        roles->granter_lost_at = state->now;
+      bool is_granter = contains_granter (roles->granters, boot_id);
+      current.after_loss = current.after_loss || (!is_granter && may_still_grant (state, boot_id));
     }
+  if (roles->granters_history->len == HF_GRANTERS_HISTORY_MAX)
+    drop_oldest_granters (roles);
+  g_array_append_val (roles->granters_history, current);
+  roles->granters_changed_at = state->now;
 }
 
 /* Counts the entries that are listed or alive, and those with which there is contact. Entries that are starting do not
@@ -361,6 +361,19 @@
   return found;
 }
 
+bool
+hf_roles_lost_granter_at (const struct hf_state *state, int64_t time)
+{
+  const GArray *history = state->roles.granters_history;
+  for (guint i = 0; i < history->len; i++)
+    {
+      const struct hf_granters *granters = &g_array_index (history, struct hf_granters, i);
+      if (granters->since == time && granters->after_loss)
+        return true;
+    }
+  return false;
+}
+
 uint64_t
 hf_roles_granter_before (const struct hf_state *state, uint64_t subject, int64_t time)
 {
--- a/src/hf-roles.h
+++ b/src/hf-roles.h
@@ -24,6 +24,8 @@
 /* The last time for which this entry was the first granter for a subject: from @since, until another one became it, or
  * 0: it still is. Returns false if it was not, as far as is known. */
 bool hf_roles_last_granted (const struct hf_state *state, uint64_t subject, int64_t *since, int64_t *until);
+/* Whether a granter was lost at the time of a change that may still grant, as it was only silent. */
+bool hf_roles_lost_granter_at (const struct hf_state *state, int64_t time);
 /* Who was the first granter for a subject before a time; 0: not known. */
 uint64_t hf_roles_granter_before (const struct hf_state *state, uint64_t subject, int64_t time);
 /* Whether heartbeats are exchanged with a member: it or this entry is a coordinator. */
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -459,6 +459,7 @@
 {
   int64_t since;
   GArray *granters; /* uint64_t, boot ids */
+  bool after_loss;  /* a granter before may still grant, as it was only silent */
 };
 
 /**
@@ -473,7 +474,6 @@
  * @granters: uint64_t, boot ids of the entries that grant slots
  * @granters_history: struct hf_granters, the last HF_GRANTERS_HISTORY_MAX values of @granters, the newest last
  * @granters_changed_at: last change of @granters
- * @granter_lost_at: when one of them was last lost that may still grant, as it was only silent; 0: never
  * @reached: entries of the fleet that have started and with which there is contact, this one included
  * @entries: entries of the fleet, this one included
  * @majority_changed_at: when that last became more than half of the fleet, or ceased to be
@@ -493,7 +493,6 @@
   GArray *granters;
   GArray *granters_history;
   int64_t granters_changed_at;
-  int64_t granter_lost_at;
   size_t reached;
   size_t entries;
   int64_t majority_changed_at;
--- a/tests/test-quota-fleet.c
+++ b/tests/test-quota-fleet.c
@@ -590,6 +590,29 @@
   close_simulation (simulation);
 }
 
+/* A granter is lost that does not own the organisation, which was idle: its bucket is as full as before. */
+static void
+test_other_granter_lost (void)
+{
+  struct simulation *simulation = open_simulation (ENTRIES);
+  struct fleet *fleet = simulation->fleet;
+  run_load (simulation, 15000, (double[]){ 0, 100, 0 });
+  const struct fleet_entry *owner = find_owner (simulation, "small");
+  for (unsigned i = 1; i < DOMAINS * LARGE; i++)
+    if (&fleet->entries[i] != owner)
+      {
+        fleet->entries[i].is_disconnected = true;
+        fleet->entries[i].is_paused = true;
+        break;
+      }
+  while (fleet->entries[0].state->roles.granters->len == DOMAINS * LARGE)
+    fleet_advance (fleet, 100);
+  run_load (simulation, 3000, (double[]){ 5, 0, 0 });
+  g_assert_cmpuint (simulation->tallies[SMALL].n_run, >, 0);
+  g_assert_cmpuint (simulation->tallies[SMALL].refused, ==, 0);
+  close_simulation (simulation);
+}
+
 /* An entry without links uses what it holds, then refuses; it runs nothing beyond its reserve. */
 static void
 test_isolated_entry (void)
@@ -653,6 +676,7 @@
   g_test_add_func ("/quota-fleet/all-killed", test_all_killed);
   g_test_add_func ("/quota-fleet/owner-silent", test_owner_silent);
   g_test_add_func ("/quota-fleet/owner-paused", test_owner_paused);
+  g_test_add_func ("/quota-fleet/other-granter-lost", test_other_granter_lost);
   g_test_add_func ("/quota-fleet/attempts", test_attempts);
   g_test_add_func ("/quota-fleet/isolated-entry", test_isolated_entry);
   g_test_add_func ("/quota-fleet/limit-changes", test_limit_changes);
