--- a/src/hf-quota-leases.c
+++ b/src/hf-quota-leases.c
@@ -126,8 +126,8 @@
   int64_t until = 0;
   if (!last_owned (state, organisation, &since, &until) || until > 0)
     return state->now;
-  if (roles->granter_lost_at >= since)
-    since = roles->granter_lost_at + settle_ms * HF_MS;
+  if (hf_roles_lost_granter_at (state, since))
+    since += settle_ms * HF_MS;
   return MAX (since, roles->majority_since);
 }
 
@@ -317,7 +317,8 @@
   double level = first_level (state, organisation);
   if (!hf_quota_book_answer (leases->book, request, limit, level, state->roles.entries, state->now, &answer))
     return false;
-  count_answer (state, request, &answer);
+  if (!answer.is_repeated)
+    count_answer (state, request, &answer);
   lease->credits = answer.credits;
   lease->retry_after_ms = (unsigned) (answer.retry_after_us / HF_MS);
   lease->filling = answer.is_filling;
