--- a/src/config.h
+++ b/src/config.h
@@ -169,15 +169,20 @@
 #define HF_PAUSE_READ_MS               50   /* time to read what arrived during a pause before waits end */
 
 /* Domain affinity: requests stay in the failure domain that they arrived in. */
-#define HF_AFFINITY_RTT_MIN_MS  4     /* on from this round trip between failure domains: a part of target latencies */
-#define HF_AFFINITY_RTT_KEEP_MS 3     /* below, it is off again; between both the decision stays */
-#define HF_AFFINITY_RTT_MAX_MS  10000 /* a longer sample is no round trip, but a clock that jumped */
-#define HF_AFFINITY_WINDOW_MS   30000 /* samples count for one or two of these: busy VMs need many for a good one */
-#define HF_AFFINITY_SAMPLES_MIN 20    /* round trips that an entry has measured before it decides */
-#define HF_AFFINITY_SETTLE_MS   3000  /* the same: time since the first, as the first ones are of VMs that start */
-#define HF_AFFINITY_ECHO_MAX_MS 10000 /* a heartbeat that arrived longer ago is not answered any more */
-#define HF_AFFINITY_SPREAD_MS   3000  /* until all entries know a decision: heartbeats of both kinds are sent */
-#define HF_AFFINITY_FAR_US      60000 /* distance cost with affinity: so much longer a request may take to stay */
+#define HF_AFFINITY_RTT_MIN_MS      4 /* on from this round trip between failure domains: a part of target latencies */
+#define HF_AFFINITY_RTT_KEEP_MS     3 /* below, it is off again; between both the decision stays */
+#define HF_AFFINITY_RTT_MAX_MS      10000 /* a longer sample is no round trip, but a clock that jumped */
+#define HF_AFFINITY_WINDOW_MS       30000 /* samples count for one or two of these: busy VMs need many for a good one */
+#define HF_AFFINITY_SAMPLES_MIN     20    /* round trips that an entry has measured before it decides */
+#define HF_AFFINITY_SETTLE_MS       3000  /* the same: time since the first, as the first ones are of VMs that start */
+#define HF_AFFINITY_ECHO_MAX_MS     10000 /* a heartbeat that arrived longer ago is not answered any more */
+#define HF_AFFINITY_SPREAD_MS       3000  /* until all entries know a decision: heartbeats of both kinds are sent */
+#define HF_AFFINITY_CROSS_MIN_MS    20    /* a request crosses if that shortens its wait by the round trip and this */
+#define HF_AFFINITY_SPARE_RATIO     0.5   /* a forecast wait of this part of what a request can spare endangers it */
+#define HF_AFFINITY_WAIT_MAX_MS     60000 /* forecast where no backend server is usable */
+#define HF_AFFINITY_REPORT_MS       1000  /* between load reports without a change; with one: at each pool tick */
+#define HF_AFFINITY_REPORT_VALID_MS 2500  /* a forecast is relied on for this long: two reports may be lost */
+#define HF_AFFINITY_FAR_US          60000 /* distance cost with affinity: so much longer a request may take to stay */
 
 /* Roles of entries. */
 #define HF_SMALL_FLEET_ENTRIES_MAX 24  /* in a fleet of up to this many entries all are coordinators */
--- a/src/hf-admission.c
+++ b/src/hf-admission.c
@@ -70,3 +70,26 @@
     return request->deadline <= now;
   return (double) now + usual_latency_us (pool, now) * HF_LAST_START_RATIO >= (double) request->deadline;
 }
+
+struct hf_forecast
+hf_admission_forecast (const struct hf_pool *pool, int64_t now)
+{
+  double latency_us;
+  unsigned slots = hf_placement_usable_slots (pool, now, 0, &latency_us);
+  unsigned queued = (unsigned) g_sequence_get_length (pool->queue);
+  if (slots == 0)
+    return (struct hf_forecast){ .wait_us = HF_AFFINITY_WAIT_MAX_MS * HF_MS };
+  struct hf_forecast forecast = { .free_slots = hf_placement_free_slots (pool, now),
+                                  .slot_us = (int64_t) (usual_latency_us (pool, now) / slots) };
+  if (queued >= forecast.free_slots)
+    forecast.wait_us = (queued - forecast.free_slots + 1) * forecast.slot_us;
+  forecast.free_slots -= MIN (queued, forecast.free_slots);
+  return forecast;
+}
+
+int64_t
+hf_admission_spare_us (const struct hf_pool *pool, int64_t now, const struct hf_slot_request *request)
+{
+  int64_t deadline = request->soft_deadline ? request->soft_deadline : request->deadline;
+  return deadline - now - (int64_t) (usual_latency_us (pool, now) * HF_SOFT_DEADLINE_RATIO);
+}
--- a/src/hf-admission.h
+++ b/src/hf-admission.h
@@ -8,6 +8,7 @@
 #ifndef HF_ADMISSION_H
 #define HF_ADMISSION_H
 
+#include "hf-affinity.h"
 #include "hf-pool.h"
 
 /* --- public functions --- */
@@ -33,4 +34,10 @@
 /* True if even a start now is too late for the deadline. */
 bool hf_admission_is_too_late (const struct hf_pool *pool, int64_t now, const struct hf_slot_request *request);
 
+/* How soon a slot request that arrives now would be granted. */
+struct hf_forecast hf_admission_forecast (const struct hf_pool *pool, int64_t now);
+
+/* How long the request can wait and still meet its soft deadline; below 0: it misses it in any case. */
+int64_t hf_admission_spare_us (const struct hf_pool *pool, int64_t now, const struct hf_slot_request *request);
+
 #endif
--- a/src/hf-affinity-sync.c
+++ b/src/hf-affinity-sync.c
@@ -34,6 +34,7 @@
                 "domain affinity is %s (decision %u); the smallest round trip between failure domains is %d us",
                 is_on ? "on" : "off", state->affinity.epoch, (int) hf_affinity_sync_rtt_us (state));
   hf_slices_handle_affinity (state);
+  state->roles.update_pending = true;
 }
 
 /* --- public functions --- */
--- a/src/hf-affinity.c
+++ b/src/hf-affinity.c
@@ -93,3 +93,34 @@
   affinity->changed_at = now;
   return true;
 }
+
+/* --- public functions: crossing --- */
+
+bool
+hf_affinity_should_cross (const struct hf_forecast *home,
+                          const struct hf_forecast *other,
+                          int64_t spare_us,
+                          int64_t rtt_us)
+{
+  int64_t cost_us = rtt_us + HF_AFFINITY_CROSS_MIN_MS * HF_MS;
+  return (double) home->wait_us > HF_AFFINITY_SPARE_RATIO * (double) spare_us
+         && other->wait_us + cost_us < home->wait_us;
+}
+
+void
+hf_affinity_count_referral (struct hf_forecast *forecast)
+{
+  if (forecast->free_slots > 0)
+    forecast->free_slots--;
+  if (forecast->free_slots == 0)
+    forecast->wait_us += MAX (forecast->slot_us, HF_MS);
+}
+
+bool
+hf_affinity_differs (const struct hf_forecast *forecast, const struct hf_forecast *reported)
+{
+  int64_t step_us = HF_AFFINITY_CROSS_MIN_MS * HF_MS;
+  unsigned few = MIN (forecast->free_slots, reported->free_slots);
+  unsigned many = MAX (forecast->free_slots, reported->free_slots);
+  return ABS (forecast->wait_us - reported->wait_us) >= step_us || many > 2 * few + 1;
+}
--- a/src/hf-affinity.h
+++ b/src/hf-affinity.h
@@ -47,6 +47,14 @@
   int64_t previous_rtt_us;
 };
 
+/** struct hf_forecast - how soon a slice could serve a request */
+struct hf_forecast
+{
+  unsigned free_slots;
+  int64_t wait_us; /* expected wait of a request that arrives now */
+  int64_t slot_us; /* additional wait for each request in the queue */
+};
+
 /* --- public functions: round trips --- */
 
 /* Records a round trip to an entry of another failure domain. */
@@ -66,4 +74,18 @@
 /* Adopts the decision that another entry knows; returns true if it is newer. */
 bool hf_affinity_adopt (struct hf_affinity *affinity, int64_t now, unsigned epoch);
 
+/* --- public functions: crossing --- */
+
+/* Whether a request is better served in another failure domain: the wait at home takes much of what it can spare
+ * (spare_us: time until its soft deadline, without its usual latency), and the wait there is shorter by more than the
+ * crossing takes. That margin also keeps two domains with the same load from exchanging their requests. */
+bool hf_affinity_should_cross (const struct hf_forecast *home,
+                               const struct hf_forecast *other,
+                               int64_t spare_us,
+                               int64_t rtt_us);
+void hf_affinity_count_referral (struct hf_forecast *forecast); /* a request goes there */
+
+/* Whether a forecast differs so much from the one reported last that it is reported at once. */
+bool hf_affinity_differs (const struct hf_forecast *forecast, const struct hf_forecast *reported);
+
 #endif
--- a/src/hf-calls.c
+++ b/src/hf-calls.c
@@ -567,6 +567,11 @@
       return true;
     }
   hf_timers_cancel (&attempt->slot_resend_timer);
+  if (decision->kind == HF_DECISION_REFERRED)
+    {
+      hf_slots_refer (state, call, i, decision->server);
+      return true;
+    }
   if (decision->kind == HF_DECISION_REFUSED)
     {
       attempt->phase = HF_PHASE_ENDED;
--- a/src/hf-config-sync.c
+++ b/src/hf-config-sync.c
@@ -73,7 +73,7 @@
   for (size_t i = 0; i < state->document->services.n; i++)
     {
       const struct hf_service *spec = hf_document_get_service (state->document, i);
-      struct hf_service_state *service = hf_slices_find_or_add (state, spec, 0);
+      struct hf_service_state *service = hf_slices_find_or_add_first (state, spec);
       hf_slices_configure (state, spec);
       if (spec->uses_directory)
         hf_directory_fill_pool (state, service);
--- a/src/hf-directory.c
+++ b/src/hf-directory.c
@@ -46,12 +46,19 @@
 
 /* --- internal functions: pools --- */
 
+static uint64_t
+failure_domain_of (const struct listed_server *listed)
+{
+  return listed->report.failure_domain.len ? hf_hash (listed->report.failure_domain, 0) : 0;
+}
+
 /* Adds or updates the server in the pool of its slice, and removes it from the pool of its former slice. */
 static void
 put_in_pool (struct hf_state *state, const struct listed_server *listed)
 {
   uint64_t id = hf_server_id (listed->report.service, listed->report.name);
-  struct hf_service_state *service = hf_slices_find_by_server (state, hf_hash (listed->report.service, 0), id);
+  struct hf_service_state *service
+      = hf_slices_find_by_server (state, hf_hash (listed->report.service, 0), id, failure_domain_of (listed));
   struct hf_service_state *before = g_hash_table_lookup (state->service_by_server, &id);
   if (before && before != service)
     hf_pool_remove_server (&before->pool, id);
@@ -195,17 +202,34 @@
       put_in_pool (state, listed);
 }
 
+static void
+count_in_domain (GArray *domains, uint64_t failure_domain)
+{
+  for (guint i = 0; i < domains->len; i++)
+    {
+      struct hf_domain_servers *domain = &g_array_index (domains, struct hf_domain_servers, i);
+      if (domain->failure_domain != failure_domain)
+        continue;
+      domain->servers++;
+      return;
+    }
+  struct hf_domain_servers added = { .failure_domain = failure_domain, .servers = 1 };
+  g_array_append_val (domains, added);
+}
+
 static void
 resize_slices (struct hf_state *state, struct hf_str service)
 {
   GHashTableIter iter;
   struct listed_server *listed;
-  size_t servers = 0;
+  GArray *domains = g_array_new (FALSE, FALSE, sizeof (struct hf_domain_servers));
   g_hash_table_iter_init (&iter, state->directory.servers);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &listed))
-    servers += hf_str_equal (listed->report.service, service);
-  if (hf_slices_resize (state, hf_hash (service, 0), servers))
+    if (hf_str_equal (listed->report.service, service))
+      count_in_domain (domains, failure_domain_of (listed));
+  if (hf_slices_resize (state, hf_hash (service, 0), domains))
     put_service_servers (state, service);
+  g_array_unref (domains);
 }
 
 /* Compares all of a report but its warm-up time, which shrinks by itself from report to report. */
@@ -421,6 +445,13 @@
   hf_slots_update_pools (state);
 }
 
+void
+hf_directory_update_slices (struct hf_state *state)
+{
+  state->directory.slices_outdated = false;
+  hf_directory_update_pools (state);
+}
+
 /* What the copy lacks is written again, which takes as long as after an outage. */
 void
 hf_directory_note_era (struct hf_state *state, uint64_t era)
--- a/src/hf-directory.h
+++ b/src/hf-directory.h
@@ -19,9 +19,10 @@
 
 /* Adds, changes or removes a server. @from_list: the report is part of a list, not a change. */
 void hf_directory_update_server (struct hf_state *state, const struct hf_server_report *report, bool from_list);
-void hf_directory_update_pools (struct hf_state *state); /* resizes slices and grants slots after a batch of updates */
-void hf_directory_begin_list (struct hf_state *state);   /* begins a full list */
-void hf_directory_end_list (struct hf_state *state);     /* removes the servers that the list did not report */
+void hf_directory_update_slices (struct hf_state *state); /* after domain affinity was turned on or off */
+void hf_directory_update_pools (struct hf_state *state);  /* resizes slices and grants slots after a batch of updates */
+void hf_directory_begin_list (struct hf_state *state);    /* begins a full list */
+void hf_directory_end_list (struct hf_state *state);      /* removes the servers that the list did not report */
 void hf_directory_handle_list (struct hf_state *state, const struct hf_event *event);   /* LIST_STEP */
 void hf_directory_handle_report (struct hf_state *state, const struct hf_event *event); /* SERVER_REPORT */
 
--- a/src/hf-dump.c
+++ b/src/hf-dump.c
@@ -6,6 +6,7 @@
 #include "hf-affinity-sync.h"
 #include "hf-members.h"
 #include "hf-restrictions.h"
+#include "hf-roles.h"
 
 /* --- constants --- */
 
@@ -82,7 +83,7 @@
 static const char *
 granter_name (const struct hf_state *state, const struct hf_service_state *service)
 {
-  uint64_t owner = hf_members_owner (state, service->id);
+  uint64_t owner = hf_roles_slice_granter (state, service);
   const struct hf_member *member = hf_state_find_member (state, owner);
   return member ? member->name.data : state->name.data;
 }
--- a/src/hf-log.c
+++ b/src/hf-log.c
@@ -68,6 +68,7 @@
   { HF_LOG_SLOT_DENIED, HF_LOG_LEVEL_NOTICE, "slot-denied" },
   { HF_LOG_SLOT_RETURNED, HF_LOG_LEVEL_NOTICE, "slot-returned" },
   { HF_LOG_RESPONSE_SKIPPED, HF_LOG_LEVEL_NOTICE, "response-skipped" },
+  { HF_LOG_REQUEST_REFERRED, HF_LOG_LEVEL_INFO, "request-referred" },
   { 0 },
 };
 
--- a/src/hf-measure.c
+++ b/src/hf-measure.c
@@ -1,8 +1,8 @@
 /* Measures the speed of backend servers. */
 #include "hf-measure.h"
 
-#include "hf-members.h"
 #include "hf-placement.h"
+#include "hf-roles.h"
 #include "hf-slices.h"
 
 /* --- internal functions --- */
@@ -46,7 +46,8 @@
 static void
 measure_slice (struct hf_state *state, const struct hf_service *spec, struct hf_service_state *service)
 {
-  service->pool.requires_measurements = spec->measure_interval_ms > 0 && hf_members_is_owner (state, service->id);
+  service->pool.requires_measurements
+      = spec->measure_interval_ms > 0 && hf_roles_slice_granter (state, service) == state->boot_id;
   if (!service->pool.requires_measurements || state->now - service->last_slot_request_at > HF_MEASURE_IDLE_MS * HF_MS)
     return;
   hf_measure_for_queue (state, service);
@@ -62,7 +63,7 @@
 measure_service (struct hf_state *state, const struct hf_service *spec)
 {
   const struct hf_service_state *first = hf_state_find_service (state, hf_service_id (spec));
-  for (unsigned i = 0; first && i < first->slice_count; i++)
+  for (unsigned i = 0; first && i < hf_slices_total (first); i++)
     {
       struct hf_service_state *slice = hf_slices_find (state, first->id, i);
       if (slice)
--- a/src/hf-placement.c
+++ b/src/hf-placement.c
@@ -282,6 +282,21 @@
   return !pool->policy->skips_full_servers;
 }
 
+unsigned
+hf_placement_free_slots (const struct hf_pool *pool, int64_t now)
+{
+  unsigned free_slots = 0;
+  for (size_t i = 0; i < pool->servers->len; i++)
+    {
+      const struct hf_pool_server *server = server_at (pool, i);
+      bool is_slow = pool->requires_measurements && hf_health_speed (server, now) == HF_SPEED_SLOW;
+      unsigned slots = usable_slots (pool, server);
+      if (hf_health_is_usable (server, now) && !is_slow)
+        free_slots += slots - MIN (slots, effective_load (pool, server, now));
+    }
+  return free_slots;
+}
+
 struct hf_pool_server *
 hf_placement_server_to_measure (const struct hf_pool *pool, int64_t now, const struct hf_slot_request *request)
 {
--- a/src/hf-pool.c
+++ b/src/hf-pool.c
@@ -461,6 +461,13 @@
     hf_pool_grant_queued (pool, now, decisions);
 }
 
+bool
+hf_pool_has_grant (const struct hf_pool *pool, uint64_t entry, uint64_t ticket)
+{
+  const struct key key = { entry, ticket };
+  return g_hash_table_contains (pool->grants, &key);
+}
+
 static void
 record_pushback_success (struct hf_pool_server *server, uint64_t entry, enum hf_slot_result result)
 {
--- a/src/hf-pool.h
+++ b/src/hf-pool.h
@@ -54,6 +54,7 @@
   HF_DECISION_QUEUED,
   HF_DECISION_GRANTED,
   HF_DECISION_REFUSED,
+  HF_DECISION_REFERRED, /* to another slice; not by a pool, see hf-referrals */
 };
 
 /** struct hf_decision - reply to a request for a slot */
@@ -62,7 +63,7 @@
   enum hf_decision_kind kind;
   uint64_t entry;
   uint64_t ticket;
-  uint64_t server;               /* HF_DECISION_GRANTED: it runs the attempt */
+  uint64_t server;               /* GRANTED: it runs the attempt; REFERRED: id of the slice */
   enum hf_refusal_reason reason; /* HF_DECISION_REFUSED */
 };
 
@@ -111,6 +112,8 @@
 /* Requests a slot. Repeating a request that is queued or granted repeats its decision. */
 void hf_pool_acquire_slot (struct hf_pool *pool, int64_t now, struct hf_slot_request request, GArray *decisions);
 
+bool hf_pool_has_grant (const struct hf_pool *pool, uint64_t entry, uint64_t ticket);
+
 /* Releases a slot, or removes the request from the queue. latency_us: from sending the attempt to its end. */
 void hf_pool_release_slot (struct hf_pool *pool,
                            int64_t now,
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -13,6 +13,7 @@
 #include "hf-members.h"
 #include "hf-probes.h"
 #include "hf-quarantine.h"
+#include "hf-referrals.h"
 #include "hf-restrictions.h"
 #include "hf-roles.h"
 #include "hf-routing.h"
@@ -83,6 +84,7 @@
   hf_directory_sync_tick (state);
   hf_state_start_timer (state, POOL_TICK_MS * HF_MS, HF_TIMER_POOL_TICK, 0, 0);
   hf_slots_update_pools (state);
+  hf_referrals_tick (state);
 }
 
 static void
@@ -190,6 +192,9 @@
     case HF_RPC_RELEASE:
       hf_slots_handle_message (state, event);
       break;
+    case HF_RPC_LOAD_REPORT:
+      hf_referrals_handle_message (state, event);
+      break;
     case HF_RPC_CLAIM:
     case HF_RPC_CLAIM_REPLY:
     case HF_RPC_CLAIM_QUERY:
@@ -388,6 +393,11 @@
   note_initialised (state);
   if (state->roles.update_pending)
     hf_roles_update (state);
+  if (state->directory.slices_outdated)
+    {
+      hf_directory_update_slices (state);
+      hf_slots_leave_outdated (state);
+    }
   schedule_wakeup (state);
   state->effects = NULL;
 }
--- a/src/hf-restrictions.c
+++ b/src/hf-restrictions.c
@@ -1,7 +1,7 @@
 /* Requests that backend servers do not want from this entry. */
 #include "hf-restrictions.h"
 
-#include "hf-members.h"
+#include "hf-roles.h"
 #include "hf-placement.h"
 #include "hf-quarantine.h"
 
@@ -98,7 +98,7 @@
   const struct hf_service_state *service = find_service (state, server);
   if (!service || service->pool.policy != &hf_policies[HF_POLICY_GRANTS])
     return 0;
-  uint64_t owner = hf_members_owner (state, service->id);
+  uint64_t owner = hf_roles_slice_granter (state, service);
   return owner == state->boot_id ? 0 : owner;
 }
 
--- a/src/hf-roles.c
+++ b/src/hf-roles.c
@@ -132,32 +132,78 @@
     candidate_at (candidates, i)->has_short_watches = candidate_at (candidates, i)->is_watcher;
 }
 
+/* --- internal functions: granters --- */
+
+/* A group of coordinators from which granters are taken: those of one failure domain, or all. */
+struct granter_group
+{
+  uint64_t failure_domain;
+  bool all;
+};
+
+static bool
+is_in_group (const struct granter_group *group, const struct candidate *candidate)
+{
+  bool is_member = group->all || candidate->failure_domain == group->failure_domain;
+  return is_member && candidate->is_coordinator && candidate->boot_id;
+}
+
 /* Entries that are starting grant slots only if there are no others. */
 static bool
-any_has_started (GArray *candidates)
+any_has_started (GArray *candidates, const struct granter_group *group)
 {
   for (guint i = 0; i < candidates->len; i++)
     {
       const struct candidate *candidate = candidate_at (candidates, i);
-      if (candidate->is_coordinator && candidate->boot_id && !candidate->starting)
+      if (is_in_group (group, candidate) && !candidate->starting)
         return true;
     }
   return false;
 }
 
 static double
-largest_cpu_share (GArray *candidates, bool starting_too)
+largest_cpu_share (GArray *candidates, const struct granter_group *group, bool starting_too)
 {
   double share = 0;
   for (guint i = 0; i < candidates->len; i++)
     {
       const struct candidate *candidate = candidate_at (candidates, i);
-      if (candidate->is_coordinator && candidate->boot_id && (starting_too || !candidate->starting))
+      if (is_in_group (group, candidate) && (starting_too || !candidate->starting))
         share = MAX (share, candidate->cpu_share);
     }
   return share;
 }
 
+static bool
+may_grant (GArray *candidates, const struct granter_group *group, const struct candidate *candidate)
+{
+  bool starting_too = !any_has_started (candidates, group);
+  double cpu_share_min = largest_cpu_share (candidates, group, starting_too) * HF_GRANTER_CPU_SHARE_MIN;
+  return is_in_group (group, candidate) && (starting_too || !candidate->starting)
+         && candidate->cpu_share >= cpu_share_min;
+}
+
+/* With domain affinity each failure domain has granters, however little processor time they have. */
+static void
+store_granters (struct hf_state *state, GArray *candidates)
+{
+  const struct granter_group all = { .all = true };
+  for (guint i = 0; i < candidates->len; i++)
+    {
+      const struct candidate *candidate = candidate_at (candidates, i);
+      const struct granter_group domain = { .failure_domain = candidate->failure_domain };
+      struct hf_granter granter = { .boot_id = candidate->boot_id, .failure_domain = candidate->failure_domain };
+      if (!candidate->is_coordinator)
+        continue;
+      granter.serves_all = may_grant (candidates, &all, candidate);
+      bool serves_domain = hf_affinity_is_on (&state->affinity) && may_grant (candidates, &domain, candidate);
+      if (granter.serves_all || serves_domain)
+        g_array_append_val (state->roles.granters, granter);
+    }
+}
+
+/* --- internal functions: the state --- */
+
 static void
 clear_roles (struct hf_state *state)
 {
@@ -177,8 +223,6 @@
 static void
 store_roles (struct hf_state *state, GArray *candidates)
 {
-  bool starting_too = !any_has_started (candidates);
-  double cpu_share_min = largest_cpu_share (candidates, starting_too) * HF_GRANTER_CPU_SHARE_MIN;
   for (guint i = 0; i < candidates->len; i++)
     {
       const struct candidate *candidate = candidate_at (candidates, i);
@@ -191,10 +235,27 @@
           state->roles.has_short_watches = candidate->has_short_watches;
           state->roles.ranks_as_watcher = candidate->ranks_as_watcher;
         }
-      bool may_grant = candidate->is_coordinator && candidate->boot_id && (starting_too || !candidate->starting);
-      if (may_grant && candidate->cpu_share >= cpu_share_min)
-        g_array_append_val (state->roles.granters, candidate->boot_id);
     }
+  store_granters (state, candidates);
+}
+
+/* Chooses among the granters of a failure domain (NULL: among those of all) by rendezvous hashing; 0: there is none. */
+static uint64_t
+choose_granter (const struct hf_state *state, uint64_t subject, const uint64_t *failure_domain)
+{
+  uint64_t chosen = 0;
+  uint64_t best = 0;
+  for (guint i = 0; i < state->roles.granters->len; i++)
+    {
+      const struct hf_granter *granter = &g_array_index (state->roles.granters, struct hf_granter, i);
+      uint64_t weight = hf_hash_pair (subject, granter->boot_id);
+      bool serves = failure_domain ? granter->failure_domain == *failure_domain : granter->serves_all;
+      if (!serves || weight < best)
+        continue;
+      best = weight;
+      chosen = granter->boot_id;
+    }
+  return chosen;
 }
 
 /* --- public functions --- */
@@ -202,7 +263,8 @@
 void
 hf_roles_init (struct hf_roles *roles)
 {
-  *roles = (struct hf_roles){ .granters = g_array_new (FALSE, FALSE, sizeof (uint64_t)), .update_pending = true };
+  *roles
+      = (struct hf_roles){ .granters = g_array_new (FALSE, FALSE, sizeof (struct hf_granter)), .update_pending = true };
 }
 
 void
@@ -231,18 +293,18 @@
 uint64_t
 hf_roles_granter (const struct hf_state *state, uint64_t subject)
 {
-  uint64_t granter = state->boot_id;
-  uint64_t best = 0;
-  for (guint i = 0; i < state->roles.granters->len; i++)
-    {
-      uint64_t boot_id = g_array_index (state->roles.granters, uint64_t, i);
-      uint64_t weight = hf_hash_pair (subject, boot_id);
-      if (weight < best)
-        continue;
-      best = weight;
-      granter = boot_id;
-    }
-  return granter;
+  uint64_t granter = choose_granter (state, subject, NULL);
+  return granter ? granter : state->boot_id;
+}
+
+/* Without any entry of the slice's failure domain, one of the others is ranked next. */
+uint64_t
+hf_roles_slice_granter (const struct hf_state *state, const struct hf_service_state *slice)
+{
+  uint64_t granter = 0;
+  if (slice->has_domain && slice->failure_domain)
+    granter = choose_granter (state, slice->id, &slice->failure_domain);
+  return granter ? granter : hf_roles_granter (state, slice->id);
 }
 
 /* One that has timed out may be a coordinator: the failure domains find each other again after they were cut off. */
--- a/src/hf-roles.h
+++ b/src/hf-roles.h
@@ -20,6 +20,8 @@
 void hf_roles_close (struct hf_roles *roles);                               /* frees all */
 void hf_roles_update (struct hf_state *state);                              /* after a change of the members */
 uint64_t hf_roles_granter (const struct hf_state *state, uint64_t subject); /* boot id, by rendezvous hashing */
+/* The entry that grants the slots of a slice: one of the slice's failure domain, if there is any. */
+uint64_t hf_roles_slice_granter (const struct hf_state *state, const struct hf_service_state *slice);
 /* Whether this entry sends heartbeats to a member: it or this entry is a coordinator. With domain affinity, both are,
  * if their failure domains differ. */
 bool hf_roles_is_heartbeat_peer (const struct hf_state *state, const struct hf_member *member);
--- a/src/hf-rpc.c
+++ b/src/hf-rpc.c
@@ -308,7 +308,7 @@
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->failure_domain))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->body_bytes))
 				 return FALSE;
@@ -316,11 +316,14 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->hedge))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->referred))
+				 return FALSE;
 
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->body_bytes);
 		IXDR_PUT_BOOL(buf, objp->retry);
 		IXDR_PUT_BOOL(buf, objp->hedge);
+		IXDR_PUT_BOOL(buf, objp->referred);
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->excluded_server))
 			 return FALSE;
@@ -349,7 +352,7 @@
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->failure_domain))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->body_bytes))
 				 return FALSE;
@@ -357,11 +360,14 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->hedge))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->referred))
+				 return FALSE;
 
 		} else {
 		objp->body_bytes = IXDR_GET_U_LONG(buf);
 		objp->retry = IXDR_GET_BOOL(buf);
 		objp->hedge = IXDR_GET_BOOL(buf);
+		objp->referred = IXDR_GET_BOOL(buf);
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->excluded_server))
 			 return FALSE;
@@ -388,6 +394,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->hedge))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->referred))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->excluded_server))
 		 return FALSE;
 	return TRUE;
@@ -835,6 +843,33 @@
 	return TRUE;
 }
 
+bool_t
+xdr_hf_rpc_forecast (XDR *xdrs, hf_rpc_forecast *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->slice))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->free_slots))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wait_us))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slot_us))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_hf_rpc_load_report (XDR *xdrs, hf_rpc_load_report *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->forecasts.forecasts_val, (u_int *) &objp->forecasts.forecasts_len, HF_RPC_FORECASTS_MAX,
+		sizeof (hf_rpc_forecast), (xdrproc_t) xdr_hf_rpc_forecast))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_hf_rpc_body (XDR *xdrs, hf_rpc_body *objp)
 {
@@ -899,6 +934,10 @@
 		 if (!xdr_hf_rpc_config_offer (xdrs, &objp->hf_rpc_body_u.config_offer))
 			 return FALSE;
 		break;
+	case HF_RPC_LOAD_REPORT:
+		 if (!xdr_hf_rpc_load_report (xdrs, &objp->hf_rpc_body_u.load_report))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/src/hf-rpc.h
+++ b/src/hf-rpc.h
@@ -21,6 +21,7 @@
 #define HF_RPC_NAME_MAX 128
 #define HF_RPC_REPORTS_MAX 24
 #define HF_RPC_COORDINATORS_MAX 64
+#define HF_RPC_FORECASTS_MAX 256
 
 enum hf_rpc_kind {
 	HF_RPC_HEARTBEAT = 1,
@@ -37,6 +38,7 @@
 	HF_RPC_DIRECTORY_UPDATE = 12,
 	HF_RPC_DIRECTORY_PULL = 13,
 	HF_RPC_CONFIG_OFFER = 14,
+	HF_RPC_LOAD_REPORT = 20,
 };
 typedef enum hf_rpc_kind hf_rpc_kind;
 
@@ -109,6 +111,7 @@
 	u_int body_bytes;
 	bool_t retry;
 	bool_t hedge;
+	bool_t referred;
 	u_quad_t excluded_server;
 };
 typedef struct hf_rpc_acquire hf_rpc_acquire;
@@ -258,6 +261,22 @@
 };
 typedef struct hf_rpc_directory_pull hf_rpc_directory_pull;
 
+struct hf_rpc_forecast {
+	u_quad_t slice;
+	u_int free_slots;
+	u_int wait_us;
+	u_int slot_us;
+};
+typedef struct hf_rpc_forecast hf_rpc_forecast;
+
+struct hf_rpc_load_report {
+	struct {
+		u_int forecasts_len;
+		hf_rpc_forecast *forecasts_val;
+	} forecasts;
+};
+typedef struct hf_rpc_load_report hf_rpc_load_report;
+
 struct hf_rpc_body {
 	hf_rpc_kind kind;
 	union {
@@ -275,6 +294,7 @@
 		hf_rpc_directory_update directory_update;
 		hf_rpc_directory_pull directory_pull;
 		hf_rpc_config_offer config_offer;
+		hf_rpc_load_report load_report;
 	} hf_rpc_body_u;
 };
 typedef struct hf_rpc_body hf_rpc_body;
@@ -308,6 +328,8 @@
 extern  bool_t xdr_hf_rpc_server_report (XDR *, hf_rpc_server_report*);
 extern  bool_t xdr_hf_rpc_directory_update (XDR *, hf_rpc_directory_update*);
 extern  bool_t xdr_hf_rpc_directory_pull (XDR *, hf_rpc_directory_pull*);
+extern  bool_t xdr_hf_rpc_forecast (XDR *, hf_rpc_forecast*);
+extern  bool_t xdr_hf_rpc_load_report (XDR *, hf_rpc_load_report*);
 extern  bool_t xdr_hf_rpc_body (XDR *, hf_rpc_body*);
 extern  bool_t xdr_hf_rpc_message (XDR *, hf_rpc_message*);
 
@@ -332,6 +354,8 @@
 extern bool_t xdr_hf_rpc_server_report ();
 extern bool_t xdr_hf_rpc_directory_update ();
 extern bool_t xdr_hf_rpc_directory_pull ();
+extern bool_t xdr_hf_rpc_forecast ();
+extern bool_t xdr_hf_rpc_load_report ();
 extern bool_t xdr_hf_rpc_body ();
 extern bool_t xdr_hf_rpc_message ();
 
--- a/src/hf-rpc.x
+++ b/src/hf-rpc.x
@@ -14,6 +14,7 @@
 const HF_RPC_NAME_MAX = 128;
 const HF_RPC_REPORTS_MAX = 24;
 const HF_RPC_COORDINATORS_MAX = 64;
+const HF_RPC_FORECASTS_MAX = 256;
 
 enum hf_rpc_kind {
   HF_RPC_HEARTBEAT = 1,
@@ -29,7 +30,8 @@
   HF_RPC_CONFIG_CHUNK = 11,
   HF_RPC_DIRECTORY_UPDATE = 12,
   HF_RPC_DIRECTORY_PULL = 13,
-  HF_RPC_CONFIG_OFFER = 14
+  HF_RPC_CONFIG_OFFER = 14,
+  HF_RPC_LOAD_REPORT = 20
 };
 
 /* Position in the changes of the platform's store: number of its history, and revision in that history. */
@@ -92,6 +94,7 @@
 };
 
 /* Requests one slot from the granter of a service (service: id of the slice, ticket: id of the attempt at the sender).
+ * referred: a granter of another failure domain has referred it to this one, which serves it or refuses it.
  * soft_deadline_ms, remaining_ms: time until the soft deadline (negative: it has passed) and until the deadline. */
 struct hf_rpc_acquire {
   unsigned hyper service;
@@ -104,11 +107,12 @@
   unsigned int body_bytes;
   bool retry;
   bool hedge;
+  bool referred;
   unsigned hyper excluded_server;
 };
 
-/* The granter's decision on a slot request: queued, granted or refused (kind: enum hf_decision_kind, reason: enum
- * hf_refusal_reason). */
+/* The granter's decision on a slot request: queued, granted, refused, or referred to the slice of another failure domain,
+ * whose id is in server then (kind: enum hf_decision_kind, reason: enum hf_refusal_reason). */
 struct hf_rpc_decision {
   unsigned hyper service;
   unsigned hyper ticket;
@@ -244,6 +248,20 @@
   hf_rpc_store_position from;
 };
 
+/* How soon a slice could serve a request: free slots, expected wait of one that arrives now, and the additional wait for
+ * each request in the queue. */
+struct hf_rpc_forecast {
+  unsigned hyper slice;
+  unsigned int free_slots;
+  unsigned int wait_us;
+  unsigned int slot_us;
+};
+
+/* Forecasts of the slices that the sender grants, to the granters of other failure domains. */
+struct hf_rpc_load_report {
+  hf_rpc_forecast forecasts<HF_RPC_FORECASTS_MAX>;
+};
+
 union hf_rpc_body switch (hf_rpc_kind kind) {
 case HF_RPC_HEARTBEAT: hf_rpc_heartbeat heartbeat;
 case HF_RPC_ACQUIRE: hf_rpc_acquire acquire;
@@ -259,6 +277,7 @@
 case HF_RPC_DIRECTORY_UPDATE: hf_rpc_directory_update directory_update;
 case HF_RPC_DIRECTORY_PULL: hf_rpc_directory_pull directory_pull;
 case HF_RPC_CONFIG_OFFER: hf_rpc_config_offer config_offer;
+case HF_RPC_LOAD_REPORT: hf_rpc_load_report load_report;
 };
 
 /* Every message carries the boot id of its sender. */
--- a/src/hf-slots.c
+++ b/src/hf-slots.c
@@ -3,8 +3,10 @@
 
 #include "hf-calls.h"
 #include "hf-measure.h"
-#include "hf-members.h"
+#include "hf-referrals.h"
 #include "hf-restrictions.h"
+#include "hf-roles.h"
+#include "hf-slices.h"
 #include "hf-trace.h"
 
 /* --- internal functions: decisions of the own pool --- */
@@ -64,10 +66,41 @@
 {
   if (service->pool.policy != &hf_policies[HF_POLICY_GRANTS] || service->granter_bypassed_until > state->now)
     return 0;
-  uint64_t owner = hf_members_owner (state, service->id);
+  uint64_t owner = hf_roles_slice_granter (state, service);
   return owner == state->boot_id ? 0 : owner;
 }
 
+/* All servers of a slice that belongs to a failure domain are equally far. */
+static uint64_t
+domain_for_placement (const struct hf_service_state *service, uint64_t failure_domain)
+{
+  return service->has_domain ? 0 : failure_domain;
+}
+
+/* Requests a slot of this entry's own pool, or refers the request to another slice. A hedge stays, as the attempt that
+ * it hedges has its slot here. */
+static void
+acquire_slot (struct hf_state *state,
+              struct hf_service_state *service,
+              const struct hf_slot_request *request,
+              bool may_refer)
+{
+  GArray *decisions = new_decisions ();
+  service->last_slot_request_at = state->now;
+  bool is_held = !may_refer || request->hedge || hf_pool_has_grant (&service->pool, request->entry, request->ticket);
+  uint64_t other = is_held ? 0 : hf_referrals_choose (state, service, request);
+  if (other)
+    {
+      const struct hf_decision referral
+          = { .kind = HF_DECISION_REFERRED, .entry = request->entry, .ticket = request->ticket, .server = other };
+      hf_pool_release_slot (&service->pool, state->now, request->entry, request->ticket, HF_SLOT_UNUSED, 0, decisions);
+      g_array_append_val (decisions, referral);
+    }
+  else
+    hf_pool_acquire_slot (&service->pool, state->now, *request, decisions);
+  apply_decisions (state, service, decisions);
+}
+
 static void
 request_from_own_pool (struct hf_state *state,
                        struct hf_service_state *service,
@@ -82,16 +115,13 @@
     .worth = (unsigned) call->class->worth,
     .soft_deadline = call->soft_deadline,
     .deadline = call->deadline,
-    .failure_domain = hf_hash (state->failure_domain, 0),
+    .failure_domain = domain_for_placement (service, hf_hash (state->failure_domain, 0)),
     .body_bytes = call->body_bytes,
     .retry = attempt->retry,
     .hedge = attempt->hedge && call->class->aim_ms > 0,
     .excluded_server = attempt->excluded_server,
   };
-  service->last_slot_request_at = state->now;
-  GArray *decisions = new_decisions ();
-  hf_pool_acquire_slot (&service->pool, state->now, request, decisions);
-  apply_decisions (state, service, decisions);
+  acquire_slot (state, service, &request, !call->referred);
 }
 
 static void
@@ -111,6 +141,7 @@
     .body_bytes = (unsigned) MIN (call->body_bytes, G_MAXUINT32),
     .retry = attempt->retry,
     .hedge = attempt->hedge && call->class->aim_ms > 0,
+    .referred = call->referred,
     .excluded_server = attempt->excluded_server,
   };
   hf_state_send_to_member (state, attempt->granter, message);
@@ -185,8 +216,9 @@
 handle_acquire (struct hf_state *state, uint64_t from, const struct hf_rpc_acquire *acquire)
 {
   struct hf_service_state *service = hf_state_find_service (state, acquire->service);
-  /* While starting, this entry knows no backend servers: no response lets the sender decide locally. */
-  if (!service || state->starting)
+  /* While starting, this entry knows no backend servers: no response lets the sender decide locally. The same for a
+   * slice that is left, as the sender does not know yet that affinity was turned on or off. */
+  if (!service || state->starting || hf_slices_is_outdated (state, service))
     return;
   struct hf_slot_request request = {
     .entry = from,
@@ -194,17 +226,14 @@
     .priority = acquire->priority,
     .worth = acquire->worth,
     .soft_deadline = state->now + acquire->soft_deadline_ms * HF_MS,
-    .failure_domain = acquire->failure_domain,
+    .failure_domain = domain_for_placement (service, acquire->failure_domain),
     .body_bytes = acquire->body_bytes,
     .deadline = state->now + acquire->remaining_ms * HF_MS,
     .retry = acquire->retry,
     .hedge = acquire->hedge,
     .excluded_server = acquire->excluded_server,
   };
-  service->last_slot_request_at = state->now;
-  GArray *decisions = new_decisions ();
-  hf_pool_acquire_slot (&service->pool, state->now, request, decisions);
-  apply_decisions (state, service, decisions);
+  acquire_slot (state, service, &request, !acquire->referred);
 }
 
 static void
@@ -253,6 +282,81 @@
     request_from_own_pool (state, service, call, attempt_index);
 }
 
+static bool
+has_other_attempt (const struct hf_call *call, unsigned attempt_index)
+{
+  for (unsigned i = 0; i < call->n_attempts; i++)
+    if (i != attempt_index
+        && (call->attempts[i].phase == HF_PHASE_WAITING || call->attempts[i].phase == HF_PHASE_RUNNING))
+      return true;
+  return false;
+}
+
+/* The granter of the other failure domain does not respond: the link between may be lost. */
+static void
+return_home (struct hf_state *state, struct hf_call *call, unsigned attempt_index)
+{
+  struct hf_attempt *attempt = &call->attempts[attempt_index];
+  uint64_t ticket = hf_state_ticket (call->id, attempt_index);
+  send_release (state, attempt->granter, call->slice_id, ticket, 0, HF_SLOT_UNUSED, 0, 0);
+  call->slice_id = call->home_slice_id;
+  call->home_slice_id = 0;
+  attempt->queued = false;
+  hf_slots_request (state, call, attempt_index);
+}
+
+void
+hf_slots_refer (struct hf_state *state, struct hf_call *call, unsigned attempt_index, uint64_t slice_id)
+{
+  struct hf_attempt *attempt = &call->attempts[attempt_index];
+  const struct hf_service_state *slice = hf_state_find_service (state, slice_id);
+  bool is_reachable
+      = slice && slice->service_id == hf_service_id (call->service) && slice->granter_bypassed_until <= state->now;
+  call->referred = true;
+  if (is_reachable && !has_other_attempt (call, attempt_index))
+    {
+      hf_trace_request_referred (state, call, attempt_index);
+      hf_state_increment (state, HF_COUNT_REFERRED);
+      call->home_slice_id = call->slice_id;
+      call->slice_id = slice_id;
+    }
+  attempt->queued = false;
+  hf_slots_request (state, call, attempt_index);
+}
+
+static void
+leave_if_outdated (struct hf_state *state, struct hf_call *call)
+{
+  const struct hf_service_state *service = hf_state_find_service (state, call->slice_id);
+  unsigned i = call->n_attempts - 1;
+  bool waits = call->n_attempts > 0 && call->attempts[i].phase == HF_PHASE_WAITING;
+  if (!waits || !service || !hf_slices_is_outdated (state, service) || has_other_attempt (call, i))
+    return;
+  hf_timers_cancel (&call->attempts[i].slot_resend_timer);
+  call->slice_id = hf_slices_choose (state, service->service_id);
+  call->home_slice_id = 0;
+  call->attempts[i].queued = false;
+  hf_slots_request (state, call, i);
+}
+
+void
+hf_slots_leave_outdated (struct hf_state *state)
+{
+  GList *ids = g_hash_table_get_keys (state->calls);
+  GArray *copies = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  /* A request that is refused removes its call, and the key with it. */
+  for (GList *item = ids; item; item = item->next)
+    g_array_append_vals (copies, item->data, 1);
+  for (guint i = 0; i < copies->len; i++)
+    {
+      struct hf_call *call = g_hash_table_lookup (state->calls, &g_array_index (copies, uint64_t, i));
+      if (call)
+        leave_if_outdated (state, call);
+    }
+  g_array_unref (copies);
+  g_list_free (ids);
+}
+
 void
 hf_slots_request_again (struct hf_state *state, struct hf_call *call, unsigned attempt_index)
 {
@@ -275,6 +379,11 @@
                     "granter " HF_STR_FMT " of " HF_STR_FMT " does not respond; granting slots locally",
                     HF_STR_ARG (member ? member->name : hf_str ("-")), HF_STR_ARG (service->name));
       granter = 0;
+      if (call->home_slice_id)
+        {
+          return_home (state, call, attempt_index);
+          return;
+        }
     }
   if (granter != attempt->granter)
     {
--- a/src/hf-slots.h
+++ b/src/hf-slots.h
@@ -38,6 +38,10 @@
 
 /* --- public functions: events --- */
 
+/* The granter has referred the attempt to another slice: requests its slot there. */
+void hf_slots_refer (struct hf_state *state, struct hf_call *call, unsigned attempt_index, uint64_t slice_id);
+/* After the slices have changed: attempts that wait for a slot of one that is left move to another one. */
+void hf_slots_leave_outdated (struct hf_state *state);
 void hf_slots_handle_message (struct hf_state *state, const struct hf_event *event); /* acquire, decision, release */
 void hf_slots_handle_measurement (struct hf_state *state, const struct hf_event *event); /* grants queued requests */
 void hf_slots_update_pools (struct hf_state *state); /* every pool: expires, then grants queued requests */
--- a/src/hf-state.c
+++ b/src/hf-state.c
@@ -23,6 +23,7 @@
   [HF_COUNT_PUSHBACKS] = "pushbacks_total",
   [HF_COUNT_RETRY_AFTER_INVALID] = "retry_after_invalid_total",
   [HF_COUNT_SLOTS_RETURNED] = "slots_returned_total",
+  [HF_COUNT_REFERRED] = "referred_total",
   [HF_COUNT_GRANTER_FALLBACKS] = "granter_fallbacks_total",
   [HF_COUNT_PEER_MESSAGES_SENT] = "peer_messages_sent_total",
   [HF_COUNT_PEER_MESSAGES_RECEIVED] = "peer_messages_received_total",
@@ -113,6 +114,7 @@
 {
   struct hf_service_state *service = data;
   hf_pool_close (&service->pool);
+  g_clear_pointer (&service->domains, g_array_unref);
   hf_str_free (&service->name);
   g_free (service);
 }
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -45,6 +45,7 @@
   HF_COUNT_PUSHBACKS,            /* responses with 503 and Retry-After */
   HF_COUNT_RETRY_AFTER_INVALID,  /* such responses whose Retry-After was ignored */
   HF_COUNT_SLOTS_RETURNED,       /* granted at servers that this entry must not use */
+  HF_COUNT_REFERRED,             /* slot requests that went to another failure domain */
   HF_COUNT_GRANTER_FALLBACKS,    /* granters that did not respond; slots were granted locally */
   HF_COUNT_PEER_MESSAGES_SENT,
   HF_COUNT_PEER_MESSAGES_RECEIVED,
@@ -91,7 +92,14 @@
  * struct hf_service_state - run-time state of a service, or of one of its slices
  * @id: id of the slice; that of the first slice is the service's id
  * @service_id: hf_service_id of the whole service
- * @slice_count: slices of the service; kept in its first slice only
+ * @slice_count: slices of the service, or of each of @domains; kept in its first slice only
+ * @domains: uint64_t, failure domains that have slices of their own (0: servers without one); the same; NULL: none
+ * @budget_shares: slices that the service would have without @domains; the same
+ * @failure_domain: failure domain of this slice; 0: none
+ * @has_domain: the slice belongs to a failure domain or to the servers without one
+ * @forecast: how soon the slice could serve a request, by the last report of its granter
+ * @forecast_at: when that arrived; 0: never
+ * @reported_forecast: the last one that this entry reported, if it is the granter
  * @name: name of the service
  * @pool: slots of the slice's backend servers as this entry has recorded them
  * @granter_bypassed_until: slots are granted locally until then because the granter did not respond
@@ -108,6 +116,13 @@
   uint64_t id;
   uint64_t service_id;
   unsigned slice_count;
+  GArray *domains;
+  unsigned budget_shares;
+  uint64_t failure_domain;
+  bool has_domain;
+  struct hf_forecast forecast;
+  int64_t forecast_at;
+  struct hf_forecast reported_forecast;
   struct hf_str name;
   struct hf_pool pool;
   int64_t granter_bypassed_until;
@@ -167,6 +182,8 @@
   const struct hf_service *service;
   const struct hf_request_class *class;
   uint64_t slice_id;       /* id of the slice that serves it */
+  uint64_t home_slice_id;  /* it was referred from this slice; 0: it was not, or is back */
+  bool referred;           /* a granter has referred it: no other one does so again */
   int64_t arrived_at;      /* when its head arrived */
   int64_t deadline;        /* the call fails then */
   int64_t caller_deadline; /* the caller gives up then; it may retry before */
@@ -393,6 +410,7 @@
  * @recovered_at: when it last began to respond again; 0: never
  * @listing: a list from the platform is being received
  * @pools_outdated: servers changed since the pools were last updated
+ * @slices_outdated: the slices follow failure domains now, or no longer
  * @position: position in the platform's store up to which all changes have been applied
  * @update_to: position to which the reports lead that are being applied; revision 0: not known, in the platform's lists
  * @era: newest era of the platform's store that is known; above that of @position: to be listed again
@@ -409,6 +427,7 @@
   int64_t recovered_at;
   bool listing;
   bool pools_outdated;
+  bool slices_outdated;
   struct hf_store_position position;
   struct hf_store_position update_to;
   uint64_t era;
@@ -417,6 +436,14 @@
   int64_t platform_unreachable_until;
 };
 
+/** struct hf_granter - an entry that grants slots */
+struct hf_granter
+{
+  uint64_t boot_id;
+  uint64_t failure_domain;
+  bool serves_all; /* grants slots of all failure domains, not only of its own one */
+};
+
 /**
  * struct hf_roles - roles of this entry, and the entries that grant slots
  * @is_coordinator: this entry exchanges heartbeats with all others
@@ -426,7 +453,7 @@
  * @watcher_since: when it last became a watcher
  * @watcher_until: when it last ceased to be one
  * @update_pending: the members changed since the roles were assigned
- * @granters: uint64_t, boot ids of the entries that grant slots
+ * @granters: struct hf_granter, the entries that grant slots
  */
 struct hf_roles
 {
@@ -524,6 +551,7 @@
   struct hf_directory_sync directory_sync;
   struct hf_roles roles;
   struct hf_affinity affinity;
+  int64_t load_reported_at;      /* last load report to the granters of other failure domains */
   GHashTable *services;          /* struct hf_service_state by id */
   GHashTable *service_by_server; /* the same by id of a backend server */
   GHashTable *restrictions;      /* what backend servers said of themselves, by instance; see hf-restrictions */
--- a/src/hf-trace.c
+++ b/src/hf-trace.c
@@ -80,6 +80,14 @@
   add_log_line (state, HF_LOG_REQUEST_QUEUED, call->request_id, fields, G_N_ELEMENTS (fields));
 }
 
+void
+hf_trace_request_referred (struct hf_state *state, const struct hf_call *call, unsigned attempt)
+{
+  const struct hf_log_field fields[]
+      = { HF_LOG_INT ("attempt", attempt), HF_LOG_TEXT ("by", slot_source (&call->attempts[attempt])) };
+  add_log_line (state, HF_LOG_REQUEST_REFERRED, call->request_id, fields, G_N_ELEMENTS (fields));
+}
+
 void
 hf_trace_slot_denied (struct hf_state *state, const struct hf_call *call, unsigned attempt, const char *reason)
 {
--- a/src/hf-trace.h
+++ b/src/hf-trace.h
@@ -37,6 +37,9 @@
 /* Attempt @attempt waits in the queue of the granter or of this entry's own pool. */
 void hf_trace_request_queued (struct hf_state *state, const struct hf_call *call, unsigned attempt);
 
+/* The granter of this failure domain refers the request to a slice of another one. */
+void hf_trace_request_referred (struct hf_state *state, const struct hf_call *call, unsigned attempt);
+
 /* No slot for attempt @attempt: why, who decided, time waited. */
 void hf_trace_slot_denied (struct hf_state *state, const struct hf_call *call, unsigned attempt, const char *reason);
 
--- a/src/hf-traffic.c
+++ b/src/hf-traffic.c
@@ -22,6 +22,7 @@
     case HF_RPC_ACQUIRE:
     case HF_RPC_DECISION:
     case HF_RPC_RELEASE:
+    case HF_RPC_LOAD_REPORT:
       return HF_TRAFFIC_SLOT;
     case HF_RPC_DIRECTORY_UPDATE:
     case HF_RPC_DIRECTORY_PULL:
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -109,7 +109,8 @@
 {
   bool lost = fleet->loss_interval > 0 && ++fleet->loss_counter % fleet->loss_interval == 0;
   struct hf_rpc_message message;
-  if (datagram->to->is_disconnected || datagram->from->is_disconnected || lost)
+  bool is_cut = fleet->domains_are_cut && strcmp (datagram->from->failure_domain, datagram->to->failure_domain) != 0;
+  if (datagram->to->is_disconnected || datagram->from->is_disconnected || lost || is_cut)
     return;
   g_assert_true (hf_wire_decode ((struct hf_str){ datagram->bytes, datagram->size }, &message, NULL));
   if (message.body.kind != datagram->to->lost_kind)
@@ -127,14 +128,16 @@
   const struct fleet_server *server = &entry->fleet->servers[i];
   char name[16];
   char address[32];
+  char domain[16];
   g_snprintf (name, sizeof name, "s%u", i);
   g_snprintf (address, sizeof address, "10.1.0.%u:80", i % 200 + 1);
+  g_snprintf (domain, sizeof domain, "d%u", i % MAX (1, entry->fleet->server_domains));
   fleet_raise_event (entry, (struct hf_event){ .kind = HF_EVENT_SERVER_REPORT,
                                                .position = { .era = entry->fleet->era, .revision = server->revision },
                                                .report = { .name = hf_str (name),
                                                            .service = hf_str ("a"),
                                                            .address = hf_str (address),
-                                                           .failure_domain = hf_str ("d0"),
+                                                           .failure_domain = hf_str (domain),
                                                            .slots = 3,
                                                            .incarnation = MAX (server->incarnation, 1),
                                                            .sequence = server->sequence,
@@ -259,10 +262,18 @@
 
 void
 fleet_write_document (struct fleet *fleet, unsigned routes)
+{
+  char *text = fleet_make_document (routes);
+  fleet_put_document (fleet, text);
+  g_free (text);
+}
+
+void
+fleet_put_document (struct fleet *fleet, const char *text)
 {
   g_free (fleet->document);
   hf_str_free (&fleet->encoded_document);
-  fleet->document = fleet_make_document (routes);
+  fleet->document = g_strdup (text);
   fleet->encoded_document = encode_document (fleet->document);
   fleet->generation++;
 }
@@ -393,9 +404,20 @@
 
 struct fleet *
 fleet_open_with_affinity (unsigned entries, unsigned domains, unsigned large_per_domain, enum hf_affinity_mode mode)
+{
+  return fleet_open_with_servers (entries, domains, large_per_domain, mode, 1);
+}
+
+struct fleet *
+fleet_open_with_servers (unsigned entries,
+                         unsigned domains,
+                         unsigned large_per_domain,
+                         enum hf_affinity_mode mode,
+                         unsigned server_domains)
 {
   struct fleet *fleet = g_new0 (struct fleet, 1);
   fleet->affinity_mode = mode;
+  fleet->server_domains = server_domains;
   fleet->entry_count = entries;
   fleet->now = HF_SEC;
   fleet->era = 1;
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -79,6 +79,7 @@
   int64_t now;
   unsigned loss_interval; /* one datagram in this many is lost; 0: none */
   unsigned loss_counter;
+  bool domains_are_cut; /* no datagram crosses failure domains */
   struct fleet_server servers[FLEET_SERVERS_MAX];
   uint64_t era;      /* rises when the platform comes back from an older copy */
   uint64_t revision; /* of the last change in that era */
@@ -88,6 +89,7 @@
   uint64_t generation; /* of the operator's configuration; 0: none yet */
   char *document;      /* its text */
   struct hf_str encoded_document;
+  unsigned server_domains;   /* the servers are spread over so many failure domains; 0: all are in the first one */
   int64_t link_bytes_per_ms; /* bandwidth of each entry's link; 0: unlimited */
   unsigned watch_starts;     /* how often an entry began to watch the platform */
   unsigned probe_starts;     /* how often one began to check the platform, as no watcher kept it current */
@@ -102,6 +104,12 @@
  * automatic affinity is on after some seconds. */
 struct fleet *
 fleet_open_with_affinity (unsigned entries, unsigned domains, unsigned large_per_domain, enum hf_affinity_mode mode);
+/* The same with servers that are spread over failure domains. */
+struct fleet *fleet_open_with_servers (unsigned entries,
+                                       unsigned domains,
+                                       unsigned large_per_domain,
+                                       enum hf_affinity_mode mode,
+                                       unsigned server_domains);
 void fleet_close (struct fleet *fleet);
 void fleet_restart (struct fleet *fleet, unsigned i, uint64_t boot_id); /* a new process, which was told nothing yet */
 
@@ -117,6 +125,7 @@
 void fleet_report_full_list (struct fleet_entry *entry);          /* the platform's response to a list call */
 void fleet_report_entries (struct fleet_entry *entry);            /* the same for the list of entries */
 void fleet_write_document (struct fleet *fleet, unsigned routes); /* the operator writes the next generation */
+void fleet_put_document (struct fleet *fleet, const char *text);  /* the same with any text, in YAML */
 char *fleet_make_document (unsigned routes);                      /* YAML text; the caller frees it */
 
 /* --- public functions: checks --- */
--- a/tests/test-affinity.c
+++ b/tests/test-affinity.c
@@ -2,16 +2,54 @@
 #include "fleet.h"
 #include "hf-roles.h"
 
+#include <string.h>
+
 /* --- constants --- */
 
 #define NEW_BOOT_ID       1000 /* of an entry that was restarted */
 #define ENTRIES           105
 #define DOMAINS           4
 #define GRANTERS_AGREE_MS 8000 /* until all know that coordinators were lost, or are back */
+#define LOAD_ENTRIES      60
+#define LOAD_SERVERS      40
+#define SLOTS             3 /* of each server */
+#define LATENCY_US        (100 * HF_MS)
+#define LOAD_MS           6000
 #define MEASURE_MS        6000 /* several rounds of heartbeats to all */
 
+/* --- types --- */
+
+/* An attempt at a simulated backend server. */
+struct running
+{
+  struct fleet_entry *entry;
+  uint64_t call;
+  unsigned attempt;
+  uint64_t server;
+  int64_t ends_at;
+};
+
+/* Requests to a fleet, counted by the failure domain of the entry that got them. */
+struct load
+{
+  struct fleet *fleet;
+  GArray *running; /* struct running */
+  uint64_t last_call;
+  unsigned asked[DOMAINS];
+  unsigned answered[DOMAINS];
+  unsigned failed[DOMAINS];
+  unsigned sent[DOMAINS][2]; /* attempts; second index: crossing */
+  unsigned most_at_server;   /* that ran there at the same time */
+};
+
 /* --- internal functions --- */
 
+static unsigned
+domain_of (const struct fleet_entry *entry)
+{
+  return (unsigned) (entry->failure_domain[1] - '0');
+}
+
 static int64_t
 sum_crossing_bytes (const struct fleet *fleet, enum hf_traffic_kind kind)
 {
@@ -39,6 +77,127 @@
   return (sum_crossing_bytes (fleet, kind) - before) * 1000 / MEASURE_MS;
 }
 
+/* --- internal functions: requests --- */
+
+static unsigned
+count_at_server (const struct load *load, uint64_t server)
+{
+  unsigned n = 0;
+  for (guint i = 0; i < load->running->len; i++)
+    n += g_array_index (load->running, struct running, i).server == server;
+  return n;
+}
+
+static void
+note_effect (void *context, struct fleet_entry *entry, const struct hf_effect *effect)
+{
+  struct load *load = context;
+  unsigned domain = domain_of (entry);
+  if (effect->kind == HF_EFFECT_RELAY_RESPONSE)
+    load->answered[domain]++;
+  if (effect->kind == HF_EFFECT_SEND_ERROR)
+    load->failed[domain]++;
+  if (effect->kind != HF_EFFECT_DISPATCH)
+    return;
+  load->sent[domain][effect->crosses_domain]++;
+  struct running running = { .entry = entry,
+                             .call = effect->call,
+                             .attempt = effect->attempt,
+                             .server = effect->server,
+                             .ends_at = load->fleet->now + LATENCY_US };
+  g_array_append_val (load->running, running);
+  load->most_at_server = MAX (load->most_at_server, count_at_server (load, effect->server));
+}
+
+static void
+end_running (struct load *load)
+{
+  for (guint i = 0; i < load->running->len;)
+    {
+      struct running running = g_array_index (load->running, struct running, i);
+      if (running.ends_at > load->fleet->now)
+        {
+          i++;
+          continue;
+        }
+      g_array_remove_index (load->running, i);
+      fleet_raise_event (running.entry,
+                         (struct hf_event){ .kind = HF_EVENT_ATTEMPT_END,
+                                            .call = running.call,
+                                            .attempt = running.attempt,
+                                            .result = HF_ATTEMPT_ANSWERED,
+                                            .bytes_sent = true,
+                                            .hints = { .status = 200, .load = -1, .retry_after_ms = -1 } });
+    }
+}
+
+static void
+send_request (struct load *load, struct fleet_entry *entry)
+{
+  load->asked[domain_of (entry)]++;
+  fleet_raise_event (entry, (struct hf_event){ .kind = HF_EVENT_REQUEST,
+                                               .call = ++load->last_call,
+                                               .request = { .method = hf_str ("GET"),
+                                                            .host = hf_str ("h.example"),
+                                                            .path = hf_str ("/a/x"),
+                                                            .arrived_at = load->fleet->now,
+                                                            .body_digest = load->last_call } });
+}
+
+/* Requests at all entries that are connected; at those of the first failure domain every @first_ms, at the others every
+ * @other_ms. */
+static void
+run_load (struct load *load, int64_t ms, int64_t first_ms, int64_t other_ms)
+{
+  struct fleet *fleet = load->fleet;
+  for (int64_t passed = 0; passed < ms; passed += FLEET_STEP_MS)
+    {
+      fleet_advance (fleet, FLEET_STEP_MS);
+      end_running (load);
+      for (unsigned i = 0; i < fleet->entry_count; i++)
+        {
+          int64_t interval_ms = domain_of (&fleet->entries[i]) == 0 ? first_ms : other_ms;
+          bool is_due = (fleet->now / HF_MS + i * FLEET_STEP_MS) % interval_ms == 0;
+          if (is_due && !fleet->entries[i].is_disconnected)
+            send_request (load, &fleet->entries[i]);
+        }
+    }
+}
+
+static struct load *
+open_load (enum hf_affinity_mode mode)
+{
+  struct load *load = g_new0 (struct load, 1);
+  load->running = g_array_new (FALSE, FALSE, sizeof (struct running));
+  load->fleet = fleet_open_with_servers (LOAD_ENTRIES, DOMAINS, 2, mode, DOMAINS);
+  load->fleet->on_effect = note_effect;
+  load->fleet->context = load;
+  for (unsigned i = 0; i < LOAD_SERVERS; i++)
+    fleet_change_server (load->fleet, i, (struct fleet_server){ .listed = true });
+  fleet_put_document (load->fleet, "{version: 1, services: [{name: a, directory: true, queue_limit: 10000}], routes: "
+                                   "[{name: r, host: h.example, path_prefix: /a/, class: {name: c, aim_ms: 500, "
+                                   "deadline_ms: 4000, repeatable: true}, parts: [{service: a}]}]}");
+  fleet_advance (load->fleet, FLEET_PROPAGATION_MAX_MS);
+  return load;
+}
+
+static void
+clear_counts (struct load *load)
+{
+  memset (load->asked, 0, sizeof load->asked);
+  memset (load->answered, 0, sizeof load->answered);
+  memset (load->failed, 0, sizeof load->failed);
+  memset (load->sent, 0, sizeof load->sent);
+}
+
+static void
+close_load (struct load *load)
+{
+  fleet_close (load->fleet);
+  g_array_unref (load->running);
+  g_free (load);
+}
+
 /* --- tests: decision --- */
 
 /* Guards against affinity where a crossing takes no noticeable time, and against a decision that toggles with round
@@ -94,6 +253,53 @@
   g_assert_false (hf_affinity_has_settled (&affinity, now + window_us));
 }
 
+/* Guards against a crossing that the target latency does not need, that gains less than it takes, and against two
+ * domains with the same load that exchange their requests. */
+static void
+test_should_cross (void)
+{
+  const int64_t rtt_us = 7000;
+  const struct hf_forecast idle = { .free_slots = 10, .slot_us = 1000 };
+  const struct hf_forecast busy = { .wait_us = 200000, .slot_us = 1000 };
+  const struct hf_forecast as_busy = { .wait_us = 180000, .slot_us = 1000 };
+  g_assert_true (hf_affinity_should_cross (&busy, &idle, 300000, rtt_us));
+  g_assert_false (hf_affinity_should_cross (&busy, &idle, 500000, rtt_us));
+  g_assert_false (hf_affinity_should_cross (&busy, &as_busy, 300000, rtt_us));
+  g_assert_false (hf_affinity_should_cross (&busy, &busy, -1000, rtt_us));
+  g_assert_false (hf_affinity_should_cross (&idle, &idle, -1000, rtt_us));
+  struct hf_forecast other = { .free_slots = 1, .slot_us = 5000 };
+  hf_affinity_count_referral (&other);
+  g_assert_cmpint (other.wait_us, ==, 5000);
+}
+
+/* Guards against a load report for each change, and against none for a change that matters. */
+static void
+test_differs (void)
+{
+  const struct hf_forecast reported = { .free_slots = 20, .wait_us = 0, .slot_us = 1000 };
+  g_assert_false (hf_affinity_differs (&(struct hf_forecast){ .free_slots = 12 }, &reported));
+  g_assert_true (hf_affinity_differs (&(struct hf_forecast){ .free_slots = 5 }, &reported));
+  g_assert_false (hf_affinity_differs (&(struct hf_forecast){ .free_slots = 20, .wait_us = 5000 }, &reported));
+  g_assert_true (hf_affinity_differs (&(struct hf_forecast){ .free_slots = 20, .wait_us = 50000 }, &reported));
+}
+
+/* Guards against retries beyond the budget because there are more slices: their tokens add up to no more than before.
+ */
+static void
+test_retry_tokens (void)
+{
+  struct load *load = open_load (HF_AFFINITY_ON);
+  GHashTableIter iter;
+  const struct hf_service_state *slice;
+  double tokens = 0;
+  g_hash_table_iter_init (&iter, load->fleet->entries[0].state->services);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &slice))
+    if (slice->pool.servers->len > 0)
+      tokens += slice->pool.retry_budget.max_tokens;
+  g_assert_cmpfloat (tokens, ==, HF_RETRY_TOKENS_SHARED_MAX);
+  close_load (load);
+}
+
 static void
 check_epoch (const struct fleet *fleet, unsigned epoch)
 {
@@ -186,6 +392,176 @@
   g_assert_cmpint (with, <, without / 10);
 }
 
+/* --- tests: requests --- */
+
+/* With room everywhere no request leaves its failure domain, nor does a slot request: guards against both. */
+static void
+test_stays_home (void)
+{
+  struct load *load = open_load (HF_AFFINITY_ON);
+  int64_t slot_bytes = sum_crossing_bytes (load->fleet, HF_TRAFFIC_SLOT);
+  run_load (load, LOAD_MS, 100, 100);
+  slot_bytes = sum_crossing_bytes (load->fleet, HF_TRAFFIC_SLOT) - slot_bytes;
+  for (unsigned domain = 0; domain < DOMAINS; domain++)
+    {
+      g_assert_cmpuint (load->sent[domain][0], >, 0);
+      g_assert_cmpuint (load->sent[domain][1], ==, 0);
+      g_assert_cmpuint (load->failed[domain], ==, 0);
+    }
+  g_test_message ("%d B of load reports crossed in %d ms", (int) slot_bytes, LOAD_MS);
+  close_load (load);
+}
+
+/* Without affinity the same load crosses: guards against a test that passes because nothing ever crosses. */
+static void
+test_crosses_without (void)
+{
+  struct load *load = open_load (HF_AFFINITY_OFF);
+  int64_t slot_bytes = sum_crossing_bytes (load->fleet, HF_TRAFFIC_SLOT);
+  run_load (load, LOAD_MS, 100, 100);
+  slot_bytes = sum_crossing_bytes (load->fleet, HF_TRAFFIC_SLOT) - slot_bytes;
+  unsigned crossed = 0;
+  unsigned stayed = 0;
+  for (unsigned domain = 0; domain < DOMAINS; domain++)
+    {
+      crossed += load->sent[domain][1];
+      stayed += load->sent[domain][0];
+    }
+  g_test_message ("%u requests crossed and %u did not, with %d B of slot messages that crossed", crossed, stayed,
+                  (int) slot_bytes);
+  g_assert_cmpuint (crossed, >, 0);
+  close_load (load);
+}
+
+/* One failure domain has a quarter more requests than its servers can run: the surplus crosses, all of them are
+ * answered, and none of the others cross. Guards against requests that fail at home while there is room elsewhere, and
+ * against domains that exchange their requests. */
+static void
+test_overload_crosses (void)
+{
+  struct load *load = open_load (HF_AFFINITY_ON);
+  run_load (load, LOAD_MS, 40, 100);
+  clear_counts (load);
+  run_load (load, LOAD_MS, 40, 100);
+  unsigned surplus = load->asked[0] / 5;
+  g_test_message ("of %u requests in the first domain %u crossed, %u failed", load->asked[0], load->sent[0][1],
+                  load->failed[0]);
+  g_assert_cmpuint (load->sent[0][1], >, surplus / 2);
+  g_assert_cmpuint (load->sent[0][1], <, surplus * 2);
+  for (unsigned domain = 0; domain < DOMAINS; domain++)
+    g_assert_cmpuint (load->failed[domain], ==, 0);
+  for (unsigned domain = 1; domain < DOMAINS; domain++)
+    g_assert_cmpuint (load->sent[domain][1], ==, 0);
+  g_assert_cmpuint (load->most_at_server, <=, SLOTS);
+  close_load (load);
+}
+
+/* The servers of one failure domain are all removed: its requests are served in the others. */
+static void
+test_no_servers_at_home (void)
+{
+  struct load *load = open_load (HF_AFFINITY_ON);
+  for (unsigned i = 0; i < LOAD_SERVERS; i += DOMAINS)
+    fleet_change_server (load->fleet, i, (struct fleet_server){ 0 });
+  fleet_advance (load->fleet, FLEET_PROPAGATION_MAX_MS);
+  run_load (load, LOAD_MS, 200, 200);
+  g_assert_cmpuint (load->failed[0], ==, 0);
+  g_assert_cmpuint (load->sent[0][0], ==, 0);
+  g_assert_cmpuint (load->sent[0][1], >, 0);
+  close_load (load);
+}
+
+/* The granters of one failure domain are lost, then all its entries: the next ones grant its servers' slots, first in
+ * that domain, then in another one. Guards against servers whose slots nobody grants. */
+static void
+test_granters_lost (void)
+{
+  struct load *load = open_load (HF_AFFINITY_ON);
+  struct fleet *fleet = load->fleet;
+  fleet->entries[0].is_disconnected = fleet->entries[DOMAINS].is_disconnected = true;
+  run_load (load, GRANTERS_AGREE_MS, 200, 200);
+  clear_counts (load);
+  run_load (load, LOAD_MS, 200, 200);
+  g_assert_cmpuint (load->failed[0], ==, 0);
+  g_assert_cmpuint (load->sent[0][1], ==, 0);
+  for (unsigned i = 0; i < fleet->entry_count; i += DOMAINS)
+    fleet->entries[i].is_disconnected = true;
+  fleet_advance (fleet, GRANTERS_AGREE_MS);
+  clear_counts (load);
+  run_load (load, LOAD_MS, 200, 90);
+  for (unsigned domain = 1; domain < DOMAINS; domain++)
+    g_assert_cmpuint (load->failed[domain], ==, 0);
+  close_load (load);
+}
+
+static unsigned
+sum_failed (const struct load *load)
+{
+  unsigned failed = 0;
+  for (unsigned domain = 0; domain < DOMAINS; domain++)
+    failed += load->failed[domain];
+  return failed;
+}
+
+/* The links between failure domains are lost while requests cross, and are back later: each domain serves what it has
+ * room for. Guards against requests that wait for a granter beyond the lost link, and against domains that do not find
+ * each other again. */
+static void
+test_links_lost (void)
+{
+  struct load *load = open_load (HF_AFFINITY_ON);
+  run_load (load, LOAD_MS, 40, 100);
+  g_assert_cmpuint (load->sent[0][1], >, 0);
+  load->fleet->domains_are_cut = true;
+  run_load (load, LOAD_MS, 100, 100);
+  g_test_message ("%u requests failed after the links were lost, at most %u at a server of %d slots", sum_failed (load),
+                  load->most_at_server, SLOTS);
+  clear_counts (load);
+  run_load (load, LOAD_MS, 100, 100);
+  for (unsigned domain = 0; domain < DOMAINS; domain++)
+    g_assert_cmpuint (load->sent[domain][1], ==, 0);
+  load->fleet->domains_are_cut = false;
+  run_load (load, LOAD_MS, 100, 100);
+  run_load (load, LOAD_MS, 40, 100);
+  g_assert_cmpuint (load->sent[0][1], >, 0);
+  g_assert_cmpuint (sum_failed (load), ==, 0);
+  close_load (load);
+}
+
+/* The entry that decides for the fleet. */
+static struct hf_state *
+find_decider (const struct fleet *fleet)
+{
+  uint64_t boot_id = hf_roles_granter (fleet->entries[0].state, hf_hash (hf_str ("affinity"), 0));
+  return fleet->entries[boot_id - 1].state;
+}
+
+/* Affinity is turned off and on again under load: guards against requests that fail or wait for good as their slice is
+ * left. */
+static void
+test_switch_under_load (void)
+{
+  struct load *load = open_load (HF_AFFINITY_AUTO);
+  struct hf_affinity *affinity = &find_decider (load->fleet)->affinity;
+  run_load (load, LOAD_MS, 80, 80);
+  check_epoch (load->fleet, 1);
+  hf_affinity_record_rtt (affinity, load->fleet->now, HF_AFFINITY_RTT_KEEP_MS * HF_MS - 1);
+  run_load (load, LOAD_MS, 80, 80);
+  check_epoch (load->fleet, 2);
+  affinity->window_rtt_us = affinity->previous_rtt_us = 0;
+  run_load (load, LOAD_MS, 80, 80);
+  check_epoch (load->fleet, 3);
+  run_load (load, LOAD_MS, 80, 80);
+  g_assert_cmpuint (sum_failed (load), ==, 0);
+  g_test_message ("at most %u requests at a server of %d slots", load->most_at_server, SLOTS);
+  g_assert_cmpuint (load->most_at_server, <=, 3 * SLOTS);
+  fleet_advance (load->fleet, FLEET_PROPAGATION_MAX_MS);
+  end_running (load);
+  for (unsigned i = 0; i < load->fleet->entry_count; i++)
+    g_assert_cmpuint (g_hash_table_size (load->fleet->entries[i].state->calls), ==, 0);
+  close_load (load);
+}
+
 /* --- tests: traffic --- */
 
 /* Guards against bytes that are counted as crossing although they stay in their failure domain, or the reverse: the
@@ -220,6 +596,16 @@
   g_test_add_func ("/affinity/lost-coordinators", test_lost_coordinators);
   g_test_add_func ("/affinity/introduced", test_introduced);
   g_test_add_func ("/affinity/heartbeat-bytes", test_heartbeat_bytes);
+  g_test_add_func ("/affinity/should-cross", test_should_cross);
+  g_test_add_func ("/affinity/differs", test_differs);
+  g_test_add_func ("/affinity/retry-tokens", test_retry_tokens);
+  g_test_add_func ("/affinity/stays-home", test_stays_home);
+  g_test_add_func ("/affinity/crosses-without", test_crosses_without);
+  g_test_add_func ("/affinity/overload-crosses", test_overload_crosses);
+  g_test_add_func ("/affinity/no-servers-at-home", test_no_servers_at_home);
+  g_test_add_func ("/affinity/granters-lost", test_granters_lost);
+  g_test_add_func ("/affinity/links-lost", test_links_lost);
+  g_test_add_func ("/affinity/switch-under-load", test_switch_under_load);
   g_test_add_func ("/traffic/crossing-bytes", test_crossing_bytes);
   return g_test_run ();
 }
