Tests of affinity measure servers; a referred request waits for its round trip

The first repetition of a slot request came 5 ms after it, earlier than a reply from another failure domain can arrive; a referred one now adds the measured round trip.

--- a/src/hf-slots.c
+++ b/src/hf-slots.c
@@ -145,10 +145,12 @@
     .excluded_server = attempt->excluded_server,
   };
   hf_state_send_to_member (state, attempt->granter, message);
-  int64_t delay_ms = HF_GRANT_RESEND_MS << MIN (attempt->unanswered_requests, HF_GRANT_RESEND_DOUBLINGS);
+  int64_t delay_us = HF_GRANT_RESEND_MS * HF_MS << MIN (attempt->unanswered_requests, HF_GRANT_RESEND_DOUBLINGS);
+  /* The round trip to the other failure domain may take longer than the first delay. */
+  if (call->home_slice_id)
+    delay_us += hf_affinity_rtt_us (&state->affinity, state->now);
   attempt->unanswered_requests++;
-  attempt->slot_resend_timer
-      = hf_state_start_timer (state, delay_ms * HF_MS, HF_TIMER_SLOT_RESEND, call->id, attempt_index);
+  attempt->slot_resend_timer = hf_state_start_timer (state, delay_us, HF_TIMER_SLOT_RESEND, call->id, attempt_index);
 }
 
 static void
--- a/tests/test-affinity.c
+++ b/tests/test-affinity.c
@@ -39,6 +39,9 @@
   unsigned answered[DOMAINS];
   unsigned failed[DOMAINS];
   unsigned sent[DOMAINS][2]; /* attempts; second index: crossing */
+  unsigned measured[2];      /* measurements; index: crossing */
+  GArray *measurements;      /* uint64_t, servers whose responses arrive next */
+  GPtrArray *measuring;      /* struct fleet_entry, which gets each of these */
   unsigned most_at_server;   /* that ran there at the same time */
 };
 
@@ -97,6 +100,12 @@
     load->answered[domain]++;
   if (effect->kind == HF_EFFECT_SEND_ERROR)
     load->failed[domain]++;
+  if (effect->kind == HF_EFFECT_SEND_PROBE)
+    {
+      load->measured[effect->crosses_domain]++;
+      g_array_append_val (load->measurements, effect->server);
+      g_ptr_array_add (load->measuring, entry);
+    }
   if (effect->kind != HF_EFFECT_DISPATCH)
     return;
   load->sent[domain][effect->crosses_domain]++;
@@ -121,14 +130,31 @@
           continue;
         }
       g_array_remove_index (load->running, i);
-      fleet_raise_event (running.entry,
-                         (struct hf_event){ .kind = HF_EVENT_ATTEMPT_END,
-                                            .call = running.call,
-                                            .attempt = running.attempt,
-                                            .result = HF_ATTEMPT_ANSWERED,
-                                            .bytes_sent = true,
-                                            .hints = { .status = 200, .load = -1, .retry_after_ms = -1 } });
+      fleet_raise_event (
+          running.entry,
+          (struct hf_event){ .kind = HF_EVENT_ATTEMPT_END,
+                             .call = running.call,
+                             .attempt = running.attempt,
+                             .result = HF_ATTEMPT_ANSWERED,
+                             .bytes_sent = true,
+                             .hints = { .status = 200, .load = -1, .slowdown_percent = 100, .retry_after_ms = -1 } });
+    }
+}
+
+/* Every server runs at its normal speed. */
+static void
+end_measurements (struct load *load)
+{
+  guint due = load->measurements->len;
+  for (guint i = 0; i < due; i++)
+    {
+      struct hf_event event = { .kind = HF_EVENT_PROBE_RESULT,
+                                .server = g_array_index (load->measurements, uint64_t, i),
+                                .hints = { .status = 200, .load = -1, .slowdown_percent = 100, .retry_after_ms = -1 } };
+      fleet_raise_event (g_ptr_array_index (load->measuring, i), event);
     }
+  g_array_remove_range (load->measurements, 0, due);
+  g_ptr_array_remove_range (load->measuring, 0, due);
 }
 
 static void
@@ -154,6 +180,7 @@
     {
       fleet_advance (fleet, FLEET_STEP_MS);
       end_running (load);
+      end_measurements (load);
       for (unsigned i = 0; i < fleet->entry_count; i++)
         {
           int64_t interval_ms = domain_of (&fleet->entries[i]) == 0 ? first_ms : other_ms;
@@ -169,14 +196,17 @@
 {
   struct load *load = g_new0 (struct load, 1);
   load->running = g_array_new (FALSE, FALSE, sizeof (struct running));
+  load->measurements = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  load->measuring = g_ptr_array_new ();
   load->fleet = fleet_open_with_servers (LOAD_ENTRIES, DOMAINS, 2, mode, DOMAINS);
   load->fleet->on_effect = note_effect;
   load->fleet->context = load;
   for (unsigned i = 0; i < LOAD_SERVERS; i++)
     fleet_change_server (load->fleet, i, (struct fleet_server){ .listed = true });
-  fleet_put_document (load->fleet, "{version: 1, services: [{name: a, directory: true, queue_limit: 10000}], routes: "
-                                   "[{name: r, host: h.example, path_prefix: /a/, class: {name: c, aim_ms: 500, "
-                                   "deadline_ms: 4000, repeatable: true}, parts: [{service: a}]}]}");
+  fleet_put_document (
+      load->fleet, "{version: 1, services: [{name: a, directory: true, queue_limit: 10000, measure_ms: 240}], routes: "
+                   "[{name: r, host: h.example, path_prefix: /a/, class: {name: c, aim_ms: 500, "
+                   "deadline_ms: 4000, repeatable: true}, parts: [{service: a}]}]}");
   fleet_advance (load->fleet, FLEET_PROPAGATION_MAX_MS);
   return load;
 }
@@ -195,6 +225,8 @@
 {
   fleet_close (load->fleet);
   g_array_unref (load->running);
+  g_array_unref (load->measurements);
+  g_ptr_array_unref (load->measuring);
   g_free (load);
 }
 
@@ -394,7 +426,7 @@
 
 /* --- tests: requests --- */
 
-/* With room everywhere no request leaves its failure domain, nor does a slot request: guards against both. */
+/* With room everywhere no request leaves its failure domain, nor does a measurement: guards against both. */
 static void
 test_stays_home (void)
 {
@@ -408,7 +440,9 @@
       g_assert_cmpuint (load->sent[domain][1], ==, 0);
       g_assert_cmpuint (load->failed[domain], ==, 0);
     }
-  g_test_message ("%d B of load reports crossed in %d ms", (int) slot_bytes, LOAD_MS);
+  g_assert_cmpuint (load->measured[0], >, 0);
+  g_assert_cmpuint (load->measured[1], ==, 0);
+  g_test_message ("%u requests, %d B of load reports crossed", (unsigned) load->last_call, (int) slot_bytes);
   close_load (load);
 }
 
@@ -427,8 +461,9 @@
       crossed += load->sent[domain][1];
       stayed += load->sent[domain][0];
     }
-  g_test_message ("%u requests crossed and %u did not, with %d B of slot messages that crossed", crossed, stayed,
-                  (int) slot_bytes);
+  g_test_message ("%u requests crossed and %u did not, with %d B of slot messages and %u measurements that crossed",
+                  crossed, stayed, (int) slot_bytes, load->measured[1]);
+  g_assert_cmpuint (load->measured[1], >, 0);
   g_assert_cmpuint (crossed, >, 0);
   close_load (load);
 }
