--- a/tests/test-affinity.c
+++ b/tests/test-affinity.c
@@ -10,6 +10,8 @@
 #define ENTRIES           105
 #define DOMAINS           4
 #define GRANTERS_AGREE_MS 8000 /* until all know that coordinators were lost, or are back */
+#define RANDOM_RUNS       4
+#define RANDOM_STEPS      40
 #define LOAD_ENTRIES      60
 #define LOAD_SERVERS      40
 #define SLOTS             3 /* of each server */
@@ -571,6 +573,20 @@
   return fleet->entries[boot_id - 1].state;
 }
 
+static void
+check_idle (const struct hf_state *state)
+{
+  GHashTableIter iter;
+  const struct hf_service_state *slice;
+  g_assert_cmpuint (g_hash_table_size (state->calls), ==, 0);
+  g_hash_table_iter_init (&iter, state->services);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &slice))
+    {
+      g_assert_cmpuint (g_hash_table_size (slice->pool.grants), ==, 0);
+      g_assert_cmpuint (hf_pool_queue_length (&slice->pool), ==, 0);
+    }
+}
+
 /* Affinity is turned off and on again under load: guards against requests that fail or wait for good as their slice is
  * left. */
 static void
@@ -597,6 +613,48 @@
   close_load (load);
 }
 
+/* Random losses of datagrams, entries and links under load, in several runs: afterwards every call has ended, no slot
+ * is in use, and requests stay at home again. Guards against calls and slots that are forgotten on the way between two
+ * granters. */
+static void
+test_random_failures (void)
+{
+  for (uint32_t seed = 1; seed <= RANDOM_RUNS; seed++)
+    {
+      GRand *random = g_rand_new_with_seed (seed);
+      struct load *load = open_load (HF_AFFINITY_ON);
+      struct fleet *fleet = load->fleet;
+      for (unsigned step = 0; step < RANDOM_STEPS; step++)
+        {
+          struct fleet_entry *entry = &fleet->entries[g_rand_int_range (random, 0, LOAD_ENTRIES)];
+          entry->is_disconnected = g_rand_int_range (random, 0, 3) == 0;
+          fleet->domains_are_cut = g_rand_int_range (random, 0, 8) == 0;
+          fleet->loss_interval = (unsigned) g_rand_int_range (random, 0, 2) * 15;
+          run_load (load, 500, 10 * g_rand_int_range (random, 4, 12), 10 * g_rand_int_range (random, 4, 12));
+        }
+      for (unsigned i = 0; i < fleet->entry_count; i++)
+        fleet->entries[i].is_disconnected = false;
+      fleet->domains_are_cut = false;
+      fleet->loss_interval = 0;
+      run_load (load, 2 * GRANTERS_AGREE_MS, 200, 200);
+      clear_counts (load);
+      run_load (load, LOAD_MS, 200, 200);
+      g_assert_cmpuint (sum_failed (load), ==, 0);
+      for (unsigned domain = 0; domain < DOMAINS; domain++)
+        g_assert_cmpuint (load->sent[domain][1], ==, 0);
+      for (unsigned wait = 0; wait < 20; wait++)
+        {
+          fleet_advance (fleet, 100);
+          end_running (load);
+          end_measurements (load);
+        }
+      for (unsigned i = 0; i < fleet->entry_count; i++)
+        check_idle (fleet->entries[i].state);
+      close_load (load);
+      g_rand_free (random);
+    }
+}
+
 /* --- tests: traffic --- */
 
 /* Guards against bytes that are counted as crossing although they stay in their failure domain, or the reverse: the
@@ -641,6 +699,7 @@
   g_test_add_func ("/affinity/granters-lost", test_granters_lost);
   g_test_add_func ("/affinity/links-lost", test_links_lost);
   g_test_add_func ("/affinity/switch-under-load", test_switch_under_load);
+  g_test_add_func ("/affinity/random-failures", test_random_failures);
   g_test_add_func ("/traffic/crossing-bytes", test_crossing_bytes);
   return g_test_run ();
 }
