A process test of affinity: servers of the own failure domain first

With the setting on, requests of a real entry go to the server of its failure domain, and to the other one once that drains; the metrics tell the bytes of both apart.

--- a/tests/platform-setup.c
+++ b/tests/platform-setup.c
@@ -306,9 +306,9 @@
   const struct backend_server *server = &setup->servers[i];
   return g_strdup_printf ("{\"address\":\"%s\",\"born\":%" G_GUINT64_FORMAT
                           ",\"info\":{\"service\":\"%s\",\"version\":\"v1\",\"zone\":"
-                          "\"z1\",\"slots\":%d},\"status\":{\"state\":\"%s\",\"sequence\":%u,\"cold_left\":\"0ms\"}}",
+                          "\"%s\",\"slots\":%d},\"status\":{\"state\":\"%s\",\"sequence\":%u,\"cold_left\":\"0ms\"}}",
                           raw_server_address (server->raw_server), server->started_at ? server->started_at : i + 1,
-                          service, SERVER_SLOTS, state, ++setup->sequence);
+                          service, server->zone ? server->zone : "z1", SERVER_SLOTS, state, ++setup->sequence);
 }
 
 /* Writes the object of server i to the store, or replaces it. */
@@ -389,8 +389,10 @@
 make_settings (const struct setup *setup)
 {
   return g_strdup_printf ("name: e1\nfailure_domain: z1\nlisten: 127.0.0.1:0\nadmin: 127.0.0.1:0\n"
-                          "peers: 127.0.0.1:0\nmetrics: 127.0.0.1:0\nstore: %s\ndrain_wait_ms: %d\ngrace_ms: %d\n",
-                          fake_store_address (setup->store), setup->drain_wait_ms, setup->grace_ms);
+                          "peers: 127.0.0.1:0\nmetrics: 127.0.0.1:0\nstore: %s\ndrain_wait_ms: %d\ngrace_ms: %d\n"
+                          "domain_affinity: %s\n",
+                          fake_store_address (setup->store), setup->drain_wait_ms, setup->grace_ms,
+                          setup->affinity ? setup->affinity : "auto");
 }
 
 void
--- a/tests/platform-setup.h
+++ b/tests/platform-setup.h
@@ -61,6 +61,7 @@
   guint slowdown_percent;      /* current latency in percent of the usual, as health responses report it; 0: 100 */
   const char *extra_fields;    /* header lines in its responses to calls; NULL: none */
   const char *health_fields;   /* the same in those of its health endpoint */
+  const char *zone;            /* of its failure domain; NULL: that of the entry */
   guint64 started_at;          /* as it registers itself; 0: from its index */
   guint requests;
   guint health_requests;
@@ -79,7 +80,8 @@
   struct fake_store *store;
   struct backend_server servers[SERVERS];
   GSubprocess *entry;
-  int drain_wait_ms; /* settings of the entry */
+  const char *affinity; /* setting domain_affinity of the entry; NULL: the default */
+  int drain_wait_ms;    /* settings of the entry */
   int grace_ms;
   char *folder;
   char caller_address[64];
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -1562,6 +1562,39 @@
   close_setup (setup);
 }
 
+/* With affinity, requests go to the servers of the entry's failure domain while these have room, then to the others,
+ * and the metrics tell the bytes of both apart. Guards against requests that cross without need, and against servers of
+ * other failure domains that are not used at all. */
+static void
+test_affinity (void)
+{
+  struct setup *setup = open_without_entry (DRAIN_WAIT_MS, GRACE_MS);
+  setup->affinity = "on";
+  start_entry (setup);
+  for (guint i = 1; i < SERVERS; i++)
+    setup->servers[i].zone = "z2";
+  put_config (setup, 7, "\"service\":\"alpha\"", "/r/");
+  for (guint i = 0; i < SERVERS; i++)
+    put_server (setup, i, "alpha", "ready");
+  g_assert_true (harness_wait_until (is_ready, setup, CHANGE_TIMEOUT_S));
+  harness_pause (DIRECTORY_UPDATE_MS);
+  for (guint i = 0; i < 20; i++)
+    g_assert_cmpuint (request_status (setup, "GET", "/r/x", ""), ==, 200);
+  g_assert_cmpuint (setup->servers[0].requests, ==, 20);
+  char *page = page_text (setup, setup->admin_address, "/metrics");
+  g_assert_nonnull (strstr (page, "hickoryfield_bytes_total{kind=\"request\",crossing=\"yes\"} 0\n"));
+  g_assert_null (strstr (page, "hickoryfield_bytes_total{kind=\"response\",crossing=\"no\"} 0\n"));
+  g_free (page);
+  put_server (setup, 0, "alpha", "draining");
+  harness_pause (DIRECTORY_UPDATE_MS);
+  g_assert_cmpuint (request_status (setup, "GET", "/r/x", ""), ==, 200);
+  g_assert_cmpuint (setup->servers[0].requests, ==, 20);
+  page = page_text (setup, setup->admin_address, "/metrics");
+  g_assert_null (strstr (page, "hickoryfield_bytes_total{kind=\"request\",crossing=\"yes\"} 0\n"));
+  g_free (page);
+  close_setup (setup);
+}
+
 /* Guards against a process that ends by a signal although it handles it: a SIGHUP that comes while it starts. Its
  * settings are read from a pipe here, so that the signal comes before they are there. */
 static void
@@ -1721,6 +1754,7 @@
   g_test_add_func ("/platform/shutdown-streams", test_shutdown_streams);
   g_test_add_func ("/platform/shutdown-unread-bytes", test_shutdown_unread_bytes);
   g_test_add_func ("/platform/metrics-address", test_metrics_address);
+  g_test_add_func ("/platform/affinity", test_affinity);
   g_test_add_func ("/platform/explain-refused", test_explain_refused);
   g_test_add_func ("/platform/explain-broken", test_explain_broken);
   g_test_add_func ("/platform/explain-slow", test_explain_slow);
