Forecasts between granters count the servers that are not slow

A failure domain has few servers of a small service. When all of them were in a slow phase, their free slots hid that a request that starts there takes several times as long. The forecast now counts the slots of the other servers, and where there are none, the delay of a slowed request.

--- a/src/hf-admission.c
+++ b/src/hf-admission.c
@@ -71,16 +71,23 @@
   return (double) now + usual_latency_us (pool, now) * HF_LAST_START_RATIO >= (double) request->deadline;
 }
 
+/* Where all servers are slow, a request that starts there takes longer by about as much as if it had waited. */
 struct hf_forecast
 hf_admission_forecast (const struct hf_pool *pool, int64_t now)
 {
-  double latency_us;
-  unsigned slots = hf_placement_usable_slots (pool, now, 0, &latency_us);
+  struct hf_forecast forecast = { 0 };
+  double latency_us = usual_latency_us (pool, now);
   unsigned queued = (unsigned) g_sequence_get_length (pool->queue);
+  unsigned slots = hf_placement_normal_slots (pool, now, &forecast.free_slots);
   if (slots == 0)
-    return (struct hf_forecast){ .wait_us = HF_AFFINITY_WAIT_MAX_MS * HF_MS };
-  struct hf_forecast forecast = { .free_slots = hf_placement_free_slots (pool, now),
-                                  .slot_us = (int64_t) (usual_latency_us (pool, now) / slots) };
+    {
+      bool is_usable = hf_placement_usable_servers (pool, now, 0, 0) > 0;
+      forecast.slot_us = (int64_t) latency_us;
+      forecast.wait_us
+          = is_usable ? (int64_t) (latency_us * (HF_SLOWDOWN_FACTOR_MAX - 1)) : HF_AFFINITY_WAIT_MAX_MS * HF_MS;
+      return forecast;
+    }
+  forecast.slot_us = (int64_t) (latency_us / slots);
   if (queued >= forecast.free_slots)
     forecast.wait_us = (queued - forecast.free_slots + 1) * forecast.slot_us;
   forecast.free_slots -= MIN (queued, forecast.free_slots);
--- a/src/hf-placement.c
+++ b/src/hf-placement.c
@@ -283,18 +283,21 @@
 }
 
 unsigned
-hf_placement_free_slots (const struct hf_pool *pool, int64_t now)
+hf_placement_normal_slots (const struct hf_pool *pool, int64_t now, unsigned *free_slots)
 {
-  unsigned free_slots = 0;
+  unsigned sum = 0;
+  *free_slots = 0;
   for (size_t i = 0; i < pool->servers->len; i++)
     {
       const struct hf_pool_server *server = server_at (pool, i);
       bool is_slow = pool->requires_measurements && hf_health_speed (server, now) == HF_SPEED_SLOW;
       unsigned slots = usable_slots (pool, server);
-      if (hf_health_is_usable (server, now) && !is_slow)
-        free_slots += slots - MIN (slots, effective_load (pool, server, now));
+      if (!hf_health_is_usable (server, now) || is_slow)
+        continue;
+      sum += slots;
+      *free_slots += slots - MIN (slots, effective_load (pool, server, now));
     }
-  return free_slots;
+  return sum;
 }
 
 struct hf_pool_server *
--- a/src/hf-placement.h
+++ b/src/hf-placement.h
@@ -27,8 +27,8 @@
  * mean latency per slot. */
 unsigned hf_placement_usable_slots (const struct hf_pool *pool, int64_t now, uint64_t entry, double *latency_us);
 bool hf_placement_has_free_slot (const struct hf_pool *pool, int64_t now); /* true: a server may be available */
-unsigned hf_placement_free_slots (const struct hf_pool *pool,
-                                  int64_t now); /* of servers that are usable and not slow */
+/* Slots of the servers that are usable and not slow, and how many of these slots are free. */
+unsigned hf_placement_normal_slots (const struct hf_pool *pool, int64_t now, unsigned *free_slots);
 
 /* Returns the best server for a request among those with a free slot and a measurement due; NULL: none. */
 struct hf_pool_server *
--- a/tests/test-placing.c
+++ b/tests/test-placing.c
@@ -6,6 +6,7 @@
 #include <glib.h>
 
 #include "config.h"
+#include "hf-admission.h"
 #include "hf-saturation.h"
 #include "hf-document.h"
 #include "hf-placement.h"
@@ -647,6 +648,36 @@
   close_fixture (fixture);
 }
 
+/* What granters tell one another: no wait with free slots, one that grows with the queue without, and the delay of a
+ * request that starts slowed down where all servers are slow. Guards against requests that stay in a failure domain
+ * whose servers are all slow although they miss their target latency there. */
+static void
+test_forecast (void)
+{
+  struct fixture *fixture = open_fixture ();
+  fixture->pool.requires_measurements = true;
+  train_pool (fixture);
+  struct hf_forecast forecast = hf_admission_forecast (&fixture->pool, fixture->now);
+  g_assert_cmpint (forecast.wait_us, ==, 0);
+  g_assert_cmpuint (forecast.free_slots, >, 0);
+  take_all_slots (fixture);
+  for (int i = 0; i < 20; i++)
+    request_slot (fixture, make_request (fixture, 2000, 5000));
+  forecast = hf_admission_forecast (&fixture->pool, fixture->now);
+  g_assert_cmpuint (forecast.free_slots, ==, 0);
+  g_assert_cmpint (forecast.wait_us, >, LATENCY_MS * HF_MS);
+  g_assert_cmpint (forecast.wait_us, <, 4 * LATENCY_MS * HF_MS);
+  for (int i = 0; i < SERVERS; i++)
+    report_slowdown (fixture, i, 500);
+  forecast = hf_admission_forecast (&fixture->pool, fixture->now);
+  g_assert_cmpint (forecast.wait_us, >, LATENCY_MS * HF_MS);
+  for (int i = 0; i < SERVERS; i++)
+    hf_pool_set_draining (&fixture->pool, server_id (i), HF_DRAIN_DIRECTORY, true, 0);
+  forecast = hf_admission_forecast (&fixture->pool, fixture->now);
+  g_assert_cmpint (forecast.wait_us, ==, HF_AFFINITY_WAIT_MAX_MS * HF_MS);
+  close_fixture (fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -668,5 +699,6 @@
   g_test_add_func ("/placing/long-running", test_long_running);
   g_test_add_func ("/placing/noise", test_measured_slowdowns);
   g_test_add_func ("/placing/affinity", test_affinity);
+  g_test_add_func ("/placing/forecast", test_forecast);
   return g_test_run ();
 }
