--- a/src/hf-pool.c
+++ b/src/hf-pool.c
@@ -503,6 +503,13 @@
   g_hash_table_remove (pool->grants, &silent->key);
 }
 
+bool
+hf_pool_has_grant (const struct hf_pool *pool, uint64_t entry, uint64_t ticket)
+{
+  const struct key key = { entry, ticket };
+  return g_hash_table_contains (pool->grants, &key);
+}
+
 static void
 record_pushback_success (struct hf_pool_server *server, uint64_t entry, enum hf_slot_result result)
 {
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -18,6 +18,7 @@
 #include "hf-probes.h"
 #include "hf-quarantine.h"
 #include "hf-quota-leases.h"
+#include "hf-referrals.h"
 #include "hf-restrictions.h"
 #include "hf-revocation.h"
 #include "hf-roles.h"
@@ -96,6 +97,7 @@
   if (hf_cold_spread_is_announcement_due (state))
     hf_members_announce (state);
   hf_slots_update_pools (state);
+  hf_referrals_tick (state);
 }
 
 static void
@@ -230,6 +232,9 @@
     case HF_RPC_RELEASE:
       hf_slots_handle_message (state, event);
       break;
+    case HF_RPC_LOAD_REPORT:
+      hf_referrals_handle_message (state, event);
+      break;
     case HF_RPC_CLAIM:
     case HF_RPC_CLAIM_REPLY:
     case HF_RPC_CLAIM_QUERY:
@@ -461,6 +466,11 @@
   run_due_timers (state);
   note_initialised (state);
   update_roles (state);
+  if (state->directory.slices_outdated)
+    {
+      hf_directory_update_slices (state);
+      hf_slots_leave_outdated (state);
+    }
   hf_quota_leases_update_owners (state);
   schedule_wakeup (state);
   state->effects = NULL;
--- a/src/hf-roles.h
+++ b/src/hf-roles.h
@@ -29,6 +29,8 @@
 bool hf_roles_lost_granter_at (const struct hf_state *state, int64_t time);
 /* Who was the first granter for a subject before a time; 0: not known. */
 uint64_t hf_roles_granter_before (const struct hf_state *state, uint64_t subject, int64_t time);
+/* The entry that grants the slots of a slice: one of the slice's failure domain, if there is any. */
+uint64_t hf_roles_slice_granter (const struct hf_state *state, const struct hf_service_state *slice);
 /* Whether this entry sends heartbeats to a member: it or this entry is a coordinator. With domain affinity, both are,
  * if their failure domains differ. */
 bool hf_roles_is_heartbeat_peer (const struct hf_state *state, const struct hf_member *member);
--- a/src/hf-rpc.h
+++ b/src/hf-rpc.h
@@ -23,6 +23,7 @@
 #define HF_RPC_COLD_MAX 256
 #define HF_RPC_REPORTS_MAX 24
 #define HF_RPC_COORDINATORS_MAX 64
+#define HF_RPC_FORECASTS_MAX 256
 
 enum hf_rpc_kind {
 	HF_RPC_HEARTBEAT = 1,
@@ -42,6 +43,7 @@
 	HF_RPC_QUOTA_REQUEST = 15,
 	HF_RPC_QUOTA_LEASE = 16,
 	HF_RPC_QUOTA_HANDOVER = 17,
+	HF_RPC_LOAD_REPORT = 20,
 };
 typedef enum hf_rpc_kind hf_rpc_kind;
 
@@ -130,6 +132,7 @@
 	u_int body_bytes;
 	bool_t retry;
 	bool_t hedge;
+	bool_t referred;
 	u_quad_t excluded_server;
 };
 typedef struct hf_rpc_acquire hf_rpc_acquire;
@@ -307,6 +310,22 @@
 };
 typedef struct hf_rpc_quota_handover hf_rpc_quota_handover;
 
+struct hf_rpc_forecast {
+	u_quad_t slice;
+	u_int free_slots;
+	u_int wait_us;
+	u_int slot_us;
+};
+typedef struct hf_rpc_forecast hf_rpc_forecast;
+
+struct hf_rpc_load_report {
+	struct {
+		u_int forecasts_len;
+		hf_rpc_forecast *forecasts_val;
+	} forecasts;
+};
+typedef struct hf_rpc_load_report hf_rpc_load_report;
+
 struct hf_rpc_body {
 	hf_rpc_kind kind;
 	union {
@@ -327,6 +346,7 @@
 		hf_rpc_quota_request quota_request;
 		hf_rpc_quota_lease quota_lease;
 		hf_rpc_quota_handover quota_handover;
+		hf_rpc_load_report load_report;
 	} hf_rpc_body_u;
 };
 typedef struct hf_rpc_body hf_rpc_body;
@@ -364,6 +384,8 @@
 extern  bool_t xdr_hf_rpc_quota_request (XDR *, hf_rpc_quota_request*);
 extern  bool_t xdr_hf_rpc_quota_lease (XDR *, hf_rpc_quota_lease*);
 extern  bool_t xdr_hf_rpc_quota_handover (XDR *, hf_rpc_quota_handover*);
+extern  bool_t xdr_hf_rpc_forecast (XDR *, hf_rpc_forecast*);
+extern  bool_t xdr_hf_rpc_load_report (XDR *, hf_rpc_load_report*);
 extern  bool_t xdr_hf_rpc_body (XDR *, hf_rpc_body*);
 extern  bool_t xdr_hf_rpc_message (XDR *, hf_rpc_message*);
 
@@ -392,6 +414,8 @@
 extern bool_t xdr_hf_rpc_quota_request ();
 extern bool_t xdr_hf_rpc_quota_lease ();
 extern bool_t xdr_hf_rpc_quota_handover ();
+extern bool_t xdr_hf_rpc_forecast ();
+extern bool_t xdr_hf_rpc_load_report ();
 extern bool_t xdr_hf_rpc_body ();
 extern bool_t xdr_hf_rpc_message ();
 
--- a/src/hf-rpc.x
+++ b/src/hf-rpc.x
@@ -16,6 +16,7 @@
 const HF_RPC_COLD_MAX = 256;
 const HF_RPC_REPORTS_MAX = 24;
 const HF_RPC_COORDINATORS_MAX = 64;
+const HF_RPC_FORECASTS_MAX = 256;
 
 enum hf_rpc_kind {
   HF_RPC_HEARTBEAT = 1,
@@ -34,7 +35,8 @@
   HF_RPC_CONFIG_OFFER = 14,
   HF_RPC_QUOTA_REQUEST = 15,
   HF_RPC_QUOTA_LEASE = 16,
-  HF_RPC_QUOTA_HANDOVER = 17
+  HF_RPC_QUOTA_HANDOVER = 17,
+  HF_RPC_LOAD_REPORT = 20
 };
 
 /* Position in the changes of the platform's store: number of its history, and revision in that history. */
@@ -110,6 +112,7 @@
 
 /* Requests one slot from the granter of a service (service: id of the slice, ticket: id of the attempt at the sender,
  * organisation: hash of the name of the caller's organisation, 0: none).
+ * referred: a granter of another failure domain has referred it to this one, which serves it or refuses it.
  * soft_deadline_ms, remaining_ms: time until the soft deadline (negative: it has passed) and until the deadline. */
 struct hf_rpc_acquire {
   unsigned hyper service;
@@ -123,11 +126,12 @@
   unsigned int body_bytes;
   bool retry;
   bool hedge;
+  bool referred;
   unsigned hyper excluded_server;
 };
 
-/* The granter's decision on a slot request: queued, granted or refused (kind: enum hf_decision_kind, reason: enum
- * hf_refusal_reason). */
+/* The granter's decision on a slot request: queued, granted, refused, or referred to the slice of another failure domain,
+ * whose id is in server then (kind: enum hf_decision_kind, reason: enum hf_refusal_reason). */
 struct hf_rpc_decision {
   unsigned hyper service;
   unsigned hyper ticket;
@@ -295,6 +299,20 @@
   unsigned int level_permille;
 };
 
+/* How soon a slice could serve a request: free slots, expected wait of one that arrives now, and the additional wait for
+ * each request in the queue. */
+struct hf_rpc_forecast {
+  unsigned hyper slice;
+  unsigned int free_slots;
+  unsigned int wait_us;
+  unsigned int slot_us;
+};
+
+/* Forecasts of the slices that the sender grants, to the granters of other failure domains. */
+struct hf_rpc_load_report {
+  hf_rpc_forecast forecasts<HF_RPC_FORECASTS_MAX>;
+};
+
 union hf_rpc_body switch (hf_rpc_kind kind) {
 case HF_RPC_HEARTBEAT: hf_rpc_heartbeat heartbeat;
 case HF_RPC_ACQUIRE: hf_rpc_acquire acquire;
@@ -313,6 +331,7 @@
 case HF_RPC_QUOTA_REQUEST: hf_rpc_quota_request quota_request;
 case HF_RPC_QUOTA_LEASE: hf_rpc_quota_lease quota_lease;
 case HF_RPC_QUOTA_HANDOVER: hf_rpc_quota_handover quota_handover;
+case HF_RPC_LOAD_REPORT: hf_rpc_load_report load_report;
 };
 
 /* Every message carries the boot id of its sender. */
