After a restart of the whole fleet, limits of organisations fill from the restart on

Cause: after all processes were killed, requests of limited organisations waited for the owner to know more than half of the fleet (entries that were still starting in their last heartbeat did not count until the next one, up to 1.5 s later), and then for a bucket that began empty at that moment. Change: an entry that has started announces that to its heartbeat peers where limits are in force; heartbeats carry the uptime, and where all entries reached began within 2 s, the bucket fills from the last start on, as nobody can have given credits since. Test /quota-fleet/all-killed-wait fails before it: 63 of 101 requests ran in the first second, now 98.

--- a/src/hf-members.c
+++ b/src/hf-members.c
@@ -247,6 +247,7 @@
   heartbeat->leaving = state->leaving;
   heartbeat->starting = state->starting;
   heartbeat->wants_reply = wants_reply;
+  heartbeat->uptime_ms = (unsigned) MIN ((state->now - state->started_at) / HF_MS, G_MAXUINT32);
   hf_affinity_sync_fill (state, member, heartbeat);
   fill_coordinators (state, member, heartbeat);
   heartbeat->loads.loads_val = loads;
@@ -437,6 +438,7 @@
   member->cpu_share = (double) heartbeat->cpu_percent / PERCENT;
   member->leaving = heartbeat->leaving;
   member->starting = heartbeat->starting;
+  member->started_at = state->now - heartbeat->uptime_ms * HF_MS;
   member->generation = heartbeat->generation;
   member->digest = heartbeat->digest;
   if (joined)
--- a/src/hf-quota-leases.c
+++ b/src/hf-quota-leases.c
@@ -126,6 +126,8 @@
   int64_t until = 0;
   if (!last_owned (state, organisation, &since, &until) || until > 0)
     return state->now;
+  if (roles->restarted_at > 0)
+    return roles->restarted_at;
   if (hf_roles_lost_granter_at (state, since))
     since += settle_ms * HF_MS;
   return MAX (since, roles->majority_since);
@@ -149,7 +151,8 @@
     return 0;
   if (until == 0)
     return level_since (state, organisation, owned_since (state, hf_organisation_id (organisation)));
-  return level_since (state, organisation, MAX (since, roles->majority_since));
+  return level_since (state, organisation,
+                      roles->restarted_at > 0 ? roles->restarted_at : MAX (since, roles->majority_since));
 }
 
 static bool
@@ -206,13 +209,16 @@
          && state->now - *since < MAX (HF_QUOTA_MOVED_MS, silent_ms) * HF_MS;
 }
 
-/* Level of a bucket that nobody handed over. A former owner that has ended may have given credits until then. */
+/* Level of a bucket that nobody handed over. A former owner that has ended may have given credits until then, unless
+ * the whole fleet was started since: requests that have waited for the owner then need not wait for the bucket, too. */
 static double
 first_level (const struct hf_state *state, const struct hf_organisation *organisation)
 {
   int64_t since = 0;
   double level = unused_level (state, organisation);
-  return is_owner_lately (state, hf_organisation_id (organisation), &since) ? MIN (level, 0) : level;
+  bool may_have_given
+      = state->roles.restarted_at == 0 && is_owner_lately (state, hf_organisation_id (organisation), &since);
+  return may_have_given ? MIN (level, 0) : level;
 }
 
 /* Whether an owner that came lately waits for the bucket of the former one, which may give credits as long as it does
--- a/src/hf-reduce.c
+++ b/src/hf-reduce.c
@@ -357,8 +357,12 @@
 note_initialised (struct hf_state *state)
 {
   bool starting = !hf_state_is_initialised (state);
+  bool has_started = state->starting && !starting;
   state->roles.update_pending = state->roles.update_pending || starting != state->starting;
   state->starting = starting;
+  /* The owners of limits wait until they know more than half of the fleet; the next heartbeat may be seconds away. */
+  if (has_started && state->quota)
+    hf_members_announce (state);
 }
 
 static void
--- a/src/hf-roles.c
+++ b/src/hf-roles.c
@@ -353,6 +353,27 @@
   roles->majority_changed_at = state->now;
 }
 
+/* Where every entry that is reached, and with them more than half of the fleet, was started at about the same time,
+ * none of them knows anything of before, and no other entry can have had a role since then. */
+static void
+note_fleet_restart (struct hf_state *state)
+{
+  struct hf_roles *roles = &state->roles;
+  int64_t first = state->started_at;
+  int64_t last = state->started_at;
+  for (guint i = 0; i < state->members->len; i++)
+    {
+      const struct hf_member *member = g_ptr_array_index (state->members, i);
+      if (member->leaving || !member->alive || member->starting)
+        continue;
+      first = MIN (first, member->started_at);
+      last = MAX (last, member->started_at);
+    }
+  bool is_lately = state->now - first < HF_FLEET_RESTART_MS * HF_MS;
+  bool at_once = last - first < HF_FLEET_RESTART_SPREAD_MS * HF_MS;
+  roles->restarted_at = roles->majority_since > 0 && is_lately && at_once ? last : 0;
+}
+
 /* --- internal functions: rendezvous hashing --- */
 
 /* The entry with the greatest weight; 0: there are none. */
@@ -409,6 +430,7 @@
   state->roles.update_pending = false;
   note_granters (state, former_granters);
   count_reached (state);
+  note_fleet_restart (state);
   g_array_unref (former_granters);
   g_array_unref (candidates);
 }
--- a/src/hf-rpc.c
+++ b/src/hf-rpc.c
@@ -153,7 +153,7 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->digest))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 8 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 9 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_bool (xdrs, &objp->leaving))
 				 return FALSE;
@@ -167,6 +167,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->echo_held_us))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->uptime_ms))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->rtt_us))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->affinity_epoch))
@@ -179,6 +181,7 @@
 		IXDR_PUT_U_LONG(buf, objp->sent_at);
 		IXDR_PUT_U_LONG(buf, objp->echo_sent_at);
 		IXDR_PUT_U_LONG(buf, objp->echo_held_us);
+		IXDR_PUT_U_LONG(buf, objp->uptime_ms);
 		IXDR_PUT_U_LONG(buf, objp->rtt_us);
 		IXDR_PUT_U_LONG(buf, objp->affinity_epoch);
 		}
@@ -215,7 +218,7 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->digest))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 8 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 9 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_bool (xdrs, &objp->leaving))
 				 return FALSE;
@@ -229,6 +232,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->echo_held_us))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->uptime_ms))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->rtt_us))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->affinity_epoch))
@@ -241,6 +246,7 @@
 		objp->sent_at = IXDR_GET_U_LONG(buf);
 		objp->echo_sent_at = IXDR_GET_U_LONG(buf);
 		objp->echo_held_us = IXDR_GET_U_LONG(buf);
+		objp->uptime_ms = IXDR_GET_U_LONG(buf);
 		objp->rtt_us = IXDR_GET_U_LONG(buf);
 		objp->affinity_epoch = IXDR_GET_U_LONG(buf);
 		}
@@ -290,6 +296,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->echo_held_us))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->uptime_ms))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->rtt_us))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->affinity_epoch))
--- a/src/hf-rpc.h
+++ b/src/hf-rpc.h
@@ -94,6 +94,7 @@
 	u_int sent_at;
 	u_int echo_sent_at;
 	u_int echo_held_us;
+	u_int uptime_ms;
 	u_int rtt_us;
 	u_int affinity_epoch;
 	struct {
--- a/src/hf-rpc.x
+++ b/src/hf-rpc.x
@@ -79,6 +79,7 @@
  * slots. wants_reply: the receiver sends a heartbeat back immediately.
  * sent_at: time of the sender's clock, low bits in microseconds. echo_sent_at: the same of the last heartbeat that the
  * sender got from the receiver; echo_held_us: time since that arrived, 4294967295: there was none lately.
+ * uptime_ms: time since the start of the sender's process.
  * rtt_us: smallest round trip to another failure domain that the sender has measured lately, 0: none.
  * affinity_epoch: number of the last decision on domain affinity that the sender knows.
  * coordinators: of other failure domains, from a coordinator to an entry that exchanges no heartbeats with them.
@@ -100,6 +101,7 @@
   unsigned int sent_at;
   unsigned int echo_sent_at;
   unsigned int echo_held_us;
+  unsigned int uptime_ms;
   unsigned int rtt_us;
   unsigned int affinity_epoch;
   hf_rpc_coordinator coordinators<HF_RPC_COORDINATORS_MAX>;
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -274,6 +274,7 @@
   bool alive;                   /* heartbeats arrive */
   uint64_t failure_domain;      /* hash of the name */
   double cpu_share;             /* processor time in cores */
+  int64_t started_at;           /* start of its process */
   bool leaving;                 /* it is shutting down */
   bool starting;                /* it has no configuration or directory yet and cannot grant slots */
   bool timed_out;               /* heartbeats were due and did not arrive */
@@ -518,6 +519,7 @@
  * @resumed_at: end of the last pause in which the other entries may have found others for the roles of this one; 0:
  * none
  * @majority_since: since when more than half of the fleet has been reached; 0: it is not
+ * @restarted_at: the whole fleet was started lately: when the last of the entries reached began; 0: it was not
  */
 struct hf_roles
 {
@@ -535,6 +537,7 @@
   size_t entries;
   int64_t majority_changed_at;
   int64_t majority_since;
+  int64_t restarted_at;
   int64_t resumed_at;
 };
 
--- a/tests/test-quota-fleet.c
+++ b/tests/test-quota-fleet.c
@@ -440,6 +440,36 @@
   close_simulation (simulation);
 }
 
+/* Guards against requests that wait for credits long after all processes were killed: of those that come in the first
+ * second and find a configuration, nine of ten have been sent to a server at its end, and no window has more than the
+ * rule allows. */
+static void
+test_all_killed_wait (void)
+{
+  static const double rates[] = { 0, 120, 0 };
+  struct simulation *simulation = open_simulation (ENTRIES);
+  struct fleet *fleet = simulation->fleet;
+  struct tally *tally = &simulation->tallies[LARGE_ONE];
+  run_load (simulation, 5000, rates);
+  for (unsigned i = 0; i < fleet->entry_count; i++)
+    fleet_restart (fleet, i, 3000 + i);
+  g_array_set_size (simulation->runs, 0);
+  for (unsigned i = 0; i < fleet->entry_count; i++)
+    {
+      fleet_report_full_list (&fleet->entries[i]);
+      fleet_report_entries (&fleet->entries[i]);
+    }
+  unsigned run_before = tally->n_run;
+  unsigned without_config = tally->other;
+  unsigned sent = simulation->sent_at->len;
+  run_load (simulation, 1000, rates);
+  sent = simulation->sent_at->len - sent - (tally->other - without_config);
+  g_test_message ("%u of %u requests of the first second were sent to a server in it", tally->n_run - run_before, sent);
+  g_assert_cmpuint ((tally->n_run - run_before) * 10, >=, sent * 9);
+  check_windows (simulation);
+  close_simulation (simulation);
+}
+
 /* The owner leaves, again and again: the next one gets its bucket and has no second one. */
 static void
 test_owner_leaves (void)
@@ -673,6 +703,7 @@
   g_test_add_func ("/quota-fleet/stall", test_stall);
   g_test_add_func ("/quota-fleet/loss", test_loss);
   g_test_add_func ("/quota-fleet/all-killed", test_all_killed);
+  g_test_add_func ("/quota-fleet/all-killed-wait", test_all_killed_wait);
   g_test_add_func ("/quota-fleet/owner-silent", test_owner_silent);
   g_test_add_func ("/quota-fleet/owner-paused", test_owner_paused);
   g_test_add_func ("/quota-fleet/other-granter-lost", test_other_granter_lost);
