Beyond a limit, requests that can still be answered in time get the credits first

Cause: an organisation that sends more than its limit has callers that come back after a 429 with Retry-After. Ruled out: a longer Retry-After, as callers honour a third of the time they have left. Change: a request that cannot be answered within its target latency any more (soft deadline and median latency) is requested as late and gets credits from the upper half of the bucket only.

--- a/src/config.h
+++ b/src/config.h
@@ -180,15 +180,16 @@
 #define HF_QUOTA_LEASES_MAX  8    /* of one organisation at one entry */
 #define HF_QUOTA_MOVED_MS    3000 /* until all entries know the new owner: two rounds of heartbeats of a large fleet */
 
-#define HF_QUOTA_CREDITS_MAX       10000 /* in one request of an entry */
-#define HF_QUOTA_RESEND_MS         5     /* before an unanswered request for credits is sent again; doubles each time */
-#define HF_QUOTA_RESEND_DOUBLINGS  2
-#define HF_QUOTA_START_MS          3000  /* after its start an owner may not know most others: requests wait for it */
-#define HF_FLEET_RESTART_MS        10000 /* a start of the whole fleet is remembered for this long */
-#define HF_FLEET_RESTART_SPREAD_MS 2000  /* within which all entries then begin */
-#define HF_QUOTA_FILLING_MS        1000  /* requests wait for a bucket that began empty so lately */
-#define HF_QUOTA_WAIT_MAX_MS       100   /* before credits of such a bucket are requested again */
-#define HF_QUOTA_LOG_INTERVAL_MS   10000 /* between lines on the same organisation */
+#define HF_QUOTA_CREDITS_MAX        10000 /* in one request of an entry */
+#define HF_QUOTA_LATE_RESERVE_RATIO 0.5   /* of a bucket, for requests that can still meet their target latency */
+#define HF_QUOTA_RESEND_MS          5 /* before an unanswered request for credits is sent again; doubles each time */
+#define HF_QUOTA_RESEND_DOUBLINGS   2
+#define HF_QUOTA_START_MS           3000  /* after its start an owner may not know most others: requests wait for it */
+#define HF_FLEET_RESTART_MS         10000 /* a start of the whole fleet is remembered for this long */
+#define HF_FLEET_RESTART_SPREAD_MS  2000  /* within which all entries then begin */
+#define HF_QUOTA_FILLING_MS         1000  /* requests wait for a bucket that began empty so lately */
+#define HF_QUOTA_WAIT_MAX_MS        100   /* before credits of such a bucket are requested again */
+#define HF_QUOTA_LOG_INTERVAL_MS    10000 /* between lines on the same organisation */
 
 /* Membership. */
 #define HF_HEARTBEAT_MS                500
--- a/src/hf-quota-leases.c
+++ b/src/hf-quota-leases.c
@@ -25,7 +25,9 @@
 /* Credits of one organisation at this entry, and the calls that wait for them. */
 struct account
 {
-  uint64_t id; /* of the organisation */
+  uint64_t key; /* of the account, see account_key */
+  uint64_t id;  /* of the organisation */
+  bool late;    /* for requests that cannot be answered within their target latency any more */
   struct hf_quota_account credits;
   GQueue waiting; /* ids of calls, as pointers to the members of the calls */
   GSequenceIter *timer;
@@ -45,7 +47,7 @@
   struct hf_quota_rule rule;
   struct hf_quota_callbacks callbacks;
   struct hf_quota_book *book;
-  GHashTable *accounts; /* struct account by id of the organisation */
+  GHashTable *accounts; /* struct account by its key */
   uint64_t last_sequence;
   struct hf_document *document; /* that @limits was made from; NULL: none */
   GHashTable *limits;           /* struct hf_organisation by id, those of @document that are limited */
@@ -62,22 +64,32 @@
   g_free (account);
 }
 
+/* Late requests have an account of their own, so that others never wait behind them. */
+static uint64_t
+account_key (uint64_t organisation, bool late)
+{
+  return late ? hf_hash_pair (organisation, 1) : organisation;
+}
+
 static struct account *
-find_account (const struct hf_quota_leases *leases, uint64_t id)
+find_account (const struct hf_quota_leases *leases, uint64_t key)
 {
-  return g_hash_table_lookup (leases->accounts, &id);
+  return g_hash_table_lookup (leases->accounts, &key);
 }
 
 static struct account *
-get_account (struct hf_quota_leases *leases, uint64_t id)
+get_account (struct hf_quota_leases *leases, uint64_t id, bool late)
 {
-  struct account *account = find_account (leases, id);
+  uint64_t key = account_key (id, late);
+  struct account *account = find_account (leases, key);
   if (account)
     return account;
   account = g_new0 (struct account, 1);
+  account->key = key;
   account->id = id;
+  account->late = late;
   g_queue_init (&account->waiting);
-  g_hash_table_insert (leases->accounts, &account->id, account);
+  g_hash_table_insert (leases->accounts, &account->key, account);
   return account;
 }
 
@@ -295,6 +307,7 @@
   *lease = (struct hf_rpc_quota_lease){
     .organisation = request->organisation,
     .sequence = request->sequence,
+    .late = request->late,
     .valid_ms = (unsigned) (hf_quota_lease_us (&leases->rule) / HF_MS),
   };
   if (state->starting)
@@ -415,7 +428,7 @@
       double interval_ms = PERMILLE / call->organisation->rate_per_s;
       double spread_ms = (double) (hf_random_next (&state->random_state) % PERMILLE) / PERMILLE;
       log_exceeded (state, account, call->organisation);
-      call->quota = (struct hf_call_quota){ .credit.owner = by };
+      call->quota = (struct hf_call_quota){ .late = account->late, .credit.owner = by };
       state->quota->callbacks.refuse (state, call, retry_after_ms + (int64_t) ((i + spread_ms) * interval_ms));
     }
 }
@@ -508,6 +521,7 @@
   message.body.hf_rpc_body_u.quota_request = (struct hf_rpc_quota_request){
     .organisation = request->organisation,
     .sequence = request->sequence,
+    .late = request->late,
     .needed = request->needed,
     .expected = request->expected,
     .returned = request->returned,
@@ -532,7 +546,10 @@
     return;
   hf_quota_account_request (&account->credits, state->now, &leases->rule, owner, ++leases->last_sequence, needed);
   account->credits.request.organisation = account->id;
-  account->credits.request.holder = state->boot_id;
+  account->credits.request.holder = account_key (state->boot_id, account->late);
+  account->credits.request.late = account->late;
+  if (account->late)
+    account->credits.request.expected = 0;
   account->sends = 0;
   hf_state_increment (state, HF_COUNT_QUOTA_REQUESTS);
   send_request (state, account);
@@ -572,7 +589,7 @@
 static void
 receive_lease (struct hf_state *state, uint64_t from, const struct hf_rpc_quota_lease *lease)
 {
-  struct account *account = find_account (state->quota, lease->organisation);
+  struct account *account = find_account (state->quota, account_key (lease->organisation, lease->late));
   if (!account)
     return;
   unsigned needed = account->credits.request.needed;
@@ -613,7 +630,7 @@
   int64_t due = next_due (state, account);
   hf_timers_cancel (&account->timer);
   if (due >= 0)
-    account->timer = hf_state_start_timer (state, MAX (due - state->now, 0), HF_TIMER_QUOTA, account->id, 0);
+    account->timer = hf_state_start_timer (state, MAX (due - state->now, 0), HF_TIMER_QUOTA, account->key, 0);
 }
 
 /* --- public functions: init and close --- */
@@ -648,12 +665,21 @@
 
 /* --- public functions: calls --- */
 
+static bool
+is_late (const struct hf_state *state, const struct hf_call *call)
+{
+  const struct hf_service_state *slice = hf_state_find_service (state, call->slice_id);
+  double latency_us = slice ? slice->pool.median_latency_us : 0;
+  return (double) state->now + latency_us > (double) call->soft_deadline;
+}
+
 bool
 hf_quota_leases_admit (struct hf_state *state, struct hf_call *call)
 {
   if (!state->quota || !call->organisation || call->organisation->rate_per_s <= 0)
     return true;
-  struct account *account = get_account (state->quota, hf_organisation_id (call->organisation));
+  call->quota.late = is_late (state, call);
+  struct account *account = get_account (state->quota, hf_organisation_id (call->organisation), call->quota.late);
   account->used_at = state->now;
   hf_quota_account_count_use (&account->credits, state->now);
   call->quota.phase = HF_QUOTA_HELD;
@@ -677,7 +703,7 @@
       call->quota.phase = HF_QUOTA_SPENT;
       return true;
     }
-  struct account *account = get_account (state->quota, hf_organisation_id (call->organisation));
+  struct account *account = get_account (state->quota, hf_organisation_id (call->organisation), call->quota.late);
   hf_quota_account_put_back (&account->credits, call->quota.credit);
   call->attempts[attempt].server = server;
   call->quota.phase = HF_QUOTA_RENEWING;
@@ -701,7 +727,7 @@
 {
   struct account *account = NULL;
   if (call->quota.phase != HF_QUOTA_UNLIMITED && call->quota.phase != HF_QUOTA_SPENT)
-    account = find_account (state->quota, hf_organisation_id (call->organisation));
+    account = find_account (state->quota, account_key (hf_organisation_id (call->organisation), call->quota.late));
   if (!account)
     return;
   if (call->quota.phase == HF_QUOTA_HELD)
@@ -720,8 +746,9 @@
   struct hf_rpc_message message = { .body = { .kind = HF_RPC_QUOTA_LEASE } };
   struct hf_quota_request asked = {
     .organisation = request->organisation,
-    .holder = from,
+    .holder = account_key (from, request->late),
     .sequence = request->sequence,
+    .late = request->late,
     .needed = MIN (request->needed, HF_QUOTA_CREDITS_MAX),
     .expected = MIN (request->expected, HF_QUOTA_CREDITS_MAX),
     .returned = MIN (request->returned, HF_QUOTA_CREDITS_MAX),
@@ -765,9 +792,9 @@
 }
 
 void
-hf_quota_leases_handle_timer (struct hf_state *state, uint64_t organisation)
+hf_quota_leases_handle_timer (struct hf_state *state, uint64_t key)
 {
-  struct account *account = find_account (state->quota, organisation);
+  struct account *account = find_account (state->quota, key);
   if (!account)
     return;
   account->timer = NULL;
--- a/src/hf-quota-leases.h
+++ b/src/hf-quota-leases.h
@@ -46,7 +46,7 @@
 /* --- public functions: events --- */
 
 void hf_quota_leases_handle_message (struct hf_state *state, const struct hf_event *event);
-void hf_quota_leases_handle_timer (struct hf_state *state, uint64_t organisation);
+void hf_quota_leases_handle_timer (struct hf_state *state, uint64_t key);
 void hf_quota_leases_update_owners (struct hf_state *state); /* the granters may have changed */
 void hf_quota_leases_expire (struct hf_state *state);        /* drops what is no longer used */
 
--- a/src/hf-quota.c
+++ b/src/hf-quota.c
@@ -227,6 +227,15 @@
   return spare > 0 ? MIN (expected, whole (spare / (double) MAX (entries, 1))) : 0;
 }
 
+/* Credits in the lower part of the bucket are for requests that can still be answered within their target latency:
+ * beyond the limit, callers that come back after a refusal would otherwise take them from those that come first. */
+static unsigned
+available_for_late (const struct hf_quota_bucket *bucket, unsigned available)
+{
+  double reserved = MIN (bucket->limit.capacity * HF_QUOTA_LATE_RESERVE_RATIO, bucket->limit.capacity - 1);
+  return MIN (available, whole (bucket->level - MAX (reserved, 0)));
+}
+
 static struct hf_quota_answer
 give (struct organisation *organisation,
       struct holder *holder,
@@ -237,6 +246,8 @@
   struct hf_quota_bucket *bucket = &organisation->bucket;
   struct hf_quota_answer answer = { 0 };
   unsigned available = hf_quota_bucket_available (bucket, now);
+  if (request->late)
+    available = available_for_late (bucket, available);
   answer.credits = MIN (request->needed, available);
   if (answer.credits == request->needed)
     answer.credits += give_expected (request->expected, available - answer.credits, bucket->limit.capacity, entries);
--- a/src/hf-quota.h
+++ b/src/hf-quota.h
@@ -80,6 +80,7 @@
  * @organisation: id of the organisation
  * @holder: boot id of the entry
  * @sequence: rises with each request of the holder; a request that is sent again has the same number
+ * @late: they cannot be answered within their target latency any more
  * @needed: credits for requests that wait for them
  * @expected: further credits that it expects to need soon
  * @returned: credits that it has not used
@@ -90,6 +91,7 @@
   uint64_t organisation;
   uint64_t holder;
   uint64_t sequence;
+  bool late;
   unsigned needed;
   unsigned expected;
   unsigned returned;
--- a/src/hf-rpc.c
+++ b/src/hf-rpc.c
@@ -902,8 +902,10 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->late))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->needed))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->expected))
@@ -912,6 +914,7 @@
 				 return FALSE;
 
 		} else {
+		IXDR_PUT_BOOL(buf, objp->late);
 		IXDR_PUT_U_LONG(buf, objp->needed);
 		IXDR_PUT_U_LONG(buf, objp->expected);
 		IXDR_PUT_U_LONG(buf, objp->returned);
@@ -924,8 +927,10 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->late))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->needed))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->expected))
@@ -934,6 +939,7 @@
 				 return FALSE;
 
 		} else {
+		objp->late = IXDR_GET_BOOL(buf);
 		objp->needed = IXDR_GET_U_LONG(buf);
 		objp->expected = IXDR_GET_U_LONG(buf);
 		objp->returned = IXDR_GET_U_LONG(buf);
@@ -947,6 +953,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->late))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->needed))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->expected))
@@ -969,8 +977,10 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->late))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->credits))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->valid_ms))
@@ -981,6 +991,7 @@
 				 return FALSE;
 
 		} else {
+		IXDR_PUT_BOOL(buf, objp->late);
 		IXDR_PUT_U_LONG(buf, objp->credits);
 		IXDR_PUT_U_LONG(buf, objp->valid_ms);
 		IXDR_PUT_U_LONG(buf, objp->retry_after_ms);
@@ -994,8 +1005,10 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->late))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->credits))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->valid_ms))
@@ -1006,6 +1019,7 @@
 				 return FALSE;
 
 		} else {
+		objp->late = IXDR_GET_BOOL(buf);
 		objp->credits = IXDR_GET_U_LONG(buf);
 		objp->valid_ms = IXDR_GET_U_LONG(buf);
 		objp->retry_after_ms = IXDR_GET_U_LONG(buf);
@@ -1020,6 +1034,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->late))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->credits))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->valid_ms))
--- a/src/hf-rpc.h
+++ b/src/hf-rpc.h
@@ -286,6 +286,7 @@
 struct hf_rpc_quota_request {
 	u_quad_t organisation;
 	u_quad_t sequence;
+	bool_t late;
 	u_int needed;
 	u_int expected;
 	u_int returned;
@@ -296,6 +297,7 @@
 struct hf_rpc_quota_lease {
 	u_quad_t organisation;
 	u_quad_t sequence;
+	bool_t late;
 	u_int credits;
 	u_int valid_ms;
 	u_int retry_after_ms;
--- a/src/hf-rpc.x
+++ b/src/hf-rpc.x
@@ -274,6 +274,7 @@
 struct hf_rpc_quota_request {
   unsigned hyper organisation;
   unsigned hyper sequence;
+  bool late;
   unsigned int needed;
   unsigned int expected;
   unsigned int returned;
@@ -283,10 +284,11 @@
 /* The owner's answer: credits that are valid for valid_ms after the request was first sent.
  * retry_after_ms: when credit is expected, if not all that were needed are given.
  * filling: the bucket began empty a moment ago; the requests may wait for it.
- * moved_to: boot id of the entry that is the owner now, 0: the sender is. */
+ * moved_to: boot id of the entry that is the owner now, 0: the sender is. late: as in the request. */
 struct hf_rpc_quota_lease {
   unsigned hyper organisation;
   unsigned hyper sequence;
+  bool late;
   unsigned int credits;
   unsigned int valid_ms;
   unsigned int retry_after_ms;
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -97,7 +97,7 @@
   HF_TIMER_LAST_RESPONSES,   /* the process exits soon: whatever is open is answered */
   HF_TIMER_MEASURE_TICK,     /* measurements of backend servers */
   HF_TIMER_DIRECTORY_EXPIRE, /* delayed removals from the directory are due */
-  HF_TIMER_QUOTA,            /* id: organisation; credits are awaited, or unused ones have expired */
+  HF_TIMER_QUOTA,            /* id: account of an organisation; credits are awaited, or unused ones have expired */
 };
 
 /* --- types: services --- */
@@ -205,6 +205,7 @@
 /**
  * struct hf_call_quota - credit of a call
  * @phase: whether it has one
+ * @late: it could not be answered within its target latency any more when it came
  * @credit: if held or spent; of a refused call: its @owner is who refused it, 0: nobody responded
  * @attempt: while renewing: the attempt that has a slot
  * @server: while renewing: id of the backend server of the slot
@@ -212,6 +213,7 @@
 struct hf_call_quota
 {
   enum hf_quota_phase phase;
+  bool late;
   struct hf_quota_credit credit;
   unsigned attempt;
   uint64_t server;
--- a/tests/test-quota.c
+++ b/tests/test-quota.c
@@ -28,6 +28,11 @@
 
 static const struct hf_quota_rule rule = { .window_us = 5 * HF_SEC, .overshoot = 0.1, .slack = 20 };
 
+/* Overload by late requests: 400 requests/s for 10 s against a limit of 100; refused ones come back after a second. */
+#define OVERLOAD_REQUESTS    4000
+#define OVERLOAD_INTERVAL_US 2500
+#define OVERLOAD_RETURN      401 /* requests until it comes back; no multiple of the interval between credits */
+
 /* --- types --- */
 
 enum message_kind
@@ -620,6 +625,48 @@
     }
 }
 
+/* One request in each holder's name; returns whether it got a credit. */
+static bool
+ask_once (struct hf_quota_book *book, uint64_t *sequence, bool late, int64_t now)
+{
+  struct hf_quota_request request
+      = { .organisation = 1, .holder = late ? 3 : 2, .sequence = ++*sequence, .late = late, .needed = 1 };
+  struct hf_quota_answer answer = { 0 };
+  g_assert_true (hf_quota_book_answer (book, &request, hf_quota_limit_full (&rule, 100, 100), 100, 1, now, &answer));
+  return answer.credits == 1;
+}
+
+/* An organisation sends four times its limit for 10 s, and each refused caller comes back once, a second later, too
+ * late for its target latency. Guards against callers that come back and take the credits of those that can still be
+ * answered in time: of what the limit allows, at least 95% go to these. Alone, late requests get the whole rate. */
+static void
+test_late (void)
+{
+  struct hf_quota_book *book = hf_quota_book_open ();
+  uint64_t sequence = 0;
+  unsigned in_time = 0;
+  unsigned late = 0;
+  bool refused[OVERLOAD_REQUESTS + OVERLOAD_RETURN] = { false };
+  int64_t now = HF_SEC;
+  for (unsigned i = 0; i < OVERLOAD_REQUESTS; i++, now += OVERLOAD_INTERVAL_US)
+    {
+      bool returns_first = g_test_rand_bit ();
+      late += refused[i] && returns_first && ask_once (book, &sequence, true, now);
+      bool granted = ask_once (book, &sequence, false, now);
+      in_time += granted;
+      refused[i + OVERLOAD_RETURN] = !granted;
+      late += refused[i] && !returns_first && ask_once (book, &sequence, true, now);
+    }
+  g_test_message ("%u in time, %u late of %u", in_time, late, OVERLOAD_REQUESTS / 4);
+  g_assert_cmpuint (in_time, >=, OVERLOAD_REQUESTS / 4 * 95 / 100);
+  unsigned alone = 0;
+  now += HF_SEC; /* in which the bucket fills */
+  for (unsigned i = 0; i < OVERLOAD_REQUESTS; i++, now += OVERLOAD_INTERVAL_US)
+    alone += ask_once (book, &sequence, true, now);
+  g_assert_cmpuint (alone, >=, OVERLOAD_REQUESTS / 4 * 95 / 100);
+  hf_quota_book_close (book);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -631,5 +678,6 @@
   g_test_add_func ("/quota/repeated-request", test_repeated_request);
   g_test_add_func ("/quota/forecast", test_forecast);
   g_test_add_func ("/quota/reserve", test_reserve);
+  g_test_add_func ("/quota/late", test_late);
   return g_test_run ();
 }
