--- a/tests/test-cold.c
+++ b/tests/test-cold.c
@@ -195,7 +195,7 @@
 open_simulation (unsigned entries)
 {
   static const struct hf_settings settings
-      = { .domain_affinity = HF_AFFINITY_OFF, .evacuate_ms = EVACUATE_MS, .cold_overshoot = 1.5, .cold_slack = 8 };
+      = { .domain_affinity = FLEET_AFFINITY, .evacuate_ms = EVACUATE_MS, .cold_overshoot = 1.5, .cold_slack = 8 };
   struct simulation *simulation = g_new0 (struct simulation, 1);
   struct fleet *fleet = fleet_open_with (entries, DOMAINS, 0, &settings);
   simulation->fleet = fleet;
@@ -561,7 +561,7 @@
 static void
 test_spread (void)
 {
-  static const struct hf_settings settings = { .domain_affinity = HF_AFFINITY_OFF, .evacuate_ms = EVACUATE_MS };
+  static const struct hf_settings settings = { .domain_affinity = FLEET_AFFINITY, .evacuate_ms = EVACUATE_MS };
   struct fleet *fleet = fleet_open_with (LARGE_ENTRIES, DOMAINS, 2, &settings);
   uint64_t domain = hf_hash (hf_str ("d2"), 0);
   fleet->loss_interval = 4;
@@ -584,7 +584,7 @@
 static void
 test_restored (void)
 {
-  static const struct hf_settings settings = { .domain_affinity = HF_AFFINITY_OFF, .evacuate_ms = EVACUATE_MS };
+  static const struct hf_settings settings = { .domain_affinity = FLEET_AFFINITY, .evacuate_ms = EVACUATE_MS };
   struct fleet *fleet = fleet_open_with (ENTRIES, DOMAINS, 0, &settings);
   uint64_t domain = hf_hash (hf_str ("d2"), 0);
   fleet_save_platform (fleet);
