The limit of cold servers follows the granter of a failure domain

Cause: with domain affinity the granter of a slice is an entry of its domain, but the share of starts at cold servers went to the entry that rendezvous hashing chooses over all domains: cold servers got no request, and notices about them went to the wrong entry. test-cold-near: 298 requests refused with "no backend server takes work" after an evacuation, now none. hf_roles_heartbeat_rounds moves to hf-roles, which ends a circle of includes (hf-cold-servers, hf-members, hf-affinity-sync, hf-slices).

--- a/src/hf-cold-servers.c
+++ b/src/hf-cold-servers.c
@@ -2,7 +2,6 @@
 #include "hf-cold-servers.h"
 
 #include "hf-cold-spread.h"
-#include "hf-members.h"
 #include "hf-quarantine.h"
 #include "hf-roles.h"
 
@@ -14,7 +13,7 @@
 static unsigned
 count_in_touch (const struct hf_state *state, unsigned *known)
 {
-  int64_t fresh_us = (HF_PEER_TIMEOUT_MS - HF_HEARTBEAT_MS) * HF_MS * hf_members_heartbeat_rounds (state);
+  int64_t fresh_us = (HF_PEER_TIMEOUT_MS - HF_HEARTBEAT_MS) * HF_MS * hf_roles_heartbeat_rounds (state);
   unsigned in_touch = 1;
   *known = 1;
   for (guint i = 0; i < state->members->len; i++)
@@ -57,7 +56,7 @@
 static void
 update_pool (struct hf_state *state, struct hf_service_state *service)
 {
-  bool grants = !state->starting && hf_members_is_owner (state, service->id);
+  bool grants = !state->starting && hf_roles_slice_granter (state, service) == state->boot_id;
   if (!grants)
     {
       service->granter_since = 0;
@@ -100,7 +99,7 @@
               const struct hf_pool_server *server,
               int64_t remaining_ms)
 {
-  uint64_t granter = hf_members_owner (state, service->id);
+  uint64_t granter = hf_roles_slice_granter (state, service);
   struct hf_rpc_message message = { .body = { .kind = HF_RPC_NOTICE } };
   message.body.hf_rpc_body_u.notice = (struct hf_rpc_notice){
     .kind = HF_NOTICE_COLD, .subject = server->id, .id = server->incarnation, .hold_ms = (unsigned) remaining_ms
--- a/src/hf-members.c
+++ b/src/hf-members.c
@@ -217,7 +217,7 @@
 static void
 apply_coordinators (struct hf_state *state, const struct hf_rpc_heartbeat *heartbeat)
 {
-  int64_t limit_ms = HF_PEER_TIMEOUT_MS * hf_members_heartbeat_rounds (state);
+  int64_t limit_ms = HF_PEER_TIMEOUT_MS * hf_roles_heartbeat_rounds (state);
   if (state->roles.is_coordinator)
     return;
   for (u_int i = 0; i < heartbeat->coordinators.coordinators_len; i++)
@@ -352,15 +352,6 @@
   return n;
 }
 
-int64_t
-hf_members_heartbeat_rounds (const struct hf_state *state)
-{
-  int64_t n = 1;
-  for (size_t i = 0; i < state->members->len; i++)
-    n += !member_at (state, i)->timed_out;
-  return CLAMP (n / HF_HEARTBEAT_MEMBERS_PER_ROUND, 1, HF_HEARTBEAT_ROUNDS_MAX);
-}
-
 /* --- public functions: events --- */
 
 void
@@ -370,7 +361,7 @@
   unsigned n = list_loads (state, loads);
   state->heartbeat_seq++;
   /* A large fleet gets its heartbeats in several rounds: sent all together they would saturate a small link. */
-  uint64_t rounds = (uint64_t) hf_members_heartbeat_rounds (state);
+  uint64_t rounds = (uint64_t) hf_roles_heartbeat_rounds (state);
   for (size_t i = 0; i < state->members->len; i++)
     if (hf_roles_is_heartbeat_peer (state, member_at (state, i))
         && (wants_reply || i % rounds == state->heartbeat_seq % rounds))
@@ -531,7 +522,7 @@
   if (member->heartbeats_due_since == 0)
     member->heartbeats_due_since = state->now;
   int64_t since = MAX (member->last_heartbeat_at, member->heartbeats_due_since);
-  return state->now - since >= HF_PEER_TIMEOUT_MS * HF_MS * hf_members_heartbeat_rounds (state);
+  return state->now - since >= HF_PEER_TIMEOUT_MS * HF_MS * hf_roles_heartbeat_rounds (state);
 }
 
 void
--- a/src/hf-members.h
+++ b/src/hf-members.h
@@ -15,7 +15,6 @@
 
 uint64_t hf_members_owner (const struct hf_state *state, uint64_t subject); /* boot id of the entry */
 bool hf_members_is_owner (const struct hf_state *state, uint64_t subject);  /* this entry owns it */
-int64_t hf_members_heartbeat_rounds (const struct hf_state *state);         /* until each member got a heartbeat */
 size_t hf_members_count_alive (const struct hf_state *state);               /* this entry included */
 
 /* --- public functions: sending heartbeats --- */
--- a/src/hf-quota-leases.c
+++ b/src/hf-quota-leases.c
@@ -133,7 +133,7 @@
 owned_since (const struct hf_state *state, uint64_t organisation)
 {
   const struct hf_roles *roles = &state->roles;
-  int64_t settle_ms = HF_HEARTBEAT_MS * (hf_members_heartbeat_rounds (state) + 1);
+  int64_t settle_ms = HF_HEARTBEAT_MS * (hf_roles_heartbeat_rounds (state) + 1);
   int64_t since = state->now;
   int64_t until = 0;
   if (!last_owned (state, organisation, &since, &until) || until > 0)
@@ -216,7 +216,7 @@
 is_owner_lately (const struct hf_state *state, uint64_t organisation, int64_t *since)
 {
   int64_t until = 0;
-  int64_t silent_ms = HF_PEER_TIMEOUT_MS * hf_members_heartbeat_rounds (state) + HF_HEARTBEAT_MS;
+  int64_t silent_ms = HF_PEER_TIMEOUT_MS * hf_roles_heartbeat_rounds (state) + HF_HEARTBEAT_MS;
   return last_owned (state, organisation, since, &until)
          && state->now - *since < MAX (HF_QUOTA_MOVED_MS, silent_ms) * HF_MS;
 }
@@ -483,7 +483,7 @@
   const struct hf_member *owner = hf_state_find_member (state, ranked[0]);
   if (!owner)
     return HF_GRANTER_BYPASS_MS;
-  int64_t timeout_ms = (HF_PEER_TIMEOUT_MS + HF_HEARTBEAT_MS) * hf_members_heartbeat_rounds (state);
+  int64_t timeout_ms = (HF_PEER_TIMEOUT_MS + HF_HEARTBEAT_MS) * hf_roles_heartbeat_rounds (state);
   int64_t due_at = owner->last_heartbeat_at + timeout_ms * HF_MS;
   return MAX ((due_at - state->now) / HF_MS, HF_GRANTER_BYPASS_MS);
 }
--- a/src/hf-roles.c
+++ b/src/hf-roles.c
@@ -548,3 +548,12 @@
   return hf_affinity_is_on (&state->affinity) && state->roles.is_coordinator && !member->is_coordinator
          && hf_state_is_in_own_domain (state, member);
 }
+
+int64_t
+hf_roles_heartbeat_rounds (const struct hf_state *state)
+{
+  int64_t n = 1;
+  for (size_t i = 0; i < state->members->len; i++)
+    n += !((const struct hf_member *) g_ptr_array_index (state->members, i))->timed_out;
+  return CLAMP (n / HF_HEARTBEAT_MEMBERS_PER_ROUND, 1, HF_HEARTBEAT_ROUNDS_MAX);
+}
--- a/src/hf-roles.h
+++ b/src/hf-roles.h
@@ -34,6 +34,7 @@
 /* Whether this entry sends heartbeats to a member: it or this entry is a coordinator. With domain affinity, both are,
  * if their failure domains differ. */
 bool hf_roles_is_heartbeat_peer (const struct hf_state *state, const struct hf_member *member);
+int64_t hf_roles_heartbeat_rounds (const struct hf_state *state); /* until each member got a heartbeat */
 /* Whether heartbeats of a member are due here. With domain affinity, those of coordinators of other failure domains are
  * reported by coordinators of this one. */
 bool hf_roles_expects_heartbeats (const struct hf_state *state, const struct hf_member *member);
