One median of the servers of a service

The medians of latency and failure rate stood twice. No change of behaviour: the upper one of two in the middle for the latency, the lower one for the failure rate, as before.

--- a/src/hf-health.c
+++ b/src/hf-health.c
@@ -31,16 +31,32 @@
 }
 
 static double
-median_latency (GArray *servers)
+read_latency (const struct hf_pool_server *server)
+{
+  return server->latency_us;
+}
+
+static double
+read_failure_rate (const struct hf_pool_server *server)
+{
+  return server->failure_rate;
+}
+
+/* Over the servers with enough samples; 0: there are none. @upper: which of the two in the middle of an even number. */
+static double
+find_median (GArray *servers, double (*read) (const struct hf_pool_server *server), bool upper)
 {
   GArray *values = g_array_new (FALSE, FALSE, sizeof (double));
   double median = 0;
   for (size_t i = 0; i < servers->len; i++)
-    if (server_at (servers, i)->samples >= HF_EJECT_MIN_SAMPLES)
-      g_array_append_val (values, server_at (servers, i)->latency_us);
+    {
+      double value = read (server_at (servers, i));
+      if (server_at (servers, i)->samples >= HF_EJECT_MIN_SAMPLES)
+        g_array_append_val (values, value);
+    }
   g_array_sort (values, compare_double);
   if (values->len > 0)
-    median = g_array_index (values, double, values->len / 2);
+    median = g_array_index (values, double, (values->len - (upper ? 0 : 1)) / 2);
   g_array_unref (values);
   return median;
 }
@@ -64,28 +80,12 @@
   server->failure_rate = 0;
 }
 
-/* Half of the servers with enough samples fail no more often. */
-static double
-median_failure_rate (GArray *servers)
-{
-  GArray *rates = g_array_new (FALSE, FALSE, sizeof (double));
-  double median = 0;
-  for (size_t i = 0; i < servers->len; i++)
-    if (server_at (servers, i)->samples >= HF_EJECT_MIN_SAMPLES)
-      g_array_append_val (rates, server_at (servers, i)->failure_rate);
-  g_array_sort (rates, compare_double);
-  if (rates->len > 0)
-    median = g_array_index (rates, double, (rates->len - 1) / 2);
-  g_array_unref (rates);
-  return median;
-}
-
 /* A server that fails no more than the others is not ejected: where all of a service refuse a part of their requests,
  * ejections would only add their slots to what is missing. */
 static bool
 fails_more_than_others (GArray *servers, const struct hf_pool_server *server)
 {
-  return server->failure_rate - median_failure_rate (servers) >= HF_EJECT_FAILURE_RATE_EXCESS;
+  return server->failure_rate - find_median (servers, read_failure_rate, false) >= HF_EJECT_FAILURE_RATE_EXCESS;
 }
 
 static void
@@ -108,7 +108,7 @@
   server->samples++;
   if (server->samples < HF_EJECT_MIN_SAMPLES || server->samples % HF_EJECT_MIN_SAMPLES != 0)
     return;
-  double median = median_latency (servers);
+  double median = find_median (servers, read_latency, true);
   if (median > 0 && server->latency_us > HF_EJECT_LATENCY_RATIO * median)
     eject (servers, server, now, HF_EJECTED_LATENCY);
 }
