The test of attempts of a limited organisation has its pause back and is known red

It failed when the parts came together, and the merge removed the pause before it checks, with a cause that no run shows. Restored as its author wrote it; recorded in KNOWN-RED.txt until it is traced.

--- a/tests/test-quota-fleet.c
+++ b/tests/test-quota-fleet.c
@@ -603,6 +603,7 @@
   simulation->attempts_fail = false;
   simulation->servers_stall = true;
   run_load (simulation, 10000, (double[]){ 0, 0, 200 });
+  fleet_advance (simulation->fleet, 1000);
   unsigned sent = simulation->tallies[SMALL].n_run;
   calls = simulation->sent_at->len;
   for (unsigned i = 0; i < 5; i++)
