--- a/review/standins-2/standins.c
+++ b/review/standins-2/standins.c
@@ -27,6 +27,8 @@
 #define WATCHES_MAX     256
 #define PIDS_MAX        512
 #define STORE_ANSWER_MS 4
+#define FIRST_PORT      15000
+#define PORTS           16000
 
 /* --- clock and record --- */
 
@@ -309,7 +311,7 @@
 struct object
 {
   char kind[32];
-  char name[64];
+  char name[192];
   char *spec;
   uint64_t revision;
   uint64_t created;
@@ -738,7 +740,7 @@
   free (context);
   while (read_message (peer.fd, &request, false, now_ms () + 10000))
     {
-      char id[128] = "", expected[128] = "", body[256], stamp[128];
+      char id[128] = "", expected[256] = "", body[256], stamp[512];
       bool handled = false;
       if (backend->stopped)
         {
@@ -845,26 +847,44 @@
     fprintf (stderr, "cannot remove %s\n", folder);
 }
 
+/* Below the ports that the kernel gives to outgoing connections, so that none of these takes one before it is used. */
 static int
-free_port (void)
+next_port (void)
 {
-  int port = 0;
-  int fd = listen_on (IP, &port);
-  close (fd);
+  static int port;
+  if (!port)
+    port = FIRST_PORT + (int) (getpid () * 61 + monotonic_ms ()) % PORTS;
+  port = port + 1 < FIRST_PORT + PORTS ? port + 1 : FIRST_PORT;
   return port;
 }
 
+static int
+free_port (void)
+{
+  for (;;)
+    {
+      int port = next_port ();
+      int fd = listen_on (IP, &port);
+      if (fd < 0)
+        continue;
+      close (fd);
+      return port;
+    }
+}
+
 static int
 free_udp_port (void)
 {
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  socklen_t size = sizeof address;
-  int fd = socket (AF_INET, SOCK_DGRAM, 0);
-  inet_pton (AF_INET, IP, &address.sin_addr);
-  bind (fd, (struct sockaddr *) &address, size);
-  getsockname (fd, (struct sockaddr *) &address, &size);
-  close (fd);
-  return ntohs (address.sin_port);
+  for (;;)
+    {
+      struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons ((uint16_t) next_port ()) };
+      int fd = socket (AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+      inet_pton (AF_INET, IP, &address.sin_addr);
+      bool is_free = bind (fd, (struct sockaddr *) &address, sizeof address) == 0;
+      close (fd);
+      if (is_free)
+        return ntohs (address.sin_port);
+    }
 }
 
 void
--- a/review/standins-2/standins.h
+++ b/review/standins-2/standins.h
@@ -50,7 +50,7 @@
 
 struct backend
 {
-  char id[48];
+  char id[192];
   char service[32];
   char zone[32];
   int port;
