--- a/review/9/case.c
+++ b/review/9/case.c
@@ -11,14 +11,15 @@
 #define ENTRIES_IN_ZONE 5
 #define ENTRIES         (ZONES * ENTRIES_IN_ZONE)
 #define BACKENDS        6  /* before the release */
-#define STEPS           10 /* of the release: in each a new server starts and an old one drains */
+#define STEPS           13 /* of the release: in each a new server starts and an old one drains */
 #define DRAIN_MS        2000
 #define NEW_TO_OLD_MS   20  /* from the report of the new server to that of the old one */
 #define KILL_AFTER_MS   730 /* after the acknowledgement of the old server's report */
 #define DARK_MS         2600
 #define KILLED          9    /* of 15: herd_kill takes 0.6 of the machines if no share is named */
 #define STAY_MS         6000 /* how long a server goes on after its report was acknowledged */
-#define CALM_MS         5200 /* before each step: more than contact */
+#define CALM_MS         3700 /* before each step: more than contact */
+#define FIRST_CALM_MS   9000 /* until the entries have settled who watches */
 #define REQUEST_GAP_MS  45   /* at one entry */
 #define DEADLINE_MS     1500
 
@@ -241,7 +242,7 @@
       fprintf (stderr, "the entries did not become ready\n");
       return 2;
     }
-  sleep_ms (CALM_MS);
+  sleep_ms (FIRST_CALM_MS);
   for (int step = 0; step < STEPS; step++)
     play_step (step);
   sending = false;
--- a/review/standins-2/standins.c
+++ b/review/standins-2/standins.c
@@ -853,7 +853,7 @@
 {
   static int port;
   if (!port)
-    port = FIRST_PORT + (int) (getpid () * 61 + monotonic_ms ()) % PORTS;
+    port = FIRST_PORT + (int) (getpid () * 997L + monotonic_ms ()) % PORTS;
   port = port + 1 < FIRST_PORT + PORTS ? port + 1 : FIRST_PORT;
   return port;
 }
