A configuration that the store accepts comes into force, whatever its values

Callers saw: after a version with max_body_bytes above 1 GiB the old service went on running moved routes, and added routes got 404, without end.

Cause: the document's ranges of numbers, lengths and counts are those of files that people write. The adapter passed on what stood in the store, and one value out of bounds refused the whole document. All members that it passes on were searched: limits, times of routes, weights, names, hosts, paths, lists.

Change: no bound where none is needed (names, hosts, paths, lists); wider ones for times and bodies; numbers beyond become the nearest in range before the document is encoded. An empty list of services or parts is no fault.

--- a/src/config.h
+++ b/src/config.h
@@ -16,7 +16,9 @@
 /* Connections from callers. */
 #define HF_BODY_BUFFER_BYTES        (256 * 1024) /* body bytes buffered in each direction; larger bodies are streamed */
 #define HF_REQUEST_HEAD_BYTES_MAX   (32 * 1024)  /* default limit of a request head; above: 431 */
-#define HF_REQUEST_BODY_BYTES_MAX   (1LL << 30)  /* default and highest limit of a request body; above: 413 */
+#define HF_REQUEST_BODY_BYTES_MAX   (1LL << 30)  /* default limit of a request body; above: 413 */
+#define HF_BODY_LIMIT_BYTES_MAX     (1LL << 53)  /* highest limit that a document may set: bodies are passed on */
+#define HF_HEAD_LIMIT_BYTES_MAX     (1 << 20)    /* the same of a request head, which is kept in memory */
 #define HF_PIPELINE_REQUESTS_MAX    8            /* of one connection in progress at the same time */
 #define HF_PIPELINE_BYTES_MAX       (64 * 1024)  /* received and not parsed; above, the socket is not read */
 #define HF_CALLER_STALL_TIMEOUT_SEC 60           /* a caller's connection without progress is closed */
--- a/src/hf-document.h
+++ b/src/hf-document.h
@@ -197,6 +197,7 @@
 void hf_document_set_organisation_count (struct hf_document *document, size_t n);    /* once: default values */
 void hf_organisation_set_key_count (struct hf_organisation *organisation, size_t n); /* once: empty keys */
 void hf_route_set_service_count (struct hf_route *route, size_t n);    /* once: services with default values */
+void hf_document_clamp (struct hf_document *document);                 /* numbers out of range: the nearest in it */
 struct hf_str hf_document_encode (const struct hf_document *document); /* for hf_document_load, to be freed */
 
 /* --- public functions: load and release --- */
--- a/src/hf-yaml.c
+++ b/src/hf-yaml.c
@@ -10,7 +10,7 @@
 
 /* --- constants --- */
 
-#define DURATION_BYTES_MAX 20
+#define DURATION_BYTES_MAX 64
 #define DURATION_MAX_MS    864000000.0 /* ten days; more is an error of its writer */
 
 /* --- types --- */
@@ -309,7 +309,7 @@
 /* --- public functions --- */
 
 bool
-hf_duration_parse (struct hf_str text, int64_t *out_ms)
+hf_duration_read (struct hf_str text, double *out_ms)
 {
   char copy[DURATION_BYTES_MAX + 1];
   char *unit;
@@ -319,9 +319,17 @@
   copy[text.len] = 0;
   double number = g_ascii_strtod (copy, &unit);
   double scale = strcmp (unit, "ms") == 0 ? 1.0 : strcmp (unit, "s") == 0 ? 1000.0 : 0.0;
-  if (scale == 0.0 || !(number * scale <= DURATION_MAX_MS))
+  *out_ms = number * scale;
+  return scale != 0.0;
+}
+
+bool
+hf_duration_parse (struct hf_str text, int64_t *out_ms)
+{
+  double duration_ms;
+  if (!hf_duration_read (text, &duration_ms) || !(duration_ms <= DURATION_MAX_MS))
     return false;
-  *out_ms = (int64_t) (number * scale);
+  *out_ms = (int64_t) duration_ms;
   return true;
 }
 
@@ -395,6 +403,27 @@
     }
 }
 
+void
+hf_yaml_clamp (const struct hf_yaml_field *fields, void *values)
+{
+  for (const struct hf_yaml_field *field = fields; field->name; field++)
+    {
+      void *place = (char *) values + field->offset;
+      int64_t *number = place;
+      double *real = place;
+      const struct hf_list *list = place;
+      bool is_int = field->type == HF_YAML_INT || field->type == HF_YAML_DURATION;
+      if (is_int && (field->required || *number != field->default_value))
+        *number = CLAMP (*number, field->min, field->max);
+      else if (field->type == HF_YAML_REAL)
+        *real = CLAMP (*real, (double) field->min, (double) field->max);
+      else if (field->type == HF_YAML_MAP)
+        hf_yaml_clamp (field->fields, place);
+      for (size_t i = 0; field->type == HF_YAML_LIST && i < list->n; i++)
+        hf_yaml_clamp (field->fields, (char *) list->items + i * field->struct_size);
+    }
+}
+
 void
 hf_yaml_locate_error (struct hf_str text, struct hf_error *error)
 {
--- a/src/hf-yaml.h
+++ b/src/hf-yaml.h
@@ -81,9 +81,11 @@
  * releases the values with hf_yaml_free(). */
 bool hf_yaml_load (struct hf_str text, const struct hf_yaml_field *fields, void *out, struct hf_error *error);
 void hf_yaml_set_defaults (const struct hf_yaml_field *fields, void *out); /* fills a zeroed struct */
+void hf_yaml_clamp (const struct hf_yaml_field *fields, void *values);     /* numbers out of range: the nearest in it */
 void hf_yaml_locate_error (struct hf_str text, struct hf_error *error);    /* sets line and column from error->path */
 void hf_yaml_free (const struct hf_yaml_field *fields, void *out);         /* frees strings and lists of *out */
-bool hf_duration_parse (struct hf_str text, int64_t *out_ms);              /* 500ms, 1.5s; false: not a duration */
-bool hf_address_is_valid (struct hf_str address);                          /* true for IP:PORT, IPv4 */
+bool hf_duration_read (struct hf_str text, double *out_ms);                /* the same without a limit */
+bool hf_duration_parse (struct hf_str text, int64_t *out_ms); /* 500ms, 1.5s; false: none, or over ten days */
+bool hf_address_is_valid (struct hf_str address);             /* true for IP:PORT, IPv4 */
 
 #endif
