Machines that are gone no longer count as part of the fleet

Callers saw: after machines had left and the processes of the others had been killed, an organisation got 429 for most requests within its limit, without end.

Cause: nothing removed the object of an entry from the store; a process that starts counted every listed entry, also one never heard, and saw no majority; forgetting a silent entry did not assign the roles again. The last also holds without a restart, where two of three machines are killed at once.

Change: an entry that leaves removes its object, on condition of its revision; a start writes it anew, so that a late removal is refused. A fleet started as a whole forgets entries never heard after 5 s. Forgetting updates the roles.

--- a/src/config.h
+++ b/src/config.h
@@ -199,6 +199,7 @@
 #define HF_HEARTBEAT_ROUNDS_MAX        3
 #define HF_PEER_TIMEOUT_MS             1800 /* per heartbeat round: without a heartbeat for this long, timed out */
 #define HF_PEER_FORGET_SEC             60 /* a listed member without heartbeats for this long is removed and gets none */
+#define HF_PEER_FORGET_UNHEARD_MS      5000 /* the same for one never heard, by a fleet that was started as a whole */
 #define HF_PAUSE_THRESHOLD_MS          1500 /* a heartbeat this late means that the process was paused */
 #define HF_PAUSE_MS                    500  /* no event for so long: the process was paused */
 #define HF_PAUSE_READ_MS               50   /* time to read what arrived during a pause before waits end */
--- a/src/hf-event.h
+++ b/src/hf-event.h
@@ -275,6 +275,7 @@
   HF_EFFECT_SET_LIMITS,        /* change the limits on callers' requests */
   HF_EFFECT_SET_WATCH,         /* change how the platform's directory is watched */
   HF_EFFECT_READ_DOCUMENT,     /* read the configuration from the platform once */
+  HF_EFFECT_WITHDRAW,          /* remove this entry from the platform's list of entries */
   HF_EFFECT_LIST_AGAIN,        /* the platform has a new era: list again what is watched, check the registration */
 };
 
--- a/src/hf-loop.c
+++ b/src/hf-loop.c
@@ -73,6 +73,9 @@
     case HF_EFFECT_READ_DOCUMENT:
       hf_adapter_read_document (loop->adapter);
       break;
+    case HF_EFFECT_WITHDRAW:
+      hf_adapter_withdraw (loop->adapter);
+      break;
     case HF_EFFECT_REJECT_INCOMPLETE:
       hf_proxy_reject_incomplete (loop->proxy);
       break;
--- a/src/hf-members.c
+++ b/src/hf-members.c
@@ -525,6 +525,19 @@
   return state->now - since >= HF_PEER_TIMEOUT_MS * HF_MS * hf_roles_heartbeat_rounds (state);
 }
 
+/* A process that starts finds all objects of entries in the store, also those of machines that are gone. Where the
+ * whole fleet was started at once, every machine that is left has been started with it and is heard soon. */
+static bool
+is_gone (const struct hf_state *state, const struct hf_member *member)
+{
+  if (!member->listed || !state->external_store)
+    return !member->listed;
+  bool was_heard = member->boot_id != 0;
+  int64_t limit_us = !was_heard && hf_roles_is_restarted_fleet (state) ? HF_PEER_FORGET_UNHEARD_MS * HF_MS
+                                                                       : HF_PEER_FORGET_SEC * HF_SEC;
+  return state->now - MAX (member->last_heartbeat_at, member->listed_at) > limit_us;
+}
+
 void
 hf_members_expire_silent (struct hf_state *state)
 {
@@ -536,11 +549,10 @@
       state->roles.update_pending = state->roles.update_pending || !member->timed_out;
       member->timed_out = true;
       mark_lost (state, member);
-      bool silent_too_long
-          = state->external_store
-            && state->now - MAX (member->last_heartbeat_at, member->listed_at) > HF_PEER_FORGET_SEC * HF_SEC;
-      if (!member->listed || silent_too_long)
-        g_ptr_array_remove_index (state->members, (guint) i);
+      if (!is_gone (state, member))
+        continue;
+      g_ptr_array_remove_index (state->members, (guint) i);
+      state->roles.update_pending = true;
     }
 }
 
--- a/src/hf-roles.c
+++ b/src/hf-roles.c
@@ -353,22 +353,31 @@
   roles->majority_changed_at = state->now;
 }
 
-/* Where every entry that is reached, and with them more than half of the fleet, was started at about the same time,
- * none of them knows anything of before, and no other entry can have had a role since then. */
+/* When the first and the last of the entries that are reached were started, this one included. */
 static void
-note_fleet_restart (struct hf_state *state)
+find_starts (const struct hf_state *state, int64_t *first, int64_t *last)
 {
-  struct hf_roles *roles = &state->roles;
-  int64_t first = state->started_at;
-  int64_t last = state->started_at;
+  *first = state->started_at;
+  *last = state->started_at;
   for (guint i = 0; i < state->members->len; i++)
     {
       const struct hf_member *member = g_ptr_array_index (state->members, i);
       if (member->leaving || !member->alive || member->starting)
         continue;
-      first = MIN (first, member->started_at);
-      last = MAX (last, member->started_at);
+      *first = MIN (*first, member->started_at);
+      *last = MAX (*last, member->started_at);
     }
+}
+
+/* Where every entry that is reached, and with them more than half of the fleet, was started at about the same time,
+ * none of them knows anything of before, and no other entry can have had a role since then. */
+static void
+note_fleet_restart (struct hf_state *state)
+{
+  struct hf_roles *roles = &state->roles;
+  int64_t first;
+  int64_t last;
+  find_starts (state, &first, &last);
   bool is_lately = state->now - first < HF_FLEET_RESTART_MS * HF_MS;
   bool at_once = last - first < HF_FLEET_RESTART_SPREAD_MS * HF_MS;
   roles->restarted_at = roles->majority_since > 0 && is_lately && at_once ? last : 0;
@@ -522,6 +531,15 @@
   return granter ? granter : hf_roles_granter (state, slice->id);
 }
 
+bool
+hf_roles_is_restarted_fleet (const struct hf_state *state)
+{
+  int64_t first;
+  int64_t last;
+  find_starts (state, &first, &last);
+  return state->roles.reached > 1 && last - first < HF_FLEET_RESTART_SPREAD_MS * HF_MS;
+}
+
 /* One that has timed out may be a coordinator: the failure domains find each other again after they were cut off. */
 bool
 hf_roles_is_heartbeat_peer (const struct hf_state *state, const struct hf_member *member)
--- a/src/hf-roles.h
+++ b/src/hf-roles.h
@@ -31,6 +31,8 @@
 uint64_t hf_roles_granter_before (const struct hf_state *state, uint64_t subject, int64_t time);
 /* The entry that grants the slots of a slice: one of the slice's failure domain, if there is any. */
 uint64_t hf_roles_slice_granter (const struct hf_state *state, const struct hf_service_state *slice);
+/* Whether all entries that are reached were started at about the same time, and there is another one. */
+bool hf_roles_is_restarted_fleet (const struct hf_state *state);
 /* Whether this entry sends heartbeats to a member: it or this entry is a coordinator. With domain affinity, both are,
  * if their failure domains differ. */
 bool hf_roles_is_heartbeat_peer (const struct hf_state *state, const struct hf_member *member);
--- a/src/hf-shutdown.c
+++ b/src/hf-shutdown.c
@@ -49,6 +49,8 @@
   hf_state_log (state, HF_LOG_SHUTDOWN, "the health check fails from now on; accepting requests for another %d ms",
                 (int) state->drain_wait_ms);
   hf_members_send_heartbeats (state, false);
+  if (state->external_store)
+    hf_effects_add (state->effects, (struct hf_effect){ .kind = HF_EFFECT_WITHDRAW });
   g_hash_table_iter_init (&iter, state->calls);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *) &call))
     bound_deadline (state, call);
--- a/tests/fake-store.c
+++ b/tests/fake-store.c
@@ -272,6 +272,18 @@
   return spec;
 }
 
+static void
+respond_to_write (struct fake_store *store, struct call *call, const char *json)
+{
+  if (store->responses_to_drop == 0)
+    {
+      respond (store, call, 200, json);
+      return;
+    }
+  store->responses_to_drop--;
+  hf_http_response_abort (call->request);
+}
+
 static void
 write_object (struct fake_store *store, struct call *call)
 {
@@ -288,19 +300,31 @@
     {
       change_object (store, call->kind, name, spec, FALSE);
       char *json = object_json (find_object (store, call->kind, name));
-      if (store->responses_to_drop > 0)
-        {
-          store->responses_to_drop--;
-          hf_http_response_abort (call->request);
-        }
-      else
-        respond (store, call, 200, json);
+      respond_to_write (store, call, json);
       g_free (json);
     }
   g_free (name);
   g_free (spec);
 }
 
+static void
+delete_object (struct fake_store *store, struct call *call)
+{
+  const struct object *object = find_object (store, call->kind, call->name);
+  const char *revision = g_hash_table_lookup (call->query, "revision");
+  char *json = object && !object->deleted ? object_json (object) : NULL;
+  if (!json)
+    respond (store, call, 404, "{}");
+  else if (revision && g_ascii_strtoull (revision, NULL, 10) != object->revision)
+    respond (store, call, 409, json);
+  else
+    {
+      change_object (store, call->kind, call->name, NULL, TRUE);
+      respond_to_write (store, call, json);
+    }
+  g_free (json);
+}
+
 /* --- internal functions: calls --- */
 
 static void
@@ -364,6 +388,8 @@
     respond (store, call, 404, "{}");
   else if (store->error_status)
     respond_in_era (0, call, store->error_status, "{}");
+  else if (strcmp (call->method, "DELETE") == 0)
+    delete_object (store, call);
   else if (strcmp (call->method, "GET") != 0)
     write_object (store, call);
   else if (call->name)
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -845,6 +845,41 @@
   close_setup (setup);
 }
 
+static gboolean
+has_left_store (void *context)
+{
+  return !is_registered (context);
+}
+
+/* An entry that ends in order removes its object, also if a response of the store was lost before. Guards against
+ * machines that are gone and count among the entries for good. */
+static void
+test_withdrawn (void)
+{
+  struct setup *setup = open_setup ();
+  fake_store_drop_responses (setup->store, 1);
+  g_subprocess_send_signal (setup->entry, SIGTERM);
+  g_assert_true (harness_wait_until (has_left_store, setup, CHANGE_TIMEOUT_S));
+  close_setup (setup);
+}
+
+/* A process that starts after a kill writes its object anew. Guards against the removal by a former process that
+ * arrives late: it names the former revision. */
+static void
+test_registered_anew (void)
+{
+  struct setup *setup = open_setup ();
+  char *before = fake_store_get (setup->store, "hickory-entries", "e1");
+  kill_entry (setup);
+  start_entry (setup);
+  g_assert_true (harness_wait_until (is_ready, setup, CHANGE_TIMEOUT_S));
+  char *after = fake_store_get (setup->store, "hickory-entries", "e1");
+  g_assert_cmpstr (before, !=, after);
+  g_free (before);
+  g_free (after);
+  close_setup (setup);
+}
+
 /* Lists of an entry that starts come from a replica of the history before the restore: it lists again. */
 static void
 test_restored_stale_list (void)
@@ -1815,6 +1850,8 @@
   g_test_add_func ("/restored/missing-server", test_restored_missing_server);
   g_test_add_func ("/restored/returned-server", test_restored_returned_server);
   g_test_add_func ("/restored/refusal-without-era", test_refusal_without_era);
+  g_test_add_func ("/platform/withdrawn", test_withdrawn);
+  g_test_add_func ("/platform/registered-anew", test_registered_anew);
   g_test_add_func ("/restored/stale-list", test_restored_stale_list);
   g_test_add_func ("/platform/refused", test_refused);
   g_test_add_func ("/platform/false-promise", test_false_promise);
--- a/tests/test-quota-fleet.c
+++ b/tests/test-quota-fleet.c
@@ -19,6 +19,8 @@
 #define LARGE_BURST   150
 #define FAILING_CALLS 10
 #define RUNS_MAX      32768
+#define LEFT          16    /* of the entries, where machines are taken away for good */
+#define RECOVERY_MS   15000 /* after a start of all: then a fleet serves as before */
 #define DOCUMENT_WITH(large)                                                                                           \
   "{version: 1, services: [{name: a, directory: true}],"                                                               \
   " organisations: [{name: small, keys: [ks], rate_per_s: 10, burst: 10},"                                             \
@@ -470,6 +472,97 @@
   close_simulation (simulation);
 }
 
+/* Takes the last LEFT entries away for good: they leave in order, or are killed. */
+static void
+remove_entries (struct simulation *simulation, bool in_order)
+{
+  struct fleet *fleet = simulation->fleet;
+  for (unsigned i = fleet->entry_count - LEFT; i < fleet->entry_count; i++)
+    {
+      struct fleet_entry *entry = &fleet->entries[i];
+      if (in_order)
+        fleet_raise_event (entry, (struct hf_event){ .kind = HF_EVENT_SHUTDOWN });
+      run_load (simulation, in_order ? 300 : 0, (double[ORGANISATIONS]){ 0 });
+      entry->is_disconnected = true;
+      entry->is_paused = true;
+    }
+}
+
+/* The processes that are left are killed and start again, and find the objects of all. */
+static void
+restart_others (struct simulation *simulation)
+{
+  struct fleet *fleet = simulation->fleet;
+  for (unsigned i = 0; i < fleet->entry_count - LEFT; i++)
+    fleet_restart (fleet, i, 5000 + i);
+  g_array_set_size (simulation->runs, 0);
+  for (unsigned i = 0; i < fleet->entry_count - LEFT; i++)
+    {
+      fleet_report_full_list (&fleet->entries[i]);
+      fleet_report_entries (&fleet->entries[i]);
+    }
+}
+
+/* Of an organisation's requests within its limit none is refused any more. */
+static void
+check_served (struct simulation *simulation)
+{
+  static const double rates[] = { 5, 100, 0 };
+  unsigned refused = simulation->tallies[LARGE_ONE].refused;
+  unsigned run = simulation->tallies[LARGE_ONE].n_run;
+  run_load (simulation, 10000, rates);
+  g_test_message ("%u run, %u refused", simulation->tallies[LARGE_ONE].n_run - run,
+                  simulation->tallies[LARGE_ONE].refused - refused);
+  g_assert_cmpuint (simulation->tallies[LARGE_ONE].refused, ==, refused);
+  g_assert_cmpuint (simulation->tallies[LARGE_ONE].n_run, >, run);
+  check_windows (simulation);
+}
+
+/* Guards against entries that are gone for good and still count where a majority is needed: two of three machines have
+ * been taken away, and the processes of the others are killed and start again. */
+static void
+test_all_killed_after_removal (gconstpointer data)
+{
+  static const double rates[] = { 5, 100, 0 };
+  struct simulation *simulation = open_simulation (ENTRIES);
+  run_load (simulation, 5000, rates);
+  remove_entries (simulation, GPOINTER_TO_INT (data));
+  restart_others (simulation);
+  run_load (simulation, RECOVERY_MS, rates);
+  check_served (simulation);
+  close_simulation (simulation);
+}
+
+/* The same without a restart: once the machines that were killed count as gone, their fleet is the one that is left. */
+static void
+test_most_killed (void)
+{
+  struct simulation *simulation = open_simulation (ENTRIES);
+  remove_entries (simulation, false);
+  fleet_advance (simulation->fleet, (HF_PEER_FORGET_SEC + RECOVERY_MS / 1000) * 1000);
+  check_served (simulation);
+  close_simulation (simulation);
+}
+
+/* A process of a part of the fleet that is cut off is killed, starts again, finds the others in the store and never
+ * hears them: the rule holds over both parts together. Guards against an entry that takes its part for the fleet. */
+static void
+test_part_restarted (void)
+{
+  static const double rates[] = { 5, 250, 0 };
+  struct simulation *simulation = open_simulation (ENTRIES);
+  struct fleet *fleet = simulation->fleet;
+  run_load (simulation, 5000, rates);
+  for (unsigned i = 0; i < fleet->entry_count / 3; i++)
+    fleet->entries[i].part = 1;
+  fleet_restart (fleet, 0, 6000);
+  fleet_report_full_list (&fleet->entries[0]);
+  fleet_report_entries (&fleet->entries[0]);
+  run_load (simulation, RECOVERY_MS, rates);
+  check_windows (simulation);
+  close_simulation (simulation);
+}
+
 /* The owner leaves, again and again: the next one gets its bucket and has no second one. */
 static void
 test_owner_leaves (void)
@@ -705,6 +798,10 @@
   g_test_add_func ("/quota-fleet/loss", test_loss);
   g_test_add_func ("/quota-fleet/all-killed", test_all_killed);
   g_test_add_func ("/quota-fleet/all-killed-wait", test_all_killed_wait);
+  g_test_add_data_func ("/quota-fleet/all-killed-after-leaving", GINT_TO_POINTER (true), test_all_killed_after_removal);
+  g_test_add_data_func ("/quota-fleet/all-killed-after-kills", GINT_TO_POINTER (false), test_all_killed_after_removal);
+  g_test_add_func ("/quota-fleet/most-killed", test_most_killed);
+  g_test_add_func ("/quota-fleet/part-restarted", test_part_restarted);
   g_test_add_func ("/quota-fleet/owner-silent", test_owner_silent);
   g_test_add_func ("/quota-fleet/owner-paused", test_owner_paused);
   g_test_add_func ("/quota-fleet/other-granter-lost", test_other_granter_lost);
--- a/tests/test-scripts.c
+++ b/tests/test-scripts.c
@@ -183,6 +183,9 @@
     case HF_EFFECT_LIST_AGAIN:
       g_string_append_printf (output, "  list again in era %d\n", (int) effect->position.era);
       break;
+    case HF_EFFECT_WITHDRAW:
+      g_string_append (output, "  withdraw\n");
+      break;
     case HF_EFFECT_READ_DOCUMENT:
       g_string_append (output, "  read document\n");
       break;
