A relayed response ends at the timeout of its route

Callers saw: a backend server that sends a body without end, or stops in the middle of a long one, left them without a final answer until their own deadline.

Cause: beyond 256 KB a response is relayed, and the relay cancelled the timer of the call's deadline; nothing but the caller ended the call then.

Change: a relay has a deadline of its own, the operator's timeout or the caller's deadline. Then the caller's connection is reset and the server's closed.

--- a/src/hf-calls.c
+++ b/src/hf-calls.c
@@ -250,6 +250,16 @@
   call->ignore_refusals = false;
 }
 
+/* Relays a response whose end has not arrived: it may come late, or never. */
+static void
+relay_long_response (struct hf_state *state, struct hf_call *call, unsigned i, unsigned status)
+{
+  hf_call_relay_response (state, call, i, status >= 500 ? HF_OUTCOME_UNKNOWN : HF_OUTCOME_ANSWERED);
+  if (call->relay_deadline < INT64_MAX)
+    call->deadline_timer
+        = hf_state_start_timer (state, MAX (call->relay_deadline - state->now, 0), HF_TIMER_CALL_DEADLINE, call->id, 0);
+}
+
 /* A response that is too long to be buffered cannot be held back: it is relayed, or dropped for good. It is dropped if
  * the request may be sent again, if it is the server's statement that the request has not run, or if its status would
  * be taken for one. */
@@ -265,7 +275,7 @@
   bool has_other_attempt = hf_call_count_live_attempts (call) > 1;
   if (!hints->not_run && !misleads && !retries && !(is_failure (hints) && has_other_attempt))
     {
-      hf_call_relay_response (state, call, i, hints->status >= 500 ? HF_OUTCOME_UNKNOWN : HF_OUTCOME_ANSWERED);
+      relay_long_response (state, call, i, hints->status);
       return;
     }
   drop_long_response (state, call, i, event);
@@ -307,20 +317,27 @@
                           "the backend server did not answer");
 }
 
-/* The end of a response whose head was already relayed. If it is incomplete,
- * the caller's connection is closed. */
+/* Closes the caller's connection in the middle of a response, so that it is not taken for a complete one. */
+static void
+abort_relay (struct hf_state *state, struct hf_call *call)
+{
+  hf_effects_add (state->effects, (struct hf_effect){ .kind = HF_EFFECT_ABORT_RESPONSE, .call = call->id });
+  hf_trace_response_aborted (state, call);
+  hf_state_increment (state, HF_COUNT_CUT);
+  hf_claims_end (state, call, HF_OUTCOME_UNKNOWN, 0);
+  hf_call_remove (state, call);
+}
+
+/* The end of a response whose head was already relayed. */
 static void
 relay_finished (struct hf_state *state, struct hf_call *call, const struct hf_event *event)
 {
-  if (event->result == HF_ATTEMPT_ANSWERED)
-    hf_claims_end (state, call, HF_OUTCOME_ANSWERED, event->hints.status);
-  else
+  if (event->result != HF_ATTEMPT_ANSWERED)
     {
-      hf_effects_add (state->effects, (struct hf_effect){ .kind = HF_EFFECT_ABORT_RESPONSE, .call = call->id });
-      hf_trace_response_aborted (state, call);
-      hf_state_increment (state, HF_COUNT_CUT);
-      hf_claims_end (state, call, HF_OUTCOME_UNKNOWN, 0);
+      abort_relay (state, call);
+      return;
     }
+  hf_claims_end (state, call, HF_OUTCOME_ANSWERED, event->hints.status);
   hf_call_remove (state, call);
 }
 
@@ -389,6 +406,11 @@
 {
   call->ignore_refusals = true;
   call->deadline_timer = NULL;
+  if (call->response_relayed)
+    {
+      abort_relay (state, call);
+      return;
+    }
   for (unsigned i = 0; i < call->n_attempts; i++)
     {
       if (call->attempts[i].phase != HF_PHASE_RUNNING)
--- a/src/hf-deadlines.c
+++ b/src/hf-deadlines.c
@@ -17,6 +17,19 @@
   return arrived_at + total_us;
 }
 
+/* When a response that is longer than what is buffered ends at the latest. The class's deadline only bounds the time to
+ * its head. */
+static int64_t
+compute_relay_deadline (const struct hf_event *event, const struct hf_request_class *class, int64_t arrived_at)
+{
+  int64_t deadline = INT64_MAX;
+  if (class->timeout_ms > 0)
+    deadline = arrived_at + class->timeout_ms * HF_MS;
+  if (event->request.deadline_ms > 0)
+    deadline = MIN (deadline, arrived_at + MAX (event->request.deadline_ms - HF_CALLER_NETWORK_MS, 1) * HF_MS);
+  return deadline;
+}
+
 /* Majority vote (Boyer-Moore) over the deadlines that callers of a class send. */
 static void
 count_deadline_vote (struct hf_usual_deadline *usual, int64_t deadline_ms)
@@ -55,6 +68,7 @@
   const struct hf_request_class *class = call->class;
   call->arrived_at = event->request.arrived_at ? event->request.arrived_at : state->now;
   call->deadline = compute_deadline (event, class, call->arrived_at);
+  call->relay_deadline = compute_relay_deadline (event, class, call->arrived_at);
   call->caller_deadline = call->deadline;
   if (event->request.deadline_ms > 0)
     call->caller_deadline = call->arrived_at + event->request.deadline_ms * HF_MS;
--- a/src/hf-health.h
+++ b/src/hf-health.h
@@ -40,9 +40,9 @@
   HF_SLOT_CONNECTION_LOST, /* connection lost after bytes of the request were sent, without a response */
   HF_SLOT_REFUSED,         /* the backend server did not run the request: no free slot, or draining */
   HF_SLOT_TIMED_OUT,       /* cancelled: no response in time */
-  HF_SLOT_SUPERSEDED,      /* cancelled: another attempt of the request responded first */
-  HF_SLOT_UNUSED,          /* no request was sent, or its end is no evidence about the server */
-  HF_SLOT_RETURNED,        /* the entry must not use the server: no request was sent */
+  HF_SLOT_SUPERSEDED, /* cancelled: another attempt responded first, or the request's time was over in mid-response */
+  HF_SLOT_UNUSED,     /* no request was sent, or its end is no evidence about the server */
+  HF_SLOT_RETURNED,   /* the entry must not use the server: no request was sent */
 };
 
 /** enum hf_speed - speed of a backend server by its own reports */
--- a/src/hf-proxy.c
+++ b/src/hf-proxy.c
@@ -503,6 +503,8 @@
 {
   if (call->upload_exchange == call->attempts[attempt])
     call->upload_exchange = NULL;
+  if (call->response_exchange == call->attempts[attempt])
+    call->response_exchange = NULL;
   g_clear_pointer (&call->attempts[attempt], hf_exchange_close);
 }
 
--- a/src/hf-shutdown.c
+++ b/src/hf-shutdown.c
@@ -26,7 +26,7 @@
 static void
 bound_deadline (struct hf_state *state, struct hf_call *call)
 {
-  if (call->deadline <= last_response_at (state) || !call->deadline_timer)
+  if (call->deadline <= last_response_at (state) || !call->deadline_timer || call->response_relayed)
     return;
   call->deadline = MAX (last_response_at (state), state->now);
   call->soft_deadline = MIN (call->soft_deadline, call->deadline);
--- a/src/hf-state.h
+++ b/src/hf-state.h
@@ -235,6 +235,7 @@
   int64_t deadline;                           /* the call fails then */
   int64_t caller_deadline;                    /* the caller gives up then; it may retry before */
   int64_t soft_deadline;                      /* a response before then is worth most */
+  int64_t relay_deadline;                     /* a response that is being relayed ends then; INT64_MAX: no bound */
   size_t body_bytes;
   struct hf_str request_id;
   uint64_t fingerprint;          /* hash for the quarantine */
--- a/tests/platform-setup.c
+++ b/tests/platform-setup.c
@@ -174,18 +174,23 @@
   g_timeout_add ((guint) g_test_rand_int_range (0, LATE_MAX_MS), send_late_response, late);
 }
 
-/* Keeps each connection full, as long as the other side takes the bytes. */
+/* Keeps each connection full, as long as the other side takes the bytes, or sends one piece on each. */
 static gboolean
 send_without_end (gpointer data)
 {
   struct setup *setup = data;
   char *line = g_strnfill (ENDLESS_LINE_BYTES, 'x');
+  char *piece = setup->endless_piece ? g_strdup (setup->endless_piece) : g_strdup_printf ("X-More: %s\r\n", line);
+  guint pieces_max = setup->endless_slowly ? 1 : G_MAXUINT;
   for (guint i = 0; i < setup->endless->len; i++)
     {
       struct raw_connection *connection = g_ptr_array_index (setup->endless, i);
-      while (raw_connection_is_open (connection) && raw_connection_unsent_bytes (connection) < ENDLESS_QUEUE_BYTES)
-        raw_connection_send (connection, "X-More: %s\r\n", line);
+      for (guint n = 0; *piece && n < pieces_max && raw_connection_is_open (connection)
+                        && raw_connection_unsent_bytes (connection) < ENDLESS_QUEUE_BYTES;
+           n++)
+        raw_connection_send (connection, "%s", piece);
     }
+  g_free (piece);
   g_free (line);
   return G_SOURCE_CONTINUE;
 }
@@ -275,6 +280,10 @@
     case SENDS_ENDLESS_NOISE:
       begin_without_end (server->setup, connection, "", id);
       break;
+    case SENDS_TEXT_ENDLESS:
+      send_own_text (server, connection, id);
+      begin_without_end (server->setup, connection, "", id);
+      break;
     case SENDS_TEXT:
       send_own_text (server, connection, id);
       break;
--- a/tests/platform-setup.h
+++ b/tests/platform-setup.h
@@ -46,6 +46,7 @@
   SENDS_ENDLESS_HEAD,  /* header fields until the connection is closed */
   SENDS_ENDLESS_BODY,  /* the same with a body without length */
   SENDS_ENDLESS_NOISE, /* the same with bytes that are no response */
+  SENDS_TEXT_ENDLESS,  /* text of the server, then pieces of the setup until the connection is closed */
   SENDS_TEXT,          /* text of the server; then it resets the connection if cuts_by_reset */
   SENDS_SHORT_STATUS,  /* a status line with two digits */
 };
@@ -99,6 +100,8 @@
   GHashTable *ids;    /* of the requests that reached a server */
   GPtrArray *endless; /* struct raw_connection, on which bytes are sent without end */
   guint endless_timer;
+  const char *endless_piece; /* what is sent without end; NULL: header fields */
+  gboolean endless_slowly;   /* one piece at a time, instead of as many as the connection takes */
 };
 
 /* --- public functions: init and close --- */
--- a/tests/test-scripts.c
+++ b/tests/test-scripts.c
@@ -6,7 +6,8 @@
  * Events in a script (AT and MS in milliseconds, # begins a comment line):
  *   AT start | tick | shutdown
  *   AT document GENERATION FILE                     the platform's watch delivers a configuration document
- *   AT request CALL METHOD PATH[?QUERY] [key=K] [body=TEXT] [streamed] [organisation-key=K] [malformed] [several]
+ *   AT request CALL METHOD PATH[?QUERY] [key=K] [body=TEXT] [streamed] [deadline=MS] [organisation-key=K] [malformed]
+ *       [several]
  *       malformed, several: the request has a field for an organisation's key, but no valid one, or more than one
  *   AT strict-revoke MS                             the setting: without contact for so long, no key is accepted
  *   AT gone CALL                                    the caller disconnected
@@ -265,6 +266,8 @@
   event.request.idempotency_key = hf_str (find_option (run, "key"));
   event.request.body_digest = hf_hash (hf_str (find_option (run, "body")), 0);
   event.request.body_streamed = find_option (run, "streamed") != NULL;
+  if (find_option (run, "deadline"))
+    event.request.deadline_ms = atoi (find_option (run, "deadline"));
   event.request.organisation_key = hf_str (find_option (run, "organisation-key"));
   if (event.request.organisation_key.data)
     event.request.credential = HF_CREDENTIAL_KEY;
