--- a/src/hf-directory.c
+++ b/src/hf-directory.c
@@ -365,20 +365,24 @@
   state->roles.update_pending = true;
 }
 
-/* A response confirms the position only if this entry watches for changes, and those of the newest era; a reachability
- * check does not. */
+/* A response confirms the position only if this entry waits for changes, and for those of the newest era. */
+static void
+confirm_position (struct hf_state *state)
+{
+  struct hf_directory *directory = &state->directory;
+  bool watches = state->directory_sync.watch_mode == HF_WATCH_MODE_ON;
+  if (!watches || directory->position.era != directory->era)
+    return;
+  directory->confirmed_at = state->now;
+  hf_revocation_confirm (state, state->now);
+}
+
 static void
 note_reachable (struct hf_state *state)
 {
   struct hf_directory *directory = &state->directory;
   bool was_unreachable = directory->platform_unreachable_until > 0;
-  bool watches = state->directory_sync.watch_mode == HF_WATCH_MODE_ON;
   directory->platform_unreachable_until = 0;
-  if (watches && directory->position.era == directory->era)
-    {
-      directory->confirmed_at = state->now;
-      hf_revocation_confirm (state, state->now);
-    }
   if (state->directory_sync.watch_mode != HF_WATCH_MODE_OFF && state->directory_sync.platform_reachable_since == 0)
     state->directory_sync.platform_reachable_since = state->now;
   if (!was_unreachable)
@@ -548,12 +552,15 @@
       note_unreachable (state);
       break;
     case HF_LIST_REACHABLE:
+    case HF_LIST_RESPONDS:
       if (directory->unreachable)
         {
           hf_state_log (state, HF_LOG_PLATFORM_BACK, "the directory responds again");
           directory->recovered_at = state->now;
         }
       directory->unreachable = false;
+      if (event->list_step == HF_LIST_REACHABLE)
+        confirm_position (state);
       note_reachable (state);
       break;
     }
--- a/src/hf-event.h
+++ b/src/hf-event.h
@@ -146,7 +146,8 @@
   HF_LIST_END,         /* all servers at the event's position were reported */
   HF_LIST_PROGRESS,    /* all changes up to the event's position were reported */
   HF_LIST_UNREACHABLE, /* the directory is unreachable */
-  HF_LIST_REACHABLE,   /* the directory is reachable */
+  HF_LIST_REACHABLE,   /* the directory is reachable, and changes of it would have been reported */
+  HF_LIST_RESPONDS,    /* the directory is reachable; changes of it may not have been asked for yet */
   HF_LIST_ENTRIES_END, /* all listed entries were reported */
   HF_LIST_NEW_ERA,     /* the platform came back from an older copy; the event's position has the new era */
 };
--- a/tests/platform-setup.c
+++ b/tests/platform-setup.c
@@ -413,10 +413,10 @@
 make_settings (const struct setup *setup)
 {
   return g_strdup_printf ("name: e1\nfailure_domain: z1\nlisten: 127.0.0.1:0\nadmin: 127.0.0.1:0\n"
-                          "peers: 127.0.0.1:0\nmetrics: 127.0.0.1:0\nstore: %s\ndrain_wait_ms: %d\ngrace_ms: %d\n"
+                          "peers: %s\nmetrics: 127.0.0.1:0\nstore: %s\ndrain_wait_ms: %d\ngrace_ms: %d\n"
                           "domain_affinity: %s\n%s",
-                          fake_store_address (setup->store), setup->drain_wait_ms, setup->grace_ms,
-                          setup->affinity ? setup->affinity : "auto",
+                          setup->peers ? setup->peers : "127.0.0.1:0", fake_store_address (setup->store),
+                          setup->drain_wait_ms, setup->grace_ms, setup->affinity ? setup->affinity : "auto",
                           setup->extra_settings ? setup->extra_settings : "");
 }
 
@@ -452,6 +452,26 @@
   g_free (build);
 }
 
+GSubprocess *
+start_larger_entry (struct setup *setup, const char *name, const char *peers)
+{
+  char *build = g_path_get_dirname (g_get_prgname ());
+  char *program = g_build_filename (build, "hickoryd", NULL);
+  char *file = g_strdup_printf ("%s/%s.yaml", setup->folder, name);
+  char *settings
+      = g_strdup_printf ("name: %s\nfailure_domain: z1\nlisten: 127.0.0.1:0\nadmin: 127.0.0.1:0\n"
+                         "peers: %s\nstore: %s\ncpu_share: 2\ndrain_wait_ms: %d\ngrace_ms: %d\n",
+                         name, peers, fake_store_address (setup->store), setup->drain_wait_ms, setup->grace_ms);
+  g_assert_true (g_file_set_contents (file, settings, -1, NULL));
+  GSubprocess *entry = g_subprocess_new (G_SUBPROCESS_FLAGS_STDOUT_SILENCE, NULL, program, file, NULL);
+  g_assert_nonnull (entry);
+  g_free (settings);
+  g_free (file);
+  g_free (program);
+  g_free (build);
+  return entry;
+}
+
 /* --- callers --- */
 
 gboolean
--- a/tests/platform-setup.h
+++ b/tests/platform-setup.h
@@ -85,6 +85,7 @@
   struct fake_store *store;
   struct backend_server servers[SERVERS];
   GSubprocess *entry;
+  const char *peers;    /* address of the entry for other entries; NULL: a free port, which others do not know */
   const char *affinity; /* setting domain_affinity of the entry; NULL: the default */
   int drain_wait_ms;    /* settings of the entry */
   int grace_ms;
@@ -113,8 +114,10 @@
 void start_entry (struct setup *setup);                                /* waits until it listens */
 char *make_settings (const struct setup *setup);                       /* of the entry; the caller frees it */
 void await_listening (struct setup *setup); /* of an entry that was started in another way; reads its addresses */
-void kill_entry (struct setup *setup);      /* SIGKILL */
-void close_setup (struct setup *setup);     /* ends the entry, frees everything */
+/* Starts one more entry with more processor time, which gets the roles first. The caller ends and unrefs it. */
+GSubprocess *start_larger_entry (struct setup *setup, const char *name, const char *peers);
+void kill_entry (struct setup *setup);  /* SIGKILL */
+void close_setup (struct setup *setup); /* ends the entry, frees everything */
 
 /* --- public functions: backend servers --- */
 
