A configuration that contains tenants needs keys, also when the list is empty

Callers saw: after the last tenant had been taken away any key was let through on all routes, and backend servers were shown it.

Cause: whether requests need keys was derived from the number of organisations, so that an empty list of tenants was the same as none.

--- a/src/hf-calls.c
+++ b/src/hf-calls.c
@@ -87,7 +87,7 @@
     .incarnation = server->incarnation,
     .idle_max_ms = hf_attempts_connection_idle_max_ms (call, i, server->id),
     .remaining_ms = MAX (1, (hf_shutdown_server_deadline (state, call) - state->now) / HF_MS),
-    .has_organisations = call->document->organisations.n > 0,
+    .has_organisations = hf_document_needs_keys (call->document),
   };
   if (call->organisation)
     effect.organisation = hf_effects_copy (state->effects, call->organisation->name);
@@ -479,7 +479,7 @@
 refuse_unconfirmed (struct hf_state *state, const struct hf_event *event)
 {
   static const char *const reason = "the configuration is not confirmed, so that no key is accepted";
-  bool has_key = state->document->organisations.n > 0 && event->request.credential == HF_CREDENTIAL_KEY;
+  bool has_key = hf_document_needs_keys (state->document) && event->request.credential == HF_CREDENTIAL_KEY;
   if (!has_key || !hf_revocation_is_due (state))
     return false;
   hf_trace_request_refused (state, event, 503, reason);
@@ -499,7 +499,7 @@
   if (refuse_unconfirmed (state, event))
     return false;
   *organisation = hf_organisations_find (document->organisation_keys, event->request.organisation_key);
-  if (*organisation || class->is_public || document->organisations.n == 0)
+  if (*organisation || class->is_public || !hf_document_needs_keys (document))
     return true;
   const char *reason = explain_unauthorised (event->request.credential);
   hf_state_increment (state, HF_COUNT_UNAUTHORISED);
--- a/src/hf-document.c
+++ b/src/hf-document.c
@@ -397,9 +397,13 @@
   { .name = "organisations",
     .type = HF_YAML_LIST,
     .offset = offsetof (struct hf_document, organisations),
-    .help = "Organisations whose callers identify themselves with a key; none: requests need no key.",
+    .help = "Organisations whose callers identify themselves with a key; none: see require_keys.",
     .fields = organisation_fields,
     .struct_size = sizeof (struct hf_organisation) },
+  { .name = "require_keys",
+    .type = HF_YAML_BOOL,
+    .offset = offsetof (struct hf_document, require_keys),
+    .help = "True: requests need a key also while there are no organisations, so that none is accepted." },
   { .name = "routes",
     .type = HF_YAML_LIST,
     .offset = offsetof (struct hf_document, routes),
@@ -652,6 +656,12 @@
   return (struct hf_request_class *) service->classes.items + i;
 }
 
+bool
+hf_document_needs_keys (const struct hf_document *document)
+{
+  return document->require_keys || document->organisations.n > 0;
+}
+
 uint64_t
 hf_service_id (const struct hf_service *service)
 {
--- a/src/hf-document.h
+++ b/src/hf-document.h
@@ -172,7 +172,8 @@
  * @entries_max: most entry VMs that run concurrently; connection limits are divided by it
  * @limits: limits for requests of callers
  * @services: struct hf_service
- * @organisations: struct hf_organisation; none: requests need no key
+ * @organisations: struct hf_organisation
+ * @require_keys: true: requests need a key also while there are no organisations
  * @organisation_keys: table of their keys; NULL: there are no organisations
  * @routes: struct hf_route; matched before the hosts and paths of @services
  */
@@ -187,6 +188,7 @@
   struct hf_caller_limits limits;
   struct hf_list services;
   struct hf_list organisations;
+  bool require_keys;
   struct hf_organisations *organisation_keys;
   struct hf_list routes;
 };
@@ -215,7 +217,8 @@
 struct hf_server *hf_service_get_server (const struct hf_service *service, size_t i);       /* i-th backend server */
 struct hf_request_class *hf_service_get_class (const struct hf_service *service, size_t i); /* i-th request class */
 struct hf_organisation *hf_document_get_organisation (const struct hf_document *document, size_t i); /* i-th one */
-uint64_t hf_service_id (const struct hf_service *service); /* stable id, hash of the name */
+bool hf_document_needs_keys (const struct hf_document *document); /* requests need a key of an organisation */
+uint64_t hf_service_id (const struct hf_service *service);        /* stable id, hash of the name */
 
 /* Finds a service by name; NULL: none. */
 const struct hf_service *hf_document_find_service (const struct hf_document *document, struct hf_str name);
--- a/src/hf-revocation.c
+++ b/src/hf-revocation.c
@@ -26,7 +26,7 @@
 void
 hf_revocation_tick (struct hf_state *state)
 {
-  bool has_keys = state->document && state->document->organisations.n > 0;
+  bool has_keys = state->document && hf_document_needs_keys (state->document);
   bool unconfirmed = has_keys && hf_revocation_is_due (state);
   if (unconfirmed == state->config_unconfirmed)
     return;
--- a/tests/test-organisations.c
+++ b/tests/test-organisations.c
@@ -714,6 +714,34 @@
   close_test (test);
 }
 
+/* The last tenant is taken away: its list is there and empty. Guards against routes that are open to everyone then, and
+ * against keys that servers are shown. */
+static void
+test_last_tenant (void)
+{
+  struct test *test = open_test (NULL);
+  char *first = format_with_fields (test, "GET", "/r/x", "Authorization: Token " ALPHA_KEY "\r\n");
+  struct raw_client *client = send_text (test->setup, test->setup->caller_address, first);
+  g_assert_cmpuint (raw_client_status (client), ==, 200);
+  put_tenants (test, 8, ",\"tenants\":[]");
+  harness_pause (CONFIG_APPLY_MS);
+  guint before = test->recorder.requests->len;
+  g_assert_cmpuint (status_on (test, client, "Authorization: Token " ALPHA_KEY "\r\n"), ==, 401);
+  g_assert_cmpuint (status_on (test, client, "Authorization: Token " NEW_KEY "\r\n"), ==, 401);
+  g_assert_cmpuint (status_on (test, client, ""), ==, 401);
+  g_assert_cmpuint (test->recorder.requests->len, ==, before);
+  char *public
+      = format_with_fields (test, "GET", "/open/x", "Authorization: Token " ALPHA_KEY "\r\nX-Tenant: gamma\r\n");
+  struct raw_client *open = send_text (test->setup, test->setup->caller_address, public);
+  g_assert_cmpuint (raw_client_status (open), ==, 200);
+  check_forwarded (last_request (test), NULL);
+  raw_client_close (open);
+  raw_client_close (client);
+  g_free (public);
+  g_free (first);
+  close_test (test);
+}
+
 static gboolean
 has_logged (struct setup *setup, const char *text)
 {
@@ -882,6 +910,7 @@
   g_test_add_func ("/organisations/pipelined", test_pipelined);
   g_test_add_func ("/organisations/retry", test_retry);
   g_test_add_func ("/organisations/versions", test_versions);
+  g_test_add_func ("/organisations/last-tenant", test_last_tenant);
   g_test_add_func ("/organisations/refused-documents", test_refused_documents);
   g_test_add_func ("/organisations/strict-revocation", test_strict_revocation);
   g_test_add_func ("/organisations/silent-store", test_silent_store);
--- a/tests/test-store-config.c
+++ b/tests/test-store-config.c
@@ -212,6 +212,33 @@
   hf_document_unref (document);
 }
 
+/* A configuration that contains its list of tenants needs keys, however few there are; one without it needs none.
+ * Guards against routes that are opened when the last tenant is taken away. */
+static void
+test_tenants (void)
+{
+  static const struct
+  {
+    const char *member;
+    bool needs_keys;
+  } members[] = { { "", false },
+                  { ",\"tenants\":[]", true },
+                  { ",\"tenants\":null", true },
+                  { ",\"tenants\":[{\"name\":\"p\"}]", true },
+                  { ",\"tenants\":[{\"name\":\"p\",\"api_keys\":[]}]", true },
+                  { ",\"tenants\":[{\"name\":\"p\",\"api_keys\":[\"k\"]}]", true } };
+  for (size_t i = 0; i < G_N_ELEMENTS (members); i++)
+    {
+      char *json
+          = g_strdup_printf ("{\"spec\":{\"version\":\"r3\",\"services\":[],\"routes\":[]%s}}", members[i].member);
+      struct hf_document *document = load_config (json);
+      g_assert_nonnull (document);
+      g_assert_cmpint (hf_document_needs_keys (document), ==, members[i].needs_keys);
+      hf_document_unref (document);
+      g_free (json);
+    }
+}
+
 /* --- tests: anything --- */
 
 /* Values that a writer may choose for a number or a duration. */
@@ -273,6 +300,7 @@
   g_test_add_func ("/store-config/long-texts", test_long_texts);
   g_test_add_func ("/store-config/long-lists", test_long_lists);
   g_test_add_func ("/store-config/empty-lists", test_empty_lists);
+  g_test_add_func ("/store-config/tenants", test_tenants);
   g_test_add_func ("/store-config/random", test_random);
   return g_test_run ();
 }
