--- a/tests/fake-store.c
+++ b/tests/fake-store.c
@@ -38,6 +38,8 @@
 
 struct fake_store
 {
+  gboolean bodiless;
+  guint reads; /* while bodiless */
   struct hf_http_server *http_server;
   GPtrArray *objects;         /* struct object, sorted by name */
   GPtrArray *pending_watches; /* struct call: watches that wait for a change */
@@ -386,6 +388,11 @@
     keep_unanswered (store, call);
   else if (g_strcmp0 (call->kind, store->refused_kind) == 0)
     respond (store, call, 404, "{}");
+  else if (store->bodiless && strcmp (call->method, "GET") == 0)
+    {
+      store->reads++;
+      respond (store, call, 200, "{}");
+    }
   else if (store->error_status)
     respond_in_era (0, call, store->error_status, "{}");
   else if (strcmp (call->method, "DELETE") == 0)
@@ -550,6 +557,20 @@
   store->responses_to_drop = writes;
 }
 
+void
+fake_store_set_bodiless (struct fake_store *store, gboolean bodiless)
+{
+  store->bodiless = bodiless;
+  if (bodiless)
+    end_watches (store, 503);
+}
+
+guint
+fake_store_reads (const struct fake_store *store)
+{
+  return store->reads;
+}
+
 void
 fake_store_set_list_lag (struct fake_store *store, guint64 changes)
 {
--- a/tests/fake-store.h
+++ b/tests/fake-store.h
@@ -42,6 +42,8 @@
 void fake_store_refuse_kind (struct fake_store *store, const char *kind);
 void fake_store_drop_responses (struct fake_store *store,
                                 guint writes); /* applies the next writes, aborts the responses */
+void fake_store_set_bodiless (struct fake_store *store, gboolean bodiless); /* 200 with an empty map to all reads */
+guint fake_store_reads (const struct fake_store *store);                    /* such responses so far */
 /* With allow_stale, the second and later pages of a list lack the newest changes, as from a lagging replica. */
 void fake_store_set_list_lag (struct fake_store *store, guint64 changes);
 void fake_store_cut_old_watches (struct fake_store *store); /* from now on, those from an older revision */
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -52,6 +52,8 @@
 #define SHORT_GRACE_MS         700 /* shorter than the timeouts of the routes */
 #define KNOWN_LATENCY_REQUESTS 60  /* after that many an entry knows the usual latency of a class */
 #define LOGGED_REQUESTS        5
+#define BODILESS_MS            4000
+#define BODILESS_READS_MAX     200
 #define ENDLESS_CALLERS        12
 #define ENDLESS_MS             2000
 #define ENTRY_MEMORY_MAX_KB    (64 * 1024) /* a fraction of the 260 MB of the users' machines */
@@ -845,6 +847,25 @@
   close_setup (setup);
 }
 
+/* Responses that hold no list, as of a gateway that answers 200 to everything, take no server out of use, and are not
+ * asked for in a tight loop. */
+static void
+test_store_bodiless (void)
+{
+  struct setup *setup = open_setup ();
+  fake_store_set_bodiless (setup->store, TRUE);
+  harness_pause (RECOVERY_MS + BODILESS_MS);
+  for (guint i = 0; i < BURST_REQUESTS; i++)
+    g_assert_cmpuint (request_status (setup, "POST", "/w/x", "b"), ==, 200);
+  g_assert_cmpuint (fake_store_reads (setup->store), <, BODILESS_READS_MAX);
+  fake_store_set_bodiless (setup->store, FALSE);
+  harness_pause (RECOVERY_MS);
+  put_server (setup, 0, "alpha", "draining");
+  harness_pause (DIRECTORY_UPDATE_MS);
+  check_first_server_unused (setup);
+  close_setup (setup);
+}
+
 static gboolean
 has_left_store (void *context)
 {
@@ -1850,6 +1871,7 @@
   g_test_add_func ("/restored/missing-server", test_restored_missing_server);
   g_test_add_func ("/restored/returned-server", test_restored_returned_server);
   g_test_add_func ("/restored/refusal-without-era", test_refusal_without_era);
+  g_test_add_func ("/platform/store-bodiless", test_store_bodiless);
   g_test_add_func ("/platform/withdrawn", test_withdrawn);
   g_test_add_func ("/platform/registered-anew", test_registered_anew);
   g_test_add_func ("/restored/stale-list", test_restored_stale_list);
