--- a/src/config.h
+++ b/src/config.h
@@ -232,8 +232,9 @@
 /* Directory sync between entries. One entry at a time sends the full directory. */
 #define HF_DIRECTORY_SYNC_INTERVAL_MS       500  /* between messages with the latest known revision */
 #define HF_DIRECTORY_SYNC_AGE_MAX_MS        1000 /* a copy confirmed longer ago is not relied on */
-#define HF_DIRECTORY_SYNC_ROLE_DELAY_MS     200  /* the role must last this long before the entry watches */
-#define HF_DIRECTORY_SYNC_WATCHER_WAIT_MS   500  /* platform reachable: wait for watchers before watching it */
+#define HF_DIRECTORY_SYNC_PAUSE_MS          600 /* without a confirmation: longer than between checks of the platform */
+#define HF_DIRECTORY_SYNC_ROLE_DELAY_MS     200 /* the role must last this long before the entry watches */
+#define HF_DIRECTORY_SYNC_WATCHER_WAIT_MS   500 /* platform reachable: wait for watchers before watching it */
 #define HF_DIRECTORY_SYNC_OUTAGE_WAIT_MS    2500 /* the same shortly after an outage of the directory */
 #define HF_DIRECTORY_SYNC_WATCH_MIN_MS      3000 /* shortest watch by an entry without the role */
 #define HF_DIRECTORY_SYNC_LAG_MAX_MS        200  /* changes missing for longer are requested */
--- a/src/hf-directory-sync.c
+++ b/src/hf-directory-sync.c
@@ -477,6 +477,15 @@
   log_watch_mode (state, mode);
 }
 
+/* Watchers kept this entry current and have ceased to: they may have been killed with changes that they had not sent.
+ */
+static bool
+lacks_watchers (const struct hf_state *state, enum hf_watch_mode mode)
+{
+  bool is_checking = mode == HF_WATCH_MODE_PROBE || mode == HF_WATCH_MODE_AWAIT;
+  return is_checking && state->directory_sync.watcher_confirmed_at > 0;
+}
+
 static void
 set_watch_mode (struct hf_state *state, enum hf_watch_mode mode, int64_t wait_ms)
 {
@@ -490,6 +499,7 @@
   hf_effects_add (state->effects, (struct hf_effect){ .kind = HF_EFFECT_SET_WATCH,
                                                       .watch_mode = mode,
                                                       .watch_wait_ms = wait_ms,
+                                                      .catches_up = lacks_watchers (state, mode),
                                                       .position = state->directory.position });
 }
 
--- a/src/hf-directory.c
+++ b/src/hf-directory.c
@@ -365,7 +365,8 @@
   state->roles.update_pending = true;
 }
 
-/* A response confirms the position only if this entry waits for changes, and for those of the newest era. */
+/* A response confirms the position only if this entry waits for changes, and for those of the newest era. After a pause
+ * between two watches the others are told at once, before they cease to rely on their copies. */
 static void
 confirm_position (struct hf_state *state)
 {
@@ -373,8 +374,11 @@
   bool watches = state->directory_sync.watch_mode == HF_WATCH_MODE_ON;
   if (!watches || directory->position.era != directory->era)
     return;
+  bool was_pausing = state->now - directory->confirmed_at > HF_DIRECTORY_SYNC_PAUSE_MS * HF_MS;
   directory->confirmed_at = state->now;
   hf_revocation_confirm (state, state->now);
+  if (was_pausing)
+    hf_directory_sync_announce (state);
 }
 
 static void
--- a/src/hf-event.h
+++ b/src/hf-event.h
@@ -306,6 +306,7 @@
   uint64_t version; /* PUT: expected version of the object; 0: create it */
   enum hf_watch_mode watch_mode;
   int64_t watch_wait_ms;             /* SET_WATCH: how long a watch waits for a change */
+  bool catches_up;                   /* SET_WATCH: request the changes so far at the first check that succeeds */
   struct hf_store_position position; /* SET_WATCH: last known one of the directory; LIST_AGAIN: only the era */
   struct hf_str name;
   struct hf_str data;
--- a/src/hf-loop.c
+++ b/src/hf-loop.c
@@ -65,7 +65,8 @@
       set_limits (loop, &effect->limits);
       break;
     case HF_EFFECT_SET_WATCH:
-      hf_adapter_set_watch_mode (loop->adapter, effect->watch_mode, effect->watch_wait_ms, effect->position);
+      hf_adapter_set_watch_mode (loop->adapter, effect->watch_mode, effect->watch_wait_ms, effect->catches_up,
+                                 effect->position);
       break;
     case HF_EFFECT_LIST_AGAIN:
       hf_adapter_list_again (loop->adapter, effect->position.era);
