--- a/tests/test-watchers-killed.c
+++ b/tests/test-watchers-killed.c
@@ -87,8 +87,8 @@
   start_watchers (fleet);
 }
 
-/* Each of these makes one change that is acknowledged just behind another one, and returns whether the entry that is
- * left acts on the state before it. */
+/* A change_ function makes one change that is acknowledged just behind another one; a uses_ function tells whether the
+ * entry that is left acts on the state before it. */
 static void
 change_server (struct setup *setup, guint round)
 {
